Skeleton: workspace, shared core types, wire messages, architecture

Cause: nothing existed; parts built side by side need one set of types and contracts. Change: workspace of ten crates, keys, names, terms, positions, histories, fleet, rules and views in the core library; remote interfaces; the architecture page with every protocol between the parts. Conclusion: a term carries its authority's epoch, so that a promotion made while the table service is down can never be repeated under the same number by a successor.

--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Controllers: authority, promotion, membership, budgets, configuration.
--- /dev/null
+++ b/crates/core/src/history.rs
@@ -0,0 +1,95 @@
+//! Where each term of a service began, and what that says about a position.
+
+use std::collections::BTreeMap;
+
+use crate::position::Position;
+use crate::term::Term;
+
+/// The first log position of each term of one service, oldest first.
+///
+/// A term begins at the log position that its primary had when it was promoted; whatever an
+/// older term wrote past that point is lost.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct History {
+    starts: BTreeMap<Term, u64>,
+}
+
+/// What the history says about a session's position.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The position is part of the service's log.
+    Kept,
+    /// The position was written by a term that ended before it; its write is lost.
+    Lost {
+        /// The term that began without the write.
+        ended_by: Term,
+        /// Where that term began.
+        start: u64,
+    },
+    /// The position's term is newer than any this history knows.
+    Unknown,
+}
+
+impl History {
+    /// Records that `term` began at log position `start`.
+    pub fn open(&mut self, term: Term, start: u64) {
+        self.starts.insert(term, start);
+    }
+
+    /// The terms and their starts, oldest first.
+    pub fn starts(&self) -> impl Iterator<Item = (Term, u64)> + '_ {
+        self.starts.iter().map(|(term, start)| (*term, *start))
+    }
+
+    /// The newest term, if any was opened.
+    pub fn latest(&self) -> Option<Term> {
+        self.starts.last_key_value().map(|(term, _)| *term)
+    }
+
+    /// Whether the log that leads up to the newest term contains `position`.
+    ///
+    /// ```
+    /// use flamingopost_core::history::{History, Verdict};
+    /// use flamingopost_core::position::Position;
+    /// use flamingopost_core::term::Term;
+    ///
+    /// let (first, second) = (Term { epoch: 1, count: 0 }, Term { epoch: 1, count: 1 });
+    /// let mut history = History::default();
+    /// history.open(first, 0);
+    /// history.open(second, 100);
+    /// let kept = Position { term: first, log: 100 };
+    /// assert_eq!(history.judge(kept), Verdict::Kept);
+    /// let lost = Position { term: first, log: 101 };
+    /// assert_eq!(history.judge(lost), Verdict::Lost { ended_by: second, start: 100 });
+    /// ```
+    pub fn judge(&self, position: Position) -> Verdict {
+        match self.latest() {
+            Some(latest) if position.term <= latest => self.judge_known(position),
+            _ => Verdict::Unknown,
+        }
+    }
+
+    /// Whether a server whose data reach `server` has everything up to `wanted`.
+    pub fn covers(&self, server: Position, wanted: Position) -> bool {
+        if server.term == wanted.term {
+            return server.log >= wanted.log;
+        }
+        server.term > wanted.term
+            && self.first_cut(wanted, server.term).is_none()
+            && server.log >= wanted.log
+    }
+
+    fn judge_known(&self, position: Position) -> Verdict {
+        let newest = self.latest().unwrap_or_default();
+        match self.first_cut(position, newest) {
+            Some((ended_by, start)) => Verdict::Lost { ended_by, start },
+            None => Verdict::Kept,
+        }
+    }
+
+    fn first_cut(&self, position: Position, up_to: Term) -> Option<(Term, u64)> {
+        self.starts()
+            .filter(|(term, _)| *term > position.term && *term <= up_to)
+            .find(|(_, start)| *start < position.log)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of flamingopost, a database proxy that gives session consistency.
+//!
+//! Nothing here does input or output: each state machine takes an event and the time and returns
+//! what to do next. Daemons carry the events in and the effects out, so the same code can be
+//! embedded elsewhere and driven by randomised runs with a clock set by hand.
+
+pub mod clock;
+pub mod directory;
+pub mod fleet;
+pub mod history;
+pub mod key;
+pub mod names;
+pub mod position;
+pub mod rule;
+pub mod term;
+pub mod view;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! What flamingopost daemons share: settings, clock, events, metrics, health.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry host: PostgreSQL to callers and backend servers.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Load, histories, checks and measures.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's services and of database groups.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for backend servers and the platform.
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,3 @@
+//! A whole small deployment in one process.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lease.rs
@@ -0,0 +1,79 @@
+//! Lease renewal: the heartbeat of an entry host, and what it gets in return.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::view::{Shard, Version};
+
+/// One entry host asks one shard's controller to renew its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The shard.
+    pub shard: u16,
+    /// The host's name.
+    pub host: String,
+    /// Number that a process draws at its start, so a restart is not the same holder.
+    pub incarnation: u64,
+    /// The host's availability zone.
+    pub zone: String,
+    /// Address of the host's own remote calls, for revocation and pushes.
+    pub rpc: String,
+    /// Configuration version in force at the host.
+    pub config: u64,
+    /// View version the host acts by; absent at its start.
+    pub version: Option<Version>,
+    /// What the host saw of each backend server since its last renewal.
+    pub reports: BTreeMap<String, Report>,
+    /// Connections the host wants to each backend server.
+    pub demand: BTreeMap<String, u16>,
+    /// Whether the host is about to stop and gives up its lease and its connections.
+    pub stopping: bool,
+}
+
+/// What one host saw of one backend server.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Answers received, probes included.
+    pub answers: u32,
+    /// Connections refused, broken or timed out.
+    pub failures: u32,
+    /// Milliseconds since the last answer; absent when there never was one.
+    pub silent_ms: Option<u64>,
+    /// Last known position, `EPOCH.COUNT/LOG`.
+    pub position: Option<String>,
+}
+
+/// The controller's answer. The lease runs from the moment the host *sent* the renewal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Version of the view that the lease covers.
+    pub version: Version,
+    /// How long, in milliseconds; 0 when nothing is granted.
+    pub valid_ms: u64,
+    /// The view, when it is newer than the one the host named.
+    pub view: Option<Shard>,
+    /// Connections the host may open to each backend server, for as long as the lease runs.
+    pub allotment: BTreeMap<String, u16>,
+    /// Highest configuration version the controller knows.
+    pub config: u64,
+}
+
+/// Why a renewal is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The controller's address, where the refusing process knows a better one.
+    pub redirect: Option<String>,
+    /// Highest configuration version the refusing process knows.
+    pub config: u64,
+}
+
+/// What a renewal leads to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Reply {
+    /// A lease.
+    Granted(Grant),
+    /// This process does not lead the shard, or its authority has run out.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/wire/src/rpc.rs
@@ -0,0 +1,45 @@
+//! The remote interfaces.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+
+use crate::authority::{Ask, Promise, Release, Released};
+use crate::close::{Close, Closed};
+use crate::knowledge::Knowledge;
+use crate::lease::{Renewal, Reply};
+
+/// What a control process answers.
+#[rpc(server, client, namespace = "control")]
+pub trait Control {
+    /// Renews leases: several at once, for a relay; the answers come in the same order.
+    #[method(name = "renew")]
+    async fn renew(&self, renewals: Vec<Renewal>) -> RpcResult<Vec<Reply>>;
+
+    /// Asks a standby for its promise.
+    #[method(name = "promise")]
+    async fn promise(&self, ask: Ask) -> RpcResult<Promise>;
+
+    /// Asks a replaced controller to give up.
+    #[method(name = "release")]
+    async fn release(&self, release: Release) -> RpcResult<Released>;
+
+    /// Tells what this process knows; `version` is what the asker has.
+    #[method(name = "knowledge")]
+    async fn knowledge(&self, version: u64) -> RpcResult<Knowledge>;
+}
+
+/// What an entry host answers.
+#[rpc(server, client, namespace = "entry")]
+pub trait Entry {
+    /// Closes terms.
+    #[method(name = "close")]
+    async fn close(&self, close: Close) -> RpcResult<Closed>;
+
+    /// Tells of a new view, so that a new term is in use before the next renewal.
+    #[method(name = "view")]
+    async fn view(&self, close: Close) -> RpcResult<u64>;
+
+    /// Tells what this host knows; `version` is what the asker has.
+    #[method(name = "knowledge")]
+    async fn knowledge(&self, version: u64) -> RpcResult<Knowledge>;
+}
