--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 pub mod fleet;
 pub mod history;
+pub mod invariant;
 pub mod key;
 pub mod names;
 pub mod position;
