daemon: settings, boot clock, events, metrics, health, operators' HTTP

Cause: every daemon needs the same small parts; none existed. Change: INI reader that reports all problems at once with file, line and fix; CLOCK_BOOTTIME clock; numbered events by one macro that also yields the catalogue; one Prometheus recorder a process, shared by several daemons; HTTP with health, metrics and a bearer-token guard compared in constant time; a stop that only moves forward.

--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,159 @@
+//! Operators' HTTP: health and metrics for everyone, `/v1` for those with the token.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use actix_web::body::MessageBody;
+use actix_web::dev::{ServiceRequest, ServiceResponse};
+use actix_web::http::header::AUTHORIZATION;
+use actix_web::middleware::{Next, from_fn};
+use actix_web::web::{self, Data, ServiceConfig};
+use actix_web::{App, HttpResponse, HttpServer, ResponseError};
+use serde::Serialize;
+
+use crate::event::{Daemon, Event as _};
+use crate::health::{Probe, Readiness};
+use crate::stop::Stop;
+use crate::token::Token;
+
+/// Greatest body that an operator may send; a configuration of a thousand services fits.
+pub const MAX_BODY: usize = 8 << 20;
+
+const WORKERS: usize = 1;
+const SHUTDOWN_SECONDS: u64 = 2;
+
+/// What listens and who may come in.
+#[derive(Debug, Clone)]
+pub struct Listener {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The operators' token.
+    pub token: Token,
+}
+
+/// An error of operators' HTTP, as JSON `{"error":"...","message":"..."}`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Refusal {
+    /// A fixed word that scripts may test.
+    pub error: &'static str,
+    /// A sentence for people.
+    pub message: String,
+}
+
+/// The request does not carry the operators' token.
+#[derive(Debug, displaydoc::Display)]
+enum Guard {
+    /// send the operators' token as `Authorization: Bearer TOKEN`
+    Unauthorized,
+}
+
+impl ResponseError for Guard {
+    fn status_code(&self) -> actix_web::http::StatusCode {
+        actix_web::http::StatusCode::UNAUTHORIZED
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        let refusal = Refusal {
+            error: "unauthorized",
+            message: self.to_string(),
+        };
+        HttpResponse::Unauthorized()
+            .insert_header(("WWW-Authenticate", "Bearer"))
+            .json(refusal)
+    }
+}
+
+/// Serves until `stop` is stopped. `routes` are added under `/v1`, behind the token.
+///
+/// # Errors
+/// When the address cannot be bound or the server fails.
+pub async fn serve<F>(
+    listener: Listener,
+    probe: Arc<dyn Probe>,
+    routes: F,
+    stop: Stop,
+) -> std::io::Result<()>
+where
+    F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+{
+    let socket = TcpListener::bind(listener.address)?;
+    serve_on(socket, listener.token, probe, routes, stop).await
+}
+
+/// As [`serve`], on a socket that already listens.
+///
+/// # Errors
+/// When the server fails.
+pub async fn serve_on<F>(
+    socket: TcpListener,
+    token: Token,
+    probe: Arc<dyn Probe>,
+    routes: F,
+    stop: Stop,
+) -> std::io::Result<()>
+where
+    F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+{
+    let address = socket.local_addr()?;
+    let server = HttpServer::new(move || {
+        let operators = web::scope("/v1")
+            .wrap(from_fn(guard))
+            .configure(routes.clone());
+        App::new()
+            .app_data(Data::new(token.clone()))
+            .app_data(Data::from(probe.clone()))
+            .app_data(web::PayloadConfig::new(MAX_BODY))
+            .route("/live", web::get().to(live))
+            .route("/ready", web::get().to(ready))
+            .route("/metrics", web::get().to(metrics))
+            .service(operators)
+    })
+    .workers(WORKERS)
+    .shutdown_timeout(SHUTDOWN_SECONDS)
+    .disable_signals()
+    .listen(socket)?
+    .run();
+    Daemon::Listening { address }.log();
+    let handle = server.handle();
+    tokio::spawn(async move {
+        stop.stopped().await;
+        handle.stop(true).await;
+    });
+    server.await
+}
+
+async fn guard(
+    token: Data<Token>,
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
+    let header = request.headers().get(AUTHORIZATION);
+    let offered = header
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    if !token.admits(offered) {
+        let path = request.path().to_owned();
+        Daemon::Unauthorized { path }.log();
+        return Err(Guard::Unauthorized.into());
+    }
+    next.call(request).await
+}
+
+async fn live() -> HttpResponse {
+    HttpResponse::Ok().body("live\n")
+}
+
+async fn ready(probe: Data<dyn Probe>) -> HttpResponse {
+    let readiness = probe.readiness();
+    let body = format!("{readiness}\n");
+    match readiness {
+        Readiness::Ready => HttpResponse::Ok().body(body),
+        _ => HttpResponse::ServiceUnavailable().body(body),
+    }
+}
+
+async fn metrics() -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(crate::metrics::render())
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,14 @@
-//! What flamingopost daemons share: settings, clock, events, metrics, health.
+//! What every flamingopost daemon shares: settings, clock, numbered log events, metrics, health,
+//! operators' HTTP and the way to stop.
+
+pub mod clock;
+pub mod event;
+pub mod health;
+pub mod http;
+pub mod incarnation;
+pub mod log;
+pub mod metrics;
+pub mod settings;
+pub mod stop;
+pub mod token;
+pub mod value;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,63 @@
+//! Metrics of the process, in the text form that Prometheus reads.
+
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use flamingopost_core::invariant::{self, Invariant};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+use crate::event::{Daemon, Event as _};
+
+/// Bounds of histograms of durations in seconds. They are fine around the contracts of today
+/// (hundredths to tenths of a second) and still hold a failover and a configuration change.
+pub const SECONDS: [f64; 18] = [
+    0.000_1, 0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5,
+    1.0, 2.0, 4.0, 8.0, 13.0,
+];
+
+/// Name of the counter of violated invariants.
+pub const VIOLATIONS: &str = "flamingopost_invariant_violations_total";
+
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+static LOGGED: [AtomicU64; Invariant::ALL.len()] =
+    [const { AtomicU64::new(0) }; Invariant::ALL.len()];
+
+/// Starts recording. The first call in a process installs the recorder; later ones, by other
+/// daemons in the same process, share it.
+pub fn start() {
+    HANDLE.get_or_init(install);
+}
+
+/// What `/metrics` answers.
+pub fn render() -> String {
+    export_violations();
+    let handle = HANDLE.get_or_init(install);
+    handle.run_upkeep();
+    handle.render()
+}
+
+fn install() -> PrometheusHandle {
+    let builder = PrometheusBuilder::new();
+    let builder = builder
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &SECONDS)
+        .unwrap_or_else(|_| PrometheusBuilder::new());
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    // Another recorder in the process (an embedder's) is left alone: it gets the metrics, and
+    // ours renders nothing.
+    let _ = metrics::set_global_recorder(recorder);
+    metrics::describe_counter!(VIOLATIONS, "Times an invariant was found violated");
+    handle
+}
+
+fn export_violations() {
+    for invariant in Invariant::ALL {
+        let count = invariant::violations(invariant);
+        metrics::counter!(VIOLATIONS, "invariant" => invariant.to_string()).absolute(count);
+        let logged = LOGGED[invariant as usize].swap(count, Ordering::Relaxed);
+        if count > logged {
+            let invariant = invariant.to_string();
+            Daemon::Violated { invariant, count }.log();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,296 @@
+//! Settings of a host, read from INI; everything wrong with a file is reported at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::path::Path;
+
+use ini::Ini;
+
+use crate::value::Value;
+
+/// One thing that is wrong in a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// The file.
+    pub file: String,
+    /// The line, from 1; 0 when something is absent.
+    pub line: usize,
+    /// What is wrong there.
+    pub what: What,
+}
+
+/// What is wrong, and what would be right.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum What {
+    /// cannot be read: {0}
+    Unreadable(String),
+    /// is no INI: {0}
+    Syntax(String),
+    /// [{section}] lacks `{key}`: add for example `{key} = {example}`
+    Missing {
+        /// Section that lacks it.
+        section: String,
+        /// The key.
+        key: String,
+        /// A value that would be right.
+        example: String,
+    },
+    /// `{key} = {value}` in [{section}] is wrong: write {shape}
+    Wrong {
+        /// Section.
+        section: String,
+        /// Key.
+        key: String,
+        /// Value found.
+        value: String,
+        /// What the value must look like.
+        shape: String,
+    },
+    /// `{key}` is unknown in [{section}]: remove it, or use one of {known}
+    UnknownKey {
+        /// Section.
+        section: String,
+        /// Key found.
+        key: String,
+        /// Keys that may stand there.
+        known: String,
+    },
+    /// section [{section}] is unknown: remove it, or use one of {known}
+    UnknownSection {
+        /// Section found.
+        section: String,
+        /// Sections that may stand there.
+        known: String,
+    },
+    /// `{key}` stands twice in [{section}]: keep one
+    Twice {
+        /// Section.
+        section: String,
+        /// Key.
+        key: String,
+    },
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}: {}", self.file, self.what),
+            line => write!(f, "{}:{}: {}", self.file, line, self.what),
+        }
+    }
+}
+
+/// Everything that is wrong with a file, one problem a line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problems(pub Vec<Problem>);
+
+impl std::error::Error for Problems {}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.0.iter().enumerate() {
+            let end = if index == 0 { "" } else { "\n" };
+            write!(f, "{end}{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+type Place = (String, String);
+
+/// Reads values out of one file and gathers what is wrong.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_daemon::settings::Reader;
+///
+/// let mut reader = Reader::parse("entry.ini", "[host]\nname = dumdum-1\n");
+/// let name: Option<String> = reader.required("host", "name", "dumdum-1");
+/// let wait = reader.optional("host", "wait", Duration::from_secs(3));
+/// assert_eq!(wait, Duration::from_secs(3));
+/// assert_eq!(reader.finish(name).unwrap(), "dumdum-1");
+///
+/// let mut reader = Reader::parse("entry.ini", "[host]\nnam = dumdum-1\n");
+/// let name: Option<String> = reader.required("host", "name", "dumdum-1");
+/// let problems = reader.finish(name).unwrap_err();
+/// assert_eq!(
+///     problems.to_string(),
+///     "entry.ini: [host] lacks `name`: add for example `name = dumdum-1`\n\
+///      entry.ini:2: `nam` is unknown in [host]: remove it, or use one of name"
+/// );
+/// ```
+#[derive(Debug)]
+pub struct Reader {
+    file: String,
+    values: BTreeMap<Place, String>,
+    lines: BTreeMap<Place, usize>,
+    asked: BTreeSet<Place>,
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    /// Reads `path`; a file that cannot be read is a problem like any other.
+    pub fn open(path: &Path) -> Reader {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Reader::parse(&file, &text),
+            Err(error) => {
+                let mut reader = Reader::parse(&file, "");
+                reader.report(0, What::Unreadable(error.to_string()));
+                reader
+            }
+        }
+    }
+
+    /// Reads `text`, which came from `file`.
+    pub fn parse(file: &str, text: &str) -> Reader {
+        let mut reader = Reader {
+            file: file.to_owned(),
+            values: BTreeMap::new(),
+            lines: lines(text),
+            asked: BTreeSet::new(),
+            problems: Vec::new(),
+        };
+        match Ini::load_from_str_noescape(text) {
+            Ok(ini) => reader.take(&ini),
+            Err(error) => reader.report(error.line, What::Syntax(error.msg.to_string())),
+        }
+        reader
+    }
+
+    /// A value that has to be there; `example` is shown where it is not.
+    pub fn required<V: Value>(&mut self, section: &str, key: &str, example: &str) -> Option<V> {
+        if self.text(section, key).is_none() {
+            let missing = What::Missing {
+                section: section.to_owned(),
+                key: key.to_owned(),
+                example: example.to_owned(),
+            };
+            self.report(0, missing);
+            return None;
+        }
+        self.maybe(section, key)
+    }
+
+    /// A value that may be absent, and what holds then.
+    pub fn optional<V: Value>(&mut self, section: &str, key: &str, absent: V) -> V {
+        self.maybe(section, key).unwrap_or(absent)
+    }
+
+    /// A value that may be absent.
+    pub fn maybe<V: Value>(&mut self, section: &str, key: &str) -> Option<V> {
+        let text = self.text(section, key)?;
+        let value = V::read(&text);
+        if value.is_none() {
+            let wrong = What::Wrong {
+                section: section.to_owned(),
+                key: key.to_owned(),
+                value: text,
+                shape: V::SHAPE.to_owned(),
+            };
+            self.report(self.line(section, key), wrong);
+        }
+        value
+    }
+
+    /// The decoded settings, if nothing was wrong and nothing stands in the file unread.
+    ///
+    /// # Errors
+    /// Everything that is wrong with the file.
+    pub fn finish<T>(mut self, decoded: Option<T>) -> Result<T, Problems> {
+        self.report_unknown();
+        match decoded {
+            Some(decoded) if self.problems.is_empty() => Ok(decoded),
+            _ => Err(Problems(self.problems)),
+        }
+    }
+
+    fn take(&mut self, ini: &Ini) {
+        for (section, properties) in ini {
+            let section = section.unwrap_or_default();
+            for (key, value) in properties {
+                let place = (section.to_owned(), key.to_owned());
+                if self.values.insert(place, value.trim().to_owned()).is_some() {
+                    let twice = What::Twice {
+                        section: section.to_owned(),
+                        key: key.to_owned(),
+                    };
+                    self.report(self.line(section, key), twice);
+                }
+            }
+        }
+    }
+
+    fn text(&mut self, section: &str, key: &str) -> Option<String> {
+        let place = (section.to_owned(), key.to_owned());
+        let text = self.values.get(&place).cloned();
+        self.asked.insert(place);
+        text
+    }
+
+    fn line(&self, section: &str, key: &str) -> usize {
+        let place = (section.to_owned(), key.to_owned());
+        self.lines.get(&place).copied().unwrap_or_default()
+    }
+
+    fn report(&mut self, line: usize, what: What) {
+        let file = self.file.clone();
+        self.problems.push(Problem { file, line, what });
+    }
+
+    fn report_unknown(&mut self) {
+        let unknown: Vec<Place> = self
+            .values
+            .keys()
+            .filter(|place| !self.asked.contains(*place))
+            .cloned()
+            .collect();
+        for (section, key) in unknown {
+            let line = self.line(&section, &key);
+            let known = self.known_keys(&section);
+            let what = if known.is_empty() {
+                let known = self.known_sections();
+                What::UnknownSection { section, known }
+            } else {
+                What::UnknownKey {
+                    section,
+                    key,
+                    known,
+                }
+            };
+            self.report(line, what);
+        }
+    }
+
+    fn known_keys(&self, section: &str) -> String {
+        let keys = self.asked.iter().filter(|(asked, _)| asked == section);
+        join(keys.map(|(_, key)| key.as_str()))
+    }
+
+    fn known_sections(&self) -> String {
+        let sections: BTreeSet<&str> = self.asked.iter().map(|(asked, _)| asked.as_str()).collect();
+        join(sections.into_iter())
+    }
+}
+
+fn join<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    names.collect::<Vec<_>>().join(", ")
+}
+
+/// The line of each key. The INI library tells lines of syntax errors only.
+fn lines(text: &str) -> BTreeMap<Place, usize> {
+    let mut lines = BTreeMap::new();
+    let mut section = String::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(name) = line
+            .strip_prefix('[')
+            .and_then(|rest| rest.strip_suffix(']'))
+        {
+            section = name.trim().to_owned();
+        } else if let Some((key, _)) = line.split_once(['=', ':']) {
+            lines.insert((section.clone(), key.trim().to_owned()), index + 1);
+        }
+    }
+    lines
+}
--- /dev/null
+++ b/crates/daemon/src/token.rs
@@ -0,0 +1,59 @@
+//! The bearer token of operators.
+
+use std::fmt;
+use std::path::Path;
+
+use subtle::ConstantTimeEq;
+
+/// A secret that operators send as `Authorization: Bearer TOKEN`. It is never shown.
+///
+/// ```
+/// use flamingopost_daemon::token::Token;
+///
+/// let token = Token::new("not-for-logs");
+/// assert!(token.admits("Bearer not-for-logs"));
+/// assert!(!token.admits("Bearer guess"));
+/// assert_eq!(format!("{token:?}"), "Token(..)");
+/// ```
+#[derive(Clone)]
+pub struct Token(String);
+
+impl Token {
+    /// A token that reads `text`.
+    pub fn new(text: &str) -> Token {
+        Token(text.to_owned())
+    }
+
+    /// The token in a file, without white space around it.
+    ///
+    /// # Errors
+    /// When the file cannot be read.
+    pub fn load(path: &Path) -> std::io::Result<Token> {
+        let text = std::fs::read_to_string(path)?;
+        Ok(Token(text.trim().to_owned()))
+    }
+
+    /// Whether the value of an `Authorization` header carries this token.
+    ///
+    /// The comparison takes the same time wherever the first difference lies: else a caller
+    /// could find the token byte by byte from the time that refusals take. An empty token
+    /// admits nobody.
+    pub fn admits(&self, header: &str) -> bool {
+        let Some(offered) = header.strip_prefix("Bearer ") else {
+            return false;
+        };
+        let same = self.0.as_bytes().ct_eq(offered.trim().as_bytes());
+        bool::from(same) && !self.0.is_empty()
+    }
+
+    /// The value of the `Authorization` header that carries this token.
+    pub fn header(&self) -> String {
+        format!("Bearer {}", self.0)
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token(..)")
+    }
+}
