--- /dev/null
+++ b/crates/platform/src/fake.rs
@@ -0,0 +1,172 @@
+//! A platform in memory for tests: behind the same traits, with faults set by hand.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use crate::error::Error;
+use crate::hosts::{self, Host};
+use crate::object;
+use crate::table::{self, Change, Guard, Outcome, Row, Tag};
+
+/// What goes wrong with requests from now on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Fault {
+    /// Every request is refused.
+    pub down: bool,
+    /// Writes take effect, their answers are lost.
+    pub lost_answers: bool,
+    /// Every request takes this long.
+    pub delay: Duration,
+}
+
+/// A table service, object store and list of hosts in memory.
+#[derive(Debug, Default)]
+pub struct Platform {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fault: Fault,
+    writes: u64,
+    reads: u64,
+    rows: BTreeMap<String, (u64, String)>,
+    objects: BTreeMap<String, Vec<u8>>,
+    hosts: Vec<Host>,
+}
+
+impl Platform {
+    /// Sets what goes wrong from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Sets the list of hosts.
+    pub fn set_hosts(&self, hosts: Vec<Host>) {
+        self.lock().hosts = hosts;
+    }
+
+    /// Requests so far that read.
+    pub fn reads(&self) -> u64 {
+        self.lock().reads
+    }
+
+    /// Requests so far that wrote, refused ones included.
+    pub fn writes(&self) -> u64 {
+        self.lock().writes
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    async fn enter(&self) -> Result<(), Error> {
+        let fault = self.lock().fault;
+        if !fault.delay.is_zero() {
+            tokio::time::sleep(fault.delay).await;
+        }
+        if fault.down {
+            return Err(Error::Refused);
+        }
+        Ok(())
+    }
+
+    async fn enter_read(&self) -> Result<(), Error> {
+        self.lock().reads += 1;
+        self.enter().await
+    }
+
+    async fn enter_write(&self) -> Result<(), Error> {
+        self.lock().writes += 1;
+        self.enter().await
+    }
+
+    fn leave_write<T>(&self, answer: T) -> Result<T, Error> {
+        if self.lock().fault.lost_answers {
+            return Err(Error::Broken("answer lost".to_owned()));
+        }
+        Ok(answer)
+    }
+}
+
+impl State {
+    fn holds(&self, change: &Change) -> bool {
+        match (&change.guard, self.rows.get(&change.key)) {
+            (Guard::Absent, None) => true,
+            (Guard::Tag(Tag(wanted)), Some((tag, _))) => *wanted == tag.to_string(),
+            _ => false,
+        }
+    }
+
+    fn apply(&mut self, changes: Vec<Change>) -> Outcome {
+        if !changes.iter().all(|change| self.holds(change)) {
+            return Outcome::Lost;
+        }
+        for change in changes {
+            let tag = self.rows.get(&change.key).map_or(1, |(tag, _)| tag + 1);
+            self.rows.insert(change.key, (tag, change.body));
+        }
+        Outcome::Done
+    }
+}
+
+fn row(key: &str, tag: u64, body: &str) -> Row {
+    Row {
+        key: key.to_owned(),
+        tag: Tag(tag.to_string()),
+        body: body.to_owned(),
+    }
+}
+
+#[async_trait]
+impl table::Table for Platform {
+    async fn read(&self, key: &str) -> Result<Option<Row>, Error> {
+        self.enter_read().await?;
+        let state = self.lock();
+        let found = state.rows.get(key);
+        Ok(found.map(|(tag, body)| row(key, *tag, body)))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Row>, Error> {
+        self.enter_read().await?;
+        let state = self.lock();
+        let rows = state.rows.range(prefix.to_owned()..);
+        Ok(rows
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, (tag, body))| row(key, *tag, body))
+            .collect())
+    }
+
+    async fn write(&self, changes: Vec<Change>) -> Result<Outcome, Error> {
+        self.enter_write().await?;
+        let outcome = self.lock().apply(changes);
+        self.leave_write(outcome)
+    }
+}
+
+#[async_trait]
+impl object::Store for Platform {
+    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>, Error> {
+        self.enter_read().await?;
+        Ok(self.lock().objects.get(key).cloned())
+    }
+
+    async fn put(&self, key: &str, body: Vec<u8>) -> Result<(), Error> {
+        self.enter_write().await?;
+        self.lock().objects.insert(key.to_owned(), body);
+        self.leave_write(())
+    }
+}
+
+#[async_trait]
+impl hosts::List for Platform {
+    async fn hosts(&self) -> Result<Vec<Host>, Error> {
+        self.enter_read().await?;
+        Ok(self.lock().hosts.clone())
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/fake.rs
@@ -0,0 +1,71 @@
+//! The fake keeps the contract that the real services keep.
+
+use flamingopost_platform::error::{Effect, Error};
+use flamingopost_platform::fake::{Fault, Platform};
+use flamingopost_platform::object::Store;
+use flamingopost_platform::table::{Change, Guard, Outcome, Table};
+
+fn change(key: &str, guard: Guard, body: &str) -> Change {
+    Change {
+        key: key.to_owned(),
+        guard,
+        body: body.to_owned(),
+    }
+}
+
+#[tokio::test]
+async fn one_of_two_writers_loses() {
+    let platform = Platform::default();
+    let first = platform.write(vec![change("fleet/head", Guard::Absent, "1")]);
+    assert_eq!(first.await, Ok(Outcome::Done));
+    let second = platform.write(vec![change("fleet/head", Guard::Absent, "2")]);
+    assert_eq!(second.await, Ok(Outcome::Lost));
+    let row = platform.read("fleet/head").await.unwrap().unwrap();
+    assert_eq!(row.body, "1");
+    let third = platform.write(vec![change("fleet/head", Guard::Tag(row.tag), "3")]);
+    assert_eq!(third.await, Ok(Outcome::Done));
+}
+
+#[tokio::test]
+async fn several_changes_take_effect_together_or_not_at_all() {
+    let platform = Platform::default();
+    let only = platform.write(vec![change("fleet/a", Guard::Absent, "1")]);
+    assert_eq!(only.await, Ok(Outcome::Done));
+    let both = platform.write(vec![
+        change("fleet/b", Guard::Absent, "1"),
+        change("fleet/a", Guard::Absent, "2"),
+    ]);
+    assert_eq!(both.await, Ok(Outcome::Lost));
+    let rows = platform.list("fleet/").await.unwrap();
+    assert_eq!(rows.len(), 1);
+    assert_eq!(rows[0].body, "1");
+}
+
+/// An operator's submission takes effect, but its answer never arrives: the error must not read
+/// as "not done", or the operator would submit again on top of their own change.
+#[tokio::test]
+async fn a_lost_answer_reads_as_unknown() {
+    let platform = Platform::default();
+    platform.set_fault(Fault {
+        lost_answers: true,
+        ..Fault::default()
+    });
+    let lost = platform.write(vec![change("fleet/head", Guard::Absent, "1")]);
+    let error = lost.await.unwrap_err();
+    assert_eq!(error.effect(), Effect::Unknown);
+    let row = platform.read("fleet/head").await.unwrap();
+    assert_eq!(row.map(|row| row.body), Some("1".to_owned()));
+}
+
+#[tokio::test]
+async fn an_outage_has_no_effect() {
+    let platform = Platform::default();
+    platform.set_fault(Fault {
+        down: true,
+        ..Fault::default()
+    });
+    assert_eq!(platform.put("k", vec![1]).await, Err(Error::Refused));
+    assert_eq!(Error::Refused.effect(), Effect::None);
+    platform.set_fault(Fault::default());
+    assert_eq!(platform.get("k").await, Ok(None));
+}
