Hold write leases at entry hosts

Cause: an acknowledgement must never come from a replaced primary, and a lease that is checked only before a statement is sent cannot see a pause, a late answer or a revocation. Change: lease::Holder counts from the renewal's sending, checks after the backend server's answer and records the position before the caller is told; a grant overtaken by a revocation is nothing; the answer to a revocation names the version acted by. Conclusion: entry and edge can be written against it; seven focused tests.

--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -35,6 +35,28 @@
     pub leaving: BTreeSet<ServerKey>,
 }
 
+impl Service {
+    /// A service in `state`, whose history knows only its newest term, from the log's beginning.
+    pub fn new(state: State) -> Service {
+        let mut history = History::default();
+        history.open(state.term(), 0);
+        Service {
+            state,
+            history,
+            leaving: BTreeSet::new(),
+        }
+    }
+}
+
+impl State {
+    /// The newest term: open, or the one that is over.
+    pub fn term(self) -> Term {
+        match self {
+            State::Open { term, .. } | State::Closed { term } => term,
+        }
+    }
+}
+
 /// Whether a service takes writes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
--- /dev/null
+++ b/crates/core/tests/lease.rs
@@ -0,0 +1,179 @@
+//! Write leases of an entry host.
+
+use std::time::Duration;
+
+use flamingopost_core::key::{ServerKey, ServiceKey};
+use flamingopost_core::lease::{Acknowledge, Adopted, Granted, Holder, Leader};
+use flamingopost_core::names::Names;
+use flamingopost_core::position::Position;
+use flamingopost_core::term::Term;
+use flamingopost_core::view::{Service, Shard, State, Version};
+
+const SHARD: u16 = 3;
+const LEASE: Duration = Duration::from_millis(2_500);
+const FIRST: Term = Term { epoch: 1, count: 0 };
+const SECOND: Term = Term { epoch: 1, count: 1 };
+
+struct Fixture {
+    service: ServiceKey,
+    old: ServerKey,
+    new: ServerKey,
+}
+
+fn names() -> Fixture {
+    let mut services = Names::default();
+    let mut servers = Names::default();
+    Fixture {
+        service: services.intern("auction-ledger"),
+        old: servers.intern("a"),
+        new: servers.intern("b"),
+    }
+}
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn view(change: u64, service: ServiceKey, state: State) -> Shard {
+    let mut shard = Shard {
+        version: Version { epoch: 1, change },
+        ..Shard::default()
+    };
+    shard.services.insert(service, Service::new(state));
+    shard
+}
+
+fn opened(names: &Fixture) -> Shard {
+    let state = State::Open {
+        term: FIRST,
+        primary: names.old,
+    };
+    view(1, names.service, state)
+}
+
+fn closed(names: &Fixture) -> Shard {
+    view(2, names.service, State::Closed { term: FIRST })
+}
+
+fn reopened(names: &Fixture) -> Shard {
+    let state = State::Open {
+        term: SECOND,
+        primary: names.new,
+    };
+    view(3, names.service, state)
+}
+
+fn leased(names: &Fixture) -> Holder {
+    let mut holder = Holder::new(1);
+    let ticket = holder.renewal_sent(SHARD, at(1_000));
+    let view = opened(names);
+    holder.granted(ticket, view.version, LEASE, Some(view), at(1_010));
+    holder
+}
+
+fn write(term: Term, log: u64) -> Position {
+    Position { term, log }
+}
+
+/// A caller is told that its bid is in, and it is not: the entry host was paused between the
+/// backend server's answer and its own, its lease lapsed, and a replica was promoted without the
+/// bid. Cause: a lease that is checked only before the statement is sent.
+#[test]
+fn an_answer_after_the_lease_is_not_acknowledged() {
+    let names = names();
+    let mut holder = leased(&names);
+    let open = Leader::Open {
+        term: FIRST,
+        primary: names.old,
+    };
+    assert_eq!(holder.leader(names.service, at(3_000)), open);
+
+    let resumed = at(60_000);
+    let answer = holder.acknowledge(names.service, FIRST, write(FIRST, 7), resumed);
+    assert_eq!(answer, Acknowledge::Unknown);
+    assert_eq!(holder.acknowledged(names.service), None);
+}
+
+/// A lease outlives what the controller waits for, because the renewal's answer was under way
+/// for two seconds. Cause: a lease counted from the answer's arrival.
+#[test]
+fn a_lease_runs_from_the_sending_of_its_renewal() {
+    let names = names();
+    let mut holder = Holder::new(1);
+    let ticket = holder.renewal_sent(SHARD, at(1_000));
+    let view = opened(&names);
+    let late = at(3_000);
+    holder.granted(ticket, view.version, LEASE, Some(view), late);
+    assert!(holder.left(SHARD, late) < at(500));
+    let answer = holder.acknowledge(names.service, FIRST, write(FIRST, 7), at(3_500));
+    assert_eq!(answer, Acknowledge::Unknown);
+}
+
+/// A write of the old term is acknowledged after the promotion: a grant was overtaken by the
+/// revocation, and the host took it for a new lease. Cause: a grant taken regardless of version.
+#[test]
+fn a_grant_overtaken_by_a_revocation_is_no_lease() {
+    let names = names();
+    let mut holder = leased(&names);
+    let ticket = holder.renewal_sent(SHARD, at(1_500));
+    holder.close(SHARD, closed(&names));
+    let version = opened(&names).version;
+    let granted = holder.granted(ticket, version, LEASE, Some(opened(&names)), at(1_600));
+    assert_eq!(granted, Granted::Nothing);
+    let over = Leader::Closed { term: FIRST };
+    assert_eq!(holder.leader(names.service, at(1_600)), over);
+}
+
+/// The controller promotes a replica that lacks an acknowledged write, although a better one was
+/// there. Cause: a revocation answered without what had been acknowledged.
+#[test]
+fn a_revocation_tells_what_was_acknowledged() {
+    let names = names();
+    let mut holder = leased(&names);
+    for log in [5, 9, 7] {
+        let answer = holder.acknowledge(names.service, FIRST, write(FIRST, log), at(1_100));
+        assert_eq!(answer, Acknowledge::Done);
+    }
+    let acknowledged = holder.close(SHARD, closed(&names));
+    assert_eq!(acknowledged.get(&names.service), Some(&write(FIRST, 9)));
+    let late = holder.acknowledge(names.service, FIRST, write(FIRST, 10), at(1_200));
+    assert_eq!(late, Acknowledge::Unknown);
+}
+
+/// After a promotion, writes wait for the next renewal although the host was told of the new
+/// term. Cause: a lease thrown away with the view it was granted on.
+#[test]
+fn a_pushed_view_is_used_under_the_running_lease() {
+    let names = names();
+    let mut holder = leased(&names);
+    holder.close(SHARD, closed(&names));
+    assert_eq!(holder.adopt(SHARD, reopened(&names)), Adopted::Newer);
+    assert_eq!(holder.adopt(SHARD, closed(&names)), Adopted::Kept);
+    let done = holder.acknowledge(names.service, SECOND, write(SECOND, 11), at(2_000));
+    assert_eq!(done, Acknowledge::Done);
+}
+
+/// A write sent to the old primary is acknowledged as one of the new term. Cause: the term of the
+/// backend server's own position was ignored.
+#[test]
+fn a_position_of_another_term_is_not_acknowledged() {
+    let names = names();
+    let mut holder = leased(&names);
+    holder.adopt(SHARD, reopened(&names));
+    let answer = holder.acknowledge(names.service, SECOND, write(FIRST, 12), at(1_100));
+    assert_eq!(answer, Acknowledge::Unknown);
+}
+
+/// A lease without the view it covers says nothing about who leads.
+#[test]
+fn a_grant_whose_view_never_came_is_no_lease() {
+    let names = names();
+    let mut holder = Holder::new(1);
+    let ticket = holder.renewal_sent(SHARD, at(0));
+    let version = opened(&names).version;
+    assert_eq!(
+        holder.granted(ticket, version, LEASE, None, at(1)),
+        Granted::Nothing
+    );
+    assert_eq!(holder.leader(names.service, at(1)), Leader::Unknown);
+}
--- a/crates/wire/src/close.rs
+++ b/crates/wire/src/close.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::view::Shard;
+use crate::view::{Shard, Version};
 
 /// Closes what the new view shows as closed. The holder adopts the view and from then on
 /// acknowledges no write of those terms.
@@ -23,6 +23,8 @@
 pub struct Closed {
     /// The holder's incarnation.
     pub incarnation: u64,
+    /// Version of the view that the holder acts by now; the one sent, or a newer one.
+    pub version: Version,
     /// By service: the highest position the holder ever acknowledged, `EPOCH.COUNT/LOG`.
     pub acknowledged: BTreeMap<String, String>,
     /// Configuration version in force at the holder.
