entry: settings, events and what all its parts share

Cause: the data path and the link to controllers need one agreed place for configuration in force, leases, allotments and reports.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -62,6 +62,17 @@
         /// Sections that may stand there.
         known: String,
     },
+    /// `{key} = {value}` in [{section}] names a file that cannot be read: {error}
+    File {
+        /// Section.
+        section: String,
+        /// Key.
+        key: String,
+        /// The path found.
+        value: String,
+        /// Why it cannot be read.
+        error: String,
+    },
     /// `{key}` stands twice in [{section}]: keep one
     Twice {
         /// Section.
@@ -193,6 +204,17 @@
         value
     }
 
+    /// Adds that the file which `key` names cannot be read.
+    pub fn unreadable(&mut self, section: &str, key: &str, error: &std::io::Error) {
+        let what = What::File {
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: self.text(section, key).unwrap_or_default(),
+            error: error.to_string(),
+        };
+        self.report(self.line(section, key), what);
+    }
+
     /// The decoded settings, if nothing was wrong and nothing stands in the file unread.
     ///
     /// # Errors
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,7 @@
-//! Entry host: PostgreSQL to callers and backend servers.
+//! The entry host: PostgreSQL to callers and backend servers, under leases from controllers.
+
+pub mod adopted;
+pub mod event;
+pub mod report;
+pub mod settings;
+pub mod shared;
