core: submission, adoption and membership; platform: configuration rows

Cause: racing operators, lost answers and fresh hosts had no decisions yet. Change: submission settles every lost answer by the one record that version base + 1 can have; adoption goes upward only, checks bodies by digest and waits for the platform or all peers after a restart; membership reads heartbeats with incarnations and takes the platform's list as a hint. The platform crate reads and writes the rows that hold versions. Conclusion: the machines' documented examples run as tests.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,16 +4,20 @@
 //! what to do next. Daemons carry the events in and the effects out, so the same code can be
 //! embedded elsewhere and driven by randomised runs with a clock set by hand.
 
+pub mod adoption;
 pub mod clock;
+pub mod digest;
 pub mod directory;
 pub mod fleet;
 pub mod history;
 pub mod invariant;
 pub mod key;
 pub mod lease;
+pub mod membership;
 pub mod names;
 pub mod position;
 pub mod rule;
+pub mod submission;
 pub mod term;
 pub mod timing;
 pub mod view;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod fake;
 pub mod group;
+pub mod head;
 pub mod hosts;
 pub mod http;
 pub mod object;
