Classify statements and choose rules

Cause: the data path has to know what a statement does and which rule applies. Change: statement::classify and a bounded Cache over sqlparser (feature visitor), marker comments with typed mistakes, rule::choose and rule::Index, the fleet's default class and treatment. Additive to fleet.rs: Fleet::default_class, Fleet::default_then, Service::shard_of. Conclusion: what cannot be parsed counts as a write and pins its session.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,8 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sha2::{Digest, Sha256};
+
 use crate::key::{CallerKey, ClassKey, CustomerKey, ServerKey, ServiceKey, ZoneKey};
-use crate::rule::Rule;
+use crate::rule::{Access, Ack, Rule, Target, Then};
+
+/// Deadline of a fleet that has no default class, which only one built by hand can lack.
+const FALLBACK_DEADLINE: Duration = Duration::from_secs(1);
+
+/// Retries of a read that no rule matches.
+pub const READ_RETRIES: u8 = 1;
 
 /// One accepted version of the fleet's configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -18,6 +26,8 @@
     pub customers: BTreeMap<CustomerKey, Customer>,
     /// Classes of requests.
     pub classes: BTreeMap<ClassKey, Class>,
+    /// Class of the requests that no rule matches, and of rules that name none.
+    pub default_class: ClassKey,
     /// Services.
     pub services: BTreeMap<ServiceKey, Service>,
     /// Backend servers.
@@ -28,6 +38,27 @@
     pub rules: Vec<Rule>,
 }
 
+impl Fleet {
+    /// The treatment of requests that no rule matches: by the primary, within the deadline of the
+    /// default class, and never twice unless the statement only reads.
+    pub fn default_then(&self, access: Access) -> Then {
+        let reads = access == Access::Read;
+        let class = self.classes.get(&self.default_class);
+        Then {
+            target: Target::Primary,
+            max_age: None,
+            repeatable: reads,
+            deadline: class.map_or(FALLBACK_DEADLINE, |class| class.deadline),
+            class: self.default_class,
+            retries: if reads { READ_RETRIES } else { 0 },
+            hedge: None,
+            rate: None,
+            ack: Ack::Primary,
+            refuse: None,
+        }
+    }
+}
+
 /// An availability zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Zone {
@@ -64,6 +95,24 @@
     pub first_primary: ServerKey,
 }
 
+impl Service {
+    /// The shard of the service called `name`: every process derives the same one.
+    ///
+    /// ```
+    /// use flamingopost_core::fleet::Service;
+    ///
+    /// assert_eq!(Service::shard_of("auction-ledger", 1), 0);
+    /// assert!(Service::shard_of("auction-ledger", 16) < 16);
+    /// ```
+    pub fn shard_of(name: &str, shards: u16) -> u16 {
+        let digest = Sha256::digest(name.as_bytes());
+        let mut head = [0; 8];
+        head.copy_from_slice(&digest[..8]);
+        let number = u64::from_be_bytes(head) % u64::from(shards.max(1));
+        u16::try_from(number).unwrap_or_default()
+    }
+}
+
 /// A backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Server {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod position;
 pub mod rule;
 pub mod submission;
+pub mod statement;
 pub mod term;
 pub mod timing;
 pub mod view;
--- a/crates/core/src/rule.rs
+++ b/crates/core/src/rule.rs
@@ -1,9 +1,16 @@
 //! When-then rules: how a request is to be treated.
 
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::fleet::Fleet;
 use crate::key::{CallerKey, ClassKey, ServiceKey};
+use crate::statement::{Marker, Statement};
+
+mod index;
+
+pub use index::Index;
 
 /// One when-then rule.
 #[derive(Debug, Clone, PartialEq)]
@@ -87,3 +94,125 @@
     /// The primary and at least one replica.
     Replica,
 }
+
+/// What rules are matched against.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// The service it was sent to.
+    pub service: ServiceKey,
+    /// Who sent it.
+    pub caller: CallerKey,
+    /// That caller's role.
+    pub role: &'a str,
+    /// What it asks.
+    pub statement: &'a Statement,
+}
+
+/// The treatment chosen for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice<'a> {
+    /// Place of the rule that applies in the fleet's list; `None` where no rule matches.
+    pub rule: Option<usize>,
+    /// The treatment.
+    pub then: Cow<'a, Then>,
+}
+
+impl Choice<'_> {
+    /// The deadline, which a caller may shorten and never lengthen.
+    pub fn deadline(&self, marker: &Marker) -> Duration {
+        let limit = self.then.deadline;
+        marker.deadline.map_or(limit, |asked| asked.min(limit))
+    }
+
+    /// The greatest data age, which a caller may lower and never raise.
+    pub fn max_age(&self, marker: &Marker) -> Option<Duration> {
+        match (self.then.max_age, marker.max_age) {
+            (Some(limit), Some(asked)) => Some(limit.min(asked)),
+            (limit, asked) => limit.or(asked),
+        }
+    }
+}
+
+impl When {
+    /// Whether every condition holds for `request`.
+    pub fn matches(&self, request: &Request<'_>) -> bool {
+        let statement = request.statement;
+        holds(&self.services, &request.service)
+            && self
+                .access
+                .is_none_or(|access| access == statement.access())
+            && holds(&self.callers, &request.caller)
+            && (self.roles.is_empty() || self.roles.contains(request.role))
+            && self.matches_tag(statement.tag())
+            && self.matches_tables(statement)
+    }
+
+    /// Whether every request that `other` matches is matched by this one too.
+    pub fn covers(&self, other: &When) -> bool {
+        within(&other.services, &self.services)
+            && within(&other.callers, &self.callers)
+            && within(&other.roles, &self.roles)
+            && within(&other.tags, &self.tags)
+            && within(&other.tables, &self.tables)
+            && self
+                .access
+                .is_none_or(|access| other.access == Some(access))
+    }
+
+    fn matches_tag(&self, tag: Option<&str>) -> bool {
+        self.tags.is_empty() || tag.is_some_and(|tag| self.tags.contains(tag))
+    }
+
+    fn matches_tables(&self, statement: &Statement) -> bool {
+        if self.tables.is_empty() {
+            return true;
+        }
+        let touched = statement.tables();
+        match statement.access() {
+            Access::Read => !touched.is_empty() && touched.is_subset(&self.tables),
+            Access::Write => !touched.is_disjoint(&self.tables),
+        }
+    }
+}
+
+fn holds<K: Ord>(condition: &BTreeSet<K>, key: &K) -> bool {
+    condition.is_empty() || condition.contains(key)
+}
+
+fn within<K: Ord>(inner: &BTreeSet<K>, outer: &BTreeSet<K>) -> bool {
+    outer.is_empty() || (!inner.is_empty() && inner.is_subset(outer))
+}
+
+/// The first rule of `fleet` that matches `request`, or the default treatment
+/// ([`Fleet::default_then`]). It looks at every rule; [`Index`] does the same with fewer.
+///
+/// ```
+/// use flamingopost_core::fleet::Fleet;
+/// use flamingopost_core::key::{CallerKey, ServiceKey};
+/// use flamingopost_core::rule::{self, Request};
+/// use flamingopost_core::statement;
+///
+/// let statement = statement::classify("SELECT 1");
+/// let (service, caller) = (ServiceKey::default(), CallerKey::default());
+/// let request = Request { service, caller, role: "member", statement: &statement };
+/// let fleet = Fleet::default();
+/// let choice = rule::choose(&fleet, &request);
+/// assert_eq!(choice.rule, None);
+/// assert!(choice.then.repeatable);
+/// ```
+pub fn choose<'a>(fleet: &'a Fleet, request: &Request<'_>) -> Choice<'a> {
+    let found = fleet
+        .rules
+        .iter()
+        .position(|rule| rule.when.matches(request));
+    match found {
+        Some(place) => Choice {
+            rule: Some(place),
+            then: Cow::Borrowed(&fleet.rules[place].then),
+        },
+        None => Choice {
+            rule: None,
+            then: Cow::Owned(fleet.default_then(request.statement.access())),
+        },
+    }
+}
--- /dev/null
+++ b/crates/core/src/rule/index.rs
@@ -0,0 +1,141 @@
+//! Rules sorted by service and access, so that a thousand services stay cheap to match.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::iter::Peekable;
+use std::slice;
+use std::sync::Arc;
+
+use super::{Access, Choice, Request, Rule, Then};
+use crate::fleet::Fleet;
+use crate::key::ServiceKey;
+
+/// The rules of one fleet by service and access.
+///
+/// Rules that name services are listed under each of these; rules that name none are listed once
+/// for all. Choosing walks the two lists together in the order of the rules, so memory grows with
+/// the rules and not with rules times services.
+#[derive(Debug, Clone)]
+pub struct Index {
+    fleet: Arc<Fleet>,
+    named: BTreeMap<(ServiceKey, Access), Vec<usize>>,
+    reads: General,
+    writes: General,
+}
+
+#[derive(Debug, Clone)]
+struct General {
+    rules: Vec<usize>,
+    fallback: Then,
+}
+
+impl Index {
+    /// Sorts the rules of `fleet`.
+    pub fn new(fleet: Arc<Fleet>) -> Index {
+        let mut named: BTreeMap<(ServiceKey, Access), Vec<usize>> = BTreeMap::new();
+        for (place, rule) in fleet.rules.iter().enumerate() {
+            for access in accesses(rule) {
+                for service in &rule.when.services {
+                    named.entry((*service, access)).or_default().push(place);
+                }
+            }
+        }
+        Index {
+            named,
+            reads: General::new(&fleet, Access::Read),
+            writes: General::new(&fleet, Access::Write),
+            fleet,
+        }
+    }
+
+    /// The fleet whose rules these are.
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        &self.fleet
+    }
+
+    /// The same choice that [`super::choose`] makes.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use flamingopost_core::fleet::Fleet;
+    /// use flamingopost_core::key::{CallerKey, ServiceKey};
+    /// use flamingopost_core::rule::{Index, Request};
+    /// use flamingopost_core::statement;
+    ///
+    /// let index = Index::new(Arc::new(Fleet::default()));
+    /// let statement = statement::classify("DELETE FROM bids");
+    /// let (service, caller) = (ServiceKey::default(), CallerKey::default());
+    /// let request = Request { service, caller, role: "clerk", statement: &statement };
+    /// assert!(!index.choose(&request).then.repeatable);
+    /// ```
+    pub fn choose(&self, request: &Request<'_>) -> Choice<'_> {
+        let access = request.statement.access();
+        let general = self.general(access);
+        let named = self.named.get(&(request.service, access));
+        let mut candidates = Merge {
+            left: named.map_or(&[][..], Vec::as_slice).iter().peekable(),
+            right: general.rules.iter().peekable(),
+        };
+        match candidates.find(|place| self.fleet.rules[*place].when.matches(request)) {
+            Some(place) => Choice {
+                rule: Some(place),
+                then: Cow::Borrowed(&self.fleet.rules[place].then),
+            },
+            None => Choice {
+                rule: None,
+                then: Cow::Borrowed(&general.fallback),
+            },
+        }
+    }
+
+    fn general(&self, access: Access) -> &General {
+        match access {
+            Access::Read => &self.reads,
+            Access::Write => &self.writes,
+        }
+    }
+}
+
+impl General {
+    fn new(fleet: &Fleet, access: Access) -> General {
+        let applies =
+            |rule: &Rule| rule.when.services.is_empty() && accesses(rule).any(|it| it == access);
+        let rules = fleet.rules.iter().enumerate();
+        General {
+            rules: rules
+                .filter(|(_, rule)| applies(rule))
+                .map(|(place, _)| place)
+                .collect(),
+            fallback: fleet.default_then(access),
+        }
+    }
+}
+
+fn accesses(rule: &Rule) -> impl Iterator<Item = Access> + use<> {
+    let wanted = rule.when.access;
+    [Access::Read, Access::Write]
+        .into_iter()
+        .filter(move |access| wanted.is_none_or(|wanted| wanted == *access))
+}
+
+struct Merge<'a> {
+    left: Peekable<slice::Iter<'a, usize>>,
+    right: Peekable<slice::Iter<'a, usize>>,
+}
+
+impl Iterator for Merge<'_> {
+    type Item = usize;
+
+    fn next(&mut self) -> Option<usize> {
+        let from_left = match (self.left.peek(), self.right.peek()) {
+            (Some(left), Some(right)) => left < right,
+            (left, _) => left.is_some(),
+        };
+        let next = if from_left {
+            self.left.next()
+        } else {
+            self.right.next()
+        };
+        next.copied()
+    }
+}
--- /dev/null
+++ b/crates/core/src/statement/cache.rs
@@ -0,0 +1,81 @@
+//! A bounded memory of texts that were classified before.
+
+use std::collections::BTreeMap;
+use std::mem;
+use std::sync::Arc;
+
+use super::{Shape, Statement, marker, shape};
+
+/// Longest text that is kept: longer ones are mostly rows in a statement and seldom come again.
+const LONGEST_KEPT: usize = 4096;
+
+/// Shapes of the texts that came lately, by text without marker.
+///
+/// Two generations stand for "lately": when the younger one is full the older one is dropped and
+/// the younger takes its place, so a text that keeps coming stays and the memory is bounded.
+#[derive(Debug)]
+pub struct Cache {
+    young: BTreeMap<Box<str>, Arc<Shape>>,
+    old: BTreeMap<Box<str>, Arc<Shape>>,
+    generation: usize,
+}
+
+impl Cache {
+    /// A cache of at most `entries` texts.
+    pub fn new(entries: usize) -> Cache {
+        Cache {
+            young: BTreeMap::new(),
+            old: BTreeMap::new(),
+            generation: entries.div_ceil(2).max(1),
+        }
+    }
+
+    /// The same as [`super::classify`], from memory where the text is known.
+    ///
+    /// ```
+    /// use flamingopost_core::statement::{self, Cache};
+    ///
+    /// let mut cache = Cache::new(100);
+    /// let sql = "/* flamingopost: key=k1 */ INSERT INTO bids VALUES ($1)";
+    /// assert_eq!(cache.classify(sql), statement::classify(sql));
+    /// assert_eq!(cache.len(), 1);
+    /// ```
+    pub fn classify(&mut self, sql: &str) -> Statement {
+        let (marker, body) = marker::split(sql);
+        Statement {
+            shape: self.shape(body),
+            marker,
+        }
+    }
+
+    /// How many texts are kept.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Whether no text is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn shape(&mut self, body: &str) -> Arc<Shape> {
+        if let Some(known) = self.young.get(body) {
+            return Arc::clone(known);
+        }
+        let shape = match self.old.remove(body) {
+            Some(known) => known,
+            None => Arc::new(shape::read(body)),
+        };
+        if body.len() <= LONGEST_KEPT {
+            self.keep(body, &shape);
+        }
+        shape
+    }
+
+    fn keep(&mut self, body: &str, shape: &Arc<Shape>) {
+        if self.young.len() >= self.generation {
+            self.old = mem::take(&mut self.young);
+        }
+        self.young.insert(body.into(), Arc::clone(shape));
+    }
+}
--- /dev/null
+++ b/crates/core/src/statement/shape.rs
@@ -0,0 +1,78 @@
+//! What a query text does, without its marker.
+
+use std::collections::BTreeSet;
+
+use sqlparser::ast;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+
+use super::visit;
+use super::{Action, Part, SessionState};
+use crate::rule::Access;
+
+/// What a query text does, without its marker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shape {
+    /// Whether any part may write.
+    pub access: Access,
+    /// Tables that its parts touch.
+    pub tables: BTreeSet<String>,
+    /// Its parts in order.
+    pub parts: Vec<Part>,
+}
+
+/// Reads the shape of `body`, which has no marker any more.
+pub(super) fn read(body: &str) -> Shape {
+    let parts = match Parser::parse_sql(&PostgreSqlDialect {}, body) {
+        Ok(statements) => statements.iter().map(visit::part).collect(),
+        Err(_) => vec![unknown()],
+    };
+    Shape {
+        access: access(&parts),
+        tables: parts
+            .iter()
+            .flat_map(|part| part.tables.iter().cloned())
+            .collect(),
+        parts,
+    }
+}
+
+fn access(parts: &[Part]) -> Access {
+    let access = parts.iter().map(|part| part.access).max();
+    access.unwrap_or(Access::Read)
+}
+
+// What the parser does not know may do anything, also leave state on its connection: without the
+// pin, the next caller on that connection would find a stranger's settings or locks.
+fn unknown() -> Part {
+    Part {
+        action: Action::Unknown,
+        access: Access::Write,
+        tables: BTreeSet::new(),
+        session_state: SessionState::Pinned,
+    }
+}
+
+/// Name of a setting, table or function as rules and callers write it.
+pub(super) fn object_name(name: &ast::ObjectName) -> String {
+    let words: Vec<String> = name.0.iter().map(name_part).collect();
+    let full = words.join(".");
+    match full.strip_prefix("public.") {
+        Some(bare) => bare.to_owned(),
+        None => full,
+    }
+}
+
+fn name_part(part: &ast::ObjectNamePart) -> String {
+    part.as_ident()
+        .map(word)
+        .unwrap_or_else(|| part.to_string())
+}
+
+/// An identifier as the server folds it.
+pub(super) fn word(ident: &ast::Ident) -> String {
+    match ident.quote_style {
+        Some(_) => ident.value.clone(),
+        None => ident.value.to_lowercase(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/statement/visit.rs
@@ -0,0 +1,345 @@
+//! From the parser's tree to a part: the only place that knows the tree.
+
+use std::collections::BTreeSet;
+use std::ops::ControlFlow;
+
+use sqlparser::ast::{
+    self, ContextModifier, CopySource, CopyTarget, Expr, Query, Select, SetExpr, TableFactor,
+    TransactionMode, Value, Visit, Visitor,
+};
+
+use super::function::{self, Effect};
+use super::shape::{object_name, word};
+use super::{Action, Part, SessionState};
+use crate::rule::Access;
+
+/// Reads one statement.
+pub(super) fn part(statement: &ast::Statement) -> Part {
+    let mut walk = Walk::default();
+    let _ = statement.visit(&mut walk);
+    let action = action(statement);
+    let access = access(statement, &action, &walk);
+    let session_state = session_state(&action, &walk);
+    Part {
+        action,
+        access,
+        tables: walk.tables(),
+        session_state,
+    }
+}
+
+/// What a walk over the whole tree finds.
+#[derive(Debug, Default)]
+struct Walk {
+    relations: BTreeSet<String>,
+    not_tables: BTreeSet<String>,
+    writes: bool,
+    pins: bool,
+    creates_temporary: bool,
+}
+
+impl Walk {
+    fn tables(self) -> BTreeSet<String> {
+        &self.relations - &self.not_tables
+    }
+
+    fn call(&mut self, name: &ast::ObjectName) {
+        match function::effect(&object_name(name)) {
+            Effect::Reads => {}
+            Effect::Writes => self.writes = true,
+            Effect::KeepsState => {
+                self.writes = true;
+                self.pins = true;
+            }
+        }
+    }
+}
+
+impl Visitor for Walk {
+    type Break = ();
+
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        for cte in query.with.iter().flat_map(|with| &with.cte_tables) {
+            self.not_tables.insert(word(&cte.alias.name));
+        }
+        // SELECT FOR UPDATE takes row locks, which a replica refuses.
+        self.writes |= !query.locks.is_empty();
+        if let SetExpr::Table(table) = query.body.as_ref() {
+            self.relations.extend(table_command(table));
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
+        if let Some(into) = &select.into {
+            self.writes = true;
+            self.creates_temporary |= into.temporary;
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_relation(&mut self, relation: &ast::ObjectName) -> ControlFlow<()> {
+        self.relations.insert(object_name(relation));
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
+        match factor {
+            TableFactor::Table {
+                name,
+                args: Some(_),
+                ..
+            }
+            | TableFactor::Function { name, .. } => {
+                self.not_tables.insert(object_name(name));
+                self.call(name);
+            }
+            _ => {}
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_expr(&mut self, expr: &Expr) -> ControlFlow<()> {
+        if let Expr::Function(function) = expr {
+            self.call(&function.name);
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_statement(&mut self, statement: &ast::Statement) -> ControlFlow<()> {
+        self.writes |= !only_wraps(statement);
+        self.relations.extend(copied_table(statement));
+        ControlFlow::Continue(())
+    }
+}
+
+fn table_command(table: &ast::Table) -> Option<String> {
+    let name = word(table.table_name.as_ref()?);
+    let schema = table.schema_name.as_ref().map(word);
+    match schema.as_deref() {
+        None | Some("public") => Some(name),
+        Some(schema) => Some(format!("{schema}.{name}")),
+    }
+}
+
+/// The table of a COPY, which the parser's walk does not report as one.
+fn copied_table(statement: &ast::Statement) -> Option<String> {
+    match statement {
+        ast::Statement::Copy {
+            source: CopySource::Table { table_name, .. },
+            ..
+        } => Some(object_name(table_name)),
+        _ => None,
+    }
+}
+
+/// Whether the statement itself changes no data, whatever the ones inside it do.
+fn only_wraps(statement: &ast::Statement) -> bool {
+    match statement {
+        ast::Statement::Query(_)
+        | ast::Statement::Explain { .. }
+        | ast::Statement::Set(_)
+        | ast::Statement::Reset(_)
+        | ast::Statement::ShowVariable { .. }
+        | ast::Statement::Prepare { .. }
+        | ast::Statement::Deallocate { .. }
+        | ast::Statement::Discard { .. }
+        | ast::Statement::Declare { .. }
+        | ast::Statement::Fetch { .. }
+        | ast::Statement::Close { .. } => true,
+        ast::Statement::Copy { to, target, .. } => *to && matches!(target, CopyTarget::Stdout),
+        _ => false,
+    }
+}
+
+fn access(statement: &ast::Statement, action: &Action, walk: &Walk) -> Access {
+    if let Action::Begin { read_only } = action {
+        return if *read_only {
+            Access::Read
+        } else {
+            Access::Write
+        };
+    }
+    if walk.writes || !only_wraps(statement) {
+        Access::Write
+    } else {
+        Access::Read
+    }
+}
+
+fn session_state(action: &Action, walk: &Walk) -> SessionState {
+    match action {
+        Action::Temporary | Action::Listen { .. } | Action::DeclareCursor { hold: true } => {
+            SessionState::Pinned
+        }
+        _ if walk.pins || walk.creates_temporary => SessionState::Pinned,
+        Action::Set { local: false, .. }
+        | Action::Reset { .. }
+        | Action::Prepare { .. }
+        | Action::Deallocate { .. }
+        | Action::Discard { .. } => SessionState::Tracked,
+        Action::Unknown => SessionState::Pinned,
+        _ => SessionState::Unchanged,
+    }
+}
+
+fn action(statement: &ast::Statement) -> Action {
+    use ast::Statement as S;
+    match statement {
+        S::StartTransaction { modes, .. } => Action::Begin {
+            read_only: read_only(modes),
+        },
+        S::Commit { chain, .. } => Action::Commit { chain: *chain },
+        S::Rollback {
+            chain,
+            savepoint: None,
+        } => Action::Rollback { chain: *chain },
+        S::Rollback { .. } | S::Savepoint { .. } | S::ReleaseSavepoint { .. } => Action::Savepoint,
+        S::Set(set) => setting(set, statement),
+        S::Reset(reset) => reset_action(&reset.reset),
+        S::ShowVariable { variable } => Action::Show {
+            name: variable.iter().map(word).collect::<Vec<_>>().join("."),
+        },
+        S::Prepare { name, .. } => Action::Prepare {
+            name: word(name),
+            text: statement.to_string(),
+        },
+        S::Execute {
+            name: Some(name), ..
+        } => Action::Execute {
+            name: object_name(name),
+        },
+        S::Deallocate { name, .. } => Action::Deallocate {
+            name: named_unless_all(name),
+        },
+        S::Discard { object_type } => Action::Discard {
+            all: matches!(object_type, ast::DiscardObject::ALL),
+        },
+        S::LISTEN { channel } => Action::Listen {
+            channel: word(channel),
+        },
+        S::UNLISTEN { channel } => Action::Unlisten {
+            channel: word(channel),
+        },
+        S::Declare { stmts, .. } => Action::DeclareCursor {
+            hold: stmts.iter().any(|cursor| cursor.hold == Some(true)),
+        },
+        S::Copy { to, target, .. } => copy(*to, target),
+        _ if creates_temporary(statement) => Action::Temporary,
+        _ if is_foreign(statement) => Action::Unknown,
+        _ => Action::Query,
+    }
+}
+
+fn read_only(modes: &[TransactionMode]) -> bool {
+    modes.iter().any(|mode| {
+        matches!(
+            mode,
+            TransactionMode::AccessMode(ast::TransactionAccessMode::ReadOnly)
+        )
+    })
+}
+
+fn copy(to: bool, target: &CopyTarget) -> Action {
+    match (to, target) {
+        (true, CopyTarget::Stdout) => Action::CopyOut,
+        (false, CopyTarget::Stdin) => Action::CopyIn,
+        _ => Action::Query,
+    }
+}
+
+fn named_unless_all(name: &ast::Ident) -> Option<String> {
+    let name_text = word(name);
+    let all = name.quote_style.is_none() && name_text == "all";
+    (!all).then_some(name_text)
+}
+
+fn reset_action(reset: &ast::Reset) -> Action {
+    match reset {
+        ast::Reset::ALL => Action::Reset { name: None },
+        ast::Reset::SessionAuthorization => Action::Unknown,
+        ast::Reset::ConfigurationParameter(name) => Action::Reset {
+            name: Some(object_name(name).to_lowercase()),
+        },
+    }
+}
+
+fn setting(set: &ast::Set, statement: &ast::Statement) -> Action {
+    let text = statement.to_string();
+    match set {
+        ast::Set::SingleAssignment {
+            scope,
+            variable,
+            values,
+            ..
+        } => Action::Set {
+            name: object_name(variable).to_lowercase(),
+            value: single_value(values),
+            local: *scope == Some(ContextModifier::Local),
+            text,
+        },
+        ast::Set::SetTimeZone { local, value } => Action::Set {
+            name: "timezone".to_owned(),
+            value: plain_value(value),
+            local: *local,
+            text,
+        },
+        ast::Set::SetRole {
+            context_modifier,
+            role_name,
+        } => Action::Set {
+            name: "role".to_owned(),
+            value: role_name.as_ref().map(word),
+            local: *context_modifier == Some(ContextModifier::Local),
+            text,
+        },
+        ast::Set::SetNames { charset_name, .. } => Action::Set {
+            name: "client_encoding".to_owned(),
+            value: Some(charset_name.value.clone()),
+            local: false,
+            text,
+        },
+        ast::Set::SetTransaction { session: false, .. } => Action::Query,
+        _ => Action::Unknown,
+    }
+}
+
+fn single_value(values: &[Expr]) -> Option<String> {
+    match values {
+        [value] => plain_value(value),
+        _ => None,
+    }
+}
+
+fn plain_value(value: &Expr) -> Option<String> {
+    match value {
+        Expr::Identifier(ident) => Some(ident.value.clone()),
+        Expr::Value(value) => match &value.value {
+            Value::SingleQuotedString(text)
+            | Value::DollarQuotedString(ast::DollarQuotedString { value: text, .. }) => {
+                Some(text.clone())
+            }
+            Value::Number(number, _) => Some(number.to_string()),
+            Value::Boolean(flag) => Some(flag.to_string()),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+fn creates_temporary(statement: &ast::Statement) -> bool {
+    match statement {
+        ast::Statement::CreateTable(table) => table.temporary,
+        ast::Statement::CreateView(view) => view.temporary,
+        ast::Statement::CreateSequence { temporary, .. } => *temporary,
+        _ => false,
+    }
+}
+
+/// Statements that leave state on a connection in ways that nothing here describes.
+fn is_foreign(statement: &ast::Statement) -> bool {
+    matches!(
+        statement,
+        ast::Statement::Load { .. } | ast::Statement::Use(_) | ast::Statement::AlterSession { .. }
+    )
+}
--- /dev/null
+++ b/crates/core/tests/statement.rs
@@ -0,0 +1,307 @@
+//! What statements are taken for.
+
+use std::time::Duration;
+
+use flamingopost_core::rule::Access;
+use flamingopost_core::statement::{self, Action, Cache, Mistake, SessionState};
+
+fn tables(sql: &str) -> Vec<String> {
+    let statement = statement::classify(sql);
+    statement.tables().iter().cloned().collect()
+}
+
+#[test]
+fn reads_go_where_replicas_are() {
+    let reads = [
+        "SELECT * FROM lots",
+        "select count(*), max(price) from lots where closes > now()",
+        "WITH cheap AS (SELECT * FROM lots) SELECT * FROM cheap",
+        "VALUES (1), (2)",
+        "SELECT * FROM (TABLE lots) x",
+        "SHOW search_path",
+        "EXPLAIN SELECT * FROM lots",
+        "SELECT * FROM group_status()",
+        "COPY lots TO STDOUT",
+        "COPY (SELECT * FROM lots) TO STDOUT",
+        "BEGIN READ ONLY",
+        "START TRANSACTION ISOLATION LEVEL REPEATABLE READ, READ ONLY",
+        "DECLARE c CURSOR FOR SELECT * FROM lots",
+        "SELECT $1::int + $2",
+        "SET search_path TO x",
+        "",
+        ";",
+    ];
+    for sql in reads {
+        assert_eq!(statement::classify(sql).access(), Access::Read, "{sql}");
+    }
+}
+
+#[test]
+fn whatever_may_write_goes_to_the_primary() {
+    let writes = [
+        "INSERT INTO bids VALUES (1)",
+        "UPDATE lots SET price = 1",
+        "DELETE FROM lots",
+        "MERGE INTO lots USING bids ON lots.id = bids.lot WHEN MATCHED THEN DELETE",
+        "SELECT * FROM lots FOR UPDATE",
+        "SELECT * FROM (SELECT * FROM lots FOR SHARE) x",
+        "SELECT nextval('lots_id')",
+        "SELECT pg_advisory_xact_lock(1)",
+        "SELECT my_function()",
+        "SELECT * FROM my_function()",
+        "SELECT * FROM lots WHERE id = (SELECT settle(1))",
+        "WITH gone AS (DELETE FROM lots RETURNING *) SELECT * FROM gone",
+        "SELECT * INTO copy FROM lots",
+        "EXPLAIN ANALYZE INSERT INTO bids VALUES (1)",
+        "COPY lots FROM STDIN",
+        "COPY lots TO '/tmp/x'",
+        "CREATE TABLE x (id int)",
+        "CREATE TABLE x AS SELECT * FROM lots",
+        "TRUNCATE lots",
+        "VACUUM",
+        "LOCK TABLE lots",
+        "NOTIFY hammer",
+        "CALL settle(1)",
+        "DO $$ BEGIN PERFORM settle(1); END $$",
+        "EXECUTE place_bid(1)",
+        "BEGIN",
+        "SELECT 1; DELETE FROM lots",
+        "GRANT SELECT ON lots TO x",
+        "TABLE lots",
+        "this is no SQL",
+    ];
+    for sql in writes {
+        assert_eq!(statement::classify(sql).access(), Access::Write, "{sql}");
+    }
+}
+
+#[test]
+fn tables_are_those_touched_and_no_others() {
+    assert_eq!(
+        tables("SELECT * FROM lots JOIN public.bids USING (id)"),
+        ["bids", "lots"]
+    );
+    assert_eq!(
+        tables("WITH c AS (SELECT * FROM lots) SELECT * FROM c"),
+        ["lots"]
+    );
+    assert_eq!(
+        tables("INSERT INTO Bids SELECT * FROM audit.lots"),
+        ["audit.lots", "bids"]
+    );
+    assert_eq!(tables("SELECT * FROM generate_series(1, 3)"), [""; 0]);
+    assert_eq!(tables("UPDATE \"Lots\" SET a = 1"), ["Lots"]);
+    assert_eq!(tables("COPY lots FROM STDIN"), ["lots"]);
+    assert_eq!(tables("TRUNCATE lots"), ["lots"]);
+    assert_eq!(tables("SELECT * FROM (TABLE lots) x"), ["lots"]);
+    assert_eq!(tables("DELETE FROM lots USING bids"), ["bids", "lots"]);
+}
+
+#[test]
+fn transaction_control_is_told_apart() {
+    let cases = [
+        ("BEGIN", Action::Begin { read_only: false }),
+        ("begin work read only;", Action::Begin { read_only: true }),
+        ("START TRANSACTION", Action::Begin { read_only: false }),
+        ("COMMIT", Action::Commit { chain: false }),
+        ("END", Action::Commit { chain: false }),
+        ("COMMIT AND CHAIN", Action::Commit { chain: true }),
+        ("ROLLBACK", Action::Rollback { chain: false }),
+        ("SAVEPOINT a", Action::Savepoint),
+        ("RELEASE SAVEPOINT a", Action::Savepoint),
+        ("ROLLBACK TO SAVEPOINT a", Action::Savepoint),
+        ("COPY lots FROM STDIN", Action::CopyIn),
+        ("COPY lots TO STDOUT", Action::CopyOut),
+        (
+            "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+            Action::DeclareCursor { hold: true },
+        ),
+        (
+            "DECLARE c CURSOR FOR SELECT 1",
+            Action::DeclareCursor { hold: false },
+        ),
+        (
+            "SHOW flamingopost.position",
+            Action::Show {
+                name: "flamingopost.position".into(),
+            },
+        ),
+        ("RESET ALL", Action::Reset { name: None }),
+        (
+            "RESET search_path",
+            Action::Reset {
+                name: Some("search_path".into()),
+            },
+        ),
+        (
+            "EXECUTE place_bid(1)",
+            Action::Execute {
+                name: "place_bid".into(),
+            },
+        ),
+        (
+            "DEALLOCATE place_bid",
+            Action::Deallocate {
+                name: Some("place_bid".into()),
+            },
+        ),
+        ("DEALLOCATE ALL", Action::Deallocate { name: None }),
+        ("DISCARD ALL", Action::Discard { all: true }),
+        ("DISCARD TEMP", Action::Discard { all: false }),
+        (
+            "LISTEN hammer",
+            Action::Listen {
+                channel: "hammer".into(),
+            },
+        ),
+        ("CREATE TEMP TABLE x (id int)", Action::Temporary),
+    ];
+    for (sql, action) in cases {
+        assert_eq!(statement::classify(sql).action(), Some(&action), "{sql}");
+    }
+}
+
+#[test]
+fn settings_keep_their_value_and_a_text_to_repeat() {
+    let set = |sql: &str| match statement::classify(sql).action() {
+        Some(Action::Set {
+            name,
+            value,
+            local,
+            text,
+        }) => (
+            name.clone(),
+            value.clone().unwrap_or_default(),
+            *local,
+            text.clone(),
+        ),
+        other => panic!("{sql} is taken for {other:?}"),
+    };
+    let (name, value, local, text) = set("SET flamingopost.position = '3.7/18890'");
+    assert_eq!(
+        (name.as_str(), value.as_str(), local),
+        ("flamingopost.position", "3.7/18890", false)
+    );
+    assert_eq!(text, "SET flamingopost.position = '3.7/18890'");
+    assert!(set("SET LOCAL statement_timeout = 5").2);
+    assert!(!set("SET SESSION statement_timeout TO 5").2);
+    assert_eq!(set("SET TIME ZONE 'UTC'").0, "timezone");
+    assert_eq!(set("SET search_path TO a, b").1, "");
+}
+
+#[test]
+fn what_stays_on_a_connection_is_tracked_or_pins() {
+    let cases = [
+        ("SELECT 1", SessionState::Unchanged),
+        ("SET LOCAL a.b = 1", SessionState::Unchanged),
+        (
+            "SET TRANSACTION ISOLATION LEVEL SERIALIZABLE",
+            SessionState::Unchanged,
+        ),
+        ("SELECT pg_advisory_xact_lock(1)", SessionState::Unchanged),
+        ("SET search_path = x", SessionState::Tracked),
+        ("PREPARE a AS SELECT 1", SessionState::Tracked),
+        ("DISCARD ALL", SessionState::Tracked),
+        ("CREATE TEMPORARY TABLE x AS SELECT 1", SessionState::Pinned),
+        ("CREATE TEMP VIEW v AS SELECT 1", SessionState::Pinned),
+        ("SELECT 1 INTO TEMP x", SessionState::Pinned),
+        ("LISTEN hammer", SessionState::Pinned),
+        ("SELECT pg_advisory_lock(1)", SessionState::Pinned),
+        (
+            "SELECT pg_try_advisory_lock(1) FROM lots",
+            SessionState::Pinned,
+        ),
+        ("SELECT set_config('a.b', 'c', false)", SessionState::Pinned),
+        (
+            "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+            SessionState::Pinned,
+        ),
+        (
+            "SET search_path = x; CREATE TEMP TABLE y (a int)",
+            SessionState::Pinned,
+        ),
+        ("no SQL at all", SessionState::Pinned),
+    ];
+    for (sql, state) in cases {
+        assert_eq!(statement::classify(sql).session_state(), state, "{sql}");
+    }
+}
+
+#[test]
+fn a_simple_query_of_several_statements_has_as_many_parts() {
+    let statement = statement::classify("BEGIN; INSERT INTO bids VALUES (1); COMMIT;");
+    let actions: Vec<_> = statement.parts().iter().map(|part| &part.action).collect();
+    assert_eq!(
+        actions,
+        [
+            &Action::Begin { read_only: false },
+            &Action::Query,
+            &Action::Commit { chain: false }
+        ]
+    );
+    assert_eq!(statement.action(), None);
+    assert!(statement::classify(" ; ").parts().is_empty());
+}
+
+#[test]
+fn a_marker_is_read_at_either_end() {
+    let marker = "/* flamingopost: tag=bid key=abc123 deadline_ms=200 max_age_ms=500 */";
+    let texts = [
+        format!("{marker} SELECT 1"),
+        format!("  {marker}SELECT 1"),
+        format!("SELECT 1 {marker}"),
+        format!("SELECT 1; {marker} ;\n"),
+    ];
+    for sql in texts {
+        let statement = statement::classify(&sql);
+        assert_eq!(statement.tag(), Some("bid"), "{sql}");
+        assert_eq!(statement.marker.key.as_deref(), Some("abc123"));
+        assert_eq!(statement.marker.deadline, Some(Duration::from_millis(200)));
+        assert_eq!(statement.marker.max_age, Some(Duration::from_millis(500)));
+        assert_eq!(statement.marker.mistake, None);
+        assert_eq!(statement.access(), Access::Read);
+    }
+    let inside = statement::classify("SELECT '/* flamingopost: tag=bid */'");
+    assert_eq!(inside.tag(), None);
+}
+
+// A caller misspells `key` in its marker and later sends the bid again after a lost answer. Were
+// the marker passed over in silence, the bid would run without its key and then a second time.
+#[test]
+fn a_marker_that_cannot_be_understood_says_so() {
+    let mistake = |text: &str| {
+        statement::classify(&format!("/* flamingopost: {text} */ SELECT 1"))
+            .marker
+            .mistake
+    };
+    assert_eq!(mistake("kye=a"), Some(Mistake::UnknownName("kye".into())));
+    assert_eq!(mistake("tag"), Some(Mistake::NotAPair("tag".into())));
+    assert_eq!(mistake("tag=a tag=b"), Some(Mistake::Twice("tag".into())));
+    assert_eq!(mistake("key="), Some(Mistake::Empty("key".into())));
+    let name = "deadline_ms".to_owned();
+    assert_eq!(
+        mistake("deadline_ms=soon"),
+        Some(Mistake::NotMilliseconds {
+            name,
+            value: "soon".into()
+        })
+    );
+    assert_eq!(mistake("tag=a"), None);
+}
+
+#[test]
+fn the_cache_answers_like_the_parser_and_stays_bounded() {
+    let mut cache = Cache::new(8);
+    for round in 0..100 {
+        let sql = format!(
+            "/* flamingopost: key={round} */ SELECT * FROM lots WHERE id = {}",
+            round % 20
+        );
+        assert_eq!(cache.classify(&sql), statement::classify(&sql));
+        assert!(cache.len() <= 8);
+    }
+    let long = format!("SELECT '{}'", "x".repeat(10_000));
+    let before = cache.len();
+    cache.classify(&long);
+    assert_eq!(cache.len(), before);
+}
