Decide refusals, sessions, routes, admission and budgets in the core

Cause: entry hosts and controllers have to be written against settled interfaces. Change: first state machines without input or output: refusal::Refusal with SQLSTATEs, session::Session and session::state::State, route::Table, admission::Gate, budget::share::Share and budget::purse::Purse. A grant on the wire gains floors, connections that outlast a lease, so that a zone cut off from its controller goes on serving.

--- /dev/null
+++ b/crates/core/src/admission/limit.rs
@@ -0,0 +1,63 @@
+//! How many requests one host lets run on a server at once.
+
+use std::time::Duration;
+
+/// Slowdown against the least time up to which more is tried.
+const EASY: f64 = 2.0;
+/// Slowdown against the least time from which less is tried.
+const HARD: f64 = 4.0;
+/// What is left of the limit after a step down.
+const STEP_DOWN: f64 = 0.8;
+/// Shortest time between two steps down: the first must show its effect.
+const REST: Duration = Duration::from_millis(20);
+
+/// An adaptive limit. Several hosts share a server's slots without seeing each other; each reads
+/// from the time of its own answers whether the server is crowded, adds a little while it is not
+/// and takes off a part when it is (AIMD).
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limit {
+    limit: f64,
+    greatest: f64,
+    stepped: Duration,
+}
+
+impl Limit {
+    /// The limit before a server that runs `slots` statements at once.
+    pub fn new(slots: u16) -> Limit {
+        let greatest = f64::from(slots.max(1)) * 2.0;
+        Limit {
+            limit: f64::from(slots.max(1)),
+            greatest,
+            stepped: Duration::ZERO,
+        }
+    }
+
+    /// How many may run at once; never less than one.
+    pub fn slots(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// An answer came after `took`, where `least` is the least that it can take. `full` tells
+    /// whether the limit was used up: otherwise it says nothing about a higher one.
+    pub fn record(&mut self, took: Duration, least: Duration, full: bool, now: Duration) {
+        let slowdown = took.as_secs_f64() / least.as_secs_f64().max(1e-6);
+        if slowdown < EASY && full {
+            self.limit = (self.limit + 0.1 / self.limit).min(self.greatest);
+        } else if slowdown > HARD {
+            self.step_down(now);
+        }
+    }
+
+    /// A request broke or timed out.
+    pub fn failed(&mut self, now: Duration) {
+        self.step_down(now);
+    }
+
+    fn step_down(&mut self, now: Duration) {
+        if now < self.stepped + REST {
+            return;
+        }
+        self.stepped = now;
+        self.limit = (self.limit * STEP_DOWN).max(1.0);
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget/share.rs
@@ -0,0 +1,259 @@
+//! The controller's side of a connection budget.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Grant;
+use crate::invariant::{self, Invariant};
+use crate::key::HostKey;
+
+/// Time for which a floor is given.
+pub const FLOOR_VALID: Duration = Duration::from_secs(2 * 60 * 60);
+/// Part of a lease by which the controller counts it longer than the host: clocks drift.
+const DRIFT: u32 = 50;
+
+/// One life of one entry host. A host that was restarted is another holder: its earlier life may
+/// have left connections that nobody closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Holder {
+    /// The host.
+    pub host: HostKey,
+    /// The number that its process drew at start.
+    pub incarnation: u64,
+}
+
+/// A floor as it has to outlive the controller: kept in the table service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Floor {
+    /// Connections.
+    pub connections: u16,
+    /// Until when, on the controller's clock.
+    pub until: Duration,
+}
+
+/// What one renewal says about one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Renewal {
+    /// Who asks.
+    pub holder: Holder,
+    /// Connections it has use for.
+    pub demand: u16,
+    /// Whether host and server are in the same availability zone.
+    pub near: bool,
+    /// How long the lease that is being granted runs.
+    pub valid: Duration,
+}
+
+/// A grant that may still be in use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Lease {
+    connections: u16,
+    until: Duration,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Account {
+    /// Every grant whose lease may still run. An answer can be lost, so the host may hold any
+    /// of them; the greatest counts.
+    leases: Vec<Lease>,
+    floor: Option<Floor>,
+    demand: u16,
+}
+
+impl Account {
+    fn outstanding(&self, now: Duration) -> u16 {
+        let leased = self.leases.iter().filter(|lease| now < lease.until);
+        let leased = leased.map(|lease| lease.connections).max().unwrap_or(0);
+        leased.max(self.floor_at(now))
+    }
+
+    fn floor_at(&self, now: Duration) -> u16 {
+        self.floor
+            .filter(|floor| now < floor.until)
+            .map_or(0, |floor| floor.connections)
+    }
+
+    fn prune(&mut self, now: Duration) {
+        self.leases.retain(|lease| now < lease.until);
+        self.floor = self.floor.filter(|floor| now < floor.until);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.leases.is_empty() && self.floor.is_none()
+    }
+}
+
+/// The connection limit of one backend server, shared out over entry hosts.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::budget::share::{Holder, Renewal, Share};
+/// use flamingopost_core::directory::Directory;
+///
+/// let host = Directory::default().hosts.intern("saltlake-1");
+/// let mut share = Share::new(16, Duration::ZERO);
+/// let renewal = Renewal {
+///     holder: Holder { host, incarnation: 1 },
+///     demand: 4,
+///     near: true,
+///     valid: Duration::from_secs(3),
+/// };
+/// assert_eq!(share.renew(renewal, Duration::ZERO).leased, 4);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Share {
+    limit: u16,
+    accounts: BTreeMap<Holder, Account>,
+    silent_until: Duration,
+}
+
+impl Share {
+    /// The share of a server that takes `limit` connections. Nothing but floors is granted
+    /// before `silent_until`: a successor must let every lease of its predecessor run out.
+    pub fn new(limit: u16, silent_until: Duration) -> Share {
+        Share {
+            limit,
+            accounts: BTreeMap::new(),
+            silent_until,
+        }
+    }
+
+    /// Takes over a floor that a predecessor gave.
+    pub fn restore(&mut self, holder: Holder, floor: Floor) {
+        self.accounts.entry(holder).or_default().floor = Some(floor);
+    }
+
+    /// The floors in force, to be written down *before* a grant that contains a new one is sent.
+    pub fn floors(&self) -> impl Iterator<Item = (Holder, Floor)> + '_ {
+        self.accounts
+            .iter()
+            .filter_map(|(holder, account)| Some((*holder, account.floor?)))
+    }
+
+    /// Adopts another limit. Lowered, it is reached as leases end.
+    pub fn configure(&mut self, limit: u16) {
+        self.limit = limit;
+    }
+
+    /// Grants what the holder of a renewal may open.
+    pub fn renew(&mut self, renewal: Renewal, now: Duration) -> Grant {
+        self.prune(now);
+        let account = self.accounts.entry(renewal.holder).or_default();
+        account.demand = renewal.demand;
+        self.give_floor(&renewal, now);
+        if now < self.silent_until {
+            return self.floor_only(renewal.holder, now);
+        }
+        let free = self.limit.saturating_sub(self.others(renewal.holder, now));
+        let leased = self.target(renewal.holder, now).min(free);
+        let until = now + renewal.valid + renewal.valid / DRIFT;
+        let account = self.accounts.entry(renewal.holder).or_default();
+        let leased = leased.max(account.floor_at(now));
+        account.leases.push(Lease {
+            connections: leased,
+            until,
+        });
+        self.check(now);
+        Grant {
+            leased,
+            ..self.floor_only(renewal.holder, now)
+        }
+    }
+
+    /// A host stopped and has closed everything.
+    pub fn release(&mut self, holder: Holder) {
+        self.accounts.remove(&holder);
+    }
+
+    /// Connections that hosts may have open at `now`, all together.
+    pub fn outstanding(&self, now: Duration) -> u16 {
+        let each = self.accounts.values();
+        each.map(|account| account.outstanding(now)).sum()
+    }
+
+    /// A floor goes to hosts in the server's own zone that have use for it: they are the ones
+    /// that still reach the server when the zone is cut off. All floors together stay within
+    /// half of the limit, so that a fleet whose members crash and come back under new names
+    /// cannot use it up.
+    fn give_floor(&mut self, renewal: &Renewal, now: Duration) {
+        let pool = self.limit / 2;
+        let given: u16 = self.accounts.values().map(|a| a.floor_at(now)).sum();
+        let others = self.others(renewal.holder, now);
+        let Some(account) = self.accounts.get_mut(&renewal.holder) else {
+            return;
+        };
+        let held = account.floor_at(now);
+        let wanted = if renewal.near && renewal.demand > 0 {
+            1
+        } else {
+            0
+        };
+        let fits = given - held + wanted <= pool && others + wanted <= self.limit;
+        if wanted > 0 && (held > 0 || fits) {
+            account.floor = Some(Floor {
+                connections: held.max(wanted),
+                until: now + FLOOR_VALID + FLOOR_VALID / DRIFT,
+            });
+        }
+    }
+
+    fn floor_only(&self, holder: Holder, now: Duration) -> Grant {
+        let floor = self.accounts.get(&holder).map_or(0, |a| a.floor_at(now));
+        Grant {
+            leased: floor,
+            floor,
+            floor_valid: if floor > 0 {
+                FLOOR_VALID
+            } else {
+                Duration::ZERO
+            },
+        }
+    }
+
+    /// The holder's max-min fair part of what is not kept for newcomers. A holder never gets
+    /// less than one, or nobody new could ever show its demand.
+    fn target(&self, holder: Holder, now: Duration) -> u16 {
+        let mut demands: Vec<(u16, Holder)> = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| account.outstanding(now) > 0 || account.demand > 0)
+            .map(|(holder, account)| (account.demand.max(1), *holder))
+            .collect();
+        demands.sort_unstable();
+        let mut left = self.limit.saturating_sub(self.reserve());
+        let mut count = demands.len() as u16;
+        for (demand, of) in demands {
+            let part = demand.min(left.div_ceil(count.max(1)));
+            if of == holder {
+                return part.max(1);
+            }
+            left = left.saturating_sub(part);
+            count -= 1;
+        }
+        1
+    }
+
+    fn reserve(&self) -> u16 {
+        self.limit / 8
+    }
+
+    fn others(&self, holder: Holder, now: Duration) -> u16 {
+        let others = self.accounts.iter().filter(|(of, _)| **of != holder);
+        others.map(|(_, account)| account.outstanding(now)).sum()
+    }
+
+    fn prune(&mut self, now: Duration) {
+        self.accounts.retain(|_, account| {
+            account.prune(now);
+            !account.is_empty()
+        });
+    }
+
+    fn check(&self, now: Duration) {
+        invariant::check(
+            Invariant::ConnectionLimit,
+            self.outstanding(now) <= self.limit,
+            || format!("{} of {} granted", self.outstanding(now), self.limit),
+        );
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,7 +4,9 @@
 //! what to do next. Daemons carry the events in and the effects out, so the same code can be
 //! embedded elsewhere and driven by randomised runs with a clock set by hand.
 
+pub mod admission;
 pub mod adoption;
+pub mod budget;
 pub mod clock;
 pub mod digest;
 pub mod directory;
@@ -16,9 +18,12 @@
 pub mod membership;
 pub mod names;
 pub mod position;
+pub mod refusal;
+pub mod route;
 pub mod rule;
-pub mod submission;
+pub mod session;
 pub mod statement;
+pub mod submission;
 pub mod term;
 pub mod timing;
 pub mod view;
--- /dev/null
+++ b/crates/core/src/route/server.rs
@@ -0,0 +1,201 @@
+//! One backend server as an entry host sees it.
+
+use std::time::Duration;
+
+use crate::key::ZoneKey;
+use crate::position::Position;
+use crate::term::Term;
+
+/// After a failure a server is left alone this long, unless it answers.
+const LEFT_ALONE: Duration = Duration::from_millis(500);
+/// Part of a new observation in a moving average.
+const SMOOTHING: f64 = 0.1;
+/// What a statement is taken to need before the first was measured.
+const FIRST_GUESS: Duration = Duration::from_millis(2);
+/// A gap that should close later than this is not waited for.
+const LONGEST_CATCH_UP: Duration = Duration::from_secs(1);
+
+/// What the configuration says of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Facts {
+    /// Its availability zone.
+    pub zone: ZoneKey,
+    /// Statements it runs at once.
+    pub slots: u16,
+    /// Round trip to it from this host beyond that to a server in the same zone.
+    pub distance: Duration,
+    /// Whether operators want it emptied.
+    pub leaving: bool,
+}
+
+/// What a server tells of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Status {
+    /// How far its data reach.
+    pub position: Position,
+    /// Its proof of being current; absent when the answer does not tell, as with the position
+    /// that comes with a statement's answer.
+    pub fresh: Option<Fresh>,
+}
+
+/// A server's own word on how current its data are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fresh {
+    /// The term that it leads or follows.
+    pub term: Term,
+    /// How old its data may be against the primary of that term; zero on the primary itself.
+    pub age: Duration,
+}
+
+/// The moment at which data were last known to be all that the primary of a term had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Proof {
+    /// The term.
+    pub term: Term,
+    /// The moment, on this host's clock.
+    pub at: Duration,
+}
+
+/// One backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Server {
+    /// What the configuration says of it.
+    pub facts: Facts,
+    /// Since when this host knows that it is leaving.
+    pub leaving: Option<Duration>,
+    /// Requests of this host that run on it.
+    pub running: u32,
+    pub(super) aside: bool,
+    pub(super) told_leaving: bool,
+    position: Option<Position>,
+    proof: Option<Proof>,
+    asked: Duration,
+    failed: Option<Duration>,
+    took: Option<Duration>,
+    heard: Option<(Duration, Position)>,
+    pace: Option<f64>,
+}
+
+impl Server {
+    /// A server of which nothing was heard yet.
+    pub fn new(facts: Facts) -> Server {
+        Server {
+            facts,
+            leaving: None,
+            running: 0,
+            aside: false,
+            told_leaving: false,
+            position: None,
+            proof: None,
+            asked: Duration::ZERO,
+            failed: None,
+            took: None,
+            heard: None,
+            pace: None,
+        }
+    }
+
+    /// How far its data reach, as last heard.
+    pub fn position(&self) -> Option<Position> {
+        self.position
+    }
+
+    /// The server's last proof that its data were current.
+    pub fn proof(&self) -> Option<Proof> {
+        self.proof
+    }
+
+    /// Whether it is set aside as slow.
+    pub fn is_aside(&self) -> bool {
+        self.aside
+    }
+
+    /// What a statement on it takes, queueing there included; a moving average.
+    pub fn took(&self) -> Duration {
+        self.took.unwrap_or(FIRST_GUESS)
+    }
+
+    pub(super) fn configure(&mut self, facts: Facts, _now: Duration) {
+        self.facts = facts;
+    }
+
+    /// Answers can overtake each other, so an answer to an older question changes nothing: after
+    /// a server has dropped the tail of an old term, its earlier position is no longer true.
+    /// The age was measured after `sent`, so what was `age` old then was current no earlier than
+    /// `sent - age`.
+    pub(super) fn heard(&mut self, status: Status, sent: Duration, now: Duration) {
+        self.failed = None;
+        if sent < self.asked {
+            return;
+        }
+        self.asked = sent;
+        if let Some(fresh) = status.fresh {
+            self.proof = sent.checked_sub(fresh.age).map(|at| Proof {
+                term: fresh.term,
+                at,
+            });
+        }
+        self.measure_pace(status.position, now);
+        self.position = Some(status.position);
+    }
+
+    pub(super) fn lost(&mut self, now: Duration) {
+        self.failed = Some(now);
+    }
+
+    pub(super) fn finished(&mut self, took: Option<Duration>) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(took) = took {
+            let old = self.took.unwrap_or(took);
+            self.took = Some(old.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING));
+        }
+    }
+
+    pub(super) fn is_reachable(&self, now: Duration) -> bool {
+        self.failed.is_none_or(|at| now >= at + LEFT_ALONE)
+    }
+
+    /// A primary that leaves goes on taking writes for a grace period, so that the controller
+    /// can move the term without a gap; then it takes nothing.
+    pub(super) fn takes_work(&self, now: Duration) -> bool {
+        self.leaving
+            .is_none_or(|since| now <= since + super::LEAVING_GRACE)
+    }
+
+    /// When a request sent now should be answered.
+    pub(super) fn expected(&self) -> Duration {
+        let slots = f64::from(self.facts.slots.max(1));
+        let rounds = (f64::from(self.running) + 1.0) / slots;
+        self.took().mul_f64(rounds.max(1.0))
+    }
+
+    /// The time after which its data should reach `wanted`, from the pace of its log.
+    pub(super) fn reaches(&self, wanted: Position, now: Duration) -> Option<Duration> {
+        let (at, position) = self.heard?;
+        if position.term != wanted.term {
+            return None;
+        }
+        let gap = wanted.log.saturating_sub(position.log) as f64;
+        let pace = self.pace.filter(|pace| *pace > 0.0)?;
+        let wait = Duration::try_from_secs_f64(gap / pace).ok()?;
+        let wait = (at + wait)
+            .saturating_sub(now)
+            .max(Duration::from_millis(1));
+        (wait <= LONGEST_CATCH_UP).then_some(wait)
+    }
+
+    fn measure_pace(&mut self, position: Position, now: Duration) {
+        let Some((at, before)) = self.heard else {
+            self.heard = Some((now, position));
+            return;
+        };
+        let passed = now.saturating_sub(at).as_secs_f64();
+        if passed <= 0.0 {
+            return;
+        }
+        let grown = position.log.saturating_sub(before.log) as f64 / passed;
+        let old = self.pace.unwrap_or(grown);
+        self.pace = Some(old + SMOOTHING * (grown - old));
+        self.heard = Some((now, position));
+    }
+}
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -55,10 +55,23 @@
     pub view: Option<Shard>,
     /// Connections the host may open to each backend server, for as long as the lease runs.
     pub allotment: BTreeMap<String, u16>,
+    /// Connections that the host may keep beyond its lease, by backend server, so that a zone
+    /// that is cut off from its controller goes on serving.
+    #[serde(default)]
+    pub floors: BTreeMap<String, Floor>,
     /// Highest configuration version the controller knows.
     pub config: u64,
 }
 
+/// Connections that outlast a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Floor {
+    /// How many.
+    pub connections: u16,
+    /// How long from the moment the host *sent* the renewal, in milliseconds.
+    pub valid_ms: u64,
+}
+
 /// Why a renewal is refused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
