Keep sessions that mix SET and savepoints on their connection

Cause: a rollback to a savepoint takes back settings, and the classifier does not name savepoints. Change: state::Effect::Set carries the statement to replay; a SET after a savepoint pins. Conclusion: never a statement under a setting that its caller took back.

--- a/crates/core/src/session/state.rs
+++ b/crates/core/src/session/state.rs
@@ -41,12 +41,12 @@
 /// What a statement that succeeded leaves behind.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
-    /// `SET name = value`; `SET LOCAL` leaves nothing.
+    /// `SET`; `SET LOCAL` leaves nothing.
     Set {
         /// The parameter, in lower case.
         name: String,
-        /// Its value, quoted as it has to be sent again.
-        value: String,
+        /// The statement, fit for another connection.
+        text: String,
     },
     /// `RESET name`, or `SET name TO DEFAULT`.
     Reset {
@@ -71,21 +71,8 @@
         /// What it is.
         prepared: Prepared,
     },
-    /// `SAVEPOINT name`.
-    Savepoint {
-        /// The savepoint.
-        name: String,
-    },
-    /// `RELEASE name`.
-    Release {
-        /// The savepoint.
-        name: String,
-    },
-    /// `ROLLBACK TO name`.
-    RollbackTo {
-        /// The savepoint.
-        name: String,
-    },
+    /// `SAVEPOINT`, `RELEASE` or `ROLLBACK TO`.
+    Savepoint,
     /// `COMMIT`; whether it committed is told by its command tag.
     Commit,
     /// `ROLLBACK`, or a `COMMIT` that rolled back.
@@ -99,12 +86,12 @@
 /// What has to be sent on a connection before the session's next statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Replay {
-    /// `SET name = value`.
+    /// The `SET` statement of a parameter.
     Set {
         /// The parameter.
         name: String,
-        /// Its value, quoted.
-        value: String,
+        /// The statement.
+        text: String,
     },
     /// `RESET name`: another session left it.
     Reset {
@@ -119,32 +106,25 @@
     parameters: BTreeMap<String, String>,
 }
 
-/// Parameters set by a session.
+/// Parameters set by a session, and the statements that set them.
 type Parameters = BTreeMap<String, String>;
 
-/// A savepoint and the parameters that hold again after a rollback to it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Savepoint {
-    name: String,
-    parameters: Parameters,
-}
-
 /// The tracked connection state of one session.
 ///
 /// ```
 /// use flamingopost_core::session::state::{Carried, Effect, Replay, State};
 ///
 /// let mut state = State::default();
-/// let (name, value) = ("search_path".to_owned(), "'yard'".to_owned());
-/// state.apply(Effect::Set { name: name.clone(), value: value.clone() });
-/// assert_eq!(state.replay(&Carried::default()), [Replay::Set { name, value }]);
+/// let (name, text) = ("search_path".to_owned(), "SET search_path = yard".to_owned());
+/// state.apply(Effect::Set { name: name.clone(), text: text.clone() });
+/// assert_eq!(state.replay(&Carried::default()), [Replay::Set { name, text }]);
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct State {
     parameters: Parameters,
     /// Parameters as they were when the open transaction began; a rollback brings them back.
     before: Option<Parameters>,
-    savepoints: Vec<Savepoint>,
+    savepoint: bool,
     prepared: BTreeMap<String, Prepared>,
     pins: BTreeSet<Pin>,
     transaction: Transaction,
@@ -154,13 +134,18 @@
     /// Takes note of what a statement that succeeded left behind.
     pub fn apply(&mut self, effect: Effect) {
         match effect {
-            Effect::Set { name, value } => {
-                self.parameters.insert(name, value);
+            Effect::Set { name, text } => {
+                self.parameters.insert(name, text);
+                self.watch_savepoint();
             }
             Effect::Reset { name } => {
                 self.parameters.remove(&name);
+                self.watch_savepoint();
+            }
+            Effect::ResetAll => {
+                self.parameters.clear();
+                self.watch_savepoint();
             }
-            Effect::ResetAll => self.parameters.clear(),
             Effect::DiscardAll => *self = State::default(),
             Effect::Prepare { name, prepared } => {
                 self.prepared.insert(name, prepared);
@@ -169,12 +154,7 @@
                 self.prepared.remove(&name);
             }
             Effect::DeallocateAll => self.prepared.clear(),
-            Effect::Savepoint { name } => self.savepoints.push(Savepoint {
-                name,
-                parameters: self.parameters.clone(),
-            }),
-            Effect::Release { name } => self.release(&name),
-            Effect::RollbackTo { name } => self.rollback_to(&name),
+            Effect::Savepoint => self.savepoint = true,
             Effect::Commit => self.before = None,
             Effect::Rollback => self.rollback(),
             Effect::Pin(pin) => {
@@ -194,7 +174,7 @@
             }
             (_, Transaction::Idle) => {
                 self.before = None;
-                self.savepoints.clear();
+                self.savepoint = false;
             }
             _ => {}
         }
@@ -221,7 +201,7 @@
         self.prepared.get(name)
     }
 
-    /// The value the session set for `name`, quoted.
+    /// The statement by which the session set `name`.
     pub fn parameter(&self, name: &str) -> Option<&str> {
         self.parameters.get(name).map(String::as_str)
     }
@@ -237,10 +217,10 @@
         let missing = self
             .parameters
             .iter()
-            .filter(|(name, value)| carried.parameters.get(*name) != Some(value))
-            .map(|(name, value)| Replay::Set {
+            .filter(|(name, text)| carried.parameters.get(*name) != Some(text))
+            .map(|(name, text)| Replay::Set {
                 name: name.clone(),
-                value: value.clone(),
+                text: text.clone(),
             });
         stale.chain(missing).collect()
     }
@@ -256,24 +236,14 @@
         if let Some(before) = self.before.take() {
             self.parameters = before;
         }
-        self.savepoints.clear();
     }
 
-    fn rollback_to(&mut self, name: &str) {
-        let Some(index) = self.find(name) else {
-            return;
-        };
-        self.parameters = self.savepoints[index].parameters.clone();
-        self.savepoints.truncate(index + 1);
-    }
-
-    fn release(&mut self, name: &str) {
-        if let Some(index) = self.find(name) {
-            self.savepoints.truncate(index);
+    /// A rollback to a savepoint takes back the `SET`s since, and which those are is not
+    /// tracked: replayed elsewhere, a statement would run under a setting that the caller had
+    /// taken back. So a session that mixes the two stays on its connection.
+    fn watch_savepoint(&mut self) {
+        if self.savepoint {
+            self.pins.insert(Pin::Untracked);
         }
     }
-
-    fn find(&self, name: &str) -> Option<usize> {
-        self.savepoints.iter().rposition(|save| save.name == name)
-    }
 }
