--- /dev/null
+++ b/crates/core/src/config/report.rs
@@ -0,0 +1,36 @@
+//! Everything that is wrong in a configuration.
+
+use std::fmt;
+
+use super::Problem;
+
+/// Everything that is wrong in a configuration, in the order of its lines.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// The file, as its reader calls it.
+    pub file: String,
+    /// The problems; never empty.
+    pub problems: Vec<Problem>,
+}
+
+impl Report {
+    pub(super) fn new(file: &str, mut problems: Vec<Problem>) -> Report {
+        problems.sort_by_key(|problem| problem.line);
+        Report {
+            file: file.to_owned(),
+            problems,
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for problem in &self.problems {
+            let (line, what, fix) = (problem.line, problem.what(), problem.fix());
+            writeln!(f, "{}:{line}: {what}; {fix}", self.file)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Report {}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod adoption;
 pub mod budget;
 pub mod clock;
+pub mod config;
 pub mod digest;
 pub mod directory;
 pub mod fleet;
