--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -105,12 +105,7 @@
         let kind = outcome.as_ref().map_or_else(Error::kind, |_| "entered");
         metrics::counter!("flamingopost_logins_total", "outcome" => kind).increment(1);
         if let Err(error) = &outcome {
-            let event = Event::Unauthenticated {
-                user: std::mem::take(&mut newcomer.user),
-                peer: peer.unwrap_or_default(),
-                error: error.to_string(),
-            };
-            event.log();
+            newcomer.log(peer.unwrap_or_default(), error);
             newcomer.dismiss(error).await;
         }
         outcome
@@ -338,6 +333,19 @@
         Ok(())
     }
 
+    /// Those who leave on their own account are logged apart: the balancer's probes connect and
+    /// leave all day.
+    fn log(&self, peer: String, reason: &Error) {
+        let error = reason.to_string();
+        match reason {
+            Error::Gone(_) => Event::Left { peer, error }.log(),
+            _ => {
+                let user = self.user.clone();
+                Event::Unauthenticated { user, peer, error }.log();
+            }
+        }
+    }
+
     /// Tells the caller why it is turned away, and closes.
     async fn dismiss(&mut self, error: &Error) {
         let Some(response) = error.response() else {
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -32,6 +32,8 @@
         1103 Warn Unfetched { version: u64, error: String },
         /// caller {user} from {peer} not authenticated: {error}
         1200 Warn Unauthenticated { user: String, peer: String, error: String },
+        /// caller from {peer} went away during its start-up: {error}
+        1201 Debug Left { peer: String, error: String },
         /// certificate and key loaded from {path}
         1210 Info KeyLoaded { path: String },
         /// certificate or key not loaded, the earlier one stays in use: {error}
