--- a/crates/core/src/config/builder.rs
+++ b/crates/core/src/config/builder.rs
@@ -141,6 +141,9 @@
         if self.declared.find(Kind::Class, DEFAULT_CLASS).is_some() {
             return Some(DEFAULT_CLASS);
         }
+        if self.declared.of(Kind::Class).is_empty() {
+            return None;
+        }
         self.problems.push(Problem {
             line: fleet.map_or(1, |section| section.line),
             fault: Fault::NoDefaultClass,
--- a/crates/core/src/config/reader.rs
+++ b/crates/core/src/config/reader.rs
@@ -75,6 +75,11 @@
     }
 }
 
+/// `entry`, unless a comment stands behind its value.
+fn sound(entry: &Entry) -> Option<&Entry> {
+    (!entry.value.contains(" ;")).then_some(entry)
+}
+
 /// One section being read.
 #[derive(Debug)]
 pub(super) struct Reader<'a, 'p> {
@@ -159,8 +164,10 @@
         let keys = self.kind.keys();
         let key = entry.key.clone();
         if keys.contains(&key.as_str()) {
-            let comment = entry.value.contains(" ;");
-            return comment.then_some(Fault::TrailingComment { key });
+            return match sound(entry) {
+                Some(_) => None,
+                None => Some(Fault::TrailingComment { key }),
+            };
         }
         if self.kind == Kind::Caller && key.contains("password") {
             return Some(Fault::PlainPassword);
@@ -172,8 +179,7 @@
 
     /// The entry called `key`, unless a comment behind its value has been noted already.
     pub(super) fn entry(&self, key: &str) -> Option<&'a Entry> {
-        let entry = self.section.find(key)?;
-        (!entry.value.contains(" ;")).then_some(entry)
+        self.section.find(key).and_then(sound)
     }
 
     /// The entry called `key`, whose absence is noted.
@@ -202,7 +208,7 @@
         }
         let service = service.and_then(|name| self.declared.find(Kind::Service, name))?;
         match service.find(key) {
-            Some(entry) => Some(entry),
+            Some(entry) => sound(entry),
             None => self.required(key),
         }
     }
--- a/crates/core/src/config/value.rs
+++ b/crates/core/src/config/value.rs
@@ -90,4 +90,4 @@
 }
 
 /// Likeness from which a word may have been meant.
-const NEAR: f64 = 0.8;
+const NEAR: f64 = 0.75;
