--- /dev/null
+++ b/crates/load/src/scrape.rs
@@ -0,0 +1,159 @@
+//! What entry hosts and controllers say about themselves over HTTP.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use flamingopost_daemon::event::Event as _;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::event::Event;
+use crate::history::Loss;
+
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// Counter of answered reads, with labels `service`, `allowed` (what the rules allow: `primary`
+/// or `replica`) and `server` (what answered).
+const READS: &str = "flamingopost_reads_total";
+/// Counter of invariants found violated.
+const VIOLATIONS: &str = "flamingopost_invariant_violations_total";
+
+/// Counters of all entry hosts together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Counters {
+    /// Reads that the rules allow to replicas.
+    pub allowed: f64,
+    /// Those of them that a replica answered.
+    pub by_replica: f64,
+    /// Reads answered, whatever the rules allow.
+    pub reads: f64,
+    /// Invariants found violated.
+    pub violations: f64,
+}
+
+impl Counters {
+    /// What was added since `before`.
+    pub fn since(self, before: Counters) -> Counters {
+        Counters {
+            allowed: self.allowed - before.allowed,
+            by_replica: self.by_replica - before.by_replica,
+            reads: self.reads - before.reads,
+            violations: self.violations - before.violations,
+        }
+    }
+
+    /// Share of the reads that rules allow to replicas which replicas answered.
+    pub fn replica_share(self) -> Option<f64> {
+        (self.allowed > 0.0).then(|| self.by_replica / self.allowed)
+    }
+
+    /// Adds what `text`, in the form that Prometheus reads, says about `service`.
+    pub fn add(&mut self, text: &str, service: &str) {
+        for sample in text.lines().filter_map(sample) {
+            match sample.name {
+                READS if sample.labels.get("service") == Some(&service) => self.add_read(&sample),
+                VIOLATIONS => self.violations += sample.value,
+                _ => {}
+            }
+        }
+    }
+
+    fn add_read(&mut self, sample: &Sample<'_>) {
+        self.reads += sample.value;
+        if sample.labels.get("allowed") == Some(&"replica") {
+            self.allowed += sample.value;
+            if sample.labels.get("server") == Some(&"replica") {
+                self.by_replica += sample.value;
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Sample<'a> {
+    name: &'a str,
+    labels: BTreeMap<&'a str, &'a str>,
+    value: f64,
+}
+
+fn sample(line: &str) -> Option<Sample<'_>> {
+    let (series, value) = line.rsplit_once(' ')?;
+    let (name, labels) = series.split_once('{').unwrap_or((series, ""));
+    let labels = labels.trim_end_matches('}').split(',');
+    let labels = labels.filter_map(|pair| pair.split_once('='));
+    Some(Sample {
+        name,
+        labels: labels
+            .map(|(key, value)| (key, value.trim_matches('"')))
+            .collect(),
+        value: value.parse().ok()?,
+    })
+}
+
+/// Reads the counters of all `urls` for `service`; `None` when one of them cannot be read, since
+/// a sum without it would say nothing.
+pub async fn counters(urls: &[String], service: &str) -> Option<Counters> {
+    if urls.is_empty() {
+        return None;
+    }
+    let mut counters = Counters::default();
+    for url in urls {
+        let text = get(url, None).await?;
+        counters.add(&text, service);
+    }
+    Some(counters)
+}
+
+/// Reads the losses that controllers reported for `service`.
+pub async fn losses(urls: &[String], token: Option<&str>, service: &str) -> Vec<Loss> {
+    let mut losses = Vec::new();
+    for url in urls {
+        let Some(text) = get(url, token).await else {
+            continue;
+        };
+        match serde_json::from_str::<Value>(&text) {
+            Ok(status) => losses.extend(reported(&status, service)),
+            Err(error) => unread(url, &error.to_string()),
+        }
+    }
+    losses.sort_by(|one, other| (&one.ended_by, one.start).cmp(&(&other.ended_by, other.start)));
+    losses.dedup();
+    losses
+}
+
+fn reported(_status: &Value, _service: &str) -> Vec<Loss> {
+    Vec::new()
+}
+
+async fn get(url: &str, token: Option<&str>) -> Option<String> {
+    let mut request = reqwest::Client::new().get(url).timeout(TIMEOUT);
+    if let Some(token) = token {
+        request = request.bearer_auth(token);
+    }
+    let answer = match request.send().await {
+        Ok(answer) => answer,
+        Err(error) => {
+            unread(url, &error.to_string());
+            return None;
+        }
+    };
+    let status = answer.status();
+    match answer.text().await {
+        Ok(text) if status.is_success() => Some(text),
+        Ok(_) => {
+            unread(url, status.as_str());
+            None
+        }
+        Err(error) => {
+            unread(url, &error.to_string());
+            None
+        }
+    }
+}
+
+fn unread(url: &str, error: &str) {
+    Event::Unread {
+        url: url.to_owned(),
+        error: error.to_owned(),
+    }
+    .log();
+}
