--- /dev/null
+++ b/crates/core/src/rate.rs
@@ -0,0 +1,56 @@
+//! How often requests pass a rule on one entry host.
+
+use std::time::Duration;
+
+/// Part of a second whose requests may come at once.
+const BURST_SECONDS: f64 = 0.1;
+
+/// A token bucket: so many requests a second, with a short burst.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::rate::Rate;
+///
+/// let mut rate = Rate::new(10, Duration::ZERO);
+/// assert_eq!(rate.take(Duration::ZERO), Ok(()));
+/// assert_eq!(rate.take(Duration::ZERO), Err(Duration::from_millis(100)));
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rate {
+    per_second: f64,
+    tokens: f64,
+    filled: Duration,
+}
+
+impl Rate {
+    /// A bucket that lets `per_second` requests through, full at `now`.
+    pub fn new(per_second: u32, now: Duration) -> Rate {
+        let mut rate = Rate {
+            per_second: f64::from(per_second),
+            tokens: 0.0,
+            filled: now,
+        };
+        rate.tokens = rate.burst();
+        rate
+    }
+
+    /// Lets one request through.
+    ///
+    /// # Errors
+    /// The time after which the next one passes; [`Duration::MAX`] at a rate of none.
+    pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + passed * self.per_second).min(self.burst());
+        self.filled = self.filled.max(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait = (1.0 - self.tokens) / self.per_second;
+        Err(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
+    }
+
+    fn burst(&self) -> f64 {
+        (self.per_second * BURST_SECONDS).max(1.0)
+    }
+}
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::health::Standing;
 use crate::history::{History, Verdict};
 use crate::invariant::{self, Invariant};
 use crate::key::{ServerKey, ZoneKey};
@@ -22,6 +23,8 @@
 const PROMOTION: Duration = Duration::from_millis(500);
 /// When to ask again for a position or an age: a few probes later.
 const FRESHER: Duration = Duration::from_millis(250);
+/// One read in so many goes to a replica on trial.
+const TRICKLE: u64 = 16;
 /// Terms whose leases are remembered for the age of data that they wrote.
 const KEPT_LEASES: usize = 8;
 
@@ -98,7 +101,7 @@
             self.servers
                 .entry(*key)
                 .or_insert_with(|| Server::new(*facts))
-                .configure(*facts, now);
+                .facts = *facts;
         }
         self.mark_leaving(now);
     }
@@ -142,10 +145,10 @@
         }
     }
 
-    /// A slow server is set aside, or taken back: see [`crate::health`].
-    pub fn set_aside(&mut self, server: ServerKey, aside: bool) {
+    /// [`crate::health`] found that `server` should get this much work.
+    pub fn set_standing(&mut self, server: ServerKey, standing: Standing) {
         if let Some(server) = self.servers.get_mut(&server) {
-            server.aside = aside;
+            server.standing = standing;
         }
     }
 
@@ -284,21 +287,26 @@
         Some(proof.at.min(*lease))
     }
 
-    /// Set-aside servers are used only when there is nothing else; among the rest, the cheaper
-    /// of two picked at random, where another zone costs its distance.
+    /// Among those in good standing, the cheaper of two picked at random, where another zone
+    /// costs its distance. One on trial gets a trickle, and one set aside is used when there is
+    /// nothing else.
     fn pick(&self, able: &[ServerKey], dice: u64) -> Option<ServerKey> {
-        let healthy: Vec<ServerKey> = able
-            .iter()
-            .copied()
-            .filter(|key| !self.servers[key].aside)
-            .collect();
-        let pool = if healthy.is_empty() { able } else { &healthy };
+        let trial = self.of_standing(able, Standing::Trial);
+        if let Some(server) = trial.first()
+            && dice.is_multiple_of(TRICKLE)
+        {
+            return Some(*server);
+        }
+        let full = self.of_standing(able, Standing::Full);
+        let pool = [full.as_slice(), &trial, able]
+            .into_iter()
+            .find(|pool| !pool.is_empty())?;
         let near: Vec<ServerKey> = pool
             .iter()
             .copied()
             .filter(|key| self.servers[key].facts.zone == self.zone)
             .collect();
-        let near = self.cheaper_of_two(&near, dice);
+        let near = self.cheaper_of_two(&near, dice / TRICKLE);
         let any = self.cheaper_of_two(pool, dice >> 32);
         match (near, any) {
             (Some(near), Some(any)) if self.cost(near) <= self.cost(any) => Some(near),
@@ -306,6 +314,13 @@
         }
     }
 
+    fn of_standing(&self, able: &[ServerKey], standing: Standing) -> Vec<ServerKey> {
+        able.iter()
+            .copied()
+            .filter(|key| self.servers[key].standing == standing)
+            .collect()
+    }
+
     fn cheaper_of_two(&self, pool: &[ServerKey], dice: u64) -> Option<ServerKey> {
         let count = pool.len() as u64;
         if count == 0 {
@@ -391,8 +406,7 @@
     /// The leaving mark counts from when this host first learnt of it.
     fn mark_leaving(&mut self, now: Duration) {
         for (key, server) in &mut self.servers {
-            let leaving =
-                server.facts.leaving || server.told_leaving || self.service.leaving.contains(key);
+            let leaving = server.facts.leaving || self.service.leaving.contains(key);
             server.leaving = match (leaving, server.leaving) {
                 (true, since) => since.or(Some(now)),
                 (false, _) => None,
--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::health::Standing;
 use crate::key::ZoneKey;
 use crate::position::Position;
 use crate::term::Term;
@@ -65,8 +66,7 @@
     pub leaving: Option<Duration>,
     /// Requests of this host that run on it.
     pub running: u32,
-    pub(super) aside: bool,
-    pub(super) told_leaving: bool,
+    pub(super) standing: Standing,
     position: Option<Position>,
     proof: Option<Proof>,
     asked: Duration,
@@ -83,8 +83,7 @@
             facts,
             leaving: None,
             running: 0,
-            aside: false,
-            told_leaving: false,
+            standing: Standing::Full,
             position: None,
             proof: None,
             asked: Duration::ZERO,
@@ -105,9 +104,9 @@
         self.proof
     }
 
-    /// Whether it is set aside as slow.
-    pub fn is_aside(&self) -> bool {
-        self.aside
+    /// How much work it gets.
+    pub fn standing(&self) -> Standing {
+        self.standing
     }
 
     /// What a statement on it takes, queueing there included; a moving average.
@@ -115,10 +114,6 @@
         self.took.unwrap_or(FIRST_GUESS)
     }
 
-    pub(super) fn configure(&mut self, facts: Facts, _now: Duration) {
-        self.facts = facts;
-    }
-
     /// Answers can overtake each other, so an answer to an older question changes nothing: after
     /// a server has dropped the tail of an old term, its earlier position is no longer true.
     /// The age was measured after `sent`, so what was `age` old then was current no earlier than
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -30,7 +30,7 @@
 /// let mut session = Session::new(Duration::ZERO);
 /// let history = History::default();
 /// session.set_position("1.0/17", Duration::ZERO, &history).unwrap();
-/// let need = session.need(Target::Replica, None, &history).unwrap();
+/// let need = session.need(Target::Replica, None, None, &history).unwrap();
 /// assert_eq!(need.position().unwrap().log, 17);
 /// ```
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -150,7 +150,7 @@
     }
 
     /// What a server must be to answer a read of this session under a rule's `target` and
-    /// `max_age`.
+    /// `max_age`, and the age that the caller `stated` with the statement.
     ///
     /// # Errors
     /// [`Refusal::PositionLost`], once for each loss; the session then goes on without the write.
@@ -158,21 +158,20 @@
         &mut self,
         target: Target,
         max_age: Option<Duration>,
+        stated: Option<Duration>,
         history: &History,
     ) -> Result<Need, Refusal> {
         self.tell_loss(history)?;
         if target == Target::Primary {
             return Ok(Need::Primary);
         }
-        let max_age = match (max_age, self.max_age) {
-            (Some(rule), Some(caller)) => Some(rule.min(caller)),
-            (rule, caller) => rule.or(caller),
-        };
+        let stated = stricter(stated, self.max_age);
+        let max_age = stricter(max_age, stated);
         Ok(match self.writes {
             Writes::UpTo(position) => Need::Position { position, max_age },
             Writes::None => Need::Any { max_age },
             // A caller that states an age itself accepts data of that age.
-            Writes::Before(_) if self.max_age.is_some() => Need::Any { max_age },
+            Writes::Before(_) if stated.is_some() => Need::Any { max_age },
             Writes::Before(began) => Need::Since { began, max_age },
         })
     }
@@ -221,6 +220,13 @@
     }
 }
 
+fn stricter(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (one, other) => one.or(other),
+    }
+}
+
 fn bad(parameter: &'static str, value: &str) -> Refusal {
     Refusal::BadParameter {
         parameter,
