--- a/crates/core/src/submission.rs
+++ b/crates/core/src/submission.rs
@@ -73,6 +73,17 @@
     RecordRead(Result<Option<Record>, Effect>),
 }
 
+impl Event {
+    /// Whether the step failed; the next one should not follow at once.
+    pub fn is_failure(&self) -> bool {
+        match self {
+            Event::BodyPut(result) => result.is_err(),
+            Event::HeadRead(result) | Event::RecordRead(result) => result.is_err(),
+            Event::Written(result) => result.is_err(),
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod knowledge;
 pub mod lease;
 pub mod rpc;
+pub mod status;
 pub mod view;
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -7,6 +7,7 @@
 use crate::close::{Close, Closed};
 use crate::knowledge::Knowledge;
 use crate::lease::{Renewal, Reply};
+use crate::status::{Ordered, Status};
 
 /// What a control process answers.
 #[rpc(server, client, namespace = "control")]
@@ -26,6 +27,14 @@
     /// Tells what this process knows; `version` is what the asker has.
     #[method(name = "knowledge")]
     async fn knowledge(&self, version: u64) -> RpcResult<Knowledge>;
+
+    /// Tells the state of the shards that this process leads.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<Status>;
+
+    /// Orders a planned promotion for a service whose shard this process leads.
+    #[method(name = "order")]
+    async fn order(&self, service: String) -> RpcResult<Ordered>;
 }
 
 /// What an entry host answers.
