entry: the link to controllers

Cause: a host had no way to get leases, views, allotments or a configuration. Change: renewals by jsonrpsee, dated from sending, batched by address, through a relay where one is set; controllers learnt from rows, redirects and other processes; configurations adopted upward only with digests checked, from the object store or a peer; reports bounded per renewal; remote calls close, view and knowledge.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -26,10 +26,8 @@
         1100 Info Adopted { version: u64, source: String },
         /// configuration version {version} from {source} refused: {error}
         1101 Error Unadopted { version: u64, source: String, error: String },
-        /// older configuration version {version} from {source} left aside
-        1102 Debug Older { version: u64, source: String },
-        /// configuration version {version} not to be had yet: {error}
-        1103 Warn Unfetched { version: u64, error: String },
+        /// body of configuration version {version} not to be had yet, asked for again soon
+        1103 Warn Unfetched { version: u64 },
         /// caller {user} from {peer} not authenticated: {error}
         1200 Warn Unauthenticated { user: String, peer: String, error: String },
         /// caller from {peer} went away during its start-up: {error}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod adopted;
 pub mod auth;
 pub mod event;
+pub mod link;
 pub mod report;
+pub mod rpc;
 pub mod settings;
 pub mod shared;
 pub mod stream;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,10 +1,13 @@
 //! What all parts of an entry host process share: the clock, the configuration in force, the
 //! leases, and what was seen of the backend servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
+use flamingopost_core::budget::Grant;
+use flamingopost_core::budget::purse::{CLOSE_MARGIN, Purse};
 use flamingopost_core::clock::Clock;
 use flamingopost_core::directory::Directory;
 use flamingopost_core::history::History;
@@ -18,7 +21,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::adopted::Adopted;
-use crate::report::{Outcome, Tally};
+use crate::report::{Outcome, Tallies, Tally};
 
 /// Shared by all tasks of an entry host.
 pub struct Shared {
@@ -29,17 +32,11 @@
     adopted: watch::Sender<Option<Arc<Adopted>>>,
     leases: Mutex<Holder>,
     changes: watch::Sender<u64>,
-    allotments: Mutex<BTreeMap<ServerKey, Allotment>>,
-    tallies: Mutex<BTreeMap<ServerKey, Tally>>,
+    purses: Mutex<BTreeMap<ServerKey, Purse>>,
+    tallies: Mutex<Tallies>,
     demand: Mutex<BTreeMap<ServerKey, u16>>,
     renew: Notify,
-}
-
-/// Connections that the host may open to a backend server, and until when.
-#[derive(Debug, Clone, Copy)]
-struct Allotment {
-    connections: u16,
-    until: Duration,
+    heard: AtomicU64,
 }
 
 impl Shared {
@@ -54,10 +51,11 @@
             adopted: watch::Sender::new(None),
             leases: Mutex::new(Holder::new(incarnation)),
             changes: watch::Sender::new(0),
-            allotments: Mutex::default(),
+            purses: Mutex::default(),
             tallies: Mutex::default(),
             demand: Mutex::default(),
             renew: Notify::new(),
+            heard: AtomicU64::new(0),
         }
     }
 
@@ -118,6 +116,16 @@
         })
     }
 
+    /// Notes the highest configuration version that this host has heard of.
+    pub fn hear(&self, version: u64) {
+        self.heard.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// The highest configuration version heard of, in force or not.
+    pub fn heard(&self) -> u64 {
+        self.heard.load(Ordering::Relaxed)
+    }
+
     /// Who leads `service` now, as far as this host may act on it.
     pub fn leader(&self, service: ServiceKey) -> Leader {
         self.leases().leader(service, self.clock.now())
@@ -156,21 +164,21 @@
         facts.leaving || by_view.is_some_and(|service| service.leaving.contains(&server))
     }
 
-    /// Connections that the host may have open to `server` now.
+    /// Connections that the host may have open to `server` now. It falls a moment before a grant
+    /// runs out, so that connections are gone when another host is given them.
     pub fn allotment(&self, server: ServerKey) -> u16 {
-        let now = self.clock.now();
-        match lock(&self.allotments).get(&server) {
-            // The share of a host whose lease has run out may be another's by now.
-            Some(allotment) if now < allotment.until => allotment.connections,
-            _ => 0,
-        }
-    }
-
-    /// Records connections granted until `until`.
-    pub fn allot(&self, granted: BTreeMap<ServerKey, u16>, until: Duration) {
-        let mut allotments = lock(&self.allotments);
-        for (server, connections) in granted {
-            allotments.insert(server, Allotment { connections, until });
+        let soon = self.clock.now() + CLOSE_MARGIN;
+        lock(&self.purses)
+            .get(&server)
+            .map_or(0, |purse| purse.allowed(soon))
+    }
+
+    /// Records connections granted in answer to a renewal sent at `sent`, for a lease of `valid`.
+    pub fn allot(&self, granted: BTreeMap<ServerKey, Grant>, sent: Duration, valid: Duration) {
+        let mut purses = lock(&self.purses);
+        for (server, grant) in granted {
+            let purse = purses.entry(server).or_default();
+            purse.grant(grant, sent, valid);
         }
     }
 
@@ -187,16 +195,20 @@
     /// Notes what came of a connection attempt, a probe or a statement at `server`.
     pub fn report(&self, server: ServerKey, outcome: Outcome) {
         let now = self.clock.now();
-        let mut tallies = lock(&self.tallies);
-        tallies.entry(server).or_default().note(outcome, now);
+        // The controller should hear of trouble without waiting for the next turn.
+        if lock(&self.tallies).note(server, outcome, now) {
+            self.renew_soon();
+        }
+    }
+
+    /// Takes what the next renewal reports of `servers`.
+    pub fn take_tallies(&self, servers: &BTreeSet<ServerKey>) -> BTreeMap<ServerKey, Tally> {
+        lock(&self.tallies).take(servers)
     }
 
-    /// What was seen of each server since the tallies were last taken.
-    pub fn tallies(&self) -> BTreeMap<ServerKey, Tally> {
-        let mut tallies = lock(&self.tallies);
-        let taken = tallies.clone();
-        tallies.values_mut().for_each(Tally::restart);
-        taken
+    /// Puts back what was taken for a renewal that did not get through.
+    pub fn restore_tallies(&self, taken: &BTreeMap<ServerKey, Tally>) {
+        lock(&self.tallies).restore(taken);
     }
 
     /// The leases, for the link to controllers.
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -38,6 +38,9 @@
     pub answers: u32,
     /// Connections refused, broken or timed out.
     pub failures: u32,
+    /// Those of them that were refused or broken, which a server that is merely slow does not do.
+    #[serde(default)]
+    pub broken: u32,
     /// Milliseconds since the last answer; absent when there never was one.
     pub silent_ms: Option<u64>,
     /// Last known position, `EPOCH.COUNT/LOG`.
