Add operators' HTTP messages: submission, history, drain, explanation

Cause: flamingopostctl, controllers and entry hosts have to speak of the same bodies. Change: wire::submission (POST /v1/config and what it answers, GET /v1/config, /v1/history, POST /v1/drain) and wire::explanation (GET /v1/explain); Explanation::new does all but the route. Conclusion: the contract of the operators' HTTP is typed on both sides.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod authority;
 pub mod close;
+pub mod explanation;
 pub mod knowledge;
 pub mod lease;
 pub mod rpc;
 pub mod status;
+pub mod submission;
 pub mod view;
