--- /dev/null
+++ b/crates/standin/src/backend.rs
@@ -0,0 +1,25 @@
+//! Stand-in for a database server of a group: PostgreSQL towards callers, SQLite inside.
+
+mod copy;
+mod engine;
+mod error;
+mod executor;
+pub mod fault;
+mod function;
+mod group;
+mod infer;
+mod log;
+mod parameter;
+mod registry;
+mod replica;
+mod server;
+mod session;
+mod shared;
+mod sql;
+mod state;
+mod transaction;
+mod value;
+
+pub use self::server::{PromoteError, Server, Settings, StartError, Summary};
+pub(crate) use self::server::{set_faults, summary};
+pub(crate) use self::shared::Shared;
