platform: writes tell the rows' new tags; requests name their zone

Cause: a controller that writes a row twice in a promotion had to read it in between to learn its tag; and cuts of a zone need to know where a request comes from. Change: Outcome::Done carries the tags; the HTTP client sends x-zone.

--- a/crates/platform/src/fake.rs
+++ b/crates/platform/src/fake.rs
@@ -107,11 +107,13 @@
         if !changes.iter().all(|change| self.holds(change)) {
             return Outcome::Lost;
         }
+        let mut tags = Vec::new();
         for change in changes {
             let tag = self.rows.get(&change.key).map_or(1, |(tag, _)| tag + 1);
             self.rows.insert(change.key, (tag, change.body));
+            tags.push(Tag(tag.to_string()));
         }
-        Outcome::Done
+        Outcome::Done(tags)
     }
 }
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -19,9 +19,13 @@
 pub struct Client {
     http: reqwest::Client,
     base: String,
+    zone: String,
     timeout: Duration,
 }
 
+/// The availability zone that a request comes from.
+const ZONE_HEADER: &str = "x-zone";
+
 /// A row on the wire.
 #[derive(Debug, Deserialize)]
 struct Listed {
@@ -42,11 +46,12 @@
 }
 
 impl Client {
-    /// A client of the platform at `address`; every request is given up after `timeout`.
+    /// A client in `zone` of the platform at `address`; every request is given up after
+    /// `timeout`.
     ///
     /// # Errors
     /// The HTTP client cannot be set up.
-    pub fn new(address: SocketAddr, timeout: Duration) -> Result<Client, Error> {
+    pub fn new(address: SocketAddr, zone: &str, timeout: Duration) -> Result<Client, Error> {
         let http = reqwest::Client::builder()
             .no_proxy()
             .connect_timeout(timeout)
@@ -56,6 +61,7 @@
         Ok(Client {
             http,
             base: format!("http://{address}"),
+            zone: zone.to_owned(),
             timeout,
         })
     }
@@ -65,7 +71,8 @@
     }
 
     async fn send(&self, request: RequestBuilder) -> Result<Response, Error> {
-        let response = request.send().await.map_err(|error| self.failure(&error))?;
+        let response = request.header(ZONE_HEADER, &self.zone).send().await;
+        let response = response.map_err(|error| self.failure(&error))?;
         match response.status() {
             StatusCode::SERVICE_UNAVAILABLE => Err(Error::Refused),
             _ => Ok(response),
@@ -125,7 +132,10 @@
         let request = self.http.post(self.url("/table")).json(&writes);
         let response = self.send(request).await?;
         match response.status() {
-            StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => Ok(Outcome::Done),
+            StatusCode::OK | StatusCode::CREATED => {
+                let tags: Vec<String> = decode(&self.body(response).await?)?;
+                Ok(Outcome::Done(tags.into_iter().map(Tag).collect()))
+            }
             StatusCode::PRECONDITION_FAILED => Ok(Outcome::Lost),
             other => Err(Error::Status(other.as_u16())),
         }
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -40,10 +40,10 @@
 }
 
 /// What a compare-and-set led to, where an answer came.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
-    /// The write took effect.
-    Done,
+    /// The write took effect; the rows have these tags now, in the order of the changes.
+    Done(Vec<Tag>),
     /// A guard did not hold; nothing was written.
     Lost,
 }
--- a/crates/platform/tests/fake.rs
+++ b/crates/platform/tests/fake.rs
@@ -3,7 +3,7 @@
 use flamingopost_platform::error::{Effect, Error};
 use flamingopost_platform::fake::{Fault, Platform};
 use flamingopost_platform::object::Store;
-use flamingopost_platform::table::{Change, Guard, Outcome, Table};
+use flamingopost_platform::table::{Change, Guard, Outcome, Table, Tag};
 
 fn change(key: &str, guard: Guard, body: &str) -> Change {
     Change {
@@ -13,24 +13,28 @@
     }
 }
 
+fn done(tag: &str) -> Outcome {
+    Outcome::Done(vec![Tag(tag.to_owned())])
+}
+
 #[tokio::test]
 async fn one_of_two_writers_loses() {
     let platform = Platform::default();
     let first = platform.write(vec![change("fleet/head", Guard::Absent, "1")]);
-    assert_eq!(first.await, Ok(Outcome::Done));
+    assert_eq!(first.await, Ok(done("1")));
     let second = platform.write(vec![change("fleet/head", Guard::Absent, "2")]);
     assert_eq!(second.await, Ok(Outcome::Lost));
     let row = platform.read("fleet/head").await.unwrap().unwrap();
     assert_eq!(row.body, "1");
     let third = platform.write(vec![change("fleet/head", Guard::Tag(row.tag), "3")]);
-    assert_eq!(third.await, Ok(Outcome::Done));
+    assert_eq!(third.await, Ok(done("2")));
 }
 
 #[tokio::test]
 async fn several_changes_take_effect_together_or_not_at_all() {
     let platform = Platform::default();
     let only = platform.write(vec![change("fleet/a", Guard::Absent, "1")]);
-    assert_eq!(only.await, Ok(Outcome::Done));
+    assert_eq!(only.await, Ok(done("1")));
     let both = platform.write(vec![
         change("fleet/b", Guard::Absent, "1"),
         change("fleet/a", Guard::Absent, "2"),
