--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -141,6 +141,10 @@
     }
 
     fn learn(&self, knowledge: &Knowledge) {
+        let process = knowledge.process.iter().map(|process| &process.rpc);
+        for address in knowledge.peers.values().chain(process) {
+            self.peers.add(address);
+        }
         for (shard, controller) in &knowledge.controllers {
             self.learn_controller(*shard, controller.epoch, &controller.rpc);
         }
