load: several services in a plan, losses from the controllers' status

Change: classes, setup and final readings may name a service; a session has one connection and position a service; losses come from the status message of the wire crate; a fault can be aimed at whichever server leads by then.

--- a/crates/load/src/check/surviving.rs
+++ b/crates/load/src/check/surviving.rs
@@ -7,8 +7,8 @@
 
 /// Whether the controller reported `operation`'s write as lost.
 ///
-/// A term that began at `start` without a write has dropped every position of an older term past
-/// `start`, and no other.
+/// A term that began at `start` has dropped the positions of older terms past it. The report names
+/// the last that was acknowledged; a later one that some caller was told of is not covered.
 pub fn reported_lost(history: &History, operation: &Operation) -> bool {
     let position = operation
         .done()
@@ -17,12 +17,15 @@
     let Some(position) = position else {
         return false;
     };
-    history.losses.iter().any(|loss| covers(loss, position))
+    let mut losses = history.losses.iter();
+    losses.any(|loss| loss.service == operation.service && covers(loss, position))
 }
 
 fn covers(loss: &Loss, position: Position) -> bool {
-    match loss.ended_by.parse::<Term>() {
-        Ok(term) => position.term < term && position.log > loss.start,
-        Err(_) => false,
+    match (loss.ended_by.parse::<Term>(), loss.acknowledged.parse()) {
+        (Ok(term), Ok(last)) => {
+            position.term < term && position.log > loss.start && position <= last
+        }
+        _ => false,
     }
 }
--- a/crates/load/src/class.rs
+++ b/crates/load/src/class.rs
@@ -13,6 +13,8 @@
 pub struct Class {
     /// Its name.
     pub name: String,
+    /// Its service, where that is not the one that the targets name.
+    pub service: Option<String>,
     /// What its requests do.
     pub kind: Kind,
     /// Its part of all arrivals, relative to the other classes' shares.
@@ -25,9 +27,11 @@
     pub attempts: u32,
     /// How statements are sent.
     pub protocol: Protocol,
+    /// Whether the statements run inside an explicit transaction, which only the primary takes.
+    pub transaction: bool,
     /// For [`Kind::Own`]: the class whose writes the reading must show.
     pub sees: Option<String>,
-    /// The statements; with more than one they run as one transaction.
+    /// The statements, in order.
     pub statements: Vec<Template>,
 }
 
--- a/crates/load/src/command/run.rs
+++ b/crates/load/src/command/run.rs
@@ -76,11 +76,11 @@
 
 async fn product(args: &Args) -> Result<Report, Error> {
     let plan = &args.plan;
-    let service = plan.service();
-    let before = scrape::counters(&plan.metrics, &service).await;
+    let services = plan.services();
+    let before = scrape::counters(&plan.metrics, &services).await;
     let mut played = engine::play(plan, Way::Product).await?;
-    let after = scrape::counters(&plan.metrics, &service).await;
-    played.history.losses = scrape::losses(&plan.status, plan.token.as_deref(), &service).await;
+    let after = scrape::counters(&plan.metrics, &services).await;
+    played.history.losses = scrape::losses(&plan.status, plan.token.as_deref()).await;
     if let Some(path) = &args.history {
         played.history.write(path)?;
     }
--- a/crates/load/src/engine.rs
+++ b/crates/load/src/engine.rs
@@ -1,5 +1,6 @@
 //! Plays a plan: prepares tables, runs sessions and faults, and reads what is left at the end.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -78,7 +79,7 @@
         Way::Naive => &plan.baseline,
     };
     let targets = configs(urls)?;
-    prepare(plan, &targets).await?;
+    prepare(plan, &targets, way).await?;
     let run = name(way);
     let field = Arc::new(Field {
         first_register: first_register(),
@@ -153,11 +154,23 @@
     since.as_millis() as i64 * RANGE / 1000 % (RANGE << 20)
 }
 
-async fn prepare(plan: &Plan, targets: &[Config]) -> Result<(), Error> {
+/// The targets with the database `service`; the servers of the baseline have one only.
+fn named(targets: &[Config], service: Option<&str>, way: Way) -> Vec<Config> {
+    let mut targets = targets.to_vec();
+    if let (Some(service), Way::Product) = (service, way) {
+        for target in &mut targets {
+            target.dbname(service);
+        }
+    }
+    targets
+}
+
+async fn prepare(plan: &Plan, targets: &[Config], way: Way) -> Result<(), Error> {
     for statement in &plan.setup {
-        let done = anywhere(targets, statement).await;
+        let targets = named(targets, statement.service.as_deref(), way);
+        let done = anywhere(&targets, &statement.sql).await;
         done.map_err(|reason| Error::Prepare {
-            statement: statement.clone(),
+            statement: statement.sql.clone(),
             reason,
         })?;
     }
@@ -169,24 +182,40 @@
     if field.plan.finals.is_empty() {
         return Ok(None);
     }
+    let targets = if field.naive {
+        primary(&field.targets).await
+    } else {
+        field.targets.clone()
+    };
     let mut all = Vec::new();
-    for (list, template) in field.plan.finals.iter().enumerate() {
-        all.extend(read_final(field, list, template).await?);
+    let way = if field.naive {
+        Way::Naive
+    } else {
+        Way::Product
+    };
+    for (list, statement) in field.plan.finals.iter().enumerate() {
+        let targets = named(&targets, statement.service.as_deref(), way);
+        all.extend(read_final(field, &targets, list, &statement.sql).await?);
     }
     Ok(Some(all))
 }
 
-async fn read_final(field: &Field, list: usize, template: &Template) -> Result<Vec<Final>, Error> {
+async fn read_final(
+    field: &Field,
+    targets: &[Config],
+    list: usize,
+    template: &Template,
+) -> Result<Vec<Final>, Error> {
     let fill = Fill {
         run: field.run.clone(),
         ..Fill::default()
     };
     let statement = template.text(&fill);
-    let rows = match anywhere(&field.targets, &statement).await {
+    let rows = match anywhere(targets, &statement).await {
         Ok(rows) => rows,
         Err(reason) => return Err(Error::Final { statement, reason }),
     };
-    let mut counts = std::collections::BTreeMap::<String, u64>::new();
+    let mut counts = BTreeMap::<String, u64>::new();
     for row in &rows {
         if let SimpleQueryMessage::Row(row) = row
             && let Some(key) = row.get(0)
@@ -194,19 +223,46 @@
             *counts.entry(key.to_owned()).or_default() += 1;
         }
     }
-    let finals = counts
-        .into_iter()
-        .map(|(key, count)| Final { list, key, count });
-    Ok(finals.collect())
+    let finals = counts.into_iter();
+    Ok(finals
+        .map(|(key, count)| Final { list, key, count })
+        .collect())
+}
+
+/// The backend server that leads the highest term. A replaced primary that has not noticed still
+/// calls itself one; what it holds is not what the service holds.
+async fn primary(servers: &[Config]) -> Vec<Config> {
+    let mut best: Option<(i64, &Config)> = None;
+    for server in servers {
+        let status = tokio::time::timeout(PATIENCE, once(server, "SELECT * FROM group_status()"));
+        let Ok(Ok(rows)) = status.await else {
+            continue;
+        };
+        let row = rows.iter().find_map(|message| match message {
+            SimpleQueryMessage::Row(row) => Some(row),
+            _ => None,
+        });
+        let Some(row) = row.filter(|row| row.get("role") == Some("primary")) else {
+            continue;
+        };
+        let term = row
+            .get("term")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        if best.is_none_or(|(known, _)| term > known) {
+            best = Some((term, server));
+        }
+    }
+    best.map(|(_, server)| server.clone()).into_iter().collect()
 }
 
 /// Runs `sql` through the first target that answers it, for as long as [`BOUND`] allows.
 async fn anywhere(targets: &[Config], sql: &str) -> Result<Vec<SimpleQueryMessage>, String> {
     let end = Instant::now() + BOUND;
-    let mut reason = String::new();
+    let mut reason = "no server to ask".to_owned();
     while Instant::now() < end {
         for target in targets {
-            match tokio::time::timeout(PATIENCE, once(target, sql)).await {
+            match tokio::time::timeout(PATIENCE, in_transaction(target, sql)).await {
                 Ok(Ok(rows)) => return Ok(rows),
                 Ok(Err(error)) => reason = told(&error),
                 Err(_) => reason = "no answer".to_owned(),
@@ -224,6 +280,18 @@
     }
 }
 
+/// Runs `sql` in a transaction that may write, which only a primary takes.
+async fn in_transaction(
+    target: &Config,
+    sql: &str,
+) -> Result<Vec<SimpleQueryMessage>, tokio_postgres::Error> {
+    let mut caller = Caller::connect(target, None, PATIENCE).await?;
+    caller.simple("BEGIN").await?;
+    let rows = caller.simple(sql).await?;
+    caller.simple("COMMIT").await?;
+    Ok(rows)
+}
+
 async fn once(
     target: &Config,
     sql: &str,
--- a/crates/load/src/event.rs
+++ b/crates/load/src/event.rs
@@ -17,8 +17,8 @@
         },
         /// run {run} ends with {requests} requests
         4002 Info RunEnded { run: String, requests: usize },
-        /// fault {fault} injected at {at_ms} ms
-        4010 Info FaultInjected { fault: String, at_ms: u128 },
+        /// fault {fault} injected into {server} at {at_ms} ms
+        4010 Info FaultInjected { fault: String, server: String, at_ms: u128 },
         /// fault {fault} not injected at {at_ms} ms: HTTP status {status}, 0 for no answer
         4011 Error FaultRefused { fault: String, at_ms: u128, status: u16 },
         /// {url} cannot be read: {error}
--- a/crates/load/src/field.rs
+++ b/crates/load/src/field.rs
@@ -5,6 +5,7 @@
 
 use tokio_postgres::Config;
 
+use crate::class::Class;
 use crate::plan::Plan;
 use crate::progress::Progress;
 
@@ -35,6 +36,25 @@
         self.start.elapsed().as_micros() as i64
     }
 
+    /// Where requests of `class` go when their session is at `target`. The servers of the baseline
+    /// have one database, whatever services the classes name.
+    pub fn config(&self, target: usize, class: &Class) -> Config {
+        let mut config = self.targets[target].clone();
+        if let (Some(service), false) = (&class.service, self.naive) {
+            config.dbname(service);
+        }
+        config
+    }
+
+    /// The service that requests of `class` go to.
+    pub fn service(&self, class: &Class) -> String {
+        let own = || self.targets[0].get_dbname().unwrap_or_default().to_owned();
+        match &class.service {
+            Some(service) if !self.naive => service.clone(),
+            _ => own(),
+        }
+    }
+
     /// Where session `number` starts: sessions spread over the entry hosts, while the baseline
     /// looks for the primary from the first server on.
     pub fn first_target(&self, number: u32) -> usize {
--- a/crates/load/src/gap.rs
+++ b/crates/load/src/gap.rs
@@ -1,5 +1,6 @@
 //! The failover gap: how long writes could land nowhere.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -30,12 +31,22 @@
     done: bool,
 }
 
-/// Finds the gap after `fault`, a moment since the start of arrivals.
+/// Finds the longest gap of any service after `fault`, a moment since the start of arrivals.
+pub fn find(history: &History, fault: Duration) -> Option<Gap> {
+    let mut services = BTreeMap::<&str, Vec<Write>>::new();
+    for operation in &history.operations {
+        let writes = services.entry(&operation.service).or_default();
+        writes.extend(write(operation));
+    }
+    let gaps = services.into_values();
+    gaps.filter_map(|writes| of_service(&writes, fault))
+        .max_by(|one, other| one.ms.total_cmp(&other.ms))
+}
+
 ///
 /// It runs from the last write acknowledged before to the first one acknowledged after. Time in
 /// which no write was due or waiting does not count: nobody could have noticed.
-pub fn find(history: &History, fault: Duration) -> Option<Gap> {
-    let writes: Vec<Write> = history.operations.iter().filter_map(write).collect();
+fn of_service(writes: &[Write], fault: Duration) -> Option<Gap> {
     let fault = fault.as_micros() as i64;
     let limit = fault + WINDOW.as_micros() as i64;
     let mut ends: Vec<i64> = writes
@@ -55,7 +66,7 @@
         if from > limit {
             break;
         }
-        let gap = between(&writes, from, end, index < over);
+        let gap = between(writes, from, end, index < over);
         if longest.as_ref().is_none_or(|known| gap.ms > known.ms) {
             longest = Some(gap);
         }
--- a/crates/load/src/history.rs
+++ b/crates/load/src/history.rs
@@ -29,6 +29,8 @@
     pub session: u32,
     /// Its number in the session, from 1; greater than the session's earlier ones.
     pub sequence: i64,
+    /// Service it went to.
+    pub service: String,
     /// Name of its class.
     pub class: String,
     /// What it does.
@@ -111,13 +113,18 @@
     pub count: u64,
 }
 
-/// Writes that the controller reported as lost: those of terms before `ended_by` past `start`.
+/// Writes that the controller reported as lost: those of terms before `ended_by`, past `start`,
+/// up to `acknowledged`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
+    /// The service.
+    pub service: String,
     /// The term that began without them, `EPOCH.COUNT`.
     pub ended_by: String,
     /// Log position at which it began.
     pub start: u64,
+    /// The last of them, `EPOCH.COUNT/LOG`.
+    pub acknowledged: String,
 }
 
 impl Operation {
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -1,5 +1,6 @@
 //! What to run: targets, classes of requests, and the written schedule of faults, from INI.
 
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 
 use crate::class::{Class, Kind, Protocol};
 use crate::fault;
-use crate::fault::Fault;
+use crate::fault::{Aim, Fault};
 use crate::template::{self, Template};
 
 /// A run as its file describes it.
@@ -42,9 +43,9 @@
     /// Bearer token for the status.
     pub token: Option<String>,
     /// Statements that prepare the tables.
-    pub setup: Vec<String>,
+    pub setup: Vec<Statement<String>>,
     /// Statements that list the keys that took effect, one row each, at the primary.
-    pub finals: Vec<Template>,
+    pub finals: Vec<Statement<Template>>,
     /// Classes of requests.
     pub classes: Vec<Class>,
     /// Faults in order of time.
@@ -53,6 +54,15 @@
     pub baseline: Vec<String>,
 }
 
+/// A statement outside the load.
+#[derive(Debug, Clone)]
+pub struct Statement<T> {
+    /// Its service, where that is not the one that the targets name.
+    pub service: Option<String>,
+    /// Its text.
+    pub sql: T,
+}
+
 /// A mistake in a plan.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Mistake {
@@ -74,7 +84,7 @@
         /// What would be right.
         reason: String,
     },
-    /// [{0}] is no section of a plan: use run, target, setup, final, class NAME, fault NAME or baseline
+    /// [{0}] is no section of a plan: use run, target, setup [SERVICE], final [SERVICE], class NAME, fault NAME or baseline
     Section(String),
     /// [{section}] {key} is not known here
     Key {
@@ -172,6 +182,15 @@
         let name = config.as_ref().and_then(|config| config.get_dbname());
         name.unwrap_or_default().to_owned()
     }
+
+    /// All services that its classes touch.
+    pub fn services(&self) -> BTreeSet<String> {
+        let own = self.service();
+        let classes = self.classes.iter();
+        classes
+            .map(|class| class.service.clone().unwrap_or_else(|| own.clone()))
+            .collect()
+    }
 }
 
 /// Collects mistakes while it decodes.
@@ -224,8 +243,8 @@
             ("", "") if properties.is_empty() => {}
             ("run", "") => self.run(plan, properties),
             ("target", "") => self.target(plan, properties),
-            ("setup", "") => plan.setup = self.statements(name, properties),
-            ("final", "") => plan.finals = self.templates(name, properties),
+            ("setup", service) => plan.setup.extend(self.setup(name, service, properties)),
+            ("final", service) => plan.finals.extend(self.finals(name, service, properties)),
             ("class", class) => {
                 let class = self.class(name, class, properties);
                 plan.classes.push(class);
@@ -287,48 +306,65 @@
         }
     }
 
-    fn statements(&mut self, section: &str, properties: &Properties) -> Vec<String> {
+    fn setup(
+        &mut self,
+        section: &str,
+        service: &str,
+        properties: &Properties,
+    ) -> Vec<Statement<String>> {
         let mut statements = Vec::new();
         for (key, value) in properties.iter() {
             match key.strip_prefix("sql.") {
-                Some(_) => statements.push(value.to_owned()),
+                Some(_) => statements.push(Statement {
+                    service: named(service),
+                    sql: value.to_owned(),
+                }),
                 None => self.unknown(section, key),
             }
         }
         statements
     }
 
-    fn templates(&mut self, section: &str, properties: &Properties) -> Vec<Template> {
-        let mut templates = Vec::new();
-        for (key, value) in properties.iter() {
-            match key.strip_prefix("sql.") {
-                Some(_) => templates.extend(self.template(section, key, value)),
-                None => self.unknown(section, key),
+    fn finals(
+        &mut self,
+        section: &str,
+        service: &str,
+        properties: &Properties,
+    ) -> Vec<Statement<Template>> {
+        let mut statements = Vec::new();
+        for statement in self.setup(section, service, properties) {
+            if let Some(sql) = self.template(section, "sql", &statement.sql) {
+                let service = statement.service;
+                statements.push(Statement { service, sql });
             }
         }
-        templates
+        statements
     }
 
     fn class(&mut self, section: &str, name: &str, properties: &Properties) -> Class {
         let mut class = Class {
             name: name.to_owned(),
+            service: None,
             kind: Kind::Read,
             share: 1,
             weight: 1,
             deadline: DEADLINE,
             attempts: 1,
             protocol: Protocol::Simple,
+            transaction: false,
             sees: None,
             statements: Vec::new(),
         };
         for (key, value) in properties.iter() {
             match key {
+                "service" => class.service = Some(value.to_owned()),
                 "kind" => self.set(section, key, value, str::parse, &mut class.kind),
                 "share" => self.set(section, key, value, str::parse, &mut class.share),
                 "weight" => self.set(section, key, value, str::parse, &mut class.weight),
                 "deadline" => self.set(section, key, value, length, &mut class.deadline),
                 "attempts" => self.set(section, key, value, str::parse, &mut class.attempts),
                 "protocol" => self.set(section, key, value, str::parse, &mut class.protocol),
+                "transaction" => self.set(section, key, value, self::value, &mut class.transaction),
                 "sees" => class.sees = Some(value.to_owned()),
                 _ if key.starts_with("sql.") => {
                     class.statements.extend(self.template(section, key, value));
@@ -336,6 +372,10 @@
                 _ => self.unknown(section, key),
             }
         }
+        if class.statements.len() > 1 && !class.transaction {
+            let reason = "several statements need transaction = yes";
+            self.value(section, "transaction", "no", reason);
+        }
         if class.statements.is_empty() {
             self.mistakes.push(Mistake::Missing {
                 section: section.to_owned(),
@@ -360,6 +400,7 @@
         let mut at = None;
         let mut post = None;
         let mut baseline = None;
+        let mut to = Aim::All;
         let mut failover = false;
         for (key, value) in properties.iter() {
             match key {
@@ -375,6 +416,7 @@
                     let parse = |text: &str| fault::post(text).map(Some);
                     self.set(section, key, value, parse, &mut baseline);
                 }
+                "to" => self.set(section, key, value, str::parse, &mut to),
                 "failover" => self.set(section, key, value, self::value, &mut failover),
                 _ => self.unknown(section, key),
             }
@@ -391,6 +433,7 @@
             name: name.to_owned(),
             at: at?,
             post: post?,
+            to,
             baseline,
             failover,
         })
@@ -450,6 +493,10 @@
     value(text)
 }
 
+fn named(service: &str) -> Option<String> {
+    (!service.is_empty()).then(|| service.to_owned())
+}
+
 fn list(text: &str) -> Vec<String> {
     text.split(',')
         .map(|item| item.trim().to_owned())
--- a/crates/load/src/scrape.rs
+++ b/crates/load/src/scrape.rs
@@ -1,11 +1,11 @@
 //! What entry hosts and controllers say about themselves over HTTP.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use flamingopost_daemon::event::Event as _;
+use flamingopost_wire::status::Status;
 use serde::Serialize;
-use serde_json::Value;
 
 use crate::event::Event;
 use crate::history::Loss;
@@ -46,11 +46,11 @@
         (self.allowed > 0.0).then(|| self.by_replica / self.allowed)
     }
 
-    /// Adds what `text`, in the form that Prometheus reads, says about `service`.
-    pub fn add(&mut self, text: &str, service: &str) {
+    /// Adds what `text`, in the form that Prometheus reads, says about `services`.
+    pub fn add(&mut self, text: &str, services: &BTreeSet<String>) {
         for sample in text.lines().filter_map(sample) {
             match sample.name {
-                READS if sample.labels.get("service") == Some(&service) => self.add_read(&sample),
+                READS if sample.of(services) => self.add_read(&sample),
                 VIOLATIONS => self.violations += sample.value,
                 _ => {}
             }
@@ -75,6 +75,13 @@
     value: f64,
 }
 
+impl Sample<'_> {
+    fn of(&self, services: &BTreeSet<String>) -> bool {
+        let service = self.labels.get("service");
+        service.is_some_and(|service| services.contains(*service))
+    }
+}
+
 fn sample(line: &str) -> Option<Sample<'_>> {
     let (series, value) = line.rsplit_once(' ')?;
     let (name, labels) = series.split_once('{').unwrap_or((series, ""));
@@ -89,39 +96,49 @@
     })
 }
 
-/// Reads the counters of all `urls` for `service`; `None` when one of them cannot be read, since
+/// Reads the counters of all `urls` for `services`; `None` when one of them cannot be read, since
 /// a sum without it would say nothing.
-pub async fn counters(urls: &[String], service: &str) -> Option<Counters> {
+pub async fn counters(urls: &[String], services: &BTreeSet<String>) -> Option<Counters> {
     if urls.is_empty() {
         return None;
     }
     let mut counters = Counters::default();
     for url in urls {
         let text = get(url, None).await?;
-        counters.add(&text, service);
+        counters.add(&text, services);
     }
     Some(counters)
 }
 
-/// Reads the losses that controllers reported for `service`.
-pub async fn losses(urls: &[String], token: Option<&str>, service: &str) -> Vec<Loss> {
+/// Reads the losses that controllers reported.
+pub async fn losses(urls: &[String], token: Option<&str>) -> Vec<Loss> {
     let mut losses = Vec::new();
     for url in urls {
         let Some(text) = get(url, token).await else {
             continue;
         };
-        match serde_json::from_str::<Value>(&text) {
-            Ok(status) => losses.extend(reported(&status, service)),
+        match serde_json::from_str::<Status>(&text) {
+            Ok(status) => losses.extend(reported(status)),
             Err(error) => unread(url, &error.to_string()),
         }
     }
-    losses.sort_by(|one, other| (&one.ended_by, one.start).cmp(&(&other.ended_by, other.start)));
+    losses.sort_by(|one, other| {
+        (&one.service, &one.ended_by).cmp(&(&other.service, &other.ended_by))
+    });
     losses.dedup();
     losses
 }
 
-fn reported(_status: &Value, _service: &str) -> Vec<Loss> {
-    Vec::new()
+fn reported(status: Status) -> impl Iterator<Item = Loss> {
+    status.services.into_iter().flat_map(|one| {
+        let service = one.service;
+        one.lost.into_iter().map(move |loss| Loss {
+            service: service.clone(),
+            ended_by: loss.term,
+            start: loss.start,
+            acknowledged: loss.acknowledged,
+        })
+    })
 }
 
 async fn get(url: &str, token: Option<&str>) -> Option<String> {
--- a/crates/load/src/session.rs
+++ b/crates/load/src/session.rs
@@ -1,5 +1,6 @@
 //! A session: requests one after the other, through whichever entry host it is at.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,15 +23,21 @@
 /// How far random numbers of sessions stay apart from those of arrivals.
 const CHOICES: u64 = 0x5e55_1015;
 
+/// What a session has of one service.
+#[derive(Debug, Default)]
+struct Link {
+    caller: Option<Caller>,
+    position: Option<String>,
+}
+
 /// A session and what it knows.
 #[derive(Debug)]
 pub struct Session {
     field: Arc<Field>,
     number: u32,
     random: ChaCha8Rng,
-    caller: Option<Caller>,
     target: usize,
-    position: Option<String>,
+    links: BTreeMap<String, Link>,
     sequence: i64,
     operations: Vec<Operation>,
 }
@@ -45,8 +52,7 @@
             field,
             number,
             random,
-            caller: None,
-            position: None,
+            links: BTreeMap::new(),
             sequence: 0,
             operations: Vec::new(),
         }
@@ -136,6 +142,7 @@
         Operation {
             session: self.number,
             sequence: self.sequence,
+            service: self.field.service(class),
             class: class.name.clone(),
             kind: class.kind,
             key: fill.key.clone(),
@@ -158,8 +165,12 @@
     ) -> (Attempt, Option<Refusal>) {
         let start_us = self.field.micros();
         let give_up = deadline + self.field.plan.patience;
-        let result = self.submit(class, fill, give_up).await;
-        self.learn_position(&result);
+        let service = self.field.service(class);
+        let config = self.field.config(self.target, class);
+        let link = self.links.entry(service).or_default();
+        let result = link.submit(&config, class, fill, give_up).await;
+        link.learn_position(&result);
+        let position = link.position.clone();
         let (outcome, state, seen) = match &result {
             Ok(seen) => (Outcome::Done, None, seen.clone()),
             Err(refusal) => (
@@ -175,19 +186,41 @@
             token: fill.token.clone(),
             outcome,
             state,
-            position: self.position.clone(),
+            position,
             seen,
         };
         (attempt, result.err())
     }
 
+    /// Waits as long as the answer says; what was not answered goes to another entry host.
+    async fn pause(&mut self, refusal: &Refusal, deadline: Instant) {
+        if refusal.fatal || refusal.outcome == Outcome::Unknown || self.field.naive {
+            self.move_on();
+        }
+        let wait = refusal.retry_after.unwrap_or(PAUSE).max(PAUSE);
+        tokio::time::sleep_until((Instant::now() + wait).min(deadline).into()).await;
+    }
+
+    fn move_on(&mut self) {
+        let targets = self.field.targets.len();
+        if targets > 1 {
+            self.target = (self.target + self.random.random_range(1..targets)) % targets;
+            for link in self.links.values_mut() {
+                link.caller = None;
+            }
+        }
+    }
+}
+
+impl Link {
     async fn submit(
         &mut self,
+        config: &Config,
         class: &Class,
         fill: &Fill,
         give_up: Instant,
     ) -> Result<Seen, Refusal> {
-        let mut caller = self.caller(give_up).await?;
+        let mut caller = self.caller(config, give_up).await?;
         let work = perform(&mut caller, class, fill);
         match tokio::time::timeout_at(give_up.into(), work).await {
             Ok(Ok(seen)) => {
@@ -204,13 +237,12 @@
         }
     }
 
-    async fn caller(&mut self, give_up: Instant) -> Result<Caller, Refusal> {
+    async fn caller(&mut self, config: &Config, give_up: Instant) -> Result<Caller, Refusal> {
         if let Some(mut caller) = self.caller.take()
             && caller.usable().await
         {
             return Ok(caller);
         }
-        let config: &Config = &self.field.targets[self.target];
         let left = give_up.saturating_duration_since(Instant::now());
         let connect = Caller::connect(config, self.position.as_deref(), left);
         match tokio::time::timeout_at(give_up.into(), connect).await {
@@ -236,23 +268,6 @@
             self.position = reported;
         }
     }
-
-    /// Waits as long as the answer says; what was not answered goes to another entry host.
-    async fn pause(&mut self, refusal: &Refusal, deadline: Instant) {
-        if refusal.fatal || refusal.outcome == Outcome::Unknown || self.field.naive {
-            self.move_on();
-        }
-        let wait = refusal.retry_after.unwrap_or(PAUSE).max(PAUSE);
-        tokio::time::sleep_until((Instant::now() + wait).min(deadline).into()).await;
-    }
-
-    fn move_on(&mut self) {
-        let targets = self.field.targets.len();
-        if targets > 1 {
-            self.target = (self.target + self.random.random_range(1..targets)) % targets;
-            self.caller = None;
-        }
-    }
 }
 
 /// Whether another submission is safe: reads always, writes when they did not run, and a single
@@ -266,7 +281,7 @@
 }
 
 async fn perform(caller: &mut Caller, class: &Class, fill: &Fill) -> Result<Seen, Refusal> {
-    if class.statements.len() > 1 {
+    if class.transaction {
         return transact(caller, class, fill).await;
     }
     send(caller, class, 0, fill).await
--- a/crates/load/tests/check.rs
+++ b/crates/load/tests/check.rs
@@ -59,10 +59,10 @@
     let bid = operation(1, 1, Kind::Write, 0, 1).at("1.0/11");
     let told = operation(1, 2, Kind::Read, 2, 3).refused(Outcome::NotRun, "PF008");
     let mut with_report = history(vec![bid.clone(), told, own(3, 4, 0)], &[]);
-    with_report.push(loss("1.1", 10));
+    with_report.push(loss("1.1", 10, "1.0/11"));
     nothing(&with_report);
     let mut untold = history(vec![bid, own(3, 4, 0)], &[]);
-    untold.push(loss("1.1", 10));
+    untold.push(loss("1.1", 10, "1.0/11"));
     only(&untold, Check::ReadYourWrites, 1);
 }
 
@@ -170,10 +170,14 @@
 fn a_loss_that_was_reported() {
     let bid = operation(1, 1, Kind::Write, 0, 1).at("1.0/11");
     let mut reported = history(vec![bid.clone()], &[]);
-    reported.push(loss("1.1", 10));
+    reported.push(loss("1.1", 10, "1.0/11"));
     nothing(&reported);
     assert_eq!(check::all(&reported).reported_losses, 1);
-    for other in [loss("1.1", 11), loss("1.0", 10)] {
+    for other in [
+        loss("1.1", 11, "1.0/12"),
+        loss("1.0", 10, "1.0/11"),
+        loss("1.1", 9, "1.0/10"),
+    ] {
         let mut unrelated = history(vec![bid.clone()], &[]);
         unrelated.push(other);
         only(&unrelated, Check::NoLostWrites, 1);
--- a/crates/load/tests/common/mod.rs
+++ b/crates/load/tests/common/mod.rs
@@ -13,6 +13,7 @@
     Operation {
         session,
         sequence,
+        service: "ledger".to_owned(),
         class: format!("{kind:?}"),
         kind,
         key,
@@ -96,11 +97,13 @@
     }
 }
 
-/// A report that term `ended_by` began at `start`.
+/// A report that term `ended_by` began at `start`, without what was written up to `acknowledged`.
 #[allow(dead_code)]
-pub fn loss(ended_by: &str, start: u64) -> Entry {
+pub fn loss(ended_by: &str, start: u64, acknowledged: &str) -> Entry {
     Entry::Loss(Loss {
+        service: "ledger".to_owned(),
         ended_by: ended_by.to_owned(),
         start,
+        acknowledged: acknowledged.to_owned(),
     })
 }
--- a/crates/load/tests/history.rs
+++ b/crates/load/tests/history.rs
@@ -18,7 +18,7 @@
         ],
         &[("r-1-1", 1)],
     );
-    history.push(loss("1.1", 10));
+    history.push(loss("1.1", 10, "1.0/11"));
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("history.jsonl");
     history.write(&path).unwrap();
--- a/crates/load/tests/scrape.rs
+++ b/crates/load/tests/scrape.rs
@@ -13,7 +13,7 @@
 #[test]
 fn the_share_of_reads_that_replicas_answered() {
     let mut counters = Counters::default();
-    counters.add(TEXT, "auction-ledger");
+    counters.add(TEXT, &["auction-ledger".to_owned()].into());
     assert_eq!(counters.replica_share(), Some(0.96));
     assert_eq!((counters.reads, counters.violations), (130.0, 2.0));
     assert_eq!(counters.since(counters).replica_share(), None);
