flamingopostctl: check, diff, submit, history, show, explain, status, drain, verifier

Cause: operators drive the system by submitting configurations and have to see what came of it. A submission carries an id; a lost answer is settled by the history, and a conflict with itself is an acceptance.

--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,188 @@
+//! A host's operators' HTTP.
+
+use std::path::PathBuf;
+use std::time::Duration;
+use std::{env, fs};
+
+use flamingopost_wire::submission::Refused;
+use reqwest::{RequestBuilder, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::runtime::{self, Runtime};
+
+use crate::error::Error;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Where to ask and with which token.
+#[derive(Debug, Default)]
+pub struct Access {
+    /// IP:PORT, else `FLAMINGOPOST_ADMIN`.
+    pub admin: Option<String>,
+    /// File of the token, else `FLAMINGOPOST_TOKEN`.
+    pub token_file: Option<PathBuf>,
+}
+
+/// A connection to one host.
+#[derive(Debug)]
+pub struct Client {
+    address: String,
+    token: String,
+    http: reqwest::Client,
+    runtime: Runtime,
+}
+
+/// What came back.
+#[derive(Debug)]
+pub enum Reply<T> {
+    /// What was asked for.
+    Done(T),
+    /// A typed refusal.
+    Refused(Refused),
+}
+
+impl Client {
+    /// Prepares to ask; nothing is sent yet.
+    pub fn open(access: Access) -> Result<Client, Error> {
+        let address = access.admin.or_else(|| env::var("FLAMINGOPOST_ADMIN").ok());
+        let address = address.ok_or(Error::NoAddress)?;
+        let token = match access.token_file {
+            Some(path) => fs::read_to_string(&path).map_err(|source| Error::file(&path, source))?,
+            None => env::var("FLAMINGOPOST_TOKEN").map_err(|_| Error::NoToken)?,
+        };
+        let http = reqwest::Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(TIMEOUT)
+            .no_proxy()
+            .build()
+            .map_err(|error| unreachable(&address, &error))?;
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(Error::Output)?;
+        Ok(Client {
+            address,
+            token: token.trim().to_owned(),
+            http,
+            runtime,
+        })
+    }
+
+    /// The host's address.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Asks for `path` with `query`.
+    pub fn get<T: DeserializeOwned>(&self, path: &str, query: &[(&str, &str)]) -> Result<T, Error> {
+        let request = self.http.get(self.url(path)?.with(query).0);
+        match self.send(request, path)? {
+            Reply::Done(body) => Ok(body),
+            Reply::Refused(refused) => Err(Error::refused(refused, &self.address, "")),
+        }
+    }
+
+    /// Sends `body` to `path`.
+    pub fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<Reply<T>, Error> {
+        let request = self.http.post(self.url(path)?.0).json(body);
+        self.send(request, path)
+    }
+
+    fn url(&self, path: &str) -> Result<Url, Error> {
+        let text = format!("http://{}{path}", self.address);
+        match reqwest::Url::parse(&text) {
+            Ok(url) => Ok(Url(url)),
+            Err(error) => Err(Error::Unreachable {
+                address: self.address.clone(),
+                reason: error.to_string(),
+            }),
+        }
+    }
+
+    fn send<T: DeserializeOwned>(
+        &self,
+        request: RequestBuilder,
+        path: &str,
+    ) -> Result<Reply<T>, Error> {
+        let request = request.bearer_auth(&self.token);
+        let (status, body) = self.runtime.block_on(async {
+            let response = request.send().await.map_err(|error| self.failed(&error))?;
+            let status = response.status();
+            let body = response
+                .bytes()
+                .await
+                .map_err(|error| self.failed(&error))?;
+            Ok::<_, Error>((status, body))
+        })?;
+        self.judge(status, &body, path)
+    }
+
+    fn judge<T: DeserializeOwned>(
+        &self,
+        status: StatusCode,
+        body: &[u8],
+        path: &str,
+    ) -> Result<Reply<T>, Error> {
+        let address = self.address.clone();
+        match status {
+            StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => {
+                return Err(Error::Unauthorised { address });
+            }
+            StatusCode::NOT_FOUND => {
+                let path = path.to_owned();
+                return Err(Error::NotFound { address, path });
+            }
+            _ => {}
+        }
+        if status.is_success() {
+            let body = if body.is_empty() { b"null" } else { body };
+            if let Ok(body) = serde_json::from_slice(body) {
+                return Ok(Reply::Done(body));
+            }
+        } else if let Ok(refused) = serde_json::from_slice(body) {
+            return Ok(Reply::Refused(refused));
+        }
+        Err(Error::Unexpected {
+            address,
+            status: status.as_u16(),
+            body: String::from_utf8_lossy(body).into_owned(),
+        })
+    }
+
+    // Only a request that found nobody to connect to is known not to have arrived.
+    fn failed(&self, error: &reqwest::Error) -> Error {
+        if error.is_connect() {
+            return unreachable(&self.address, error);
+        }
+        Error::AnswerLost {
+            address: self.address.clone(),
+        }
+    }
+}
+
+struct Url(reqwest::Url);
+
+impl Url {
+    fn with(mut self, query: &[(&str, &str)]) -> Url {
+        if !query.is_empty() {
+            self.0.query_pairs_mut().extend_pairs(query);
+        }
+        self
+    }
+}
+
+fn unreachable(address: &str, error: &reqwest::Error) -> Error {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(deeper) = cause.source() {
+        cause = deeper;
+    }
+    Error::Unreachable {
+        address: address.to_owned(),
+        reason: cause.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cmd.rs
@@ -0,0 +1,11 @@
+//! The subcommands.
+
+pub mod check;
+pub mod diff;
+pub mod drain;
+pub mod explain;
+pub mod history;
+pub mod show;
+pub mod status;
+pub mod submit;
+pub mod verifier;
--- /dev/null
+++ b/crates/ctl/src/cmd/check.rs
@@ -0,0 +1,86 @@
+//! `flamingopostctl check`
+
+use std::ffi::OsString;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use flamingopost_core::config;
+use flamingopost_core::directory::Directory;
+use flamingopost_core::fleet::Fleet;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::output;
+
+xflags::xflags! {
+    /// Checks a configuration file and names everything that is wrong in it, with file, line and
+    /// what would be right. Nothing is sent.
+    ///
+    /// EXAMPLES:
+    ///     flamingopostctl check examples/tesfa.ini
+    ///     flamingopostctl check --json fleet.ini | jq '.problems[].line'
+    cmd check {
+        /// The configuration.
+        required file: PathBuf
+        /// Print JSON.
+        optional --json
+    }
+}
+
+/// What a valid configuration describes.
+#[derive(Debug, Serialize)]
+struct Summary {
+    valid: bool,
+    zones: usize,
+    customers: usize,
+    classes: usize,
+    services: usize,
+    servers: usize,
+    callers: usize,
+    rules: usize,
+}
+
+impl From<&Fleet> for Summary {
+    fn from(fleet: &Fleet) -> Summary {
+        Summary {
+            valid: true,
+            zones: fleet.zones.len(),
+            customers: fleet.customers.len(),
+            classes: fleet.classes.len(),
+            services: fleet.services.len(),
+            servers: fleet.servers.len(),
+            callers: fleet.callers.len(),
+            rules: fleet.rules.len(),
+        }
+    }
+}
+
+/// A file's text.
+pub fn read(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|source| Error::file(path, source))
+}
+
+/// The fleet that the configuration `text` of `path` describes.
+pub fn parse(path: &Path, text: &str, directory: &mut Directory) -> Result<Fleet, Error> {
+    Ok(config::parse(&path.to_string_lossy(), text, directory)?)
+}
+
+/// Runs the subcommand.
+pub fn run(args: Vec<OsString>) -> Result<(), Error> {
+    let args = Check::from_vec(args)?;
+    let text = read(&args.file)?;
+    let fleet = parse(&args.file, &text, &mut Directory::default())?;
+    output::print(args.json, &Summary::from(&fleet), |summary| {
+        let Summary {
+            services,
+            servers,
+            callers,
+            rules,
+            ..
+        } = summary;
+        let file = args.file.display();
+        format!(
+            "{file}: valid, {services} services, {servers} servers, {callers} callers, {rules} rules"
+        )
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/drain.rs
@@ -0,0 +1,106 @@
+//! `flamingopostctl drain`
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use flamingopost_wire::status::Status;
+use flamingopost_wire::submission::Drain as Order;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::client::{Access, Client, Reply};
+use crate::error::Error;
+use crate::output;
+
+xflags::xflags! {
+    /// Lets an entry host or a backend server receive no new work, so that it can leave. What runs
+    /// on it goes on to its end.
+    ///
+    /// EXAMPLES:
+    ///     flamingopostctl drain auction-ledger-2 --admin 10.0.1.4:7080
+    ///     flamingopostctl drain entry-3 --kind host
+    cmd drain {
+        /// Name of the host or server.
+        required name: String
+        /// What it is, host or server, where both have such a name.
+        optional --kind kind: Kind
+        /// IP:PORT of a controller's operators' HTTP.
+        optional --admin address: String
+        /// File with the operators' token.
+        optional --token-file path: PathBuf
+        /// Print JSON.
+        optional --json
+    }
+}
+
+/// What is drained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Host,
+    Server,
+}
+
+/// `{0}` is neither host nor server
+#[derive(Debug, displaydoc::Display)]
+pub struct ParseError(String);
+
+impl FromStr for Kind {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Kind, ParseError> {
+        match text {
+            "host" => Ok(Kind::Host),
+            "server" => Ok(Kind::Server),
+            _ => Err(ParseError(text.to_owned())),
+        }
+    }
+}
+
+/// What was ordered.
+#[derive(Debug, Serialize)]
+struct Ordered {
+    draining: Order,
+    answer: Value,
+}
+
+fn find(client: &Client, name: &str) -> Result<Kind, Error> {
+    let status: Status = client.get("/v1/status", &[])?;
+    let host = status.hosts.iter().any(|host| host.host == name);
+    let mut servers = status.services.iter().flat_map(|service| &service.servers);
+    let server = servers.any(|server| server.server == name);
+    match (host, server) {
+        (true, false) => Ok(Kind::Host),
+        (false, true) => Ok(Kind::Server),
+        (true, true) => Err(Error::TwoCalled(name.to_owned())),
+        (false, false) => Err(Error::NobodyCalled(name.to_owned())),
+    }
+}
+
+/// Runs the subcommand.
+pub fn run(args: Vec<OsString>) -> Result<(), Error> {
+    let args = Drain::from_vec(args)?;
+    let client = Client::open(Access {
+        admin: args.admin,
+        token_file: args.token_file,
+    })?;
+    let kind = match args.kind {
+        Some(kind) => kind,
+        None => find(&client, &args.name)?,
+    };
+    let order = match kind {
+        Kind::Host => Order::Host(args.name.clone()),
+        Kind::Server => Order::Server(args.name.clone()),
+    };
+    let answer = match client.post("/v1/drain", &order)? {
+        Reply::Done(answer) => answer,
+        Reply::Refused(refused) => return Err(Error::refused(refused, client.address(), "")),
+    };
+    let ordered = Ordered {
+        draining: order,
+        answer,
+    };
+    output::print(args.json, &ordered, |_| {
+        format!("{} receives no new work", args.name)
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/history.rs
@@ -0,0 +1,64 @@
+//! `flamingopostctl history`
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime};
+
+use flamingopost_wire::submission::Record;
+
+use crate::client::{Access, Client};
+use crate::error::Error;
+use crate::output;
+
+xflags::xflags! {
+    /// Lists the accepted versions of the configuration and who submitted them.
+    ///
+    /// EXAMPLES:
+    ///     flamingopostctl history --admin 10.0.1.4:7080
+    ///     flamingopostctl history --json | jq '.[0].version'
+    cmd history {
+        /// IP:PORT of a controller's operators' HTTP.
+        optional --admin address: String
+        /// File with the operators' token.
+        optional --token-file path: PathBuf
+        /// Print JSON.
+        optional --json
+    }
+}
+
+const DIGEST_SHOWN: usize = 12;
+
+fn show(records: &Vec<Record>) -> String {
+    let mut rows = output::table(&["version", "operator", "at", "submission", "digest"]);
+    for record in records {
+        rows.add_row([
+            record.version.to_string(),
+            record.operator.clone(),
+            output::or_dash(&record.at.map(date)),
+            record.submission.clone(),
+            record.digest.chars().take(DIGEST_SHOWN).collect(),
+        ]);
+    }
+    rows.to_string()
+}
+
+fn date(seconds: u64) -> String {
+    match SystemTime::UNIX_EPOCH.checked_add(Duration::from_secs(seconds)) {
+        Some(time) if seconds < YEAR_9999 => httpdate::fmt_http_date(time),
+        _ => seconds.to_string(),
+    }
+}
+
+/// Later moments have no HTTP date.
+const YEAR_9999: u64 = 253_402_300_800;
+
+/// Runs the subcommand.
+pub fn run(args: Vec<OsString>) -> Result<(), Error> {
+    let args = History::from_vec(args)?;
+    let client = Client::open(Access {
+        admin: args.admin,
+        token_file: args.token_file,
+    })?;
+    let records: Vec<Record> = client.get("/v1/history", &[])?;
+    output::print(args.json, &records, show)
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/verifier.rs
@@ -0,0 +1,44 @@
+//! `flamingopostctl verifier`
+
+use std::ffi::OsString;
+use std::io;
+
+use postgres_protocol::password;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::output;
+
+xflags::xflags! {
+    /// Makes the SCRAM-SHA-256 verifier of the password on standard input, for `verifier = ...` in
+    /// a [caller] section. The password is never an argument, which other users could see.
+    ///
+    /// EXAMPLES:
+    ///     flamingopostctl verifier < password.txt
+    ///     read -rs P; printf %s "$P" | flamingopostctl verifier
+    cmd verifier {
+        /// Print JSON.
+        optional --json
+    }
+}
+
+/// What goes into a configuration.
+#[derive(Debug, Serialize)]
+struct Made {
+    verifier: String,
+}
+
+/// Runs the subcommand.
+pub fn run(args: Vec<OsString>) -> Result<(), Error> {
+    let args = Verifier::from_vec(args)?;
+    let mut password = String::new();
+    io::stdin()
+        .read_line(&mut password)
+        .map_err(|source| Error::file("standard input".as_ref(), source))?;
+    let password = password.trim_end_matches(['\r', '\n']);
+    if password.is_empty() {
+        return Err(Error::EmptyPassword);
+    }
+    let verifier = password::scram_sha_256(password.as_bytes());
+    output::print(args.json, &Made { verifier }, |made| made.verifier.clone())
+}
--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,129 @@
+//! Which subcommand runs, and how its error becomes an exit code.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use crate::cmd;
+use crate::error::Error;
+
+type Run = fn(Vec<OsString>) -> Result<(), Error>;
+
+struct Command {
+    name: &'static str,
+    summary: &'static str,
+    run: Run,
+}
+
+const COMMANDS: [Command; 9] = [
+    Command {
+        name: "check",
+        summary: "Check a configuration file",
+        run: cmd::check::run,
+    },
+    Command {
+        name: "diff",
+        summary: "Compare a configuration file with the configuration in force",
+        run: cmd::diff::run,
+    },
+    Command {
+        name: "submit",
+        summary: "Submit a configuration file",
+        run: cmd::submit::run,
+    },
+    Command {
+        name: "history",
+        summary: "List the accepted versions",
+        run: cmd::history::run,
+    },
+    Command {
+        name: "show",
+        summary: "Print the configuration in force, or an earlier one",
+        run: cmd::show::run,
+    },
+    Command {
+        name: "explain",
+        summary: "Tell which rule applies to a statement and where it would go",
+        run: cmd::explain::run,
+    },
+    Command {
+        name: "status",
+        summary: "Show hosts, services and controllers",
+        run: cmd::status::run,
+    },
+    Command {
+        name: "drain",
+        summary: "Let an entry host or a backend server receive no new work",
+        run: cmd::drain::run,
+    },
+    Command {
+        name: "verifier",
+        summary: "Make the verifier of a password",
+        run: cmd::verifier::run,
+    },
+];
+
+const ABOUT: &str = "\
+flamingopostctl - operate a flamingopost fleet
+
+USAGE:
+    flamingopostctl COMMAND [ARGS]
+    flamingopostctl COMMAND --help
+
+COMMANDS:
+";
+
+const NOTES: &str = "
+ENVIRONMENT:
+    FLAMINGOPOST_ADMIN   IP:PORT of a host's operators' HTTP, where --admin is not given
+    FLAMINGOPOST_TOKEN   the operators' token, where --token-file is not given
+
+EXIT CODES:
+    0  done
+    1  failed
+    2  wrong usage
+    3  the configuration is invalid
+    4  another submission came first
+    5  the host cannot be reached or is not available
+    6  the token is not accepted
+    7  outcome unknown: run the same command again
+";
+
+/// Runs the subcommand that `args` start with.
+pub fn main(mut args: Vec<OsString>) -> ExitCode {
+    if args.is_empty() {
+        eprint!("{}", help());
+        return ExitCode::from(Error::USAGE);
+    }
+    let name = args.remove(0);
+    let json = args.iter().any(|arg| arg == "--json");
+    match run(&name.to_string_lossy(), args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Error::Help(text)) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            error.print(json);
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run(name: &str, args: Vec<OsString>) -> Result<(), Error> {
+    if matches!(name, "help" | "--help" | "-h") {
+        return Err(Error::Help(help()));
+    }
+    let mut commands = COMMANDS.iter();
+    match commands.find(|command| command.name == name) {
+        Some(command) => (command.run)(args),
+        None => Err(Error::UnknownCommand(name.to_owned())),
+    }
+}
+
+fn help() -> String {
+    let mut text = ABOUT.to_owned();
+    for command in &COMMANDS {
+        text += &format!("    {:<10}{}\n", command.name, command.summary);
+    }
+    text + NOTES
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,13 @@
-//! Operators' command line.
+//! `flamingopostctl`: the operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+mod client;
+mod cmd;
+mod command;
+mod error;
+mod output;
+
+fn main() -> ExitCode {
+    command::main(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl/fake.rs
@@ -0,0 +1,95 @@
+//! A host's operators' HTTP that answers from a list and remembers what it was asked.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use actix_web::http::StatusCode;
+use actix_web::web::{Bytes, Data};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use futures::stream;
+use serde_json::Value;
+
+use crate::workdir::TOKEN;
+
+/// One answer.
+#[derive(Debug, Clone)]
+pub enum Answer {
+    /// A status and a body.
+    Say(u16, Value),
+    /// The request is taken, and the connection breaks before the answer.
+    Lose,
+}
+
+/// One request.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    pub what: String,
+    pub body: Value,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    answers: VecDeque<Answer>,
+    asked: Vec<Asked>,
+}
+
+/// The host.
+#[derive(Debug)]
+pub struct Fake {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Fake {
+    pub fn new(answers: &[Answer]) -> Fake {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(Mutex::new(State {
+            answers: answers.iter().cloned().collect(),
+            asked: Vec::new(),
+        }));
+        let shared = Data::from(Arc::clone(&state));
+        thread::spawn(move || serve(listener, shared));
+        Fake { address, state }
+    }
+
+    pub fn asked(&self) -> Vec<Asked> {
+        self.state.lock().expect("no panic").asked.clone()
+    }
+}
+
+fn serve(listener: TcpListener, state: Data<Mutex<State>>) -> io::Result<()> {
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(state.clone())
+            .default_service(web::to(answer))
+    });
+    actix_rt::System::new().block_on(server.workers(1).disable_signals().listen(listener)?.run())
+}
+
+async fn answer(request: HttpRequest, body: Bytes, state: Data<Mutex<State>>) -> HttpResponse {
+    let header = request.headers().get("Authorization");
+    let expected = format!("Bearer {TOKEN}");
+    if header.and_then(|value| value.to_str().ok()) != Some(expected.as_str()) {
+        return HttpResponse::Unauthorized().finish();
+    }
+    let mut state = state.lock().expect("no panic");
+    state.asked.push(Asked {
+        what: format!("{} {}", request.method(), request.uri()),
+        body: serde_json::from_slice(&body).unwrap_or_default(),
+    });
+    match state.answers.pop_front() {
+        Some(Answer::Say(status, body)) => {
+            let status = StatusCode::from_u16(status).expect("a status");
+            HttpResponse::build(status).json(body)
+        }
+        Some(Answer::Lose) => {
+            let broken = Err::<Bytes, io::Error>(io::ErrorKind::ConnectionReset.into());
+            HttpResponse::Ok().streaming(stream::iter([broken]))
+        }
+        None => HttpResponse::NotFound().finish(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl/submit.rs
@@ -0,0 +1,143 @@
+//! `flamingopostctl submit`
+
+use serde_json::{Value, json};
+
+use crate::fake::{Answer, Fake};
+use crate::workdir::{Run, TESFA, Workdir};
+
+const ID: &str = "0123456789abcdef";
+
+fn submit(fake: &Fake) -> Run {
+    let workdir = Workdir::new();
+    workdir.file("fleet.ini", TESFA);
+    let args = [
+        "submit",
+        "fleet.ini",
+        "--base",
+        "4",
+        "--submission",
+        ID,
+        "--json",
+    ];
+    workdir.run_at(fake.address, &args)
+}
+
+fn record(version: u64, submission: &str) -> Value {
+    json!({"version": version, "digest": "", "submission": submission, "operator": "asha", "at": 0})
+}
+
+fn conflict(submission: &str) -> Answer {
+    let winner = json!({"version": 5, "operator": "bela", "submission": submission});
+    Answer::Say(409, json!({"type": "conflict", "winner": winner}))
+}
+
+#[test]
+fn an_accepted_submission_gives_its_version() {
+    let fake = Fake::new(&[Answer::Say(200, json!({"version": 5}))]);
+    let run = submit(&fake);
+    assert_eq!(
+        (run.code, run.json()),
+        (0, json!({"version": 5, "submission": ID}))
+    );
+    let asked = &fake.asked()[0];
+    assert_eq!(asked.what, "POST /v1/config");
+    assert_eq!(
+        asked.body,
+        json!({"base": 4, "submission": ID, "operator": "asha", "body": TESFA})
+    );
+}
+
+#[test]
+fn each_submission_has_an_id_of_its_own() {
+    let accepted = Answer::Say(200, json!({"version": 5}));
+    let fake = Fake::new(&[accepted.clone(), accepted]);
+    let workdir = Workdir::new();
+    workdir.file("fleet.ini", TESFA);
+    for _ in 0..2 {
+        assert_eq!(
+            workdir
+                .run_at(fake.address, &["submit", "fleet.ini", "--base", "4"])
+                .code,
+            0
+        );
+    }
+    let asked = fake.asked();
+    assert_ne!(asked[0].body["submission"], asked[1].body["submission"]);
+}
+
+#[test]
+fn an_invalid_file_is_not_even_sent() {
+    let fake = Fake::new(&[]);
+    let workdir = Workdir::new();
+    workdir.file("fleet.ini", "[fleet]\n");
+    assert_eq!(
+        workdir
+            .run_at(fake.address, &["submit", "fleet.ini", "--base", "4"])
+            .code,
+        3
+    );
+    assert!(fake.asked().is_empty());
+}
+
+// Two operators submit at the same moment, both from version 4. One of them must learn that the
+// other came first, and who that was; nothing of theirs may be in force.
+#[test]
+fn the_loser_of_a_race_learns_who_won() {
+    let fake = Fake::new(&[conflict("another")]);
+    let run = submit(&fake);
+    assert_eq!(run.code, 4);
+    let error = run.json();
+    assert_eq!(error["error"], "conflict");
+    assert_eq!(error["winner"]["operator"], "bela");
+    assert_eq!(error["winner"]["version"], 5);
+}
+
+// The controller accepts version 5 and the connection breaks before its answer arrives. The
+// operator must be told "accepted", not an error on which they would submit again.
+#[test]
+fn a_lost_answer_is_settled_by_the_history() {
+    let history = Answer::Say(200, json!([record(5, ID), record(4, "another")]));
+    let fake = Fake::new(&[Answer::Lose, history.clone()]);
+    let run = submit(&fake);
+    assert_eq!((run.code, run.json()["version"].clone()), (0, json!(5)));
+
+    let unknown = Answer::Say(503, json!({"type": "unknown"}));
+    let fake = Fake::new(&[unknown, history]);
+    assert_eq!(submit(&fake).code, 0);
+}
+
+// The answer is lost and the operator runs the command again with the same id, as they are told.
+// The first try had been accepted, so the second one meets itself as the winner.
+#[test]
+fn a_submission_that_lost_against_itself_was_accepted() {
+    let run = submit(&Fake::new(&[conflict(ID)]));
+    assert_eq!((run.code, run.json()["version"].clone()), (0, json!(5)));
+}
+
+// The answer is lost and the history does not name the submission yet. It may still be accepted,
+// so neither "accepted" nor "refused" would be true.
+#[test]
+fn what_cannot_be_settled_is_called_unknown() {
+    let history = Answer::Say(200, json!([record(4, "another")]));
+    let mut answers = vec![Answer::Lose];
+    answers.extend(std::iter::repeat_n(history, 4));
+    let run = submit(&Fake::new(&answers));
+    assert_eq!(run.code, 7);
+    assert_eq!(run.json()["submission"], ID);
+}
+
+#[test]
+fn an_unavailable_platform_and_a_refusal_by_the_host_have_their_codes() {
+    let run = submit(&Fake::new(&[Answer::Say(
+        503,
+        json!({"type": "unavailable"}),
+    )]));
+    assert_eq!(run.code, 5);
+    let problem = json!({"file": "fleet.ini", "line": 1, "what": "w", "fix": "f"});
+    let invalid = json!({"type": "invalid", "problems": [problem]});
+    let run = submit(&Fake::new(&[Answer::Say(422, invalid)]));
+    assert_eq!(
+        (run.code, run.json()["problems"][0]["line"].clone()),
+        (3, json!(1))
+    );
+}
