--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -119,6 +119,11 @@
         Ok(())
     }
 
+    /// The greatest age of data that the caller accepts.
+    pub fn max_age(&self) -> Option<Duration> {
+        self.max_age
+    }
+
     /// Forgets everything: from `now` on this is the session of somebody unknown.
     pub fn forget(&mut self, now: Duration) {
         *self = Session::new(now);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -20,12 +20,18 @@
 impl Stream {
     /// Waits until a read has something to deliver, holding no buffer meanwhile.
     ///
-    /// TLS may keep decrypted bytes that the socket's readiness does not show; its reader has to
-    /// poll, so the wait ends at once and the read itself waits.
+    /// TLS may keep decrypted bytes that the socket's readiness does not show; it then wants no
+    /// more to read, and there is nothing to wait for.
     pub async fn readable(&self) -> io::Result<()> {
         match self {
             Stream::Plain(tcp) => tcp.readable().await,
-            Stream::Tls(_) => Ok(()),
+            Stream::Tls(tls) => {
+                let (tcp, connection) = tls.get_ref();
+                if connection.wants_read() {
+                    tcp.readable().await?;
+                }
+                Ok(())
+            }
         }
     }
 
