--- /dev/null
+++ b/crates/core/src/authority_holder.rs
@@ -0,0 +1,430 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{Ask, Promise, Released};
+use crate::key::HostKey;
+use crate::row::{Row, Service, Written};
+use crate::{key::ServiceKey, timing};
+
+/// The authority of a controller over its shard, and the row that it keeps.
+#[derive(Debug)]
+pub struct Holder {
+    me: HostKey,
+    incarnation: u64,
+    epoch: u32,
+    /// The row as it ought to be; the table or the standbys follow.
+    row: Row,
+    /// The table's row as last confirmed by a read or a write's answer.
+    confirmed: Confirmed,
+    /// Writes of unknown outcome that may yet take effect, with the standbys they name.
+    unsettled: Vec<Sent>,
+    writing: Option<Sent>,
+    read_sent: Duration,
+    standbys: BTreeMap<HostKey, Peer>,
+    /// From when leases may be granted and promotions ordered.
+    settled: Duration,
+    predecessor: Option<(HostKey, u64)>,
+    over: bool,
+}
+
+#[derive(Debug)]
+struct Confirmed {
+    revision: u64,
+    standbys: BTreeSet<HostKey>,
+    /// When the last write that is known to have taken effect was sent.
+    written: Duration,
+}
+
+#[derive(Debug)]
+struct Sent {
+    revision: u64,
+    over: u64,
+    standbys: BTreeSet<HostKey>,
+    sent: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    asked: Option<Duration>,
+    /// When the last ask that was answered was sent.
+    answered: Option<Duration>,
+    promised: Duration,
+    revision: u64,
+}
+
+/// A compare-and-set that is due.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    /// The row to write.
+    pub row: Row,
+    /// Revision of the row that it replaces.
+    pub over: u64,
+}
+
+impl Holder {
+    /// The authority of a process whose claim put `row` into the table. The claim was sent at
+    /// `sent`; `predecessor` is the process that the replaced row named.
+    pub fn new(
+        row: Row,
+        predecessor: Option<(HostKey, u64)>,
+        sent: Duration,
+        now: Duration,
+    ) -> Holder {
+        // The old controller may have sent its last read just before the claim took effect,
+        // which was no later than now. Without a predecessor there is nobody to wait for.
+        let settled = match predecessor {
+            Some(_) => now + timing::AUTHORITY,
+            None => now,
+        };
+        Holder {
+            me: row.controller,
+            incarnation: row.incarnation,
+            epoch: row.epoch,
+            confirmed: Confirmed {
+                revision: row.revision,
+                standbys: row.standbys.clone(),
+                written: sent,
+            },
+            row,
+            unsettled: Vec::new(),
+            writing: None,
+            read_sent: sent,
+            standbys: BTreeMap::new(),
+            settled,
+            predecessor,
+            over: false,
+        }
+    }
+
+    /// The epoch of this authority.
+    pub fn epoch(&self) -> u32 {
+        self.epoch
+    }
+
+    /// The row as it ought to be.
+    pub fn row(&self) -> &Row {
+        &self.row
+    }
+
+    /// Whether another process is known to have replaced this one.
+    pub fn is_over(&self) -> bool {
+        self.over
+    }
+
+    /// Until when the row is known to name this process.
+    pub fn until(&self) -> Duration {
+        if self.over {
+            return Duration::ZERO;
+        }
+        let by_read = self.read_sent + timing::less_drift(timing::AUTHORITY);
+        by_read.max(self.until_by_promises())
+    }
+
+    /// From when the authority that this one replaced is over.
+    pub fn settled(&self) -> Duration {
+        self.settled
+    }
+
+    /// Whether this process may act for the shard at `now`.
+    pub fn may_act(&self, now: Duration) -> bool {
+        now >= self.settled && now < self.until()
+    }
+
+    /// The longest lease that may be granted at `now`: none outlives the authority behind it.
+    pub fn lease(&self, now: Duration) -> Duration {
+        if !self.may_act(now) {
+            return Duration::ZERO;
+        }
+        self.until().saturating_sub(now).min(timing::LEASE)
+    }
+
+    /// Takes what a read of the table, sent at `sent`, found.
+    pub fn read(&mut self, sent: Duration, row: Option<&Row>) {
+        let Some(row) = row else {
+            self.over = true;
+            return;
+        };
+        let process = (row.controller, row.incarnation);
+        if row.epoch != self.epoch || process != (self.me, self.incarnation) {
+            // A read that was overtaken by this process's own claim finds an older epoch.
+            self.over |= row.epoch >= self.epoch;
+            return;
+        }
+        self.read_sent = self.read_sent.max(sent);
+        self.confirm(row.revision);
+    }
+
+    /// Takes the answer to the write of `revision`.
+    pub fn written(&mut self, revision: u64, written: Written) {
+        let ours = |writing: &Sent| writing.revision == revision;
+        let Some(writing) = self.writing.take_if(|writing| ours(writing)) else {
+            return;
+        };
+        match written {
+            Written::Done => {
+                self.read_sent = self.read_sent.max(writing.sent);
+                self.unsettled.push(writing);
+                self.confirm(revision);
+            }
+            // Somebody else's row, or an earlier write of this process that was thought lost:
+            // the next read tells.
+            Written::NotDone => {}
+            Written::Unknown => self.unsettle(writing),
+        }
+    }
+
+    /// Takes a standby's answer to an ask that was sent at `sent`.
+    pub fn promised(&mut self, host: HostKey, sent: Duration, promise: Promise) {
+        if promise.epoch > self.epoch {
+            // Its epoch comes from a row that it has read, so this process has been replaced; or
+            // it is claiming, and the table will tell. Either way its promise is not given.
+            return;
+        }
+        let peer = self.standbys.entry(host).or_default();
+        peer.answered = peer.answered.max(Some(sent));
+        peer.revision = promise.revision;
+        if promise.given {
+            let until = sent + timing::less_drift(promise.valid);
+            peer.promised = peer.promised.max(until);
+        }
+    }
+
+    /// Takes the answer of the replaced controller at `host`: its leases are waited for instead
+    /// of its authority.
+    pub fn released(&mut self, host: HostKey, released: &Released, now: Duration) {
+        if let Some(row) = &released.row {
+            self.learn(row);
+        }
+        if self.predecessor == Some((host, released.incarnation)) {
+            self.settled = self.settled.min(now + released.leases);
+        }
+    }
+
+    /// Takes in what another process knows of services.
+    pub fn learn(&mut self, row: &Row) {
+        let before = self.row.services.clone();
+        self.row.merge(row);
+        if before != self.row.services {
+            self.row.revision += 1;
+        }
+    }
+
+    /// Sets the state of a service and returns the revision that has to be committed for it.
+    pub fn set(&mut self, key: ServiceKey, service: Service) -> u64 {
+        self.row.services.insert(key, service);
+        self.row.revision += 1;
+        self.row.revision
+    }
+
+    /// Forgets services that `keep` rejects.
+    pub fn retain(&mut self, keep: impl Fn(ServiceKey) -> bool) {
+        let before = self.row.services.len();
+        self.row.services.retain(|key, _| keep(*key));
+        if before != self.row.services.len() {
+            self.row.revision += 1;
+        }
+    }
+
+    /// The revision that a successor is sure to know of: it is in the table, or every standby
+    /// that could claim has it.
+    pub fn committed(&self) -> u64 {
+        self.confirmed.revision.max(self.kept_by_standbys())
+    }
+
+    /// The write to send at `now`, if one is due and none is under way.
+    pub fn write(&mut self, now: Duration) -> Option<Write> {
+        if self.over || self.writing.is_some() {
+            return None;
+        }
+        if now >= self.confirmed.written + self.touch_after() {
+            self.touch();
+        }
+        if self.row.revision <= self.confirmed.revision {
+            return None;
+        }
+        let writing = Sent {
+            revision: self.row.revision,
+            over: self.confirmed.revision,
+            standbys: self.row.standbys.clone(),
+            sent: now,
+        };
+        self.writing = Some(writing);
+        Some(Write {
+            row: self.row.clone(),
+            over: self.confirmed.revision,
+        })
+    }
+
+    /// Whether no write has failed since the table last answered, so the next need not wait.
+    pub fn is_urgent(&self) -> bool {
+        self.unsettled.is_empty()
+    }
+
+    /// The asks to send at `now`: heartbeats, and promises where the table is silent.
+    pub fn asks(&mut self, candidates: &[HostKey], now: Duration) -> Vec<(HostKey, Ask)> {
+        if self.over {
+            return Vec::new();
+        }
+        let (promise, keep) = (self.needs_promises(now), self.needs_keeping(now));
+        let mut hosts = self.named();
+        let silent = |host: &HostKey| !self.heard(*host, timing::STANDBY_SILENCE, now);
+        if self.row.standbys.len() < timing::STANDBYS || self.row.standbys.iter().any(silent) {
+            hosts.extend(candidates.iter().filter(|host| **host != self.me));
+        }
+        let mut asks = Vec::new();
+        for host in hosts {
+            let peer = self.standbys.entry(host).or_default();
+            let behind = peer.revision < self.row.revision;
+            let pause = match keep && behind {
+                true => timing::RETRY,
+                false => timing::HEARTBEAT,
+            };
+            if peer.asked.is_some_and(|asked| now < asked + pause) {
+                continue;
+            }
+            peer.asked = Some(now);
+            let ask = Ask {
+                epoch: self.epoch,
+                promise,
+                revision: self.row.revision,
+                row: behind.then(|| self.row.clone()),
+            };
+            asks.push((host, ask));
+        }
+        asks
+    }
+
+    /// Names standbys among `candidates`, best first, where some are missing or silent. Only
+    /// hosts that answer are named: one that cannot hear this process would claim at once.
+    pub fn name(&mut self, candidates: &[HostKey], now: Duration) {
+        // While the table is silent, each new name would only add to those who must promise.
+        if self.over || !self.unsettled.is_empty() || self.needs_promises(now) {
+            return;
+        }
+        let silent = |host: &&HostKey| !self.heard(**host, timing::STANDBY_SILENCE, now);
+        let (lost, mut named): (Vec<HostKey>, BTreeSet<HostKey>) = (
+            self.row.standbys.iter().filter(silent).copied().collect(),
+            self.row
+                .standbys
+                .iter()
+                .filter(|host| !silent(host))
+                .copied()
+                .collect(),
+        );
+        let fresh = |host: &&HostKey| self.heard(**host, timing::SILENCE, now);
+        let others = candidates.iter().filter(|host| **host != self.me);
+        // Never fewer than before: naming none would end the authority by promises.
+        for host in others.filter(fresh).chain(&lost) {
+            if named.len() < timing::STANDBYS {
+                named.insert(*host);
+            }
+        }
+        if named != self.row.standbys {
+            self.row.standbys = named;
+            self.row.revision += 1;
+        }
+    }
+
+    /// Gives up, for good, and tells the successor what it has to wait for. `leases` is how long
+    /// the leases that were granted may still run.
+    pub fn release(&mut self, leases: Duration, now: Duration) -> Released {
+        self.over = true;
+        Released {
+            incarnation: self.incarnation,
+            leases: leases.max(self.settled.saturating_sub(now)),
+            row: Some(self.row.clone()),
+        }
+    }
+
+    /// Hosts from which a successor may want to hear: the predecessor and all who were named.
+    pub fn witnesses(&self) -> BTreeSet<HostKey> {
+        let mut hosts = self.named();
+        hosts.extend(self.predecessor.map(|(host, _)| host));
+        hosts.remove(&self.me);
+        hosts
+    }
+
+    fn heard(&self, host: HostKey, within: Duration, now: Duration) -> bool {
+        let peer = self.standbys.get(&host);
+        let answered = peer.and_then(|peer| peer.answered);
+        answered.is_some_and(|answered| now < answered + within)
+    }
+
+    fn until_by_promises(&self) -> Duration {
+        // Without a standby to ask, nobody has promised anything.
+        if self.confirmed.standbys.is_empty() {
+            return Duration::ZERO;
+        }
+        let promised = |host: &HostKey| self.standbys.get(host).map(|peer| peer.promised);
+        let least = self.named().iter().map(promised).min();
+        let least = least.flatten().unwrap_or_default();
+        let orphaned = self.confirmed.written + timing::less_drift(timing::ORPHAN);
+        least.min(orphaned)
+    }
+
+    fn kept_by_standbys(&self) -> u64 {
+        if self.confirmed.standbys.is_empty() {
+            return 0;
+        }
+        let kept = |host: &HostKey| self.standbys.get(host).map_or(0, |peer| peer.revision);
+        self.named().iter().map(kept).min().unwrap_or(0)
+    }
+
+    /// Everybody who may be named in the table: a write whose answer was lost may have taken
+    /// effect, or may yet, and the standbys it names could then claim.
+    fn named(&self) -> BTreeSet<HostKey> {
+        let mut named = self.confirmed.standbys.clone();
+        for unsettled in &self.unsettled {
+            named.extend(unsettled.standbys.iter().copied());
+        }
+        if let Some(writing) = &self.writing {
+            named.extend(writing.standbys.iter().copied());
+        }
+        named
+    }
+
+    fn unsettle(&mut self, lost: Sent) {
+        let same = |write: &Sent| (write.revision, write.over) == (lost.revision, lost.over);
+        // The first sending counts: it bounds from below when the row can have changed.
+        if !self.unsettled.iter().any(same) {
+            self.unsettled.push(lost);
+        }
+    }
+
+    fn confirm(&mut self, revision: u64) {
+        if revision < self.confirmed.revision {
+            return;
+        }
+        let sent = self.unsettled.iter().chain(&self.writing);
+        if let Some(sent) = sent.into_iter().find(|write| write.revision == revision) {
+            self.confirmed.standbys = sent.standbys.clone();
+            self.confirmed.written = sent.sent;
+        }
+        self.confirmed.revision = revision;
+        // A write over an earlier revision can no longer take effect.
+        self.unsettled.retain(|write| write.over >= revision);
+    }
+
+    fn needs_promises(&self, now: Duration) -> bool {
+        now >= self.read_sent + timing::READ_OVERDUE
+    }
+
+    fn needs_keeping(&self, now: Duration) -> bool {
+        let writing = self.writing.as_ref();
+        let slow = writing.is_some_and(|writing| now >= writing.sent + timing::WRITE_OVERDUE);
+        slow || !self.unsettled.is_empty() || self.needs_promises(now)
+    }
+
+    fn touch_after(&self) -> Duration {
+        match self.confirmed.standbys.is_empty() {
+            true => timing::TOUCH_ALONE,
+            false => timing::TOUCH,
+        }
+    }
+
+    fn touch(&mut self) {
+        if self.row.revision == self.confirmed.revision {
+            self.row.revision += 1;
+        }
+    }
+}
--- a/crates/core/src/history.rs
+++ b/crates/core/src/history.rs
@@ -19,7 +19,8 @@
 pub enum Verdict {
     /// The position is part of the service's log.
     Kept,
-    /// The position was written by a term that ended before it; its write is lost.
+    /// The position was written by a term that ended before it, or by one that is no part of
+    /// the log; its write is lost.
     Lost {
         /// The term that began without the write.
         ended_by: Term,
@@ -31,9 +32,11 @@
 }
 
 impl History {
-    /// Records that `term` began at log position `start`.
+    /// Records that `term` began at log position `start`. Of two accounts the earlier start
+    /// stays: it cannot let a lost write pass for a kept one.
     pub fn open(&mut self, term: Term, start: u64) {
-        self.starts.insert(term, start);
+        let known = self.starts.entry(term).or_insert(start);
+        *known = start.min(*known);
     }
 
     /// The terms and their starts, oldest first.
@@ -74,6 +77,9 @@
         if server.term == wanted.term {
             return server.log >= wanted.log;
         }
+        if wanted.log > 0 && !self.starts.contains_key(&wanted.term) {
+            return false;
+        }
         server.term > wanted.term
             && self.first_cut(wanted, server.term).is_none()
             && server.log >= wanted.log
@@ -81,12 +87,25 @@
 
     fn judge_known(&self, position: Position) -> Verdict {
         let newest = self.latest().unwrap_or_default();
+        if !self.starts.contains_key(&position.term) {
+            return self.judge_foreign(position);
+        }
         match self.first_cut(position, newest) {
             Some((ended_by, start)) => Verdict::Lost { ended_by, start },
             None => Verdict::Kept,
         }
     }
 
+    /// A term that was opened beside those that led to the newest one: an authority that was
+    /// lost had opened it, and nothing of it was kept.
+    fn judge_foreign(&self, position: Position) -> Verdict {
+        let next = self.starts().find(|(term, _)| *term > position.term);
+        match next {
+            Some((ended_by, start)) if position.log > 0 => Verdict::Lost { ended_by, start },
+            _ => Verdict::Kept,
+        }
+    }
+
     fn first_cut(&self, position: Position, up_to: Term) -> Option<(Term, u64)> {
         self.starts()
             .filter(|(term, _)| *term > position.term && *term <= up_to)
--- /dev/null
+++ b/crates/core/src/leadership.rs
@@ -0,0 +1,493 @@
+//! One process's part in the leadership of one shard: standby or controller.
+//!
+//! A daemon keeps one [`Controller`] for each shard and drives it like this:
+//!
+//! 1. every few tens of milliseconds, and after each event, call [`Controller::step`] and carry
+//!    out the actions, none of which waits for another;
+//! 2. hand each outcome back: [`Controller::read`], [`Controller::written`],
+//!    [`Controller::promised`], [`Controller::released`], [`Controller::closed`],
+//!    [`Controller::status`], [`Controller::promoted`]; an action without an answer in time is
+//!    handed back as unknown, or not at all where there is no such outcome;
+//! 3. answer other processes: [`Controller::asked`], [`Controller::release`],
+//!    [`Controller::renewal`];
+//! 4. tell it of changes: [`Controller::configure`], [`Controller::candidates`].
+//!
+//! A new view is sent to each holder in [`Action::Publish`] and comes with the next grant
+//! otherwise. After a restart everything starts from [`Controller::new`], with a new incarnation.
+
+#[path = "leadership_lead.rs"]
+mod lead;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use lead::Lead;
+
+use crate::authority::{Ask, Holder, Promise, Released, Seat, Standby};
+use crate::key::{HostKey, ServerKey, ServiceKey, ZoneKey};
+use crate::lease::{Instance, Ledger};
+use crate::position::Position;
+use crate::promotion::{Order, Reason, Status};
+use crate::row::{Loss, Row, Written};
+use crate::suspicion::Report;
+use crate::term::Term;
+use crate::timing;
+use crate::view::{self, Version};
+
+/// One process's part in the leadership of one shard.
+#[derive(Debug)]
+pub struct Controller {
+    me: HostKey,
+    incarnation: u64,
+    started: Duration,
+    role: Role,
+    ledger: Ledger,
+    /// Until when leases of an authority that this process replaced, and was then itself
+    /// replaced, may run.
+    inherited: Duration,
+    groups: BTreeMap<ServiceKey, Group>,
+    candidates: Vec<HostKey>,
+    read_sent: Option<Duration>,
+    claim_sent: Option<Duration>,
+    /// Whether a claim's outcome is awaited.
+    claiming: bool,
+}
+
+#[derive(Debug)]
+enum Role {
+    Standby(Box<Standby>),
+    Lead(Box<Lead>),
+}
+
+/// The servers of one service, by configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Group {
+    /// Its servers, and whether each is to be emptied.
+    pub servers: BTreeMap<ServerKey, Leaving>,
+    /// The primary when the service is first created.
+    pub first_primary: ServerKey,
+}
+
+/// Whether a server is to be emptied, by configuration or by the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leaving {
+    /// It stays.
+    No,
+    /// It gets no new work, and its service another primary.
+    Yes,
+}
+
+/// A lease renewal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Renewal {
+    /// Who asks.
+    pub holder: Instance,
+    /// Its availability zone.
+    pub zone: ZoneKey,
+    /// Version of the view that it acts by.
+    pub version: Option<Version>,
+    /// What it saw of backend servers.
+    pub reports: BTreeMap<ServerKey, Report>,
+    /// Whether it gives up its lease.
+    pub stopping: bool,
+}
+
+/// The answer to a [`Renewal`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// A lease.
+    Granted {
+        /// The version it is on.
+        version: Version,
+        /// How long, from the sending of the renewal; zero for a holder that is stopping.
+        valid: Duration,
+        /// The view, where the holder has an older one.
+        view: Option<view::Shard>,
+    },
+    /// This process may not grant leases now; `controller` is the one last known.
+    Refused {
+        /// Host of the controller.
+        controller: Option<HostKey>,
+    },
+}
+
+/// What a daemon has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Read the shard's row; hand the result to [`Controller::read`].
+    Read,
+    /// Replace the row of revision `over` by `row`, by compare-and-set; `None`: there must be no
+    /// row. Hand the outcome to [`Controller::written`].
+    Write {
+        /// The new row.
+        row: Row,
+        /// Revision of the row that it replaces.
+        over: Option<u64>,
+    },
+    /// Send `ask` to a host; hand the answer to [`Controller::promised`].
+    Ask {
+        /// The host.
+        host: HostKey,
+        /// What it is asked.
+        ask: Ask,
+    },
+    /// Ask a host to give up below `epoch`; hand the answer to [`Controller::released`].
+    Release {
+        /// The host.
+        host: HostKey,
+        /// Epoch of the successor.
+        epoch: u32,
+    },
+    /// Send `view` to lease holders and have them close what it shows as closed; hand the
+    /// answers to [`Controller::closed`].
+    Close {
+        /// The holders.
+        to: Vec<Instance>,
+        /// The view.
+        view: view::Shard,
+    },
+    /// Send `view` to lease holders; no answer is needed.
+    Publish {
+        /// The holders.
+        to: Vec<Instance>,
+        /// The view.
+        view: view::Shard,
+    },
+    /// Ask a server about itself; hand the answer to [`Controller::status`].
+    Status(ServerKey),
+    /// Promote a server; hand the outcome to [`Controller::promoted`].
+    Promote {
+        /// The server.
+        server: ServerKey,
+        /// The term it is to lead.
+        term: Term,
+        /// What its log has to contain.
+        at_least: Position,
+    },
+    /// Let a server follow the primary of a term; no answer is needed.
+    Follow {
+        /// The server.
+        server: ServerKey,
+        /// The primary.
+        primary: ServerKey,
+        /// The term.
+        term: Term,
+    },
+    /// Something worth a line in the log.
+    Note(Note),
+}
+
+/// What happened, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Note {
+    /// This process has set the row and waits for the old authority to be over.
+    Claimed {
+        /// Its epoch.
+        epoch: u32,
+    },
+    /// It grants leases from now on.
+    Settled {
+        /// Its epoch.
+        epoch: u32,
+    },
+    /// Another process has replaced it.
+    Replaced {
+        /// Its epoch.
+        epoch: u32,
+    },
+    /// A promotion has begun.
+    Promoting {
+        /// The service.
+        service: ServiceKey,
+        /// Why.
+        reason: Reason,
+    },
+    /// A term is open.
+    Opened {
+        /// The service.
+        service: ServiceKey,
+        /// The term.
+        term: Term,
+        /// Its primary.
+        primary: ServerKey,
+        /// Time since the promotion began.
+        took: Duration,
+    },
+    /// A promotion has lost acknowledged writes, or may have.
+    Lost {
+        /// The service.
+        service: ServiceKey,
+        /// What.
+        loss: Loss,
+    },
+}
+
+impl Controller {
+    /// The part of a process that starts at `now` on host `me`.
+    pub fn new(me: HostKey, incarnation: u64, now: Duration) -> Controller {
+        Controller {
+            me,
+            incarnation,
+            started: now,
+            role: Role::Standby(Box::new(Standby::new(me, incarnation, now))),
+            ledger: Ledger::default(),
+            inherited: Duration::ZERO,
+            groups: BTreeMap::new(),
+            candidates: Vec::new(),
+            read_sent: None,
+            claim_sent: None,
+            claiming: false,
+        }
+    }
+
+    /// Sets the services of the shard and their servers.
+    pub fn configure(&mut self, groups: BTreeMap<ServiceKey, Group>) {
+        self.groups = groups;
+    }
+
+    /// Sets the hosts that may be named standbys, best first: some in other zones than this
+    /// one's and each other's come first.
+    pub fn candidates(&mut self, hosts: Vec<HostKey>) {
+        self.candidates = hosts;
+    }
+
+    /// Sets the zones in which the platform's list has hosts.
+    pub fn list(&mut self, zones: BTreeSet<ZoneKey>) {
+        if let Role::Lead(lead) = &mut self.role {
+            lead.judge.list(zones);
+        }
+    }
+
+    /// Lets this process claim at once; see [`Standby::force`].
+    pub fn force(&mut self) {
+        if let Role::Standby(standby) = &mut self.role {
+            standby.force();
+        }
+    }
+
+    /// What is due at `now`.
+    pub fn step(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.is_read_due(now) {
+            self.read_sent = Some(now);
+            actions.push(Action::Read);
+        }
+        match &mut self.role {
+            Role::Standby(standby) => {
+                let pause = timing::RETRY * 2;
+                let paced = self.claim_sent.is_none_or(|sent| now >= sent + pause);
+                if !self.claiming
+                    && paced
+                    && let Some(claim) = standby.claim(now)
+                {
+                    self.claim_sent = Some(now);
+                    self.claiming = true;
+                    let (row, over) = (claim.row, claim.over);
+                    actions.push(Action::Write { row, over });
+                }
+            }
+            Role::Lead(lead) => {
+                lead.step(
+                    &self.groups,
+                    &self.candidates,
+                    &self.ledger,
+                    now,
+                    &mut actions,
+                );
+            }
+        }
+        self.step_down(now, &mut actions);
+        actions
+    }
+
+    /// Takes the row that a read sent at `sent` found; `None` where there is none. A read that
+    /// failed is not handed in.
+    pub fn read(&mut self, sent: Duration, row: Option<&Row>, now: Duration) {
+        match &mut self.role {
+            Role::Standby(standby) => {
+                let seat = standby.read(row, now);
+                self.sit(seat, now);
+            }
+            Role::Lead(lead) => lead.holder.read(sent, row),
+        }
+    }
+
+    /// Takes the outcome of the write of `revision`.
+    pub fn written(&mut self, revision: u64, written: Written, now: Duration) {
+        if written != Written::Done {
+            self.read_sent = None;
+        }
+        match &mut self.role {
+            Role::Standby(standby) => {
+                self.claiming = false;
+                let seat = standby.written(written);
+                self.sit(seat, now);
+            }
+            Role::Lead(lead) => lead.holder.written(revision, written),
+        }
+    }
+
+    /// Answers a controller's ask.
+    pub fn asked(&mut self, ask: &Ask, now: Duration) -> Promise {
+        match &mut self.role {
+            Role::Standby(standby) => standby.asked(ask, now),
+            Role::Lead(lead) => Promise {
+                given: false,
+                valid: Duration::ZERO,
+                epoch: lead.holder.epoch(),
+                revision: 0,
+            },
+        }
+    }
+
+    /// Takes the answer to an ask that was sent at `sent`.
+    pub fn promised(&mut self, host: HostKey, sent: Duration, promise: Promise) {
+        if let Role::Lead(lead) = &mut self.role {
+            lead.holder.promised(host, sent, promise);
+        }
+    }
+
+    /// Gives up below the successor's `epoch`, and tells it what to wait for and what is known.
+    pub fn release(&mut self, epoch: u32, now: Duration) -> Released {
+        let leases = self.ledger.longest(now);
+        let leases = leases.max(self.inherited.saturating_sub(now));
+        match &mut self.role {
+            Role::Lead(lead) if lead.holder.epoch() < epoch => lead.holder.release(leases, now),
+            Role::Lead(lead) => Released {
+                incarnation: self.incarnation,
+                leases: timing::AUTHORITY,
+                row: Some(lead.holder.row().clone()),
+            },
+            Role::Standby(standby) => {
+                standby.meet(epoch);
+                Released {
+                    incarnation: self.incarnation,
+                    // A claim of this process may have taken effect without its knowledge, and what
+                    // it replaced then is not over yet.
+                    leases: match self.claim_sent {
+                        Some(sent) => leases.max((sent + timing::AUTHORITY).saturating_sub(now)),
+                        None => leases,
+                    },
+                    row: standby.known().cloned(),
+                }
+            }
+        }
+    }
+
+    /// Takes a host's answer to [`Action::Release`].
+    pub fn released(&mut self, host: HostKey, released: &Released, now: Duration) {
+        if let Role::Lead(lead) = &mut self.role {
+            lead.released(host, released, now);
+        }
+    }
+
+    /// Answers a lease renewal.
+    pub fn renewal(&mut self, renewal: &Renewal, now: Duration) -> Reply {
+        match &mut self.role {
+            Role::Standby(standby) => Reply::Refused {
+                controller: standby.known().map(|row| row.controller),
+            },
+            Role::Lead(lead) => lead.renewal(renewal, &mut self.ledger, now),
+        }
+    }
+
+    /// Takes a holder's answer to [`Action::Close`]: the version it acts by now, and the highest
+    /// positions that it has acknowledged.
+    pub fn closed(
+        &mut self,
+        holder: Instance,
+        version: Version,
+        acknowledged: &BTreeMap<ServiceKey, Position>,
+    ) {
+        if let Role::Lead(lead) = &mut self.role {
+            lead.closed(holder, version, acknowledged);
+        }
+    }
+
+    /// Takes a server's status, asked for at `sent`, or that it could not be asked.
+    pub fn status(&mut self, server: ServerKey, sent: Duration, status: Option<Status>) {
+        if let Role::Lead(lead) = &mut self.role {
+            lead.status(&self.groups, server, sent, status);
+        }
+    }
+
+    /// Takes the outcome of [`Action::Promote`].
+    pub fn promoted(&mut self, server: ServerKey, term: Term, order: Order, now: Duration) {
+        if let Role::Lead(lead) = &mut self.role {
+            lead.promoted(server, term, order, now);
+        }
+    }
+
+    /// Moves `service` to another primary without losing anything, as if its primary were
+    /// leaving.
+    pub fn switch_over(&mut self, service: ServiceKey, now: Duration) {
+        if let Role::Lead(lead) = &mut self.role {
+            lead.switch_over(&self.groups, service, now);
+        }
+    }
+
+    /// The epoch under which this process may grant leases and order promotions at `now`.
+    pub fn leads(&self, now: Duration) -> Option<u32> {
+        match &self.role {
+            Role::Lead(lead) if lead.leads(now) => Some(lead.holder.epoch()),
+            _ => None,
+        }
+    }
+
+    /// The row as this process knows it.
+    pub fn row(&self) -> Option<&Row> {
+        match &self.role {
+            Role::Standby(standby) => standby.known(),
+            Role::Lead(lead) => Some(lead.holder.row()),
+        }
+    }
+
+    /// The view that leases are granted on.
+    pub fn view(&self) -> Option<&view::Shard> {
+        match &self.role {
+            Role::Standby(_) => None,
+            Role::Lead(lead) => Some(lead.view()),
+        }
+    }
+
+    fn is_read_due(&self, now: Duration) -> bool {
+        let every = match &self.role {
+            Role::Standby(standby) => standby.read_every(),
+            Role::Lead(_) => timing::READ,
+        };
+        self.read_sent.is_none_or(|sent| now >= sent + every)
+    }
+
+    fn sit(&mut self, seat: Seat, now: Duration) {
+        let Seat::Taken {
+            row,
+            predecessor,
+            sent,
+        } = seat
+        else {
+            return;
+        };
+        self.claiming = false;
+        self.claim_sent = None;
+        let holder = Holder::new(row, predecessor, sent, now);
+        self.inherited = holder.settled();
+        self.role = Role::Lead(Box::new(Lead::new(holder, now)));
+    }
+
+    fn step_down(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Role::Lead(lead) = &self.role else {
+            return;
+        };
+        if !lead.holder.is_over() {
+            return;
+        }
+        let epoch = lead.holder.epoch();
+        let known = lead.holder.row().clone();
+        let mut standby = Standby::new(self.me, self.incarnation, self.started);
+        standby.learn(&known);
+        standby.rest(now);
+        self.role = Role::Standby(Box::new(standby));
+        self.read_sent = None;
+        actions.push(Action::Note(Note::Replaced { epoch }));
+    }
+}
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -10,9 +10,14 @@
 //! 5. for each write: ask [`Holder::leader`] where it goes and under which term, and when the
 //!    backend server has answered, ask [`Holder::acknowledge`] whether the caller may be told.
 
+#[path = "lease_ledger.rs"]
+mod ledger;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+pub use ledger::{Instance, Ledger};
+
 use crate::history::History;
 use crate::invariant::{self, Invariant};
 use crate::key::{ServerKey, ServiceKey};
--- /dev/null
+++ b/crates/core/src/lease_ledger.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::key::HostKey;
+
+/// One process of one entry host: after a restart it is another holder, which knows nothing of
+/// what the earlier one acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Instance {
+    /// The entry host.
+    pub host: HostKey,
+    /// The number its process drew at its start.
+    pub incarnation: u64,
+}
+
+/// The leases that one controller has granted, each with the latest time at which it can end.
+///
+/// A holder counts from the sending of its renewal and leaves a margin for drift; the ledger
+/// counts in full from the grant, so it never believes a lease over that is not.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::key::HostKey;
+/// use flamingopost_core::lease::{Instance, Ledger};
+///
+/// let mut ledger = Ledger::default();
+/// let holder = Instance { host: HostKey::default(), incarnation: 1 };
+/// ledger.grant(holder, Duration::from_secs(2), Duration::from_secs(10));
+/// assert_eq!(ledger.longest(Duration::from_secs(11)), Duration::from_secs(1));
+/// assert!(ledger.running(Duration::from_secs(12)).is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct Ledger {
+    until: BTreeMap<Instance, Duration>,
+}
+
+impl Ledger {
+    /// Notes that `holder` is granted a lease of `valid` at `now`.
+    pub fn grant(&mut self, holder: Instance, valid: Duration, now: Duration) {
+        let until = self.until.entry(holder).or_default();
+        *until = (*until).max(now + valid);
+        self.until.retain(|_, until| *until > now);
+    }
+
+    /// Forgets the lease of a holder that gave it up.
+    pub fn end(&mut self, holder: Instance) {
+        self.until.remove(&holder);
+    }
+
+    /// The leases that may still run at `now`, with the times at which they end.
+    pub fn running(&self, now: Duration) -> BTreeMap<Instance, Duration> {
+        self.until
+            .iter()
+            .filter(|(_, until)| **until > now)
+            .map(|(holder, until)| (*holder, *until))
+            .collect()
+    }
+
+    /// How long the last of them may run.
+    pub fn longest(&self, now: Duration) -> Duration {
+        let last = self.until.values().max().copied().unwrap_or_default();
+        last.saturating_sub(now)
+    }
+}
--- /dev/null
+++ b/crates/core/src/promotion.rs
@@ -0,0 +1,493 @@
+//! Promotion of one service: from the close of its term to the opening of the next.
+//!
+//! 1. *Prepare* (planned switchovers only): wait until a replica is close behind.
+//! 2. *Close*: the row says that the term is over, and every holder of a running lease is told.
+//!    The next step waits until the row is committed and each holder has answered or its lease
+//!    has lapsed.
+//! 3. *Choose* the reachable server whose data reach furthest, and wait a bounded time for one
+//!    that has all that was acknowledged.
+//! 4. *Promote* it. The order names its term and is repeated until the server says that it leads
+//!    that term; its log ends there, and the term begins there.
+//! 5. *Open* the term: the row says so, and once that is committed, holders are told.
+//!
+//! A successor resumes from the row: a closed term is promoted again from step 3, under a term
+//! of the successor's own epoch.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::history::History;
+use crate::key::{ServerKey, ServiceKey};
+use crate::lease::Instance;
+use crate::position::Position;
+use crate::row::{Loss, Service};
+use crate::term::Term;
+use crate::timing;
+use crate::view::State;
+
+/// Why a service gets another primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// It is new; this server is to be its first primary.
+    Created(ServerKey),
+    /// Hosts cannot reach its primary.
+    Unreachable,
+    /// Its primary is leaving and still there.
+    Leaving,
+    /// A server knows a greater term than the row, or the primary does not lead its term.
+    Rival,
+    /// An earlier controller closed the term and did not get further.
+    Resumed,
+}
+
+/// What a backend server says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Status {
+    /// The greatest term it knows.
+    pub term: Term,
+    /// Whether it leads that term.
+    pub leads: bool,
+    /// The last entry of its log.
+    pub position: Position,
+    /// How old its data may be.
+    pub age: Duration,
+    /// Whether it is about to be taken away.
+    pub leaving: bool,
+}
+
+/// How an order to a backend server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// The server did as told.
+    Done,
+    /// The server refuses: it knows a greater term, or lacks data.
+    Refused,
+    /// No answer came: it may have done it, or may yet.
+    Unknown,
+}
+
+/// What a promotion wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Put this state into the row, and tell [`Promotion::closing`] or [`Promotion::opening`].
+    Commit(Service),
+    /// Send the view, in which the term is closed, to these holders.
+    Revoke(Vec<Instance>),
+    /// Ask these servers for their status.
+    Ask(Vec<ServerKey>),
+    /// Promote `server` in `term` if its data reach `at_least`.
+    Promote {
+        /// The server.
+        server: ServerKey,
+        /// The term it is to lead.
+        term: Term,
+        /// What its log has to contain.
+        at_least: Position,
+    },
+    /// The new term is open and committed.
+    Done,
+}
+
+/// One promotion under way.
+#[derive(Debug)]
+pub struct Promotion {
+    key: ServiceKey,
+    reason: Reason,
+    servers: BTreeSet<ServerKey>,
+    service: Service,
+    step: Step,
+    waiting: BTreeMap<Instance, Duration>,
+    /// Whether every holder told what it had acknowledged.
+    complete: bool,
+    acknowledged: Option<Position>,
+    statuses: BTreeMap<ServerKey, Status>,
+    /// The greatest term that any server knows or was ordered to lead.
+    greatest: Term,
+    asked: Option<Duration>,
+    revoked: Option<Duration>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Preparing,
+    Start,
+    Closing {
+        revision: u64,
+    },
+    Choosing {
+        since: Duration,
+        from: Duration,
+    },
+    Promoting {
+        server: ServerKey,
+        term: Term,
+        at_least: Position,
+        since: Duration,
+        ordered: Option<Duration>,
+    },
+    Ready {
+        server: ServerKey,
+        term: Term,
+        start: Position,
+    },
+    Opening {
+        revision: u64,
+    },
+}
+
+impl Promotion {
+    /// A promotion of the service `key`, which the row shows as `service`.
+    pub fn new(
+        key: ServiceKey,
+        servers: BTreeSet<ServerKey>,
+        service: Service,
+        reason: Reason,
+        now: Duration,
+    ) -> Promotion {
+        let closed = matches!(service.state, State::Closed { .. });
+        let step = match reason {
+            Reason::Leaving => Step::Preparing,
+            _ if closed => Step::Choosing {
+                since: now,
+                from: now,
+            },
+            _ => Step::Start,
+        };
+        Promotion {
+            key,
+            reason,
+            servers,
+            greatest: service.state.term(),
+            service,
+            step,
+            waiting: BTreeMap::new(),
+            complete: !closed,
+            acknowledged: None,
+            statuses: BTreeMap::new(),
+            asked: None,
+            revoked: None,
+        }
+    }
+
+    /// The service.
+    pub fn key(&self) -> ServiceKey {
+        self.key
+    }
+
+    /// The servers of its group.
+    pub fn servers(&self) -> impl Iterator<Item = ServerKey> + '_ {
+        self.servers.iter().copied()
+    }
+
+    /// Why it gets another primary.
+    pub fn reason(&self) -> Reason {
+        self.reason
+    }
+
+    /// Gives up waiting for a planned switchover's old primary, which has become unreachable.
+    pub fn urge(&mut self) {
+        if self.reason == Reason::Leaving {
+            self.reason = Reason::Unreachable;
+            if self.step == Step::Preparing {
+                self.step = Step::Start;
+            }
+        }
+    }
+
+    /// Tells that the closed state is in the row of `revision` and in the view, and which leases
+    /// were running when it got there. Leases granted later are on that view.
+    pub fn closing(&mut self, revision: u64, running: BTreeMap<Instance, Duration>) {
+        self.waiting = running;
+        self.step = Step::Closing { revision };
+    }
+
+    /// Tells that the open state is in the row of `revision`.
+    pub fn opening(&mut self, revision: u64) {
+        self.step = Step::Opening { revision };
+    }
+
+    /// Takes a holder's answer to the revocation.
+    pub fn closed(&mut self, holder: Instance, acknowledged: Option<Position>) {
+        self.waiting.remove(&holder);
+        self.acknowledged = self.acknowledged.max(acknowledged);
+    }
+
+    /// Takes a server's status, or that it could not be asked.
+    pub fn status(&mut self, server: ServerKey, status: Option<Status>) {
+        let Some(status) = status else {
+            self.statuses.remove(&server);
+            return;
+        };
+        self.statuses.insert(server, status);
+        self.greatest = self.greatest.max(status.term);
+        if let Step::Promoting {
+            server: chosen,
+            term,
+            ..
+        } = self.step
+            && chosen == server
+            && status.leads
+            && status.term == term
+        {
+            self.step = Step::Ready {
+                server,
+                term,
+                start: status.position,
+            };
+        }
+    }
+
+    /// Takes the answer to a promotion order. `Done` and `Unknown` alike are settled by the
+    /// server's own status.
+    pub fn promoted(&mut self, server: ServerKey, term: Term, order: Order, now: Duration) {
+        let Step::Promoting {
+            server: chosen,
+            term: ordered,
+            since,
+            ..
+        } = self.step
+        else {
+            return;
+        };
+        if (chosen, ordered) != (server, term) {
+            return;
+        }
+        match order {
+            Order::Refused => {
+                self.statuses.remove(&server);
+                self.step = Step::Choosing {
+                    since,
+                    from: now + timing::RETRY,
+                };
+            }
+            Order::Done | Order::Unknown => self.asked = None,
+        }
+    }
+
+    /// What to do at `now`, under the authority of `epoch`, whose row is committed up to
+    /// `committed`.
+    pub fn next(&mut self, epoch: u32, committed: u64, now: Duration) -> Vec<Next> {
+        let mut next = Vec::new();
+        if !matches!(self.step, Step::Start | Step::Opening { .. }) {
+            next.extend(self.ask(now));
+        }
+        match self.step {
+            Step::Preparing => {
+                if self.is_prepared() {
+                    self.step = Step::Start;
+                }
+            }
+            Step::Start => next.push(Next::Commit(self.over())),
+            Step::Closing { revision } => {
+                next.extend(self.revoke(now));
+                if self.waiting.is_empty() && committed >= revision {
+                    self.step = Step::Choosing {
+                        since: now,
+                        from: now,
+                    };
+                    next.extend(self.choose(epoch, now));
+                }
+            }
+            Step::Choosing { .. } => next.extend(self.choose(epoch, now)),
+            Step::Promoting { .. } => next.extend(self.promote(now)),
+            Step::Ready {
+                server,
+                term,
+                start,
+            } => next.push(Next::Commit(self.open(server, term, start))),
+            Step::Opening { revision } => {
+                if committed >= revision {
+                    next.push(Next::Done);
+                }
+            }
+        }
+        next
+    }
+
+    fn ask(&mut self, now: Duration) -> Option<Next> {
+        if self.asked.is_some_and(|asked| now < asked + timing::RETRY) {
+            return None;
+        }
+        self.asked = Some(now);
+        Some(Next::Ask(self.servers.iter().copied().collect()))
+    }
+
+    fn is_prepared(&self) -> bool {
+        let primary = self.service.primary.and_then(|p| self.statuses.get(&p));
+        let close = |status: &Status| {
+            let behind = primary.is_some_and(|p| status.position == p.position);
+            !status.leads && !status.leaving && (behind || status.age <= timing::RETRY)
+        };
+        self.statuses.values().any(close)
+    }
+
+    fn over(&self) -> Service {
+        let mut service = self.service.clone();
+        service.state = State::Closed {
+            term: service.state.term(),
+        };
+        service
+    }
+
+    fn revoke(&mut self, now: Duration) -> Option<Next> {
+        let running = self.waiting.len();
+        self.waiting.retain(|_, until| *until > now);
+        // A lease that lapsed without an answer: its holder may have acknowledged more than
+        // anybody knows.
+        self.complete &= running == self.waiting.len();
+        if self.waiting.is_empty() || self.revoked.is_some_and(|at| now < at + timing::RETRY) {
+            return None;
+        }
+        self.revoked = Some(now);
+        Some(Next::Revoke(self.waiting.keys().copied().collect()))
+    }
+
+    fn choose(&mut self, epoch: u32, now: Duration) -> Option<Next> {
+        let Step::Choosing { since, from } = self.step else {
+            return None;
+        };
+        // A term of a later epoch: this controller has been replaced and will learn of it.
+        if now < from || self.greatest.epoch > epoch {
+            return None;
+        }
+        let (server, status) = self.best(now.saturating_sub(since))?;
+        let term = self.greatest.next(epoch);
+        self.greatest = term;
+        self.step = Step::Promoting {
+            server,
+            term,
+            at_least: status.position,
+            since: now,
+            ordered: None,
+        };
+        self.promote(now)
+    }
+
+    fn promote(&mut self, now: Duration) -> Option<Next> {
+        let Step::Promoting {
+            server,
+            term,
+            at_least,
+            since,
+            ref mut ordered,
+        } = self.step
+        else {
+            return None;
+        };
+        if now >= since + timing::CONFIRM {
+            // It may have taken the term and may yet say so; the next order uses a greater one,
+            // and nobody is told of a term that was not opened.
+            self.statuses.remove(&server);
+            self.step = Step::Choosing {
+                since,
+                from: now + timing::RETRY,
+            };
+            return None;
+        }
+        if ordered.is_some_and(|ordered| now < ordered + timing::RETRY) {
+            return None;
+        }
+        *ordered = Some(now);
+        self.asked = None;
+        Some(Next::Promote {
+            server,
+            term,
+            at_least,
+        })
+    }
+
+    /// The server to promote after `waited`, if it is time.
+    fn best(&self, waited: Duration) -> Option<(ServerKey, Status)> {
+        let patience = self.patience();
+        let replaced = self.service.primary.filter(|_| self.avoids_replaced());
+        let others = |server: &ServerKey| Some(*server) != replaced;
+        let best = self.furthest(others);
+        let all = self.servers.iter().filter(|server| others(server));
+        let all_answered = all.into_iter().all(|s| self.statuses.contains_key(s));
+        let gathered = all_answered || waited >= timing::GATHER;
+        let known = self.complete && self.acknowledged.is_some();
+        match best {
+            Some((_, status)) if self.has_all(status) && (gathered || known) => best,
+            _ if waited < patience => None,
+            // Nobody else has all, or nobody else is there: the replaced primary is taken if
+            // it can be reached and has more.
+            _ => self.furthest(|_| true),
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        match self.reason {
+            Reason::Leaving => timing::CATCH_UP_PLANNED,
+            _ => timing::CATCH_UP,
+        }
+    }
+
+    fn avoids_replaced(&self) -> bool {
+        !matches!(self.reason, Reason::Rival | Reason::Created(_))
+    }
+
+    /// Data decide; among equals, one that stays, then the one that is wanted or leads already.
+    fn furthest(&self, filter: impl Fn(&ServerKey) -> bool) -> Option<(ServerKey, Status)> {
+        let wanted = match self.reason {
+            Reason::Created(first) => Some(first),
+            _ => self.service.primary,
+        };
+        self.statuses
+            .iter()
+            .filter(|(server, _)| filter(server))
+            .max_by_key(|(server, status)| {
+                let is_wanted = Some(**server) == wanted;
+                (status.position, !status.leaving, is_wanted)
+            })
+            .map(|(server, status)| (*server, *status))
+    }
+
+    fn has_all(&self, status: Status) -> bool {
+        let history = self.extended(status.position);
+        let reaches = |wanted| history.covers(status.position, wanted);
+        let planned = self.reason == Reason::Leaving;
+        let written = self.service.primary.and_then(|p| self.statuses.get(&p));
+        let written = written.filter(|_| planned).map(|status| status.position);
+        self.acknowledged.is_none_or(reaches) && written.is_none_or(reaches)
+    }
+
+    fn open(&self, server: ServerKey, term: Term, start: Position) -> Service {
+        let mut service = self.service.clone();
+        service.history = self.extended(start);
+        service.history.open(term, start.log);
+        service.state = State::Open {
+            term,
+            primary: server,
+        };
+        service.primary = Some(server);
+        let created = matches!(self.reason, Reason::Created(_));
+        let lost = self
+            .acknowledged
+            .filter(|p| !service.history.covers(start, *p));
+        if lost.is_some() || !(self.complete || created) {
+            service.losses.insert(Loss {
+                opened: term,
+                start: start.log,
+                acknowledged: lost,
+                complete: self.complete,
+            });
+        }
+        service
+    }
+
+    /// The history, with the term of `last` added where an earlier controller opened it and was
+    /// lost before the row said so.
+    ///
+    /// Where that term began is not known. The start of the term before it is the earliest
+    /// possible, so no lost write passes for a kept one; a kept one may be reported as lost.
+    fn extended(&self, last: Position) -> History {
+        let mut history = self.service.history.clone();
+        let known = history.starts().any(|(term, _)| term == last.term);
+        if !known && last.log > 0 {
+            let before = history.starts().filter(|(term, _)| *term < last.term);
+            let start = before.map(|(_, start)| start).max().unwrap_or(0);
+            history.open(last.term, start);
+        }
+        history
+    }
+}
--- /dev/null
+++ b/crates/core/src/suspicion.rs
@@ -0,0 +1,167 @@
+//! Whether a primary is dead, by what entry hosts report.
+//!
+//! - A *dead or cut-off* primary: hosts of more than one zone cannot reach it, and they are more
+//!   than half of the hosts heard.
+//! - A *slow* one answers, however late: each answer ends the silence that would make it suspect,
+//!   and mere silence has to last longer than refused or broken connections.
+//! - A *flapping* one: after a promotion the next one waits, twice as long each time.
+//! - One *host's own trouble* shows as one host, or one zone, that cannot reach it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::key::{HostKey, ServerKey, ServiceKey, ZoneKey};
+use crate::timing;
+
+/// What one host saw of one server since its last report.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Attempts without an answer: refused, broken or timed out.
+    pub failures: u32,
+    /// Those of them that were refused or broken, which mere slowness does not explain.
+    pub broken: u32,
+    /// Time since the last answer; `None` when there never was one.
+    pub silent: Option<Duration>,
+}
+
+/// Collects reports and judges by them.
+#[derive(Debug, Default)]
+pub struct Judge {
+    servers: BTreeMap<ServerKey, BTreeMap<HostKey, Entry>>,
+    zones: BTreeMap<ZoneKey, Duration>,
+    listed: BTreeSet<ZoneKey>,
+    cooling: BTreeMap<ServiceKey, Cooling>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    zone: ZoneKey,
+    at: Duration,
+    unreachable: bool,
+}
+
+#[derive(Debug)]
+struct Cooling {
+    last: Duration,
+    pause: Duration,
+}
+
+/// What the reports say of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Enough hosts reach it, or too few speak against it.
+    Reachable,
+    /// Hosts of more than one zone, or all of the only zone that is left, cannot reach it.
+    Unreachable,
+}
+
+impl Judge {
+    /// Notes the zones in which the platform's list has hosts. The list lags, so it only says
+    /// whose silence means something.
+    pub fn list(&mut self, zones: BTreeSet<ZoneKey>) {
+        self.listed = zones;
+    }
+
+    /// Takes a report that arrived at `now`.
+    pub fn report(
+        &mut self,
+        host: HostKey,
+        zone: ZoneKey,
+        server: ServerKey,
+        report: Report,
+        now: Duration,
+    ) {
+        let entry = Entry {
+            zone,
+            at: now,
+            unreachable: report.unreachable(),
+        };
+        let hosts = self.servers.entry(server).or_default();
+        hosts.insert(host, entry);
+        hosts.retain(|_, entry| now < entry.at + timing::REPORT);
+    }
+
+    /// Notes that a host of `zone` was heard at `now`, whatever it reports.
+    pub fn heard(&mut self, zone: ZoneKey, now: Duration) {
+        self.zones.insert(zone, now);
+    }
+
+    /// What the reports say of `server` at `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use flamingopost_core::key::ServerKey;
+    /// use flamingopost_core::suspicion::{Judge, Verdict};
+    ///
+    /// let judge = Judge::default();
+    /// let verdict = judge.verdict(ServerKey::default(), Duration::from_secs(1));
+    /// assert_eq!(verdict, Verdict::Reachable);
+    /// ```
+    pub fn verdict(&self, server: ServerKey, now: Duration) -> Verdict {
+        let Some(hosts) = self.servers.get(&server) else {
+            return Verdict::Reachable;
+        };
+        let fresh: Vec<&Entry> = hosts
+            .values()
+            .filter(|entry| now < entry.at + timing::REPORT)
+            .collect();
+        let against: Vec<&Entry> = fresh.iter().filter(|e| e.unreachable).copied().collect();
+        let zones: BTreeSet<ZoneKey> = against.iter().map(|entry| entry.zone).collect();
+        let unreachable = match zones.len() {
+            0 => false,
+            // A zone's own trouble looks the same, so all of it must agree and nobody else be
+            // there to ask.
+            1 => against.len() == fresh.len() && self.is_alone(&zones, now),
+            _ => against.len() * 2 > fresh.len(),
+        };
+        match unreachable {
+            true => Verdict::Unreachable,
+            false => Verdict::Reachable,
+        }
+    }
+
+    /// Whether suspicion may start a promotion of `service` at `now`.
+    pub fn is_cool(&self, service: ServiceKey, now: Duration) -> bool {
+        let cooling = self.cooling.get(&service);
+        cooling.is_none_or(|cooling| now >= cooling.last + cooling.pause)
+    }
+
+    /// Notes that suspicion has led to a promotion of `service` at `now`.
+    pub fn promoted(&mut self, service: ServiceKey, now: Duration) {
+        let earlier = self.cooling.get(&service);
+        let pause = match earlier {
+            Some(earlier) if now < earlier.last + earlier.pause * 4 => earlier.pause * 2,
+            _ => timing::COOL_DOWN,
+        };
+        let cooling = Cooling {
+            last: now,
+            pause: pause.min(timing::COOL_DOWN_MAX),
+        };
+        self.cooling.insert(service, cooling);
+    }
+
+    fn is_alone(&self, zones: &BTreeSet<ZoneKey>, now: Duration) -> bool {
+        let heard_lately = |zone: &ZoneKey| {
+            let heard = self.zones.get(zone);
+            heard.is_some_and(|heard| now < *heard + timing::ONE_ZONE)
+        };
+        let others_heard = self.zones.keys().filter(|zone| !zones.contains(zone));
+        let mut others = others_heard.chain(self.listed.difference(zones));
+        // A listed zone that was never heard may not have been there long: only hosts that were
+        // heard once and fell silent, or that are listed, can still be waited for.
+        !others.any(heard_lately)
+    }
+}
+
+impl Report {
+    fn unreachable(&self) -> bool {
+        if self.failures == 0 {
+            return false;
+        }
+        let limit = match self.broken {
+            0 => timing::SUSPICION_SILENT,
+            _ => timing::SUSPICION,
+        };
+        self.silent.is_none_or(|silent| silent >= limit)
+    }
+}
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -1,7 +1,9 @@
 //! Lease renewal: the heartbeat of an entry host, and what it gets in return.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use flamingopost_core::suspicion;
 use serde::{Deserialize, Serialize};
 
 use crate::view::{Shard, Version};
@@ -93,3 +95,13 @@
     /// This process does not lead the shard, or its authority has run out.
     Refused(Refusal),
 }
+
+impl From<&Report> for suspicion::Report {
+    fn from(report: &Report) -> suspicion::Report {
+        suspicion::Report {
+            failures: report.failures,
+            broken: report.broken,
+            silent: report.silent_ms.map(Duration::from_millis),
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod explanation;
 pub mod knowledge;
 pub mod lease;
+pub mod row;
 pub mod rpc;
 pub mod status;
 pub mod submission;
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -16,11 +16,11 @@
     #[method(name = "renew")]
     async fn renew(&self, renewals: Vec<Renewal>) -> RpcResult<Vec<Reply>>;
 
-    /// Asks a standby for its promise.
+    /// Tells a host that the controller is there; may ask for its promise.
     #[method(name = "promise")]
     async fn promise(&self, ask: Ask) -> RpcResult<Promise>;
 
-    /// Asks a replaced controller to give up.
+    /// Asks a replaced controller to give up, or anybody what it knows of the shard.
     #[method(name = "release")]
     async fn release(&self, release: Release) -> RpcResult<Released>;
 
