--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -37,7 +37,7 @@
 struct Entry {
     zone: ZoneKey,
     at: Duration,
-    unreachable: bool,
+    seen: Report,
 }
 
 #[derive(Debug)]
@@ -71,12 +71,13 @@
         report: Report,
         now: Duration,
     ) {
+        let hosts = self.servers.entry(server).or_default();
+        let earlier = hosts.get(&host).map(|entry| entry.seen);
         let entry = Entry {
             zone,
             at: now,
-            unreachable: report.unreachable(),
+            seen: report.after(earlier),
         };
-        let hosts = self.servers.entry(server).or_default();
         hosts.insert(host, entry);
         hosts.retain(|_, entry| now < entry.at + timing::REPORT);
     }
@@ -105,7 +106,11 @@
             .values()
             .filter(|entry| now < entry.at + timing::REPORT)
             .collect();
-        let against: Vec<&Entry> = fresh.iter().filter(|e| e.unreachable).copied().collect();
+        let against: Vec<&Entry> = fresh
+            .iter()
+            .filter(|e| e.seen.is_unreachable())
+            .copied()
+            .collect();
         let zones: BTreeSet<ZoneKey> = against.iter().map(|entry| entry.zone).collect();
         let unreachable = match zones.len() {
             0 => false,
@@ -154,7 +159,24 @@
 }
 
 impl Report {
-    fn unreachable(&self) -> bool {
+    /// This report with the failures of an earlier one, unless an answer has come since: an
+    /// attempt takes longer to fail than reports are apart.
+    fn after(self, earlier: Option<Report>) -> Report {
+        match earlier {
+            Some(earlier) if !self.has_answer() => Report {
+                failures: self.failures.saturating_add(earlier.failures),
+                broken: self.broken.saturating_add(earlier.broken),
+                silent: self.silent,
+            },
+            _ => self,
+        }
+    }
+
+    fn has_answer(&self) -> bool {
+        self.silent.is_some_and(|silent| silent < timing::SUSPICION)
+    }
+
+    fn is_unreachable(&self) -> bool {
         if self.failures == 0 {
             return false;
         }
