--- a/crates/load/src/check.rs
+++ b/crates/load/src/check.rs
@@ -52,6 +52,7 @@
 /// ```
 pub fn all(history: &History) -> Report {
     let mut report = Report::default();
+    report.examine(history);
     report.ran(Check::ReadYourWrites, own::check(history));
     report.ran(Check::WholeAnswers, answer::check(history));
     report.ran(Check::NoMixedTransactions, mixed::check(history));
--- a/crates/load/src/check/report.rs
+++ b/crates/load/src/check/report.rs
@@ -9,6 +9,9 @@
 use super::Violation;
 use super::linear::Registers;
 use super::lost::Losses;
+use crate::class::Kind;
+use crate::history::{History, Operation};
+use crate::outcome::Outcome;
 
 /// A check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize)]
@@ -30,11 +33,46 @@
     Linearizable,
 }
 
+impl Check {
+    /// Every check.
+    pub const ALL: [Check; 7] = [
+        Check::ReadYourWrites,
+        Check::AtMostOnce,
+        Check::WholeAnswers,
+        Check::NoMixedTransactions,
+        Check::TrueNotRun,
+        Check::NoLostWrites,
+        Check::Linearizable,
+    ];
+
+    /// Whether `operation` can show a violation of this check.
+    fn looks_at(self, operation: &Operation) -> bool {
+        let kind = operation.kind;
+        let outcome = operation.outcome();
+        match self {
+            Check::ReadYourWrites => kind == Kind::Own && outcome == Outcome::Done,
+            Check::AtMostOnce => kind.keyed() && outcome != Outcome::NotRun,
+            Check::WholeAnswers => !kind.writes() && outcome == Outcome::Done,
+            Check::NoMixedTransactions => saw_a_half(operation) || kind == Kind::Transaction,
+            Check::TrueNotRun => kind.keyed() && outcome == Outcome::NotRun,
+            Check::NoLostWrites => kind.keyed() && outcome == Outcome::Done,
+            Check::Linearizable => operation.register.is_some() && outcome == Outcome::Done,
+        }
+    }
+}
+
+fn saw_a_half(operation: &Operation) -> bool {
+    let seen = operation.done().map(|attempt| &attempt.seen);
+    seen.is_some_and(|seen| seen.first > Some(0) || seen.second > Some(0))
+}
+
 /// What the checks found.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Report {
     /// How many violations each check found; a check that did not run is absent.
     pub counts: BTreeMap<Check, usize>,
+    /// How many operations gave each check something to look at; one with none proves nothing.
+    pub examined: BTreeMap<Check, usize>,
     /// Checks that did not run, and why.
     pub skipped: BTreeMap<Check, &'static str>,
     /// All violations.
@@ -58,6 +96,14 @@
         self.violations.extend(violations);
     }
 
+    pub(super) fn examine(&mut self, history: &History) {
+        for check in Check::ALL {
+            let operations = history.operations.iter();
+            let count = operations.filter(|one| check.looks_at(one)).count();
+            self.examined.insert(check, count);
+        }
+    }
+
     pub(super) fn skip(&mut self, check: Check, reason: &'static str) {
         self.skipped.insert(check, reason);
     }
@@ -77,7 +123,11 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (check, count) in &self.counts {
-            writeln!(f, "{check}: {count} violations")?;
+            let examined = self.examined.get(check).copied().unwrap_or_default();
+            writeln!(
+                f,
+                "{check}: {count} violations, {examined} operations examined"
+            )?;
         }
         writeln!(
             f,
--- a/crates/load/src/field.rs
+++ b/crates/load/src/field.rs
@@ -75,7 +75,7 @@
     }
 }
 
-const RECENT: usize = 64;
+const RECENT: usize = 8;
 
 /// The last keys of transactions, for readers to look at while they run.
 #[derive(Debug, Default)]
