--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,87 @@
+//! Settings files: everything wrong with one is told at once, with its line and the fix.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use flamingopost_daemon::log::{Format, Level};
+use flamingopost_daemon::settings::{Reader, What};
+
+const WRONG: &str = "[host]
+name =
+drain = 30
+[listen]
+callers = localhost:6432
+caller = 10.1.0.11:6432
+[limit]
+callers = 5
+[log]
+level = loud
+level = info
+";
+
+fn read(reader: &mut Reader) -> Option<(String, SocketAddr)> {
+    let name = reader.required("host", "name", "dumdum-1");
+    let zone: Option<String> = reader.required("host", "zone", "dumdum");
+    let callers = reader.required("listen", "callers", "10.1.0.11:6432");
+    reader.optional("host", "drain", Duration::from_secs(30));
+    reader.optional("limits", "callers", 20_000_usize);
+    reader.optional("log", "level", Level::Info);
+    reader.optional("log", "format", Format::Text);
+    zone?;
+    Some((name?, callers?))
+}
+
+#[test]
+fn everything_wrong_is_told_at_once() {
+    let mut reader = Reader::parse("entry.ini", WRONG);
+    let decoded = read(&mut reader);
+    let text = reader.finish(decoded).unwrap_err().to_string();
+    let lines: Vec<&str> = text.lines().collect();
+    let wanted = [
+        "entry.ini:11: `level` stands twice in [log]: keep one",
+        "entry.ini:2: `name = ` in [host] is wrong: write text",
+        "entry.ini: [host] lacks `zone`: add for example `zone = dumdum`",
+        "entry.ini:5: `callers = localhost:6432` in [listen] is wrong: \
+         write an IP address and a port, for example 10.1.2.3:6432",
+        "entry.ini:3: `drain = 30` in [host] is wrong: \
+         write a time with its unit, for example 250ms, 3s or 5m",
+        "entry.ini:8: section [limit] is unknown: remove it, or use one of host, limits, listen, log",
+        "entry.ini:6: `caller` is unknown in [listen]: remove it, or use one of callers",
+    ];
+    for line in wanted {
+        assert!(lines.contains(&line), "{line}\nis not in\n{text}");
+    }
+    assert_eq!(lines.len(), wanted.len(), "{text}");
+}
+
+#[test]
+fn what_is_not_ini_is_told_with_its_line() {
+    let mut reader = Reader::parse("entry.ini", "[host]\nname = a\n[oops\n");
+    let decoded = read(&mut reader);
+    let problems = reader.finish(decoded).unwrap_err().0;
+    assert!(matches!(problems[0].what, What::Syntax(_)), "{problems:?}");
+    assert!(problems[0].line >= 3, "{problems:?}");
+}
+
+#[test]
+fn an_absent_file_is_a_problem_of_its_own() {
+    let mut reader = Reader::open(Path::new("no-such-file.ini"));
+    let decoded = read(&mut reader);
+    let problems = reader.finish(decoded).unwrap_err().0;
+    assert!(matches!(problems[0].what, What::Unreadable(_)));
+}
+
+#[test]
+fn lists_and_times_are_read() {
+    let text = "[control]\npeers = 10.1.0.1:1, 10.1.0.2:2\nwait = 5m\nrelay = yes\n";
+    let mut reader = Reader::parse("a.ini", text);
+    let peers: Vec<SocketAddr> = reader.optional("control", "peers", Vec::new());
+    let wait = reader.optional("control", "wait", Duration::ZERO);
+    let relay = reader.optional("control", "relay", false);
+    reader.finish(Some(())).unwrap();
+    assert_eq!(
+        (peers.len(), wait, relay),
+        (2, Duration::from_secs(300), true)
+    );
+}
