--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -346,8 +346,12 @@
     /// The shortest time after which a replica should satisfy `need`, where one should.
     fn catches_up(&self, need: &Need, now: Duration) -> Option<Duration> {
         let wanted = need.position()?;
+        // The leased primary has the position already; waiting for it would never end.
+        let primary = self.primary(now).map(|(server, _)| server);
         self.servers
-            .values()
+            .iter()
+            .filter(|(key, _)| Some(**key) != primary)
+            .map(|(_, server)| server)
             .filter(|server| server.leaving.is_none() && server.is_reachable(now))
             .filter(|server| self.primary_lag(server).is_some())
             .filter_map(|server| server.reaches(wanted, now))
--- a/crates/entry/src/back.rs
+++ b/crates/entry/src/back.rs
@@ -106,7 +106,7 @@
 }
 
 impl Back {
-    /// Connects to `address` and starts a session on database `service`.
+    /// Connects to `address` and starts a session on database `service`, under the name `peer`.
     ///
     /// # Errors
     /// No connection within `limit`, or the server refuses.
@@ -114,16 +114,22 @@
         server: ServerKey,
         address: SocketAddr,
         service: &str,
+        peer: &str,
         limit: Duration,
     ) -> Result<Back, Error> {
-        let attempt = Back::start(server, address, service);
+        let attempt = Back::start(server, address, service, peer);
         match tokio::time::timeout(limit, attempt).await {
             Ok(result) => result,
             Err(_) => Err(Error::Timeout(limit)),
         }
     }
 
-    async fn start(server: ServerKey, address: SocketAddr, service: &str) -> Result<Back, Error> {
+    async fn start(
+        server: ServerKey,
+        address: SocketAddr,
+        service: &str,
+        peer: &str,
+    ) -> Result<Back, Error> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let mut back = Back {
@@ -146,17 +152,17 @@
             input: BytesMut::new(),
             splitter: Splitter::new(MESSAGE_LIMIT),
         };
-        back.send_startup(service).await?;
+        back.send_startup(service, peer).await?;
         back.await_ready().await?;
         Ok(back)
     }
 
-    async fn send_startup(&mut self, service: &str) -> Result<(), Error> {
+    async fn send_startup(&mut self, service: &str, peer: &str) -> Result<(), Error> {
         let mut startup = Startup::new();
         let parameters = &mut startup.parameters;
         parameters.insert("user".to_owned(), USER.to_owned());
         parameters.insert("database".to_owned(), service.to_owned());
-        parameters.insert("application_name".to_owned(), USER.to_owned());
+        parameters.insert("application_name".to_owned(), peer.to_owned());
         let mut bytes = BytesMut::new();
         startup.encode(&mut bytes).map_err(|_| Error::Protocol)?;
         self.send(&bytes).await?;
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use flamingopost_core::key::{ServiceKey, ZoneKey};
+use flamingopost_core::key::ServiceKey;
 use flamingopost_core::rule::Index;
 use flamingopost_core::statement::{Cache, Statement};
 
@@ -11,7 +11,7 @@
 use crate::cancel::Registry;
 use crate::prepared::Catalog;
 use crate::rates::Rates;
-use crate::service::Service;
+use crate::service::{Place, Service};
 use crate::shared::Shared;
 
 /// Query texts whose classification is remembered.
@@ -31,7 +31,7 @@
     pub accounts: Accounts,
     /// Greatest message of a caller, in bytes.
     pub message_limit: usize,
-    zone: ZoneKey,
+    place: Place,
     services: Mutex<BTreeMap<ServiceKey, Arc<Service>>>,
     texts: Mutex<Cache>,
     rules: Mutex<Option<Rules>>,
@@ -47,9 +47,12 @@
 }
 
 impl Context {
-    /// The context of a host in availability zone `zone`.
-    pub fn new(shared: Arc<Shared>, zone: &str, message_limit: usize) -> Context {
-        let zone = shared.intern(|directory| directory.zones.intern(zone));
+    /// The context of `host` in availability zone `zone`.
+    pub fn new(shared: Arc<Shared>, host: &str, zone: &str, message_limit: usize) -> Context {
+        let place = Place {
+            zone: shared.intern(|directory| directory.zones.intern(zone)),
+            peer: Arc::from(format!("{zone}/{host}")),
+        };
         Context {
             shared,
             cancels: Arc::default(),
@@ -57,7 +60,7 @@
             rates: Rates::default(),
             accounts: Accounts::default(),
             message_limit,
-            zone,
+            place,
             services: Mutex::default(),
             texts: Mutex::new(Cache::new(CACHED_TEXTS)),
             rules: Mutex::default(),
@@ -71,7 +74,7 @@
             let directory = self.shared.directory();
             let name = directory.services.name(key).unwrap_or_default().to_owned();
             let shared = Arc::clone(&self.shared);
-            Arc::new(Service::new(key, name, self.zone, shared))
+            Arc::new(Service::new(key, name, self.place.clone(), shared))
         });
         Arc::clone(service)
     }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -30,6 +30,7 @@
     server: ServerKey,
     address: SocketAddr,
     service: String,
+    peer: Arc<str>,
     allotment: Arc<dyn Allotment>,
     state: Mutex<State>,
 }
@@ -77,17 +78,19 @@
 }
 
 impl Pool {
-    /// An empty pool of connections to `server` for database `service`.
+    /// An empty pool of connections to `server` for database `service`, as `peer`.
     pub fn new(
         server: ServerKey,
         address: SocketAddr,
         service: String,
+        peer: Arc<str>,
         allotment: Arc<dyn Allotment>,
     ) -> Pool {
         Pool {
             server,
             address,
             service,
+            peer,
             allotment,
             state: Mutex::default(),
         }
@@ -148,7 +151,7 @@
             filled: false,
         };
         let limit = CONNECT_LIMIT.min(wait.max(Duration::from_millis(1)));
-        let back = Back::connect(self.server, self.address, &self.service, limit).await;
+        let back = Back::connect(self.server, self.address, &self.service, &self.peer, limit).await;
         match back {
             Ok(back) => Ok(slot.fill(back)),
             Err(error) => Err(Error::Connect(error)),
--- a/crates/entry/src/seek.rs
+++ b/crates/entry/src/seek.rs
@@ -80,10 +80,12 @@
                 treatment.max_age,
                 table.history(),
             )?;
-            let left = treatment.deadline.saturating_sub(now);
+            // Counted from the arrival: a share of what is left would never be used up.
+            let allowed = treatment.deadline.saturating_sub(treatment.arrived);
+            let patient = treatment.arrived + allowed / PATIENCE_SHARE;
             let ask = Ask {
                 need,
-                patience: left / PATIENCE_SHARE,
+                patience: patient.saturating_sub(now),
                 dice: rand::random(),
             };
             Ok((need, table.read(&ask, now)))
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -33,6 +33,15 @@
     pub gate: Arc<Gate>,
 }
 
+/// Where this host is.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Its availability zone.
+    pub zone: ZoneKey,
+    /// What it calls itself towards servers: `ZONE/HOST`.
+    pub peer: Arc<str>,
+}
+
 /// One service.
 pub struct Service {
     /// Its key.
@@ -40,7 +49,7 @@
     /// Its name, the database name on its servers.
     pub name: String,
     shared: Arc<Shared>,
-    zone: ZoneKey,
+    place: Place,
     state: Mutex<State>,
     /// When a caller last asked something, in milliseconds of the clock.
     used: AtomicU64,
@@ -69,10 +78,10 @@
 }
 
 impl Service {
-    /// A service of which nothing is known yet, seen from `zone`.
-    pub fn new(key: ServiceKey, name: String, zone: ZoneKey, shared: Arc<Shared>) -> Service {
+    /// A service of which nothing is known yet, seen from `place`.
+    pub fn new(key: ServiceKey, name: String, place: Place, shared: Arc<Shared>) -> Service {
         let state = State {
-            table: Table::new(zone),
+            table: Table::new(place.zone),
             ways: BTreeMap::new(),
             synced: None,
             retries: Budget::retries(),
@@ -82,7 +91,7 @@
             key,
             name,
             shared,
-            zone,
+            place,
             state: Mutex::new(state),
             used: AtomicU64::new(0),
         }
@@ -273,7 +282,7 @@
     }
 
     fn facts(&self, server: &Server) -> Facts {
-        let near = server.zone == self.zone;
+        let near = server.zone == self.place.zone;
         Facts {
             zone: server.zone,
             slots: server.slots,
@@ -284,7 +293,9 @@
 
     fn open_way(&self, key: ServerKey, server: &Server) -> Way {
         let allotment: Arc<dyn Allotment> = Arc::clone(&self.shared) as _;
-        let pool = Pool::new(key, server.address, self.name.clone(), allotment);
+        let name = self.name.clone();
+        let peer = Arc::clone(&self.place.peer);
+        let pool = Pool::new(key, server.address, name, peer, allotment);
         let clock = Arc::clone(self.shared.clock());
         Way {
             pool: Arc::new(pool),
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use flamingopost_core::history::Verdict as Kept;
 use flamingopost_core::invariant::{self, Invariant};
 use flamingopost_core::lease::Acknowledge;
 use flamingopost_core::position::Position;
@@ -202,6 +203,11 @@
         let Some(position) = position else {
             return unknown;
         };
+        if position.term < term && self.is_kept(position) && self.service.leads_under_lease(term) {
+            // Nothing was written in this term yet, so neither did this statement: an update of
+            // no rows, for example. There is no position to acknowledge.
+            return Verdict::Pass;
+        }
         match shared.acknowledge(self.service.key, term, position) {
             Acknowledge::Done => {}
             Acknowledge::Unknown => {
@@ -229,7 +235,7 @@
         sent: Duration,
     ) -> Verdict {
         if self.service.leads_under_lease(term) {
-            let Some(position) = position.filter(|position| position.term == term) else {
+            let Some(position) = position.filter(|position| self.is_kept(*position)) else {
                 return Verdict::Pass;
             };
             return if self.writes.saw_primary(position, sent) {
@@ -278,6 +284,12 @@
         Verdict::Pass
     }
 
+    /// Whether `position` is part of the service's log as this host knows it.
+    fn is_kept(&self, position: Position) -> bool {
+        let service = &self.service;
+        service.with_table(|table, _| table.history().judge(position)) == Kept::Kept
+    }
+
     fn reached(&self, position: Option<Position>, wanted: Position) -> bool {
         position.is_some_and(|position| self.service.covers(position, wanted))
     }
