control: shards as actors, configuration spread, operators' HTTP

Cause: the core's machines had no daemon: no shard was claimed, no lease granted, no configuration accepted. Change: flamingopost-control. One actor a shard drives leadership::Controller; one read of the fleet's rows serves all shards and the configuration; renewals bring allotments from budget shares; submissions, history, drains, status and planned promotions over HTTP behind the token; versions spread by the platform, by every message and by asking three peers a second; platform requests are counted and bounded per process. A change of the number of shards is refused: two controllers would believe that a service is theirs. Conclusion: the path from an empty platform to an open service and over a primary's death runs in two tests through control processes, stand-in platform, stand-in servers.

--- /dev/null
+++ b/crates/control/src/fleet_status.rs
@@ -0,0 +1,101 @@
+//! The state of the whole fleet, gathered from the controllers of all shards.
+
+use std::collections::BTreeMap;
+
+use flamingopost_wire::rpc::ControlClient as _;
+use flamingopost_wire::status::{Host, Ordered, Status};
+use futures::future::join_all;
+
+use crate::shard;
+use crate::shards::Shards;
+use crate::shared::Shared;
+
+/// What the controllers of all shards say together. Shards whose controller does not answer are
+/// missing from it.
+pub async fn gather(shared: &Shared, shards: &Shards) -> Status {
+    let mut status = local(shards).await;
+    let own = &shared.process().rpc;
+    let mut others: Vec<String> = shared
+        .controllers()
+        .into_values()
+        .map(|controller| controller.rpc)
+        .filter(|rpc| rpc != own)
+        .collect();
+    others.sort();
+    others.dedup();
+    let answers = others.iter().map(|rpc| remote(shared, rpc));
+    for answer in join_all(answers).await.into_iter().flatten() {
+        merge(&mut status, answer);
+    }
+    sort(&mut status);
+    status
+}
+
+/// What this process says of the shards that it leads.
+pub async fn local(shards: &Shards) -> Status {
+    let mut status = Status::default();
+    for actor in shards.all() {
+        if let Ok(Some(report)) = actor.send(shard::Report).await {
+            merge(&mut status, report);
+        }
+    }
+    status
+}
+
+/// Orders a planned promotion where `service` is led; `None` where nobody answers.
+pub async fn order(shared: &Shared, shards: &Shards, service: &str) -> Option<Ordered> {
+    let number = shard_of(shared, service)?;
+    if let Some(actor) = shards.get(number)
+        && let Ok(ordered) = actor.send(shard::Order(service.to_owned())).await
+        && ordered != Ordered::NoSuchService
+    {
+        return Some(ordered);
+    }
+    let controller = shared.controllers().remove(&number)?;
+    if controller.rpc == shared.process().rpc {
+        return None;
+    }
+    let client = shared.links().get(&controller.rpc).ok()?;
+    client.order(service.to_owned()).await.ok()
+}
+
+/// The shard of `service`, where the configuration has such a service.
+pub fn shard_of(shared: &Shared, service: &str) -> Option<u16> {
+    let key = shared.directory().services.find(service)?;
+    let config = shared.config()?;
+    Some(config.fleet.services.get(&key)?.shard)
+}
+
+async fn remote(shared: &Shared, rpc: &str) -> Option<Status> {
+    let client = shared.links().get(rpc).ok()?;
+    client.status().await.ok()
+}
+
+fn merge(status: &mut Status, other: Status) {
+    status.services.extend(other.services);
+    status.controllers.extend(other.controllers);
+    status.hosts.extend(other.hosts);
+}
+
+/// One line a host: it has a lease of each shard, and the weakest counts.
+fn sort(status: &mut Status) {
+    let mut hosts: BTreeMap<(String, u64), Host> = BTreeMap::new();
+    for host in status.hosts.drain(..) {
+        let key = (host.host.clone(), host.incarnation);
+        match hosts.get_mut(&key) {
+            None => {
+                hosts.insert(key, host);
+            }
+            Some(known) => {
+                known.lease_left_ms = known.lease_left_ms.min(host.lease_left_ms);
+                known.connections += host.connections;
+                known.config = known.config.max(host.config);
+            }
+        }
+    }
+    status.hosts = hosts.into_values().collect();
+    status.services.sort_by(|a, b| a.service.cmp(&b.service));
+    status
+        .controllers
+        .sort_by_key(|controller| controller.shard);
+}
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,73 @@
+//! `flamingopost-control`: the control process of one host.
+
+mod flags;
+
+use std::process::ExitCode;
+
+use flags::FlamingopostControl;
+use flamingopost_control::settings::Settings;
+use flamingopost_daemon::event::{Daemon, Event as _};
+use flamingopost_daemon::stop::Stop;
+
+const NAME: &str = "flamingopost-control";
+const VERSION: &str = env!("CARGO_PKG_VERSION");
+
+/// The settings are wrong.
+const BAD_SETTINGS: u8 = 2;
+/// The process could not start or go on.
+const FAILED: u8 = 1;
+
+fn main() -> ExitCode {
+    let flags = FlamingopostControl::from_env_or_exit();
+    match Settings::load(&flags.settings) {
+        Ok(_) if flags.check => ExitCode::SUCCESS,
+        Ok(settings) => run(settings),
+        Err(problems) => {
+            eprintln!("{problems}");
+            ExitCode::from(BAD_SETTINGS)
+        }
+    }
+}
+
+fn run(settings: Settings) -> ExitCode {
+    // Without a logger the process is no less useful, and there is nowhere to say so.
+    let _ = flamingopost_daemon::log::start(settings.log.level, settings.log.format);
+    flamingopost_daemon::metrics::start();
+    let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    Daemon::Started {
+        daemon: NAME,
+        version: VERSION,
+        host,
+        zone,
+    }
+    .log();
+    let ended = actix_rt::System::new().block_on(work(settings));
+    match ended {
+        Ok(()) => {
+            Daemon::Stopped { daemon: NAME }.log();
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            let error = error.to_string();
+            Daemon::Failed {
+                daemon: NAME,
+                error,
+            }
+            .log();
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+async fn work(settings: Settings) -> Result<(), flamingopost_control::error::Error> {
+    let stop = Stop::default();
+    actix_rt::spawn(stop.clone().on_signals());
+    let draining = stop.clone();
+    actix_rt::spawn(async move {
+        draining.draining().await;
+        // A control process serves nobody whose work it would cut off.
+        Daemon::Draining { daemon: NAME }.log();
+        draining.stop();
+    });
+    flamingopost_control::run(settings, stop).await
+}
--- /dev/null
+++ b/crates/control/src/operators.rs
@@ -0,0 +1,308 @@
+//! Operators' HTTP under `/v1`: configuration, history, status, drains, planned promotions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::web::{self, Data, Json, Path, ServiceConfig};
+use actix_web::{HttpResponse, Responder};
+use flamingopost_core::config;
+use flamingopost_core::digest::Digest;
+use flamingopost_core::directory::Directory;
+use flamingopost_core::fleet::Fleet;
+use flamingopost_core::submission::{Outcome, Record};
+use flamingopost_daemon::event::Event as _;
+use flamingopost_platform::head::{self, HEAD, Head};
+use flamingopost_platform::table::Table as _;
+use flamingopost_wire::status::Ordered;
+use flamingopost_wire::submission::{self as wire, Stored};
+use serde::{Deserialize, Serialize};
+
+use crate::drain;
+use crate::event::Event as Log;
+use crate::fleet_status;
+use crate::shards::Shards;
+use crate::shared::Shared;
+use crate::spread::{self, Handle};
+use crate::submit;
+
+/// What problems call the submitted text.
+const FILE: &str = "configuration";
+
+/// What the routes need.
+#[derive(Clone)]
+pub struct Operators {
+    /// The process's shared state.
+    pub shared: Arc<Shared>,
+    /// The process's shards.
+    pub shards: Shards,
+    /// Where accepted versions are told at once.
+    pub spread: Handle,
+}
+
+/// Why something other than a submission was not done.
+#[derive(Debug, Serialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+enum Failure {
+    /// There is no such thing.
+    NotFound,
+    /// The service's state does not allow it now.
+    Refused { reason: Ordered },
+    /// The platform, or the controller, cannot be reached; nothing was done.
+    Unavailable,
+    /// The platform gave no answer; it may have been done.
+    Unknown,
+}
+
+/// Adds the routes.
+pub fn routes(operators: Operators) -> impl Fn(&mut ServiceConfig) + Clone + Send + 'static {
+    move |config: &mut ServiceConfig| {
+        config
+            .app_data(Data::new(operators.clone()))
+            .route("/config", web::get().to(newest))
+            .route("/config", web::post().to(post))
+            .route("/config/{version}", web::get().to(version))
+            .route("/history", web::get().to(history))
+            .route("/status", web::get().to(status))
+            .route("/drain", web::post().to(drain))
+            .route("/drain", web::delete().to(undrain))
+            .route("/promote", web::post().to(promote));
+    }
+}
+
+async fn newest(operators: Data<Operators>) -> HttpResponse {
+    let shared = &operators.shared;
+    match shared.platform().read(HEAD).await {
+        Ok(Some(row)) => match Head::decode(&row.body) {
+            Ok(head) => with_body(shared, head).await,
+            Err(_) => unavailable(),
+        },
+        Ok(None) => fail(Failure::NotFound),
+        // With the platform gone, what is in force here is the newest that can be had.
+        Err(_) => in_force(shared),
+    }
+}
+
+async fn version(operators: Data<Operators>, version: Path<u64>) -> HttpResponse {
+    let shared = &operators.shared;
+    let key = head::history_key(*version);
+    match shared.platform().read(&key).await {
+        Ok(Some(row)) => match Head::decode(&row.body) {
+            Ok(head) => with_body(shared, head).await,
+            Err(_) => unavailable(),
+        },
+        Ok(None) => fail(Failure::NotFound),
+        Err(_) => match shared.config() {
+            Some(config) if config.version == *version => in_force(shared),
+            _ => unavailable(),
+        },
+    }
+}
+
+async fn with_body(shared: &Shared, head: Head) -> HttpResponse {
+    let Ok(digest) = head.digest.parse() else {
+        return unavailable();
+    };
+    let body = match shared.config() {
+        Some(config) if config.digest == digest => Some(config.body.to_string()),
+        _ => fetch(shared, digest).await,
+    };
+    match body {
+        None => unavailable(),
+        Some(body) => HttpResponse::Ok().json(Stored {
+            version: head.version,
+            digest: head.digest,
+            body,
+            submitted_by: head.operator,
+            submission: head.submission,
+        }),
+    }
+}
+
+async fn fetch(shared: &Shared, digest: Digest) -> Option<String> {
+    let body = head::fetch(shared.platform(), digest).await.ok()??;
+    let whole = Digest::of(&body) == digest;
+    whole.then(|| String::from_utf8(body).ok()).flatten()
+}
+
+fn in_force(shared: &Shared) -> HttpResponse {
+    match shared.config() {
+        None => unavailable(),
+        Some(config) => HttpResponse::Ok().json(Stored {
+            version: config.version,
+            digest: config.digest.to_string(),
+            body: config.body.to_string(),
+            submitted_by: String::new(),
+            submission: String::new(),
+        }),
+    }
+}
+
+async fn history(operators: Data<Operators>) -> HttpResponse {
+    let shared = &operators.shared;
+    let newest = match shared.platform().read(HEAD).await {
+        Ok(Some(row)) => Head::decode(&row.body).map_or(0, |head| head.version),
+        Ok(None) => 0,
+        Err(_) => return unavailable(),
+    };
+    let mut entries = BTreeMap::new();
+    // The page of the newest version and the one before it: at least a hundred versions, where
+    // there are as many, in two reads however long the history is.
+    let pages = [newest.saturating_sub(100), newest].map(head::history_page);
+    for page in pages {
+        let Ok(rows) = shared.platform().list(&page).await else {
+            return unavailable();
+        };
+        let heads = rows.iter().filter_map(|row| Head::decode(&row.body).ok());
+        entries.extend(heads.map(|head| (head.version, listed(head))));
+    }
+    let newest_first: Vec<wire::Record> = entries.into_values().rev().collect();
+    HttpResponse::Ok().json(newest_first)
+}
+
+async fn post(operators: Data<Operators>, submission: Json<wire::Submission>) -> HttpResponse {
+    let submission = submission.into_inner();
+    let shared = &operators.shared;
+    let problems = problems(shared, &submission.body);
+    if !problems.is_empty() {
+        return refuse(wire::Refused::Invalid { problems });
+    }
+    let record = Record {
+        version: submission.base + 1,
+        digest: Digest::of(submission.body.as_bytes()),
+        submission: submission.submission,
+        operator: submission.operator,
+    };
+    let body = &submission.body;
+    let outcome = submit::run(shared.platform(), shared.clock(), record.clone(), body).await;
+    Log::Submitted {
+        operator: record.operator.clone(),
+        version: record.version,
+        outcome: format!("{outcome:?}"),
+    }
+    .log();
+    if outcome == Outcome::Accepted {
+        // In force here at once; every other process hears of it by its next message.
+        let head = Head::new(&record, Duration::ZERO);
+        operators.spread.tell(spread::Event::Head(Some(head)));
+    }
+    answer(outcome, record.version)
+}
+
+/// Everything that speaks against `body`. It is parsed with a directory of its own: the names of
+/// a refused configuration are not kept.
+fn problems(shared: &Shared, body: &str) -> Vec<wire::Problem> {
+    match config::parse(FILE, body, &mut Directory::default()) {
+        Err(report) => wire::Problem::all(&report),
+        Ok(fleet) => moved_shards(shared, &fleet, body).into_iter().collect(),
+    }
+}
+
+/// Another number of shards gives services to other controllers. For a while the old and the new
+/// one would both believe that a service is theirs, and could open two terms of it.
+fn moved_shards(shared: &Shared, fleet: &Fleet, body: &str) -> Option<wire::Problem> {
+    let current = shared.config()?.fleet.shards;
+    if fleet.shards == current {
+        return None;
+    }
+    let line = body.lines().position(|line| {
+        let key = line.split('=').next().unwrap_or_default();
+        key.trim() == "shards"
+    });
+    Some(wire::Problem {
+        file: FILE.to_owned(),
+        line: line.map_or(1, |index| index + 1),
+        what: format!("the number of shards cannot be changed from {current}"),
+        fix: format!("write `shards = {current}`"),
+    })
+}
+
+fn answer(outcome: Outcome, version: u64) -> HttpResponse {
+    match outcome {
+        Outcome::Accepted => HttpResponse::Ok().json(wire::Accepted { version }),
+        Outcome::Conflict(winner) => refuse(wire::Refused::Conflict {
+            winner: wire::Winner {
+                version: winner.version,
+                operator: winner.operator,
+                submission: winner.submission,
+            },
+        }),
+        Outcome::NoSuchBase { newest } => refuse(wire::Refused::Invalid {
+            problems: vec![wire::Problem {
+                file: FILE.to_owned(),
+                line: 0,
+                what: format!("there is no version {} to start from", version - 1),
+                fix: format!("start from version {newest}, the newest"),
+            }],
+        }),
+        Outcome::Unavailable => refuse(wire::Refused::Unavailable),
+        Outcome::Unknown => refuse(wire::Refused::Unknown),
+    }
+}
+
+fn refuse(refused: wire::Refused) -> HttpResponse {
+    let mut response = match &refused {
+        wire::Refused::Conflict { .. } => HttpResponse::Conflict(),
+        wire::Refused::Invalid { .. } => HttpResponse::UnprocessableEntity(),
+        wire::Refused::Unavailable | wire::Refused::Unknown => HttpResponse::ServiceUnavailable(),
+    };
+    response.json(refused)
+}
+
+async fn status(operators: Data<Operators>) -> impl Responder {
+    Json(fleet_status::gather(&operators.shared, &operators.shards).await)
+}
+
+async fn drain(operators: Data<Operators>, order: Json<wire::Drain>) -> HttpResponse {
+    drained(&operators, &order, drain::Wish::Drain).await
+}
+
+async fn undrain(operators: Data<Operators>, order: Json<wire::Drain>) -> HttpResponse {
+    drained(&operators, &order, drain::Wish::Undo).await
+}
+
+async fn drained(operators: &Operators, order: &wire::Drain, wish: drain::Wish) -> HttpResponse {
+    match drain::run(&operators.shared, order, wish).await {
+        Ok(drain) => HttpResponse::Ok().json(drain),
+        Err(drain::Error::NoSuchName) => fail(Failure::NotFound),
+        Err(drain::Error::Unavailable) => fail(Failure::Unavailable),
+        Err(drain::Error::Unknown) => fail(Failure::Unknown),
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Promote {
+    service: String,
+}
+
+async fn promote(operators: Data<Operators>, order: Json<Promote>) -> HttpResponse {
+    match fleet_status::order(&operators.shared, &operators.shards, &order.service).await {
+        Some(Ordered::Begun) => HttpResponse::Accepted().json(Ordered::Begun),
+        Some(Ordered::NoSuchService) => fail(Failure::NotFound),
+        Some(reason) => fail(Failure::Refused { reason }),
+        None => unavailable(),
+    }
+}
+
+fn unavailable() -> HttpResponse {
+    fail(Failure::Unavailable)
+}
+
+fn fail(failure: Failure) -> HttpResponse {
+    let mut response = match &failure {
+        Failure::Refused { .. } => HttpResponse::Conflict(),
+        Failure::Unavailable | Failure::Unknown => HttpResponse::ServiceUnavailable(),
+        Failure::NotFound => HttpResponse::NotFound(),
+    };
+    response.json(failure)
+}
+
+fn listed(head: Head) -> wire::Record {
+    wire::Record {
+        version: head.version,
+        digest: head.digest,
+        submission: head.submission,
+        operator: head.operator,
+        at: Some(head.at_ms / 1_000),
+    }
+}
--- /dev/null
+++ b/crates/control/src/peer.rs
@@ -0,0 +1,113 @@
+//! Other processes: their addresses and connections to them.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use flamingopost_wire::knowledge::Process;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+
+/// How long a call to another process may take.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Connections kept at most; a fleet's entry hosts and some.
+const KEPT: usize = 1_024;
+
+/// Connections to other processes, by the address of their remote calls.
+#[derive(Debug, Default)]
+pub struct Links {
+    clients: Mutex<BTreeMap<String, HttpClient>>,
+}
+
+impl Links {
+    /// A client for the process at `address`; nothing is sent yet.
+    ///
+    /// # Errors
+    /// The address is not one that can be connected to.
+    pub fn get(&self, address: &str) -> Result<HttpClient, ClientError> {
+        let mut clients = lock(&self.clients);
+        if let Some(client) = clients.get(address) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(CALL_TIMEOUT)
+            .build(format!("http://{address}"))?;
+        // Hosts are replaced by the hundred a day; their addresses would pile up.
+        if clients.len() >= KEPT {
+            clients.clear();
+        }
+        clients.insert(address.to_owned(), client.clone());
+        Ok(client)
+    }
+}
+
+/// Control processes that this one knows, by the address of their remote calls.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: Mutex<BTreeMap<String, Peer>>,
+}
+
+/// What is known of a control process.
+#[derive(Debug, Clone, Default)]
+pub struct Peer {
+    /// Its host, where a row or another process told it.
+    pub host: Option<String>,
+    /// Who it says it is; absent until it has answered.
+    pub process: Option<Process>,
+    /// When it last answered.
+    pub heard: Option<Duration>,
+}
+
+impl Peers {
+    /// Makes `address` known.
+    pub fn add(&self, address: &str) {
+        lock(&self.known).entry(address.to_owned()).or_default();
+    }
+
+    /// The process at `address` has answered at `now`.
+    pub fn answered(&self, address: &str, process: Option<Process>, now: Duration) {
+        let peer = Peer {
+            host: process.as_ref().map(|process| process.host.clone()),
+            process,
+            heard: Some(now),
+        };
+        lock(&self.known).insert(address.to_owned(), peer);
+    }
+
+    /// Somebody told that `host` is reached at `address`.
+    pub fn told(&self, host: &str, address: &str) {
+        let mut known = lock(&self.known);
+        let peer = known.entry(address.to_owned()).or_default();
+        peer.host.get_or_insert_with(|| host.to_owned());
+    }
+
+    /// Where `host` is reached: the address that answered last, else one that somebody told.
+    pub fn rpc_of(&self, host: &str) -> Option<String> {
+        let known = lock(&self.known);
+        let of_host = known
+            .iter()
+            .filter(|(_, peer)| peer.host.as_deref() == Some(host));
+        let latest = of_host.max_by_key(|(_, peer)| peer.heard);
+        latest.map(|(address, _)| address.clone())
+    }
+
+    /// All that are known.
+    pub fn all(&self) -> BTreeMap<String, Peer> {
+        lock(&self.known).clone()
+    }
+
+    /// Those that have answered since `since`.
+    pub fn heard_since(&self, since: Duration) -> Vec<Process> {
+        let known = lock(&self.known);
+        known
+            .values()
+            .filter(|peer| peer.heard.is_some_and(|heard| heard >= since))
+            .filter_map(|peer| peer.process.clone())
+            .collect()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/control/src/row.rs
@@ -0,0 +1,73 @@
+//! A shard's row in the table service: what the core keeps, and where its hosts are reached.
+
+use std::collections::BTreeMap;
+
+use flamingopost_core::row;
+use flamingopost_wire::row::{Error, Row};
+use serde::{Deserialize, Serialize};
+
+use crate::shared::Shared;
+
+/// The body of a shard's row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stored {
+    /// Authority and state of services.
+    #[serde(flatten)]
+    pub row: Row,
+    /// Address of the controller's remote calls.
+    pub rpc: String,
+    /// Addresses of the standbys' remote calls, by host, where known.
+    #[serde(default)]
+    pub addresses: BTreeMap<String, String>,
+}
+
+/// Why a row cannot be read.
+#[derive(Debug, displaydoc::Display)]
+pub enum ReadError {
+    /// {0}
+    Json(serde_json::Error),
+    /// {0}
+    Row(Error),
+}
+
+impl std::error::Error for ReadError {}
+
+/// Key of the row of `shard`.
+pub fn key(shard: u16) -> String {
+    format!("fleet/shard-{shard}")
+}
+
+/// The body for `row`.
+///
+/// # Errors
+/// A key without a name.
+pub fn encode(row: &row::Row, shared: &Shared) -> Result<String, Error> {
+    let row = Row::encode(row, &shared.directory())?;
+    let rpc = shared.rpc_of(&row.controller).unwrap_or_default();
+    let named = row.standbys.iter();
+    let addresses = named
+        .filter_map(|host| Some((host.clone(), shared.rpc_of(host)?)))
+        .collect();
+    let stored = Stored {
+        row,
+        rpc,
+        addresses,
+    };
+    // A struct of numbers, strings and maps by string always has a JSON form.
+    Ok(serde_json::to_string(&stored).unwrap_or_default())
+}
+
+/// Reads a body and learns the addresses in it.
+///
+/// # Errors
+/// It is no row.
+pub fn decode(shard: u16, body: &str, shared: &Shared) -> Result<row::Row, ReadError> {
+    let stored: Stored = serde_json::from_str(body).map_err(ReadError::Json)?;
+    let decoded = shared.intern(|directory| stored.row.decode(directory));
+    let decoded = decoded.map_err(ReadError::Row)?;
+    shared.lead(shard, stored.row.epoch, &stored.row.controller, &stored.rpc);
+    for (host, rpc) in &stored.addresses {
+        shared.learn_host(host, rpc);
+    }
+    Ok(decoded)
+}
--- /dev/null
+++ b/crates/control/src/servers.rs
@@ -0,0 +1,161 @@
+//! Connections to backend servers: one each, kept while this process controls their shard.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use flamingopost_core::key::ServerKey;
+use flamingopost_core::position::Position;
+use flamingopost_core::promotion::Order;
+use flamingopost_core::term::Term;
+use flamingopost_platform::group::{Client, Error, Status};
+
+/// Connections that a controller and its successor may have to one server at the same time;
+/// hosts share the rest of the server's limit.
+pub const RESERVED: u16 = 2;
+
+/// Where a server is and which group it belongs to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Address {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The service whose group it belongs to.
+    pub service: String,
+}
+
+/// Connections by server.
+#[derive(Debug)]
+pub struct Servers {
+    links: Mutex<BTreeMap<ServerKey, Arc<Link>>>,
+    /// Who this process is to servers, `ZONE/HOST`.
+    name: Arc<str>,
+}
+
+#[derive(Debug)]
+struct Link {
+    name: Arc<str>,
+    address: Address,
+    timeout: Duration,
+    client: tokio::sync::Mutex<Option<Client>>,
+}
+
+impl Servers {
+    /// No servers yet; `name` says who connects, `ZONE/HOST`.
+    pub fn new(name: &str) -> Servers {
+        Servers {
+            links: Mutex::default(),
+            name: name.into(),
+        }
+    }
+
+    /// Sets the servers there are; connections to others, or to earlier addresses, are closed.
+    pub fn configure(&self, servers: &BTreeMap<ServerKey, Address>, timeout: Duration) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|key, link| servers.get(key) == Some(&link.address));
+        for (key, address) in servers {
+            links.entry(*key).or_insert_with(|| {
+                Arc::new(Link {
+                    name: self.name.clone(),
+                    address: address.clone(),
+                    timeout,
+                    client: tokio::sync::Mutex::new(None),
+                })
+            });
+        }
+    }
+
+    /// Closes all connections: another process controls the shard now.
+    pub fn close(&self) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        for link in links.values_mut() {
+            *link = Arc::new(Link {
+                name: self.name.clone(),
+                address: link.address.clone(),
+                timeout: link.timeout,
+                client: tokio::sync::Mutex::new(None),
+            });
+        }
+    }
+
+    /// Asks a server about itself; `None` where it does not answer, or is still being asked.
+    pub async fn status(&self, server: ServerKey) -> Option<Status> {
+        let link = self.link(server)?;
+        // A paused server holds each question until its timeout; more would pile up behind it.
+        let mut client = link.client.try_lock().ok()?;
+        let connected = link.connected(&mut client).await.ok()?;
+        match connected.status().await {
+            Ok(status) => Some(status),
+            Err(_) => {
+                *client = None;
+                None
+            }
+        }
+    }
+
+    /// Promotes a server.
+    pub async fn promote(&self, server: ServerKey, term: Term, at_least: Position) -> Order {
+        let Some(link) = self.link(server) else {
+            return Order::Refused;
+        };
+        let mut client = link.client.lock().await;
+        let Ok(connected) = link.connected(&mut client).await else {
+            return Order::Unknown;
+        };
+        let ordered = connected.promote(term, Some(at_least)).await;
+        forget_broken(&mut client, &ordered);
+        match ordered {
+            Ok(()) => Order::Done,
+            Err(Error::Refused(_)) => Order::Refused,
+            Err(_) => Order::Unknown,
+        }
+    }
+
+    /// Lets a server follow another. A lost order is repeated after the server's next status.
+    pub async fn follow(&self, server: ServerKey, primary: ServerKey, term: Term) {
+        let (Some(link), Some(leader)) = (self.link(server), self.link(primary)) else {
+            return;
+        };
+        let mut client = link.client.lock().await;
+        let Ok(connected) = link.connected(&mut client).await else {
+            return;
+        };
+        let ordered = connected.follow(leader.address.address, term).await;
+        forget_broken(&mut client, &ordered);
+    }
+
+    /// The servers that are known.
+    pub fn known(&self) -> BTreeSet<ServerKey> {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.keys().copied().collect()
+    }
+
+    fn link(&self, server: ServerKey) -> Option<Arc<Link>> {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.get(&server).cloned()
+    }
+}
+
+impl Link {
+    async fn connected<'a>(&self, client: &'a mut Option<Client>) -> Result<&'a Client, Error> {
+        if client.as_ref().is_some_and(Client::is_closed) {
+            *client = None;
+        }
+        let connected = match client.take() {
+            Some(connected) => connected,
+            None => {
+                let Address { address, service } = &self.address;
+                Client::connect(*address, service, &self.name, self.timeout).await?
+            }
+        };
+        Ok(client.insert(connected))
+    }
+}
+
+/// After a timeout the answer to the old order may still come, and must not be read as that to
+/// the next.
+fn forget_broken(client: &mut Option<Client>, ordered: &Result<(), Error>) {
+    if matches!(ordered, Err(error) if !matches!(error, Error::Refused(_))) {
+        *client = None;
+    }
+}
--- /dev/null
+++ b/crates/control/src/shard_effect.rs
@@ -0,0 +1,329 @@
+//! What the controller of a shard does to the world, and how the outcomes come back.
+
+use std::time::Duration;
+
+use actix::fut::ActorFutureExt as _;
+use actix::{AsyncContext as _, Context, WrapFuture as _};
+use flamingopost_core::authority;
+use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::leadership::Action;
+use flamingopost_core::lease::Instance;
+use flamingopost_core::position::Position;
+use flamingopost_core::promotion::{Order, Status};
+use flamingopost_core::row::{Row, Written};
+use flamingopost_core::term::Term;
+use flamingopost_core::view::Version;
+use flamingopost_daemon::event::Event as _;
+use flamingopost_platform::error::{Effect, Error};
+use flamingopost_platform::group;
+use flamingopost_platform::table::{Change, Guard, Outcome, Table as _, Tag};
+use flamingopost_wire::authority::{Ask, Release};
+use flamingopost_wire::close::{Close, Closed};
+use flamingopost_wire::rpc::{ControlClient as _, EntryClient as _};
+use flamingopost_wire::view;
+
+use crate::event::Event as Log;
+use crate::poll::Read;
+use crate::row;
+use crate::shard::Shard;
+use crate::shard_note;
+
+type Ctx = Context<Shard>;
+
+impl Shard {
+    /// Starts `action`.
+    pub(crate) fn perform(&mut self, action: Action, ctx: &mut Ctx) {
+        match action {
+            Action::Read => self.read(ctx),
+            Action::Write { row, over } => self.write(&row, over, ctx),
+            Action::Ask { host, ask } => self.ask(host, ask, ctx),
+            Action::Release { host, epoch } => self.release(host, epoch, ctx),
+            Action::Close { to, view } => {
+                let message = self.message(&view);
+                for holder in to {
+                    self.close(holder, message.clone(), ctx);
+                }
+            }
+            Action::Publish { to, view } => {
+                let message = self.message(&view);
+                for holder in to {
+                    self.publish(holder, message.clone(), ctx);
+                }
+            }
+            Action::Status(server) => self.status(server, ctx),
+            Action::Promote {
+                server,
+                term,
+                at_least,
+            } => self.promote(server, term, at_least, ctx),
+            Action::Follow {
+                server,
+                primary,
+                term,
+            } => self.follow(server, primary, term, ctx),
+            Action::Note(note) => shard_note::log(self, note),
+        }
+    }
+
+    fn read(&mut self, ctx: &mut Ctx) {
+        let reader = self.reader.clone();
+        let reading = async move { reader.read().await }.into_actor(self);
+        ctx.spawn(reading.map(|read, shard, ctx| {
+            shard.take_read(&read);
+            shard.step(ctx);
+        }));
+    }
+
+    fn take_read(&mut self, read: &Read) {
+        let Some(rows) = &read.rows else {
+            return;
+        };
+        let now = self.shared.now();
+        let Some(stored) = rows.get(&row::key(self.number)) else {
+            self.tag = None;
+            return self.controller.read(read.sent, None, now);
+        };
+        match row::decode(self.number, &stored.body, &self.shared) {
+            Ok(row) => {
+                self.tag = Some((row.revision, stored.tag.clone()));
+                self.controller.read(read.sent, Some(&row), now);
+            }
+            // Whoever wrote it is newer than this program: it neither leads nor claims.
+            Err(error) => {
+                let error = error.to_string();
+                Log::BadRow { error }.log();
+            }
+        }
+    }
+
+    fn write(&mut self, row: &Row, over: Option<u64>, ctx: &mut Ctx) {
+        let revision = row.revision;
+        let Some(change) = self.change(row, over) else {
+            // Nothing is sent: the table's row is not the one to replace, as far as known. The
+            // machine reads at once and tries again.
+            let now = self.shared.now();
+            return self.controller.written(revision, Written::NotDone, now);
+        };
+        let shared = self.shared.clone();
+        let writing = async move { shared.platform().write(vec![change]).await };
+        ctx.spawn(writing.into_actor(self).map(move |result, shard, ctx| {
+            shard.take_written(revision, result);
+            shard.step(ctx);
+        }));
+    }
+
+    fn change(&self, row: &Row, over: Option<u64>) -> Option<Change> {
+        let guard = match (over, &self.tag) {
+            (None, _) => Guard::Absent,
+            (Some(over), Some((revision, tag))) if over == *revision => Guard::Tag(tag.clone()),
+            (Some(_), _) => return None,
+        };
+        match row::encode(row, &self.shared) {
+            Ok(body) => Some(Change {
+                key: row::key(self.number),
+                guard,
+                body,
+            }),
+            Err(error) => {
+                let error = error.to_string();
+                Log::BadRow { error }.log();
+                None
+            }
+        }
+    }
+
+    fn take_written(&mut self, revision: u64, result: Result<Outcome, Error>) {
+        let written = match result {
+            Ok(Outcome::Done(tags)) => {
+                let tag: Option<Tag> = tags.into_iter().next();
+                self.tag = tag.map(|tag| (revision, tag));
+                Written::Done
+            }
+            Ok(Outcome::Lost) => Written::NotDone,
+            Err(error) => match error.effect() {
+                Effect::None => Written::NotDone,
+                Effect::Unknown => Written::Unknown,
+            },
+        };
+        let now = self.shared.now();
+        self.controller.written(revision, written, now);
+    }
+
+    fn ask(&mut self, host: HostKey, ask: authority::Ask, ctx: &mut Ctx) {
+        let Some(address) = self.address(host) else {
+            return;
+        };
+        let directory = self.shared.directory();
+        let row = ask.row.as_ref();
+        let row = row.and_then(|row| flamingopost_wire::row::Row::encode(row, &directory).ok());
+        let message = Ask {
+            shard: self.number,
+            epoch: ask.epoch,
+            controller: self.shared.process().host.clone(),
+            rpc: self.shared.process().rpc.clone(),
+            promise: ask.promise,
+            revision: ask.revision,
+            row,
+        };
+        let shared = self.shared.clone();
+        let sent = shared.now();
+        let asking = async move {
+            let client = shared.links().get(&address).ok()?;
+            client.promise(message).await.ok()
+        };
+        ctx.spawn(asking.into_actor(self).map(move |promise, shard, ctx| {
+            if let Some(promise) = promise {
+                shard.controller.promised(host, sent, (&promise).into());
+                shard.step(ctx);
+            }
+        }));
+    }
+
+    fn release(&mut self, host: HostKey, epoch: u32, ctx: &mut Ctx) {
+        let Some(address) = self.address(host) else {
+            return;
+        };
+        let shared = self.shared.clone();
+        let shard = self.number;
+        let releasing = async move {
+            let client = shared.links().get(&address).ok()?;
+            let released = client.release(Release { shard, epoch }).await.ok()?;
+            let row = match &released.row {
+                None => None,
+                Some(row) => Some(shared.intern(|directory| row.decode(directory)).ok()?),
+            };
+            Some(authority::Released {
+                incarnation: released.incarnation,
+                leases: Duration::from_millis(released.leases_ms),
+                row,
+            })
+        };
+        ctx.spawn(releasing.into_actor(self).map(move |released, shard, ctx| {
+            if let Some(released) = released {
+                let now = shard.shared.now();
+                shard.controller.released(host, &released, now);
+                shard.step(ctx);
+            }
+        }));
+    }
+
+    fn message(&self, view: &flamingopost_core::view::Shard) -> Close {
+        Close {
+            shard: self.number,
+            view: view::Shard::encode(view, &self.shared.directory()),
+            config: self.shared.heard(),
+        }
+    }
+
+    fn close(&mut self, holder: Instance, message: Close, ctx: &mut Ctx) {
+        let Some(address) = self.holders.get(&holder).cloned() else {
+            return;
+        };
+        let shared = self.shared.clone();
+        let closing = async move {
+            let client = shared.links().get(&address).ok()?;
+            client.close(message).await.ok()
+        };
+        ctx.spawn(closing.into_actor(self).map(move |closed, shard, ctx| {
+            if let Some(closed) = closed {
+                shard.take_closed(holder, &closed);
+                shard.step(ctx);
+            }
+        }));
+    }
+
+    fn take_closed(&mut self, holder: Instance, closed: &Closed) {
+        self.shared.hear(closed.config);
+        // The host was restarted: this process knows nothing of what the one before it
+        // acknowledged, and that one's lease has to lapse.
+        if closed.incarnation != holder.incarnation {
+            return;
+        }
+        let directory = self.shared.directory();
+        let mut acknowledged = std::collections::BTreeMap::new();
+        for (name, position) in &closed.acknowledged {
+            let Some(service) = directory.services.find(name) else {
+                continue;
+            };
+            // An answer that cannot be read does not count: the lease lapses instead.
+            let Ok(position) = position.parse::<Position>() else {
+                return;
+            };
+            acknowledged.insert(service, position);
+        }
+        let version: Version = closed.version.into();
+        self.controller.closed(holder, version, &acknowledged);
+    }
+
+    fn publish(&mut self, holder: Instance, message: Close, ctx: &mut Ctx) {
+        let Some(address) = self.holders.get(&holder).cloned() else {
+            return;
+        };
+        let shared = self.shared.clone();
+        let publishing = async move {
+            let Ok(client) = shared.links().get(&address) else {
+                return;
+            };
+            if let Ok(config) = client.view(message).await {
+                shared.hear(config);
+            }
+        };
+        ctx.spawn(publishing.into_actor(self));
+    }
+
+    fn status(&mut self, server: ServerKey, ctx: &mut Ctx) {
+        let servers = self.servers.clone();
+        let sent = self.shared.now();
+        let asking = async move { servers.status(server).await };
+        ctx.spawn(asking.into_actor(self).map(move |status, shard, ctx| {
+            shard.take_status(server, sent, status);
+            shard.step(ctx);
+        }));
+    }
+
+    fn take_status(&mut self, server: ServerKey, sent: Duration, status: Option<group::Status>) {
+        match status {
+            Some(status) => {
+                self.statuses.insert(server, (sent, status));
+                let reason = flamingopost_core::membership::Reason::Server;
+                self.leaving.say(reason, server, status.leaving);
+            }
+            None => {
+                self.statuses.remove(&server);
+            }
+        }
+        let status = status.map(|status| Status {
+            term: status.term,
+            leads: status.role == group::Role::Primary,
+            position: status.position,
+            age: status.age,
+            leaving: status.leaving,
+        });
+        self.controller.status(server, sent, status);
+    }
+
+    fn promote(&mut self, server: ServerKey, term: Term, at_least: Position, ctx: &mut Ctx) {
+        let servers = self.servers.clone();
+        let ordering = async move { servers.promote(server, term, at_least).await };
+        ctx.spawn(
+            ordering
+                .into_actor(self)
+                .map(move |order: Order, shard, ctx| {
+                    let now = shard.shared.now();
+                    shard.controller.promoted(server, term, order, now);
+                    shard.step(ctx);
+                }),
+        );
+    }
+
+    fn follow(&mut self, server: ServerKey, primary: ServerKey, term: Term, ctx: &mut Ctx) {
+        let servers = self.servers.clone();
+        let ordering = async move { servers.follow(server, primary, term).await };
+        ctx.spawn(ordering.into_actor(self));
+    }
+
+    fn address(&self, host: HostKey) -> Option<String> {
+        let directory = self.shared.directory();
+        self.shared.rpc_of(directory.hosts.name(host)?)
+    }
+}
--- /dev/null
+++ b/crates/control/src/shards.rs
@@ -0,0 +1,69 @@
+//! All shards of the process.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, PoisonError, RwLock};
+
+use actix::dev::ToEnvelope;
+use actix::{Actor as _, Addr, Handler, Message};
+use flamingopost_daemon::stop::Phase;
+
+use crate::poll::Reader;
+use crate::shard::{Configure, Shard};
+use crate::shared::Shared;
+
+/// The actors of all shards, by number.
+#[derive(Clone, Default)]
+pub struct Shards {
+    actors: Arc<RwLock<BTreeMap<u16, Addr<Shard>>>>,
+}
+
+impl Shards {
+    /// The actor of shard `number`; `None` where the configuration has no such shard yet.
+    pub fn get(&self, number: u16) -> Option<Addr<Shard>> {
+        let actors = self.actors.read().unwrap_or_else(PoisonError::into_inner);
+        actors.get(&number).cloned()
+    }
+
+    /// All actors.
+    pub fn all(&self) -> Vec<Addr<Shard>> {
+        let actors = self.actors.read().unwrap_or_else(PoisonError::into_inner);
+        actors.values().cloned().collect()
+    }
+
+    /// Sends every actor a message.
+    pub fn tell<M>(&self, message: impl Fn() -> M)
+    where
+        M: Message<Result = ()> + Send + 'static,
+        Shard: Handler<M>,
+        <Shard as actix::Actor>::Context: ToEnvelope<Shard, M>,
+    {
+        for actor in self.all() {
+            actor.do_send(message());
+        }
+    }
+
+    /// Starts an actor for each shard of each new configuration, until the process stops. Runs
+    /// on the thread on which the actors live.
+    pub async fn run(self, shared: Arc<Shared>, reader: Reader) {
+        let mut configs = shared.configs();
+        loop {
+            let config = configs.borrow_and_update().clone();
+            if let Some(config) = config {
+                self.start(config.fleet.shards, &shared, &reader);
+                self.tell(|| Configure(config.clone()));
+            }
+            if shared.stop().phase() == Phase::Stopped || configs.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn start(&self, shards: u16, shared: &Arc<Shared>, reader: &Reader) {
+        let mut actors = self.actors.write().unwrap_or_else(PoisonError::into_inner);
+        for number in 0..shards {
+            actors
+                .entry(number)
+                .or_insert_with(|| Shard::new(number, shared.clone(), reader.clone()).start());
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,217 @@
+//! A small fleet in one process: control processes, a stand-in platform, stand-in servers, and
+//! entry hosts that only hold leases.
+
+#![allow(dead_code)]
+
+pub mod holder;
+
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use flamingopost_control::settings::Settings;
+use flamingopost_daemon::stop::Stop;
+use flamingopost_daemon::token::Token;
+use flamingopost_standin::backend;
+use flamingopost_standin::platform;
+use flamingopost_wire::status::{Service, Status};
+use serde_json::Value;
+
+pub const SERVICE: &str = "auction-ledger";
+pub const ZONES: [&str; 3] = ["bole-hall", "akaki-hall", "kality-hall"];
+const TOKEN: &str = "for-tests-only";
+
+/// How long anything may take before a test gives up; no verdict depends on it otherwise.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub struct Control {
+    pub host: String,
+    pub rpc: SocketAddr,
+    pub admin: SocketAddr,
+    pub stop: Stop,
+}
+
+pub struct Fleet {
+    pub platform: platform::Service,
+    pub servers: Vec<backend::Server>,
+    pub controls: Vec<Control>,
+}
+
+impl Fleet {
+    /// One control process a zone, three servers, and a platform without any configuration.
+    pub async fn start() -> Fleet {
+        let platform = platform::Service::start(&platform::Settings::default()).unwrap();
+        let mut servers = Vec::new();
+        for (index, zone) in ZONES.iter().enumerate() {
+            let mut settings = backend::Settings::new(&server_name(index), SERVICE);
+            settings.zone = (*zone).to_owned();
+            servers.push(backend::Server::start(settings).await.unwrap());
+        }
+        let mut fleet = Fleet {
+            platform,
+            servers,
+            controls: Vec::new(),
+        };
+        fleet.start_controls();
+        fleet
+    }
+
+    fn start_controls(&mut self) {
+        let sockets: Vec<(TcpListener, TcpListener)> =
+            ZONES.iter().map(|_| (listener(), listener())).collect();
+        let peers: Vec<SocketAddr> = sockets.iter().map(|(rpc, _)| address(rpc)).collect();
+        for (zone, (rpc, admin)) in ZONES.iter().zip(sockets) {
+            let host = format!("{zone}-1");
+            let mut settings = Settings::local(&host, zone, self.platform.address());
+            settings.peers.clone_from(&peers);
+            settings.token = Token::new(TOKEN);
+            self.controls.push(start_control(settings, rpc, admin));
+        }
+    }
+
+    /// A configuration with all servers, followed by `more`.
+    pub fn config(&self, more: &str) -> String {
+        let mut text = String::from(
+            "[fleet]\nshards = 1\ndefault_class = bid\n[customer tesfa]\n[class bid]\nweight = \
+             10\ndeadline = 300ms\n",
+        );
+        for zone in ZONES {
+            text.push_str(&format!("[zone {zone}]\nregion = addis-ababa\n"));
+        }
+        text.push_str(&format!(
+            "[service {SERVICE}]\ncustomer = tesfa\nslots = 3\nconnections = 36\nconnect_cost = \
+             30ms\n"
+        ));
+        for (index, server) in self.servers.iter().enumerate() {
+            text.push_str(&format!(
+                "[server {}]\nservice = {SERVICE}\nzone = {}\naddress = {}\n",
+                server_name(index),
+                ZONES[index],
+                server.address()
+            ));
+        }
+        text.push_str(more);
+        text
+    }
+
+    /// Submits the configuration and waits until the service is open.
+    pub async fn open(&self) -> Service {
+        let (status, answer) = self.submit(0, 0, "first", &self.config("")).await;
+        assert_eq!(status, 200, "{answer}");
+        self.open_service(0).await
+    }
+
+    /// Submits `body` through one control process.
+    pub async fn submit(&self, control: usize, base: u64, id: &str, body: &str) -> (u16, Value) {
+        let message = serde_json::json!({
+            "base": base,
+            "submission": id,
+            "operator": "asha",
+            "body": body,
+        });
+        self.post(control, "/v1/config", &message).await
+    }
+
+    pub async fn post(&self, control: usize, path: &str, body: &Value) -> (u16, Value) {
+        let url = format!("http://{}{path}", self.controls[control].admin);
+        let request = reqwest::Client::new()
+            .post(url)
+            .bearer_auth(TOKEN)
+            .json(body);
+        answer(request).await
+    }
+
+    pub async fn get(&self, control: usize, path: &str) -> (u16, Value) {
+        let url = format!("http://{}{path}", self.controls[control].admin);
+        answer(reqwest::Client::new().get(url).bearer_auth(TOKEN)).await
+    }
+
+    pub async fn status(&self, control: usize) -> Option<Status> {
+        let (code, value) = self.get(control, "/v1/status").await;
+        (code == 200).then(|| serde_json::from_value(value).unwrap())
+    }
+
+    /// Waits until one control process tells that the service is open.
+    pub async fn open_service(&self, control: usize) -> Service {
+        eventually("the service opens", || async {
+            let status = self.status(control).await?;
+            let service = status.services.into_iter().next()?;
+            service.primary.is_some().then_some(service)
+        })
+        .await
+    }
+
+    /// The control process that leads the shard.
+    pub async fn leader(&self, asked: usize) -> usize {
+        eventually("a controller is there", || async {
+            let status = self.status(asked).await?;
+            let controller = status.controllers.into_iter().next()?;
+            let mut controls = self.controls.iter();
+            controls.position(|control| control.host == controller.host)
+        })
+        .await
+    }
+
+    pub fn server(&self, name: &str) -> &backend::Server {
+        let index = (0..self.servers.len()).find(|index| server_name(*index) == name);
+        &self.servers[index.unwrap()]
+    }
+
+    pub fn rpcs(&self) -> Vec<SocketAddr> {
+        self.controls.iter().map(|control| control.rpc).collect()
+    }
+}
+
+pub fn server_name(index: usize) -> String {
+    format!("{SERVICE}-{}", index + 1)
+}
+
+fn start_control(settings: Settings, rpc: TcpListener, admin: TcpListener) -> Control {
+    let stop = Stop::default();
+    let control = Control {
+        host: settings.host.clone(),
+        rpc: address(&rpc),
+        admin: address(&admin),
+        stop: stop.clone(),
+    };
+    actix_rt::spawn(flamingopost_control::run_on(rpc, admin, settings, stop));
+    control
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+fn address(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().unwrap()
+}
+
+async fn answer(request: reqwest::RequestBuilder) -> (u16, Value) {
+    match request.timeout(Duration::from_secs(20)).send().await {
+        Err(_) => (0, Value::Null),
+        Ok(response) => {
+            let code = response.status().as_u16();
+            (code, response.json().await.unwrap_or(Value::Null))
+        }
+    }
+}
+
+/// Asks again and again until there is an answer.
+pub async fn eventually<T, F, A>(what: &str, mut ask: A) -> T
+where
+    F: Future<Output = Option<T>>,
+    A: FnMut() -> F,
+{
+    let asking = async {
+        loop {
+            if let Some(answer) = ask().await {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    match tokio::time::timeout(PATIENCE, asking).await {
+        Ok(answer) => answer,
+        Err(_) => panic!("not in {PATIENCE:?}: {what}"),
+    }
+}
--- a/crates/platform/src/group.rs
+++ b/crates/platform/src/group.rs
@@ -74,13 +74,15 @@
 }
 
 impl Client {
-    /// Connects to the server at `address` as a member of `service`'s group.
+    /// Connects to the server at `address` as a member of `service`'s group; `name` says who
+    /// connects, `ZONE/HOST`.
     ///
     /// # Errors
     /// No connection within `timeout`; nothing was asked of the server.
     pub async fn connect(
         address: SocketAddr,
         service: &str,
+        name: &str,
         timeout: Duration,
     ) -> Result<Client, Error> {
         let mut config = tokio_postgres::Config::new();
@@ -89,7 +91,7 @@
             .port(address.port())
             .user(USER)
             .dbname(service)
-            .application_name("flamingopost-control")
+            .application_name(name)
             .connect_timeout(timeout);
         let connecting = tokio::time::timeout(timeout, config.connect(NoTls));
         let (postgres, connection) = match connecting.await {
