entry: the whole process, its operators' HTTP and its program

Cause: link, callers and start-up were parts without a process. Conclusion: the process runs against a control process in the test.

--- a/crates/daemon/src/token.rs
+++ b/crates/daemon/src/token.rs
@@ -46,6 +46,11 @@
         bool::from(same) && !self.0.is_empty()
     }
 
+    /// Bytes that whoever does not have the token cannot guess.
+    pub fn secret(&self) -> Vec<u8> {
+        self.0.clone().into_bytes()
+    }
+
     /// The value of the `Authorization` header that carries this token.
     pub fn header(&self) -> String {
         format!("Bearer {}", self.0)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry host: PostgreSQL to callers and backend servers, under leases from controllers.
 
 pub mod account;
+pub mod admin;
 pub mod adopted;
 pub mod answer;
 pub mod attempt;
@@ -18,6 +19,7 @@
 pub mod gate;
 pub mod greeting;
 pub mod held;
+pub mod host;
 pub mod link;
 pub mod local;
 pub mod plan;
@@ -39,3 +41,5 @@
 pub mod tls;
 pub mod tracking;
 pub mod treatment;
+
+pub use host::{Error, run};
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -173,6 +173,13 @@
             .map_or(0, |purse| purse.allowed(soon))
     }
 
+    /// Whether the host may have a connection to any backend server now.
+    pub fn may_connect(&self) -> bool {
+        let soon = self.clock.now() + CLOSE_MARGIN;
+        let purses = lock(&self.purses);
+        purses.values().any(|purse| purse.allowed(soon) > 0)
+    }
+
     /// Records connections granted in answer to a renewal sent at `sent`, for a lease of `valid`.
     pub fn allot(&self, granted: BTreeMap<ServerKey, Grant>, sent: Duration, valid: Duration) {
         let mut purses = lock(&self.purses);
@@ -221,6 +228,11 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// How many changes of views and leases there were.
+    pub fn change(&self) -> u64 {
+        *self.changes.borrow()
+    }
+
     /// Wakes whoever acts by views and leases when one changed.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
