--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -122,8 +122,12 @@
         let link = start_link(&self.settings, &shared, &self.rpc)?;
         rpc::serve(self.rpc, shared.clone(), link.clone(), stop.clone()).await?;
         let settings = self.settings;
-        let context = Context::new(shared.clone(), &settings.zone, settings.limits.message);
-        let context = Arc::new(context);
+        let context = Arc::new(Context::new(
+            shared.clone(),
+            &settings.host,
+            &settings.zone,
+            settings.limits.message,
+        ));
         let admin = Admin {
             host: settings.host,
             zone: settings.zone,
