--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -1,8 +1,10 @@
 //! The caller's side of a session: whole messages in, bytes out.
 
 use std::io;
+use std::task::Poll;
 
 use bytes::BytesMut;
+use futures::poll;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::frame::{self, Frame, Splitter};
@@ -75,17 +77,26 @@
         self.input.is_empty() && self.out.is_empty()
     }
 
-    /// Waits until the caller sends something, holding no buffer where none is in use.
+    /// Waits for what the caller sends and reads it, holding no buffer while it waits.
+    ///
+    /// The socket may be reported readable when it is not, so the read is tried and not waited
+    /// for: a session that waits in a read would hold its buffer and miss a drain.
     ///
     /// Cancel safe.
-    pub async fn wait(&mut self) -> io::Result<()> {
-        if self.input.is_empty() {
-            self.input = BytesMut::new();
-        }
-        if self.out.is_empty() {
-            self.out = BytesMut::new();
+    pub async fn receive(&mut self) -> io::Result<()> {
+        loop {
+            if self.input.is_empty() {
+                self.input = BytesMut::new();
+            }
+            if self.out.is_empty() {
+                self.out = BytesMut::new();
+            }
+            self.stream.readable().await?;
+            match poll!(std::pin::pin!(self.fill())) {
+                Poll::Ready(filled) => return filled,
+                Poll::Pending => {}
+            }
         }
-        self.stream.readable().await
     }
 
     /// Reads what has come; an orderly end of the stream is an error here.
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -214,24 +214,21 @@
             if let Some(next) = self.wait().await {
                 return next;
             }
-            if self.front.fill().await.is_err() {
-                return Next::Gone;
-            }
         }
     }
 
-    /// Waits for the caller, or for what else can end an idle session's wait.
+    /// Waits for more from the caller, or for what else can end an idle session's wait.
     async fn wait(&mut self) -> Option<Next> {
         let idle = self.batch.is_empty() && self.front.is_idle();
         if !idle {
-            return None;
+            return gone(self.front.receive().await);
         }
         let stop = self.context.shared.stop();
         let keeps = self.state.transaction() != Transaction::Idle || self.skipping;
         match &mut self.held {
             Some(held) => tokio::select! {
                 biased;
-                waited = self.front.wait() => gone(waited),
+                received = self.front.receive() => gone(received),
                 filled = held.lent.back().fill() => match filled {
                     Ok(()) => Some(Next::Server),
                     Err(_) => {
@@ -241,10 +238,10 @@
                 },
                 () = stop.draining(), if !keeps => Some(Next::Drain),
             },
-            None if keeps => gone(self.front.wait().await),
+            None if keeps => gone(self.front.receive().await),
             None => tokio::select! {
                 biased;
-                waited = self.front.wait() => gone(waited),
+                received = self.front.receive() => gone(received),
                 () = stop.draining() => Some(Next::Drain),
             },
         }
@@ -365,6 +362,6 @@
     }
 }
 
-fn gone(waited: std::io::Result<()>) -> Option<Next> {
-    waited.is_err().then_some(Next::Gone)
+fn gone(received: std::io::Result<()>) -> Option<Next> {
+    received.is_err().then_some(Next::Gone)
 }
