--- a/crates/entry/src/link/controllers.rs
+++ b/crates/entry/src/link/controllers.rs
@@ -61,11 +61,13 @@
         true
     }
 
-    /// Takes in that a process refused a renewal and named `rpc` instead.
-    pub fn redirect(&mut self, shard: u16, rpc: Option<String>) {
+    /// Takes in that a process refused a renewal and named `rpc` instead. Returns whether to
+    /// follow at once: two processes that name each other must not be asked in a loop.
+    pub fn redirect(&mut self, shard: u16, rpc: Option<String>) -> bool {
         let known = self.shards.entry(shard).or_default();
         known.failures = known.failures.saturating_add(1);
         known.redirect = rpc;
+        known.redirect.is_some() && known.failures <= PATIENCE
     }
 
     /// Takes in that the controller at `rpc` granted a renewal.
--- a/crates/entry/src/link/peers.rs
+++ b/crates/entry/src/link/peers.rs
@@ -59,13 +59,20 @@
         Ok(client)
     }
 
-    /// Makes `address` known.
+    /// Makes `address` known, while there is room.
     pub fn add(&self, address: &str) {
         let mut known = lock(&self.known);
-        if known.len() >= KEPT {
-            known.clone_from(&self.lasting);
+        if known.len() < KEPT && !address.is_empty() && !known.contains(address) {
+            known.insert(address.to_owned());
+        }
+    }
+
+    /// Forgets `address`, which did not answer, unless it is of the settings. It comes back when
+    /// others still name it.
+    pub fn forget(&self, address: &str) {
+        if !self.lasting.contains(address) {
+            lock(&self.known).remove(address);
         }
-        known.insert(address.to_owned());
     }
 
     /// All that are known.
--- a/crates/entry/src/link/poll.rs
+++ b/crates/entry/src/link/poll.rs
@@ -1,5 +1,6 @@
 //! Asks the platform, and other processes, again and again.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,7 +25,10 @@
 struct Authority {
     epoch: u32,
     #[serde(default)]
-    rpc: Option<String>,
+    rpc: String,
+    /// Addresses of the standbys, by host.
+    #[serde(default)]
+    addresses: BTreeMap<String, String>,
 }
 
 /// Reads the fleet's rows until the process stops.
@@ -91,12 +95,15 @@
 }
 
 async fn ask(link: &Link, address: &str) {
-    if let Ok(knowledge) = link.peers.ask(address, link.version()).await {
-        link.learn(&knowledge);
-        link.ear.tell(Heard::Told {
-            from: address.to_owned(),
-            answer: Box::new(knowledge),
-        });
+    match link.peers.ask(address, link.version()).await {
+        Ok(knowledge) => {
+            link.learn(&knowledge);
+            link.ear.tell(Heard::Told {
+                from: address.to_owned(),
+                answer: Box::new(knowledge),
+            });
+        }
+        Err(_) => link.peers.forget(address),
     }
 }
 
@@ -120,11 +127,12 @@
         return bad_row(&row.key, "its name does not end in a shard's number");
     };
     match serde_json::from_str::<Authority>(&row.body) {
-        Ok(Authority {
-            epoch,
-            rpc: Some(rpc),
-        }) => link.learn_controller(shard, epoch, &rpc),
-        Ok(Authority { rpc: None, .. }) => {}
+        Ok(authority) => {
+            for address in authority.addresses.values() {
+                link.peers.add(address);
+            }
+            link.learn_controller(shard, authority.epoch, &authority.rpc);
+        }
         Err(error) => bad_row(&row.key, &error.to_string()),
     }
 }
--- a/crates/entry/src/link/renewal.rs
+++ b/crates/entry/src/link/renewal.rs
@@ -44,6 +44,7 @@
     while link.is_running() {
         turn(&link, &turns);
         note_lapses(&link, &turns);
+        show(&link);
         tokio::select! {
             () = tokio::time::sleep(jittered(timing::RENEWAL)) => {}
             () = link.shared.renewal_wanted() => tokio::time::sleep(LEAST).await,
@@ -113,10 +114,14 @@
 
 async fn call(link: &Link, address: &str, shards: &[u16], held: &Mutex<BTreeSet<u16>>) {
     let (renewals, items) = prepare(link, shards, false);
+    let started = link.shared.now();
     let answer = match link.peers.client(address) {
         Ok(client) => client.renew(renewals).await,
         Err(error) => Err(error),
     };
+    let took = link.shared.now().saturating_sub(started);
+    metrics::histogram!("flamingopost_renewal_seconds", "host" => link.host.name.clone())
+        .record(took);
     match answer {
         Ok(replies) if replies.len() == items.len() => {
             link.relay_answered(address);
@@ -225,6 +230,7 @@
             return false;
         }
     };
+    count(link, "granted");
     link.controllers().granted(shard, address);
     let valid = Duration::from_millis(grant.valid_ms);
     let outcome = leased(link, item.ticket, &grant, valid, view);
@@ -268,9 +274,8 @@
         version: refusal.config,
         from: Some(address.to_owned()),
     });
-    let moved = refusal.redirect.is_some();
-    link.controllers().redirect(item.shard, refusal.redirect);
-    if moved {
+    count(link, "refused");
+    if link.controllers().redirect(item.shard, refusal.redirect) {
         link.shared.renew_soon();
     }
 }
@@ -278,6 +283,7 @@
 fn give_up(link: &Link, address: &str, items: &[Item], error: &str) {
     link.relay_failed(address);
     for item in items {
+        count(link, "failed");
         link.shared.restore_tallies(&item.taken);
         link.controllers().failed(item.shard);
         let (rpc, error) = (address.to_owned(), error.to_owned());
@@ -290,6 +296,28 @@
     }
 }
 
+fn count(link: &Link, outcome: &'static str) {
+    let host = link.host.name.clone();
+    metrics::counter!("flamingopost_renewals_total", "host" => host, "outcome" => outcome)
+        .increment(1);
+}
+
+fn show(link: &Link) {
+    let Some(adopted) = link.shared.adopted() else {
+        return;
+    };
+    let host = &link.host.name;
+    metrics::gauge!("flamingopost_configuration_version", "host" => host.clone())
+        .set(adopted.version as f64);
+    let now = link.shared.now();
+    for shard in 0..adopted.fleet.shards {
+        let left = link.shared.leases().left(shard, now);
+        let shard = shard.to_string();
+        metrics::gauge!("flamingopost_lease_left_seconds", "host" => host.clone(), "shard" => shard)
+            .set(left.as_secs_f64());
+    }
+}
+
 fn note_lapses(link: &Link, turns: &Turns) {
     let now = link.shared.now();
     lock(&turns.held).retain(|shard| {
