--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -6,6 +6,7 @@
 
 use flamingopost_core::directory::Directory;
 use flamingopost_core::key::{ClassKey, CustomerKey, ServiceKey};
+use flamingopost_core::rule::Target;
 use metrics::{Counter, Histogram};
 
 /// Whose request it is.
@@ -45,6 +46,17 @@
     primary: Counter,
     host: Counter,
     late: Counter,
+    reads: Reads,
+}
+
+/// Reads by what the rules allow and what answered: the share that replicas take off the primary.
+struct Reads {
+    /// Allowed to replicas and answered by one.
+    replica: Counter,
+    /// Allowed to replicas and answered by the primary.
+    primary: Counter,
+    /// For the primary only.
+    bound: Counter,
 }
 
 impl Accounts {
@@ -79,6 +91,7 @@
             primary: answered("primary"),
             host: answered("host"),
             late: metrics::counter!("flamingopost_requests_late_total", &labels),
+            reads: Reads::new(&labels),
             labels,
         }
     }
@@ -96,6 +109,16 @@
         }
     }
 
+    /// A read outside a transaction was answered, which the rules allow to `target`.
+    pub fn read(&self, target: Target, by: By) {
+        match (target, by) {
+            (_, By::Host) => {}
+            (Target::Primary, _) => self.reads.bound.increment(1),
+            (Target::Replica, By::Replica) => self.reads.replica.increment(1),
+            (Target::Replica, By::Primary) => self.reads.primary.increment(1),
+        }
+    }
+
     /// A request was refused with `sqlstate`.
     pub fn refused(&self, sqlstate: &'static str) {
         let mut labels = self.labels.to_vec();
@@ -103,3 +126,19 @@
         metrics::counter!("flamingopost_refusals_total", &labels).increment(1);
     }
 }
+
+impl Reads {
+    fn new(labels: &[(&'static str, String)]) -> Reads {
+        let reads = |allowed: &'static str, server: &'static str| {
+            let mut labels = labels.to_vec();
+            labels.push(("allowed", allowed.to_owned()));
+            labels.push(("server", server.to_owned()));
+            metrics::counter!("flamingopost_reads_total", &labels)
+        };
+        Reads {
+            replica: reads("replica", "replica"),
+            primary: reads("replica", "primary"),
+            bound: reads("primary", "primary"),
+        }
+    }
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -72,6 +72,7 @@
                 return Ok(Flow::On);
             }
         };
+        let alone = self.held.is_none() && request.only_reads();
         let outcome = match self.held.take() {
             Some(held) => self.go_on(held, request, &treatment).await,
             None => self.begin(request, &treatment).await,
@@ -81,6 +82,9 @@
             Ok(by) => {
                 let allowed = treatment.deadline.saturating_sub(arrived);
                 treatment.book.answered(by, took, allowed);
+                if alone {
+                    treatment.book.read(treatment.then.target, by);
+                }
                 Ok(Flow::On)
             }
             Err(Stop::Refused(refusal)) => {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -170,6 +170,12 @@
             .or_else(|| all().next())
     }
 
+    /// Whether it runs queries that only read, and nothing else.
+    pub fn only_reads(&self) -> bool {
+        let queries = self.parts().all(|part| part.action == Action::Query);
+        queries && self.parts().next().is_some() && self.access() == Access::Read
+    }
+
     /// Every part that it runs.
     pub fn parts(&self) -> impl Iterator<Item = &Part> {
         self.runs.iter().flat_map(Statement::parts)
