--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 use std::{env, fs};
 
+use flamingopost_wire::status::Ordered;
 use flamingopost_wire::submission::Refused;
 use reqwest::{RequestBuilder, StatusCode};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::runtime::{self, Runtime};
 
 use crate::error::Error;
@@ -79,7 +80,7 @@
         let request = self.http.get(self.url(path)?.with(query).0);
         match self.send(request, path)? {
             Reply::Done(body) => Ok(body),
-            Reply::Refused(refused) => Err(Error::refused(refused, &self.address, "")),
+            Reply::Refused(refused) => Err(Error::refused(refused, &self.address)),
         }
     }
 
@@ -93,6 +94,16 @@
         self.send(request, path)
     }
 
+    /// Takes `body` back at `path`.
+    pub fn delete<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<Reply<T>, Error> {
+        let request = self.http.delete(self.url(path)?.0).json(body);
+        self.send(request, path)
+    }
+
     fn url(&self, path: &str) -> Result<Url, Error> {
         let text = format!("http://{}{path}", self.address);
         match reqwest::Url::parse(&text) {
@@ -146,6 +157,8 @@
             }
         } else if let Ok(refused) = serde_json::from_slice(body) {
             return Ok(Reply::Refused(refused));
+        } else if let Ok(NotNow { reason }) = serde_json::from_slice(body) {
+            return Err(Error::NotNow { reason });
         }
         Err(Error::Unexpected {
             address,
@@ -165,6 +178,12 @@
     }
 }
 
+/// What a controller says of an order that the state of the fleet does not allow.
+#[derive(Debug, Deserialize)]
+struct NotNow {
+    reason: Ordered,
+}
+
 struct Url(reqwest::Url);
 
 impl Url {
--- a/crates/ctl/src/cmd/drain.rs
+++ b/crates/ctl/src/cmd/drain.rs
@@ -20,9 +20,12 @@
     /// EXAMPLES:
     ///     flamingopostctl drain auction-ledger-2 --admin 10.0.1.4:7080
     ///     flamingopostctl drain entry-3 --kind host
+    ///     flamingopostctl drain auction-ledger-2 --undo
     cmd drain {
         /// Name of the host or server.
         required name: String
+        /// Let it receive new work again.
+        optional --undo
         /// What it is, host or server, where both have such a name.
         optional --kind kind: Kind
         /// IP:PORT of a controller's operators' HTTP.
@@ -60,7 +63,8 @@
 /// What was ordered.
 #[derive(Debug, Serialize)]
 struct Ordered {
-    draining: Order,
+    name: Order,
+    undone: bool,
     answer: Value,
 }
 
@@ -92,15 +96,25 @@
         Kind::Host => Order::Host(args.name.clone()),
         Kind::Server => Order::Server(args.name.clone()),
     };
-    let answer = match client.post("/v1/drain", &order)? {
+    let reply = match args.undo {
+        true => client.delete("/v1/drain", &order)?,
+        false => client.post("/v1/drain", &order)?,
+    };
+    let answer = match reply {
         Reply::Done(answer) => answer,
-        Reply::Refused(refused) => return Err(Error::refused(refused, client.address(), "")),
+        Reply::Refused(refused) => return Err(Error::refused(refused, client.address())),
     };
     let ordered = Ordered {
-        draining: order,
+        name: order,
+        undone: args.undo,
         answer,
     };
     output::print(args.json, &ordered, |_| {
-        format!("{} receives no new work", args.name)
+        let now = if args.undo {
+            "new work again"
+        } else {
+            "no new work"
+        };
+        format!("{} receives {now}", args.name)
     })
 }
--- a/crates/ctl/src/cmd/submit.rs
+++ b/crates/ctl/src/cmd/submit.rs
@@ -59,7 +59,7 @@
             Ok(winner.version)
         }
         Ok(Reply::Refused(Refused::Unknown)) | Err(Error::AnswerLost { .. }) => settle(client, id),
-        Ok(Reply::Refused(refused)) => Err(Error::refused(refused, client.address(), id)),
+        Ok(Reply::Refused(refused)) => Err(Error::refused(refused, client.address())),
         Err(error) => Err(error),
     }
 }
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -14,7 +14,7 @@
     run: Run,
 }
 
-const COMMANDS: [Command; 9] = [
+const COMMANDS: [Command; 10] = [
     Command {
         name: "check",
         summary: "Check a configuration file",
@@ -55,6 +55,11 @@
         summary: "Let an entry host or a backend server receive no new work",
         run: cmd::drain::run,
     },
+    Command {
+        name: "promote",
+        summary: "Move the primary of a service to another server",
+        run: cmd::promote::run,
+    },
     Command {
         name: "verifier",
         summary: "Make the verifier of a password",
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use flamingopost_core::config::Report;
+use flamingopost_wire::status::Ordered;
 use flamingopost_wire::submission::{Problem, Refused, Winner};
 use serde_json::json;
 
@@ -60,7 +61,7 @@
         /// Id of the submission.
         submission: String,
     },
-    /// the request to {address} was sent and its answer was lost
+    /// {address} was asked and nobody knows whether it was done; run the same command again
     AnswerLost {
         /// Where.
         address: String,
@@ -72,6 +73,11 @@
         /// What.
         path: String,
     },
+    /// not now: {reason}
+    NotNow {
+        /// Why.
+        reason: Ordered,
+    },
     /// {address} answered {status}: {body}
     Unexpected {
         /// Where.
@@ -127,6 +133,7 @@
             Error::File { .. }
             | Error::NotFound { .. }
             | Error::Unexpected { .. }
+            | Error::NotNow { .. }
             | Error::NotInConfiguration { .. }
             | Error::NobodyCalled(_)
             | Error::EmptyPassword
@@ -188,8 +195,8 @@
         object
     }
 
-    /// What a refused submission means.
-    pub fn refused(refused: Refused, address: &str, submission: &str) -> Error {
+    /// What a refusal means.
+    pub fn refused(refused: Refused, address: &str) -> Error {
         match refused {
             Refused::Conflict { winner } => Error::Conflict {
                 version: winner.version,
@@ -200,8 +207,8 @@
             Refused::Unavailable => Error::Unavailable {
                 address: address.to_owned(),
             },
-            Refused::Unknown => Error::Unknown {
-                submission: submission.to_owned(),
+            Refused::Unknown => Error::AnswerLost {
+                address: address.to_owned(),
             },
         }
     }
--- a/crates/ctl/tests/ctl/drain.rs
+++ b/crates/ctl/tests/ctl/drain.rs
@@ -56,5 +56,31 @@
     assert_eq!(workdir.run_at(two.address, &["drain", "twin"]).code, 2);
     assert_eq!(two.asked().len(), 1);
     let run = workdir.run_at(two.address, &["drain", "twin", "--kind", "host", "--json"]);
-    assert_eq!(run.json()["draining"], json!({"host": "twin"}));
+    assert_eq!(run.json()["name"], json!({"host": "twin"}));
+}
+
+#[test]
+fn a_drain_can_be_undone() {
+    let fake = Fake::new(&[status("entry-1", "ledger-1"), done()]);
+    let run = Workdir::new().run_at(fake.address, &["drain", "ledger-1", "--undo"]);
+    assert_eq!(
+        (run.code, run.out.as_str()),
+        (0, "ledger-1 receives new work again\n")
+    );
+    let order = &fake.asked()[1];
+    assert_eq!(
+        (order.what.as_str(), &order.body),
+        ("DELETE /v1/drain", &json!({"server": "ledger-1"}))
+    );
+}
+
+// The platform takes the order and its answer is lost. Draining twice is harmless, so the operator
+// is told to run the command again, with an exit code that a script can act on.
+#[test]
+fn a_lost_answer_asks_for_the_same_command_again() {
+    let unknown = Answer::Say(503, json!({"type": "unknown"}));
+    let fake = Fake::new(&[status("entry-1", "ledger-1"), unknown]);
+    let run = Workdir::new().run_at(fake.address, &["drain", "ledger-1"]);
+    assert_eq!(run.code, 7);
+    assert!(run.err.contains("run the same command again"));
 }
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod fake;
 mod history;
+mod promote;
 mod show;
 mod status;
 mod submit;
--- a/crates/ctl/tests/ctl/usage.rs
+++ b/crates/ctl/tests/ctl/usage.rs
@@ -5,8 +5,9 @@
 use crate::fake::Fake;
 use crate::workdir::Workdir;
 
-const COMMANDS: [&str; 9] = [
-    "check", "diff", "submit", "history", "show", "explain", "status", "drain", "verifier",
+const COMMANDS: [&str; 10] = [
+    "check", "diff", "submit", "history", "show", "explain", "status", "drain", "promote",
+    "verifier",
 ];
 
 #[test]
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -93,15 +93,15 @@
 }
 
 /// What an ordered promotion led to.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, displaydoc::Display)]
 #[serde(rename_all = "snake_case")]
 pub enum Ordered {
-    /// It has begun.
+    /// it has begun
     Begun,
-    /// No shard led here has such a service.
+    /// no shard led here has such a service
     NoSuchService,
-    /// A promotion of the service is under way already.
+    /// a promotion of the service is under way already
     UnderWay,
-    /// No replica is fit to lead now.
+    /// no replica is fit to lead now
     NoCandidate,
 }
