trial: a whole deployment in one process

Three hosts with an entry and a control daemon each, the servers of a fleet file, a platform and one address for all faults, zone cuts included.

--- a/crates/standin/src/admin.rs
+++ b/crates/standin/src/admin.rs
@@ -57,7 +57,7 @@
     Listener::start(address, move |app| {
         app.app_data(Data::from(Arc::clone(&shared)))
             .route("/faults", web::get().to(show_backend))
-            .route("/faults", web::post().to(change_backend))
+            .route("/faults", web::post().to(post_backend))
             .route("/log", web::get().to(log));
     })
 }
@@ -67,7 +67,7 @@
     Listener::start(address, move |app| {
         app.app_data(Data::from(Arc::clone(&shared)))
             .route("/faults", web::get().to(show_platform))
-            .route("/faults", web::post().to(change_platform));
+            .route("/faults", web::post().to(post_platform));
     })
 }
 
@@ -75,10 +75,15 @@
     HttpResponse::Ok().json(shared.switch.get())
 }
 
-async fn change_backend(shared: Data<backend::Shared>, change: Json<Value>) -> HttpResponse {
-    match merge(&shared.switch.get(), change.into_inner()) {
+async fn post_backend(shared: Data<backend::Shared>, change: Json<Value>) -> HttpResponse {
+    change_backend(&shared, change.into_inner())
+}
+
+/// Merges `change` into the faults of a database server and tells what they are then.
+pub(crate) fn change_backend(shared: &backend::Shared, change: Value) -> HttpResponse {
+    match merge(&shared.switch.get(), change) {
         Ok(faults) => {
-            backend::set_faults(&shared, faults);
+            backend::set_faults(shared, faults);
             HttpResponse::Ok().json(shared.switch.get())
         }
         Err(error) => refuse(&error),
@@ -93,8 +98,13 @@
     HttpResponse::Ok().json(shared.faults())
 }
 
-async fn change_platform(shared: Data<platform::Shared>, change: Json<Value>) -> HttpResponse {
-    match merge(&shared.faults(), change.into_inner()) {
+async fn post_platform(shared: Data<platform::Shared>, change: Json<Value>) -> HttpResponse {
+    change_platform(&shared, change.into_inner())
+}
+
+/// Merges `change` into the faults of a platform and tells what they are then.
+pub(crate) fn change_platform(shared: &platform::Shared, change: Value) -> HttpResponse {
+    match merge(&shared.faults(), change) {
         Ok(faults) => {
             shared.set_faults(faults);
             HttpResponse::Ok().json(shared.faults())
@@ -112,7 +122,7 @@
 ///
 /// # Errors
 /// A field that does not exist or has another type.
-pub(crate) fn merge<F>(faults: &F, change: Value) -> Result<F, serde_json::Error>
+fn merge<F>(faults: &F, change: Value) -> Result<F, serde_json::Error>
 where
     F: Serialize + DeserializeOwned + Default,
 {
--- a/crates/standin/src/backend/fault.rs
+++ b/crates/standin/src/backend/fault.rs
@@ -105,6 +105,13 @@
         self.clear(|faults| !faults.paused).await;
     }
 
+    /// Waits until the process runs and reaches others. A cut that names peers is made at the
+    /// server that is asked, which knows who asks.
+    pub(crate) async fn online(&self) {
+        self.clear(|faults| !faults.paused && !faults.dead && faults.cut != Cut::All)
+            .await;
+    }
+
     /// Waits until the process runs and bytes pass between it and `peer`.
     pub(crate) async fn reached_by(&self, peer: &str) {
         self.clear(|faults| !faults.paused && !faults.cut.hides(peer))
--- a/crates/standin/src/backend/replica.rs
+++ b/crates/standin/src/backend/replica.rs
@@ -79,7 +79,7 @@
 }
 
 async fn follow_once(shared: &Arc<Shared>, primary: SocketAddr, term: i64) -> Result<(), Break> {
-    reachable(shared).await;
+    shared.switch.online().await;
     let client = connect(shared, primary).await?;
     align(shared, &client, term).await?;
     let (sender, receiver) = mpsc::channel(UNDERWAY);
@@ -90,11 +90,6 @@
     }
 }
 
-/// Waits while this server itself is paused or cut off from everybody.
-async fn reachable(shared: &Shared) {
-    shared.switch.reached_by("").await;
-}
-
 async fn connect(shared: &Shared, primary: SocketAddr) -> Result<Client, Break> {
     let mut config = Config::new();
     config
@@ -148,7 +143,7 @@
 ) -> Result<(), Break> {
     let wait = PATIENCE.as_millis();
     loop {
-        reachable(shared).await;
+        shared.switch.online().await;
         let asked = Instant::now();
         let sql = format!("SELECT * FROM group_log({term}, {after}, {BATCH}, {wait})");
         let rows = tokio::time::timeout(SILENCE, client.query(&sql, &[]));
--- a/crates/standin/src/backend/server.rs
+++ b/crates/standin/src/backend/server.rs
@@ -165,6 +165,15 @@
         self.admin.as_ref().map(admin::Listener::address)
     }
 
+    /// How it is set up.
+    pub fn settings(&self) -> &Settings {
+        &self.shared.settings
+    }
+
+    pub(crate) fn shared(&self) -> Arc<Shared> {
+        Arc::clone(&self.shared)
+    }
+
     /// Its faults.
     pub fn faults(&self) -> Faults {
         self.shared.switch.get()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,4 +6,5 @@
 mod admin;
 pub mod backend;
 pub mod event;
+pub mod panel;
 pub mod platform;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,6 +7,7 @@
 mod table;
 
 pub use self::fault::Faults;
+pub use self::hosts::{Announcement, State};
 pub(crate) use self::http::keep_socket;
 pub(crate) use self::service::Shared;
 pub use self::service::{Service, Settings};
--- a/crates/standin/src/platform/hosts.rs
+++ b/crates/standin/src/platform/hosts.rs
@@ -15,17 +15,22 @@
 /// Whether a host is about to go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub(crate) enum State {
+pub enum State {
+    /// It runs, or did a while ago.
     Live,
+    /// It will be taken away.
     Leaving,
 }
 
 /// What a host announces.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Announcement {
-    pub(crate) zone: String,
-    pub(crate) address: String,
-    pub(crate) state: State,
+pub struct Announcement {
+    /// Its availability zone.
+    pub zone: String,
+    /// Its address, `IP:PORT`.
+    pub address: String,
+    /// Whether it is about to go.
+    pub state: State,
 }
 
 /// One host on the list.
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -7,9 +7,11 @@
 use flamingopost_daemon::event::Event as _;
 
 use super::fault::Faults;
-use super::hosts::Hosts;
+use super::hosts::{Announcement, Host, Hosts};
 use super::http;
 use super::table::Table;
+use tokio::time::Instant;
+
 use crate::admin::{self, Listener};
 use crate::event::Event;
 
@@ -107,6 +109,19 @@
         self.admin.as_ref().map(Listener::address)
     }
 
+    pub(crate) fn shared(&self) -> Arc<Shared> {
+        Arc::clone(&self.shared)
+    }
+
+    /// Puts a host on the list for a while, as `PUT /hosts/{host}` does.
+    pub fn announce(&self, host: &str, announced: Announcement) {
+        let host = Host {
+            host: host.to_owned(),
+            announced,
+        };
+        self.shared.hosts().announce(Instant::now(), host);
+    }
+
     /// Its faults.
     pub fn faults(&self) -> Faults {
         self.shared.faults()
--- /dev/null
+++ b/crates/trial/src/announce.rs
@@ -0,0 +1,41 @@
+//! Keeps the platform's list of hosts, as a real platform does by itself.
+
+use std::time::Duration;
+
+use flamingopost_standin::platform::{Announcement, State};
+
+use crate::plan::Plan;
+use crate::stage::Stage;
+
+const INTERVAL: Duration = Duration::from_secs(5);
+
+/// Lists all hosts and servers again and again.
+pub async fn run(stage: &Stage, plan: &Plan) {
+    loop {
+        for host in &plan.hosts {
+            let announced = Announcement {
+                zone: host.zone.clone(),
+                address: host.callers.to_string(),
+                state: State::Live,
+            };
+            stage.platform.announce(&host.name, announced);
+        }
+        for server in &stage.servers {
+            let faults = server.faults();
+            if faults.dead {
+                continue;
+            }
+            let announced = Announcement {
+                zone: server.settings().zone.clone(),
+                address: server.address().to_string(),
+                state: if faults.leaving {
+                    State::Leaving
+                } else {
+                    State::Live
+                },
+            };
+            stage.platform.announce(&server.settings().name, announced);
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/trial/src/host.rs
@@ -0,0 +1,123 @@
+//! One host of a trial: an entry daemon and a control daemon.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::time::Duration;
+
+use flamingopost_control::settings::Settings as ControlSettings;
+use flamingopost_daemon::stop::Stop;
+use flamingopost_daemon::token::Token;
+use flamingopost_entry::settings::Settings as EntrySettings;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use crate::error::Error;
+use crate::plan::Host;
+
+/// How long sessions may go on after the first signal.
+const DRAIN: Duration = Duration::from_secs(5);
+
+/// How often daemons read the fleet's rows. More often than in a fleet, because a trial shows
+/// itself from its first second on.
+const POLL: Duration = Duration::from_millis(100);
+
+/// Listeners of a control daemon. All are open before any daemon starts, so that each daemon can
+/// be told of the others.
+#[derive(Debug)]
+pub struct Sockets {
+    rpc: TcpListener,
+    admin: TcpListener,
+}
+
+impl Sockets {
+    /// Opens the listeners of `host`.
+    ///
+    /// # Errors
+    /// An address that is taken.
+    pub fn open(host: &Host) -> Result<Sockets, Error> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Ok(Sockets {
+            rpc: listen(any)?,
+            admin: listen(host.control_admin)?,
+        })
+    }
+
+    /// Where the control daemon will take remote calls.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn rpc(&self) -> Result<SocketAddr, Error> {
+        Ok(self.rpc.local_addr()?)
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).map_err(|error| Error::Listen(address, error))
+}
+
+/// What all hosts of a trial are told.
+#[derive(Debug, Clone)]
+pub struct Common<'a> {
+    /// The platform.
+    pub platform: SocketAddr,
+    /// Remote calls of all control daemons.
+    pub peers: Vec<SocketAddr>,
+    /// The operators' token.
+    pub token: &'a str,
+    /// The first configuration.
+    pub fleet: &'a Path,
+}
+
+/// Starts the entry daemon of `host`.
+///
+/// # Errors
+/// An address that is taken.
+pub fn start_entry(
+    host: &Host,
+    common: &Common<'_>,
+    stop: Stop,
+) -> Result<JoinHandle<Result<(), Error>>, Error> {
+    let mut settings = EntrySettings {
+        callers: host.callers,
+        admin: host.entry_admin,
+        token: Token::new(common.token),
+        peers: common.peers.clone(),
+        drain: DRAIN,
+        ..EntrySettings::local(&host.name, &host.zone, common.platform)
+    };
+    settings.platform.poll = POLL;
+    let bound = flamingopost_entry::host::Host::bind(settings)?;
+    Ok(tokio::spawn(async move { Ok(bound.serve(stop).await?) }))
+}
+
+/// Starts the control daemon of `host` on a thread of its own, whose actix system carries its
+/// actors. The receiver tells how it ended.
+///
+/// # Errors
+/// No thread can be had.
+pub fn start_control(
+    host: &Host,
+    sockets: Sockets,
+    common: &Common<'_>,
+    stop: Stop,
+) -> Result<oneshot::Receiver<Result<(), Error>>, Error> {
+    let own = sockets.rpc()?;
+    let peers = common.peers.iter().copied();
+    let mut settings = ControlSettings {
+        token: Token::new(common.token),
+        peers: peers.filter(|peer| *peer != own).collect(),
+        bootstrap: Some(common.fleet.to_owned()),
+        ..ControlSettings::local(&host.name, &host.zone, common.platform)
+    };
+    settings.platform.poll = POLL;
+    let (ended, told) = oneshot::channel();
+    let thread = std::thread::Builder::new().name(host.name.clone());
+    thread.spawn(move || {
+        let Sockets { rpc, admin } = sockets;
+        let run = flamingopost_control::run_on(rpc, admin, settings, stop);
+        let result = actix_rt::System::new().block_on(run);
+        // Nobody listens any more when the trial itself has ended.
+        let _ = ended.send(result.map_err(Error::from));
+    })?;
+    Ok(told)
+}
