control: failures through its processes, and what they showed

Cause: nothing showed that the daemon keeps what the machines promise. They found, and this mends: - a submission whose body's answers are always lost ended in "unavailable"; the body is read back now; - shards' actors lived on after their process had ended, and kept the shard; - a drain or promotion of a name that a process had not heard of yet was told as "not found"; it is "unavailable" until the newest version is in force.

--- a/crates/control/src/drain.rs
+++ b/crates/control/src/drain.rs
@@ -96,7 +96,8 @@
     };
     match known {
         true => Ok(()),
-        false => Err(Error::NoSuchName),
+        false if shared.is_current() => Err(Error::NoSuchName),
+        false => Err(Error::Unavailable),
     }
 }
 
--- a/crates/control/src/fleet_status.rs
+++ b/crates/control/src/fleet_status.rs
@@ -44,7 +44,9 @@
 
 /// Orders a planned promotion where `service` is led; `None` where nobody answers.
 pub async fn order(shared: &Shared, shards: &Shards, service: &str) -> Option<Ordered> {
-    let number = shard_of(shared, service)?;
+    let Some(number) = shard_of(shared, service) else {
+        return shared.is_current().then_some(Ordered::NoSuchService);
+    };
     if let Some(actor) = shards.get(number)
         && let Ok(ordered) = actor.send(shard::Order(service.to_owned())).await
         && ordered != Ordered::NoSuchService
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -46,6 +46,7 @@
 use crate::operators::Operators;
 use crate::rpc::Remote;
 use crate::settings::Settings;
+use crate::shard::Quit;
 use crate::shards::Shards;
 use crate::shared::Shared;
 
@@ -111,7 +112,7 @@
     let handle = remote_calls(rpc, remote, &shared)?;
     let operators = Operators {
         shared: shared.clone(),
-        shards,
+        shards: shards.clone(),
         spread,
     };
     let served = http::serve_on(
@@ -123,6 +124,7 @@
     );
     let result = served.await.map_err(Error::Http);
     shared.stop().stop();
+    shards.tell(|| Quit);
     // Fails only when it has stopped already.
     let _ = handle.stop();
     handle.stopped().await;
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult};
+use actix::{Actor, ActorContext as _, AsyncContext, Context, Handler, Message, MessageResult};
 use flamingopost_core::budget::share::Holder;
 use flamingopost_core::key::{HostKey, ServerKey, ServiceKey};
 use flamingopost_core::leadership::{self, Controller, Group, Reply};
@@ -96,6 +96,11 @@
 #[rtype(result = "Option<status::Status>")]
 pub struct Report;
 
+/// The process is over.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Quit;
+
 impl Shard {
     /// The controller of shard `number` of a process that has just started, or has just learnt
     /// that there is such a shard.
@@ -480,6 +485,14 @@
     }
 }
 
+impl Handler<Quit> for Shard {
+    type Result = ();
+
+    fn handle(&mut self, _: Quit, ctx: &mut Self::Context) {
+        ctx.stop();
+    }
+}
+
 impl Handler<Renew> for Shard {
     type Result = MessageResult<Renew>;
 
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -143,6 +143,12 @@
         self.heard.load(Ordering::Relaxed)
     }
 
+    /// Whether the newest version heard of is in force, so that a name it lacks does not exist.
+    pub fn is_current(&self) -> bool {
+        self.config()
+            .is_some_and(|config| config.version >= self.heard())
+    }
+
     /// Raises what [`Shared::heard`] says; whether `version` is news.
     pub fn hear(&self, version: u64) -> bool {
         self.heard.fetch_max(version, Ordering::Relaxed) < version
--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, SystemTime};
 
 use flamingopost_core::clock::Clock;
+use flamingopost_core::digest::Digest;
 use flamingopost_core::submission::{Effect, Event, Outcome, Record, Step, Submission};
 use flamingopost_platform::error::{self, Error};
 use flamingopost_platform::head::{self, HEAD, Head};
@@ -28,6 +29,7 @@
     loop {
         let event = match step {
             Step::PutBody => Event::BodyPut(run.put(submission.record()).await),
+            Step::ReadBody => Event::BodyRead(run.has_body(submission.record()).await),
             Step::ReadHead => Event::HeadRead(run.read_head().await),
             Step::Write => Event::Written(run.write(submission.record()).await),
             Step::ReadRecord => Event::RecordRead(run.read_record(submission.record()).await),
@@ -54,6 +56,12 @@
         put.await.map_err(effect)
     }
 
+    async fn has_body(&self, record: &Record) -> Result<bool, Effect> {
+        let found = head::fetch(self.platform, record.digest).await;
+        let found = found.map_err(effect)?;
+        Ok(found.is_some_and(|body| Digest::of(&body) == record.digest))
+    }
+
     async fn read_head(&mut self) -> Result<Option<Record>, Effect> {
         let row = self.platform.read(HEAD).await.map_err(effect)?;
         self.tag = row.as_ref().map(|row| row.tag.clone());
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -14,7 +14,10 @@
 use flamingopost_daemon::token::Token;
 use flamingopost_standin::backend;
 use flamingopost_standin::platform;
+use flamingopost_wire::rpc::ControlClient as _;
 use flamingopost_wire::status::{Service, Status};
+use holder::Host;
+use jsonrpsee::http_client::HttpClientBuilder;
 use serde_json::Value;
 
 pub const SERVICE: &str = "auction-ledger";
@@ -98,9 +101,23 @@
     pub async fn open(&self) -> Service {
         let (status, answer) = self.submit(0, 0, "first", &self.config("")).await;
         assert_eq!(status, 200, "{answer}");
+        self.in_force(1).await;
         self.open_service(0).await
     }
 
+    /// Waits until every control process has put `version` in force.
+    pub async fn in_force(&self, version: u64) {
+        eventually("the version is in force everywhere", || async {
+            for control in 0..self.controls.len() {
+                if self.version(control).await < version {
+                    return None;
+                }
+            }
+            Some(())
+        })
+        .await;
+    }
+
     /// Submits `body` through one control process.
     pub async fn submit(&self, control: usize, base: u64, id: &str, body: &str) -> (u16, Value) {
         let message = serde_json::json!({
@@ -131,6 +148,34 @@
         (code == 200).then(|| serde_json::from_value(value).unwrap())
     }
 
+    /// The configuration version that one control process has in force.
+    pub async fn version(&self, control: usize) -> u64 {
+        let client = HttpClientBuilder::default()
+            .build(format!("http://{}", self.controls[control].rpc))
+            .unwrap();
+        match client.knowledge(0).await {
+            Ok(knowledge) => knowledge.version,
+            Err(_) => 0,
+        }
+    }
+
+    /// Ends one control process, as if its host had been switched off.
+    pub fn stop_control(&mut self, control: usize) {
+        self.controls[control].stop.stop();
+    }
+
+    /// Waits until the controller has named two standbys in the row.
+    pub async fn named_standbys(&self, asked: usize) {
+        eventually("two standbys are named", || async {
+            let status = self.status(asked).await?;
+            let named = status.controllers.first()?.standbys.len();
+            (named == 2).then_some(())
+        })
+        .await;
+        // The row that names them is in the table by the next read.
+        tokio::time::sleep(flamingopost_core::timing::READ * 2).await;
+    }
+
     /// Waits until one control process tells that the service is open.
     pub async fn open_service(&self, control: usize) -> Service {
         eventually("the service opens", || async {
@@ -152,6 +197,17 @@
         .await
     }
 
+    /// One entry host a zone, each with a lease on which `primary` leads.
+    pub async fn hosts(&self, primary: &str) -> Vec<Host> {
+        let mut hosts = Vec::new();
+        for zone in ZONES {
+            let name = format!("{zone}-1");
+            hosts.push(Host::start(&name, zone, self.rpcs()).await);
+        }
+        all_see(&hosts, primary).await;
+        hosts
+    }
+
     pub fn server(&self, name: &str) -> &backend::Server {
         let index = (0..self.servers.len()).find(|index| server_name(*index) == name);
         &self.servers[index.unwrap()]
@@ -162,6 +218,24 @@
     }
 }
 
+/// Waits until all `hosts` may acknowledge writes of `primary`.
+pub async fn all_see(hosts: &[Host], primary: &str) {
+    eventually("all hosts see the primary", || async {
+        let see = |host: &Host| host.primary().as_deref() == Some(primary);
+        hosts.iter().all(see).then_some(())
+    })
+    .await;
+}
+
+/// Waits until `host` may acknowledge writes of another server than `primary`.
+pub async fn another(host: &Host, primary: &str) -> String {
+    eventually("another server leads", || async {
+        let now = host.primary()?;
+        (now != primary).then_some(now)
+    })
+    .await
+}
+
 pub fn server_name(index: usize) -> String {
     format!("{SERVICE}-{}", index + 1)
 }
--- /dev/null
+++ b/crates/control/tests/configuration.rs
@@ -0,0 +1,130 @@
+//! Submissions over HTTP: races, lost answers, outages, wrong texts; spread to everybody.
+
+mod common;
+
+use common::Fleet;
+use flamingopost_standin::platform::Faults;
+use serde_json::{Value, json};
+
+/// Three operators edit the same version at the same moment, each through another host. One is
+/// accepted; the others are told by whom they were beaten, and can start again from there.
+#[actix_rt::test]
+async fn one_of_three_racing_operators_wins() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    let bodies: Vec<String> = (0..3)
+        .map(|operator| fleet.config(&format!("[customer new-{operator}]\n")))
+        .collect();
+    let (first, second, third) = tokio::join!(
+        fleet.submit(0, 1, "race-0", &bodies[0]),
+        fleet.submit(1, 1, "race-1", &bodies[1]),
+        fleet.submit(2, 1, "race-2", &bodies[2]),
+    );
+    let answers = [first, second, third];
+    let winners: Vec<usize> = (0..3).filter(|of| answers[*of].0 == 200).collect();
+    assert_eq!(winners.len(), 1, "{answers:?}");
+    let winner = format!("race-{}", winners[0]);
+    for (code, answer) in &answers {
+        match code {
+            200 => assert_eq!(answer["version"], 2),
+            409 => assert_eq!(answer["winner"]["submission"], winner),
+            _ => panic!("{answers:?}"),
+        }
+    }
+    fleet.in_force(2).await;
+    let (_, newest) = fleet.get(2, "/v1/config").await;
+    assert_eq!(newest["submission"], winner);
+    let (_, first) = fleet.get(1, "/v1/config/1").await;
+    assert_eq!(first["submission"], "first");
+    let (_, history) = fleet.get(0, "/v1/history").await;
+    let versions: Vec<&Value> = history
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|r| &r["version"])
+        .collect();
+    assert_eq!(versions, [2, 1]);
+}
+
+/// Every answer of the table service is lost after the write took effect. Nothing may be
+/// accepted twice, and the operator must not be told that nothing happened.
+#[actix_rt::test]
+async fn lost_answers_are_read_back() {
+    let fleet = Fleet::start().await;
+    fleet.platform.set_faults(Faults {
+        lose_answers: true,
+        ..Faults::default()
+    });
+    let (code, answer) = fleet.submit(0, 0, "first", &fleet.config("")).await;
+    assert_eq!((code, answer), (200, json!({"version": 1})));
+    fleet.open_service(1).await;
+    let (code, answer) = fleet.submit(1, 0, "first", &fleet.config("")).await;
+    assert_eq!((code, answer), (200, json!({"version": 1})));
+    let (_, history) = fleet.get(0, "/v1/history").await;
+    assert_eq!(history.as_array().unwrap().len(), 1);
+}
+
+#[actix_rt::test]
+async fn an_outage_is_told_as_not_done() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let (code, answer) = fleet.submit(0, 1, "second", &fleet.config("")).await;
+    assert_eq!((code, answer), (503, json!({"type": "unavailable"})));
+    // What is in force is still told, by the process itself.
+    let (code, answer) = fleet.get(0, "/v1/config").await;
+    assert_eq!((code, &answer["version"]), (200, &json!(1)));
+}
+
+/// A zone is cut off from the platform, not from its neighbours. A version accepted elsewhere is
+/// in force in the zone as well: one process that has seen it is enough.
+#[actix_rt::test]
+async fn a_version_reaches_a_zone_without_the_platform() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    fleet.platform.set_faults(Faults {
+        cut_zones: ["kality-hall".to_owned()].into(),
+        ..Faults::default()
+    });
+    let (code, answer) = fleet.submit(0, 1, "second", &fleet.config("")).await;
+    assert_eq!(code, 200, "{answer}");
+    fleet.in_force(2).await;
+}
+
+#[actix_rt::test]
+async fn wrong_configurations_are_refused_with_all_that_is_wrong() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    let wrong = fleet
+        .config("")
+        .replace("weight = 10", "weight = heavy")
+        .replace("customer = tesfa", "customer = tesfo");
+    let (code, answer) = fleet.submit(0, 1, "second", &wrong).await;
+    assert_eq!((code, &answer["type"]), (422, &json!("invalid")));
+    assert_eq!(answer["problems"].as_array().unwrap().len(), 2, "{answer}");
+    let moved = fleet.config("").replace("shards = 1", "shards = 2");
+    let (code, answer) = fleet.submit(0, 1, "third", &moved).await;
+    assert_eq!(code, 422);
+    assert_eq!(answer["problems"][0]["fix"], "write `shards = 1`");
+    let (code, answer) = fleet.submit(0, 7, "fourth", &fleet.config("")).await;
+    assert_eq!(code, 422);
+    assert_eq!(
+        answer["problems"][0]["fix"],
+        "start from version 1, the newest"
+    );
+}
+
+#[actix_rt::test]
+async fn nothing_is_told_without_the_token() {
+    let fleet = Fleet::start().await;
+    for path in ["/v1/config", "/v1/history", "/v1/status"] {
+        let url = format!("http://{}{path}", fleet.controls[0].admin);
+        let response = reqwest::get(url).await.unwrap();
+        assert_eq!(response.status().as_u16(), 401, "{path}");
+    }
+    let url = format!("http://{}/live", fleet.controls[0].admin);
+    assert_eq!(reqwest::get(url).await.unwrap().status().as_u16(), 200);
+}
--- /dev/null
+++ b/crates/control/tests/takeover.rs
@@ -0,0 +1,114 @@
+//! Controllers that end, and the platform gone while they work.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, all_see, another, eventually, server_name};
+use flamingopost_core::timing;
+use flamingopost_standin::backend::fault::Faults as ServerFaults;
+use flamingopost_standin::platform::Faults;
+
+fn down() -> Faults {
+    Faults {
+        down: true,
+        ..Faults::default()
+    }
+}
+
+/// The controller's host is switched off. A standby named in the row takes over, hosts get their
+/// leases from it, and the service goes on under the same term.
+#[actix_rt::test]
+async fn a_standby_takes_over() {
+    let mut fleet = Fleet::start().await;
+    let before = fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let old = fleet.leader(0).await;
+    fleet.named_standbys(old).await;
+    fleet.stop_control(old);
+    let asked = (old + 1) % 3;
+    let new = eventually("another controller leads", || async {
+        let leader = fleet.leader(asked).await;
+        (leader != old).then_some(leader)
+    })
+    .await;
+    assert_ne!(new, old);
+    all_see(&hosts, &server_name(0)).await;
+    let after = fleet.open_service(asked).await;
+    assert_eq!(before.term, after.term);
+}
+
+/// The platform's store goes down for much longer than a lease runs. Writes go on, because all
+/// named standbys promise not to claim; and a primary that dies meanwhile is replaced.
+#[actix_rt::test]
+async fn an_outage_of_the_store_stops_neither_writes_nor_a_promotion() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let leader = fleet.leader(0).await;
+    fleet.named_standbys(leader).await;
+    fleet.platform.set_faults(down());
+    // What was read before the outage has long run out by then.
+    tokio::time::sleep(timing::AUTHORITY * 2).await;
+    all_see(&hosts, &server_name(0)).await;
+    fleet.server(&server_name(0)).set_faults(ServerFaults {
+        dead: true,
+        ..ServerFaults::default()
+    });
+    for host in &hosts {
+        host.cannot_reach(&[&server_name(0)]);
+    }
+    let next = another(&hosts[0], &server_name(0)).await;
+    all_see(&hosts, &next).await;
+    fleet.platform.set_faults(Faults::default());
+    // The row follows once the store is back, and nobody has claimed meanwhile.
+    tokio::time::sleep(timing::AUTHORITY).await;
+    assert_eq!(fleet.leader(0).await, leader);
+    all_see(&hosts, &next).await;
+}
+
+/// Answers of the table service are lost while a primary dies: the writes that close and open
+/// terms take effect, nobody hears of it, and reading back has to settle them.
+#[actix_rt::test]
+async fn lost_answers_do_not_stop_a_promotion() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let leader = fleet.leader(0).await;
+    fleet.named_standbys(leader).await;
+    fleet.platform.set_faults(Faults {
+        lose_answers: true,
+        ..Faults::default()
+    });
+    fleet.server(&server_name(0)).set_faults(ServerFaults {
+        dead: true,
+        ..ServerFaults::default()
+    });
+    for host in &hosts {
+        host.cannot_reach(&[&server_name(0)]);
+    }
+    let next = another(&hosts[0], &server_name(0)).await;
+    all_see(&hosts, &next).await;
+}
+
+/// The controller's zone loses the platform and its standbys cannot be heard by it any more: it
+/// must stop granting leases by itself, or two controllers would act for one shard.
+#[actix_rt::test]
+async fn a_controller_without_table_and_standbys_stops_itself() {
+    let mut fleet = Fleet::start().await;
+    fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let leader = fleet.leader(0).await;
+    fleet.named_standbys(leader).await;
+    fleet.platform.set_faults(down());
+    for other in (0..3).filter(|other| *other != leader) {
+        fleet.stop_control(other);
+    }
+    eventually("no host may acknowledge anything", || async {
+        let idle = hosts.iter().all(|host| host.primary().is_none());
+        idle.then_some(())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(hosts.iter().all(|host| host.acknowledge(1).is_none()));
+}
--- a/crates/core/src/submission.rs
+++ b/crates/core/src/submission.rs
@@ -65,6 +65,8 @@
 pub enum Event {
     /// The body was put into the object store, or not.
     BodyPut(Result<(), Effect>),
+    /// The store was asked for the body: whether it is there, whole.
+    BodyRead(Result<bool, Effect>),
     /// The head was read: the record of the newest version, or none when there is no version.
     HeadRead(Result<Option<Record>, Effect>),
     /// The compare-and-set was answered: whether it took effect.
@@ -78,6 +80,7 @@
     pub fn is_failure(&self) -> bool {
         match self {
             Event::BodyPut(result) => result.is_err(),
+            Event::BodyRead(result) => result.is_err(),
             Event::HeadRead(result) | Event::RecordRead(result) => result.is_err(),
             Event::Written(result) => result.is_err(),
         }
@@ -89,6 +92,8 @@
 pub enum Step {
     /// Put the body into the object store under its digest.
     PutBody,
+    /// Look whether the store has the body.
+    ReadBody,
     /// Read the head and remember its tag.
     ReadHead,
     /// Write head and record together, guarded by the tag of the head last read and by the
@@ -139,7 +144,13 @@
     pub fn next(&mut self, event: Event) -> Step {
         match event {
             Event::BodyPut(Ok(())) => Step::ReadHead,
-            Event::BodyPut(Err(_)) => self.again(Step::PutBody),
+            Event::BodyPut(Err(Effect::None)) => self.again(Step::PutBody),
+            // The store may have it: where only answers are lost, putting it again would never
+            // get further.
+            Event::BodyPut(Err(Effect::Unknown)) => self.again(Step::ReadBody),
+            Event::BodyRead(Ok(true)) => Step::ReadHead,
+            Event::BodyRead(Ok(false)) => self.again(Step::PutBody),
+            Event::BodyRead(Err(_)) => self.again(Step::ReadBody),
             Event::HeadRead(Ok(head)) => self.compare(head),
             Event::HeadRead(Err(_)) => self.again(Step::ReadHead),
             Event::Written(Ok(true)) => Step::Finish(Outcome::Accepted),
