A fresh host never puts a lower version in force than one it was told of

Found when the order of the answers changed. Ruled out: the adoption machine, which asked for the higher version. Change: a body that comes with an answer is only taken when it is of the highest version named; the same three lines in control's spread, which had the same fault. The link reads only the head row in ordinary life, and all rows only while a controller is missing; other processes are asked each 30 s then. The answer to POST /v1/drain is fixed before the drain begins (its test failed when the process was already over).

--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -135,10 +135,11 @@
         let (Some(body), Ok(digest)) = (knowledge.body, knowledge.digest.parse()) else {
             return next;
         };
-        // A fresh process holds a body back until all it has to ask have answered: another may
-        // know a newer version. The body is fetched again then.
-        if next == Next::Idle {
-            return next;
+        // A fresh process holds a body back until all it has to ask have answered, and then wants
+        // the highest version named: this one may be older than what it had before its restart.
+        match next {
+            Next::Fetch { version } if knowledge.version >= version => {}
+            _ => return next,
         }
         self.offer(Offer {
             version: knowledge.version,
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -113,8 +113,11 @@
 }
 
 async fn drain(admin: Data<Admin>) -> HttpResponse {
+    // Told from before: with no caller left, the process may be over a moment later.
+    let mut status = status::Status::of(&admin);
+    status.drains();
     admin.shared.stop().drain();
-    HttpResponse::Accepted().json(status::Status::of(&admin))
+    HttpResponse::Accepted().json(status)
 }
 
 async fn reload(admin: Data<Admin>) -> HttpResponse {
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -86,6 +86,11 @@
             services: fleet.map_or_else(Vec::new, |fleet| services(admin, fleet)),
         }
     }
+
+    /// Says that the host drains, as it is about to.
+    pub fn drains(&mut self) {
+        self.phase = phase(Phase::Draining);
+    }
 }
 
 fn phase(phase: Phase) -> &'static str {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -48,7 +48,7 @@
     pub peers: Vec<SocketAddr>,
     /// Control process that renewals go through, where there is one.
     pub relay: Option<SocketAddr>,
-    /// Time between two reads of the fleet's rows.
+    /// Time between two reads of the platform's table.
     pub poll: Duration,
 }
 
@@ -97,7 +97,7 @@
         asking: Notify::new(),
     });
     tokio::spawn(poll::table(link.clone(), table, options.poll));
-    tokio::spawn(poll::peers(link.clone(), options.poll));
+    tokio::spawn(poll::peers(link.clone()));
     tokio::spawn(renewal::run(link.clone()));
     link
 }
--- a/crates/entry/src/link/poll.rs
+++ b/crates/entry/src/link/poll.rs
@@ -20,6 +20,10 @@
 /// Time between two questions to other processes while something is missing.
 const HURRY: Duration = Duration::from_millis(300);
 
+/// The same in ordinary life, when renewals bring everything that is new: only so that the
+/// processes known do not grow old.
+const CALM: Duration = Duration::from_secs(30);
+
 /// What an entry host reads of a shard's row.
 #[derive(Debug, Deserialize)]
 struct Authority {
@@ -31,11 +35,17 @@
     addresses: BTreeMap<String, String>,
 }
 
-/// Reads the fleet's rows until the process stops.
+/// Reads the head row, and all of the fleet's rows while a controller is missing, until the
+/// process stops. The rows of a thousand services read by each host every two seconds would be
+/// several times a host's whole share of the network.
 pub async fn table(link: Arc<Link>, table: Arc<dyn Table>, interval: Duration) {
     let mut silent = false;
     while link.is_running() {
-        match table.list(FLEET).await {
+        let rows = match link.is_missing_something() {
+            true => table.list(FLEET).await,
+            false => table.read(HEAD).await.map(Vec::from_iter),
+        };
+        match rows {
             Ok(rows) => {
                 if std::mem::take(&mut silent) {
                     Log::StoreBack.log();
@@ -55,15 +65,15 @@
     }
 }
 
-/// Asks every control process of the settings once, then one at random at each `interval`, and
-/// sooner while a controller or a configuration is missing.
-pub async fn peers(link: Arc<Link>, interval: Duration) {
+/// Asks every control process of the settings once, then one at random now and then, and often
+/// while a controller or a configuration is missing.
+pub async fn peers(link: Arc<Link>) {
     let first = link.peers.all();
     join_all(first.iter().map(|address| ask_first(&link, address))).await;
     while link.is_running() {
         let pause = match link.is_missing_something() {
             true => HURRY,
-            false => interval,
+            false => CALM,
         };
         tokio::select! {
             () = tokio::time::sleep(jittered(pause)) => {}
--- a/crates/entry/src/link/spread.rs
+++ b/crates/entry/src/link/spread.rs
@@ -165,10 +165,12 @@
     fn take_knowledge(&mut self, from: String, knowledge: Knowledge) -> Next {
         self.sources.insert(from.clone(), knowledge.version);
         let next = self.adoption.heard(knowledge.version);
-        // A fresh process holds a body back until all that it has to ask have answered: what it
-        // puts in force may otherwise be older than what it had before its restart.
-        if next == Next::Idle {
-            return next;
+        // A fresh process holds a body back until all that it has to ask have answered, and then
+        // wants the highest version named: what it puts in force may otherwise be older, if only
+        // for a moment, than what it had before its restart.
+        match next {
+            Next::Fetch { version } if knowledge.version >= version => {}
+            _ => return next,
         }
         let Some(offer) = offer(from, knowledge) else {
             return next;
