control: hand over on SIGTERM instead of falling silent

Change: a process that is asked to end stops telling its standbys that it is there, but goes on granting leases until one of them has claimed and asked for its release; then it ends, after 8 s at the latest.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,6 +31,7 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::time::Duration;
 
 use flamingopost_core::clock::Clock;
 use flamingopost_daemon::clock::Boot;
@@ -53,6 +54,9 @@
 /// Connections to a process's remote calls at the same time: a fleet's hosts, and room.
 const CONNECTIONS: u32 = 2_048;
 
+/// How long a process that is asked to end waits for others to take over what it leads.
+const RETIRE: Duration = Duration::from_secs(8);
+
 /// Largest message between processes: the view of a large shard.
 const MESSAGE: u32 = 16 << 20;
 
@@ -109,6 +113,7 @@
         shards: shards.clone(),
         spread: spread.clone(),
     };
+    tokio::spawn(retire(shared.clone(), shards.clone()));
     let handle = remote_calls(rpc, remote, &shared)?;
     let operators = Operators {
         shared: shared.clone(),
@@ -131,6 +136,16 @@
     result
 }
 
+/// After a request to drain, hands over what the process leads and then ends it. A control
+/// process serves nobody whose work it would cut off.
+async fn retire(shared: Arc<Shared>, shards: Shards) {
+    shared.stop().draining().await;
+    if shared.stop().phase() == Phase::Draining {
+        shards.retire(RETIRE).await;
+    }
+    shared.stop().stop();
+}
+
 fn remote_calls(
     socket: TcpListener,
     remote: Remote,
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -65,9 +65,7 @@
     let draining = stop.clone();
     actix_rt::spawn(async move {
         draining.draining().await;
-        // A control process serves nobody whose work it would cut off.
         Daemon::Draining { daemon: NAME }.log();
-        draining.stop();
     });
     flamingopost_control::run(settings, stop).await
 }
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -59,6 +59,8 @@
     pub(crate) statuses: BTreeMap<ServerKey, (Duration, Status)>,
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) led: bool,
+    /// Whether the process is about to end and wants a standby to take over.
+    pub(crate) retiring: bool,
 }
 
 /// The configuration in force has changed.
@@ -96,6 +98,12 @@
 #[rtype(result = "Option<status::Status>")]
 pub struct Report;
 
+/// The process is about to end: a standby is to take over. Answers whether this process still
+/// leads the shard.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Retire;
+
 /// The process is over.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -124,6 +132,7 @@
             statuses: BTreeMap::new(),
             config: None,
             led: false,
+            retiring: false,
         }
     }
 
@@ -485,6 +494,15 @@
     }
 }
 
+impl Handler<Retire> for Shard {
+    type Result = bool;
+
+    fn handle(&mut self, _: Retire, _: &mut Self::Context) -> Self::Result {
+        self.retiring = true;
+        self.controller.view().is_some()
+    }
+}
+
 impl Handler<Quit> for Shard {
     type Result = ();
 
--- a/crates/control/src/shard_effect.rs
+++ b/crates/control/src/shard_effect.rs
@@ -36,6 +36,9 @@
         match action {
             Action::Read => self.read(ctx),
             Action::Write { row, over } => self.write(&row, over, ctx),
+            // A standby that no longer hears of this controller claims the shard and asks for
+            // its release. Until then leases are granted as ever, so writes hardly notice.
+            Action::Ask { .. } if self.retiring => {}
             Action::Ask { host, ask } => self.ask(host, ask, ctx),
             Action::Release { host, epoch } => self.release(host, epoch, ctx),
             Action::Close { to, view } => {
--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -2,15 +2,19 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
 
 use actix::dev::ToEnvelope;
 use actix::{Actor as _, Addr, Handler, Message};
 use flamingopost_daemon::stop::Phase;
 
 use crate::poll::Reader;
-use crate::shard::{Configure, Shard};
+use crate::shard::{Configure, Retire, Shard};
 use crate::shared::Shared;
 
+/// How often a process that ends looks whether its shards have been taken over.
+const RETIRE_POLL: Duration = Duration::from_millis(50);
+
 /// The actors of all shards, by number.
 #[derive(Clone, Default)]
 pub struct Shards {
@@ -42,6 +46,25 @@
         }
     }
 
+    /// Lets standbys take over what this process leads, and returns when they have, or after
+    /// `patience`: without the platform nobody can.
+    pub async fn retire(&self, patience: Duration) {
+        let retiring = async {
+            while self.is_leading().await {
+                tokio::time::sleep(RETIRE_POLL).await;
+            }
+        };
+        let _given_up = tokio::time::timeout(patience, retiring).await;
+    }
+
+    async fn is_leading(&self) -> bool {
+        let mut leading = false;
+        for actor in self.all() {
+            leading |= actor.send(Retire).await.unwrap_or(false);
+        }
+        leading
+    }
+
     /// Starts an actor for each shard of each new configuration, until the process stops. Runs
     /// on the thread on which the actors live.
     pub async fn run(self, shared: Arc<Shared>, reader: Reader) {
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -38,6 +38,24 @@
     assert_eq!(before.term, after.term);
 }
 
+/// The platform replaces the controller's host and asks it to end. It hands its shard over and
+/// ends by itself; hosts hold leases from the successor.
+#[actix_rt::test]
+async fn a_controller_that_is_asked_to_end_hands_over() {
+    let fleet = Fleet::start().await;
+    let before = fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let old = fleet.leader(0).await;
+    fleet.named_standbys(old).await;
+    fleet.controls[old].stop.drain();
+    fleet.controls[old].stop.stopped().await;
+    let asked = (old + 1) % 3;
+    assert_ne!(fleet.leader(asked).await, old);
+    all_see(&hosts, &server_name(0)).await;
+    let after = fleet.open_service(asked).await;
+    assert_eq!(before.term, after.term);
+}
+
 /// The platform's store goes down for much longer than a lease runs. Writes go on, because all
 /// named standbys promise not to claim; and a primary that dies meanwhile is replaced.
 #[actix_rt::test]
