Refuse the greatest base version, end quietly when the reader has gone

Change: the controller's next version saturates and is refused as a base that never was (one line in control, with a test); a broken pipe ends the output; a marker's mistake no longer says 'marker' twice.

--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -168,7 +168,8 @@
         return refuse(wire::Refused::Invalid { problems });
     }
     let record = Record {
-        version: submission.base + 1,
+        // No version follows the greatest number; it has no record either, so it is refused below.
+        version: submission.base.saturating_add(1),
         digest: Digest::of(submission.body.as_bytes()),
         submission: submission.submission,
         operator: submission.operator,
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -117,6 +117,16 @@
     );
 }
 
+// An operator's tool sends the greatest number there is as its base. Counting on from it stopped
+// the request's worker with an overflow, and the operator was left without an answer.
+#[actix_rt::test]
+async fn the_greatest_base_is_refused_like_any_other_that_never_was() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    let (code, answer) = fleet.submit(0, u64::MAX, "second", &fleet.config("")).await;
+    assert_eq!((code, &answer["type"]), (422, &json!("invalid")));
+}
+
 #[actix_rt::test]
 async fn nothing_is_told_without_the_token() {
     let fleet = Fleet::start().await;
--- a/crates/core/src/statement/marker.rs
+++ b/crates/core/src/statement/marker.rs
@@ -24,20 +24,20 @@
 /// Why a marker cannot be understood.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
 pub enum Mistake {
-    /// marker: `{0}` is not NAME=VALUE
+    /// `{0}` is not NAME=VALUE
     NotAPair(String),
-    /// marker: `{0}` is none of tag, key, deadline_ms, max_age_ms
+    /// `{0}` is none of tag, key, deadline_ms, max_age_ms
     UnknownName(String),
-    /// marker: `{0}` is given twice
+    /// `{0}` is given twice
     Twice(String),
-    /// marker: {name}=`{value}` is not a whole number of milliseconds
+    /// {name}=`{value}` is not a whole number of milliseconds
     NotMilliseconds {
         /// The name.
         name: String,
         /// What stands there.
         value: String,
     },
-    /// marker: {0} is empty
+    /// {0} is empty
     Empty(String),
 }
 
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -33,7 +33,11 @@
 fn lines(text: &str) -> Result<(), Error> {
     let mut out = io::stdout().lock();
     for line in text.trim_end().lines() {
-        writeln!(out, "{}", line.trim_end()).map_err(Error::Output)?;
+        match writeln!(out, "{}", line.trim_end()) {
+            // The reader, `head` for instance, has seen enough.
+            Err(error) if error.kind() == io::ErrorKind::BrokenPipe => break,
+            written => written.map_err(Error::Output)?,
+        }
     }
     Ok(())
 }
