Let a session carry the tag of its statements

Change: flamingopost.tag at connect or by SET, SHOW and RESET; a statement's own marker goes first. core: session::TAG, Session::tag, Statement::tagged; entry: local, greeting, treatment (tag passed). Figures: not measured; a session without a tag pays one comparison a statement. Conclusion: an ordinary client's session is matched by its tag.

--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -15,6 +15,8 @@
 pub const POSITION: &str = "flamingopost.position";
 /// Session parameter that states the greatest age of data the caller accepts.
 pub const MAX_AGE: &str = "flamingopost.max_age";
+/// Session parameter that gives its tag to statements whose marker has none.
+pub const TAG: &str = "flamingopost.tag";
 /// Value of [`POSITION`] by which a caller says that it has no earlier writes.
 pub const NONE: &str = "none";
 
@@ -37,6 +39,7 @@
 pub struct Session {
     writes: Writes,
     max_age: Option<Duration>,
+    tag: Option<Box<str>>,
     lost: Option<Loss>,
 }
 
@@ -75,6 +78,7 @@
         Session {
             writes: Writes::Before(now),
             max_age: None,
+            tag: None,
             lost: None,
         }
     }
@@ -124,6 +128,17 @@
         self.max_age
     }
 
+    /// Takes the tag of statements whose marker has none; an empty value takes it back.
+    pub fn set_tag(&mut self, value: &str) {
+        let value = value.trim();
+        self.tag = (!value.is_empty()).then(|| value.into());
+    }
+
+    /// The tag of statements whose marker has none.
+    pub fn tag(&self) -> Option<&str> {
+        self.tag.as_deref()
+    }
+
     /// Forgets everything: from `now` on this is the session of somebody unknown.
     pub fn forget(&mut self, now: Duration) {
         *self = Session::new(now);
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -3,6 +3,7 @@
 //! The text is parsed by `sqlparser`. What it cannot parse, and every function not known to only
 //! read, counts as a write: a mistake then costs a replica's help and never a lost write.
 
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -53,6 +54,27 @@
         self.marker.tag.as_deref()
     }
 
+    /// The statement with `tag`, where its marker has none.
+    ///
+    /// ```
+    /// use flamingopost_core::statement;
+    ///
+    /// let plain = statement::classify("SELECT 1");
+    /// assert_eq!(plain.tagged(Some("view")).tag(), Some("view"));
+    /// let marked = statement::classify("/* flamingopost: tag=bid */ SELECT 1");
+    /// assert_eq!(marked.tagged(Some("view")).tag(), Some("bid"));
+    /// ```
+    pub fn tagged(&self, tag: Option<&str>) -> Cow<'_, Statement> {
+        match (tag, &self.marker.tag) {
+            (Some(tag), None) => {
+                let mut tagged = self.clone();
+                tagged.marker.tag = Some(tag.to_owned());
+                Cow::Owned(tagged)
+            }
+            _ => Cow::Borrowed(self),
+        }
+    }
+
     /// The one action of a text of one part.
     pub fn action(&self) -> Option<&Action> {
         match self.parts() {
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -64,7 +64,8 @@
         let arrived = self.now();
         self.service.touch(arrived);
         let (service, context) = (&self.service, &self.context);
-        let treatment = treatment::choose(context, service, self.caller, request, arrived);
+        let tag = self.writes.tag();
+        let treatment = treatment::choose(context, service, self.caller, request, tag, arrived);
         let treatment = match treatment {
             Ok(treatment) => treatment,
             Err(refusal) => {
--- a/crates/entry/src/greeting.rs
+++ b/crates/entry/src/greeting.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use flamingopost_core::refusal::Refusal;
 use flamingopost_core::session::state::Effect;
-use flamingopost_core::session::{MAX_AGE, POSITION};
+use flamingopost_core::session::{MAX_AGE, POSITION, TAG};
 use pgwire::messages::startup::BackendKeyData;
 
 use crate::cancel;
@@ -71,6 +71,10 @@
     match name {
         POSITION => return local::take_position(session, value),
         MAX_AGE => return session.writes.set_max_age(value),
+        TAG => {
+            session.writes.set_tag(value);
+            return Ok(());
+        }
         _ => {}
     }
     let place = told
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -3,7 +3,7 @@
 
 use flamingopost_core::refusal::Refusal;
 use flamingopost_core::session::state::{Effect, Transaction};
-use flamingopost_core::session::{MAX_AGE, POSITION};
+use flamingopost_core::session::{MAX_AGE, POSITION, TAG};
 use flamingopost_core::statement::{Action, Statement};
 
 use crate::reply;
@@ -159,6 +159,7 @@
             .writes
             .max_age()
             .map(|age| format!("{}ms", age.as_millis())),
+        TAG => session.writes.tag().map(str::to_owned),
         _ => return Err(no_parameter(name)),
     };
     Ok(Reply::Value {
@@ -172,6 +173,7 @@
     match name {
         POSITION => take_position(session, value)?,
         MAX_AGE => session.writes.set_max_age(value)?,
+        TAG => session.writes.set_tag(value),
         _ => return Err(no_parameter(name)),
     }
     Ok(())
--- a/crates/entry/src/treatment.rs
+++ b/crates/entry/src/treatment.rs
@@ -37,7 +37,8 @@
     pub key: Option<String>,
 }
 
-/// The steps of the chain that need no server: match rules, then what they refuse.
+/// The steps of the chain that need no server: match rules, then what they refuse. `tag` is the
+/// session's, for a statement whose marker has none.
 ///
 /// # Errors
 /// The rule or its rate refuses the request, or its marker cannot be understood.
@@ -46,6 +47,7 @@
     service: &Service,
     caller: CallerKey,
     request: &Request,
+    tag: Option<&str>,
     arrived: Duration,
 ) -> Result<Treatment, Refusal> {
     let rules = context.rules().ok_or(Refusal::NoServer {
@@ -60,6 +62,8 @@
         }
     };
     check_marker(statement)?;
+    let statement = statement.tagged(tag);
+    let statement = statement.as_ref();
     let fleet = rules.index.fleet();
     let role = fleet.callers.get(&caller);
     let choice = rules.index.choose(&Matched {
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -3,8 +3,9 @@
 #[path = "common/path.rs"]
 mod path;
 
+use flamingopost_core::rule::{Access, Then};
 use futures::{SinkExt, StreamExt};
-use path::{Group, Host, column, sqlstate};
+use path::{Group, Host, column, plain, rule, rules, sqlstate};
 use tokio_postgres::types::Type;
 
 #[tokio::test]
@@ -270,3 +271,32 @@
         assert_eq!(column(&other, "SELECT 4").await, ["4"]);
     }
 }
+
+/// A caller that cannot write comments into its statements, an ORM for instance, tags its session
+/// instead; a statement's own marker goes first, and RESET takes the tag back.
+#[tokio::test]
+async fn a_session_can_carry_the_tag_of_its_statements() {
+    let group = Group::start(0).await;
+    let refusing = Then {
+        refuse: Some("no batches today".to_owned()),
+        ..plain()
+    };
+    let mut rules = rules();
+    rules.insert(0, rule(Access::Read, "batch", refusing));
+    let host = Host::with(&group, rules).await;
+    let caller = host.connect_with("-c flamingopost.tag=batch").await;
+    assert_eq!(sqlstate(caller.simple_query("SELECT 1").await), "PF004");
+    let own = "/* flamingopost: tag=view */ SELECT 1";
+    caller.simple_query(own).await.unwrap();
+    caller
+        .batch_execute("RESET flamingopost.tag")
+        .await
+        .unwrap();
+    caller.simple_query("SELECT 1").await.unwrap();
+    caller
+        .batch_execute("SET flamingopost.tag = 'batch'")
+        .await
+        .unwrap();
+    assert_eq!(column(&caller, "SHOW flamingopost.tag").await, ["batch"]);
+    assert_eq!(sqlstate(caller.simple_query("SELECT 1").await), "PF004");
+}
