Admission under overload: heaviest first, refuse early, fair between customers

Change: order by weight, then deadline; count on heavier arrivals when judging a light one; a request that already waits is given up only on its mean; of equals, shed the customer that used most for its share; keep the least time for minutes; limit steps at 2 and 3 times the least time. flamingopost-load overload plays the model.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,6 +1,7 @@
 //! Which request runs next on a backend server, and which is refused at once.
 
 pub mod cost;
+pub mod flow;
 pub mod limit;
 pub mod ticket;
 
@@ -10,9 +11,13 @@
 use crate::key::{ClassKey, CustomerKey};
 use crate::refusal::Refusal;
 use cost::Costs;
+use flow::Flow;
 use limit::Limit;
 use ticket::Ticket;
 
+/// Part of the slots that is taken to be left for a class whatever arrives that is heavier.
+const LEAST_LEFT: f64 = 0.05;
+
 /// What to do about one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Next {
@@ -39,8 +44,9 @@
 
 /// One entry host's queue before one backend server.
 ///
-/// Requests wait in the order of their deadlines. Whenever what waits can no longer all be done
-/// in time, the least weighty of those in the way is refused at once, until the rest can.
+/// The heaviest class goes first, and within it the earliest deadline. Whenever what waits can no
+/// longer all be done in time, the least weighty of those in the way is refused at once, until
+/// the rest can.
 ///
 /// ```
 /// use std::time::Duration;
@@ -64,8 +70,15 @@
 pub struct Gate {
     limit: Limit,
     costs: Costs,
+    /// Work that arrived, by weight.
+    arrived: Flow<u32>,
+    /// Work that was started, by customer.
+    used: Flow<CustomerKey>,
     running: BTreeMap<u64, Running>,
     queue: Vec<Ticket>,
+    connections: usize,
+    /// The request that is just arriving.
+    newest: Option<u64>,
 }
 
 impl Gate {
@@ -74,13 +87,26 @@
         Gate {
             limit: Limit::new(slots),
             costs: Costs::default(),
+            arrived: Flow::default(),
+            used: Flow::default(),
             running: BTreeMap::new(),
             queue: Vec::new(),
+            connections: usize::MAX,
+            newest: None,
         }
     }
 
+    /// The host may have so many connections to the server: no more requests run at once. With
+    /// none, whatever waits is refused at once.
+    pub fn allow(&mut self, connections: u16, now: Duration) -> Vec<Next> {
+        self.connections = usize::from(connections);
+        self.turn(now)
+    }
+
     /// A request arrived. Where the answer does not name it, it waits.
     pub fn arrive(&mut self, ticket: Ticket, now: Duration) -> Vec<Next> {
+        let mean = self.costs.mean(ticket.class);
+        self.arrived.add(ticket.weight, mean, now);
         let needed = self.costs.safe(ticket.class);
         if now + needed > ticket.deadline {
             return vec![Next::Refuse(
@@ -88,11 +114,15 @@
                 self.too_short(&ticket, needed, now),
             )];
         }
-        let place = self
-            .queue
-            .partition_point(|other| other.deadline <= ticket.deadline);
+        let place = self.queue.partition_point(|other| {
+            (std::cmp::Reverse(other.weight), other.deadline)
+                <= (std::cmp::Reverse(ticket.weight), ticket.deadline)
+        });
         self.queue.insert(place, ticket);
-        self.turn(now)
+        self.newest = Some(ticket.id);
+        let next = self.turn(now);
+        self.newest = None;
+        next
     }
 
     /// A request that must not wait starts: a statement of an open transaction, which holds a
@@ -113,7 +143,7 @@
             let took = now.saturating_sub(running.started);
             match end {
                 End::Answered => {
-                    let full = self.running.len() + 1 >= self.limit.slots();
+                    let full = self.running.len() + 1 >= self.slots();
                     self.costs.record(running.class, took);
                     self.limit
                         .record(took, self.costs.least(running.class), full, now);
@@ -159,7 +189,7 @@
 
     /// How many may run at once at the moment.
     pub fn slots(&self) -> usize {
-        self.limit.slots()
+        self.limit.slots().min(self.connections)
     }
 
     /// Connections there would be use for.
@@ -197,8 +227,10 @@
     }
 
     fn start(&mut self, now: Duration, next: &mut Vec<Next>) {
-        while self.running.len() < self.limit.slots() && !self.queue.is_empty() {
+        while self.running.len() < self.slots() && !self.queue.is_empty() {
             let ticket = self.queue.remove(0);
+            let mean = self.costs.mean(ticket.class);
+            self.used.add(ticket.customer, mean, now);
             self.resume(ticket.id, ticket.class, now);
             next.push(Next::Start(ticket.id));
         }
@@ -206,7 +238,7 @@
 
     fn shed(&mut self, now: Duration, next: &mut Vec<Next>) {
         while let Some(late) = self.first_late(now) {
-            let index = self.least(late);
+            let index = self.least(late, now);
             let ticket = self.queue.remove(index);
             let retry_after = self.backlog(now) / self.divisor();
             next.push(Next::Refuse(ticket.id, Refusal::Overloaded { retry_after }));
@@ -215,10 +247,13 @@
 
     /// The first waiting request that would end after its deadline.
     fn first_late(&self, now: Duration) -> Option<usize> {
+        if self.slots() == 0 {
+            return self.queue.len().checked_sub(1);
+        }
         let mut ahead = self.rest(now);
         for (index, ticket) in self.queue.iter().enumerate() {
-            let end = now + ahead / self.divisor() + self.costs.safe(ticket.class);
-            if end > ticket.deadline {
+            let wait = self.wait(ahead, ticket.weight, now);
+            if now + wait + self.margin(ticket) > ticket.deadline {
                 return Some(index);
             }
             ahead += self.costs.mean(ticket.class);
@@ -226,23 +261,49 @@
         None
     }
 
-    /// Among those up to `late`, the one of least weight; among equals, of the customer that has
-    /// most waiting for its share; among those, the one that takes longest.
-    fn least(&self, late: usize) -> usize {
-        let mut waiting: BTreeMap<CustomerKey, u32> = BTreeMap::new();
-        for ticket in &self.queue {
-            *waiting.entry(ticket.customer).or_default() += 1;
+    /// Time that has to be left for `ticket` after its wait. One that has just come has to fit
+    /// with room to spare; with one that already waits, an estimate that wavers must not be
+    /// enough to give it up.
+    fn margin(&self, ticket: &Ticket) -> Duration {
+        if self.newest == Some(ticket.id) {
+            self.costs.safe(ticket.class)
+        } else {
+            self.costs.mean(ticket.class)
+        }
+    }
+
+    /// How long a request waits that has `ahead` before it. What is heavier and arrives in the
+    /// meantime goes first, so only the rest of the slots works off what is ahead: counted out
+    /// now, a request that would be pushed out later is refused when it comes.
+    fn wait(&self, ahead: Duration, weight: u32, now: Duration) -> Duration {
+        let slots = f64::from(self.divisor());
+        let left = slots - self.arrived.above(weight, now);
+        if ahead.is_zero() {
+            return Duration::ZERO;
         }
-        let crowd = |ticket: &Ticket| {
-            u64::from(waiting[&ticket.customer]) * 1000 / u64::from(ticket.share.max(1))
+        if left <= slots * LEAST_LEFT {
+            return ahead.mul_f64(1.0 / (slots * LEAST_LEFT));
+        }
+        ahead.mul_f64(1.0 / left)
+    }
+
+    /// Among those up to `late`, the one of least weight; among equals, of the customer that has
+    /// used most for its share lately; among those, the one that takes longest; and at last the
+    /// one whose deadline is furthest, which has waited least.
+    fn least(&self, late: usize, now: Duration) -> usize {
+        let value = |index: usize| {
+            let ticket = &self.queue[index];
+            let used = self.used.rate(&ticket.customer, now) / f64::from(ticket.share.max(1));
+            let cost = self.costs.mean(ticket.class);
+            (ticket.weight, -used, std::cmp::Reverse(cost))
         };
         (0..=late)
-            .min_by_key(|index| {
-                let ticket = &self.queue[*index];
-                let cost = self.costs.mean(ticket.class);
-                (ticket.weight, std::cmp::Reverse((crowd(ticket), cost)))
+            .rev()
+            .map(|index| (value(index), index))
+            .min_by(|(one, _), (other, _)| {
+                one.partial_cmp(other).unwrap_or(std::cmp::Ordering::Equal)
             })
-            .unwrap_or(late)
+            .map_or(late, |(_, index)| index)
     }
 
     /// Work left in what runs.
@@ -265,7 +326,7 @@
     }
 
     fn divisor(&self) -> u32 {
-        self.limit.slots().max(1) as u32
+        self.slots().max(1) as u32
     }
 
     fn too_short(&self, ticket: &Ticket, needed: Duration, now: Duration) -> Refusal {
--- a/crates/core/src/admission/cost.rs
+++ b/crates/core/src/admission/cost.rs
@@ -11,7 +11,7 @@
 const FIRST_GUESS: Duration = Duration::from_millis(2);
 /// By how much the least time drifts towards the mean with each observation, so that a floor
 /// from better days is forgotten.
-const FORGETTING: f64 = 0.002;
+const FORGETTING: f64 = 0.000_02;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Cost {
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -5,7 +5,7 @@
 /// Slowdown against the least time up to which more is tried.
 const EASY: f64 = 2.0;
 /// Slowdown against the least time from which less is tried.
-const HARD: f64 = 4.0;
+const HARD: f64 = 3.0;
 /// What is left of the limit after a step down.
 const STEP_DOWN: f64 = 0.8;
 /// Shortest time between two steps down: the first must show its effect.
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod idle;
 pub mod overhead;
+pub mod overload;
 pub mod run;
 
 use std::future::Future;
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -60,6 +60,16 @@
             /// Prints the steps as one JSON object.
             optional --json
         }
+        /// Plays overload of one backend server in a model, three ways: a plain pool, a pool
+        /// that drops what is late, and the product's admission. Needs no deployment.
+        cmd overload {
+            /// Entry hosts that share the server; 6 unless given.
+            optional --hosts hosts: usize
+            /// Seed; 1 unless given.
+            optional --seed seed: u64
+            /// Prints the rows as one JSON object.
+            optional --json
+        }
         /// Opens idle connections and reports the memory each costs a process.
         cmd idle {
             /// Connection URL of an entry host.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gap;
 pub mod history;
 pub mod outcome;
+pub mod overload;
 pub mod plan;
 pub mod plot;
 pub mod process;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -17,6 +17,7 @@
         Cmd::Run(args) => command::run::run(args),
         Cmd::Check(args) => command::check::run(args),
         Cmd::Overhead(args) => command::overhead::run(args),
+        Cmd::Overload(args) => command::overload::run(args),
         Cmd::Idle(args) => command::idle::run(args),
     };
     result.unwrap_or_else(|error| {
