Show an entry host's leases and pools in tables, by a type that both sides share

Cause: an entry host's status was typed on its side only, so flamingopostctl could print its leaves and no more; pools and leases of a host were hard to read. Change: wire::host_status holds what GET /v1/status on an entry host answers (the JSON is the same); entry builds it, flamingopostctl shows host, leases, services and pools. Conclusion: every host's version in force, terms, leases and pools can be read.

--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -4,10 +4,12 @@
 
 use comfy_table::{Table, presets};
 use serde::Serialize;
-use serde_json::Value;
 
 use crate::error::Error;
 
+pub mod fleet_tables;
+pub mod host_tables;
+
 /// A table with `headings`.
 pub fn table(headings: &[&str]) -> Table {
     let mut table = Table::new();
@@ -47,43 +49,9 @@
     value.as_ref().map_or_else(|| "-".to_owned(), T::to_string)
 }
 
-/// Every leaf of `value` with its path.
-pub fn leaves(value: &Value) -> Table {
-    let mut rows = table(&["key", "value"]);
-    add_leaves(&mut rows, String::new(), value);
-    rows
-}
-
-fn add_leaves(rows: &mut Table, path: String, value: &Value) {
-    let below = |name: &str| match path.is_empty() {
-        true => name.to_owned(),
-        false => format!("{path}.{name}"),
-    };
-    match value {
-        Value::Object(fields) => {
-            for (name, field) in fields {
-                add_leaves(rows, below(name), field);
-            }
-        }
-        Value::Array(items) if items.iter().any(|item| item.is_object()) => {
-            for (place, item) in items.iter().enumerate() {
-                add_leaves(rows, below(&place.to_string()), item);
-            }
-        }
-        leaf => {
-            rows.add_row([path, leaf_text(leaf)]);
-        }
-    }
-}
-
-fn leaf_text(leaf: &Value) -> String {
-    match leaf {
-        Value::Null => "-".to_owned(),
-        Value::String(text) => text.clone(),
-        Value::Array(items) => {
-            let words: Vec<String> = items.iter().map(leaf_text).collect();
-            words.join(", ")
-        }
-        other => other.to_string(),
-    }
+/// The tables that have rows, with a blank line between them.
+fn paragraphs<const COUNT: usize>(tables: [Table; COUNT]) -> String {
+    let filled = tables.iter().filter(|table| !table.is_empty());
+    let texts: Vec<String> = filled.map(Table::to_string).collect();
+    texts.join("\n\n")
 }
--- a/crates/ctl/tests/ctl/status.rs
+++ b/crates/ctl/tests/ctl/status.rs
@@ -42,11 +42,41 @@
 }
 
 #[test]
-fn what_an_entry_host_tells_is_shown_leaf_by_leaf() {
-    let own = json!({"host": "entry-1", "pools": [{"server": "auction-ledger-1", "open": 4}]});
-    let fake = Fake::new(&[Answer::Say(200, own)]);
-    let run = Workdir::new().run_at(fake.address, &["status"]);
+fn an_entry_host_tells_of_its_leases_and_pools() {
+    let server = json!({"server": "auction-ledger-1", "allotment": 9, "open": 4, "idle": 3,
+                        "waiting": 17, "position": "1.4/90", "leaving": true});
+    let service = json!({"service": "auction-ledger", "shard": 2, "state": "lapsed", "term": "1.4",
+                         "primary": "auction-ledger-1", "acknowledged": null, "servers": [server]});
+    let shard = json!({"shard": 2, "controller": {"epoch": 1, "rpc": "10.0.1.4:7070"},
+                       "view": "1.8", "lease_left_ms": 2100});
+    let own = json!({"host": "entry-1", "zone": "bole-hall", "incarnation": 255, "phase": "draining",
+                     "version": 3, "digest": "ab", "heard": 4, "shards": [shard], "services": [service]});
+    let fake = Fake::new(&[Answer::Say(200, own.clone()), Answer::Say(200, own.clone())]);
+    let workdir = Workdir::new();
+    let run = workdir.run_at(fake.address, &["status"]);
     assert_eq!(run.code, 0);
-    let line = run.out.lines().find(|line| line.contains("pools.0.open"));
-    assert!(line.is_some_and(|line| line.ends_with(" 4")), "{}", run.out);
+    for word in [
+        "draining",
+        "2100",
+        "1.8",
+        "10.0.1.4:7070",
+        "lapsed",
+        "17",
+        "1.4/90",
+        "yes",
+    ] {
+        assert!(run.out.contains(word), "{word} in {}", run.out);
+    }
+    assert_eq!(
+        workdir.run_at(fake.address, &["status", "--json"]).json(),
+        own
+    );
+}
+
+#[test]
+fn an_answer_that_is_no_status_is_a_failure() {
+    let fake = Fake::new(&[Answer::Say(200, json!({"host": "entry-1"}))]);
+    let run = Workdir::new().run_at(fake.address, &["status"]);
+    assert_eq!(run.code, 1);
+    assert!(run.err.contains("answered 200"));
 }
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -91,7 +91,7 @@
 }
 
 async fn status(admin: Data<Admin>) -> impl Responder {
-    Json(status::Status::of(&admin))
+    Json(status::of(&admin))
 }
 
 async fn explain(admin: Data<Admin>, question: Query<Question>) -> HttpResponse {
@@ -114,8 +114,7 @@
 
 async fn drain(admin: Data<Admin>) -> HttpResponse {
     // Told from before: with no caller left, the process may be over a moment later.
-    let mut status = status::Status::of(&admin);
-    status.drains();
+    let status = status::draining(&admin);
     admin.shared.stop().drain();
     HttpResponse::Accepted().json(status)
 }
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -7,89 +7,34 @@
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::lease::Leader;
 use flamingopost_daemon::stop::Phase;
-use flamingopost_wire::knowledge::Controller;
-use serde::Serialize;
+use flamingopost_wire::host_status::{Server, Service as Line, Shard, Status};
 
 use super::Admin;
 use crate::service::Service;
 
-/// `GET /v1/status`.
-#[derive(Debug, Serialize)]
-pub struct Status {
-    host: String,
-    zone: String,
-    incarnation: u64,
-    /// `running`, `draining` or `stopped`.
-    phase: &'static str,
-    /// Configuration version in force; absent where there is none yet.
-    version: Option<u64>,
-    digest: Option<String>,
-    /// Highest configuration version heard of.
-    heard: u64,
-    shards: Vec<Shard>,
-    services: Vec<Line>,
-}
-
-/// One lease.
-#[derive(Debug, Serialize)]
-struct Shard {
-    shard: u16,
-    controller: Option<Controller>,
-    /// Version of the view acted by, `EPOCH.CHANGE`.
-    view: Option<String>,
-    lease_left_ms: u64,
-}
-
-/// One service.
-#[derive(Debug, Serialize)]
-struct Line {
-    service: String,
-    shard: u16,
-    /// `open`, `lapsed`, `closed` or `unknown`.
-    state: &'static str,
-    term: Option<String>,
-    primary: Option<String>,
-    /// Highest position acknowledged by this process.
-    acknowledged: Option<String>,
-    servers: Vec<Server>,
-}
-
-/// One backend server.
-#[derive(Debug, Serialize)]
-struct Server {
-    server: String,
-    /// Connections that this host may have open now.
-    allotment: u16,
-    open: u16,
-    idle: usize,
-    waiting: usize,
-    /// Position last heard of it.
-    position: Option<String>,
-    leaving: bool,
-}
-
-impl Status {
-    /// The status now.
-    pub fn of(admin: &Admin) -> Status {
-        let shared = &admin.shared;
-        let adopted = shared.adopted();
-        let fleet = adopted.as_ref().map(|adopted| adopted.fleet.as_ref());
-        Status {
-            host: admin.host.clone(),
-            zone: admin.zone.clone(),
-            incarnation: shared.incarnation(),
-            phase: phase(shared.stop().phase()),
-            version: adopted.as_ref().map(|adopted| adopted.version),
-            digest: adopted.as_ref().map(|adopted| adopted.digest.clone()),
-            heard: shared.heard(),
-            shards: fleet.map_or_else(Vec::new, |fleet| shards(admin, fleet)),
-            services: fleet.map_or_else(Vec::new, |fleet| services(admin, fleet)),
-        }
+/// The status now.
+pub fn of(admin: &Admin) -> Status {
+    let shared = &admin.shared;
+    let adopted = shared.adopted();
+    let fleet = adopted.as_ref().map(|adopted| adopted.fleet.as_ref());
+    Status {
+        host: admin.host.clone(),
+        zone: admin.zone.clone(),
+        incarnation: shared.incarnation(),
+        phase: phase(shared.stop().phase()).to_owned(),
+        version: adopted.as_ref().map(|adopted| adopted.version),
+        digest: adopted.as_ref().map(|adopted| adopted.digest.clone()),
+        heard: shared.heard(),
+        shards: fleet.map_or_else(Vec::new, |fleet| shards(admin, fleet)),
+        services: fleet.map_or_else(Vec::new, |fleet| services(admin, fleet)),
     }
+}
 
-    /// Says that the host drains, as it is about to.
-    pub fn drains(&mut self) {
-        self.phase = phase(Phase::Draining);
+/// The status of a host that is about to drain.
+pub fn draining(admin: &Admin) -> Status {
+    Status {
+        phase: phase(Phase::Draining).to_owned(),
+        ..of(admin)
     }
 }
 
@@ -145,7 +90,7 @@
     Line {
         service: service.name.clone(),
         shard,
-        state,
+        state: state.to_owned(),
         term: term.map(|term| term.to_string()),
         primary: primary.map(|primary| name(directory, primary)),
         acknowledged: acknowledged.map(|position| position.to_string()),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod authority;
 pub mod close;
 pub mod explanation;
+pub mod host_status;
 pub mod knowledge;
 pub mod lease;
 pub mod row;
