entry: report refused and broken connections as such

Cause: reports tell broken connections from silence, but nothing ever noted one as broken: a dead primary counted as merely silent, and was suspected after 2 s instead of 0.6 s. Ruled out: the controller, whose promotion began as soon as the judge allowed. Change: connections that are refused or break are noted as broken, in probes, in opening and in use; timeouts and refusals by a live server as before.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -159,8 +159,8 @@
                     retry_after: UNREACHABLE,
                 }));
             }
-            Err(pool::Error::Connect(_)) => {
-                self.service.failed(found.server);
+            Err(pool::Error::Connect(error)) => {
+                self.service.stumbled(found.server, &error);
                 return Ok(Outcome::Failed {
                     failure: Failure::Here,
                     ran: Ran::No,
@@ -249,7 +249,7 @@
         match fault {
             Fault::Caller(error) => return Err(Stop::Caller(error)),
             Fault::Late => held.retire(),
-            Fault::Broken => self.service.failed(server),
+            Fault::Broken => self.service.broke(server),
             Fault::Settings => {}
         }
         if progress.streamed {
@@ -298,6 +298,7 @@
                 let (wrote, doubt) = (held.wrote, fault.doubt());
                 match fault {
                     Fault::Late => held.retire(),
+                    Fault::Broken => self.service.broke(server),
                     _ => self.service.failed(server),
                 }
                 return Err(self.lost(wrote, request, progress.sent, doubt));
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -75,7 +75,9 @@
 async fn probe(service: &Service, way: &Way) {
     let mut lent = match way.pool.lend(&State::default(), LIMIT / 2).await {
         Ok(lent) => lent,
-        Err(pool::Error::Connect(_)) => return service.failed(way.pool.server()),
+        Err(pool::Error::Connect(error)) => {
+            return service.stumbled(way.pool.server(), &error);
+        }
         // All connections are in use: the answers on them tell what a probe would.
         Err(pool::Error::Late) => return,
     };
@@ -85,7 +87,7 @@
             service.heard(lent.back(), fresh(&row), sent);
             lent.give_back();
         }
-        Err(_) => service.failed(way.pool.server()),
+        Err(error) => service.stumbled(way.pool.server(), &error),
     }
 }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -15,6 +15,7 @@
 use flamingopost_core::route::{LEAVING_GRACE, Table};
 use flamingopost_core::term::Term;
 
+use crate::back;
 use crate::back::Back;
 use crate::gate::Gate;
 use crate::pool::{Allotment, Pool};
@@ -151,7 +152,22 @@
         }
     }
 
-    /// Notes that `server` could not be reached or broke off.
+    /// Notes that a connection to `server` was refused or broke, which slowness does not explain:
+    /// controllers need not wait as long as for one that is merely silent.
+    pub fn broke(&self, server: ServerKey) {
+        self.shared.report(server, Outcome::Broken);
+        self.with_table(|table, now| table.unreachable(server, now));
+    }
+
+    /// Notes what kept a connection to `server` from being opened or used.
+    pub fn stumbled(&self, server: ServerKey, error: &back::Error) {
+        match error {
+            back::Error::Io(_) => self.broke(server),
+            _ => self.failed(server),
+        }
+    }
+
+    /// Notes that `server` did not answer in time, or could not be used.
     pub fn failed(&self, server: ServerKey) {
         self.shared.report(server, Outcome::Failed);
         self.with_table(|table, now| table.unreachable(server, now));
