Keep in the row what a controller's configuration does not name

Cause: a process whose configuration was behind, or that had none yet, dropped services from the row when it took over, and with them their terms and losses; the next one created them anew. A server that the configuration no longer names could stay primary. Change: rows keep services; a process without configuration does not claim; a primary that is no longer named counts as leaving. Conclusion: found by reading how the control daemon feeds configuration.

--- a/crates/core/src/authority_holder.rs
+++ b/crates/core/src/authority_holder.rs
@@ -233,15 +233,6 @@
         self.row.revision
     }
 
-    /// Forgets services that `keep` rejects.
-    pub fn retain(&mut self, keep: impl Fn(ServiceKey) -> bool) {
-        let before = self.row.services.len();
-        self.row.services.retain(|key, _| keep(*key));
-        if before != self.row.services.len() {
-            self.row.revision += 1;
-        }
-    }
-
     /// The revision that a successor is sure to know of: it is in the table, or every standby
     /// that could claim has it.
     pub fn committed(&self) -> u64 {
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -276,8 +276,10 @@
             Role::Standby(standby) => {
                 let pause = timing::RETRY * 2;
                 let paced = self.claim_sent.is_none_or(|sent| now >= sent + pause);
+                // A process that has no configuration yet has nothing to control.
                 if !self.claiming
                     && paced
+                    && !self.groups.is_empty()
                     && let Some(claim) = standby.claim(now)
                 {
                     self.claim_sent = Some(now);
--- a/crates/core/src/leadership_lead.rs
+++ b/crates/core/src/leadership_lead.rs
@@ -293,7 +293,6 @@
 
     /// The first view: what the row says, with promotions for what is not open.
     fn show(&mut self, groups: &BTreeMap<ServiceKey, Group>, now: Duration) {
-        self.holder.retain(|key| groups.contains_key(&key));
         for (key, group) in groups {
             self.adopt(*key, group, now);
         }
@@ -413,8 +412,8 @@
     }
 
     fn is_leaving(&self, group: &Group, server: ServerKey) -> bool {
-        let listed = group.servers.get(&server) == Some(&Leaving::Yes);
-        listed || self.leaving.contains(&server)
+        let stays = group.servers.get(&server) == Some(&Leaving::No);
+        !stays || self.leaving.contains(&server)
     }
 
     fn has_heir(&self, group: &Group, primary: ServerKey) -> bool {
@@ -601,11 +600,12 @@
                 changed = true;
             }
         }
+        // The row keeps what is no longer configured: a controller whose configuration is behind
+        // would otherwise forget a service's terms, and with them what was lost.
         let before = self.view.services.len();
         self.view.services.retain(|key, _| groups.contains_key(key));
         self.promotions.retain(|key, _| groups.contains_key(key));
         if changed || before != self.view.services.len() {
-            self.holder.retain(|key| groups.contains_key(&key));
             self.bump();
         }
     }
