Test refusals, sessions and routes; pick two distinct candidates

Cause: the random pick compared a replica with itself half of the time, so that a crowded replica near by kept its reads although another was idle.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -176,6 +176,18 @@
         }
     }
 
+    /// Asserts that a read that needed `need` was answered from data at `position`, as the server
+    /// told with its answer. Between choice and answer a server's data only grow, but for what a
+    /// promotion drops, which is no part of any position that was not refused as lost.
+    pub fn check_read(&self, need: &Need, position: Position) {
+        let holds = need
+            .position()
+            .is_none_or(|wanted| self.service.history.covers(position, wanted));
+        invariant::check(Invariant::ReadYourWrites, holds, || {
+            format!("a read that needs {need:?} was answered at {position}")
+        });
+    }
+
     /// The service's history, for positions.
     pub fn history(&self) -> &History {
         &self.service.history
@@ -326,9 +338,11 @@
         if count == 0 {
             return None;
         }
-        let first = pool[(dice % count) as usize];
-        let second = pool[((dice / count) % count) as usize];
+        let first = dice % count;
+        let step = 1 + (dice / count) % count.saturating_sub(1).max(1);
+        let second = (first + step) % count;
         [first, second]
+            .map(|index| pool[index as usize])
             .into_iter()
             .min_by_key(|key| self.cost(*key))
     }
--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,345 @@
+//! Which server answers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use flamingopost_core::directory::Directory;
+use flamingopost_core::health::Standing;
+use flamingopost_core::key::{ServerKey, ZoneKey};
+use flamingopost_core::position::Position;
+use flamingopost_core::refusal::Refusal;
+use flamingopost_core::route::server::{Facts, Fresh, Status};
+use flamingopost_core::route::{Ask, LEAVING_GRACE, Part, Route, Table};
+use flamingopost_core::session::need::Need;
+use flamingopost_core::term::Term;
+use flamingopost_core::view::{Service, State};
+
+const TERM: Term = Term { epoch: 1, count: 0 };
+const NEXT: Term = Term { epoch: 1, count: 1 };
+const NOW: Duration = Duration::from_secs(1000);
+const LEASE_END: Duration = Duration::from_secs(1003);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Three servers in three zones; the host is in the zone of `near`, the primary is `primary`.
+struct Scene {
+    table: Table,
+    facts: BTreeMap<ServerKey, Facts>,
+    primary: ServerKey,
+    near: ServerKey,
+    far: ServerKey,
+}
+
+impl Scene {
+    fn new() -> Scene {
+        let mut names = Directory::default();
+        let zones = ["dumdum", "saltlake", "garia"].map(|zone| names.zones.intern(zone));
+        let [primary, near, far] = ["one", "two", "three"].map(|name| names.servers.intern(name));
+        let fact = |zone: ZoneKey| Facts {
+            zone,
+            slots: 2,
+            distance: ms(3),
+            leaving: false,
+        };
+        let facts = BTreeMap::from([
+            (primary, fact(zones[0])),
+            (near, fact(zones[1])),
+            (far, fact(zones[2])),
+        ]);
+        let mut table = Table::new(zones[1]);
+        table.configure(&facts, NOW);
+        table.adopt(open(TERM, primary), NOW);
+        table.lease(TERM, LEASE_END);
+        let mut scene = Scene {
+            table,
+            facts,
+            primary,
+            near,
+            far,
+        };
+        scene.tell(primary, 100, 0);
+        scene.tell(near, 100, 50);
+        scene.tell(far, 100, 50);
+        scene
+    }
+
+    fn tell(&mut self, server: ServerKey, log: u64, age: u64) {
+        self.tell_at(server, log, age, NOW);
+    }
+
+    fn tell_at(&mut self, server: ServerKey, log: u64, age: u64, now: Duration) {
+        let fresh = Some(Fresh {
+            term: TERM,
+            age: ms(age),
+        });
+        let position = Position { term: TERM, log };
+        self.table
+            .status(server, Status { position, fresh }, now, now);
+    }
+
+    fn read(&self, need: Need) -> Route {
+        self.read_at(need, NOW)
+    }
+
+    fn read_at(&self, need: Need, now: Duration) -> Route {
+        let ask = Ask {
+            need,
+            patience: Duration::ZERO,
+            dice: 7,
+        };
+        self.table.read(&ask, now)
+    }
+}
+
+fn open(term: Term, primary: ServerKey) -> Service {
+    Service::new(State::Open { term, primary })
+}
+
+fn after(log: u64) -> Need {
+    Need::Position {
+        position: Position { term: TERM, log },
+        max_age: None,
+    }
+}
+
+fn aged(millis: u64) -> Need {
+    Need::Any {
+        max_age: Some(ms(millis)),
+    }
+}
+
+fn replica(server: ServerKey) -> Route {
+    Route::Go {
+        server,
+        part: Part::Replica,
+    }
+}
+
+fn primary(server: ServerKey) -> Route {
+    Route::Go {
+        server,
+        part: Part::Primary(TERM),
+    }
+}
+
+#[test]
+fn reads_go_near_then_far_then_to_the_primary() {
+    let mut scene = Scene::new();
+    assert_eq!(scene.read(after(100)), replica(scene.near));
+    scene.tell(scene.near, 90, 50);
+    assert_eq!(scene.read(after(100)), replica(scene.far));
+    scene.tell(scene.far, 90, 50);
+    assert_eq!(scene.read(after(100)), primary(scene.primary));
+    assert_eq!(scene.read(after(90)), replica(scene.near));
+}
+
+#[test]
+fn a_read_waits_for_a_replica_that_is_about_to_have_the_position() {
+    let mut scene = Scene::new();
+    scene.tell_at(scene.near, 150, 50, NOW + ms(100));
+    let ask = |patience| Ask {
+        need: after(155),
+        patience,
+        dice: 7,
+    };
+    let now = NOW + ms(101);
+    let route = scene.table.read(&ask(ms(50)), now);
+    assert_eq!(route, Route::Wait { wait: ms(9) });
+    let route = scene.table.read(&ask(ms(5)), now);
+    assert_eq!(route, primary(scene.primary));
+}
+
+#[test]
+fn a_crowded_replica_near_by_yields_to_an_idle_one_elsewhere() {
+    let mut scene = Scene::new();
+    for _ in 0..12 {
+        scene.table.started(scene.near, NOW);
+    }
+    assert_eq!(scene.read(after(100)), replica(scene.far));
+}
+
+/// A caller asks for data at most 500 ms old. The zone is cut off: the replica goes on answering
+/// probes, but says how long it has not heard from its primary. What became too old is refused,
+/// the rest is served.
+#[test]
+fn a_cut_off_zone_refuses_what_is_too_old_and_serves_the_rest() {
+    let mut scene = Scene::new();
+    let now = LEASE_END + ms(500);
+    scene.table.unreachable(scene.primary, now);
+    scene.table.unreachable(scene.far, now);
+    scene.tell_at(scene.near, 100, 400, now);
+    assert!(matches!(
+        scene.read_at(aged(450), now),
+        Route::Refuse(Refusal::DataTooOld { age: Some(age), .. }) if age == ms(500)
+    ));
+    assert_eq!(scene.read_at(aged(600), now), replica(scene.near));
+    let any = Need::Any { max_age: None };
+    assert_eq!(scene.read_at(any, now), replica(scene.near));
+    assert_eq!(scene.read_at(after(100), now), replica(scene.near));
+}
+
+/// The host's lease has run out, so another primary may lead by now. The old one still answers
+/// and believes that its data are current; their age counts from the end of the lease.
+#[test]
+fn a_primary_without_a_lease_ages_like_a_replica() {
+    let mut scene = Scene::new();
+    let now = LEASE_END + ms(100);
+    scene.table.unreachable(scene.near, now);
+    scene.table.unreachable(scene.far, now);
+    scene.tell_at(scene.primary, 120, 0, now);
+    assert_eq!(scene.read_at(aged(150), now), replica(scene.primary));
+    assert!(matches!(
+        scene.read_at(aged(50), now),
+        Route::Refuse(Refusal::DataTooOld { .. })
+    ));
+    assert!(matches!(
+        scene.table.write(now),
+        Route::Refuse(Refusal::NoPrimary { .. })
+    ));
+}
+
+#[test]
+fn a_session_that_brought_nothing_is_served_by_a_replica_once_its_data_are_proven_newer() {
+    let mut scene = Scene::new();
+    let need = Need::Since {
+        began: NOW,
+        max_age: None,
+    };
+    assert_eq!(scene.read(need), primary(scene.primary));
+    let later = NOW + ms(100);
+    scene.tell_at(scene.near, 101, 40, later);
+    assert_eq!(scene.read_at(need, later), replica(scene.near));
+}
+
+/// A primary that was replaced holds writes that no later term has. Nobody may read them from it,
+/// whatever its position says.
+#[test]
+fn nothing_is_read_from_a_divergent_log() {
+    let mut scene = Scene::new();
+    scene.tell(scene.primary, 130, 0);
+    let mut service = open(NEXT, scene.near);
+    service.history.open(TERM, 0);
+    service.history.open(NEXT, 100);
+    scene.table.adopt(service, NOW);
+    scene.table.lease(NEXT, LEASE_END);
+    scene.table.unreachable(scene.far, NOW);
+    let any = Need::Any { max_age: None };
+    let to_new = Route::Go {
+        server: scene.near,
+        part: Part::Primary(NEXT),
+    };
+    assert_eq!(scene.read(any), to_new);
+}
+
+/// An answer to an older probe arrives late, after the server dropped the tail of its old term:
+/// believed, it would let a read miss the session's write.
+#[test]
+fn a_late_status_does_not_undo_a_newer_one() {
+    let mut scene = Scene::new();
+    scene.tell_at(scene.near, 90, 50, NOW + ms(10));
+    let old = Status {
+        position: Position {
+            term: TERM,
+            log: 120,
+        },
+        fresh: None,
+    };
+    scene.table.status(scene.near, old, NOW, NOW + ms(20));
+    assert_eq!(scene.read_at(after(100), NOW + ms(20)), replica(scene.far));
+}
+
+#[test]
+fn a_closed_term_takes_no_writes_and_replicas_go_on() {
+    let mut scene = Scene::new();
+    scene
+        .table
+        .adopt(Service::new(State::Closed { term: TERM }), NOW);
+    assert!(matches!(
+        scene.table.write(NOW),
+        Route::Refuse(Refusal::NoPrimary { .. })
+    ));
+    assert_eq!(scene.read(after(100)), replica(scene.near));
+}
+
+/// An operator empties a server. Reads leave it at once; writes to a leaving primary go on only
+/// for the grace in which the controller moves the term.
+#[test]
+fn a_leaving_server_gets_nothing_new() {
+    let mut scene = Scene::new();
+    for server in [scene.near, scene.primary] {
+        scene.facts.get_mut(&server).unwrap().leaving = true;
+    }
+    scene.table.configure(&scene.facts, NOW);
+    assert_eq!(scene.read(after(100)), replica(scene.far));
+    assert_eq!(
+        scene.table.write(NOW + LEAVING_GRACE),
+        primary(scene.primary)
+    );
+    let later = NOW + LEAVING_GRACE + ms(1);
+    scene.table.lease(TERM, later + ms(1000));
+    assert!(matches!(
+        scene.table.write(later),
+        Route::Refuse(Refusal::NoPrimary { .. })
+    ));
+}
+
+#[test]
+#[should_panic(expected = "no_new_work")]
+fn work_on_a_server_that_left_is_caught() {
+    let mut scene = Scene::new();
+    scene.facts.get_mut(&scene.near).unwrap().leaving = true;
+    scene.table.configure(&scene.facts, NOW);
+    scene.table.started(scene.near, NOW + LEAVING_GRACE + ms(1));
+}
+
+#[test]
+#[should_panic(expected = "read_your_writes")]
+fn a_read_answered_from_older_data_is_caught() {
+    let scene = Scene::new();
+    scene.table.check_read(
+        &after(100),
+        Position {
+            term: TERM,
+            log: 99,
+        },
+    );
+}
+
+#[test]
+fn a_replica_set_aside_serves_only_when_nothing_else_can() {
+    let mut scene = Scene::new();
+    scene.table.set_standing(scene.near, Standing::Aside);
+    assert_eq!(scene.read(after(100)), replica(scene.far));
+    scene.tell(scene.far, 10, 50);
+    assert_eq!(scene.read(after(100)), replica(scene.near));
+}
+
+#[test]
+fn a_replica_on_trial_gets_a_trickle() {
+    let mut scene = Scene::new();
+    scene.table.set_standing(scene.near, Standing::Trial);
+    let near = (0..1600)
+        .filter(|dice| {
+            let ask = Ask {
+                need: after(100),
+                patience: Duration::ZERO,
+                dice: *dice,
+            };
+            scene.table.read(&ask, NOW) == replica(scene.near)
+        })
+        .count();
+    assert_eq!(near, 100);
+}
+
+#[test]
+fn a_position_that_nobody_has_is_refused_with_a_time_to_come_back() {
+    let mut scene = Scene::new();
+    scene.table.unreachable(scene.primary, NOW);
+    let Route::Refuse(refusal) = scene.read(after(200)) else {
+        panic!("served without the position");
+    };
+    assert_eq!(refusal.sqlstate(), "PF007");
+    assert!(refusal.retry_after().is_some());
+}
