wire, entry: what is usual stays out of renewals; replicas that answer are not reported

Cause: a host that uses 300 servers of 1,000 services spent 99 KB/s on the link, 57 of them on reports that nothing was wrong. Ruled out: fewer reports on primaries; that a primary answers has to reach the judge while it is fresh, or two hosts in trouble would outvote those who do not speak. Change: absent fields instead of zeros, empty reports for primaries without trouble, none for replicas without.

--- a/crates/entry/src/link/renewal.rs
+++ b/crates/entry/src/link/renewal.rs
@@ -9,7 +9,7 @@
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::lease::{Granted, Ticket};
 use flamingopost_core::timing;
-use flamingopost_core::view;
+use flamingopost_core::view::{self, State};
 use flamingopost_daemon::event::Event as _;
 use flamingopost_wire::lease::{Grant, Refusal, Renewal, Reply};
 use flamingopost_wire::rpc::ControlClient as _;
@@ -141,7 +141,7 @@
     };
     let prepared = shards.iter().map(|shard| {
         let servers = servers(&adopted.fleet, *shard);
-        let taken = link.shared.take_tallies(&servers);
+        let taken = link.shared.take_tallies(&servers, &primaries(link, *shard));
         let sent = link.shared.now();
         let renewal = renewal(link, *shard, &servers, &taken, stopping);
         let ticket = link.shared.leases().renewal_sent(*shard, sent);
@@ -197,6 +197,17 @@
         .collect()
 }
 
+fn primaries(link: &Link, shard: u16) -> BTreeSet<ServerKey> {
+    let leases = link.shared.leases();
+    let services = leases.view(shard).map(|view| view.services.values());
+    let states = services.into_iter().flatten().map(|service| service.state);
+    let primaries = states.filter_map(|state| match state {
+        State::Open { primary, .. } => Some(primary),
+        State::Closed { .. } => None,
+    });
+    primaries.collect()
+}
+
 fn take(link: &Link, address: &str, item: Item, reply: Reply, held: &Mutex<BTreeSet<u16>>) {
     match reply {
         Reply::Granted(grant) => {
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -7,9 +7,9 @@
 use flamingopost_core::position::Position;
 use flamingopost_wire::lease;
 
-/// Servers without trouble that one renewal reports on at most. Those in trouble are always
-/// reported; were the others as well, a host that serves a thousand services would spend all of
-/// its share of the network on saying that nothing is wrong.
+/// Primaries without trouble that one renewal reports on at most. Servers in trouble are always
+/// reported; were all others as well, a host that serves a thousand services would spend its
+/// share of the network on saying that nothing is wrong.
 pub const HEALTHY: usize = 32;
 
 /// What came of one contact with a backend server.
@@ -66,8 +66,11 @@
         self.troubled && !before
     }
 
-    /// The message for the controller.
+    /// The message for the controller; an empty one where there was no trouble.
     pub fn report(&self, now: Duration) -> lease::Report {
+        if self.failures == 0 {
+            return lease::Report::default();
+        }
         let silent = self.answered.map(|at| now.saturating_sub(at).as_millis());
         lease::Report {
             answers: self.answers,
@@ -110,8 +113,13 @@
     }
 
     /// Takes what is to be reported of `servers`: all that are in trouble or have been since
-    /// their last report, and up to [`HEALTHY`] others in turn.
-    pub fn take(&mut self, servers: &BTreeSet<ServerKey>) -> BTreeMap<ServerKey, Tally> {
+    /// their last report, and up to [`HEALTHY`] others of `primaries` in turn. That a primary
+    /// answers speaks against those who cannot reach it; of a replica nobody asks that.
+    pub fn take(
+        &mut self,
+        servers: &BTreeSet<ServerKey>,
+        primaries: &BTreeSet<ServerKey>,
+    ) -> BTreeMap<ServerKey, Tally> {
         let mut taken = BTreeMap::new();
         let mut healthy = Vec::new();
         for (server, tally) in &mut self.servers {
@@ -121,7 +129,7 @@
             if tally.troubled || tally.failures > 0 {
                 taken.insert(*server, tally.clone());
                 tally.restart();
-            } else {
+            } else if primaries.contains(server) {
                 healthy.push(*server);
             }
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -208,9 +208,13 @@
         }
     }
 
-    /// Takes what the next renewal reports of `servers`.
-    pub fn take_tallies(&self, servers: &BTreeSet<ServerKey>) -> BTreeMap<ServerKey, Tally> {
-        lock(&self.tallies).take(servers)
+    /// Takes what the next renewal reports of `servers`, of which `primaries` lead services.
+    pub fn take_tallies(
+        &self,
+        servers: &BTreeSet<ServerKey>,
+        primaries: &BTreeSet<ServerKey>,
+    ) -> BTreeMap<ServerKey, Tally> {
+        lock(&self.tallies).take(servers, primaries)
     }
 
     /// Puts back what was taken for a renewal that did not get through.
--- a/crates/entry/tests/report.rs
+++ b/crates/entry/tests/report.rs
@@ -24,7 +24,7 @@
         for server in &servers {
             tallies.note(*server, Outcome::Answered(None), SECOND);
         }
-        let taken = tallies.take(&servers);
+        let taken = tallies.take(&servers, &servers);
         assert_eq!(taken.len(), HEALTHY);
         seen.extend(taken.into_keys());
     }
@@ -41,7 +41,7 @@
         for server in &servers {
             tallies.note(*server, Outcome::Failed, SECOND);
         }
-        assert_eq!(tallies.take(&servers).len(), servers.len());
+        assert_eq!(tallies.take(&servers, &servers).len(), servers.len());
     }
 }
 
@@ -61,10 +61,26 @@
     let server = *servers.first().unwrap();
     let mut tallies = Tallies::default();
     tallies.note(server, Outcome::Broken, SECOND);
-    let taken = tallies.take(&servers);
-    assert!(tallies.take(&servers).is_empty());
+    let taken = tallies.take(&servers, &servers);
+    assert!(tallies.take(&servers, &servers).is_empty());
     tallies.restore(&taken);
     tallies.note(server, Outcome::Failed, SECOND);
-    let report = tallies.take(&servers)[&server].report(SECOND);
+    let report = tallies.take(&servers, &servers)[&server].report(SECOND);
     assert_eq!((report.failures, report.broken), (2, 1));
 }
+
+/// A replica that answers is of no interest to anybody; one that does not is.
+#[test]
+fn of_replicas_only_trouble_is_reported() {
+    let servers = servers(2);
+    let (primary, replica) = (*servers.first().unwrap(), *servers.last().unwrap());
+    let primaries = BTreeSet::from([primary]);
+    let mut tallies = Tallies::default();
+    tallies.note(primary, Outcome::Answered(None), SECOND);
+    tallies.note(replica, Outcome::Answered(None), SECOND);
+    let taken = tallies.take(&servers, &primaries);
+    assert_eq!(taken.keys().collect::<Vec<_>>(), [&primary]);
+    assert_eq!(taken[&primary].report(SECOND), Default::default());
+    tallies.note(replica, Outcome::Failed, SECOND);
+    assert!(tallies.take(&servers, &primaries).contains_key(&replica));
+}
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -24,28 +24,36 @@
     /// Configuration version in force at the host.
     pub config: u64,
     /// View version the host acts by; absent at its start.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<Version>,
     /// What the host saw of each backend server since its last renewal.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub reports: BTreeMap<String, Report>,
     /// Connections the host wants to each backend server.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub demand: BTreeMap<String, u16>,
     /// Whether the host is about to stop and gives up its lease and its connections.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub stopping: bool,
 }
 
-/// What one host saw of one backend server.
+/// What one host saw of one backend server. All absent: it answers, and nothing is wrong.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Answers received, probes included.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub answers: u32,
     /// Connections refused, broken or timed out.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub failures: u32,
     /// Those of them that were refused or broken, which a server that is merely slow does not do.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub broken: u32,
     /// Milliseconds since the last answer; absent when there never was one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub silent_ms: Option<u64>,
     /// Last known position, `EPOCH.COUNT/LOG`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub position: Option<String>,
 }
 
@@ -57,12 +65,14 @@
     /// How long, in milliseconds; 0 when nothing is granted.
     pub valid_ms: u64,
     /// The view, when it is newer than the one the host named.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub view: Option<Shard>,
     /// Connections the host may open to each backend server, for as long as the lease runs.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub allotment: BTreeMap<String, u16>,
     /// Connections that the host may keep beyond its lease, by backend server, so that a zone
     /// that is cut off from its controller goes on serving.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub floors: BTreeMap<String, Floor>,
     /// Highest configuration version the controller knows.
     pub config: u64,
@@ -96,6 +106,11 @@
     Refused(Refusal),
 }
 
+/// What is usual stays out of messages, which every host sends several times a second.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 impl From<&Report> for suspicion::Report {
     fn from(report: &Report) -> suspicion::Report {
         suspicion::Report {
