Report a wrong default of a service once

Cause: each server that inherits a value read it, so a wrong default of a service was reported once more for each of its servers. Change: a report leaves out what stands on the same line already; examples on When and Choice. Conclusion: one mistake, one line.

--- a/crates/core/src/config/builder.rs
+++ b/crates/core/src/config/builder.rs
@@ -334,7 +334,7 @@
     }
 }
 
-/// The class of a fleet by key, as rules need it.
+/// The deadline of a class that has been read.
 pub(super) fn deadline_of(fleet: &Fleet, class: ClassKey) -> Option<Duration> {
     fleet.classes.get(&class).map(|class| class.deadline)
 }
--- a/crates/core/src/config/report.rs
+++ b/crates/core/src/config/report.rs
@@ -14,8 +14,17 @@
 }
 
 impl Report {
-    pub(super) fn new(file: &str, mut problems: Vec<Problem>) -> Report {
-        problems.sort_by_key(|problem| problem.line);
+    pub(super) fn new(file: &str, mut found: Vec<Problem>) -> Report {
+        found.sort_by_key(|problem| problem.line);
+        let mut problems: Vec<Problem> = Vec::new();
+        for problem in found {
+            let line = problem.line;
+            let mut beside = problems.iter().rev().take_while(|other| other.line == line);
+            // A default that several servers inherit is read, and found wrong, for each of them.
+            if !beside.any(|other| *other == problem) {
+                problems.push(problem);
+            }
+        }
         Report {
             file: file.to_owned(),
             problems,
--- a/crates/core/src/rule.rs
+++ b/crates/core/src/rule.rs
@@ -119,6 +119,20 @@
 
 impl Choice<'_> {
     /// The deadline, which a caller may shorten and never lengthen.
+    ///
+    /// ```
+    /// use std::borrow::Cow;
+    /// use std::time::Duration;
+    /// use flamingopost_core::fleet::Fleet;
+    /// use flamingopost_core::rule::{Access, Choice};
+    /// use flamingopost_core::statement::Marker;
+    ///
+    /// let then = Fleet::default().default_then(Access::Read);
+    /// let choice = Choice { rule: None, then: Cow::Owned(then) };
+    /// let asked = Marker { deadline: Some(Duration::from_millis(50)), ..Marker::default() };
+    /// assert_eq!(choice.deadline(&asked), Duration::from_millis(50));
+    /// assert_eq!(choice.deadline(&Marker::default()), Duration::from_secs(1));
+    /// ```
     pub fn deadline(&self, marker: &Marker) -> Duration {
         let limit = self.then.deadline;
         marker.deadline.map_or(limit, |asked| asked.min(limit))
@@ -135,6 +149,18 @@
 
 impl When {
     /// Whether every condition holds for `request`.
+    ///
+    /// ```
+    /// use flamingopost_core::key::{CallerKey, ServiceKey};
+    /// use flamingopost_core::rule::{Access, Request, When};
+    /// use flamingopost_core::statement;
+    ///
+    /// let statement = statement::classify("SELECT price FROM lots");
+    /// let (service, caller) = (ServiceKey::default(), CallerKey::default());
+    /// let request = Request { service, caller, role: "buyer", statement: &statement };
+    /// let reads = When { access: Some(Access::Read), ..When::default() };
+    /// assert!(reads.matches(&request));
+    /// ```
     pub fn matches(&self, request: &Request<'_>) -> bool {
         let statement = request.statement;
         holds(&self.services, &request.service)
@@ -148,6 +174,14 @@
     }
 
     /// Whether every request that `other` matches is matched by this one too.
+    ///
+    /// ```
+    /// use flamingopost_core::rule::{Access, When};
+    ///
+    /// let reads = When { access: Some(Access::Read), ..When::default() };
+    /// assert!(When::default().covers(&reads));
+    /// assert!(!reads.covers(&When::default()));
+    /// ```
     pub fn covers(&self, other: &When) -> bool {
         within(&other.services, &self.services)
             && within(&other.callers, &self.callers)
