control: floors of connections, kept in the table before hosts are told

Cause: a zone that is cut off from its controller lost all its connections when its leases ended, and could not go on serving what it can. Change: hosts get the floors that budget shares give to those in the server's zone. A row floors/shard-N holds them; a grant names a floor only once the table is known to hold it; a successor reads the row first, and until then keeps half of each limit free, for floors may take as much. Two connections of each server stay with controllers. Figures: not measured; a write to the table only where a floor is new. Conclusion: four tests of the budgets and one over a handover pass.

--- /dev/null
+++ b/crates/control/src/floors.rs
@@ -0,0 +1,60 @@
+//! The row of the table service that keeps a shard's floors.
+
+use std::collections::BTreeMap;
+
+use flamingopost_core::budget::share::Holder;
+use flamingopost_core::directory::Directory;
+use serde::{Deserialize, Serialize};
+
+use crate::budgets::Floors;
+
+/// One floor. By name, for keys do not leave a process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Stored {
+    host: String,
+    incarnation: u64,
+    connections: u16,
+}
+
+/// Key of the row. It is not among the rows that every host polls.
+pub fn key(shard: u16) -> String {
+    format!("floors/shard-{shard}")
+}
+
+/// The row's body.
+pub fn encode(floors: &Floors, directory: &Directory) -> String {
+    let mut stored: BTreeMap<&str, Vec<Stored>> = BTreeMap::new();
+    for ((server, holder), connections) in floors {
+        let server = directory.servers.name(*server);
+        let host = directory.hosts.name(holder.host);
+        if let (Some(server), Some(host)) = (server, host) {
+            stored.entry(server).or_default().push(Stored {
+                host: host.to_owned(),
+                incarnation: holder.incarnation,
+                connections: *connections,
+            });
+        }
+    }
+    // A map of strings, numbers and lists always has a JSON form.
+    serde_json::to_string(&stored).unwrap_or_default()
+}
+
+/// Reads a row's body.
+///
+/// # Errors
+/// It is no such row.
+pub fn decode(body: &str, directory: &mut Directory) -> Result<Floors, serde_json::Error> {
+    let stored: BTreeMap<String, Vec<Stored>> = serde_json::from_str(body)?;
+    let mut floors = Floors::new();
+    for (server, held) in stored {
+        let server = directory.servers.intern(&server);
+        for floor in held {
+            let holder = Holder {
+                host: directory.hosts.intern(&floor.host),
+                incarnation: floor.incarnation,
+            };
+            floors.insert((server, holder), floor.connections);
+        }
+    }
+    Ok(floors)
+}
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use actix::{Actor, ActorContext as _, AsyncContext, Context, Handler, Message, MessageResult};
+use flamingopost_core::budget::Grant;
 use flamingopost_core::budget::share::Holder;
 use flamingopost_core::key::{HostKey, ServerKey, ServiceKey};
 use flamingopost_core::leadership::{self, Controller, Group, Reply};
@@ -25,6 +26,7 @@
 use crate::hints::Hints;
 use crate::poll::Reader;
 use crate::servers::{Address, Servers};
+use crate::shard_floors::Keeper;
 use crate::shard_status;
 use crate::shared::Shared;
 
@@ -34,6 +36,9 @@
 /// How often standbys are chosen anew and what is long gone is forgotten.
 const REVIEW: Duration = Duration::from_secs(1);
 
+/// How often floors are looked after.
+const FLOORS: Duration = Duration::from_millis(500);
+
 /// Silence of a control process after which it is no candidate for a standby.
 const CANDIDATE: Duration = Duration::from_secs(5);
 
@@ -51,6 +56,7 @@
     /// When the lease of each ends at the latest.
     pub(crate) leases: BTreeMap<Instance, Duration>,
     pub(crate) budgets: Budgets,
+    pub(crate) keeper: Keeper,
     /// Connections granted to each, for operators.
     pub(crate) granted: BTreeMap<Instance, u32>,
     pub(crate) membership: Membership,
@@ -126,6 +132,7 @@
             holders: BTreeMap::new(),
             leases: BTreeMap::new(),
             budgets: Budgets::default(),
+            keeper: Keeper::default(),
             granted: BTreeMap::new(),
             membership: Membership::default(),
             leaving: Leaving::default(),
@@ -311,8 +318,11 @@
                     version: version.into(),
                     valid_ms: millis(valid),
                     view,
-                    allotment: grants,
-                    floors: BTreeMap::new(),
+                    allotment: grants
+                        .iter()
+                        .map(|(name, g)| (name.clone(), g.leased))
+                        .collect(),
+                    floors: floors(&grants),
                     config: self.shared.heard(),
                 })
             }
@@ -325,7 +335,7 @@
         holder: Instance,
         valid: Duration,
         now: Duration,
-    ) -> BTreeMap<String, u16> {
+    ) -> BTreeMap<String, Grant> {
         let of_budget = Holder {
             host: holder.host,
             incarnation: holder.incarnation,
@@ -345,6 +355,9 @@
             .collect();
         let renewer = Renewer {
             holder: of_budget,
+            zone: self
+                .shared
+                .intern(|names| names.zones.intern(&renewal.zone)),
             valid,
         };
         let grants = self.budgets.renew(renewer, &demand, now);
@@ -352,7 +365,7 @@
         self.granted.insert(holder, total);
         let named = grants.iter().filter_map(|(key, grant)| {
             let name = directory.servers.name(*key)?.to_owned();
-            Some((name, grant.leased))
+            Some((name, *grant))
         });
         named.collect()
     }
@@ -449,6 +462,19 @@
     }
 }
 
+fn floors(grants: &BTreeMap<String, Grant>) -> BTreeMap<String, lease::Floor> {
+    let given = grants.iter().filter(|(_, grant)| grant.floor > 0);
+    given
+        .map(|(name, grant)| {
+            let floor = lease::Floor {
+                connections: grant.floor,
+                valid_ms: millis(grant.floor_valid),
+            };
+            (name.clone(), floor)
+        })
+        .collect()
+}
+
 fn instance((process, _): (Process, &Member)) -> Instance {
     Instance {
         host: process.host,
@@ -473,6 +499,7 @@
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.run_interval(STEP, |shard, ctx| shard.step(ctx));
         ctx.run_interval(REVIEW, |shard, _| shard.review());
+        ctx.run_interval(FLOORS, |shard, ctx| shard.keep_floors(ctx));
     }
 }
 
--- /dev/null
+++ b/crates/control/tests/budgets.rs
@@ -0,0 +1,130 @@
+//! Connection budgets of a controller, and floors that outlast it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use flamingopost_control::budgets::{Budgets, Floors, Renewer, Server};
+use flamingopost_control::floors;
+use flamingopost_control::servers::RESERVED;
+use flamingopost_core::budget::Grant;
+use flamingopost_core::budget::share::Holder;
+use flamingopost_core::directory::Directory;
+use flamingopost_core::key::{ServerKey, ZoneKey};
+
+const LIMIT: u16 = 18;
+const LEASE: Duration = Duration::from_millis(2_500);
+
+struct Names {
+    directory: Directory,
+    server: ServerKey,
+    zone: ZoneKey,
+    other_zone: ZoneKey,
+}
+
+fn names() -> Names {
+    let mut directory = Directory::default();
+    Names {
+        server: directory.servers.intern("auction-ledger-1"),
+        zone: directory.zones.intern("bole-hall"),
+        other_zone: directory.zones.intern("akaki-hall"),
+        directory,
+    }
+}
+
+impl Names {
+    fn budgets(&self) -> Budgets {
+        let server = Server {
+            connections: LIMIT,
+            zone: self.zone,
+        };
+        let mut budgets = Budgets::default();
+        budgets.configure(BTreeMap::from([(self.server, server)]));
+        budgets.restart();
+        budgets
+    }
+
+    fn host(&mut self, name: &str, zone: ZoneKey) -> Renewer {
+        let holder = Holder {
+            host: self.directory.hosts.intern(name),
+            incarnation: 1,
+        };
+        Renewer {
+            holder,
+            zone,
+            valid: LEASE,
+        }
+    }
+
+    fn renew(&self, budgets: &mut Budgets, host: Renewer, demand: u16, at: u64) -> Grant {
+        let demand = BTreeMap::from([(self.server, demand)]);
+        let grants = budgets.renew(host, &demand, Duration::from_secs(at));
+        grants[&self.server]
+    }
+}
+
+/// A host is told of a floor and its controller dies before writing it down. The successor gives
+/// the same connection to another host, and the server refuses somebody in a cut-off zone.
+#[test]
+fn a_floor_is_told_only_once_it_is_kept() {
+    let mut names = names();
+    let mut budgets = names.budgets();
+    budgets.load(Floors::new(), Duration::ZERO);
+    let near = names.host("bole-1", names.zone);
+    assert_eq!(names.renew(&mut budgets, near, 3, 1).floor, 0);
+    let floors = budgets.unkept().expect("the floor has to be written down");
+    assert_eq!(floors[&(names.server, near.holder)], 1);
+    budgets.keep(floors);
+    assert_eq!(budgets.unkept(), None);
+    let grant = names.renew(&mut budgets, near, 3, 2);
+    assert_eq!(grant.floor, 1);
+    assert!(grant.floor_valid > LEASE);
+}
+
+#[test]
+fn hosts_of_other_zones_get_no_floor() {
+    let mut names = names();
+    let mut budgets = names.budgets();
+    budgets.load(Floors::new(), Duration::ZERO);
+    let far = names.host("akaki-1", names.other_zone);
+    assert_eq!(names.renew(&mut budgets, far, 3, 1).floor, 0);
+    assert_eq!(budgets.unkept(), None);
+}
+
+/// A controller has just taken over while the store is down, so it cannot know which floors are
+/// in use. Were it to give out everything, hosts of a cut-off zone and those it serves would
+/// together pass the server's limit.
+#[test]
+fn unread_floors_have_room() {
+    let mut names = names();
+    let mut budgets = names.budgets();
+    let first = names.host("akaki-1", names.other_zone);
+    let second = names.host("akaki-2", names.other_zone);
+    names.renew(&mut budgets, first, LIMIT, 1);
+    names.renew(&mut budgets, second, LIMIT, 1);
+    // Leases shrink to their fair parts as they end.
+    let given: u16 = [first, second]
+        .map(|host| names.renew(&mut budgets, host, LIMIT, 10).leased)
+        .iter()
+        .sum();
+    assert!(given <= (LIMIT - RESERVED) / 2, "{given}");
+    let lost = names.host("bole-9", names.zone).holder;
+    let kept = Floors::from([((names.server, lost), 2)]);
+    budgets.load(kept, Duration::from_secs(20));
+    let given: u16 = [first, second]
+        .map(|host| names.renew(&mut budgets, host, LIMIT, 30).leased)
+        .iter()
+        .sum();
+    assert!(given > (LIMIT - RESERVED) / 2, "{given}");
+    assert!(given <= LIMIT - RESERVED - 2, "{given}");
+}
+
+#[test]
+fn a_row_of_floors_reads_as_it_was_written() {
+    let mut names = names();
+    let holder = names.host("bole-1", names.zone).holder;
+    let written = Floors::from([((names.server, holder), 1)]);
+    let body = floors::encode(&written, &names.directory);
+    let read = floors::decode(&body, &mut names.directory).unwrap();
+    assert_eq!(read, written);
+    assert!(floors::decode("[]", &mut names.directory).is_err());
+}
--- a/crates/control/tests/common/holder.rs
+++ b/crates/control/tests/common/holder.rs
@@ -28,6 +28,7 @@
     directory: Directory,
     unreachable: BTreeSet<String>,
     allotment: BTreeMap<String, u16>,
+    floors: BTreeMap<String, u16>,
     config: u64,
     leaving: BTreeSet<String>,
 }
@@ -53,6 +54,7 @@
             directory: Directory::default(),
             unreachable: BTreeSet::new(),
             allotment: BTreeMap::new(),
+            floors: BTreeMap::new(),
             config: 0,
             leaving: BTreeSet::new(),
         }));
@@ -70,7 +72,9 @@
                 config: 0,
                 version: None,
                 reports: BTreeMap::new(),
-                demand: BTreeMap::new(),
+                demand: (0..3)
+                    .map(|server| (super::server_name(server), 2))
+                    .collect(),
                 stopping: false,
             },
             controls,
@@ -116,6 +120,11 @@
         self.state.lock().unwrap().allotment.clone()
     }
 
+    /// Connections that the host may keep beyond its lease.
+    pub fn floors(&self) -> BTreeMap<String, u16> {
+        self.state.lock().unwrap().floors.clone()
+    }
+
     pub fn config(&self) -> u64 {
         self.state.lock().unwrap().config
     }
@@ -193,6 +202,10 @@
             .holder
             .granted(ticket, version, valid, view, Boot.now());
         state.allotment = grant.allotment;
+        let floors = grant.floors.into_iter();
+        state.floors = floors
+            .map(|(name, floor)| (name, floor.connections))
+            .collect();
         state.config = state.config.max(grant.config);
         matches!(granted, lease::Granted::Until(_))
     }
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -38,6 +38,29 @@
     assert_eq!(before.term, after.term);
 }
 
+/// Hosts keep a connection each to the servers of their own zone for when the zone is cut off.
+/// A successor knows of them from the table and never gives them to others.
+#[actix_rt::test]
+async fn floors_outlast_their_controller() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let near = |zone: usize| std::collections::BTreeMap::from([(server_name(zone), 1)]);
+    let have = || async {
+        let all = hosts.iter().enumerate();
+        all.into_iter()
+            .all(|(zone, host)| host.floors() == near(zone))
+            .then_some(())
+    };
+    eventually("every host has its floor", have).await;
+    let old = fleet.leader(0).await;
+    fleet.named_standbys(old).await;
+    fleet.controls[old].stop.drain();
+    fleet.controls[old].stop.stopped().await;
+    all_see(&hosts, &server_name(0)).await;
+    eventually("every host has its floor from the successor", have).await;
+}
+
 /// The platform replaces the controller's host and asks it to end. It hands its shard over and
 /// ends by itself; hosts hold leases from the successor.
 #[actix_rt::test]
