control: zone relay that bundles renewals

Cause: at 480 hosts each controller would answer 960 calls a second for each shard; calls, not leases, are what costs. Change: with `relay = yes` a control process passes renewals of its zone on, those of 200 ms in one call; reports of trouble, new and stopping hosts go at once. A relayed renewal is never passed on again, so relays cannot send each other in circles. Conclusion: a test holds leases through a relay over a change of controller and the death of a primary.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod operators;
 pub mod peer;
 pub mod poll;
+pub mod relay;
 pub mod row;
 pub mod rpc;
 pub mod servers;
@@ -47,6 +48,7 @@
 use crate::error::Error;
 use crate::meter::Platform;
 use crate::operators::Operators;
+use crate::relay::Relay;
 use crate::rpc::Remote;
 use crate::settings::Settings;
 use crate::shard::Quit;
@@ -114,6 +116,7 @@
         shared: shared.clone(),
         shards: shards.clone(),
         spread: spread.clone(),
+        relay: Relay::new(shared.clone()),
     };
     tokio::spawn(retire(shared.clone(), shards.clone()));
     let handle = remote_calls(rpc, remote, &shared)?;
--- /dev/null
+++ b/crates/control/src/relay.rs
@@ -0,0 +1,120 @@
+//! Renewals of a whole zone, bundled: one call to a controller carries those of many hosts.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use flamingopost_wire::lease::{Refusal, Renewal, Reply};
+use flamingopost_wire::rpc::ControlClient as _;
+use tokio::sync::oneshot;
+
+use crate::shared::Shared;
+
+/// How long renewals wait for others that go the same way. A host counts its lease from the
+/// sending of its renewal, so this is taken from what is left of the lease.
+const HOLD: Duration = Duration::from_millis(200);
+
+/// Renewals in one call at most.
+const BUNDLE: usize = 512;
+
+/// Renewals that wait for their call, by the address of the controller.
+pub struct Relay {
+    shared: Arc<Shared>,
+    waiting: Mutex<BTreeMap<String, Vec<Waiting>>>,
+}
+
+struct Waiting {
+    renewal: Renewal,
+    reply: oneshot::Sender<Reply>,
+}
+
+impl Relay {
+    /// A relay with nothing to do yet.
+    pub fn new(shared: Arc<Shared>) -> Arc<Relay> {
+        Arc::new(Relay {
+            shared,
+            waiting: Mutex::default(),
+        })
+    }
+
+    /// Where renewals of `shard` are to be passed on to; `None` where this process answers them
+    /// itself, because it leads the shard or is no relay.
+    pub fn target(&self, shard: u16) -> Option<String> {
+        if !self.shared.settings().relay {
+            return None;
+        }
+        let controller = self.shared.controllers().remove(&shard)?;
+        (controller.rpc != self.shared.process().rpc).then_some(controller.rpc)
+    }
+
+    /// Passes `renewal` on to the controller at `address` and brings its reply.
+    pub async fn renew(self: &Arc<Self>, address: String, renewal: Renewal) -> Reply {
+        let urgent = is_urgent(&renewal);
+        let (sender, receiver) = oneshot::channel();
+        let waiting = Waiting {
+            renewal,
+            reply: sender,
+        };
+        if self.enqueue(&address, waiting) || urgent {
+            let (relay, hold) = (self.clone(), if urgent { Duration::ZERO } else { HOLD });
+            tokio::spawn(async move {
+                tokio::time::sleep(hold).await;
+                relay.flush(&address).await;
+            });
+        }
+        receiver.await.unwrap_or_else(|_| self.refused())
+    }
+
+    /// Whether the queue was empty, so that a call has to be made for it.
+    fn enqueue(&self, address: &str, waiting: Waiting) -> bool {
+        let mut queues = self.queues();
+        let queue = queues.entry(address.to_owned()).or_default();
+        queue.push(waiting);
+        queue.len() == 1
+    }
+
+    async fn flush(&self, address: &str) {
+        let queue = self.queues().remove(address).unwrap_or_default();
+        let mut queue = queue.into_iter().peekable();
+        while queue.peek().is_some() {
+            let bundle: Vec<Waiting> = queue.by_ref().take(BUNDLE).collect();
+            self.send(address, bundle).await;
+        }
+    }
+
+    async fn send(&self, address: &str, bundle: Vec<Waiting>) {
+        metrics::histogram!("flamingopost_relay_bundle").record(bundle.len() as f64);
+        let (renewals, senders): (Vec<Renewal>, Vec<_>) = bundle
+            .into_iter()
+            .map(|waiting| (waiting.renewal, waiting.reply))
+            .unzip();
+        let replies = match self.shared.links().get(address) {
+            Ok(client) => client.relayed(renewals).await.unwrap_or_default(),
+            Err(_) => Vec::new(),
+        };
+        // Replies come in the order of the renewals; without one a host is refused, and asks
+        // somebody else.
+        let mut replies = replies.into_iter();
+        for sender in senders {
+            let reply = replies.next().unwrap_or_else(|| self.refused());
+            let _gone = sender.send(reply);
+        }
+    }
+
+    fn refused(&self) -> Reply {
+        Reply::Refused(Refusal {
+            redirect: None,
+            config: self.shared.heard(),
+        })
+    }
+
+    fn queues(&self) -> MutexGuard<'_, BTreeMap<String, Vec<Waiting>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// News that cannot wait: a server in trouble, a host that comes or goes.
+fn is_urgent(renewal: &Renewal) -> bool {
+    let trouble = renewal.reports.values().any(|report| report.failures > 0);
+    trouble || renewal.stopping || renewal.version.is_none()
+}
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -12,6 +12,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 
 use crate::fleet_status;
+use crate::relay::Relay;
 use crate::shard::{Asked, GiveUp, Renew};
 use crate::shards::Shards;
 use crate::shared::Shared;
@@ -28,9 +29,18 @@
     pub shards: Shards,
     /// Who hears of versions that messages carry.
     pub spread: Handle,
+    /// Where renewals go that others have to answer.
+    pub relay: Arc<Relay>,
 }
 
 impl Remote {
+    async fn renew_or_relay(&self, renewal: Renewal) -> Reply {
+        match self.relay.target(renewal.shard) {
+            Some(address) => self.relay.renew(address, renewal).await,
+            None => self.renew_one(renewal).await,
+        }
+    }
+
     async fn renew_one(&self, renewal: Renewal) -> Reply {
         let refused = Reply::Refused(Refusal {
             redirect: None,
@@ -50,6 +60,12 @@
 #[async_trait]
 impl ControlServer for Remote {
     async fn renew(&self, renewals: Vec<Renewal>) -> RpcResult<Vec<Reply>> {
+        let renewals = renewals.into_iter();
+        let replies = renewals.map(|renewal| self.renew_or_relay(renewal));
+        Ok(join_all(replies).await)
+    }
+
+    async fn relayed(&self, renewals: Vec<Renewal>) -> RpcResult<Vec<Reply>> {
         let replies = renewals.into_iter().map(|renewal| self.renew_one(renewal));
         Ok(join_all(replies).await)
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -33,6 +33,8 @@
     pub platform: Platform,
     /// Remote calls of other control processes, to ask while the platform is silent.
     pub peers: Vec<SocketAddr>,
+    /// Whether this process passes renewals of other hosts on to controllers, bundled.
+    pub relay: bool,
     /// Configuration that a fleet without any starts with.
     pub bootstrap: Option<PathBuf>,
     /// How long one request to a backend server may take.
@@ -89,6 +91,7 @@
                 poll: PLATFORM_POLL,
             },
             peers: Vec::new(),
+            relay: false,
             bootstrap: None,
             server_timeout: SERVER_TIMEOUT,
             log: Log::default(),
@@ -118,6 +121,7 @@
         let token = token(r);
         let platform = platform(r);
         let peers = r.optional("control", "peers", Vec::new());
+        let relay = r.optional("control", "relay", false);
         let bootstrap = r.maybe("control", "bootstrap");
         let server_timeout = r.optional("control", "server_timeout", SERVER_TIMEOUT);
         let log = Log {
@@ -135,6 +139,7 @@
                 token: token?,
                 platform: platform?,
                 peers,
+                relay,
                 bootstrap,
                 server_timeout,
                 log,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -43,6 +43,11 @@
 impl Fleet {
     /// One control process a zone, three servers, and a platform without any configuration.
     pub async fn start() -> Fleet {
+        Fleet::with_relays(false).await
+    }
+
+    /// As [`Fleet::start`]; whether control processes pass renewals on.
+    pub async fn with_relays(relays: bool) -> Fleet {
         let platform = platform::Service::start(&platform::Settings::default()).unwrap();
         let mut servers = Vec::new();
         for (index, zone) in ZONES.iter().enumerate() {
@@ -55,11 +60,11 @@
             servers,
             controls: Vec::new(),
         };
-        fleet.start_controls();
+        fleet.start_controls(relays);
         fleet
     }
 
-    fn start_controls(&mut self) {
+    fn start_controls(&mut self, relays: bool) {
         let sockets: Vec<(TcpListener, TcpListener)> =
             ZONES.iter().map(|_| (listener(), listener())).collect();
         let peers: Vec<SocketAddr> = sockets.iter().map(|(rpc, _)| address(rpc)).collect();
@@ -68,6 +73,7 @@
             let mut settings = Settings::local(&host, zone, self.platform.address());
             settings.peers.clone_from(&peers);
             settings.token = Token::new(TOKEN);
+            settings.relay = relays;
             self.controls.push(start_control(settings, rpc, admin));
         }
     }
@@ -208,6 +214,21 @@
         hosts
     }
 
+    /// An entry host in each zone but that of `control`.
+    pub async fn hosts_in_other_zones(&self, control: usize) -> Vec<Host> {
+        let mut hosts = Vec::new();
+        for zone in ZONES.iter().filter(|zone| **zone != ZONES[control]) {
+            hosts.push(Host::start(&format!("{zone}-1"), zone, self.rpcs()).await);
+        }
+        hosts
+    }
+
+    /// One entry host that only knows the control process of its zone.
+    pub async fn host_behind(&self, relay: usize) -> Host {
+        let name = format!("{}-behind", ZONES[relay]);
+        Host::start(&name, ZONES[relay], vec![self.controls[relay].rpc]).await
+    }
+
     pub fn server(&self, name: &str) -> &backend::Server {
         let index = (0..self.servers.len()).find(|index| server_name(*index) == name);
         &self.servers[index.unwrap()]
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -38,6 +38,38 @@
     assert_eq!(before.term, after.term);
 }
 
+/// A zone's hosts only ever call the relay of their zone. They hold leases through it, and go on
+/// holding them when another controller takes over: the relay learns of it, they need not.
+#[actix_rt::test]
+async fn a_relay_follows_the_controller() {
+    let fleet = Fleet::with_relays(true).await;
+    fleet.open().await;
+    let old = fleet.leader(0).await;
+    let relay = (old + 1) % 3;
+    let hosts = [
+        fleet.host_behind(relay).await,
+        fleet.host_behind(relay).await,
+    ];
+    all_see(&hosts, &server_name(0)).await;
+    fleet.named_standbys(old).await;
+    fleet.controls[old].stop.drain();
+    fleet.controls[old].stop.stopped().await;
+    eventually("another controller leads", || async {
+        (fleet.leader(relay).await != old).then_some(())
+    })
+    .await;
+    fleet.server(&server_name(0)).set_faults(ServerFaults {
+        dead: true,
+        ..ServerFaults::default()
+    });
+    let others = fleet.hosts_in_other_zones(relay).await;
+    for host in hosts.iter().chain(&others) {
+        host.cannot_reach(&[&server_name(0)]);
+    }
+    let next = another(&hosts[0], &server_name(0)).await;
+    all_see(&hosts, &next).await;
+}
+
 /// Hosts keep a connection each to the servers of their own zone for when the zone is cut off.
 /// A successor knows of them from the table and never gives them to others.
 #[actix_rt::test]
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -16,6 +16,12 @@
     #[method(name = "renew")]
     async fn renew(&self, renewals: Vec<Renewal>) -> RpcResult<Vec<Reply>>;
 
+    /// Renews leases on behalf of the hosts of a zone; as `renew`, but never passed on again.
+    #[method(name = "relayed")]
+    async fn relayed(&self, renewals: Vec<Renewal>) -> RpcResult<Vec<Reply>> {
+        self.renew(renewals).await
+    }
+
     /// Tells a host that the controller is there; may ask for its promise.
     #[method(name = "promise")]
     async fn promise(&self, ask: Ask) -> RpcResult<Promise>;
