Acknowledge a transaction when its writes have reached what their rules ask

Cause: then.ack was taken from the rule of the request that ended the transaction. COMMIT names no table and no tag, so a settlement in a transaction was acknowledged by the primary alone, although its rule says ack = replica. Change: Held keeps the most that any write since the last commit asks for (entry: held, answer, settle, three places); Ack is ordered. Ruled out: asking callers to tag their COMMIT, which none would remember. Shown to fail: with the old condition COMMIT succeeds while the only replica lags by a minute. Conclusion: one rule, one promise, inside a transaction or not.

--- a/crates/core/src/rule.rs
+++ b/crates/core/src/rule.rs
@@ -86,8 +86,8 @@
     Replica,
 }
 
-/// What a write must have reached before it is acknowledged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// What a write must have reached before it is acknowledged; the greater asks for more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ack {
     /// The primary.
     Primary,
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -5,6 +5,7 @@
 use flamingopost_core::refusal::{Doubt, Ran, Refusal};
 use flamingopost_core::retry::{self, Failure};
 use flamingopost_core::route::Part;
+use flamingopost_core::rule::Ack;
 use flamingopost_core::session::need::Need;
 use flamingopost_core::session::state::Transaction;
 use flamingopost_core::statement::Action;
@@ -175,6 +176,7 @@
             part: found.part,
             need: found.need,
             wrote: false,
+            ack: Ack::Primary,
             tainted: false,
         });
         let sent = self.now();
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -2,6 +2,7 @@
 
 use flamingopost_core::position::Position;
 use flamingopost_core::route::Part;
+use flamingopost_core::rule::Ack;
 use flamingopost_core::session::need::Need;
 use pgwire::messages::response::TransactionStatus;
 
@@ -20,6 +21,9 @@
     pub need: Need,
     /// Whether something that may write ran since the last commit.
     pub wrote: bool,
+    /// What the writes since the last commit have to reach before the commit is acknowledged: the
+    /// most that the rule of any of them asks for. The rule of `COMMIT` itself knows no tables.
+    pub ack: Ack,
     /// Whether a cancel request may still be on its way to it.
     pub tainted: bool,
 }
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -62,7 +62,10 @@
     ) -> Result<Settled, Stop> {
         let cancelled = progress.sqlstate.as_deref() == Some(CANCELLED);
         held.tainted |= self.handle.struck() && !cancelled;
-        held.wrote |= request.access() == Access::Write && !request.runs.is_empty();
+        if request.access() == Access::Write && !request.runs.is_empty() {
+            held.wrote = true;
+            held.ack = held.ack.max(treatment.then.ack);
+        }
         self.service.heard(held.lent.back(), None, sent);
         let End::Ready(status) = end else {
             return Ok(self.flushed(held, progress));
@@ -81,6 +84,10 @@
         let verdict = self.judge(&mut held, progress, status, ended, sent);
         let position = held.position();
         let part = held.part;
+        let ack = held.ack;
+        if ended != Ended::Not {
+            held.ack = Ack::Primary;
+        }
         self.keep_or_release(held, status);
         let report = match verdict {
             Verdict::Pass => None,
@@ -92,7 +99,7 @@
             }
         };
         if let (Some(position), Part::Primary(term), Ack::Replica, Ended::Written) =
-            (position, part, treatment.then.ack, ended)
+            (position, part, ack, ended)
         {
             self.confirm(position, term, treatment).await?;
         }
--- a/crates/entry/tests/failure.rs
+++ b/crates/entry/tests/failure.rs
@@ -357,6 +357,37 @@
     assert_eq!(sqlstate(settlement), "PF101");
 }
 
+/// A clerk settles a sale in a transaction: payment, then title release, then COMMIT. The rule asks
+/// for a replica, but only the payment's statement names the table; COMMIT alone was matched when
+/// the answer was due, and the clerk was told "done" by the primary alone.
+#[tokio::test]
+async fn a_transaction_waits_for_the_replica_that_its_statements_need() {
+    let group = Group::start(1).await;
+    let settled = Then {
+        ack: Ack::Replica,
+        deadline: Duration::from_millis(600),
+        repeatable: false,
+        retries: 0,
+        ..plain()
+    };
+    let mut rules = path::rules();
+    rules.insert(0, rule(Access::Write, "settlement", settled));
+    for rule in &mut rules {
+        rule.then.deadline = Duration::from_millis(600);
+    }
+    let host = Host::with(&group, rules).await;
+    table(&host).await;
+    host.learnt(&group).await;
+    group.set_faults(1, |faults| faults.lag_ms = 60_000);
+    let caller = host.connect().await;
+    let payment = "/* flamingopost: tag=settlement */ INSERT INTO bids VALUES (1)";
+    caller.batch_execute("BEGIN").await.unwrap();
+    caller.batch_execute(payment).await.unwrap();
+    assert_eq!(sqlstate(caller.simple_query("COMMIT").await), "PF101");
+    let bid = "BEGIN; INSERT INTO bids VALUES (2); COMMIT";
+    caller.batch_execute(bid).await.unwrap();
+}
+
 /// Twenty members come at once to a host that may open one connection. All are served, and the
 /// server never sees a second connection of the host.
 #[tokio::test]
