--- a/crates/core/src/budget/share.rs
+++ b/crates/core/src/budget/share.rs
@@ -138,6 +138,7 @@
     /// Grants what the holder of a renewal may open.
     pub fn renew(&mut self, renewal: Renewal, now: Duration) -> Grant {
         self.prune(now);
+        let before = self.outstanding(now);
         let account = self.accounts.entry(renewal.holder).or_default();
         account.demand = renewal.demand;
         self.give_floor(&renewal, now);
@@ -153,7 +154,7 @@
             connections: leased,
             until,
         });
-        self.check(now);
+        self.check(before, now);
         Grant {
             leased,
             ..self.floor_only(renewal.holder, now)
@@ -174,7 +175,8 @@
     /// A floor goes to hosts in the server's own zone that have use for it: they are the ones
     /// that still reach the server when the zone is cut off. All floors together stay within
     /// half of the limit, so that a fleet whose members crash and come back under new names
-    /// cannot use it up.
+    /// cannot use it up. A successor that does not yet know what its predecessor granted only
+    /// extends floors: a new one could be a connection that another host has open.
     fn give_floor(&mut self, renewal: &Renewal, now: Duration) {
         let pool = self.limit / 2;
         let given: u16 = self.accounts.values().map(|a| a.floor_at(now)).sum();
@@ -188,7 +190,8 @@
         } else {
             0
         };
-        let fits = given - held + wanted <= pool && others + wanted <= self.limit;
+        let known = now >= self.silent_until;
+        let fits = known && given - held + wanted <= pool && others + wanted <= self.limit;
         if wanted > 0 && (held > 0 || fits) {
             account.floor = Some(Floor {
                 connections: held.max(wanted),
@@ -249,11 +252,13 @@
         });
     }
 
-    fn check(&self, now: Duration) {
+    /// A limit that was lowered is passed until leases end; it must not be passed further.
+    fn check(&self, before: u16, now: Duration) {
+        let granted = self.outstanding(now);
         invariant::check(
             Invariant::ConnectionLimit,
-            self.outstanding(now) <= self.limit,
-            || format!("{} of {} granted", self.outstanding(now), self.limit),
+            granted <= self.limit.max(before),
+            || format!("{granted} of {} granted after {before}", self.limit),
         );
     }
 }
