Say which guards of leadership are second guards

Change: comments say what else holds; no code. Conclusion: kept, so that safety does not hang on how two spans are set.

--- a/crates/core/src/authority_standby.rs
+++ b/crates/core/src/authority_standby.rs
@@ -225,7 +225,9 @@
             return false;
         };
         // Claiming blocks promises until the table has answered. A table that has just gone away
-        // would not answer, and the controller would stop for want of this promise.
+        // would not answer, and the controller would stop for want of this promise. A promise is
+        // kept although the wait after the claim covers it as well, as long as PROMISE is not
+        // longer than AUTHORITY: safety does not hang on how the two are set.
         if now > seen.last + self.read_every() * 2 || now < self.promised {
             return false;
         }
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -167,8 +167,9 @@
         if let Some(view) = view {
             self.adopt(ticket.shard, view);
         }
-        // A grant that was overtaken by a revocation: the controller counts this host as revoked
-        // and may already promote. Acting on the grant would acknowledge writes of the old term.
+        // A grant that was overtaken by a revocation, or whose view never came. The controller
+        // counts every lease that it granted until it ends, so this is a second guard: a lease
+        // always covers the very view that its holder acts by.
         if self.version(ticket.shard) != Some(version) {
             return Granted::Nothing;
         }
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -109,8 +109,8 @@
     assert_eq!(answer, Acknowledge::Unknown);
 }
 
-/// A write of the old term is acknowledged after the promotion: a grant was overtaken by the
-/// revocation, and the host took it for a new lease. Cause: a grant taken regardless of version.
+/// A host counts a lease on a view that it does not act by: a grant was overtaken by the
+/// revocation. No write of the closed term may come of it.
 #[test]
 fn a_grant_overtaken_by_a_revocation_is_no_lease() {
     let names = names();
