--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -31,6 +31,9 @@
     hosts: BTreeMap<HostKey, Heard>,
     listed: BTreeSet<ZoneKey>,
     cooling: BTreeMap<ServiceKey, Cooling>,
+    /// Servers that some host could not reach lately. All others are passed over quickly: a
+    /// controller judges each primary of its shard at each step.
+    doubted: BTreeSet<ServerKey>,
 }
 
 #[derive(Debug)]
@@ -75,6 +78,9 @@
             at: now,
             seen: report.after(earlier),
         };
+        if entry.seen.is_unreachable() {
+            self.doubted.insert(server);
+        }
         hosts.insert(host, entry);
     }
 
@@ -90,6 +96,11 @@
         for hosts in self.servers.values_mut() {
             hosts.retain(|_, entry| !gone(entry.at));
         }
+        let servers = &self.servers;
+        self.doubted.retain(|server| {
+            let hosts = servers.get(server);
+            hosts.is_some_and(|hosts| hosts.values().any(|entry| entry.seen.is_unreachable()))
+        });
     }
 
     /// What the reports say of `server` at `now`.
@@ -104,6 +115,9 @@
     /// assert_eq!(verdict, Verdict::Reachable);
     /// ```
     pub fn verdict(&self, server: ServerKey, now: Duration) -> Verdict {
+        if !self.doubted.contains(&server) {
+            return Verdict::Reachable;
+        }
         let Some(hosts) = self.servers.get(&server) else {
             return Verdict::Reachable;
         };
