--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -141,6 +141,11 @@
         Some("buyers-only-read")
     );
     assert_eq!(on_auctions("yard-clerk", "DELETE FROM lots"), None);
+    let begin = "/* flamingopost: tag=settlement */ BEGIN";
+    assert_eq!(
+        on_auctions("yard-clerk", begin),
+        Some("settlement-transactions")
+    );
     let settle = "UPDATE settlements SET paid = true";
     assert_eq!(
         tesfa.rule("yard-ledger", "yard-clerk", settle),
--- a/crates/ctl/tests/ctl/check.rs
+++ b/crates/ctl/tests/ctl/check.rs
@@ -10,7 +10,7 @@
     assert_eq!(run.code, 0);
     assert_eq!(
         run.out,
-        "fleet.ini: valid, 3 services, 9 servers, 4 callers, 7 rules\n"
+        "fleet.ini: valid, 3 services, 9 servers, 4 callers, 8 rules\n"
     );
 }
 
--- a/crates/ctl/tests/ctl/diff.rs
+++ b/crates/ctl/tests/ctl/diff.rs
@@ -15,7 +15,7 @@
 const EXPECTED: &str = "\
 ~ [class bid] deadline: 400ms -> 300ms
 + [zone new]
-~ order of rules: bids, settlements, lot-views, batch-reads, buyers-only-read, other-reads, batch-writes
+~ order of rules: bids, settlements, settlement-transactions, lot-views, batch-reads, buyers-only-read, other-reads, batch-writes
 ";
 
 #[test]
