Remote calls between processes are for the fleet only

Cause: whoever reached a port for remote calls could close terms or send views of a far epoch to entry hosts. Settings refuse an empty token file; reading it is one function now. Conclusion: strangers are turned away with 401; the operators' token does not travel between processes.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -40,6 +40,7 @@
 use flamingopost_daemon::clock::Boot;
 use flamingopost_daemon::health::{Probe, Readiness};
 use flamingopost_daemon::http;
+use flamingopost_daemon::remote;
 use flamingopost_daemon::stop::{Phase, Stop};
 use flamingopost_platform::http::Client;
 use flamingopost_wire::rpc::ControlServer as _;
@@ -165,6 +166,7 @@
     let failed = |error| Error::Listen(shared.settings().rpc, error);
     socket.set_nonblocking(true).map_err(failed)?;
     let server = ServerBuilder::with_config(config)
+        .set_http_middleware(remote::guard(&shared.settings().token))
         .build_from_tcp(socket)
         .map_err(failed)?;
     Ok(server.start(remote.into_rpc()))
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -4,9 +4,11 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use flamingopost_daemon::remote;
+use flamingopost_daemon::token::Token;
 use flamingopost_wire::knowledge::Process;
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::http_client::HttpClient;
 
 /// How long a call to another process may take.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -15,12 +17,21 @@
 const KEPT: usize = 1_024;
 
 /// Connections to other processes, by the address of their remote calls.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Links {
+    token: Token,
     clients: Mutex<BTreeMap<String, HttpClient>>,
 }
 
 impl Links {
+    /// No connections yet; the fleet's processes know each other by the operators' `token`.
+    pub fn new(token: Token) -> Links {
+        Links {
+            token,
+            clients: Mutex::default(),
+        }
+    }
+
     /// A client for the process at `address`; nothing is sent yet.
     ///
     /// # Errors
@@ -30,9 +41,7 @@
         if let Some(client) = clients.get(address) {
             return Ok(client.clone());
         }
-        let client = HttpClientBuilder::default()
-            .request_timeout(CALL_TIMEOUT)
-            .build(format!("http://{address}"))?;
+        let client = remote::client(address, &self.token, CALL_TIMEOUT)?;
         // Hosts are replaced by the hundred a day; their addresses would pile up.
         if clients.len() >= KEPT {
             clients.clear();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -118,7 +118,7 @@
         let public_rpc = r.maybe("listen", "public_rpc");
         let admin = r.required("listen", "admin", "10.1.0.11:6451");
         let public_admin = r.maybe("listen", "public_admin");
-        let token = token(r);
+        let token = r.token();
         let platform = platform(r);
         let peers = r.optional("control", "peers", Vec::new());
         let relay = r.optional("control", "relay", false);
@@ -149,17 +149,6 @@
     }
 }
 
-fn token(r: &mut Reader) -> Option<Token> {
-    let path: PathBuf = r.required("operators", "token_file", "/etc/flamingopost/token")?;
-    match Token::load(&path) {
-        Ok(token) => Some(token),
-        Err(error) => {
-            r.unreadable("operators", "token_file", &error);
-            None
-        }
-    }
-}
-
 fn platform(r: &mut Reader) -> Option<Platform> {
     let address = r.required("platform", "address", "10.1.0.1:8500");
     Some(Platform {
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -54,13 +54,14 @@
                 peers.add(&peer.to_string());
             }
         }
+        let links = Links::new(settings.token.clone());
         Shared {
             settings,
             process,
             clock,
             stop,
             platform,
-            links: Links::default(),
+            links,
             peers,
             directory: RwLock::default(),
             config: watch::Sender::new(None),
--- a/crates/control/tests/common/holder.rs
+++ b/crates/control/tests/common/holder.rs
@@ -13,15 +13,16 @@
 use flamingopost_core::position::Position;
 use flamingopost_core::timing;
 use flamingopost_daemon::clock::Boot;
+use flamingopost_daemon::remote;
+use flamingopost_daemon::token::Token;
 use flamingopost_wire::close::{Close, Closed};
 use flamingopost_wire::knowledge::Knowledge;
 use flamingopost_wire::lease::{Grant, Renewal, Reply, Report};
 use flamingopost_wire::rpc::{ControlClient as _, EntryServer};
 use jsonrpsee::core::{RpcResult, async_trait};
-use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::server::{Server, ServerHandle};
 
-use super::SERVICE;
+use super::{SERVICE, TOKEN};
 
 struct State {
     holder: lease::Holder,
@@ -156,10 +157,9 @@
 
     async fn renew(&mut self, address: SocketAddr) -> bool {
         let ticket = self.prepare();
-        let client = HttpClientBuilder::default()
-            .request_timeout(Duration::from_millis(500))
-            .build(format!("http://{address}"))
-            .unwrap();
+        let token = Token::new(TOKEN);
+        let timeout = Duration::from_millis(500);
+        let client = remote::client(&address.to_string(), &token, timeout).unwrap();
         let Ok(mut replies) = client.renew(vec![self.renewal.clone()]).await else {
             return false;
         };
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use flamingopost_control::settings::Settings;
+use flamingopost_daemon::remote;
 use flamingopost_daemon::stop::Stop;
 use flamingopost_daemon::token::Token;
 use flamingopost_standin::backend;
@@ -17,7 +18,6 @@
 use flamingopost_wire::rpc::ControlClient as _;
 use flamingopost_wire::status::{Service, Status};
 use holder::Host;
-use jsonrpsee::http_client::HttpClientBuilder;
 use serde_json::Value;
 
 pub const SERVICE: &str = "auction-ledger";
@@ -156,9 +156,8 @@
 
     /// The configuration version that one control process has in force.
     pub async fn version(&self, control: usize) -> u64 {
-        let client = HttpClientBuilder::default()
-            .build(format!("http://{}", self.controls[control].rpc))
-            .unwrap();
+        let address = self.controls[control].rpc.to_string();
+        let client = remote::client(&address, &Token::new(TOKEN), Duration::from_secs(5)).unwrap();
         match client.knowledge(0).await {
             Ok(knowledge) => knowledge.version,
             Err(_) => 0,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use ini::Ini;
 
+use crate::token::Token;
 use crate::value::Value;
 
 /// One thing that is wrong in a settings file.
@@ -215,6 +216,22 @@
         self.report(self.line(section, key), what);
     }
 
+    /// The operators' token, from the file that `token_file` in `[operators]` names.
+    ///
+    /// A file that is empty by mistake is a problem: processes of a fleet without a token would
+    /// take calls from anybody.
+    pub fn token(&mut self) -> Option<Token> {
+        let (section, key) = ("operators", "token_file");
+        let path: PathBuf = self.required(section, key, "/etc/flamingopost/token")?;
+        let error = match Token::load(&path) {
+            Ok(token) if !token.is_empty() => return Some(token),
+            Ok(_) => std::io::Error::other("it is empty"),
+            Err(error) => error,
+        };
+        self.unreadable(section, key, &error);
+        None
+    }
+
     /// The decoded settings, if nothing was wrong and nothing stands in the file unread.
     ///
     /// # Errors
--- a/crates/daemon/src/token.rs
+++ b/crates/daemon/src/token.rs
@@ -3,8 +3,11 @@
 use std::fmt;
 use std::path::Path;
 
+use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
 
+const PASS: &str = "flamingopost remote calls";
+
 /// A secret that operators send as `Authorization: Bearer TOKEN`. It is never shown.
 ///
 /// ```
@@ -46,6 +49,26 @@
         bool::from(same) && !self.0.is_empty()
     }
 
+    /// What processes show each other with every remote call, made from the token: whoever reads
+    /// along between two processes does not learn the operators' token by it.
+    pub fn pass(&self) -> Token {
+        if self.0.is_empty() {
+            return self.clone();
+        }
+        let digest = Sha256::new().chain_update(PASS).chain_update(&self.0);
+        let hex = digest
+            .finalize()
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        Token(hex)
+    }
+
+    /// Whether there is no token.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Bytes that whoever does not have the token cannot guess.
     pub fn secret(&self) -> Vec<u8> {
         self.0.clone().into_bytes()
--- a/crates/entry/examples/link_cost.rs
+++ b/crates/entry/examples/link_cost.rs
@@ -17,6 +17,7 @@
 use flamingopost_core::term::Term;
 use flamingopost_daemon::clock::Boot;
 use flamingopost_daemon::stop::Stop;
+use flamingopost_daemon::token::Token;
 use flamingopost_entry::link::{self, Host, Options};
 use flamingopost_entry::report::Outcome;
 use flamingopost_entry::shared::Shared;
@@ -123,6 +124,7 @@
         peers: vec![control],
         relay: Some(control),
         poll: Duration::from_secs(2),
+        token: Token::new("not-for-production"),
     };
     link::start(shared.clone(), options, client.clone(), client);
 }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -120,7 +120,8 @@
         self.log_start();
         let shared = Arc::new(Shared::new(clock, stop.clone()));
         let link = start_link(&self.settings, &shared, &self.rpc)?;
-        rpc::serve(self.rpc, shared.clone(), link.clone(), stop.clone()).await?;
+        let token = &self.settings.token;
+        rpc::serve(self.rpc, token, shared.clone(), link.clone()).await?;
         let settings = self.settings;
         let context = Arc::new(Context::new(
             shared.clone(),
@@ -192,6 +193,7 @@
         peers: settings.peers.clone(),
         relay: settings.relay,
         poll: platform.poll,
+        token: settings.token.clone(),
     };
     Ok(link::start(shared.clone(), options, client.clone(), client))
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -14,6 +14,7 @@
 use flamingopost_core::view;
 use flamingopost_daemon::event::Event as _;
 use flamingopost_daemon::stop::Phase;
+use flamingopost_daemon::token::Token;
 use flamingopost_platform::object::Store;
 use flamingopost_platform::table::Table;
 use flamingopost_wire::knowledge::Knowledge;
@@ -50,6 +51,8 @@
     pub relay: Option<SocketAddr>,
     /// Time between two reads of the platform's table.
     pub poll: Duration,
+    /// The operators' token, by which processes of the fleet know each other.
+    pub token: Token,
 }
 
 /// The link, shared by its tasks and by the host's own remote calls.
@@ -79,7 +82,7 @@
     store: Arc<dyn Store>,
 ) -> Arc<Link> {
     let known = options.peers.iter().chain(&options.relay);
-    let peers = Arc::new(Peers::new(known.map(ToString::to_string)));
+    let peers = Arc::new(Peers::new(known.map(ToString::to_string), options.token));
     let first = peers.all().len();
     let ear = spread::start(shared.clone(), peers.clone(), store, first);
     let relay = options.relay.map(|address| Relay {
--- a/crates/entry/src/link/peers.rs
+++ b/crates/entry/src/link/peers.rs
@@ -4,34 +4,35 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use flamingopost_daemon::remote;
+use flamingopost_daemon::token::Token;
 use flamingopost_wire::knowledge::Knowledge;
 use flamingopost_wire::rpc::ControlClient as _;
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::http_client::HttpClient;
 use rand::seq::IndexedRandom as _;
 
 /// How long one call may take. Several fit into a lease, so that one lost answer costs nothing.
 pub const CALL: Duration = Duration::from_millis(600);
 
-/// Greatest answer: a view and a configuration body of a thousand services.
-const MAX_ANSWER: u32 = 16 << 20;
-
 /// Control processes kept in mind at most, and connections kept open.
 const KEPT: usize = 64;
 
 /// Control processes that can be asked.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    token: Token,
     clients: Mutex<BTreeMap<String, HttpClient>>,
     known: Mutex<BTreeSet<String>>,
     lasting: BTreeSet<String>,
 }
 
 impl Peers {
-    /// Starts with those of the settings, which are never forgotten.
-    pub fn new(settings: impl IntoIterator<Item = String>) -> Peers {
+    /// Starts with those of the settings, which are never forgotten; `token` is the operators'.
+    pub fn new(settings: impl IntoIterator<Item = String>, token: Token) -> Peers {
         let lasting: BTreeSet<String> = settings.into_iter().collect();
         Peers {
+            token,
             clients: Mutex::default(),
             known: Mutex::new(lasting.clone()),
             lasting,
@@ -51,10 +52,7 @@
         if clients.len() >= KEPT {
             clients.clear();
         }
-        let client = HttpClientBuilder::default()
-            .request_timeout(CALL)
-            .max_response_size(MAX_ANSWER)
-            .build(format!("http://{address}"))?;
+        let client = remote::client(address, &self.token, CALL)?;
         clients.insert(address.to_owned(), client.clone());
         Ok(client)
     }
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -5,7 +5,8 @@
 
 use flamingopost_core::view;
 use flamingopost_daemon::event::Event as _;
-use flamingopost_daemon::stop::Stop;
+use flamingopost_daemon::remote;
+use flamingopost_daemon::token::Token;
 use flamingopost_wire::close::{Close, Closed};
 use flamingopost_wire::knowledge::Knowledge;
 use flamingopost_wire::rpc::EntryServer;
@@ -28,15 +29,16 @@
     link: Arc<Link>,
 }
 
-/// Serves remote calls on `socket` until `stop` is over.
+/// Serves remote calls on `socket`, for whoever has the fleet's `token`, until the process is
+/// over.
 ///
 /// # Errors
 /// When the server cannot be set up.
 pub async fn serve(
     socket: TcpListener,
+    token: &Token,
     shared: Arc<Shared>,
     link: Arc<Link>,
-    stop: Stop,
 ) -> std::io::Result<SocketAddr> {
     let address = socket.local_addr()?;
     socket.set_nonblocking(true)?;
@@ -46,7 +48,10 @@
         .max_connections(MAX_CONNECTIONS)
         .http_only()
         .build();
-    let server = ServerBuilder::with_config(config).build_from_tcp(socket)?;
+    let server = ServerBuilder::with_config(config)
+        .set_http_middleware(remote::guard(token))
+        .build_from_tcp(socket)?;
+    let stop = shared.stop().clone();
     let handle = server.start(Entry { shared, link }.into_rpc());
     tokio::spawn(async move {
         stop.stopped().await;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -161,7 +161,7 @@
         let rpc = r.required("listen", "rpc", "10.1.0.11:6440");
         let admin = r.required("listen", "admin", "10.1.0.11:6441");
         let public_rpc = r.maybe("listen", "public_rpc");
-        let token = token(r);
+        let token = r.token();
         let platform = platform(r);
         let peers = r.optional("control", "peers", Vec::new());
         let relay = r.maybe("control", "relay");
@@ -192,17 +192,6 @@
     }
 }
 
-fn token(r: &mut Reader) -> Option<Token> {
-    let path: PathBuf = r.required("operators", "token_file", "/etc/flamingopost/token")?;
-    match Token::load(&path) {
-        Ok(token) => Some(token),
-        Err(error) => {
-            r.unreadable("operators", "token_file", &error);
-            None
-        }
-    }
-}
-
 fn platform(r: &mut Reader) -> Option<Platform> {
     let address = r.required("platform", "address", "10.1.0.2:8400");
     let timeout = r.optional("platform", "timeout", PLATFORM_TIMEOUT);
--- a/crates/entry/tests/link.rs
+++ b/crates/entry/tests/link.rs
@@ -16,6 +16,7 @@
 use flamingopost_core::position::Position;
 use flamingopost_daemon::clock::Boot;
 use flamingopost_daemon::stop::Stop;
+use flamingopost_daemon::token::Token;
 use flamingopost_entry::link::{self, Host, Link, Options};
 use flamingopost_entry::report::Outcome;
 use flamingopost_entry::rpc;
@@ -84,10 +85,10 @@
             peers: peers.iter().map(|peer| peer.address).collect(),
             relay: relay.map(|relay| relay.address),
             poll: POLL,
+            token: Token::new(""),
         };
         let link = link::start(shared.clone(), options, platform.clone(), platform);
-        let stop = shared.stop().clone();
-        rpc::serve(socket, shared.clone(), link.clone(), stop)
+        rpc::serve(socket, &Token::new(""), shared.clone(), link.clone())
             .await
             .unwrap();
         Entry { shared, link, rpc }
