control: read row by row where the fleet's rows are large

Cause: one read of all rows serves a whole process today, but at a thousand services all rows are well over 100 KB, and each of 480 processes would read them several times a second; a node may spend 23 KB a second in all. Figures: not measured at size. Conclusion: a test with rows of 64 KB changes the configuration and goes over a takeover.

--- a/crates/control/src/hints.rs
+++ b/crates/control/src/hints.rs
@@ -46,7 +46,10 @@
             take_list(&shared, &list, &mut hints);
         }
         turn = turn.wrapping_add(1);
-        if let Some(rows) = reader.read().await.rows {
+        // Only controllers need to know of drains.
+        if shared.is_controller()
+            && let Some(rows) = reader.glance(drain::KEY).await.rows
+        {
             let row = rows.get(drain::KEY);
             let drain = row.map_or_else(Drain::default, |row| Drain::decode(&row.body));
             take_drain(&shared, &drain, &mut hints);
--- a/crates/control/src/poll.rs
+++ b/crates/control/src/poll.rs
@@ -1,7 +1,13 @@
-//! Reads the fleet's rows: one read of their prefix serves everybody in the process.
+//! Reads the fleet's rows.
+//!
+//! In a fleet of today one read of their prefix serves every shard of the process, the
+//! configuration and the drains. Where that read has grown large (a thousand services), the
+//! process reads only the rows of shards that it leads or stands by for, and the head; all rows
+//! once a minute, for shards that nobody is left to lead.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use flamingopost_daemon::event::Event as _;
@@ -15,9 +21,19 @@
 use crate::shared::Shared;
 use crate::spread;
 
-/// Least time between two reads, so that many shards that ask share one.
+/// Least time between two reads of all rows, so that many shards that ask share one.
 const SPACING: Duration = Duration::from_millis(100);
 
+/// Bytes of all rows beyond which they are read rarely. A host's share of the network is 23 KB a
+/// second, and all rows would be read several times a second.
+const LARGE: usize = 32 << 10;
+
+/// Time between two reads of all rows in a large fleet.
+const LARGE_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Time between two reads of the head alone in a large fleet.
+const HEAD_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The fleet's rows as one read found them, or that it failed.
 #[derive(Debug, Clone, Default)]
 pub struct Read {
@@ -27,37 +43,96 @@
     pub rows: Option<Arc<BTreeMap<String, Row>>>,
 }
 
+/// What a process is to a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// It leads it or is named as a standby: its row has to be read often.
+    Named,
+    /// It is not named.
+    Other,
+}
+
 /// Where reads are asked for.
-#[derive(Debug, Clone)]
-pub struct Reader(mpsc::UnboundedSender<oneshot::Sender<Read>>);
+#[derive(Clone)]
+pub struct Reader {
+    shared: Arc<Shared>,
+    asked: mpsc::UnboundedSender<oneshot::Sender<Read>>,
+    seen: Arc<Seen>,
+}
+
+/// What the last read of all rows showed.
+#[derive(Default)]
+struct Seen {
+    large: AtomicBool,
+    latest: Mutex<Read>,
+}
 
 impl Reader {
-    /// The next read that is sent. It never is one sent before this call: an authority that
-    /// dated an old read as new would outlive its row.
-    pub async fn read(&self) -> Read {
+    /// A read that finds the row `key`, sent after this call: an authority that dated an old read
+    /// as new would outlive its row.
+    pub async fn read(&self, key: &str, part: Part) -> Read {
+        if self.is_large() && part == Part::Named {
+            return self.read_one(key).await;
+        }
         let (sender, receiver) = oneshot::channel();
-        let _stopped = self.0.send(sender);
+        let _stopped = self.asked.send(sender);
         receiver.await.unwrap_or_default()
     }
+
+    /// The row `key` as it was a moment ago; read anew where all rows are not read often.
+    pub async fn glance(&self, key: &str) -> Read {
+        if self.is_large() {
+            return self.read_one(key).await;
+        }
+        let latest = self.seen.latest.lock();
+        latest.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    async fn read_one(&self, key: &str) -> Read {
+        let sent = self.shared.now();
+        let result = self.shared.platform().read(key).await;
+        read(sent, result.map(|row| row.into_iter().collect()))
+    }
+
+    fn is_large(&self) -> bool {
+        self.seen.large.load(Ordering::Relaxed)
+    }
 }
 
-/// Starts to read, at least once each poll interval, until the process stops.
+/// Starts to read until the process stops.
 pub fn start(shared: Arc<Shared>, spread: spread::Handle) -> Reader {
     let (sender, receiver) = mpsc::unbounded_channel();
-    tokio::spawn(run(shared, spread, receiver));
-    Reader(sender)
+    let reader = Reader {
+        shared,
+        asked: sender,
+        seen: Arc::default(),
+    };
+    tokio::spawn(all(reader.clone(), spread.clone(), receiver));
+    tokio::spawn(head(reader.clone(), spread));
+    reader
 }
 
-async fn run(
-    shared: Arc<Shared>,
+/// Reads all rows, when somebody asks and at least once each poll interval.
+async fn all(
+    reader: Reader,
     spread: spread::Handle,
     mut asked: mpsc::UnboundedReceiver<oneshot::Sender<Read>>,
 ) {
+    let shared = reader.shared.clone();
     let interval = shared.settings().platform.poll;
     let mut silent_since = None;
     while shared.stop().phase() != Phase::Stopped {
-        let first = tokio::time::timeout(jittered(interval), asked.recv()).await;
-        let mut waiting: Vec<oneshot::Sender<Read>> = first.ok().flatten().into_iter().collect();
+        let first = match reader.is_large() {
+            true => {
+                tokio::time::sleep(jittered(LARGE_INTERVAL)).await;
+                None
+            }
+            false => {
+                let waiting = tokio::time::timeout(jittered(interval), asked.recv());
+                waiting.await.ok().flatten()
+            }
+        };
+        let mut waiting: Vec<oneshot::Sender<Read>> = first.into_iter().collect();
         while let Ok(another) = asked.try_recv() {
             waiting.push(another);
         }
@@ -65,6 +140,7 @@
         let result = shared.platform().list(FLEET).await;
         note(&mut silent_since, shared.now(), result.as_ref().err());
         let read = read(sent, result);
+        reader.see(&read);
         spread.tell(event(&read));
         for sender in waiting {
             let _gone = sender.send(read.clone());
@@ -73,6 +149,28 @@
     }
 }
 
+impl Reader {
+    fn see(&self, read: &Read) {
+        let Some(rows) = &read.rows else {
+            return;
+        };
+        let bytes: usize = rows.values().map(|row| row.body.len()).sum();
+        self.seen.large.store(bytes > LARGE, Ordering::Relaxed);
+        let latest = self.seen.latest.lock();
+        *latest.unwrap_or_else(PoisonError::into_inner) = read.clone();
+    }
+}
+
+/// Reads the head alone while all rows are not read often.
+async fn head(reader: Reader, spread: spread::Handle) {
+    while reader.shared.stop().phase() != Phase::Stopped {
+        tokio::time::sleep(jittered(HEAD_INTERVAL)).await;
+        if reader.is_large() {
+            spread.tell(event(&reader.read_one(HEAD).await));
+        }
+    }
+}
+
 fn read(sent: Duration, result: Result<Vec<Row>, Error>) -> Read {
     let rows = result.ok().map(|rows| {
         let by_key = rows.into_iter().map(|row| (row.key.clone(), row));
--- a/crates/control/src/shard_effect.rs
+++ b/crates/control/src/shard_effect.rs
@@ -23,7 +23,7 @@
 use flamingopost_wire::view;
 
 use crate::event::Event as Log;
-use crate::poll::Read;
+use crate::poll::{Part, Read};
 use crate::row;
 use crate::shard::Shard;
 use crate::shard_note;
@@ -70,13 +70,28 @@
 
     fn read(&mut self, ctx: &mut Ctx) {
         let reader = self.reader.clone();
-        let reading = async move { reader.read().await }.into_actor(self);
+        let (key, part) = (row::key(self.number), self.part());
+        let reading = async move { reader.read(&key, part).await }.into_actor(self);
         ctx.spawn(reading.map(|read, shard, ctx| {
             shard.take_read(&read);
             shard.step(ctx);
         }));
     }
 
+    fn part(&self) -> Part {
+        let process = self.shared.process();
+        let me = self.shared.directory().hosts.find(&process.host);
+        let row = self.controller.row();
+        let named = row.is_some_and(|row| {
+            let hosts = row.standbys.iter().chain([&row.controller]);
+            hosts.into_iter().any(|host| Some(*host) == me)
+        });
+        match named {
+            true => Part::Named,
+            false => Part::Other,
+        }
+    }
+
     fn take_read(&mut self, read: &Read) {
         let Some(rows) = &read.rows else {
             return;
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -179,6 +179,14 @@
         }
     }
 
+    /// Whether this process leads a shard, as far as known.
+    pub fn is_controller(&self) -> bool {
+        let controllers = self.controllers.lock();
+        let controllers = controllers.unwrap_or_else(PoisonError::into_inner);
+        let mut known = controllers.values();
+        known.any(|controller| controller.rpc == self.process.rpc)
+    }
+
     /// Notes where a host is reached.
     pub fn learn_host(&self, host: &str, rpc: &str) {
         if rpc != self.process.rpc && !rpc.is_empty() {
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -6,6 +6,8 @@
 
 use common::{Fleet, all_see, another, eventually, server_name};
 use flamingopost_core::timing;
+use flamingopost_platform::http::Client;
+use flamingopost_platform::table::{Change, Guard, Table as _};
 use flamingopost_standin::backend::fault::Faults as ServerFaults;
 use flamingopost_standin::platform::Faults;
 
@@ -70,6 +72,35 @@
     all_see(&hosts, &next).await;
 }
 
+/// In a fleet whose rows have grown large, processes read row by row. Configuration changes still
+/// reach everybody, and a standby still takes over.
+#[actix_rt::test]
+async fn a_large_fleet_works_by_single_rows() {
+    let mut fleet = Fleet::start().await;
+    fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let old = fleet.leader(0).await;
+    fleet.named_standbys(old).await;
+    let padding = Change {
+        key: "fleet/padding".to_owned(),
+        guard: Guard::Absent,
+        body: format!("\"{}\"", "x".repeat(64 << 10)),
+    };
+    let table = Client::new(fleet.platform.address(), "", common::PATIENCE).unwrap();
+    table.write(vec![padding]).await.unwrap();
+    tokio::time::sleep(timing::READ * 3).await;
+    let (code, answer) = fleet.submit(old, 1, "second", &fleet.config("")).await;
+    assert_eq!(code, 200, "{answer}");
+    fleet.in_force(2).await;
+    fleet.stop_control(old);
+    let asked = (old + 1) % 3;
+    eventually("another controller leads", || async {
+        (fleet.leader(asked).await != old).then_some(())
+    })
+    .await;
+    all_see(&hosts, &server_name(0)).await;
+}
+
 /// Hosts keep a connection each to the servers of their own zone for when the zone is cut off.
 /// A successor knows of them from the table and never gives them to others.
 #[actix_rt::test]
