Test the row's form and the choice of a server by term

Cause: recognising one's own claim after a lost answer rests on a row that reads back as written. Change: three tests of the JSON form, one of a longer log of an older term. Conclusion: no change of behaviour.

--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -166,6 +166,27 @@
     assert!(open.losses.is_empty());
 }
 
+/// All writes of a term are lost, because a server that missed that term has the longer log: it
+/// led the term before, and wrote on behind a cut.
+#[test]
+fn a_longer_log_of_an_older_term_is_not_taken() {
+    let mut trial = trial(Reason::Unreachable);
+    trial.close(trial.now + timing::LEASE);
+    trial.promotion.closed(holder(), None);
+    trial.committed = CLOSE;
+    let before = Position {
+        term: Term::default(),
+        log: 50,
+    };
+    let stray = Status {
+        position: before,
+        ..replica(50)
+    };
+    trial.promotion.status(trial.far, Some(stray));
+    trial.promotion.status(trial.near, Some(replica(7)));
+    assert_eq!(trial.order(), Some((trial.near, NEXT)));
+}
+
 /// A caller's acknowledged write is gone and no record says so.
 #[test]
 fn what_no_server_has_is_recorded_as_lost() {
--- /dev/null
+++ b/crates/wire/tests/row.rs
@@ -0,0 +1,91 @@
+//! The JSON form of a shard's row.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use flamingopost_core::directory::Directory;
+use flamingopost_core::position::Position;
+use flamingopost_core::row::{Loss, Row, Service};
+use flamingopost_core::term::Term;
+use flamingopost_core::view::State;
+use flamingopost_wire::row;
+
+fn full(directory: &mut Directory) -> Row {
+    let term = |count| Term { epoch: 2, count };
+    let primary = directory.servers.intern("ledger-b");
+    let mut open = Service::fresh();
+    open.state = State::Open {
+        term: term(2),
+        primary,
+    };
+    open.primary = Some(primary);
+    open.history.open(term(0), 0);
+    open.history.open(term(2), 90);
+    open.dropped.open(term(1), 70);
+    open.losses = BTreeSet::from([Loss {
+        opened: term(2),
+        start: 90,
+        acknowledged: Some(Position {
+            term: term(1),
+            log: 95,
+        }),
+        complete: false,
+    }]);
+    let services = BTreeMap::from([
+        (directory.services.intern("auction-ledger"), open),
+        (directory.services.intern("lots"), Service::fresh()),
+    ]);
+    Row {
+        epoch: 3,
+        revision: 41,
+        controller: directory.hosts.intern("bole-hall-1"),
+        incarnation: u64::MAX,
+        standbys: BTreeSet::from([
+            directory.hosts.intern("akaki-hall-1"),
+            directory.hosts.intern("kality-hall-1"),
+        ]),
+        services,
+    }
+}
+
+/// A claim that took effect is never recognised, and nobody controls the shard: its answer was
+/// lost, and the row read back differs from the one written by something that the text left out.
+#[test]
+fn a_row_reads_back_as_it_was_written() {
+    let mut directory = Directory::default();
+    let row = full(&mut directory);
+    let body = serde_json::to_string(&row::Row::encode(&row, &directory).unwrap()).unwrap();
+    let read: row::Row = serde_json::from_str(&body).unwrap();
+    assert_eq!(read.decode(&mut directory), Ok(row));
+}
+
+/// A process that has just started has other keys for the same names.
+#[test]
+fn names_travel_and_keys_do_not() {
+    let mut directory = Directory::default();
+    let row = full(&mut directory);
+    let message = row::Row::encode(&row, &directory).unwrap();
+    let mut other = Directory::default();
+    other.hosts.intern("somebody-else");
+    let decoded = message.decode(&mut other).unwrap();
+    assert_eq!(row::Row::encode(&decoded, &other), Ok(message));
+}
+
+/// A damaged row is taken for one without a primary, and another is promoted.
+#[test]
+fn what_cannot_be_read_is_an_error() {
+    let mut directory = Directory::default();
+    let row = full(&mut directory);
+    let message = row::Row::encode(&row, &directory).unwrap();
+    let damage = |change: fn(&mut row::Service)| {
+        let mut damaged = message.clone();
+        change(damaged.services.get_mut("auction-ledger").unwrap());
+        damaged.decode(&mut Directory::default()).is_err()
+    };
+    assert!(damage(|service| service.primary = None));
+    assert!(damage(|service| service.term = "2".to_owned()));
+    assert!(damage(
+        |service| service.losses[0].acknowledged = Some("2.1".to_owned())
+    ));
+    let stranger = row::Row::encode(&row, &Directory::default());
+    assert_eq!(stranger, Err(row::Error::NoName));
+}
