--- a/crates/core/src/rate.rs
+++ b/crates/core/src/rate.rs
@@ -5,6 +5,9 @@
 /// Part of a second whose requests may come at once.
 const BURST_SECONDS: f64 = 0.1;
 
+/// Longest time that a caller is told to stay away.
+const LONGEST_WAIT: Duration = Duration::from_secs(3600);
+
 /// A token bucket: so many requests a second, with a short burst.
 ///
 /// ```
@@ -37,7 +40,7 @@
     /// Lets one request through.
     ///
     /// # Errors
-    /// The time after which the next one passes; [`Duration::MAX`] at a rate of none.
+    /// The time after which the next one passes, an hour at most: a rule may allow none.
     pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
         let passed = now.saturating_sub(self.filled).as_secs_f64();
         self.tokens = (self.tokens + passed * self.per_second).min(self.burst());
@@ -47,10 +50,14 @@
             return Ok(());
         }
         let wait = (1.0 - self.tokens) / self.per_second;
-        Err(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(LONGEST_WAIT);
+        Err(wait.min(LONGEST_WAIT))
     }
 
     fn burst(&self) -> f64 {
+        if self.per_second == 0.0 {
+            return 0.0;
+        }
         (self.per_second * BURST_SECONDS).max(1.0)
     }
 }
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,162 @@
+//! Retries, hedges and rates.
+
+use std::time::Duration;
+
+use flamingopost_core::hedge::Hedge;
+use flamingopost_core::rate::Rate;
+use flamingopost_core::refusal::Ran;
+use flamingopost_core::retry::budget::Budget;
+use flamingopost_core::retry::{self, Attempt, Failure, Next};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+const FIRST: Attempt = Attempt {
+    count: 1,
+    failure: Failure::Here,
+    ran: Ran::No,
+    repeatable: false,
+    retries: 2,
+    deadline: Duration::from_millis(100),
+    expected: Duration::from_millis(5),
+    dice: 0,
+};
+
+fn decide(attempt: Attempt) -> Next {
+    retry::decide(&attempt, &mut Budget::retries(), Duration::ZERO)
+}
+
+#[test]
+fn what_was_not_sent_is_tried_elsewhere_at_once() {
+    assert_eq!(decide(FIRST), Next::Again(Duration::ZERO));
+}
+
+/// The connection broke after a bid was sent. A retry could place it twice.
+#[test]
+fn what_may_have_run_is_repeated_only_when_it_may_run_twice() {
+    let unknown = Attempt {
+        ran: Ran::Unknown,
+        ..FIRST
+    };
+    assert_eq!(decide(unknown), Next::Tell);
+    let repeatable = Attempt {
+        repeatable: true,
+        ..unknown
+    };
+    assert_ne!(decide(repeatable), Next::Tell);
+    let ran = Attempt {
+        ran: Ran::Yes,
+        ..repeatable
+    };
+    assert_eq!(decide(ran), Next::Tell);
+}
+
+#[test]
+fn what_no_attempt_can_mend_is_told_at_once() {
+    let always = Attempt {
+        failure: Failure::Always,
+        ..FIRST
+    };
+    assert_eq!(decide(always), Next::Tell);
+}
+
+#[test]
+fn nothing_is_tried_past_its_rule_or_deadline() {
+    let third = Attempt { count: 3, ..FIRST };
+    assert_eq!(decide(third), Next::Tell);
+    let late = Attempt {
+        expected: ms(101),
+        ..FIRST
+    };
+    assert_eq!(decide(late), Next::Tell);
+}
+
+/// During a promotion every host's writes fail in the same instant. If all came back in step they
+/// would hit the new primary as one.
+#[test]
+fn waits_are_spread() {
+    let wait = |dice| match decide(Attempt {
+        failure: Failure::Everywhere,
+        dice,
+        ..FIRST
+    }) {
+        Next::Again(wait) => wait,
+        Next::Tell => Duration::ZERO,
+    };
+    assert_eq!(wait(0), ms(5));
+    assert!(wait(1023) > ms(9) && wait(1023) < ms(10));
+}
+
+/// The primary is gone and every request fails. With three retries each, four times the load
+/// would reach the next one; the budget keeps it at a tenth more.
+#[test]
+fn retries_stay_a_tenth_of_the_requests_when_everything_fails() {
+    let mut budget = Budget::retries();
+    let mut retries = 0;
+    for _ in 0..1000 {
+        budget.fill();
+        let attempt = Attempt {
+            retries: 3,
+            ..FIRST
+        };
+        if retry::decide(&attempt, &mut budget, Duration::ZERO) != Next::Tell {
+            retries += 1;
+        }
+    }
+    assert!((100..=110).contains(&retries), "{retries}");
+}
+
+#[test]
+fn a_hedge_waits_for_what_most_answers_take() {
+    let mut hedge = Hedge::default();
+    assert_eq!(hedge.wait(ms(1)), None, "nothing was learnt yet");
+    for count in 0..4000u64 {
+        let slow = count % 10 == 0;
+        hedge.record(if slow { ms(60) } else { ms(4) });
+    }
+    let wait = hedge.wait(ms(1)).unwrap();
+    assert!(wait > ms(4) && wait <= ms(70), "{wait:?}");
+    assert_eq!(hedge.wait(ms(90)), Some(ms(90)), "the rule's is the least");
+}
+
+/// All replicas become slow at once, so every read would send its copy: twice the load on
+/// servers that are already late.
+#[test]
+fn hedges_stay_a_twentieth_of_the_requests_when_everything_is_slow() {
+    let mut hedge = Hedge::default();
+    (0..100).for_each(|_| hedge.record(ms(4)));
+    let mut budget = Budget::hedges();
+    let mut sent = 0;
+    for _ in 0..1000 {
+        budget.fill();
+        sent += u32::from(hedge.send(&mut budget));
+    }
+    assert!((50..=60).contains(&sent), "{sent}");
+}
+
+#[test]
+fn a_rate_lets_its_number_through_and_says_when_the_next_passes() {
+    let mut rate = Rate::new(100, Duration::ZERO);
+    let mut passed = 0;
+    for step in 0..10_000 {
+        let now = Duration::from_micros(step * 200);
+        passed += u32::from(rate.take(now).is_ok());
+    }
+    assert!((200..=210).contains(&passed), "{passed} in two seconds");
+    let now = Duration::from_secs(2);
+    while rate.take(now).is_ok() {}
+    let wait = rate.take(now).unwrap_err();
+    assert!(rate.take(now + wait).is_ok());
+}
+
+#[test]
+fn a_rate_of_none_lets_nothing_through() {
+    let mut rate = Rate::new(0, Duration::ZERO);
+    let first = rate.take(Duration::ZERO).is_ok();
+    assert!(!first);
+    assert_eq!(
+        rate.take(Duration::from_secs(9)),
+        Err(Duration::from_secs(3600))
+    );
+}
