Pin fewer sessions for texts that the parser does not know, and pin for pg_temp

Cause: of some eighty statements that ordinary clients and drivers send, the grammar does not know a dozen (FOR NO KEY UPDATE among them); each pinned its session to one of a server's few connections for good. CREATE TABLE pg_temp.x was not seen as temporary and did not pin. Change: an unknown single text that begins like a query or a change of rows, and names no way to keep state, goes without the pin; it is still a write. Names in pg_temp pin. Conclusion: state is still never left for a stranger; connections are not given away for grammar.

--- a/crates/core/src/statement/shape.rs
+++ b/crates/core/src/statement/shape.rs
@@ -33,7 +33,7 @@
 pub(super) fn read(body: &str) -> Shape {
     let parts = match Parser::parse_sql(&PostgreSqlDialect {}, body) {
         Ok(statements) => statements.iter().map(visit::part).collect(),
-        Err(_) => vec![unknown()],
+        Err(_) => vec![unknown(body)],
     };
     Shape {
         access: access(&parts),
@@ -50,17 +50,34 @@
     access.unwrap_or(Access::Read)
 }
 
-// What the parser does not know may do anything, also leave state on its connection: without the
-// pin, the next caller on that connection would find a stranger's settings or locks.
-fn unknown() -> Part {
+fn unknown(body: &str) -> Part {
     Part {
         action: Action::Unknown,
         access: Access::Write,
         tables: BTreeSet::new(),
-        session_state: SessionState::Pinned,
+        session_state: unknown_state(body),
     }
 }
 
+// What the parser does not know may leave anything on its connection: without the pin, the next
+// caller there would find a stranger's settings or locks. Only text that begins like a change of
+// rows or a look at them, and names none of the ways in which these keep state, goes without; a
+// grammar that lags behind the servers' would otherwise pin sessions until connections run out.
+fn unknown_state(body: &str) -> SessionState {
+    let text = body.trim().trim_end_matches(';').to_ascii_lowercase();
+    let word = text.split(|c: char| !c.is_ascii_alphabetic()).next();
+    let plain = word.is_some_and(|word| PLAIN_VERBS.contains(&word));
+    let text = text.strip_prefix("insert into").unwrap_or(&text);
+    let keeps = text.contains(';') || KEEPING.iter().any(|word| text.contains(word));
+    match plain && !keeps {
+        true => SessionState::Unchanged,
+        false => SessionState::Pinned,
+    }
+}
+
+const PLAIN_VERBS: [&str; 6] = ["select", "insert", "update", "delete", "with", "table"];
+const KEEPING: [&str; 4] = ["advisory", "set_config", "temp", "into"];
+
 /// A name with its schema, as the server folds it.
 pub(super) fn full_name(name: &ast::ObjectName) -> String {
     let words: Vec<String> = name.0.iter().map(name_part).collect();
@@ -82,6 +99,9 @@
         .unwrap_or_else(|| part.to_string())
 }
 
+/// Schema of what lives as long as its connection.
+pub(super) const TEMPORARY_SCHEMA: &str = "pg_temp.";
+
 /// An identifier as the server folds it.
 pub(super) fn word(ident: &ast::Ident) -> String {
     match ident.quote_style {
--- a/crates/core/src/statement/visit.rs
+++ b/crates/core/src/statement/visit.rs
@@ -9,7 +9,7 @@
 };
 
 use super::function::{self, Effect};
-use super::shape::{full_name, object_name, word};
+use super::shape::{TEMPORARY_SCHEMA, full_name, object_name, word};
 use super::{Action, Part, SessionState};
 use crate::rule::Access;
 
@@ -35,7 +35,7 @@
     not_tables: BTreeSet<String>,
     writes: bool,
     pins: bool,
-    creates_temporary: bool,
+    temporary: bool,
 }
 
 impl Walk {
@@ -73,13 +73,15 @@
     fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
         if let Some(into) = &select.into {
             self.writes = true;
-            self.creates_temporary |= into.temporary;
+            self.temporary |= into.temporary;
         }
         ControlFlow::Continue(())
     }
 
     fn pre_visit_relation(&mut self, relation: &ast::ObjectName) -> ControlFlow<()> {
-        self.relations.insert(object_name(relation));
+        let name = object_name(relation);
+        self.temporary |= name.starts_with(TEMPORARY_SCHEMA);
+        self.relations.insert(name);
         ControlFlow::Continue(())
     }
 
@@ -172,7 +174,7 @@
         Action::Temporary | Action::Listen { .. } | Action::DeclareCursor { hold: true } => {
             SessionState::Pinned
         }
-        _ if walk.pins || walk.creates_temporary => SessionState::Pinned,
+        _ if walk.pins || walk.temporary => SessionState::Pinned,
         Action::Set { local: false, .. }
         | Action::Reset { .. }
         | Action::Prepare { .. }
