standin: an INSERT without a column list knows its parameters' types

Cause: a client that names no types (node-postgres) had its boolean stored as text by INSERT INTO t VALUES ($1), and did not find it again.

--- a/crates/standin/src/backend/infer.rs
+++ b/crates/standin/src/backend/infer.rs
@@ -7,7 +7,7 @@
 use rusqlite::{Connection, Result};
 use sqlparser::tokenizer::Token;
 
-use super::sql::{self, Statement};
+use super::sql::{self, Kind, Statement};
 use super::value;
 
 /// Types of the columns of all tables that a statement names, by column.
@@ -22,7 +22,13 @@
     }
     if types.iter().any(Option::is_none) {
         let columns = columns_of(engine, &statement.tokens);
-        guess(&statement.tokens, &columns, &mut types);
+        let mut listed = insert_list(&statement.tokens);
+        if listed.is_empty()
+            && let Kind::Write(table) = &statement.kind
+        {
+            listed = ordered_columns(engine, table).unwrap_or_default();
+        }
+        guess(&statement.tokens, &columns, &listed, &mut types);
     }
     types
         .into_iter()
@@ -47,7 +53,7 @@
 
 fn add_columns(engine: &Connection, table: &str, columns: &mut Columns) -> Result<()> {
     let mut statement =
-        engine.prepare_cached("SELECT name, type, pk FROM pragma_table_info(?1) ORDER BY cid")?;
+        engine.prepare_cached("SELECT name, type FROM pragma_table_info(?1) ORDER BY cid")?;
     let mut rows = statement.query([table])?;
     while let Some(row) = rows.next()? {
         let name: String = row.get(0)?;
@@ -57,8 +63,15 @@
     Ok(())
 }
 
-fn guess(tokens: &[Token], columns: &Columns, types: &mut [Option<Type>]) {
-    let listed = insert_list(tokens);
+/// The columns of `table` in their order, for an `INSERT` that lists none.
+fn ordered_columns(engine: &Connection, table: &str) -> Result<Vec<String>> {
+    let mut statement =
+        engine.prepare_cached("SELECT lower(name) FROM pragma_table_info(?1) ORDER BY cid")?;
+    let names = statement.query_map([table], |row| row.get(0))?;
+    names.collect()
+}
+
+fn guess(tokens: &[Token], columns: &Columns, listed: &[String], types: &mut [Option<Type>]) {
     let mut depth: usize = 0;
     let mut place = 0;
     for (index, token) in tokens.iter().enumerate() {
--- a/crates/standin/tests/backend.rs
+++ b/crates/standin/tests/backend.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use common::{primary, sqlstate};
 use futures::{SinkExt, StreamExt};
+use tokio_postgres::types::Type;
 
 #[tokio::test]
 async fn prepared_statements_carry_types_both_ways() {
@@ -34,6 +35,20 @@
     assert!(row.get::<_, bool>(3));
 }
 
+/// A client that names no types writes a truth and looks for it: taken for text, it would not be
+/// found again.
+#[tokio::test]
+async fn an_insert_without_a_list_knows_its_types() {
+    let (_server, client) = primary("untyped").await;
+    client
+        .batch_execute("CREATE TABLE lots (id bigint, open bool)")
+        .await
+        .unwrap();
+    let insert = client.prepare("INSERT INTO lots VALUES ($1, $2)").await;
+    let types = insert.unwrap().params().to_vec();
+    assert_eq!(types, [Type::INT8, Type::BOOL]);
+}
+
 #[tokio::test]
 async fn a_failed_block_takes_nothing_until_it_ends() {
     let (_server, client) = primary("block").await;
