entry: refusals of a hanging server at once; no more let through than connections

Cause: a request in the queue looked at the clock only at its own deadline, while admission gives it up earlier; and admission let up to twice the slots through where the host had two connections, so the rest waited in the pool, where weight does not count. Change: the queue is looked at when admission says so; admission is told the allotment. Conclusion: entry's tests pass unchanged.

--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -106,6 +106,14 @@
         self.lock().gate.demand()
     }
 
+    /// The host may have so many connections to the server: no more requests run at once.
+    pub fn allow(&self, connections: u16) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let next = inner.gate.allow(connections, now);
+        inner.tell_all(next);
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.lock().gate.waiting()
@@ -142,6 +150,10 @@
         (id, Err(receiver))
     }
 
+    fn due(&self) -> Option<Duration> {
+        self.lock().gate.deadline()
+    }
+
     fn tick(&self) {
         let now = self.clock.now();
         let mut inner = self.lock();
@@ -197,7 +209,10 @@
         deadline: Duration,
     ) -> Verdict {
         loop {
-            let left = deadline.saturating_sub(self.gate.clock.now());
+            // Admission gives a request up while there is still time to tell; a server that
+            // hangs brings no event that would let it say so.
+            let due = self.gate.due().map_or(deadline, |due| due.min(deadline));
+            let left = due.saturating_sub(self.gate.clock.now());
             let pause = left.max(Duration::from_millis(1));
             match tokio::time::timeout(pause, &mut receiver).await {
                 Ok(verdict) => {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -178,9 +178,12 @@
         self.shared.now()
     }
 
-    /// Tells the controller how many connections to `server` there is use for.
+    /// Tells the controller how many connections to `server` there is use for, and admission how
+    /// many there may be: requests past them would wait in the pool, where weight does not count.
+    /// One is always let through, because the first grant comes only after somebody wanted it.
     pub fn want(&self, server: ServerKey, way: &Way) {
         self.shared.want(server, way.gate.demand());
+        way.gate.allow(self.shared.allotment(server).max(1));
     }
 
     /// Notes that a request starts on `server`.
