End a lease that is given up, and answer revocations under one lock

Cause: read in the daemon's wiring. A stopping host tells its controller that it gives its lease up, and the controller waits for it no more; a request still running there, or a grant on its way, could have acknowledged a write of the old primary after that. And a view adopted between taking the acknowledged positions and the version would have vouched for writes that were not among them. Change: Holder::give_up, called before the last renewal is sent; close takes both under one lock. Conclusion: one focused test for the first; the second is by construction.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -65,6 +65,7 @@
 struct Lease {
     view: Option<view::Shard>,
     until: Option<Duration>,
+    given_up: bool,
 }
 
 /// A renewal that is on its way, and when it was sent.
@@ -174,15 +175,25 @@
             return Granted::Nothing;
         }
         let until = ticket.sent + timing::less_drift(valid);
-        if valid.is_zero() || until <= now {
+        let lease = self.shards.entry(ticket.shard).or_default();
+        if valid.is_zero() || until <= now || lease.given_up {
             return Granted::Nothing;
         }
-        let lease = self.shards.entry(ticket.shard).or_default();
         let until = lease.until.map_or(until, |earlier| earlier.max(until));
         lease.until = Some(until);
         Granted::Until(until)
     }
 
+    /// Ends the lease of `shard` for as long as this process lives. Call it before the renewal
+    /// that says so is sent: the controller promotes without waiting for this host as soon as it
+    /// has that renewal, while a request may still be running here, or an earlier grant be on
+    /// its way.
+    pub fn give_up(&mut self, shard: u16) {
+        let lease = self.shards.entry(shard).or_default();
+        lease.given_up = true;
+        lease.until = None;
+    }
+
     /// Acts by `view` from now on if it is newer than the one acted by.
     ///
     /// A running lease goes on under the newer view: whoever made that view counts this host's
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -177,3 +177,21 @@
     );
     assert_eq!(holder.leader(names.service, at(1)), Leader::Unknown);
 }
+
+/// A write is acknowledged by a primary that has been replaced: a host that was stopping had given
+/// its lease up, so nobody waited for it, and a request that was still running there came to an
+/// end, or an earlier grant arrived.
+#[test]
+fn a_lease_that_was_given_up_is_over() {
+    let fixture = names();
+    let mut holder = leased(&fixture);
+    let earlier = holder.renewal_sent(SHARD, at(1_100));
+    holder.give_up(SHARD);
+    let write = write(FIRST, 7);
+    let answer = holder.acknowledge(fixture.service, FIRST, write, at(1_150));
+    assert_eq!(answer, Acknowledge::Unknown);
+    let granted = holder.granted(earlier, opened(&fixture).version, LEASE, None, at(1_200));
+    assert_eq!(granted, Granted::Nothing);
+    let answer = holder.acknowledge(fixture.service, FIRST, write, at(1_250));
+    assert_eq!(answer, Acknowledge::Unknown);
+}
--- a/crates/entry/src/link/renewal.rs
+++ b/crates/entry/src/link/renewal.rs
@@ -140,6 +140,9 @@
         return (Vec::new(), Vec::new());
     };
     let prepared = shards.iter().map(|shard| {
+        if stopping {
+            link.shared.leases().give_up(*shard);
+        }
         let servers = servers(&adopted.fleet, *shard);
         let taken = link.shared.take_tallies(&servers, &primaries(link, *shard));
         let sent = link.shared.now();
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -84,15 +84,17 @@
 impl EntryServer for Entry {
     async fn close(&self, close: Close) -> RpcResult<Closed> {
         let view = self.decode(&close)?;
-        let acknowledged = self.shared.leases().close(close.shard, view);
+        // Under one lock: a version adopted in between would vouch for writes that were
+        // acknowledged before it and after the positions were taken.
+        let (acknowledged, version) = {
+            let mut leases = self.shared.leases();
+            let acknowledged = leases.close(close.shard, view);
+            (acknowledged, leases.version(close.shard))
+        };
+        let version = version.unwrap_or_default();
         self.shared.changed();
         self.shared.renew_soon();
         self.link.heard(close.config, None);
-        let version = self
-            .shared
-            .leases()
-            .version(close.shard)
-            .unwrap_or_default();
         let view = format!("{}.{}", version.epoch, version.change);
         Event::Closed {
             shard: close.shard,
