control, entry: spread shards over hosts; no leases of shards without services

Cause: the first process of a fresh fleet claimed every shard, and every shard named the same standbys. Change: who comes first for a shard, and in which order hosts stand by, differs from shard to shard; the others leave an unclaimed shard to it for a second. Entry hosts renew and look for shards in use only.

--- /dev/null
+++ b/crates/control/src/candidate.rs
@@ -0,0 +1,55 @@
+//! Which control processes come first for a shard, so that shards spread over hosts.
+
+use std::collections::BTreeSet;
+
+use flamingopost_core::digest::Digest;
+use flamingopost_wire::knowledge::Process;
+
+/// Hosts that may stand by for `shard`, best first: one of each zone other than `own`, then
+/// others of those zones, then those of `own`. Among equals the order differs from shard to
+/// shard, so that one host does not stand by for all of them.
+///
+/// ```
+/// use flamingopost_control::candidate;
+/// use flamingopost_wire::knowledge::Process;
+///
+/// let process = |host: &str, zone: &str| Process {
+///     host: host.to_owned(),
+///     zone: zone.to_owned(),
+///     rpc: String::new(),
+///     admin: String::new(),
+///     incarnation: 1,
+/// };
+/// let heard = vec![process("a2", "a"), process("b1", "b"), process("c1", "c")];
+/// let order = candidate::order(0, "a", heard);
+/// assert_eq!(order.last().map(String::as_str), Some("a2"));
+/// ```
+pub fn order(shard: u16, own: &str, mut heard: Vec<Process>) -> Vec<String> {
+    heard.sort_by_key(|process| rank(shard, &process.host));
+    let mut zones = BTreeSet::new();
+    let (mut first, mut rest, mut last) = (Vec::new(), Vec::new(), Vec::new());
+    for process in heard {
+        if process.zone == own {
+            last.push(process.host);
+        } else if zones.insert(process.zone) {
+            first.push(process.host);
+        } else {
+            rest.push(process.host);
+        }
+    }
+    first.append(&mut rest);
+    first.append(&mut last);
+    first
+}
+
+/// Whether `host` comes first for `shard` among itself and all that were `heard`.
+pub fn is_first(shard: u16, host: &str, heard: &[Process]) -> bool {
+    let own = rank(shard, host);
+    heard
+        .iter()
+        .all(|process| rank(shard, &process.host) >= own)
+}
+
+fn rank(shard: u16, host: &str) -> Digest {
+    Digest::of(format!("{shard}/{host}").as_bytes())
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod bootstrap;
 pub mod budgets;
+pub mod candidate;
 pub mod config;
 pub mod drain;
 pub mod error;
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -22,6 +22,7 @@
 use flamingopost_wire::status::{self, Ordered};
 
 use crate::budgets::{self, Budgets, Renewer};
+use crate::candidate;
 use crate::config::Config;
 use crate::hints::Hints;
 use crate::poll::Reader;
@@ -39,12 +40,17 @@
 /// How often floors are looked after.
 const FLOORS: Duration = Duration::from_millis(500);
 
+/// How long a shard without a row is left to the process that comes first for it.
+const COURTESY: Duration = Duration::from_millis(1_000);
+
 /// Silence of a control process after which it is no candidate for a standby.
 const CANDIDATE: Duration = Duration::from_secs(5);
 
 /// The controller of one shard.
 pub struct Shard {
     pub(crate) number: u16,
+    /// When this process learnt of the shard.
+    pub(crate) born: Duration,
     pub(crate) shared: Arc<Shared>,
     pub(crate) reader: Reader,
     pub(crate) controller: Controller,
@@ -124,6 +130,7 @@
         let controller = Controller::new(me, shared.process().incarnation, shared.now());
         Shard {
             number,
+            born: shared.now(),
             controller,
             reader,
             shared,
@@ -262,28 +269,17 @@
         }
     }
 
-    /// Chooses candidates for standbys: first one of each other zone, then the rest.
+    /// Chooses candidates for standbys and forgets what is long gone.
     fn review(&mut self) {
         let now = self.shared.now();
         let since = now.saturating_sub(CANDIDATE);
-        let mut heard = self.shared.peers().heard_since(since);
-        heard.sort_by(|a, b| (&a.zone, &a.host).cmp(&(&b.zone, &b.host)));
-        let own = &self.shared.process().zone;
-        let mut zones = std::collections::BTreeSet::new();
-        let (mut first, mut rest, mut last) = (Vec::new(), Vec::new(), Vec::new());
-        for process in heard {
-            let host = self
-                .shared
-                .intern(|directory| directory.hosts.intern(&process.host));
-            match (process.zone == *own, zones.insert(process.zone)) {
-                (true, _) => last.push(host),
-                (false, true) => first.push(host),
-                (false, false) => rest.push(host),
-            }
-        }
-        first.append(&mut rest);
-        first.append(&mut last);
-        self.controller.candidates(first);
+        let heard = self.shared.peers().heard_since(since);
+        let order = candidate::order(self.number, &self.shared.process().zone, heard);
+        let hosts = self.shared.intern(|directory| {
+            let names = order.iter();
+            names.map(|host| directory.hosts.intern(host)).collect()
+        });
+        self.controller.candidates(hosts);
         self.membership.forget(now);
         self.leases.retain(|_, until| *until > now);
         let known: Vec<Instance> = self.membership.members().map(instance).collect();
@@ -291,6 +287,15 @@
         self.granted.retain(|holder, _| known.contains(holder));
     }
 
+    /// Whether a shard that nobody has claimed yet is left to another process for a moment. The
+    /// first process of a fresh fleet would otherwise claim every shard.
+    pub(crate) fn leaves_to_another(&self) -> bool {
+        let now = self.shared.now();
+        let heard = self.shared.peers().heard_since(Duration::ZERO);
+        now < self.born + COURTESY
+            && !candidate::is_first(self.number, &self.shared.process().host, &heard)
+    }
+
     fn renew(&mut self, renewal: lease::Renewal) -> lease::Reply {
         let now = self.shared.now();
         self.shared.hear(renewal.config);
--- a/crates/control/src/shard_effect.rs
+++ b/crates/control/src/shard_effect.rs
@@ -99,6 +99,9 @@
         let now = self.shared.now();
         let Some(stored) = rows.get(&row::key(self.number)) else {
             self.tag = None;
+            if self.leaves_to_another() {
+                return;
+            }
             return self.controller.read(read.sent, None, now);
         };
         match row::decode(self.number, &stored.body, &self.shared) {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -59,6 +59,22 @@
     }
 }
 
+impl Fleet {
+    /// Shards that have a service; the others need no controller and have none.
+    ///
+    /// ```
+    /// use flamingopost_core::fleet::Fleet;
+    ///
+    /// assert!(Fleet::default().shards_in_use().is_empty());
+    /// ```
+    pub fn shards_in_use(&self) -> BTreeSet<u16> {
+        self.services
+            .values()
+            .map(|service| service.shard)
+            .collect()
+    }
+}
+
 /// An availability zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Zone {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -179,7 +179,10 @@
             return true;
         };
         let controllers = self.controllers();
-        (0..adopted.fleet.shards).any(|shard| controllers.is_doubtful(shard))
+        let shards = adopted.fleet.shards_in_use();
+        shards
+            .into_iter()
+            .any(|shard| controllers.is_doubtful(shard))
     }
 
     /// The relay, unless it has just failed.
--- a/crates/entry/src/link/renewal.rs
+++ b/crates/entry/src/link/renewal.rs
@@ -94,10 +94,11 @@
     let shards = link
         .shared
         .adopted()
-        .map_or(0, |adopted| adopted.fleet.shards);
+        .map(|adopted| adopted.fleet.shards_in_use())
+        .unwrap_or_default();
     let relay = link.relay();
     let controllers = link.controllers();
-    for shard in 0..shards {
+    for shard in shards {
         if controllers.is_doubtful(shard) {
             link.asking.notify_one();
         }
