trial: a zone cut also holds back remote calls between hosts

Cause: with bole-hall cut off, remote calls still passed: its controller, which could reach no other zone's server, kept its authority and no promotion came in 120 s. A zone cut that spares calls between hosts is none that a network has. Change: requests between our processes name their zone, as those to the platform do (daemon::remote::client_in; Links and Peers take the zone); a stand-in relay in front of each daemon of the trial holds back whoever is cut off.

--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -19,14 +19,17 @@
 /// Connections to other processes, by the address of their remote calls.
 #[derive(Debug)]
 pub struct Links {
+    zone: String,
     token: Token,
     clients: Mutex<BTreeMap<String, HttpClient>>,
 }
 
 impl Links {
-    /// No connections yet; the fleet's processes know each other by the operators' `token`.
-    pub fn new(token: Token) -> Links {
+    /// No connections yet, from availability zone `zone`; the fleet's processes know each other
+    /// by the operators' `token`.
+    pub fn new(zone: &str, token: Token) -> Links {
         Links {
+            zone: zone.to_owned(),
             token,
             clients: Mutex::default(),
         }
@@ -41,7 +44,7 @@
         if let Some(client) = clients.get(address) {
             return Ok(client.clone());
         }
-        let client = remote::client(address, &self.token, CALL_TIMEOUT)?;
+        let client = remote::client_in(&self.zone, address, &self.token, CALL_TIMEOUT)?;
         // Hosts are replaced by the hundred a day; their addresses would pile up.
         if clients.len() >= KEPT {
             clients.clear();
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -54,7 +54,7 @@
                 peers.add(&peer.to_string());
             }
         }
-        let links = Links::new(settings.token.clone());
+        let links = Links::new(&settings.zone, settings.token.clone());
         Shared {
             settings,
             process,
--- a/crates/daemon/src/remote.rs
+++ b/crates/daemon/src/remote.rs
@@ -14,6 +14,9 @@
 const AUTHORIZATION: &str = "authorization";
 const UNAUTHORIZED: u16 = 401;
 
+/// Names the caller's availability zone, as requests to the platform do.
+const ZONE: &str = "x-zone";
+
 /// Greatest answer: a view, or a configuration body, of a thousand services.
 const MAX_ANSWER: u32 = 16 << 20;
 
@@ -26,7 +29,23 @@
 /// # Errors
 /// The address is none that can be connected to.
 pub fn client(address: &str, token: &Token, timeout: Duration) -> Result<HttpClient, ClientError> {
+    client_in("", address, token, timeout)
+}
+
+/// As [`client`], for a caller in availability zone `zone`, which each call names.
+///
+/// # Errors
+/// The address is none that can be connected to.
+pub fn client_in(
+    zone: &str,
+    address: &str,
+    token: &Token,
+    timeout: Duration,
+) -> Result<HttpClient, ClientError> {
     let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(zone) {
+        headers.insert(ZONE, value);
+    }
     if let Ok(mut value) = HeaderValue::from_str(&token.pass().header()) {
         value.set_sensitive(true);
         headers.insert(AUTHORIZATION, value);
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -82,7 +82,11 @@
     store: Arc<dyn Store>,
 ) -> Arc<Link> {
     let known = options.peers.iter().chain(&options.relay);
-    let peers = Arc::new(Peers::new(known.map(ToString::to_string), options.token));
+    let peers = Arc::new(Peers::new(
+        known.map(ToString::to_string),
+        &options.host.zone,
+        options.token,
+    ));
     let first = peers.all().len();
     let ear = spread::start(shared.clone(), peers.clone(), store, first);
     let relay = options.relay.map(|address| Relay {
--- a/crates/entry/src/link/peers.rs
+++ b/crates/entry/src/link/peers.rs
@@ -21,6 +21,7 @@
 /// Control processes that can be asked.
 #[derive(Debug)]
 pub struct Peers {
+    zone: String,
     token: Token,
     clients: Mutex<BTreeMap<String, HttpClient>>,
     known: Mutex<BTreeSet<String>>,
@@ -28,10 +29,12 @@
 }
 
 impl Peers {
-    /// Starts with those of the settings, which are never forgotten; `token` is the operators'.
-    pub fn new(settings: impl IntoIterator<Item = String>, token: Token) -> Peers {
+    /// Starts with those of the settings, which are never forgotten; `zone` is the host's, `token`
+    /// the operators'.
+    pub fn new(settings: impl IntoIterator<Item = String>, zone: &str, token: Token) -> Peers {
         let lasting: BTreeSet<String> = settings.into_iter().collect();
         Peers {
+            zone: zone.to_owned(),
             token,
             clients: Mutex::default(),
             known: Mutex::new(lasting.clone()),
@@ -52,7 +55,7 @@
         if clients.len() >= KEPT {
             clients.clear();
         }
-        let client = remote::client(address, &self.token, CALL)?;
+        let client = remote::client_in(&self.zone, address, &self.token, CALL)?;
         clients.insert(address.to_owned(), client.clone());
         Ok(client)
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod event;
 pub mod panel;
 pub mod platform;
+pub mod relay;
--- a/crates/standin/src/panel.rs
+++ b/crates/standin/src/panel.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
 use actix_web::web::{Data, Json, Path};
 use actix_web::{HttpResponse, web};
@@ -14,6 +14,7 @@
 use crate::backend::fault::{Cut, Faults};
 use crate::backend::{self, Server};
 use crate::platform::{self, Service};
+use crate::relay::Cuts;
 
 /// What the faults of a deployment are set by. Dropping it closes the address.
 ///
@@ -34,7 +35,7 @@
 struct Deployment {
     servers: BTreeMap<String, Arc<backend::Shared>>,
     platform: Arc<platform::Shared>,
-    cut_zones: Mutex<BTreeSet<String>>,
+    cuts: Cuts,
 }
 
 /// A zone is to be cut off from all others, or to be healed.
@@ -53,16 +54,22 @@
 }
 
 impl Panel {
-    /// Listens at `address` for the faults of `servers` and `platform`.
+    /// Listens at `address` for the faults of `servers` and `platform`, and for cuts of zones,
+    /// which also go to the relays that share `cuts`.
     ///
     /// # Errors
     /// An address that is taken.
-    pub fn start(address: SocketAddr, servers: &[Server], platform: &Service) -> io::Result<Panel> {
+    pub fn start(
+        address: SocketAddr,
+        servers: &[Server],
+        platform: &Service,
+        cuts: &Cuts,
+    ) -> io::Result<Panel> {
         let named = |server: &Server| (server.settings().name.clone(), server.shared());
         let deployment = Arc::new(Deployment {
             servers: servers.iter().map(named).collect(),
             platform: platform.shared(),
-            cut_zones: Mutex::default(),
+            cuts: cuts.clone(),
         });
         let listener = Listener::start(address, move |app| {
             app.app_data(Data::from(Arc::clone(&deployment)))
@@ -87,15 +94,8 @@
     /// Servers in a zone that is cut off are reached from their own zone only, the others from
     /// all zones that are not cut off; the platform lies in none of them.
     fn cut_zone(&self, change: ZoneCut) {
-        let mut zones = self
-            .cut_zones
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if change.cut {
-            zones.insert(change.zone);
-        } else {
-            zones.remove(&change.zone);
-        }
+        self.cuts.set(&change.zone, change.cut);
+        let zones = self.cuts.zones();
         for shared in self.servers.values() {
             let zone = &shared.settings.zone;
             let cut = if zones.contains(zone) {
@@ -110,22 +110,18 @@
         }
         let faults = self.platform.faults();
         self.platform.set_faults(platform::Faults {
-            cut_zones: zones.clone(),
+            cut_zones: zones,
             ..faults
         });
     }
 
     fn overview(&self) -> Overview {
-        let cut_zones = self
-            .cut_zones
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
         let servers = self
             .servers
             .iter()
             .map(|(name, shared)| (name.clone(), shared.switch.get()));
         Overview {
-            cut_zones: cut_zones.clone(),
+            cut_zones: self.cuts.zones(),
             platform: self.platform.faults(),
             servers: servers.collect(),
         }
--- a/crates/standin/tests/admin.rs
+++ b/crates/standin/tests/admin.rs
@@ -4,10 +4,11 @@
 
 use std::net::SocketAddr;
 
-use common::{SERVICE, server};
+use common::{hangs, server};
 use flamingopost_standin::backend::fault::Cut;
 use flamingopost_standin::panel::Panel;
 use flamingopost_standin::platform::{Service, Settings};
+use flamingopost_standin::relay::{Cuts, Relay};
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
 
@@ -46,7 +47,16 @@
     let platform = Service::start(&Settings::default()).unwrap();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let servers = [inside, outside];
-    let panel = Panel::start(any, &servers, &platform).unwrap();
+    let cuts = Cuts::default();
+    let relay = Relay::start(platform.address(), "akaki-hall", &cuts)
+        .await
+        .unwrap();
+    let through = |zone: &'static str| {
+        let url = format!("http://{}/hosts", relay.address());
+        let http = Client::builder().no_proxy().build().unwrap();
+        http.get(url).header("X-Zone", zone).send()
+    };
+    let panel = Panel::start(any, &servers, &platform, &cuts).unwrap();
     let cut = json!({"zone": "bole-hall", "cut": true});
     let (_, overview) = post(panel.address(), "/faults", cut).await;
     assert_eq!(overview["cut_zones"], json!(["bole-hall"]));
@@ -55,8 +65,10 @@
     assert!(servers[1].faults().cut.hides("bole-hall/entry-1"));
     assert!(!servers[1].faults().cut.hides("akaki-hall/entry-2"));
     assert!(platform.faults().cut_zones.contains("bole-hall"));
+    assert!(hangs(through("bole-hall")).await);
+    through("akaki-hall").await.unwrap();
     let heal = json!({"zone": "bole-hall", "cut": false});
     post(panel.address(), "/faults", heal).await;
     assert_eq!(servers[0].faults().cut, Cut::No);
-    assert_eq!(servers[0].settings().service, SERVICE);
+    through("bole-hall").await.unwrap();
 }
--- a/crates/trial/src/host.rs
+++ b/crates/trial/src/host.rs
@@ -1,6 +1,6 @@
 //! One host of a trial: an entry daemon and a control daemon.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use flamingopost_daemon::stop::Stop;
 use flamingopost_daemon::token::Token;
 use flamingopost_entry::settings::Settings as EntrySettings;
+use flamingopost_standin::relay::{Cuts, Relay};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
@@ -21,40 +22,32 @@
 /// itself from its first second on.
 const POLL: Duration = Duration::from_millis(100);
 
-/// Listeners of a control daemon. All are open before any daemon starts, so that each daemon can
-/// be told of the others.
+/// The ways to the remote calls of one host's daemons. They are open before any daemon starts, so
+/// that each daemon can be told of the others.
 #[derive(Debug)]
-pub struct Sockets {
-    rpc: TcpListener,
-    admin: TcpListener,
+pub struct Ways {
+    entry: Relay,
+    control: Relay,
 }
 
-impl Sockets {
-    /// Opens the listeners of `host`.
+impl Ways {
+    /// Opens the ways to `host`, which cuts of its zone close.
     ///
     /// # Errors
-    /// An address that is taken.
-    pub fn open(host: &Host) -> Result<Sockets, Error> {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        Ok(Sockets {
-            rpc: listen(any)?,
-            admin: listen(host.control_admin)?,
+    /// No port is free.
+    pub async fn open(host: &Host, cuts: &Cuts) -> Result<Ways, Error> {
+        Ok(Ways {
+            entry: Relay::start(host.entry_rpc, &host.zone, cuts).await?,
+            control: Relay::start(host.control_rpc, &host.zone, cuts).await?,
         })
     }
 
-    /// Where the control daemon will take remote calls.
-    ///
-    /// # Errors
-    /// When the system does not tell.
-    pub fn rpc(&self) -> Result<SocketAddr, Error> {
-        Ok(self.rpc.local_addr()?)
+    /// Where others reach the control daemon.
+    pub fn control(&self) -> SocketAddr {
+        self.control.address()
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).map_err(|error| Error::Listen(address, error))
-}
-
 /// What all hosts of a trial are told.
 #[derive(Debug, Clone)]
 pub struct Common<'a> {
@@ -74,12 +67,15 @@
 /// An address that is taken.
 pub fn start_entry(
     host: &Host,
+    ways: &Ways,
     common: &Common<'_>,
     stop: Stop,
 ) -> Result<JoinHandle<Result<(), Error>>, Error> {
     let mut settings = EntrySettings {
         callers: host.callers,
         admin: host.entry_admin,
+        rpc: host.entry_rpc,
+        public_rpc: ways.entry.address(),
         token: Token::new(common.token),
         peers: common.peers.clone(),
         drain: DRAIN,
@@ -97,13 +93,16 @@
 /// No thread can be had.
 pub fn start_control(
     host: &Host,
-    sockets: Sockets,
+    ways: &Ways,
     common: &Common<'_>,
     stop: Stop,
 ) -> Result<oneshot::Receiver<Result<(), Error>>, Error> {
-    let own = sockets.rpc()?;
+    let own = ways.control();
     let peers = common.peers.iter().copied();
     let mut settings = ControlSettings {
+        rpc: host.control_rpc,
+        public_rpc: Some(own),
+        admin: host.control_admin,
         token: Token::new(common.token),
         peers: peers.filter(|peer| *peer != own).collect(),
         bootstrap: Some(common.fleet.to_owned()),
@@ -113,8 +112,7 @@
     let (ended, told) = oneshot::channel();
     let thread = std::thread::Builder::new().name(host.name.clone());
     thread.spawn(move || {
-        let Sockets { rpc, admin } = sockets;
-        let run = flamingopost_control::run_on(rpc, admin, settings, stop);
+        let run = flamingopost_control::run(settings, stop);
         let result = actix_rt::System::new().block_on(run);
         // Nobody listens any more when the trial itself has ended.
         let _ = ended.send(result.map_err(Error::from));
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -22,6 +22,8 @@
 const CALLERS: u16 = 32;
 const ENTRY_ADMIN: u16 = 42;
 const CONTROL_ADMIN: u16 = 52;
+const ENTRY_RPC: u16 = 62;
+const CONTROL_RPC: u16 = 72;
 
 /// What a trial consists of.
 #[derive(Debug)]
@@ -55,6 +57,10 @@
     pub entry_admin: SocketAddr,
     /// Operators' address of its control daemon.
     pub control_admin: SocketAddr,
+    /// Where its entry daemon takes remote calls, behind a relay.
+    pub entry_rpc: SocketAddr,
+    /// Where its control daemon takes remote calls, behind a relay.
+    pub control_rpc: SocketAddr,
 }
 
 impl Plan {
@@ -110,6 +116,8 @@
             callers: local(port + CALLERS),
             entry_admin: local(port + ENTRY_ADMIN),
             control_admin: local(port + CONTROL_ADMIN),
+            entry_rpc: local(port + ENTRY_RPC),
+            control_rpc: local(port + CONTROL_RPC),
         }
     };
     Ok((0..HOSTS).map(host).collect())
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -5,6 +5,7 @@
 use flamingopost_standin::backend::{Server, Settings};
 use flamingopost_standin::panel::Panel;
 use flamingopost_standin::platform::{self, Service};
+use flamingopost_standin::relay::Cuts;
 
 use crate::error::Error;
 use crate::plan::Plan;
@@ -18,6 +19,8 @@
     pub platform: Service,
     /// Where their faults are set.
     pub panel: Panel,
+    /// The zones that are cut off.
+    pub cuts: Cuts,
 }
 
 impl Stage {
@@ -39,12 +42,14 @@
             let started = Server::start(settings).await;
             servers.push(started.map_err(|error| Error::Server(name, error))?);
         }
-        let panel = Panel::start(plan.faults, &servers, &platform)
+        let cuts = Cuts::default();
+        let panel = Panel::start(plan.faults, &servers, &platform, &cuts)
             .map_err(|error| Error::Listen(plan.faults, error))?;
         Ok(Stage {
             servers,
             platform,
             panel,
+            cuts,
         })
     }
 }
--- a/crates/trial/src/trial.rs
+++ b/crates/trial/src/trial.rs
@@ -11,7 +11,7 @@
 use crate::announce;
 use crate::error::Error;
 use crate::flags::FlamingopostTrial;
-use crate::host::{self, Common, Sockets};
+use crate::host::{self, Common, Ways};
 use crate::overview::Overview;
 use crate::plan::Plan;
 use crate::stage::Stage;
@@ -48,7 +48,8 @@
     file.write_all(plan.text.as_bytes())?;
 
     let (entries, controls) = (Stop::default(), Stop::default());
-    let mut daemons = start(&plan, file.path(), &entries, &controls)?;
+    let ways = open_ways(&plan, &stage).await?;
+    let mut daemons = start(&plan, &ways, file.path(), &entries, &controls)?;
     let watched = entries.clone();
     tokio::spawn(watched.on_signals());
     tokio::select! {
@@ -77,18 +78,24 @@
     controls: Vec<oneshot::Receiver<Result<(), Error>>>,
 }
 
+async fn open_ways(plan: &Plan, stage: &Stage) -> Result<Vec<Ways>, Error> {
+    let mut ways = Vec::new();
+    for host in &plan.hosts {
+        ways.push(Ways::open(host, &stage.cuts).await?);
+    }
+    Ok(ways)
+}
+
 fn start(
     plan: &Plan,
+    ways: &[Ways],
     fleet: &std::path::Path,
     entries: &Stop,
     controls: &Stop,
 ) -> Result<Daemons, Error> {
-    let sockets = plan.hosts.iter().map(Sockets::open);
-    let sockets = sockets.collect::<Result<Vec<Sockets>, Error>>()?;
-    let peers = sockets.iter().map(Sockets::rpc);
     let common = Common {
         platform: plan.platform,
-        peers: peers.collect::<Result<Vec<_>, Error>>()?,
+        peers: ways.iter().map(Ways::control).collect(),
         token: TOKEN,
         fleet,
     };
@@ -96,12 +103,12 @@
         entries: JoinSet::new(),
         controls: Vec::new(),
     };
-    for (planned, sockets) in plan.hosts.iter().zip(sockets) {
-        let control = host::start_control(planned, sockets, &common, controls.clone())?;
+    for (planned, ways) in plan.hosts.iter().zip(ways) {
+        let control = host::start_control(planned, ways, &common, controls.clone())?;
         daemons.controls.push(control);
     }
-    for planned in &plan.hosts {
-        let entry = host::start_entry(planned, &common, entries.clone())?;
+    for (planned, ways) in plan.hosts.iter().zip(ways) {
+        let entry = host::start_entry(planned, ways, &common, entries.clone())?;
         let joined = async move { entry.await.unwrap_or(Err(Error::Vanished)) };
         daemons.entries.spawn(joined);
     }
