Admission: refuse the last in a long queue without looking through it

Cause: every arrival and every end looked through the whole queue; with small statements and long deadlines a queue holds thousands, and the looks would cost more than the statements. Change: admission::queue::Queue counts what waits by class and customer; a request that would be last and comes too late is refused from the counts; a queue of more than 16 is looked through at most once a millisecond. Processor time: not measured.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -3,8 +3,10 @@
 pub mod cost;
 pub mod flow;
 pub mod limit;
+pub mod queue;
 pub mod ticket;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -13,8 +15,13 @@
 use cost::Costs;
 use flow::Flow;
 use limit::Limit;
+use queue::Queue;
 use ticket::Ticket;
 
+/// Longest queue that is looked through for late requests at every change.
+const SHORT: usize = 16;
+/// Time between two looks through a longer one.
+const LOOK: Duration = Duration::from_millis(1);
 /// Part of the slots that is taken to be left for a class whatever arrives that is heavier.
 const LEAST_LEFT: f64 = 0.05;
 
@@ -75,10 +82,12 @@
     /// Work that was started, by customer.
     used: Flow<CustomerKey>,
     running: BTreeMap<u64, Running>,
-    queue: Vec<Ticket>,
+    queue: Queue,
     connections: usize,
     /// The request that is just arriving.
     newest: Option<u64>,
+    /// When a long queue was last looked through for those that are late.
+    looked: Duration,
 }
 
 impl Gate {
@@ -90,9 +99,10 @@
             arrived: Flow::default(),
             used: Flow::default(),
             running: BTreeMap::new(),
-            queue: Vec::new(),
+            queue: Queue::default(),
             connections: usize::MAX,
             newest: None,
+            looked: Duration::ZERO,
         }
     }
 
@@ -114,10 +124,10 @@
                 self.too_short(&ticket, needed, now),
             )];
         }
-        let place = self.queue.partition_point(|other| {
-            (std::cmp::Reverse(other.weight), other.deadline)
-                <= (std::cmp::Reverse(ticket.weight), ticket.deadline)
-        });
+        let place = self.queue.place(&ticket);
+        if place == self.queue.len() && self.is_one_too_many(&ticket, now) {
+            return vec![Next::Refuse(ticket.id, self.overloaded(now))];
+        }
         self.queue.insert(place, ticket);
         self.newest = Some(ticket.id);
         let next = self.turn(now);
@@ -156,7 +166,9 @@
 
     /// The caller of a request that waits has gone away.
     pub fn abandon(&mut self, id: u64, now: Duration) -> Vec<Next> {
-        self.queue.retain(|ticket| ticket.id != id);
+        if let Some(place) = self.queue.find(id) {
+            self.queue.remove(place);
+        }
         self.turn(now)
     }
 
@@ -203,33 +215,47 @@
         self.backlog(now) / self.divisor() + self.costs.mean(class)
     }
 
+    /// Looking through a long queue at each arrival and each end would cost more than the requests
+    /// themselves; what has become late in it is found a moment later.
     fn turn(&mut self, now: Duration) -> Vec<Next> {
         let mut next = Vec::new();
-        self.expire(now, &mut next);
+        let looks = self.queue.len() <= SHORT || now >= self.looked + LOOK;
+        if looks {
+            self.looked = now;
+            self.expire(now, &mut next);
+        }
         self.start(now, &mut next);
-        self.shed(now, &mut next);
+        if looks || self.slots() == 0 {
+            self.shed(now, &mut next);
+        }
         next
     }
 
     fn expire(&mut self, now: Duration, next: &mut Vec<Next>) {
-        let (kept, late): (Vec<Ticket>, Vec<Ticket>) = self
-            .queue
-            .drain(..)
-            .partition(|ticket| now + self.costs.mean(ticket.class) <= ticket.deadline);
-        self.queue = kept;
-        for ticket in late {
+        let mut place = 0;
+        while let Some(ticket) = self.queue.get(place).copied() {
             let needed = self.costs.mean(ticket.class);
-            next.push(Next::Refuse(
-                ticket.id,
-                self.too_short(&ticket, needed, now),
-            ));
+            if now + needed <= ticket.deadline {
+                place += 1;
+                continue;
+            }
+            self.queue.remove(place);
+            let refusal = self.too_short(&ticket, needed, now);
+            next.push(Next::Refuse(ticket.id, refusal));
         }
     }
 
     fn start(&mut self, now: Duration, next: &mut Vec<Next>) {
-        while self.running.len() < self.slots() && !self.queue.is_empty() {
-            let ticket = self.queue.remove(0);
+        while self.running.len() < self.slots() {
+            let Some(ticket) = self.queue.remove(0) else {
+                return;
+            };
             let mean = self.costs.mean(ticket.class);
+            if now + mean > ticket.deadline {
+                let refusal = self.too_short(&ticket, mean, now);
+                next.push(Next::Refuse(ticket.id, refusal));
+                continue;
+            }
             self.used.add(ticket.customer, mean, now);
             self.resume(ticket.id, ticket.class, now);
             next.push(Next::Start(ticket.id));
@@ -238,10 +264,36 @@
 
     fn shed(&mut self, now: Duration, next: &mut Vec<Next>) {
         while let Some(late) = self.first_late(now) {
-            let index = self.least(late, now);
-            let ticket = self.queue.remove(index);
-            let retry_after = self.backlog(now) / self.divisor();
-            next.push(Next::Refuse(ticket.id, Refusal::Overloaded { retry_after }));
+            let place = self.least(late, now);
+            let Some(ticket) = self.queue.remove(place) else {
+                return;
+            };
+            next.push(Next::Refuse(ticket.id, self.overloaded(now)));
+        }
+    }
+
+    /// Whether `ticket`, which would be last, comes too late behind all that waits and is the
+    /// one to go. Most refusals of an overload are of this kind, and need no look at the queue.
+    fn is_one_too_many(&self, ticket: &Ticket, now: Duration) -> bool {
+        if self.running.len() < self.slots() {
+            return false;
+        }
+        let ahead = self.rest(now) + self.queue.work(&self.costs);
+        let end = now + self.wait(ahead, ticket.weight, now) + self.costs.safe(ticket.class);
+        let own = self.used_for_share(ticket.customer, ticket.share, now);
+        let first_to_go = self.queue.customers().all(|(customer, crowd)| {
+            customer == ticket.customer || self.used_for_share(customer, crowd.share, now) < own
+        });
+        end > ticket.deadline && first_to_go
+    }
+
+    fn used_for_share(&self, customer: CustomerKey, share: u32, now: Duration) -> f64 {
+        self.used.rate(&customer, now) / f64::from(share.max(1))
+    }
+
+    fn overloaded(&self, now: Duration) -> Refusal {
+        Refusal::Overloaded {
+            retry_after: self.backlog(now) / self.divisor(),
         }
     }
 
@@ -291,19 +343,18 @@
     /// used most for its share lately; among those, the one that takes longest; and at last the
     /// one whose deadline is furthest, which has waited least.
     fn least(&self, late: usize, now: Duration) -> usize {
-        let value = |index: usize| {
-            let ticket = &self.queue[index];
-            let used = self.used.rate(&ticket.customer, now) / f64::from(ticket.share.max(1));
-            let cost = self.costs.mean(ticket.class);
-            (ticket.weight, -used, std::cmp::Reverse(cost))
+        let value = |ticket: &Ticket| {
+            let used = self.used_for_share(ticket.customer, ticket.share, now);
+            (ticket.weight, -used, Reverse(self.costs.mean(ticket.class)))
         };
-        (0..=late)
-            .rev()
-            .map(|index| (value(index), index))
-            .min_by(|(one, _), (other, _)| {
-                one.partial_cmp(other).unwrap_or(std::cmp::Ordering::Equal)
-            })
-            .map_or(late, |(_, index)| index)
+        let mut least = None;
+        for (place, ticket) in self.queue.iter().enumerate().take(late + 1) {
+            let value = value(ticket);
+            if least.is_none_or(|(least, _)| value <= least) {
+                least = Some((value, place));
+            }
+        }
+        least.map_or(late, |(_, place)| place)
     }
 
     /// Work left in what runs.
@@ -318,11 +369,7 @@
     }
 
     fn backlog(&self, now: Duration) -> Duration {
-        let waiting = self
-            .queue
-            .iter()
-            .map(|ticket| self.costs.mean(ticket.class));
-        self.rest(now) + waiting.sum::<Duration>()
+        self.rest(now) + self.queue.work(&self.costs)
     }
 
     fn divisor(&self) -> u32 {
