--- a/crates/trial/tests/trial.rs
+++ b/crates/trial/tests/trial.rs
@@ -15,10 +15,11 @@
 const SERVERS: u16 = 10;
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// The first of a run of free ports, so that the test disturbs no trial of a person.
-fn free_ports() -> u16 {
+/// The first of a run of free ports, so that a test disturbs neither the other one nor a trial of
+/// a person.
+fn free_ports(from: u16) -> u16 {
     let is_free = |port: u16| TcpListener::bind(("127.0.0.1", port)).is_ok();
-    (20_000..32_000)
+    (from..32_000)
         .step_by(usize::from(PORTS))
         .find(|first| (*first..first + PORTS).all(is_free))
         .expect("some run of ports should be free")
@@ -34,10 +35,10 @@
 }
 
 impl Trial {
-    fn start() -> Trial {
+    fn start(from: u16) -> Trial {
         let example = include_str!("../../../examples/tesfa.ini");
         let fleet = tempfile::NamedTempFile::new().unwrap();
-        let free = free_ports();
+        let free = free_ports(from);
         // Servers on ports 7101 to 7109 move to the first nine free ones.
         let servers = format!("127.0.0.1:{}", free / PORTS);
         std::fs::write(fleet.path(), example.replace("127.0.0.1:71", &servers)).unwrap();
@@ -114,7 +115,7 @@
 /// what was acknowledged before is still there.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_write_outlives_its_primary() {
-    let trial = Trial::start();
+    let trial = Trial::start(20_000);
     let callers = format!("127.0.0.1:{}/", trial.first_port + 32);
     assert!(trial.overview.contains(&callers));
     let writer = connect(&trial, 0).await;
@@ -140,3 +141,38 @@
     drop((writer, reader));
     assert!(trial.stop());
 }
+
+/// The zone of a primary is cut off from all others and from the platform; the primary still
+/// believes that it leads. Callers of other zones can write again once another server leads.
+/// Callers in the zone are refused, and nothing of theirs is in the data after the cut heals.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_cut_moves_the_primary() {
+    let trial = Trial::start(26_000);
+    let inside = connect(&trial, 0).await;
+    let outside = connect(&trial, 1).await;
+    until_written(&outside, "CREATE TABLE sales (lot bigint PRIMARY KEY)").await;
+
+    faults(&trial, "", json!({"zone": "bole-hall", "cut": true})).await;
+    until_written(
+        &outside,
+        "INSERT INTO sales VALUES (1) ON CONFLICT (lot) DO NOTHING",
+    )
+    .await;
+    let refused = inside.batch_execute("INSERT INTO sales VALUES (2)").await;
+    assert!(refused.is_err());
+
+    faults(&trial, "", json!({"zone": "bole-hall", "cut": false})).await;
+    until_written(
+        &inside,
+        "INSERT INTO sales VALUES (3) ON CONFLICT (lot) DO NOTHING",
+    )
+    .await;
+    let rows = inside
+        .query("SELECT lot FROM sales ORDER BY lot", &[])
+        .await
+        .unwrap();
+    let lots: Vec<i64> = rows.iter().map(|row| row.get(0)).collect();
+    assert_eq!(lots, [1, 3]);
+    drop((inside, outside));
+    assert!(trial.stop());
+}
