--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -4,6 +4,7 @@
 pub mod idle;
 pub mod overhead;
 pub mod overload;
+pub mod reads;
 pub mod run;
 
 use std::future::Future;
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -70,6 +70,14 @@
             /// Prints the rows as one JSON object.
             optional --json
         }
+        /// Plays reads after writes in a model, with several lags and ways to wait. Needs no
+        /// deployment.
+        cmd reads {
+            /// Seed; 1 unless given.
+            optional --seed seed: u64
+            /// Prints the rows as one JSON object.
+            optional --json
+        }
         /// Opens idle connections and reports the memory each costs a process.
         cmd idle {
             /// Connection URL of an entry host.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod process;
 pub mod progress;
 pub mod quantiles;
+pub mod reads;
 pub mod report;
 pub mod scrape;
 pub mod session;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -18,6 +18,7 @@
         Cmd::Check(args) => command::check::run(args),
         Cmd::Overhead(args) => command::overhead::run(args),
         Cmd::Overload(args) => command::overload::run(args),
+        Cmd::Reads(args) => command::reads::run(args),
         Cmd::Idle(args) => command::idle::run(args),
     };
     result.unwrap_or_else(|error| {
