standin: unproved data are old, and a cut that spares a zone lets it connect

Cause: a server that came back empty told an age of milliseconds, so that a rule with max_age could read nothing from it; and a peer was judged by an empty name until its start-up message, which a cut with 'except' never let in. Change: age is a year before the first proof, also after a deposition; a peer that has not said who it is passes unless everybody is cut off. Two tests, each of which failed on the code before.

--- a/crates/standin/src/backend/fault.rs
+++ b/crates/standin/src/backend/fault.rs
@@ -112,9 +112,14 @@
             .await;
     }
 
-    /// Waits until the process runs and bytes pass between it and `peer`.
-    pub(crate) async fn reached_by(&self, peer: &str) {
-        self.clear(|faults| !faults.paused && !faults.cut.hides(peer))
+    /// Waits until the process runs and bytes pass between it and `peer`. One that has not said
+    /// who it is gets that far unless nobody reaches the server.
+    pub(crate) async fn reached_by(&self, peer: Option<&str>) {
+        let hidden = |cut: &Cut| match peer {
+            Some(peer) => cut.hides(peer),
+            None => *cut == Cut::All,
+        };
+        self.clear(|faults| !faults.paused && !hidden(&faults.cut))
             .await;
     }
 
--- a/crates/standin/src/backend/replica.rs
+++ b/crates/standin/src/backend/replica.rs
@@ -178,7 +178,7 @@
         shared.apply(term, batch.entries).map_err(Break::Local)?;
         let mut state = shared.state();
         if state.log.last() >= batch.last {
-            state.caught_up = state.caught_up.max(batch.asked);
+            state.caught_up = state.caught_up.max(Some(batch.asked));
         }
         drop(state);
         shared.notify();
--- a/crates/standin/src/backend/session.rs
+++ b/crates/standin/src/backend/session.rs
@@ -66,8 +66,8 @@
     context: DecodeContext,
     input: BytesMut,
     output: BytesMut,
-    /// The peer's name, for cuts; empty until its start-up message.
-    peer: String,
+    /// The peer's name, for cuts, once its start-up message has told it.
+    peer: Option<String>,
 }
 
 impl Channel {
@@ -79,7 +79,7 @@
             if self.socket.read_buf(&mut self.input).await? == 0 {
                 return Err(End::Closed);
             }
-            self.shared.switch.reached_by(&self.peer).await;
+            self.shared.switch.reached_by(self.peer.as_deref()).await;
         }
     }
 
@@ -89,7 +89,7 @@
     }
 
     async fn flush(&mut self) -> Result<(), End> {
-        self.shared.switch.reached_by(&self.peer).await;
+        self.shared.switch.reached_by(self.peer.as_deref()).await;
         self.socket.write_all(&self.output).await?;
         self.output.clear();
         Ok(())
@@ -111,7 +111,7 @@
         context: DecodeContext::new(ProtocolVersion::PROTOCOL3_0),
         input: BytesMut::new(),
         output: BytesMut::new(),
-        peer: String::new(),
+        peer: None,
     };
     let Some(startup) = greet(&mut channel).await? else {
         return Ok(());
@@ -161,9 +161,9 @@
     startup: &Startup,
 ) -> Result<Result<Arc<Handle>, Error>, End> {
     let given = |name: &str| startup.parameters.get(name).cloned().unwrap_or_default();
-    channel.peer = given("application_name");
+    channel.peer = Some(given("application_name"));
     let shared = Arc::clone(&channel.shared);
-    shared.switch.reached_by(&channel.peer).await;
+    shared.switch.reached_by(channel.peer.as_deref()).await;
     let settings = &shared.settings;
     let is_peer = given("user") == PEER_USER;
     let database = given("database");
--- a/crates/standin/src/backend/state.rs
+++ b/crates/standin/src/backend/state.rs
@@ -9,6 +9,9 @@
 use super::error::GroupError;
 use super::log::Log;
 
+/// Age of data that were never proved to be young: a year.
+const NEVER_MS: i64 = 365 * 24 * 3600 * 1000;
+
 /// Whether a server takes writes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Role {
@@ -36,8 +39,9 @@
     pub(crate) rebuilding: bool,
     /// Whom a replica follows.
     pub(crate) primary: Option<SocketAddr>,
-    /// When a replica was last proved to have all that its primary had.
-    pub(crate) caught_up: Instant,
+    /// When a replica was last proved to have all that its primary had; `None` before the first
+    /// proof. A server that comes back empty, or with what an old term wrote, has none.
+    pub(crate) caught_up: Option<Instant>,
 }
 
 /// What a promotion changes.
@@ -57,7 +61,7 @@
             log: Log::default(),
             rebuilding: false,
             primary: None,
-            caught_up: Instant::now(),
+            caught_up: None,
         }
     }
 
@@ -100,7 +104,7 @@
         self.role = Role::Replica;
         self.primary = Some(primary);
         if before == Role::Primary {
-            self.caught_up = Instant::now();
+            self.caught_up = None;
         }
         Ok(before)
     }
@@ -109,7 +113,9 @@
     pub(crate) fn age_ms(&self) -> i64 {
         match self.role {
             Role::Primary => 0,
-            Role::Replica => self.caught_up.elapsed().as_millis() as i64,
+            Role::Replica => self
+                .caught_up
+                .map_or(NEVER_MS, |at| at.elapsed().as_millis() as i64),
         }
     }
 
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -58,6 +58,8 @@
         ..Faults::default()
     });
     waiting.await.unwrap();
+    let newcomer = connect(server.address(), "akaki-hall/entry-3").await;
+    newcomer.unwrap().batch_execute("SELECT 1").await.unwrap();
     assert!(hangs(near.batch_execute("SELECT 1")).await);
 }
 
--- a/crates/standin/tests/group.rs
+++ b/crates/standin/tests/group.rs
@@ -153,6 +153,17 @@
     assert!(reaches(&reader, "1.0/1", SOON).await);
 }
 
+/// A server comes back empty. Before it has caught up once it must not pass for young, or it
+/// would answer lot views with nothing.
+#[tokio::test]
+async fn a_server_without_proof_is_old() {
+    const DAY_MS: i64 = 24 * 3600 * 1000;
+    let lone = server("a1", |_| {}).await;
+    let client = connect(lone.address(), "").await.unwrap();
+    let row = client.query_one("SELECT * FROM group_status()", &[]).await;
+    assert!(row.unwrap().get::<_, i64>("age_ms") > DAY_MS);
+}
+
 /// Nobody writes for a while. Lot views may be half a second old, so a replica that took the
 /// silence for lag would serve none of them.
 #[tokio::test]
