--- a/crates/core/tests/leadership/world/entry.rs
+++ b/crates/core/tests/leadership/world/entry.rs
@@ -93,7 +93,7 @@
         let now = self.local(Place::Entry(host));
         let entry = &mut self.entries[host].1;
         if entry.renewed.is_none_or(|at| now >= at + timing::RENEWAL) {
-            self.renew(host, life);
+            self.renew(host, life, false);
         }
         let entry = &mut self.entries[host].1;
         if entry.probed.is_none_or(|at| now >= at + PROBE) {
@@ -108,7 +108,16 @@
         }
     }
 
-    fn renew(&mut self, host: usize, life: u64) {
+    /// The host stops in good order, with requests still running.
+    pub fn farewell(&mut self, host: usize) {
+        let process = self.place(Place::Entry(host));
+        if process.paused <= self.now {
+            self.entries[host].1.holder.give_up(0);
+            self.renew(host, process.life, true);
+        }
+    }
+
+    fn renew(&mut self, host: usize, life: u64, stopping: bool) {
         let now = self.local(Place::Entry(host));
         let key = self.hosts[host];
         let zone = self.zones[host % ZONES];
@@ -124,7 +133,7 @@
             zone,
             version: entry.holder.version(0),
             reports: entry.reports(now),
-            stopping: false,
+            stopping,
         };
         self.at(Place::Entry(host), life, RENEWAL_TIMEOUT, move |world| {
             let entry = &mut world.entries[host].1;
@@ -185,7 +194,7 @@
                     .renewed
                     .is_none_or(|at| now >= at + timing::RENEWAL / 2)
             {
-                world.renew(host, life);
+                world.renew(host, life, false);
             }
         };
         let Some(delay) = self.hop(host, zone) else {
--- a/crates/core/tests/leadership/world/fault.rs
+++ b/crates/core/tests/leadership/world/fault.rs
@@ -25,6 +25,7 @@
     PauseEntry(usize),
     RestartControl(usize),
     RestartEntry(usize),
+    StopEntry(usize),
     RestartAll,
     SwitchOver(usize),
 }
@@ -59,7 +60,8 @@
             29..=31 => Fault::PauseControl(host),
             32..=33 => Fault::PauseEntry(host),
             34..=35 => Fault::RestartControl(host),
-            36..=37 => Fault::RestartEntry(host),
+            36 => Fault::RestartEntry(host),
+            37 => Fault::StopEntry(host),
             38 => Fault::RestartAll,
             _ => Fault::SwitchOver(server / ZONES),
         }
@@ -98,6 +100,8 @@
             Fault::PauseEntry(host) if on => self.entries[host].0.paused = self.now + span,
             Fault::RestartControl(host) if on => self.restart(Place::Control(host)),
             Fault::RestartEntry(host) if on => self.restart(Place::Entry(host)),
+            Fault::StopEntry(host) if on => self.farewell(host),
+            Fault::StopEntry(host) => self.restart(Place::Entry(host)),
             Fault::RestartAll if on => {
                 for host in 0..HOSTS {
                     self.restart(Place::Control(host));
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -166,6 +166,23 @@
     assert!(open.losses.is_empty());
 }
 
+/// A server loses the end of its log between its answer and the order, because an old controller's
+/// order to follow another one was late; it is promoted and the acknowledged write is gone. The
+/// order names what the log has to contain, and the server refuses.
+#[test]
+fn an_order_names_the_log_that_it_needs() {
+    let mut trial = trial(Reason::Unreachable);
+    trial.close(trial.now + timing::LEASE);
+    trial.closed(9);
+    trial.promotion.status(trial.near, Some(replica(9)));
+    let order = Next::Promote {
+        server: trial.near,
+        term: NEXT,
+        at_least: at(9),
+    };
+    assert_eq!(trial.next(), [order]);
+}
+
 /// All writes of a term are lost, because a server that missed that term has the longer log: it
 /// led the term before, and wrote on behind a cut.
 #[test]
