entry: requests with a key run at most once; an example measures what the entry host adds

Cause: the marker's key was read and nothing came of it, so a resubmission ran twice. And the overhead was unmeasured. Change: a write with a key goes through core::once in one transaction with its record; what a key cannot protect is refused. The digest of a request is of its text and parameters, not of the names and messages by which a client sends them. A service no longer makes a watch receiver for each look at its table. The stand-in made its table of keys without the column `request` that core::once writes: it now runs core's own statement, and its two tests name the columns.

--- /dev/null
+++ b/crates/entry/examples/overhead.rs
@@ -0,0 +1,235 @@
+//! What an entry host adds to small reads: latency and processor time, against the same reads
+//! sent straight to the stand-in server, and the memory of idle callers.
+//!
+//! `cargo run --release -p flamingopost-entry --example overhead [SECONDS] [IDLE]`
+
+#[path = "../tests/common/path.rs"]
+mod path;
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, mpsc};
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use path::{Group, Host};
+use rustix::time::{ClockId, clock_gettime};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::runtime::{Builder, Runtime};
+use tokio_postgres::{Client, NoTls};
+
+const CONNECTIONS: [usize; 3] = [1, 16, 256];
+const SQL: &str = "SELECT 1";
+const ALLOTTED: u16 = 16;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let seconds = arguments.next().and_then(|text| text.parse().ok());
+    let idle = arguments.next().and_then(|text| text.parse().ok());
+    let run = Duration::from_secs_f64(seconds.unwrap_or(3.0));
+    let servers = runtime(4);
+    let group = servers.block_on(Group::start(1));
+    let direct = group.servers[0].address();
+    let entry = Entry::start(group);
+    let load = runtime(4);
+    println!("connections  way      statements/s   p50 us   p99 us   entry us/statement");
+    for connections in CONNECTIONS {
+        let straight = load.block_on(measure(direct, "flamingopost", connections, run));
+        report(connections, "direct", &straight, None);
+        let before = entry.processor_time();
+        let through = load.block_on(measure(entry.address, path::USER, connections, run));
+        let spent = entry.processor_time() - before;
+        report(connections, "entry", &through, Some(spent));
+    }
+    load.block_on(idle_callers(entry.address, idle.unwrap_or(10_000)));
+}
+
+fn runtime(threads: usize) -> Runtime {
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(threads).enable_all();
+    builder.build().unwrap()
+}
+
+/// An entry host in a thread of its own.
+struct Entry {
+    address: SocketAddr,
+    asked: mpsc::Sender<mpsc::Sender<Duration>>,
+}
+
+impl Entry {
+    fn start(group: Group) -> Entry {
+        let (told, address) = mpsc::channel();
+        let (asked, asks) = mpsc::channel::<mpsc::Sender<Duration>>();
+        std::thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async move {
+                let host = Host::start(&group).await;
+                host.allot(ALLOTTED);
+                host.learnt(&group).await;
+                told.send(host.address).unwrap();
+                loop {
+                    while let Ok(ask) = asks.try_recv() {
+                        ask.send(thread_time()).unwrap();
+                    }
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            });
+        });
+        Entry {
+            address: address.recv().unwrap(),
+            asked,
+        }
+    }
+
+    fn processor_time(&self) -> Duration {
+        let (sender, answer) = mpsc::channel();
+        self.asked.send(sender).unwrap();
+        answer.recv().unwrap()
+    }
+}
+
+fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+async fn connect(address: SocketAddr, user: &str) -> Client {
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user(user)
+        .password(path::PASSWORD)
+        .dbname(path::SERVICE);
+    let (client, connection) = config.connect(NoTls).await.unwrap();
+    tokio::spawn(connection);
+    client
+}
+
+/// Latencies of reads by `connections` callers who each send the next when one is answered.
+async fn measure(address: SocketAddr, user: &str, connections: usize, run: Duration) -> Vec<f64> {
+    let mut callers = Vec::new();
+    for _ in 0..connections {
+        callers.push(connect(address, user).await);
+    }
+    let end = Instant::now() + run;
+    let tasks: Vec<_> = callers
+        .into_iter()
+        .map(|caller| tokio::spawn(read(caller, end)))
+        .collect();
+    let mut latencies = Vec::new();
+    for task in tasks {
+        latencies.extend(task.await.unwrap());
+    }
+    latencies.sort_by(f64::total_cmp);
+    let seconds = run.as_secs_f64();
+    latencies.insert(0, latencies.len() as f64 / seconds);
+    latencies
+}
+
+async fn read(caller: Client, end: Instant) -> Vec<f64> {
+    let statement = caller.prepare(SQL).await.unwrap();
+    let mut latencies = Vec::new();
+    while Instant::now() < end {
+        let start = Instant::now();
+        caller.query(&statement, &[]).await.unwrap();
+        latencies.push(start.elapsed().as_secs_f64() * 1e6);
+    }
+    latencies
+}
+
+fn report(connections: usize, way: &str, measured: &[f64], spent: Option<Duration>) {
+    let (rate, latencies) = (measured[0], &measured[1..]);
+    let at = |share: f64| latencies[((latencies.len() - 1) as f64 * share) as usize];
+    let each = spent.map(|spent| spent.as_secs_f64() * 1e6 / latencies.len() as f64);
+    let each = each.map_or(String::new(), |each| format!("{each:.1}"));
+    println!(
+        "{connections:>11}  {way:<7} {rate:>13.0} {:>8.0} {:>8.0}   {each:>18}",
+        at(0.5),
+        at(0.99)
+    );
+}
+
+/// Connects `count` callers that do nothing, and reports what this process grew by for each. The
+/// callers' own ends are in it too, each of them no more than a socket.
+async fn idle_callers(address: SocketAddr, count: usize) {
+    let before = resident_kb();
+    let mut sockets = Vec::new();
+    for _ in 0..count {
+        sockets.push(connect_and_forget(address).await);
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let grown = resident_kb().saturating_sub(before);
+    let each = grown * 1024 / count.max(1);
+    println!("{count} idle callers: {grown} kB more resident, {each} bytes a caller");
+}
+
+/// Logs in, then drops the client and keeps only its socket open.
+async fn connect_and_forget(address: SocketAddr) -> Arc<TcpStream> {
+    let socket = Arc::new(TcpStream::connect(address).await.unwrap());
+    let mut config = tokio_postgres::Config::new();
+    config
+        .user(path::USER)
+        .password(path::PASSWORD)
+        .dbname(path::SERVICE);
+    let kept = Kept(Arc::clone(&socket));
+    let connected = config.connect_raw(kept, NoTls).await;
+    drop(connected.unwrap());
+    socket
+}
+
+/// A stream whose socket outlives it.
+struct Kept(Arc<TcpStream>);
+
+impl AsyncRead for Kept {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(count) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Kept {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+fn resident_kb() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.unwrap().split_whitespace().nth(1);
+    number.unwrap().parse().unwrap()
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use flamingopost_core::once::keyed::{Keyed, Next as KeyedNext};
 use flamingopost_core::refusal::{Doubt, Ran, Refusal};
 use flamingopost_core::retry::{self, Failure};
 use flamingopost_core::route::Part;
@@ -16,6 +17,7 @@
 use crate::front;
 use crate::gate::Pass;
 use crate::held::Held;
+use crate::keyed;
 use crate::pool;
 use crate::reply;
 use crate::request::Request;
@@ -74,6 +76,13 @@
                 return Ok(Flow::On);
             }
         };
+        if keyed::is_keyed(request, treatment.key.as_ref())
+            && let Err(refusal) = keyed::check(request, self.held.is_some())
+        {
+            treatment.book.refused(refusal.sqlstate());
+            self.refuse(request, &refusal);
+            return Ok(Flow::On);
+        }
         let alone = self.held.is_none() && request.only_reads();
         let outcome = match self.held.take() {
             Some(held) => self.go_on(held, request, &treatment).await,
@@ -181,7 +190,14 @@
         });
         let sent = self.now();
         self.service.started(found.server);
-        let outcome = self.execute(held, request, treatment, pass, sent).await;
+        let outcome = match &treatment.key {
+            Some(key) if keyed::is_keyed(request, Some(key)) => {
+                let key = key.clone();
+                self.execute_keyed(held, request, treatment, &key, pass, sent)
+                    .await
+            }
+            _ => self.execute(held, request, treatment, pass, sent).await,
+        };
         let took = self.now().saturating_sub(sent);
         let answered = matches!(outcome, Ok(Outcome::Answered(_)));
         self.service
@@ -238,6 +254,70 @@
         })
     }
 
+    /// The same for a request with a key.
+    async fn execute_keyed(
+        &mut self,
+        mut held: Box<Held>,
+        request: &Request,
+        treatment: &Treatment,
+        key: &str,
+        pass: Pass,
+        sent: Duration,
+    ) -> Result<Outcome, Stop> {
+        let mark = self.front.out.len();
+        let mut progress = Progress::default();
+        let mut attempt = Keyed::start(key, &keyed::digest(request));
+        let deadline = treatment.deadline;
+        let run = self.run_keyed(&mut held, &mut attempt, request, deadline, &mut progress);
+        let next = match run.await {
+            Ok(next) => next,
+            Err(fault) => return self.broken(*held, fault, mark, &progress),
+        };
+        pass.answered();
+        self.service.heard(held.lent.back(), None, sent);
+        let (position, part) = (held.position(), held.part);
+        let late = self.now() >= deadline;
+        if late && held.lent.back().pending > 0 {
+            held.retire();
+        } else {
+            held.release();
+        }
+        match (next, part) {
+            (KeyedNext::Done { .. }, Part::Primary(term)) => {
+                self.commit_keyed(term, position, &progress, treatment)
+                    .await?;
+                Ok(Outcome::Answered(By::Primary))
+            }
+            (KeyedNext::DoneBefore { tag }, _) => {
+                let key = key.to_owned();
+                Err(Stop::Refused(Refusal::AlreadyRan { key, tag }))
+            }
+            (KeyedNext::Failed, _) => {
+                self.ready();
+                Ok(Outcome::Answered(By::Primary))
+            }
+            (KeyedNext::Again(refusal), _) if !progress.streamed && !late => {
+                self.front.out.truncate(mark);
+                // The key makes another run from the start safe, whatever became of this one.
+                Ok(Outcome::Failed {
+                    failure: Failure::Here,
+                    ran: Ran::No,
+                    refusal,
+                })
+            }
+            (KeyedNext::Again(refusal) | KeyedNext::Refuse(refusal), _) => {
+                if !progress.streamed {
+                    self.front.out.truncate(mark);
+                }
+                Err(Stop::Refused(refusal))
+            }
+            (KeyedNext::Done { .. } | KeyedNext::Send(_), _) => {
+                let doubt = Doubt::CommitUnconfirmed;
+                Err(Stop::Refused(Refusal::OutcomeUnknown { doubt }))
+            }
+        }
+    }
+
     /// The first request on a connection got no answer.
     fn broken(
         &mut self,
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -82,7 +82,7 @@
 
     /// Brings what the session set to the connection, before anything of the caller's is sent:
     /// a statement must not run under another session's settings.
-    async fn replay(&mut self, held: &mut Held) -> Result<(), Fault> {
+    pub async fn replay(&mut self, held: &mut Held) -> Result<(), Fault> {
         let back = held.lent.back();
         let replays = self.state.replay(&back.carried);
         if replays.is_empty() {
--- a/crates/entry/src/back.rs
+++ b/crates/entry/src/back.rs
@@ -11,6 +11,7 @@
 use flamingopost_core::session::state::Carried;
 use pgwire::messages::Message;
 use pgwire::messages::response::{ErrorResponse, TransactionStatus};
+use pgwire::messages::simplequery::Query;
 use pgwire::messages::startup::{
     Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup,
 };
@@ -18,6 +19,7 @@
 use tokio::net::TcpStream;
 
 use crate::frame::{self, Frame, Splitter};
+use crate::reply;
 
 /// User name under which entry hosts connect.
 pub const USER: &str = "flamingopost";
@@ -289,29 +291,35 @@
         idle && !self.sending && self.input.is_empty()
     }
 
-    /// Runs `sql` and returns the text of the columns of its last row.
+    /// Runs `sql` and returns its last row.
     ///
     /// # Errors
-    /// The connection broke or the server refused; the connection is then of no further use.
+    /// The connection broke, or the server refused.
     pub async fn ask(&mut self, sql: &str) -> Result<Vec<Option<String>>, Error> {
+        Ok(self.query(sql).await?.row)
+    }
+
+    /// Runs `sql`, a simple query.
+    ///
+    /// # Errors
+    /// The connection broke, or the server refused.
+    pub async fn query(&mut self, sql: &str) -> Result<Answer, Error> {
         let mut bytes = BytesMut::new();
-        crate::reply::put(
-            &mut bytes,
-            &pgwire::messages::simplequery::Query::new(sql.to_owned()),
-        );
+        reply::put(&mut bytes, &Query::new(sql.to_owned()));
         self.pending += 1;
         self.send(&bytes).await?;
-        let mut row = Vec::new();
+        let mut answer = Answer::default();
         let mut refusal = None;
         loop {
             let frame = self.next().await?;
             match frame.tag() {
                 b'S' => drop(self.take_status(&frame)),
-                b'D' => row = columns(&frame),
+                b'D' => answer.row = columns(&frame),
+                b'C' => answer.tag = command_tag(&frame),
                 b'E' => refusal = Some(refused(&frame)),
                 b'Z' => {
                     self.take_ready(&frame)?;
-                    return refusal.map_or(Ok(row), Err);
+                    return refusal.map_or(Ok(answer), Err);
                 }
                 _ => {}
             }
@@ -319,6 +327,21 @@
     }
 }
 
+/// What a simple query of this host is answered with.
+#[derive(Debug, Default)]
+pub struct Answer {
+    /// The text of the columns of the last row.
+    pub row: Vec<Option<String>>,
+    /// The last command tag.
+    pub tag: String,
+}
+
+/// The tag in a `CommandComplete`.
+pub fn command_tag(frame: &Frame) -> String {
+    let tag = frame.body().strip_suffix(&[0]).unwrap_or_default();
+    String::from_utf8_lossy(tag).into_owned()
+}
+
 /// The SQLSTATE and message of an `ErrorResponse`.
 pub fn refused(frame: &Frame) -> Error {
     let Some(response) = frame.decode::<ErrorResponse>() else {
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -291,9 +291,7 @@
 
     fn complete(&mut self, frame: &Frame) {
         self.progress.completed += 1;
-        let tag = frame.body().strip_suffix(&[0]).unwrap_or_default();
-        self.progress.tag.clear();
-        self.progress.tag.push_str(&String::from_utf8_lossy(tag));
+        self.progress.tag = back::command_tag(frame);
         if !self.hold_all && !self.progress.tail.is_empty() {
             self.front.out.extend_from_slice(&self.progress.tail);
             self.progress.tail.clear();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod greeting;
 pub mod held;
 pub mod host;
+pub mod keyed;
 pub mod link;
 pub mod local;
 pub mod plan;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -14,7 +14,9 @@
 use flamingopost_core::route::server::{Facts, Fresh, Status};
 use flamingopost_core::route::{LEAVING_GRACE, Table};
 use flamingopost_core::term::Term;
+use tokio::sync::watch;
 
+use crate::adopted::Adopted;
 use crate::back;
 use crate::back::Back;
 use crate::gate::Gate;
@@ -50,6 +52,8 @@
     /// Its name, the database name on its servers.
     pub name: String,
     shared: Arc<Shared>,
+    changes: watch::Receiver<u64>,
+    adoptions: watch::Receiver<Option<Arc<Adopted>>>,
     place: Place,
     state: Mutex<State>,
     /// When a caller last asked something, in milliseconds of the clock.
@@ -91,6 +95,8 @@
         Service {
             key,
             name,
+            changes: shared.changes(),
+            adoptions: shared.adoptions(),
             shared,
             place,
             state: Mutex::new(state),
@@ -261,14 +267,16 @@
     }
 
     fn sync(&self, state: &mut State, now: Duration) {
-        let adopted = self.shared.adopted();
+        let changes = *self.changes.borrow();
+        let adopted = self.adoptions.borrow();
         let wanted = Synced {
-            changes: *self.shared.changes().borrow(),
+            changes,
             version: adopted.as_ref().map_or(0, |adopted| adopted.version),
         };
         if state.synced == Some(wanted) {
             return;
         }
+        let adopted = adopted.clone();
         if let Some(adopted) = adopted {
             let renewed = state.synced.map(|synced| synced.version) != Some(wanted.version);
             if renewed {
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -103,11 +103,7 @@
         {
             self.confirm(position, term, treatment).await?;
         }
-        self.front.out.extend_from_slice(&progress.tail);
-        if let Some(position) = report {
-            reply::parameter(&mut self.front.out, POSITION, &position.to_string());
-        }
-        self.ready();
+        self.finish(progress, report);
         Ok(Settled::Given)
     }
 
@@ -233,6 +229,38 @@
         }
     }
 
+    /// The end of a request with a key whose transaction is committed under `term`.
+    ///
+    /// # Errors
+    /// It may not be acknowledged.
+    pub async fn commit_keyed(
+        &mut self,
+        term: Term,
+        position: Option<Position>,
+        progress: &Progress,
+        treatment: &Treatment,
+    ) -> Result<(), Stop> {
+        let report = match self.acknowledge(term, position) {
+            Verdict::Pass => None,
+            Verdict::Report(position) => Some(position),
+            Verdict::Withhold(refusal) => return Err(refusal.into()),
+        };
+        if let (Some(position), Ack::Replica) = (position, treatment.then.ack) {
+            self.confirm(position, term, treatment).await?;
+        }
+        self.finish(progress, report);
+        Ok(())
+    }
+
+    /// Gives the caller the end of its answer.
+    fn finish(&mut self, progress: &Progress, report: Option<Position>) {
+        self.front.out.extend_from_slice(&progress.tail);
+        if let Some(position) = report {
+            reply::parameter(&mut self.front.out, POSITION, &position.to_string());
+        }
+        self.ready();
+    }
+
     /// A read by the primary: current if the term was still led when the answer came.
     fn judge_primary_read(
         &mut self,
--- a/crates/entry/tests/common/path.rs
+++ b/crates/entry/tests/common/path.rs
@@ -30,6 +30,8 @@
 pub const PASSWORD: &str = "lot-17";
 pub const TERM: Term = Term { epoch: 1, count: 0 };
 pub const ALLOTTED: u16 = 4;
+/// Connections that each server accepts.
+const CONNECTIONS: u16 = 300;
 const SALT: &[u8] = b"0123456789abcdef";
 const LONG: Duration = Duration::from_secs(3600);
 
@@ -53,7 +55,8 @@
     pub async fn start(replicas: usize) -> Group {
         let mut servers = Vec::new();
         for number in 0..=replicas {
-            let settings = backend::Settings::new(&format!("auction-{number}"), SERVICE);
+            let mut settings = backend::Settings::new(&format!("auction-{number}"), SERVICE);
+            settings.connections = CONNECTIONS;
             servers.push(backend::Server::start(settings).await.unwrap());
         }
         servers[0].promote(TERM.number()).unwrap();
--- a/crates/standin/src/backend/engine.rs
+++ b/crates/standin/src/backend/engine.rs
@@ -22,8 +22,7 @@
 /// The virtual file system that keeps the index of the write-ahead log on the heap.
 const FILE_SYSTEM: &std::ffi::CStr = c"unix-excl";
 
-const SCHEMA: &str =
-    "CREATE TABLE IF NOT EXISTS flamingopost_once (key text PRIMARY KEY, tag text NOT NULL)";
+const SCHEMA: &str = flamingopost_core::once::sql::INSTALL;
 
 /// Files of one server. A rebuild begins a new file.
 #[derive(Debug)]
--- a/crates/standin/tests/backend.rs
+++ b/crates/standin/tests/backend.rs
@@ -124,7 +124,10 @@
         ("SELECT nowhere()", "42883"),
         ("SELEC 1", "42601"),
         ("LISTEN bids", "0A000"),
-        ("INSERT INTO flamingopost_once VALUES ('k', NULL)", "23502"),
+        (
+            "INSERT INTO flamingopost_once (key, request, tag) VALUES ('k', '', NULL)",
+            "23502",
+        ),
         ("SELECT date('now')", "42883"),
         ("PRAGMA journal_mode", "42601"),
     ];
--- a/crates/standin/tests/group.rs
+++ b/crates/standin/tests/group.rs
@@ -184,7 +184,7 @@
 #[tokio::test]
 async fn a_server_starts_with_the_table_of_keys() {
     let (_server, client) = primary("a1").await;
-    let insert = "INSERT INTO flamingopost_once (key, tag) VALUES ($1, $2)";
+    let insert = "INSERT INTO flamingopost_once (key, request, tag) VALUES ($1, '', $2)";
     client.execute(insert, &[&"bid-7", &"bid"]).await.unwrap();
     let again = client.execute(insert, &[&"bid-7", &"bid"]).await;
     assert_eq!(sqlstate(again), "23505");
