--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 /// How far a daemon is on its way out. It only moves forward.
@@ -76,11 +76,18 @@
     /// Drains on the first SIGTERM or SIGINT and stops on the second, so that an operator in a
     /// hurry does not have to look for the process.
     ///
+    /// Signals are listened for from the call on, not from when the future is first polled: one
+    /// that came in between would end the process on the spot, with its callers in it.
+    ///
     /// # Errors
     /// When the process may not listen for signals.
-    pub async fn on_signals(self) -> std::io::Result<()> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
+    pub fn on_signals(self) -> impl Future<Output = std::io::Result<()>> + Send + 'static {
+        let terminate = signal(SignalKind::terminate());
+        let interrupt = signal(SignalKind::interrupt());
+        async move { self.follow(terminate?, interrupt?).await }
+    }
+
+    async fn follow(self, mut terminate: Signal, mut interrupt: Signal) -> std::io::Result<()> {
         while self.phase() != Phase::Stopped {
             tokio::select! {
                 _ = terminate.recv() => {}
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -60,7 +60,7 @@
             lease_left_ms: u64::try_from(left).unwrap_or(u64::MAX),
         }
     };
-    (0..fleet.shards).map(shard).collect()
+    fleet.shards_in_use().into_iter().map(shard).collect()
 }
 
 fn services(admin: &Admin, fleet: &Fleet) -> Vec<Line> {
--- a/crates/entry/src/link/renewal.rs
+++ b/crates/entry/src/link/renewal.rs
@@ -325,7 +325,7 @@
     metrics::gauge!("flamingopost_configuration_version", "host" => host.clone())
         .set(adopted.version as f64);
     let now = link.shared.now();
-    for shard in 0..adopted.fleet.shards {
+    for shard in adopted.fleet.shards_in_use() {
         let left = link.shared.leases().left(shard, now);
         let shard = shard.to_string();
         metrics::gauge!("flamingopost_lease_left_seconds", "host" => host.clone(), "shard" => shard)
