entry: set slow replicas aside by core::health

Cause: core::health judged nobody; a replica with a slow disk kept its part of the reads. Change: answers of replicas, their distance taken off, go to the panel of their service; judged once a second; the standing goes to the route and to event 1300.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -36,5 +36,7 @@
         1210 Info KeyLoaded { path: String },
         /// certificate or key not loaded, the earlier one stays in use: {error}
         1211 Error KeyKept { error: String },
+        /// {service}: replica {server} is now {standing} for its speed against its peers
+        1300 Info Judged { service: String, server: String, standing: String },
     }
 }
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -150,6 +150,12 @@
         (id, Err(receiver))
     }
 
+    /// Requests that run, and how many may at the moment.
+    pub fn load(&self) -> (usize, usize) {
+        let inner = self.lock();
+        (inner.gate.running(), inner.gate.slots())
+    }
+
     fn due(&self) -> Option<Duration> {
         self.lock().gate.deadline()
     }
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -8,8 +8,10 @@
 use flamingopost_core::route::server::Fresh;
 use flamingopost_core::session::state::State;
 use flamingopost_core::term::Term;
+use flamingopost_daemon::event::Event as _;
 
 use crate::context::Context;
+use crate::event::Event;
 use crate::pool;
 use crate::service::{Service, Way};
 
@@ -47,6 +49,9 @@
             // Services nobody uses are spread over the ticks, so that a thousand of them do not
             // all come at once.
             let turn = place as u128 + tick;
+            if tick.is_multiple_of(every) {
+                judge(&context, &service);
+            }
             if service.unused(now) < USED || turn.is_multiple_of(every) {
                 probe_service(&service, &asked);
             }
@@ -55,6 +60,26 @@
     }
 }
 
+/// Sets replicas aside that are slow against their peers, and takes them back.
+fn judge(context: &Context, service: &Service) {
+    for (server, standing) in service.judge() {
+        let directory = context.shared.directory();
+        let server = directory
+            .servers
+            .name(server)
+            .unwrap_or_default()
+            .to_owned();
+        let standing = format!("{standing:?}").to_lowercase();
+        let service = service.name.clone();
+        Event::Judged {
+            service,
+            server,
+            standing,
+        }
+        .log();
+    }
+}
+
 fn probe_service(service: &Arc<Service>, asked: &Asked) {
     for (server, way) in service.ways() {
         way.pool.trim();
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use flamingopost_core::fleet::{Fleet, Server};
+use flamingopost_core::health::{Panel, Standing};
 use flamingopost_core::key::{ServerKey, ServiceKey, ZoneKey};
 use flamingopost_core::lease::Leader;
 use flamingopost_core::position::Position;
@@ -65,6 +66,8 @@
     ways: BTreeMap<ServerKey, Way>,
     synced: Option<Synced>,
     retries: Budget,
+    /// How fast its replicas answer, compared with each other.
+    panel: Panel,
     /// Parameters that its servers report at start-up.
     parameters: Arc<Vec<(String, String)>>,
 }
@@ -90,6 +93,7 @@
             ways: BTreeMap::new(),
             synced: None,
             retries: Budget::retries(),
+            panel: Panel::default(),
             parameters: Arc::default(),
         };
         Service {
@@ -199,7 +203,50 @@
 
     /// Notes that it ended, after `took` where it was answered.
     pub fn finished(&self, server: ServerKey, took: Option<Duration>) {
-        self.with_table(|table, _| table.finished(server, took));
+        let distance = self.with_table(|table, _| {
+            table.finished(server, took);
+            let known = table.servers().get(&server);
+            known.map(|known| known.facts.distance)
+        });
+        if let (Some(took), Some(distance)) = (took, distance)
+            && Some(server) != self.leading()
+        {
+            let took = took.saturating_sub(distance);
+            self.lock().panel.answered(server, took);
+        }
+    }
+
+    /// Sets slow replicas aside and takes them back; to be called a few times a second. Returns
+    /// what changed.
+    pub fn judge(&self) -> Vec<(ServerKey, Standing)> {
+        let primary = self.leading();
+        let mut busy = (0, 0);
+        for (key, way) in self.ways() {
+            if Some(key) != primary {
+                let (running, slots) = way.gate.load();
+                busy = (busy.0 + running, busy.1 + slots);
+            }
+        }
+        let now = self.shared.now();
+        let mut state = self.lock();
+        if let Some(primary) = primary {
+            state.panel.remove(primary);
+            state.table.set_standing(primary, Standing::Full);
+        }
+        let busy = busy.0 as f64 / f64::from(u32::try_from(busy.1.max(1)).unwrap_or(u32::MAX));
+        let changed = state.panel.judge(busy, now);
+        for (server, standing) in &changed {
+            state.table.set_standing(*server, *standing);
+        }
+        changed
+    }
+
+    /// The server that leads, or last did.
+    fn leading(&self) -> Option<ServerKey> {
+        match self.shared.leader(self.key) {
+            Leader::Open { primary, .. } | Leader::Lapsed { primary, .. } => Some(primary),
+            Leader::Closed { .. } | Leader::Unknown => None,
+        }
     }
 
     /// Notes the first attempt at a request, which pays into the budget of retries.
@@ -249,10 +296,7 @@
 
     /// Every server but the primary, with the position last heard of it.
     pub fn replicas(&self) -> Vec<(ServerKey, Way, Option<Position>)> {
-        let primary = match self.shared.leader(self.key) {
-            Leader::Open { primary, .. } | Leader::Lapsed { primary, .. } => Some(primary),
-            Leader::Closed { .. } | Leader::Unknown => None,
-        };
+        let primary = self.leading();
         let ways = self.ways();
         let others = ways.into_iter().filter(|(key, _)| Some(*key) != primary);
         self.with_table(|table, _| {
