entry: hedged reads

Cause: a rule's `hedge` was read and nothing came of it. Change: a read that may repeat and whose replica is late is copied to another replica with an idle connection, inside the hedge budget; who begins to answer first is listened to, the other is read to its end or cancelled. A test shows that a slow replica gets little of the reads. Ruled out: that a slow replica has to be set aside for that. Conclusion: reads go on within their deadline while a replica hangs; one test each.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -200,8 +200,8 @@
         };
         let took = self.now().saturating_sub(sent);
         let answered = matches!(outcome, Ok(Outcome::Answered(_)));
-        self.service
-            .finished(found.server, answered.then_some(took));
+        let took = answered.then_some(took);
+        self.service.finished(found.server, took);
         outcome
     }
 
@@ -234,7 +234,7 @@
     ) -> Result<Outcome, Stop> {
         let mark = self.front.out.len();
         let mut progress = Progress::default();
-        let attempt = self.attempt(&mut held, request, treatment.deadline, &mut progress);
+        let attempt = self.race(&mut held, request, treatment, sent, &mut progress);
         let end = match attempt.await {
             Ok(end) => end,
             Err(fault) => return self.broken(*held, fault, mark, &progress),
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -7,7 +7,7 @@
 use flamingopost_core::session::state::Replay;
 
 use crate::back;
-use crate::exchange::{Break, End, Exchange, Progress};
+use crate::exchange::{self, Break, End, Exchange, Progress, Sent};
 use crate::front;
 use crate::held::Held;
 use crate::plan::Plan;
@@ -27,6 +27,15 @@
     Settings,
 }
 
+impl From<Break> for Fault {
+    fn from(fault: Break) -> Fault {
+        match fault {
+            Break::Front(error) => Fault::Caller(error),
+            Break::Back(_) | Break::Mismatch => Fault::Broken,
+        }
+    }
+}
+
 impl Fault {
     /// Why the outcome of something that was sent is unknown.
     pub fn doubt(&self) -> Doubt {
@@ -72,12 +81,22 @@
         });
         let plan = Plan::new(request, back);
         let _running = self.handle.begin(back.cancel.clone());
+        let sent = exchange::send(back, progress, plan).await?;
+        self.receive(held, request, progress, sent).await
+    }
+
+    /// Passes on the answer to what was sent on `held`.
+    pub async fn receive(
+        &mut self,
+        held: &mut Held,
+        request: &Request,
+        progress: &mut Progress,
+        sent: Sent,
+    ) -> Result<End, Fault> {
         let hold_all = request.commits_inside();
-        let mut exchange = Exchange::new(&mut self.front, back, progress, hold_all);
-        exchange.run(plan).await.map_err(|fault| match fault {
-            Break::Front(error) => Fault::Caller(error),
-            Break::Back(_) | Break::Mismatch => Fault::Broken,
-        })
+        let back = held.lent.back();
+        let mut exchange = Exchange::new(&mut self.front, back, progress, hold_all, sent);
+        Ok(exchange.receive().await?)
     }
 
     /// Brings what the session set to the connection, before anything of the caller's is sent:
--- a/crates/entry/src/cancel.rs
+++ b/crates/entry/src/cancel.rs
@@ -142,16 +142,24 @@
     }
 }
 
-/// Cancels what runs on `lent`, whose caller has its final answer already, and returns the
-/// connection to its pool once the server says that it was cancelled.
+/// Waits `patience` for the end of what runs on `lent`, whose caller has its final answer
+/// already, then cancels it, and returns the connection to its pool once the server says that it
+/// was cancelled.
 ///
 /// A statement that ended by itself leaves the cancel request without a target: it may hit the
 /// next one on the connection, which is therefore closed.
-pub async fn retire(mut lent: Lent) {
+pub async fn retire(mut lent: Lent, patience: Duration) {
     let back = lent.back();
     if back.torn() || back.pending == 0 {
         return;
     }
+    if !patience.is_zero() {
+        match tokio::time::timeout(patience, drain(back)).await {
+            Ok(Some(_)) => return lent.give_back(),
+            Ok(None) => return,
+            Err(_) => {}
+        }
+    }
     send(&back.cancel.clone()).await;
     let ended = tokio::time::timeout(WIND_DOWN, drain(back)).await;
     if matches!(ended, Ok(Some(true))) {
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -93,35 +93,52 @@
     End(End),
 }
 
+/// A request that was handed to a connection, and the answers that it will have.
+#[derive(Debug)]
+pub struct Sent {
+    expect: VecDeque<Expect>,
+    simple: bool,
+}
+
+/// Sends `plan` on `back`.
+///
+/// # Errors
+/// The connection broke; it must not be used again.
+pub async fn send(back: &mut Back, progress: &mut Progress, plan: Plan) -> Result<Sent, Break> {
+    back.pending += plan.syncs;
+    // However little of it the kernel takes, from here on it counts as sent.
+    progress.sent = true;
+    back.send(&plan.bytes).await.map_err(back::Error::Io)?;
+    Ok(Sent {
+        simple: plan.expect.front() == Some(&Expect::Simple),
+        expect: plan.expect,
+    })
+}
+
 impl<'a> Exchange<'a> {
-    /// An exchange between `front` and `back`.
+    /// The rest of an exchange between `front` and `back`, which has the request.
     pub fn new(
         front: &'a mut Front,
         back: &'a mut Back,
         progress: &'a mut Progress,
         hold_all: bool,
+        sent: Sent,
     ) -> Exchange<'a> {
         Exchange {
             front,
             back,
             progress,
             hold_all,
-            expect: VecDeque::new(),
-            simple: false,
+            expect: sent.expect,
+            simple: sent.simple,
         }
     }
 
-    /// Sends `plan` and passes the answer on, except for its end, which is held back.
+    /// Passes the answer on, except for its end, which is held back.
     ///
     /// # Errors
     /// Either side broke; the backend connection must not be used again.
-    pub async fn run(&mut self, plan: Plan) -> Result<End, Break> {
-        self.simple = plan.expect.front() == Some(&Expect::Simple);
-        self.expect = plan.expect;
-        self.back.pending += plan.syncs;
-        // However little of it the kernel takes, from here on it counts as sent.
-        self.progress.sent = true;
-        self.back.send(&plan.bytes).await.map_err(back::Error::Io)?;
+    pub async fn receive(&mut self) -> Result<End, Break> {
         if let Some(end) = self.drained() {
             return Ok(end);
         }
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -1,5 +1,7 @@
 //! A backend connection in the hands of a session.
 
+use std::time::Duration;
+
 use flamingopost_core::position::Position;
 use flamingopost_core::route::Part;
 use flamingopost_core::rule::Ack;
@@ -9,6 +11,9 @@
 use crate::cancel;
 use crate::pool::Lent;
 
+/// How long a read that lost to its copy may go on before it is cancelled.
+const SOON: Duration = Duration::from_millis(100);
+
 /// A connection that a session keeps from its first statement there to the end of its
 /// transaction, or for good when the session is pinned.
 pub struct Held {
@@ -56,6 +61,11 @@
 
     /// Gives up a connection whose answer is not waited for any more.
     pub fn retire(self) {
-        tokio::spawn(cancel::retire(self.lent));
+        tokio::spawn(cancel::retire(self.lent, Duration::ZERO));
+    }
+
+    /// The same where the answer should come soon: it is cancelled only if it does not.
+    pub fn finish(self) {
+        tokio::spawn(cancel::retire(self.lent, SOON));
     }
 }
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -12,7 +12,7 @@
 
 use crate::attempt::Fault;
 use crate::back::{self, Answer, Back};
-use crate::exchange::{Break, End, Exchange, Progress};
+use crate::exchange::{self, Break, End, Exchange, Progress};
 use crate::frame::take_text;
 use crate::held::Held;
 use crate::plan::Plan;
@@ -97,8 +97,11 @@
         let back = held.lent.back();
         let plan = Plan::new(request, back);
         let _running = self.handle.begin(back.cancel.clone());
-        let mut exchange = Exchange::new(&mut self.front, back, progress, true);
-        match exchange.run(plan).await {
+        let Ok(sent) = exchange::send(back, progress, plan).await else {
+            return Ok(Event::Broken(Doubt::ConnectionLost));
+        };
+        let mut exchange = Exchange::new(&mut self.front, back, progress, true, sent);
+        match exchange.receive().await {
             Ok(End::Ready(_)) => {}
             Err(Break::Front(error)) => return Err(Fault::Caller(error)),
             Ok(End::Flushed) | Err(_) => return Ok(Event::Broken(Doubt::ConnectionLost)),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod front;
 pub mod gate;
 pub mod greeting;
+pub mod hedge;
 pub mod held;
 pub mod host;
 pub mod keyed;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -123,6 +123,18 @@
         }
     }
 
+    /// Lends a connection if one is idle, where nobody waits for it.
+    pub fn lend_idle(self: &Arc<Pool>, session: &state::State) -> Option<Lent> {
+        let mut state = self.lock();
+        let back = state.pick(session)?;
+        if back.stale() {
+            state.open -= 1;
+            return None;
+        }
+        drop(state);
+        Some(self.lent(back))
+    }
+
     async fn wait(
         self: &Arc<Pool>,
         mut offer: oneshot::Receiver<Offer>,
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -7,6 +7,7 @@
 
 use flamingopost_core::fleet::{Fleet, Server};
 use flamingopost_core::health::{Panel, Standing};
+use flamingopost_core::hedge::Hedge;
 use flamingopost_core::key::{ServerKey, ServiceKey, ZoneKey};
 use flamingopost_core::lease::Leader;
 use flamingopost_core::position::Position;
@@ -68,6 +69,8 @@
     retries: Budget,
     /// How fast its replicas answer, compared with each other.
     panel: Panel,
+    hedge: Hedge,
+    hedges: Budget,
     /// Parameters that its servers report at start-up.
     parameters: Arc<Vec<(String, String)>>,
 }
@@ -94,6 +97,8 @@
             synced: None,
             retries: Budget::retries(),
             panel: Panel::default(),
+            hedge: Hedge::default(),
+            hedges: Budget::hedges(),
             parameters: Arc::default(),
         };
         Service {
@@ -201,6 +206,26 @@
         self.with_table(|table, now| table.started(server, now));
     }
 
+    /// After which wait a copy of a read is sent, where its rule says `wait`; nothing before
+    /// enough was learnt.
+    pub fn hedge_wait(&self, rule: Duration) -> Option<Duration> {
+        let mut state = self.lock();
+        state.hedges.fill();
+        state.hedge.wait(rule)
+    }
+
+    /// Whether a copy may be sent now.
+    pub fn may_hedge(&self) -> bool {
+        let mut state = self.lock();
+        let State { hedge, hedges, .. } = &mut *state;
+        hedge.send(hedges)
+    }
+
+    /// The first copy of a read was answered after `took`.
+    pub fn hedge_answered(&self, took: Duration) {
+        self.lock().hedge.record(took);
+    }
+
     /// Notes that it ended, after `took` where it was answered.
     pub fn finished(&self, server: ServerKey, took: Option<Duration>) {
         let distance = self.with_table(|table, _| {
--- a/crates/entry/tests/failure.rs
+++ b/crates/entry/tests/failure.rs
@@ -427,3 +427,59 @@
     let direct = path::direct(group.servers[0].address()).await;
     assert_eq!(column(&direct, "SELECT count(*) FROM bids").await, ["2"]);
 }
+
+/// One of two replicas answers a hundred times slower than the other. Buyers should hardly notice:
+/// once that is clear, the slow one gets next to nothing.
+#[tokio::test]
+async fn a_slow_replica_gets_little() {
+    let group = Group::start(2).await;
+    let host = Host::start(&group).await;
+    table(&host).await;
+    host.learnt(&group).await;
+    let caller = host.connect().await;
+    caller
+        .batch_execute("SET flamingopost.max_age = '1min'")
+        .await
+        .unwrap();
+    group.set_faults(1, |faults| faults.slow_ms = 50);
+    for _ in 0..100 {
+        column(&caller, "SELECT id FROM bids").await;
+    }
+    let before = group.statements(1);
+    for _ in 0..200 {
+        column(&caller, "SELECT id FROM bids").await;
+    }
+    let slow = group.statements(1) - before;
+    assert!(slow < 50, "{slow} of 200 reads ran on the slow replica");
+}
+
+/// A replica stops answering without breaking its connections. Buyers whose views may be hedged
+/// are answered by the other replica within the deadline, not by an error at its end.
+#[tokio::test]
+async fn a_hedged_read_is_answered_by_another_replica() {
+    let group = Group::start(2).await;
+    let hedged = Then {
+        hedge: Some(Duration::from_millis(5)),
+        retries: 0,
+        ..plain()
+    };
+    let rules = vec![
+        rule(Access::Read, "", hedged),
+        rule(Access::Write, "", plain()),
+    ];
+    let host = Host::with(&group, rules).await;
+    table(&host).await;
+    host.learnt(&group).await;
+    let caller = host.connect().await;
+    caller
+        .batch_execute("SET flamingopost.max_age = '1min'")
+        .await
+        .unwrap();
+    for _ in 0..60 {
+        column(&caller, "SELECT id FROM bids").await;
+    }
+    group.set_faults(1, |faults| faults.slow_ms = 60_000);
+    for _ in 0..8 {
+        assert!(column(&caller, "SELECT id FROM bids").await.is_empty());
+    }
+}
