Show that a successor asks the other standbys

Cause: taken out, that step was missed by neither 800 schedules nor a focused test. Change: a test of a successor that forgot; it fails without the step and passes with it.

--- a/crates/core/tests/leadership/failures.rs
+++ b/crates/core/tests/leadership/failures.rs
@@ -106,6 +106,32 @@
     assert!(service(&world, 0).history.start(opened).is_some());
 }
 
+/// Kept writes are reported as lost, or a healthy primary is replaced. Order: a promotion in an
+/// outage is known to the controller and its standbys; the controller dies, one standby is
+/// restarted, and it is that one which claims when the table is back with the old row. Cause: a
+/// successor that does not ask the other standbys before it begins.
+#[test]
+fn a_successor_that_forgot_asks_the_other_standbys() {
+    let mut world = running(11);
+    world.strike(Fault::TableDown, Duration::from_secs(20));
+    world.run(world.now + Duration::from_secs(5));
+    let primary = world.primary(0).unwrap();
+    world.strike(Fault::ServerDown(primary), LONG);
+    gap(&mut world, 0, Duration::from_secs(4)).expect("no promotion in the outage");
+    let before = service(&world, 0);
+
+    let row = world.table.clone().unwrap();
+    let standbys: Vec<usize> = row.standbys.iter().map(|key| world.host(*key)).collect();
+    let controller = world.controller_host().unwrap();
+    world.strike(Fault::HostAlone(controller), LONG);
+    world.strike(Fault::RestartControl(standbys[0]), millis(1));
+    let back = Duration::from_secs(30) - world.now;
+    world.strike(Fault::PauseControl(standbys[1]), back);
+    world.run(Duration::from_secs(35));
+    assert_eq!(world.controller_host(), Some(standbys[0]));
+    assert_eq!(service(&world, 0), before);
+}
+
 /// Two controllers act at once, and a write is acknowledged by a primary that one of them has
 /// replaced. Order: the controller is paused in the middle of its work, a standby takes over and
 /// promotes, the old one wakes up and goes on. Cause: authority that is not measured by a clock.
