entry: a relay that refuses is passed by like one that is dead

Cause: a control process named as relay that was not set up as one refused every renewal, and the host had no leases. Conclusion: a wrong setting costs a detour and no lease.

--- a/crates/entry/src/link/renewal.rs
+++ b/crates/entry/src/link/renewal.rs
@@ -125,7 +125,7 @@
         .record(took);
     match answer {
         Ok(replies) if replies.len() == items.len() => {
-            link.relay_answered(address);
+            note_relay(link, address, &replies);
             for (item, reply) in items.into_iter().zip(replies) {
                 take(link, address, item, reply, held);
             }
@@ -135,6 +135,18 @@
     }
 }
 
+/// A relay that answers and refuses is of no more use than one that is dead: it was not set up
+/// as one, or cannot reach a controller that this host may reach.
+fn note_relay(link: &Link, address: &str, replies: &[Reply]) {
+    match replies
+        .iter()
+        .any(|reply| matches!(reply, Reply::Refused(_)))
+    {
+        true => link.relay_failed(address),
+        false => link.relay_answered(address),
+    }
+}
+
 /// The renewals, and what is needed to take their answers. The leases run from here.
 fn prepare(link: &Link, shards: &[u16], stopping: bool) -> (Vec<Renewal>, Vec<Item>) {
     let Some(adopted) = link.shared.adopted() else {
--- a/crates/entry/tests/link.rs
+++ b/crates/entry/tests/link.rs
@@ -407,6 +407,22 @@
     until("a lease", || entry.is_leased()).await;
 }
 
+/// The control process that settings name as the relay was not set up as one, and refuses. The
+/// host must not go without leases for that.
+#[tokio::test]
+async fn a_relay_that_refuses_is_passed_by() {
+    let platform = Arc::new(Platform::default());
+    put(&platform, 1, BODY).await;
+    let control = Control::start(Knowledge::default()).await;
+    let relay = Control::start(Knowledge::default()).await;
+    relay.state().grants = Err(None);
+    control.names(&control, 1);
+    let clock = Arc::new(Boot);
+    let entry = Entry::start(clock, platform, &[&control], Some(&relay)).await;
+    until("a lease past the relay", || entry.is_leased()).await;
+    assert!(!relay.state().renewals.is_empty());
+}
+
 /// A backend server refuses connections. The controller hears of it with the next renewal, which
 /// goes out at once, and a renewal that is lost does not take the report with it.
 #[tokio::test]
