--- a/crates/control/src/flags.rs
+++ b/crates/control/src/flags.rs
@@ -5,10 +5,11 @@
 xflags::xflags! {
     /// The control process of one flamingopost host.
     ///
-    /// Example: flamingopost-control /etc/flamingopost/control.ini
+    /// EXAMPLES:
+    ///     flamingopost-control --settings /etc/flamingopost/control.ini
     cmd flamingopost-control {
-        /// Settings of the host, INI.
-        required settings: PathBuf
+        /// The settings file, INI; docs/SETTINGS.md is its reference.
+        required --settings path: PathBuf
         /// Only check the settings.
         optional --check
     }
--- a/crates/control/src/fleet_status.rs
+++ b/crates/control/src/fleet_status.rs
@@ -6,7 +6,7 @@
 use flamingopost_wire::status::{Host, Ordered, Status};
 use futures::future::join_all;
 
-use crate::shard;
+use crate::shard_message::{Order, Report};
 use crate::shards::Shards;
 use crate::shared::Shared;
 
@@ -35,7 +35,7 @@
 pub async fn local(shards: &Shards) -> Status {
     let mut status = Status::default();
     for actor in shards.all() {
-        if let Ok(Some(report)) = actor.send(shard::Report).await {
+        if let Ok(Some(report)) = actor.send(Report).await {
             merge(&mut status, report);
         }
     }
@@ -48,7 +48,7 @@
         return shared.is_current().then_some(Ordered::NoSuchService);
     };
     if let Some(actor) = shards.get(number)
-        && let Ok(ordered) = actor.send(shard::Order(service.to_owned())).await
+        && let Ok(ordered) = actor.send(Order(service.to_owned())).await
         && ordered != Ordered::NoSuchService
     {
         return Some(ordered);
--- a/crates/control/src/hints.rs
+++ b/crates/control/src/hints.rs
@@ -12,7 +12,7 @@
 
 use crate::drain::{self, Drain};
 use crate::poll::{Reader, jittered};
-use crate::shard::Hinted;
+use crate::shard_message::Hinted;
 use crate::shards::Shards;
 use crate::shared::Shared;
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod shard;
 mod shard_effect;
 mod shard_floors;
+mod shard_lease;
+pub mod shard_message;
 mod shard_note;
 mod shard_status;
 pub mod shards;
@@ -53,7 +55,7 @@
 use crate::relay::Relay;
 use crate::rpc::Remote;
 use crate::settings::Settings;
-use crate::shard::Quit;
+use crate::shard_message::Quit;
 use crate::shards::Shards;
 use crate::shared::Shared;
 
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -14,13 +14,14 @@
 use flamingopost_daemon::event::Event as _;
 use flamingopost_platform::head::{self, HEAD, Head};
 use flamingopost_platform::table::Table as _;
-use flamingopost_wire::status::Ordered;
+use flamingopost_wire::status::{Claim, Claimed, Ordered};
 use flamingopost_wire::submission::{self as wire, Stored};
 use serde::{Deserialize, Serialize};
 
 use crate::drain;
 use crate::event::Event as Log;
 use crate::fleet_status;
+use crate::shard_message;
 use crate::shards::Shards;
 use crate::shared::Shared;
 use crate::spread::{self, Handle};
@@ -66,7 +67,8 @@
             .route("/status", web::get().to(status))
             .route("/drain", web::post().to(drain))
             .route("/drain", web::delete().to(undrain))
-            .route("/promote", web::post().to(promote));
+            .route("/promote", web::post().to(promote))
+            .route("/claim", web::post().to(claim));
     }
 }
 
@@ -285,6 +287,23 @@
     }
 }
 
+async fn claim(operators: Data<Operators>, order: Json<Claim>) -> HttpResponse {
+    let claimed = match operators.shards.get(order.shard) {
+        None => Claimed::NoSuchShard,
+        Some(actor) => {
+            let claim = shard_message::Claim(order.gone.clone());
+            actor.send(claim).await.unwrap_or(Claimed::NoSuchShard)
+        }
+    };
+    let mut response = match claimed {
+        Claimed::Begun => HttpResponse::Accepted(),
+        Claimed::Leads => HttpResponse::Ok(),
+        Claimed::NoSuchShard => HttpResponse::NotFound(),
+        Claimed::Named { .. } => HttpResponse::Conflict(),
+    };
+    response.json(claimed)
+}
+
 fn unavailable() -> HttpResponse {
     fail(Failure::Unavailable)
 }
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -13,7 +13,7 @@
 
 use crate::fleet_status;
 use crate::relay::Relay;
-use crate::shard::{Asked, GiveUp, Renew};
+use crate::shard_message::{Asked, GiveUp, Order, Renew};
 use crate::shards::Shards;
 use crate::shared::Shared;
 use crate::spread::{Event, Handle};
@@ -101,7 +101,7 @@
         let Some(actor) = number.and_then(|number| self.shards.get(number)) else {
             return Ok(Ordered::NoSuchService);
         };
-        let ordered = actor.send(crate::shard::Order(service)).await;
+        let ordered = actor.send(Order(service)).await;
         Ok(ordered.unwrap_or(Ordered::NoSuchService))
     }
 }
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -3,25 +3,22 @@
 //! Every process has one for each shard: it stands by, or leads. The machine says what to do;
 //! each action runs on its own and hands its outcome back, so none waits for another.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, ActorContext as _, AsyncContext, Context, Handler, Message, MessageResult};
-use flamingopost_core::budget::Grant;
-use flamingopost_core::budget::share::Holder;
-use flamingopost_core::key::{HostKey, ServerKey, ServiceKey};
-use flamingopost_core::leadership::{self, Controller, Group, Reply};
+use actix::{Actor, AsyncContext, Context};
+use flamingopost_core::key::{ServerKey, ServiceKey};
+use flamingopost_core::leadership::{self, Controller, Group};
 use flamingopost_core::lease::Instance;
 use flamingopost_core::membership::{Leaving, Member, Membership, Process, Reason};
 use flamingopost_core::row;
 use flamingopost_platform::group::Status;
 use flamingopost_platform::table::Tag;
 use flamingopost_wire::authority::{Ask, Promise, Release, Released};
-use flamingopost_wire::lease;
-use flamingopost_wire::status::{self, Ordered};
+use flamingopost_wire::status::{Claimed, Ordered};
 
-use crate::budgets::{self, Budgets, Renewer};
+use crate::budgets::{self, Budgets};
 use crate::candidate;
 use crate::config::Config;
 use crate::hints::Hints;
@@ -75,52 +72,6 @@
     pub(crate) retiring: bool,
 }
 
-/// The configuration in force has changed.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Configure(pub Arc<Config>);
-
-/// The platform's list or the operators' drains have changed.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Hinted(pub Arc<Hints>);
-
-/// An entry host renews its lease.
-#[derive(Message)]
-#[rtype(result = "lease::Reply")]
-pub struct Renew(pub lease::Renewal);
-
-/// A controller is there, or asks for a promise.
-#[derive(Message)]
-#[rtype(result = "Option<Promise>")]
-pub struct Asked(pub Ask);
-
-/// A successor wants this process to give up.
-#[derive(Message)]
-#[rtype(result = "Released")]
-pub struct GiveUp(pub Release);
-
-/// An operator wants a planned promotion.
-#[derive(Message)]
-#[rtype(result = "Ordered")]
-pub struct Order(pub String);
-
-/// An operator wants to know the state; `None` where another process leads the shard.
-#[derive(Message)]
-#[rtype(result = "Option<status::Status>")]
-pub struct Report;
-
-/// The process is about to end: a standby is to take over. Answers whether this process still
-/// leads the shard.
-#[derive(Message)]
-#[rtype(result = "bool")]
-pub struct Retire;
-
-/// The process is over.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Quit;
-
 impl Shard {
     /// The controller of shard `number` of a process that has just started, or has just learnt
     /// that there is such a shard.
@@ -177,7 +128,7 @@
             .set(f64::from(u8::from(leads)));
     }
 
-    fn configure(&mut self, config: Arc<Config>) {
+    pub(crate) fn configure(&mut self, config: Arc<Config>) {
         let configured = config.fleet.servers.iter();
         let leaving = configured
             .filter(|(_, server)| server.leaving)
@@ -250,7 +201,7 @@
         self.controller.configure(groups);
     }
 
-    fn take_hints(&mut self, hints: &Hints) {
+    pub(crate) fn take_hints(&mut self, hints: &Hints) {
         let mut changed = false;
         changed |= self
             .leaving
@@ -296,115 +247,7 @@
             && !candidate::is_first(self.number, &self.shared.process().host, &heard)
     }
 
-    fn renew(&mut self, renewal: lease::Renewal) -> lease::Reply {
-        let now = self.shared.now();
-        self.shared.hear(renewal.config);
-        let decoded = self.decode(&renewal);
-        let holder = decoded.holder;
-        let member = Member {
-            zone: decoded.zone,
-            heard: now,
-            config: renewal.config,
-            stopping: renewal.stopping,
-        };
-        self.membership.heartbeat(process(holder), member);
-        match self.controller.renewal(&decoded, now) {
-            Reply::Refused { controller } => lease::Reply::Refused(self.refusal(controller)),
-            Reply::Granted {
-                version,
-                valid,
-                view,
-            } => {
-                let grants = self.allot(&renewal, holder, valid, now);
-                let directory = self.shared.directory();
-                let view =
-                    view.map(|view| flamingopost_wire::view::Shard::encode(&view, &directory));
-                lease::Reply::Granted(lease::Grant {
-                    version: version.into(),
-                    valid_ms: millis(valid),
-                    view,
-                    allotment: grants
-                        .iter()
-                        .map(|(name, g)| (name.clone(), g.leased))
-                        .collect(),
-                    floors: floors(&grants),
-                    config: self.shared.heard(),
-                })
-            }
-        }
-    }
-
-    fn allot(
-        &mut self,
-        renewal: &lease::Renewal,
-        holder: Instance,
-        valid: Duration,
-        now: Duration,
-    ) -> BTreeMap<String, Grant> {
-        let of_budget = Holder {
-            host: holder.host,
-            incarnation: holder.incarnation,
-        };
-        if renewal.stopping {
-            self.budgets.release(of_budget);
-            self.leases.remove(&holder);
-            self.granted.remove(&holder);
-            return BTreeMap::new();
-        }
-        self.holders.insert(holder, renewal.rpc.clone());
-        self.leases.insert(holder, now + valid);
-        let directory = self.shared.directory();
-        let demand = renewal.demand.iter();
-        let demand = demand
-            .filter_map(|(name, count)| Some((directory.servers.find(name)?, *count)))
-            .collect();
-        let renewer = Renewer {
-            holder: of_budget,
-            zone: self
-                .shared
-                .intern(|names| names.zones.intern(&renewal.zone)),
-            valid,
-        };
-        let grants = self.budgets.renew(renewer, &demand, now);
-        let total = grants.values().map(|grant| u32::from(grant.leased)).sum();
-        self.granted.insert(holder, total);
-        let named = grants.iter().filter_map(|(key, grant)| {
-            let name = directory.servers.name(*key)?.to_owned();
-            Some((name, *grant))
-        });
-        named.collect()
-    }
-
-    fn decode(&self, renewal: &lease::Renewal) -> leadership::Renewal {
-        self.shared.intern(|directory| leadership::Renewal {
-            holder: Instance {
-                host: directory.hosts.intern(&renewal.host),
-                incarnation: renewal.incarnation,
-            },
-            zone: directory.zones.intern(&renewal.zone),
-            version: renewal.version.map(Into::into),
-            reports: renewal
-                .reports
-                .iter()
-                .filter_map(|(name, report)| Some((directory.servers.find(name)?, report.into())))
-                .collect(),
-            stopping: renewal.stopping,
-        })
-    }
-
-    fn refusal(&self, controller: Option<HostKey>) -> lease::Refusal {
-        let directory = self.shared.directory();
-        let host = controller.and_then(|key| directory.hosts.name(key));
-        let redirect = host
-            .filter(|host| **host != self.shared.process().host)
-            .and_then(|host| self.shared.rpc_of(host));
-        lease::Refusal {
-            redirect,
-            config: self.shared.heard(),
-        }
-    }
-
-    fn asked(&mut self, ask: &Ask) -> Option<Promise> {
+    pub(crate) fn asked(&mut self, ask: &Ask) -> Option<Promise> {
         self.shared
             .lead(self.number, ask.epoch, &ask.controller, &ask.rpc);
         let row: Option<row::Row> = match &ask.row {
@@ -423,7 +266,7 @@
         Some(self.controller.asked(&ask, self.shared.now()).into())
     }
 
-    fn give_up(&mut self, release: &Release) -> Released {
+    pub(crate) fn give_up(&mut self, release: &Release) -> Released {
         let released = self.controller.release(release.epoch, self.shared.now());
         let directory = self.shared.directory();
         let row = released.row.as_ref();
@@ -434,7 +277,7 @@
         }
     }
 
-    fn order(&mut self, name: &str) -> Ordered {
+    pub(crate) fn order(&mut self, name: &str) -> Ordered {
         let now = self.shared.now();
         let key = self.shared.directory().services.find(name);
         let Some(key) = key.filter(|key| self.serves(*key)) else {
@@ -460,6 +303,27 @@
         Ordered::Begun
     }
 
+    /// Lets this process claim the shard at once, where `gone` are exactly those whom the row
+    /// names. Naming them is how an operator says that they have been looked at: a host that is
+    /// only cut off would go on, and two controllers would act for the shard.
+    pub(crate) fn claim(&mut self, gone: &BTreeSet<String>) -> Claimed {
+        if self.controller.view().is_some() {
+            return Claimed::Leads;
+        }
+        let directory = self.shared.directory();
+        let row = self.controller.row();
+        let named = row.into_iter().flat_map(|row| {
+            let hosts = row.standbys.iter().chain([&row.controller]);
+            hosts.filter_map(|key| directory.hosts.name(*key))
+        });
+        let hosts: BTreeSet<String> = named.map(str::to_owned).collect();
+        if hosts != *gone {
+            return Claimed::Named { hosts };
+        }
+        self.controller.force();
+        Claimed::Begun
+    }
+
     pub(crate) fn serves(&self, service: ServiceKey) -> bool {
         let config = self.config.as_ref();
         let known = config.and_then(|config| config.fleet.services.get(&service));
@@ -467,19 +331,6 @@
     }
 }
 
-fn floors(grants: &BTreeMap<String, Grant>) -> BTreeMap<String, lease::Floor> {
-    let given = grants.iter().filter(|(_, grant)| grant.floor > 0);
-    given
-        .map(|(name, grant)| {
-            let floor = lease::Floor {
-                connections: grant.floor,
-                valid_ms: millis(grant.floor_valid),
-            };
-            (name.clone(), floor)
-        })
-        .collect()
-}
-
 fn instance((process, _): (Process, &Member)) -> Instance {
     Instance {
         host: process.host,
@@ -507,87 +358,3 @@
         ctx.run_interval(FLOORS, |shard, ctx| shard.keep_floors(ctx));
     }
 }
-
-impl Handler<Configure> for Shard {
-    type Result = ();
-
-    fn handle(&mut self, message: Configure, ctx: &mut Self::Context) {
-        self.configure(message.0);
-        self.step(ctx);
-    }
-}
-
-impl Handler<Hinted> for Shard {
-    type Result = ();
-
-    fn handle(&mut self, message: Hinted, ctx: &mut Self::Context) {
-        self.take_hints(&message.0);
-        self.step(ctx);
-    }
-}
-
-impl Handler<Retire> for Shard {
-    type Result = bool;
-
-    fn handle(&mut self, _: Retire, _: &mut Self::Context) -> Self::Result {
-        self.retiring = true;
-        self.controller.view().is_some()
-    }
-}
-
-impl Handler<Quit> for Shard {
-    type Result = ();
-
-    fn handle(&mut self, _: Quit, ctx: &mut Self::Context) {
-        ctx.stop();
-    }
-}
-
-impl Handler<Renew> for Shard {
-    type Result = MessageResult<Renew>;
-
-    fn handle(&mut self, message: Renew, ctx: &mut Self::Context) -> Self::Result {
-        let reports_failures = message.0.reports.values().any(|report| report.failures > 0);
-        let reply = self.renew(message.0);
-        if reports_failures {
-            self.step(ctx);
-        }
-        MessageResult(reply)
-    }
-}
-
-impl Handler<Asked> for Shard {
-    type Result = MessageResult<Asked>;
-
-    fn handle(&mut self, message: Asked, _: &mut Self::Context) -> Self::Result {
-        MessageResult(self.asked(&message.0))
-    }
-}
-
-impl Handler<GiveUp> for Shard {
-    type Result = MessageResult<GiveUp>;
-
-    fn handle(&mut self, message: GiveUp, ctx: &mut Self::Context) -> Self::Result {
-        let released = self.give_up(&message.0);
-        self.step(ctx);
-        MessageResult(released)
-    }
-}
-
-impl Handler<Order> for Shard {
-    type Result = MessageResult<Order>;
-
-    fn handle(&mut self, message: Order, ctx: &mut Self::Context) -> Self::Result {
-        let ordered = self.order(&message.0);
-        self.step(ctx);
-        MessageResult(ordered)
-    }
-}
-
-impl Handler<Report> for Shard {
-    type Result = MessageResult<Report>;
-
-    fn handle(&mut self, _: Report, _: &mut Self::Context) -> Self::Result {
-        MessageResult(shard_status::report(self))
-    }
-}
--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -9,7 +9,8 @@
 use flamingopost_daemon::stop::Phase;
 
 use crate::poll::Reader;
-use crate::shard::{Configure, Retire, Shard};
+use crate::shard::Shard;
+use crate::shard_message::{Configure, Retire};
 use crate::shared::Shared;
 
 /// How often a process that ends looks whether its shards have been taken over.
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -60,16 +60,16 @@
             servers,
             controls: Vec::new(),
         };
-        fleet.start_controls(relays);
+        fleet.start_controls(1, relays);
         fleet
     }
 
-    fn start_controls(&mut self, relays: bool) {
+    fn start_controls(&mut self, generation: u8, relays: bool) {
         let sockets: Vec<(TcpListener, TcpListener)> =
             ZONES.iter().map(|_| (listener(), listener())).collect();
         let peers: Vec<SocketAddr> = sockets.iter().map(|(rpc, _)| address(rpc)).collect();
         for (zone, (rpc, admin)) in ZONES.iter().zip(sockets) {
-            let host = format!("{zone}-1");
+            let host = format!("{zone}-{generation}");
             let mut settings = Settings::local(&host, zone, self.platform.address());
             settings.peers.clone_from(&peers);
             settings.token = Token::new(TOKEN);
@@ -169,6 +169,19 @@
         self.controls[control].stop.stop();
     }
 
+    /// Ends all control processes.
+    pub fn stop(&self) {
+        for control in &self.controls {
+            control.stop.stop();
+        }
+    }
+
+    /// Starts control processes on new hosts in place of those there were.
+    pub fn replace_controls(&mut self) {
+        self.controls.clear();
+        self.start_controls(2, false);
+    }
+
     /// Waits until the controller has named two standbys in the row.
     pub async fn named_standbys(&self, asked: usize) {
         eventually("two standbys are named", || async {
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -10,6 +10,7 @@
 use flamingopost_platform::table::{Change, Guard, Table as _};
 use flamingopost_standin::backend::fault::Faults as ServerFaults;
 use flamingopost_standin::platform::Faults;
+use serde_json::json;
 
 fn down() -> Faults {
     Faults {
@@ -72,6 +73,39 @@
     all_see(&hosts, &next).await;
 }
 
+/// All hosts that a shard's row names are replaced at once, under new names. Nobody else may claim
+/// the shard for hours; an operator who has made sure that they are gone says so by naming them.
+#[actix_rt::test]
+async fn an_operator_claims_a_shard_for_which_nobody_is_left() {
+    let mut fleet = Fleet::start().await;
+    fleet.open().await;
+    let old = fleet.leader(0).await;
+    fleet.named_standbys(old).await;
+    let names: Vec<String> = fleet.controls.iter().map(|c| c.host.clone()).collect();
+    fleet.stop();
+    fleet.replace_controls();
+    fleet.in_force(1).await;
+    let none = json!({"shard": 0, "gone": []});
+    let (code, answer) = eventually("the row has been read", || async {
+        let (code, answer) = fleet.post(0, "/v1/claim", &none).await;
+        (code == 409).then_some((code, answer))
+    })
+    .await;
+    let mut named: Vec<String> = serde_json::from_value(answer["hosts"].clone()).unwrap();
+    named.sort();
+    let mut expected = names.clone();
+    expected.sort();
+    assert_eq!((code, &named), (409, &expected));
+    let some = json!({"shard": 0, "gone": names[..2]});
+    assert_eq!(fleet.post(0, "/v1/claim", &some).await.0, 409);
+    let all = json!({"shard": 0, "gone": names});
+    assert_eq!(fleet.post(0, "/v1/claim", &all).await.0, 202);
+    assert_eq!(fleet.leader(0).await, 0);
+    fleet.open_service(0).await;
+    let no_such = json!({"shard": 7, "gone": []});
+    assert_eq!(fleet.post(0, "/v1/claim", &no_such).await.0, 404);
+}
+
 /// In a fleet whose rows have grown large, processes read row by row. Configuration changes still
 /// reach everybody, and a standby still takes over.
 #[actix_rt::test]
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -105,3 +105,30 @@
     /// no replica is fit to lead now
     NoCandidate,
 }
+
+/// `POST /v1/claim`: takes over a shard of which nobody is left who could.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The shard.
+    pub shard: u16,
+    /// The hosts that the operator has made sure are gone: the controller and all standbys of the
+    /// shard's row.
+    pub gone: std::collections::BTreeSet<String>,
+}
+
+/// What came of a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+pub enum Claimed {
+    /// This process claims the shard now.
+    Begun,
+    /// This process leads it already.
+    Leads,
+    /// There is no such shard.
+    NoSuchShard,
+    /// These hosts could still take over or go on; they are not all named as gone.
+    Named {
+        /// The controller and the standbys of the row.
+        hosts: std::collections::BTreeSet<String>,
+    },
+}
