--- a/crates/control/src/hints.rs
+++ b/crates/control/src/hints.rs
@@ -40,22 +40,22 @@
     let mut hints = Hints::default();
     let mut turn = 0;
     while shared.stop().phase() != Phase::Stopped {
-        if turn % LIST_EVERY == 0
-            && let Ok(list) = shared.platform().hosts().await
-        {
-            take_list(&shared, &list, &mut hints);
-        }
-        turn = turn.wrapping_add(1);
-        // Only controllers need to know of drains.
-        if shared.is_controller()
-            && let Some(rows) = reader.glance(drain::KEY).await.rows
-        {
-            let row = rows.get(drain::KEY);
-            let drain = row.map_or_else(Drain::default, |row| Drain::decode(&row.body));
-            take_drain(&shared, &drain, &mut hints);
+        // Only controllers have use for it: four hundred others need not ask.
+        if shared.is_controller() {
+            if turn % LIST_EVERY == 0
+                && let Ok(list) = shared.platform().hosts().await
+            {
+                take_list(&shared, &list, &mut hints);
+            }
+            turn = turn.wrapping_add(1);
+            if let Some(rows) = reader.glance(drain::KEY).await.rows {
+                let row = rows.get(drain::KEY);
+                let drain = row.map_or_else(Drain::default, |row| Drain::decode(&row.body));
+                take_drain(&shared, &drain, &mut hints);
+            }
+            // Told again though nothing changed: a shard may have started since.
+            shards.tell(|| Hinted(Arc::new(hints.clone())));
         }
-        // Told again though nothing changed: a shard may have started since.
-        shards.tell(|| Hinted(Arc::new(hints.clone())));
         tokio::time::sleep(jittered(INTERVAL)).await;
     }
 }
