control: knowledge that does not grow with the fleet; a restart in an outage

Change: an answer tells of eight processes heard within a minute; processes that neither answer nor are told of for ten minutes are forgotten; two are asked each 2 s, each second while the platform is silent. A test restarts all control processes in an outage of the store. Figures: worked out, not measured: 24 KB x 3 a second before, under 3 KB once a second after (48 shards).

--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -13,12 +13,16 @@
 use crate::shared::Shared;
 use crate::spread::{Event, Handle};
 
-/// How often peers are asked.
-const INTERVAL: Duration = Duration::from_secs(1);
+/// How often peers are asked while the platform answers: the head row tells of versions then, and
+/// this only keeps known who is there.
+const CALM: Duration = Duration::from_secs(2);
 
-/// How many are asked each time. A version known to one process is known to all of a fleet of
-/// 480 after ten rounds at most, since each round at least doubles who knows it.
-const FANOUT: usize = 3;
+/// The same while it does not.
+const ALONE: Duration = Duration::from_secs(1);
+
+/// How many are asked each time. Who knows of a version at least doubles with each round, so all of
+/// a fleet of 480 do after ten.
+const FANOUT: usize = 2;
 
 /// Asks all peers of the settings once, then some at random until the process stops.
 pub async fn run(shared: Arc<Shared>, spread: Handle) {
@@ -28,7 +32,9 @@
         spread.tell(Event::Asked(answer.map(Box::new)));
     }
     while shared.stop().phase() != Phase::Stopped {
-        tokio::time::sleep(jittered(INTERVAL)).await;
+        let interval = if shared.is_silent() { ALONE } else { CALM };
+        tokio::time::sleep(jittered(interval)).await;
+        shared.peers().forget(shared.now());
         let chosen = choose(&shared);
         let asked = chosen.iter().map(|address| ask(&shared, address));
         for knowledge in join_all(asked).await.into_iter().flatten() {
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -69,29 +69,46 @@
     pub process: Option<Process>,
     /// When it last answered.
     pub heard: Option<Duration>,
+    /// When a row or another process last told of it.
+    pub told: Option<Duration>,
+    /// Whether the settings name it.
+    pub fixed: bool,
 }
 
+/// For how long a process that neither answers nor is told of is remembered. Hundreds of hosts are
+/// replaced a day, and their successors have other addresses.
+const REMEMBERED: Duration = Duration::from_secs(600);
+
 impl Peers {
-    /// Makes `address` known.
-    pub fn add(&self, address: &str) {
-        lock(&self.known).entry(address.to_owned()).or_default();
+    /// Makes `address`, which the settings name, known for good.
+    pub fn fix(&self, address: &str) {
+        let mut known = lock(&self.known);
+        known.entry(address.to_owned()).or_default().fixed = true;
     }
 
     /// The process at `address` has answered at `now`.
     pub fn answered(&self, address: &str, process: Option<Process>, now: Duration) {
-        let peer = Peer {
-            host: process.as_ref().map(|process| process.host.clone()),
-            process,
-            heard: Some(now),
-        };
-        lock(&self.known).insert(address.to_owned(), peer);
+        let mut known = lock(&self.known);
+        let peer = known.entry(address.to_owned()).or_default();
+        peer.host = process.as_ref().map(|process| process.host.clone());
+        peer.process = process;
+        peer.heard = Some(now);
     }
 
-    /// Somebody told that `host` is reached at `address`.
-    pub fn told(&self, host: &str, address: &str) {
+    /// Somebody told at `now` that `host` is reached at `address`.
+    pub fn told(&self, host: &str, address: &str, now: Duration) {
         let mut known = lock(&self.known);
         let peer = known.entry(address.to_owned()).or_default();
         peer.host.get_or_insert_with(|| host.to_owned());
+        peer.told = Some(now);
+    }
+
+    /// Forgets processes that have neither answered nor been told of for long.
+    pub fn forget(&self, now: Duration) {
+        lock(&self.known).retain(|_, peer| {
+            let last = peer.heard.max(peer.told).unwrap_or_default();
+            peer.fixed || now < last + REMEMBERED
+        });
     }
 
     /// Where `host` is reached: the address that answered last, else one that somebody told.
--- a/crates/control/src/poll.rs
+++ b/crates/control/src/poll.rs
@@ -139,6 +139,7 @@
         let sent = shared.now();
         let result = shared.platform().list(FLEET).await;
         note(&mut silent_since, shared.now(), result.as_ref().err());
+        shared.set_silent(result.is_err());
         let read = read(sent, result);
         reader.see(&read);
         spread.tell(event(&read));
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -40,8 +40,9 @@
 /// How long a shard without a row is left to the process that comes first for it.
 const COURTESY: Duration = Duration::from_millis(1_000);
 
-/// Silence of a control process after which it is no candidate for a standby.
-const CANDIDATE: Duration = Duration::from_secs(5);
+/// Silence of a control process after which it is no candidate for a standby. Long, for each is
+/// asked rarely in a large fleet; only one that answers at once is named.
+const CANDIDATE: Duration = Duration::from_secs(30);
 
 /// The controller of one shard.
 pub struct Shard {
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use flamingopost_daemon::incarnation;
 use flamingopost_daemon::stop::Stop;
 use flamingopost_wire::knowledge::{self, Knowledge, Process};
+use rand::seq::IndexedRandom as _;
 use tokio::sync::watch;
 
 use crate::config::Config;
@@ -18,6 +19,12 @@
 use crate::peer::{Links, Peers};
 use crate::settings::Settings;
 
+/// Other processes that one answer tells of at most.
+const TOLD: usize = 8;
+
+/// How long ago a process may have answered to be told of.
+const LATELY: Duration = Duration::from_secs(60);
+
 /// Shared by all tasks of a control process.
 pub struct Shared {
     settings: Settings,
@@ -30,6 +37,8 @@
     directory: RwLock<Arc<Directory>>,
     config: watch::Sender<Option<Arc<Config>>>,
     heard: AtomicU64,
+    /// Whether the platform did not answer the last read.
+    silent: AtomicBool,
     controllers: Mutex<BTreeMap<u16, knowledge::Controller>>,
 }
 
@@ -51,7 +60,7 @@
         let peers = Peers::default();
         for peer in &settings.peers {
             if peer.to_string() != process.rpc {
-                peers.add(&peer.to_string());
+                peers.fix(&peer.to_string());
             }
         }
         let links = Links::new(&settings.zone, settings.token.clone());
@@ -66,6 +75,7 @@
             directory: RwLock::default(),
             config: watch::Sender::new(None),
             heard: AtomicU64::new(0),
+            silent: AtomicBool::new(false),
             controllers: Mutex::default(),
         }
     }
@@ -150,6 +160,16 @@
             .is_some_and(|config| config.version >= self.heard())
     }
 
+    /// Notes whether the platform has answered the last read.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Relaxed);
+    }
+
+    /// Whether the platform did not answer the last read.
+    pub fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
     /// Raises what [`Shared::heard`] says; whether `version` is news.
     pub fn hear(&self, version: u64) -> bool {
         self.heard.fetch_max(version, Ordering::Relaxed) < version
@@ -190,7 +210,7 @@
     /// Notes where a host is reached.
     pub fn learn_host(&self, host: &str, rpc: &str) {
         if rpc != self.process.rpc && !rpc.is_empty() {
-            self.peers.told(host, rpc);
+            self.peers.told(host, rpc, self.now());
         }
     }
 
@@ -218,11 +238,13 @@
         }
     }
 
+    /// Some of the processes that have answered lately. All of a large fleet's would fill each
+    /// answer, and a few from everybody asked are enough to know many.
     fn known_peers(&self) -> BTreeMap<String, String> {
-        let peers = self.peers.all().into_values();
-        peers
-            .filter_map(|peer| peer.process)
-            .map(|process| (process.host, process.rpc))
+        let since = self.now().saturating_sub(LATELY);
+        let heard = self.peers.heard_since(since);
+        let some = heard.sample(&mut rand::rng(), TOLD);
+        some.map(|process| (process.host.clone(), process.rpc.clone()))
             .collect()
     }
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -182,6 +182,13 @@
         self.start_controls(2, false);
     }
 
+    /// Starts all control processes again on their hosts, with empty memory.
+    pub fn restart_controls(&mut self) {
+        self.stop();
+        self.controls.clear();
+        self.start_controls(1, false);
+    }
+
     /// Waits until the controller has named two standbys in the row.
     pub async fn named_standbys(&self, asked: usize) {
         eventually("two standbys are named", || async {
@@ -217,12 +224,18 @@
 
     /// One entry host a zone, each with a lease on which `primary` leads.
     pub async fn hosts(&self, primary: &str) -> Vec<Host> {
+        let hosts = self.hosts_without_leases().await;
+        all_see(&hosts, primary).await;
+        hosts
+    }
+
+    /// One entry host a zone, whether or not it can get a lease.
+    pub async fn hosts_without_leases(&self) -> Vec<Host> {
         let mut hosts = Vec::new();
         for zone in ZONES {
             let name = format!("{zone}-1");
             hosts.push(Host::start(&name, zone, self.rpcs()).await);
         }
-        all_see(&hosts, primary).await;
         hosts
     }
 
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -73,6 +73,26 @@
     all_see(&hosts, &next).await;
 }
 
+/// All control processes are restarted at once while the store is down. Nobody knows anything, so
+/// nobody may acknowledge writes; once the store is back the service goes on where it was, without
+/// waiting for an operator or for hours.
+#[actix_rt::test]
+async fn a_fleet_restarted_in_an_outage_comes_back() {
+    let mut fleet = Fleet::start().await;
+    let before = fleet.open().await;
+    let leader = fleet.leader(0).await;
+    fleet.named_standbys(leader).await;
+    fleet.platform.set_faults(down());
+    fleet.restart_controls();
+    let hosts = fleet.hosts_without_leases().await;
+    tokio::time::sleep(timing::AUTHORITY).await;
+    assert!(hosts.iter().all(|host| host.primary().is_none()));
+    fleet.platform.set_faults(Faults::default());
+    all_see(&hosts, &server_name(0)).await;
+    let after = fleet.open_service(0).await;
+    assert_eq!(before.term, after.term);
+}
+
 /// All hosts that a shard's row names are replaced at once, under new names. Nobody else may claim
 /// the shard for hours; an operator who has made sure that they are gone says so by naming them.
 #[actix_rt::test]
