load: losses of unknown extent, and exit codes that cannot pass a failed experiment

In another run the plan's faults were refused with HTTP 400 and the run still ended with exit code 0. Change: a loss that says unknown covers what lies past its start; run exits with 1 on a violation and with 3 when a fault of the plan was not injected. Ruled out: a promotion before the lease lapsed; the last acknowledgement came 0.6 s before the promotion began. Conclusion: the product reported the losses; the checker was wrong.

--- a/crates/load/src/check/surviving.rs
+++ b/crates/load/src/check/surviving.rs
@@ -5,6 +5,9 @@
 
 use crate::history::{History, Loss, Operation};
 
+/// What a report says where the last acknowledged position could not be learned.
+const UNKNOWN: &str = "unknown";
+
 /// Whether the controller reported `operation`'s write as lost.
 ///
 /// A term that began at `start` has dropped the positions of older terms past it. The report names
@@ -22,10 +25,14 @@
 }
 
 fn covers(loss: &Loss, position: Position) -> bool {
-    match (loss.ended_by.parse::<Term>(), loss.acknowledged.parse()) {
-        (Ok(term), Ok(last)) => {
-            position.term < term && position.log > loss.start && position <= last
-        }
-        _ => false,
-    }
+    let Ok(term) = loss.ended_by.parse::<Term>() else {
+        return false;
+    };
+    let known = loss.acknowledged.parse::<Position>();
+    let reaches = match known {
+        Ok(last) => position <= last,
+        // A host that could not be asked may have acknowledged any position past the start.
+        Err(_) => loss.acknowledged == UNKNOWN,
+    };
+    position.term < term && position.log > loss.start && reaches
 }
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -12,6 +12,9 @@
 use flamingopost_load::error::Error;
 use serde::Serialize;
 
+/// Exit code when a check found a violation.
+const VIOLATED: u8 = 1;
+
 /// Runs `work` on the runtime of this tool.
 fn block_on<T>(work: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/crates/load/src/command/check.rs
+++ b/crates/load/src/command/check.rs
@@ -8,12 +8,9 @@
 use flamingopost_load::error::Error;
 use flamingopost_load::history::History;
 
-use super::print;
+use super::{VIOLATED, print};
 use crate::flags;
 
-/// Exit code when a check found a violation.
-const VIOLATED: u8 = 1;
-
 /// Runs the subcommand.
 pub fn run(flags: flags::Check) -> Result<ExitCode, Error> {
     let history = History::read(&flags.history)?;
--- a/crates/load/src/command/run.rs
+++ b/crates/load/src/command/run.rs
@@ -1,21 +1,23 @@
 //! `flamingopost-load run PLAN [--json] [--plots DIR] [--history FILE] [--baseline]`
 //!
 //! Plays a plan and reports. Arrivals are open loop: each request counts from when it was due,
-//! so a stall shows in full. Violations are in the report; the exit code says only whether the
-//! plan could be played.
+//! so a stall shows in full. Exit code 1 when what was found breaks what must always hold, 3 when
+//! a fault of the plan could not be injected: the figures are then of another experiment.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
+use flamingopost_daemon::event::Event as _;
 use flamingopost_load::engine::{self, Way};
 use flamingopost_load::error::Error;
+use flamingopost_load::event::Event;
 use flamingopost_load::plan::Plan;
 use flamingopost_load::plot;
 use flamingopost_load::report::{Material, Report};
 use flamingopost_load::scrape;
 
-use super::{block_on, print};
+use super::{VIOLATED, block_on, print};
 use crate::flags;
 
 struct Args {
@@ -61,7 +63,16 @@
     let args = Args::try_from(flags)?;
     let report = block_on(play(&args))?;
     print(&report, args.json)?;
-    Ok(ExitCode::SUCCESS)
+    for violation in &report.checks.violations {
+        let text = violation.to_string();
+        Event::Violation { text }.log();
+    }
+    let missed = report.faults.iter().find(|fault| !fault.took());
+    match missed {
+        Some(fault) => Err(Error::Fault(fault.name.clone())),
+        None if report.checks.violations.is_empty() => Ok(ExitCode::SUCCESS),
+        None => Ok(ExitCode::from(VIOLATED)),
+    }
 }
 
 async fn play(args: &Args) -> Result<Report, Error> {
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -74,6 +74,8 @@
     NoBaseline(PathBuf),
     /// {0}
     Template(crate::template::Error),
+    /// fault {0} of the plan could not be injected: the figures are of another experiment
+    Fault(String),
     /// `{0}` is no list of numbers above 0
     Numbers(String),
     /// the runtime could not start: {0}
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -5,8 +5,8 @@
 xflags::xflags! {
     /// Load, histories, checks and measures against a running flamingopost deployment.
     ///
-    /// Exit codes: 0 done, 1 `check` found violations, 2 wrong input, 3 the deployment cannot be
-    /// used.
+    /// Exit codes: 0 done, 1 a check found violations, 2 wrong input, 3 the deployment cannot be
+    /// used or did not take a fault of the plan.
     ///
     /// EXAMPLES:
     ///     flamingopost-load run examples/tesfa-load.ini --json
--- a/crates/load/src/history.rs
+++ b/crates/load/src/history.rs
@@ -123,7 +123,7 @@
     pub ended_by: String,
     /// Log position at which it began.
     pub start: u64,
-    /// The last of them, `EPOCH.COUNT/LOG`.
+    /// The last of them, `EPOCH.COUNT/LOG`, or `unknown` where some host could not be asked.
     pub acknowledged: String,
 }
 
--- a/crates/load/tests/check.rs
+++ b/crates/load/tests/check.rs
@@ -184,6 +184,19 @@
     }
 }
 
+/// A zone is cut off with a host that acknowledged writes until its lease lapsed. The controller
+/// cannot ask it and reports everything past the new term's start, but nothing before.
+#[test]
+fn a_loss_of_unknown_extent() {
+    let bid = operation(1, 1, Kind::Write, 0, 1).at("1.0/11");
+    let mut reported = history(vec![bid.clone()], &[]);
+    reported.push(loss("1.1", 10, "unknown"));
+    nothing(&reported);
+    let mut before = history(vec![bid], &[]);
+    before.push(loss("1.1", 11, "unknown"));
+    only(&before, Check::NoLostWrites, 1);
+}
+
 /// A clerk sells the last crate, and a colleague at the primary still sees it a moment later.
 /// Cause: the reading went to a server that was primary no more.
 #[test]
