Split leadership's larger files by job

Change: reconcile, promote and the promotion's messages in files of their own; control processes of the world too. Moved, not changed. Conclusion: each file has one job.

--- /dev/null
+++ b/crates/core/src/leadership_promote.rs
@@ -0,0 +1,181 @@
+//! How a controller carries promotions out.
+
+use std::time::Duration;
+
+use super::{Lead, Running, Written};
+use crate::key::ServiceKey;
+use crate::leadership::{Action, Group, Note};
+use crate::lease::Ledger;
+use crate::position::Position;
+use crate::promotion::{Next, Promotion, Reason};
+use crate::row::Service;
+use crate::view::State;
+
+impl Lead {
+    pub(super) fn begin(&mut self, key: ServiceKey, group: &Group, reason: Reason, now: Duration) {
+        let Some(service) = self.holder.row().services.get(&key).cloned() else {
+            return;
+        };
+        let servers = group.servers.keys().copied().collect();
+        let promotion = Promotion::new(key, servers, service, reason, now);
+        let running = Running {
+            promotion,
+            began: now,
+            closing: None,
+        };
+        self.promotions.insert(key, running);
+        let service = key;
+        self.notes.push(Note::Promoting { service, reason });
+    }
+
+    pub(super) fn promote(&mut self, ledger: &Ledger, now: Duration, actions: &mut Vec<Action>) {
+        let keys: Vec<ServiceKey> = self.promotions.keys().copied().collect();
+        for key in keys {
+            // Removed while it runs, so that it and the rest can be changed side by side.
+            let Some(mut running) = self.promotions.remove(&key) else {
+                continue;
+            };
+            let (epoch, committed) = (self.holder.epoch(), self.holder.committed());
+            let mut done = false;
+            for next in running.promotion.next(epoch, committed, now) {
+                done |= next == Next::Done;
+                self.carry_out(key, &mut running, next, ledger, now, actions);
+            }
+            match done {
+                true => self.opened(key, &running, now, actions),
+                false => {
+                    self.promotions.insert(key, running);
+                }
+            }
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        key: ServiceKey,
+        running: &mut Running,
+        next: Next,
+        ledger: &Ledger,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        match next {
+            Next::Commit(service) => self.commit(key, running, service, ledger, now),
+            Next::Revoke(to) => actions.push(Action::Close {
+                to,
+                view: self.view.clone(),
+            }),
+            Next::Ask(servers) => actions.extend(servers.into_iter().map(Action::Status)),
+            Next::Promote {
+                server,
+                term,
+                at_least,
+            } => actions.push(Action::Promote {
+                server,
+                term,
+                at_least,
+            }),
+            Next::Done => {}
+        }
+    }
+
+    fn commit(
+        &mut self,
+        key: ServiceKey,
+        running: &mut Running,
+        service: Service,
+        ledger: &Ledger,
+        now: Duration,
+    ) {
+        let revision = self.holder.set(key, service.clone());
+        match service.state {
+            State::Closed { term } => {
+                if let Some(shown) = self.view.services.get_mut(&key) {
+                    shown.state = State::Closed { term };
+                }
+                // Holders are told before the row is committed; leases from here on are granted
+                // on the view that closes the term.
+                self.bump();
+                running.closing = Some(self.view.version);
+                self.tell_written(key, running, ledger, now);
+                running.promotion.closing(revision, ledger.running(now));
+            }
+            State::Open { .. } => running.promotion.opening(revision),
+        }
+    }
+
+    /// Holders whose leases are over cannot be asked what they acknowledged; but it was written
+    /// by the time the primary was asked last, if their leases were over by then.
+    fn tell_written(
+        &mut self,
+        key: ServiceKey,
+        running: &mut Running,
+        ledger: &Ledger,
+        now: Duration,
+    ) {
+        let written = self
+            .written
+            .remove(&key)
+            .filter(|w| w.sent >= self.holder.settled());
+        let Some(written) = written else {
+            running.promotion.written(Position::default(), false);
+            return;
+        };
+        let since = |lapse| lapse >= written.sent;
+        let complete = !ledger.last_lapse(now).is_some_and(since);
+        running.promotion.written(written.position, complete);
+    }
+
+    fn opened(
+        &mut self,
+        key: ServiceKey,
+        running: &Running,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(service) = self.holder.row().services.get(&key) else {
+            return;
+        };
+        let State::Open { term, primary } = service.state else {
+            return;
+        };
+        if let Some(shown) = self.view.services.get_mut(&key) {
+            shown.state = service.state;
+            shown.history = service.history.clone();
+        }
+        let loss = service.losses.iter().find(|loss| loss.opened == term);
+        let lost = loss.map(|loss| Note::Lost {
+            service: key,
+            loss: *loss,
+        });
+        self.notes.extend(lost);
+        self.notes.push(Note::Opened {
+            service: key,
+            term,
+            primary,
+            took: now.saturating_sub(running.began),
+        });
+        self.opened.insert(key, now);
+        if let Some((_, start)) = service.history.starts().last() {
+            let position = Position { term, log: start };
+            self.written.insert(
+                key,
+                Written {
+                    sent: now,
+                    position,
+                },
+            );
+        }
+        // What was known of the servers is from before; the others are to follow at once.
+        self.statuses.remove(&primary);
+        for server in running.promotion.servers().filter(|s| *s != primary) {
+            actions.push(Action::Follow {
+                server,
+                primary,
+                term,
+            });
+            self.statuses.remove(&server);
+        }
+        self.bump();
+    }
+}
--- /dev/null
+++ b/crates/core/src/leadership_reconcile.rs
@@ -0,0 +1,134 @@
+//! What a controller starts because servers, hosts or the configuration say so.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::Lead;
+use crate::key::{ServerKey, ServiceKey};
+use crate::leadership::{Action, Group, Leaving};
+use crate::promotion::{Reason, Status};
+use crate::suspicion::Verdict;
+use crate::term::Term;
+use crate::timing;
+use crate::view::State;
+
+impl Lead {
+    /// Compares what servers say of themselves with the row, and starts what is needed.
+    pub(super) fn reconcile(
+        &mut self,
+        groups: &BTreeMap<ServiceKey, Group>,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        if self
+            .status_asked
+            .is_none_or(|asked| now >= asked + timing::STATUS)
+        {
+            self.status_asked = Some(now);
+            self.judge.tidy(now);
+            let servers = groups.values().flat_map(|group| group.servers.keys());
+            actions.extend(servers.map(|server| Action::Status(*server)));
+        }
+        for (key, group) in groups {
+            if !self.view.services.contains_key(key) {
+                self.adopt(*key, group, now);
+                self.bump();
+            }
+            match self.state(*key) {
+                Some(State::Open { term, primary }) => {
+                    self.reconcile_open(*key, group, term, primary, now, actions);
+                }
+                _ => continue,
+            }
+        }
+    }
+
+    fn reconcile_open(
+        &mut self,
+        key: ServiceKey,
+        group: &Group,
+        term: Term,
+        primary: ServerKey,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let unreachable = self.judge.verdict(primary, now) == Verdict::Unreachable;
+        let dead = unreachable && self.judge.is_cool(key, now);
+        if let Some(running) = self.promotions.get_mut(&key) {
+            if dead {
+                running.promotion.urge();
+            }
+            return;
+        }
+        if dead {
+            self.judge.promoted(key, now);
+            self.begin(key, group, Reason::Unreachable, now);
+        } else if self.has_rival(group, term, primary) {
+            self.begin(key, group, Reason::Rival, now);
+        } else if self.is_leaving(group, primary) && self.has_heir(group, primary) {
+            self.begin(key, group, Reason::Leaving, now);
+        } else {
+            self.follow(group, term, primary, actions);
+        }
+    }
+
+    fn has_rival(&self, group: &Group, term: Term, primary: ServerKey) -> bool {
+        group.servers.keys().any(|server| {
+            let Some(status) = self.statuses.get(server) else {
+                return false;
+            };
+            let leads = status.leads && status.term == term;
+            // A term of a later epoch is a successor's; this process will learn of it.
+            let ours = status.term.epoch <= self.holder.epoch();
+            ours && (status.term > term || (*server == primary && !leads))
+        })
+    }
+
+    pub(super) fn is_leaving(&self, group: &Group, server: ServerKey) -> bool {
+        let stays = group.servers.get(&server) == Some(&Leaving::No);
+        !stays || self.leaving.contains(&server)
+    }
+
+    fn has_heir(&self, group: &Group, primary: ServerKey) -> bool {
+        let mut others = group.servers.keys().filter(|server| **server != primary);
+        others.any(|s| !self.is_leaving(group, *s) && self.statuses.contains_key(s))
+    }
+
+    fn follow(&mut self, group: &Group, term: Term, primary: ServerKey, actions: &mut Vec<Action>) {
+        for server in group.servers.keys().filter(|server| **server != primary) {
+            let behind = |status: &Status| status.term < term || status.leads;
+            if self.statuses.get(server).is_some_and(behind) {
+                // Asked again only after the next status, so that one order is under way.
+                self.statuses.remove(server);
+                actions.push(Action::Follow {
+                    server: *server,
+                    primary,
+                    term,
+                });
+            }
+        }
+    }
+
+    /// Shows which servers receive no new work.
+    pub(super) fn refresh(&mut self, groups: &BTreeMap<ServiceKey, Group>) {
+        let mut changed = false;
+        for (key, group) in groups {
+            let leaving = group.servers.keys().filter(|s| self.is_leaving(group, **s));
+            let leaving: BTreeSet<ServerKey> = leaving.copied().collect();
+            if let Some(shown) = self.view.services.get_mut(key)
+                && shown.leaving != leaving
+            {
+                shown.leaving = leaving;
+                changed = true;
+            }
+        }
+        // The row keeps what is no longer configured: a controller whose configuration is behind
+        // would otherwise forget a service's terms, and with them what was lost.
+        let before = self.view.services.len();
+        self.view.services.retain(|key, _| groups.contains_key(key));
+        self.promotions.retain(|key, _| groups.contains_key(key));
+        if changed || before != self.view.services.len() {
+            self.bump();
+        }
+    }
+}
--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -13,9 +13,14 @@
 //! A successor resumes from the row: a closed term is promoted again from step 3, under a term
 //! of the successor's own epoch.
 
+#[path = "promotion_next.rs"]
+mod next;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+pub use next::{Next, Order, Reason, Status};
+
 use crate::history::History;
 use crate::key::{ServerKey, ServiceKey};
 use crate::lease::Instance;
@@ -25,69 +30,6 @@
 use crate::timing;
 use crate::view::State;
 
-/// Why a service gets another primary.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reason {
-    /// It is new; this server is to be its first primary.
-    Created(ServerKey),
-    /// Hosts cannot reach its primary.
-    Unreachable,
-    /// Its primary is leaving and still there.
-    Leaving,
-    /// A server knows a greater term than the row, or the primary does not lead its term.
-    Rival,
-    /// An earlier controller closed the term and did not get further.
-    Resumed,
-}
-
-/// What a backend server says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Status {
-    /// The greatest term it knows.
-    pub term: Term,
-    /// Whether it leads that term.
-    pub leads: bool,
-    /// The last entry of its log.
-    pub position: Position,
-    /// How old its data may be.
-    pub age: Duration,
-    /// Whether it is about to be taken away.
-    pub leaving: bool,
-}
-
-/// How an order to a backend server ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Order {
-    /// The server did as told.
-    Done,
-    /// The server refuses: it knows a greater term, or lacks data.
-    Refused,
-    /// No answer came: it may have done it, or may yet.
-    Unknown,
-}
-
-/// What a promotion wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Next {
-    /// Put this state into the row, and tell [`Promotion::closing`] or [`Promotion::opening`].
-    Commit(Service),
-    /// Send the view, in which the term is closed, to these holders.
-    Revoke(Vec<Instance>),
-    /// Ask these servers for their status.
-    Ask(Vec<ServerKey>),
-    /// Promote `server` in `term` if its data reach `at_least`.
-    Promote {
-        /// The server.
-        server: ServerKey,
-        /// The term it is to lead.
-        term: Term,
-        /// What its log has to contain.
-        at_least: Position,
-    },
-    /// The new term is open and committed.
-    Done,
-}
-
 /// One promotion under way.
 #[derive(Debug)]
 pub struct Promotion {
--- /dev/null
+++ b/crates/core/tests/leadership/world/control.rs
@@ -0,0 +1,336 @@
+//! A control process: it drives its machine and carries out what that wants.
+
+use std::time::Duration;
+
+use flamingopost_core::authority::Released;
+use flamingopost_core::key::ServerKey;
+use flamingopost_core::leadership::{Action, Note};
+use flamingopost_core::lease::Instance;
+use flamingopost_core::position::Position;
+use flamingopost_core::promotion::Order;
+use flamingopost_core::row::{Row, Written};
+use flamingopost_core::term::Term;
+use flamingopost_core::view::State;
+use rand::RngExt;
+
+use super::{HOSTS, PLATFORM, Place, Server, World};
+
+const STEP: Duration = Duration::from_millis(40);
+const TABLE_TIMEOUT: Duration = Duration::from_millis(700);
+const RPC_TIMEOUT: Duration = Duration::from_millis(400);
+
+impl World {
+    pub fn control_tick(&mut self, host: usize, life: u64) {
+        let jitter = Duration::from_millis(self.rng.random_range(0..10));
+        let place = Place::Control(host);
+        self.at(place, life, STEP + jitter, move |world| {
+            world.step(host);
+            world.control_tick(host, life);
+        });
+    }
+
+    pub fn step(&mut self, host: usize) {
+        let local = self.local(Place::Control(host));
+        let actions = self.controls[host].1.step(local);
+        let life = self.controls[host].0.life;
+        for action in actions {
+            self.carry_out(host, life, action);
+        }
+        self.check_authority();
+    }
+
+    fn check_authority(&mut self) {
+        let mut leading = Vec::new();
+        for host in 0..HOSTS {
+            let local = self.local(Place::Control(host));
+            if let Some(epoch) = self.controls[host].1.leads(local) {
+                leading.push((host, epoch));
+            }
+        }
+        assert!(leading.len() <= 1, "two authorities: {leading:?}");
+        for (host, _) in leading {
+            let Some(view) = self.controls[host].1.view() else {
+                continue;
+            };
+            for (key, service) in &view.services {
+                if let State::Open { term, .. } = service.state {
+                    let index = self
+                        .services
+                        .iter()
+                        .position(|service| service == key)
+                        .unwrap();
+                    self.opened[index] = self.opened[index].max(term);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, life: u64, action: Action) {
+        match action {
+            Action::Read => self.read(host, life),
+            Action::Write { row, over } => self.write_row(host, life, row, over),
+            Action::Ask { host: to, ask } => {
+                let to = self.host(to);
+                let sent = self.local(Place::Control(host));
+                self.call(host, life, to, move |world| {
+                    let local = world.local(Place::Control(to));
+                    let promise = world.controls[to].1.asked(&ask, local);
+                    move |world: &mut World| {
+                        let from = world.hosts[to];
+                        let now = world.local(Place::Control(host));
+                        world.controls[host].1.promised(from, sent, promise, now);
+                    }
+                });
+            }
+            Action::Release { host: to, epoch } => {
+                let to = self.host(to);
+                self.call(host, life, to, move |world| {
+                    let local = world.local(Place::Control(to));
+                    let released: Released = world.controls[to].1.release(epoch, local);
+                    move |world: &mut World| {
+                        let local = world.local(Place::Control(host));
+                        let from = world.hosts[to];
+                        world.controls[host].1.released(from, &released, local);
+                    }
+                });
+            }
+            Action::Close { to, view } => {
+                for holder in to {
+                    self.send_close(host, life, holder, view.clone());
+                }
+            }
+            Action::Publish { to, view } => {
+                for holder in to {
+                    self.send_view(host, holder, view.clone());
+                }
+            }
+            Action::Status(server) => {
+                let index = self.server(server);
+                let sent = self.local(Place::Control(host));
+                let read = |server: &mut Server| server.status();
+                self.order(host, life, index, read, move |world, status| {
+                    world.controls[host].1.status(server, sent, status);
+                });
+            }
+            Action::Promote {
+                server,
+                term,
+                at_least,
+            } => self.promote(host, life, server, term, at_least),
+            Action::Follow {
+                server,
+                primary,
+                term,
+            } => {
+                let (index, primary) = (self.server(server), self.server(primary));
+                let follow = move |server: &mut Server| server.follow(primary, term);
+                self.order(host, life, index, follow, |_, _| {});
+            }
+            Action::Note(note) => self.note(host, note),
+        }
+    }
+
+    fn note(&mut self, host: usize, note: Note) {
+        self.tell(format!("h{host} {note:?}"));
+    }
+
+    fn promote(
+        &mut self,
+        host: usize,
+        life: u64,
+        server: ServerKey,
+        term: Term,
+        at_least: Position,
+    ) {
+        let index = self.server(server);
+        let service = self.servers[index].service;
+        self.tell(format!(
+            "h{host} orders b{index} to lead {term} from {at_least}"
+        ));
+        let hop = self.hop(host, self.servers[index].zone);
+        let timeout = move |world: &mut World, order| {
+            let local = world.local(Place::Control(host));
+            world.controls[host].1.promoted(server, term, order, local);
+            world.step(host);
+        };
+        let place = Place::Control(host);
+        let Some(delay) = hop else {
+            return self.at(place, life, RPC_TIMEOUT, move |w| {
+                timeout(w, Order::Unknown)
+            });
+        };
+        self.after(delay, move |world| {
+            let order = match world.servers[index].down {
+                true => Order::Unknown,
+                false => world.servers[index].promote(term, at_least),
+            };
+            if order == Order::Done {
+                world.tell(format!(
+                    "b{index} leads {term} from {}",
+                    world.servers[index].position()
+                ));
+                let leader = *world.promoted.entry((service, term)).or_insert(index);
+                assert_eq!(leader, index, "two primaries of term {term}");
+            }
+            match world.hop(host, world.servers[index].zone) {
+                Some(delay) => world.at(place, life, delay, move |w| timeout(w, order)),
+                None => world.at(place, life, RPC_TIMEOUT, move |w| {
+                    timeout(w, Order::Unknown)
+                }),
+            }
+        });
+    }
+
+    /// An order to a server and the way back of its answer; `None` when either is lost.
+    pub fn order<T: 'static>(
+        &mut self,
+        host: usize,
+        life: u64,
+        index: usize,
+        order: impl FnOnce(&mut Server) -> T + 'static,
+        answer: impl FnOnce(&mut World, Option<T>) + 'static,
+    ) {
+        let place = Place::Control(host);
+        let zone = self.servers[index].zone;
+        let Some(delay) = self.hop(host, zone) else {
+            return self.at(place, life, RPC_TIMEOUT, move |world| answer(world, None));
+        };
+        self.after(delay, move |world| {
+            if world.servers[index].down {
+                return world.at(place, life, delay, move |world| answer(world, None));
+            }
+            let result = order(&mut world.servers[index]);
+            match world.hop(host, zone) {
+                Some(delay) => world.at(place, life, delay, move |world| {
+                    answer(world, Some(result));
+                    world.step(host);
+                }),
+                None => world.at(place, life, RPC_TIMEOUT, move |world| answer(world, None)),
+            }
+        });
+    }
+
+    /// A call to another control process and its answer.
+    fn call<A: FnOnce(&mut World) + 'static>(
+        &mut self,
+        host: usize,
+        life: u64,
+        to: usize,
+        act: impl FnOnce(&mut World) -> A + 'static,
+    ) {
+        let Some(delay) = self.hop_host(host, to) else {
+            return;
+        };
+        let there = Place::Control(to);
+        let their_life = self.place(there).life;
+        self.at(there, their_life, delay, move |world| {
+            let answer = act(world);
+            world.step(to);
+            if let Some(delay) = world.hop_host(to, host) {
+                world.at(Place::Control(host), life, delay, move |world| {
+                    answer(world);
+                    world.step(host);
+                });
+            }
+        });
+    }
+
+    fn table_hop(&mut self, host: usize) -> Option<Duration> {
+        if self.table_down {
+            return None;
+        }
+        let slow = self.table_slow.as_millis() as u64;
+        let extra = Duration::from_millis(self.rng.random_range(0..=slow));
+        Some(self.hop(host, PLATFORM)? + extra)
+    }
+
+    fn read(&mut self, host: usize, life: u64) {
+        let sent = self.local(Place::Control(host));
+        let Some(delay) = self.table_hop(host) else {
+            return;
+        };
+        self.after(delay, move |world| {
+            let row = world.table.clone();
+            let Some(delay) = world.table_hop(host) else {
+                return;
+            };
+            world.at(Place::Control(host), life, delay, move |world| {
+                let local = world.local(Place::Control(host));
+                world.controls[host].1.read(sent, row.as_ref(), local);
+                world.step(host);
+            });
+        });
+    }
+
+    fn write_row(&mut self, host: usize, life: u64, row: Row, over: Option<u64>) {
+        let revision = row.revision;
+        let place = Place::Control(host);
+        let told = move |world: &mut World, written| {
+            let local = world.local(place);
+            world.controls[host].1.written(revision, written, local);
+            world.step(host);
+        };
+        let timeout = move |world: &mut World| {
+            world.at(place, life, TABLE_TIMEOUT, move |w| {
+                told(w, Written::Unknown)
+            });
+        };
+        let Some(delay) = self.table_hop(host) else {
+            return timeout(self);
+        };
+        self.after(delay, move |world| {
+            let holds = world.table.as_ref().map(|row| row.revision) == over;
+            if holds {
+                world.table = Some(row);
+            }
+            let written = match holds {
+                true => Written::Done,
+                false => Written::NotDone,
+            };
+            let lost = world.answers_lost && world.rng.random_range(0..2) == 0;
+            match world.table_hop(host) {
+                Some(delay) if !lost => world.at(place, life, delay, move |w| told(w, written)),
+                _ => timeout(world),
+            }
+        });
+    }
+
+    fn send_close(
+        &mut self,
+        host: usize,
+        life: u64,
+        holder: Instance,
+        view: flamingopost_core::view::Shard,
+    ) {
+        let to = self.host(holder.host);
+        let Some(delay) = self.hop_host(host, to) else {
+            return;
+        };
+        let their_life = self.place(Place::Entry(to)).life;
+        self.at(Place::Entry(to), their_life, delay, move |world| {
+            let (incarnation, version, acknowledged) = world.entries[to].1.close(view);
+            let Some(delay) = world.hop_host(to, host) else {
+                return;
+            };
+            world.at(Place::Control(host), life, delay, move |world| {
+                let holder = Instance {
+                    host: world.hosts[to],
+                    incarnation,
+                };
+                let controller = &mut world.controls[host].1;
+                controller.closed(holder, version, &acknowledged);
+                world.step(host);
+            });
+        });
+    }
+
+    fn send_view(&mut self, host: usize, holder: Instance, view: flamingopost_core::view::Shard) {
+        let to = self.host(holder.host);
+        if let Some(delay) = self.hop_host(host, to) {
+            let life = self.place(Place::Entry(to)).life;
+            self.at(Place::Entry(to), life, delay, move |world| {
+                world.entries[to].1.adopt(view);
+            });
+        }
+    }
+}
