--- a/crates/standin/src/backend/executor.rs
+++ b/crates/standin/src/backend/executor.rs
@@ -1,46 +1,36 @@
 //! Runs the statements of one session against the engine.
 
 use std::collections::BTreeMap;
-use std::future::Future;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, OnceLock};
-use std::time::Duration;
 
 use bytes::BytesMut;
 use pgwire::api::Type;
 use pgwire::messages::PgWireBackendMessage;
-use pgwire::messages::copy::{CopyData, CopyDone, CopyOutResponse};
 use pgwire::messages::data::DataRow;
 use pgwire::messages::response::TransactionStatus;
 use rusqlite::params_from_iter;
 use rusqlite::types::{Value, ValueRef};
-use tokio::sync::OwnedSemaphorePermit;
 
-use super::copy;
 use super::engine::{self, Engine};
 use super::error::Error;
+use super::executor_copy::CopyIn;
+use super::executor_turn::interruptible;
 use super::group;
 use super::infer::{self, Column};
 use super::parameter::Parameters;
+use super::portal::format_of;
+use super::prepared::Prepared;
 use super::registry::Handle;
-use super::session::format_of;
 use super::shared::Shared;
 use super::sql::{self, Argument, Call, Kind, Statement};
-use super::state::Role;
 use super::transaction::{Block, Transaction};
+use super::translate::quote;
 use super::value;
 
 /// Texts whose parse a session remembers.
 const CACHED_TEXTS: usize = 256;
 
-/// A statement with all that does not change from run to run.
-#[derive(Debug)]
-pub(crate) struct Prepared {
-    pub(crate) statement: Statement,
-    pub(crate) types: Vec<Type>,
-    columns: OnceLock<Arc<Vec<Column>>>,
-}
-
 /// What a statement came to.
 #[derive(Debug)]
 pub(crate) enum Outcome {
@@ -57,31 +47,15 @@
     CopyIn(CopyIn),
 }
 
-/// A COPY FROM STDIN under way.
-#[derive(Debug)]
-pub(crate) struct CopyIn {
-    sql: String,
-    kinds: Vec<Type>,
-    buffer: BytesMut,
-    rows: usize,
-}
-
-impl CopyIn {
-    /// How many columns it fills.
-    pub(crate) fn width(&self) -> usize {
-        self.kinds.len()
-    }
-}
-
 /// The statements of one session. The engine is dropped, and its open transaction undone, before
 /// the transaction gives up the writer's lock.
 #[derive(Debug)]
 pub(crate) struct Executor {
-    engine: Engine,
-    transaction: Transaction,
-    shared: Arc<Shared>,
-    handle: Arc<Handle>,
-    parameters: Parameters,
+    pub(crate) engine: Engine,
+    pub(crate) transaction: Transaction,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) handle: Arc<Handle>,
+    pub(crate) parameters: Parameters,
     generation: u64,
     texts: BTreeMap<String, Vec<Arc<Prepared>>>,
 }
@@ -116,7 +90,7 @@
 
     /// Opens the engine anew when the server has rebuilt its data, and forgets cached types when
     /// the schema has changed.
-    fn refresh(&mut self) -> Result<(), Error> {
+    pub(crate) fn refresh(&mut self) -> Result<(), Error> {
         let generation = self.shared.generation.load(Ordering::Acquire);
         if generation == self.generation || self.transaction.is_writing() {
             return Ok(());
@@ -178,11 +152,7 @@
                 .collect(),
             _ => infer::parameters(&self.engine.connection, &statement, oids),
         };
-        Prepared {
-            statement,
-            types,
-            columns: OnceLock::new(),
-        }
+        Prepared::new(statement, types)
     }
 
     /// The columns of a statement's result; none when it gives no rows.
@@ -296,17 +266,14 @@
                 self.transaction.roll_back(&self.engine)?;
                 self.parameters.end(false);
             }
-            Kind::Savepoint(name) => {
-                self.savepoint(format!("SAVEPOINT {}", sql::quote(name)))
-                    .await?
-            }
+            Kind::Savepoint(name) => self.savepoint(format!("SAVEPOINT {}", quote(name))).await?,
             Kind::RollbackTo(name) => {
-                let text = format!("ROLLBACK TO {}", sql::quote(name));
+                let text = format!("ROLLBACK TO {}", quote(name));
                 self.nested(&text, name)?;
                 self.transaction.block = Block::Open;
             }
             Kind::Release(name) => {
-                let text = format!("RELEASE {}", sql::quote(name));
+                let text = format!("RELEASE {}", quote(name));
                 self.nested(&text, name)?;
             }
             Kind::Set(setting) if setting.name == "transaction" => {
@@ -432,153 +399,6 @@
         Ok(prepared.exists([table])?)
     }
 
-    /// Takes the writer's lock and opens the engine's transaction, unless that was done already.
-    ///
-    /// It comes before the slot: a transaction that waits for its next statement may hold the
-    /// lock, and could never finish if those who wait for the lock held all slots.
-    async fn begin_write(&mut self) -> Result<(), Error> {
-        if self.shared.state().role == Role::Replica || self.transaction.read_only {
-            return Err(Error::ReadOnly);
-        }
-        if self.transaction.is_writing() {
-            return Ok(());
-        }
-        let timeout = self.parameters.statement_timeout();
-        let lock = Arc::clone(&self.shared.writer).lock_owned();
-        let writer = interruptible(&self.handle, timeout, lock).await?;
-        let term = {
-            let state = self.shared.state();
-            match (state.role, state.term) {
-                (Role::Primary, Some(term)) => term,
-                _ => return Err(Error::ReadOnly),
-            }
-        };
-        self.refresh()?;
-        self.transaction
-            .write(&self.engine, engine::pin(), term, writer)
-    }
-
-    async fn slot(&mut self) -> Result<Option<OwnedSemaphorePermit>, Error> {
-        let Some(slots) = &self.shared.slots else {
-            return Ok(None);
-        };
-        let timeout = self.parameters.statement_timeout();
-        let permit = match Arc::clone(slots).try_acquire_owned() {
-            Ok(permit) => permit,
-            Err(_) => {
-                let permit = Arc::clone(slots).acquire_owned();
-                // The semaphore is never closed, so only a cancel ends the wait early.
-                let permit = interruptible(&self.handle, timeout, permit).await?;
-                permit.map_err(|_| Error::StartingUp)?
-            }
-        };
-        Ok(Some(permit))
-    }
-
-    /// Lets the time pass that the statement takes.
-    async fn spend(&mut self, sleep: Option<&Argument>, parameters: &[Value]) -> Result<(), Error> {
-        self.shared.statements.fetch_add(1, Ordering::Relaxed);
-        let cost = self.shared.settings.statement_cost + self.shared.switch.slow();
-        let asked = match sleep {
-            Some(Argument::Text(text)) => text.parse().unwrap_or(0.0),
-            Some(Argument::Bound(index)) => match parameters.get(*index) {
-                Some(Value::Real(seconds)) => *seconds,
-                Some(Value::Integer(seconds)) => *seconds as f64,
-                _ => 0.0,
-            },
-            None => 0.0,
-        };
-        let asked = Duration::try_from_secs_f64(asked).unwrap_or_default();
-        let total = cost + asked;
-        if !total.is_zero() {
-            let timeout = self.parameters.statement_timeout();
-            interruptible(&self.handle, timeout, tokio::time::sleep(total)).await?;
-        }
-        self.shared.switch.running().await;
-        Ok(())
-    }
-
-    async fn copy_out(&mut self, query: &str) -> Result<Outcome, Error> {
-        let _slot = self.slot().await?;
-        self.spend(None, &[]).await?;
-        let mut prepared = self.engine.connection.prepare_cached(query)?;
-        let kinds: Vec<Type> = prepared
-            .columns()
-            .map(|column| column.decl_type().map_or(Type::TEXT, value::declared))
-            .collect();
-        let width = kinds.len();
-        let response = CopyOutResponse::new(0, width as i16, vec![0; width]);
-        let mut messages = vec![PgWireBackendMessage::CopyOutResponse(response)];
-        let mut rows = prepared.query([])?;
-        while let Some(row) = rows.next()? {
-            let fields = (0..width).map(|index| row.get_ref(index).unwrap_or(ValueRef::Null));
-            let line = copy::line(fields.zip(&kinds));
-            messages.push(PgWireBackendMessage::CopyData(CopyData::new(line)));
-        }
-        let count = messages.len() - 1;
-        messages.push(PgWireBackendMessage::CopyDone(CopyDone::new()));
-        Ok(Outcome::Done {
-            rows: messages,
-            tag: format!("COPY {count}"),
-        })
-    }
-
-    async fn copy_in(&mut self, table: &str, columns: Option<&str>) -> Result<Outcome, Error> {
-        let list = columns.unwrap_or("*");
-        let kinds: Vec<Type> = self
-            .engine
-            .connection
-            .prepare(&format!("SELECT {list} FROM {table}"))?
-            .columns()
-            .map(|column| column.decl_type().map_or(Type::TEXT, value::declared))
-            .collect();
-        self.begin_write().await?;
-        let holders: Vec<String> = (1..=kinds.len())
-            .map(|number| format!("?{number}"))
-            .collect();
-        let into = columns.map_or_else(String::new, |columns| format!(" ({columns})"));
-        let sql = format!("INSERT INTO {table}{into} VALUES ({})", holders.join(", "));
-        Ok(Outcome::CopyIn(CopyIn {
-            sql,
-            kinds,
-            buffer: BytesMut::new(),
-            rows: 0,
-        }))
-    }
-
-    /// Takes what the caller sent for a COPY.
-    pub(crate) fn copy_data(&mut self, copy: &mut CopyIn, data: &[u8]) -> Result<(), Error> {
-        copy.buffer.extend_from_slice(data);
-        while let Some(end) = copy.buffer.iter().position(|byte| *byte == b'\n') {
-            let line = copy.buffer.split_to(end + 1);
-            self.copy_line(copy, &line[..end])?;
-        }
-        Ok(())
-    }
-
-    /// Ends a COPY; tells how many rows came.
-    pub(crate) fn copy_done(&mut self, mut copy: CopyIn) -> Result<usize, Error> {
-        if !copy.buffer.is_empty() {
-            let line = copy.buffer.split();
-            self.copy_line(&mut copy, &line)?;
-        }
-        Ok(copy.rows)
-    }
-
-    fn copy_line(&mut self, copy: &mut CopyIn, line: &[u8]) -> Result<(), Error> {
-        if line == b"\\." {
-            return Ok(());
-        }
-        let values = copy::values(line, &copy.kinds)?;
-        self.engine
-            .connection
-            .prepare_cached(&copy.sql)?
-            .execute(params_from_iter(&values))?;
-        self.transaction.record(&copy.sql, &values);
-        copy.rows += 1;
-        Ok(())
-    }
-
     /// Commits what an implicit transaction wrote.
     pub(crate) fn finish_implicit(&mut self) -> Result<(), Error> {
         match self.transaction.block {
@@ -593,26 +413,6 @@
     }
 }
 
-/// Waits for `work`, a cancel request or the statement's timeout.
-async fn interruptible<T>(
-    handle: &Handle,
-    timeout: Option<Duration>,
-    work: impl Future<Output = T>,
-) -> Result<T, Error> {
-    let expired = async {
-        match timeout {
-            Some(timeout) => tokio::time::sleep(timeout).await,
-            None => std::future::pending().await,
-        }
-    };
-    tokio::select! {
-        biased;
-        () = handle.canceled() => Err(Error::Canceled),
-        done = work => Ok(done),
-        () = expired => Err(Error::Timeout),
-    }
-}
-
 fn ends_block(kind: &Kind) -> bool {
     matches!(kind, Kind::Commit | Kind::Rollback | Kind::RollbackTo(_))
 }
--- a/crates/standin/src/backend/session.rs
+++ b/crates/standin/src/backend/session.rs
@@ -3,120 +3,41 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use bytes::BytesMut;
-use pgwire::error::PgWireError;
 use pgwire::messages::copy::CopyInResponse;
-use pgwire::messages::data::{FieldDescription, NoData, ParameterDescription, RowDescription};
+use pgwire::messages::data::{NoData, ParameterDescription};
 use pgwire::messages::extendedquery::{
     Bind, BindComplete, Close, CloseComplete, Describe, Execute, Parse, ParseComplete,
     PortalSuspended, TARGET_TYPE_BYTE_STATEMENT,
 };
-use pgwire::messages::response::{CommandComplete, EmptyQueryResponse, ReadyForQuery, SslResponse};
+use pgwire::messages::response::{CommandComplete, EmptyQueryResponse, ReadyForQuery};
 use pgwire::messages::startup::{
     Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup,
 };
-use pgwire::messages::{
-    DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion,
-    SslNegotiationMetaMessage,
-};
+use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
 use rusqlite::types::Value;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::channel::{Channel, End};
 use super::error::Error;
-use super::executor::{CopyIn, Executor, Outcome, Prepared};
-use super::infer::Column;
+use super::executor::{Executor, Outcome};
+use super::executor_copy::CopyIn;
+use super::portal::{Portal, description, format_of};
+use super::prepared::Prepared;
 use super::registry::Handle;
-use super::replica::PEER_USER;
 use super::shared::Shared;
 use super::sql::Kind;
+use super::startup;
 use super::state::Role;
 use super::value;
 
-/// Rows are sent on when this much is waiting.
-const FLUSH_AT: usize = 64 * 1024;
-
-/// Why a connection ends.
-#[derive(Debug, displaydoc::Display)]
-pub(crate) enum End {
-    /// the caller closed it
-    Closed,
-    /// the network broke: {0}
-    Io(std::io::Error),
-    /// the caller broke the protocol: {0}
-    Protocol(PgWireError),
-}
-
-impl From<std::io::Error> for End {
-    fn from(error: std::io::Error) -> End {
-        End::Io(error)
-    }
-}
-
-impl From<PgWireError> for End {
-    fn from(error: PgWireError) -> End {
-        End::Protocol(error)
-    }
-}
-
-/// Messages to and from one peer.
-struct Channel {
-    shared: Arc<Shared>,
-    socket: TcpStream,
-    context: DecodeContext,
-    input: BytesMut,
-    output: BytesMut,
-    /// The peer's name, for cuts, once its start-up message has told it.
-    peer: Option<String>,
-}
-
-impl Channel {
-    async fn next(&mut self) -> Result<PgWireFrontendMessage, End> {
-        loop {
-            if let Some(message) = PgWireFrontendMessage::decode(&mut self.input, &self.context)? {
-                return Ok(message);
-            }
-            if self.socket.read_buf(&mut self.input).await? == 0 {
-                return Err(End::Closed);
-            }
-            self.shared.switch.reached_by(self.peer.as_deref()).await;
-        }
-    }
-
-    fn push(&mut self, message: PgWireBackendMessage) -> Result<(), End> {
-        message.encode(&mut self.output)?;
-        Ok(())
-    }
-
-    async fn flush(&mut self) -> Result<(), End> {
-        self.shared.switch.reached_by(self.peer.as_deref()).await;
-        self.socket.write_all(&self.output).await?;
-        self.output.clear();
-        Ok(())
-    }
-
-    async fn refuse(&mut self, error: &Error) -> Result<(), End> {
-        self.push(PgWireBackendMessage::ErrorResponse(error.response()))?;
-        self.flush().await?;
-        Err(End::Closed)
-    }
-}
-
 /// Serves one connection until it ends.
 pub(crate) async fn serve(shared: Arc<Shared>, socket: TcpStream) -> Result<(), End> {
     socket.set_nodelay(true)?;
-    let mut channel = Channel {
-        shared: Arc::clone(&shared),
-        socket,
-        context: DecodeContext::new(ProtocolVersion::PROTOCOL3_0),
-        input: BytesMut::new(),
-        output: BytesMut::new(),
-        peer: None,
-    };
-    let Some(startup) = greet(&mut channel).await? else {
+    let mut channel = Channel::new(Arc::clone(&shared), socket);
+    let Some(startup) = startup::greet(&mut channel).await? else {
         return Ok(());
     };
-    let handle = match admit(&mut channel, &startup).await? {
+    let handle = match startup::admit(&mut channel, &startup).await? {
         Ok(handle) => handle,
         Err(error) => return channel.refuse(&error).await,
     };
@@ -130,59 +51,6 @@
     ended
 }
 
-/// Everything before the start-up message. A cancel request is answered here.
-async fn greet(channel: &mut Channel) -> Result<Option<Startup>, End> {
-    loop {
-        match channel.next().await? {
-            PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None) => {
-                channel.context.awaiting_frontend_ssl = false;
-            }
-            PgWireFrontendMessage::SslNegotiation(_) => {
-                channel.push(PgWireBackendMessage::SslResponse(SslResponse::Refuse))?;
-                channel.flush().await?;
-            }
-            PgWireFrontendMessage::CancelRequest(request) => {
-                if let SecretKey::I32(secret) = request.secret_key {
-                    channel.shared.registry.cancel(request.pid, secret);
-                }
-                return Ok(None);
-            }
-            PgWireFrontendMessage::Startup(startup) => {
-                channel.context.awaiting_frontend_startup = false;
-                return Ok(Some(startup));
-            }
-            _ => return Err(End::Closed),
-        }
-    }
-}
-
-async fn admit(
-    channel: &mut Channel,
-    startup: &Startup,
-) -> Result<Result<Arc<Handle>, Error>, End> {
-    let given = |name: &str| startup.parameters.get(name).cloned().unwrap_or_default();
-    channel.peer = Some(given("application_name"));
-    let shared = Arc::clone(&channel.shared);
-    shared.switch.reached_by(channel.peer.as_deref()).await;
-    let settings = &shared.settings;
-    let is_peer = given("user") == PEER_USER;
-    let database = given("database");
-    if database != settings.service {
-        return Ok(Err(Error::Database(database)));
-    }
-    if shared.state().rebuilding {
-        return Ok(Err(Error::StartingUp));
-    }
-    let limit = usize::from(settings.connections);
-    let Some(handle) = shared.registry.add(!is_peer, limit) else {
-        return Ok(Err(Error::TooManyConnections));
-    };
-    if !is_peer {
-        tokio::time::sleep(settings.connect_cost).await;
-    }
-    Ok(Ok(handle))
-}
-
 async fn run(channel: Channel, startup: Startup, handle: Arc<Handle>) -> Result<(), End> {
     let shared = Arc::clone(&channel.shared);
     let executor = match Executor::new(shared, Arc::clone(&handle), &startup.parameters) {
@@ -213,14 +81,8 @@
     }
 }
 
-/// A bound statement.
-struct Portal {
-    prepared: Arc<Prepared>,
-    parameters: Vec<Value>,
-    formats: Vec<i16>,
-    /// Rows that the caller has not fetched yet, once the statement ran.
-    rest: Option<Outcome>,
-}
+/// Rows are sent on when this much is waiting.
+const FLUSH_AT: usize = 64 * 1024;
 
 /// A COPY FROM STDIN under way.
 struct Copying {
@@ -518,7 +380,7 @@
         };
         let outcome = match portal.rest.take() {
             Some(rest) => Ok(rest),
-            None => run_portal(&mut self.executor, portal).await,
+            None => portal.run(&mut self.executor).await,
         };
         let outcome = match outcome {
             Ok(outcome) => outcome,
@@ -606,47 +468,3 @@
             .push(PgWireBackendMessage::ParameterStatus(status))
     }
 }
-
-async fn run_portal(executor: &mut Executor, portal: &Portal) -> Result<Outcome, Error> {
-    let Portal {
-        prepared,
-        parameters,
-        formats,
-        ..
-    } = portal;
-    let columns = match prepared.statement.kind {
-        Kind::CopyOut { .. } => Arc::default(),
-        _ => executor.describe(prepared, parameters)?,
-    };
-    executor.run(prepared, parameters, &columns, formats).await
-}
-
-/// The format of the field at `index`, by the rules for lists of format codes.
-pub(crate) fn format_of(codes: &[i16], index: usize) -> i16 {
-    match codes {
-        [] => 0,
-        [all] => *all,
-        each => each.get(index).copied().unwrap_or(0),
-    }
-}
-
-fn description(columns: &[Column], formats: &[i16]) -> RowDescription {
-    let fields = columns.iter().enumerate().map(|(index, column)| {
-        let width = match column.kind {
-            pgwire::api::Type::INT8 | pgwire::api::Type::FLOAT8 => 8,
-            pgwire::api::Type::BOOL => 1,
-            _ => -1,
-        };
-        let format = format_of(formats, index);
-        FieldDescription::new(
-            column.name.clone(),
-            0,
-            0,
-            column.kind.oid(),
-            width,
-            -1,
-            format,
-        )
-    });
-    RowDescription::new(fields.collect())
-}
