control, entry: an entry host that operators drain is told to end

Cause: POST /v1/drain took hosts and only showed them as leaving; nobody told them. Change: the grant carries the order, the host drains as on SIGTERM. A host's name is looked for at all controllers, since the configuration does not name hosts. Conclusion: a test on each side, and over a drain that is taken back.

--- a/crates/control/src/drain.rs
+++ b/crates/control/src/drain.rs
@@ -10,6 +10,8 @@
 use flamingopost_wire::submission::Drain as Order;
 use serde::{Deserialize, Serialize};
 
+use crate::fleet_status;
+use crate::shards::Shards;
 use crate::shared::Shared;
 
 /// Key of the row.
@@ -69,8 +71,13 @@
 ///
 /// # Errors
 /// The name is unknown or the platform does not answer.
-pub async fn run(shared: &Shared, order: &Order, wish: Wish) -> Result<Drain, Error> {
-    check(shared, order)?;
+pub async fn run(
+    shared: &Shared,
+    shards: &Shards,
+    order: &Order,
+    wish: Wish,
+) -> Result<Drain, Error> {
+    check(shared, shards, order).await?;
     let mut in_doubt = false;
     for _ in 0..TRIES {
         match attempt(shared, order, wish).await {
@@ -88,11 +95,10 @@
     }
 }
 
-fn check(shared: &Shared, order: &Order) -> Result<(), Error> {
-    let directory = shared.directory();
+async fn check(shared: &Shared, shards: &Shards, order: &Order) -> Result<(), Error> {
     let known = match order {
-        Order::Server(name) => directory.servers.find(name).is_some(),
-        Order::Host(name) => directory.hosts.find(name).is_some(),
+        Order::Server(name) => shared.directory().servers.find(name).is_some(),
+        Order::Host(name) => is_host(shared, shards, name).await,
     };
     match known {
         true => Ok(()),
@@ -101,6 +107,13 @@
     }
 }
 
+/// The configuration does not name entry hosts: only the controllers that they renew with know
+/// them.
+async fn is_host(shared: &Shared, shards: &Shards, name: &str) -> bool {
+    let status = fleet_status::gather(shared, shards).await;
+    status.hosts.iter().any(|host| host.host == name)
+}
+
 /// `None` where another operator's order came in between.
 async fn attempt(shared: &Shared, order: &Order, wish: Wish) -> Result<Option<Drain>, Effect> {
     let table = shared.platform();
--- a/crates/control/src/hints.rs
+++ b/crates/control/src/hints.rs
@@ -33,6 +33,8 @@
     pub leaving: BTreeSet<ServerKey>,
     /// Backend servers that operators have drained.
     pub drained: BTreeSet<ServerKey>,
+    /// Entry hosts that operators have drained.
+    pub ended: BTreeSet<HostKey>,
 }
 
 /// Tells all shards of changes until the process stops.
@@ -66,6 +68,7 @@
     };
     let mut fresh = Hints {
         drained: std::mem::take(&mut hints.drained),
+        ended: std::mem::take(&mut hints.ended),
         ..Hints::default()
     };
     for host in list {
@@ -115,9 +118,11 @@
     hints.drained = servers
         .filter_map(|name| directory.servers.find(name))
         .collect();
-    for name in &drain.hosts {
-        if let Some(host) = directory.hosts.find(name) {
-            hints.hosts.insert(host, Hint::Leaving);
-        }
+    let hosts = drain.hosts.iter();
+    hints.ended = hosts
+        .filter_map(|name| directory.hosts.find(name))
+        .collect();
+    for host in &hints.ended {
+        hints.hosts.insert(*host, Hint::Leaving);
     }
 }
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -265,7 +265,7 @@
 }
 
 async fn drained(operators: &Operators, order: &wire::Drain, wish: drain::Wish) -> HttpResponse {
-    match drain::run(&operators.shared, order, wish).await {
+    match drain::run(&operators.shared, &operators.shards, order, wish).await {
         Ok(drain) => HttpResponse::Ok().json(drain),
         Err(drain::Error::NoSuchName) => fail(Failure::NotFound),
         Err(drain::Error::Unavailable) => fail(Failure::Unavailable),
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use actix::{Actor, AsyncContext, Context};
-use flamingopost_core::key::{ServerKey, ServiceKey};
+use flamingopost_core::key::{HostKey, ServerKey, ServiceKey};
 use flamingopost_core::leadership::{self, Controller, Group};
 use flamingopost_core::lease::Instance;
 use flamingopost_core::membership::{Leaving, Member, Membership, Process, Reason};
@@ -65,6 +65,8 @@
     pub(crate) granted: BTreeMap<Instance, u32>,
     pub(crate) membership: Membership,
     pub(crate) leaving: Leaving,
+    /// Entry hosts that operators want to end.
+    pub(crate) drained: BTreeSet<HostKey>,
     /// What each server last said, and when it was asked.
     pub(crate) statuses: BTreeMap<ServerKey, (Duration, Status)>,
     pub(crate) config: Option<Arc<Config>>,
@@ -95,6 +97,7 @@
             granted: BTreeMap::new(),
             membership: Membership::default(),
             leaving: Leaving::default(),
+            drained: BTreeSet::new(),
             statuses: BTreeMap::new(),
             config: None,
             led: false,
@@ -210,6 +213,7 @@
         changed |= self
             .leaving
             .replace(Reason::Platform, hints.leaving.clone());
+        self.drained.clone_from(&hints.ended);
         let hosts = hints.hosts.iter();
         self.membership
             .listed(hosts.map(|(host, hint)| (*host, *hint)).collect());
--- a/crates/control/src/shard_lease.rs
+++ b/crates/control/src/shard_lease.rs
@@ -47,6 +47,7 @@
                         .map(|(name, g)| (name.clone(), g.leased))
                         .collect(),
                     floors: floors(&grants),
+                    drain: self.drained.contains(&holder.host),
                     config: self.shared.heard(),
                 })
             }
--- a/crates/control/tests/common/holder.rs
+++ b/crates/control/tests/common/holder.rs
@@ -32,6 +32,7 @@
     floors: BTreeMap<String, u16>,
     config: u64,
     leaving: BTreeSet<String>,
+    drained: bool,
 }
 
 /// An entry host; it stops when dropped.
@@ -58,6 +59,7 @@
             floors: BTreeMap::new(),
             config: 0,
             leaving: BTreeSet::new(),
+            drained: false,
         }));
         let server = Server::builder().build("127.0.0.1:0").await.unwrap();
         let rpc = server.local_addr().unwrap().to_string();
@@ -126,6 +128,11 @@
         self.state.lock().unwrap().floors.clone()
     }
 
+    /// Whether the host was told to take nothing new and end.
+    pub fn is_drained(&self) -> bool {
+        self.state.lock().unwrap().drained
+    }
+
     pub fn config(&self) -> u64 {
         self.state.lock().unwrap().config
     }
@@ -201,6 +208,7 @@
         let granted = state
             .holder
             .granted(ticket, version, valid, view, Boot.now());
+        state.drained = grant.drain;
         state.allotment = grant.allotment;
         let floors = grant.floors.into_iter();
         state.floors = floors
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -144,6 +144,15 @@
         answer(request).await
     }
 
+    pub async fn delete(&self, control: usize, path: &str, body: &Value) -> (u16, Value) {
+        let url = format!("http://{}{path}", self.controls[control].admin);
+        let request = reqwest::Client::new()
+            .delete(url)
+            .bearer_auth(TOKEN)
+            .json(body);
+        answer(request).await
+    }
+
     pub async fn get(&self, control: usize, path: &str) -> (u16, Value) {
         let url = format!("http://{}{path}", self.controls[control].admin);
         answer(reqwest::Client::new().get(url).bearer_auth(TOKEN)).await
--- a/crates/control/tests/fleet.rs
+++ b/crates/control/tests/fleet.rs
@@ -101,6 +101,31 @@
     assert_eq!(code, 404);
 }
 
+/// An operator drains an entry host through whichever control process is at hand. The host is told
+/// with its next grant; others are not. Taking the drain back is told the same way.
+#[actix_rt::test]
+async fn a_drained_entry_host_is_told() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let other = (fleet.leader(0).await + 1) % 3;
+    let order = json!({"host": "akaki-hall-1"});
+    let (code, answer) = fleet.post(other, "/v1/drain", &order).await;
+    assert_eq!(code, 200, "{answer}");
+    eventually("the host is told", || async {
+        hosts[1].is_drained().then_some(())
+    })
+    .await;
+    assert!(!hosts[0].is_drained() && !hosts[2].is_drained());
+    assert_eq!(fleet.delete(other, "/v1/drain", &order).await.0, 200);
+    eventually("the host is told again", || async {
+        (!hosts[1].is_drained()).then_some(())
+    })
+    .await;
+    let unknown = json!({"host": "no-such"});
+    assert_eq!(fleet.post(0, "/v1/drain", &unknown).await.0, 404);
+}
+
 /// The platform announces to the primary's server that its host will be switched off. Writes
 /// move to another server while the old one is still there, and nothing is lost.
 #[actix_rt::test]
--- a/crates/entry/examples/link_cost.rs
+++ b/crates/entry/examples/link_cost.rs
@@ -354,6 +354,7 @@
                 .map(|server| (server, 4))
                 .collect(),
             floors: BTreeMap::new(),
+            drain: false,
             config: 1,
         })
     }
--- a/crates/entry/src/link/renewal.rs
+++ b/crates/entry/src/link/renewal.rs
@@ -259,6 +259,9 @@
     };
     count(link, "granted");
     link.controllers().granted(shard, address);
+    if grant.drain {
+        link.shared.stop().drain();
+    }
     let valid = Duration::from_millis(grant.valid_ms);
     let outcome = leased(link, item.ticket, &grant, valid, view);
     link.shared
--- a/crates/entry/tests/common/control.rs
+++ b/crates/entry/tests/common/control.rs
@@ -34,6 +34,8 @@
     pub grants: Result<(), Option<String>>,
     pub view: Shard,
     pub allotment: BTreeMap<String, u16>,
+    /// Whether grants tell hosts to drain.
+    pub drain: bool,
     pub knowledge: Knowledge,
     pub renewals: Vec<Renewal>,
 }
@@ -68,6 +70,7 @@
             grants: Ok(()),
             view: view(1, TERM, Some(PRIMARY)),
             allotment: BTreeMap::from([(PRIMARY.to_owned(), 5)]),
+            drain: false,
             knowledge,
             renewals: Vec::new(),
         }));
@@ -117,6 +120,7 @@
                     view: (!known).then(|| state.view.clone()),
                     allotment: state.allotment.clone(),
                     floors: BTreeMap::new(),
+                    drain: state.drain,
                     config,
                 })
             }
--- a/crates/entry/tests/link.rs
+++ b/crates/entry/tests/link.rs
@@ -15,7 +15,7 @@
 use flamingopost_core::lease::{Acknowledge, Leader};
 use flamingopost_core::position::Position;
 use flamingopost_daemon::clock::Boot;
-use flamingopost_daemon::stop::Stop;
+use flamingopost_daemon::stop::{Phase, Stop};
 use flamingopost_daemon::token::Token;
 use flamingopost_entry::link::{self, Host, Link, Options};
 use flamingopost_entry::report::Outcome;
@@ -170,6 +170,24 @@
     assert_eq!(renewal.rpc, entry.rpc.to_string());
 }
 
+/// An operator drains the host by its name, at whichever controller is at hand. The host learns of
+/// it with its next lease and begins to end; it does not wait for somebody to log in to it.
+#[tokio::test]
+async fn a_host_drains_when_its_controller_says_so() {
+    let platform = Arc::new(Platform::default());
+    put(&platform, 1, BODY).await;
+    let control = Control::start(Knowledge::default()).await;
+    control.names(&control, 1);
+    let entry = Entry::start(Arc::new(Boot), platform, &[&control], None).await;
+    until("a lease", || entry.is_leased()).await;
+    assert_eq!(entry.shared.stop().phase(), Phase::Running);
+    control.state().drain = true;
+    until("the drain", || {
+        entry.shared.stop().phase() == Phase::Draining
+    })
+    .await;
+}
+
 /// All hosts of a zone were replaced while the platform's store is down. Callers find hosts that
 /// know nothing. A control process elsewhere still has the configuration in force and knows the
 /// controller: the fresh host serves by what it tells.
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -74,6 +74,9 @@
     /// that is cut off from its controller goes on serving.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub floors: BTreeMap<String, Floor>,
+    /// Whether operators want the host to take nothing new and end.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub drain: bool,
     /// Highest configuration version the controller knows.
     pub config: u64,
 }
