Keep each term's origin, so that a return to a passed-over log is judged right

Change: the row keeps for every term ever opened on which log it went on and where; the history of a new term is the chain of those, whatever was tried in between. Conclusion: replaces the list of dropped terms, which could not say what had led to them.

--- a/crates/core/src/history.rs
+++ b/crates/core/src/history.rs
@@ -39,9 +39,9 @@
         *known = start.min(*known);
     }
 
-    /// Drops the terms that are no part of the log up to `base`, from which the next term goes on,
-    /// and returns them: they came after its term and began before its end. One that began at its
-    /// end or later stays; the start of the next term cuts off all that it wrote.
+    /// The terms that led to the log up to `base`: all up to its term, and after that those that
+    /// began right at its end, of which nothing was written yet. A later term that began elsewhere
+    /// went on from another log, whatever the numbers say.
     ///
     /// ```
     /// use flamingopost_core::history::{History, Verdict};
@@ -54,17 +54,21 @@
     /// history.open(term(1), 100);
     /// // Nobody reachable has anything of the second term; the third goes on from the first.
     /// let base = Position { term: term(0), log: 120 };
-    /// assert_eq!(history.branch(base).latest(), Some(term(1)));
+    /// let mut history = history.up_to(base);
     /// history.open(term(2), 120);
     /// let lost = Position { term: term(1), log: 110 };
     /// assert_eq!(history.judge(lost), Verdict::Lost { ended_by: term(2), start: 120 });
     /// let kept = Position { term: term(0), log: 120 };
     /// assert_eq!(history.judge(kept), Verdict::Kept);
     /// ```
-    pub fn branch(&mut self, base: Position) -> History {
-        let beside = |term: &Term, start: &mut u64| *term > base.term && *start < base.log;
-        let starts = self.starts.extract_if(.., beside).collect();
-        History { starts }
+    pub fn up_to(&self, base: Position) -> History {
+        let part = |term: Term, start: u64| term <= base.term || start == base.log;
+        let starts = self
+            .starts()
+            .take_while(|(term, start)| part(*term, *start));
+        History {
+            starts: starts.collect(),
+        }
     }
 
     /// Where `term` began, if it is known.
--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -21,7 +21,6 @@
 
 pub use next::{Next, Order, Reason, Status};
 
-use crate::history::History;
 use crate::key::{ServerKey, ServiceKey};
 use crate::lease::Instance;
 use crate::position::Position;
@@ -412,7 +411,7 @@
     }
 
     fn has_all(&self, status: Status) -> bool {
-        let history = self.extended(status.position);
+        let history = self.service.lineage(status.position);
         let reaches = |wanted| history.covers(status.position, wanted);
         let planned = self.reason == Reason::Leaving;
         let written = self.service.primary.and_then(|p| self.statuses.get(&p));
@@ -422,17 +421,7 @@
 
     fn open(&self, server: ServerKey, term: Term, start: Position) -> Service {
         let mut service = self.service.clone();
-        service.history = self.extended(start);
-        let dropped = service.history.branch(start);
-        for (term, start) in dropped.starts() {
-            service.dropped.open(term, start);
-        }
-        service.history.open(term, start.log);
-        service.state = State::Open {
-            term,
-            primary: server,
-        };
-        service.primary = Some(server);
+        service.open(term, server, start);
         let created = matches!(self.reason, Reason::Created(_));
         let lost = self
             .acknowledged
@@ -447,22 +436,4 @@
         }
         service
     }
-
-    /// The history, with the term of `last` added where the row does not show it: it was dropped
-    /// when nobody reachable had its log, or opened by an earlier controller that was lost before
-    /// the row said so.
-    ///
-    /// Where a term of the second kind began is not known. The start of the term before it is the
-    /// earliest possible, so no lost write passes for a kept one; a kept one may be reported as
-    /// lost.
-    fn extended(&self, last: Position) -> History {
-        let mut history = self.service.history.clone();
-        if history.start(last.term).is_none() && last.log > 0 {
-            let before = history.starts().filter(|(term, _)| *term < last.term);
-            let earliest = before.map(|(_, start)| start).max().unwrap_or(0);
-            let dropped = self.service.dropped.start(last.term);
-            history.open(last.term, dropped.unwrap_or(earliest));
-        }
-        history
-    }
 }
--- a/crates/core/src/row.rs
+++ b/crates/core/src/row.rs
@@ -37,13 +37,22 @@
     pub primary: Option<ServerKey>,
     /// Where each term began that led to the newest one.
     pub history: History,
-    /// Where terms began of which nothing was kept. A server that still has their log may be the
-    /// only one left some day.
-    pub dropped: History,
+    /// Where every term began that was ever opened, also those of which nothing was kept: a server
+    /// that still has their log may be the only one left some day.
+    pub origins: BTreeMap<Term, Origin>,
     /// What promotions have lost, oldest first.
     pub losses: BTreeSet<Loss>,
 }
 
+/// Where a term began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// The term whose log it went on from; `None` for the first.
+    pub parent: Option<Term>,
+    /// The log position there.
+    pub start: u64,
+}
+
 /// What one promotion lost or may have lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Loss {
@@ -96,11 +105,49 @@
             },
             primary: None,
             history: History::default(),
-            dropped: History::default(),
+            origins: BTreeMap::new(),
             losses: BTreeSet::new(),
         }
     }
 
+    /// The terms that led to the log whose last entry is `last`.
+    ///
+    /// Where the term of that entry is not known, an earlier controller opened it and was lost
+    /// before the row said so. The start of the term before it is the earliest possible, so no lost
+    /// write passes for a kept one; a kept one may be reported as lost.
+    pub fn lineage(&self, last: Position) -> History {
+        if last.log == 0 || self.history.start(last.term).is_some() {
+            return self.history.up_to(last);
+        }
+        let mut history = History::default();
+        let mut next = self.origins.get_key_value(&last.term);
+        while let Some((term, origin)) = next {
+            history.open(*term, origin.start);
+            next = origin
+                .parent
+                .and_then(|parent| self.origins.get_key_value(&parent));
+        }
+        if history.latest().is_none() {
+            history = self.history.up_to(last);
+            let before = history.starts().map(|(_, start)| start).max();
+            history.open(last.term, before.unwrap_or(0));
+        }
+        history
+    }
+
+    /// Opens `term` with `primary`, whose log ends in `last`.
+    pub fn open(&mut self, term: Term, primary: ServerKey, last: Position) {
+        self.history = self.lineage(last);
+        let origin = Origin {
+            parent: self.history.latest(),
+            start: last.log,
+        };
+        self.origins.insert(term, origin);
+        self.history.open(term, last.log);
+        self.state = State::Open { term, primary };
+        self.primary = Some(primary);
+    }
+
     fn merge(&mut self, other: &Service) {
         if other.rank() > self.rank() {
             self.state = other.state;
@@ -109,8 +156,8 @@
             // make what was dropped pass for kept.
             self.history = other.history.clone();
         }
-        for (term, start) in other.dropped.starts() {
-            self.dropped.open(term, start);
+        for (term, origin) in &other.origins {
+            self.origins.entry(*term).or_insert(*origin);
         }
         self.losses.extend(other.losses.iter().copied());
     }
--- a/crates/core/tests/leadership/failures.rs
+++ b/crates/core/tests/leadership/failures.rs
@@ -238,7 +238,7 @@
     gap(&mut world, 0, Duration::from_secs(30)).expect("no third term");
     assert_eq!(world.primary(0), Some(first));
     let service = service(&world, 0);
-    assert!(service.dropped.start(passed_over).is_some());
+    assert!(service.origins.contains_key(&passed_over));
     for (_, _, position, _) in world.acknowledged.iter().filter(|ack| ack.0 == 0) {
         let lost = matches!(service.history.judge(*position), Verdict::Lost { .. });
         assert_eq!(lost, position.term == passed_over, "{position}");
--- /dev/null
+++ b/crates/core/tests/row.rs
@@ -0,0 +1,79 @@
+//! What a shard's row knows of the terms of a service.
+
+use flamingopost_core::history::Verdict;
+use flamingopost_core::key::ServerKey;
+use flamingopost_core::names::Names;
+use flamingopost_core::position::Position;
+use flamingopost_core::row::Service;
+use flamingopost_core::term::Term;
+
+fn term(count: u32) -> Term {
+    Term { epoch: 1, count }
+}
+
+fn at(count: u32, log: u64) -> Position {
+    Position {
+        term: term(count),
+        log,
+    }
+}
+
+fn server() -> ServerKey {
+    Names::default().intern("ledger-1")
+}
+
+fn opened(bases: &[Position]) -> Service {
+    let mut service = Service::fresh();
+    for (count, base) in (0..).zip(bases) {
+        service.open(term(count), server(), *base);
+    }
+    service
+}
+
+/// A lost write passes for kept, found by schedule 121192. Order: the second term goes on without
+/// the last write of the first; a server that still has that write is promoted, and fails before
+/// it has written; then a server of the second term is. Cause: the second term was forgotten when
+/// it was passed over, and with it what it had cut off.
+#[test]
+fn a_return_to_a_log_that_was_passed_over() {
+    let first = at(0, 0);
+    let service = opened(&[first, at(0, 1312), at(0, 1313), at(1, 1784)]);
+    assert!(matches!(
+        service.history.judge(at(0, 1313)),
+        Verdict::Lost { .. }
+    ));
+    assert_eq!(service.history.judge(at(0, 1312)), Verdict::Kept);
+    assert_eq!(service.history.judge(at(1, 1784)), Verdict::Kept);
+    assert!(matches!(
+        service.history.judge(at(1, 1785)),
+        Verdict::Lost { .. }
+    ));
+}
+
+/// A loss does not fit its record, found by schedules 3728 and 8572: of two promotions in a row,
+/// the term between them wrote nothing and seemed to have been passed over.
+#[test]
+fn a_term_without_writes_stays_in_the_history() {
+    let service = opened(&[at(0, 0), at(0, 524), at(0, 524)]);
+    let lost = Verdict::Lost {
+        ended_by: term(1),
+        start: 524,
+    };
+    assert_eq!(service.history.judge(at(0, 525)), lost);
+}
+
+/// A term of which the row knows nothing is part of the log that is left. Its start is not known,
+/// and a write that may be lost must not pass for kept.
+#[test]
+fn a_term_that_nobody_recorded_cuts_as_early_as_it_can_have() {
+    let mut service = opened(&[at(0, 0), at(0, 100)]);
+    let unknown = at(7, 160);
+    let next = Term { epoch: 2, count: 0 };
+    service.open(next, server(), unknown);
+    assert_eq!(service.history.judge(at(0, 100)), Verdict::Kept);
+    assert!(matches!(
+        service.history.judge(at(1, 101)),
+        Verdict::Lost { .. }
+    ));
+    assert_eq!(service.history.judge(unknown), Verdict::Kept);
+}
--- a/crates/wire/src/row.rs
+++ b/crates/wire/src/row.rs
@@ -38,14 +38,22 @@
     pub primary: Option<String>,
     /// First log position of each term that led to the newest one.
     pub history: BTreeMap<String, u64>,
-    /// The same for terms of which nothing was kept.
-    #[serde(default)]
-    pub dropped: BTreeMap<String, u64>,
+    /// Where every term began that was ever opened.
+    pub origins: BTreeMap<String, Origin>,
     /// What promotions have lost.
     #[serde(default)]
     pub losses: Vec<Loss>,
 }
 
+/// Where a term began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// The term whose log it went on from; absent for the first.
+    pub parent: Option<String>,
+    /// The log position there.
+    pub start: u64,
+}
+
 /// What one promotion lost or may have lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
@@ -148,7 +156,7 @@
             open: matches!(service.state, State::Open { .. }),
             primary,
             history: starts(&service.history),
-            dropped: starts(&service.dropped),
+            origins: origins(&service.origins),
             losses: service.losses.iter().map(Loss::from).collect(),
         })
     }
@@ -170,7 +178,7 @@
             state,
             primary,
             history: history(&self.history)?,
-            dropped: history(&self.dropped)?,
+            origins: origins_of(&self.origins)?,
             losses,
         })
     }
@@ -189,6 +197,30 @@
     Ok(history)
 }
 
+fn origins(origins: &BTreeMap<Term, row::Origin>) -> BTreeMap<String, Origin> {
+    let origin = |origin: &row::Origin| Origin {
+        parent: origin.parent.map(|parent| parent.to_string()),
+        start: origin.start,
+    };
+    let origins = origins.iter();
+    origins
+        .map(|(term, o)| (term.to_string(), origin(o)))
+        .collect()
+}
+
+fn origins_of(origins: &BTreeMap<String, Origin>) -> Result<BTreeMap<Term, row::Origin>, Error> {
+    let mut decoded = BTreeMap::new();
+    for (term, origin) in origins {
+        let parent = match &origin.parent {
+            Some(parent) => Some(parent.parse()?),
+            None => None,
+        };
+        let start = origin.start;
+        decoded.insert(term.parse()?, row::Origin { parent, start });
+    }
+    Ok(decoded)
+}
+
 impl From<&row::Loss> for Loss {
     fn from(loss: &row::Loss) -> Loss {
         Loss {
--- a/crates/wire/tests/row.rs
+++ b/crates/wire/tests/row.rs
@@ -4,7 +4,7 @@
 
 use flamingopost_core::directory::Directory;
 use flamingopost_core::position::Position;
-use flamingopost_core::row::{Loss, Row, Service};
+use flamingopost_core::row::{Loss, Origin, Row, Service};
 use flamingopost_core::term::Term;
 use flamingopost_core::view::State;
 use flamingopost_wire::row;
@@ -20,7 +20,10 @@
     open.primary = Some(primary);
     open.history.open(term(0), 0);
     open.history.open(term(2), 90);
-    open.dropped.open(term(1), 70);
+    let origin = |parent, start| Origin { parent, start };
+    open.origins.insert(term(0), origin(None, 0));
+    open.origins.insert(term(1), origin(Some(term(0)), 70));
+    open.origins.insert(term(2), origin(Some(term(0)), 90));
     open.losses = BTreeSet::from([Loss {
         opened: term(2),
         start: 90,
