Let no unknown term vouch for others, and keep open questions open

Change: a term that nobody recorded vouches only for its own writes; a loss is complete only if no earlier one that it goes back behind is incomplete. Conclusion: remains, see the design note: every memory lost in an outage after a promotion, and the promoted server down.

--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -426,12 +426,15 @@
         let lost = self
             .acknowledged
             .filter(|p| !service.history.covers(start, *p));
-        if lost.is_some() || !(self.complete || created) {
+        // An earlier promotion that this one goes back behind may have lost more than it knew.
+        let open_question = |loss: &Loss| loss.opened > start.term && !loss.complete;
+        let complete = self.complete && !service.losses.iter().any(open_question);
+        if lost.is_some() || !(complete || created) {
             service.losses.insert(Loss {
                 opened: term,
                 start: start.log,
                 acknowledged: lost,
-                complete: self.complete,
+                complete,
             });
         }
         service
--- a/crates/core/src/row.rs
+++ b/crates/core/src/row.rs
@@ -113,8 +113,8 @@
     /// The terms that led to the log whose last entry is `last`.
     ///
     /// Where the term of that entry is not known, an earlier controller opened it and was lost
-    /// before the row said so. The start of the term before it is the earliest possible, so no lost
-    /// write passes for a kept one; a kept one may be reported as lost.
+    /// before the row said so. It may have gone on from any term and anywhere, so writes of all
+    /// others count as lost: some are reported that were kept, but none is lost without a report.
     pub fn lineage(&self, last: Position) -> History {
         if last.log == 0 || self.history.start(last.term).is_some() {
             return self.history.up_to(last);
@@ -128,9 +128,7 @@
                 .and_then(|parent| self.origins.get_key_value(&parent));
         }
         if history.latest().is_none() {
-            history = self.history.up_to(last);
-            let before = history.starts().map(|(_, start)| start).max();
-            history.open(last.term, before.unwrap_or(0));
+            history.open(last.term, 0);
         }
         history
     }
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -8,7 +8,7 @@
 use flamingopost_core::names::Names;
 use flamingopost_core::position::Position;
 use flamingopost_core::promotion::{Next, Order, Promotion, Reason, Status};
-use flamingopost_core::row::Service;
+use flamingopost_core::row::{Loss, Service};
 use flamingopost_core::term::Term;
 use flamingopost_core::timing;
 use flamingopost_core::view::State;
@@ -240,6 +240,40 @@
     assert!(!open.losses.first().expect("it says so").complete);
 }
 
+/// A loss passes for complete, found by schedule 111335: the promotion before could not ask
+/// everybody, and this one goes back to a log from before it.
+#[test]
+fn an_open_question_stays_open() {
+    let mut trial = trial(Reason::Unreachable);
+    let mut service = Service::fresh();
+    service.open(TERM, trial.old, Position::default());
+    service.open(NEXT, trial.near, at(5));
+    service.losses.insert(Loss {
+        opened: NEXT,
+        start: 5,
+        acknowledged: None,
+        complete: false,
+    });
+    let servers = BTreeSet::from([trial.old, trial.near, trial.far]);
+    let key = ServiceKey::default();
+    trial.promotion = Promotion::new(key, servers, service, Reason::Unreachable, trial.now);
+    trial.next();
+    trial.promotion.closing(CLOSE, BTreeMap::new());
+    trial.committed = CLOSE;
+    trial.promotion.status(trial.far, Some(replica(8)));
+    trial.pass(timing::GATHER);
+    trial.next();
+    trial.pass(timing::GATHER);
+    let (server, term) = trial.order().expect("one is there");
+    trial.promotion.status(server, Some(leads(term, 8)));
+    let open = trial.open();
+    assert!(
+        open.losses
+            .iter()
+            .any(|loss| loss.opened == term && !loss.complete)
+    );
+}
+
 /// The service hangs, or gets two primaries of one term, because the answer to a promotion was
 /// lost. The server's own status tells what became of it.
 #[test]
