--- a/crates/standin/src/backend/error.rs
+++ b/crates/standin/src/backend/error.rs
@@ -31,6 +31,8 @@
     Parameter(String),
     /// prepared statement "{0}" does not exist
     Statement(String),
+    /// prepared statement "{0}" already exists
+    Prepared(String),
     /// portal "{0}" does not exist
     Portal(String),
     /// bind message supplies {0} parameters, but the statement requires {1}
@@ -93,6 +95,7 @@
             Error::Syntax(_) => "42601",
             Error::Parameter(_) => "42704",
             Error::Statement(_) => "26000",
+            Error::Prepared(_) => "42P05",
             Error::Portal(_) => "34000",
             Error::Arity(..) | Error::Protocol(_) => "08P01",
             Error::Input(_) => "22P02",
--- a/crates/standin/src/backend/executor.rs
+++ b/crates/standin/src/backend/executor.rs
@@ -228,6 +228,7 @@
         let timeout = self.parameters.statement_timeout();
         let arguments = call.arguments.iter().map(|argument| match argument {
             Argument::Text(text) => Value::Text(text.clone()),
+            Argument::Null => Value::Null,
             Argument::Bound(index) => parameters.get(*index).cloned().unwrap_or(Value::Null),
         });
         let arguments: Vec<Value> = arguments.collect();
@@ -245,6 +246,10 @@
         let mut rows = Vec::new();
         match &prepared.statement.kind {
             Kind::Empty => return Ok(Outcome::Empty),
+            Kind::Prepare { .. } | Kind::Execute { .. } => {
+                let what = "PREPARE or EXECUTE in the extended protocol";
+                return Err(Error::Unsupported(what.to_owned()));
+            }
             Kind::Begin { read_only } if self.transaction.block == Block::Implicit => {
                 let default = self.parameters.get("default_transaction_read_only")?;
                 self.transaction.block = Block::Open;
--- a/crates/standin/src/backend/executor_turn.rs
+++ b/crates/standin/src/backend/executor_turn.rs
@@ -74,7 +74,7 @@
                 Some(Value::Integer(seconds)) => *seconds as f64,
                 _ => 0.0,
             },
-            None => 0.0,
+            Some(Argument::Null) | None => 0.0,
         };
         let asked = Duration::try_from_secs_f64(asked).unwrap_or_default();
         let total = cost + asked;
--- a/crates/standin/src/backend/portal.rs
+++ b/crates/standin/src/backend/portal.rs
@@ -10,7 +10,8 @@
 use super::executor::{Executor, Outcome};
 use super::infer::Column;
 use super::prepared::Prepared;
-use super::sql::Kind;
+use super::sql::{Argument, Kind};
+use super::value;
 
 /// A bound statement.
 pub(crate) struct Portal {
@@ -22,12 +23,27 @@
 }
 
 impl Portal {
+    /// A statement with its parameters, its result wanted as text.
+    pub(crate) fn new(prepared: Arc<Prepared>, parameters: Vec<Value>) -> Portal {
+        Portal {
+            prepared,
+            parameters,
+            formats: Vec::new(),
+            rest: None,
+        }
+    }
+
+    /// The columns of the result.
+    pub(crate) fn columns(&self, executor: &Executor) -> Result<Arc<Vec<Column>>, Error> {
+        match self.prepared.statement.kind {
+            Kind::CopyOut { .. } => Ok(Arc::default()),
+            _ => executor.describe(&self.prepared, &self.parameters),
+        }
+    }
+
     /// Runs the statement from its start.
     pub(crate) async fn run(&self, executor: &mut Executor) -> Result<Outcome, Error> {
-        let columns = match self.prepared.statement.kind {
-            Kind::CopyOut { .. } => Arc::default(),
-            _ => executor.describe(&self.prepared, &self.parameters)?,
-        };
+        let columns = self.columns(executor)?;
         executor
             .run(&self.prepared, &self.parameters, &columns, &self.formats)
             .await
@@ -64,3 +80,22 @@
     });
     RowDescription::new(fields.collect())
 }
+
+/// The parameters that an `EXECUTE` writes out.
+pub(crate) fn written_out(
+    prepared: &Prepared,
+    arguments: &[Argument],
+) -> Result<Vec<Value>, Error> {
+    let (given, wanted) = (arguments.len(), prepared.types.len());
+    if given != wanted {
+        return Err(Error::Arity(given, wanted));
+    }
+    arguments
+        .iter()
+        .zip(&prepared.types)
+        .map(|(argument, kind)| match argument {
+            Argument::Text(text) => value::decode(kind, value::TEXT, text.as_bytes()),
+            Argument::Null | Argument::Bound(_) => Ok(Value::Null),
+        })
+        .collect()
+}
--- a/crates/standin/src/backend/session.rs
+++ b/crates/standin/src/backend/session.rs
@@ -21,7 +21,8 @@
 use super::error::Error;
 use super::executor::{Executor, Outcome};
 use super::executor_copy::CopyIn;
-use super::portal::{Portal, description, format_of};
+use super::infer::Column;
+use super::portal::{Portal, description, format_of, written_out};
 use super::prepared::Prepared;
 use super::registry::Handle;
 use super::shared::Shared;
@@ -194,16 +195,8 @@
         prepared: &Arc<Prepared>,
         last: bool,
     ) -> Result<Result<(), Error>, End> {
-        let described = match prepared.statement.kind {
-            Kind::CopyOut { .. } => Ok(Arc::default()),
-            _ => self.executor.describe(prepared, &[]),
-        };
-        let columns = match described {
-            Ok(columns) => columns,
-            Err(error) => return Ok(Err(error)),
-        };
-        let outcome = match self.executor.run(prepared, &[], &columns, &[]).await {
-            Ok(outcome) => outcome,
+        let (columns, outcome) = match self.run_simple(prepared).await {
+            Ok(done) => done,
             Err(error) => return Ok(Err(error)),
         };
         // The commit goes first, so that no one is told of a write that did not last.
@@ -222,6 +215,38 @@
         self.deliver(outcome, false).await.map(Ok)
     }
 
+    async fn run_simple(
+        &mut self,
+        prepared: &Arc<Prepared>,
+    ) -> Result<(Arc<Vec<Column>>, Outcome), Error> {
+        let portal = match &prepared.statement.kind {
+            Kind::Prepare { name, text } => {
+                self.prepare_named(name, text)?;
+                let tag = "PREPARE".to_owned();
+                let rows = Vec::new();
+                return Ok((Arc::default(), Outcome::Done { rows, tag }));
+            }
+            Kind::Execute { name, arguments } => {
+                let prepared = self.statement(Some(name))?;
+                let parameters = written_out(&prepared, arguments)?;
+                Portal::new(prepared, parameters)
+            }
+            _ => Portal::new(Arc::clone(prepared), Vec::new()),
+        };
+        let columns = portal.columns(&self.executor)?;
+        let outcome = portal.run(&mut self.executor).await?;
+        Ok((columns, outcome))
+    }
+
+    fn prepare_named(&mut self, name: &str, text: &str) -> Result<(), Error> {
+        if self.statements.contains_key(name) {
+            return Err(Error::Prepared(name.to_owned()));
+        }
+        let prepared = self.executor.prepare(text, &[])?;
+        self.statements.insert(name.to_owned(), prepared);
+        Ok(())
+    }
+
     /// Sends all of an outcome.
     async fn deliver(&mut self, outcome: Outcome, extended: bool) -> Result<(), End> {
         match outcome {
--- a/crates/standin/src/backend/sql.rs
+++ b/crates/standin/src/backend/sql.rs
@@ -43,6 +43,16 @@
     Show(String),
     Discard,
     Deallocate(Option<String>),
+    /// `PREPARE`, with the text that it prepares.
+    Prepare {
+        name: String,
+        text: String,
+    },
+    /// `EXECUTE` of what a `PREPARE` or a `Parse` message has named.
+    Execute {
+        name: String,
+        arguments: Vec<Argument>,
+    },
     CopyIn {
         table: String,
         columns: Option<String>,
@@ -86,6 +96,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Argument {
     Text(String),
+    Null,
     /// The parameter with this index, from 0.
     Bound(usize),
 }
@@ -262,9 +273,17 @@
             Some(name) if name != "all" => Kind::Deallocate(Some(name)),
             _ => Kind::Deallocate(None),
         },
+        "prepare" => Kind::Prepare {
+            name: at(1),
+            text: prepared_text(tokens)?,
+        },
+        "execute" => Kind::Execute {
+            name: at(1),
+            arguments: call(tokens, &at(1)).unwrap_or_default(),
+        },
         "copy" => copy_kind(tokens)?,
-        "listen" | "unlisten" | "notify" | "prepare" | "execute" | "declare" | "fetch" | "lock"
-        | "grant" | "revoke" | "vacuum" | "analyze" | "do" | "call" | "merge" => {
+        "listen" | "unlisten" | "notify" | "declare" | "fetch" | "lock" | "grant" | "revoke"
+        | "vacuum" | "analyze" | "do" | "call" | "merge" => {
             return Err(Error::Unsupported(first.to_uppercase()));
         }
         _ => {
@@ -275,6 +294,16 @@
     Ok(kind)
 }
 
+/// What follows `AS` in a `PREPARE`.
+fn prepared_text(tokens: &[Token]) -> Result<String, Error> {
+    let start = tokens
+        .iter()
+        .position(|token| is_word(Some(token), "as"))
+        .ok_or_else(|| Error::Syntax("PREPARE needs AS".to_owned()))?;
+    let texts: Vec<String> = tokens[start + 1..].iter().map(Token::to_string).collect();
+    Ok(texts.join(" "))
+}
+
 fn query_kind(tokens: &[Token]) -> Kind {
     for (name, function) in FUNCTIONS {
         if let Some(arguments) = call(tokens, name) {
@@ -333,6 +362,9 @@
             Token::Word(word) if word.value.eq_ignore_ascii_case("false") => {
                 arguments.push(Argument::Text("false".to_owned()));
             }
+            Token::Word(word) if word.value.eq_ignore_ascii_case("null") => {
+                arguments.push(Argument::Null);
+            }
             Token::Comma => sign = "",
             _ => arguments.extend(placeholder(token).map(Argument::Bound)),
         }
--- a/crates/standin/src/backend/value.rs
+++ b/crates/standin/src/backend/value.rs
@@ -6,7 +6,10 @@
 
 use super::error::Error;
 
-/// Format code of the binary format; 0 is text.
+/// Format code of the text format.
+pub(crate) const TEXT: i16 = 0;
+
+/// Format code of the binary format.
 pub(crate) const BINARY: i16 = 1;
 
 /// The type of a column that was declared as `declared`.
--- a/crates/standin/tests/backend.rs
+++ b/crates/standin/tests/backend.rs
@@ -171,3 +171,30 @@
     assert_eq!((first.len(), rest.len()), (2, 3));
     assert_eq!(rest[2].get::<_, i64>(0), 5);
 }
+
+#[tokio::test]
+async fn statements_are_prepared_in_sql_too() {
+    let (_server, client) = primary("prepare").await;
+    client
+        .batch_execute("CREATE TABLE lots (id bigint, open bool)")
+        .await
+        .unwrap();
+    client
+        .batch_execute("PREPARE sell (bigint) AS INSERT INTO lots VALUES ($1, $2)")
+        .await
+        .unwrap();
+    client
+        .batch_execute("EXECUTE sell (7, true); EXECUTE sell (-8, NULL)")
+        .await
+        .unwrap();
+    let rows = client.query("SELECT id, open FROM lots ORDER BY id DESC", &[]);
+    let rows = rows.await.unwrap();
+    assert_eq!(rows[0].get::<_, Option<bool>>(1), Some(true));
+    assert_eq!(rows[1].get::<_, i64>(0), -8);
+    assert_eq!(rows[1].get::<_, Option<bool>>(1), None);
+    let again = client.batch_execute("PREPARE sell AS SELECT 1").await;
+    assert_eq!(sqlstate(again), "42P05");
+    client.batch_execute("DEALLOCATE sell").await.unwrap();
+    let gone = client.batch_execute("EXECUTE sell (1, true)").await;
+    assert_eq!(sqlstate(gone), "26000");
+}
