Wait for all servers where nobody can tell what was decided before

Ruled out: leases and promises (both had lapsed), the row (the table had been down). Change: a successor that neither remembers the replaced epoch nor hears from a standby or controller that does waits up to 10 s until every server has answered. Released names what its sender is a witness of.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -278,6 +278,7 @@
         Released {
             incarnation: released.incarnation,
             leases_ms: millis(released.leases),
+            witness: released.witness,
             row: row.and_then(|row| flamingopost_wire::row::Row::encode(row, &directory).ok()),
         }
     }
--- a/crates/control/src/shard_effect.rs
+++ b/crates/control/src/shard_effect.rs
@@ -219,6 +219,7 @@
             Some(authority::Released {
                 incarnation: released.incarnation,
                 leases: Duration::from_millis(released.leases_ms),
+                witness: released.witness,
                 row,
             })
         };
--- a/crates/core/src/authority.rs
+++ b/crates/core/src/authority.rs
@@ -64,6 +64,8 @@
     pub incarnation: u64,
     /// How long leases that it granted, or had to wait out itself, may still run.
     pub leases: Duration,
+    /// The epoch of which it knows all that was decided; 0 when there is none.
+    pub witness: u32,
     /// What it knows of the shard.
     pub row: Option<Row>,
 }
--- a/crates/core/src/authority_holder.rs
+++ b/crates/core/src/authority_holder.rs
@@ -340,6 +340,7 @@
         Released {
             incarnation: self.incarnation,
             leases: leases.max(self.settled.saturating_sub(now)),
+            witness: self.epoch,
             row: Some(self.row.clone()),
         }
     }
--- a/crates/core/src/authority_standby.rs
+++ b/crates/core/src/authority_standby.rs
@@ -17,6 +17,8 @@
     promised: Duration,
     heard: Duration,
     epoch: u32,
+    /// The epoch whose controller has told this process all that it decided.
+    witness: u32,
     /// Everything learnt of the shard's services, from the table and from asks.
     known: Option<Row>,
     table: Option<Seen>,
@@ -39,6 +41,8 @@
     over: Option<u64>,
     predecessor: Option<(HostKey, u64)>,
     sent: Duration,
+    replaced: u32,
+    witnessed: bool,
     /// The answer was lost: only the table can tell how it ended.
     lost: bool,
 }
@@ -65,6 +69,10 @@
         predecessor: Option<(HostKey, u64)>,
         /// When the claim was first sent.
         sent: Duration,
+        /// The epoch that is replaced; 0 where there was no row.
+        replaced: u32,
+        /// Whether this process knows all that was decided under that epoch.
+        witnessed: bool,
     },
 }
 
@@ -78,6 +86,7 @@
             promised: Duration::ZERO,
             heard: started,
             epoch: 0,
+            witness: 0,
             known: None,
             table: None,
             attempt: None,
@@ -107,6 +116,9 @@
         if let Some(row) = &ask.row {
             self.learn(row);
         }
+        if self.revision(ask.epoch) >= ask.revision {
+            self.witness = ask.epoch;
+        }
         if ask.promise {
             self.promised = self.promised.max(now + timing::PROMISE);
         }
@@ -199,11 +211,20 @@
         }
     }
 
+    /// The epoch whose controller has told this process all that it decided; 0 for none.
+    pub fn witness(&self) -> u32 {
+        self.witness
+    }
+
     /// The greatest epoch seen.
     pub fn epoch(&self) -> u32 {
         self.epoch
     }
 
+    fn is_witness(&self, row: &Row) -> bool {
+        self.witness == row.epoch && row.standbys.contains(&self.me)
+    }
+
     fn see(&mut self, row: Option<&Row>, now: Duration) {
         if let Some(row) = row {
             self.learn(row);
@@ -280,6 +301,8 @@
             over: table.map(|row| row.revision),
             predecessor: table.map(|row| (row.controller, row.incarnation)),
             sent: now,
+            replaced: table.map_or(0, |row| row.epoch),
+            witnessed: table.is_none_or(|row| self.is_witness(row)),
             lost: false,
         }
     }
@@ -290,6 +313,8 @@
                 row: attempt.row,
                 predecessor: attempt.predecessor,
                 sent: attempt.sent,
+                replaced: attempt.replaced,
+                witnessed: attempt.witnessed,
             },
             None => Seat::Aside,
         }
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -359,6 +359,7 @@
             Role::Lead(lead) => Released {
                 incarnation: self.incarnation,
                 leases: timing::AUTHORITY,
+                witness: 0,
                 row: Some(lead.holder.row().clone()),
             },
             Role::Standby(standby) => {
@@ -371,6 +372,7 @@
                         Some(sent) => leases.max((sent + timing::AUTHORITY).saturating_sub(now)),
                         None => leases,
                     },
+                    witness: standby.witness(),
                     row: standby.known().cloned(),
                 }
             }
@@ -466,6 +468,8 @@
             row,
             predecessor,
             sent,
+            replaced,
+            witnessed,
         } = seat
         else {
             return;
@@ -474,7 +478,7 @@
         self.claim_sent = None;
         let holder = Holder::new(row, predecessor, sent, now);
         self.inherited = holder.settled();
-        self.role = Role::Lead(Box::new(Lead::new(holder, now)));
+        self.role = Role::Lead(Box::new(Lead::new(holder, replaced, witnessed, now)));
     }
 
     fn step_down(&mut self, now: Duration, actions: &mut Vec<Action>) {
--- a/crates/core/src/leadership_lead.rs
+++ b/crates/core/src/leadership_lead.rs
@@ -48,6 +48,12 @@
         since: Duration,
         asked: Option<Duration>,
         missing: BTreeSet<HostKey>,
+        /// Servers that have answered.
+        heard: BTreeSet<ServerKey>,
+        /// The epoch that is replaced.
+        replaced: u32,
+        /// Whether somebody who was asked, or this process, knows all that was decided under it.
+        witnessed: bool,
     },
     /// Granting leases.
     Settled,
@@ -70,7 +76,7 @@
 }
 
 impl Lead {
-    pub(super) fn new(holder: Holder, now: Duration) -> Lead {
+    pub(super) fn new(holder: Holder, replaced: u32, witnessed: bool, now: Duration) -> Lead {
         let version = Version {
             epoch: holder.epoch(),
             change: 0,
@@ -80,6 +86,9 @@
                 since: now,
                 asked: None,
                 missing: holder.witnesses(),
+                heard: BTreeSet::new(),
+                replaced,
+                witnessed,
             },
             holder,
             judge: Judge::default(),
@@ -129,8 +138,15 @@
     }
 
     pub(super) fn released(&mut self, host: HostKey, released: &Released, now: Duration) {
-        if let Phase::Survey { missing, .. } = &mut self.phase {
+        if let Phase::Survey {
+            missing,
+            replaced,
+            witnessed,
+            ..
+        } = &mut self.phase
+        {
             missing.remove(&host);
+            *witnessed |= released.witness == *replaced;
             self.holder.released(host, released, now);
         }
     }
@@ -234,6 +250,9 @@
 
     fn remember(&mut self, key: ServiceKey, server: ServerKey, sent: Duration, status: Status) {
         self.statuses.insert(server, status);
+        if let Phase::Survey { heard, .. } = &mut self.phase {
+            heard.insert(server);
+        }
         if let Some(State::Open { term, primary }) = self.state(key)
             && (primary, term, true) == (server, status.term, status.leads)
         {
@@ -273,6 +292,9 @@
             since,
             asked,
             missing,
+            heard,
+            witnessed,
+            ..
         } = &mut self.phase
         else {
             return;
@@ -282,12 +304,17 @@
             let release = |host: &HostKey| Action::Release { host: *host, epoch };
             actions.extend(missing.iter().map(release));
             let servers = groups.values().flat_map(|group| group.servers.keys());
-            let unheard = servers.filter(|server| !self.statuses.contains_key(server));
+            let unheard = servers.filter(|server| !heard.contains(server));
             actions.extend(unheard.map(|server| Action::Status(*server)));
         }
         let servers = groups.values().flat_map(|group| group.servers.keys());
-        let all = missing.is_empty() && servers.into_iter().all(|s| self.statuses.contains_key(s));
-        let surveyed = all || now >= *since + timing::GATHER;
+        let all_servers = servers.into_iter().all(|server| heard.contains(server));
+        let gathered = missing.is_empty() || now >= *since + timing::GATHER;
+        // With all memory of the old authority lost, a server that does not answer may lead a
+        // term that was opened in an outage. Its writes would be lost beside those of the row's.
+        let forgotten = now >= *since + timing::FORGOTTEN;
+        let told = *witnessed && now >= *since + timing::GATHER;
+        let surveyed = (all_servers && gathered) || told || forgotten;
         let committed = self.holder.committed() >= self.holder.row().revision;
         if surveyed && committed && self.holder.may_act(now) {
             self.phase = Phase::Settled;
--- a/crates/core/src/timing.rs
+++ b/crates/core/src/timing.rs
@@ -66,6 +66,10 @@
 /// How long a promotion waits for servers that have not answered, once one could be promoted.
 pub const GATHER: Duration = Duration::from_millis(300);
 
+/// How long a successor that nobody can tell what happened before waits for servers that do not
+/// answer: one of them may lead a term that only lost memories knew of.
+pub const FORGOTTEN: Duration = Duration::from_secs(10);
+
 /// How long a promotion waits for a replica to get the last acknowledged write.
 pub const CATCH_UP: Duration = Duration::from_millis(1_000);
 
--- a/crates/core/tests/authority.rs
+++ b/crates/core/tests/authority.rs
@@ -287,6 +287,7 @@
     let released = |incarnation| Released {
         incarnation,
         leases: Duration::from_millis(300),
+        witness: 1,
         row: None,
     };
     let mut holder = Holder::new(row, predecessor, secs(20), secs(20));
--- a/crates/core/tests/leadership/failures.rs
+++ b/crates/core/tests/leadership/failures.rs
@@ -132,6 +132,31 @@
     assert_eq!(service(&world, 0), before);
 }
 
+/// A write is acknowledged by a primary that was replaced, found by schedule 105707. Order: in an
+/// outage a server is promoted that nobody else follows yet; then all hosts are restarted and that
+/// server is away; the old primary comes back, and the table with the old row. Cause: a successor
+/// that nobody can tell what happened, and that does not wait for the one server that could.
+#[test]
+fn a_successor_with_no_witness_waits_for_all_servers() {
+    let mut world = running(12);
+    let first = world.primary(0).unwrap();
+    let (second, third) = ((first + 1) % ZONES, (first + 2) % ZONES);
+    world.strike(Fault::TableDown, Duration::from_secs(12));
+    world.strike(Fault::ServerDown(third), Duration::from_secs(8));
+    world.run(world.now + Duration::from_secs(3));
+    world.strike(Fault::ServerDown(first), Duration::from_secs(5));
+    gap(&mut world, 0, Duration::from_secs(4)).expect("no promotion in the outage");
+    assert_eq!(world.primary(0), Some(second));
+    let opened = world.opened[0];
+
+    world.strike(Fault::ServerDown(second), Duration::from_secs(15));
+    world.strike(Fault::RestartAll, millis(1));
+    // Each acknowledgement is checked against the newest term that was opened.
+    world.run(world.now + Duration::from_secs(25));
+    assert!(world.opened[0] > opened);
+    assert!(acknowledged_since(&world, 0, world.now - millis(500)) > 0);
+}
+
 /// Two controllers act at once, and a write is acknowledged by a primary that one of them has
 /// replaced. Order: the controller is paused in the middle of its work, a standby takes over and
 /// promotes, the old one wakes up and goes on. Cause: authority that is not measured by a clock.
--- a/crates/wire/src/authority.rs
+++ b/crates/wire/src/authority.rs
@@ -58,6 +58,8 @@
     pub incarnation: u64,
     /// Milliseconds for which leases that it granted may still run.
     pub leases_ms: u64,
+    /// The epoch of which it knows all that was decided; 0 when there is none.
+    pub witness: u32,
     /// The shard's row as it last knew it.
     pub row: Option<Row>,
 }
