--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -6,6 +6,9 @@
 const EASY: f64 = 2.0;
 /// Slowdown against the least time from which less is tried.
 const HARD: f64 = 3.0;
+/// An answer as quick as this is no sign of a crowd: for statements of some microseconds, being
+/// scheduled late is already many times their least time.
+const QUICK: Duration = Duration::from_millis(2);
 /// What is left of the limit after a step down.
 const STEP_DOWN: f64 = 0.8;
 /// Shortest time between two steps down: the first must show its effect.
@@ -43,7 +46,7 @@
         let slowdown = took.as_secs_f64() / least.as_secs_f64().max(1e-6);
         if slowdown < EASY && full {
             self.limit = (self.limit + 0.1 / self.limit).min(self.greatest);
-        } else if slowdown > HARD {
+        } else if slowdown > HARD && took > QUICK {
             self.step_down(now);
         }
     }
--- a/crates/entry/examples/overhead.rs
+++ b/crates/entry/examples/overhead.rs
@@ -22,6 +22,9 @@
 
 const CONNECTIONS: [usize; 3] = [1, 16, 256];
 const SQL: &str = "SELECT 1";
+/// Callers of the paced reads, and the time from one read to the next of each.
+const PACED: usize = 16;
+const PACE: Duration = Duration::from_millis(2);
 const ALLOTTED: u16 = 16;
 
 fn main() {
@@ -43,6 +46,15 @@
         let spent = entry.processor_time() - before;
         report(connections, "entry", &through, Some(spent));
     }
+    println!("paced: {PACED} callers, a read every {PACE:?} each");
+    for (way, address, user) in [
+        ("direct", direct, "flamingopost"),
+        ("entry", entry.address, path::USER),
+    ] {
+        let before = entry.processor_time();
+        let measured = load.block_on(paced(address, user, run));
+        report(PACED, way, &measured, Some(entry.processor_time() - before));
+    }
     load.block_on(idle_callers(entry.address, idle.unwrap_or(10_000)));
 }
 
@@ -129,6 +141,34 @@
     latencies
 }
 
+/// Latencies of reads that come at a fixed pace, far below what either way can carry.
+async fn paced(address: SocketAddr, user: &str, run: Duration) -> Vec<f64> {
+    let end = Instant::now() + run;
+    let mut tasks = Vec::new();
+    for _ in 0..PACED {
+        let caller = connect(address, user).await;
+        tasks.push(tokio::spawn(async move {
+            let statement = caller.prepare(SQL).await.unwrap();
+            let mut turns = tokio::time::interval(PACE);
+            let mut latencies = Vec::new();
+            while Instant::now() < end {
+                turns.tick().await;
+                let start = Instant::now();
+                caller.query(&statement, &[]).await.unwrap();
+                latencies.push(start.elapsed().as_secs_f64() * 1e6);
+            }
+            latencies
+        }));
+    }
+    let mut latencies = Vec::new();
+    for task in tasks {
+        latencies.extend(task.await.unwrap());
+    }
+    latencies.sort_by(f64::total_cmp);
+    latencies.insert(0, latencies.len() as f64 / run.as_secs_f64());
+    latencies
+}
+
 async fn read(caller: Client, end: Instant) -> Vec<f64> {
     let statement = caller.prepare(SQL).await.unwrap();
     let mut latencies = Vec::new();
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use flamingopost_core::invariant::{self, Invariant};
 use flamingopost_core::once::keyed::{Keyed, Next as KeyedNext};
 use flamingopost_core::refusal::{Doubt, Ran, Refusal};
 use flamingopost_core::retry::{self, Failure};
@@ -148,8 +149,20 @@
                 dice: rand::random(),
             };
             match self.service.retry(&attempt) {
-                retry::Next::Again(wait) => tokio::time::sleep(wait).await,
-                retry::Next::Tell => return Err(refusal.into()),
+                retry::Next::Again(wait) => {
+                    let safe = ran == Ran::No || treatment.then.repeatable;
+                    invariant::check(Invariant::AtMostOnce, safe, || {
+                        format!("sent again after {refusal}")
+                    });
+                    tokio::time::sleep(wait).await;
+                }
+                retry::Next::Tell => {
+                    let truthful = refusal.ran() != Ran::No || ran == Ran::No;
+                    invariant::check(Invariant::TrueRefusal, truthful, || {
+                        format!("{refusal} is told of a request that may have run")
+                    });
+                    return Err(refusal.into());
+                }
             }
         }
     }
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -135,8 +135,9 @@
     Some(Stored { request, tag })
 }
 
-/// Digest of what `request` runs and with which parameters; not of the names and messages by
-/// which its client says so, which differ between sessions.
+/// Digest of what `request` runs and with which parameters; not of the protocol, names and
+/// messages by which its client says so, which differ between sessions and even between two
+/// statements of one: some clients prepare a text only when it comes again.
 pub fn digest(request: &Request) -> String {
     let mut bytes = Vec::new();
     for item in &request.items {
@@ -146,9 +147,9 @@
 }
 
 fn add(bytes: &mut Vec<u8>, item: &Item) {
-    let body = item.frame.body_bytes();
+    let mut body = item.frame.body_bytes();
     match (item.frame.tag(), &item.prepared) {
-        (b'Q', _) => bytes.extend_from_slice(&body),
+        (b'Q', _) => bytes.extend_from_slice(&take_text(&mut body).unwrap_or_default()),
         (b'B', Some(prepared)) => {
             let text = take_text(&mut prepared.parse.clone()).unwrap_or_default();
             bytes.extend_from_slice(&text);
@@ -158,9 +159,18 @@
     }
 }
 
-/// What follows the names in a `Bind` message.
+/// The parameters of a `Bind` message with their formats; empty where there are none.
 fn parameters(mut body: Bytes) -> Bytes {
+    const WORD: usize = size_of::<u16>();
     take_text(&mut body);
     take_text(&mut body);
-    body
+    let word = |at: usize| {
+        let bytes = body.get(at..at + WORD)?;
+        Some(usize::from(u16::from_be_bytes([bytes[0], bytes[1]])))
+    };
+    let count = word(0).and_then(|formats| word(WORD + formats * WORD));
+    match count {
+        Some(0) => Bytes::new(),
+        _ => body,
+    }
 }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use flamingopost_core::invariant::{self, Invariant};
 use flamingopost_core::key::CallerKey;
 use flamingopost_core::refusal::Refusal;
 use flamingopost_core::session;
@@ -136,6 +137,11 @@
                 }
                 Next::Server => self.relay().await,
                 Next::Drain => {
+                    let open = self.state.transaction() != Transaction::Idle;
+                    let open = open || !self.batch.is_empty();
+                    invariant::check(Invariant::GracefulStop, !open, || {
+                        "a drain ends a session with a request in progress".to_owned()
+                    });
                     reply::refusal(&mut self.front.out, &Refusal::HostStopping);
                     Ok(Flow::Close)
                 }
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -125,6 +125,19 @@
     assert_eq!(bids(&group).await, ["5"]);
 }
 
+/// A client library sends a text as a simple query the first time and prepares it when it comes
+/// again. That is one request, not two.
+#[tokio::test]
+async fn the_protocol_does_not_belong_to_the_request() {
+    let group = Group::start(0).await;
+    let host = Host::start(&group).await;
+    table(&host).await;
+    let caller = host.connect().await;
+    caller.simple_query(BID).await.unwrap();
+    assert_eq!(sqlstate(caller.execute(BID, &[]).await), "PF201");
+    assert_eq!(bids(&group).await, ["1"]);
+}
+
 /// A key inside a transaction, or on several statements, cannot be kept with the effect. It must
 /// not be passed over: the request is refused and nothing runs.
 #[tokio::test]
