--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -63,7 +63,7 @@
 const CONNECTIONS: u32 = 2_048;
 
 /// How long a process that is asked to end waits for others to take over what it leads.
-const RETIRE: Duration = Duration::from_secs(8);
+const RETIRE: Duration = Duration::from_secs(12);
 
 /// Largest message between processes: the view of a large shard.
 const MESSAGE: u32 = 16 << 20;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -165,6 +165,10 @@
 async fn post(operators: Data<Operators>, submission: Json<wire::Submission>) -> HttpResponse {
     let submission = submission.into_inner();
     let shared = &operators.shared;
+    // What the number of shards was is only known with a configuration, and it must not change.
+    if submission.base > 0 && shared.config().is_none() {
+        return refuse(wire::Refused::Unavailable);
+    }
     let problems = problems(shared, &submission.body);
     if !problems.is_empty() {
         return refuse(wire::Refused::Invalid { problems });
--- a/crates/control/src/servers.rs
+++ b/crates/control/src/servers.rs
@@ -1,6 +1,6 @@
 //! Connections to backend servers: one each, kept while this process controls their shard.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -124,12 +124,6 @@
         forget_broken(&mut client, &ordered);
     }
 
-    /// The servers that are known.
-    pub fn known(&self) -> BTreeSet<ServerKey> {
-        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        links.keys().copied().collect()
-    }
-
     fn link(&self, server: ServerKey) -> Option<Arc<Link>> {
         let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         links.get(&server).cloned()
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -13,6 +13,8 @@
 use flamingopost_daemon::remote;
 use flamingopost_daemon::stop::Stop;
 use flamingopost_daemon::token::Token;
+use flamingopost_platform::http::Client;
+use flamingopost_platform::table::Table as _;
 use flamingopost_standin::backend;
 use flamingopost_standin::platform;
 use flamingopost_wire::rpc::ControlClient as _;
@@ -173,6 +175,14 @@
         }
     }
 
+    /// The controller that the shard's row in the table names.
+    pub async fn named_controller(&self) -> String {
+        let table = Client::new(self.platform.address(), "", PATIENCE).unwrap();
+        let row = table.read("fleet/shard-0").await.unwrap().unwrap();
+        let row: Value = serde_json::from_str(&row.body).unwrap();
+        row["controller"].as_str().unwrap().to_owned()
+    }
+
     /// Ends one control process, as if its host had been switched off.
     pub fn stop_control(&mut self, control: usize) {
         self.controls[control].stop.stop();
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -189,6 +189,8 @@
     fleet.named_standbys(old).await;
     fleet.controls[old].stop.drain();
     fleet.controls[old].stop.stopped().await;
+    // It has ended because a successor has the shard, not because its patience is over.
+    assert_ne!(fleet.named_controller().await, fleet.controls[old].host);
     let asked = (old + 1) % 3;
     assert_ne!(fleet.leader(asked).await, old);
     all_see(&hosts, &server_name(0)).await;
