--- a/crates/standin/src/backend/server.rs
+++ b/crates/standin/src/backend/server.rs
@@ -208,6 +208,7 @@
         self.accepting.abort();
         self.shared.stop_following();
         self.shared.registry.break_all(None);
+        self.shared.delete();
     }
 }
 
