Route: replicas prove themselves by what the primary had

Cause: a probe needs a connection. When statements use all of a host's few connections to a replica, only their answers come, which tell a position and no age, and reads with an age limit would move to the primary just under load. Change: positions of the primary, asked under a valid lease, are kept with the moment of the question; a replica that has reached one holds all that was acknowledged before that moment. Broken on purpose and caught: any server taken for the primary, the position not compared. Conclusion: age-limited reads no longer hang on probes.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,5 +1,6 @@
 //! Which backend server answers a request.
 
+pub mod head;
 pub mod server;
 
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 use crate::session::need::Need;
 use crate::term::Term;
 use crate::view::{self, State};
+use head::Heads;
 use server::{Facts, Server, Status};
 
 /// A server that is leaving may finish what runs; statements of transactions that are open may
@@ -75,6 +77,7 @@
     service: view::Service,
     servers: BTreeMap<ServerKey, Server>,
     leases: BTreeMap<Term, Duration>,
+    heads: Heads,
 }
 
 impl Table {
@@ -91,6 +94,7 @@
             },
             servers: BTreeMap::new(),
             leases: BTreeMap::new(),
+            heads: Heads::default(),
         }
     }
 
@@ -132,9 +136,21 @@
     }
 
     /// A server told its status, in answer to something sent at `sent`.
+    ///
+    /// Probes need a connection, and when statements use all of them only statements are
+    /// answered, which tell a position and no age. So a replica also proves itself by having
+    /// reached what the primary had: whatever was acknowledged before the primary was asked is
+    /// in its answer's position.
     pub fn status(&mut self, server: ServerKey, status: Status, sent: Duration, now: Duration) {
+        if self.primary(now).map(|(primary, _)| primary) == Some(server) {
+            self.heads.note(status.position, sent);
+        }
+        let reached = self.heads.reached(status.position, &self.service.history);
         if let Some(server) = self.servers.get_mut(&server) {
             server.heard(status, sent, now);
+            if let Some(proof) = reached {
+                server.prove(proof);
+            }
         }
     }
 
--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -124,8 +124,10 @@
             return;
         }
         self.asked = sent;
-        if let Some(fresh) = status.fresh {
-            self.proof = sent.checked_sub(fresh.age).map(|at| Proof {
+        if let Some(fresh) = status.fresh
+            && let Some(at) = sent.checked_sub(fresh.age)
+        {
+            self.prove(Proof {
                 term: fresh.term,
                 at,
             });
@@ -134,6 +136,16 @@
         self.position = Some(status.position);
     }
 
+    /// Takes a proof, unless there is a newer one of the same term.
+    pub(super) fn prove(&mut self, proof: Proof) {
+        let newer = self
+            .proof
+            .is_none_or(|known| (known.term, known.at) < (proof.term, proof.at));
+        if newer {
+            self.proof = Some(proof);
+        }
+    }
+
     pub(super) fn lost(&mut self, now: Duration) {
         self.failed = Some(now);
     }
