--- a/crates/standin/src/backend/engine.rs
+++ b/crates/standin/src/backend/engine.rs
@@ -47,11 +47,6 @@
         self.directory.path().join(name)
     }
 
-    pub(crate) fn delete(&self) {
-        // What cannot be deleted lies in the system's temporary directory, which is swept anyway.
-        let _ = std::fs::remove_dir_all(self.directory.path());
-    }
-
     pub(crate) fn begin_anew(&mut self) {
         self.generation += 1;
     }
--- a/crates/standin/src/backend/server.rs
+++ b/crates/standin/src/backend/server.rs
@@ -208,7 +208,6 @@
         self.accepting.abort();
         self.shared.stop_following();
         self.shared.registry.break_all(None);
-        self.shared.delete();
     }
 }
 
--- a/crates/standin/src/backend/shared.rs
+++ b/crates/standin/src/backend/shared.rs
@@ -78,12 +78,6 @@
         Ok(Engine::open(&path, &self.settings.service, pid)?)
     }
 
-    /// Deletes the data. The process may end without dropping this: threads that serve HTTP hold
-    /// on to it, and the files would be left behind.
-    pub(crate) fn delete(&self) {
-        lock(&self.store).delete();
-    }
-
     /// Whether `engine` is connected to data that a rebuild has replaced.
     pub(crate) fn is_moved(&self, engine: &Engine) -> bool {
         let path = lock(&self.store).path();
