--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -104,7 +104,8 @@
             service,
             step,
             waiting: BTreeMap::new(),
-            complete: !closed,
+            // A rival's term may have had holders that nobody here knows of.
+            complete: !closed && reason != Reason::Rival,
             acknowledged: None,
             statuses: BTreeMap::new(),
             asked: None,
@@ -367,7 +368,7 @@
         let best = self.furthest(others);
         let all = self.servers.iter().filter(|server| others(server));
         let all_answered = all.into_iter().all(|s| self.statuses.contains_key(s));
-        let gathered = all_answered || waited >= timing::GATHER;
+        let gathered = all_answered || waited >= self.patience_for_answers();
         let known = self.complete && self.acknowledged.is_some();
         // Everybody has been asked, the old primary is gone, and nothing moves any more: more
         // waiting brings nothing.
@@ -390,6 +391,14 @@
         }
     }
 
+    fn patience_for_answers(&self) -> Duration {
+        match self.reason {
+            // The one that does not answer may be the one that led the greater term.
+            Reason::Rival => timing::CATCH_UP,
+            _ => timing::GATHER,
+        }
+    }
+
     fn avoids_replaced(&self) -> bool {
         !matches!(self.reason, Reason::Rival | Reason::Created(_))
     }
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -274,6 +274,42 @@
     );
 }
 
+/// The writes of a term that the row does not know are dropped and no record says so, found by
+/// schedule 104963: a server is known to have followed that term, and the one that led it has not
+/// answered yet. Cause: a choice made as soon as somebody has all that the row's term wrote.
+#[test]
+fn a_rival_is_waited_for() {
+    let mut trial = trial(Reason::Rival);
+    trial.close(trial.now + timing::LEASE);
+    trial.promotion.written(at(9), true);
+    trial.closed(9);
+    let follows = Status {
+        term: NEXT,
+        ..replica(9)
+    };
+    trial.promotion.status(trial.old, Some(leads(TERM, 9)));
+    trial.promotion.status(trial.far, Some(follows));
+    assert_eq!(trial.order(), None, "the rival may answer yet");
+    let rival = Status {
+        position: Position { term: NEXT, log: 8 },
+        ..leads(NEXT, 8)
+    };
+    trial.promotion.status(trial.near, Some(rival));
+    // Nobody knows on which log the rival's term went on, so the last write may be missing there.
+    assert_eq!(trial.order(), None);
+    trial.pass(timing::STILL);
+    let after = Term { epoch: 1, count: 2 };
+    assert_eq!(trial.order(), Some((trial.near, after)));
+    trial.promotion.status(
+        trial.near,
+        Some(Status {
+            term: after,
+            ..rival
+        }),
+    );
+    assert!(!trial.open().losses.iter().any(|loss| loss.complete));
+}
+
 /// The service hangs, or gets two primaries of one term, because the answer to a promotion was
 /// lost. The server's own status tells what became of it.
 #[test]
