control: test that listed and configured servers leave

Cause: two of the four sources of leaving servers had no test through the daemon. Change: the platform's list and the configuration's leaving key, and what status says of each.

--- a/crates/control/tests/fleet.rs
+++ b/crates/control/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use common::{Fleet, SERVICE, all_see, another, eventually, server_name};
 use flamingopost_standin::backend::fault::Faults;
+use flamingopost_standin::platform::{Announcement, State};
 use serde_json::json;
 
 #[actix_rt::test]
@@ -101,6 +102,46 @@
     assert_eq!(code, 404);
 }
 
+/// The platform is about to switch a replica's machine off and lists it as leaving; an operator
+/// empties another by configuration. Hosts send neither anything new.
+#[actix_rt::test]
+async fn listed_and_configured_servers_leave() {
+    let fleet = Fleet::start().await;
+    fleet.open().await;
+    let hosts = fleet.hosts(&server_name(0)).await;
+    let listed = Announcement {
+        zone: "kality-hall".to_owned(),
+        address: fleet.server(&server_name(2)).address().to_string(),
+        state: State::Leaving,
+    };
+    fleet.platform.announce("machine-17", listed);
+    eventually("hosts see the listed server leave", || async {
+        let sees = |host: &common::holder::Host| host.leaving().contains(&server_name(2));
+        hosts.iter().all(sees).then_some(())
+    })
+    .await;
+    let address = format!("address = {}\n", fleet.server(&server_name(1)).address());
+    let emptied = fleet
+        .config("")
+        .replace(&address, &format!("{address}leaving = yes\n"));
+    let (code, answer) = fleet.submit(0, 1, "empty", &emptied).await;
+    assert_eq!(code, 200, "{answer}");
+    eventually("hosts see both leave", || async {
+        let both = [server_name(1), server_name(2)].into();
+        let see = |host: &common::holder::Host| host.leaving() == both;
+        hosts.iter().all(see).then_some(())
+    })
+    .await;
+    let status = fleet.open_service(0).await;
+    let reasons: Vec<&[String]> = status
+        .servers
+        .iter()
+        .map(|s| s.leaving.as_slice())
+        .collect();
+    assert_eq!(reasons[1], ["configuration"]);
+    assert_eq!(reasons[2], ["platform"]);
+}
+
 /// An operator drains an entry host through whichever control process is at hand. The host is told
 /// with its next grant; others are not. Taking the drain back is told the same way.
 #[actix_rt::test]
