--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -28,9 +28,12 @@
 use crate::shard_status;
 use crate::shared::Shared;
 
-/// How often the machine is asked what is due.
+/// How often the machine of a controller is asked what is due.
 const STEP: Duration = Duration::from_millis(25);
 
+/// The same where this process stands by. It does so for every shard of the fleet.
+const STANDBY_STEP: Duration = Duration::from_millis(100);
+
 /// How often standbys are chosen anew and what is long gone is forgotten.
 const REVIEW: Duration = Duration::from_secs(1);
 
@@ -71,6 +74,8 @@
     pub(crate) statuses: BTreeMap<ServerKey, (Duration, Status)>,
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) led: bool,
+    /// What the metrics say of it.
+    pub(crate) shown: Option<bool>,
     /// Whether the process is about to end and wants a standby to take over.
     pub(crate) retiring: bool,
 }
@@ -101,6 +106,7 @@
             statuses: BTreeMap::new(),
             config: None,
             led: false,
+            shown: None,
             retiring: false,
         }
     }
@@ -127,9 +133,22 @@
             self.granted.clear();
         }
         self.led = leads || (self.led && self.controller.view().is_some());
-        let shard = self.number.to_string();
-        metrics::gauge!("flamingopost_shard_leads", "shard" => shard)
-            .set(f64::from(u8::from(leads)));
+        if self.shown != Some(leads) {
+            self.shown = Some(leads);
+            let shard = self.number.to_string();
+            metrics::gauge!("flamingopost_shard_leads", "shard" => shard)
+                .set(f64::from(u8::from(leads)));
+        }
+    }
+
+    /// Asks the machine what is due, and comes back when it may have more.
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        self.step(ctx);
+        let pause = match self.controller.view() {
+            Some(_) => STEP,
+            None => STANDBY_STEP,
+        };
+        ctx.run_later(pause, Self::tick);
     }
 
     pub(crate) fn configure(&mut self, config: Arc<Config>) {
@@ -359,7 +378,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        ctx.run_interval(STEP, |shard, ctx| shard.step(ctx));
+        self.tick(ctx);
         ctx.run_interval(REVIEW, |shard, _| shard.review());
         ctx.run_interval(FLOORS, |shard, ctx| shard.keep_floors(ctx));
     }
