capacity: slopes by size, and a model of the target

Change: flamingopost-capacity measures a configuration, a view, and lease renewals at a running control process (bytes counted on the wire, processor time of the process), and works a plan out.

--- /dev/null
+++ b/crates/capacity/src/command.rs
@@ -0,0 +1,32 @@
+//! Subcommands, one a file.
+
+pub mod configuration;
+pub mod fleet;
+pub mod lease;
+pub mod model;
+pub mod view;
+
+use std::fmt::Display;
+
+use serde::Serialize;
+
+use crate::error::Error;
+
+/// The sizes in `list`, or `usual` where there is none.
+fn sizes(list: Option<String>, usual: &[usize]) -> Result<Vec<usize>, Error> {
+    let Some(list) = list else {
+        return Ok(usual.to_vec());
+    };
+    let sizes: Result<Vec<usize>, _> = list.split(',').map(|size| size.trim().parse()).collect();
+    sizes.map_err(|_| Error::Sizes(list))
+}
+
+/// Prints `value` as one JSON object, or as text for people.
+fn print<T: Serialize + Display>(value: &T, json: bool) -> Result<(), Error> {
+    if json {
+        println!("{}", serde_json::to_string(value)?);
+    } else {
+        print!("{value}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/capacity/src/command/view.rs
@@ -0,0 +1,134 @@
+//! `flamingopost-capacity view [--sizes 4,16,64]`
+//!
+//! Bytes of a shard's view on the wire, and time to write and read it, by number of services.
+
+use std::fmt;
+
+use flamingopost_core::directory::Directory;
+use flamingopost_core::term::Term;
+use flamingopost_core::view::{Service, Shard, State, Version};
+use flamingopost_wire::view as wire;
+use serde::Serialize;
+
+use super::{print, sizes};
+use crate::error::Error;
+use crate::flags;
+use crate::slope::Line;
+use crate::usage;
+
+const SIZES: [usize; 3] = [4, 16, 64];
+
+/// Terms that a service's history names: a month of promotions of the most restless service.
+const TERMS: u32 = 4;
+
+#[derive(Debug, Serialize)]
+struct Point {
+    services: usize,
+    bytes: usize,
+    write_microseconds: f64,
+    read_microseconds: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    points: Vec<Point>,
+    bytes: Line,
+    write_microseconds: Line,
+    read_microseconds: Line,
+}
+
+/// Runs the subcommand.
+pub fn run(flags: flags::View) -> Result<(), Error> {
+    let sizes = sizes(flags.sizes, &SIZES)?;
+    let points = sizes
+        .into_iter()
+        .map(measure)
+        .collect::<Result<Vec<_>, _>>()?;
+    let line = |cost: fn(&Point) -> f64| {
+        let pairs: Vec<(f64, f64)> = points
+            .iter()
+            .map(|point| (point.services as f64, cost(point)))
+            .collect();
+        Line::fit(&pairs)
+    };
+    let figures = Figures {
+        bytes: line(|point| point.bytes as f64)?,
+        write_microseconds: line(|point| point.write_microseconds)?,
+        read_microseconds: line(|point| point.read_microseconds)?,
+        points,
+    };
+    print(&figures, flags.json)
+}
+
+fn measure(services: usize) -> Result<Point, Error> {
+    let mut directory = Directory::default();
+    let shard = made(services, &mut directory);
+    let text = serde_json::to_string(&wire::Shard::encode(&shard, &directory))?;
+    let write_microseconds = usage::microseconds(|| {
+        Ok(serde_json::to_string(&wire::Shard::encode(
+            &shard, &directory,
+        ))?)
+    })?;
+    let read_microseconds = usage::microseconds(|| {
+        let message: wire::Shard = serde_json::from_str(&text)?;
+        Ok(message.decode(&mut directory)?)
+    })?;
+    Ok(Point {
+        services,
+        bytes: text.len(),
+        write_microseconds,
+        read_microseconds,
+    })
+}
+
+fn made(services: usize, directory: &mut Directory) -> Shard {
+    let version = Version {
+        epoch: 7,
+        change: 1_000,
+    };
+    let mut shard = Shard {
+        version,
+        ..Shard::default()
+    };
+    for place in 0..services {
+        let service = directory
+            .services
+            .intern(&format!("consignment-ledger-{place}"));
+        let primary = directory
+            .servers
+            .intern(&format!("consignment-ledger-{place}-1"));
+        let term = Term {
+            epoch: 7,
+            count: TERMS - 1,
+        };
+        let mut made = Service::new(State::Open { term, primary });
+        for count in 0..TERMS {
+            made.history
+                .open(Term { epoch: 7, count }, u64::from(count) * 1_000_000);
+        }
+        shard.services.insert(service, made);
+    }
+    shard
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:>8} {:>10} {:>10} {:>10}",
+            "services", "bytes", "write µs", "read µs"
+        )?;
+        for point in &self.points {
+            writeln!(
+                f,
+                "{:>8} {:>10} {:>10.1} {:>10.1}",
+                point.services, point.bytes, point.write_microseconds, point.read_microseconds
+            )?;
+        }
+        writeln!(
+            f,
+            "{:>8} {:>10.0} {:>10.2} {:>10.2}",
+            "each", self.bytes.each, self.write_microseconds.each, self.read_microseconds.each
+        )
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/fleet.rs
@@ -0,0 +1,94 @@
+//! Fleets made to a size.
+
+use std::fmt::Write as _;
+
+use flamingopost_core::config;
+use flamingopost_core::directory::Directory;
+use flamingopost_core::fleet::Fleet;
+
+use crate::error::Error;
+
+/// Backend servers of each service.
+const SERVERS: usize = 3;
+
+/// Availability zones.
+pub const ZONES: usize = 6;
+
+/// Services of one customer; they share its callers and rules.
+const SERVICES_OF_CUSTOMER: usize = 10;
+
+/// A SCRAM verifier; only its length matters here.
+const VERIFIER: &str = "SCRAM-SHA-256$4096:hFKnInoSdYW4yniZTY2UmQ==$mBvoG84KcVPnyHhI/pbKAtL31uontdpAJInLt6J3EqU=:GKE9PyduNqCFluQnVjw6AZUjimOZbEv3OV8jybu9afg=";
+
+/// The configuration of a fleet with `services` services: three servers each, spread over six
+/// zones, and for every ten services one customer with two callers and four rules.
+pub fn text(services: usize) -> String {
+    let mut text = String::from("[fleet]\nshards = 16\ndefault_class = other\n");
+    for zone in 0..ZONES {
+        let _ = write!(text, "[zone zone-{zone}]\nregion = region-{}\n", zone % 2);
+    }
+    text.push_str("[class bid]\nweight = 100\ndeadline = 400ms\n");
+    text.push_str("[class other]\nweight = 10\ndeadline = 1s\n");
+    for customer in 0..services.div_ceil(SERVICES_OF_CUSTOMER) {
+        let of_customer = customer * SERVICES_OF_CUSTOMER..services;
+        push_customer(&mut text, customer, of_customer.take(SERVICES_OF_CUSTOMER));
+    }
+    text
+}
+
+/// The fleet behind [`text`], with its names numbered in `directory`.
+///
+/// # Errors
+/// When this tool and the configuration's format no longer fit together.
+pub fn parse(services: usize, text: &str, directory: &mut Directory) -> Result<Fleet, Error> {
+    config::parse("made.ini", text, directory)
+        .map_err(|report| Error::Configuration { services, report })
+}
+
+fn push_customer(text: &mut String, customer: usize, services: impl Iterator<Item = usize>) {
+    let services: Vec<usize> = services.collect();
+    let names: Vec<String> = services
+        .iter()
+        .map(|service| format!("ledger-{service}"))
+        .collect();
+    let names = names.join(", ");
+    let _ = write!(text, "[customer customer-{customer}]\nweight = 1\n");
+    for service in services {
+        push_service(text, customer, service);
+    }
+    for role in ["member", "clerk"] {
+        let _ = write!(
+            text,
+            "[caller {role}-{customer}]\nverifier = {VERIFIER}\ncustomer = customer-{customer}\n\
+             role = {role}\nservices = {names}\n"
+        );
+    }
+    for rule in 0..2 {
+        let _ = write!(
+            text,
+            "[rule writes-{customer}-{rule}]\nwhen.service = {names}\nwhen.access = write\n\
+             when.table = table-{rule}\nthen.class = bid\nthen.repeatable = no\n\
+             [rule reads-{customer}-{rule}]\nwhen.service = {names}\nwhen.access = read\n\
+             when.table = table-{rule}\nthen.target = replica\nthen.max_age = 500ms\n\
+             then.class = other\n"
+        );
+    }
+}
+
+fn push_service(text: &mut String, customer: usize, service: usize) {
+    let _ = write!(
+        text,
+        "[service ledger-{service}]\ncustomer = customer-{customer}\nslots = 3\n\
+         connections = 36\nconnect_cost = 30ms\n"
+    );
+    for server in 0..SERVERS {
+        let place = service * SERVERS + server;
+        let (high, low) = (place / 250, place % 250 + 1);
+        let _ = write!(
+            text,
+            "[server ledger-{service}-{server}]\nservice = ledger-{service}\nzone = zone-{}\n\
+             address = 127.0.{high}.{low}:7000\n",
+            place % ZONES
+        );
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/meter.rs
@@ -0,0 +1,71 @@
+//! Counts the bytes between two sides of a connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::error::Error;
+
+const BUFFER: usize = 16 * 1024;
+
+/// Passes connections on to another address and counts what they carry.
+#[derive(Debug, Clone)]
+pub struct Meter {
+    address: SocketAddr,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Meter {
+    /// Starts to pass connections on to `target`, from a loopback port of its own.
+    ///
+    /// # Errors
+    /// When it cannot listen.
+    pub async fn start(target: SocketAddr) -> Result<Meter, Error> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let meter = Meter {
+            address: listener.local_addr()?,
+            bytes: Arc::default(),
+        };
+        tokio::spawn(accept(listener, target, meter.bytes.clone()));
+        Ok(meter)
+    }
+
+    /// Where to connect instead of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Bytes so far, both ways, headers included.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, bytes: Arc<AtomicU64>) {
+    while let Ok((near, _)) = listener.accept().await {
+        let Ok(far) = TcpStream::connect(target).await else {
+            continue;
+        };
+        let (near_in, near_out) = near.into_split();
+        let (far_in, far_out) = far.into_split();
+        tokio::spawn(pass(near_in, far_out, bytes.clone()));
+        tokio::spawn(pass(far_in, near_out, bytes.clone()));
+    }
+}
+
+async fn pass(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    bytes: Arc<AtomicU64>,
+) {
+    let mut buffer = vec![0; BUFFER];
+    while let Ok(read @ 1..) = from.read(&mut buffer).await {
+        bytes.fetch_add(read as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/slope.rs
@@ -0,0 +1,42 @@
+//! A straight line through measured points.
+
+use serde::Serialize;
+
+use crate::error::Error;
+
+/// Cost as `fixed + each * size`.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Line {
+    /// Cost at size zero.
+    pub fixed: f64,
+    /// Cost of one more.
+    pub each: f64,
+}
+
+impl Line {
+    /// The line that fits `points` (size, cost) best, by least squares.
+    ///
+    /// # Errors
+    /// When there are not two different sizes.
+    pub fn fit(points: &[(f64, f64)]) -> Result<Line, Error> {
+        let count = points.len() as f64;
+        let mean_size = points.iter().map(|point| point.0).sum::<f64>() / count;
+        let mean_cost = points.iter().map(|point| point.1).sum::<f64>() / count;
+        let spread: f64 = points
+            .iter()
+            .map(|point| (point.0 - mean_size).powi(2))
+            .sum();
+        if points.len() < 2 || spread == 0.0 {
+            return Err(Error::OneSize);
+        }
+        let joint: f64 = points
+            .iter()
+            .map(|point| (point.0 - mean_size) * (point.1 - mean_cost))
+            .sum();
+        let each = joint / spread;
+        Ok(Line {
+            fixed: mean_cost - each * mean_size,
+            each,
+        })
+    }
+}
