Look for forgotten leases once a second, not at each grant

Cause: each renewal walked over all holders of a shard, so a controller's cost grew with the square of the hosts. Change: Ledger::grant tidies at most once a second.

--- a/crates/core/src/lease_ledger.rs
+++ b/crates/core/src/lease_ledger.rs
@@ -6,6 +6,10 @@
 /// How long a lease that is over is remembered.
 const KEPT: Duration = Duration::from_secs(10 * 60);
 
+/// How often such leases are looked for. Looking at each grant would make a renewal cost as much
+/// as there are holders.
+const TIDY: Duration = Duration::from_secs(1);
+
 /// One process of one entry host: after a restart it is another holder, which knows nothing of
 /// what the earlier one acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -35,6 +39,7 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     until: BTreeMap<Instance, Duration>,
+    tidied: Duration,
 }
 
 impl Ledger {
@@ -42,7 +47,10 @@
     pub fn grant(&mut self, holder: Instance, valid: Duration, now: Duration) {
         let until = self.until.entry(holder).or_default();
         *until = (*until).max(now + valid);
-        self.until.retain(|_, until| *until + KEPT > now);
+        if now >= self.tidied + TIDY {
+            self.tidied = now;
+            self.until.retain(|_, until| *until + KEPT > now);
+        }
     }
 
     /// Notes that a holder gave its lease up at `now`.
