--- a/crates/capacity/src/command/lease.rs
+++ b/crates/capacity/src/command/lease.rs
@@ -18,7 +18,6 @@
 use flamingopost_wire::rpc::ControlClient as _;
 use flamingopost_wire::view::Version;
 use futures::future::join_all;
-use jsonrpsee::http_client::HttpClient;
 use serde::Serialize;
 use tokio::time::Instant;
 
@@ -153,7 +152,7 @@
 
 /// One connection and the renewals that go over it in one call.
 struct Caller {
-    client: HttpClient,
+    client: remote::Client,
     renewals: Vec<Renewal>,
 }
 
