entry: a commit before a Flush is judged before it is passed on

Cause: in pipeline mode a caller can ask for the answer to COMMIT by Flush, before it syncs. That answer has no ReadyForQuery, so the server had not told its position and the commit was passed on without a look at the lease: a replaced primary's commit could be acknowledged. Change: a Flush behind the end of a transaction is sent as Sync, whose ReadyForQuery this host keeps; the caller's own Sync is answered here. Ruled out: holding the commit until the caller syncs, since it may wait for the answer first. Conclusion: no answer to a commit leaves before the lease was looked at.

--- a/crates/entry/examples/overhead.rs
+++ b/crates/entry/examples/overhead.rs
@@ -6,17 +6,12 @@
 #[path = "../tests/common/path.rs"]
 mod path;
 
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::{Arc, mpsc};
-use std::task::{Context, Poll, ready};
+use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 use path::{Group, Host};
 use rustix::time::{ClockId, clock_gettime};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 use tokio_postgres::{Client, NoTls};
 
@@ -198,7 +193,7 @@
     let before = resident_kb();
     let mut sockets = Vec::new();
     for _ in 0..count {
-        sockets.push(connect_and_forget(address).await);
+        sockets.push(path::raw(address).await);
     }
     tokio::time::sleep(Duration::from_secs(1)).await;
     let grown = resident_kb().saturating_sub(before);
@@ -206,67 +201,6 @@
     println!("{count} idle callers: {grown} kB more resident, {each} bytes a caller");
 }
 
-/// Logs in, then drops the client and keeps only its socket open.
-async fn connect_and_forget(address: SocketAddr) -> Arc<TcpStream> {
-    let socket = Arc::new(TcpStream::connect(address).await.unwrap());
-    let mut config = tokio_postgres::Config::new();
-    config
-        .user(path::USER)
-        .password(path::PASSWORD)
-        .dbname(path::SERVICE);
-    let kept = Kept(Arc::clone(&socket));
-    let connected = config.connect_raw(kept, NoTls).await;
-    drop(connected.unwrap());
-    socket
-}
-
-/// A stream whose socket outlives it.
-struct Kept(Arc<TcpStream>);
-
-impl AsyncRead for Kept {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
-                Ok(count) => {
-                    buffer.advance(count);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
-    }
-}
-
-impl AsyncWrite for Kept {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match self.0.try_write(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
-
 fn resident_kb() -> usize {
     let status = std::fs::read_to_string("/proc/self/status").unwrap();
     let line = status.lines().find(|line| line.starts_with("VmRSS:"));
--- a/crates/entry/src/plan.rs
+++ b/crates/entry/src/plan.rs
@@ -73,6 +73,7 @@
             added: Vec::new(),
             closed: Vec::new(),
             unnamed: back.unnamed,
+            syncs: request.commits_before_flush(),
             back,
         };
         for item in &request.items {
@@ -100,6 +101,9 @@
     added: Vec<u64>,
     closed: Vec<u64>,
     unnamed: Option<u64>,
+    /// Whether a `Flush` becomes a `Sync`: a commit in front of it can only be judged when the
+    /// server has told its position, which it does with `ReadyForQuery`.
+    syncs: bool,
     back: &'a Back,
 }
 
@@ -112,6 +116,7 @@
             (b'C', _) => self.close(frame),
             (b'E', _) => self.pass(frame, Expect::Execute),
             (b'S', _) => self.plan.put_sync(),
+            (b'H', _) if self.syncs => self.plan.put_sync(),
             _ => self.plan.bytes.put_slice(&frame.0),
         }
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -203,6 +203,11 @@
         several && self.parts().any(ends_transaction)
     }
 
+    /// Whether it ends a transaction and then a `Flush` asks for the answer.
+    pub fn commits_before_flush(&self) -> bool {
+        self.end == End::Flush && self.parts().any(ends_transaction)
+    }
+
     /// Whether it needs no server: it runs, prepares and describes nothing.
     pub fn is_bare(&self) -> bool {
         let bare = |item: &Item| match item.frame.tag() {
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -20,7 +20,7 @@
 use crate::exchange::{End, Progress};
 use crate::held::Held;
 use crate::reply;
-use crate::request::Request;
+use crate::request::{self, Request};
 use crate::session::Session;
 use crate::tracking;
 use crate::treatment::Treatment;
@@ -103,7 +103,7 @@
         {
             self.confirm(position, term, treatment).await?;
         }
-        self.finish(progress, report);
+        self.finish(progress, report, request.end);
         Ok(Settled::Given)
     }
 
@@ -248,17 +248,22 @@
         if let (Some(position), Ack::Replica) = (position, treatment.then.ack) {
             self.confirm(position, term, treatment).await?;
         }
-        self.finish(progress, report);
+        self.finish(progress, report, request::End::Sync);
         Ok(())
     }
 
     /// Gives the caller the end of its answer.
-    fn finish(&mut self, progress: &Progress, report: Option<Position>) {
+    fn finish(&mut self, progress: &Progress, report: Option<Position>, end: request::End) {
         self.front.out.extend_from_slice(&progress.tail);
         if let Some(position) = report {
             reply::parameter(&mut self.front.out, POSITION, &position.to_string());
         }
-        self.ready();
+        // After a `Flush` the caller's own `Sync` is still to come, and gets this answer.
+        match end {
+            request::End::Simple | request::End::Sync => self.ready(),
+            request::End::Flush if progress.sqlstate.is_some() => self.skip(),
+            request::End::Flush => {}
+        }
     }
 
     /// A read by the primary: current if the term was still led when the answer came.
--- a/crates/entry/tests/common/path.rs
+++ b/crates/entry/tests/common/path.rs
@@ -2,8 +2,11 @@
 #![allow(dead_code, missing_docs)]
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use flamingopost_core::budget::Grant;
@@ -18,11 +21,12 @@
 use flamingopost_entry::adopted::Adopted;
 use flamingopost_entry::auth::{Door, scram};
 use flamingopost_entry::callers;
-use flamingopost_entry::context::Context;
+use flamingopost_entry::context::Context as Shelf;
 use flamingopost_entry::settings::Limits;
 use flamingopost_entry::shared::Shared;
 use flamingopost_standin::backend;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
 pub const SERVICE: &str = "auction-ledger";
@@ -44,7 +48,7 @@
 pub struct Host {
     pub address: SocketAddr,
     pub shared: Arc<Shared>,
-    pub context: Arc<Context>,
+    pub context: Arc<Shelf>,
     pub service: ServiceKey,
     pub keys: Vec<ServerKey>,
     pub stop: Stop,
@@ -148,7 +152,7 @@
             body: Arc::from(""),
             fleet: Arc::new(fleet),
         });
-        let context = Context::new(shared.clone(), "bole-1", "bole-hall", 1 << 20);
+        let context = Shelf::new(shared.clone(), "bole-1", "bole-hall", 1 << 20);
         let host = Host {
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             context: Arc::new(context),
@@ -244,6 +248,63 @@
     }
 }
 
+/// Logs in as an ordinary client and leaves the socket to the test.
+pub async fn raw(address: SocketAddr) -> Arc<TcpStream> {
+    let socket = Arc::new(TcpStream::connect(address).await.unwrap());
+    let mut config = config(address);
+    config.user(USER).password(PASSWORD);
+    let kept = Kept(Arc::clone(&socket));
+    drop(config.connect_raw(kept, NoTls).await.unwrap());
+    socket
+}
+
+/// A stream whose socket outlives it.
+struct Kept(Arc<TcpStream>);
+
+impl AsyncRead for Kept {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(count) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Kept {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
 /// A caller of a server itself.
 pub async fn direct(address: SocketAddr) -> Client {
     let mut config = config(address);
--- a/crates/entry/tests/failure.rs
+++ b/crates/entry/tests/failure.rs
@@ -483,3 +483,80 @@
         assert!(column(&caller, "SELECT id FROM bids").await.is_empty());
     }
 }
+
+/// A program in pipeline mode sends `COMMIT` and asks for its answer by `Flush`, before it syncs.
+/// The term ends while the server works on it: the program must not see the commit confirmed.
+#[tokio::test]
+async fn a_commit_before_a_flush_is_not_acknowledged_after_the_lease() {
+    let group = Group::start(0).await;
+    let host = Host::start(&group).await;
+    table(&host).await;
+    let socket = path::raw(host.address).await;
+    let mut begin = wire::run("BEGIN");
+    begin.extend(wire::SYNC);
+    wire::send(&socket, &begin).await;
+    wire::until(&socket, b"Z\x00\x00\x00\x05T").await;
+    group.set_faults(0, |faults| faults.slow_ms = SLOW_MS);
+    let mut commit = wire::run("INSERT INTO bids VALUES (1)");
+    commit.extend(wire::run("COMMIT"));
+    commit.extend(wire::FLUSH);
+    wire::send(&socket, &commit).await;
+    tokio::time::sleep(Duration::from_millis(SLOW_MS / 3)).await;
+    let closed = view::Service::new(State::Closed { term: TERM });
+    host.view(closed, 2, Duration::ZERO);
+    let answer = wire::until(&socket, b"PF101\0").await;
+    assert!(!wire::contains(&answer, b"COMMIT\0"));
+    wire::send(&socket, &wire::SYNC).await;
+    wire::until(&socket, b"Z\x00\x00\x00\x05I").await;
+}
+
+/// Messages of the extended protocol as bytes.
+mod wire {
+    use tokio::net::TcpStream;
+
+    pub const SYNC: [u8; 5] = [b'S', 0, 0, 0, 4];
+    pub const FLUSH: [u8; 5] = [b'H', 0, 0, 0, 4];
+
+    /// `Parse`, `Bind` and `Execute` of `sql` without names and parameters.
+    pub fn run(sql: &str) -> Vec<u8> {
+        let parse = [b"\0", sql.as_bytes(), b"\0\0\0"].concat();
+        [
+            message(b'P', &parse),
+            message(b'B', &[0; 8]),
+            message(b'E', &[0; 5]),
+        ]
+        .concat()
+    }
+
+    fn message(tag: u8, body: &[u8]) -> Vec<u8> {
+        let length = u32::try_from(body.len() + 4).unwrap();
+        [&[tag], length.to_be_bytes().as_slice(), body].concat()
+    }
+
+    pub async fn send(socket: &TcpStream, bytes: &[u8]) {
+        socket.writable().await.unwrap();
+        assert_eq!(socket.try_write(bytes).unwrap(), bytes.len());
+    }
+
+    /// Reads until `wanted` has come; the bound only ends a test that would hang.
+    pub async fn until(socket: &TcpStream, wanted: &[u8]) -> Vec<u8> {
+        const LONGEST: std::time::Duration = std::time::Duration::from_secs(10);
+        let mut received = Vec::new();
+        while !contains(&received, wanted) {
+            let readable = tokio::time::timeout(LONGEST, socket.readable()).await;
+            readable.expect("what was waited for comes").unwrap();
+            let mut buffer = [0; 4096];
+            match socket.try_read(&mut buffer) {
+                Ok(0) => panic!("closed after {:?}", String::from_utf8_lossy(&received)),
+                Ok(count) => received.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) => panic!("{error}"),
+            }
+        }
+        received
+    }
+
+    pub fn contains(bytes: &[u8], part: &[u8]) -> bool {
+        bytes.windows(part.len()).any(|window| window == part)
+    }
+}
