Admission: a host's limit never falls below the server's slots

Cause: the limit falls when an answer takes three times the least of its class. A class holds quick and slow statements (BEGIN beside a keyed bid of three round trips), so a sound server looked crowded and hosts went down to one statement at a time, unequally. Found by a trial through processes with 20 ms a statement, where bids took 260 ms at the median with half of the slots idle. Change: the limit moves between the slots and twice as many.

--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -16,10 +16,13 @@
 
 /// An adaptive limit. Several hosts share a server's slots without seeing each other; each reads
 /// from the time of its own answers whether the server is crowded, adds a little while it is not
-/// and takes off a part when it is (AIMD).
+/// and takes off a part when it is (AIMD). Never below the slots: a class holds quick and slow
+/// statements, so that a slow one can look like a crowd, and a host that went down to one for it
+/// left slots idle.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limit {
     limit: f64,
+    smallest: f64,
     greatest: f64,
     stepped: Duration,
 }
@@ -27,15 +30,16 @@
 impl Limit {
     /// The limit before a server that runs `slots` statements at once.
     pub fn new(slots: u16) -> Limit {
-        let greatest = f64::from(slots.max(1)) * 2.0;
+        let slots = f64::from(slots.max(1));
         Limit {
-            limit: f64::from(slots.max(1)),
-            greatest,
+            limit: slots,
+            smallest: slots,
+            greatest: slots * 2.0,
             stepped: Duration::ZERO,
         }
     }
 
-    /// How many may run at once; never less than one.
+    /// How many may run at once; from the server's slots to twice as many.
     pub fn slots(&self) -> usize {
         self.limit as usize
     }
@@ -61,6 +65,6 @@
             return;
         }
         self.stepped = now;
-        self.limit = (self.limit * STEP_DOWN).max(1.0);
+        self.limit = (self.limit * STEP_DOWN).max(self.smallest);
     }
 }
