control: many shards on one process of a large fleet keep their authority

Cause: in a fleet with large rows each shard that names a process read its row alone, twice a second; a process that shards had gathered on used up its ten requests a second, reads waited for each other, and every authority ran out again and again. Change: beyond four such shards one read of all rows each 400 ms serves them; shards that do not name the process take the last read, dated by its own sending, and never wait a minute for one.

--- a/crates/control/src/poll.rs
+++ b/crates/control/src/poll.rs
@@ -28,9 +28,19 @@
 /// second, and all rows would be read several times a second.
 const LARGE: usize = 32 << 10;
 
-/// Time between two reads of all rows in a large fleet.
+/// The same in a large fleet.
+const LARGE_SPACING: Duration = Duration::from_millis(400);
+
+/// Time between two reads of all rows in a large fleet, where nobody asks.
 const LARGE_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Rows that are read one by one at most; each is asked for twice a second, of the ten requests a
+/// second that a process makes.
+const MANY: usize = 4;
+
+/// How long a row counts as asked for.
+const NAMED_FOR: Duration = Duration::from_secs(2);
+
 /// Time between two reads of the head alone in a large fleet.
 const HEAD_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -65,27 +75,50 @@
 struct Seen {
     large: AtomicBool,
     latest: Mutex<Read>,
+    /// When rows of shards that name this process were last asked for.
+    named: Mutex<BTreeMap<String, Duration>>,
 }
 
 impl Reader {
     /// A read that finds the row `key`, sent after this call: an authority that dated an old read
     /// as new would outlive its row.
     pub async fn read(&self, key: &str, part: Part) -> Read {
-        if self.is_large() && part == Part::Named {
-            return self.read_one(key).await;
+        match (self.is_large(), part) {
+            (true, Part::Other) => self.latest(),
+            (true, Part::Named) if !self.names_many(key) => self.read_one(key).await,
+            _ => self.read_all().await,
         }
+    }
+
+    async fn read_all(&self) -> Read {
         let (sender, receiver) = oneshot::channel();
         let _stopped = self.asked.send(sender);
         receiver.await.unwrap_or_default()
     }
 
+    /// Whether so many shards name this process that one read of all rows is asked for less often
+    /// than a read of each. After takeovers shards gather on a process; row by row their reads
+    /// would wait for each other by the bound on requests until every authority had run out.
+    fn names_many(&self, key: &str) -> bool {
+        let now = self.shared.now();
+        let named = self.seen.named.lock();
+        let mut named = named.unwrap_or_else(PoisonError::into_inner);
+        named.insert(key.to_owned(), now);
+        named.retain(|_, asked| now < *asked + NAMED_FOR);
+        named.len() > MANY
+    }
+
+    fn latest(&self) -> Read {
+        let latest = self.seen.latest.lock();
+        latest.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// The row `key` as it was a moment ago; read anew where all rows are not read often.
     pub async fn glance(&self, key: &str) -> Read {
         if self.is_large() {
             return self.read_one(key).await;
         }
-        let latest = self.seen.latest.lock();
-        latest.unwrap_or_else(PoisonError::into_inner).clone()
+        self.latest()
     }
 
     async fn read_one(&self, key: &str) -> Read {
@@ -122,16 +155,12 @@
     let interval = shared.settings().platform.poll;
     let mut silent_since = None;
     while shared.stop().phase() != Phase::Stopped {
-        let first = match reader.is_large() {
-            true => {
-                tokio::time::sleep(jittered(LARGE_INTERVAL)).await;
-                None
-            }
-            false => {
-                let waiting = tokio::time::timeout(jittered(interval), asked.recv());
-                waiting.await.ok().flatten()
-            }
+        let patience = match reader.is_large() {
+            true => LARGE_INTERVAL,
+            false => interval,
         };
+        let first = tokio::time::timeout(jittered(patience), asked.recv()).await;
+        let first = first.ok().flatten();
         let mut waiting: Vec<oneshot::Sender<Read>> = first.into_iter().collect();
         while let Ok(another) = asked.try_recv() {
             waiting.push(another);
@@ -146,7 +175,11 @@
         for sender in waiting {
             let _gone = sender.send(read.clone());
         }
-        tokio::time::sleep(SPACING).await;
+        let spacing = match reader.is_large() {
+            true => LARGE_SPACING,
+            false => SPACING,
+        };
+        tokio::time::sleep(spacing).await;
     }
 }
 
