--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,336 @@
+//! Which pooled connection runs a request: one service's servers, connections and queue.
+//!
+//! Servers have few slots and few connections, and each entry host may open its share of them.
+//! A request waits here, by priority and age, until a connection to a server that may answer it
+//! is free. No input or output: each call returns what to do next.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::key::ServerKey;
+use crate::position::Position;
+
+mod next;
+mod server;
+mod ticket;
+
+pub use next::{Next, Unserved};
+pub use server::{Failure, Server, Standing};
+pub use ticket::{Need, Ticket};
+
+/// Extra cost of a server in another availability zone: a round trip, and bytes between zones
+/// are charged for, so a local server wins until it is this much slower.
+const REMOTE_COST: Duration = Duration::from_millis(12);
+
+/// Extra cost of a read at the primary, whose slots writes cannot do without.
+const PRIMARY_COST: Duration = Duration::from_millis(16);
+
+/// How long a replica that refused a read for its lag is passed over, about the usual lag.
+const LAG_PAUSE: Duration = Duration::from_millis(60);
+
+/// An idle connection above the base share goes back after this long, for other hosts to use.
+const SURPLUS_IDLE: Duration = Duration::from_millis(1_500);
+
+/// First wait after a failed connect; doubled up to [`BACKOFF_MOST`].
+const BACKOFF: Duration = Duration::from_millis(40);
+
+/// Longest wait between two attempts to connect.
+const BACKOFF_MOST: Duration = Duration::from_millis(500);
+
+/// The connections and the queue of one service on one entry host.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::dispatch::{Dispatch, Need, Next, Server, Ticket};
+/// use flamingopost_core::key::ServerKey;
+///
+/// let now = Duration::ZERO;
+/// let server = ServerKey::default();
+/// let mut dispatch = Dispatch::default();
+/// dispatch.insert(server, Server::new(true, 2, 2, 4));
+/// dispatch.lead(Some(server));
+/// let ticket = Ticket::new(1, Need::Lead, 1, now, Duration::from_secs(1));
+/// assert_eq!(dispatch.arrive(ticket, now), [Next::Open { server }]);
+/// let lent = Next::Lend { ticket: 1, server, connection: 7 };
+/// assert_eq!(dispatch.opened(server, 7, now), [lent]);
+/// ```
+#[derive(Debug, Default)]
+pub struct Dispatch {
+    servers: BTreeMap<ServerKey, Server>,
+    leader: Option<ServerKey>,
+    waiting: Vec<Ticket>,
+}
+
+impl Dispatch {
+    /// Adds `server`, or brings what is known of it up to date.
+    pub fn insert(&mut self, key: ServerKey, server: Server) {
+        match self.servers.get_mut(&key) {
+            Some(known) => known.update(&server),
+            None => {
+                self.servers.insert(key, server);
+            }
+        }
+    }
+
+    /// Forgets `server`; its idle connections are to be closed.
+    pub fn remove(&mut self, key: ServerKey) -> Vec<Next> {
+        if self.leader == Some(key) {
+            self.leader = None;
+        }
+        let Some(mut server) = self.servers.remove(&key) else {
+            return Vec::new();
+        };
+        let idle = server.take_idle();
+        let close = |connection| Next::Close {
+            server: key,
+            connection,
+        };
+        idle.into_iter().map(close).collect()
+    }
+
+    /// The servers.
+    pub fn servers(&self) -> &BTreeMap<ServerKey, Server> {
+        &self.servers
+    }
+
+    /// What is known of one server.
+    pub fn server_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.servers.get_mut(&key)
+    }
+
+    /// The server that leads, as far as this host knows.
+    pub fn leader(&self) -> Option<ServerKey> {
+        self.leader
+    }
+
+    /// `server` leads from now on, or nobody is known to.
+    pub fn lead(&mut self, server: Option<ServerKey>) {
+        self.leader = server;
+    }
+
+    /// How many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// A request asks for a connection.
+    pub fn arrive(&mut self, ticket: Ticket, now: Duration) -> Vec<Next> {
+        let place = self
+            .waiting
+            .partition_point(|other| other.order() <= ticket.order());
+        self.waiting.insert(place, ticket);
+        self.run(now)
+    }
+
+    /// A request no longer waits.
+    pub fn cancel(&mut self, ticket: u64) {
+        self.waiting.retain(|other| other.id != ticket);
+    }
+
+    /// A new connection to `server` is ready.
+    pub fn opened(&mut self, key: ServerKey, connection: u64, now: Duration) -> Vec<Next> {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return vec![Next::Close {
+                server: key,
+                connection,
+            }];
+        };
+        server.opened(connection, now);
+        self.run(now)
+    }
+
+    /// No connection to `server` could be opened.
+    pub fn failed(&mut self, key: ServerKey, failure: Failure, now: Duration) -> Vec<Next> {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.failed(failure, now);
+        }
+        self.run(now)
+    }
+
+    /// A lent connection comes back in order.
+    pub fn returned(&mut self, key: ServerKey, connection: u64, now: Duration) -> Vec<Next> {
+        let usable = match self.servers.get_mut(&key) {
+            Some(server) => server.returned(connection, now),
+            None => false,
+        };
+        let mut next = self.run(now);
+        if !usable {
+            next.push(Next::Close {
+                server: key,
+                connection,
+            });
+        }
+        next
+    }
+
+    /// A lent connection is gone.
+    pub fn lost(&mut self, key: ServerKey, now: Duration) -> Vec<Next> {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.lost();
+        }
+        self.run(now)
+    }
+
+    /// An idle connection has ended.
+    pub fn ended(&mut self, key: ServerKey, connection: u64) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.forget(connection);
+        }
+    }
+
+    /// A replica refused a read because its log lacks what the read has to see.
+    pub fn lagged(&mut self, key: ServerKey, now: Duration) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.lagging_until = now + LAG_PAUSE;
+        }
+    }
+
+    /// Requests whose time is over are refused, and connections nobody needs are given back.
+    pub fn tick(&mut self, now: Duration) -> Vec<Next> {
+        let mut next = Vec::new();
+        for (key, server) in &mut self.servers {
+            let surplus = server.surplus(now, SURPLUS_IDLE);
+            next.extend(surplus.into_iter().map(|connection| Next::Close {
+                server: *key,
+                connection,
+            }));
+        }
+        next.extend(self.run(now));
+        next.extend(self.warm(now));
+        next
+    }
+
+    /// Opens the base share of connections ahead of need: a request that has to wait for a
+    /// connect pays tens of milliseconds, most of an objective.
+    fn warm(&mut self, now: Duration) -> Vec<Next> {
+        let mut next = Vec::new();
+        for (key, server) in &mut self.servers {
+            if server.is_cold(now) {
+                server.opening += 1;
+                next.push(Next::Open { server: *key });
+            }
+        }
+        next
+    }
+
+    fn run(&mut self, now: Duration) -> Vec<Next> {
+        let mut next = Vec::new();
+        let mut waiting = std::mem::take(&mut self.waiting);
+        let mut wanted: BTreeMap<ServerKey, u16> = BTreeMap::new();
+        waiting.retain(|ticket| {
+            if ticket.deadline <= now {
+                let why = self.unserved(ticket, now);
+                next.push(Next::Refuse {
+                    ticket: ticket.id,
+                    why,
+                });
+                return false;
+            }
+            match self.place(ticket, &mut wanted, now) {
+                Place::Here(server, connection) => {
+                    next.push(Next::Lend {
+                        ticket: ticket.id,
+                        server,
+                        connection,
+                    });
+                    false
+                }
+                Place::Open(server) => {
+                    next.push(Next::Open { server });
+                    true
+                }
+                Place::Wait => true,
+            }
+        });
+        self.waiting = waiting;
+        next
+    }
+
+    fn unserved(&self, ticket: &Ticket, now: Duration) -> Unserved {
+        let some = self
+            .servers
+            .iter()
+            .any(|(key, server)| self.may_serve(ticket, *key, server, now));
+        match (some, ticket.need) {
+            (true, _) => Unserved::Busy,
+            (false, Need::Lead) => Unserved::NoPrimary,
+            (false, Need::Position(_)) => Unserved::Lagging,
+        }
+    }
+
+    fn place(
+        &mut self,
+        ticket: &Ticket,
+        wanted: &mut BTreeMap<ServerKey, u16>,
+        now: Duration,
+    ) -> Place {
+        let mut best: Option<(Duration, ServerKey)> = None;
+        let mut idle: Option<(Duration, ServerKey)> = None;
+        for (key, server) in &self.servers {
+            if !self.may_serve(ticket, *key, server, now) {
+                continue;
+            }
+            let cost = self.cost(ticket, *key, server);
+            let smaller = |old: Option<(Duration, ServerKey)>| old.is_none_or(|old| cost < old.0);
+            if smaller(best) {
+                best = Some((cost, *key));
+            }
+            if server.has_idle() && smaller(idle) {
+                idle = Some((cost, *key));
+            }
+        }
+        if let Some((_, key)) = idle
+            && let Some(connection) = self.servers.get_mut(&key).and_then(Server::lend)
+        {
+            return Place::Here(key, connection);
+        }
+        let Some((_, key)) = best else {
+            return Place::Wait;
+        };
+        let count = wanted.entry(key).or_default();
+        *count += 1;
+        let server = self.servers.get_mut(&key);
+        match server {
+            Some(server) if server.opening < *count && server.may_open(now) => {
+                server.opening += 1;
+                Place::Open(key)
+            }
+            _ => Place::Wait,
+        }
+    }
+
+    fn may_serve(&self, ticket: &Ticket, key: ServerKey, server: &Server, now: Duration) -> bool {
+        if server.standing != Standing::Serving || ticket.avoid == Some(key) {
+            return false;
+        }
+        let leads = self.leader == Some(key);
+        match ticket.need {
+            Need::Lead => leads,
+            Need::Position(position) => {
+                !server.is_broken(now) && (leads || server.may_have(position, now))
+            }
+        }
+    }
+
+    fn cost(&self, ticket: &Ticket, key: ServerKey, server: &Server) -> Duration {
+        let mut cost = server.expected();
+        if !server.local {
+            cost += REMOTE_COST;
+        }
+        if ticket.need != Need::Lead && self.leader == Some(key) {
+            cost += PRIMARY_COST;
+        }
+        cost
+    }
+}
+
+enum Place {
+    Here(ServerKey, u64),
+    Open(ServerKey),
+    Wait,
+}
+
+/// The latest position that `server` is known to have; for logs and reports.
+pub fn known_position(dispatch: &Dispatch, server: ServerKey) -> Option<Position> {
+    dispatch.servers.get(&server).map(|server| server.applied)
+}
--- /dev/null
+++ b/crates/core/src/dispatch/next.rs
@@ -0,0 +1,47 @@
+//! What a [`Dispatch`](super::Dispatch) wants done.
+
+use crate::key::ServerKey;
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Run the request of `ticket` on `connection`.
+    Lend {
+        /// The request.
+        ticket: u64,
+        /// The server.
+        server: ServerKey,
+        /// The connection to it.
+        connection: u64,
+    },
+    /// Open a connection to `server`, then call `opened` or `failed`.
+    Open {
+        /// The server.
+        server: ServerKey,
+    },
+    /// Close an idle `connection`.
+    Close {
+        /// The server.
+        server: ServerKey,
+        /// The connection to it.
+        connection: u64,
+    },
+    /// Tell the caller that the request did not run.
+    Refuse {
+        /// The request.
+        ticket: u64,
+        /// The reason.
+        why: Unserved,
+    },
+}
+
+/// Why a request found no server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unserved {
+    /// All connections that could serve it were busy for too long.
+    Busy,
+    /// Nobody leads the service.
+    NoPrimary,
+    /// No reachable server has data as new as it has to see.
+    Lagging,
+}
--- /dev/null
+++ b/crates/core/src/dispatch/server.rs
@@ -0,0 +1,222 @@
+//! One backend server and this host's connections to it.
+
+use std::time::Duration;
+
+use crate::position::Position;
+
+use super::{BACKOFF, BACKOFF_MOST};
+
+/// What a server is assumed to take until it was measured.
+const FIRST_GUESS: Duration = Duration::from_millis(15);
+
+/// Part of a new measurement in the average, as a divisor.
+const SMOOTHING: u32 = 8;
+
+/// A replica whose position was last seen this long ago has probably moved on: it is tried, and
+/// says itself whether it has what the read needs.
+const POSITION_AGE: Duration = Duration::from_millis(80);
+
+/// How long a server at its limit of connections is not asked for another.
+const FULL_PAUSE: Duration = Duration::from_millis(250);
+
+/// Whether a server takes requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It does.
+    Serving,
+    /// It is leaving: what runs there goes on, nothing new is sent.
+    Leaving,
+}
+
+/// Why no connection could be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// The server has no connections left for anybody.
+    Full,
+    /// It refused, or there was no answer.
+    Unreachable,
+}
+
+/// One backend server and this host's connections to it.
+#[derive(Debug)]
+pub struct Server {
+    /// Whether it is in the availability zone of this host.
+    pub local: bool,
+    /// Whether it takes requests.
+    pub standing: Standing,
+    /// Requests that it runs at once.
+    pub slots: u16,
+    /// Connections that this host keeps open.
+    pub base: u16,
+    /// Connections that this host may have at most.
+    pub most: u16,
+    /// The latest position that its data are known to have reached.
+    pub applied: Position,
+    pub(super) lagging_until: Duration,
+    pub(super) opening: u16,
+    applied_at: Duration,
+    idle: Vec<Idle>,
+    busy: u16,
+    average: Duration,
+    retry_at: Duration,
+    backoff: Duration,
+    full_until: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Idle {
+    connection: u64,
+    since: Duration,
+}
+
+impl Server {
+    /// A server to which there is no connection yet.
+    pub fn new(local: bool, slots: u16, base: u16, most: u16) -> Server {
+        Server {
+            local,
+            standing: Standing::Serving,
+            slots: slots.max(1),
+            base,
+            most: most.max(1),
+            applied: Position::default(),
+            lagging_until: Duration::ZERO,
+            opening: 0,
+            applied_at: Duration::ZERO,
+            idle: Vec::new(),
+            busy: 0,
+            average: FIRST_GUESS,
+            retry_at: Duration::ZERO,
+            backoff: Duration::ZERO,
+            full_until: Duration::ZERO,
+        }
+    }
+
+    /// The server said that its data reach `position`.
+    pub fn saw(&mut self, position: Position, now: Duration) {
+        if position >= self.applied {
+            self.applied = position;
+            self.applied_at = now;
+        }
+    }
+
+    /// A request took `took` there.
+    pub fn took(&mut self, took: Duration) {
+        self.average = (self.average * (SMOOTHING - 1) + took) / SMOOTHING;
+    }
+
+    /// How long a request took there lately.
+    pub fn average(&self) -> Duration {
+        self.average
+    }
+
+    /// Connections that are open or being opened.
+    pub fn connections(&self) -> u16 {
+        let idle = u16::try_from(self.idle.len()).unwrap_or(u16::MAX);
+        self.busy.saturating_add(idle).saturating_add(self.opening)
+    }
+
+    /// Whether connecting failed and the wait before the next attempt is not over.
+    pub fn is_broken(&self, now: Duration) -> bool {
+        self.backoff > Duration::ZERO && self.idle.is_empty() && now < self.retry_at + BACKOFF_MOST
+    }
+
+    pub(super) fn update(&mut self, newer: &Server) {
+        self.local = newer.local;
+        self.standing = newer.standing;
+        self.slots = newer.slots;
+        self.base = newer.base;
+        self.most = newer.most;
+    }
+
+    pub(super) fn opened(&mut self, connection: u64, now: Duration) {
+        self.opening = self.opening.saturating_sub(1);
+        self.backoff = Duration::ZERO;
+        self.idle.push(Idle {
+            connection,
+            since: now,
+        });
+    }
+
+    pub(super) fn failed(&mut self, failure: Failure, now: Duration) {
+        self.opening = self.opening.saturating_sub(1);
+        match failure {
+            Failure::Full => self.full_until = now + FULL_PAUSE,
+            Failure::Unreachable => {
+                self.backoff = (self.backoff * 2).clamp(BACKOFF, BACKOFF_MOST);
+                self.retry_at = now + self.backoff;
+            }
+        }
+    }
+
+    pub(super) fn returned(&mut self, connection: u64, now: Duration) -> bool {
+        self.busy = self.busy.saturating_sub(1);
+        if self.standing == Standing::Leaving || self.connections() >= self.most {
+            return false;
+        }
+        self.idle.push(Idle {
+            connection,
+            since: now,
+        });
+        true
+    }
+
+    pub(super) fn lost(&mut self) {
+        self.busy = self.busy.saturating_sub(1);
+    }
+
+    pub(super) fn forget(&mut self, connection: u64) {
+        self.idle.retain(|idle| idle.connection != connection);
+    }
+
+    pub(super) fn lend(&mut self) -> Option<u64> {
+        let idle = self.idle.pop()?;
+        self.busy += 1;
+        Some(idle.connection)
+    }
+
+    pub(super) fn has_idle(&self) -> bool {
+        !self.idle.is_empty()
+    }
+
+    pub(super) fn take_idle(&mut self) -> Vec<u64> {
+        let idle = std::mem::take(&mut self.idle);
+        idle.into_iter().map(|idle| idle.connection).collect()
+    }
+
+    pub(super) fn may_open(&self, now: Duration) -> bool {
+        self.connections() < self.most && now >= self.retry_at && now >= self.full_until
+    }
+
+    pub(super) fn is_cold(&self, now: Duration) -> bool {
+        self.standing == Standing::Serving
+            && self.connections() < self.base
+            && self.opening == 0
+            && self.may_open(now)
+    }
+
+    pub(super) fn may_have(&self, position: Position, now: Duration) -> bool {
+        if self.applied >= position {
+            return true;
+        }
+        now >= self.lagging_until && now >= self.applied_at + POSITION_AGE
+    }
+
+    pub(super) fn expected(&self) -> Duration {
+        self.average * (u32::from(self.busy) + 1) / u32::from(self.slots)
+    }
+
+    pub(super) fn surplus(&mut self, now: Duration, patience: Duration) -> Vec<u64> {
+        let mut surplus = Vec::new();
+        let leaving = self.standing == Standing::Leaving;
+        // The longest idle stand first: lending takes from the other end.
+        while let Some(first) = self.idle.first() {
+            let over = self.connections() > self.base && now >= first.since + patience;
+            if !over && !leaving {
+                break;
+            }
+            surplus.push(first.connection);
+            self.idle.remove(0);
+        }
+        surplus
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/ticket.rs
@@ -0,0 +1,50 @@
+//! A request that waits for a connection.
+
+use std::time::Duration;
+
+use crate::key::ServerKey;
+use crate::position::Position;
+
+/// Which servers may answer a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Need {
+    /// Only the one that leads.
+    Lead,
+    /// Any whose log contains the position.
+    Position(Position),
+}
+
+/// A request that waits for a connection.
+#[derive(Debug, Clone)]
+pub struct Ticket {
+    /// Its number, unique within the process.
+    pub id: u64,
+    /// Who may answer it.
+    pub need: Need,
+    /// Requests with a lower number go first.
+    pub priority: u8,
+    /// When the caller sent it.
+    pub arrived: Duration,
+    /// Until when it may wait here.
+    pub deadline: Duration,
+    /// A server that has just failed it.
+    pub avoid: Option<ServerKey>,
+}
+
+impl Ticket {
+    /// A first attempt.
+    pub fn new(id: u64, need: Need, priority: u8, arrived: Duration, deadline: Duration) -> Ticket {
+        Ticket {
+            id,
+            need,
+            priority,
+            arrived,
+            deadline,
+            avoid: None,
+        }
+    }
+
+    pub(super) fn order(&self) -> (u8, Duration) {
+        (self.priority, self.arrived)
+    }
+}
--- /dev/null
+++ b/crates/core/src/leader.rs
@@ -0,0 +1,146 @@
+//! Which server of a service leads, as one host knows it.
+//!
+//! Three sources disagree for a moment around each change: the platform's list, where each server
+//! reports its own role; refusals of servers that no longer lead; and what servers say when asked.
+//! A report that came before a refusal is older than it, so the refusal wins until the server
+//! reports again.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::key::ServerKey;
+use crate::term::Term;
+
+/// How a server sees itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It leads.
+    Primary,
+    /// It follows.
+    Replica,
+}
+
+/// What is known of the roles of one service's servers.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::key::ServerKey;
+/// use flamingopost_core::leader::{Leader, Role};
+/// use flamingopost_core::term::Term;
+///
+/// let server = ServerKey::default();
+/// let mut leader = Leader::default();
+/// leader.listed(server, Role::Primary, 17);
+/// assert_eq!(leader.get(), Some(server));
+/// leader.refused(server);
+/// assert_eq!(leader.get(), None);
+/// leader.said(server, Role::Primary, Term::from_number(3));
+/// assert_eq!(leader.get(), Some(server));
+/// ```
+#[derive(Debug, Default)]
+pub struct Leader {
+    servers: BTreeMap<ServerKey, Known>,
+    changed: Duration,
+    current: Option<ServerKey>,
+}
+
+#[derive(Debug)]
+struct Known {
+    claims: bool,
+    term: Term,
+    listed: u64,
+}
+
+impl Leader {
+    /// The platform's list gives `role` for `server`, in a row last changed at `version`.
+    pub fn listed(&mut self, server: ServerKey, role: Role, version: u64) {
+        let known = self.servers.entry(server).or_insert(Known {
+            claims: false,
+            term: Term::default(),
+            listed: 0,
+        });
+        if version <= known.listed {
+            return;
+        }
+        known.listed = version;
+        known.claims = role == Role::Primary;
+    }
+
+    /// `server` is no longer in the list.
+    pub fn unlisted(&mut self, server: ServerKey) {
+        self.servers.remove(&server);
+    }
+
+    /// `server` refused something because it does not lead.
+    pub fn refused(&mut self, server: ServerKey) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.claims = false;
+        }
+    }
+
+    /// `server` answered as `role` of `term`.
+    pub fn said(&mut self, server: ServerKey, role: Role, term: Term) {
+        let newest = self.newest_term();
+        let Some(known) = self.servers.get_mut(&server) else {
+            return;
+        };
+        known.term = known.term.max(term);
+        match role {
+            // A primary that was cut off while it was replaced still says that it leads, under
+            // the term that has ended.
+            Role::Primary => known.claims = term >= newest,
+            Role::Replica => known.claims = false,
+        }
+    }
+
+    /// The log of `server` reaches `term`.
+    pub fn saw_term(&mut self, server: ServerKey, term: Term) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.term = known.term.max(term);
+        }
+    }
+
+    /// Who leads, if anybody is known to.
+    pub fn get(&self) -> Option<ServerKey> {
+        let claiming = self.servers.iter().filter(|(_, known)| known.claims);
+        let newest = claiming.max_by_key(|(_, known)| (known.term, known.listed))?;
+        Some(*newest.0)
+    }
+
+    /// Whether `server` claims to lead, also beside others.
+    pub fn claims(&self, server: ServerKey) -> bool {
+        self.servers.get(&server).is_some_and(|known| known.claims)
+    }
+
+    /// Brings the answer up to date; returns the change, if there was one.
+    pub fn refresh(&mut self, now: Duration) -> Option<Change> {
+        let leader = self.get();
+        if leader == self.current {
+            return None;
+        }
+        let change = Change {
+            before: self.current,
+            after: leader,
+            lasted: now.saturating_sub(self.changed),
+        };
+        self.current = leader;
+        self.changed = now;
+        Some(change)
+    }
+
+    fn newest_term(&self) -> Term {
+        let terms = self.servers.values().map(|known| known.term);
+        terms.max().unwrap_or_default()
+    }
+}
+
+/// Another server leads, or none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// Who led before.
+    pub before: Option<ServerKey>,
+    /// Who leads now.
+    pub after: Option<ServerKey>,
+    /// How long the state before lasted.
+    pub lasted: Duration,
+}
--- /dev/null
+++ b/crates/core/src/succession.rs
@@ -0,0 +1,457 @@
+//! When the primary of a service is replaced, by whom and by which server.
+//!
+//! Every entry host runs one of these for each service. Nothing is promoted on one host's word
+//! where others can be asked: a host that is cut off sees every primary dead. The host that acts
+//! holds a claim in the platform's store, or, while the store is away, waits its turn behind hosts
+//! that come first. The platform itself refuses orders with an outdated token, so two hosts that
+//! act at once do no harm beyond a second change.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::key::{HostKey, ServerKey};
+use crate::leader::Role;
+use crate::position::Position;
+use crate::term::Term;
+
+mod contact;
+mod next;
+
+pub use contact::{Contact, Trouble};
+pub use next::{Grant, Next, Opinion, Order, Report};
+
+/// How long other hosts and servers may take to say what they see: a few round trips between
+/// zones, and the time in which a host tries the primary itself.
+pub const INQUIRY: Duration = Duration::from_millis(220);
+
+/// A primary that answers nothing is suspected after this long. Slow statements take tens of
+/// milliseconds; the bound keeps a burst from looking like a death.
+pub const SILENCE: Duration = Duration::from_millis(450);
+
+/// A host that nobody answers waits this much longer: it may be the one that is cut off.
+pub const ALONE: Duration = Duration::from_millis(1_500);
+
+/// When some hosts reach the primary and most do not, the change waits this long, since the
+/// path may heal sooner than a change takes.
+pub const DIVIDED: Duration = Duration::from_millis(1_000);
+
+/// Pause between two inquiries.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// How long an accepted order may take to show before another one is given. A promotion takes
+/// about a second.
+const EFFECT: Duration = Duration::from_millis(2_500);
+
+/// How long the holder of a claim may take until its order is heard of.
+const HOLDER: Duration = Duration::from_millis(1_800);
+
+/// Without the store, hosts act one after the other with this between them.
+const TURN: Duration = Duration::from_millis(250);
+
+/// A planned change waits at most this long for a replica to have all that its primary has.
+const CATCH_UP: Duration = Duration::from_millis(400);
+
+/// What one host knows of the succession in one service.
+#[derive(Debug, Default)]
+pub struct Succession {
+    phase: Phase,
+    pause_until: Duration,
+    reserve: Option<Grant>,
+}
+
+#[derive(Debug, Default)]
+enum Phase {
+    #[default]
+    Watching,
+    Inquiring(Inquiry),
+    /// The store was asked for the claim.
+    Claiming(Inquiry),
+    /// Another host has the claim, or has said that it acts.
+    Standing {
+        until: Duration,
+    },
+    /// The store is away: hosts act in turn.
+    Queued {
+        until: Duration,
+        inquiry: Inquiry,
+    },
+    /// This host has the claim and asks servers how far they have received the log.
+    Choosing {
+        grant: Grant,
+        until: Duration,
+        inquiry: Inquiry,
+    },
+    /// An order is on its way.
+    Ordering {
+        grant: Grant,
+        server: ServerKey,
+    },
+    /// An order was accepted.
+    Awaiting {
+        until: Duration,
+    },
+}
+
+#[derive(Debug, Default, Clone)]
+struct Inquiry {
+    cause: Option<Trouble>,
+    until: Duration,
+    opinions: BTreeMap<HostKey, Opinion>,
+    reports: BTreeMap<ServerKey, Report>,
+    refused: BTreeSet<ServerKey>,
+}
+
+/// The situation as the host sees it when it takes a step.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// Who leads, if anybody is known to.
+    pub leader: Option<ServerKey>,
+    /// The newest term that is known to have begun.
+    pub term: Term,
+    /// What is wrong with the primary, as far as this host sees.
+    pub trouble: Option<Trouble>,
+    /// Servers that may take over: listed and not leaving.
+    pub candidates: BTreeSet<ServerKey>,
+    /// Other hosts that are known.
+    pub peers: BTreeSet<HostKey>,
+    /// How many of them come before this host when the store is away.
+    pub rank: u32,
+}
+
+impl Succession {
+    /// Takes note of a token that may be used while the store is away.
+    pub fn reserve(&mut self, grant: Grant) {
+        self.reserve = Some(grant);
+    }
+
+    /// Whether a change is under way, as far as this host knows: whoever waits for a primary has
+    /// reason to wait on.
+    pub fn is_under_way(&self) -> bool {
+        !matches!(self.phase, Phase::Watching | Phase::Inquiring(_))
+    }
+
+    /// Another host says what it sees of the primary.
+    pub fn opinion(&mut self, host: HostKey, opinion: Opinion) {
+        if let Some(inquiry) = self.inquiry() {
+            inquiry.opinions.insert(host, opinion);
+        }
+    }
+
+    /// A server has said how far it is.
+    pub fn report(&mut self, server: ServerKey, report: Report) {
+        if let Some(inquiry) = self.inquiry() {
+            inquiry.reports.insert(server, report);
+        }
+    }
+
+    /// Another host says that it changes the primary.
+    pub fn other_acts(&mut self, now: Duration) {
+        match self.phase {
+            Phase::Ordering { .. } | Phase::Awaiting { .. } => {}
+            _ => {
+                self.phase = Phase::Standing {
+                    until: now + HOLDER,
+                }
+            }
+        }
+    }
+
+    /// The claim was won.
+    pub fn won(&mut self, grant: Grant, now: Duration) -> Vec<Next> {
+        self.reserve = Some(grant);
+        match std::mem::take(&mut self.phase) {
+            Phase::Claiming(inquiry) => self.choose(grant, inquiry, now),
+            phase => {
+                self.phase = phase;
+                Vec::new()
+            }
+        }
+    }
+
+    /// Somebody else has the claim.
+    pub fn held(&mut self, now: Duration) {
+        if matches!(self.phase, Phase::Claiming(_)) {
+            self.phase = Phase::Standing {
+                until: now + HOLDER,
+            };
+        }
+    }
+
+    /// The store cannot say who has the claim.
+    pub fn unclaimed(&mut self, rank: u32, now: Duration) {
+        if let Phase::Claiming(inquiry) = &mut self.phase {
+            let inquiry = std::mem::take(inquiry);
+            self.phase = Phase::Queued {
+                until: now + TURN * rank,
+                inquiry,
+            };
+        }
+    }
+
+    /// How the order ended.
+    pub fn ordered(&mut self, order: Order, now: Duration) {
+        let Phase::Ordering { server, .. } = self.phase else {
+            return;
+        };
+        self.phase = match order {
+            Order::Accepted | Order::Unknown => Phase::Awaiting {
+                until: now + EFFECT,
+            },
+            Order::Refused => {
+                // The token is outdated, or the server is not there. Either way somebody has to
+                // look again; a token that was refused is never used again.
+                self.reserve = None;
+                let _ = server;
+                self.pause_until = now + PAUSE;
+                Phase::Watching
+            }
+        };
+    }
+
+    /// Takes the next step.
+    pub fn step(&mut self, view: &View, now: Duration) -> Vec<Next> {
+        match std::mem::take(&mut self.phase) {
+            Phase::Watching => self.watch(view, now),
+            Phase::Inquiring(inquiry) => self.judge(inquiry, view, now),
+            Phase::Claiming(inquiry) => {
+                self.phase = Phase::Claiming(inquiry);
+                Vec::new()
+            }
+            Phase::Standing { until } => self.stand(until, view, now),
+            Phase::Queued { until, inquiry } => self.queue(until, inquiry, view, now),
+            Phase::Choosing {
+                grant,
+                until,
+                inquiry,
+            } => self.pick(grant, until, inquiry, view, now),
+            Phase::Ordering { grant, server } => {
+                self.phase = Phase::Ordering { grant, server };
+                Vec::new()
+            }
+            Phase::Awaiting { until } => self.wait(until, view, now),
+        }
+    }
+
+    fn watch(&mut self, view: &View, now: Duration) -> Vec<Next> {
+        let Some(trouble) = view.trouble else {
+            return Vec::new();
+        };
+        if now < self.pause_until || view.candidates.is_empty() {
+            return Vec::new();
+        }
+        self.phase = Phase::Inquiring(Inquiry {
+            cause: Some(trouble),
+            until: now + INQUIRY,
+            ..Inquiry::default()
+        });
+        vec![Next::AskHosts, Next::AskServers]
+    }
+
+    fn judge(&mut self, inquiry: Inquiry, view: &View, now: Duration) -> Vec<Next> {
+        let Some(trouble) = view.trouble else {
+            return Vec::new();
+        };
+        let verdict = inquiry.verdict(trouble, view, now);
+        match verdict {
+            Verdict::Open => {
+                self.phase = Phase::Inquiring(inquiry);
+                Vec::new()
+            }
+            Verdict::Keep => {
+                self.pause_until = now + PAUSE;
+                Vec::new()
+            }
+            Verdict::Replace => {
+                self.phase = Phase::Claiming(inquiry);
+                vec![Next::Claim]
+            }
+        }
+    }
+
+    fn stand(&mut self, until: Duration, view: &View, now: Duration) -> Vec<Next> {
+        if view.trouble.is_none() {
+            return Vec::new();
+        }
+        if now >= until {
+            return self.watch(view, now);
+        }
+        self.phase = Phase::Standing { until };
+        Vec::new()
+    }
+
+    fn queue(
+        &mut self,
+        until: Duration,
+        inquiry: Inquiry,
+        view: &View,
+        now: Duration,
+    ) -> Vec<Next> {
+        if view.trouble.is_none() {
+            return Vec::new();
+        }
+        match self.reserve {
+            Some(grant) if now >= until => self.choose(grant, inquiry, now),
+            Some(_) => {
+                self.phase = Phase::Queued { until, inquiry };
+                Vec::new()
+            }
+            None => {
+                self.pause_until = now + PAUSE;
+                Vec::new()
+            }
+        }
+    }
+
+    fn choose(&mut self, grant: Grant, inquiry: Inquiry, now: Duration) -> Vec<Next> {
+        let until = match inquiry.cause {
+            Some(Trouble::Leaving) => now + CATCH_UP,
+            _ => now + INQUIRY,
+        };
+        let inquiry = Inquiry {
+            reports: BTreeMap::new(),
+            ..inquiry
+        };
+        self.phase = Phase::Choosing {
+            grant,
+            until,
+            inquiry,
+        };
+        vec![Next::AskServers]
+    }
+
+    fn pick(
+        &mut self,
+        grant: Grant,
+        until: Duration,
+        inquiry: Inquiry,
+        view: &View,
+        now: Duration,
+    ) -> Vec<Next> {
+        if view.trouble.is_none() {
+            return Vec::new();
+        }
+        let best = inquiry.best(view);
+        let heard = inquiry.all_heard(view);
+        match best {
+            Some(server) if heard || now >= until => {
+                self.phase = Phase::Ordering { grant, server };
+                vec![Next::Promote { server, grant }]
+            }
+            None if now >= until => {
+                self.pause_until = now + PAUSE;
+                Vec::new()
+            }
+            _ => {
+                self.phase = Phase::Choosing {
+                    grant,
+                    until,
+                    inquiry,
+                };
+                Vec::new()
+            }
+        }
+    }
+
+    fn wait(&mut self, until: Duration, view: &View, now: Duration) -> Vec<Next> {
+        if view.trouble.is_none() {
+            return Vec::new();
+        }
+        if now >= until {
+            return self.watch(view, now);
+        }
+        self.phase = Phase::Awaiting { until };
+        Vec::new()
+    }
+
+    fn inquiry(&mut self) -> Option<&mut Inquiry> {
+        match &mut self.phase {
+            Phase::Inquiring(inquiry)
+            | Phase::Claiming(inquiry)
+            | Phase::Queued { inquiry, .. }
+            | Phase::Choosing { inquiry, .. } => Some(inquiry),
+            Phase::Watching
+            | Phase::Standing { .. }
+            | Phase::Ordering { .. }
+            | Phase::Awaiting { .. } => None,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Open,
+    Keep,
+    Replace,
+}
+
+impl Inquiry {
+    fn verdict(&self, trouble: Trouble, view: &View, now: Duration) -> Verdict {
+        if self.newer_leader(view) {
+            return Verdict::Keep;
+        }
+        let over = now >= self.until;
+        let since = match trouble {
+            Trouble::Leaving => return Verdict::Replace,
+            Trouble::Absent { since } if now < since + ALONE => return Verdict::Keep,
+            Trouble::Absent { since } => since,
+            Trouble::Refuses { since } | Trouble::Silent { since } => since,
+        };
+        let reach = self.count(Opinion::Reaches);
+        let fail = self.count(Opinion::Fails) + 1;
+        if reach > 0 {
+            let divided = fail > reach && now >= since + DIVIDED;
+            return match (over, divided) {
+                (true, true) => Verdict::Replace,
+                (true, false) => Verdict::Keep,
+                (false, _) => Verdict::Open,
+            };
+        }
+        let asked = view.peers.len();
+        let answered = self.opinions.len();
+        if answered * 2 >= asked && answered > 0 && (over || answered == asked) {
+            return Verdict::Replace;
+        }
+        if !over {
+            return Verdict::Open;
+        }
+        if answered > 0 || asked == 0 || now >= since + ALONE {
+            return Verdict::Replace;
+        }
+        Verdict::Keep
+    }
+
+    fn count(&self, opinion: Opinion) -> usize {
+        self.opinions.values().filter(|it| **it == opinion).count()
+    }
+
+    /// Whether a server already leads a newer term: somebody else has acted.
+    fn newer_leader(&self, view: &View) -> bool {
+        self.reports
+            .iter()
+            .any(|(server, report)| report.leads_beside(*server, view))
+    }
+
+    fn all_heard(&self, view: &View) -> bool {
+        let others = view.candidates.iter();
+        others
+            .filter(|server| view.leader != Some(**server))
+            .all(|server| self.reports.contains_key(server))
+    }
+
+    /// The candidate that has received most; ties go to the lowest key, on every host alike.
+    fn best(&self, view: &View) -> Option<ServerKey> {
+        let candidates = view.candidates.iter().filter_map(|server| {
+            let report = self.reports.get(server)?;
+            let fit = view.leader != Some(*server) && report.role == Role::Replica;
+            (fit && !self.refused.contains(server)).then_some((report.received, *server))
+        });
+        let best: Option<(Position, ServerKey)> = candidates.max_by_key(|(position, _)| *position);
+        best.map(|(_, server)| server)
+    }
+}
+
+impl Report {
+    fn leads_beside(&self, server: ServerKey, view: &View) -> bool {
+        self.role == Role::Primary && self.term > view.term && view.leader != Some(server)
+    }
+}
--- /dev/null
+++ b/crates/core/src/succession/contact.rs
@@ -0,0 +1,98 @@
+//! What a host's own connections show of one server.
+
+use std::time::Duration;
+
+/// What is wrong with a primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nobody is known to lead.
+    Absent {
+        /// Since when.
+        since: Duration,
+    },
+    /// Its host refuses connections: no process listens there.
+    Refuses {
+        /// Since when.
+        since: Duration,
+    },
+    /// Nothing comes back from it.
+    Silent {
+        /// Since when.
+        since: Duration,
+    },
+    /// It is about to leave.
+    Leaving,
+}
+
+/// Refused connects in a row after which a server counts as gone. One may meet a restart of its
+/// listener.
+const REFUSED: u32 = 2;
+
+/// What a host's own connections show of one server.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::succession::{Contact, Trouble};
+///
+/// let at = Duration::from_millis;
+/// let mut contact = Contact::default();
+/// contact.answered(at(100));
+/// contact.refused(at(110));
+/// assert_eq!(contact.trouble(at(120)), None, "once is no evidence");
+/// contact.refused(at(130));
+/// assert_eq!(contact.trouble(at(131)), Some(Trouble::Refuses { since: at(110) }));
+/// contact.answered(at(140));
+/// assert_eq!(contact.trouble(at(150)), None);
+/// ```
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Contact {
+    answered: Option<Duration>,
+    failing: Option<Duration>,
+    refused: u32,
+    silent: u32,
+}
+
+impl Contact {
+    /// The server answered something at `now`.
+    pub fn answered(&mut self, now: Duration) {
+        *self = Contact {
+            answered: Some(now),
+            ..Contact::default()
+        };
+    }
+
+    /// A connect was refused, or an open connection was reset, at `now`.
+    pub fn refused(&mut self, now: Duration) {
+        self.failing.get_or_insert(now);
+        self.refused += 1;
+    }
+
+    /// Something sent at `sent` had no answer in time.
+    pub fn silent(&mut self, sent: Duration) {
+        if self.answered.is_some_and(|answered| answered > sent) {
+            return;
+        }
+        self.failing.get_or_insert(sent);
+        self.silent += 1;
+    }
+
+    /// How long ago the server last answered.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.answered.map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether the last attempts failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing.is_some()
+    }
+
+    /// What is wrong, if anything.
+    pub fn trouble(&self, now: Duration) -> Option<Trouble> {
+        let since = self.failing?;
+        if self.refused >= REFUSED && self.silent == 0 {
+            return Some(Trouble::Refuses { since });
+        }
+        let long = now >= since + super::SILENCE;
+        (long && self.silent > 0 || long && self.refused > 0).then_some(Trouble::Silent { since })
+    }
+}
--- /dev/null
+++ b/crates/core/src/vouch.rs
@@ -0,0 +1,107 @@
+//! How fresh a server's data must be for a read, by positions at which a primary was seen to lead.
+//!
+//! A sample says: at some moment after `at` the primary still led, and its log reached `position`.
+//! Everything acknowledged before `at` is therefore at or below `position`, so a server whose log
+//! contains it may answer a read that accepts data as old as `at`.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::position::Position;
+use crate::term::Term;
+
+/// Samples closer together than this are merged: a bound is seconds, so finer steps gain nothing.
+pub const SPACING: Duration = Duration::from_millis(25);
+
+/// How long samples are kept; no configuration accepts older data without asking the primary.
+pub const HORIZON: Duration = Duration::from_secs(15);
+
+/// Positions of one service's primaries, in the order in which they were asked for.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::position::Position;
+/// use flamingopost_core::term::Term;
+/// use flamingopost_core::vouch::Vouch;
+///
+/// let at = Duration::from_millis;
+/// let position = |log| Position { term: Term::from_number(1), log };
+/// let mut vouch = Vouch::default();
+/// vouch.led(position(5), at(1_000));
+/// vouch.led(position(9), at(2_000));
+/// assert_eq!(vouch.floor(at(900)), Some(position(5)));
+/// assert_eq!(vouch.floor(at(1_500)), Some(position(9)));
+/// assert_eq!(vouch.floor(at(2_500)), None, "nobody vouches for anything that young");
+/// ```
+#[derive(Debug, Default)]
+pub struct Vouch {
+    samples: VecDeque<Sample>,
+    term: Term,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    at: Duration,
+    position: Position,
+}
+
+impl Vouch {
+    /// A primary answered at `position` to what was sent at `at`, and led while it did.
+    pub fn led(&mut self, position: Position, at: Duration) {
+        self.saw_term(position.term);
+        if position.term < self.term {
+            return;
+        }
+        let oldest = at.saturating_sub(HORIZON);
+        while self.samples.front().is_some_and(|first| first.at < oldest) {
+            self.samples.pop_front();
+        }
+        let Some(last) = self.samples.back() else {
+            self.samples.push_back(Sample { at, position });
+            return;
+        };
+        // Answers overtake each other on different connections; an older one adds nothing.
+        if at < last.at + SPACING {
+            return;
+        }
+        let position = position.max(last.position);
+        self.samples.push_back(Sample { at, position });
+    }
+
+    /// Some server's log has reached `term`, so that term has begun.
+    pub fn saw_term(&mut self, term: Term) {
+        self.term = self.term.max(term);
+    }
+
+    /// The newest term that has begun, as far as this process knows.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// What a server's log must contain to answer a read that has to see everything
+    /// acknowledged before `since`; `None` when no sample is young enough to tell.
+    pub fn floor(&self, since: Duration) -> Option<Position> {
+        let sample = self.samples.iter().find(|sample| sample.at >= since)?;
+        Some(self.current(sample.position))
+    }
+
+    /// When the primary was last seen to lead.
+    pub fn last(&self) -> Option<Duration> {
+        self.samples.back().map(|sample| sample.at)
+    }
+
+    /// `position`, or the start of the newest term where that is later.
+    ///
+    /// A promotion may drop the end of the old term's log. A session whose write was dropped
+    /// would ask for a position that no log has any more and get no read answered again. The
+    /// start of the newer term is past everything of older terms that still counts.
+    pub fn current(&self, position: Position) -> Position {
+        if position.term >= self.term {
+            return position;
+        }
+        Position {
+            term: self.term,
+            log: 0,
+        }
+    }
+}
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -1,10 +1,10 @@
-//! Logs: one line an event, to standard error.
+//! Logs: one line an event, to standard error or standard output.
 
 use std::sync::Arc;
 
 use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
-use spdlog::sink::{Sink, StdStream, StdStreamSink};
-use spdlog::{LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
+use spdlog::{LevelFilter, Logger, ThreadPool};
 
 /// How important an event is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -72,15 +72,36 @@
     }
 }
 
+/// Where lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// Standard error, written by whoever logs.
+    Error,
+    /// Standard output, written by a thread of its own. A reader that stalls never holds up
+    /// whoever logs: lines that do not fit into its queue are dropped.
+    Output,
+}
+
+/// Lines that wait for a slow reader of standard output before new ones are dropped.
+const QUEUE: usize = 1_024;
+
 /// Sends events at `level` and above to standard error. May be called again: the last call
 /// holds for the whole process.
 ///
 /// # Errors
 /// When the logger cannot be built.
 pub fn start(level: Level, format: Format) -> Result<(), spdlog::Error> {
+    start_on(Target::Error, level, format)
+}
+
+/// As [`start`], to `target`.
+///
+/// # Errors
+/// When the logger cannot be built.
+pub fn start_on(target: Target, level: Level, format: Format) -> Result<(), spdlog::Error> {
     let sink = match format {
-        Format::Text => sink(FullFormatter::new())?,
-        Format::Json => sink(JsonFormatter::new())?,
+        Format::Text => sink(target, FullFormatter::new())?,
+        Format::Json => sink(target, JsonFormatter::new())?,
     };
     let logger = Logger::builder()
         .sink(sink)
@@ -90,7 +111,27 @@
     Ok(())
 }
 
-fn sink(formatter: impl Formatter + 'static) -> Result<Arc<dyn Sink>, spdlog::Error> {
-    let builder = StdStreamSink::builder().std_stream(StdStream::Stderr);
-    Ok(Arc::new(builder.formatter(formatter).build()?))
+fn sink(
+    target: Target,
+    formatter: impl Formatter + 'static,
+) -> Result<Arc<dyn Sink>, spdlog::Error> {
+    let stream = match target {
+        Target::Error => StdStream::Stderr,
+        Target::Output => StdStream::Stdout,
+    };
+    let builder = StdStreamSink::builder().std_stream(stream);
+    let direct = Arc::new(builder.formatter(formatter).build()?);
+    match target {
+        Target::Error => Ok(direct),
+        Target::Output => {
+            let pool = ThreadPool::builder()
+                .capacity(QUEUE.try_into().expect("the queue is not empty"))
+                .build()?;
+            let queued = AsyncPoolSink::builder()
+                .sink(direct)
+                .thread_pool(Arc::new(pool))
+                .overflow_policy(OverflowPolicy::DropIncoming);
+            Ok(Arc::new(queued.build()?))
+        }
+    }
 }
--- /dev/null
+++ b/crates/proxy/src/attempt.rs
@@ -0,0 +1,164 @@
+//! One attempt to run a statement on a connection.
+
+use std::time::Duration;
+
+use flamingopost_core::position::Position;
+use tokio::time::timeout;
+
+use crate::back::{self, Outcome};
+use crate::carry::{Carry, Step};
+use crate::codec::Codec;
+use crate::message::{Access, Code, Command, Query, Shape};
+use crate::service::Lent;
+
+/// What is run.
+#[derive(Debug, Clone, Copy)]
+pub struct Job<'a> {
+    /// The caller's statement.
+    pub query: &'a Query,
+    /// What the caller's session carries.
+    pub carry: &'a Carry,
+    /// The prepared statement that it uses, with its arguments.
+    pub prepared: Option<(&'a Shape, &'a [u8])>,
+    /// What goes around it.
+    pub frame: Frame,
+    /// What the server's log must contain for it to run.
+    pub after: Option<Position>,
+}
+
+/// What goes around a statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Frame {
+    /// Nothing.
+    Bare,
+    /// A transaction of its own that is rolled back.
+    ///
+    /// A server that was replaced as primary still answers plain reads, from data that lack what
+    /// its successor has acknowledged. Inside a transaction it refuses.
+    Alone,
+    /// A transaction is opened before it and stays open.
+    Opens(Access),
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum Ran {
+    /// The server answered.
+    Answered(Outcome),
+    /// The server refused what goes before the statement; the statement was not sent.
+    Refused(Code),
+    /// The connection was lost before the statement was sent.
+    Unsent(back::Error),
+    /// The statement was sent and there is no answer.
+    Unanswered(back::Error),
+}
+
+/// Runs `job` on `lent` within `limit`.
+pub async fn run<C: Codec>(lent: &mut Lent<C>, job: &Job<'_>, limit: Duration) -> Ran {
+    let mut sent = false;
+    match timeout(limit, exchange(lent, job, &mut sent)).await {
+        Ok(Ok(ran)) => ran,
+        Ok(Err(error)) if sent => Ran::Unanswered(error),
+        Ok(Err(error)) => Ran::Unsent(error),
+        Err(_) => {
+            let error = back::Error::Io(std::io::ErrorKind::TimedOut.into());
+            match sent {
+                true => Ran::Unanswered(error),
+                false => Ran::Unsent(error),
+            }
+        }
+    }
+}
+
+async fn exchange<C: Codec>(
+    lent: &mut Lent<C>,
+    job: &Job<'_>,
+    sent: &mut bool,
+) -> Result<Ran, back::Error> {
+    prepare(lent, job);
+    if let Some(code) = open(lent, job).await? {
+        return Ok(Ran::Refused(code));
+    }
+    push(lent, job);
+    if job.frame == Frame::Alone {
+        lent.push(&Command::Rollback);
+    }
+    *sent = true;
+    lent.flush().await?;
+    let after = usize::from(job.frame == Frame::Alone);
+    settle(lent, after + 1).await?;
+    let outcome = lent.outcome().await?;
+    if settle(lent, 0).await.is_err() {
+        // The caller's answer is complete; only the connection is not to be used again.
+        lent.broken = true;
+    }
+    Ok(Ran::Answered(outcome))
+}
+
+/// Queues what makes the connection fit for the session.
+fn prepare<C: Codec>(lent: &mut Lent<C>, job: &Job<'_>) {
+    let shape = job.prepared.map(|(shape, _)| shape);
+    for step in lent.mark.steps(job.carry, shape) {
+        match &step {
+            Step::Discard => lent.push(&Command::Discard),
+            Step::Set(name, value) => lent.push(&Command::Set { name, value }),
+            Step::Prepare(name, shape) => lent.push(&Command::Prepare { name, shape }),
+        }
+    }
+}
+
+/// Opens the transaction of `job`, if it has one, and waits for the answer: sent together with
+/// the statement, a refused opening would leave the statement to run outside of it.
+async fn open<C: Codec>(lent: &mut Lent<C>, job: &Job<'_>) -> Result<Option<Code>, back::Error> {
+    let access = match job.frame {
+        Frame::Bare => return Ok(None),
+        Frame::Alone => Access::Write,
+        Frame::Opens(access) => access,
+    };
+    let after = match access {
+        Access::Read => job.after,
+        Access::Write => None,
+    };
+    lent.push(&Command::Begin { access, after });
+    lent.flush().await?;
+    settle(lent, 1).await?;
+    let outcome = lent.outcome().await?;
+    Ok(outcome.end.err().map(|fault| fault.code))
+}
+
+fn push<C: Codec>(lent: &mut Lent<C>, job: &Job<'_>) {
+    let after = match job.frame {
+        Frame::Bare => job.after,
+        Frame::Alone | Frame::Opens(_) => None,
+    };
+    let id = &job.query.id;
+    let named = job.prepared.and_then(|(shape, arguments)| {
+        let name = lent.mark.name(shape)?;
+        Some((name, arguments))
+    });
+    match named {
+        Some((name, arguments)) => lent.push(&Command::Execute {
+            id,
+            name: &name,
+            arguments,
+            after,
+        }),
+        None => lent.push(&Command::Run {
+            id,
+            text: &job.query.text,
+            after,
+        }),
+    }
+}
+
+/// Reads answers until `left` are outstanding. What went before the statement cannot fail
+/// without the connection being out of step with what it is thought to carry.
+async fn settle<C: Codec>(lent: &mut Lent<C>, left: usize) -> Result<(), back::Error> {
+    while lent.pending() > left {
+        let outcome = lent.outcome().await?;
+        if let Err(fault) = outcome.end {
+            return Err(back::Error::Refused(fault.code));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/proxy/src/election.rs
@@ -0,0 +1,409 @@
+//! Carries the succession of each service's primary out: asks hosts and servers, claims, orders.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use flamingopost_core::dispatch::Standing;
+use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::leader::Role;
+use flamingopost_core::succession::{Grant, Next, Order, Report, Succession, Trouble, View};
+use tokio::time::timeout;
+
+use crate::back::{self, Back, Target};
+use crate::codec::Codec;
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::message::Status;
+use crate::peer::{Message, Socket, Word};
+use crate::platform::{Claim, Peer, Platform, Promotion, Token};
+use crate::service::{Service, Site};
+
+/// Time between two steps while something is wrong.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Time between two looks while nothing is.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// How long a server may take to say what it is; its slots may be busy for a while.
+const ASK: Duration = Duration::from_millis(200);
+
+/// A server that answered this long ago is taken as reached without asking it again.
+const FRESH: Duration = Duration::from_millis(100);
+
+/// Time between two questions to all servers while nobody leads.
+const SEEK: Duration = Duration::from_millis(120);
+
+/// How long the store may take to decide a claim before hosts act in turn.
+const CLAIM: Duration = Duration::from_millis(250);
+
+/// How long an order may take to be answered before it is repeated.
+const ORDER: Duration = Duration::from_millis(500);
+
+/// Runs the succession of all services of a host.
+pub struct Election<C: Codec, P> {
+    site: Rc<Site>,
+    fleet: Rc<Fleet<C>>,
+    platform: Rc<P>,
+    socket: Rc<Socket>,
+    services: RefCell<BTreeMap<String, Rc<RefCell<Succession>>>>,
+    reserve: RefCell<Option<Grant>>,
+}
+
+impl<C: Codec, P: Platform> Election<C, P> {
+    /// Ready to run.
+    pub fn new(
+        site: Rc<Site>,
+        fleet: Rc<Fleet<C>>,
+        platform: Rc<P>,
+        socket: Rc<Socket>,
+    ) -> Election<C, P> {
+        Election {
+            site,
+            fleet,
+            platform,
+            socket,
+            services: RefCell::default(),
+            reserve: RefCell::default(),
+        }
+    }
+
+    /// Takes note of a token that may be used while the store is away.
+    pub fn reserve(&self, token: Token) {
+        let grant = Grant(token.0);
+        *self.reserve.borrow_mut() = Some(grant);
+        for succession in self.services.borrow().values() {
+            succession.borrow_mut().reserve(grant);
+        }
+    }
+
+    /// Starts a task for each service that has none.
+    pub fn attend(self: &Rc<Self>) {
+        for service in self.fleet.services() {
+            if self.services.borrow().contains_key(&service.name) {
+                continue;
+            }
+            let mut succession = Succession::default();
+            if let Some(grant) = *self.reserve.borrow() {
+                succession.reserve(grant);
+            }
+            let succession = Rc::new(RefCell::new(succession));
+            let mut services = self.services.borrow_mut();
+            services.insert(service.name.clone(), Rc::clone(&succession));
+            drop(services);
+            let election = Rc::clone(self);
+            tokio::task::spawn_local(async move { election.watch(service, succession).await });
+        }
+    }
+
+    /// Answers what other hosts ask and takes in what they tell, for ever.
+    ///
+    /// # Errors
+    /// The socket is unusable.
+    pub async fn listen(self: Rc<Self>) -> std::io::Result<()> {
+        loop {
+            let (message, from) = self.socket.receive().await?;
+            self.take(message, from);
+        }
+    }
+
+    fn take(self: &Rc<Self>, message: Message, from: SocketAddr) {
+        let services = self.fleet.services();
+        let Some(service) = services.into_iter().find(|it| it.name == message.service) else {
+            return;
+        };
+        let succession = self.services.borrow().get(&service.name).cloned();
+        match message.word {
+            Word::Ask { server } => {
+                let election = Rc::clone(self);
+                tokio::task::spawn_local(async move {
+                    election.answer(service, server, from).await;
+                });
+            }
+            Word::Tell { server, reaches } => {
+                let about = service.find(&server);
+                let host = self.host(&message.host);
+                if let (Some(succession), Some(host)) = (succession, host)
+                    && about.is_some()
+                {
+                    let opinion = Word::opinion(reaches);
+                    succession.borrow_mut().opinion(host, opinion);
+                    service.alarm.notify_one();
+                }
+            }
+            Word::Acting { .. } => {
+                self.site.log(&Event::OtherActs {
+                    service: service.name.clone(),
+                    host: message.host,
+                });
+                if let Some(succession) = succession {
+                    succession.borrow_mut().other_acts(self.site.now());
+                }
+            }
+        }
+    }
+
+    /// Tells whether this host reaches `server`, trying it first if it has not lately.
+    async fn answer(&self, service: Rc<Service<C>>, server: String, from: SocketAddr) {
+        let Some(key) = service.find(&server) else {
+            return;
+        };
+        let now = self.site.now();
+        let contact = service.contact(key).unwrap_or_default();
+        let fresh = contact.age(now).is_some_and(|age| age < FRESH);
+        let reaches = match (fresh && !contact.is_failing(), target(&service, key)) {
+            (true, _) => true,
+            (false, Some(target)) => self.ask(&service, &target).await.is_some(),
+            (false, None) => false,
+        };
+        let word = Word::Tell { server, reaches };
+        self.send(&service, word, from);
+    }
+
+    async fn watch(self: Rc<Self>, service: Rc<Service<C>>, succession: Rc<RefCell<Succession>>) {
+        let mut sought = Duration::ZERO;
+        loop {
+            let now = self.site.now();
+            let view = self.view(&service);
+            let pause = if view.trouble.is_some() { STEP } else { LOOK };
+            if view.leader.is_none() && now >= sought + SEEK {
+                sought = now;
+                self.ask_servers(&service, &succession);
+            }
+            let next = succession.borrow_mut().step(&view, now);
+            for next in next {
+                self.act(&service, &succession, next, &view);
+            }
+            // Another change of the service's state ends the pause early.
+            let _ = timeout(pause, service.alarm.notified()).await;
+        }
+    }
+
+    fn act(
+        self: &Rc<Self>,
+        service: &Rc<Service<C>>,
+        succession: &Rc<RefCell<Succession>>,
+        next: Next,
+        view: &View,
+    ) {
+        match next {
+            Next::AskHosts => self.ask_hosts(service, view),
+            Next::AskServers => self.ask_servers(service, succession),
+            Next::Claim => {
+                let (election, service) = (Rc::clone(self), Rc::clone(service));
+                let succession = Rc::clone(succession);
+                let attempt = view.term.number().unsigned_abs();
+                tokio::task::spawn_local(async move {
+                    election.claim(service, succession, attempt).await;
+                });
+            }
+            Next::Promote { server, grant } => {
+                let (election, service) = (Rc::clone(self), Rc::clone(service));
+                let succession = Rc::clone(succession);
+                tokio::task::spawn_local(async move {
+                    election.promote(service, succession, server, grant).await;
+                });
+            }
+        }
+    }
+
+    fn ask_hosts(&self, service: &Rc<Service<C>>, view: &View) {
+        if let Some(trouble) = view.trouble {
+            self.site.log(&Event::Suspected {
+                service: service.name.clone(),
+                trouble,
+                hosts: view.peers.len(),
+                servers: view.candidates.len(),
+            });
+        }
+        let Some(leader) = view.leader else {
+            return;
+        };
+        let server = service.name_of(Some(leader));
+        for (_, peer) in self.fleet.peers() {
+            let server = server.clone();
+            self.send(service, Word::Ask { server }, peer.address);
+        }
+    }
+
+    fn ask_servers(
+        self: &Rc<Self>,
+        service: &Rc<Service<C>>,
+        succession: &Rc<RefCell<Succession>>,
+    ) {
+        for (target, standing) in service.targets() {
+            if standing != Standing::Serving {
+                continue;
+            }
+            let (election, service) = (Rc::clone(self), Rc::clone(service));
+            let succession = Rc::clone(succession);
+            tokio::task::spawn_local(async move {
+                let Some(status) = election.ask(&service, &target).await else {
+                    return;
+                };
+                let report = Report {
+                    role: status.role,
+                    term: status.term,
+                    received: status.received,
+                };
+                succession.borrow_mut().report(target.server, report);
+                service.said(target.server, &status);
+                service.alarm.notify_one();
+            });
+        }
+    }
+
+    /// Asks a server what it is, on a connection of its own: pooled ones may be stuck.
+    async fn ask(&self, service: &Rc<Service<C>>, target: &Target) -> Option<Status> {
+        let sent = self.site.now();
+        let asked = timeout(ASK, async {
+            let id = self.site.next_id();
+            let mut back = Back::<C>::connect(id, target, &self.site.host).await?;
+            back.status().await
+        });
+        let error = match asked.await {
+            Ok(Ok(status)) => {
+                service.said(target.server, &status);
+                return Some(status);
+            }
+            Ok(Err(error)) => error,
+            Err(_) => back::Error::Io(std::io::ErrorKind::TimedOut.into()),
+        };
+        service.missed(target.server, &error, sent);
+        None
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        service: Rc<Service<C>>,
+        succession: Rc<RefCell<Succession>>,
+        attempt: u64,
+    ) {
+        let host = &self.site.host;
+        let claimed = self.platform.claim(&service.name, attempt, host, None);
+        let claimed = timeout(CLAIM, claimed).await;
+        let now = self.site.now();
+        let outcome = match claimed {
+            Ok(Ok(Claim::Won(token))) => {
+                self.reserve(token);
+                let next = succession.borrow_mut().won(Grant(token.0), now);
+                let view = self.view(&service);
+                for next in next {
+                    self.act(&service, &succession, next, &view);
+                }
+                format!("won with token {}", token.0)
+            }
+            Ok(Ok(Claim::Held { by, .. })) => {
+                succession.borrow_mut().held(now);
+                format!("held by {by}")
+            }
+            Ok(Err(error)) => {
+                let rank = self.fleet.rank(&service.name);
+                succession.borrow_mut().unclaimed(rank, now);
+                format!("{error}; turn {rank}")
+            }
+            Err(_) => {
+                let rank = self.fleet.rank(&service.name);
+                succession.borrow_mut().unclaimed(rank, now);
+                format!("no answer in time; turn {rank}")
+            }
+        };
+        self.site.log(&Event::Claimed {
+            service: service.name.clone(),
+            attempt,
+            outcome,
+        });
+        service.alarm.notify_one();
+    }
+
+    async fn promote(
+        self: Rc<Self>,
+        service: Rc<Service<C>>,
+        succession: Rc<RefCell<Succession>>,
+        server: ServerKey,
+        grant: Grant,
+    ) {
+        let id = service.name_of(Some(server));
+        for (_, peer) in self.fleet.peers() {
+            let server = id.clone();
+            self.send(&service, Word::Acting { server }, peer.address);
+        }
+        let sent = self.site.now();
+        let token = Token(grant.0);
+        let host = &self.site.host;
+        let ordered = timeout(
+            ORDER,
+            self.platform.promote(&service.name, &id, host, token),
+        );
+        let order = match ordered.await {
+            Ok(Ok(Promotion::Accepted)) => Order::Accepted,
+            Ok(Ok(Promotion::Refused)) => Order::Refused,
+            Ok(Err(_)) | Err(_) => Order::Unknown,
+        };
+        let now = self.site.now();
+        succession.borrow_mut().ordered(order, now);
+        self.site.log(&Event::Ordered {
+            service: service.name.clone(),
+            server: id,
+            token: grant.0,
+            outcome: format!("{order:?}"),
+            millis: now.saturating_sub(sent).as_millis(),
+        });
+        service.alarm.notify_one();
+    }
+
+    fn view(&self, service: &Rc<Service<C>>) -> View {
+        let targets = service.targets();
+        let serving = targets
+            .iter()
+            .filter(|(_, standing)| *standing == Standing::Serving);
+        let peers = self.fleet.peers();
+        View {
+            leader: service.leader(),
+            term: service.term(),
+            trouble: self.trouble(service),
+            candidates: serving.map(|(target, _)| target.server).collect(),
+            peers: peers
+                .into_iter()
+                .map(|(key, _)| key)
+                .collect::<BTreeSet<_>>(),
+            rank: self.fleet.rank(&service.name),
+        }
+    }
+
+    /// What is wrong with the primary; nothing is while this host knows too little to tell.
+    fn trouble(&self, service: &Rc<Service<C>>) -> Option<Trouble> {
+        if !self.fleet.is_known() {
+            return None;
+        }
+        service.trouble()
+    }
+
+    fn host(&self, name: &str) -> Option<HostKey> {
+        let peers: Vec<(HostKey, Peer)> = self.fleet.peers();
+        let found = peers.iter().find(|(_, peer)| peer.host == name);
+        found.map(|(key, _)| *key)
+    }
+
+    fn send(&self, service: &Rc<Service<C>>, word: Word, to: SocketAddr) {
+        let message = Message {
+            host: self.site.host.clone(),
+            service: service.name.clone(),
+            word,
+        };
+        self.socket.send(&message, to);
+    }
+}
+
+fn target<C: Codec>(service: &Rc<Service<C>>, key: ServerKey) -> Option<Target> {
+    let targets = service.targets();
+    let found = targets.into_iter().find(|(target, _)| target.server == key);
+    found.map(|(target, _)| target)
+}
+
+/// Whether `status` is that of a server that leads; for logs and tests.
+pub fn leads(status: &Status) -> bool {
+    status.role == Role::Primary
+}
--- /dev/null
+++ b/crates/proxy/src/event.rs
@@ -0,0 +1,92 @@
+//! What the pooled data path logs. Numbers: 5000-5099 platform, configuration and lists,
+//! 5100-5199 servers and leadership, 5200-5299 requests, 5300-5399 stop and settings.
+
+flamingopost_daemon::events! {
+    /// Events of the pooled data path.
+    pub enum Event {
+        /// configuration version {version} in force after {before}, {routes} routes, read in {millis} ms
+        5000 Info Adopted { version: u64, before: u64, routes: usize, millis: u128 },
+        /// platform does not answer for {what}: {error}
+        5001 Warn StoreLost { what: &'static str, error: String },
+        /// platform answers again for {what} after {millis} ms
+        5002 Info StoreBack { what: &'static str, millis: u128 },
+        /// platform dropped the history of {what}, reading all of it
+        5003 Info HistoryGone { what: &'static str },
+        /// {service}: server {server} listed at {address} as {role:?}, leaving: {leaving}, revision {revision}
+        5010 Info Listed { service: String, server: String, address: std::net::SocketAddr, role: flamingopost_core::leader::Role, leaving: bool, revision: u64 },
+        /// {service}: server {server} no longer listed, dropped after {millis} ms
+        5011 Info Unlisted { service: String, server: String, millis: u128 },
+        /// entry host {host} in {zone} answers at {address}
+        5012 Info PeerListed { host: String, zone: String, address: std::net::SocketAddr },
+        /// entry host {host} has withdrawn
+        5013 Info PeerGone { host: String },
+        /// this host is announced, token {token}
+        5014 Info Announced { token: u64 },
+        /// {service}: {after} leads after {before}, which was so for {millis} ms
+        5100 Info Leads { service: String, after: String, before: String, millis: u128 },
+        /// {service}: server {server} cannot be connected to: {error}
+        5101 Warn Unconnected { service: String, server: String, error: String },
+        /// {service}: primary in trouble ({trouble:?}), asking {hosts} hosts and {servers} servers
+        5110 Warn Suspected { service: String, trouble: flamingopost_core::succession::Trouble, hosts: usize, servers: usize },
+        /// {service}: claim of change {attempt}: {outcome}
+        5111 Info Claimed { service: String, attempt: u64, outcome: String },
+        /// {service}: ordered {server} to lead under token {token}: {outcome}, {millis} ms
+        5112 Warn Ordered { service: String, server: String, token: u64, outcome: String, millis: u128 },
+        /// {service}: host {host} says that it changes the primary
+        5113 Info OtherActs { service: String, host: String },
+        /// request {id} for {database} not run: {reason}, waited {millis} ms, attempt {attempt}, leader {leader}, version {version}
+        5200 Warn Refused { id: String, database: String, reason: String, millis: u128, attempt: u8, leader: String, version: u64 },
+        /// request {id} for {database} tried again: {reason} at {server}, attempt {attempt} after {millis} ms
+        5201 Info Retried { id: String, database: String, reason: String, server: String, attempt: u8, millis: u128 },
+        /// request {id} for {database} in doubt: {reason} at {server} after {millis} ms
+        5202 Error InDoubt { id: String, database: String, reason: String, server: String, millis: u128 },
+        /// request {id} for {database}: its transaction at {server} is lost: {reason}
+        5203 Warn TransactionLost { id: String, database: String, server: String, reason: String },
+        /// caller sent what cannot be understood: {error}
+        5204 Warn BadCaller { error: String },
+        /// {count} more lines of event {event} were left out within a second
+        5290 Warn Suppressed { event: u16, count: u64 },
+        /// settings file changed: {outcome}
+        5300 Info Reloaded { outcome: String },
+        /// {sessions} sessions are open at the end, {transactions} of them in a transaction
+        5301 Info Ended { sessions: usize, transactions: usize },
+    }
+}
+
+/// Lines of one event that are written within a second; what is more is counted. Bounds what
+/// logging costs while everything fails at once.
+const LINES_A_SECOND: u64 = 20;
+
+/// Keeps the volume of repeated events bounded.
+#[derive(Debug, Default)]
+pub struct Limit {
+    second: std::cell::Cell<u64>,
+    counts: std::cell::RefCell<std::collections::BTreeMap<u16, u64>>,
+}
+
+impl Limit {
+    /// Writes `event`, unless too many of its kind were written within the second of `now`.
+    pub fn log(&self, event: &Event, now: std::time::Duration) {
+        use flamingopost_daemon::event::Event as _;
+        if self.second.replace(now.as_secs()) != now.as_secs() {
+            self.tell();
+        }
+        let kind = event.kind().number;
+        let mut counts = self.counts.borrow_mut();
+        let count = counts.entry(kind).or_default();
+        *count += 1;
+        if *count <= LINES_A_SECOND {
+            event.log();
+        }
+    }
+
+    fn tell(&self) {
+        use flamingopost_daemon::event::Event as _;
+        let counts = std::mem::take(&mut *self.counts.borrow_mut());
+        for (event, count) in counts {
+            if let Some(count) = count.checked_sub(LINES_A_SECOND).filter(|more| *more > 0) {
+                Event::Suppressed { event, count }.log();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet.rs
@@ -0,0 +1,307 @@
+//! What this host knows of the fleet: configuration, services and their servers, other hosts.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use flamingopost_core::invariant::{self, Invariant};
+use flamingopost_core::key::{HostKey, ServerKey};
+use slotmap::SlotMap;
+
+use crate::codec::Codec;
+use crate::event::Event;
+use crate::platform::{Backend, Change, Configuration, Peer};
+use crate::route::Route;
+use crate::service::{Allotment, Service, Site};
+
+/// How long an entry that has gone from the list is still believed in. Entries of living servers
+/// lapse while the platform's store is away and are back within two seconds of its return; the
+/// bound on work for servers that have left is several seconds.
+pub const LAPSE: Duration = Duration::from_millis(2_300);
+
+/// Connections that are left for hosts which are not known yet, as a number of hosts.
+const NEWCOMERS: usize = 1;
+
+/// Connections to one server that a host keeps open at most: one for each of the few statements
+/// that a fraction of a core can have in flight.
+const BASE_MOST: u16 = 4;
+
+/// A host may use this part of a server's connections for a while, as a divisor.
+const BURST_PART: u16 = 3;
+
+/// What this host knows of the fleet.
+pub struct Fleet<C: Codec> {
+    site: Rc<Site>,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    services: RefCell<BTreeMap<String, Rc<Service<C>>>>,
+    servers: RefCell<Servers>,
+    peers: RefCell<Peers>,
+    listed: Cell<bool>,
+}
+
+#[derive(Default)]
+struct Servers {
+    keys: SlotMap<ServerKey, String>,
+    by_id: BTreeMap<String, Entry>,
+}
+
+struct Entry {
+    key: ServerKey,
+    service: String,
+    /// When it went from the list.
+    gone: Option<Duration>,
+}
+
+#[derive(Default)]
+struct Peers {
+    keys: SlotMap<HostKey, ()>,
+    by_host: BTreeMap<String, (HostKey, Peer)>,
+}
+
+impl<C: Codec> Fleet<C> {
+    /// A fleet of which nothing is known.
+    pub fn new(site: Rc<Site>) -> Fleet<C> {
+        Fleet {
+            site,
+            configuration: RefCell::default(),
+            services: RefCell::default(),
+            servers: RefCell::default(),
+            peers: RefCell::default(),
+            listed: Cell::new(false),
+        }
+    }
+
+    /// Version of the configuration in force; 0 when there is none.
+    pub fn version(&self) -> u64 {
+        let configuration = self.configuration.borrow();
+        configuration.as_ref().map_or(0, |it| it.version)
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Whether enough is known to serve callers.
+    pub fn is_known(&self) -> bool {
+        self.listed.get() && self.version() > 0
+    }
+
+    /// The route of a database and the service that it leads to.
+    pub fn route(&self, database: &str) -> Option<(Route, Rc<Service<C>>)> {
+        let configuration = self.configuration()?;
+        let route = configuration.routes.get(database)?;
+        Some((route.clone(), self.service(&route.service)))
+    }
+
+    /// All services that have servers.
+    pub fn services(&self) -> Vec<Rc<Service<C>>> {
+        self.services.borrow().values().cloned().collect()
+    }
+
+    /// Puts `configuration` in force if it is newer than the one in force.
+    pub fn adopt(&self, configuration: Configuration, took: Duration) {
+        let before = self.version();
+        if configuration.version <= before {
+            return;
+        }
+        let version = configuration.version;
+        self.site.log(&Event::Adopted {
+            version,
+            before,
+            routes: configuration.routes.len(),
+            millis: took.as_millis(),
+        });
+        *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+        invariant::check(Invariant::UpwardConfiguration, version > before, || {
+            format!("version {version} after {before}")
+        });
+        self.allot();
+    }
+
+    /// Takes a whole list of servers: what it lacks has gone.
+    pub fn list(&self, backends: Vec<Backend>) {
+        let missing: Vec<String> = {
+            let servers = self.servers.borrow();
+            let listed = |id: &&String| !backends.iter().any(|backend| backend.id == **id);
+            servers.by_id.keys().filter(listed).cloned().collect()
+        };
+        for id in missing {
+            self.change(Change::Gone(id));
+        }
+        for backend in backends {
+            self.change(Change::Put(backend));
+        }
+        self.listed.set(true);
+    }
+
+    /// Takes one change of the list of servers.
+    pub fn change(&self, change: Change<Backend>) {
+        match change {
+            Change::Put(backend) => self.put(&backend),
+            Change::Gone(id) => {
+                let now = self.site.now();
+                if let Some(entry) = self.servers.borrow_mut().by_id.get_mut(&id) {
+                    entry.gone.get_or_insert(now);
+                }
+            }
+        }
+    }
+
+    /// Drops servers whose entries have been gone for long enough. While `blind`, the list cannot
+    /// be read, so nothing is known to be missing.
+    pub fn drop_lapsed(&self, blind: bool) {
+        let now = self.site.now();
+        let mut lapsed = Vec::new();
+        {
+            let mut servers = self.servers.borrow_mut();
+            let Servers { keys, by_id } = &mut *servers;
+            by_id.retain(|id, entry| {
+                let Some(gone) = &mut entry.gone else {
+                    return true;
+                };
+                if blind {
+                    *gone = now;
+                    return true;
+                }
+                if now < *gone + LAPSE {
+                    return true;
+                }
+                keys.remove(entry.key);
+                lapsed.push((id.clone(), entry.key, entry.service.clone(), now - *gone));
+                false
+            });
+        }
+        for (server, key, service, since) in lapsed {
+            self.site.log(&Event::Unlisted {
+                service: service.clone(),
+                server,
+                millis: since.as_millis(),
+            });
+            self.service(&service).unlisted(key);
+        }
+    }
+
+    /// Takes a whole list of hosts.
+    pub fn list_peers(&self, peers: Vec<Peer>) {
+        let missing: Vec<String> = {
+            let known = self.peers.borrow();
+            let listed = |host: &&String| !peers.iter().any(|peer| peer.host == **host);
+            known.by_host.keys().filter(listed).cloned().collect()
+        };
+        for host in missing {
+            self.change_peer(Change::Gone(host));
+        }
+        for peer in peers {
+            self.change_peer(Change::Put(peer));
+        }
+    }
+
+    /// Takes one change of the list of hosts.
+    pub fn change_peer(&self, change: Change<Peer>) {
+        match change {
+            Change::Put(peer) if peer.host == self.site.host => {}
+            Change::Put(peer) => {
+                self.site.log(&Event::PeerListed {
+                    host: peer.host.clone(),
+                    zone: peer.zone.clone(),
+                    address: peer.address,
+                });
+                let mut peers = self.peers.borrow_mut();
+                let key = match peers.by_host.get(&peer.host) {
+                    Some((key, _)) => *key,
+                    None => peers.keys.insert(()),
+                };
+                peers.by_host.insert(peer.host.clone(), (key, peer));
+            }
+            Change::Gone(host) => {
+                let mut peers = self.peers.borrow_mut();
+                if let Some((key, _)) = peers.by_host.remove(&host) {
+                    peers.keys.remove(key);
+                    drop(peers);
+                    self.site.log(&Event::PeerGone { host });
+                }
+            }
+        }
+        self.allot();
+    }
+
+    /// The other hosts.
+    pub fn peers(&self) -> Vec<(HostKey, Peer)> {
+        self.peers.borrow().by_host.values().cloned().collect()
+    }
+
+    /// How many hosts come before this one when `what` has to be done by one of them.
+    ///
+    /// The order differs by `what`, so that one lost host does not come first everywhere.
+    pub fn rank(&self, what: &str) -> u32 {
+        let own = spread(what, &self.site.host);
+        let peers = self.peers.borrow();
+        let before = peers.by_host.keys().filter(|host| spread(what, host) < own);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    fn put(&self, backend: &Backend) {
+        self.site.log(&Event::Listed {
+            service: backend.service.clone(),
+            server: backend.id.clone(),
+            address: backend.address,
+            role: backend.role,
+            leaving: backend.leaving,
+            revision: backend.changed.0,
+        });
+        let key = {
+            let mut servers = self.servers.borrow_mut();
+            let Servers { keys, by_id } = &mut *servers;
+            let entry = by_id.entry(backend.id.clone()).or_insert_with(|| Entry {
+                key: keys.insert(backend.id.clone()),
+                service: backend.service.clone(),
+                gone: None,
+            });
+            entry.gone = None;
+            entry.key
+        };
+        self.service(&backend.service).listed(key, backend);
+    }
+
+    fn service(&self, name: &str) -> Rc<Service<C>> {
+        if let Some(service) = self.services.borrow().get(name) {
+            return Rc::clone(service);
+        }
+        let service = Rc::new(Service::new(name.to_owned(), Rc::clone(&self.site)));
+        service.allot(self.allotment(name));
+        let mut services = self.services.borrow_mut();
+        services.insert(name.to_owned(), Rc::clone(&service));
+        service
+    }
+
+    fn allot(&self) {
+        for service in self.services() {
+            service.allot(self.allotment(&service.name));
+        }
+    }
+
+    fn allotment(&self, service: &str) -> Allotment {
+        let configuration = self.configuration.borrow();
+        let configured = configuration
+            .as_ref()
+            .and_then(|it| it.services.get(service));
+        let Some(configured) = configured else {
+            return Allotment { base: 0, most: 1 };
+        };
+        let hosts = self.peers.borrow().by_host.len() + 1 + NEWCOMERS;
+        let hosts = u16::try_from(hosts).unwrap_or(u16::MAX);
+        let base = (configured.connections / hosts).clamp(1, BASE_MOST);
+        let most = (configured.connections / BURST_PART).max(base);
+        Allotment { base, most }
+    }
+}
+
+/// FNV-1a: the same number on every host, for any pair of names.
+fn spread(what: &str, host: &str) -> u64 {
+    let bytes = what.bytes().chain(host.bytes());
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- /dev/null
+++ b/crates/proxy/src/front.rs
@@ -0,0 +1,131 @@
+//! A caller's connection.
+
+use std::io;
+use std::marker::PhantomData;
+
+use bytes::BytesMut;
+use flamingopost_core::position::Position;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::codec::{self, Codec};
+use crate::message::{Code, Request, Transaction};
+
+/// Room for one usual statement.
+const BUFFER: usize = 1 << 10;
+
+/// Why a caller's connection ends.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// connection lost: {0}
+    Io(io::Error),
+    /// the caller cannot be understood: {0}
+    Codec(codec::Error),
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Error {
+        Error::Io(error)
+    }
+}
+
+impl From<codec::Error> for Error {
+    fn from(error: codec::Error) -> Error {
+        Error::Codec(error)
+    }
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub struct Front<C> {
+    stream: TcpStream,
+    received: BytesMut,
+    out: BytesMut,
+    codec: PhantomData<C>,
+}
+
+impl<C: Codec> Front<C> {
+    /// The caller behind `stream`.
+    pub fn new(stream: TcpStream) -> Front<C> {
+        Front {
+            stream,
+            received: BytesMut::with_capacity(BUFFER),
+            out: BytesMut::with_capacity(BUFFER),
+            codec: PhantomData,
+        }
+    }
+
+    /// The next request; `None` when the caller has closed.
+    ///
+    /// # Errors
+    /// The connection is lost, or the bytes are no request. Safe to be dropped half-way.
+    pub async fn request(&mut self) -> Result<Option<Request>, Error> {
+        loop {
+            if let Some(request) = C::request(&mut self.received)? {
+                return Ok(Some(request));
+            }
+            if self.stream.read_buf(&mut self.received).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Returns once the caller has closed its connection or lost it. What it sends meanwhile is
+    /// kept for the next request.
+    pub async fn gone(&mut self) {
+        while let Ok(1..) = self.stream.read_buf(&mut self.received).await {}
+    }
+
+    /// Whether nothing that the caller sent is left to be read here.
+    pub fn is_quiet(&self) -> bool {
+        self.received.is_empty()
+    }
+
+    /// Queues a row.
+    pub fn row(&mut self, row: &[u8]) {
+        C::row(&mut self.out, row);
+    }
+
+    /// Queues the end of a successful statement.
+    pub fn complete(&mut self, proof: Option<&[u8]>) {
+        C::complete(&mut self.out, proof);
+    }
+
+    /// Queues an error.
+    pub fn error(&mut self, code: Code, text: &[u8]) {
+        C::error(&mut self.out, code, text);
+    }
+
+    /// Queues that the next statement is awaited.
+    pub fn ready(&mut self, transaction: Transaction, position: Option<Position>) {
+        C::ready(&mut self.out, transaction, position);
+    }
+
+    /// Sends what is queued.
+    ///
+    /// # Errors
+    /// The connection is lost.
+    pub async fn flush(&mut self) -> Result<(), Error> {
+        self.stream.write_all(&self.out).await?;
+        self.out.clear();
+        Ok(())
+    }
+
+    /// Ends the connection after everything queued was sent.
+    ///
+    /// # Errors
+    /// The connection is lost.
+    pub async fn close(mut self) -> Result<(), Error> {
+        self.flush().await?;
+        self.stream.shutdown().await?;
+        Ok(())
+    }
+}
+
+/// Longest time that a transaction may stay idle, whatever is configured.
+pub const IDLE_MOST: std::time::Duration = std::time::Duration::from_secs(60);
+
+/// How long a statement may take where no route says so any more.
+pub const TIMEOUT: std::time::Duration = std::time::Duration::from_millis(800);
--- /dev/null
+++ b/crates/proxy/src/host.rs
@@ -0,0 +1,297 @@
+//! One entry host: its listeners, its tasks, and its end.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flamingopost_core::clock::Clock;
+use flamingopost_daemon::event::{Daemon, Event as _};
+use flamingopost_daemon::metrics;
+use hyper::StatusCode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::codec::Codec;
+use crate::election::Election;
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::front::{self, Front};
+use crate::peer::Socket;
+use crate::platform::{Peer, Platform};
+use crate::probe;
+use crate::service::Site;
+use crate::session::{Context, Session};
+use crate::socket;
+use crate::watch::Watch;
+
+/// What the process is called in logs.
+const NAME: &str = "flamingopost";
+
+/// Time between two looks at what is due by time alone.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How long a caller that stops reading or is cut off keeps its session.
+const CALLER_SILENCE: Duration = Duration::from_secs(8);
+
+/// New callers still come for this long after the host says that it is not ready: the balancer
+/// asks once a second and believes the second refusal.
+const ROTATION: Duration = Duration::from_millis(2_300);
+
+/// What a host is told by its settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub probe: SocketAddr,
+    /// Where other hosts ask.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// How long the host may take to end.
+    pub grace: Duration,
+    /// Sessions that callers may have open at once.
+    pub sessions: usize,
+}
+
+/// How far the host is on its way out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Running,
+    /// It says that it is not ready, and serves.
+    Unready,
+    /// Sessions without a transaction end.
+    Closing,
+    /// Transactions end too.
+    Ending,
+}
+
+/// Tells all of a host's sessions how far it is on its way out.
+#[derive(Debug)]
+pub struct Stop {
+    phase: watch::Sender<Phase>,
+}
+
+impl Default for Stop {
+    fn default() -> Stop {
+        Stop {
+            phase: watch::Sender::new(Phase::Running),
+        }
+    }
+}
+
+impl Stop {
+    /// The phase now.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Moves on to `phase`.
+    pub fn advance(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Returns when sessions without a transaction have to end.
+    pub async fn sessions(&self) {
+        self.reached(Phase::Closing).await;
+    }
+
+    /// Returns when transactions have to end.
+    pub async fn transactions(&self) {
+        self.reached(Phase::Ending).await;
+    }
+
+    async fn reached(&self, phase: Phase) {
+        let mut receiver = self.phase.subscribe();
+        // The sender lives in `self`, so waiting cannot fail.
+        let _ = receiver.wait_for(|current| *current >= phase).await;
+    }
+}
+
+/// Runs an entry host until `ended` returns and all sessions are over, or its grace is.
+///
+/// # Errors
+/// A listener cannot be opened.
+pub async fn run<C: Codec, P: Platform>(
+    settings: Settings,
+    platform: P,
+    clock: Arc<dyn Clock>,
+    ended: impl Future<Output = ()>,
+) -> io::Result<()> {
+    let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    let site = Rc::new(Site::new(host.clone(), zone.clone(), clock));
+    let fleet = Rc::new(Fleet::<C>::new(Rc::clone(&site)));
+    let stop = Rc::new(Stop::default());
+    let platform = Rc::new(platform);
+    let callers = TcpListener::bind(settings.callers).await?;
+    let probes = TcpListener::bind(settings.probe).await?;
+    let socket = Rc::new(Socket::bind(settings.peers).await?);
+    metrics::start();
+    Daemon::Started {
+        daemon: NAME,
+        version: env!("CARGO_PKG_VERSION"),
+        host: host.clone(),
+        zone: zone.clone(),
+    }
+    .log();
+    serve_metrics(settings.metrics).await;
+
+    let election = Rc::new(Election::new(
+        Rc::clone(&site),
+        Rc::clone(&fleet),
+        Rc::clone(&platform),
+        Rc::clone(&socket),
+    ));
+    let watch = Rc::new(Watch::new(
+        Rc::clone(&site),
+        Rc::clone(&fleet),
+        Rc::clone(&platform),
+        Rc::clone(&election),
+    ));
+    let own = Peer {
+        host,
+        zone,
+        address: socket.address()?,
+    };
+    let readiness = {
+        let (fleet, stop) = (Rc::clone(&fleet), Rc::clone(&stop));
+        move |_path: &str| match stop.phase() == Phase::Running && fleet.is_known() {
+            true => (StatusCode::OK, String::new()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        }
+    };
+    tokio::task::spawn_local(probe::serve(probes, readiness));
+    tokio::task::spawn_local(Rc::clone(&election).listen());
+    tokio::task::spawn_local(Rc::clone(&watch).configuration());
+    tokio::task::spawn_local(Rc::clone(&watch).backends());
+    tokio::task::spawn_local(Rc::clone(&watch).peers(own));
+    tokio::task::spawn_local(tick(Rc::clone(&fleet), Rc::clone(&watch)));
+
+    let context = Rc::new(Context {
+        site: Rc::clone(&site),
+        fleet,
+        stop: Rc::clone(&stop),
+    });
+    let open = Rc::new(Cell::new(0));
+    let accepting = tokio::task::spawn_local(accept(
+        callers,
+        context,
+        Rc::clone(&open),
+        settings.sessions,
+    ));
+    ended.await;
+    Daemon::Draining { daemon: NAME }.log();
+    drain(&stop, &open, settings.grace).await;
+    accepting.abort();
+    site.log(&Event::Ended {
+        sessions: open.get(),
+        transactions: 0,
+    });
+    Daemon::Stopped { daemon: NAME }.log();
+    Ok(())
+}
+
+/// Ends all sessions in an order that callers do not notice: first the balancer sends nobody
+/// new, then idle sessions end, and transactions get half of the grace to end by themselves.
+async fn drain(stop: &Stop, open: &Cell<usize>, grace: Duration) {
+    stop.advance(Phase::Unready);
+    let rotation = ROTATION.min(grace / 3);
+    tokio::time::sleep(rotation).await;
+    stop.advance(Phase::Closing);
+    if all_over(open, (grace / 2).saturating_sub(rotation)).await {
+        return;
+    }
+    stop.advance(Phase::Ending);
+    all_over(open, grace / 3).await;
+}
+
+async fn all_over(open: &Cell<usize>, limit: Duration) -> bool {
+    let over = async {
+        while open.get() > 0 {
+            tokio::time::sleep(TICK).await;
+        }
+    };
+    tokio::time::timeout(limit, over).await.is_ok()
+}
+
+async fn tick<C: Codec, P: Platform>(fleet: Rc<Fleet<C>>, watch: Rc<Watch<C, P>>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        fleet.drop_lapsed(watch.is_blind());
+        for service in fleet.services() {
+            service.tick();
+        }
+    }
+}
+
+async fn accept<C: Codec>(
+    listener: TcpListener,
+    context: Rc<Context<C>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors or memory for a moment: callers wait in the queue meanwhile.
+            tokio::time::sleep(TICK).await;
+            continue;
+        };
+        if open.get() >= most {
+            // Closed before anything was read: the caller knows that nothing has run.
+            drop(stream);
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (context, open) = (Rc::clone(&context), Rc::clone(&open));
+        tokio::task::spawn_local(async move {
+            session(context, stream).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn session<C: Codec>(context: Rc<Context<C>>, stream: TcpStream) {
+    let site = Rc::clone(&context.site);
+    if socket::guard(&stream, CALLER_SILENCE).is_err() {
+        return;
+    }
+    let served = Session::serve(context, Front::new(stream)).await;
+    // A caller that went away is no event; one that cannot be understood is.
+    if let Err(front::Error::Codec(error)) = served {
+        site.log(&Event::BadCaller {
+            error: error.to_string(),
+        });
+    }
+}
+
+async fn serve_metrics(address: SocketAddr) {
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            Daemon::Listening { address }.log();
+            tokio::task::spawn_local(probe::serve(listener, |path| match path {
+                "/metrics" => (StatusCode::OK, metrics::render()),
+                _ => (StatusCode::NOT_FOUND, String::new()),
+            }));
+        }
+        Err(error) => {
+            // Requests are served without metrics rather than not at all.
+            let error = format!("no metrics on {address}: {error}");
+            Daemon::Failed {
+                daemon: NAME,
+                error,
+            }
+            .log();
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,29 @@
+//! Pooled data path of an entry host.
+//!
+//! Callers' sessions share a few connections to each backend server, transaction by transaction.
+//! The flow of a request - route, wait for a connection, carry the session's state over, run,
+//! retry what did not run, settle what is in doubt - is written once here and knows no protocol:
+//! a [`codec::Codec`] speaks to callers and servers, a [`platform::Platform`] to the platform.
+//!
+//! Everything of one host runs on one thread. Hosts have a fraction of a processor core, so
+//! threads would only add switches and locks.
+
+pub mod attempt;
+pub mod back;
+pub mod carry;
+pub mod codec;
+pub mod election;
+pub mod event;
+pub mod fleet;
+pub mod front;
+pub mod host;
+pub mod message;
+pub mod meter;
+pub mod peer;
+pub mod platform;
+pub mod probe;
+pub mod route;
+pub mod service;
+pub mod session;
+pub mod socket;
+pub mod watch;
--- /dev/null
+++ b/crates/proxy/src/meter.rs
@@ -0,0 +1,61 @@
+//! Counters and histograms of the pooled data path.
+
+use std::time::Duration;
+
+use crate::message::Code;
+
+/// How a statement ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// With success, at the primary.
+    Primary,
+    /// With success, at a replica.
+    Replica,
+    /// With an error.
+    Error(Code),
+}
+
+/// Counts one statement of `database` and how long it took.
+pub fn statement(database: &str, end: End, took: Duration) {
+    let outcome = match end {
+        End::Primary => "primary",
+        End::Replica => "replica",
+        End::Error(code) => error(code),
+    };
+    let database = database.to_owned();
+    metrics::counter!("flamingopost_statements_total", "database" => database.clone(), "outcome" => outcome)
+        .increment(1);
+    metrics::histogram!("flamingopost_statement_seconds", "database" => database)
+        .record(took.as_secs_f64());
+}
+
+/// Counts a connection opened to a server of `service`.
+pub fn connected(service: &str) {
+    metrics::counter!("flamingopost_server_connections_total", "service" => service.to_owned())
+        .increment(1);
+}
+
+/// Counts a call to the platform.
+pub fn platform_call(call: &'static str, ok: bool) {
+    let outcome = if ok { "answered" } else { "failed" };
+    metrics::counter!("flamingopost_platform_calls_total", "call" => call, "outcome" => outcome)
+        .increment(1);
+}
+
+fn error(code: Code) -> &'static str {
+    match code {
+        Code::Busy => "busy",
+        Code::Aborted => "aborted",
+        Code::Lagging => "lagging",
+        Code::ReadOnly => "read_only",
+        Code::Misrouted => "misrouted",
+        Code::ConnectionLimit => "connection_limit",
+        Code::NoStatement => "no_statement",
+        Code::Malformed => "malformed",
+        Code::NoDatabase => "no_database",
+        Code::Failed => "failed",
+        Code::Timeout => "timeout",
+        Code::InDoubt => "in_doubt",
+        Code::Other => "other",
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/peer.rs
@@ -0,0 +1,105 @@
+//! What entry hosts tell each other, as datagrams.
+//!
+//! Remote calls over `jsonrpsee` do not fit here: a question is asked when connections to a part
+//! of the hosts are likely to hang, has to reach all others within one round trip, and needs no
+//! answer from any one of them. A datagram that is lost counts as no answer.
+
+use std::io;
+use std::net::SocketAddr;
+
+use flamingopost_core::succession::Opinion;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+/// Longest datagram; larger ones are not ours.
+const LONGEST: usize = 1_200;
+
+/// What one host tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Name of the host that sends it.
+    pub host: String,
+    /// The service that it is about.
+    pub service: String,
+    /// What it says.
+    pub word: Word,
+}
+
+/// What a message says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// Do you reach server `server`?
+    Ask {
+        /// Identity of the server.
+        server: String,
+    },
+    /// An answer to [`Word::Ask`].
+    Tell {
+        /// Identity of the server.
+        server: String,
+        /// Whether the host has just heard from it.
+        reaches: bool,
+    },
+    /// I change the primary to `server`.
+    Acting {
+        /// Identity of the server.
+        server: String,
+    },
+}
+
+impl Word {
+    /// What a host that answered `reaches` thinks.
+    pub fn opinion(reaches: bool) -> Opinion {
+        match reaches {
+            true => Opinion::Reaches,
+            false => Opinion::Fails,
+        }
+    }
+}
+
+/// Sends and receives [`Message`]s.
+#[derive(Debug)]
+pub struct Socket {
+    socket: UdpSocket,
+}
+
+impl Socket {
+    /// Listens on `address`.
+    ///
+    /// # Errors
+    /// The address cannot be listened on.
+    pub async fn bind(address: SocketAddr) -> io::Result<Socket> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Socket { socket })
+    }
+
+    /// Where it listens.
+    ///
+    /// # Errors
+    /// The system does not say.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends `message` to `to`. Like any datagram it may be lost.
+    pub fn send(&self, message: &Message, to: SocketAddr) {
+        if let Ok(bytes) = postcard::to_stdvec(message) {
+            // A full buffer loses it as the network might.
+            let _ = self.socket.try_send_to(&bytes, to);
+        }
+    }
+
+    /// The next message that can be understood, and who sent it.
+    ///
+    /// # Errors
+    /// The socket is unusable.
+    pub async fn receive(&self) -> io::Result<(Message, SocketAddr)> {
+        let mut buffer = [0; LONGEST];
+        loop {
+            let (length, from) = self.socket.recv_from(&mut buffer).await?;
+            if let Ok(message) = postcard::from_bytes(&buffer[..length]) {
+                return Ok((message, from));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/platform.rs
@@ -0,0 +1,182 @@
+//! What the platform offers, in this project's words. An adapter implements [`Platform`].
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flamingopost_core::leader::Role;
+
+use crate::route::Route;
+
+/// Why a call to the platform has no result.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum Error {
+    /// no answer: {0}; the call may have taken effect
+    Lost(String),
+    /// refused for now with status {0}; nothing was done
+    Unavailable(u16),
+    /// the changes since the last read are no longer kept
+    HistoryGone,
+    /// unexpected answer: {0}
+    Unexpected(String),
+}
+
+impl std::error::Error for Error {}
+
+/// A place in the platform's history of changes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
+/// Something read, and the place in history as of which it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Read<T> {
+    /// What was read.
+    pub value: T,
+    /// As of when.
+    pub revision: Revision,
+}
+
+/// The operators' configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Configuration {
+    /// It only grows.
+    pub version: u64,
+    /// Routes by the name of the database that callers ask for.
+    pub routes: BTreeMap<String, Route>,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// How long a transaction may stay idle before it is ended.
+    pub transaction_idle: Duration,
+}
+
+/// A service in the operators' configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Service {
+    /// Connections that each of its servers accepts from all hosts together.
+    pub connections: u16,
+}
+
+/// A backend server in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Backend {
+    /// Its identity, never used again.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Where it listens; the address may be used again after it has gone.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u16,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// How it sees its own role.
+    pub role: Role,
+    /// Its entry was last changed here.
+    pub changed: Revision,
+}
+
+/// A change of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change<T> {
+    /// The entry of `id` is new or has changed.
+    Put(T),
+    /// The entry of this id is gone.
+    Gone(String),
+}
+
+/// Another entry host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of the host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where it answers other hosts' questions.
+    pub address: SocketAddr,
+}
+
+/// A number that the platform compares when a primary is to be changed: a call with a lower
+/// one than it has seen for the service is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Token(pub u64);
+
+/// Whether a claim was won.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Claim {
+    /// It was; the token is newer than any that was given out before.
+    Won(Token),
+    /// Somebody else holds it.
+    Held {
+        /// Who.
+        by: String,
+        /// What to name to take it over, once its holder is known not to act on it.
+        revision: Revision,
+    },
+}
+
+/// How an order to change a primary ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Promotion {
+    /// The server leads soon, or leads already.
+    Accepted,
+    /// A newer token was seen, or the server does not run.
+    Refused,
+}
+
+/// The platform, as an entry host uses it.
+pub trait Platform: 'static {
+    /// The configuration in force, if there is one.
+    fn configuration(&self) -> impl Future<Output = Result<Read<Option<Configuration>>, Error>>;
+
+    /// Waits a bounded time for a configuration newer than `after`.
+    fn next_configuration(
+        &self,
+        after: Revision,
+    ) -> impl Future<Output = Result<Read<Option<Configuration>>, Error>>;
+
+    /// All backend servers.
+    fn backends(&self) -> impl Future<Output = Result<Read<Vec<Backend>>, Error>>;
+
+    /// Waits a bounded time for changes of the list of backend servers after `after`.
+    fn next_backends(
+        &self,
+        after: Revision,
+    ) -> impl Future<Output = Result<Read<Vec<Change<Backend>>>, Error>>;
+
+    /// All entry hosts that have announced themselves.
+    fn peers(&self) -> impl Future<Output = Result<Read<Vec<Peer>>, Error>>;
+
+    /// Waits a bounded time for changes among entry hosts after `after`.
+    fn next_peers(
+        &self,
+        after: Revision,
+    ) -> impl Future<Output = Result<Read<Vec<Change<Peer>>>, Error>>;
+
+    /// Announces this host to others. The token is newer than any that was given out before.
+    fn announce(&self, peer: &Peer) -> impl Future<Output = Result<Token, Error>>;
+
+    /// Withdraws the announcement of this host.
+    fn withdraw(&self, host: &str) -> impl Future<Output = Result<(), Error>>;
+
+    /// Claims the change of primary number `attempt` of `service` for `host`, or takes the claim
+    /// over from a holder that is known not to act on it.
+    fn claim(
+        &self,
+        service: &str,
+        attempt: u64,
+        host: &str,
+        over: Option<Revision>,
+    ) -> impl Future<Output = Result<Claim, Error>>;
+
+    /// Orders that server `id` leads `service`.
+    fn promote(
+        &self,
+        service: &str,
+        id: &str,
+        host: &str,
+        token: Token,
+    ) -> impl Future<Output = Result<Promotion, Error>>;
+}
--- /dev/null
+++ b/crates/proxy/src/probe.rs
@@ -0,0 +1,41 @@
+//! HTTP of an entry host: the balancer's question whether it is ready, and metrics.
+//!
+//! `hyper` serves them on the host's one thread; `actix-web` would start threads of its own,
+//! which cost memory on each host and take turns on a fraction of a core.
+
+use std::convert::Infallible;
+use std::io;
+use std::rc::Rc;
+
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// Answers every request on `listener` by `answer`, which gets the path.
+///
+/// # Errors
+/// The listener is unusable.
+pub async fn serve(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> (StatusCode, String) + 'static,
+) -> io::Result<()> {
+    let answer = Rc::new(answer);
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let answer = Rc::clone(&answer);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let (status, body) = answer(request.uri().path());
+                let mut response = Response::new(Full::new(Bytes::from(body)));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let server = hyper::server::conn::http1::Builder::new();
+            // A prober that goes away is its own affair: it counts that as a miss.
+            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/service.rs
@@ -0,0 +1,632 @@
+//! One service on this host: its servers, the pooled connections to them, and who waits for one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::{Deref, DerefMut};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flamingopost_core::clock::Clock;
+use flamingopost_core::dispatch::{self, Dispatch, Need, Next, Standing, Ticket, Unserved};
+use flamingopost_core::key::ServerKey;
+use flamingopost_core::leader::{Leader, Role};
+use flamingopost_core::position::Position;
+use flamingopost_core::succession::{Contact, Trouble};
+use flamingopost_core::vouch::Vouch;
+use tokio::sync::{Notify, oneshot};
+
+use crate::back::{self, Back, Target};
+use crate::codec::Codec;
+use crate::event::{Event, Limit};
+use crate::message::{Code, Status};
+use crate::meter;
+use crate::platform::Backend;
+
+/// What all of a host's parts share.
+pub struct Site {
+    /// Name of the host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Keeps logs bounded.
+    pub limit: Limit,
+    ids: Cell<u64>,
+}
+
+impl Site {
+    /// Host `host` in `zone`.
+    pub fn new(host: String, zone: String, clock: Arc<dyn Clock>) -> Site {
+        Site {
+            host,
+            zone,
+            clock,
+            limit: Limit::default(),
+            ids: Cell::new(0),
+        }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Logs `event`, within bounds.
+    pub fn log(&self, event: &Event) {
+        self.limit.log(event, self.now());
+    }
+
+    /// A number that this process has not used.
+    pub fn next_id(&self) -> u64 {
+        let id = self.ids.get() + 1;
+        self.ids.set(id);
+        id
+    }
+}
+
+/// One service on this host.
+pub struct Service<C: Codec> {
+    /// Its name.
+    pub name: String,
+    /// What all parts share.
+    pub site: Rc<Site>,
+    /// Something happened that may call for another primary.
+    pub alarm: Notify,
+    state: RefCell<State<C>>,
+}
+
+struct State<C: Codec> {
+    dispatch: Dispatch,
+    vouch: Vouch,
+    leader: Leader,
+    absent: Option<Duration>,
+    servers: BTreeMap<ServerKey, Known>,
+    idle: BTreeMap<u64, Back<C>>,
+    waiters: BTreeMap<u64, Waiter<C>>,
+    allotment: Allotment,
+}
+
+struct Known {
+    target: Target,
+    contact: Contact,
+}
+
+struct Waiter<C: Codec> {
+    ticket: Ticket,
+    sender: oneshot::Sender<Result<Lent<C>, Unserved>>,
+}
+
+/// How many connections this host may have to each server of the service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Allotment {
+    /// Those it keeps open.
+    pub base: u16,
+    /// Those it may have for a while.
+    pub most: u16,
+}
+
+/// A connection that one request has for itself. Dropped, it is closed: only what is known to be
+/// in order is given back.
+pub struct Lent<C: Codec> {
+    back: Option<Back<C>>,
+    service: Rc<Service<C>>,
+}
+
+impl<C: Codec> Service<C> {
+    /// A service of which no server is known yet.
+    pub fn new(name: String, site: Rc<Site>) -> Service<C> {
+        Service {
+            name,
+            site,
+            alarm: Notify::new(),
+            state: RefCell::new(State {
+                dispatch: Dispatch::default(),
+                vouch: Vouch::default(),
+                leader: Leader::default(),
+                absent: Some(Duration::ZERO),
+                servers: BTreeMap::new(),
+                idle: BTreeMap::new(),
+                waiters: BTreeMap::new(),
+                allotment: Allotment { base: 1, most: 1 },
+            }),
+        }
+    }
+
+    /// The platform lists `backend` under `key`.
+    pub fn listed(self: &Rc<Self>, key: ServerKey, backend: &Backend) {
+        {
+            let mut state = self.state.borrow_mut();
+            let Allotment { base, most } = state.allotment;
+            let local = backend.zone == self.site.zone;
+            let mut server = dispatch::Server::new(local, backend.slots, base, most);
+            if backend.leaving {
+                server.standing = Standing::Leaving;
+            }
+            state.dispatch.insert(key, server);
+            state.leader.listed(key, backend.role, backend.changed.0);
+            let target = Target {
+                server: key,
+                address: backend.address,
+                id: backend.id.clone(),
+                service: self.name.clone(),
+            };
+            let known = state.servers.entry(key).or_insert_with(|| Known {
+                target: target.clone(),
+                contact: Contact::default(),
+            });
+            known.target = target;
+        }
+        self.refresh();
+    }
+
+    /// The platform no longer lists the server.
+    pub fn unlisted(self: &Rc<Self>, key: ServerKey) {
+        let next = {
+            let mut state = self.state.borrow_mut();
+            state.leader.unlisted(key);
+            state.servers.remove(&key);
+            state.dispatch.remove(key)
+        };
+        self.apply(next);
+        self.refresh();
+    }
+
+    /// The connections that this host may have have changed.
+    pub fn allot(&self, allotment: Allotment) {
+        let mut state = self.state.borrow_mut();
+        state.allotment = allotment;
+        let keys: Vec<ServerKey> = state.servers.keys().copied().collect();
+        for key in keys {
+            if let Some(server) = state.dispatch.server_mut(key) {
+                server.base = allotment.base;
+                server.most = allotment.most;
+            }
+        }
+    }
+
+    /// Waits for a connection that may serve `ticket`.
+    ///
+    /// # Errors
+    /// Why there was none before the ticket's deadline.
+    pub async fn acquire(self: &Rc<Self>, ticket: Ticket) -> Result<Lent<C>, Unserved> {
+        let now = self.site.now();
+        let id = ticket.id;
+        let (sender, receiver) = oneshot::channel();
+        let next = {
+            let mut state = self.state.borrow_mut();
+            let waiter = Waiter {
+                ticket: ticket.clone(),
+                sender,
+            };
+            state.waiters.insert(id, waiter);
+            state.dispatch.arrive(ticket, now)
+        };
+        let _waiting = Waiting { service: self, id };
+        self.apply(next);
+        // The sender is dropped unused only with the service itself.
+        receiver.await.unwrap_or(Err(Unserved::Busy))
+    }
+
+    /// Runs what is due by time alone.
+    pub fn tick(self: &Rc<Self>) {
+        let now = self.site.now();
+        let next = self.state.borrow_mut().dispatch.tick(now);
+        self.apply(next);
+        self.sweep();
+    }
+
+    /// Who leads, as far as this host knows.
+    pub fn leader(&self) -> Option<ServerKey> {
+        self.state.borrow().dispatch.leader()
+    }
+
+    /// Name of a server, for logs.
+    pub fn name_of(&self, server: Option<ServerKey>) -> String {
+        let state = self.state.borrow();
+        let known = server.and_then(|server| state.servers.get(&server));
+        known.map_or_else(|| "nobody".to_owned(), |known| known.target.id.clone())
+    }
+
+    /// What a server's log must contain for a read that has to see everything acknowledged
+    /// before `since`; `None` when only the primary can tell.
+    pub fn floor(&self, since: Duration) -> Option<Position> {
+        self.state.borrow().vouch.floor(since)
+    }
+
+    /// `position`, or the start of a newer term in its place.
+    pub fn current(&self, position: Position) -> Position {
+        self.state.borrow().vouch.current(position)
+    }
+
+    /// A server answered at `position` to what was sent at `sent`. With `led`, it could only
+    /// answer because it led.
+    pub fn heard(
+        self: &Rc<Self>,
+        server: ServerKey,
+        position: Option<Position>,
+        sent: Duration,
+        led: bool,
+    ) {
+        let now = self.site.now();
+        let mut state = self.state.borrow_mut();
+        if let Some(known) = state.servers.get_mut(&server) {
+            known.contact.answered(now);
+        }
+        let Some(position) = position else {
+            return;
+        };
+        if let Some(server) = state.dispatch.server_mut(server) {
+            server.saw(position, now);
+        }
+        state.vouch.saw_term(position.term);
+        state.leader.saw_term(server, position.term);
+        if led {
+            state.vouch.led(position, sent);
+        }
+    }
+
+    /// A request took `took` at a server.
+    pub fn took(&self, server: ServerKey, took: Duration) {
+        if let Some(server) = self.state.borrow_mut().dispatch.server_mut(server) {
+            server.took(took);
+        }
+    }
+
+    /// A server refused a request because it does not lead.
+    pub fn does_not_lead(self: &Rc<Self>, server: ServerKey) {
+        self.state.borrow_mut().leader.refused(server);
+        self.refresh();
+    }
+
+    /// A server refused a read because its data are too old.
+    pub fn lags(&self, server: ServerKey) {
+        let now = self.site.now();
+        self.state.borrow_mut().dispatch.lagged(server, now);
+    }
+
+    /// A server said what it is.
+    pub fn said(self: &Rc<Self>, server: ServerKey, status: &Status) {
+        let now = self.site.now();
+        {
+            let mut state = self.state.borrow_mut();
+            if let Some(known) = state.servers.get_mut(&server) {
+                known.contact.answered(now);
+            }
+            state.leader.said(server, status.role, status.term);
+            if status.role == Role::Primary {
+                state.vouch.saw_term(status.term);
+            }
+        }
+        self.refresh();
+    }
+
+    /// Something sent to a server at `sent` came to nothing.
+    pub fn missed(&self, server: ServerKey, error: &back::Error, sent: Duration) {
+        let now = self.site.now();
+        let mut state = self.state.borrow_mut();
+        let Some(known) = state.servers.get_mut(&server) else {
+            return;
+        };
+        match miss(error) {
+            Miss::Refused => known.contact.refused(now),
+            Miss::Silent => known.contact.silent(sent),
+            Miss::None => known.contact.answered(now),
+        }
+        let leads = state.dispatch.leader() == Some(server);
+        drop(state);
+        if leads {
+            self.alarm.notify_one();
+        }
+    }
+
+    /// How this host's own connections to a server fare.
+    pub fn contact(&self, server: ServerKey) -> Option<Contact> {
+        let state = self.state.borrow();
+        state.servers.get(&server).map(|known| known.contact)
+    }
+
+    /// What is wrong with the primary.
+    pub fn trouble(&self) -> Option<Trouble> {
+        let now = self.site.now();
+        let state = self.state.borrow();
+        let Some(leader) = state.dispatch.leader() else {
+            let since = state.absent.unwrap_or(now);
+            return Some(Trouble::Absent { since });
+        };
+        let contact = state.servers.get(&leader).map(|known| known.contact);
+        let trouble = contact.and_then(|contact| contact.trouble(now));
+        if trouble.is_some() {
+            return trouble;
+        }
+        let server = state.dispatch.servers().get(&leader);
+        let leaving = server.is_some_and(|server| server.standing == Standing::Leaving);
+        leaving.then_some(Trouble::Leaving)
+    }
+
+    /// Servers with where they are, and whether each is leaving.
+    pub fn targets(&self) -> Vec<(Target, Standing)> {
+        let state = self.state.borrow();
+        let standing = |key: &ServerKey| {
+            let server = state.dispatch.servers().get(key);
+            server.map_or(Standing::Leaving, |server| server.standing)
+        };
+        state
+            .servers
+            .iter()
+            .map(|(key, known)| (known.target.clone(), standing(key)))
+            .collect()
+    }
+
+    /// The server called `id`.
+    pub fn find(&self, id: &str) -> Option<ServerKey> {
+        let state = self.state.borrow();
+        let mut known = state.servers.iter();
+        known
+            .find(|(_, known)| known.target.id == id)
+            .map(|(key, _)| *key)
+    }
+
+    /// The newest term that is known to have begun.
+    pub fn term(&self) -> flamingopost_core::term::Term {
+        self.state.borrow().vouch.term()
+    }
+
+    /// Whether any connection is open.
+    pub fn is_connected(&self) -> bool {
+        let state = self.state.borrow();
+        let mut servers = state.dispatch.servers().values();
+        servers.any(|server| server.connections() > 0)
+    }
+
+    fn refresh(self: &Rc<Self>) {
+        let now = self.site.now();
+        let change = {
+            let mut state = self.state.borrow_mut();
+            let Some(change) = state.leader.refresh(now) else {
+                return;
+            };
+            state.dispatch.lead(change.after);
+            state.absent = change.after.is_none().then_some(now);
+            change
+        };
+        self.site.log(&Event::Leads {
+            service: self.name.clone(),
+            after: self.name_of(change.after),
+            before: self.name_of(change.before),
+            millis: change.lasted.as_millis(),
+        });
+        self.alarm.notify_one();
+        self.tick_dispatch(now);
+    }
+
+    fn tick_dispatch(self: &Rc<Self>, now: Duration) {
+        let next = self.state.borrow_mut().dispatch.tick(now);
+        self.apply(next);
+    }
+
+    /// Closes idle connections that their server has ended, before a request is sent there.
+    fn sweep(self: &Rc<Self>) {
+        let mut state = self.state.borrow_mut();
+        let over: Vec<u64> = state
+            .idle
+            .iter()
+            .filter(|(_, back)| back.is_over())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            if let Some(back) = state.idle.remove(&id) {
+                state.dispatch.ended(back.server, id);
+            }
+        }
+    }
+
+    fn apply(self: &Rc<Self>, next: Vec<Next>) {
+        let mut queue = VecDeque::from(next);
+        while let Some(next) = queue.pop_front() {
+            match next {
+                Next::Lend {
+                    ticket,
+                    server,
+                    connection,
+                } => queue.extend(self.lend(ticket, server, connection)),
+                Next::Open { server } => self.open(server),
+                Next::Close { connection, .. } => {
+                    self.state.borrow_mut().idle.remove(&connection);
+                }
+                Next::Refuse { ticket, why } => {
+                    let waiter = self.state.borrow_mut().waiters.remove(&ticket);
+                    if let Some(waiter) = waiter {
+                        // A caller that no longer waits needs no answer.
+                        let _ = waiter.sender.send(Err(why));
+                    }
+                }
+            }
+        }
+    }
+
+    fn lend(self: &Rc<Self>, ticket: u64, server: ServerKey, connection: u64) -> Vec<Next> {
+        let now = self.site.now();
+        let mut state = self.state.borrow_mut();
+        let waiter = state.waiters.remove(&ticket);
+        let back = state.idle.remove(&connection);
+        match (waiter, back) {
+            (Some(waiter), Some(back)) if !back.is_over() => {
+                drop(state);
+                let lent = Lent {
+                    back: Some(back),
+                    service: Rc::clone(self),
+                };
+                if let Err(Ok(lent)) = waiter.sender.send(Ok(lent)) {
+                    lent.give_back();
+                }
+                Vec::new()
+            }
+            (Some(waiter), _) => {
+                // The server has ended the connection meanwhile: the request goes on waiting.
+                let mut next = state.dispatch.lost(server, now);
+                let ticket = waiter.ticket.clone();
+                state.waiters.insert(ticket.id, waiter);
+                next.extend(state.dispatch.arrive(ticket, now));
+                next
+            }
+            (None, Some(back)) => {
+                state.idle.insert(connection, back);
+                state.dispatch.returned(server, connection, now)
+            }
+            (None, None) => state.dispatch.lost(server, now),
+        }
+    }
+
+    fn open(self: &Rc<Self>, server: ServerKey) {
+        let service = Rc::clone(self);
+        tokio::task::spawn_local(async move { service.connect(server).await });
+    }
+
+    async fn connect(self: Rc<Self>, server: ServerKey) {
+        let now = self.site.now();
+        let target = {
+            let state = self.state.borrow();
+            state.servers.get(&server).map(|known| known.target.clone())
+        };
+        let Some(target) = target else {
+            let failure = dispatch::Failure::Unreachable;
+            let next = self
+                .state
+                .borrow_mut()
+                .dispatch
+                .failed(server, failure, now);
+            self.apply(next);
+            return;
+        };
+        let id = self.site.next_id();
+        match Back::connect(id, &target, &self.site.host).await {
+            Ok(back) => {
+                meter::connected(&self.name);
+                self.heard(server, back.position, now, false);
+                let now = self.site.now();
+                let next = {
+                    let mut state = self.state.borrow_mut();
+                    state.idle.insert(id, back);
+                    state.dispatch.opened(server, id, now)
+                };
+                self.apply(next);
+            }
+            Err(error) => self.unconnected(server, &error, now),
+        }
+    }
+
+    fn unconnected(self: &Rc<Self>, server: ServerKey, error: &back::Error, sent: Duration) {
+        self.site.log(&Event::Unconnected {
+            service: self.name.clone(),
+            server: self.name_of(Some(server)),
+            error: error.to_string(),
+        });
+        self.missed(server, error, sent);
+        let failure = match error {
+            back::Error::Refused(Code::ConnectionLimit | Code::Busy) => dispatch::Failure::Full,
+            _ => dispatch::Failure::Unreachable,
+        };
+        let now = self.site.now();
+        let next = self
+            .state
+            .borrow_mut()
+            .dispatch
+            .failed(server, failure, now);
+        self.apply(next);
+    }
+
+    fn cancel(&self, ticket: u64) {
+        let mut state = self.state.borrow_mut();
+        if state.waiters.remove(&ticket).is_some() {
+            state.dispatch.cancel(ticket);
+        }
+    }
+}
+
+enum Miss {
+    Refused,
+    Silent,
+    /// The server answered, so it is there.
+    None,
+}
+
+fn miss(error: &back::Error) -> Miss {
+    match error {
+        back::Error::Io(error) if error.kind() == std::io::ErrorKind::TimedOut => Miss::Silent,
+        back::Error::Io(_) => Miss::Refused,
+        back::Error::Codec(_) | back::Error::Refused(_) => Miss::None,
+    }
+}
+
+impl<C: Codec> Lent<C> {
+    /// Gives the connection back; no transaction may be open there. One that is out of order or
+    /// has answers outstanding is closed.
+    pub fn give_back(mut self) {
+        if self.broken || self.pending() > 0 {
+            return;
+        }
+        let Some(back) = self.back.take() else {
+            return;
+        };
+        let (server, id) = (back.server, back.id);
+        let now = self.service.site.now();
+        let next = {
+            let mut state = self.service.state.borrow_mut();
+            state.idle.insert(id, back);
+            state.dispatch.returned(server, id, now)
+        };
+        self.service.apply(next);
+    }
+}
+
+impl<C: Codec> Drop for Lent<C> {
+    fn drop(&mut self) {
+        let Some(back) = self.back.take() else {
+            return;
+        };
+        let now = self.service.site.now();
+        let next = {
+            let mut state = self.service.state.borrow_mut();
+            state.dispatch.lost(back.server, now)
+        };
+        drop(back);
+        self.service.apply(next);
+    }
+}
+
+impl<C: Codec> Deref for Lent<C> {
+    type Target = Back<C>;
+
+    fn deref(&self) -> &Back<C> {
+        self.back
+            .as_ref()
+            .expect("a lent connection is there until it is given back")
+    }
+}
+
+impl<C: Codec> DerefMut for Lent<C> {
+    fn deref_mut(&mut self) -> &mut Back<C> {
+        self.back
+            .as_mut()
+            .expect("a lent connection is there until it is given back")
+    }
+}
+
+/// Takes the ticket of a request out of the queue when its caller stops waiting.
+struct Waiting<'a, C: Codec> {
+    service: &'a Rc<Service<C>>,
+    id: u64,
+}
+
+impl<C: Codec> Drop for Waiting<'_, C> {
+    fn drop(&mut self) {
+        self.service.cancel(self.id);
+    }
+}
+
+/// A ticket for `need` of a request that arrived at `arrived`.
+pub fn ticket(site: &Site, need: Need, priority: u8, arrived: Duration, until: Duration) -> Ticket {
+    Ticket::new(site.next_id(), need, priority, arrived, until)
+}
--- /dev/null
+++ b/crates/proxy/src/watch.rs
@@ -0,0 +1,206 @@
+//! Follows the platform's store: configuration, backend servers, other entry hosts.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::codec::Codec;
+use crate::election::Election;
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::meter;
+use crate::platform::{Configuration, Error, Peer, Platform, Read, Revision};
+use crate::service::Site;
+
+/// First wait after a call that failed; doubled up to [`PAUSE_MOST`]. Calls to the store are
+/// charged for, refused ones too.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest such wait: an outage may end at any moment, and what was missed counts from then.
+const PAUSE_MOST: Duration = Duration::from_millis(800);
+
+/// How long after the last failed read the list of servers is not trusted to be complete.
+const BLIND: Duration = Duration::from_millis(1_500);
+
+/// Follows the platform's store.
+pub struct Watch<C: Codec, P> {
+    site: Rc<Site>,
+    fleet: Rc<Fleet<C>>,
+    platform: Rc<P>,
+    election: Rc<Election<C, P>>,
+    failed: Cell<Option<Duration>>,
+}
+
+/// How one of the store's tables fares.
+struct Track {
+    what: &'static str,
+    lost: Option<Duration>,
+    pause: Duration,
+}
+
+impl<C: Codec, P: Platform> Watch<C, P> {
+    /// Ready to run.
+    pub fn new(
+        site: Rc<Site>,
+        fleet: Rc<Fleet<C>>,
+        platform: Rc<P>,
+        election: Rc<Election<C, P>>,
+    ) -> Watch<C, P> {
+        Watch {
+            site,
+            fleet,
+            platform,
+            election,
+            failed: Cell::new(None),
+        }
+    }
+
+    /// Whether the list of servers may lack entries of living servers.
+    pub fn is_blind(&self) -> bool {
+        let now = self.site.now();
+        self.failed.get().is_some_and(|at| now < at + BLIND)
+    }
+
+    /// Follows the configuration, for ever.
+    pub async fn configuration(self: Rc<Self>) {
+        let mut track = Track::new("configuration");
+        let mut after: Option<Revision> = None;
+        loop {
+            let asked = self.site.now();
+            let read = match after {
+                None => self.platform.configuration().await,
+                Some(after) => self.platform.next_configuration(after).await,
+            };
+            match read {
+                Ok(Read { value, revision }) => {
+                    track.answered(&self.site);
+                    after = Some(revision);
+                    self.adopt(value, self.site.now().saturating_sub(asked));
+                }
+                Err(error) => self.failed(&mut track, &error, &mut after).await,
+            }
+        }
+    }
+
+    /// Follows the list of servers, for ever.
+    pub async fn backends(self: Rc<Self>) {
+        let mut track = Track::new("servers");
+        let mut after: Option<Revision> = None;
+        loop {
+            let read = match after {
+                None => self.platform.backends().await.map(|read| {
+                    self.fleet.list(read.value);
+                    read.revision
+                }),
+                Some(after) => self.platform.next_backends(after).await.map(|read| {
+                    for change in read.value {
+                        self.fleet.change(change);
+                    }
+                    read.revision
+                }),
+            };
+            match read {
+                Ok(revision) => {
+                    track.answered(&self.site);
+                    after = Some(revision);
+                    self.election.attend();
+                }
+                Err(error) => {
+                    self.failed.set(Some(self.site.now()));
+                    self.failed(&mut track, &error, &mut after).await;
+                }
+            }
+        }
+    }
+
+    /// Announces this host and follows the list of others, for ever.
+    pub async fn peers(self: Rc<Self>, own: Peer) {
+        let mut track = Track::new("hosts");
+        let mut after: Option<Revision> = None;
+        let mut announced = false;
+        loop {
+            if !announced {
+                match self.platform.announce(&own).await {
+                    Ok(token) => {
+                        announced = true;
+                        self.site.log(&Event::Announced { token: token.0 });
+                        self.election.reserve(token);
+                    }
+                    Err(error) => {
+                        self.failed(&mut track, &error, &mut after).await;
+                        continue;
+                    }
+                }
+            }
+            let read = match after {
+                None => self.platform.peers().await.map(|read| {
+                    self.fleet.list_peers(read.value);
+                    read.revision
+                }),
+                Some(after) => self.platform.next_peers(after).await.map(|read| {
+                    for change in read.value {
+                        self.fleet.change_peer(change);
+                    }
+                    read.revision
+                }),
+            };
+            match read {
+                Ok(revision) => {
+                    track.answered(&self.site);
+                    after = Some(revision);
+                }
+                Err(error) => self.failed(&mut track, &error, &mut after).await,
+            }
+        }
+    }
+
+    fn adopt(&self, configuration: Option<Configuration>, took: Duration) {
+        if let Some(configuration) = configuration {
+            self.fleet.adopt(configuration, took);
+        }
+    }
+
+    async fn failed(&self, track: &mut Track, error: &Error, after: &mut Option<Revision>) {
+        meter::platform_call(track.what, false);
+        if *error == Error::HistoryGone {
+            let what = track.what;
+            self.site.log(&Event::HistoryGone { what });
+            *after = None;
+            return;
+        }
+        track.lost(&self.site, error);
+        tokio::time::sleep(track.pause).await;
+    }
+}
+
+impl Track {
+    fn new(what: &'static str) -> Track {
+        Track {
+            what,
+            lost: None,
+            pause: PAUSE,
+        }
+    }
+
+    fn answered(&mut self, site: &Site) {
+        meter::platform_call(self.what, true);
+        self.pause = PAUSE;
+        if let Some(lost) = self.lost.take() {
+            site.log(&Event::StoreBack {
+                what: self.what,
+                millis: site.now().saturating_sub(lost).as_millis(),
+            });
+        }
+    }
+
+    fn lost(&mut self, site: &Site, error: &Error) {
+        self.pause = (self.pause * 2).min(PAUSE_MOST);
+        if self.lost.is_none() {
+            self.lost = Some(site.now());
+            site.log(&Event::StoreLost {
+                what: self.what,
+                error: error.to_string(),
+            });
+        }
+    }
+}
