Fence read-only transactions that rely on the primary's lead

Ruled out: samples taken too late, and own writes. Change: whatever relies on the lead opens a transaction that may write; replicas are chosen by measured lag; a refusal for lag is retried without paying from the retry budget.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -25,9 +25,6 @@
 /// Extra cost of a read at the primary, whose slots writes cannot do without.
 const PRIMARY_COST: Duration = Duration::from_millis(16);
 
-/// How long a replica that refused a read for its lag is passed over, about the usual lag.
-const LAG_PAUSE: Duration = Duration::from_millis(60);
-
 /// An idle connection above the base share goes back after this long, for other hosts to use.
 const SURPLUS_IDLE: Duration = Duration::from_millis(1_500);
 
@@ -178,10 +175,10 @@
         }
     }
 
-    /// A replica refused a read because its log lacks what the read has to see.
-    pub fn lagged(&mut self, key: ServerKey, now: Duration) {
+    /// A replica refused a read because its log lacks a position that a primary had at `at`.
+    pub fn lagged(&mut self, key: ServerKey, at: Duration, now: Duration) {
         if let Some(server) = self.servers.get_mut(&key) {
-            server.lagging_until = now + LAG_PAUSE;
+            server.lagged(at, now);
         }
     }
 
@@ -254,7 +251,7 @@
         match (some, ticket.need) {
             (true, _) => Unserved::Busy,
             (false, Need::Lead) => Unserved::NoPrimary,
-            (false, Need::Position(_)) => Unserved::Lagging,
+            (false, Need::Position { .. }) => Unserved::Lagging,
         }
     }
 
@@ -306,8 +303,8 @@
         let leads = self.leader == Some(key);
         match ticket.need {
             Need::Lead => leads,
-            Need::Position(position) => {
-                !server.is_broken(now) && (leads || server.may_have(position, now))
+            Need::Position { position, at } => {
+                !server.is_broken(now) && (leads || server.may_have(position, at, now))
             }
         }
     }
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -12,9 +12,15 @@
 /// Part of a new measurement in the average, as a divisor.
 const SMOOTHING: u32 = 8;
 
-/// A replica whose position was last seen this long ago has probably moved on: it is tried, and
-/// says itself whether it has what the read needs.
-const POSITION_AGE: Duration = Duration::from_millis(80);
+/// A replica that seems too far behind is tried again after this long: it says itself whether it
+/// has what the read needs, for the price of one round trip.
+const LAG_TRIAL: Duration = Duration::from_millis(200);
+
+/// What a replica is taken to be behind until it was measured.
+const FIRST_LAG: Duration = Duration::from_millis(100);
+
+/// Added to a measured lag, which moves with each write.
+const LAG_MARGIN: Duration = Duration::from_millis(15);
 
 /// How long a server at its limit of connections is not asked for another.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
@@ -52,9 +58,9 @@
     pub most: u16,
     /// The latest position that its data are known to have reached.
     pub applied: Position,
-    pub(super) lagging_until: Duration,
     pub(super) opening: u16,
-    applied_at: Duration,
+    lag: Duration,
+    lag_at: Duration,
     idle: Vec<Idle>,
     busy: u16,
     average: Duration,
@@ -79,9 +85,9 @@
             base,
             most: most.max(1),
             applied: Position::default(),
-            lagging_until: Duration::ZERO,
             opening: 0,
-            applied_at: Duration::ZERO,
+            lag: FIRST_LAG,
+            lag_at: Duration::ZERO,
             idle: Vec::new(),
             busy: 0,
             average: FIRST_GUESS,
@@ -91,12 +97,24 @@
         }
     }
 
-    /// The server said that its data reach `position`.
-    pub fn saw(&mut self, position: Position, now: Duration) {
-        if position >= self.applied {
-            self.applied = position;
-            self.applied_at = now;
-        }
+    /// The server said that its data reach `position`; primaries had got further than that by
+    /// `passed`, if that is known.
+    pub fn saw(&mut self, position: Position, passed: Option<Duration>, now: Duration) {
+        self.applied = self.applied.max(position);
+        let behind = passed.map_or(Duration::ZERO, |passed| now.saturating_sub(passed));
+        self.lag = (self.lag * 3 + behind) / 4;
+        self.lag_at = now;
+    }
+
+    /// The server lacked a position that a primary had at `at`.
+    pub(super) fn lagged(&mut self, at: Duration, now: Duration) {
+        self.lag = self.lag.max(now.saturating_sub(at));
+        self.lag_at = now;
+    }
+
+    /// How far the server's data are behind, as a time.
+    pub fn lag(&self) -> Duration {
+        self.lag
     }
 
     /// A request took `took` there.
@@ -194,11 +212,10 @@
             && self.may_open(now)
     }
 
-    pub(super) fn may_have(&self, position: Position, now: Duration) -> bool {
-        if self.applied >= position {
-            return true;
-        }
-        now >= self.lagging_until && now >= self.applied_at + POSITION_AGE
+    pub(super) fn may_have(&self, position: Position, at: Duration, now: Duration) -> bool {
+        self.applied >= position
+            || now >= at + self.lag + LAG_MARGIN
+            || now >= self.lag_at + LAG_TRIAL
     }
 
     pub(super) fn expected(&self) -> Duration {
--- a/crates/core/src/dispatch/ticket.rs
+++ b/crates/core/src/dispatch/ticket.rs
@@ -11,7 +11,13 @@
     /// Only the one that leads.
     Lead,
     /// Any whose log contains the position.
-    Position(Position),
+    Position {
+        /// The position.
+        position: Position,
+        /// When the primary was asked that answered there: how far replicas are behind in time
+        /// tells which of them have it.
+        at: Duration,
+    },
 }
 
 /// A request that waits for a connection.
--- a/crates/core/src/vouch.rs
+++ b/crates/core/src/vouch.rs
@@ -85,6 +85,20 @@
         Some(self.current(sample.position))
     }
 
+    /// When a primary was first asked whose answer had reached `position`.
+    pub fn reached(&self, position: Position) -> Option<Duration> {
+        let mut samples = self.samples.iter();
+        let sample = samples.find(|sample| sample.position >= position)?;
+        Some(sample.at)
+    }
+
+    /// When a primary was first asked whose answer had got further than `position`.
+    pub fn passed(&self, position: Position) -> Option<Duration> {
+        let mut samples = self.samples.iter();
+        let sample = samples.find(|sample| sample.position > position)?;
+        Some(sample.at)
+    }
+
     /// When the primary was last seen to lead.
     pub fn last(&self) -> Option<Duration> {
         self.samples.back().map(|sample| sample.at)
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -229,17 +229,6 @@
         known.map_or_else(|| "nobody".to_owned(), |known| known.target.id.clone())
     }
 
-    /// What a server's log must contain for a read that has to see everything acknowledged
-    /// before `since`; `None` when only the primary can tell.
-    pub fn floor(&self, since: Duration) -> Option<Position> {
-        self.state.borrow().vouch.floor(since)
-    }
-
-    /// `position`, or the start of a newer term in its place.
-    pub fn current(&self, position: Position) -> Position {
-        self.state.borrow().vouch.current(position)
-    }
-
     /// A server answered at `position` to what was sent at `sent`. With `led`, it could only
     /// answer because it led.
     pub fn heard(
@@ -257,8 +246,9 @@
         let Some(position) = position else {
             return;
         };
+        let passed = state.vouch.passed(position);
         if let Some(server) = state.dispatch.server_mut(server) {
-            server.saw(position, now);
+            server.saw(position, passed, now);
         }
         state.vouch.saw_term(position.term);
         state.leader.saw_term(server, position.term);
@@ -280,10 +270,22 @@
         self.refresh();
     }
 
-    /// A server refused a read because its data are too old.
-    pub fn lags(&self, server: ServerKey) {
+    /// A server refused a read because it lacks a position that a primary had at `at`.
+    pub fn lags(&self, server: ServerKey, at: Duration) {
         let now = self.site.now();
-        self.state.borrow_mut().dispatch.lagged(server, now);
+        self.state.borrow_mut().dispatch.lagged(server, at, now);
+    }
+
+    /// What a read needs that has to see everything acknowledged before `since`, and `seen`.
+    pub fn need(&self, since: Duration, seen: Position) -> Need {
+        let now = self.site.now();
+        let state = self.state.borrow();
+        let Some(floor) = state.vouch.floor(since) else {
+            return Need::Lead;
+        };
+        let position = floor.max(state.vouch.current(seen));
+        let at = state.vouch.reached(position).unwrap_or(now);
+        Need::Position { position, at }
     }
 
     /// A server said what it is.
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -528,13 +528,10 @@
                 Err(unserved) => return unserved_as(unserved),
             };
             let server = lent.server;
-            let frame = match (plan.frame, plan.access, need) {
-                (Frame::Bare, Access::Read, Need::Lead) => Frame::Alone,
-                (frame, _, _) => frame,
-            };
+            let frame = fence(plan.frame, plan.access, need);
             let after = match need {
                 Need::Lead => None,
-                Need::Position(position) => {
+                Need::Position { position, .. } => {
                     Some(position).filter(|position| *position > Position::default())
                 }
             };
@@ -595,9 +592,9 @@
                     (Code::Timeout, Run::Unknown, Some(error))
                 }
             };
-            match code {
-                Code::ReadOnly => service.does_not_lead(server),
-                Code::Lagging => service.lags(server),
+            match (code, need) {
+                (Code::ReadOnly, _) => service.does_not_lead(server),
+                (Code::Lagging, Need::Position { at, .. }) => service.lags(server, at),
                 _ => {}
             }
             let reason = match &error {
@@ -660,7 +657,11 @@
             expected: Duration::ZERO,
             dice: rand::random(),
         };
-        retry::decide(&attempt, &mut self.retries, now)
+        match code {
+            // Where to send it was not known well enough: that costs a server nothing.
+            Code::Lagging | Code::ReadOnly => retry::decide(&attempt, &mut Budget::retries(), now),
+            _ => retry::decide(&attempt, &mut self.retries, now),
+        }
     }
 
     /// Who may run a statement of `plan`.
@@ -672,11 +673,8 @@
             return Need::Lead;
         };
         let since = plan.since.saturating_sub(age.saturating_sub(AGE_MARGIN));
-        let Some(floor) = service.floor(since) else {
-            return Need::Lead;
-        };
         let seen = self.seen.get(&service.name).copied().unwrap_or_default();
-        Need::Position(floor.max(service.current(seen)))
+        service.need(since, seen)
     }
 
     fn saw(&mut self, service: &Service<C>, position: Option<Position>) {
@@ -808,6 +806,19 @@
     }
 }
 
+/// What goes around a statement that needs `need`.
+///
+/// A server that was replaced as primary, and has not heard of it or has only just, goes on
+/// answering reads outside of transactions that may write. Data that it lacks then show as an
+/// answer that is too old. So whatever relies on a server's lead runs in such a transaction.
+fn fence(frame: Frame, access: Access, need: Need) -> Frame {
+    match (frame, access, need) {
+        (Frame::Bare, Access::Read, Need::Lead) => Frame::Alone,
+        (Frame::Opens(_), _, Need::Lead) => Frame::Opens(Access::Write),
+        (frame, _, _) => frame,
+    }
+}
+
 fn unserved_as<C: Codec>(unserved: Unserved) -> Served<C> {
     match unserved {
         Unserved::Busy => Served::NotRun(Code::Busy, "no connection was free in time".to_owned()),
