--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -61,6 +61,7 @@
     pub(super) opening: u16,
     lag: Duration,
     lag_at: Duration,
+    trial_at: Duration,
     idle: Vec<Idle>,
     busy: u16,
     average: Duration,
@@ -88,6 +89,7 @@
             opening: 0,
             lag: FIRST_LAG,
             lag_at: Duration::ZERO,
+            trial_at: Duration::ZERO,
             idle: Vec::new(),
             busy: 0,
             average: FIRST_GUESS,
@@ -99,10 +101,16 @@
 
     /// The server said that its data reach `position`; primaries had got further than that by
     /// `passed`, if that is known.
+    ///
+    /// The last word counts, also when it is lower: a server may come back from a restart with
+    /// less, and a promotion rolls those back that were ahead.
     pub fn saw(&mut self, position: Position, passed: Option<Duration>, now: Duration) {
-        self.applied = self.applied.max(position);
+        self.applied = position;
         let behind = passed.map_or(Duration::ZERO, |passed| now.saturating_sub(passed));
-        self.lag = (self.lag * 3 + behind) / 4;
+        self.lag = match behind > self.lag {
+            true => behind,
+            false => (self.lag * 3 + behind) / 4,
+        };
         self.lag_at = now;
     }
 
@@ -110,6 +118,7 @@
     pub(super) fn lagged(&mut self, at: Duration, now: Duration) {
         self.lag = self.lag.max(now.saturating_sub(at));
         self.lag_at = now;
+        self.trial_at = now + LAG_TRIAL;
     }
 
     /// How far the server's data are behind, as a time.
@@ -213,9 +222,16 @@
     }
 
     pub(super) fn may_have(&self, position: Position, at: Duration, now: Duration) -> bool {
-        self.applied >= position
-            || now >= at + self.lag + LAG_MARGIN
-            || now >= self.lag_at + LAG_TRIAL
+        if self.applied >= position {
+            return true;
+        }
+        // Every log counts as having the start of a term, also one that has not got there yet:
+        // a server cannot refuse by it, so it has to have shown that it is there.
+        if position.log == 0 {
+            return false;
+        }
+        let caught_up = now >= at + self.lag + LAG_MARGIN;
+        now >= self.trial_at && (caught_up || now >= self.lag_at + LAG_TRIAL)
     }
 
     pub(super) fn expected(&self) -> Duration {
