Leave room for restarted hosts; late requests queue behind those in time; overdue reads go again

Cause: servers count connections of hosts that lost power for three more seconds, and all were in use, so nobody was served for two seconds after a restart; a lost answer held one of few connections for the whole timeout. Change: hosts keep half of a server's connections, surplus ones close after 400 ms; requests past their goal wait behind the others; an overdue read is asked again.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -26,7 +26,7 @@
 const PRIMARY_COST: Duration = Duration::from_millis(16);
 
 /// An idle connection above the base share goes back after this long, for other hosts to use.
-const SURPLUS_IDLE: Duration = Duration::from_millis(1_500);
+const SURPLUS_IDLE: Duration = Duration::from_millis(400);
 
 /// First wait after a failed connect; doubled up to [`BACKOFF_MOST`].
 const BACKOFF: Duration = Duration::from_millis(40);
@@ -46,7 +46,15 @@
 /// let mut dispatch = Dispatch::default();
 /// dispatch.insert(server, Server::new(true, 2, 2, 4));
 /// dispatch.lead(Some(server));
-/// let ticket = Ticket::new(1, Need::Lead, 1, now, Duration::from_secs(1));
+/// let ticket = Ticket {
+///     id: 1,
+///     need: Need::Lead,
+///     priority: 1,
+///     arrived: now,
+///     goal: Duration::from_millis(100),
+///     deadline: Duration::from_secs(1),
+///     avoid: None,
+/// };
 /// assert_eq!(dispatch.arrive(ticket, now), [Next::Open { server }]);
 /// let lent = Next::Lend { ticket: 1, server, connection: 7 };
 /// assert_eq!(dispatch.opened(server, 7, now), [lent]);
@@ -112,10 +120,7 @@
 
     /// A request asks for a connection.
     pub fn arrive(&mut self, ticket: Ticket, now: Duration) -> Vec<Next> {
-        let place = self
-            .waiting
-            .partition_point(|other| other.order() <= ticket.order());
-        self.waiting.insert(place, ticket);
+        self.waiting.push(ticket);
         self.run(now)
     }
 
@@ -160,6 +165,22 @@
         next
     }
 
+    /// A lent connection has waited for an answer for so long that it is probably lost; until
+    /// [`Dispatch::settled`] another connection may take its place.
+    pub fn overdue(&mut self, key: ServerKey, now: Duration) -> Vec<Next> {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.overdue += 1;
+        }
+        self.run(now)
+    }
+
+    /// An overdue connection is gone, or has got its answer.
+    pub fn settled(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.overdue = server.overdue.saturating_sub(1);
+        }
+    }
+
     /// A lent connection is gone.
     pub fn lost(&mut self, key: ServerKey, now: Duration) -> Vec<Next> {
         if let Some(server) = self.servers.get_mut(&key) {
@@ -213,6 +234,9 @@
     fn run(&mut self, now: Duration) -> Vec<Next> {
         let mut next = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
+        // Those that can still be in time go first: served strictly by age, a queue that has
+        // once grown past the goal answers everybody late.
+        waiting.sort_by_key(|ticket| ticket.order(now));
         let mut wanted: BTreeMap<ServerKey, u16> = BTreeMap::new();
         waiting.retain(|ticket| {
             if ticket.deadline <= now {
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -59,6 +59,7 @@
     /// The latest position that its data are known to have reached.
     pub applied: Position,
     pub(super) opening: u16,
+    pub(super) overdue: u16,
     lag: Duration,
     lag_at: Duration,
     trial_at: Duration,
@@ -87,6 +88,7 @@
             most: most.max(1),
             applied: Position::default(),
             opening: 0,
+            overdue: 0,
             lag: FIRST_LAG,
             lag_at: Duration::ZERO,
             trial_at: Duration::ZERO,
@@ -211,7 +213,9 @@
     }
 
     pub(super) fn may_open(&self, now: Duration) -> bool {
-        self.connections() < self.most && now >= self.retry_at && now >= self.full_until
+        self.connections() < self.most + self.overdue
+            && now >= self.retry_at
+            && now >= self.full_until
     }
 
     pub(super) fn is_cold(&self, now: Duration) -> bool {
--- a/crates/core/src/dispatch/ticket.rs
+++ b/crates/core/src/dispatch/ticket.rs
@@ -31,6 +31,8 @@
     pub priority: u8,
     /// When the caller sent it.
     pub arrived: Duration,
+    /// When it should be answered.
+    pub goal: Duration,
     /// Until when it may wait here.
     pub deadline: Duration,
     /// A server that has just failed it.
@@ -38,19 +40,8 @@
 }
 
 impl Ticket {
-    /// A first attempt.
-    pub fn new(id: u64, need: Need, priority: u8, arrived: Duration, deadline: Duration) -> Ticket {
-        Ticket {
-            id,
-            need,
-            priority,
-            arrived,
-            deadline,
-            avoid: None,
-        }
-    }
-
-    pub(super) fn order(&self) -> (u8, Duration) {
-        (self.priority, self.arrived)
+    /// Where it stands in the queue.
+    pub(super) fn order(&self, now: Duration) -> (bool, u8, Duration) {
+        (now >= self.goal, self.priority, self.arrived)
     }
 }
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -42,6 +42,11 @@
         self.tokens = (self.tokens + self.share).min(MOST);
     }
 
+    /// Whether no extra attempt can be paid for now.
+    pub fn is_spent(&self) -> bool {
+        self.tokens < 1.0 - 1e-9
+    }
+
     /// Pays for one extra attempt. `false`: it must not be made.
     #[must_use]
     pub fn take(&mut self) -> bool {
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -20,15 +20,18 @@
 /// bound on work for servers that have left is several seconds.
 pub const LAPSE: Duration = Duration::from_millis(2_300);
 
-/// Connections that are left for hosts which are not known yet, as a number of hosts.
-const NEWCOMERS: usize = 1;
+/// Hosts keep this part of a server's connections open, as a divisor. When hosts lose power,
+/// servers go on counting their connections for some seconds: the other part lets all hosts in
+/// that start meanwhile. With all of them kept open, nobody was served for two seconds after such
+/// a restart.
+const KEPT_PART: u16 = 2;
 
 /// Connections to one server that a host keeps open at most: one for each of the few statements
 /// that a fraction of a core can have in flight.
 const BASE_MOST: u16 = 4;
 
 /// A host may use this part of a server's connections for a while, as a divisor.
-const BURST_PART: u16 = 3;
+const BURST_PART: u16 = 4;
 
 /// What this host knows of the fleet.
 pub struct Fleet<C: Codec> {
@@ -290,9 +293,9 @@
         let Some(configured) = configured else {
             return Allotment { base: 0, most: 1 };
         };
-        let hosts = self.peers.borrow().by_host.len() + 1 + NEWCOMERS;
+        let hosts = self.peers.borrow().by_host.len() + 1;
         let hosts = u16::try_from(hosts).unwrap_or(u16::MAX);
-        let base = (configured.connections / hosts).clamp(1, BASE_MOST);
+        let base = (configured.connections / KEPT_PART / hosts).clamp(1, BASE_MOST);
         let most = (configured.connections / BURST_PART).max(base);
         Allotment { base, most }
     }
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -217,6 +217,13 @@
         self.sweep();
     }
 
+    /// How long a request takes at a server.
+    pub fn average(&self, server: ServerKey) -> Duration {
+        let state = self.state.borrow();
+        let server = state.dispatch.servers().get(&server);
+        server.map_or(Duration::ZERO, dispatch::Server::average)
+    }
+
     /// Who leads, as far as this host knows.
     pub fn leader(&self) -> Option<ServerKey> {
         self.state.borrow().dispatch.leader()
@@ -563,6 +570,17 @@
 }
 
 impl<C: Codec> Lent<C> {
+    /// Its answer is overdue, probably lost: until the guard is dropped, another connection may
+    /// be opened in its place.
+    pub fn overdue(&self) -> Overdue<C> {
+        let now = self.service.site.now();
+        let server = self.server;
+        let service = Rc::clone(&self.service);
+        let next = service.state.borrow_mut().dispatch.overdue(server, now);
+        service.apply(next);
+        Overdue { service, server }
+    }
+
     /// Gives the connection back; no transaction may be open there. One that is out of order or
     /// has answers outstanding is closed.
     pub fn give_back(mut self) {
@@ -628,7 +646,15 @@
     }
 }
 
-/// A ticket for `need` of a request that arrived at `arrived`.
-pub fn ticket(site: &Site, need: Need, priority: u8, arrived: Duration, until: Duration) -> Ticket {
-    Ticket::new(site.next_id(), need, priority, arrived, until)
+/// Stands for a connection whose answer is overdue.
+pub struct Overdue<C: Codec> {
+    service: Rc<Service<C>>,
+    server: ServerKey,
+}
+
+impl<C: Codec> Drop for Overdue<C> {
+    fn drop(&mut self) {
+        let mut state = self.service.state.borrow_mut();
+        state.dispatch.settled(self.server);
+    }
 }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flamingopost_core::dispatch::{Need, Unserved};
+use flamingopost_core::dispatch::{Need, Ticket, Unserved};
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
 use flamingopost_core::refusal::Ran as Run;
@@ -23,7 +23,7 @@
 use crate::message::{Access, Code, Command, Query, Request, Shape, Statement, Transaction};
 use crate::meter::{self, End};
 use crate::route::{Consistency, Route};
-use crate::service::{self, Lent, Service, Site};
+use crate::service::{Lent, Service, Site};
 
 /// Further attempts at a statement that did not run. Each takes a round trip, and the deadline
 /// of the statement ends them before the count does.
@@ -33,6 +33,12 @@
 /// moment at which this host reads it, under load.
 const AGE_MARGIN: Duration = Duration::from_millis(20);
 
+/// A statement that takes this many times the average has probably lost its answer.
+const OVERDUE: u32 = 8;
+
+/// No answer is overdue before this: longer than a full queue of usual statements takes.
+const OVERDUE_LEAST: Duration = Duration::from_millis(250);
+
 /// How long the end of a transaction that its caller has left may take at the server.
 const ROLLBACK: Duration = Duration::from_millis(500);
 
@@ -521,8 +527,15 @@
             };
             let need = self.need(plan, &route, &service);
             let priority = route.priority;
-            let mut ticket = service::ticket(&site, need, priority, plan.arrived, plan.deadline);
-            ticket.avoid = avoid;
+            let ticket = Ticket {
+                id: site.next_id(),
+                need,
+                priority,
+                arrived: plan.arrived,
+                goal: plan.since + route.goal,
+                deadline: plan.deadline,
+                avoid,
+            };
             let mut lent = match service.acquire(ticket).await {
                 Ok(lent) => lent,
                 Err(unserved) => return unserved_as(unserved),
@@ -543,7 +556,13 @@
                 after,
             };
             let sent = site.now();
-            let limit = plan.deadline.saturating_sub(sent);
+            let left = plan.deadline.saturating_sub(sent);
+            let patience = overdue(service.average(server));
+            let repeatable = plan.access == Access::Read || matches!(frame, Frame::Opens(_));
+            let limit = match repeatable && patience < left / 2 && !self.retries.is_spent() {
+                true => patience,
+                false => left,
+            };
             let ran = attempt::run(&mut lent, &job, limit).await;
             let led = need == Need::Lead;
             let (code, run, error) = match ran {
@@ -602,7 +621,6 @@
                 None => format!("{code:?}"),
             };
             let now = site.now();
-            let repeatable = plan.access == Access::Read || matches!(frame, Frame::Opens(_));
             let next = self.again(plan, count, run, code, repeatable, now);
             let retry::Next::Again(wait) = next else {
                 return match run {
@@ -806,6 +824,11 @@
     }
 }
 
+/// After which time without an answer a statement is asked of another server, or again.
+fn overdue(average: Duration) -> Duration {
+    (average * OVERDUE).max(OVERDUE_LEAST)
+}
+
 /// What goes around a statement that needs `need`.
 ///
 /// A server that was replaced as primary, and has not heard of it or has only just, goes on
