Faster succession, fair connections under contention, no promotion by a minority

Cause: hosts that came late to a contended primary kept one connection and a queue of a hundred while others held four; a silent primary was suspected after 450 ms and its successor asked once more; a cut-off zone of two hosts ordered promotions. Change: a plea datagram makes others keep to their part for a second; a silent primary is tried on its own connection after 120 ms; reports of the inquiry serve the choice; few like answers are no majority.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -44,7 +44,7 @@
 /// let now = Duration::ZERO;
 /// let server = ServerKey::default();
 /// let mut dispatch = Dispatch::default();
-/// dispatch.insert(server, Server::new(true, 2, 2, 4));
+/// dispatch.insert(server, Server::new(true, 2, 2, 2, 4));
 /// dispatch.lead(Some(server));
 /// let ticket = Ticket {
 ///     id: 1,
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -22,6 +22,9 @@
 /// Added to a measured lag, which moves with each write.
 const LAG_MARGIN: Duration = Duration::from_millis(15);
 
+/// How long a host keeps to its part after another one has asked for connections.
+const SQUEEZE: Duration = Duration::from_millis(1_000);
+
 /// How long a server at its limit of connections is not asked for another.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
 
@@ -54,8 +57,10 @@
     pub slots: u16,
     /// Connections that this host keeps open.
     pub base: u16,
-    /// Connections that this host may have at most.
+    /// Connections that this host may have while nobody lacks one.
     pub most: u16,
+    /// Connections that this host may have in any case: its part of the server's limit.
+    pub fair: u16,
     /// The latest position that its data are known to have reached.
     pub applied: Position,
     pub(super) opening: u16,
@@ -69,6 +74,7 @@
     retry_at: Duration,
     backoff: Duration,
     full_until: Duration,
+    squeezed_until: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -79,13 +85,15 @@
 
 impl Server {
     /// A server to which there is no connection yet.
-    pub fn new(local: bool, slots: u16, base: u16, most: u16) -> Server {
+    pub fn new(local: bool, slots: u16, base: u16, fair: u16, most: u16) -> Server {
         Server {
             local,
             standing: Standing::Serving,
             slots: slots.max(1),
             base,
             most: most.max(1),
+            fair: fair.max(1),
+            squeezed_until: Duration::ZERO,
             applied: Position::default(),
             opening: 0,
             overdue: 0,
@@ -155,6 +163,28 @@
         self.slots = newer.slots;
         self.base = newer.base;
         self.most = newer.most;
+        self.fair = newer.fair;
+    }
+
+    /// Another host lacks connections to the server: those above this host's part are given
+    /// back as they become free.
+    ///
+    /// Without it, hosts that came first keep what they have while the server is at its limit,
+    /// and one that has a single connection serves a queue of a hundred with it.
+    pub fn squeeze(&mut self, now: Duration) {
+        self.squeezed_until = now + SQUEEZE;
+    }
+
+    /// Whether this host has less than its part of the server's connections.
+    pub fn is_short(&self) -> bool {
+        self.connections() < self.fair
+    }
+
+    fn most_at(&self, now: Duration) -> u16 {
+        match now < self.squeezed_until {
+            true => self.fair,
+            false => self.most,
+        }
     }
 
     pub(super) fn opened(&mut self, connection: u64, now: Duration) {
@@ -179,7 +209,7 @@
 
     pub(super) fn returned(&mut self, connection: u64, now: Duration) -> bool {
         self.busy = self.busy.saturating_sub(1);
-        if self.standing == Standing::Leaving || self.connections() >= self.most {
+        if self.standing == Standing::Leaving || self.connections() >= self.most_at(now) {
             return false;
         }
         self.idle.push(Idle {
@@ -247,7 +277,8 @@
         let leaving = self.standing == Standing::Leaving;
         // The longest idle stand first: lending takes from the other end.
         while let Some(first) = self.idle.first() {
-            let over = self.connections() > self.base && now >= first.since + patience;
+            let idle = self.connections() > self.base && now >= first.since + patience;
+            let over = idle || self.connections() > self.most_at(now);
             if !over && !leaving {
                 break;
             }
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -26,7 +26,7 @@
 
 /// A primary that answers nothing is suspected after this long. Slow statements take tens of
 /// milliseconds; the bound keeps a burst from looking like a death.
-pub const SILENCE: Duration = Duration::from_millis(450);
+pub const SILENCE: Duration = Duration::from_millis(300);
 
 /// A host that nobody answers waits this much longer: it may be the one that is cut off.
 pub const ALONE: Duration = Duration::from_millis(1_500);
@@ -303,17 +303,24 @@
     }
 
     fn choose(&mut self, grant: Grant, inquiry: Inquiry, now: Duration) -> Vec<Next> {
-        let until = match inquiry.cause {
-            Some(Trouble::Leaving) => now + CATCH_UP,
-            _ => now + INQUIRY,
-        };
+        if inquiry.cause != Some(Trouble::Leaving) {
+            // Nothing more arrives from a primary that is gone: what servers have said stands,
+            // and those that were silent have had their time.
+            let until = inquiry.until;
+            self.phase = Phase::Choosing {
+                grant,
+                until,
+                inquiry,
+            };
+            return Vec::new();
+        }
         let inquiry = Inquiry {
             reports: BTreeMap::new(),
             ..inquiry
         };
         self.phase = Phase::Choosing {
             grant,
-            until,
+            until: now + CATCH_UP,
             inquiry,
         };
         vec![Next::AskServers]
@@ -414,7 +421,9 @@
         if !over {
             return Verdict::Open;
         }
-        if answered > 0 || asked == 0 || now >= since + ALONE {
+        // Few answers, all alike, also come in a part that is cut off from the rest: there, the
+        // order would go out once the cut heals, against a primary that never failed.
+        if asked == 0 || now >= since + ALONE {
             return Verdict::Replace;
         }
         Verdict::Keep
--- a/crates/core/src/succession/contact.rs
+++ b/crates/core/src/succession/contact.rs
@@ -28,6 +28,10 @@
 /// listener.
 const REFUSED: u32 = 2;
 
+/// A server that has answered nothing at all for this long, with statements outstanding, is tried
+/// on another connection: a live one answers there in a round trip and the time of its queue.
+const DOUBT: Duration = Duration::from_millis(120);
+
 /// What a host's own connections show of one server.
 ///
 /// ```
@@ -76,6 +80,13 @@
         self.silent += 1;
     }
 
+    /// Something sent at `sent` has no answer yet, which is longer than usual; whether the server
+    /// should be tried on another connection to find out why.
+    pub fn waits(&self, sent: Duration, now: Duration) -> bool {
+        let heard = self.answered.is_some_and(|answered| answered > sent);
+        !heard && now >= sent + DOUBT
+    }
+
     /// How long ago the server last answered.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.answered.map(|at| now.saturating_sub(at))
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -56,6 +56,7 @@
 /// Runs `job` on `lent` within `limit`.
 pub async fn run<C: Codec>(lent: &mut Lent<C>, job: &Job<'_>, limit: Duration) -> Ran {
     let mut sent = false;
+    let _awaited = lent.awaits();
     match timeout(limit, exchange(lent, job, &mut sent)).await {
         Ok(Ok(ran)) => ran,
         Ok(Err(error)) if sent => Ran::Unanswered(error),
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -25,7 +25,7 @@
 const STEP: Duration = Duration::from_millis(20);
 
 /// Time between two looks while nothing is.
-const LOOK: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// How long a server may take to say what it is; its slots may be busy for a while.
 const ASK: Duration = Duration::from_millis(200);
@@ -36,6 +36,9 @@
 /// Time between two questions to all servers while nobody leads.
 const SEEK: Duration = Duration::from_millis(120);
 
+/// Time between two pleas for connections; one holds for a second.
+const PLEA: Duration = Duration::from_millis(200);
+
 /// How long the store may take to decide a claim before hosts act in turn.
 const CLAIM: Duration = Duration::from_millis(250);
 
@@ -133,6 +136,11 @@
                     service.alarm.notify_one();
                 }
             }
+            Word::Short { server } => {
+                if let Some(server) = service.find(&server) {
+                    service.squeeze(server);
+                }
+            }
             Word::Acting { .. } => {
                 self.site.log(&Event::OtherActs {
                     service: service.name.clone(),
@@ -164,10 +172,22 @@
 
     async fn watch(self: Rc<Self>, service: Rc<Service<C>>, succession: Rc<RefCell<Succession>>) {
         let mut sought = Duration::ZERO;
+        let mut doubted = Duration::ZERO;
+        let mut pleaded = Duration::ZERO;
         loop {
             let now = self.site.now();
             let view = self.view(&service);
             let pause = if view.trouble.is_some() { STEP } else { LOOK };
+            if now >= pleaded + PLEA {
+                pleaded = now;
+                self.plead(&service);
+            }
+            if let Some((target, since)) = service.doubt()
+                && now >= doubted + ASK
+            {
+                doubted = now;
+                self.try_primary(&service, target, since);
+            }
             if view.leader.is_none() && now >= sought + SEEK {
                 sought = now;
                 self.ask_servers(&service, &succession);
@@ -181,6 +201,28 @@
         }
     }
 
+    /// Tells the other hosts of which servers this one lacks connections.
+    fn plead(&self, service: &Rc<Service<C>>) {
+        for server in service.take_short() {
+            let server = service.name_of(Some(server));
+            for (_, peer) in self.fleet.peers() {
+                let server = server.clone();
+                self.send(service, Word::Short { server }, peer.address);
+            }
+        }
+    }
+
+    /// Tries a primary that is silent on a connection of its own, which tells a slow one from
+    /// one that is gone long before the statements there have had their time.
+    fn try_primary(self: &Rc<Self>, service: &Rc<Service<C>>, target: Target, since: Duration) {
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        tokio::task::spawn_local(async move {
+            if election.ask(&service, &target).await.is_none() {
+                service.silent(target.server, since);
+            }
+        });
+    }
+
     fn act(
         self: &Rc<Self>,
         service: &Rc<Service<C>>,
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -24,8 +24,8 @@
         5014 Info Announced { token: u64 },
         /// {service}: {after} leads after {before}, which was so for {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
-        /// {service}: server {server} cannot be connected to: {error}
-        5101 Warn Unconnected { service: String, server: String, error: String },
+        /// {service}: server {server} cannot be connected to: {error}; {connections} connections to it here, {waiting} requests wait
+        5101 Warn Unconnected { service: String, server: String, error: String, connections: u16, waiting: usize },
         /// {service}: primary in trouble ({trouble:?}), asking {hosts} hosts and {servers} servers
         5110 Warn Suspected { service: String, trouble: flamingopost_core::succession::Trouble, hosts: usize, servers: usize },
         /// {service}: claim of change {attempt}: {outcome}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -291,13 +291,18 @@
             .as_ref()
             .and_then(|it| it.services.get(service));
         let Some(configured) = configured else {
-            return Allotment { base: 0, most: 1 };
+            return Allotment {
+                base: 0,
+                fair: 1,
+                most: 1,
+            };
         };
         let hosts = self.peers.borrow().by_host.len() + 1;
         let hosts = u16::try_from(hosts).unwrap_or(u16::MAX);
         let base = (configured.connections / KEPT_PART / hosts).clamp(1, BASE_MOST);
-        let most = (configured.connections / BURST_PART).max(base);
-        Allotment { base, most }
+        let fair = (configured.connections / hosts).max(1);
+        let most = (configured.connections / BURST_PART).max(fair);
+        Allotment { base, fair, most }
     }
 }
 
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -40,6 +40,11 @@
         /// Whether the host has just heard from it.
         reaches: bool,
     },
+    /// I lack connections to `server`, which is at its limit.
+    Short {
+        /// Identity of the server.
+        server: String,
+    },
     /// I change the primary to `server`.
     Acting {
         /// Identity of the server.
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -1,7 +1,7 @@
 //! One service on this host: its servers, the pooled connections to them, and who waits for one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -86,11 +86,15 @@
     idle: BTreeMap<u64, Back<C>>,
     waiters: BTreeMap<u64, Waiter<C>>,
     allotment: Allotment,
+    /// Servers that are at their limit while this host has less than its part.
+    short_of: BTreeSet<ServerKey>,
 }
 
 struct Known {
     target: Target,
     contact: Contact,
+    /// When statements were sent that have no answer yet.
+    outstanding: BTreeMap<u64, Duration>,
 }
 
 struct Waiter<C: Codec> {
@@ -103,6 +107,8 @@
 pub struct Allotment {
     /// Those it keeps open.
     pub base: u16,
+    /// Its part of what the server accepts.
+    pub fair: u16,
     /// Those it may have for a while.
     pub most: u16,
 }
@@ -129,7 +135,12 @@
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
                 waiters: BTreeMap::new(),
-                allotment: Allotment { base: 1, most: 1 },
+                allotment: Allotment {
+                    base: 1,
+                    fair: 1,
+                    most: 1,
+                },
+                short_of: BTreeSet::new(),
             }),
         }
     }
@@ -138,9 +149,9 @@
     pub fn listed(self: &Rc<Self>, key: ServerKey, backend: &Backend) {
         {
             let mut state = self.state.borrow_mut();
-            let Allotment { base, most } = state.allotment;
+            let Allotment { base, fair, most } = state.allotment;
             let local = backend.zone == self.site.zone;
-            let mut server = dispatch::Server::new(local, backend.slots, base, most);
+            let mut server = dispatch::Server::new(local, backend.slots, base, fair, most);
             if backend.leaving {
                 server.standing = Standing::Leaving;
             }
@@ -155,6 +166,7 @@
             let known = state.servers.entry(key).or_insert_with(|| Known {
                 target: target.clone(),
                 contact: Contact::default(),
+                outstanding: BTreeMap::new(),
             });
             known.target = target;
         }
@@ -181,6 +193,7 @@
         for key in keys {
             if let Some(server) = state.dispatch.server_mut(key) {
                 server.base = allotment.base;
+                server.fair = allotment.fair;
                 server.most = allotment.most;
             }
         }
@@ -330,12 +343,45 @@
         }
     }
 
+    /// A server has answered nothing that was sent since `since`, and not on another connection.
+    pub fn silent(&self, server: ServerKey, since: Duration) {
+        if let Some(known) = self.state.borrow_mut().servers.get_mut(&server) {
+            known.contact.silent(since);
+        }
+        self.alarm.notify_one();
+    }
+
     /// How this host's own connections to a server fare.
     pub fn contact(&self, server: ServerKey) -> Option<Contact> {
         let state = self.state.borrow();
         state.servers.get(&server).map(|known| known.contact)
     }
 
+    /// Takes the servers of which this host lacks connections since the last call.
+    pub fn take_short(&self) -> BTreeSet<ServerKey> {
+        std::mem::take(&mut self.state.borrow_mut().short_of)
+    }
+
+    /// Another host lacks connections to a server.
+    pub fn squeeze(self: &Rc<Self>, server: ServerKey) {
+        let now = self.site.now();
+        let mut state = self.state.borrow_mut();
+        if let Some(server) = state.dispatch.server_mut(server) {
+            server.squeeze(now);
+        }
+    }
+
+    /// When the oldest statement was sent that the primary should have answered by now, if it has
+    /// answered nothing since.
+    pub fn doubt(&self) -> Option<(Target, Duration)> {
+        let now = self.site.now();
+        let state = self.state.borrow();
+        let known = state.servers.get(&state.dispatch.leader()?)?;
+        let oldest = known.outstanding.values().min().copied()?;
+        let doubtful = known.contact.waits(oldest, now);
+        doubtful.then(|| (known.target.clone(), oldest))
+    }
+
     /// What is wrong with the primary.
     pub fn trouble(&self) -> Option<Trouble> {
         let now = self.site.now();
@@ -527,10 +573,13 @@
     }
 
     fn unconnected(self: &Rc<Self>, server: ServerKey, error: &back::Error, sent: Duration) {
+        let (connections, waiting) = self.load(server);
         self.site.log(&Event::Unconnected {
             service: self.name.clone(),
             server: self.name_of(Some(server)),
             error: error.to_string(),
+            connections,
+            waiting,
         });
         self.missed(server, error, sent);
         let failure = match error {
@@ -546,6 +595,14 @@
         self.apply(next);
     }
 
+    /// Connections to a server, and requests of the service that wait for one.
+    fn load(&self, server: ServerKey) -> (u16, usize) {
+        let state = self.state.borrow();
+        let known = state.dispatch.servers().get(&server);
+        let connections = known.map_or(0, dispatch::Server::connections);
+        (connections, state.dispatch.waiting())
+    }
+
     fn cancel(&self, ticket: u64) {
         let mut state = self.state.borrow_mut();
         if state.waiters.remove(&ticket).is_some() {
@@ -570,6 +627,21 @@
 }
 
 impl<C: Codec> Lent<C> {
+    /// Something is sent now; the guard stands for the answer that is awaited.
+    pub fn awaits(&self) -> Awaited<C> {
+        let service = Rc::clone(&self.service);
+        let (server, id) = (self.server, service.site.next_id());
+        let now = service.site.now();
+        if let Some(known) = service.state.borrow_mut().servers.get_mut(&server) {
+            known.outstanding.insert(id, now);
+        }
+        Awaited {
+            service,
+            server,
+            id,
+        }
+    }
+
     /// Its answer is overdue, probably lost: until the guard is dropped, another connection may
     /// be opened in its place.
     pub fn overdue(&self) -> Overdue<C> {
@@ -658,3 +730,19 @@
         state.dispatch.settled(self.server);
     }
 }
+
+/// Stands for an answer that is awaited.
+pub struct Awaited<C: Codec> {
+    service: Rc<Service<C>>,
+    server: ServerKey,
+    id: u64,
+}
+
+impl<C: Codec> Drop for Awaited<C> {
+    fn drop(&mut self) {
+        let mut state = self.service.state.borrow_mut();
+        if let Some(known) = state.servers.get_mut(&self.server) {
+            known.outstanding.remove(&self.id);
+        }
+    }
+}
