An adaptive window of requests a server; statements of transactions insist

Change: what runs on a server is bounded by a window that a full queue narrows; inside a transaction a refused statement is sent again after 10 ms.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -165,6 +165,24 @@
         next
     }
 
+    /// A lent connection rests inside a transaction while its caller thinks, or does so no more.
+    pub fn rest(&mut self, key: ServerKey, rests: bool, now: Duration) -> Vec<Next> {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.rest(rests);
+        }
+        match rests {
+            true => self.run(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// A server's queue was full.
+    pub fn refused(&mut self, key: ServerKey, now: Duration) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.narrow(now);
+        }
+    }
+
     /// A lent connection has waited for an answer for so long that it is probably lost; until
     /// [`Dispatch::settled`] another connection may take its place.
     pub fn overdue(&mut self, key: ServerKey, now: Duration) -> Vec<Next> {
@@ -296,7 +314,7 @@
             if smaller(best) {
                 best = Some((cost, *key));
             }
-            if server.has_idle() && smaller(idle) {
+            if server.may_lend() && smaller(idle) {
                 idle = Some((cost, *key));
             }
         }
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -22,6 +22,18 @@
 /// Added to a measured lag, which moves with each write.
 const LAG_MARGIN: Duration = Duration::from_millis(15);
 
+/// Requests that a host has running on a server before it knows what the server bears.
+const FIRST_WINDOW: f64 = 2.0;
+
+/// What one answer adds to the window, divided by the window.
+const WIDER: f64 = 0.1;
+
+/// What a full queue leaves of the window.
+const NARROWER: f64 = 0.7;
+
+/// Shortest time between two such steps: the first must show its effect.
+const NARROW_REST: Duration = Duration::from_millis(20);
+
 /// How long a host keeps to its part after another one has asked for connections.
 const SQUEEZE: Duration = Duration::from_millis(1_000);
 
@@ -75,6 +87,9 @@
     backoff: Duration,
     full_until: Duration,
     squeezed_until: Duration,
+    window: f64,
+    narrowed_at: Duration,
+    resting: u16,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -94,6 +109,9 @@
             most: most.max(1),
             fair: fair.max(1),
             squeezed_until: Duration::ZERO,
+            window: FIRST_WINDOW,
+            narrowed_at: Duration::ZERO,
+            resting: 0,
             applied: Position::default(),
             opening: 0,
             overdue: 0,
@@ -166,6 +184,37 @@
         self.fair = newer.fair;
     }
 
+    /// A request was answered: a little more may run at once (AIMD, as in TCP). Hosts share a
+    /// server's slots and its short queue without seeing each other.
+    pub fn widen(&mut self) {
+        let most = f64::from(self.most);
+        self.window = (self.window + WIDER / self.window).min(most.max(FIRST_WINDOW));
+    }
+
+    /// The server's queue was full. Without a narrower window the refused requests come back at
+    /// once, each refusal costs a round trip, and the server answers hardly anything else.
+    pub fn narrow(&mut self, now: Duration) {
+        if now < self.narrowed_at + NARROW_REST {
+            return;
+        }
+        self.narrowed_at = now;
+        self.window = (self.window * NARROWER).max(1.0);
+    }
+
+    /// A connection rests inside a transaction, or does so no more: it takes no slot meanwhile.
+    pub(super) fn rest(&mut self, rests: bool) {
+        self.resting = match rests {
+            true => self.resting.saturating_add(1),
+            false => self.resting.saturating_sub(1),
+        };
+    }
+
+    /// Whether one more request may run there.
+    pub(super) fn has_room(&self) -> bool {
+        let running = self.busy.saturating_sub(self.resting);
+        f64::from(running) < self.window.floor().max(1.0) + f64::from(self.overdue)
+    }
+
     /// Another host lacks connections to the server: those above this host's part are given
     /// back as they become free.
     ///
@@ -233,8 +282,8 @@
         Some(idle.connection)
     }
 
-    pub(super) fn has_idle(&self) -> bool {
-        !self.idle.is_empty()
+    pub(super) fn may_lend(&self) -> bool {
+        !self.idle.is_empty() && self.has_room()
     }
 
     pub(super) fn take_idle(&mut self) -> Vec<u64> {
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -118,6 +118,7 @@
 pub struct Lent<C: Codec> {
     back: Option<Back<C>>,
     service: Rc<Service<C>>,
+    rests: bool,
 }
 
 impl<C: Codec> Service<C> {
@@ -281,9 +282,16 @@
     pub fn took(&self, server: ServerKey, took: Duration) {
         if let Some(server) = self.state.borrow_mut().dispatch.server_mut(server) {
             server.took(took);
+            server.widen();
         }
     }
 
+    /// A server's queue was full.
+    pub fn full(&self, server: ServerKey) {
+        let now = self.site.now();
+        self.state.borrow_mut().dispatch.refused(server, now);
+    }
+
     /// A server refused a request because it does not lead.
     pub fn does_not_lead(self: &Rc<Self>, server: ServerKey) {
         self.state.borrow_mut().leader.refused(server);
@@ -512,6 +520,7 @@
                 let lent = Lent {
                     back: Some(back),
                     service: Rc::clone(self),
+                    rests: false,
                 };
                 if let Err(Ok(lent)) = waiter.sender.send(Ok(lent)) {
                     lent.give_back();
@@ -627,6 +636,21 @@
 }
 
 impl<C: Codec> Lent<C> {
+    /// Notes whether the connection rests inside a transaction while its caller thinks.
+    pub fn rest(&mut self, rests: bool) {
+        if self.rests == rests {
+            return;
+        }
+        self.rests = rests;
+        let now = self.service.site.now();
+        let server = self.server;
+        let next = {
+            let mut state = self.service.state.borrow_mut();
+            state.dispatch.rest(server, rests, now)
+        };
+        self.service.apply(next);
+    }
+
     /// Something is sent now; the guard stands for the answer that is awaited.
     pub fn awaits(&self) -> Awaited<C> {
         let service = Rc::clone(&self.service);
@@ -656,6 +680,7 @@
     /// Gives the connection back; no transaction may be open there. One that is out of order or
     /// has answers outstanding is closed.
     pub fn give_back(mut self) {
+        self.rest(false);
         if self.broken || self.pending() > 0 {
             return;
         }
@@ -675,6 +700,9 @@
 
 impl<C: Codec> Drop for Lent<C> {
     fn drop(&mut self) {
+        if self.back.is_some() {
+            self.rest(false);
+        }
         let Some(back) = self.back.take() else {
             return;
         };
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -39,6 +39,9 @@
 /// No answer is overdue before this: longer than a full queue of usual statements takes.
 const OVERDUE_LEAST: Duration = Duration::from_millis(250);
 
+/// Pause before a statement of an open transaction is sent again to a server without room.
+const FULL_PAUSE: Duration = Duration::from_millis(10);
+
 /// How long the end of a transaction that its caller has left may take at the server.
 const ROLLBACK: Duration = Duration::from_millis(500);
 
@@ -365,7 +368,7 @@
             Served::Answered(answered) => {
                 let Answered {
                     outcome,
-                    lent,
+                    mut lent,
                     service,
                     led,
                 } = *answered;
@@ -377,12 +380,15 @@
                         lent.give_back();
                         State::Idle
                     }
-                    Transaction::Open | Transaction::Failed => State::Open(Box::new(Open {
-                        lent,
-                        service,
-                        wrote,
-                        led,
-                    })),
+                    Transaction::Open | Transaction::Failed => {
+                        lent.rest(true);
+                        State::Open(Box::new(Open {
+                            lent,
+                            service,
+                            wrote,
+                            led,
+                        }))
+                    }
                 };
                 self.deliver(&outcome, transaction, end, arrived);
             }
@@ -415,8 +421,8 @@
             frame: Frame::Bare,
             after: None,
         };
-        let limit = self.timeout();
-        let ran = attempt::run(&mut open.lent, &job, limit).await;
+        open.lent.rest(false);
+        let ran = insist(&mut open, &job, self.timeout()).await;
         match ran {
             Ran::Answered(outcome) => {
                 let led = open.led && outcome.end.is_ok();
@@ -434,7 +440,10 @@
                         open.lent.give_back();
                         State::Failed
                     }
-                    Transaction::Open | Transaction::Failed => State::Open(open),
+                    Transaction::Open | Transaction::Failed => {
+                        open.lent.rest(true);
+                        State::Open(open)
+                    }
                 };
                 let told = match self.transaction {
                     State::Failed => Transaction::Failed,
@@ -465,8 +474,8 @@
             frame: Frame::Bare,
             after: None,
         };
-        let limit = self.timeout();
-        let ran = attempt::run(&mut open.lent, &job, limit).await;
+        open.lent.rest(false);
+        let ran = insist(&mut open, &job, self.timeout()).await;
         let server = open.lent.server;
         match ran {
             Ran::Answered(outcome) => {
@@ -614,6 +623,7 @@
             match (code, need) {
                 (Code::ReadOnly, _) => service.does_not_lead(server),
                 (Code::Lagging, Need::Position { at, .. }) => service.lags(server, at),
+                (Code::Busy, _) if error.is_none() => service.full(server),
                 _ => {}
             }
             let reason = match &error {
@@ -824,6 +834,28 @@
     }
 }
 
+/// Runs a statement of an open transaction, again while the server has no room for it.
+async fn insist<C: Codec>(open: &mut Open<C>, job: &Job<'_>, limit: Duration) -> Ran {
+    let site = Rc::clone(&open.service.site);
+    let deadline = site.now() + limit;
+    loop {
+        let left = deadline.saturating_sub(site.now());
+        let ran = attempt::run(&mut open.lent, job, left).await;
+        let full = match &ran {
+            Ran::Answered(outcome) => {
+                let busy = matches!(&outcome.end, Err(fault) if fault.code == Code::Busy);
+                busy && outcome.transaction == Transaction::Open
+            }
+            _ => false,
+        };
+        if !full || left < FULL_PAUSE * 2 {
+            return ran;
+        }
+        open.service.full(open.lent.server);
+        tokio::time::sleep(FULL_PAUSE).await;
+    }
+}
+
 /// After which time without an answer a statement is asked of another server, or again.
 fn overdue(average: Duration) -> Duration {
     (average * OVERDUE).max(OVERDUE_LEAST)
