Replace a primary only when most hosts miss it; send nothing to one that is being replaced

Ruled out: samples of a replaced primary, plain reads. Change: more than half of all known hosts have to miss the primary, or the platform has lost it as well; hosts that hear of a change send nothing to the old primary until its successor leads.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -63,9 +63,19 @@
 pub struct Dispatch {
     servers: BTreeMap<ServerKey, Server>,
     leader: Option<ServerKey>,
+    hold: Option<Hold>,
     waiting: Vec<Ticket>,
 }
 
+/// When nothing is sent to a primary that is being replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    /// From when on.
+    pub from: Duration,
+    /// Until when, if no other server leads before.
+    pub until: Duration,
+}
+
 impl Dispatch {
     /// Adds `server`, or brings what is known of it up to date.
     pub fn insert(&mut self, key: ServerKey, server: Server) {
@@ -111,6 +121,18 @@
     /// `server` leads from now on, or nobody is known to.
     pub fn lead(&mut self, server: Option<ServerKey>) {
         self.leader = server;
+        self.hold = None;
+    }
+
+    /// The primary is being replaced: what it acknowledges from some moment on is lost with it,
+    /// so requests that need it wait for its successor.
+    pub fn hold(&mut self, hold: Hold) {
+        self.hold = Some(hold);
+    }
+
+    fn is_held(&self, now: Duration) -> bool {
+        self.hold
+            .is_some_and(|hold| hold.from <= now && now < hold.until)
     }
 
     /// How many requests wait.
@@ -339,10 +361,14 @@
     }
 
     fn may_serve(&self, ticket: &Ticket, key: ServerKey, server: &Server, now: Duration) -> bool {
+        let leads = self.leader == Some(key);
+        if ticket.need == Need::Lead {
+            // A primary that is leaving serves until another server leads.
+            return leads && !self.is_held(now);
+        }
         if server.standing != Standing::Serving || ticket.avoid == Some(key) {
             return false;
         }
-        let leads = self.leader == Some(key);
         match ticket.need {
             Need::Lead => leads,
             Need::Position { position, at } => {
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -28,7 +28,8 @@
 /// milliseconds; the bound keeps a burst from looking like a death.
 pub const SILENCE: Duration = Duration::from_millis(300);
 
-/// A host that nobody answers waits this much longer: it may be the one that is cut off.
+/// Without most hosts, a change waits this long after the platform's list has lost the primary,
+/// which takes seconds by itself: cuts last about as long, and end.
 pub const ALONE: Duration = Duration::from_millis(1_500);
 
 /// When some hosts reach the primary and most do not, the change waits this long, since the
@@ -392,41 +393,33 @@
 }
 
 impl Inquiry {
+    /// Whether the primary is replaced.
+    ///
+    /// Hosts that do not answer may be with the primary on the other side of a cut, and go on
+    /// acknowledging writes there that its successor lacks. So more than half of all hosts have
+    /// to miss it. Fewer may act only when the platform, too, has long lost sight of it.
     fn verdict(&self, trouble: Trouble, view: &View, now: Duration) -> Verdict {
         if self.newer_leader(view) {
             return Verdict::Keep;
         }
-        let over = now >= self.until;
-        let since = match trouble {
+        let (since, unlisted) = match trouble {
             Trouble::Leaving => return Verdict::Replace,
-            Trouble::Absent { since } if now < since + ALONE => return Verdict::Keep,
-            Trouble::Absent { since } => since,
-            Trouble::Refuses { since } | Trouble::Silent { since } => since,
+            Trouble::Absent { since } => (since, true),
+            Trouble::Refuses { since } | Trouble::Silent { since } => (since, false),
         };
+        let over = now >= self.until;
         let reach = self.count(Opinion::Reaches);
         let fail = self.count(Opinion::Fails) + 1;
-        if reach > 0 {
-            let divided = fail > reach && now >= since + DIVIDED;
-            return match (over, divided) {
-                (true, true) => Verdict::Replace,
-                (true, false) => Verdict::Keep,
-                (false, _) => Verdict::Open,
-            };
-        }
-        let asked = view.peers.len();
-        let answered = self.opinions.len();
-        if answered * 2 >= asked && answered > 0 && (over || answered == asked) {
-            return Verdict::Replace;
-        }
-        if !over {
-            return Verdict::Open;
-        }
-        // Few answers, all alike, also come in a part that is cut off from the rest: there, the
-        // order would go out once the cut heals, against a primary that never failed.
-        if asked == 0 || now >= since + ALONE {
-            return Verdict::Replace;
+        let hosts = view.peers.len() + 1;
+        let most = fail * 2 > hosts;
+        let complete = self.opinions.len() == view.peers.len();
+        match (most, reach) {
+            (true, 0) if over || complete => Verdict::Replace,
+            (true, _) if over && now >= since + DIVIDED => Verdict::Replace,
+            (false, 0) if over && unlisted && now >= since + ALONE => Verdict::Replace,
+            _ if over => Verdict::Keep,
+            _ => Verdict::Open,
         }
-        Verdict::Keep
     }
 
     fn count(&self, opinion: Opinion) -> usize {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -126,10 +126,11 @@
                 });
             }
             Word::Tell { server, reaches } => {
-                let about = service.find(&server);
+                let leader = service.leader();
+                let about = server.and_then(|server| service.find(&server));
                 let host = self.host(&message.host);
                 if let (Some(succession), Some(host)) = (succession, host)
-                    && about.is_some()
+                    && about == leader
                 {
                     let opinion = Word::opinion(reaches);
                     succession.borrow_mut().opinion(host, opinion);
@@ -141,7 +142,8 @@
                     service.squeeze(server);
                 }
             }
-            Word::Acting { .. } => {
+            Word::Acting { planned, .. } => {
+                service.hold(planned);
                 self.site.log(&Event::OtherActs {
                     service: service.name.clone(),
                     host: message.host,
@@ -154,8 +156,14 @@
     }
 
     /// Tells whether this host reaches `server`, trying it first if it has not lately.
-    async fn answer(&self, service: Rc<Service<C>>, server: String, from: SocketAddr) {
-        let Some(key) = service.find(&server) else {
+    async fn answer(&self, service: Rc<Service<C>>, server: Option<String>, from: SocketAddr) {
+        let key = match &server {
+            Some(server) => service.find(server),
+            None => service.leader(),
+        };
+        let Some(key) = key else {
+            let reaches = false;
+            self.send(&service, Word::Tell { server, reaches }, from);
             return;
         };
         let now = self.site.now();
@@ -260,10 +268,7 @@
                 servers: view.candidates.len(),
             });
         }
-        let Some(leader) = view.leader else {
-            return;
-        };
-        let server = service.name_of(Some(leader));
+        let server = view.leader.map(|leader| service.name_of(Some(leader)));
         for (_, peer) in self.fleet.peers() {
             let server = server.clone();
             self.send(service, Word::Ask { server }, peer.address);
@@ -368,9 +373,12 @@
         grant: Grant,
     ) {
         let id = service.name_of(Some(server));
+        let planned = self.trouble(&service) == Some(Trouble::Leaving);
+        service.hold(planned);
         for (_, peer) in self.fleet.peers() {
             let server = id.clone();
-            self.send(&service, Word::Acting { server }, peer.address);
+            let word = Word::Acting { server, planned };
+            self.send(&service, word, peer.address);
         }
         let sent = self.site.now();
         let token = Token(grant.0);
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -28,15 +28,15 @@
 /// What a message says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Word {
-    /// Do you reach server `server`?
+    /// Do you reach server `server`, or, where none is named, any that leads?
     Ask {
         /// Identity of the server.
-        server: String,
+        server: Option<String>,
     },
     /// An answer to [`Word::Ask`].
     Tell {
-        /// Identity of the server.
-        server: String,
+        /// Identity of the server, if one was named.
+        server: Option<String>,
         /// Whether the host has just heard from it.
         reaches: bool,
     },
@@ -49,6 +49,8 @@
     Acting {
         /// Identity of the server.
         server: String,
+        /// Whether the primary before it is alive and about to leave.
+        planned: bool,
     },
 }
 
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -23,6 +23,14 @@
 use crate::meter;
 use crate::platform::Backend;
 
+/// A change of primary takes effect about a second after its order. A primary that is about to
+/// leave serves for most of it; what it acknowledged just before the change, its successor might
+/// not have received.
+const PLANNED_HOLD: Duration = Duration::from_millis(850);
+
+/// How long nothing is sent to a primary that is being replaced, if no successor shows.
+const HOLD: Duration = Duration::from_millis(1_600);
+
 /// What all of a host's parts share.
 pub struct Site {
     /// Name of the host.
@@ -370,6 +378,18 @@
         std::mem::take(&mut self.state.borrow_mut().short_of)
     }
 
+    /// The primary is being replaced; `planned` when it is alive and about to leave.
+    pub fn hold(&self, planned: bool) {
+        let now = self.site.now();
+        let from = match planned {
+            true => now + PLANNED_HOLD,
+            false => now,
+        };
+        let until = now + HOLD;
+        let hold = dispatch::Hold { from, until };
+        self.state.borrow_mut().dispatch.hold(hold);
+    }
+
     /// Another host lacks connections to a server.
     pub fn squeeze(self: &Rc<Self>, server: ServerKey) {
         let now = self.site.now();
