--- a/crates/core/tests/adoption.rs
+++ b/crates/core/tests/adoption.rs
@@ -174,3 +174,16 @@
         schedule(seed);
     }
 }
+
+/// A host cut off from the platform is offered the body that it has, or an older one, by a peer
+/// that is behind. Taking it again would bring back routes that operators have removed.
+#[test]
+fn a_body_that_is_not_newer_is_not_adopted() {
+    let mut adoption = Adoption::fresh(0);
+    adoption.told(5, digest(5));
+    assert_eq!(adoption.offered(5, digest(5), &body(5)), Ok(Next::Adopt));
+    adoption.adopted(5);
+    assert_eq!(adoption.offered(5, digest(5), &body(5)), Ok(Next::Idle));
+    assert_eq!(adoption.offered(4, digest(4), &body(4)), Ok(Next::Idle));
+    assert_eq!(adoption.in_force(), 5);
+}
--- /dev/null
+++ b/crates/core/tests/leader.rs
@@ -0,0 +1,72 @@
+//! Which server leads, where the platform's list, refusals and servers' own words disagree.
+
+use flamingopost_core::key::ServerKey;
+use flamingopost_core::leader::{Leader, Role};
+use flamingopost_core::names::Names;
+use flamingopost_core::term::Term;
+use std::time::Duration;
+
+fn servers() -> (ServerKey, ServerKey) {
+    let mut names: Names<ServerKey> = Names::default();
+    (names.intern("ledger-1"), names.intern("ledger-2"))
+}
+
+fn term(number: i64) -> Term {
+    Term::from_number(number)
+}
+
+/// Bids go to a primary that was replaced a moment ago, because its entry in the list still says
+/// that it leads. It refuses the first; from then on nothing more is sent there.
+#[test]
+fn a_refusal_outlives_the_list_that_it_contradicts() {
+    let (old, new) = servers();
+    let mut leader = Leader::default();
+    leader.listed(old, Role::Primary, 4);
+    leader.refused(old);
+    assert_eq!(leader.get(), None);
+    leader.listed(old, Role::Primary, 4);
+    assert_eq!(leader.get(), None, "the same entry is no news");
+    leader.listed(new, Role::Primary, 9);
+    assert_eq!(leader.get(), Some(new));
+}
+
+/// A primary crashes and its entry stays for seconds, while a successor reports itself. Both say
+/// that they lead; the one whose entry changed last, and later the one of the higher term, does.
+#[test]
+fn the_successor_wins_over_the_entry_of_the_dead() {
+    let (dead, successor) = servers();
+    let mut leader = Leader::default();
+    leader.listed(dead, Role::Primary, 3);
+    leader.listed(successor, Role::Primary, 8);
+    assert_eq!(leader.get(), Some(successor));
+    leader.saw_term(dead, term(1));
+    leader.saw_term(successor, term(2));
+    assert_eq!(leader.get(), Some(successor));
+}
+
+/// A primary that was cut off while it was replaced answers a question with its old term. That
+/// must not make it the leader again on a host that has seen the new term.
+#[test]
+fn a_primary_of_an_ended_term_does_not_lead() {
+    let (old, new) = servers();
+    let mut leader = Leader::default();
+    leader.listed(old, Role::Replica, 3);
+    leader.listed(new, Role::Replica, 4);
+    leader.said(new, Role::Primary, term(2));
+    leader.said(old, Role::Primary, term(1));
+    assert_eq!(leader.get(), Some(new));
+}
+
+#[test]
+fn changes_are_told_once_with_what_was_before() {
+    let (first, _) = servers();
+    let mut leader = Leader::default();
+    leader.listed(first, Role::Primary, 1);
+    let change = leader.refresh(Duration::from_secs(2)).unwrap();
+    assert_eq!((change.before, change.after), (None, Some(first)));
+    assert_eq!(leader.refresh(Duration::from_secs(3)), None);
+    leader.unlisted(first);
+    let change = leader.refresh(Duration::from_secs(5)).unwrap();
+    assert_eq!((change.before, change.after), (Some(first), None));
+    assert_eq!(change.lasted, Duration::from_secs(3));
+}
--- /dev/null
+++ b/crates/core/tests/succession.rs
@@ -0,0 +1,270 @@
+//! When the primary of a service is replaced, by whom and by which server.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::leader::Role;
+use flamingopost_core::names::Names;
+use flamingopost_core::position::Position;
+use flamingopost_core::succession::{
+    ALONE, DIVIDED, Grant, INQUIRY, Next, Opinion, Order, Report, Succession, Trouble, View,
+};
+use flamingopost_core::term::Term;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn position(term: i64, log: u64) -> Position {
+    Position {
+        term: Term::from_number(term),
+        log,
+    }
+}
+
+fn replica(log: u64) -> Report {
+    Report {
+        role: Role::Replica,
+        term: Term::from_number(1),
+        received: position(1, log),
+    }
+}
+
+struct Scene {
+    succession: Succession,
+    view: View,
+    servers: [ServerKey; 3],
+    hosts: Vec<HostKey>,
+}
+
+/// Six hosts, a primary and two replicas; the primary refuses connections since 1 s.
+fn scene() -> Scene {
+    let mut servers: Names<ServerKey> = Names::default();
+    let servers = ["ledger-1", "ledger-2", "ledger-3"].map(|name| servers.intern(name));
+    let mut hosts: Names<HostKey> = Names::default();
+    let hosts: Vec<HostKey> = (2..=6)
+        .map(|i| hosts.intern(&format!("entry-{i}")))
+        .collect();
+    let view = View {
+        leader: Some(servers[0]),
+        term: Term::from_number(1),
+        trouble: Some(Trouble::Refuses { since: ms(1_000) }),
+        candidates: servers.into_iter().collect(),
+        peers: hosts.iter().copied().collect(),
+        rank: 2,
+    };
+    Scene {
+        succession: Succession::default(),
+        view,
+        servers,
+        hosts,
+    }
+}
+
+impl Scene {
+    fn step(&mut self, now: Duration) -> Vec<Next> {
+        self.succession.step(&self.view, now)
+    }
+
+    fn hear(&mut self, fails: usize, reaches: usize) {
+        let (missing, reaching) = (&self.hosts[..fails], &self.hosts[fails..fails + reaches]);
+        for host in missing {
+            self.succession.opinion(*host, Opinion::Fails);
+        }
+        for host in reaching {
+            self.succession.opinion(*host, Opinion::Reaches);
+        }
+    }
+}
+
+/// A primary's process dies. All hosts see it within milliseconds, so the claim is made at once,
+/// and the replica that has received most is ordered to lead as soon as the claim is won.
+#[test]
+fn a_dead_primary_is_replaced_by_the_replica_with_most() {
+    let mut scene = scene();
+    assert_eq!(scene.step(ms(1_020)), [Next::AskHosts, Next::AskServers]);
+    scene.succession.report(scene.servers[1], replica(40));
+    scene.succession.report(scene.servers[2], replica(43));
+    scene.hear(5, 0);
+    assert_eq!(scene.step(ms(1_025)), [Next::Claim]);
+    assert_eq!(scene.step(ms(1_030)), [], "the store has not answered yet");
+    scene.succession.won(Grant(7), ms(1_032));
+    let order = Next::Promote {
+        server: scene.servers[2],
+        grant: Grant(7),
+    };
+    assert_eq!(scene.step(ms(1_032)), [order]);
+    scene.succession.ordered(Order::Accepted, ms(1_050));
+    assert!(scene.succession.is_under_way());
+    assert_eq!(scene.step(ms(1_500)), [], "it takes about a second to show");
+}
+
+/// One host is cut off from the primary and from all other hosts, but not from the platform's
+/// store. It had a replica promoted while the others went on writing to the primary: what they
+/// had acknowledged within the second of the change was missing afterwards, and buyers saw lots
+/// as open that were sold.
+#[test]
+fn a_lone_host_replaces_nothing() {
+    let mut scene = scene();
+    scene.view.trouble = Some(Trouble::Silent { since: ms(1_000) });
+    let mut now = ms(1_450);
+    while now < ms(12_000) {
+        let next = scene.step(now);
+        assert!(!next.contains(&Next::Claim), "at {now:?}");
+        scene.succession.report(scene.servers[1], replica(40));
+        now += ms(20);
+    }
+}
+
+/// The hosts of one zone are cut off with each other. Two like opinions of six are no majority.
+#[test]
+fn a_minority_replaces_nothing() {
+    let mut scene = scene();
+    scene.step(ms(1_020));
+    scene.hear(1, 0);
+    assert_eq!(scene.step(ms(1_020) + INQUIRY), []);
+    assert!(!scene.succession.is_under_way());
+}
+
+/// All other hosts were lost for good, and then the primary: the platform's list loses it too
+/// after some seconds. Whoever is left has to act in the end, or nobody books any more.
+#[test]
+fn the_last_host_acts_once_the_platform_has_lost_the_primary_too() {
+    let mut scene = scene();
+    scene.view.leader = None;
+    scene.view.trouble = Some(Trouble::Absent { since: ms(1_000) });
+    let mut now = ms(1_020);
+    let claimed = loop {
+        if scene.step(now).contains(&Next::Claim) {
+            break now;
+        }
+        now += ms(20);
+        assert!(now < ms(10_000));
+    };
+    assert!(claimed >= ms(1_000) + ALONE);
+}
+
+/// Most hosts miss the primary and some reach it. The path may heal, so the change waits; it does
+/// not wait for ever, because most requests come through the hosts that miss it.
+#[test]
+fn a_divided_house_waits_first() {
+    let mut scene = scene();
+    scene.step(ms(1_020));
+    scene.hear(3, 2);
+    assert_eq!(scene.step(ms(1_020) + INQUIRY), []);
+    scene.step(ms(1_000) + DIVIDED);
+    scene.hear(3, 2);
+    assert_eq!(scene.step(ms(1_000) + DIVIDED + INQUIRY), [Next::Claim]);
+}
+
+/// Another host has acted already: a server leads a newer term that this host has not heard of.
+#[test]
+fn a_change_that_has_happened_is_not_made_again() {
+    let mut scene = scene();
+    scene.step(ms(1_020));
+    scene.hear(5, 0);
+    let leads = Report {
+        role: Role::Primary,
+        term: Term::from_number(2),
+        received: position(2, 44),
+    };
+    scene.succession.report(scene.servers[1], leads);
+    assert_eq!(scene.step(ms(1_025)), []);
+}
+
+/// The platform's store is away when a primary dies. Hosts act one after the other with tokens
+/// that they reserved before, so that most times only one order goes out.
+#[test]
+fn without_the_store_hosts_act_in_turn() {
+    let mut scene = scene();
+    scene.succession.reserve(Grant(3));
+    scene.step(ms(1_020));
+    scene.succession.report(scene.servers[1], replica(40));
+    scene.succession.report(scene.servers[2], replica(40));
+    scene.hear(5, 0);
+    assert_eq!(scene.step(ms(1_025)), [Next::Claim]);
+    scene.succession.unclaimed(2, ms(1_275));
+    assert_eq!(scene.step(ms(1_300)), [], "two hosts come first");
+    scene.succession.other_acts(ms(1_310));
+    assert_eq!(scene.step(ms(2_000)), [], "one of them has acted");
+}
+
+/// The host that won the claim was killed before it gave the order. The others stand back for a
+/// while and then look again.
+#[test]
+fn a_claim_whose_holder_died_does_not_end_the_change() {
+    let mut scene = scene();
+    scene.step(ms(1_020));
+    scene.hear(5, 0);
+    assert_eq!(scene.step(ms(1_025)), [Next::Claim]);
+    scene.succession.held(ms(1_030));
+    assert_eq!(scene.step(ms(1_500)), []);
+    let again = scene.step(ms(1_030) + ms(1_800));
+    assert_eq!(again, [Next::AskHosts, Next::AskServers]);
+}
+
+/// An order is refused: the token is outdated. It is never used again, with or without the store.
+#[test]
+fn a_refused_token_is_not_used_again() {
+    let mut scene = scene();
+    scene.succession.reserve(Grant(3));
+    scene.step(ms(1_020));
+    scene.succession.report(scene.servers[1], replica(40));
+    scene.succession.report(scene.servers[2], replica(40));
+    scene.hear(5, 0);
+    scene.step(ms(1_025));
+    scene.succession.unclaimed(0, ms(1_275));
+    assert_eq!(
+        scene.step(ms(1_280)),
+        [],
+        "its turn has come; what servers said is looked at"
+    );
+    let order = Next::Promote {
+        server: scene.servers[2],
+        grant: Grant(3),
+    };
+    assert_eq!(scene.step(ms(1_281)), [order]);
+    scene.succession.ordered(Order::Refused, ms(1_300));
+    let mut now = ms(1_320);
+    while now < ms(4_000) {
+        for next in scene.step(now) {
+            assert!(!matches!(
+                next,
+                Next::Promote {
+                    grant: Grant(3),
+                    ..
+                }
+            ));
+            if next == Next::Claim {
+                scene.succession.unclaimed(0, now);
+            }
+        }
+        scene.succession.report(scene.servers[1], replica(40));
+        scene.hear(5, 0);
+        now += ms(20);
+    }
+}
+
+/// A primary is about to leave. It is replaced without asking anybody, by a replica that has
+/// received most, once all have been heard.
+#[test]
+fn a_leaving_primary_is_replaced_while_it_serves() {
+    let mut scene = scene();
+    scene.view.trouble = Some(Trouble::Leaving);
+    scene.view.candidates = BTreeSet::from([scene.servers[1], scene.servers[2]]);
+    assert_eq!(scene.step(ms(1_000)), [Next::AskHosts, Next::AskServers]);
+    assert_eq!(scene.step(ms(1_020)), [Next::Claim]);
+    assert_eq!(
+        scene.succession.won(Grant(9), ms(1_030)),
+        [Next::AskServers]
+    );
+    scene.succession.report(scene.servers[1], replica(50));
+    assert_eq!(scene.step(ms(1_040)), [], "the other replica may have more");
+    scene.succession.report(scene.servers[2], replica(51));
+    let order = Next::Promote {
+        server: scene.servers[2],
+        grant: Grant(9),
+    };
+    assert_eq!(scene.step(ms(1_050)), [order]);
+}
--- /dev/null
+++ b/crates/core/tests/vouch.rs
@@ -0,0 +1,105 @@
+//! How fresh a server's data must be, by positions at which a primary was seen to lead.
+
+use std::time::Duration;
+
+use flamingopost_core::position::Position;
+use flamingopost_core::term::Term;
+use flamingopost_core::vouch::{HORIZON, Vouch};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn position(term: i64, log: u64) -> Position {
+    Position {
+        term: Term::from_number(term),
+        log,
+    }
+}
+
+/// A buyer reads a lot on a host that was frozen for three seconds. The only samples are from
+/// before the freeze, so no replica can be shown to be fresh enough; a guess would show the lot
+/// as open although it was sold during the freeze.
+#[test]
+fn nothing_is_vouched_for_after_a_freeze() {
+    let mut vouch = Vouch::default();
+    vouch.led(position(1, 40), ms(1_000));
+    let arrived = ms(4_200);
+    assert_eq!(vouch.floor(arrived - ms(1_500)), None);
+}
+
+/// A member's bid is at 1.57 when its primary dies; the successor starts term 2 from 1.55. The
+/// session would ask for 1.57 for ever and be refused everywhere. The start of term 2 stands in.
+#[test]
+fn a_position_that_a_promotion_dropped_does_not_wedge_its_session() {
+    let mut vouch = Vouch::default();
+    vouch.led(position(1, 57), ms(100));
+    vouch.saw_term(Term::from_number(2));
+    assert_eq!(vouch.current(position(1, 57)), position(2, 0));
+    assert_eq!(vouch.floor(ms(50)), Some(position(2, 0)));
+}
+
+/// A primary was replaced while an answer of its was on the way. The answer arrives after those
+/// of the successor and must not vouch for anything.
+#[test]
+fn an_answer_of_an_ended_term_vouches_for_nothing() {
+    let mut vouch = Vouch::default();
+    vouch.led(position(2, 60), ms(200));
+    vouch.led(position(1, 99), ms(300));
+    assert_eq!(vouch.floor(ms(250)), None);
+}
+
+#[test]
+fn samples_older_than_the_horizon_go() {
+    let mut vouch = Vouch::default();
+    vouch.led(position(1, 1), ms(0));
+    vouch.led(position(1, 9), HORIZON + ms(100));
+    assert_eq!(vouch.floor(ms(0)), Some(position(1, 9)));
+}
+
+/// Whatever the order in which answers arrive: the floor covers everything that was acknowledged
+/// before the moment that a read names.
+#[test]
+fn floors_cover_all_that_was_acknowledged() {
+    for seed in 0..2_000 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut vouch = Vouch::default();
+        let mut acknowledged: Vec<(Duration, Position)> = Vec::new();
+        let mut now = ms(0);
+        let mut log = 0;
+        let mut term = 1;
+        for _ in 0..200 {
+            now += ms(rng.random_range(0..40));
+            match rng.random_range(0..10) {
+                0..=3 => {
+                    log += 1;
+                    acknowledged.push((now, position(term, log)));
+                }
+                // A successor keeps nothing of what was acknowledged last: the worst case that a
+                // promotion may bring.
+                4 if rng.random_bool(0.1) => {
+                    term += 1;
+                    acknowledged.clear();
+                }
+                _ => {
+                    // Asked some time ago, answered now.
+                    let asked = now.saturating_sub(ms(rng.random_range(0..30)));
+                    vouch.led(position(term, log), asked);
+                }
+            }
+            let since = now.saturating_sub(ms(rng.random_range(0..600)));
+            let Some(floor) = vouch.floor(since) else {
+                continue;
+            };
+            let owed = acknowledged.iter().filter(|(at, _)| *at < since);
+            for (at, position) in owed {
+                assert!(
+                    floor >= *position,
+                    "seed {seed}: floor {floor} since {since:?} lacks {position} of {at:?}"
+                );
+            }
+        }
+    }
+}
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -113,6 +113,19 @@
         Ok(())
     }
 
+    /// Ends the connection of a caller that cannot be understood, and says so if it still listens.
+    ///
+    /// # Errors
+    /// Always `error`.
+    pub async fn reject(mut self, error: Error) -> Result<(), Error> {
+        if let Error::Codec(error) = &error {
+            self.error(Code::Malformed, error.to_string().as_bytes());
+            // It may be gone; there is nobody else to tell.
+            let _ = self.close().await;
+        }
+        Err(error)
+    }
+
     /// Ends the connection after everything queued was sent.
     ///
     /// # Errors
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -56,6 +56,8 @@
     pub peers: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
+    /// How long the platform takes at the least to make a server the primary.
+    pub promotion: Duration,
     /// How long the host may take to end.
     pub grace: Duration,
     /// Sessions that callers may have open at once.
@@ -128,7 +130,12 @@
     ended: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
-    let site = Rc::new(Site::new(host.clone(), zone.clone(), clock));
+    let site = Rc::new(Site::new(
+        host.clone(),
+        zone.clone(),
+        settings.promotion,
+        clock,
+    ));
     let fleet = Rc::new(Fleet::<C>::new(Rc::clone(&site)));
     let stop = Rc::new(Stop::default());
     let platform = Rc::new(platform);
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -23,10 +23,13 @@
 use crate::meter;
 use crate::platform::Backend;
 
-/// A change of primary takes effect about a second after its order. A primary that is about to
-/// leave serves for most of it; what it acknowledged just before the change, its successor might
-/// not have received.
-const PLANNED_HOLD: Duration = Duration::from_millis(850);
+/// A primary that is about to leave serves until shortly before its successor leads. What it
+/// acknowledges within this time before, its successor might not have received: many times the
+/// way between zones.
+const HANDOVER: Duration = Duration::from_millis(60);
+
+/// A change is seen this much after it has taken effect: a write of the platform's and a feed.
+const SEEN_LATE: Duration = Duration::from_millis(20);
 
 /// How long nothing is sent to a primary that is being replaced, if no successor shows.
 const HOLD: Duration = Duration::from_millis(1_600);
@@ -41,13 +44,17 @@
     pub clock: Arc<dyn Clock>,
     /// Keeps logs bounded.
     pub limit: Limit,
+    /// How long a promotion takes at the least.
+    pub promotion: Cell<Duration>,
     ids: Cell<u64>,
 }
 
 impl Site {
-    /// Host `host` in `zone`.
-    pub fn new(host: String, zone: String, clock: Arc<dyn Clock>) -> Site {
+    /// Host `host` in `zone`, on a platform where a promotion takes `promotion` until it is
+    /// measured.
+    pub fn new(host: String, zone: String, promotion: Duration, clock: Arc<dyn Clock>) -> Site {
         Site {
+            promotion: Cell::new(promotion),
             host,
             zone,
             clock,
@@ -66,6 +73,13 @@
         self.limit.log(event, self.now());
     }
 
+    /// A promotion took `took` from its order until it was seen here.
+    fn promoted(&self, took: Duration) {
+        if took < HOLD {
+            self.promotion.set(took.saturating_sub(SEEN_LATE));
+        }
+    }
+
     /// A number that this process has not used.
     pub fn next_id(&self) -> u64 {
         let id = self.ids.get() + 1;
@@ -94,6 +108,8 @@
     idle: BTreeMap<u64, Back<C>>,
     waiters: BTreeMap<u64, Waiter<C>>,
     allotment: Allotment,
+    /// When a change of primary was last ordered.
+    ordered: Option<Duration>,
     /// Servers that are at their limit while this host has less than its part.
     short_of: BTreeSet<ServerKey>,
 }
@@ -149,6 +165,7 @@
                     fair: 1,
                     most: 1,
                 },
+                ordered: None,
                 short_of: BTreeSet::new(),
             }),
         }
@@ -382,12 +399,14 @@
     pub fn hold(&self, planned: bool) {
         let now = self.site.now();
         let from = match planned {
-            true => now + PLANNED_HOLD,
+            true => now + self.site.promotion.get().saturating_sub(HANDOVER),
             false => now,
         };
         let until = now + HOLD;
         let hold = dispatch::Hold { from, until };
-        self.state.borrow_mut().dispatch.hold(hold);
+        let mut state = self.state.borrow_mut();
+        state.dispatch.hold(hold);
+        state.ordered = Some(now);
     }
 
     /// Another host lacks connections to a server.
@@ -471,6 +490,11 @@
                 return;
             };
             state.dispatch.lead(change.after);
+            if change.after.is_some()
+                && let Some(ordered) = state.ordered.take()
+            {
+                self.site.promoted(now.saturating_sub(ordered));
+            }
             state.absent = change.after.is_none().then_some(now);
             change
         };
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -42,6 +42,9 @@
 /// Pause before a statement of an open transaction is sent again to a server without room.
 const FULL_PAUSE: Duration = Duration::from_millis(10);
 
+/// How long a caller may take to say which database it wants.
+const STARTUP: Duration = Duration::from_secs(5);
+
 /// How long the end of a transaction that its caller has left may take at the server.
 const ROLLBACK: Duration = Duration::from_millis(500);
 
@@ -137,12 +140,16 @@
     /// # Errors
     /// The caller's connection is lost, or it cannot be understood.
     pub async fn serve(context: Rc<Context<C>>, mut front: Front<C>) -> Result<(), front::Error> {
-        let Some(Request::Startup { database }) = front.request().await? else {
-            front.error(
-                Code::Malformed,
-                b"a session starts with the name of its database",
-            );
-            return front.close().await;
+        let started = tokio::time::timeout(STARTUP, front.request()).await;
+        let database = match started {
+            Ok(Ok(Some(Request::Startup { database }))) => database,
+            Ok(Ok(None)) | Err(_) => return Ok(()),
+            Ok(Ok(Some(_))) => {
+                let reason = b"a session starts with the name of its database";
+                front.error(Code::Malformed, reason);
+                return front.close().await;
+            }
+            Ok(Err(error)) => return front.reject(error).await,
         };
         let database = String::from_utf8_lossy(&database).into_owned();
         if context.fleet.version() == 0 {
@@ -169,7 +176,14 @@
 
     async fn run(mut self) -> Result<(), front::Error> {
         loop {
-            let flow = match self.next().await? {
+            let incoming = match self.next().await {
+                Ok(incoming) => incoming,
+                Err(error) => {
+                    self.abandon();
+                    return self.front.reject(error).await;
+                }
+            };
+            let flow = match incoming {
                 Incoming::Request(Some(Request::Query(query))) => self.query(&query).await?,
                 Incoming::Request(Some(Request::Startup { .. })) => {
                     self.refuse(Code::Malformed, b"the session has started already");
@@ -177,7 +191,7 @@
                 }
                 Incoming::Request(Some(Request::Terminate) | None) | Incoming::Stop => Flow::Close,
                 Incoming::Idle => {
-                    self.abandon("it was idle for too long");
+                    self.abandon();
                     Flow::On
                 }
             };
@@ -186,7 +200,7 @@
             }
             self.front.flush().await?;
         }
-        self.abandon("the caller has left");
+        self.abandon();
         self.front.close().await
     }
 
@@ -803,7 +817,7 @@
     }
 
     /// Ends the open transaction on this host's own account.
-    fn abandon(&mut self, _reason: &str) {
+    fn abandon(&mut self) {
         match std::mem::replace(&mut self.transaction, State::Failed) {
             State::Idle => self.transaction = State::Idle,
             State::Begun(_) | State::Failed => {}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod event;
 pub mod panel;
 pub mod platform;
+pub mod pooled;
 pub mod relay;
--- /dev/null
+++ b/crates/standin/src/pooled.rs
@@ -0,0 +1,17 @@
+//! Stand-in for the users' platform: its metadata store, its orders, and groups of database
+//! servers that speak statement lines.
+//!
+//! Everything runs in the caller's runtime on loopback ports and keeps nothing. Faults are
+//! injected by method, for tests that drive the deployed program.
+
+mod group;
+mod http;
+mod server;
+mod session;
+mod site;
+mod store;
+
+pub use self::group::{Entry, Group, Run};
+pub use self::server::Faults;
+pub use self::site::{Site, Sizes};
+pub use self::store::{Mode, Store};
--- /dev/null
+++ b/crates/standin/src/pooled/group.rs
@@ -0,0 +1,262 @@
+//! One service's servers: their logs, their roles, and how a log gets from one to the next.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// A committed write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The term under which it was written.
+    pub term: i64,
+    /// Its number in the log, which goes on counting across terms.
+    pub number: u64,
+    /// The item.
+    pub item: String,
+    /// What it holds from then on.
+    pub data: String,
+    at: Instant,
+}
+
+/// A statement that a server ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// The server.
+    pub server: String,
+    /// The caller's identifier.
+    pub id: String,
+    /// The text.
+    pub text: String,
+}
+
+/// How a server stands.
+#[derive(Debug, Clone)]
+pub(super) struct Member {
+    pub leads: bool,
+    pub term: i64,
+    pub log: Vec<Entry>,
+    pub running: bool,
+    pub leaving: bool,
+    /// Nothing from the primary reaches it.
+    pub deaf: bool,
+}
+
+/// A service's servers.
+#[derive(Debug)]
+pub struct Group {
+    /// The service.
+    pub service: String,
+    /// How far replicas are behind.
+    pub lag: Duration,
+    /// How long a promotion takes.
+    pub promotion: Duration,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    members: BTreeMap<String, Member>,
+    runs: Vec<Run>,
+    signatures: u64,
+}
+
+/// Why a server does not run a statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Refused {
+    /// It does not lead.
+    ReadOnly,
+    /// Its log lacks the position.
+    Lagging,
+}
+
+impl Group {
+    /// A group of which the first of `servers` leads.
+    pub fn new(service: &str, servers: &[String], lag: Duration, promotion: Duration) -> Group {
+        let member = |(index, id): (usize, &String)| {
+            let member = Member {
+                leads: index == 0,
+                term: 1,
+                log: Vec::new(),
+                running: true,
+                leaving: false,
+                deaf: false,
+            };
+            (id.clone(), member)
+        };
+        let state = State {
+            members: servers.iter().enumerate().map(member).collect(),
+            ..State::default()
+        };
+        Group {
+            service: service.to_owned(),
+            lag,
+            promotion,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Statements that servers ran for callers, in order.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// Who leads.
+    pub fn leader(&self) -> Option<String> {
+        let state = self.lock();
+        let leads = state.members.iter().find(|(_, member)| member.leads);
+        leads.map(|(id, _)| id.clone())
+    }
+
+    /// What is committed at the server that leads.
+    pub fn log(&self) -> Vec<Entry> {
+        let state = self.lock();
+        let leads = state.members.values().find(|member| member.leads);
+        leads.map_or_else(Vec::new, |member| member.log.clone())
+    }
+
+    /// From now on nothing from the primary reaches `server`, or all of it does again.
+    pub fn set_deaf(&self, server: &str, deaf: bool) {
+        self.replicate();
+        if let Some(member) = self.lock().members.get_mut(server) {
+            member.deaf = deaf;
+        }
+    }
+
+    /// Makes `server` the primary of the next term, with what it has received. `false`: it does
+    /// not run.
+    pub fn promote(&self, server: &str) -> bool {
+        self.replicate();
+        let mut state = self.lock();
+        let running = state.members.get(server).is_some_and(|it| it.running);
+        if !running {
+            return false;
+        }
+        let newest = state.members.values().map(|member| member.term).max();
+        let term = newest.unwrap_or_default() + 1;
+        let length = state.members[server].log.len();
+        for (id, member) in &mut state.members {
+            member.leads = id == server;
+            if member.leads || !member.deaf {
+                member.term = term;
+            }
+            if !member.deaf {
+                member.log.truncate(length);
+            }
+        }
+        true
+    }
+
+    pub(super) fn member(&self, server: &str) -> Option<Member> {
+        self.replicate();
+        self.lock().members.get(server).cloned()
+    }
+
+    pub(super) fn set_running(&self, server: &str, running: bool) {
+        // What was due before it stopped had been sent.
+        self.replicate();
+        if let Some(member) = self.lock().members.get_mut(server) {
+            member.running = running;
+        }
+    }
+
+    pub(super) fn set_leaving(&self, server: &str) {
+        if let Some(member) = self.lock().members.get_mut(server) {
+            member.leaving = true;
+        }
+    }
+
+    /// Whether the log of `server` contains `position`. The start of a term, which no entry has,
+    /// counts as contained in every log, as on the users' platform.
+    pub(super) fn contains(&self, server: &str, term: i64, number: u64) -> Result<(), Refused> {
+        let member = self.member(server).ok_or(Refused::Lagging)?;
+        let last = member.log.last().map(|entry| (entry.term, entry.number));
+        match number == 0 || last.is_some_and(|last| last >= (term, number)) {
+            true => Ok(()),
+            false => Err(Refused::Lagging),
+        }
+    }
+
+    /// The value of `item` at `server`.
+    pub(super) fn fetch(&self, server: &str, item: &str) -> String {
+        let member = self.member(server);
+        let log = member.map_or_else(Vec::new, |member| member.log);
+        let last = log.iter().rev().find(|entry| entry.item == item);
+        last.map_or_else(|| "-".to_owned(), |entry| entry.data.clone())
+    }
+
+    /// Commits `writes` at `server`, if it leads.
+    pub(super) fn commit(&self, server: &str, writes: &[(String, String)]) -> Result<(), Refused> {
+        let mut state = self.lock();
+        let member = state.members.get_mut(server).ok_or(Refused::ReadOnly)?;
+        if writes.is_empty() {
+            return Ok(());
+        }
+        if !member.leads {
+            return Err(Refused::ReadOnly);
+        }
+        for (item, data) in writes {
+            let number = member.log.last().map_or(0, |entry| entry.number) + 1;
+            member.log.push(Entry {
+                term: member.term,
+                number,
+                item: item.clone(),
+                data: data.clone(),
+                at: Instant::now(),
+            });
+        }
+        Ok(())
+    }
+
+    /// Notes that `server` ran a caller's statement, and returns what proves it.
+    pub(super) fn ran(&self, server: &str, id: &str, text: &str) -> String {
+        let mut state = self.lock();
+        state.signatures += 1;
+        state.runs.push(Run {
+            server: server.to_owned(),
+            id: id.to_owned(),
+            text: text.to_owned(),
+        });
+        format!("{server}.{}", state.signatures)
+    }
+
+    /// Brings replicas up to what their lag allows.
+    fn replicate(&self) {
+        let mut state = self.lock();
+        let Some((_, primary)) = state.members.iter().find(|(_, it)| it.leads && it.running) else {
+            return;
+        };
+        let (log, term) = (primary.log.clone(), primary.term);
+        for member in state.members.values_mut() {
+            if member.leads || member.deaf || !member.running {
+                continue;
+            }
+            member.term = term;
+            let due = log
+                .iter()
+                .take_while(|entry| entry.at.elapsed() >= self.lag);
+            let due = due.count();
+            // What it has stays, unless the primary's log went another way.
+            let kept = match log.starts_with(&member.log) {
+                true => member.log.len(),
+                false => 0,
+            };
+            member.log = log[..due.max(kept)].to_vec();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Member {
+    /// The position of its log, as servers write it.
+    pub(super) fn position(&self) -> String {
+        match self.log.last() {
+            Some(last) if !self.leads || last.term == self.term => {
+                format!("{}.{}", last.term, last.number)
+            }
+            _ => format!("{}.0", self.term),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/pooled/server.rs
@@ -0,0 +1,120 @@
+//! A database server that speaks statement lines.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{Semaphore, watch};
+
+use super::group::Group;
+use super::session::Session;
+
+/// What goes wrong at a server.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Statements of callers that run without being answered, from now on.
+    pub lost_answers: u32,
+    /// It accepts connections and answers nothing.
+    pub silent: bool,
+}
+
+/// A server's settings.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Settings {
+    pub slots: u16,
+    pub connections: u16,
+    pub work: Duration,
+}
+
+/// What the connections of one server share.
+#[derive(Debug)]
+pub(super) struct Server {
+    pub id: String,
+    pub group: Arc<Group>,
+    pub settings: Settings,
+    pub slots: Semaphore,
+    pub open: AtomicU16,
+    pub faults: Mutex<Faults>,
+    pub address: SocketAddr,
+    running: watch::Sender<bool>,
+}
+
+impl Server {
+    /// Starts a server on a free loopback port.
+    pub async fn start(
+        id: &str,
+        group: Arc<Group>,
+        settings: Settings,
+    ) -> std::io::Result<Arc<Server>> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let server = Arc::new(Server {
+            id: id.to_owned(),
+            group,
+            settings,
+            slots: Semaphore::new(usize::from(settings.slots)),
+            open: AtomicU16::new(0),
+            faults: Mutex::default(),
+            address: listener.local_addr()?,
+            running: watch::Sender::new(true),
+        });
+        tokio::spawn(Arc::clone(&server).serve(listener));
+        Ok(server)
+    }
+
+    /// Kills it: its connections break and its port refuses.
+    pub fn crash(&self) {
+        self.group.set_running(&self.id, false);
+        self.running.send_replace(false);
+    }
+
+    /// Starts it again at its address, with its log.
+    pub async fn restart(self: &Arc<Self>) -> std::io::Result<()> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address)?;
+        let listener = socket.listen(128)?;
+        self.open.store(0, Ordering::Relaxed);
+        self.group.set_running(&self.id, true);
+        self.running.send_replace(true);
+        tokio::spawn(Arc::clone(self).serve(listener));
+        Ok(())
+    }
+
+    /// What goes wrong now.
+    pub fn faults(&self) -> Faults {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the answer to a caller's statement is to be lost; counts it.
+    pub fn loses_answer(&self) -> bool {
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        let loses = faults.lost_answers > 0;
+        faults.lost_answers = faults.lost_answers.saturating_sub(1);
+        loses
+    }
+
+    async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let mut running = self.running.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = running.wait_for(|running| !running) => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                continue;
+            };
+            let server = Arc::clone(&self);
+            let mut running = self.running.subscribe();
+            tokio::spawn(async move {
+                server.open.fetch_add(1, Ordering::Relaxed);
+                tokio::select! {
+                    () = Session::new(Arc::clone(&server), stream).run() => {}
+                    _ = running.wait_for(|running| !running) => {}
+                }
+                server.open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/pooled/site.rs
@@ -0,0 +1,271 @@
+//! A whole stand-in platform with its services.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use hyper::StatusCode;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use super::group::Group;
+use super::http::{self, Asked};
+use super::server::{Faults, Server, Settings};
+use super::store::{Change, Row, Store};
+
+/// How large a stand-in platform is.
+#[derive(Debug, Clone, Copy)]
+pub struct Sizes {
+    /// Servers of each service.
+    pub servers: usize,
+    /// Requests that a server runs at once.
+    pub slots: u16,
+    /// Connections that a server accepts.
+    pub connections: u16,
+    /// How long a statement takes.
+    pub work: Duration,
+    /// How far replicas are behind.
+    pub lag: Duration,
+    /// How long a promotion takes.
+    pub promotion: Duration,
+}
+
+impl Default for Sizes {
+    fn default() -> Sizes {
+        Sizes {
+            servers: 3,
+            slots: 2,
+            connections: 16,
+            work: Duration::from_millis(2),
+            lag: Duration::from_millis(20),
+            promotion: Duration::from_millis(200),
+        }
+    }
+}
+
+/// A stand-in platform with its services.
+pub struct Site {
+    /// Its metadata store.
+    pub store: Arc<Store>,
+    /// Where the store listens.
+    pub store_address: SocketAddr,
+    /// Where orders are taken.
+    pub orders_address: SocketAddr,
+    groups: BTreeMap<String, Arc<Group>>,
+    servers: BTreeMap<String, Arc<Server>>,
+    version: Mutex<u64>,
+}
+
+/// Tokens seen and orders taken, by service.
+#[derive(Debug, Default)]
+struct Orders {
+    newest: Mutex<BTreeMap<String, u64>>,
+}
+
+impl Site {
+    /// Starts a platform with `services`. The servers of a service are called `SERVICE-1` and so
+    /// on; the first leads. Each is in the availability zone of its number: `zone-1` and so on.
+    ///
+    /// # Errors
+    /// A port cannot be opened.
+    pub async fn start(services: &[&str], sizes: Sizes) -> io::Result<Site> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = Arc::new(Store::default());
+        let (stores, orders) = (TcpListener::bind(any).await?, TcpListener::bind(any).await?);
+        let mut site = Site {
+            store: Arc::clone(&store),
+            store_address: stores.local_addr()?,
+            orders_address: orders.local_addr()?,
+            groups: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            version: Mutex::new(0),
+        };
+        for service in services {
+            let ids: Vec<String> = (1..=sizes.servers)
+                .map(|n| format!("{service}-{n}"))
+                .collect();
+            let group = Group::new(service, &ids, sizes.lag, sizes.promotion);
+            let group = Arc::new(group);
+            for id in ids {
+                let settings = Settings {
+                    slots: sizes.slots,
+                    connections: sizes.connections,
+                    work: sizes.work,
+                };
+                let server = Server::start(&id, Arc::clone(&group), settings).await?;
+                site.servers.insert(id, server);
+            }
+            site.groups.insert((*service).to_owned(), group);
+        }
+        tokio::spawn(http::serve(stores, move |asked| {
+            http::store(Arc::clone(&store), asked)
+        }));
+        let (groups, seen) = (site.groups.clone(), Arc::new(Orders::default()));
+        let (rows, servers) = (Arc::clone(&site.store), site.servers.clone());
+        tokio::spawn(http::serve(orders, move |asked| {
+            promote(
+                groups.clone(),
+                servers.clone(),
+                Arc::clone(&rows),
+                Arc::clone(&seen),
+                asked,
+            )
+        }));
+        for id in site.servers.keys() {
+            site.register(id);
+        }
+        Ok(site)
+    }
+
+    /// The group of a service.
+    ///
+    /// # Panics
+    /// There is no such service.
+    pub fn group(&self, service: &str) -> &Arc<Group> {
+        &self.groups[service]
+    }
+
+    /// Kills a server. Its entry stays until [`Site::unregister`].
+    pub fn crash(&self, server: &str) {
+        self.servers[server].crash();
+    }
+
+    /// Starts a killed server again, with its log.
+    ///
+    /// # Errors
+    /// Its port is in use.
+    pub async fn restart(&self, server: &str) -> io::Result<()> {
+        self.servers[server].restart().await?;
+        self.register(server);
+        Ok(())
+    }
+
+    /// What goes wrong at a server from now on.
+    pub fn set_faults(&self, server: &str, faults: Faults) {
+        let own = &self.servers[server].faults;
+        *own.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    /// A server says that it is about to leave.
+    pub fn leave(&self, server: &str) {
+        self.servers[server].group.set_leaving(server);
+        self.register(server);
+    }
+
+    /// Removes a server's entry.
+    pub fn unregister(&self, server: &str) {
+        self.store.apply(Change {
+            deletes: vec![row("servers", server, "")],
+            ..Change::default()
+        });
+    }
+
+    /// Puts a configuration in force whose routes lead from databases to services, each with its
+    /// kind and the age in milliseconds that its reads accept.
+    pub fn configure(&self, routes: &[(&str, &str, &str, u64)]) {
+        let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
+        *version += 3;
+        let routes: Vec<serde_json::Value> = routes
+            .iter()
+            .map(|(database, service, kind, age)| {
+                json!({"name": database, "host": database, "kind": kind, "timeout_ms": 800,
+                    "goal_ms": 200, "priority": 1, "service": service,
+                    "max_staleness_ms": age})
+            })
+            .collect();
+        let services: Vec<serde_json::Value> = self
+            .groups
+            .keys()
+            .map(|name| json!({"name": name, "max_conns": 16}))
+            .collect();
+        let value = json!({"version": *version, "routes": routes, "services": services,
+            "limits": {"tx_idle_ms": 3000}});
+        self.put("op", "config", &value);
+    }
+
+    fn register(&self, id: &str) {
+        register(&self.store, &self.servers, id);
+    }
+
+    fn put(&self, table: &str, key: &str, value: &serde_json::Value) {
+        put(&self.store, table, key, value);
+    }
+}
+
+fn register(store: &Store, servers: &BTreeMap<String, Arc<Server>>, id: &str) {
+    let server = &servers[id];
+    let Some(member) = server.group.member(id) else {
+        return;
+    };
+    let zone = id.rsplit('-').next().unwrap_or_default();
+    let value = json!({"service": server.group.service, "address": server.address,
+        "zone": format!("zone-{zone}"), "version": "v1", "capacity": server.settings.slots,
+        "state": if member.leaving { "draining" } else { "ready" }, "cold_left_ms": 0,
+        "sequence": 1, "reported_role": if member.leads { "primary" } else { "replica" }});
+    put(store, "servers", id, &value);
+}
+
+fn put(store: &Store, table: &str, key: &str, value: &serde_json::Value) {
+    store.apply(Change {
+        upserts: vec![row(table, key, &value.to_string())],
+        ..Change::default()
+    });
+}
+
+fn row(table: &str, key: &str, value: &str) -> Row {
+    Row {
+        table_name: table.to_owned(),
+        key: key.to_owned(),
+        value: STANDARD.encode(value),
+        ..Row::default()
+    }
+}
+
+async fn promote(
+    groups: BTreeMap<String, Arc<Group>>,
+    servers: BTreeMap<String, Arc<Server>>,
+    store: Arc<Store>,
+    orders: Arc<Orders>,
+    asked: Asked,
+) -> (StatusCode, String) {
+    let body: serde_json::Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+    let (Some(service), Some(id)) = (body["service"].as_str(), body["id"].as_str()) else {
+        return (StatusCode::BAD_REQUEST, String::new());
+    };
+    let token = asked.headers.get("x-fencing-token");
+    let Some(token) = token.and_then(|token| token.parse::<u64>().ok()) else {
+        return (StatusCode::BAD_REQUEST, String::new());
+    };
+    let Some(group) = groups.get(service) else {
+        return (StatusCode::NOT_FOUND, String::new());
+    };
+    {
+        let mut newest = orders.newest.lock().unwrap_or_else(PoisonError::into_inner);
+        let seen = newest.entry(service.to_owned()).or_default();
+        if token < *seen {
+            return (StatusCode::CONFLICT, String::new());
+        }
+        *seen = token;
+    }
+    let running = group.member(id).is_some_and(|member| member.running);
+    if !running {
+        return (StatusCode::CONFLICT, String::new());
+    }
+    let (group, id) = (Arc::clone(group), id.to_owned());
+    tokio::spawn(async move {
+        tokio::time::sleep(group.promotion).await;
+        if group.leader().as_deref() != Some(&id) && group.promote(&id) {
+            for other in servers
+                .values()
+                .filter(|it| it.group.service == group.service)
+            {
+                register(&store, &servers, &other.id);
+            }
+        }
+    });
+    (StatusCode::OK, String::new())
+}
--- /dev/null
+++ b/crates/standin/src/pooled/store.rs
@@ -0,0 +1,174 @@
+//! The metadata store: rows with versions, transactions under conditions, and a feed of changes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+/// How the store answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Mode {
+    /// As it should.
+    #[default]
+    Up,
+    /// It refuses everything with 503.
+    Busy,
+    /// It answers nothing.
+    Silent,
+}
+
+/// A row as it travels.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Row {
+    pub table_name: String,
+    #[serde(default)]
+    pub part: String,
+    pub key: String,
+    #[serde(default)]
+    pub value: String,
+    #[serde(default)]
+    pub schema_version: u64,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub deleted: bool,
+}
+
+/// A transaction as it travels.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub(super) struct Change {
+    #[serde(default)]
+    pub precondition: Vec<Row>,
+    #[serde(default)]
+    pub upserts: Vec<Row>,
+    #[serde(default)]
+    pub deletes: Vec<Row>,
+}
+
+/// How a transaction ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Outcome {
+    Done(u64),
+    /// A condition did not hold; the rows as they are.
+    Failed(Vec<Row>),
+}
+
+type Place = (String, String, String);
+
+/// The metadata store.
+#[derive(Debug)]
+pub struct Store {
+    state: Mutex<State>,
+    version: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mode: Mode,
+    rows: BTreeMap<Place, Row>,
+    history: Vec<Row>,
+    version: u64,
+    /// Changes up to here are no longer in the history.
+    forgotten: u64,
+    calls: u64,
+    tables: BTreeSet<String>,
+}
+
+impl Default for Store {
+    fn default() -> Store {
+        Store {
+            state: Mutex::default(),
+            version: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Store {
+    /// How it answers from now on.
+    pub fn set_mode(&self, mode: Mode) {
+        self.lock().mode = mode;
+    }
+
+    /// Drops its history: feeds have to start anew.
+    pub fn forget(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.version;
+        state.history.clear();
+        let version = state.version;
+        drop(state);
+        self.version.send_replace(version);
+    }
+
+    /// Calls that it has received.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    pub(super) fn called(&self) -> Mode {
+        let mut state = self.lock();
+        state.calls += 1;
+        state.mode
+    }
+
+    pub(super) fn apply(&self, change: Change) -> Outcome {
+        let mut state = self.lock();
+        let holds = |row: &Row| state.current(row).schema_version == row.schema_version;
+        if !change.precondition.iter().all(holds) {
+            let rows = change.precondition.iter().map(|row| state.current(row));
+            return Outcome::Failed(rows.filter(|row| row.schema_version > 0).collect());
+        }
+        state.version += 1;
+        let version = state.version;
+        for mut row in change.upserts {
+            row.schema_version = version;
+            state.tables.insert(row.table_name.clone());
+            state.rows.insert(place(&row), row.clone());
+            state.history.push(row);
+        }
+        for mut row in change.deletes {
+            row.schema_version = version;
+            row.deleted = true;
+            state.rows.remove(&place(&row));
+            state.history.push(row);
+        }
+        drop(state);
+        self.version.send_replace(version);
+        Outcome::Done(version)
+    }
+
+    /// Rows of a table from a key on, and the newest version.
+    pub(super) fn rows(&self, table: &str, from: &str) -> (Vec<Row>, u64) {
+        let state = self.lock();
+        let of = |row: &&Row| row.table_name == table && row.key.as_str() >= from;
+        let rows = state.rows.values().filter(of).cloned().collect();
+        (rows, state.version)
+    }
+
+    /// Changes of a table after a version; `None` when they are no longer kept.
+    pub(super) fn changes(&self, table: &str, after: u64) -> Option<(Vec<Row>, u64)> {
+        let state = self.lock();
+        if after < state.forgotten {
+            return None;
+        }
+        let of = |row: &&Row| row.table_name == table && row.schema_version > after;
+        let rows = state.history.iter().filter(of).cloned().collect();
+        Some((rows, state.version))
+    }
+
+    pub(super) fn versions(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn current(&self, row: &Row) -> Row {
+        self.rows.get(&place(row)).cloned().unwrap_or_default()
+    }
+}
+
+fn place(row: &Row) -> Place {
+    (row.table_name.clone(), row.part.clone(), row.key.clone())
+}
