--- a/crates/core/src/succession/contact.rs
+++ b/crates/core/src/succession/contact.rs
@@ -104,6 +104,6 @@
             return Some(Trouble::Refuses { since });
         }
         let long = now >= since + super::SILENCE;
-        (long && self.silent > 0 || long && self.refused > 0).then_some(Trouble::Silent { since })
+        long.then_some(Trouble::Silent { since })
     }
 }
