Single statements before transactions; writes only in touch with most hosts

Cause (1): transactions kept all connections of an overloaded service, and it stayed overloaded for twelve seconds after its fault. Change: one connection stays for single statements, which go first; a host acknowledges writes only while most hosts, or the store, have answered it within 0.9 s, and an order waits until unheard hosts cannot write any more.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -50,6 +50,7 @@
 ///     id: 1,
 ///     need: Need::Lead,
 ///     priority: 1,
+///     long: false,
 ///     arrived: now,
 ///     goal: Duration::from_millis(100),
 ///     deadline: Duration::from_secs(1),
@@ -198,6 +199,13 @@
         }
     }
 
+    /// A transaction that was lent a connection for it has ended.
+    pub fn ended_long(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.count_long(false);
+        }
+    }
+
     /// A server's queue was full.
     pub fn refused(&mut self, key: ServerKey, now: Duration) {
         if let Some(server) = self.servers.get_mut(&key) {
@@ -341,8 +349,12 @@
             }
         }
         if let Some((_, key)) = idle
-            && let Some(connection) = self.servers.get_mut(&key).and_then(Server::lend)
+            && let Some(server) = self.servers.get_mut(&key)
+            && let Some(connection) = server.lend()
         {
+            if ticket.long {
+                server.count_long(true);
+            }
             return Place::Here(key, connection);
         }
         let Some((_, key)) = best else {
@@ -361,6 +373,9 @@
     }
 
     fn may_serve(&self, ticket: &Ticket, key: ServerKey, server: &Server, now: Duration) -> bool {
+        if ticket.long && !server.takes_long(now) {
+            return false;
+        }
         let leads = self.leader == Some(key);
         if ticket.need == Need::Lead {
             // A primary that is leaving serves until another server leads.
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -90,6 +90,7 @@
     window: f64,
     narrowed_at: Duration,
     resting: u16,
+    long: u16,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -112,6 +113,7 @@
             window: FIRST_WINDOW,
             narrowed_at: Duration::ZERO,
             resting: 0,
+            long: 0,
             applied: Position::default(),
             opening: 0,
             overdue: 0,
@@ -209,6 +211,20 @@
         };
     }
 
+    /// Whether one more transaction may be opened there. One connection stays for single
+    /// statements: with all of them kept by transactions, those wait for as long as callers think.
+    pub(super) fn takes_long(&self, now: Duration) -> bool {
+        self.long + 1 < self.most_at(now).max(2)
+    }
+
+    /// A transaction is opened there, or one has ended.
+    pub(super) fn count_long(&mut self, opened: bool) {
+        self.long = match opened {
+            true => self.long.saturating_add(1),
+            false => self.long.saturating_sub(1),
+        };
+    }
+
     /// Whether one more request may run there.
     pub(super) fn has_room(&self) -> bool {
         let running = self.busy.saturating_sub(self.resting);
--- a/crates/core/src/dispatch/ticket.rs
+++ b/crates/core/src/dispatch/ticket.rs
@@ -29,6 +29,8 @@
     pub need: Need,
     /// Requests with a lower number go first.
     pub priority: u8,
+    /// Whether it opens a transaction, which keeps its connection for many round trips.
+    pub long: bool,
     /// When the caller sent it.
     pub arrived: Duration,
     /// When it should be answered.
@@ -41,7 +43,10 @@
 
 impl Ticket {
     /// Where it stands in the queue.
-    pub(super) fn order(&self, now: Duration) -> (bool, u8, Duration) {
-        (now >= self.goal, self.priority, self.arrived)
+    ///
+    /// Transactions wait behind single statements of their priority: while connections are
+    /// short, one of them takes the time of dozens of the others.
+    pub(super) fn order(&self, now: Duration) -> (bool, u8, bool, Duration) {
+        (now >= self.goal, self.priority, self.long, self.arrived)
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod once;
 pub mod position;
 pub mod promotion;
+pub mod quorum;
 pub mod rate;
 pub mod refusal;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/quorum.rs
@@ -0,0 +1,131 @@
+//! Whether a host may acknowledge writes, by its contact with most of the others.
+//!
+//! A primary that is cut off together with some hosts goes on taking their writes while the
+//! others have it replaced. A promotion takes about a second from its order; what those hosts
+//! acknowledge meanwhile is missing at the successor although nobody was told. So a host
+//! acknowledges writes only for a while after most hosts have answered it, and whoever orders a
+//! promotion first waits out that while for every host that it does not hear.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::key::HostKey;
+
+/// Time between two heartbeats: three of them fit into a lease with round trips to spare, so a
+/// lost datagram ends none.
+pub const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// How long after it asked a host may rely on the answers. It adds to the time in which a cut-off
+/// primary is replaced, and has to outlast a host's pauses under load.
+pub const LEASE: Duration = Duration::from_millis(900);
+
+/// Added by whoever waits a lease out, for clocks that run at slightly different speed.
+pub const MARGIN: Duration = Duration::from_millis(50);
+
+/// A host that was not heard for so long, while most others were, is taken as gone for good: its
+/// entry stays in the list when it is removed without notice.
+pub const GONE: Duration = Duration::from_secs(15);
+
+/// The contact of one host with the others.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::key::HostKey;
+/// use flamingopost_core::names::Names;
+/// use flamingopost_core::quorum::{LEASE, Quorum};
+///
+/// let mut names: Names<HostKey> = Names::default();
+/// let others = [names.intern("entry-2"), names.intern("entry-3")];
+/// let at = Duration::from_millis(100);
+/// let mut quorum = Quorum::default();
+/// quorum.list(others.into_iter().collect(), at);
+/// assert!(!quorum.may_write(at));
+/// quorum.answered(others[0], at);
+/// assert!(quorum.may_write(at), "two of three");
+/// assert!(!quorum.may_write(at + LEASE));
+/// ```
+#[derive(Debug, Default)]
+pub struct Quorum {
+    others: BTreeMap<HostKey, Contact>,
+    store: Option<Duration>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Contact {
+    /// When the latest question was sent that it has answered.
+    answered: Option<Duration>,
+    /// When it was last heard, or first listed.
+    heard: Duration,
+}
+
+impl Quorum {
+    /// The other hosts that are listed.
+    pub fn list(&mut self, others: BTreeSet<HostKey>, now: Duration) {
+        self.others.retain(|host, _| others.contains(host));
+        for host in others {
+            self.others.entry(host).or_insert(Contact {
+                answered: None,
+                heard: now,
+            });
+        }
+    }
+
+    /// Something came from `host`.
+    pub fn heard(&mut self, host: HostKey, now: Duration) {
+        if let Some(contact) = self.others.get_mut(&host) {
+            contact.heard = contact.heard.max(now);
+        }
+    }
+
+    /// `host` has answered what was sent at `sent`.
+    pub fn answered(&mut self, host: HostKey, sent: Duration) {
+        if let Some(contact) = self.others.get_mut(&host) {
+            contact.answered = contact.answered.max(Some(sent));
+        }
+    }
+
+    /// The store has answered what was sent at `sent`: no change of a primary is claimed there.
+    pub fn store(&mut self, sent: Duration) {
+        self.store = self.store.max(Some(sent));
+    }
+
+    /// Whether a write may be sent, or be acknowledged, at `now`.
+    pub fn may_write(&self, now: Duration) -> bool {
+        let store = self.store.is_some_and(|sent| now < sent + LEASE);
+        store || self.is_with_most(now)
+    }
+
+    /// Whether most hosts have answered lately.
+    pub fn is_with_most(&self, now: Duration) -> bool {
+        let fresh = |contact: &&Contact| contact.answered.is_some_and(|at| now < at + LEASE);
+        let fresh = self.others.values().filter(fresh).count() + 1;
+        let gone = match fresh * 2 > self.others.len() + 1 {
+            true => 0,
+            // Only hosts that were with most of them may have been told apart from cut-off ones.
+            false => self.gone(now).len(),
+        };
+        fresh * 2 > self.others.len() + 1 - gone
+    }
+
+    /// Hosts that count as gone for good.
+    pub fn gone(&self, now: Duration) -> BTreeSet<HostKey> {
+        let silent = |contact: &Contact| now >= contact.heard + GONE;
+        let lost = self.others.values().filter(|it| silent(it)).count();
+        // Where most are silent it is this host that is cut off.
+        if lost * 2 > self.others.len() {
+            return BTreeSet::new();
+        }
+        let gone = self.others.iter().filter(|(_, contact)| silent(contact));
+        gone.map(|(host, _)| *host).collect()
+    }
+
+    /// From when on no host but those in `told` can acknowledge a write by an earlier answer of
+    /// this one.
+    pub fn quiet_at(&self, told: &BTreeSet<HostKey>, now: Duration) -> Duration {
+        let gone = self.gone(now);
+        let writing = self.others.iter();
+        let writing = writing.filter(|(host, _)| !told.contains(host) && !gone.contains(host));
+        let until = writing.map(|(_, contact)| contact.heard + LEASE + MARGIN);
+        until.max().unwrap_or(now)
+    }
+}
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -117,6 +117,8 @@
     pub peers: BTreeSet<HostKey>,
     /// How many of them come before this host when the store is away.
     pub rank: u32,
+    /// From when on no host that has not answered can acknowledge writes any more.
+    pub quiet_at: Duration,
 }
 
 impl Succession {
@@ -131,6 +133,20 @@
         !matches!(self.phase, Phase::Watching | Phase::Inquiring(_))
     }
 
+    /// Hosts that have answered the inquiry that is under way.
+    pub fn answered(&self) -> BTreeSet<HostKey> {
+        match &self.phase {
+            Phase::Inquiring(inquiry)
+            | Phase::Claiming(inquiry)
+            | Phase::Queued { inquiry, .. }
+            | Phase::Choosing { inquiry, .. } => inquiry.opinions.keys().copied().collect(),
+            Phase::Watching
+            | Phase::Standing { .. }
+            | Phase::Ordering { .. }
+            | Phase::Awaiting { .. } => BTreeSet::new(),
+        }
+    }
+
     /// Another host says what it sees of the primary.
     pub fn opinion(&mut self, host: HostKey, opinion: Opinion) {
         if let Some(inquiry) = self.inquiry() {
@@ -338,14 +354,17 @@
         if view.trouble.is_none() {
             return Vec::new();
         }
-        let best = inquiry.best(view);
+        // Hosts that are cut off together with the primary may go on writing to it; what they
+        // acknowledge after the order, the successor lacks.
+        let quiet = inquiry.cause == Some(Trouble::Leaving) || now >= view.quiet_at;
+        let best = inquiry.best(view).filter(|_| quiet);
         let heard = inquiry.all_heard(view);
         match best {
             Some(server) if heard || now >= until => {
                 self.phase = Phase::Ordering { grant, server };
                 vec![Next::Promote { server, grant }]
             }
-            None if now >= until => {
+            None if quiet && now >= until => {
                 self.pause_until = now + PAUSE;
                 Vec::new()
             }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -34,6 +34,7 @@
         id,
         need,
         priority: 1,
+        long: false,
         arrived,
         goal: arrived + ms(100),
         deadline: arrived + ms(800),
@@ -233,6 +234,29 @@
     assert_eq!(lent(&dispatch.rest(leader, true, now)), Some(leader));
 }
 
+/// Clerks open transactions and think inside them until every connection is kept. Single bids then
+/// waited for seconds while the server's slots were idle; one connection stays for them.
+#[test]
+fn transactions_leave_a_connection_for_single_statements() {
+    let now = ms(5_000);
+    let (mut dispatch, keys) = dispatch(now);
+    let leader = keys[0];
+    for connection in 10..13 {
+        dispatch.opened(leader, connection, now);
+    }
+    for id in 1..=4 {
+        let mut transaction = ticket(id, Need::Lead, now);
+        transaction.long = true;
+        let next = dispatch.arrive(transaction, now);
+        assert_eq!(lent(&next).is_some(), id < 4, "transaction {id}");
+        dispatch.rest(leader, true, now);
+    }
+    let next = dispatch.arrive(ticket(5, Need::Lead, now), now);
+    assert_eq!(lent(&next), Some(leader));
+    dispatch.ended_long(leader);
+    assert_eq!(lent(&dispatch.returned(leader, 10, now)), Some(leader));
+}
+
 /// A server that is leaving gets no reads, and its idle connections close; as primary it takes
 /// writes until another one leads, since nobody else can.
 #[test]
--- /dev/null
+++ b/crates/core/tests/quorum.rs
@@ -0,0 +1,133 @@
+//! Whether a host may acknowledge writes, by its contact with most of the others.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use flamingopost_core::key::HostKey;
+use flamingopost_core::names::Names;
+use flamingopost_core::quorum::{GONE, HEARTBEAT, LEASE, MARGIN, Quorum};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn hosts(count: usize) -> Vec<HostKey> {
+    let mut names: Names<HostKey> = Names::default();
+    (0..count)
+        .map(|i| names.intern(&format!("entry-{i}")))
+        .collect()
+}
+
+/// Two hosts of six are cut off together with a primary. They would go on telling clerks that
+/// sales are recorded, which the successor of that primary does not have.
+#[test]
+fn a_cut_off_part_stops_writing() {
+    let others = hosts(5);
+    let mut quorum = Quorum::default();
+    quorum.list(others.iter().copied().collect(), ms(0));
+    others
+        .iter()
+        .for_each(|host| quorum.answered(*host, ms(1_000)));
+    assert!(quorum.may_write(ms(1_000) + LEASE - ms(1)));
+    quorum.answered(others[0], ms(1_500));
+    assert!(
+        !quorum.may_write(ms(1_000) + LEASE),
+        "two of six are not most"
+    );
+}
+
+/// Most hosts are killed at once. The one that is left has nobody to ask, but the platform's
+/// store says that nobody replaces the primary: writes go on.
+#[test]
+fn the_store_stands_in_for_hosts_that_are_gone() {
+    let mut quorum = Quorum::default();
+    quorum.list(hosts(5).into_iter().collect(), ms(0));
+    assert!(!quorum.may_write(ms(2_000)));
+    quorum.store(ms(2_000));
+    assert!(quorum.may_write(ms(2_100)));
+    assert!(!quorum.may_write(ms(2_000) + LEASE));
+}
+
+/// A host was removed for good without notice and stays in the list. It must not count for ever:
+/// with one more lost, half of the list would be no majority any more.
+#[test]
+fn a_host_that_is_gone_for_good_counts_no_more() {
+    let others = hosts(3);
+    let mut quorum = Quorum::default();
+    quorum.list(others.iter().copied().collect(), ms(0));
+    let now = GONE + ms(500);
+    quorum.heard(others[0], now);
+    quorum.heard(others[1], now);
+    quorum.answered(others[0], now);
+    assert!(quorum.may_write(now), "two of three that are there");
+    assert_eq!(quorum.gone(now), BTreeSet::from([others[2]]));
+}
+
+/// Where nobody is heard, it is this host that is cut off, however long it lasts.
+#[test]
+fn a_cut_off_host_takes_nobody_as_gone() {
+    let mut quorum = Quorum::default();
+    quorum.list(hosts(4).into_iter().collect(), ms(0));
+    assert!(quorum.gone(GONE * 4).is_empty());
+    assert!(!quorum.may_write(GONE * 4));
+}
+
+/// Hosts exchange heartbeats over links that lose, delay and cut, one way too. Whenever one part
+/// may order a promotion, no host outside of what it has heard may write.
+#[test]
+fn nobody_writes_once_an_order_may_go_out() {
+    for seed in 0..300 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = rng.random_range(3..8);
+        let keys = hosts(count);
+        let mut quorums: Vec<Quorum> = (0..count)
+            .map(|own| {
+                let mut quorum = Quorum::default();
+                let others = keys.iter().enumerate().filter(|(i, _)| *i != own);
+                quorum.list(others.map(|(_, key)| *key).collect(), ms(0));
+                quorum
+            })
+            .collect();
+        // From some moment on, the last hosts hear nothing of the others or are not heard.
+        let cut = rng.random_range(1..=count / 2);
+        let cut_at = ms(rng.random_range(500..3_000));
+        let (inward, outward) = match rng.random_range(0..3) {
+            0 => (true, false),
+            1 => (false, true),
+            _ => (true, true),
+        };
+        let mut now = ms(0);
+        while now < ms(8_000) {
+            for from in 0..count {
+                for to in 0..count {
+                    let crosses = (from >= count - cut) != (to >= count - cut);
+                    let asks_in = to >= count - cut;
+                    let severed = crosses && now >= cut_at;
+                    let blocked = |into: bool| severed && if into { inward } else { outward };
+                    if from == to || rng.random_bool(0.1) || blocked(asks_in) {
+                        continue;
+                    }
+                    quorums[to].heard(keys[from], now + ms(2));
+                    if !blocked(!asks_in) {
+                        quorums[from].answered(keys[to], now);
+                        quorums[from].heard(keys[to], now + ms(4));
+                    }
+                }
+            }
+            now += HEARTBEAT;
+            // The first host would order a promotion, told to nobody who is cut off.
+            let told: BTreeSet<HostKey> = keys[..count - cut].iter().copied().collect();
+            let quiet =
+                now >= cut_at + LEASE + MARGIN + ms(10) && now >= quorums[0].quiet_at(&told, now);
+            for writer in &quorums[count - cut..] {
+                let alone = cut * 2 < count;
+                assert!(
+                    !(quiet && alone && writer.may_write(now)),
+                    "seed {seed}: a write at {now:?} after the order"
+                );
+            }
+        }
+    }
+}
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -53,6 +53,7 @@
         candidates: servers.into_iter().collect(),
         peers: hosts.iter().copied().collect(),
         rank: 2,
+        quiet_at: ms(0),
     };
     Scene {
         succession: Succession::default(),
@@ -117,6 +118,24 @@
     }
 }
 
+/// A zone is cut off together with the primary, and its hosts go on writing there. The others
+/// order a successor only when those can no longer acknowledge anything: what they acknowledged
+/// within the second that a promotion takes was missing afterwards.
+#[test]
+fn an_order_waits_until_unheard_hosts_cannot_write() {
+    let mut scene = scene();
+    scene.view.quiet_at = ms(2_000);
+    scene.step(ms(1_020));
+    scene.succession.report(scene.servers[1], replica(40));
+    scene.succession.report(scene.servers[2], replica(40));
+    scene.hear(3, 0);
+    let over = ms(1_020) + INQUIRY;
+    assert_eq!(scene.step(over), [Next::Claim]);
+    scene.succession.won(Grant(7), over);
+    assert_eq!(scene.step(ms(1_990)), []);
+    assert!(matches!(scene.step(ms(2_000))[..], [Next::Promote { .. }]));
+}
+
 /// The hosts of one zone are cut off with each other. Two like opinions of six are no majority.
 #[test]
 fn a_minority_replaces_nothing() {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -1,14 +1,14 @@
 //! Carries the succession of each service's primary out: asks hosts and servers, claims, orders.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::dispatch::Standing;
 use flamingopost_core::key::{HostKey, ServerKey};
-use flamingopost_core::leader::Role;
+use flamingopost_core::quorum::HEARTBEAT;
 use flamingopost_core::succession::{Grant, Next, Order, Report, Succession, Trouble, View};
 use tokio::time::timeout;
 
@@ -53,6 +53,8 @@
     socket: Rc<Socket>,
     services: RefCell<BTreeMap<String, Rc<RefCell<Succession>>>>,
     reserve: RefCell<Option<Grant>>,
+    /// Whether a question to the store is on its way.
+    asking: Cell<bool>,
 }
 
 impl<C: Codec, P: Platform> Election<C, P> {
@@ -70,6 +72,7 @@
             socket,
             services: RefCell::default(),
             reserve: RefCell::default(),
+            asking: Cell::new(false),
         }
     }
 
@@ -112,13 +115,76 @@
         }
     }
 
+    /// Keeps in contact with the other hosts, for ever.
+    pub async fn keep_contact(self: Rc<Self>) {
+        let mut interval = tokio::time::interval(HEARTBEAT);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            let now = self.site.now();
+            let sent = micros(now);
+            for (_, peer) in self.fleet.peers() {
+                self.tell(String::new(), Word::Beat { sent }, peer.address);
+            }
+            let with_most = self
+                .fleet
+                .with_quorum(|quorum, now| quorum.is_with_most(now));
+            if !with_most {
+                self.ask_store();
+            }
+        }
+    }
+
+    /// Asks the store whether anybody replaces a primary; with most hosts silent, only it can
+    /// tell that this host is not the one that is cut off.
+    fn ask_store(self: &Rc<Self>) {
+        if self.asking.replace(true) {
+            return;
+        }
+        let election = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let sent = election.site.now();
+            let claims = timeout(CLAIM, election.platform.claims()).await;
+            election.asking.set(false);
+            let Ok(Ok(claims)) = claims else {
+                return;
+            };
+            let under_way = |service: &Rc<Service<C>>| {
+                let attempt = service.term().number().unsigned_abs();
+                claims.contains(&(service.name.clone(), attempt))
+            };
+            if !election.fleet.services().iter().any(under_way) {
+                election.fleet.with_quorum(|quorum, _| quorum.store(sent));
+            }
+        });
+    }
+
     fn take(self: &Rc<Self>, message: Message, from: SocketAddr) {
+        if let Some(host) = self.host(&message.host) {
+            self.fleet
+                .with_quorum(|quorum, now| quorum.heard(host, now));
+            match message.word {
+                Word::Beat { sent } => {
+                    self.tell(String::new(), Word::Echo { sent }, from);
+                    return;
+                }
+                Word::Echo { sent } => {
+                    let sent = Duration::from_micros(sent);
+                    self.fleet
+                        .with_quorum(|quorum, _| quorum.answered(host, sent));
+                    return;
+                }
+                _ => {}
+            }
+        }
         let services = self.fleet.services();
         let Some(service) = services.into_iter().find(|it| it.name == message.service) else {
             return;
         };
         let succession = self.services.borrow().get(&service.name).cloned();
         match message.word {
+            // From a host that is not listed yet.
+            Word::Beat { .. } | Word::Echo { .. } => {}
             Word::Ask { server } => {
                 let election = Rc::clone(self);
                 tokio::task::spawn_local(async move {
@@ -184,7 +250,7 @@
         let mut pleaded = Duration::ZERO;
         loop {
             let now = self.site.now();
-            let view = self.view(&service);
+            let view = self.view(&service, &succession);
             let pause = if view.trouble.is_some() { STEP } else { LOOK };
             if now >= pleaded + PLEA {
                 pleaded = now;
@@ -336,7 +402,7 @@
             Ok(Ok(Claim::Won(token))) => {
                 self.reserve(token);
                 let next = succession.borrow_mut().won(Grant(token.0), now);
-                let view = self.view(&service);
+                let view = self.view(&service, &succession);
                 for next in next {
                     self.act(&service, &succession, next, &view);
                 }
@@ -404,7 +470,11 @@
         service.alarm.notify_one();
     }
 
-    fn view(&self, service: &Rc<Service<C>>) -> View {
+    fn view(&self, service: &Rc<Service<C>>, succession: &Rc<RefCell<Succession>>) -> View {
+        let told = succession.borrow().answered();
+        let (gone, quiet_at) = self
+            .fleet
+            .with_quorum(|quorum, now| (quorum.gone(now), quorum.quiet_at(&told, now)));
         let targets = service.targets();
         let serving = targets
             .iter()
@@ -418,7 +488,9 @@
             peers: peers
                 .into_iter()
                 .map(|(key, _)| key)
-                .collect::<BTreeSet<_>>(),
+                .filter(|key| !gone.contains(key))
+                .collect(),
+            quiet_at,
             rank: self.fleet.rank(&service.name),
         }
     }
@@ -438,9 +510,14 @@
     }
 
     fn send(&self, service: &Rc<Service<C>>, word: Word, to: SocketAddr) {
+        self.tell(service.name.clone(), word, to);
+    }
+
+    fn tell(&self, service: String, word: Word, to: SocketAddr) {
+        let host = self.site.host.clone();
         let message = Message {
-            host: self.site.host.clone(),
-            service: service.name.clone(),
+            host,
+            service,
             word,
         };
         self.socket.send(&message, to);
@@ -453,7 +530,6 @@
     found.map(|(target, _)| target)
 }
 
-/// Whether `status` is that of a server that leads; for logs and tests.
-pub fn leads(status: &Status) -> bool {
-    status.role == Role::Primary
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use flamingopost_core::invariant::{self, Invariant};
 use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::quorum::Quorum;
 use slotmap::SlotMap;
 
 use crate::codec::Codec;
@@ -40,6 +41,7 @@
     services: RefCell<BTreeMap<String, Rc<Service<C>>>>,
     servers: RefCell<Servers>,
     peers: RefCell<Peers>,
+    quorum: RefCell<Quorum>,
     listed: Cell<bool>,
 }
 
@@ -71,6 +73,7 @@
             services: RefCell::default(),
             servers: RefCell::default(),
             peers: RefCell::default(),
+            quorum: RefCell::default(),
             listed: Cell::new(false),
         }
     }
@@ -227,9 +230,22 @@
                 }
             }
         }
+        let others = self.peers().into_iter().map(|(key, _)| key).collect();
+        let now = self.site.now();
+        self.quorum.borrow_mut().list(others, now);
         self.allot();
     }
 
+    /// Works on this host's contact with the others.
+    pub fn with_quorum<T>(&self, work: impl FnOnce(&mut Quorum, Duration) -> T) -> T {
+        work(&mut self.quorum.borrow_mut(), self.site.now())
+    }
+
+    /// Whether a write may be sent, or be acknowledged, now.
+    pub fn may_write(&self) -> bool {
+        self.quorum.borrow().may_write(self.site.now())
+    }
+
     /// The other hosts.
     pub fn peers(&self) -> Vec<(HostKey, Peer)> {
         self.peers.borrow().by_host.values().cloned().collect()
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -178,6 +178,7 @@
     };
     tokio::task::spawn_local(probe::serve(probes, readiness));
     tokio::task::spawn_local(Rc::clone(&election).listen());
+    tokio::task::spawn_local(Rc::clone(&election).keep_contact());
     tokio::task::spawn_local(Rc::clone(&watch).configuration());
     tokio::task::spawn_local(Rc::clone(&watch).backends());
     tokio::task::spawn_local(Rc::clone(&watch).peers(own));
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -28,6 +28,16 @@
 /// What a message says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Word {
+    /// Do you hear me? Sent at intervals, about no service.
+    Beat {
+        /// When it was sent, by the sender's clock, in microseconds.
+        sent: u64,
+    },
+    /// An answer to [`Word::Beat`].
+    Echo {
+        /// What the question carried.
+        sent: u64,
+    },
     /// Do you reach server `server`, or, where none is named, any that leads?
     Ask {
         /// Identity of the server.
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -1,6 +1,6 @@
 //! What the platform offers, in this project's words. An adapter implements [`Platform`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -171,6 +171,9 @@
         over: Option<Revision>,
     ) -> impl Future<Output = Result<Claim, Error>>;
 
+    /// All claims: the service and the number of the change.
+    fn claims(&self) -> impl Future<Output = Result<BTreeSet<(String, u64)>, Error>>;
+
     /// Orders that server `id` leads `service`.
     fn promote(
         &self,
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -143,6 +143,7 @@
     back: Option<Back<C>>,
     service: Rc<Service<C>>,
     rests: bool,
+    long: bool,
 }
 
 impl<C: Codec> Service<C> {
@@ -565,6 +566,7 @@
                     back: Some(back),
                     service: Rc::clone(self),
                     rests: false,
+                    long: waiter.ticket.long,
                 };
                 if let Err(Ok(lent)) = waiter.sender.send(Ok(lent)) {
                     lent.give_back();
@@ -710,6 +712,15 @@
         }
     }
 
+    /// Takes back what was counted for it beside the connection itself.
+    fn release(&mut self) {
+        self.rest(false);
+        if std::mem::take(&mut self.long) {
+            let server = self.server;
+            self.service.state.borrow_mut().dispatch.ended_long(server);
+        }
+    }
+
     /// Its answer is overdue, probably lost: until the guard is dropped, another connection may
     /// be opened in its place.
     pub fn overdue(&self) -> Overdue<C> {
@@ -724,10 +735,10 @@
     /// Gives the connection back; no transaction may be open there. One that is out of order or
     /// has answers outstanding is closed.
     pub fn give_back(mut self) {
-        self.rest(false);
         if self.broken || self.pending() > 0 {
             return;
         }
+        self.release();
         let Some(back) = self.back.take() else {
             return;
         };
@@ -745,7 +756,7 @@
 impl<C: Codec> Drop for Lent<C> {
     fn drop(&mut self) {
         if self.back.is_some() {
-            self.rest(false);
+            self.release();
         }
         let Some(back) = self.back.take() else {
             return;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -42,6 +42,10 @@
 /// Pause before a statement of an open transaction is sent again to a server without room.
 const FULL_PAUSE: Duration = Duration::from_millis(10);
 
+/// Told while most other hosts are silent: the primary may be about to be replaced without this
+/// host hearing of it, and what it acknowledges then is lost.
+const OUT_OF_TOUCH: &str = "this host is out of touch with most others";
+
 /// How long a caller may take to say which database it wants.
 const STARTUP: Duration = Duration::from_secs(5);
 
@@ -481,6 +485,11 @@
 
     async fn commit_open(&mut self, query: &Query, mut open: Box<Open<C>>) {
         let arrived = self.context.site.now();
+        if open.wrote && !self.context.fleet.may_write() {
+            open.roll_back();
+            self.tell(query, Code::Aborted, OUT_OF_TOUCH, arrived);
+            return;
+        }
         let job = Job {
             query,
             carry: &self.carry,
@@ -492,6 +501,14 @@
         let ran = insist(&mut open, &job, self.timeout()).await;
         let server = open.lent.server;
         match ran {
+            Ran::Answered(outcome)
+                if open.wrote && outcome.end.is_ok() && !self.context.fleet.may_write() =>
+            {
+                open.service.heard(server, outcome.position, arrived, false);
+                open.lent.give_back();
+                self.doubt(query, &open.service, server, OUT_OF_TOUCH, arrived);
+                self.tell(query, Code::InDoubt, OUT_OF_TOUCH, arrived);
+            }
             Ran::Answered(outcome) => {
                 let led = open.led && open.wrote && outcome.end.is_ok();
                 open.service.heard(server, outcome.position, arrived, led);
@@ -548,12 +565,17 @@
                 let reason = "there is no such database any more".to_owned();
                 return Served::NotRun(Code::NoDatabase, reason);
             };
+            let writes = plan.access == Access::Write && plan.frame == Frame::Bare;
+            if writes && !self.context.fleet.may_write() {
+                return Served::NotRun(Code::Busy, OUT_OF_TOUCH.to_owned());
+            }
             let need = self.need(plan, &route, &service);
             let priority = route.priority;
             let ticket = Ticket {
                 id: site.next_id(),
                 need,
                 priority,
+                long: matches!(plan.frame, Frame::Opens(_)),
                 arrived: plan.arrived,
                 goal: plan.since + route.goal,
                 deadline: plan.deadline,
@@ -592,6 +614,12 @@
                 Ran::Answered(outcome) => {
                     let code = outcome.end.as_ref().err().map(|fault| fault.code);
                     service.heard(server, outcome.position, sent, led && code.is_none());
+                    if code.is_none() && writes && !self.context.fleet.may_write() {
+                        lent.give_back();
+                        let reason = OUT_OF_TOUCH.to_owned();
+                        self.doubt(query, &service, server, &reason, plan.arrived);
+                        return Served::InDoubt(Code::InDoubt, reason);
+                    }
                     let Some(code) = code else {
                         service.took(server, site.now().saturating_sub(sent));
                         return Served::Answered(Box::new(Answered {
