An order does not wait for a moment that has just passed

Change: nobody to wait for is no time at all; hosts that are heard and have not answered are asked again.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -126,6 +126,6 @@
         let writing = self.others.iter();
         let writing = writing.filter(|(host, _)| !told.contains(host) && !gone.contains(host));
         let until = writing.map(|(_, contact)| contact.heard + LEASE + MARGIN);
-        until.max().unwrap_or(now)
+        until.max().unwrap_or_default()
     }
 }
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -364,7 +364,16 @@
                 self.phase = Phase::Ordering { grant, server };
                 vec![Next::Promote { server, grant }]
             }
-            None if quiet && now >= until => {
+            _ if !quiet && now >= until => {
+                // A host that is heard and has not answered may only have missed the question.
+                self.phase = Phase::Choosing {
+                    grant,
+                    until: now + INQUIRY,
+                    inquiry,
+                };
+                vec![Next::AskHosts]
+            }
+            None if now >= until => {
                 self.pause_until = now + PAUSE;
                 Vec::new()
             }
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -65,6 +65,18 @@
     assert_eq!(quorum.gone(now), BTreeSet::from([others[2]]));
 }
 
+/// A host alone in its fleet, or one that all others have answered, waits for nobody: with the
+/// moment of the question as the answer, a step that had begun before it never found it quiet.
+#[test]
+fn with_everybody_told_there_is_nothing_to_wait_for() {
+    let others = hosts(2);
+    let mut quorum = Quorum::default();
+    assert_eq!(quorum.quiet_at(&BTreeSet::new(), ms(5_000)), ms(0));
+    quorum.list(others.iter().copied().collect(), ms(0));
+    let told = others.into_iter().collect();
+    assert_eq!(quorum.quiet_at(&told, ms(5_000)), ms(0));
+}
+
 /// Where nobody is heard, it is this host that is cut off, however long it lasts.
 #[test]
 fn a_cut_off_host_takes_nobody_as_gone() {
