A host without connections asks for its part; heartbeats at once when hosts become known

Cause: after a loss of power all hosts connect at once, and one that was refused four times counted its attempts as its part, asked nobody and served nothing for a second; a host that had just started refused writes until its first heartbeat, up to 250 ms. Change: only established connections count; a change of the list of hosts sends a heartbeat.

--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -240,9 +240,10 @@
         self.squeezed_until = now + SQUEEZE;
     }
 
-    /// Whether this host has less than its part of the server's connections.
+    /// Whether this host has less than its part of the server's connections; those that are only
+    /// being opened may be refused as well.
     pub fn is_short(&self) -> bool {
-        self.connections() < self.fair
+        self.connections().saturating_sub(self.opening) < self.fair
     }
 
     fn most_at(&self, now: Duration) -> u16 {
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -198,6 +198,23 @@
     assert_eq!(dispatch.servers()[&leader].connections(), 2);
 }
 
+/// All hosts come back from a loss of power and connect at once; one finds the server at its
+/// limit four times. Counting the attempts that were still under way it took itself to have its
+/// part, asked nobody, and served nothing for a second.
+#[test]
+fn a_host_without_connections_is_short_of_them() {
+    let now = ms(5_000);
+    let leader = keys()[0];
+    let mut dispatch = Dispatch::default();
+    dispatch.insert(leader, Server::new(true, 2, 1, 2, 4));
+    dispatch.lead(Some(leader));
+    for id in 1..=2 {
+        dispatch.arrive(ticket(id, Need::Lead, now), now);
+    }
+    assert_eq!(dispatch.servers()[&leader].connections(), 2);
+    assert!(dispatch.servers()[&leader].is_short());
+}
+
 /// A server refuses because its queue is full. Sent again at once, the refused requests keep the
 /// queue full and nothing else gets through: the window narrows, and widens with answers.
 #[test]
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -132,7 +132,11 @@
     let over = ms(1_020) + INQUIRY;
     assert_eq!(scene.step(over), [Next::Claim]);
     scene.succession.won(Grant(7), over);
-    assert_eq!(scene.step(ms(1_990)), [Next::AskHosts], "asked once more, and no order");
+    assert_eq!(
+        scene.step(ms(1_990)),
+        [Next::AskHosts],
+        "asked once more, and no order"
+    );
     assert_eq!(scene.step(ms(1_999)), []);
     let order = Next::Promote {
         server: scene.servers[2],
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -120,7 +120,12 @@
         let mut interval = tokio::time::interval(HEARTBEAT);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            interval.tick().await;
+            // A host that has just started is in touch with nobody until its first question is
+            // answered, and refuses writes meanwhile.
+            tokio::select! {
+                _ = interval.tick() => {}
+                () = self.fleet.peers_changed.notified() => {}
+            }
             let now = self.site.now();
             let sent = micros(now);
             for (_, peer) in self.fleet.peers() {
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -9,6 +9,7 @@
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::Quorum;
 use slotmap::SlotMap;
+use tokio::sync::Notify;
 
 use crate::codec::Codec;
 use crate::event::Event;
@@ -42,6 +43,8 @@
     servers: RefCell<Servers>,
     peers: RefCell<Peers>,
     quorum: RefCell<Quorum>,
+    /// The list of hosts has changed.
+    pub peers_changed: Notify,
     listed: Cell<bool>,
 }
 
@@ -74,6 +77,7 @@
             servers: RefCell::default(),
             peers: RefCell::default(),
             quorum: RefCell::default(),
+            peers_changed: Notify::new(),
             listed: Cell::new(false),
         }
     }
@@ -233,6 +237,7 @@
         let others = self.peers().into_iter().map(|(key, _)| key).collect();
         let now = self.site.now();
         self.quorum.borrow_mut().list(others, now);
+        self.peers_changed.notify_one();
         self.allot();
     }
 
