--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -62,6 +62,7 @@
     phase: Phase,
     pause_until: Duration,
     reserve: Option<Grant>,
+    outvoted: Option<Duration>,
 }
 
 #[derive(Debug, Default)]
@@ -152,6 +153,12 @@
         }
     }
 
+    /// Since when this host has missed a primary that is not replaced, because others reach it or
+    /// too few miss it: callers are served better elsewhere.
+    pub fn outvoted(&self) -> Option<Duration> {
+        self.outvoted
+    }
+
     /// Another host says what it sees of the primary.
     pub fn opinion(&mut self, host: HostKey, opinion: Opinion) {
         if let Some(inquiry) = self.inquiry() {
@@ -232,6 +239,9 @@
 
     /// Takes the next step.
     pub fn step(&mut self, view: &View, now: Duration) -> Vec<Next> {
+        if matches!(view.trouble, None | Some(Trouble::Leaving)) {
+            self.outvoted = None;
+        }
         match std::mem::take(&mut self.phase) {
             Phase::Watching => self.watch(view, now),
             Phase::Inquiring(inquiry) => self.judge(inquiry, view, now),
@@ -282,9 +292,11 @@
             }
             Verdict::Keep => {
                 self.pause_until = now + PAUSE;
+                self.outvoted.get_or_insert(now);
                 Vec::new()
             }
             Verdict::Replace => {
+                self.outvoted = None;
                 self.phase = Phase::Claiming(inquiry);
                 vec![Next::Claim]
             }
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -156,6 +156,39 @@
     assert!(!scene.succession.is_under_way());
 }
 
+/// A zone is cut off. Its clerks reach its hosts, which reach no primary: they were refused for six
+/// seconds. Hosts that know themselves outvoted say that they are not ready, and callers go on in
+/// other zones.
+#[test]
+fn an_outvoted_host_knows_it() {
+    let mut scene = scene();
+    assert_eq!(scene.succession.outvoted(), None);
+    scene.step(ms(1_020));
+    scene.hear(1, 0);
+    let over = ms(1_020) + INQUIRY;
+    scene.step(over);
+    assert_eq!(scene.succession.outvoted(), Some(over));
+    scene.step(ms(3_000));
+    assert_eq!(scene.succession.outvoted(), Some(over), "since then");
+    scene.view.trouble = None;
+    scene.step(ms(3_100));
+    assert_eq!(
+        scene.succession.outvoted(),
+        None,
+        "it reaches the primary again"
+    );
+}
+
+/// Most hosts agree that a primary is gone. None of them is worse than the others.
+#[test]
+fn with_most_nobody_is_outvoted() {
+    let mut scene = scene();
+    scene.step(ms(1_020));
+    scene.hear(5, 0);
+    assert_eq!(scene.step(ms(1_030)), [Next::Claim]);
+    assert_eq!(scene.succession.outvoted(), None);
+}
+
 /// All other hosts were lost for good, and then the primary: the platform's list loses it too
 /// after some seconds. Whoever is left has to act in the end, or nobody books any more.
 #[test]
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// For how long this host has missed a primary that others reach.
+    pub fn outvoted(&self) -> Option<Duration> {
+        let now = self.site.now();
+        let services = self.services.borrow();
+        let since = services.values().filter_map(|it| it.borrow().outvoted());
+        since.min().map(|since| now.saturating_sub(since))
+    }
+
     /// Starts a task for each service that has none.
     pub fn attend(self: &Rc<Self>) {
         for service in self.fleet.services() {
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -41,6 +41,10 @@
 /// asks once a second and believes the second refusal.
 const ROTATION: Duration = Duration::from_millis(2_300);
 
+/// A host that misses a primary which others reach says that it is not ready after this long: a
+/// moment's disagreement is no reason to move callers.
+const UNFIT: Duration = Duration::from_millis(200);
+
 /// What a host is told by its settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
@@ -81,12 +85,14 @@
 #[derive(Debug)]
 pub struct Stop {
     phase: watch::Sender<Phase>,
+    moves: watch::Sender<u64>,
 }
 
 impl Default for Stop {
     fn default() -> Stop {
         Stop {
             phase: watch::Sender::new(Phase::Running),
+            moves: watch::Sender::new(0),
         }
     }
 }
@@ -102,9 +108,25 @@
         self.phase.send_replace(phase);
     }
 
-    /// Returns when sessions without a transaction have to end.
-    pub async fn sessions(&self) {
-        self.reached(Phase::Closing).await;
+    /// Ends all sessions that are open now, each as soon as it has no transaction: their callers
+    /// are served better by other hosts.
+    pub fn move_away(&self) {
+        self.moves.send_modify(|moves| *moves += 1);
+    }
+
+    /// How often sessions were asked to move.
+    pub fn moves(&self) -> u64 {
+        *self.moves.borrow()
+    }
+
+    /// Returns when a session without a transaction, which began after `moves` moves, has to end.
+    pub async fn sessions(&self, moves: u64) {
+        let mut moved = self.moves.subscribe();
+        tokio::select! {
+            () = self.reached(Phase::Closing) => {}
+            // The sender lives in `self`, so waiting cannot fail.
+            _ = moved.wait_for(|now| *now > moves) => {}
+        }
     }
 
     /// Returns when transactions have to end.
@@ -171,9 +193,14 @@
     };
     let readiness = {
         let (fleet, stop) = (Rc::clone(&fleet), Rc::clone(&stop));
-        move |_path: &str| match stop.phase() == Phase::Running && fleet.is_known() {
-            true => (StatusCode::OK, String::new()),
-            false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        let election = Rc::clone(&election);
+        move |_path: &str| {
+            let running = stop.phase() == Phase::Running && fleet.is_known();
+            let fit = election.outvoted().is_none_or(|lasts| lasts < UNFIT);
+            match running && fit {
+                true => (StatusCode::OK, String::new()),
+                false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+            }
         }
     };
     tokio::task::spawn_local(probe::serve(probes, readiness));
@@ -183,6 +210,7 @@
     tokio::task::spawn_local(Rc::clone(&watch).backends());
     tokio::task::spawn_local(Rc::clone(&watch).peers(own));
     tokio::task::spawn_local(tick(Rc::clone(&fleet), Rc::clone(&watch)));
+    tokio::task::spawn_local(move_away(Rc::clone(&election), Rc::clone(&stop)));
 
     let context = Rc::new(Context {
         site: Rc::clone(&site),
@@ -230,6 +258,26 @@
     tokio::time::timeout(limit, over).await.is_ok()
 }
 
+/// Has callers move to other hosts while this one misses a primary that others reach, once the
+/// balancer sends them there.
+///
+/// Callers in a zone that is cut off reach its hosts only by the balancer's choice: while none of
+/// a zone's hosts is ready, it uses those of other zones. Open sessions stay until they are ended.
+async fn move_away<C: Codec, P: Platform>(election: Rc<Election<C, P>>, stop: Rc<Stop>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut moved = false;
+    loop {
+        interval.tick().await;
+        let lasts = election.outvoted().unwrap_or_default();
+        let due = lasts >= UNFIT + ROTATION;
+        if due && !moved {
+            stop.move_away();
+        }
+        moved = due;
+    }
+}
+
 async fn tick<C: Codec, P: Platform>(fleet: Rc<Fleet<C>>, watch: Rc<Watch<C, P>>) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -72,6 +72,8 @@
     seen: BTreeMap<String, Position>,
     transaction: State<C>,
     retries: Budget,
+    /// How often sessions had been asked to move when this one began.
+    moves: u64,
 }
 
 enum State<C: Codec> {
@@ -166,7 +168,9 @@
         }
         front.ready(Transaction::Idle, None);
         front.flush().await?;
+        let moves = context.stop.moves();
         let session = Session {
+            moves,
             context,
             front,
             database,
@@ -227,7 +231,7 @@
         tokio::select! {
             biased;
             request = self.front.request() => Ok(Incoming::Request(request?)),
-            () = stop.sessions() => Ok(Incoming::Stop),
+            () = stop.sessions(self.moves) => Ok(Incoming::Stop),
         }
     }
 
