A few hosts of each zone serve where hosts outnumber a server's connections

Heartbeats among all pairs took half of the processor time. Change: hosts of a zone that are best placed by a hash serve a service for all, the others pass sessions on to them statement by statement; heartbeats and questions go to seven hosts spread over the zones.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -47,6 +47,8 @@
 #[derive(Debug, Default)]
 pub struct Quorum {
     others: BTreeMap<HostKey, Contact>,
+    /// This host only asks; it is not one of those whose majority counts.
+    outside: bool,
     store: Option<Duration>,
 }
 
@@ -70,6 +72,11 @@
         }
     }
 
+    /// Whether this host is one of those whose majority counts; it is unless told otherwise.
+    pub fn take_part(&mut self, takes_part: bool) {
+        self.outside = !takes_part;
+    }
+
     /// Something came from `host`.
     pub fn heard(&mut self, host: HostKey, now: Duration) {
         if let Some(contact) = self.others.get_mut(&host) {
@@ -98,13 +105,11 @@
     /// Whether most hosts have answered lately.
     pub fn is_with_most(&self, now: Duration) -> bool {
         let fresh = |contact: &&Contact| contact.answered.is_some_and(|at| now < at + LEASE);
-        let fresh = self.others.values().filter(fresh).count() + 1;
-        let gone = match fresh * 2 > self.others.len() + 1 {
-            true => 0,
-            // Only hosts that were with most of them may have been told apart from cut-off ones.
-            false => self.gone(now).len(),
-        };
-        fresh * 2 > self.others.len() + 1 - gone
+        let own = usize::from(!self.outside);
+        let fresh = self.others.values().filter(fresh).count() + own;
+        let hosts = self.others.len() + own;
+        // Entries of hosts that are gone for good make no majority impossible.
+        fresh * 2 > hosts || fresh * 2 > hosts - self.gone(now).len()
     }
 
     /// Hosts that count as gone for good.
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -38,6 +38,20 @@
     );
 }
 
+/// In a large fleet a few hosts are asked by all. One that is not among them counts only those:
+/// its own opinion is no part of a majority.
+#[test]
+fn a_host_outside_counts_only_those_that_it_asks() {
+    let others = hosts(3);
+    let mut quorum = Quorum::default();
+    quorum.take_part(false);
+    quorum.list(others.iter().copied().collect(), ms(0));
+    quorum.answered(others[0], ms(1_000));
+    assert!(!quorum.may_write(ms(1_100)), "one of three");
+    quorum.answered(others[1], ms(1_000));
+    assert!(quorum.may_write(ms(1_100)));
+}
+
 /// Most hosts are killed at once. The one that is left has nobody to ask, but the platform's
 /// store says that nobody replaces the primary: writes go on.
 #[test]
--- a/crates/proxy/src/back.rs
+++ b/crates/proxy/src/back.rs
@@ -203,6 +203,12 @@
         }
     }
 
+    /// Returns when the server has closed the connection, or sent what nobody asked for.
+    pub async fn ended(&mut self) {
+        // Whatever comes, data or the end: nothing is expected while no command is outstanding.
+        let _ = self.stream.readable().await;
+    }
+
     /// Whether the server has closed the connection while it was idle.
     pub fn is_over(&self) -> bool {
         !self.received.is_empty() || socket::is_over(&self.stream)
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -137,7 +137,7 @@
             }
             let now = self.site.now();
             let sent = micros(now);
-            for (_, peer) in self.fleet.peers() {
+            for (_, peer) in self.fleet.electors().0 {
                 self.tell(String::new(), Word::Beat { sent }, peer.address);
             }
             let with_most = self
@@ -354,7 +354,7 @@
             });
         }
         let server = view.leader.map(|leader| service.name_of(Some(leader)));
-        for (_, peer) in self.fleet.peers() {
+        for (_, peer) in self.fleet.electors().0 {
             let server = server.clone();
             self.send(service, Word::Ask { server }, peer.address);
         }
@@ -502,7 +502,7 @@
         let serving = targets
             .iter()
             .filter(|(_, standing)| *standing == Standing::Serving);
-        let peers = self.fleet.peers();
+        let (peers, _) = self.fleet.electors();
         View {
             leader: service.leader(),
             term: service.term(),
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,7 +1,8 @@
 //! What this host knows of the fleet: configuration, services and their servers, other hosts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,6 +36,16 @@
 /// A host may use this part of a server's connections for a while, as a divisor.
 const BURST_PART: u16 = 4;
 
+/// Up to this many hosts all ask each other whether they are in touch.
+const SMALL: usize = 9;
+
+/// In larger fleets so many hosts, spread over the availability zones, are asked by all: what a
+/// host sends stays the same however many there are. Odd, so that halves cannot tie.
+const ELECTORS: usize = 7;
+
+/// Connections that a host which serves a service for its zone should have to each server.
+const HOME_CONNECTIONS: usize = 5;
+
 /// What this host knows of the fleet.
 pub struct Fleet<C: Codec> {
     site: Rc<Site>,
@@ -234,9 +245,14 @@
                 }
             }
         }
-        let others = self.peers().into_iter().map(|(key, _)| key).collect();
+        let (electors, takes_part) = self.electors();
+        let others = electors.into_iter().map(|(key, _)| key).collect();
         let now = self.site.now();
-        self.quorum.borrow_mut().list(others, now);
+        {
+            let mut quorum = self.quorum.borrow_mut();
+            quorum.take_part(takes_part);
+            quorum.list(others, now);
+        }
         self.peers_changed.notify_one();
         self.allot();
     }
@@ -256,6 +272,72 @@
         self.peers.borrow().by_host.values().cloned().collect()
     }
 
+    /// The other hosts whose majority counts, and whether this one is of their number.
+    pub fn electors(&self) -> (Vec<(HostKey, Peer)>, bool) {
+        let peers = self.peers();
+        if peers.len() < SMALL {
+            return (peers, true);
+        }
+        // Each zone's hosts in an order of their own, then one of each zone after the other.
+        let mut zones: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
+        let own = (self.site.zone.as_str(), self.site.host.as_str());
+        let hosts = peers
+            .iter()
+            .map(|(_, peer)| (peer.zone.as_str(), peer.host.as_str()));
+        for (zone, host) in hosts.chain([own]) {
+            let order = spread("electors", host);
+            zones.entry(zone).or_default().push((order, host));
+        }
+        let mut order: Vec<(usize, &str)> = Vec::new();
+        for hosts in zones.values_mut() {
+            hosts.sort_unstable();
+            order.extend(
+                hosts
+                    .iter()
+                    .enumerate()
+                    .map(|(place, (_, host))| (place, *host)),
+            );
+        }
+        order.sort_by_key(|(place, _)| *place);
+        order.truncate(ELECTORS);
+        let elected = |host: &str| order.iter().any(|(_, elected)| *elected == host);
+        let takes_part = elected(&self.site.host);
+        let chosen = peers.iter().filter(|(_, peer)| elected(&peer.host));
+        (chosen.cloned().collect(), takes_part)
+    }
+
+    /// The hosts of this zone that serve `service` for all of its hosts, best first; `None` where
+    /// each host serves for itself.
+    ///
+    /// With more hosts than a server accepts connections, most would be refused and all would
+    /// connect anew all the time.
+    pub fn homes(&self, service: &str) -> Option<Vec<Home>> {
+        let peers = self.peers.borrow();
+        let connections = self.connections(service)?;
+        if peers.by_host.len() < connections {
+            return None;
+        }
+        let all = peers.by_host.values().map(|(_, peer)| peer);
+        let mut zones: BTreeSet<&str> = all.clone().map(|peer| peer.zone.as_str()).collect();
+        zones.insert(&self.site.zone);
+        let count = (connections / zones.len() / HOME_CONNECTIONS).max(1);
+        let mut hosts: Vec<(u64, Home)> = all
+            .filter(|peer| peer.zone == self.site.zone)
+            .map(|peer| (spread(service, &peer.host), Home::Peer(peer.address)))
+            .collect();
+        hosts.push((spread(service, &self.site.host), Home::Here));
+        hosts.sort_by_key(|(order, _)| *order);
+        let homes = hosts.into_iter().take(count);
+        Some(homes.map(|(_, home)| home).collect())
+    }
+
+    /// Connections that each server of `service` accepts.
+    fn connections(&self, service: &str) -> Option<usize> {
+        let configuration = self.configuration.borrow();
+        let configured = configuration.as_ref()?.services.get(service)?;
+        Some(usize::from(configured.connections))
+    }
+
     /// How many hosts come before this one when `what` has to be done by one of them.
     ///
     /// The order differs by `what`, so that one lost host does not come first everywhere.
@@ -300,6 +382,15 @@
         service
     }
 
+    /// Availability zones that have hosts.
+    fn zones(&self) -> usize {
+        let peers = self.peers.borrow();
+        let zones = peers.by_host.values().map(|(_, peer)| peer.zone.as_str());
+        let mut zones: BTreeSet<&str> = zones.collect();
+        zones.insert(&self.site.zone);
+        zones.len()
+    }
+
     fn allot(&self) {
         for service in self.services() {
             service.allot(self.allotment(&service.name));
@@ -318,7 +409,18 @@
                 most: 1,
             };
         };
-        let hosts = self.peers.borrow().by_host.len() + 1;
+        let hosts = match self.homes(service) {
+            None => self.peers.borrow().by_host.len() + 1,
+            Some(homes) if homes.contains(&Home::Here) => homes.len() * self.zones(),
+            // Others serve it; a single connection is left for when none of them can be reached.
+            Some(_) => {
+                return Allotment {
+                    base: 0,
+                    fair: 1,
+                    most: 1,
+                };
+            }
+        };
         let hosts = u16::try_from(hosts).unwrap_or(u16::MAX);
         let base = (configured.connections / KEPT_PART / hosts).clamp(1, BASE_MOST);
         let fair = (configured.connections / hosts).max(1);
@@ -327,6 +429,15 @@
     }
 }
 
+/// Where a service is served for this host's availability zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Home {
+    /// By this host.
+    Here,
+    /// By the host that answers others at this address.
+    Peer(SocketAddr),
+}
+
 /// FNV-1a: the same number on every host, for any pair of names.
 fn spread(what: &str, host: &str) -> u64 {
     let bytes = what.bytes().chain(host.bytes());
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -24,7 +24,7 @@
 use crate::platform::{Peer, Platform};
 use crate::probe;
 use crate::service::Site;
-use crate::session::{Context, Session};
+use crate::session::{Context, Place, Session};
 use crate::socket;
 use crate::watch::Watch;
 
@@ -164,6 +164,7 @@
     let callers = TcpListener::bind(settings.callers).await?;
     let probes = TcpListener::bind(settings.probe).await?;
     let socket = Rc::new(Socket::bind(settings.peers).await?);
+    let relays = TcpListener::bind(socket.address()?).await?;
     metrics::start();
     Daemon::Started {
         daemon: NAME,
@@ -218,12 +219,11 @@
         stop: Rc::clone(&stop),
     });
     let open = Rc::new(Cell::new(0));
-    let accepting = tokio::task::spawn_local(accept(
-        callers,
-        context,
-        Rc::clone(&open),
-        settings.sessions,
-    ));
+    let limit = settings.sessions;
+    let (peers, counted) = (Rc::clone(&context), Rc::clone(&open));
+    tokio::task::spawn_local(accept(relays, peers, counted, limit, Place::Here));
+    let counted = Rc::clone(&open);
+    let accepting = tokio::task::spawn_local(accept(callers, context, counted, limit, Place::Any));
     ended.await;
     Daemon::Draining { daemon: NAME }.log();
     drain(&stop, &open, settings.grace).await;
@@ -295,6 +295,7 @@
     context: Rc<Context<C>>,
     open: Rc<Cell<usize>>,
     most: usize,
+    place: Place,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -310,18 +311,18 @@
         open.set(open.get() + 1);
         let (context, open) = (Rc::clone(&context), Rc::clone(&open));
         tokio::task::spawn_local(async move {
-            session(context, stream).await;
+            session(context, stream, place).await;
             open.set(open.get() - 1);
         });
     }
 }
 
-async fn session<C: Codec>(context: Rc<Context<C>>, stream: TcpStream) {
+async fn session<C: Codec>(context: Rc<Context<C>>, stream: TcpStream, place: Place) {
     let site = Rc::clone(&context.site);
     if socket::guard(&stream, CALLER_SILENCE).is_err() {
         return;
     }
-    let served = Session::serve(context, Front::new(stream)).await;
+    let served = Session::serve(context, Front::new(stream), place).await;
     // A caller that went away is no event; one that cannot be understood is.
     if let Err(front::Error::Codec(error)) = served {
         site.log(&Event::BadCaller {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peer;
 pub mod platform;
 pub mod probe;
+pub mod relay;
 pub mod route;
 pub mod service;
 pub mod session;
--- /dev/null
+++ b/crates/proxy/src/relay.rs
@@ -0,0 +1,122 @@
+//! A session that another host of the availability zone serves.
+//!
+//! Where hosts outnumber the connections that a server accepts, a few hosts of each zone serve a
+//! service for all of them. The others pass their callers' statements on, one after the other, over
+//! a connection for each caller: session state stays whole at the host that serves.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use flamingopost_core::key::ServerKey;
+
+use crate::back::{Back, Target};
+use crate::codec::Codec;
+use crate::front::{self, Front};
+use crate::message::{Command, Request, Transaction};
+use crate::session::Context;
+
+/// How long the other host may take for one statement: longer than any route allows.
+const STATEMENT: Duration = Duration::from_secs(20);
+
+/// How long connecting to the other host may take before the next one is tried.
+const CONNECT: Duration = Duration::from_millis(150);
+
+/// A session that another host serves.
+pub struct Relay<C: Codec> {
+    context: Rc<Context<C>>,
+    front: Front<C>,
+    back: Back<C>,
+    transaction: Transaction,
+    moves: u64,
+}
+
+/// What comes next.
+enum Next {
+    Request(Option<Request>),
+    /// The other host has ended the session, or this one has to.
+    End,
+}
+
+/// Opens a session on `database` at the host that answers others at `address`.
+pub async fn open<C: Codec>(
+    context: &Context<C>,
+    database: &str,
+    address: SocketAddr,
+) -> Option<Back<C>> {
+    let target = Target {
+        server: ServerKey::default(),
+        address,
+        id: String::new(),
+        service: database.to_owned(),
+    };
+    let id = context.site.next_id();
+    let connecting = Back::connect(id, &target, &context.site.host);
+    tokio::time::timeout(CONNECT, connecting).await.ok()?.ok()
+}
+
+impl<C: Codec> Relay<C> {
+    /// Passes the statements of `front` on over `back`.
+    pub fn new(context: Rc<Context<C>>, front: Front<C>, back: Back<C>) -> Relay<C> {
+        let moves = context.stop.moves();
+        Relay {
+            context,
+            front,
+            back,
+            transaction: Transaction::Idle,
+            moves,
+        }
+    }
+
+    /// Serves until one of the three ends the session.
+    ///
+    /// # Errors
+    /// The caller's connection is lost, or it cannot be understood.
+    pub async fn run(mut self) -> Result<(), front::Error> {
+        loop {
+            let request = match self.next().await? {
+                Next::Request(request) => request,
+                Next::End => break,
+            };
+            let Some(Request::Query(query)) = request else {
+                break;
+            };
+            self.back.push(&Command::Run {
+                id: &query.id,
+                text: &query.text,
+                after: None,
+            });
+            let answered = tokio::time::timeout(STATEMENT, async {
+                self.back.flush().await?;
+                self.back.outcome().await
+            });
+            let Ok(Ok(outcome)) = answered.await else {
+                // Whether it ran only the other host knows: the session ends without an answer.
+                return Ok(());
+            };
+            for row in &outcome.rows {
+                self.front.row(row);
+            }
+            match &outcome.end {
+                Ok(proof) => self.front.complete(Some(proof)),
+                Err(fault) => self.front.error(fault.code, &fault.text),
+            }
+            self.transaction = outcome.transaction;
+            self.front.ready(outcome.transaction, outcome.position);
+            self.front.flush().await?;
+        }
+        self.front.close().await
+    }
+
+    async fn next(&mut self) -> Result<Next, front::Error> {
+        let stop = Rc::clone(&self.context.stop);
+        let idle = self.transaction != Transaction::Open;
+        tokio::select! {
+            biased;
+            request = self.front.request() => Ok(Next::Request(request?)),
+            () = self.back.ended() => Ok(Next::End),
+            () = stop.sessions(self.moves), if idle => Ok(Next::End),
+            () = stop.transactions(), if !idle => Ok(Next::End),
+        }
+    }
+}
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -13,15 +13,16 @@
 use flamingopost_core::retry::{self, Attempt};
 
 use crate::attempt::{self, Frame, Job, Ran};
-use crate::back::Outcome;
+use crate::back::{Back, Outcome};
 use crate::carry::Carry;
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Home};
 use crate::front::{self, Front};
 use crate::host::Stop;
 use crate::message::{Access, Code, Command, Query, Request, Shape, Statement, Transaction};
 use crate::meter::{self, End};
+use crate::relay::{self, Relay};
 use crate::route::{Consistency, Route};
 use crate::service::{Lent, Service, Site};
 
@@ -127,6 +128,15 @@
     led: bool,
 }
 
+/// Where a session may be served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// Here, or by another host of the zone.
+    Any,
+    /// Here: another host has passed it on.
+    Here,
+}
+
 /// Whether a session goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Flow {
@@ -145,7 +155,11 @@
     ///
     /// # Errors
     /// The caller's connection is lost, or it cannot be understood.
-    pub async fn serve(context: Rc<Context<C>>, mut front: Front<C>) -> Result<(), front::Error> {
+    pub async fn serve(
+        context: Rc<Context<C>>,
+        mut front: Front<C>,
+        place: Place,
+    ) -> Result<(), front::Error> {
         let started = tokio::time::timeout(STARTUP, front.request()).await;
         let database = match started {
             Ok(Ok(Some(Request::Startup { database }))) => database,
@@ -166,6 +180,13 @@
             front.error(Code::NoDatabase, b"there is no such database");
             return front.close().await;
         }
+        if place == Place::Any
+            && let Some(back) = elsewhere(&context, &database).await
+        {
+            front.ready(Transaction::Idle, None);
+            front.flush().await?;
+            return Relay::new(context, front, back).run().await;
+        }
         front.ready(Transaction::Idle, None);
         front.flush().await?;
         let moves = context.stop.moves();
@@ -919,6 +940,25 @@
     }
 }
 
+/// A session at a host that serves `database` for this one, if there is one that can be reached.
+async fn elsewhere<C: Codec>(context: &Context<C>, database: &str) -> Option<Back<C>> {
+    let (route, _) = context.fleet.route(database)?;
+    let homes = context.fleet.homes(&route.service)?;
+    if homes.contains(&Home::Here) {
+        return None;
+    }
+    let first = usize::try_from(context.site.next_id()).unwrap_or_default();
+    for place in 0..homes.len() {
+        // Sessions take turns among the hosts that serve.
+        if let Home::Peer(address) = homes[(first + place) % homes.len()]
+            && let Some(back) = relay::open(context, database, address).await
+        {
+            return Some(back);
+        }
+    }
+    None
+}
+
 fn unserved_as<C: Codec>(unserved: Unserved) -> Served<C> {
     match unserved {
         Unserved::Busy => Served::NotRun(Code::Busy, "no connection was free in time".to_owned()),
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -58,6 +58,7 @@
     groups: BTreeMap<String, Arc<Group>>,
     servers: BTreeMap<String, Arc<Server>>,
     version: Mutex<u64>,
+    sizes: Sizes,
 }
 
 /// Tokens seen and orders taken, by service.
@@ -83,6 +84,7 @@
             groups: BTreeMap::new(),
             servers: BTreeMap::new(),
             version: Mutex::new(0),
+            sizes,
         };
         for service in services {
             let ids: Vec<String> = (1..=sizes.servers)
@@ -180,7 +182,7 @@
         let services: Vec<serde_json::Value> = self
             .groups
             .keys()
-            .map(|name| json!({"name": name, "max_conns": 16}))
+            .map(|name| json!({"name": name, "max_conns": self.sizes.connections}))
             .collect();
         let value = json!({"version": *version, "routes": routes, "services": services,
             "limits": {"tx_idle_ms": 3000}});
