--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -213,22 +213,6 @@
         }
     }
 
-    /// A lent connection has waited for an answer for so long that it is probably lost; until
-    /// [`Dispatch::settled`] another connection may take its place.
-    pub fn overdue(&mut self, key: ServerKey, now: Duration) -> Vec<Next> {
-        if let Some(server) = self.servers.get_mut(&key) {
-            server.overdue += 1;
-        }
-        self.run(now)
-    }
-
-    /// An overdue connection is gone, or has got its answer.
-    pub fn settled(&mut self, key: ServerKey) {
-        if let Some(server) = self.servers.get_mut(&key) {
-            server.overdue = server.overdue.saturating_sub(1);
-        }
-    }
-
     /// A lent connection is gone.
     pub fn lost(&mut self, key: ServerKey, now: Duration) -> Vec<Next> {
         if let Some(server) = self.servers.get_mut(&key) {
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -76,7 +76,6 @@
     /// The latest position that its data are known to have reached.
     pub applied: Position,
     pub(super) opening: u16,
-    pub(super) overdue: u16,
     lag: Duration,
     lag_at: Duration,
     trial_at: Duration,
@@ -116,7 +115,6 @@
             long: 0,
             applied: Position::default(),
             opening: 0,
-            overdue: 0,
             lag: FIRST_LAG,
             lag_at: Duration::ZERO,
             trial_at: Duration::ZERO,
@@ -228,7 +226,7 @@
     /// Whether one more request may run there.
     pub(super) fn has_room(&self) -> bool {
         let running = self.busy.saturating_sub(self.resting);
-        f64::from(running) < self.window.floor().max(1.0) + f64::from(self.overdue)
+        f64::from(running) < self.window.floor().max(1.0)
     }
 
     /// Another host lacks connections to the server: those above this host's part are given
@@ -309,9 +307,7 @@
     }
 
     pub(super) fn may_open(&self, now: Duration) -> bool {
-        self.connections() < self.most + self.overdue
-            && now >= self.retry_at
-            && now >= self.full_until
+        self.connections() < self.most_at(now) && now >= self.retry_at && now >= self.full_until
     }
 
     pub(super) fn is_cold(&self, now: Duration) -> bool {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -19,7 +19,8 @@
 use crate::message::Status;
 use crate::peer::{Message, Socket, Word};
 use crate::platform::{Claim, Peer, Platform, Promotion, Token};
-use crate::service::{Service, Site};
+use crate::service::Service;
+use crate::site::Site;
 
 /// Time between two steps while something is wrong.
 const STEP: Duration = Duration::from_millis(20);
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -16,7 +16,8 @@
 use crate::event::Event;
 use crate::platform::{Backend, Change, Configuration, Peer};
 use crate::route::Route;
-use crate::service::{Allotment, Service, Site};
+use crate::service::{Allotment, Service};
+use crate::site::Site;
 
 /// How long an entry that has gone from the list is still believed in. Entries of living servers
 /// lapse while the platform's store is away and are back within two seconds of its return; the
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -23,8 +23,8 @@
 use crate::peer::Socket;
 use crate::platform::{Peer, Platform};
 use crate::probe;
-use crate::service::Site;
 use crate::session::{Context, Place, Session};
+use crate::site::Site;
 use crate::socket;
 use crate::watch::Watch;
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod route;
 pub mod service;
 pub mod session;
+pub mod site;
 pub mod socket;
 pub mod watch;
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -1,13 +1,10 @@
 //! One service on this host: its servers, the pooled connections to them, and who waits for one.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use flamingopost_core::clock::Clock;
 use flamingopost_core::dispatch::{self, Dispatch, Need, Next, Standing, Ticket, Unserved};
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::{Leader, Role};
@@ -18,75 +15,23 @@
 
 use crate::back::{self, Back, Target};
 use crate::codec::Codec;
-use crate::event::{Event, Limit};
+use crate::event::Event;
 use crate::message::{Code, Status};
 use crate::meter;
 use crate::platform::Backend;
+use crate::site::Site;
+
+mod lent;
+
+pub use lent::{Awaited, Lent};
 
 /// A primary that is about to leave serves until shortly before its successor leads. What it
 /// acknowledges within this time before, its successor might not have received: many times the
 /// way between zones.
 const HANDOVER: Duration = Duration::from_millis(60);
 
-/// A change is seen this much after it has taken effect: a write of the platform's and a feed.
-const SEEN_LATE: Duration = Duration::from_millis(20);
-
 /// How long nothing is sent to a primary that is being replaced, if no successor shows.
-const HOLD: Duration = Duration::from_millis(1_600);
-
-/// What all of a host's parts share.
-pub struct Site {
-    /// Name of the host.
-    pub host: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// The clock.
-    pub clock: Arc<dyn Clock>,
-    /// Keeps logs bounded.
-    pub limit: Limit,
-    /// How long a promotion takes at the least.
-    pub promotion: Cell<Duration>,
-    ids: Cell<u64>,
-}
-
-impl Site {
-    /// Host `host` in `zone`, on a platform where a promotion takes `promotion` until it is
-    /// measured.
-    pub fn new(host: String, zone: String, promotion: Duration, clock: Arc<dyn Clock>) -> Site {
-        Site {
-            promotion: Cell::new(promotion),
-            host,
-            zone,
-            clock,
-            limit: Limit::default(),
-            ids: Cell::new(0),
-        }
-    }
-
-    /// The time.
-    pub fn now(&self) -> Duration {
-        self.clock.now()
-    }
-
-    /// Logs `event`, within bounds.
-    pub fn log(&self, event: &Event) {
-        self.limit.log(event, self.now());
-    }
-
-    /// A promotion took `took` from its order until it was seen here.
-    fn promoted(&self, took: Duration) {
-        if took < HOLD {
-            self.promotion.set(took.saturating_sub(SEEN_LATE));
-        }
-    }
-
-    /// A number that this process has not used.
-    pub fn next_id(&self) -> u64 {
-        let id = self.ids.get() + 1;
-        self.ids.set(id);
-        id
-    }
-}
+pub(crate) const HOLD: Duration = Duration::from_millis(1_600);
 
 /// One service on this host.
 pub struct Service<C: Codec> {
@@ -137,15 +82,6 @@
     pub most: u16,
 }
 
-/// A connection that one request has for itself. Dropped, it is closed: only what is known to be
-/// in order is given back.
-pub struct Lent<C: Codec> {
-    back: Option<Back<C>>,
-    service: Rc<Service<C>>,
-    rests: bool,
-    long: bool,
-}
-
 impl<C: Codec> Service<C> {
     /// A service of which no server is known yet.
     pub fn new(name: String, site: Rc<Site>) -> Service<C> {
@@ -681,114 +617,6 @@
     }
 }
 
-impl<C: Codec> Lent<C> {
-    /// Notes whether the connection rests inside a transaction while its caller thinks.
-    pub fn rest(&mut self, rests: bool) {
-        if self.rests == rests {
-            return;
-        }
-        self.rests = rests;
-        let now = self.service.site.now();
-        let server = self.server;
-        let next = {
-            let mut state = self.service.state.borrow_mut();
-            state.dispatch.rest(server, rests, now)
-        };
-        self.service.apply(next);
-    }
-
-    /// Something is sent now; the guard stands for the answer that is awaited.
-    pub fn awaits(&self) -> Awaited<C> {
-        let service = Rc::clone(&self.service);
-        let (server, id) = (self.server, service.site.next_id());
-        let now = service.site.now();
-        if let Some(known) = service.state.borrow_mut().servers.get_mut(&server) {
-            known.outstanding.insert(id, now);
-        }
-        Awaited {
-            service,
-            server,
-            id,
-        }
-    }
-
-    /// Takes back what was counted for it beside the connection itself.
-    fn release(&mut self) {
-        self.rest(false);
-        if std::mem::take(&mut self.long) {
-            let server = self.server;
-            self.service.state.borrow_mut().dispatch.ended_long(server);
-        }
-    }
-
-    /// Its answer is overdue, probably lost: until the guard is dropped, another connection may
-    /// be opened in its place.
-    pub fn overdue(&self) -> Overdue<C> {
-        let now = self.service.site.now();
-        let server = self.server;
-        let service = Rc::clone(&self.service);
-        let next = service.state.borrow_mut().dispatch.overdue(server, now);
-        service.apply(next);
-        Overdue { service, server }
-    }
-
-    /// Gives the connection back; no transaction may be open there. One that is out of order or
-    /// has answers outstanding is closed.
-    pub fn give_back(mut self) {
-        if self.broken || self.pending() > 0 {
-            return;
-        }
-        self.release();
-        let Some(back) = self.back.take() else {
-            return;
-        };
-        let (server, id) = (back.server, back.id);
-        let now = self.service.site.now();
-        let next = {
-            let mut state = self.service.state.borrow_mut();
-            state.idle.insert(id, back);
-            state.dispatch.returned(server, id, now)
-        };
-        self.service.apply(next);
-    }
-}
-
-impl<C: Codec> Drop for Lent<C> {
-    fn drop(&mut self) {
-        if self.back.is_some() {
-            self.release();
-        }
-        let Some(back) = self.back.take() else {
-            return;
-        };
-        let now = self.service.site.now();
-        let next = {
-            let mut state = self.service.state.borrow_mut();
-            state.dispatch.lost(back.server, now)
-        };
-        drop(back);
-        self.service.apply(next);
-    }
-}
-
-impl<C: Codec> Deref for Lent<C> {
-    type Target = Back<C>;
-
-    fn deref(&self) -> &Back<C> {
-        self.back
-            .as_ref()
-            .expect("a lent connection is there until it is given back")
-    }
-}
-
-impl<C: Codec> DerefMut for Lent<C> {
-    fn deref_mut(&mut self) -> &mut Back<C> {
-        self.back
-            .as_mut()
-            .expect("a lent connection is there until it is given back")
-    }
-}
-
 /// Takes the ticket of a request out of the queue when its caller stops waiting.
 struct Waiting<'a, C: Codec> {
     service: &'a Rc<Service<C>>,
@@ -800,32 +628,3 @@
         self.service.cancel(self.id);
     }
 }
-
-/// Stands for a connection whose answer is overdue.
-pub struct Overdue<C: Codec> {
-    service: Rc<Service<C>>,
-    server: ServerKey,
-}
-
-impl<C: Codec> Drop for Overdue<C> {
-    fn drop(&mut self) {
-        let mut state = self.service.state.borrow_mut();
-        state.dispatch.settled(self.server);
-    }
-}
-
-/// Stands for an answer that is awaited.
-pub struct Awaited<C: Codec> {
-    service: Rc<Service<C>>,
-    server: ServerKey,
-    id: u64,
-}
-
-impl<C: Codec> Drop for Awaited<C> {
-    fn drop(&mut self) {
-        let mut state = self.service.state.borrow_mut();
-        if let Some(known) = state.servers.get_mut(&self.server) {
-            known.outstanding.remove(&self.id);
-        }
-    }
-}
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -10,7 +10,7 @@
 use crate::fleet::Fleet;
 use crate::meter;
 use crate::platform::{Configuration, Error, Peer, Platform, Read, Revision};
-use crate::service::Site;
+use crate::site::Site;
 
 /// First wait after a call that failed; doubled up to [`PAUSE_MOST`]. Calls to the store are
 /// charged for, refused ones too.
