A claim whose holder does not act on it is taken over; hosts relieve a leaving primary in turn

All 61 hosts claimed and asked all servers at once; the one that won found the servers' connections full, gave up, and its own claim and everybody's after it were refused as held, for good. A host killed between claim and order leaves the same, at any size. Change: a claim is taken over by its own holder at once and by others after 1.8 s, with a newer token; hosts claim one after the other by rank.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -47,8 +47,15 @@
 /// about a second.
 const EFFECT: Duration = Duration::from_millis(2_500);
 
+/// Hosts relieve a leaving primary one after the other with this between them: a claim and an
+/// order take about as long.
+const RELIEF_TURN: Duration = Duration::from_millis(20);
+
+/// The last of many hosts waits no longer than this; a leaving server has seconds.
+const RELIEF_MOST: Duration = Duration::from_millis(800);
+
 /// How long the holder of a claim may take until its order is heard of.
-const HOLDER: Duration = Duration::from_millis(1_800);
+pub const HOLDER: Duration = Duration::from_millis(1_800);
 
 /// Without the store, hosts act one after the other with this between them.
 const TURN: Duration = Duration::from_millis(250);
@@ -63,6 +70,8 @@
     pause_until: Duration,
     reserve: Option<Grant>,
     outvoted: Option<Duration>,
+    /// Since when the primary is known to be about to leave.
+    leaving: Option<Duration>,
 }
 
 #[derive(Debug, Default)]
@@ -271,6 +280,10 @@
         if now < self.pause_until || view.candidates.is_empty() {
             return Vec::new();
         }
+        if trouble == Trouble::Leaving {
+            return self.relieve(view, now);
+        }
+        self.leaving = None;
         self.phase = Phase::Inquiring(Inquiry {
             cause: Some(trouble),
             since: now,
@@ -280,6 +293,23 @@
         vec![Next::AskHosts, Next::AskServers]
     }
 
+    /// A primary is about to leave. Nobody has to be asked, and seconds are left: hosts claim one
+    /// after the other, so that most of them hear of the first one's order before their turn.
+    fn relieve(&mut self, view: &View, now: Duration) -> Vec<Next> {
+        let since = *self.leaving.get_or_insert(now);
+        let turn = (RELIEF_TURN * view.rank).min(RELIEF_MOST);
+        if now < since + turn {
+            return Vec::new();
+        }
+        self.phase = Phase::Claiming(Inquiry {
+            cause: Some(Trouble::Leaving),
+            since: now,
+            until: now + INQUIRY,
+            ..Inquiry::default()
+        });
+        vec![Next::Claim]
+    }
+
     fn judge(&mut self, inquiry: Inquiry, view: &View, now: Duration) -> Vec<Next> {
         let Some(trouble) = view.trouble else {
             return Vec::new();
@@ -449,6 +479,7 @@
             return Verdict::Keep;
         }
         let (since, unlisted) = match trouble {
+            // It has begun to leave while others were asked about it.
             Trouble::Leaving => return Verdict::Replace,
             Trouble::Absent { since } => (since, true),
             Trouble::Refuses { since } | Trouble::Silent { since } => (since, false),
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -9,7 +9,9 @@
 use flamingopost_core::dispatch::Standing;
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::HEARTBEAT;
-use flamingopost_core::succession::{Grant, Next, Order, Report, Succession, Trouble, View};
+use flamingopost_core::succession::{
+    Grant, HOLDER, Next, Order, Report, Succession, Trouble, View,
+};
 use tokio::time::timeout;
 
 use crate::back::{self, Back, Target};
@@ -18,7 +20,7 @@
 use crate::fleet::Fleet;
 use crate::message::Status;
 use crate::peer::{Message, Socket, Word};
-use crate::platform::{Claim, Peer, Platform, Promotion, Token};
+use crate::platform::{Claim, Error, Peer, Platform, Promotion, Revision, Token};
 use crate::service::Service;
 use crate::site::Site;
 
@@ -55,6 +57,8 @@
     socket: Rc<Socket>,
     services: RefCell<BTreeMap<String, Rc<RefCell<Succession>>>>,
     reserve: RefCell<Option<Grant>>,
+    /// Claims of others, and since when each is known.
+    held: RefCell<BTreeMap<(String, Revision), Duration>>,
     /// Whether a question to the store is on its way.
     asking: Cell<bool>,
 }
@@ -74,6 +78,7 @@
             socket,
             services: RefCell::default(),
             reserve: RefCell::default(),
+            held: RefCell::default(),
             asking: Cell::new(false),
         }
     }
@@ -418,9 +423,7 @@
         succession: Rc<RefCell<Succession>>,
         attempt: u64,
     ) {
-        let host = &self.site.host;
-        let claimed = self.platform.claim(&service.name, attempt, host, None);
-        let claimed = timeout(CLAIM, claimed).await;
+        let claimed = timeout(CLAIM, self.claim_or_take_over(&service.name, attempt)).await;
         let now = self.site.now();
         let outcome = match claimed {
             Ok(Ok(Claim::Won(token))) => {
@@ -455,6 +458,25 @@
         service.alarm.notify_one();
     }
 
+    /// Claims a change, or takes the claim over from a holder that has not acted on it: one that
+    /// was killed between its claim and its order would leave the service without a primary for
+    /// good. A holder that is only slow is fenced by its lower token.
+    async fn claim_or_take_over(&self, service: &str, attempt: u64) -> Result<Claim, Error> {
+        let host = &self.site.host;
+        let claim = self.platform.claim(service, attempt, host, None).await?;
+        let Claim::Held { by, revision } = &claim else {
+            return Ok(claim);
+        };
+        let now = self.site.now();
+        let key = (service.to_owned(), *revision);
+        let seen = *self.held.borrow_mut().entry(key).or_insert(now);
+        if by != host && now < seen + HOLDER {
+            return Ok(claim);
+        }
+        let over = Some(*revision);
+        self.platform.claim(service, attempt, host, over).await
+    }
+
     async fn promote(
         self: Rc<Self>,
         service: Rc<Service<C>>,
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -189,6 +189,12 @@
         self.put("op", "config", &value);
     }
 
+    /// Writes a claim of `host` on the change of the primary of `service` after `term`.
+    pub fn claim(&self, service: &str, term: i64, host: &str) {
+        let key = format!("{service}/{term}");
+        self.put("flamingopost-claims", &key, &json!({"holder": host}));
+    }
+
     fn register(&self, id: &str) {
         register(&self.store, &self.servers, id);
     }
