Remove what nothing uses

Found in reading the change once more: a set of refused servers that was never filled, positions and distances that nobody asked for, an announcement that was never withdrawn. No change of behaviour.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use crate::key::ServerKey;
-use crate::position::Position;
 
 mod next;
 mod server;
@@ -393,8 +392,3 @@
     Open(ServerKey),
     Wait,
 }
-
-/// The latest position that `server` is known to have; for logs and reports.
-pub fn known_position(dispatch: &Dispatch, server: ServerKey) -> Option<Position> {
-    dispatch.servers.get(&server).map(|server| server.applied)
-}
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -107,11 +107,6 @@
         Some(*newest.0)
     }
 
-    /// Whether `server` claims to lead, also beside others.
-    pub fn claims(&self, server: ServerKey) -> bool {
-        self.servers.get(&server).is_some_and(|known| known.claims)
-    }
-
     /// Brings the answer up to date; returns the change, if there was one.
     pub fn refresh(&mut self, now: Duration) -> Option<Change> {
         let leader = self.get();
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -114,7 +114,6 @@
     until: Duration,
     opinions: BTreeMap<HostKey, Opinion>,
     reports: BTreeMap<ServerKey, Report>,
-    refused: BTreeSet<ServerKey>,
 }
 
 /// The situation as the host sees it when it takes a step.
@@ -228,9 +227,9 @@
 
     /// How the order ended.
     pub fn ordered(&mut self, order: Order, now: Duration) {
-        let Phase::Ordering { server, .. } = self.phase else {
+        if !matches!(self.phase, Phase::Ordering { .. }) {
             return;
-        };
+        }
         self.phase = match order {
             Order::Accepted | Order::Unknown => Phase::Awaiting {
                 until: now + EFFECT,
@@ -239,7 +238,6 @@
                 // The token is outdated, or the server is not there. Either way somebody has to
                 // look again; a token that was refused is never used again.
                 self.reserve = None;
-                let _ = server;
                 self.pause_until = now + PAUSE;
                 Phase::Watching
             }
@@ -525,7 +523,7 @@
         let candidates = view.candidates.iter().filter_map(|server| {
             let report = self.reports.get(server)?;
             let fit = view.leader != Some(*server) && report.role == Role::Replica;
-            (fit && !self.refused.contains(server)).then_some((report.received, *server))
+            fit.then_some((report.received, *server))
         });
         let best: Option<(Position, ServerKey)> = candidates.max_by_key(|(position, _)| *position);
         best.map(|(_, server)| server)
--- a/crates/core/src/succession/contact.rs
+++ b/crates/core/src/succession/contact.rs
@@ -92,11 +92,6 @@
         self.answered.map(|at| now.saturating_sub(at))
     }
 
-    /// Whether the last attempts failed.
-    pub fn is_failing(&self) -> bool {
-        self.failing.is_some()
-    }
-
     /// What is wrong, if anything.
     pub fn trouble(&self, now: Duration) -> Option<Trouble> {
         let since = self.failing?;
--- a/crates/core/src/vouch.rs
+++ b/crates/core/src/vouch.rs
@@ -99,11 +99,6 @@
         Some(sample.at)
     }
 
-    /// When the primary was last seen to lead.
-    pub fn last(&self) -> Option<Duration> {
-        self.samples.back().map(|sample| sample.at)
-    }
-
     /// `position`, or the start of the newest term where that is later.
     ///
     /// A promotion may drop the end of the old term's log. A session whose write was dropped
--- a/crates/proxy/src/carry.rs
+++ b/crates/proxy/src/carry.rs
@@ -105,15 +105,6 @@
         self.prepared.get(shape).copied().map(name_of)
     }
 
-    /// How many steps a session with `carry` would need, to choose among idle connections.
-    pub fn distance(&self, carry: &Carry) -> usize {
-        let missing = |(name, value): &(&Bytes, &Bytes)| self.values.get(*name) != Some(*value);
-        let missing = carry.values.iter().filter(missing).count();
-        let extra = self.values.keys();
-        let extra = extra.filter(|name| !carry.values.contains_key(*name));
-        missing + 2 * extra.count()
-    }
-
     fn clear(&mut self) {
         self.values.clear();
         self.prepared.clear();
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -72,17 +72,6 @@
         }
     }
 
-    /// Returns once the caller has closed its connection or lost it. What it sends meanwhile is
-    /// kept for the next request.
-    pub async fn gone(&mut self) {
-        while let Ok(1..) = self.stream.read_buf(&mut self.received).await {}
-    }
-
-    /// Whether nothing that the caller sent is left to be read here.
-    pub fn is_quiet(&self) -> bool {
-        self.received.is_empty()
-    }
-
     /// Queues a row.
     pub fn row(&mut self, row: &[u8]) {
         C::row(&mut self.out, row);
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -158,9 +158,6 @@
     /// Announces this host to others. The token is newer than any that was given out before.
     fn announce(&self, peer: &Peer) -> impl Future<Output = Result<Token, Error>>;
 
-    /// Withdraws the announcement of this host.
-    fn withdraw(&self, host: &str) -> impl Future<Output = Result<(), Error>>;
-
     /// Claims the change of primary number `attempt` of `service` for `host`, or takes the claim
     /// over from a holder that is known not to act on it.
     fn claim(
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -412,13 +412,6 @@
         self.state.borrow().vouch.term()
     }
 
-    /// Whether any connection is open.
-    pub fn is_connected(&self) -> bool {
-        let state = self.state.borrow();
-        let mut servers = state.dispatch.servers().values();
-        servers.any(|server| server.connections() > 0)
-    }
-
     fn refresh(self: &Rc<Self>) {
         let now = self.site.now();
         let change = {
