Keep the hosts whose majority counts instead of working them out at each question

Found in reading the change once more: every heartbeat and every step of each election sorted all hosts anew; they now change with the list only. What an answer inside a transaction shows of its server stood twice and is one function. No change of behaviour.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -143,7 +143,7 @@
             }
             let now = self.site.now();
             let sent = micros(now);
-            for (_, peer) in self.fleet.electors().0 {
+            for (_, peer) in self.fleet.electors() {
                 self.tell(String::new(), Word::Beat { sent }, peer.address);
             }
             let with_most = self
@@ -241,7 +241,7 @@
         }
     }
 
-    /// Tells whether this host reaches `server`, trying it first if it has not lately.
+    /// Tells whether this host reaches `server`, which it tries first.
     async fn answer(&self, service: Rc<Service<C>>, server: Option<String>, from: SocketAddr) {
         let key = match &server {
             Some(server) => service.find(server),
@@ -360,7 +360,7 @@
             });
         }
         let server = view.leader.map(|leader| service.name_of(Some(leader)));
-        for (_, peer) in self.fleet.electors().0 {
+        for (_, peer) in self.fleet.electors() {
             let server = server.clone();
             self.send(service, Word::Ask { server }, peer.address);
         }
@@ -525,7 +525,7 @@
         let serving = targets
             .iter()
             .filter(|(_, standing)| *standing == Standing::Serving);
-        let (peers, _) = self.fleet.electors();
+        let peers = self.fleet.electors();
         View {
             leader: service.leader(),
             term: service.term(),
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -55,6 +55,9 @@
     servers: RefCell<Servers>,
     peers: RefCell<Peers>,
     quorum: RefCell<Quorum>,
+    /// The other hosts whose majority counts; worked out anew with each change of the list, since
+    /// heartbeats and elections ask for them many times a second.
+    electors: RefCell<Vec<(HostKey, Peer)>>,
     /// The list of hosts has changed.
     pub peers_changed: Notify,
     listed: Cell<bool>,
@@ -89,6 +92,7 @@
             servers: RefCell::default(),
             peers: RefCell::default(),
             quorum: RefCell::default(),
+            electors: RefCell::default(),
             peers_changed: Notify::new(),
             listed: Cell::new(false),
         }
@@ -246,8 +250,9 @@
                 }
             }
         }
-        let (electors, takes_part) = self.electors();
-        let others = electors.into_iter().map(|(key, _)| key).collect();
+        let (electors, takes_part) = self.elect();
+        let others = electors.iter().map(|(key, _)| *key).collect();
+        *self.electors.borrow_mut() = electors;
         let now = self.site.now();
         {
             let mut quorum = self.quorum.borrow_mut();
@@ -273,8 +278,13 @@
         self.peers.borrow().by_host.values().cloned().collect()
     }
 
+    /// The other hosts whose majority counts.
+    pub fn electors(&self) -> Vec<(HostKey, Peer)> {
+        self.electors.borrow().clone()
+    }
+
     /// The other hosts whose majority counts, and whether this one is of their number.
-    pub fn electors(&self) -> (Vec<(HostKey, Peer)>, bool) {
+    fn elect(&self) -> (Vec<(HostKey, Peer)>, bool) {
         let peers = self.peers();
         if peers.len() < SMALL {
             return (peers, true);
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -187,9 +187,7 @@
 
     /// Runs what is due by time alone.
     pub fn tick(self: &Rc<Self>) {
-        let now = self.site.now();
-        let next = self.state.borrow_mut().dispatch.tick(now);
-        self.apply(next);
+        self.tick_dispatch(self.site.now());
         self.sweep();
     }
 
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -8,6 +8,7 @@
 use super::place::{Answered, Plan, Served};
 use super::{Begun, OUT_OF_TOUCH, Session, State};
 use crate::attempt::{self, Frame, Job, Ran};
+use crate::back::Outcome;
 use crate::codec::Codec;
 use crate::message::{Access, Code, Command, Query, Shape, Transaction};
 use crate::meter::End;
@@ -119,13 +120,7 @@
         match ran {
             Ran::Answered(outcome) => {
                 let led = open.led && outcome.end.is_ok();
-                let server = open.lent.server;
-                open.service.heard(server, outcome.position, arrived, led);
-                if let Err(fault) = &outcome.end
-                    && fault.code == Code::ReadOnly
-                {
-                    open.service.does_not_lead(server);
-                }
+                open.heard(&outcome, arrived, led);
                 let transaction = outcome.transaction;
                 let end = if open.led { End::Primary } else { End::Replica };
                 self.transaction = match transaction {
@@ -186,12 +181,7 @@
             }
             Ran::Answered(outcome) => {
                 let led = open.led && open.wrote && outcome.end.is_ok();
-                open.service.heard(server, outcome.position, arrived, led);
-                if let Err(fault) = &outcome.end
-                    && fault.code == Code::ReadOnly
-                {
-                    open.service.does_not_lead(server);
-                }
+                open.heard(&outcome, arrived, led);
                 self.saw(&open.service, outcome.position);
                 let end = if open.led { End::Primary } else { End::Replica };
                 self.deliver(&outcome, Transaction::Idle, end, arrived);
@@ -224,6 +214,17 @@
 }
 
 impl<C: Codec> Open<C> {
+    /// Takes in what the server's answer to something sent at `sent` shows of it.
+    fn heard(&self, outcome: &Outcome, sent: Duration, led: bool) {
+        let server = self.lent.server;
+        self.service.heard(server, outcome.position, sent, led);
+        if let Err(fault) = &outcome.end
+            && fault.code == Code::ReadOnly
+        {
+            self.service.does_not_lead(server);
+        }
+    }
+
     /// Rolls the transaction back; the caller need not wait for it.
     pub(super) fn roll_back(self: Box<Self>) {
         let mut lent = self.lent;
