Leave a service to a few hosts where hosts are many times its servers' slots

Cause: a host's window is never under one request. 65 hosts before servers with 5 slots and a queue of 40 overflow it by that alone, and what is refused is tried again: all three servers of one service of the grown Tesfa site went on refusing after a lag of replicas had ended. Change: homes also where hosts are more than six times the slots, and at most two for each slot.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -47,6 +47,15 @@
 /// Connections that a host which serves a service for its zone should have to each server.
 const HOME_CONNECTIONS: usize = 5;
 
+/// Each host has at least one request running at a server, whatever that bears. With more hosts
+/// than this many times a server's slots, these alone overflow its queue, and it refuses rather
+/// than serves: no host can narrow its window any further.
+const CROWD: usize = 6;
+
+/// Hosts that serve a service for their zones, together, for each slot of a server: enough that
+/// the loss of one leaves most, few enough that their windows tell apart what a server bears.
+const HOMES_PER_SLOT: usize = 2;
+
 /// What this host knows of the fleet.
 pub struct Fleet<C: Codec> {
     site: Rc<Site>,
@@ -321,17 +330,23 @@
     /// each host serves for itself.
     ///
     /// With more hosts than a server accepts connections, most would be refused and all would
-    /// connect anew all the time.
+    /// connect anew all the time. With many more than it has slots, its queue overflows: of 65
+    /// hosts before servers with 5 slots, one request in eight of a service was refused for the
+    /// rest of a day after its replicas had been behind for some seconds.
     pub fn homes(&self, service: &str) -> Option<Vec<Home>> {
-        let peers = self.peers.borrow();
         let connections = self.connections(service)?;
-        if peers.by_host.len() < connections {
+        let slots = self.slots(service);
+        let peers = self.peers.borrow();
+        let crowded = slots.is_some_and(|slots| peers.by_host.len() > slots * CROWD);
+        if peers.by_host.len() < connections && !crowded {
             return None;
         }
         let all = peers.by_host.values().map(|(_, peer)| peer);
         let mut zones: BTreeSet<&str> = all.clone().map(|peer| peer.zone.as_str()).collect();
         zones.insert(&self.site.zone);
-        let count = (connections / zones.len() / HOME_CONNECTIONS).max(1);
+        let by_connections = connections / HOME_CONNECTIONS;
+        let by_slots = slots.map_or(by_connections, |slots| slots * HOMES_PER_SLOT);
+        let count = (by_connections.min(by_slots) / zones.len()).max(1);
         let mut hosts: Vec<(u64, Home)> = all
             .filter(|peer| peer.zone == self.site.zone)
             .map(|peer| (spread(service, &peer.host), Home::Peer(peer.address)))
@@ -349,6 +364,13 @@
         Some(usize::from(configured.connections))
     }
 
+    /// Requests that each server of `service` runs at once; `None` while none is listed.
+    fn slots(&self, service: &str) -> Option<usize> {
+        let services = self.services.borrow();
+        let slots = services.get(service)?.slots()?;
+        Some(usize::from(slots))
+    }
+
     /// How many hosts come before this one when `what` has to be done by one of them.
     ///
     /// The order differs by `what`, so that one lost host does not come first everywhere.
@@ -379,7 +401,13 @@
             entry.gone = None;
             entry.key
         };
-        self.service(&backend.service).listed(key, backend);
+        let service = self.service(&backend.service);
+        let slots = service.slots();
+        service.listed(key, backend);
+        // Which hosts serve it depends on what its servers run at once.
+        if service.slots() != slots {
+            service.allot(self.allotment(&service.name));
+        }
     }
 
     fn service(&self, name: &str) -> Rc<Service<C>> {
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -396,6 +396,13 @@
             .collect()
     }
 
+    /// Requests that each of its servers runs at once; `None` while none is listed.
+    pub fn slots(&self) -> Option<u16> {
+        let state = self.state.borrow();
+        let servers = state.dispatch.servers().values();
+        servers.map(|server| server.slots).min()
+    }
+
     /// The server called `id`.
     pub fn find(&self, id: &str) -> Option<ServerKey> {
         let state = self.state.borrow();
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -131,6 +132,11 @@
         &self.groups[service]
     }
 
+    /// Connections that a server has open.
+    pub fn connections(&self, server: &str) -> u16 {
+        self.servers[server].open.load(Ordering::Relaxed)
+    }
+
     /// Kills a server. Its entry stays until [`Site::unregister`].
     pub fn crash(&self, server: &str) {
         self.servers[server].crash();
