Tell other hosts of missing connections; a soak of the real program

Cause: hosts that lack connections to a server at its limit were to ask the others to keep to their part. The plea, its receipt and the narrower limit were there; nothing ever noted a lack, so no plea was sent. A host that started while others were busy got no connection for as long as they were. Change: a refusal at a server's limit is noted where this host has less than its part. The soak: crates/soak plays hosts as separate processes behind relays that delay, cut, reset and silence, with signals, server, store and configuration faults in series; ten checks, each shown to find a broken history. Stand-in mended on the way: answers that are lost or silenced ended never, so their connections counted for good, and a server that was back at once kept its old sessions.

--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -56,8 +56,10 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether it is ready.
     pub probe: SocketAddr,
-    /// Where other hosts ask.
+    /// Where it listens for other hosts.
     pub peers: SocketAddr,
+    /// Where other hosts reach it, if not at `peers`: behind address translation.
+    pub announced: Option<SocketAddr>,
     /// Where metrics are served.
     pub metrics: SocketAddr,
     /// How long the platform takes at the least to make a server the primary.
@@ -190,7 +192,10 @@
     let own = Peer {
         host,
         zone,
-        address: socket.address()?,
+        address: match settings.announced {
+            Some(address) => address,
+            None => socket.address()?,
+        },
     };
     let readiness = {
         let (fleet, stop) = (Rc::clone(&fleet), Rc::clone(&stop));
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -581,11 +581,15 @@
             _ => dispatch::Failure::Unreachable,
         };
         let now = self.site.now();
-        let next = self
-            .state
-            .borrow_mut()
-            .dispatch
-            .failed(server, failure, now);
+        let next = {
+            let mut state = self.state.borrow_mut();
+            let next = state.dispatch.failed(server, failure, now);
+            let known = state.dispatch.servers().get(&server);
+            if known.is_some_and(dispatch::Server::is_short) && failure == dispatch::Failure::Full {
+                state.short_of.insert(server);
+            }
+            next
+        };
         self.apply(next);
     }
 
--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,288 @@
+//! Whether what callers were told and what backend servers ran fit the promises.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use flamingopost_standin::pooled::{Entry, Order, Run};
+
+use crate::ledger::{Fate, Ledger, Seen, Sent, Write};
+
+/// Most problems of one kind that are told.
+const TOLD: usize = 5;
+
+/// What servers and platform saw.
+#[derive(Debug, Clone, Default)]
+pub struct Record {
+    /// What is committed.
+    pub log: Vec<Entry>,
+    /// What promotions rolled back.
+    pub dropped: Vec<Entry>,
+    /// What servers ran, in order.
+    pub runs: Vec<Run>,
+    /// Orders to change a primary.
+    pub orders: Vec<Order>,
+}
+
+/// What was found.
+#[derive(Debug, Clone, Default)]
+pub struct Verdict {
+    /// Everything that must not be, each with its kind first.
+    pub problems: Vec<String>,
+    /// Operations that succeeded.
+    pub done: u64,
+    /// Operations of which nothing was kept.
+    pub refused: u64,
+    /// Operations that may have run.
+    pub unknown: u64,
+    /// Commits.
+    pub commits: usize,
+    /// Commits that promotions rolled back.
+    pub dropped: usize,
+    /// Orders to change a primary that were carried out.
+    pub promotions: usize,
+}
+
+/// Judges a run.
+pub fn judge(ledger: &Ledger, record: &Record) -> Verdict {
+    let state = ledger.lock();
+    let mut problems: Vec<String> = state.problems.clone();
+    let places = places(&record.log);
+    problems.extend(commits(&state.writes, record, &places));
+    problems.extend(runs(&state.sent, &record.runs));
+    problems.extend(proofs(&state.sent, &state.proofs, &record.runs));
+    problems.extend(pins(&state.sent, &record.runs));
+    problems.extend(reads(&state.seen, &state.writes, record, &places));
+    problems.extend(orders(&record.orders));
+    Verdict {
+        problems: shorten(problems),
+        done: state.done,
+        refused: state.refused,
+        unknown: state.unknown,
+        commits: record.log.len(),
+        dropped: record.dropped.len(),
+        promotions: record.orders.iter().filter(|it| it.accepted).count(),
+    }
+}
+
+/// Where each write stands in the log.
+fn places(log: &[Entry]) -> BTreeMap<&str, usize> {
+    let places = log.iter().enumerate();
+    places
+        .map(|(place, entry)| (entry.data.as_str(), place))
+        .collect()
+}
+
+/// Every acknowledged write is there, once; no other that its caller knows to be gone.
+fn commits(writes: &[Write], record: &Record, places: &BTreeMap<&str, usize>) -> Vec<String> {
+    let mut problems = Vec::new();
+    let known: BTreeMap<&str, &Write> = writes.iter().map(|it| (it.data.as_str(), it)).collect();
+    for (place, entry) in record.log.iter().enumerate() {
+        if places[entry.data.as_str()] != place {
+            problems.push(format!("TWICE: {} is committed twice", entry.data));
+        }
+        match known.get(entry.data.as_str()) {
+            None => problems.push(format!("UNASKED: {} was never sent", entry.data)),
+            Some(write) if write.fate == Fate::Dropped => problems.push(format!(
+                "REFUSED: {} of {} is committed, though its caller was told that it is not",
+                write.data, write.item
+            )),
+            Some(_) => {}
+        }
+    }
+    for write in writes.iter().filter(|it| it.fate == Fate::Kept) {
+        let rolled_back = record.dropped.iter().any(|it| it.data == write.data);
+        if !places.contains_key(write.data.as_str()) && !rolled_back {
+            let Write { data, item, .. } = write;
+            problems.push(format!(
+                "LOST: {data} of {item} was acknowledged and is gone"
+            ));
+        }
+    }
+    problems
+}
+
+/// Servers run only what callers sent, as they sent it.
+fn runs(sent: &BTreeMap<String, Sent>, runs: &[Run]) -> Vec<String> {
+    let mut problems = Vec::new();
+    for run in runs {
+        let fits = sent
+            .get(&run.id)
+            .is_some_and(|sent| essence(&sent.text) == essence(&run.text));
+        if !fits {
+            let Run {
+                id, text, server, ..
+            } = run;
+            problems.push(format!("UNASKED: {server} ran {id} `{text}`"));
+        }
+    }
+    problems
+}
+
+/// A statement without what may be added or changed on its way: the position that a server waits
+/// for, and the name of a prepared statement.
+fn essence(text: &str) -> Vec<&str> {
+    let mut words: Vec<&str> = text.split(' ').collect();
+    if words.first() == Some(&"WAITLSN") {
+        words.drain(..2);
+    }
+    if words.first() == Some(&"EXECUTE") && words.len() > 1 {
+        words.remove(1);
+    }
+    words
+}
+
+/// What counts as run carries the proof of the server that ran it.
+fn proofs(
+    sent: &BTreeMap<String, Sent>,
+    proofs: &BTreeMap<String, String>,
+    runs: &[Run],
+) -> Vec<String> {
+    let mut ran: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for run in runs {
+        ran.entry(&run.id).or_default().push(&run.proof);
+    }
+    let mut problems = Vec::new();
+    for (id, proof) in proofs {
+        let text = sent.get(id).map_or("", |sent| sent.text.as_str());
+        let verb = text.split(' ').next().unwrap_or_default();
+        if !matches!(verb, "FETCH" | "STORE" | "EXECUTE" | "COMMIT") {
+            continue;
+        }
+        let proven = ran.get(id.as_str());
+        if !proven.is_some_and(|proven| proven.contains(&proof.as_str())) {
+            problems.push(format!("MIXED: {id} `{text}` succeeded with `{proof}`"));
+        }
+    }
+    problems
+}
+
+/// A transaction stays on one connection, and nobody else's statements run on it meanwhile.
+fn pins(sent: &BTreeMap<String, Sent>, runs: &[Run]) -> Vec<String> {
+    let transaction = |run: &Run| sent.get(&run.id).and_then(|sent| sent.transaction);
+    // A first statement whose answer was lost may run again elsewhere: its last run counts.
+    let mut last: BTreeMap<&str, usize> = BTreeMap::new();
+    for (place, run) in runs.iter().enumerate() {
+        last.insert(&run.id, place);
+    }
+    let mut spans: BTreeMap<u64, (u64, usize, usize)> = BTreeMap::new();
+    let mut problems = Vec::new();
+    for (place, run) in runs.iter().enumerate() {
+        let Some(number) = transaction(run) else {
+            continue;
+        };
+        if last[run.id.as_str()] != place {
+            continue;
+        }
+        let span = spans
+            .entry(number)
+            .or_insert((run.connection, place, place));
+        span.2 = place;
+        if span.0 != run.connection {
+            let Run { id, text, .. } = run;
+            problems.push(format!(
+                "PINNED: {id} `{text}` ran outside of its transaction"
+            ));
+        }
+    }
+    for (number, (connection, first, end)) in spans {
+        let stranger = runs[first..=end]
+            .iter()
+            .find(|run| run.connection == connection && transaction(run) != Some(number));
+        if let Some(Run { id, text, .. }) = stranger {
+            problems.push(format!(
+                "PINNED: {id} `{text}` ran inside another's transaction"
+            ));
+        }
+    }
+    problems
+}
+
+/// Reads see what was acknowledged before, as far as their route says, and nothing that is
+/// committed nowhere.
+fn reads(
+    seen: &[Seen],
+    writes: &[Write],
+    record: &Record,
+    places: &BTreeMap<&str, usize>,
+) -> Vec<String> {
+    let mut by_item: BTreeMap<&str, Vec<(Instant, usize)>> = BTreeMap::new();
+    for write in writes.iter().filter(|it| it.fate == Fate::Kept) {
+        if let Some(place) = places.get(write.data.as_str()) {
+            let of_item = by_item.entry(&write.item).or_default();
+            of_item.push((write.at, *place));
+        }
+    }
+    let mut problems = Vec::new();
+    for Seen {
+        id,
+        item,
+        since,
+        age,
+        own,
+        data,
+    } in seen
+    {
+        let saw = match data {
+            None => None,
+            Some(data) => match places.get(data.as_str()) {
+                Some(place) => Some(*place),
+                None => {
+                    // What a promotion rolled back may have been seen before.
+                    if !record.dropped.iter().any(|it| it.data == *data) {
+                        problems.push(format!("GHOST: {id} saw {data}, which is not committed"));
+                    }
+                    continue;
+                }
+            },
+        };
+        let acknowledged = by_item.get(item.as_str()).into_iter().flatten();
+        let before = acknowledged
+            .filter(|(at, _)| at.checked_add(*age).is_some_and(|at| at < *since))
+            .map(|(_, place)| *place);
+        let own = own
+            .as_ref()
+            .and_then(|own| places.get(own.as_str()).copied());
+        let needed = before.chain(own).max();
+        if saw < needed {
+            problems.push(format!(
+                "STALE: {id} saw place {saw:?} of {item}, {needed:?} had been acknowledged {age:?} \
+                 before"
+            ));
+        }
+    }
+    problems
+}
+
+/// No two hosts give orders under one token.
+fn orders(orders: &[Order]) -> Vec<String> {
+    let mut holders: BTreeMap<(&str, u64), &str> = BTreeMap::new();
+    let mut problems = Vec::new();
+    for order in orders {
+        let holder = holders
+            .entry((&order.service, order.token))
+            .or_insert(&order.holder);
+        if *holder != order.holder {
+            let Order { token, holder, .. } = order;
+            problems.push(format!("ONE: {holder} used another host's token {token}"));
+        }
+    }
+    problems
+}
+
+/// The first problems of each kind, and how many more there are.
+fn shorten(problems: Vec<String>) -> Vec<String> {
+    let mut kinds: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for problem in problems {
+        let kind = problem.split(':').next().unwrap_or_default().to_owned();
+        kinds.entry(kind).or_default().push(problem);
+    }
+    let mut short = Vec::new();
+    for (kind, problems) in kinds {
+        let more = problems.len().saturating_sub(TOLD);
+        short.extend(problems.into_iter().take(TOLD));
+        if more > 0 {
+            short.push(format!("{kind}: {more} more"));
+        }
+    }
+    short
+}
--- /dev/null
+++ b/crates/soak/src/fault.rs
@@ -0,0 +1,143 @@
+//! What goes wrong in a run.
+
+use std::time::Duration;
+
+use crate::net::End;
+
+/// Something that goes wrong, and for how long where it ends by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// A host is told to end (SIGTERM), and starts again once it has.
+    Stop {
+        /// Its number.
+        host: usize,
+    },
+    /// A host's process is killed, and starts again after a while.
+    Kill {
+        /// Its number.
+        host: usize,
+        /// Until it starts again.
+        lasts: Duration,
+    },
+    /// All hosts' processes are killed at once.
+    KillAll,
+    /// A host's process stands still (SIGSTOP).
+    Pause {
+        /// Its number.
+        host: usize,
+        /// For how long.
+        lasts: Duration,
+    },
+    /// A host is told that its settings file has changed (SIGHUP).
+    Reload {
+        /// Its number.
+        host: usize,
+    },
+    /// A server dies, its entry lapses, and it comes back.
+    Crash {
+        /// Which one.
+        server: Victim,
+        /// Until it comes back.
+        lasts: Duration,
+    },
+    /// A server accepts connections and answers nothing.
+    Silence {
+        /// Which one.
+        server: Victim,
+        /// For how long.
+        lasts: Duration,
+    },
+    /// A server refuses all work, as with a full queue.
+    Full {
+        /// Which one.
+        server: Victim,
+        /// For how long.
+        lasts: Duration,
+    },
+    /// Answers to some statements that a server runs are lost.
+    LoseAnswers {
+        /// Which one.
+        server: Victim,
+        /// How many.
+        count: u32,
+    },
+    /// Nothing from the primary reaches a server.
+    Deaf {
+        /// Which one.
+        server: Victim,
+        /// For how long.
+        lasts: Duration,
+    },
+    /// A server is about to leave, ends, and another one comes at its address.
+    Leave {
+        /// Which one.
+        server: Victim,
+    },
+    /// The store misbehaves.
+    Store {
+        /// How.
+        how: Storage,
+        /// For how long.
+        lasts: Duration,
+    },
+    /// The store drops its history.
+    Forget,
+    /// The configuration changes.
+    Configure,
+    /// What goes one way between two ends is held back.
+    Cut {
+        /// From where.
+        from: End,
+        /// To where.
+        to: End,
+        /// For how long.
+        lasts: Duration,
+    },
+    /// What goes between two ends takes longer.
+    Delay {
+        /// One end.
+        from: End,
+        /// The other.
+        to: End,
+        /// How much longer.
+        by: Duration,
+        /// For how long.
+        lasts: Duration,
+    },
+    /// All connections from one end to another are reset.
+    Reset {
+        /// From where.
+        from: End,
+        /// To where.
+        to: End,
+    },
+    /// A host is cut off from everything but its callers.
+    Isolate {
+        /// Its number.
+        host: usize,
+        /// For how long.
+        lasts: Duration,
+    },
+}
+
+/// Which server a fault strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Victim {
+    /// The one that leads at that moment.
+    Primary,
+    /// The one with this number.
+    Number(usize),
+}
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Storage {
+    /// It refuses everything.
+    Busy,
+    /// It answers nothing.
+    Silent,
+    /// It is slow.
+    Slow,
+    /// It does what it is asked and answers no write.
+    Lossy,
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,99 @@
+//! `flamingopost-soak`: plays seeds and tells what they break.
+
+mod flags;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use flags::FlamingopostSoak;
+use flamingopost_soak::check::Verdict;
+use flamingopost_soak::plan::Plan;
+use flamingopost_soak::play::play;
+use tokio::task::JoinSet;
+
+/// Length of a run where the command line gives none, in seconds.
+const SECONDS: u64 = 15;
+
+/// Exit code when a promise was broken.
+const BROKEN: u8 = 1;
+
+/// Exit code when a run could not be made.
+const UNPLAYED: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = FlamingopostSoak::from_env_or_exit();
+    match run(&flags) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(BROKEN),
+        Err(error) => {
+            eprintln!("flamingopost-soak: {error}");
+            ExitCode::from(UNPLAYED)
+        }
+    }
+}
+
+/// Plays the seeds; how many broke a promise.
+#[tokio::main]
+async fn run(flags: &FlamingopostSoak) -> std::io::Result<usize> {
+    let first = flags.first.unwrap_or_else(rand::random);
+    let count = flags.seeds.unwrap_or(1);
+    let jobs = flags.jobs.unwrap_or(1).max(1);
+    let folder = flags.folder.clone();
+    let folder = folder.unwrap_or_else(|| std::env::temp_dir().join("flamingopost-soak"));
+    let mut running: JoinSet<std::io::Result<bool>> = JoinSet::new();
+    let mut broken = 0;
+    for seed in (0..count).map(|n| first.wrapping_add(n)) {
+        if running.len() >= jobs
+            && let Some(ended) = running.join_next().await
+        {
+            broken += usize::from(ended.map_err(std::io::Error::other)??);
+        }
+        let length = Duration::from_secs(flags.seconds.unwrap_or(SECONDS));
+        let plan = Plan::draw(seed, length, flags.hosts);
+        let folder = folder.join(format!("seed-{seed}"));
+        running.spawn(one(plan, flags.program.clone(), folder, flags.plan));
+    }
+    while let Some(ended) = running.join_next().await {
+        broken += usize::from(ended.map_err(std::io::Error::other)??);
+    }
+    Ok(broken)
+}
+
+/// Plays one plan; whether it broke a promise. Logs stay only then.
+async fn one(plan: Plan, program: PathBuf, folder: PathBuf, told: bool) -> std::io::Result<bool> {
+    std::fs::create_dir_all(&folder)?;
+    let seed = plan.seed;
+    let (hosts, faults) = (plan.hosts, plan.faults.len());
+    if told {
+        println!("{plan:#?}");
+    }
+    let verdict = play(plan, &program, &folder).await?;
+    let Verdict {
+        problems,
+        done,
+        refused,
+        unknown,
+        commits,
+        dropped,
+        promotions,
+    } = verdict;
+    println!(
+        "seed {seed}: {hosts} hosts, {faults} faults, {done} done, {refused} refused, {unknown} \
+         unknown, {commits} commits, {dropped} rolled back by {promotions} promotions, {} problems",
+        problems.len()
+    );
+    for problem in &problems {
+        println!("  {problem}");
+    }
+    if problems.is_empty() {
+        remove(&folder)?;
+    } else {
+        println!("  logs: {}", folder.display());
+    }
+    Ok(!problems.is_empty())
+}
+
+fn remove(folder: &Path) -> std::io::Result<()> {
+    std::fs::remove_dir_all(folder)
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,143 @@
+//! What a seed stands for: the fleet's size, and which faults strike when.
+
+use std::time::Duration;
+
+use flamingopost_standin::pooled::Sizes;
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fault::{Fault, Storage, Victim};
+use crate::net::End;
+
+/// Mean time between two faults of a run. Most last longer, so that they overlap.
+const SPACING: Duration = Duration::from_millis(700);
+
+/// Longest time that a fault lasts: failure detection takes up to two seconds, recovery more.
+const LONGEST: Duration = Duration::from_millis(4_000);
+
+/// How a run is made.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// What it was drawn from.
+    pub seed: u64,
+    /// Hosts.
+    pub hosts: usize,
+    /// Availability zones that they are spread over.
+    pub zones: usize,
+    /// The servers of the one service.
+    pub sizes: Sizes,
+    /// Callers that work all the while.
+    pub callers: usize,
+    /// For how long faults strike.
+    pub length: Duration,
+    /// A host whose log nobody reads.
+    pub unread: Option<usize>,
+    /// The faults, by when they strike.
+    pub faults: Vec<(Duration, Fault)>,
+}
+
+impl Plan {
+    /// Draws a plan for `length`; `hosts` asks for a fleet of that size.
+    pub fn draw(seed: u64, length: Duration, hosts: Option<usize>) -> Plan {
+        let mut dice = ChaCha8Rng::seed_from_u64(seed);
+        let drawn = dice.random_range(2..=7);
+        let hosts = hosts.unwrap_or(drawn).max(1);
+        let sizes = Sizes {
+            servers: dice.random_range(2..=3),
+            slots: dice.random_range(1..=3),
+            connections: dice.random_range(8..=24),
+            work: Duration::from_millis(dice.random_range(1..=8)),
+            lag: Duration::from_millis(dice.random_range(5..=120)),
+            promotion: Duration::from_millis(dice.random_range(150..=600)),
+        };
+        let mut plan = Plan {
+            seed,
+            hosts,
+            zones: dice.random_range(1..=3),
+            sizes,
+            callers: (hosts * 3).clamp(6, 60),
+            length,
+            unread: dice.random_bool(0.3).then(|| dice.random_range(0..hosts)),
+            faults: Vec::new(),
+        };
+        plan.draw_faults(&mut dice);
+        plan
+    }
+
+    fn draw_faults(&mut self, dice: &mut ChaCha8Rng) {
+        let mut at = Duration::from_millis(dice.random_range(200..=1_500));
+        while at < self.length {
+            let fault = self.fault(dice);
+            // Series: the same trouble again, before everything has settled.
+            let times = if dice.random_bool(0.2) { 3 } else { 1 };
+            for again in 0..times {
+                let pause = Duration::from_millis(dice.random_range(150..=1_200)) * again;
+                self.faults.push((at + pause, fault));
+            }
+            at += SPACING.mul_f64(dice.random_range(0.1..1.9));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+    }
+
+    fn fault(&self, dice: &mut ChaCha8Rng) -> Fault {
+        let host = dice.random_range(0..self.hosts);
+        let other = dice.random_range(0..self.hosts);
+        let number = dice.random_range(0..self.sizes.servers);
+        let server = match dice.random_bool(0.6) {
+            true => Victim::Primary,
+            false => Victim::Number(number),
+        };
+        let lasts =
+            Duration::from_millis(300) + LONGEST.mul_f64(dice.random_range(0.0_f64..1.0).powi(2));
+        let to = match dice.random_range(0..5) {
+            0 => End::Store,
+            1 => End::Orders,
+            2 => End::Host(other),
+            _ => End::Server(number),
+        };
+        let from = End::Host(host);
+        match dice.random_range(0..34) {
+            0..=2 => Fault::Stop { host },
+            3..=5 => Fault::Kill { host, lasts },
+            6 => Fault::KillAll,
+            7..=9 => Fault::Pause { host, lasts },
+            10 => Fault::Reload { host },
+            11..=13 => Fault::Crash { server, lasts },
+            14..=15 => Fault::Silence { server, lasts },
+            16 => Fault::Full { server, lasts },
+            17..=18 => Fault::LoseAnswers {
+                server,
+                count: dice.random_range(1..=6),
+            },
+            19..=20 => Fault::Deaf { server, lasts },
+            21..=22 => Fault::Leave { server },
+            23..=25 => Fault::Store {
+                how: match dice.random_range(0..4) {
+                    0 => Storage::Busy,
+                    1 => Storage::Silent,
+                    2 => Storage::Slow,
+                    _ => Storage::Lossy,
+                },
+                lasts,
+            },
+            26 => Fault::Forget,
+            27 => Fault::Configure,
+            28..=29 => match dice.random_bool(0.5) {
+                true => Fault::Cut { from, to, lasts },
+                false => Fault::Cut {
+                    from: to,
+                    to: from,
+                    lasts,
+                },
+            },
+            30 => Fault::Delay {
+                from,
+                to,
+                by: Duration::from_millis(dice.random_range(5..=300)),
+                lasts,
+            },
+            31 => Fault::Reset { from, to },
+            _ => Fault::Isolate { host, lasts },
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/check.rs
@@ -0,0 +1,195 @@
+//! Every check finds what it is there for, and nothing in a history that is in order.
+
+use std::time::{Duration, Instant};
+
+use flamingopost_soak::check::{Record, judge};
+use flamingopost_soak::ledger::{Fate, Ledger, Seen, Write};
+use flamingopost_standin::pooled::{Entry, Order, Run};
+
+/// A ledger and a record of one caller who wrote `a` and then `b` to an item and read `b`.
+struct Scene {
+    ledger: Ledger,
+    record: Record,
+    start: Instant,
+}
+
+fn run(id: &str, text: &str, connection: u64) -> Run {
+    Run {
+        server: "ledger-1".to_owned(),
+        id: id.to_owned(),
+        text: text.to_owned(),
+        connection,
+        proof: format!("proof-{id}"),
+    }
+}
+
+fn order(holder: &str, token: u64) -> Order {
+    Order {
+        service: "ledger".to_owned(),
+        server: "ledger-2".to_owned(),
+        holder: holder.to_owned(),
+        token,
+        accepted: true,
+    }
+}
+
+fn scene() -> Scene {
+    let scene = Scene {
+        ledger: Ledger::default(),
+        record: Record::default(),
+        start: Instant::now(),
+    };
+    let mut scene = scene
+        .write("1", "a", Fate::Kept)
+        .write("2", "b", Fate::Kept);
+    scene.read("3", Some("b"), Duration::ZERO, None);
+    scene
+}
+
+impl Scene {
+    fn write(mut self, id: &str, data: &str, fate: Fate) -> Scene {
+        let text = format!("STORE item {data}");
+        self.ledger.send(id, &text, None);
+        if fate == Fate::Kept {
+            self.ledger.prove(id, &format!("proof-{id}"));
+        }
+        self.ledger.write(Write {
+            item: "item".to_owned(),
+            data: data.to_owned(),
+            fate,
+            at: self.start,
+        });
+        let number = self.record.log.len() as u64 + 1;
+        self.record.log.push(Entry::new(1, number, "item", data));
+        self.record.runs.push(run(id, &text, 7));
+        self
+    }
+
+    fn read(&mut self, id: &str, data: Option<&str>, age: Duration, own: Option<&str>) {
+        self.ledger.send(id, "FETCH item", None);
+        self.ledger.prove(id, &format!("proof-{id}"));
+        self.record.runs.push(run(id, "WAITLSN 1.2 FETCH item", 8));
+        self.ledger.see(Seen {
+            id: id.to_owned(),
+            item: "item".to_owned(),
+            since: self.start + Duration::from_millis(500),
+            age,
+            own: own.map(str::to_owned),
+            data: data.map(str::to_owned),
+        });
+    }
+
+    /// The kinds of problems that are found.
+    fn kinds(&self) -> Vec<String> {
+        let problems = judge(&self.ledger, &self.record).problems;
+        let kinds = problems
+            .iter()
+            .filter_map(|problem| problem.split(':').next());
+        kinds.map(str::to_owned).collect()
+    }
+}
+
+#[test]
+fn a_history_in_order_passes() {
+    assert_eq!(scene().kinds(), [""; 0]);
+}
+
+#[test]
+fn an_old_read_is_stale_unless_its_route_allows_the_age() {
+    let mut old = scene();
+    old.read("4", Some("a"), Duration::ZERO, None);
+    assert_eq!(old.kinds(), ["STALE"]);
+    let mut allowed = scene();
+    allowed.read("4", Some("a"), Duration::from_secs(1), None);
+    assert_eq!(allowed.kinds(), [""; 0]);
+    let mut own = scene();
+    own.read("4", None, Duration::from_secs(1), Some("a"));
+    assert_eq!(own.kinds(), ["STALE"]);
+}
+
+#[test]
+fn a_read_of_what_nobody_committed_is_a_ghost() {
+    let mut scene = scene();
+    scene.read("4", Some("c"), Duration::ZERO, None);
+    assert_eq!(scene.kinds(), ["GHOST"]);
+    scene.record.dropped.push(Entry::new(1, 3, "item", "c"));
+    assert_eq!(scene.kinds(), [""; 0], "a promotion rolled it back");
+}
+
+#[test]
+fn an_acknowledged_write_that_is_gone_is_lost() {
+    let mut scene = scene().write("4", "c", Fate::Kept);
+    let gone = scene.record.log.pop().expect("it was written");
+    assert_eq!(scene.kinds(), ["LOST"]);
+    scene.record.dropped.push(gone);
+    assert_eq!(scene.kinds(), [""; 0], "a promotion rolled it back");
+}
+
+#[test]
+fn a_write_that_counts_as_not_run_and_is_there_is_refused_falsely() {
+    assert_eq!(scene().write("4", "c", Fate::Dropped).kinds(), ["REFUSED"]);
+    let open = scene().write("4", "c", Fate::Open);
+    assert_eq!(open.kinds(), [""; 0]);
+}
+
+#[test]
+fn a_write_that_is_there_twice_is_found() {
+    let mut scene = scene();
+    scene.record.log.push(Entry::new(1, 3, "item", "b"));
+    assert!(scene.kinds().contains(&"TWICE".to_owned()));
+}
+
+#[test]
+fn what_nobody_sent_is_found() {
+    let mut unsent = scene();
+    unsent.record.runs.push(run("9", "FETCH item", 7));
+    assert_eq!(unsent.kinds(), ["UNASKED"]);
+    let mut changed = scene();
+    changed.record.runs[0].text = "STORE item z".to_owned();
+    assert_eq!(changed.kinds(), ["UNASKED"]);
+    let mut written = scene();
+    written.record.log.push(Entry::new(1, 3, "item", "z"));
+    assert_eq!(written.kinds(), ["UNASKED"]);
+}
+
+#[test]
+fn a_success_without_a_run_behind_it_is_found() {
+    let scene = scene();
+    scene.ledger.prove("3", "made-up");
+    assert_eq!(scene.kinds(), ["MIXED"]);
+}
+
+#[test]
+fn a_transaction_keeps_its_connection_to_itself() {
+    let transaction = |scene: &mut Scene, connections: [u64; 2]| {
+        for (id, connection) in ["5", "6"].into_iter().zip(connections) {
+            scene.ledger.send(id, "FETCH item", Some(1));
+            scene.record.runs.push(run(id, "FETCH item", connection));
+        }
+    };
+    let mut right = scene();
+    transaction(&mut right, [3, 3]);
+    assert_eq!(right.kinds(), [""; 0]);
+    let mut moved = scene();
+    transaction(&mut moved, [3, 4]);
+    assert_eq!(moved.kinds(), ["PINNED"]);
+    let mut shared = scene();
+    transaction(&mut shared, [3, 3]);
+    shared.ledger.send("8", "FETCH item", None);
+    let place = shared.record.runs.len() - 1;
+    shared.record.runs.insert(place, run("8", "FETCH item", 3));
+    assert_eq!(shared.kinds(), ["PINNED"]);
+}
+
+#[test]
+fn two_hosts_under_one_token_are_found() {
+    let mut scene = scene();
+    scene.record.orders = vec![
+        order("entry-1", 5),
+        order("entry-1", 5),
+        order("entry-2", 6),
+    ];
+    assert_eq!(scene.kinds(), [""; 0]);
+    scene.record.orders.push(order("entry-2", 5));
+    assert_eq!(scene.kinds(), ["ONE"]);
+}
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -18,6 +18,19 @@
     at: Instant,
 }
 
+impl Entry {
+    /// Write `number` of `term`, made now.
+    pub fn new(term: i64, number: u64, item: &str, data: &str) -> Entry {
+        Entry {
+            term,
+            number,
+            item: item.to_owned(),
+            data: data.to_owned(),
+            at: Instant::now(),
+        }
+    }
+}
+
 /// A statement that a server ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Run {
@@ -218,13 +231,8 @@
         }
         for (item, data) in writes {
             let number = member.log.last().map_or(0, |entry| entry.number) + 1;
-            member.log.push(Entry {
-                term: member.term,
-                number,
-                item: item.clone(),
-                data: data.clone(),
-                at: Instant::now(),
-            });
+            let entry = Entry::new(member.term, number, item, data);
+            member.log.push(entry);
         }
         Ok(())
     }
--- a/crates/standin/src/pooled/server.rs
+++ b/crates/standin/src/pooled/server.rs
@@ -42,7 +42,8 @@
     pub address: SocketAddr,
     /// Where callers are told that it listens.
     pub shown: Mutex<SocketAddr>,
-    running: watch::Sender<bool>,
+    /// Counts its crashes: what began before one ends with it, also when it is back at once.
+    crashes: watch::Sender<u32>,
 }
 
 impl Server {
@@ -63,7 +64,7 @@
             faults: Mutex::default(),
             address,
             shown: Mutex::new(address),
-            running: watch::Sender::new(true),
+            crashes: watch::Sender::new(0),
         });
         tokio::spawn(Arc::clone(&server).serve(listener));
         Ok(server)
@@ -72,7 +73,7 @@
     /// Kills it: its connections break and its port refuses.
     pub fn crash(&self) {
         self.group.set_running(&self.id, false);
-        self.running.send_replace(false);
+        self.crashes.send_modify(|crashes| *crashes += 1);
     }
 
     /// Starts it again at its address, with its log.
@@ -81,9 +82,7 @@
         socket.set_reuseaddr(true)?;
         socket.bind(self.address)?;
         let listener = socket.listen(128)?;
-        self.open.store(0, Ordering::Relaxed);
         self.group.set_running(&self.id, true);
-        self.running.send_replace(true);
         tokio::spawn(Arc::clone(self).serve(listener));
         Ok(())
     }
@@ -102,22 +101,24 @@
     }
 
     async fn serve(self: Arc<Self>, listener: TcpListener) {
-        let mut running = self.running.subscribe();
+        let mut crashes = self.crashes.subscribe();
+        crashes.mark_unchanged();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = running.wait_for(|running| !running) => return,
+                _ = crashes.changed() => return,
             };
             let Ok((stream, _)) = accepted else {
                 continue;
             };
             let server = Arc::clone(&self);
-            let mut running = self.running.subscribe();
+            let mut crashes = self.crashes.subscribe();
             tokio::spawn(async move {
                 server.open.fetch_add(1, Ordering::Relaxed);
                 tokio::select! {
+                    biased;
+                    _ = crashes.changed() => {}
                     () = Session::new(Arc::clone(&server), stream).run() => {}
-                    _ = running.wait_for(|running| !running) => {}
                 }
                 server.open.fetch_sub(1, Ordering::Relaxed);
             });
--- a/crates/standin/src/pooled/session.rs
+++ b/crates/standin/src/pooled/session.rs
@@ -57,7 +57,8 @@
     /// Serves the connection until its other end closes it.
     pub(super) async fn run(mut self) {
         if self.server.faults().silent {
-            std::future::pending::<()>().await;
+            self.hang().await;
+            return;
         }
         let Some(hello) = self.line().await else {
             return;
@@ -88,7 +89,8 @@
             };
             let answer = self.answer(id, text).await;
             if self.server.faults().silent {
-                std::future::pending::<()>().await;
+                self.hang().await;
+                return;
             }
             let out = match answer {
                 Answer::Row(row, proof) => format!("DATAROW {row}\r\nCOMPLETE {proof}\r\n"),
@@ -99,7 +101,10 @@
                     }
                     format!("ERROR {code} {}\r\n", self.server.id)
                 }
-                Answer::Lost => std::future::pending().await,
+                Answer::Lost => {
+                    self.hang().await;
+                    return;
+                }
             };
             let ready = self.ready();
             self.send(&(out + &ready)).await;
@@ -273,6 +278,11 @@
         format!("READY {state} {position}\r\n")
     }
 
+    /// Answers nothing any more, until the other end closes the connection.
+    async fn hang(&mut self) {
+        while self.line().await.is_some() {}
+    }
+
     async fn line(&mut self) -> Option<String> {
         let mut line = String::new();
         match self.stream.read_line(&mut line).await {
