Let a few hosts look after the platform's feeds for all of a large fleet

Of these, 2,749 fall into the first 15 s: each of 65 hosts made a call for nearly each of 65 announcements and 24 entries; the rest are feeds that wait 5 or 6 s only, so that each host notices a stuck one. In fleets of more than nine hosts only the seven that all ask wait for 3 s, the others for 25 s. After a change a host pauses for 200 ms (600 ms in a large fleet) before it follows the list of servers again, 1 s before the list of hosts. Sites of up to nine hosts keep 5 s.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -77,6 +77,11 @@
         self.outside = !takes_part;
     }
 
+    /// Whether this host is one of those whose majority counts.
+    pub fn takes_part(&self) -> bool {
+        !self.outside
+    }
+
     /// Something came from `host`.
     pub fn heard(&mut self, host: HostKey, now: Duration) {
         if let Some(contact) = self.others.get_mut(&host) {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -141,6 +141,7 @@
                 _ = interval.tick() => {}
                 () = self.fleet.peers_changed.notified() => {}
             }
+            self.fleet.look_at_feeds();
             let now = self.site.now();
             let sent = micros(now);
             for (_, peer) in self.fleet.electors() {
@@ -185,10 +186,12 @@
                 .with_quorum(|quorum, now| quorum.heard(host, now));
             match message.word {
                 Word::Beat { sent } => {
-                    self.tell(String::new(), Word::Echo { sent }, from);
+                    let news = self.fleet.news();
+                    self.tell(String::new(), Word::Echo { sent, news }, from);
                     return;
                 }
-                Word::Echo { sent } => {
+                Word::Echo { sent, news } => {
+                    self.fleet.told(news);
                     let sent = Duration::from_micros(sent);
                     self.fleet
                         .with_quorum(|quorum, _| quorum.answered(host, sent));
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -12,6 +12,8 @@
         5002 Info StoreBack { what: &'static str, millis: u128 },
         /// platform dropped the history of {what}, reading all of it
         5003 Info HistoryGone { what: &'static str },
+        /// other hosts have read changes of {what} that this one waits for, reading all of it
+        5004 Warn FeedStuck { what: &'static str },
         /// {service}: server {server} listed at {address} as {role:?}, leaving: {leaving}, revision {revision}
         5010 Info Listed { service: String, server: String, address: std::net::SocketAddr, role: flamingopost_core::leader::Role, leaving: bool, revision: u64 },
         /// {service}: server {server} no longer listed, dropped after {millis} ms
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -14,6 +14,8 @@
 
 use crate::codec::Codec;
 use crate::event::Event;
+use crate::feeds::{Feeds, Patience};
+use crate::peer::News;
 use crate::platform::{Backend, Change, Configuration, Peer};
 use crate::route::Route;
 use crate::service::{Allotment, Service};
@@ -69,6 +71,8 @@
     electors: RefCell<Vec<(HostKey, Peer)>>,
     /// The list of hosts has changed.
     pub peers_changed: Notify,
+    /// How far the platform's feeds have been read.
+    pub feeds: Feeds,
     listed: Cell<bool>,
 }
 
@@ -103,6 +107,7 @@
             quorum: RefCell::default(),
             electors: RefCell::default(),
             peers_changed: Notify::new(),
+            feeds: Feeds::default(),
             listed: Cell::new(false),
         }
     }
@@ -272,6 +277,47 @@
         self.allot();
     }
 
+    /// How far this host has read what the platform tells.
+    pub fn news(&self) -> News {
+        News {
+            configuration: self.feeds.configuration.newest(),
+            backends: self.feeds.backends.newest(),
+        }
+    }
+
+    /// Another host has read as far as `news`.
+    pub fn told(&self, news: News) {
+        let now = self.site.now();
+        self.feeds.configuration.told(news.configuration, now);
+        self.feeds.backends.told(news.backends, now);
+    }
+
+    /// Has calls given up that wait for what others have read already.
+    pub fn look_at_feeds(&self) {
+        let now = self.site.now();
+        self.feeds.configuration.look(now);
+        self.feeds.backends.look(now);
+    }
+
+    /// How long calls that wait for changes may wait.
+    ///
+    /// The hosts that all others ask find out for themselves whether a feed is stuck, and so do
+    /// all where they are few. The others are told, for as long as they hear most of those.
+    pub fn patience(&self) -> Patience {
+        let few = self.peers.borrow().by_host.len() < SMALL;
+        let quorum = self.quorum.borrow();
+        match (
+            few,
+            quorum.takes_part(),
+            quorum.is_with_most(self.site.now()),
+        ) {
+            (true, _, _) => Patience::Alone,
+            (false, true, _) => Patience::ForOthers,
+            (false, false, true) => Patience::Told,
+            (false, false, false) => Patience::Alone,
+        }
+    }
+
     /// Works on this host's contact with the others.
     pub fn with_quorum<T>(&self, work: impl FnOnce(&mut Quorum, Duration) -> T) -> T {
         work(&mut self.quorum.borrow_mut(), self.site.now())
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod codec;
 pub mod election;
 pub mod event;
+pub mod feeds;
 pub mod fleet;
 pub mod front;
 pub mod host;
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -37,6 +37,8 @@
     Echo {
         /// What the question carried.
         sent: u64,
+        /// How far the host that answers has read what the platform tells.
+        news: News,
     },
     /// Do you reach server `server`, or, where none is named, any that leads?
     Ask {
@@ -64,6 +66,15 @@
     },
 }
 
+/// How far a host has read what the platform tells: the newest change of each.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Of the configuration.
+    pub configuration: u64,
+    /// Of the list of backend servers.
+    pub backends: u64,
+}
+
 impl Word {
     /// What a host that answered `reaches` thinks.
     pub fn opinion(reaches: bool) -> Opinion {
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -35,6 +35,19 @@
     pub value: T,
     /// As of when.
     pub revision: Revision,
+    /// The newest change in what was read, if anything was.
+    pub newest: Option<Revision>,
+}
+
+impl<T> Read<T> {
+    /// The same with `value`, which was made of what was read.
+    pub fn with<U>(&self, value: U) -> Read<U> {
+        Read {
+            value,
+            revision: self.revision,
+            newest: self.newest,
+        }
+    }
 }
 
 /// The operators' configuration.
@@ -133,28 +146,31 @@
     /// The configuration in force, if there is one.
     fn configuration(&self) -> impl Future<Output = Result<Read<Option<Configuration>>, Error>>;
 
-    /// Waits a bounded time for a configuration newer than `after`.
+    /// Waits at most `wait` for a configuration newer than `after`.
     fn next_configuration(
         &self,
         after: Revision,
+        wait: Duration,
     ) -> impl Future<Output = Result<Read<Option<Configuration>>, Error>>;
 
     /// All backend servers.
     fn backends(&self) -> impl Future<Output = Result<Read<Vec<Backend>>, Error>>;
 
-    /// Waits a bounded time for changes of the list of backend servers after `after`.
+    /// Waits at most `wait` for changes of the list of backend servers after `after`.
     fn next_backends(
         &self,
         after: Revision,
+        wait: Duration,
     ) -> impl Future<Output = Result<Read<Vec<Change<Backend>>>, Error>>;
 
     /// All entry hosts that have announced themselves.
     fn peers(&self) -> impl Future<Output = Result<Read<Vec<Peer>>, Error>>;
 
-    /// Waits a bounded time for changes among entry hosts after `after`.
+    /// Waits at most `wait` for changes among entry hosts after `after`.
     fn next_peers(
         &self,
         after: Revision,
+        wait: Duration,
     ) -> impl Future<Output = Result<Read<Vec<Change<Peer>>>, Error>>;
 
     /// Announces this host to others. The token is newer than any that was given out before.
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -22,6 +22,14 @@
 /// How long after the last failed read the list of servers is not trusted to be complete.
 const BLIND: Duration = Duration::from_millis(1_500);
 
+/// How long a call waits for changes among entry hosts, which are rare: the platform's limit is
+/// 30 s.
+const PEERS_WAIT: Duration = Duration::from_secs(25);
+
+/// Pause after changes among entry hosts. While 65 of them started, each made up to 40 calls
+/// within 200 ms; nothing depends on the order of a second here.
+const PEERS_REST: Duration = Duration::from_millis(1_000);
+
 /// Follows the platform's store.
 pub struct Watch<C: Codec, P> {
     site: Rc<Site>,
@@ -67,15 +75,30 @@
         let mut after: Option<Revision> = None;
         loop {
             let asked = self.site.now();
+            let wait = self.fleet.patience().wait();
+            let feed = &self.fleet.feeds.configuration;
             let read = match after {
                 None => self.platform.configuration().await,
-                Some(after) => self.platform.next_configuration(after).await,
+                Some(after) => {
+                    let call = self.platform.next_configuration(after, wait);
+                    match feed.unless_stuck(call).await {
+                        Some(read) => read,
+                        None => {
+                            self.given_up(&track);
+                            self.platform.configuration().await
+                        }
+                    }
+                }
             };
             match read {
-                Ok(Read { value, revision }) => {
+                Ok(Read {
+                    value, revision, ..
+                }) => {
                     track.answered(&self.site);
                     after = Some(revision);
                     self.adopt(value, self.site.now().saturating_sub(asked));
+                    let version = self.fleet.version();
+                    feed.read(version, Some(version));
                 }
                 Err(error) => self.failed(&mut track, &error, &mut after).await,
             }
@@ -88,22 +111,15 @@
         let mut after: Option<Revision> = None;
         loop {
             let read = match after {
-                None => self.platform.backends().await.map(|read| {
-                    self.fleet.list(read.value);
-                    read.revision
-                }),
-                Some(after) => self.platform.next_backends(after).await.map(|read| {
-                    for change in read.value {
-                        self.fleet.change(change);
-                    }
-                    read.revision
-                }),
+                None => self.list_backends().await,
+                Some(after) => self.follow_backends(after, &track).await,
             };
             match read {
                 Ok(revision) => {
                     track.answered(&self.site);
                     after = Some(revision);
                     self.election.attend();
+                    tokio::time::sleep(self.fleet.patience().rest()).await;
                 }
                 Err(error) => {
                     self.failed.set(Some(self.site.now()));
@@ -137,23 +153,59 @@
                     self.fleet.list_peers(read.value);
                     read.revision
                 }),
-                Some(after) => self.platform.next_peers(after).await.map(|read| {
-                    for change in read.value {
-                        self.fleet.change_peer(change);
-                    }
-                    read.revision
-                }),
+                Some(after) => self
+                    .platform
+                    .next_peers(after, PEERS_WAIT)
+                    .await
+                    .map(|read| {
+                        for change in read.value {
+                            self.fleet.change_peer(change);
+                        }
+                        read.revision
+                    }),
             };
             match read {
                 Ok(revision) => {
                     track.answered(&self.site);
                     after = Some(revision);
+                    tokio::time::sleep(PEERS_REST).await;
                 }
                 Err(error) => self.failed(&mut track, &error, &mut after).await,
             }
         }
     }
 
+    /// Reads the whole list of servers.
+    async fn list_backends(&self) -> Result<Revision, Error> {
+        let read = self.platform.backends().await?;
+        self.fleet.feeds.backends.took(&read);
+        self.fleet.list(read.value);
+        Ok(read.revision)
+    }
+
+    /// Waits for changes of the list of servers after `after`.
+    async fn follow_backends(&self, after: Revision, track: &Track) -> Result<Revision, Error> {
+        let feed = &self.fleet.feeds.backends;
+        let wait = self.fleet.patience().wait();
+        let call = self.platform.next_backends(after, wait);
+        let Some(read) = feed.unless_stuck(call).await else {
+            self.given_up(track);
+            return self.list_backends().await;
+        };
+        let read = read?;
+        feed.took(&read);
+        for change in read.value {
+            self.fleet.change(change);
+        }
+        Ok(read.revision)
+    }
+
+    /// A call that waited for changes was given up, since others have got some meanwhile.
+    fn given_up(&self, track: &Track) {
+        let what = track.what;
+        self.site.log(&Event::FeedStuck { what });
+    }
+
     fn adopt(&self, configuration: Option<Configuration>, took: Duration) {
         if let Some(configuration) = configuration {
             self.fleet.adopt(configuration, took);
