--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use flamingopost_standin::pooled::{Faults, Mode, Site};
+use flamingopost_standin::ports;
 use rustix::process::Signal;
 use tokio::task::JoinSet;
 
@@ -45,9 +46,6 @@
 /// How slow the slow store is.
 const SLOW: Duration = Duration::from_millis(400);
 
-/// Ports of hosts: below those that the system gives to outgoing connections.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
-
 /// Memory that a host may use: it serves a handful of callers, and its logs have bounds.
 const MEMORY: u64 = 64 << 20;
 
@@ -125,7 +123,9 @@
                 .await?;
             site.show(&id, relay);
         }
-        let ports: Vec<[SocketAddr; 3]> = (0..plan.hosts).map(|_| ports()).collect();
+        let ports: Vec<[SocketAddr; 3]> = (0..plan.hosts)
+            .map(|_| [(); 3].map(|()| ports::free()))
+            .collect();
         let senders = ports
             .iter()
             .enumerate()
@@ -497,17 +497,3 @@
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Three ports that are free now, for TCP and for datagrams.
-fn ports() -> [SocketAddr; 3] {
-    [(); 3].map(|()| {
-        loop {
-            let port = rand::random_range(PORTS);
-            let address = SocketAddr::from(([127, 0, 0, 1], port));
-            let free = std::net::TcpListener::bind(address).is_ok();
-            if free && std::net::UdpSocket::bind(address).is_ok() {
-                return address;
-            }
-        }
-    })
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod panel;
 pub mod platform;
 pub mod pooled;
+pub mod ports;
 pub mod relay;
