--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -28,6 +28,23 @@
 /// What one answer adds to the window, divided by the window.
 const WIDER: f64 = 0.1;
 
+/// Part of a new measurement in the trend, as a divisor: work differs tenfold from one request to
+/// the next, and the trend must not.
+const LONG_SMOOTHING: u32 = 32;
+
+/// How much of itself the time of an unloaded server is taken to grow in a second, at most: it is
+/// the lowest trend of some half minute.
+const DRIFT: f64 = 0.02;
+
+/// A server whose requests take this many times as long as when it was not loaded has a queue.
+const CROWDED: u32 = 3;
+
+/// What such a queue leaves of the window.
+const NARROWER_BY_DELAY: f64 = 0.9;
+
+/// Shortest time between two such steps: the trend must follow.
+const DELAY_REST: Duration = Duration::from_millis(100);
+
 /// What a full queue leaves of the window.
 const NARROWER: f64 = 0.7;
 
@@ -82,6 +99,9 @@
     idle: Vec<Idle>,
     busy: u16,
     average: Duration,
+    trend: Duration,
+    unloaded: Duration,
+    unloaded_at: Duration,
     retry_at: Duration,
     backoff: Duration,
     full_until: Duration,
@@ -121,6 +141,9 @@
             idle: Vec::new(),
             busy: 0,
             average: FIRST_GUESS,
+            trend: FIRST_GUESS,
+            unloaded: FIRST_GUESS,
+            unloaded_at: Duration::ZERO,
             retry_at: Duration::ZERO,
             backoff: Duration::ZERO,
             full_until: Duration::ZERO,
@@ -155,8 +178,18 @@
     }
 
     /// A request took `took` there.
-    pub fn took(&mut self, took: Duration) {
+    pub fn took(&mut self, took: Duration, now: Duration) {
         self.average = (self.average * (SMOOTHING - 1) + took) / SMOOTHING;
+        self.trend = (self.trend * (LONG_SMOOTHING - 1) + took) / LONG_SMOOTHING;
+        let drift = now.saturating_sub(self.unloaded_at).as_secs_f64() * DRIFT;
+        self.unloaded_at = now;
+        self.unloaded = self.unloaded.mul_f64(1.0 + drift).min(self.trend);
+        if self.trend > self.unloaded * CROWDED && now >= self.narrowed_at + DELAY_REST {
+            self.narrowed_at = now;
+            self.window = (self.window * NARROWER_BY_DELAY).max(1.0);
+        } else if self.trend <= self.unloaded * CROWDED {
+            self.widen();
+        }
     }
 
     /// How long a request took there lately.
@@ -186,7 +219,7 @@
 
     /// A request was answered: a little more may run at once (AIMD, as in TCP). Hosts share a
     /// server's slots and its short queue without seeing each other.
-    pub fn widen(&mut self) {
+    fn widen(&mut self) {
         let most = f64::from(self.most);
         self.window = (self.window + WIDER / self.window).min(most.max(FIRST_WINDOW));
     }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -230,7 +230,7 @@
         None
     );
     let server = dispatch.server_mut(leader).unwrap();
-    (0..200).for_each(|_| server.widen());
+    (0..200).for_each(|_| server.took(ms(15), now));
     assert!(lent(&dispatch.tick(now + ms(50))).is_some());
 }
 
@@ -252,6 +252,56 @@
     assert_eq!(lent(&next), Some(keys[0]), "the next one runs");
 }
 
+/// Both replicas of a service were behind for half a minute, and its primary got a sixth more work
+/// than it has slots for. Its long queue never overflowed, so nothing told hosts to send less: every
+/// request waited there for most of its goal, and three in five were answered late. Hosts that see
+/// requests take several times as long as before send less, and the queue stays with them.
+#[test]
+fn a_growing_queue_narrows_what_runs_at_once() {
+    let (mut dispatch, keys) = dispatch(ms(0));
+    let mut now = ms(0);
+    let mut answer = |dispatch: &mut Dispatch, took: u64, count: u64| {
+        for _ in 0..count {
+            now += ms(10);
+            let server = dispatch.server_mut(keys[0]).expect("it is known");
+            server.took(ms(took), now);
+        }
+        window(dispatch, keys[0], now)
+    };
+    let calm = answer(&mut dispatch, 20, 400);
+    assert_eq!(calm, 4, "as many as the host may have connections");
+    let crowded = answer(&mut dispatch, 200, 400);
+    assert_eq!(crowded, 1);
+    let calm = answer(&mut dispatch, 20, 400);
+    assert_eq!(calm, 4, "it widens again");
+}
+
+/// How many requests run at `server` at once, of as many as the host has connections for.
+fn window(dispatch: &mut Dispatch, server: ServerKey, now: Duration) -> usize {
+    for connection in 100..103 {
+        dispatch.opened(server, connection, now);
+    }
+    let mut running = Vec::new();
+    for id in 1_000..1_004 {
+        for next in dispatch.arrive(ticket(id, Need::Lead, now), now) {
+            if let Next::Lend { connection, .. } = next {
+                running.push(connection);
+            }
+        }
+    }
+    let count = running.len();
+    for id in 1_000..1_004 {
+        dispatch.cancel(id);
+    }
+    for connection in running {
+        dispatch.returned(server, connection, now);
+    }
+    for connection in 100..103 {
+        dispatch.ended(server, connection);
+    }
+    count
+}
+
 /// A caller thinks inside its transaction. Its connection takes no slot meanwhile, so another
 /// request may run beside it.
 #[test]
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -240,9 +240,9 @@
 
     /// A request took `took` at a server.
     pub fn took(&self, server: ServerKey, took: Duration) {
+        let now = self.site.now();
         if let Some(server) = self.state.borrow_mut().dispatch.server_mut(server) {
-            server.took(took);
-            server.widen();
+            server.took(took, now);
         }
     }
 
