--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -89,21 +89,6 @@
     /// With 5 s for all, 65 hosts made 3,200 calls a minute, more than any other call.
     const TOLD: Duration = Duration::from_secs(25);
 
-    /// Pause after changes: those of the next moments come with one call. While 24 servers
-    /// started, each of 65 hosts made as many calls.
-    const REST: Duration = Duration::from_millis(200);
-
-    /// The same where a change is a call of each of many hosts.
-    const REST_OF_MANY: Duration = Duration::from_millis(600);
-
-    /// How long nothing is asked after a change.
-    pub fn rest(self) -> Duration {
-        match self {
-            Patience::Alone => Patience::REST,
-            Patience::ForOthers | Patience::Told => Patience::REST_OF_MANY,
-        }
-    }
-
     /// How long a call may wait for a change.
     pub fn wait(self) -> Duration {
         match self {
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -299,15 +299,19 @@
         self.feeds.backends.look(now);
     }
 
+    /// Whether all hosts ask all others.
+    pub fn is_small(&self) -> bool {
+        self.peers.borrow().by_host.len() < SMALL
+    }
+
     /// How long calls that wait for changes may wait.
     ///
     /// The hosts that all others ask find out for themselves whether a feed is stuck, and so do
     /// all where they are few. The others are told, for as long as they hear most of those.
     pub fn patience(&self) -> Patience {
-        let few = self.peers.borrow().by_host.len() < SMALL;
         let quorum = self.quorum.borrow();
         match (
-            few,
+            self.is_small(),
             quorum.takes_part(),
             quorum.is_with_most(self.site.now()),
         ) {
@@ -341,7 +345,7 @@
     /// The other hosts whose majority counts, and whether this one is of their number.
     fn elect(&self) -> (Vec<(HostKey, Peer)>, bool) {
         let peers = self.peers();
-        if peers.len() < SMALL {
+        if self.is_small() {
             return (peers, true);
         }
         // Each zone's hosts in an order of their own, then one of each zone after the other.
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -26,8 +26,13 @@
 /// 30 s.
 const PEERS_WAIT: Duration = Duration::from_secs(25);
 
-/// Pause after changes among entry hosts. While 65 of them started, each made up to 40 calls
-/// within 200 ms; nothing depends on the order of a second here.
+/// Pause after changes of the list of servers in a large fleet: those of the next moments come with
+/// one call. While 24 servers started, 65 hosts made 24 calls each. Few hosts ask again at once.
+const BACKENDS_REST: Duration = Duration::from_millis(600);
+
+/// Pause after changes among entry hosts in a large fleet: while 65 of them started, each made up
+/// to 40 calls within 200 ms. Few hosts ask again at once: one that does not know of the others
+/// yet would take itself for the majority.
 const PEERS_REST: Duration = Duration::from_millis(1_000);
 
 /// Follows the platform's store.
@@ -119,7 +124,7 @@
                     track.answered(&self.site);
                     after = Some(revision);
                     self.election.attend();
-                    tokio::time::sleep(self.fleet.patience().rest()).await;
+                    self.rest(BACKENDS_REST).await;
                 }
                 Err(error) => {
                     self.failed.set(Some(self.site.now()));
@@ -168,13 +173,20 @@
                 Ok(revision) => {
                     track.answered(&self.site);
                     after = Some(revision);
-                    tokio::time::sleep(PEERS_REST).await;
+                    self.rest(PEERS_REST).await;
                 }
                 Err(error) => self.failed(&mut track, &error, &mut after).await,
             }
         }
     }
 
+    /// Pauses after a change, so that many hosts do not make a call for each of many changes.
+    async fn rest(&self, pause: Duration) {
+        if !self.fleet.is_small() {
+            tokio::time::sleep(pause).await;
+        }
+    }
+
     /// Reads the whole list of servers.
     async fn list_backends(&self) -> Result<Revision, Error> {
         let read = self.platform.backends().await?;
