Give a relayed statement up when its route allows no more

Cause: a host that passes a caller's statements on waited 20 s for the host that serves. One that stands still or is cut off after it has taken a statement keeps callers hanging until their own deadline, and the loss was not logged.

--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -46,6 +46,8 @@
         5203 Warn TransactionLost { id: String, database: String, server: String, reason: String },
         /// caller sent what cannot be understood: {error}
         5204 Warn BadCaller { error: String },
+        /// request {id} for {database} ends without an answer from the host that serves it: {error} after {millis} ms
+        5205 Warn RelayLost { id: String, database: String, error: String, millis: u128 },
         /// {count} more lines of event {event} were left out within a second
         5290 Warn Suppressed { event: u16, count: u64 },
         /// settings file changed: {outcome}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -10,14 +10,16 @@
 
 use flamingopost_core::key::ServerKey;
 
-use crate::back::{Back, Target};
+use crate::back::{self, Back, Outcome, Target};
 use crate::codec::Codec;
+use crate::event::Event;
 use crate::front::{self, Front};
 use crate::message::{Command, Request, Transaction};
 use crate::session::Context;
 
-/// How long the other host may take for one statement: longer than any route allows.
-const STATEMENT: Duration = Duration::from_secs(20);
+/// How much longer than the route allows the other host may take for a statement: the way there
+/// and back, and its own load. One that stands still answers nothing while its kernel still does.
+const MARGIN: Duration = Duration::from_millis(300);
 
 /// How long connecting to the other host may take before the next one is tried.
 const CONNECT: Duration = Duration::from_millis(150);
@@ -25,6 +27,7 @@
 /// A session that another host serves.
 pub struct Relay<C: Codec> {
     context: Rc<Context<C>>,
+    database: String,
     front: Front<C>,
     back: Back<C>,
     transaction: Transaction,
@@ -56,11 +59,17 @@
 }
 
 impl<C: Codec> Relay<C> {
-    /// Passes the statements of `front` on over `back`.
-    pub fn new(context: Rc<Context<C>>, front: Front<C>, back: Back<C>) -> Relay<C> {
+    /// Passes the statements of `front`, whose session is on `database`, on over `back`.
+    pub fn new(
+        context: Rc<Context<C>>,
+        database: String,
+        front: Front<C>,
+        back: Back<C>,
+    ) -> Relay<C> {
         let moves = context.stop.moves();
         Relay {
             context,
+            database,
             front,
             back,
             transaction: Transaction::Idle,
@@ -86,13 +95,20 @@
                 text: &query.text,
                 after: None,
             });
-            let answered = tokio::time::timeout(STATEMENT, async {
-                self.back.flush().await?;
-                self.back.outcome().await
-            });
-            let Ok(Ok(outcome)) = answered.await else {
-                // Whether it ran only the other host knows: the session ends without an answer.
-                return Ok(());
+            let sent = self.context.site.now();
+            let outcome = match self.outcome().await {
+                Ok(outcome) => outcome,
+                Err(error) => {
+                    // Whether it ran only the other host knows: the session ends without an answer.
+                    let millis = self.context.site.now().saturating_sub(sent).as_millis();
+                    self.context.site.log(&Event::RelayLost {
+                        id: String::from_utf8_lossy(&query.id).into_owned(),
+                        database: self.database.clone(),
+                        error: error.to_string(),
+                        millis,
+                    });
+                    return Ok(());
+                }
             };
             for row in &outcome.rows {
                 self.front.row(row);
@@ -108,6 +124,18 @@
         self.front.close().await
     }
 
+    /// The other host's answer to what is queued.
+    async fn outcome(&mut self) -> Result<Outcome, back::Error> {
+        let route = self.context.fleet.route(&self.database);
+        let allowed = route.map_or(Duration::ZERO, |(route, _)| route.timeout);
+        let answered = tokio::time::timeout(allowed + MARGIN, async {
+            self.back.flush().await?;
+            self.back.outcome().await
+        });
+        let silent = |_| back::Error::Io(std::io::ErrorKind::TimedOut.into());
+        answered.await.map_err(silent)?
+    }
+
     async fn next(&mut self) -> Result<Next, front::Error> {
         let stop = Rc::clone(&self.context.stop);
         let idle = self.transaction != Transaction::Open;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -131,7 +131,8 @@
         {
             front.ready(Transaction::Idle, None);
             front.flush().await?;
-            return Relay::new(context, front, back).run().await;
+            let relay = Relay::new(context, database, front, back);
+            return relay.run().await;
         }
         front.ready(Transaction::Idle, None);
         front.flush().await?;
