--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -10,36 +10,26 @@
 use std::time::Duration;
 
 use crate::key::{HostKey, ServerKey};
-use crate::leader::Role;
-use crate::position::Position;
-use crate::term::Term;
 
 mod contact;
+mod inquiry;
 mod next;
+mod view;
 
 pub use contact::{Contact, Trouble};
+pub use inquiry::{ALONE, DIVIDED, OBJECTION};
+use inquiry::{Inquiry, Verdict};
 pub use next::{Grant, Next, Opinion, Order, Report};
+pub use view::View;
 
 /// How long other hosts and servers may take to say what they see: a few round trips between
 /// zones, and the time in which a host tries the primary itself.
 pub const INQUIRY: Duration = Duration::from_millis(220);
 
-/// How long a host that reaches a primary whose port is closed to others has to say so: several
-/// round trips between zones.
-pub const OBJECTION: Duration = Duration::from_millis(40);
-
 /// A primary that answers nothing is suspected after this long. Slow statements take tens of
 /// milliseconds; the bound keeps a burst from looking like a death.
 pub const SILENCE: Duration = Duration::from_millis(300);
 
-/// Without most hosts, a change waits this long after the platform's list has lost the primary,
-/// which takes seconds by itself: cuts last about as long, and end.
-pub const ALONE: Duration = Duration::from_millis(1_500);
-
-/// When some hosts reach the primary and most do not, the change waits this long, since the
-/// path may heal sooner than a change takes.
-pub const DIVIDED: Duration = Duration::from_millis(1_000);
-
 /// Pause between two inquiries.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -63,10 +53,6 @@
 /// A planned change waits at most this long for a replica to have all that its primary has.
 const CATCH_UP: Duration = Duration::from_millis(400);
 
-/// Where commits wait for one replica, a change waits this long for a replica that has what this
-/// host has seen acknowledged: restarts and cuts of servers last some seconds.
-const RETURN: Duration = Duration::from_secs(10);
-
 /// What one host knows of the succession in one service.
 #[derive(Debug, Default)]
 pub struct Succession {
@@ -111,38 +97,6 @@
     },
 }
 
-#[derive(Debug, Default, Clone)]
-struct Inquiry {
-    cause: Option<Trouble>,
-    since: Duration,
-    until: Duration,
-    opinions: BTreeMap<HostKey, Opinion>,
-    reports: BTreeMap<ServerKey, Report>,
-}
-
-/// The situation as the host sees it when it takes a step.
-#[derive(Debug, Clone)]
-pub struct View {
-    /// Who leads, if anybody is known to.
-    pub leader: Option<ServerKey>,
-    /// The newest term that is known to have begun.
-    pub term: Term,
-    /// What is wrong with the primary, as far as this host sees.
-    pub trouble: Option<Trouble>,
-    /// Servers that may take over: listed and not leaving.
-    pub candidates: BTreeSet<ServerKey>,
-    /// Other hosts that are known.
-    pub peers: BTreeSet<HostKey>,
-    /// How many of them come before this host when the store is away.
-    pub rank: u32,
-    /// From when on no host that has not answered can acknowledge writes any more.
-    pub quiet_at: Duration,
-    /// Whether the primary acknowledges a commit only when a replica has received it.
-    pub synchronous: bool,
-    /// The newest position of the log that this host has heard of.
-    pub newest: Position,
-}
-
 impl Succession {
     /// Takes note of a token that may be used while the store is away.
     pub fn reserve(&mut self, grant: Grant) {
@@ -474,104 +428,3 @@
         }
     }
 }
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Verdict {
-    Open,
-    Keep,
-    Replace,
-}
-
-impl Inquiry {
-    /// Whether the primary is replaced.
-    ///
-    /// Hosts that do not answer may be with the primary on the other side of a cut, and go on
-    /// acknowledging writes there that its successor lacks. So more than half of all hosts have
-    /// to miss it. Fewer may act only when the platform, too, has long lost sight of it.
-    fn verdict(&self, trouble: Trouble, view: &View, now: Duration) -> Verdict {
-        if self.newer_leader(view) {
-            return Verdict::Keep;
-        }
-        let (since, unlisted) = match trouble {
-            // It has begun to leave while others were asked about it.
-            Trouble::Leaving => return Verdict::Replace,
-            Trouble::Absent { since } => (since, true),
-            Trouble::Refuses { since } | Trouble::Silent { since } => (since, false),
-        };
-        let refuses = matches!(trouble, Trouble::Refuses { .. });
-        let over = now >= self.until;
-        let reach = self.count(Opinion::Reaches);
-        let fail = self.count(Opinion::Fails) + 1;
-        let hosts = view.peers.len() + 1;
-        let most = fail * 2 > hosts;
-        let complete = self.opinions.len() == view.peers.len();
-        match (most, reach) {
-            (true, 0) if over || complete => Verdict::Replace,
-            // No process listens there any more: nobody who is still silent can know better.
-            (true, 0) if refuses && now >= self.since + OBJECTION => Verdict::Replace,
-            (true, _) if over && now >= since + DIVIDED => Verdict::Replace,
-            (false, 0) if over && unlisted && now >= since + ALONE => Verdict::Replace,
-            _ if over => Verdict::Keep,
-            _ => Verdict::Open,
-        }
-    }
-
-    fn count(&self, opinion: Opinion) -> usize {
-        self.opinions.values().filter(|it| **it == opinion).count()
-    }
-
-    /// Whether a server already leads a newer term: somebody else has acted.
-    fn newer_leader(&self, view: &View) -> bool {
-        self.reports
-            .iter()
-            .any(|(server, report)| report.leads_beside(*server, view))
-    }
-
-    fn all_heard(&self, view: &View) -> bool {
-        let others = view.candidates.iter();
-        others
-            .filter(|server| view.leader != Some(**server))
-            .all(|server| self.reports.contains_key(server))
-    }
-
-    /// Whether nothing is gained by waiting for further answers.
-    fn is_settled(&self, view: &View, heard: bool, now: Duration) -> bool {
-        heard && (!view.synchronous || self.is_complete(view, now))
-    }
-
-    /// Whether no acknowledged commit can be missing at the best candidate, where the primary
-    /// waits for one replica.
-    ///
-    /// Which replica that was differs from commit to commit: one that is too busy to answer may
-    /// be the only one that has the last of them. So all have to be heard, and what this host has
-    /// seen acknowledged must be there, also when the replica that had it is gone for a while.
-    /// With the first answers alone, 54 and 67 acknowledged commits were lost on two of 24 days.
-    fn is_complete(&self, view: &View, now: Duration) -> bool {
-        if self.cause == Some(Trouble::Leaving) {
-            // It acknowledges further commits meanwhile, and its replicas receive them.
-            return self.all_heard(view);
-        }
-        let has_all = self.best(view).is_some_and(|best| {
-            let report = self.reports.get(&best);
-            report.is_some_and(|report| report.received >= view.newest)
-        });
-        self.all_heard(view) && (has_all || now >= self.since + RETURN)
-    }
-
-    /// The candidate that has received most; ties go to the lowest key, on every host alike.
-    fn best(&self, view: &View) -> Option<ServerKey> {
-        let candidates = view.candidates.iter().filter_map(|server| {
-            let report = self.reports.get(server)?;
-            let fit = view.leader != Some(*server) && report.role == Role::Replica;
-            fit.then_some((report.received, *server))
-        });
-        let best: Option<(Position, ServerKey)> = candidates.max_by_key(|(position, _)| *position);
-        best.map(|(_, server)| server)
-    }
-}
-
-impl Report {
-    fn leads_beside(&self, server: ServerKey, view: &View) -> bool {
-        self.role == Role::Primary && self.term > view.term && view.leader != Some(server)
-    }
-}
--- /dev/null
+++ b/crates/core/src/succession/view.rs
@@ -0,0 +1,33 @@
+//! What a host sees of a service when it takes a step.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::key::{HostKey, ServerKey};
+use crate::position::Position;
+use crate::term::Term;
+
+use super::contact::Trouble;
+
+/// The situation as the host sees it when it takes a step.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// Who leads, if anybody is known to.
+    pub leader: Option<ServerKey>,
+    /// The newest term that is known to have begun.
+    pub term: Term,
+    /// What is wrong with the primary, as far as this host sees.
+    pub trouble: Option<Trouble>,
+    /// Servers that may take over: listed and not leaving.
+    pub candidates: BTreeSet<ServerKey>,
+    /// Other hosts that are known.
+    pub peers: BTreeSet<HostKey>,
+    /// How many of them come before this host when the store is away.
+    pub rank: u32,
+    /// From when on no host that has not answered can acknowledge writes any more.
+    pub quiet_at: Duration,
+    /// Whether the primary acknowledges a commit only when a replica has received it.
+    pub synchronous: bool,
+    /// The newest position of the log that this host has heard of.
+    pub newest: Position,
+}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,8 +1,7 @@
 //! What this host knows of the fleet: configuration, services and their servers, other hosts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,27 +17,19 @@
 use crate::peer::News;
 use crate::platform::{Backend, Change, Configuration, Peer};
 use crate::route::Route;
-use crate::service::{Allotment, Service};
+use crate::service::Service;
 use crate::site::Site;
 
+mod homes;
+
+pub use homes::Home;
+use homes::spread;
+
 /// How long an entry that has gone from the list is still believed in. Entries of living servers
 /// lapse while the platform's store is away and are back within two seconds of its return; the
 /// bound on work for servers that have left is several seconds.
 pub const LAPSE: Duration = Duration::from_millis(2_300);
 
-/// Hosts keep this part of a server's connections open, as a divisor. When hosts lose power,
-/// servers go on counting their connections for some seconds: the other part lets all hosts in
-/// that start meanwhile. With all of them kept open, nobody was served for two seconds after such
-/// a restart.
-const KEPT_PART: u16 = 2;
-
-/// Connections to one server that a host keeps open at most: one for each of the few statements
-/// that a fraction of a core can have in flight.
-const BASE_MOST: u16 = 4;
-
-/// A host may use this part of a server's connections for a while, as a divisor.
-const BURST_PART: u16 = 4;
-
 /// Up to this many hosts all ask each other whether they are in touch.
 const SMALL: usize = 9;
 
@@ -46,18 +37,6 @@
 /// host sends stays the same however many there are. Odd, so that halves cannot tie.
 const ELECTORS: usize = 7;
 
-/// Connections that a host which serves a service for its zone should have to each server.
-const HOME_CONNECTIONS: usize = 5;
-
-/// Each host has at least one request running at a server, whatever that bears. With more hosts
-/// than this many times a server's slots, these alone overflow its queue, and it refuses rather
-/// than serves: no host can narrow its window any further.
-const CROWD: usize = 6;
-
-/// Hosts that serve a service for their zones, together, for each slot of a server: enough that
-/// the loss of one leaves most, few enough that their windows tell apart what a server bears.
-const HOMES_PER_SLOT: usize = 2;
-
 /// What this host knows of the fleet.
 pub struct Fleet<C: Codec> {
     site: Rc<Site>,
@@ -376,44 +355,6 @@
         (chosen.cloned().collect(), takes_part)
     }
 
-    /// The hosts of this zone that serve `service` for all of its hosts, best first; `None` where
-    /// each host serves for itself.
-    ///
-    /// With more hosts than a server accepts connections, most would be refused and all would
-    /// connect anew all the time. With many more than it has slots, its queue overflows: of 65
-    /// hosts before servers with 5 slots, one request in eight of a service was refused for the
-    /// rest of a day after its replicas had been behind for some seconds.
-    pub fn homes(&self, service: &str) -> Option<Vec<Home>> {
-        let connections = self.connections(service)?;
-        let slots = self.slots(service);
-        let peers = self.peers.borrow();
-        let crowded = slots.is_some_and(|slots| peers.by_host.len() > slots * CROWD);
-        if peers.by_host.len() < connections && !crowded {
-            return None;
-        }
-        let all = peers.by_host.values().map(|(_, peer)| peer);
-        let mut zones: BTreeSet<&str> = all.clone().map(|peer| peer.zone.as_str()).collect();
-        zones.insert(&self.site.zone);
-        let by_connections = connections / HOME_CONNECTIONS;
-        let by_slots = slots.map_or(by_connections, |slots| slots * HOMES_PER_SLOT);
-        let count = (by_connections.min(by_slots) / zones.len()).max(1);
-        let mut hosts: Vec<(u64, Home)> = all
-            .filter(|peer| peer.zone == self.site.zone)
-            .map(|peer| (spread(service, &peer.host), Home::Peer(peer.address)))
-            .collect();
-        hosts.push((spread(service, &self.site.host), Home::Here));
-        hosts.sort_by_key(|(order, _)| *order);
-        let homes = hosts.into_iter().take(count);
-        Some(homes.map(|(_, home)| home).collect())
-    }
-
-    /// Connections that each server of `service` accepts.
-    fn connections(&self, service: &str) -> Option<usize> {
-        let configuration = self.configuration.borrow();
-        let configured = configuration.as_ref()?.services.get(service)?;
-        Some(usize::from(configured.connections))
-    }
-
     /// Whether commits of `service` are acknowledged only when a replica has received them.
     pub fn is_synchronous(&self, service: &str) -> bool {
         let configuration = self.configuration.borrow();
@@ -422,23 +363,6 @@
         configured.is_some_and(|configured| configured.synchronous)
     }
 
-    /// Requests that each server of `service` runs at once; `None` while none is listed.
-    fn slots(&self, service: &str) -> Option<usize> {
-        let services = self.services.borrow();
-        let slots = services.get(service)?.slots()?;
-        Some(usize::from(slots))
-    }
-
-    /// How many hosts come before this one when `what` has to be done by one of them.
-    ///
-    /// The order differs by `what`, so that one lost host does not come first everywhere.
-    pub fn rank(&self, what: &str) -> u32 {
-        let own = spread(what, &self.site.host);
-        let peers = self.peers.borrow();
-        let before = peers.by_host.keys().filter(|host| spread(what, host) < own);
-        u32::try_from(before.count()).unwrap_or(u32::MAX)
-    }
-
     fn put(&self, backend: &Backend) {
         self.site.log(&Event::Listed {
             service: backend.service.clone(),
@@ -478,67 +402,4 @@
         services.insert(name.to_owned(), Rc::clone(&service));
         service
     }
-
-    /// Availability zones that have hosts.
-    fn zones(&self) -> usize {
-        let peers = self.peers.borrow();
-        let zones = peers.by_host.values().map(|(_, peer)| peer.zone.as_str());
-        let mut zones: BTreeSet<&str> = zones.collect();
-        zones.insert(&self.site.zone);
-        zones.len()
-    }
-
-    fn allot(&self) {
-        for service in self.services() {
-            service.allot(self.allotment(&service.name));
-        }
-    }
-
-    fn allotment(&self, service: &str) -> Allotment {
-        let configuration = self.configuration.borrow();
-        let configured = configuration
-            .as_ref()
-            .and_then(|it| it.services.get(service));
-        let Some(configured) = configured else {
-            return Allotment {
-                base: 0,
-                fair: 1,
-                most: 1,
-            };
-        };
-        let hosts = match self.homes(service) {
-            None => self.peers.borrow().by_host.len() + 1,
-            Some(homes) if homes.contains(&Home::Here) => homes.len() * self.zones(),
-            // Others serve it; a single connection is left for when none of them can be reached.
-            Some(_) => {
-                return Allotment {
-                    base: 0,
-                    fair: 1,
-                    most: 1,
-                };
-            }
-        };
-        let hosts = u16::try_from(hosts).unwrap_or(u16::MAX);
-        let base = (configured.connections / KEPT_PART / hosts).clamp(1, BASE_MOST);
-        let fair = (configured.connections / hosts).max(1);
-        let most = (configured.connections / BURST_PART).max(fair);
-        Allotment { base, fair, most }
-    }
-}
-
-/// Where a service is served for this host's availability zone.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Home {
-    /// By this host.
-    Here,
-    /// By the host that answers others at this address.
-    Peer(SocketAddr),
-}
-
-/// FNV-1a: the same number on every host, for any pair of names.
-fn spread(what: &str, host: &str) -> u64 {
-    let bytes = what.bytes().chain(host.bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
 }
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -11,6 +11,7 @@
     /// EXAMPLES:
     ///     flamingopost-soak target/release/flamingopost --seeds 50 --jobs 4
     ///     flamingopost-soak target/release/flamingopost --first 7 --hosts 100 --seconds 30
+    ///     flamingopost-soak target/release/flamingopost --gaps 10
     cmd flamingopost-soak {
         /// The program.
         required program: PathBuf
@@ -26,6 +27,9 @@
         optional --hosts count: usize
         /// Where settings and logs go; a folder for temporary files unless given.
         optional --folder folder: PathBuf
+        /// Instead of seeds: for how long nothing is written when a primary goes, measured so often
+        /// in each of the ways.
+        optional --gaps count: usize
         /// Prints each plan before it is played.
         optional --plan
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,11 +5,12 @@
 //! in series that overlap. [`play`] starts hosts, sends all their traffic through a
 //! [`net::Net`] of loopback relays, lets [`caller`]s work all the while, and gives a
 //! [`check::Verdict`]. Timing differs from run to run, so a seed repeats the faults and not each
-//! moment.
+//! moment. [`gap`] measures how long nothing is written when a primary goes.
 
 pub mod caller;
 pub mod check;
 pub mod fault;
+pub mod gap;
 pub mod ledger;
 pub mod line;
 pub mod net;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,6 +8,7 @@
 
 use flags::FlamingopostSoak;
 use flamingopost_soak::check::Verdict;
+use flamingopost_soak::gap::{self, Way};
 use flamingopost_soak::plan::Plan;
 use flamingopost_soak::play::play;
 use tokio::task::JoinSet;
@@ -36,6 +37,10 @@
 /// Plays the seeds; how many broke a promise.
 #[tokio::main]
 async fn run(flags: &FlamingopostSoak) -> std::io::Result<usize> {
+    if let Some(count) = flags.gaps {
+        gaps(count, &flags.program).await?;
+        return Ok(0);
+    }
     let first = flags.first.unwrap_or_else(rand::random);
     let count = flags.seeds.unwrap_or(1);
     let jobs = flags.jobs.unwrap_or(1).max(1);
@@ -60,6 +65,20 @@
     Ok(broken)
 }
 
+/// Measures and prints the gap of each way in which a primary goes.
+async fn gaps(count: usize, program: &Path) -> std::io::Result<()> {
+    for way in Way::ALL {
+        let folder = tempfile::tempdir()?;
+        let mut gaps = gap::measure(way, count, program, folder.path()).await?;
+        gaps.sort_unstable();
+        let median = gaps.get(gaps.len() / 2).copied().unwrap_or_default();
+        let worst = gaps.last().copied().unwrap_or_default();
+        let (times, median, worst) = (gaps.len(), median.as_millis(), worst.as_millis());
+        println!("{way}: {times} times, median {median} ms, worst {worst} ms");
+    }
+    Ok(())
+}
+
 /// Plays one plan; whether it broke a promise. Logs stay only then.
 async fn one(plan: Plan, program: PathBuf, folder: PathBuf, told: bool) -> std::io::Result<bool> {
     std::fs::create_dir_all(&folder)?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -37,6 +37,20 @@
 }
 
 impl Plan {
+    /// `hosts` hosts in as many as three zones before servers of `sizes`, and no faults.
+    pub fn calm(hosts: usize, sizes: Sizes) -> Plan {
+        Plan {
+            seed: 0,
+            hosts,
+            zones: hosts.min(3),
+            sizes,
+            callers: 0,
+            length: Duration::ZERO,
+            unread: None,
+            faults: Vec::new(),
+        }
+    }
+
     /// Draws a plan for `length`; `hosts` asks for a fleet of that size.
     pub fn draw(seed: u64, length: Duration, hosts: Option<usize>) -> Plan {
         let mut dice = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -56,8 +56,8 @@
 const QUESTION: Duration = Duration::from_secs(3);
 
 /// Everything that one run consists of.
-struct Stage {
-    site: Site,
+pub(crate) struct Stage {
+    pub(crate) site: Site,
     net: Net,
     hosts: Arc<Vec<Host>>,
     ledger: Arc<Ledger>,
@@ -71,11 +71,7 @@
 /// Processes or relays cannot be started.
 pub async fn play(plan: Plan, program: &Path, folder: &Path) -> io::Result<Verdict> {
     let stage = Arc::new(Stage::set(plan, program, folder).await?);
-    if !stage.all_ready(START).await {
-        stage
-            .ledger
-            .object("START: not all hosts get ready".to_owned());
-    }
+    stage.started().await;
     let stop = Arc::new(AtomicBool::new(false));
     let callers = stage.callers(&stop);
     let mut faults = JoinSet::new();
@@ -110,7 +106,7 @@
 }
 
 impl Stage {
-    async fn set(plan: Plan, program: &Path, folder: &Path) -> io::Result<Stage> {
+    pub(crate) async fn set(plan: Plan, program: &Path, folder: &Path) -> io::Result<Stage> {
         let site = Site::start(&[SERVICE], plan.sizes).await?;
         let net = Net::default();
         let names: BTreeMap<String, usize> =
@@ -337,7 +333,7 @@
         self.revive(server).await;
     }
 
-    async fn revive(&self, server: &str) {
+    pub(crate) async fn revive(&self, server: &str) {
         // Another fault may have brought it back already: its port is taken then.
         let _ = self.site.restart(server).await;
     }
@@ -456,6 +452,24 @@
         }
     }
 
+    /// Waits until all hosts serve.
+    pub(crate) async fn started(&self) {
+        if !self.all_ready(START).await {
+            let problem = "START: not all hosts get ready".to_owned();
+            self.ledger.object(problem);
+        }
+    }
+
+    /// Where host `number` takes callers.
+    pub(crate) fn host(&self, number: usize) -> SocketAddr {
+        self.hosts[number].settings.callers
+    }
+
+    /// The server that leads.
+    pub(crate) fn primary(&self) -> String {
+        self.victim(Victim::Primary)
+    }
+
     async fn all_ready(&self, limit: Duration) -> bool {
         let start = Instant::now();
         for host in self.hosts.iter() {
