--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -56,7 +56,8 @@
         }
         let length = Duration::from_secs(flags.seconds.unwrap_or(SECONDS));
         let plan = Plan::draw(seed, length, flags.hosts);
-        let folder = folder.join(format!("seed-{seed}"));
+        // Logs of a broken run are evidence: a second play of its seed leaves them alone.
+        let folder = folder.join(format!("seed-{seed}-{}", std::process::id()));
         running.spawn(one(plan, flags.program.clone(), folder, flags.plan));
     }
     while let Some(ended) = running.join_next().await {
