Try which ports are free once, before any is given out

Found by: platform/tests/relay failed once among the package's tests, 'Address already in use'. Cause: a port was tried with a socket just before it was given out. A process that another thread is starting has a copy of that socket until it runs its program, and the port's own program found it in use. Change: the ports of a range are tried once, when the process takes the range.

--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -4,9 +4,13 @@
 //! connection, or by another test that looks for ports at the same time. So ports lie below those
 //! that the system gives to outgoing connections, and each process has a range of its own, which
 //! it holds by listening on the range's first port for as long as it runs.
+//!
+//! Which ports of the range are free is tried once, before any is given out. Tried later, a process
+//! that is being started by another thread has a copy of the socket that tries, until it runs its
+//! program: the port's own program then finds it in use.
 
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 /// The first range begins here.
@@ -19,13 +23,18 @@
 const RANGES: u16 = 45;
 
 /// The range of this process.
-static HELD: Mutex<Option<(u16, TcpListener)>> = Mutex::new(None);
+static HELD: Mutex<Option<Range>> = Mutex::new(None);
 
-/// Ports of it that were given out.
-static GIVEN: AtomicU16 = AtomicU16::new(1);
+/// A range of ports.
+struct Range {
+    /// Listens on the first port, so that no other process takes the range.
+    _guard: TcpListener,
+    /// The others that were free, the next one first.
+    ports: VecDeque<SocketAddr>,
+}
 
-/// A loopback address whose port is free, for connections and for datagrams, and is given to
-/// nobody else while this process runs, unless all of its range was given out.
+/// A loopback address whose port is free, for connections and for datagrams. It is given to nobody
+/// else while this process runs, until all of its range were given out: then the oldest comes again.
 ///
 /// # Panics
 /// All ranges are held by other processes.
@@ -36,29 +45,30 @@
 /// std::net::TcpListener::bind(one).unwrap();
 /// ```
 pub fn free() -> SocketAddr {
-    let first = range();
-    loop {
-        let next = GIVEN.fetch_add(1, Ordering::Relaxed) % (RANGE - 1) + 1;
-        let address = loopback(first + next);
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
+    let mut held = HELD.lock().unwrap_or_else(PoisonError::into_inner);
+    let range = held.get_or_insert_with(Range::take);
+    range.ports.rotate_left(1);
+    range.ports[0]
 }
 
-fn range() -> u16 {
-    let mut held = HELD.lock().unwrap_or_else(PoisonError::into_inner);
-    if let Some((first, _)) = &*held {
-        return *first;
-    }
-    for number in 0..RANGES {
-        let first = FIRST + number * RANGE;
-        if let Ok(guard) = TcpListener::bind(loopback(first)) {
-            *held = Some((first, guard));
-            return first;
-        }
+impl Range {
+    fn take() -> Range {
+        let taken = (0..RANGES).find_map(|number| {
+            let first = FIRST + number * RANGE;
+            let guard = TcpListener::bind(loopback(first)).ok()?;
+            let ports = (first + 1..first + RANGE).map(loopback);
+            let ports: VecDeque<SocketAddr> = ports.filter(is_free).collect();
+            (!ports.is_empty()).then_some(Range {
+                _guard: guard,
+                ports,
+            })
+        });
+        taken.unwrap_or_else(|| panic!("all {RANGES} ranges of ports are held"))
     }
-    panic!("all {RANGES} ranges of ports are held");
+}
+
+fn is_free(address: &SocketAddr) -> bool {
+    TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok()
 }
 
 fn loopback(port: u16) -> SocketAddr {
