Speak as a caller, and start the program, in one place; type what the soak finds

The callers' side of statement lines stood in the soak and in platform/tests; it is standin::pooled::Caller now, and the only words of the platform left in the soak are statements. Starting, signalling and awaiting a host stood in both as well; the tests use the soak's process::Host, and three of their set-ups became one. What the soak finds was a text whose beginning was its kind; it is a kind and a text. play.rs (520 lines) is parted into play, stage and strike. Two checks of the soak are stricter, as they could not fail: a host that ended without success when told to end was always excused, since its process was gone when that was asked; and one that had ended by itself just before a fault killed it went unseen. Tests: assertions unchanged; kinds are named by the enum where they were texts.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -6,12 +6,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use flamingopost_standin::pooled::Reply;
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::ledger::{Fate, Ledger, Seen, Write};
-use crate::line::{Answer, Error, Reply, Session};
+use crate::problem::Kind;
 use crate::process::Host;
+use crate::session::{Error, Session};
 
 /// Items that each caller writes.
 const ITEMS: u64 = 3;
@@ -154,7 +156,7 @@
         let set = format!("SET yard {}", open.value);
         for text in [set.as_str(), "PREPARE s1 FETCH shape"] {
             let reply = self.ask(&mut open, text, None).await.ok()?;
-            if !matches!(reply.1.answer, Answer::Done { .. }) {
+            if !reply.1.is_done() {
                 return None;
             }
         }
@@ -187,19 +189,20 @@
         if start.elapsed() > ANSWER && host.is_calm(start) {
             let took = start.elapsed();
             let name = &host.settings.name;
-            self.ledger
-                .object(format!("SLOW: {id} `{text}` took {took:?} at {name}"));
+            let problem = format!("{id} `{text}` took {took:?} at {name}");
+            self.ledger.object(Kind::Slow, problem);
         }
-        if let Ok(Reply {
-            answer: Answer::Done { proof, .. },
-            ..
-        }) = &reply
-        {
-            self.ledger.prove(&id, proof);
-        }
-        if let Err(Error::Nonsense(line)) = &reply {
-            self.ledger
-                .object(format!("NONSENSE: `{line}` answered to {id} `{text}`"));
+        match &reply {
+            Ok(reply) => {
+                if let Some(proof) = reply.proof() {
+                    self.ledger.prove(&id, proof);
+                }
+            }
+            Err(Error::Nonsense(line)) => {
+                let problem = format!("`{line}` answered to {id} `{text}`");
+                self.ledger.object(Kind::Nonsense, problem);
+            }
+            Err(Error::Closed | Error::Silent(_)) => {}
         }
         reply.map(|reply| (id, reply))
     }
@@ -223,8 +226,8 @@
             self.ledger.count(Fate::Open);
             return None;
         };
-        if let Answer::Done { row, .. } = &reply.answer {
-            let data = self.decode(&id, row.as_deref().unwrap_or_default(), open);
+        if reply.is_done() {
+            let data = self.decode(&id, reply.row(), open);
             // What the transaction itself has written is committed nowhere yet.
             let staged = transaction.is_some_and(|it| it.writes.iter().any(|it| it.item == item));
             if !staged {
@@ -238,7 +241,7 @@
                 });
             }
         }
-        self.ledger.count(fate(&reply.answer));
+        self.ledger.count(fate(&reply));
         match (transaction.is_some(), reply.state.as_str()) {
             (false, "I") | (true, "T") => Some(()),
             _ => None,
@@ -250,9 +253,8 @@
         let (data, value) = row.split_once(' ').unwrap_or((row, ""));
         if value != format!("yard={}", open.value) {
             let own = &open.value;
-            self.ledger.object(format!(
-                "VALUE: {id} ran with `{value}` in a session that had set `{own}`"
-            ));
+            let problem = format!("{id} ran with `{value}` in a session that had set `{own}`");
+            self.ledger.object(Kind::ForeignValues, problem);
         }
         Some(data.to_owned()).filter(|data| data != "-")
     }
@@ -264,7 +266,7 @@
         let asked = self.ask(open, &text, None).await;
         let (fate, next) = match &asked {
             Err(_) => (Fate::Open, Next::Close),
-            Ok((_, reply)) => (fate(&reply.answer), after(reply)),
+            Ok((_, reply)) => (fate(reply), after(reply)),
         };
         self.ledger.count(fate);
         self.settle(open, vec![write], fate);
@@ -303,7 +305,7 @@
         let (fate, next) = match &ended {
             _ if rolls_back => (Fate::Dropped, Next::Close),
             Err(_) => (Fate::Open, Next::Close),
-            Ok((_, reply)) => (fate(&reply.answer), after(reply)),
+            Ok((_, reply)) => (fate(reply), after(reply)),
         };
         self.ledger.count(fate);
         self.settle(open, transaction.writes, fate);
@@ -316,8 +318,7 @@
         let text = format!("STORE {} {}", write.item, write.data);
         transaction.writes.push(write);
         let asked = self.ask(open, &text, Some(transaction.number)).await;
-        let done = |reply: &Reply| matches!(reply.answer, Answer::Done { .. });
-        asked.is_ok_and(|(_, reply)| done(&reply) && reply.state == "T")
+        asked.is_ok_and(|(_, reply)| reply.is_done() && reply.state == "T")
     }
 
     /// Notes how writes ended.
@@ -348,11 +349,11 @@
     format!("item-{caller}-{which}")
 }
 
-fn fate(answer: &Answer) -> Fate {
-    match answer {
-        Answer::Done { .. } => Fate::Kept,
-        Answer::Refused(_) => Fate::Dropped,
-        Answer::Unknown(_) => Fate::Open,
+fn fate(reply: &Reply) -> Fate {
+    match (reply.is_done(), reply.is_refused()) {
+        (true, _) => Fate::Kept,
+        (false, true) => Fate::Dropped,
+        (false, false) => Fate::Open,
     }
 }
 
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use flamingopost_standin::pooled::{Entry, Order, Run};
+use flamingopost_standin::pooled::{Entry, Order, Run, is_proved, is_same_statement};
 
 use crate::ledger::{Fate, Ledger, Seen, Sent, Write};
+use crate::problem::{Kind, Problem};
 
 /// Most problems of one kind that are told.
 const TOLD: usize = 5;
@@ -26,8 +27,8 @@
 /// What was found.
 #[derive(Debug, Clone, Default)]
 pub struct Verdict {
-    /// Everything that must not be, each with its kind first.
-    pub problems: Vec<String>,
+    /// Everything that must not be, by kind.
+    pub problems: Vec<Problem>,
     /// Operations that succeeded.
     pub done: u64,
     /// Operations of which nothing was kept.
@@ -45,7 +46,7 @@
 /// Judges a run.
 pub fn judge(ledger: &Ledger, record: &Record) -> Verdict {
     let state = ledger.lock();
-    let mut problems: Vec<String> = state.problems.clone();
+    let mut problems: Vec<Problem> = state.problems.clone();
     let places = places(&record.log);
     problems.extend(commits(&state.writes, record, &places));
     problems.extend(runs(&state.sent, &record.runs));
@@ -73,18 +74,27 @@
 }
 
 /// Every acknowledged write is there, once; no other that its caller knows to be gone.
-fn commits(writes: &[Write], record: &Record, places: &BTreeMap<&str, usize>) -> Vec<String> {
+fn commits(writes: &[Write], record: &Record, places: &BTreeMap<&str, usize>) -> Vec<Problem> {
     let mut problems = Vec::new();
     let known: BTreeMap<&str, &Write> = writes.iter().map(|it| (it.data.as_str(), it)).collect();
     for (place, entry) in record.log.iter().enumerate() {
         if places[entry.data.as_str()] != place {
-            problems.push(format!("TWICE: {} is committed twice", entry.data));
+            problems.push(Problem::new(
+                Kind::Doubled,
+                format!("{} is committed twice", entry.data),
+            ));
         }
         match known.get(entry.data.as_str()) {
-            None => problems.push(format!("UNASKED: {} was never sent", entry.data)),
-            Some(write) if write.fate == Fate::Dropped => problems.push(format!(
-                "REFUSED: {} of {} is committed, though its caller was told that it is not",
-                write.data, write.item
+            None => problems.push(Problem::new(
+                Kind::Unsent,
+                format!("{} was never sent", entry.data),
+            )),
+            Some(write) if write.fate == Fate::Dropped => problems.push(Problem::new(
+                Kind::KeptThoughRefused,
+                format!(
+                    "{} of {} is committed, though its caller was told that it is not",
+                    write.data, write.item
+                ),
             )),
             Some(_) => {}
         }
@@ -93,8 +103,9 @@
         let rolled_back = record.dropped.iter().any(|it| it.data == write.data);
         if !places.contains_key(write.data.as_str()) && !rolled_back {
             let Write { data, item, .. } = write;
-            problems.push(format!(
-                "LOST: {data} of {item} was acknowledged and is gone"
+            problems.push(Problem::new(
+                Kind::Lost,
+                format!("{data} of {item} was acknowledged and is gone"),
             ));
         }
     }
@@ -102,41 +113,31 @@
 }
 
 /// Servers run only what callers sent, as they sent it.
-fn runs(sent: &BTreeMap<String, Sent>, runs: &[Run]) -> Vec<String> {
+fn runs(sent: &BTreeMap<String, Sent>, runs: &[Run]) -> Vec<Problem> {
     let mut problems = Vec::new();
     for run in runs {
         let fits = sent
             .get(&run.id)
-            .is_some_and(|sent| essence(&sent.text) == essence(&run.text));
+            .is_some_and(|sent| is_same_statement(&sent.text, &run.text));
         if !fits {
             let Run {
                 id, text, server, ..
             } = run;
-            problems.push(format!("UNASKED: {server} ran {id} `{text}`"));
+            problems.push(Problem::new(
+                Kind::Unsent,
+                format!("{server} ran {id} `{text}`"),
+            ));
         }
     }
     problems
 }
 
-/// A statement without what may be added or changed on its way: the position that a server waits
-/// for, and the name of a prepared statement.
-fn essence(text: &str) -> Vec<&str> {
-    let mut words: Vec<&str> = text.split(' ').collect();
-    if words.first() == Some(&"WAITLSN") {
-        words.drain(..2);
-    }
-    if words.first() == Some(&"EXECUTE") && words.len() > 1 {
-        words.remove(1);
-    }
-    words
-}
-
 /// What counts as run carries the proof of the server that ran it.
 fn proofs(
     sent: &BTreeMap<String, Sent>,
     proofs: &BTreeMap<String, String>,
     runs: &[Run],
-) -> Vec<String> {
+) -> Vec<Problem> {
     let mut ran: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
     for run in runs {
         ran.entry(&run.id).or_default().push(&run.proof);
@@ -144,20 +145,22 @@
     let mut problems = Vec::new();
     for (id, proof) in proofs {
         let text = sent.get(id).map_or("", |sent| sent.text.as_str());
-        let verb = text.split(' ').next().unwrap_or_default();
-        if !matches!(verb, "FETCH" | "STORE" | "EXECUTE" | "COMMIT") {
+        if !is_proved(text) {
             continue;
         }
         let proven = ran.get(id.as_str());
         if !proven.is_some_and(|proven| proven.contains(&proof.as_str())) {
-            problems.push(format!("MIXED: {id} `{text}` succeeded with `{proof}`"));
+            problems.push(Problem::new(
+                Kind::Unproved,
+                format!("{id} `{text}` succeeded with `{proof}`"),
+            ));
         }
     }
     problems
 }
 
 /// A transaction stays on one connection, and nobody else's statements run on it meanwhile.
-fn pins(sent: &BTreeMap<String, Sent>, runs: &[Run]) -> Vec<String> {
+fn pins(sent: &BTreeMap<String, Sent>, runs: &[Run]) -> Vec<Problem> {
     let transaction = |run: &Run| sent.get(&run.id).and_then(|sent| sent.transaction);
     // A first statement whose answer was lost may run again elsewhere: its last run counts.
     let mut last: BTreeMap<&str, usize> = BTreeMap::new();
@@ -179,8 +182,9 @@
         span.2 = place;
         if span.0 != run.connection {
             let Run { id, text, .. } = run;
-            problems.push(format!(
-                "PINNED: {id} `{text}` ran outside of its transaction"
+            problems.push(Problem::new(
+                Kind::Unpinned,
+                format!("{id} `{text}` ran outside of its transaction"),
             ));
         }
     }
@@ -189,8 +193,9 @@
             .iter()
             .find(|run| run.connection == connection && transaction(run) != Some(number));
         if let Some(Run { id, text, .. }) = stranger {
-            problems.push(format!(
-                "PINNED: {id} `{text}` ran inside another's transaction"
+            problems.push(Problem::new(
+                Kind::Unpinned,
+                format!("{id} `{text}` ran inside another's transaction"),
             ));
         }
     }
@@ -204,7 +209,7 @@
     writes: &[Write],
     record: &Record,
     places: &BTreeMap<&str, usize>,
-) -> Vec<String> {
+) -> Vec<Problem> {
     let mut by_item: BTreeMap<&str, Vec<(Instant, usize)>> = BTreeMap::new();
     for write in writes.iter().filter(|it| it.fate == Fate::Kept) {
         if let Some(place) = places.get(write.data.as_str()) {
@@ -229,7 +234,10 @@
                 None => {
                     // What a promotion rolled back may have been seen before.
                     if !record.dropped.iter().any(|it| it.data == *data) {
-                        problems.push(format!("GHOST: {id} saw {data}, which is not committed"));
+                        problems.push(Problem::new(
+                            Kind::Uncommitted,
+                            format!("{id} saw {data}, which is not committed"),
+                        ));
                     }
                     continue;
                 }
@@ -244,9 +252,12 @@
             .and_then(|own| places.get(own.as_str()).copied());
         let needed = before.chain(own).max();
         if saw < needed {
-            problems.push(format!(
-                "STALE: {id} saw place {saw:?} of {item}, {needed:?} had been acknowledged {age:?} \
+            problems.push(Problem::new(
+                Kind::Stale,
+                format!(
+                    "{id} saw place {saw:?} of {item}, {needed:?} had been acknowledged {age:?} \
                  before"
+                ),
             ));
         }
     }
@@ -254,7 +265,7 @@
 }
 
 /// No two hosts give orders under one token.
-fn orders(orders: &[Order]) -> Vec<String> {
+fn orders(orders: &[Order]) -> Vec<Problem> {
     let mut holders: BTreeMap<(&str, u64), &str> = BTreeMap::new();
     let mut problems = Vec::new();
     for order in orders {
@@ -263,25 +274,24 @@
             .or_insert(&order.holder);
         if *holder != order.holder {
             let Order { token, holder, .. } = order;
-            problems.push(format!("ONE: {holder} used another host's token {token}"));
+            problems.push(Problem::new(
+                Kind::SharedToken,
+                format!("{holder} used another host's token {token}"),
+            ));
         }
     }
     problems
 }
 
-/// The first problems of each kind, and how many more there are.
-fn shorten(problems: Vec<String>) -> Vec<String> {
-    let mut kinds: BTreeMap<String, Vec<String>> = BTreeMap::new();
-    for problem in problems {
-        let kind = problem.split(':').next().unwrap_or_default().to_owned();
-        kinds.entry(kind).or_default().push(problem);
-    }
+/// The first problems of each kind, by kind, and how many more there are.
+fn shorten(mut problems: Vec<Problem>) -> Vec<Problem> {
+    problems.sort_by_key(|problem| problem.kind);
     let mut short = Vec::new();
-    for (kind, problems) in kinds {
-        let more = problems.len().saturating_sub(TOLD);
-        short.extend(problems.into_iter().take(TOLD));
-        if more > 0 {
-            short.push(format!("{kind}: {more} more"));
+    for same in problems.chunk_by(|one, other| one.kind == other.kind) {
+        short.extend(same.iter().take(TOLD).cloned());
+        if same.len() > TOLD {
+            let more = format!("{} more", same.len() - TOLD);
+            short.push(Problem::new(same[0].kind, more));
         }
     }
     short
--- a/crates/soak/src/gap.rs
+++ b/crates/soak/src/gap.rs
@@ -9,9 +9,9 @@
 use flamingopost_standin::pooled::{Faults, Mode, Sizes};
 use tokio::task::JoinSet;
 
-use crate::line::{Answer, Session};
 use crate::plan::Plan;
-use crate::play::Stage;
+use crate::session::Session;
+use crate::stage::Stage;
 
 /// Hosts, as on the smaller of the users' deployments.
 const HOSTS: usize = 6;
@@ -155,7 +155,7 @@
             let Ok(reply) = session.run(&id, &text, PATIENCE).await else {
                 break;
             };
-            if matches!(reply.answer, Answer::Done { .. }) {
+            if reply.is_done() {
                 let mut acknowledged = acknowledged.lock().unwrap_or_else(PoisonError::into_inner);
                 acknowledged.push(Instant::now());
             }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::problem::{Kind, Problem};
+
 /// A write that callers were told of, or not.
 #[derive(Debug, Clone)]
 pub struct Write {
@@ -70,7 +72,7 @@
     pub done: u64,
     pub refused: u64,
     pub unknown: u64,
-    pub problems: Vec<String>,
+    pub problems: Vec<Problem>,
     next: u64,
 }
 
@@ -116,8 +118,8 @@
     }
 
     /// Notes something that must not be.
-    pub fn object(&self, problem: String) {
-        self.lock().problems.push(problem);
+    pub fn object(&self, kind: Kind, text: String) {
+        self.lock().problems.push(Problem::new(kind, text));
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -3,12 +3,13 @@
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use flamingopost_load::process;
+use rustix::io::ioctl_fionread;
 use rustix::process::{Pid, Signal, kill_process};
 
 /// How often a process is looked at while its end is awaited.
@@ -57,6 +58,8 @@
 struct State {
     child: Option<Child>,
     starts: u32,
+    /// It was told to end since its last start.
+    told: bool,
     /// When something last kept it from answering: a signal, a start, an end.
     disturbed: Option<Instant>,
 }
@@ -75,7 +78,8 @@
         Ok(host)
     }
 
-    fn path(&self) -> PathBuf {
+    /// Its settings file.
+    pub fn path(&self) -> PathBuf {
         let Settings { folder, name, .. } = &self.settings;
         folder.join(format!("{name}.ini"))
     }
@@ -114,6 +118,7 @@
             return Ok(());
         }
         state.starts += 1;
+        state.told = false;
         let log = self.log(state.starts)?;
         let mut command = Command::new(&self.settings.program);
         command.env("FLAMINGOPOST_CONFIG", self.path());
@@ -127,8 +132,12 @@
         if self.settings.unread {
             return Ok(Stdio::piped());
         }
+        Ok(File::create(self.log_path(start))?.into())
+    }
+
+    fn log_path(&self, start: u32) -> PathBuf {
         let Settings { folder, name, .. } = &self.settings;
-        Ok(File::create(folder.join(format!("{name}.{start}.log")))?.into())
+        folder.join(format!("{name}.{start}.log"))
     }
 
     fn errors(&self) -> io::Result<Stdio> {
@@ -137,8 +146,22 @@
         Ok(File::options().create(true).append(true).open(path)?.into())
     }
 
-    /// Sends `signal`; `false` when it does not run.
-    pub fn signal(&self, signal: Signal) -> bool {
+    /// Tells it to end; `false` when it does not run.
+    pub fn terminate(&self) -> bool {
+        self.signal(Signal::TERM)
+    }
+
+    /// Has it stand still, or go on; `false` when it does not run.
+    pub fn pause(&self, pauses: bool) -> bool {
+        self.signal(if pauses { Signal::STOP } else { Signal::CONT })
+    }
+
+    /// Tells it that its settings have changed; `false` when it does not run.
+    pub fn reload(&self) -> bool {
+        self.signal(Signal::HUP)
+    }
+
+    fn signal(&self, signal: Signal) -> bool {
         let mut state = self.lock();
         let Some(pid) = state.child.as_ref().and_then(pid) else {
             return false;
@@ -146,6 +169,7 @@
         if signal != Signal::HUP {
             state.disturbed = Some(Instant::now());
         }
+        state.told |= signal == Signal::TERM;
         kill_process(pid, signal).is_ok()
     }
 
@@ -186,6 +210,9 @@
     /// How it ended, if it did so without being asked.
     pub fn fell(&self) -> Option<ExitStatus> {
         let mut state = self.lock();
+        if state.told {
+            return None;
+        }
         let status = state.child.as_mut()?.try_wait().ok()??;
         state.child = None;
         Some(status)
@@ -204,9 +231,19 @@
         id.and_then(|id| process::resident(id).ok()).unwrap_or(0)
     }
 
-    /// Folder of its log.
-    pub fn folder(&self) -> &Path {
-        &self.settings.folder
+    /// What it has logged since its last start, where its log is read.
+    ///
+    /// # Errors
+    /// The log cannot be read.
+    pub fn logged(&self) -> io::Result<String> {
+        std::fs::read_to_string(self.log_path(self.lock().starts))
+    }
+
+    /// Bytes of its log that wait in a pipe that nobody reads.
+    pub fn unread(&self) -> u64 {
+        let state = self.lock();
+        let output = state.child.as_ref().and_then(|it| it.stdout.as_ref());
+        output.map_or(0, |output| ioctl_fionread(output).unwrap_or(0))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- /dev/null
+++ b/crates/soak/src/strike.rs
@@ -0,0 +1,186 @@
+//! Has faults strike.
+
+use std::os::unix::process::ExitStatusExt;
+use std::time::{Duration, Instant};
+
+use flamingopost_standin::pooled::{Faults, Mode};
+
+use crate::fault::{Fault, Storage};
+use crate::net::End;
+use crate::problem::Kind;
+use crate::process::Host;
+use crate::stage::{GRACE, GRACE_MARGIN, SERVICE, Stage};
+
+/// An entry of a server that has died lapses after this long.
+const LAPSE: Duration = Duration::from_millis(900);
+
+/// A server that leaves ends this long after it has said so.
+const LEAVING: Duration = Duration::from_millis(2_500);
+
+/// How slow the slow store is.
+const SLOW: Duration = Duration::from_millis(400);
+
+impl Stage {
+    /// Has `fault` strike, and ends it where it ends by itself.
+    pub(crate) async fn strike(&self, fault: Fault) {
+        match fault {
+            Fault::Stop { host } => self.stop(&self.hosts[host]).await,
+            Fault::Kill { host, lasts } => {
+                self.kill(&self.hosts[host]);
+                tokio::time::sleep(lasts).await;
+                self.start(&self.hosts[host]);
+            }
+            Fault::KillAll => {
+                self.hosts.iter().for_each(|host| self.kill(host));
+                self.hosts.iter().for_each(|host| self.start(host));
+            }
+            Fault::Pause { host, lasts } => {
+                self.hosts[host].pause(true);
+                tokio::time::sleep(lasts).await;
+                self.hosts[host].pause(false);
+            }
+            Fault::Reload { host } => {
+                self.hosts[host].reload();
+            }
+            Fault::Crash { server, lasts } => self.crash(&self.victim(server), lasts).await,
+            Fault::Silence { server, lasts } => {
+                let silent = Faults {
+                    silent: true,
+                    ..Faults::default()
+                };
+                self.impair(&self.victim(server), silent, lasts).await;
+            }
+            Fault::Full { server, lasts } => {
+                let full = Faults {
+                    full: true,
+                    ..Faults::default()
+                };
+                self.impair(&self.victim(server), full, lasts).await;
+            }
+            Fault::LoseAnswers { server, count } => {
+                let faults = Faults {
+                    lost_answers: count,
+                    ..Faults::default()
+                };
+                self.site.set_faults(&self.victim(server), faults);
+            }
+            Fault::Deaf { server, lasts } => {
+                let group = self.site.group(SERVICE);
+                let victim = self.victim(server);
+                group.set_deaf(&victim, true);
+                tokio::time::sleep(lasts).await;
+                group.set_deaf(&victim, false);
+            }
+            Fault::Leave { server } => {
+                let victim = self.victim(server);
+                self.site.leave(&victim);
+                tokio::time::sleep(LEAVING).await;
+                self.crash(&victim, Duration::from_millis(300)).await;
+                self.site.stay(&victim);
+            }
+            Fault::Store { how, lasts } => {
+                self.site.store.set_mode(mode(how));
+                tokio::time::sleep(lasts).await;
+                self.site.store.set_mode(Mode::Up);
+            }
+            Fault::Forget => self.site.store.forget(),
+            Fault::Configure => self.configure(),
+            Fault::Cut { from, to, lasts } => {
+                self.net.cut(from, to, true);
+                tokio::time::sleep(lasts).await;
+                self.net.cut(from, to, false);
+            }
+            Fault::Delay {
+                from,
+                to,
+                by,
+                lasts,
+            } => {
+                self.net.delay(from, to, by);
+                tokio::time::sleep(lasts).await;
+                self.net.delay(from, to, Duration::ZERO);
+            }
+            Fault::Reset { from, to } => self.net.reset(from, to),
+            Fault::Isolate { host, lasts } => {
+                self.isolate(host, true);
+                tokio::time::sleep(lasts).await;
+                self.isolate(host, false);
+            }
+        }
+    }
+
+    fn start(&self, host: &Host) {
+        if let Err(error) = host.start() {
+            self.ledger.object(Kind::NotStarted, error.to_string());
+        }
+    }
+
+    /// Kills a host, which must not have ended by itself before.
+    fn kill(&self, host: &Host) {
+        self.has_fallen(host);
+        host.kill();
+    }
+
+    /// Tells a host to end, which it has to do within its grace, and with success unless a signal
+    /// ended it: one that has just started may not listen for signals yet.
+    async fn stop(&self, host: &Host) {
+        if !host.terminate() {
+            return;
+        }
+        let told = Instant::now();
+        let name = &host.settings.name;
+        match host.ended(GRACE + GRACE_MARGIN).await {
+            Some(status) if status.success() || status.signal().is_some() => {}
+            Some(status) => {
+                let problem = format!("{name} ended with {status}");
+                self.ledger.object(Kind::NotStopped, problem);
+            }
+            None => {
+                if host.is_calm(told) {
+                    let problem = format!("{name} still runs after {:?}", told.elapsed());
+                    self.ledger.object(Kind::NotStopped, problem);
+                }
+                host.kill();
+            }
+        }
+        self.start(host);
+    }
+
+    async fn crash(&self, server: &str, lasts: Duration) {
+        self.site.crash(server);
+        let lapse = lasts.min(LAPSE);
+        tokio::time::sleep(lapse).await;
+        if lasts > LAPSE {
+            self.site.unregister(server);
+        }
+        tokio::time::sleep(lasts - lapse).await;
+        self.revive(server).await;
+    }
+
+    async fn impair(&self, server: &str, faults: Faults, lasts: Duration) {
+        self.site.set_faults(server, faults);
+        tokio::time::sleep(lasts).await;
+        self.site.set_faults(server, Faults::default());
+    }
+
+    fn isolate(&self, host: usize, cut: bool) {
+        let others = (0..self.plan.hosts)
+            .filter(|other| *other != host)
+            .map(End::Host);
+        let servers = (0..self.plan.sizes.servers).map(End::Server);
+        let ends = others.chain(servers).chain([End::Store, End::Orders]);
+        for end in ends {
+            self.net.cut(End::Host(host), end, cut);
+            self.net.cut(end, End::Host(host), cut);
+        }
+    }
+}
+
+fn mode(how: Storage) -> Mode {
+    match how {
+        Storage::Busy => Mode::Busy,
+        Storage::Silent => Mode::Silent,
+        Storage::Slow => Mode::Slow(SLOW),
+        Storage::Lossy => Mode::Lossy,
+    }
+}
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -4,6 +4,7 @@
 
 use flamingopost_soak::check::{Record, judge};
 use flamingopost_soak::ledger::{Fate, Ledger, Seen, Write};
+use flamingopost_soak::problem::Kind;
 use flamingopost_standin::pooled::{Entry, Order, Run};
 
 /// A ledger and a record of one caller who wrote `a` and then `b` to an item and read `b`.
@@ -80,83 +81,83 @@
     }
 
     /// The kinds of problems that are found.
-    fn kinds(&self) -> Vec<String> {
+    fn kinds(&self) -> Vec<Kind> {
         let problems = judge(&self.ledger, &self.record).problems;
-        let kinds = problems
-            .iter()
-            .filter_map(|problem| problem.split(':').next());
-        kinds.map(str::to_owned).collect()
+        problems.into_iter().map(|problem| problem.kind).collect()
     }
 }
 
 #[test]
 fn a_history_in_order_passes() {
-    assert_eq!(scene().kinds(), [""; 0]);
+    assert_eq!(scene().kinds(), []);
 }
 
 #[test]
 fn an_old_read_is_stale_unless_its_route_allows_the_age() {
     let mut old = scene();
     old.read("4", Some("a"), Duration::ZERO, None);
-    assert_eq!(old.kinds(), ["STALE"]);
+    assert_eq!(old.kinds(), [Kind::Stale]);
     let mut allowed = scene();
     allowed.read("4", Some("a"), Duration::from_secs(1), None);
-    assert_eq!(allowed.kinds(), [""; 0]);
+    assert_eq!(allowed.kinds(), []);
     let mut own = scene();
     own.read("4", None, Duration::from_secs(1), Some("a"));
-    assert_eq!(own.kinds(), ["STALE"]);
+    assert_eq!(own.kinds(), [Kind::Stale]);
 }
 
 #[test]
 fn a_read_of_what_nobody_committed_is_a_ghost() {
     let mut scene = scene();
     scene.read("4", Some("c"), Duration::ZERO, None);
-    assert_eq!(scene.kinds(), ["GHOST"]);
+    assert_eq!(scene.kinds(), [Kind::Uncommitted]);
     scene.record.dropped.push(Entry::new(1, 3, "item", "c"));
-    assert_eq!(scene.kinds(), [""; 0], "a promotion rolled it back");
+    assert_eq!(scene.kinds(), [], "a promotion rolled it back");
 }
 
 #[test]
 fn an_acknowledged_write_that_is_gone_is_lost() {
     let mut scene = scene().write("4", "c", Fate::Kept);
     let gone = scene.record.log.pop().expect("it was written");
-    assert_eq!(scene.kinds(), ["LOST"]);
+    assert_eq!(scene.kinds(), [Kind::Lost]);
     scene.record.dropped.push(gone);
-    assert_eq!(scene.kinds(), [""; 0], "a promotion rolled it back");
+    assert_eq!(scene.kinds(), [], "a promotion rolled it back");
 }
 
 #[test]
 fn a_write_that_counts_as_not_run_and_is_there_is_refused_falsely() {
-    assert_eq!(scene().write("4", "c", Fate::Dropped).kinds(), ["REFUSED"]);
+    assert_eq!(
+        scene().write("4", "c", Fate::Dropped).kinds(),
+        [Kind::KeptThoughRefused]
+    );
     let open = scene().write("4", "c", Fate::Open);
-    assert_eq!(open.kinds(), [""; 0]);
+    assert_eq!(open.kinds(), []);
 }
 
 #[test]
 fn a_write_that_is_there_twice_is_found() {
     let mut scene = scene();
     scene.record.log.push(Entry::new(1, 3, "item", "b"));
-    assert!(scene.kinds().contains(&"TWICE".to_owned()));
+    assert!(scene.kinds().contains(&Kind::Doubled));
 }
 
 #[test]
 fn what_nobody_sent_is_found() {
     let mut unsent = scene();
     unsent.record.runs.push(run("9", "FETCH item", 7));
-    assert_eq!(unsent.kinds(), ["UNASKED"]);
+    assert_eq!(unsent.kinds(), [Kind::Unsent]);
     let mut changed = scene();
     changed.record.runs[0].text = "STORE item z".to_owned();
-    assert_eq!(changed.kinds(), ["UNASKED"]);
+    assert_eq!(changed.kinds(), [Kind::Unsent]);
     let mut written = scene();
     written.record.log.push(Entry::new(1, 3, "item", "z"));
-    assert_eq!(written.kinds(), ["UNASKED"]);
+    assert_eq!(written.kinds(), [Kind::Unsent]);
 }
 
 #[test]
 fn a_success_without_a_run_behind_it_is_found() {
     let scene = scene();
     scene.ledger.prove("3", "made-up");
-    assert_eq!(scene.kinds(), ["MIXED"]);
+    assert_eq!(scene.kinds(), [Kind::Unproved]);
 }
 
 #[test]
@@ -169,16 +170,16 @@
     };
     let mut right = scene();
     transaction(&mut right, [3, 3]);
-    assert_eq!(right.kinds(), [""; 0]);
+    assert_eq!(right.kinds(), []);
     let mut moved = scene();
     transaction(&mut moved, [3, 4]);
-    assert_eq!(moved.kinds(), ["PINNED"]);
+    assert_eq!(moved.kinds(), [Kind::Unpinned]);
     let mut shared = scene();
     transaction(&mut shared, [3, 3]);
     shared.ledger.send("8", "FETCH item", None);
     let place = shared.record.runs.len() - 1;
     shared.record.runs.insert(place, run("8", "FETCH item", 3));
-    assert_eq!(shared.kinds(), ["PINNED"]);
+    assert_eq!(shared.kinds(), [Kind::Unpinned]);
 }
 
 #[test]
@@ -189,7 +190,7 @@
         order("entry-1", 5),
         order("entry-2", 6),
     ];
-    assert_eq!(scene.kinds(), [""; 0]);
+    assert_eq!(scene.kinds(), []);
     scene.record.orders.push(order("entry-2", 5));
-    assert_eq!(scene.kinds(), ["ONE"]);
+    assert_eq!(scene.kinds(), [Kind::SharedToken]);
 }
--- a/crates/standin/src/pooled.rs
+++ b/crates/standin/src/pooled.rs
@@ -4,14 +4,18 @@
 //! Everything runs in the caller's runtime on loopback ports and keeps nothing. Faults are
 //! injected by method, for tests that drive the deployed program.
 
+mod caller;
 mod group;
 mod http;
 mod server;
 mod session;
 mod site;
+mod statement;
 mod store;
 
+pub use self::caller::{Broken, Caller, Reply};
 pub use self::group::{Entry, Group, Run};
 pub use self::server::Faults;
 pub use self::site::{Order, Site, Sizes};
+pub use self::statement::{is_proved, is_same_statement};
 pub use self::store::{Mode, Store};
