Set up the tests of the entry host in one place

Eleven tests opened a group, a host and a table of bids alike, and two files had the table; five tests of the link waited for the same lease.

--- a/crates/entry/tests/common/path.rs
+++ b/crates/entry/tests/common/path.rs
@@ -135,11 +135,28 @@
     ]
 }
 
+/// A primary without replicas, a host before it, and an empty table of bids.
+pub async fn with_bids() -> (Group, Host) {
+    let group = Group::start(0).await;
+    let host = Host::start(&group).await;
+    host.table().await;
+    (group, host)
+}
+
 impl Host {
     pub async fn start(group: &Group) -> Host {
         Host::with(group, rules()).await
     }
 
+    /// Makes an empty table of bids.
+    pub async fn table(&self) {
+        let caller = self.connect().await;
+        caller
+            .batch_execute("CREATE TABLE bids (id int8)")
+            .await
+            .unwrap();
+    }
+
     /// A host before `group` under `rules`.
     pub async fn with(group: &Group, rules: Vec<Rule>) -> Host {
         let stop = Stop::default();
--- a/crates/entry/tests/failure.rs
+++ b/crates/entry/tests/failure.rs
@@ -8,7 +8,7 @@
 use flamingopost_core::rule::{Access, Ack, Then};
 use flamingopost_core::term::Term;
 use flamingopost_core::view::{self, State};
-use path::{Group, Host, TERM, column, plain, rule, sqlstate, until};
+use path::{Group, Host, TERM, column, plain, rule, sqlstate, until, with_bids};
 
 const SECOND: Term = Term { epoch: 1, count: 1 };
 const LONG: Duration = Duration::from_secs(3600);
@@ -29,22 +29,12 @@
     service
 }
 
-async fn table(host: &Host) {
-    let caller = host.connect().await;
-    caller
-        .batch_execute("CREATE TABLE bids (id int8)")
-        .await
-        .unwrap();
-}
-
 /// A member's bid is in an open transaction when the primary's process dies. The server has
 /// rolled it back, so the member must hear "not run", be able to end the transaction as usual,
 /// and never find a later statement executed outside of it.
 #[tokio::test]
 async fn a_transaction_whose_server_dies_is_lost_and_says_so() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let caller = host.connect().await;
     caller
         .batch_execute("BEGIN; INSERT INTO bids VALUES (1)")
@@ -65,9 +55,7 @@
 /// sent again.
 #[tokio::test]
 async fn a_write_whose_server_dies_before_answering_has_an_unknown_outcome() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let caller = host.connect().await;
     group.set_faults(0, |faults| faults.slow_ms = SLOW_MS);
     let bid = caller.simple_query("INSERT INTO bids VALUES (1)");
@@ -85,7 +73,7 @@
 async fn a_read_whose_replica_dies_is_answered_by_another_server() {
     let group = Group::start(1).await;
     let host = Host::start(&group).await;
-    table(&host).await;
+    host.table().await;
     host.learnt(&group).await;
     let caller = host.connect().await;
     caller
@@ -109,9 +97,7 @@
 /// be told that the bid is in, although the server said so.
 #[tokio::test]
 async fn a_write_answered_after_the_lease_ended_is_not_acknowledged() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let caller = host.connect().await;
     group.set_faults(0, |faults| faults.slow_ms = SLOW_MS);
     let bid = caller.simple_query("INSERT INTO bids VALUES (1)");
@@ -132,7 +118,7 @@
 async fn a_write_waits_for_the_next_primary() {
     let group = Group::start(1).await;
     let host = Host::start(&group).await;
-    table(&host).await;
+    host.table().await;
     host.learnt(&group).await;
     let start = group.servers[0].position().log;
     host.view(
@@ -186,7 +172,7 @@
 async fn a_transaction_is_never_carried_into_another_term() {
     let group = Group::start(1).await;
     let host = Host::start(&group).await;
-    table(&host).await;
+    host.table().await;
     host.learnt(&group).await;
     let start = group.servers[0].position().log;
     let caller = host.connect().await;
@@ -213,7 +199,7 @@
 async fn a_session_whose_write_was_lost_is_told_once() {
     let group = Group::start(1).await;
     let host = Host::start(&group).await;
-    table(&host).await;
+    host.table().await;
     host.learnt(&group).await;
     let start = group.servers[0].position().log;
     group.set_faults(1, |faults| faults.lag_ms = 60_000);
@@ -236,7 +222,7 @@
 async fn a_session_reads_its_own_write_while_replicas_lag() {
     let group = Group::start(2).await;
     let host = Host::start(&group).await;
-    table(&host).await;
+    host.table().await;
     host.learnt(&group).await;
     for replica in [1, 2] {
         group.set_faults(replica, |faults| faults.lag_ms = 60_000);
@@ -288,9 +274,7 @@
 /// insert must be gone.
 #[tokio::test]
 async fn a_caller_that_vanishes_leaves_no_transaction_behind() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (_group, host) = with_bids().await;
     host.allot(1);
     let clerk = host.connect().await;
     clerk
@@ -376,7 +360,7 @@
         rule.then.deadline = Duration::from_millis(600);
     }
     let host = Host::with(&group, rules).await;
-    table(&host).await;
+    host.table().await;
     host.learnt(&group).await;
     group.set_faults(1, |faults| faults.lag_ms = 60_000);
     let caller = host.connect().await;
@@ -410,9 +394,7 @@
 /// one in a transaction finishes it first.
 #[tokio::test]
 async fn a_drain_lets_transactions_finish() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let (idle, busy) = (host.connect().await, host.connect().await);
     busy.batch_execute("BEGIN; INSERT INTO bids VALUES (1)")
         .await
@@ -434,7 +416,7 @@
 async fn a_slow_replica_gets_little() {
     let group = Group::start(2).await;
     let host = Host::start(&group).await;
-    table(&host).await;
+    host.table().await;
     host.learnt(&group).await;
     let caller = host.connect().await;
     caller
@@ -468,7 +450,7 @@
         rule(Access::Write, "", plain()),
     ];
     let host = Host::with(&group, rules).await;
-    table(&host).await;
+    host.table().await;
     host.learnt(&group).await;
     let caller = host.connect().await;
     caller
@@ -488,9 +470,7 @@
 /// The term ends while the server works on it: the program must not see the commit confirmed.
 #[tokio::test]
 async fn a_commit_before_a_flush_is_not_acknowledged_after_the_lease() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let socket = path::raw(host.address).await;
     let mut begin = wire::run("BEGIN");
     begin.extend(wire::SYNC);
--- a/crates/entry/tests/link.rs
+++ b/crates/entry/tests/link.rs
@@ -113,6 +113,17 @@
     }
 }
 
+/// A controller, and an entry host that holds a lease of it.
+async fn leased() -> (Control, Entry) {
+    let platform = Arc::new(Platform::default());
+    put(&platform, 1, BODY).await;
+    let control = Control::start(Knowledge::default()).await;
+    control.names(&control, 1);
+    let entry = Entry::start(Arc::new(Boot), platform, &[&control], None).await;
+    until("a lease", || entry.is_leased()).await;
+    (control, entry)
+}
+
 /// Waits for `condition`, which holds sooner or later unless something is broken.
 async fn until(what: &str, condition: impl Fn() -> bool) {
     let waited = tokio::time::timeout(PATIENCE, async {
@@ -155,12 +166,7 @@
 
 #[tokio::test]
 async fn a_host_gets_configuration_controller_and_lease() {
-    let platform = Arc::new(Platform::default());
-    put(&platform, 1, BODY).await;
-    let control = Control::start(Knowledge::default()).await;
-    control.names(&control, 1);
-    let entry = Entry::start(Arc::new(Boot), platform, &[&control], None).await;
-    until("a lease", || entry.is_leased()).await;
+    let (control, entry) = leased().await;
     assert_eq!(entry.version(), 1);
     assert_eq!(entry.acknowledge(7), Acknowledge::Done);
     let primary = entry.shared.directory().servers.find(PRIMARY).unwrap();
@@ -174,12 +180,7 @@
 /// it with its next lease and begins to end; it does not wait for somebody to log in to it.
 #[tokio::test]
 async fn a_host_drains_when_its_controller_says_so() {
-    let platform = Arc::new(Platform::default());
-    put(&platform, 1, BODY).await;
-    let control = Control::start(Knowledge::default()).await;
-    control.names(&control, 1);
-    let entry = Entry::start(Arc::new(Boot), platform, &[&control], None).await;
-    until("a lease", || entry.is_leased()).await;
+    let (control, entry) = leased().await;
     assert_eq!(entry.shared.stop().phase(), Phase::Running);
     control.state().drain = true;
     until("the drain", || {
@@ -366,12 +367,7 @@
 /// was: the replica to be promoted has to have it.
 #[tokio::test]
 async fn a_closed_term_acknowledges_nothing_and_tells_what_it_did() {
-    let platform = Arc::new(Platform::default());
-    put(&platform, 1, BODY).await;
-    let control = Control::start(Knowledge::default()).await;
-    control.names(&control, 1);
-    let entry = Entry::start(Arc::new(Boot), platform, &[&control], None).await;
-    until("a lease", || entry.is_leased()).await;
+    let (control, entry) = leased().await;
     assert_eq!(entry.acknowledge(7), Acknowledge::Done);
     control.state().view = view(2, TERM, None);
     let close = Close {
@@ -445,12 +441,7 @@
 /// goes out at once, and a renewal that is lost does not take the report with it.
 #[tokio::test]
 async fn trouble_with_a_server_is_reported_even_when_a_renewal_is_lost() {
-    let platform = Arc::new(Platform::default());
-    put(&platform, 1, BODY).await;
-    let control = Control::start(Knowledge::default()).await;
-    control.names(&control, 1);
-    let entry = Entry::start(Arc::new(Boot), platform, &[&control], None).await;
-    until("a lease", || entry.is_leased()).await;
+    let (control, entry) = leased().await;
     let primary = entry.shared.directory().servers.find(PRIMARY).unwrap();
     control.state().grants = Err(None);
     entry.shared.report(primary, Outcome::Broken);
@@ -468,12 +459,7 @@
 
 #[tokio::test]
 async fn a_stopping_host_gives_up_its_leases() {
-    let platform = Arc::new(Platform::default());
-    put(&platform, 1, BODY).await;
-    let control = Control::start(Knowledge::default()).await;
-    control.names(&control, 1);
-    let entry = Entry::start(Arc::new(Boot), platform, &[&control], None).await;
-    until("a lease", || entry.is_leased()).await;
+    let (control, entry) = leased().await;
     entry.link.farewell().await;
     assert!(
         control
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use path::{Group, Host, column, sqlstate};
+use path::{Group, Host, column, sqlstate, with_bids};
 use tokio_postgres::types::Type;
 
 const BID: &str = "/* flamingopost: key=bid-77 */ INSERT INTO bids VALUES (1)";
@@ -16,21 +16,13 @@
     column(&direct, "SELECT id FROM bids").await
 }
 
-async fn table(host: &Host) {
-    let caller = host.connect().await;
-    caller
-        .batch_execute("CREATE TABLE bids (id int8)")
-        .await
-        .unwrap();
-}
-
 /// A member's connection is lost after the bid was sent, and the member's program sends the bid
 /// again with the same key through another entry host. The lot must be charged once.
 #[tokio::test]
 async fn a_bid_sent_again_through_another_host_runs_once() {
     let group = Group::start(0).await;
     let (one, other) = (Host::start(&group).await, Host::start(&group).await);
-    table(&one).await;
+    one.table().await;
     // A service that never saw a key has no table of keys either.
     let direct = path::direct(group.servers[0].address()).await;
     direct
@@ -50,9 +42,7 @@
 /// something or not, sending the bid again leaves exactly one.
 #[tokio::test]
 async fn a_bid_whose_server_died_can_be_sent_again() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let caller = host.connect().await;
     group.set_faults(0, |faults| faults.slow_ms = SLOW_MS);
     let bid = caller.simple_query(BID);
@@ -83,9 +73,7 @@
 /// would lose a bid in silence, so the second is refused.
 #[tokio::test]
 async fn a_key_belongs_to_one_request() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let caller = host.connect().await;
     caller.simple_query(BID).await.unwrap();
     let second = "/* flamingopost: key=bid-77 */ INSERT INTO bids VALUES (2)";
@@ -101,7 +89,7 @@
     let host = Host::start(&group).await;
     let caller = host.connect().await;
     assert_eq!(sqlstate(caller.simple_query(BID).await), "42P01");
-    table(&host).await;
+    host.table().await;
     caller.simple_query(BID).await.unwrap();
     assert_eq!(bids(&group).await, ["1"]);
 }
@@ -111,9 +99,7 @@
 /// the same one.
 #[tokio::test]
 async fn the_parameters_belong_to_the_request() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let sql = "/* flamingopost: key=bid-78 */ INSERT INTO bids VALUES ($1)";
     let caller = host.connect().await;
     let bid = caller.prepare_typed(sql, &[Type::INT8]).await.unwrap();
@@ -129,9 +115,7 @@
 /// again. That is one request, not two.
 #[tokio::test]
 async fn the_protocol_does_not_belong_to_the_request() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let caller = host.connect().await;
     caller.simple_query(BID).await.unwrap();
     assert_eq!(sqlstate(caller.execute(BID, &[]).await), "PF201");
@@ -142,9 +126,7 @@
 /// not be passed over: the request is refused and nothing runs.
 #[tokio::test]
 async fn a_key_that_cannot_be_kept_is_refused() {
-    let group = Group::start(0).await;
-    let host = Host::start(&group).await;
-    table(&host).await;
+    let (group, host) = with_bids().await;
     let caller = host.connect().await;
     let several = format!("{BID}; INSERT INTO bids VALUES (2)");
     assert_eq!(sqlstate(caller.simple_query(&several).await), "22023");
