Name the incarnation of a backend server in its entry

A server may start again under its id, so its entry tells which start is meant: the Unix millisecond of it. The product's type is core::incarnation::Incarnation; the stand-in writes the field, a restart there has a later one.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod health;
 pub mod hedge;
 pub mod history;
+pub mod incarnation;
 pub mod invariant;
 pub mod key;
 pub mod leader;
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::leader::Role;
 
 use crate::route::Route;
@@ -75,8 +76,10 @@
 /// A backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Backend {
-    /// Its identity, never used again.
+    /// Its name, which it keeps when it starts again.
     pub id: String,
+    /// Which of its starts the entry speaks of.
+    pub incarnation: Incarnation,
     /// Its service.
     pub service: String,
     /// Where it listens; the address may be used again after it has gone.
--- a/crates/standin/src/pooled/server.rs
+++ b/crates/standin/src/pooled/server.rs
@@ -1,9 +1,9 @@
 //! A database server that speaks statement lines.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Semaphore, watch};
@@ -40,6 +40,8 @@
     pub open: AtomicU16,
     pub faults: Mutex<Faults>,
     pub address: SocketAddr,
+    /// Unix milliseconds of its last start.
+    pub born: AtomicU64,
     /// Where callers are told that it listens.
     pub shown: Mutex<SocketAddr>,
     /// Counts its crashes: what began before one ends with it, also when it is back at once.
@@ -63,6 +65,7 @@
             open: AtomicU16::new(0),
             faults: Mutex::default(),
             address,
+            born: AtomicU64::new(unix_millis()),
             shown: Mutex::new(address),
             crashes: watch::Sender::new(0),
         });
@@ -82,6 +85,9 @@
         socket.set_reuseaddr(true)?;
         socket.bind(self.address)?;
         let listener = socket.listen(128)?;
+        let before = self.born.load(Ordering::Relaxed);
+        let born = unix_millis().max(before + 1);
+        self.born.store(born, Ordering::Relaxed);
         self.group.set_running(&self.id, true);
         tokio::spawn(Arc::clone(self).serve(listener));
         Ok(())
@@ -125,3 +131,9 @@
         }
     }
 }
+
+/// The time of day in Unix milliseconds.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -276,7 +276,8 @@
     let value = json!({"service": server.group.service, "address": address,
         "zone": format!("zone-{zone}"), "version": "v1", "capacity": server.settings.slots,
         "state": if member.leaving { "draining" } else { "ready" }, "cold_left_ms": 0,
-        "sequence": 1, "reported_role": if member.leads { "primary" } else { "replica" }});
+        "sequence": 1, "born": server.born.load(Ordering::Relaxed),
+        "reported_role": if member.leads { "primary" } else { "replica" }});
     put(store, "servers", id, &value);
 }
 
