--- a/crates/core/src/incarnation.rs
+++ b/crates/core/src/incarnation.rs
@@ -15,3 +15,9 @@
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Incarnation(pub u64);
+
+impl Incarnation {
+    /// The incarnation of a server on a platform that tells no starts: it stays the same over a
+    /// restart, so a restart shows only in what the server itself says.
+    pub const UNKNOWN: Incarnation = Incarnation(0);
+}
