--- a/crates/standin/src/pooled/http.rs
+++ b/crates/standin/src/pooled/http.rs
@@ -72,7 +72,8 @@
             Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
         },
         "/rows-get" => {
-            let (found, version) = store.rows(&field("table_name"), &field("from"));
+            let (table, part) = (field("table_name"), field("part"));
+            let (found, version) = store.rows(&table, &part, &field("from"));
             (StatusCode::OK, rows(found, version))
         }
         "/rows-feed" => {
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -231,6 +231,12 @@
     /// Puts a configuration in force whose routes lead from databases to services, each with its
     /// kind and the age in milliseconds that its reads accept.
     pub fn configure(&self, routes: &[(&str, &str, &str, u64)]) {
+        let services: Vec<&str> = self.groups.keys().map(String::as_str).collect();
+        self.configure_only(&services, routes);
+    }
+
+    /// The same, with a configuration that names only these services.
+    pub fn configure_only(&self, services: &[&str], routes: &[(&str, &str, &str, u64)]) {
         let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
         *version += 3;
         let routes: Vec<serde_json::Value> = routes
@@ -241,9 +247,8 @@
                     "max_staleness_ms": age})
             })
             .collect();
-        let services: Vec<serde_json::Value> = self
-            .groups
-            .keys()
+        let services: Vec<serde_json::Value> = services
+            .iter()
             .map(|name| json!({"name": name, "max_conns": self.sizes.connections}))
             .collect();
         let value = json!({"version": *version, "routes": routes, "services": services,
@@ -257,7 +262,44 @@
         self.put("flamingopost-claims", &key, &json!({"holder": host}));
     }
 
-    fn register(&self, id: &str) {
+    /// Another writer puts `value` into the store under `key`, as the store keeps it: what a
+    /// reader can decode is the base64 of JSON.
+    pub fn overwrite(&self, table: &str, part: &str, key: &str, value: &str) {
+        self.store.apply(Change {
+            upserts: vec![Row {
+                part: part.to_owned(),
+                value: value.to_owned(),
+                ..row(table, key, "")
+            }],
+            ..Change::default()
+        });
+    }
+
+    /// Another writer removes what is under `key`.
+    pub fn remove(&self, table: &str, part: &str, key: &str) {
+        self.store.apply(Change {
+            deletes: vec![Row {
+                part: part.to_owned(),
+                ..row(table, key, "")
+            }],
+            ..Change::default()
+        });
+    }
+
+    /// The entry of a server as it is in the store, for writers that spoil or copy it.
+    ///
+    /// # Panics
+    /// It has none, or no server could have written it.
+    pub fn entry(&self, server: &str) -> serde_json::Value {
+        let (rows, _) = self.store.rows("servers", "", server);
+        let row = rows.first().filter(|row| row.key == server);
+        let value = &row.expect("an entry").value;
+        let bytes = STANDARD.decode(value).expect("base64");
+        serde_json::from_slice(&bytes).expect("JSON")
+    }
+
+    /// A server writes its entry anew, as it does when something in it has changed.
+    pub fn register(&self, id: &str) {
         register(&self.store, &self.servers, id);
     }
 
--- a/crates/standin/src/pooled/store.rs
+++ b/crates/standin/src/pooled/store.rs
@@ -140,10 +140,11 @@
         Outcome::Done(version)
     }
 
-    /// Rows of a table from a key on, and the newest version.
-    pub(super) fn rows(&self, table: &str, from: &str) -> (Vec<Row>, u64) {
+    /// Rows of a part of a table from a key on, and the newest version.
+    pub(super) fn rows(&self, table: &str, part: &str, from: &str) -> (Vec<Row>, u64) {
         let state = self.lock();
-        let of = |row: &&Row| row.table_name == table && row.key.as_str() >= from;
+        let of =
+            |row: &&Row| row.table_name == table && row.part == part && row.key.as_str() >= from;
         let rows = state.rows.values().filter(of).cloned().collect();
         (rows, state.version)
     }
