Take each row of the store by itself, and pass over what names nothing

Cause: rows became servers, hosts and configurations by one collect into a Result, so one row that could not be read failed the whole answer; the host asked again for ever and knew no server. Any state but ready was taken as leaving, an unknown role as a replica; a document without routes replaced the configuration, a negative age in one ended the process; rows of another part of a table counted as entries.

Change: an entry is a Result of its own, with a typed fault. A server's entry has all fields that servers write, of their types and within range, or names none; a spoilt one lapses as if it had gone. Entries of a service that no configuration names wait for one that does. A host whose entry is spoilt stays, a claim that cannot be read hides no other, a configuration is taken as a whole or not at all. Each fault of an entry is told and counted once (events 5015, 5016, flamingopost_unusable_entries_total).

--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -24,6 +24,10 @@
         5013 Info PeerGone { host: String },
         /// this host is announced, token {token}
         5014 Info Announced { token: u64 },
+        /// entry {id} of {table} is not used: {fault}; revision {revision}
+        5015 Warn Spoilt { table: &'static str, id: String, fault: String, revision: u64 },
+        /// configuration version {version} is refused and version {kept} stays in force: {fault}; revision {revision}
+        5016 Error ConfigurationRefused { version: String, kept: u64, fault: String, revision: u64 },
         /// {service}: {after} leads after {before}, which was so for {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: server {server} cannot be connected to: {error}; {connections} connections to it here, {waiting} requests wait
--- /dev/null
+++ b/crates/proxy/src/fault.rs
@@ -0,0 +1,74 @@
+//! What is wrong with an entry that cannot be used.
+
+/// Longest quotation from an entry, in characters. Entries have up to 64 KiB, and a log line that
+/// quotes one has to stay readable.
+const QUOTED: usize = 80;
+
+/// What is wrong with an entry of the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum Fault {
+    /// its bytes are not encoded as they should be
+    Encoding,
+    /// it is no document that can be read
+    Syntax,
+    /// a field is missing or of another type: {0}
+    Field(String),
+    /// its name `{0}` cannot be sent to a server
+    Name(String),
+    /// `{0}` is no address
+    Address(String),
+    /// `{0}` is out of range
+    Number(String),
+    /// `{0}` is no state
+    State(String),
+    /// `{0}` is no role
+    Role(String),
+    /// `{0}` is no kind of route
+    Kind(String),
+    /// no configuration names the service `{0}`
+    Service(String),
+    /// it does not tell when the server started
+    Start,
+}
+
+impl Fault {
+    /// Its name among the values of a metric's label.
+    ///
+    /// ```
+    /// use flamingopost_proxy::fault::Fault;
+    ///
+    /// assert_eq!(Fault::State("failing".to_owned()).label(), "state");
+    /// ```
+    pub fn label(&self) -> &'static str {
+        match self {
+            Fault::Encoding => "encoding",
+            Fault::Syntax => "syntax",
+            Fault::Field(_) => "field",
+            Fault::Name(_) => "name",
+            Fault::Address(_) => "address",
+            Fault::Number(_) => "number",
+            Fault::State(_) => "state",
+            Fault::Role(_) => "role",
+            Fault::Kind(_) => "kind",
+            Fault::Service(_) => "service",
+            Fault::Start => "start",
+        }
+    }
+}
+
+/// The beginning of `text`, which somebody else has written, fit for a log line.
+///
+/// ```
+/// use flamingopost_proxy::fault::quote;
+///
+/// assert_eq!(quote("ready\r\n"), "ready\\r\\n");
+/// assert_eq!(quote(&"x".repeat(70_000)).len(), 83);
+/// ```
+pub fn quote(text: &str) -> String {
+    let mut escaped = text.escape_debug();
+    let mut quoted: String = escaped.by_ref().take(QUOTED).collect();
+    if escaped.next().is_some() {
+        quoted.push_str("...");
+    }
+    quoted
+}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What this host knows of the fleet: configuration, services and their servers, other hosts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,15 +15,18 @@
 use crate::event::Event;
 use crate::feeds::{Feeds, Patience};
 use crate::peer::News;
-use crate::platform::{Backend, Change, Configuration, Peer, Service as Configured};
+use crate::platform::{Backend, Change, Configuration, Entry, Peer, Service as Configured};
 use crate::route::Route;
 use crate::service::Service;
 use crate::site::Site;
+use crate::told::Told;
 
 mod homes;
+mod strangers;
 
 pub use homes::Home;
 use homes::spread;
+use strangers::{CONFIGURATION, HOSTS, SERVERS, backend_id, peer_id};
 
 /// How long an entry that has gone from the list is still believed in. Entries of living servers
 /// lapse while the platform's store is away and are back within two seconds of its return; the
@@ -43,6 +46,9 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     services: RefCell<BTreeMap<String, Rc<Service<C>>>>,
     servers: RefCell<Servers>,
+    /// Entries of servers whose service no configuration names yet, by id.
+    unnamed: RefCell<BTreeMap<String, Backend>>,
+    told: RefCell<Told>,
     peers: RefCell<Peers>,
     quorum: RefCell<Quorum>,
     /// The other hosts whose majority counts; worked out anew with each change of the list, since
@@ -58,10 +64,10 @@
 #[derive(Default)]
 struct Servers {
     keys: SlotMap<ServerKey, String>,
-    by_id: BTreeMap<String, Entry>,
+    by_id: BTreeMap<String, Listed>,
 }
 
-struct Entry {
+struct Listed {
     key: ServerKey,
     service: String,
     /// When it went from the list.
@@ -82,6 +88,8 @@
             configuration: RefCell::default(),
             services: RefCell::default(),
             servers: RefCell::default(),
+            unnamed: RefCell::default(),
+            told: RefCell::default(),
             peers: RefCell::default(),
             quorum: RefCell::default(),
             electors: RefCell::default(),
@@ -144,24 +152,32 @@
             millis: took.as_millis(),
         });
         *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+        self.told.borrow_mut().all_mended(CONFIGURATION);
         invariant::check(Invariant::UpwardConfiguration, version > before, || {
             format!("version {version} after {before}")
         });
+        // Servers may register before the operators configure their service.
+        let unnamed = std::mem::take(&mut *self.unnamed.borrow_mut());
+        for backend in unnamed.into_values() {
+            self.change(Change::Put(backend));
+        }
         self.allot();
     }
 
     /// Takes a whole list of servers: what it lacks has gone.
-    pub fn list(&self, backends: Vec<Backend>) {
+    pub fn list(&self, entries: Vec<Entry<Backend>>) {
+        let named: BTreeSet<&str> = entries.iter().map(backend_id).collect();
         let missing: Vec<String> = {
-            let servers = self.servers.borrow();
-            let listed = |id: &&String| !backends.iter().any(|backend| backend.id == **id);
-            servers.by_id.keys().filter(listed).cloned().collect()
+            let (servers, unnamed) = (self.servers.borrow(), self.unnamed.borrow());
+            let known = servers.by_id.keys().chain(unnamed.keys());
+            let missing = known.filter(|id| !named.contains(id.as_str()));
+            missing.cloned().collect()
         };
         for id in missing {
             self.change(Change::Gone(id));
         }
-        for backend in backends {
-            self.change(Change::Put(backend));
+        for entry in entries {
+            self.change(Change::from(entry));
         }
         self.listed.set(true);
     }
@@ -169,13 +185,26 @@
     /// Takes one change of the list of servers.
     pub fn change(&self, change: Change<Backend>) {
         match change {
-            Change::Put(backend) => self.put(&backend),
-            Change::Gone(id) => {
-                let now = self.site.now();
-                if let Some(entry) = self.servers.borrow_mut().by_id.get_mut(&id) {
-                    entry.gone.get_or_insert(now);
-                }
+            Change::Put(backend) if self.names(&backend.service) => self.put(&backend),
+            Change::Put(backend) => self.put_aside(backend),
+            Change::Spoilt(unusable) => {
+                self.spoilt(SERVERS, &unusable);
+                self.gone(&unusable.id);
             }
+            Change::Gone(id) => self.gone(&id),
+        }
+    }
+
+    /// The entry of server `id` has gone or names no server any more. Both may pass: entries of
+    /// living servers lapse, and a server writes its entry anew over what somebody else has put in
+    /// its place. So the server is used for [`LAPSE`] longer, which is within the time in which
+    /// servers that have left still serve; dropped at once, a primary would lose its transactions
+    /// and be replaced for an entry that is good again a heartbeat later.
+    fn gone(&self, id: &str) {
+        self.unnamed.borrow_mut().remove(id);
+        let now = self.site.now();
+        if let Some(listed) = self.servers.borrow_mut().by_id.get_mut(id) {
+            listed.gone.get_or_insert(now);
         }
     }
 
@@ -214,14 +243,17 @@
     }
 
     /// Takes a whole list of hosts.
-    pub fn list_peers(&self, peers: Vec<Peer>) {
+    pub fn list_peers(&self, entries: Vec<Entry<Peer>>) {
+        let named: BTreeSet<&str> = entries.iter().map(peer_id).collect();
         let missing: Vec<String> = {
-            let known = self.peers.borrow();
-            let listed = |host: &&String| !peers.iter().any(|peer| peer.host == **host);
-            known.by_host.keys().filter(listed).cloned().collect()
+            let peers = self.peers.borrow();
+            let known = peers.by_host.keys();
+            let missing = known.filter(|host| !named.contains(host.as_str()));
+            missing.cloned().collect()
         };
         let gone = missing.into_iter().map(Change::Gone);
-        self.change_peers(gone.chain(peers.into_iter().map(Change::Put)).collect());
+        let rest = entries.into_iter().map(Change::from);
+        self.change_peers(gone.chain(rest).collect());
     }
 
     /// Takes changes of the list of hosts. What follows from the list is worked out once for all of
@@ -250,6 +282,7 @@
         match change {
             Change::Put(peer) if peer.host == self.site.host => {}
             Change::Put(peer) => {
+                self.told.borrow_mut().mended(HOSTS, &peer.host);
                 self.site.log(&Event::PeerListed {
                     host: peer.host.clone(),
                     zone: peer.zone.clone(),
@@ -262,6 +295,9 @@
                 };
                 peers.by_host.insert(peer.host.clone(), (key, peer));
             }
+            // A host that is known stays: it has not withdrawn, and without it fewer hosts would
+            // be a majority than without its word may be one.
+            Change::Spoilt(unusable) => self.spoilt(HOSTS, &unusable),
             Change::Gone(host) => {
                 let mut peers = self.peers.borrow_mut();
                 if let Some((key, _)) = peers.by_host.remove(&host) {
@@ -391,6 +427,9 @@
     }
 
     fn put(&self, backend: &Backend) {
+        self.told.borrow_mut().mended(SERVERS, &backend.id);
+        self.unnamed.borrow_mut().remove(&backend.id);
+        self.move_service(backend);
         self.site.log(&Event::Listed {
             service: backend.service.clone(),
             server: backend.id.clone(),
@@ -402,7 +441,7 @@
         let key = {
             let mut servers = self.servers.borrow_mut();
             let Servers { keys, by_id } = &mut *servers;
-            let entry = by_id.entry(backend.id.clone()).or_insert_with(|| Entry {
+            let entry = by_id.entry(backend.id.clone()).or_insert_with(|| Listed {
                 key: keys.insert(backend.id.clone()),
                 service: backend.service.clone(),
                 gone: None,
@@ -419,6 +458,25 @@
         }
     }
 
+    /// Takes a server out of the service that it was of, if its entry names another one now.
+    fn move_service(&self, backend: &Backend) {
+        let moved = {
+            let mut servers = self.servers.borrow_mut();
+            let Servers { keys, by_id } = &mut *servers;
+            let before = by_id.get(&backend.id);
+            if before.is_none_or(|listed| listed.service == backend.service) {
+                return;
+            }
+            let moved = by_id.remove(&backend.id);
+            moved.inspect(|listed| {
+                keys.remove(listed.key);
+            })
+        };
+        if let Some(listed) = moved {
+            self.service(&listed.service).unlisted(listed.key);
+        }
+    }
+
     fn service(&self, name: &str) -> Rc<Service<C>> {
         if let Some(service) = self.named(name) {
             return service;
--- /dev/null
+++ b/crates/proxy/src/fleet/strangers.rs
@@ -0,0 +1,89 @@
+//! Entries that somebody else has written, or that nobody has asked for yet.
+
+use crate::codec::Codec;
+use crate::event::Event;
+use crate::fault::{Fault, quote};
+use crate::fleet::Fleet;
+use crate::meter;
+use crate::platform::{Backend, Entry, Peer};
+use crate::unusable::Unusable;
+
+/// What entries that cannot be used are of.
+pub(super) const CONFIGURATION: &str = "configuration";
+pub(super) const SERVERS: &str = "servers";
+pub(super) const HOSTS: &str = "hosts";
+
+impl<C: Codec> Fleet<C> {
+    /// Says that a configuration cannot be read; the one in force stays.
+    pub fn refuse(&self, unusable: &Unusable) {
+        if !self.is_news(CONFIGURATION, unusable) {
+            return;
+        }
+        let version = unusable.version.map(|version| version.to_string());
+        self.site.log(&Event::ConfigurationRefused {
+            version: version.unwrap_or_else(|| "unknown".to_owned()),
+            kept: self.version(),
+            fault: unusable.fault.to_string(),
+            revision: unusable.changed.0,
+        });
+    }
+
+    /// Keeps the entry of a server whose service no configuration names, for one that does. Nothing
+    /// may connect to it before: only the operators say which services there are.
+    pub(super) fn put_aside(&self, backend: Backend) {
+        if self.version() > 0 {
+            let unusable = Unusable {
+                id: backend.id.clone(),
+                fault: Fault::Service(quote(&backend.service)),
+                version: None,
+                changed: backend.changed,
+            };
+            self.spoilt(SERVERS, &unusable);
+        }
+        self.gone(&backend.id);
+        let mut unnamed = self.unnamed.borrow_mut();
+        unnamed.insert(backend.id.clone(), backend);
+    }
+
+    /// Says that an entry of `table` names nothing, once for each fault that it has.
+    pub(super) fn spoilt(&self, table: &'static str, unusable: &Unusable) {
+        if self.is_news(table, unusable) {
+            self.site.log(&Event::Spoilt {
+                table,
+                id: quote(&unusable.id),
+                fault: unusable.fault.to_string(),
+                revision: unusable.changed.0,
+            });
+        }
+    }
+
+    fn is_news(&self, table: &'static str, unusable: &Unusable) -> bool {
+        let is_news = self.told.borrow_mut().is_news(table, unusable);
+        if is_news {
+            meter::unusable(table, unusable.fault.label());
+        }
+        is_news
+    }
+
+    /// Whether the configuration in force knows the service `name`.
+    pub(super) fn names(&self, name: &str) -> bool {
+        let configuration = self.configuration.borrow();
+        configuration.as_ref().is_some_and(|it| it.names(name))
+    }
+}
+
+/// Which server an entry is of.
+pub(super) fn backend_id(entry: &Entry<Backend>) -> &str {
+    match entry {
+        Ok(backend) => &backend.id,
+        Err(unusable) => &unusable.id,
+    }
+}
+
+/// Which host an entry is of.
+pub(super) fn peer_id(entry: &Entry<Peer>) -> &str {
+    match entry {
+        Ok(peer) => &peer.host,
+        Err(unusable) => &unusable.id,
+    }
+}
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -35,6 +35,12 @@
         .increment(1);
 }
 
+/// Counts an entry of `table` that cannot be used, once for each fault that it has.
+pub fn unusable(table: &'static str, fault: &'static str) {
+    metrics::counter!("flamingopost_unusable_entries_total", "table" => table, "fault" => fault)
+        .increment(1);
+}
+
 /// Counts a call to the platform.
 pub fn platform_call(call: &'static str, ok: bool) {
     let outcome = if ok { "answered" } else { "failed" };
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -9,6 +9,7 @@
 use flamingopost_core::leader::Role;
 
 use crate::route::Route;
+use crate::unusable::Unusable;
 
 /// Why a call to the platform has no result.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
@@ -64,6 +65,30 @@
     pub transaction_idle: Duration,
 }
 
+impl Configuration {
+    /// Whether it knows the service `name`: it is listed, or a route leads to it.
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    /// use std::time::Duration;
+    /// use flamingopost_proxy::platform::{Configuration, Service};
+    ///
+    /// let ledger = Service { connections: 16, synchronous: false };
+    /// let configuration = Configuration {
+    ///     version: 7,
+    ///     routes: BTreeMap::new(),
+    ///     services: BTreeMap::from([("ledger".to_owned(), ledger)]),
+    ///     transaction_idle: Duration::from_secs(3),
+    /// };
+    /// assert!(configuration.names("ledger"));
+    /// assert!(!configuration.names("tanks"));
+    /// ```
+    pub fn names(&self, name: &str) -> bool {
+        let routed = || self.routes.values().any(|route| route.service == name);
+        self.services.contains_key(name) || routed()
+    }
+}
+
 /// A service in the operators' configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Service {
@@ -96,15 +121,29 @@
     pub changed: Revision,
 }
 
+/// An entry as it was read, which somebody else may have written.
+pub type Entry<T> = Result<T, Unusable>;
+
 /// A change of the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change<T> {
     /// The entry of `id` is new or has changed.
     Put(T),
+    /// An entry is new or has changed, and cannot be used as it is now.
+    Spoilt(Unusable),
     /// The entry of this id is gone.
     Gone(String),
 }
 
+impl<T> From<Entry<T>> for Change<T> {
+    fn from(entry: Entry<T>) -> Change<T> {
+        match entry {
+            Ok(value) => Change::Put(value),
+            Err(unusable) => Change::Spoilt(unusable),
+        }
+    }
+}
+
 /// Another entry host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
@@ -128,7 +167,7 @@
     Won(Token),
     /// Somebody else holds it.
     Held {
-        /// Who.
+        /// Who; nobody where the claim cannot be read.
         by: String,
         /// What to name to take it over, once its holder is known not to act on it.
         revision: Revision,
@@ -146,18 +185,19 @@
 
 /// The platform, as an entry host uses it.
 pub trait Platform: 'static {
-    /// The configuration in force, if there is one.
-    fn configuration(&self) -> impl Future<Output = Result<Read<Option<Configuration>>, Error>>;
+    /// The configuration that the store holds, if there is one.
+    fn configuration(&self)
+    -> impl Future<Output = Result<Read<Vec<Entry<Configuration>>>, Error>>;
 
-    /// Waits at most `wait` for a configuration newer than `after`.
+    /// Waits at most `wait` for configurations newer than `after`, in the order of their writing.
     fn next_configuration(
         &self,
         after: Revision,
         wait: Duration,
-    ) -> impl Future<Output = Result<Read<Option<Configuration>>, Error>>;
+    ) -> impl Future<Output = Result<Read<Vec<Entry<Configuration>>>, Error>>;
 
-    /// All backend servers.
-    fn backends(&self) -> impl Future<Output = Result<Read<Vec<Backend>>, Error>>;
+    /// All entries of backend servers.
+    fn backends(&self) -> impl Future<Output = Result<Read<Vec<Entry<Backend>>>, Error>>;
 
     /// Waits at most `wait` for changes of the list of backend servers after `after`.
     fn next_backends(
@@ -166,8 +206,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Read<Vec<Change<Backend>>>, Error>>;
 
-    /// All entry hosts that have announced themselves.
-    fn peers(&self) -> impl Future<Output = Result<Read<Vec<Peer>>, Error>>;
+    /// The entries of all entry hosts that have announced themselves.
+    fn peers(&self) -> impl Future<Output = Result<Read<Vec<Entry<Peer>>>, Error>>;
 
     /// Waits at most `wait` for changes among entry hosts after `after`.
     fn next_peers(
@@ -189,7 +229,7 @@
         over: Option<Revision>,
     ) -> impl Future<Output = Result<Claim, Error>>;
 
-    /// All claims: the service and the number of the change.
+    /// All claims that can be read: the service and the number of the change.
     fn claims(&self) -> impl Future<Output = Result<BTreeSet<(String, u64)>, Error>>;
 
     /// Orders that server `id` leads `service`.
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -9,7 +9,7 @@
 use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::meter;
-use crate::platform::{Configuration, Error, Peer, Platform, Read, Revision};
+use crate::platform::{Configuration, Entry, Error, Peer, Platform, Read, Revision};
 use crate::site::Site;
 
 /// First wait after a call that failed; doubled up to [`PAUSE_MOST`]. Calls to the store are
@@ -90,7 +90,8 @@
                 }) => {
                     track.answered(&self.site);
                     after = Some(revision);
-                    self.adopt(value, self.site.now().saturating_sub(asked));
+                    let took = self.site.now().saturating_sub(asked);
+                    self.adopt(value, took);
                     let version = self.fleet.version();
                     let feed = &self.fleet.feeds.configuration;
                     feed.read(version, Some(version));
@@ -173,7 +174,7 @@
         &self,
         after: Revision,
         track: &Track,
-    ) -> Result<Read<Option<Configuration>>, Error> {
+    ) -> Result<Read<Vec<Entry<Configuration>>>, Error> {
         let wait = self.fleet.patience().wait();
         let call = self.platform.next_configuration(after, wait);
         match self.fleet.feeds.configuration.unless_stuck(call).await {
@@ -223,9 +224,14 @@
         self.site.log(&Event::FeedStuck { what });
     }
 
-    fn adopt(&self, configuration: Option<Configuration>, took: Duration) {
-        if let Some(configuration) = configuration {
-            self.fleet.adopt(configuration, took);
+    /// Takes configurations in the order of their writing. One that cannot be read never replaces
+    /// one that can, and is passed over: to ask for it again would bring the same.
+    fn adopt(&self, configurations: Vec<Entry<Configuration>>, took: Duration) {
+        for configuration in configurations {
+            match configuration {
+                Ok(configuration) => self.fleet.adopt(configuration, took),
+                Err(unusable) => self.fleet.refuse(&unusable),
+            }
         }
     }
 
