daemon: decode the sections [platform] and [log] in one place

control and entry each had types, defaults and decoding of both sections of their own, word for word.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -4,12 +4,13 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use flamingopost_daemon::log::{Format, Level};
-use flamingopost_daemon::settings::{Problems, Reader};
+use flamingopost_daemon::settings::{Log, Platform, Problems, Reader};
 use flamingopost_daemon::token::Token;
 
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two reads of the fleet's rows: authority is dated from them.
 const PLATFORM_POLL: Duration = Duration::from_millis(500);
+
+/// How long one request to a backend server may take: a promotion there takes about a second.
 const SERVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Everything a control process learns from its settings file.
@@ -43,35 +44,6 @@
     pub log: Log,
 }
 
-/// The platform's services.
-#[derive(Debug, Clone, Copy)]
-pub struct Platform {
-    /// Their address.
-    pub address: SocketAddr,
-    /// How long one request may take.
-    pub timeout: Duration,
-    /// Time between two reads of the fleet's rows.
-    pub poll: Duration,
-}
-
-/// Logs.
-#[derive(Debug, Clone, Copy)]
-pub struct Log {
-    /// Least important level that is written.
-    pub level: Level,
-    /// How lines are written.
-    pub format: Format,
-}
-
-impl Default for Log {
-    fn default() -> Self {
-        Log {
-            level: Level::Info,
-            format: Format::Text,
-        }
-    }
-}
-
 impl Settings {
     /// Settings of host `host` in `zone` with everything else at its default; the trial and
     /// tests start from here. Every listener gets a port of the system's choice.
@@ -85,11 +57,7 @@
             admin: any,
             public_admin: None,
             token: Token::new(""),
-            platform: Platform {
-                address: platform,
-                timeout: PLATFORM_TIMEOUT,
-                poll: PLATFORM_POLL,
-            },
+            platform: Platform::at(platform, PLATFORM_POLL),
             peers: Vec::new(),
             relay: false,
             bootstrap: None,
@@ -119,15 +87,12 @@
         let admin = r.required("listen", "admin", "10.1.0.11:6451");
         let public_admin = r.maybe("listen", "public_admin");
         let token = r.token();
-        let platform = platform(r);
+        let platform = Platform::read(r, PLATFORM_POLL);
         let peers = r.optional("control", "peers", Vec::new());
         let relay = r.optional("control", "relay", false);
         let bootstrap = r.maybe("control", "bootstrap");
         let server_timeout = r.optional("control", "server_timeout", SERVER_TIMEOUT);
-        let log = Log {
-            level: r.optional("log", "level", Level::Info),
-            format: r.optional("log", "format", Format::Text),
-        };
+        let log = Log::read(r);
         let decoded = (|| {
             Some(Settings {
                 host: host?,
@@ -148,12 +113,3 @@
         reader.finish(decoded)
     }
 }
-
-fn platform(r: &mut Reader) -> Option<Platform> {
-    let address = r.required("platform", "address", "10.1.0.1:8500");
-    Some(Platform {
-        timeout: r.optional("platform", "timeout", PLATFORM_TIMEOUT),
-        poll: r.optional("platform", "poll", PLATFORM_POLL),
-        address: address?,
-    })
-}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,6 +9,12 @@
 use crate::token::Token;
 use crate::value::Value;
 
+mod log;
+mod platform;
+
+pub use log::Log;
+pub use platform::Platform;
+
 /// One thing that is wrong in a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Problem {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,16 +4,26 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use flamingopost_daemon::log::{Format, Level};
-use flamingopost_daemon::settings::{Problems, Reader};
+use flamingopost_daemon::settings::{Log, Platform, Problems, Reader};
 use flamingopost_daemon::token::Token;
 
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two reads of the configuration's row: changes are pushed by controllers, and the
+/// row is what is left when none of them can be reached.
 const PLATFORM_POLL: Duration = Duration::from_secs(2);
+
+/// Time from connecting to being authenticated: some round trips, TLS and a slow password hash.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long sessions may go on after the start of a drain.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Callers connected and not yet authenticated: bounds what strangers may cost.
 const UNAUTHENTICATED: usize = 256;
+
+/// Callers connected at once: several times the 3,125 idle ones that a host is sized for.
 const CALLERS: usize = 20_000;
+
+/// Greatest message of an authenticated caller, in bytes.
 const MESSAGE_BYTES: usize = 16 << 20;
 
 /// Everything an entry host process learns from its settings file.
@@ -50,17 +60,6 @@
     pub log: Log,
 }
 
-/// The platform's services.
-#[derive(Debug, Clone)]
-pub struct Platform {
-    /// Their address.
-    pub address: SocketAddr,
-    /// How long one request may take.
-    pub timeout: Duration,
-    /// Time between two reads of the fleet's rows.
-    pub poll: Duration,
-}
-
 /// Where the certificate and its key are.
 #[derive(Debug, Clone)]
 pub struct Tls {
@@ -85,15 +84,6 @@
     pub message: usize,
 }
 
-/// Logs.
-#[derive(Debug, Clone, Copy)]
-pub struct Log {
-    /// Least important level that is written.
-    pub level: Level,
-    /// How lines are written.
-    pub format: Format,
-}
-
 impl Default for Limits {
     fn default() -> Self {
         Limits {
@@ -105,15 +95,6 @@
     }
 }
 
-impl Default for Log {
-    fn default() -> Self {
-        Log {
-            level: Level::Info,
-            format: Format::Text,
-        }
-    }
-}
-
 impl Settings {
     /// Settings of host `host` in `zone` with everything else at its default; the trial and
     /// tests start from here. Every listener gets a port of the system's choice.
@@ -127,11 +108,7 @@
             public_rpc: any,
             admin: any,
             token: Token::new(""),
-            platform: Platform {
-                address: platform,
-                timeout: PLATFORM_TIMEOUT,
-                poll: PLATFORM_POLL,
-            },
+            platform: Platform::at(platform, PLATFORM_POLL),
             peers: Vec::new(),
             relay: None,
             tls: None,
@@ -162,13 +139,13 @@
         let admin = r.required("listen", "admin", "10.1.0.11:6441");
         let public_rpc = r.maybe("listen", "public_rpc");
         let token = r.token();
-        let platform = platform(r);
+        let platform = Platform::read(r, PLATFORM_POLL);
         let peers = r.optional("control", "peers", Vec::new());
         let relay = r.maybe("control", "relay");
         let tls = tls(r);
         let limits = limits(r);
         let drain = r.optional("host", "drain", DRAIN_TIMEOUT);
-        let log = log(r);
+        let log = Log::read(r);
         let decoded = (|| {
             let rpc = rpc?;
             Some(Settings {
@@ -192,17 +169,6 @@
     }
 }
 
-fn platform(r: &mut Reader) -> Option<Platform> {
-    let address = r.required("platform", "address", "10.1.0.2:8400");
-    let timeout = r.optional("platform", "timeout", PLATFORM_TIMEOUT);
-    let poll = r.optional("platform", "poll", PLATFORM_POLL);
-    Some(Platform {
-        address: address?,
-        timeout,
-        poll,
-    })
-}
-
 /// `None` where the section is wrong, `Some(None)` where there is no TLS.
 fn tls(r: &mut Reader) -> Option<Option<Tls>> {
     let required = r.optional("tls", "required", false);
@@ -236,10 +202,3 @@
         message: r.optional("limits", "message", MESSAGE_BYTES),
     }
 }
-
-fn log(r: &mut Reader) -> Log {
-    Log {
-        level: r.optional("log", "level", Level::Info),
-        format: r.optional("log", "format", Format::Text),
-    }
-}
