Show that a configuration comes late after an outage of the store

Cause: a call that waits for changes and is lost hangs for its wait and limit, 6.2 s, also one that was made in the last moment of an outage, and all hosts make theirs in the same moment.

The stand-in store now loses what is due while it is silent, as well as what is asked then.

--- a/crates/standin/src/pooled/http.rs
+++ b/crates/standin/src/pooled/http.rs
@@ -52,20 +52,35 @@
     }
 }
 
-/// Answers a call to the store.
+/// Answers a call to the store. What is due while it is silent is lost for good, like what is asked
+/// then.
 pub(super) async fn store(store: Arc<Store>, asked: Asked) -> (StatusCode, String) {
-    let mode = store.called();
-    match mode {
-        Mode::Up | Mode::Lossy => {}
-        Mode::Slow(delay) => tokio::time::sleep(delay).await,
-        Mode::Busy => return (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+    let answer = match store.called() {
+        Mode::Up => reply(&store, &asked).await,
+        Mode::Lossy => match (reply(&store, &asked).await, asked.path.as_str()) {
+            ((StatusCode::OK | StatusCode::PRECONDITION_FAILED, _), "/rows-tx") => {
+                std::future::pending().await
+            }
+            (answer, _) => answer,
+        },
+        Mode::Slow(delay) => {
+            tokio::time::sleep(delay).await;
+            reply(&store, &asked).await
+        }
+        Mode::Busy => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         Mode::Silent => std::future::pending().await,
+    };
+    match store.mode() {
+        Mode::Silent => std::future::pending().await,
+        _ => answer,
     }
+}
+
+async fn reply(store: &Store, asked: &Asked) -> (StatusCode, String) {
     let field = |name: &str| asked.query.get(name).cloned().unwrap_or_default();
     match asked.path.as_str() {
         "/rows-tx" => match serde_json::from_slice::<Change>(&asked.body) {
             Ok(change) => match store.apply(change) {
-                _ if mode == Mode::Lossy => std::future::pending().await,
                 Outcome::Done(version) => (StatusCode::OK, rows(Vec::new(), version)),
                 Outcome::Failed(current) => (StatusCode::PRECONDITION_FAILED, rows(current, 0)),
             },
@@ -77,7 +92,7 @@
         }
         "/rows-feed" => {
             feed(
-                &store,
+                store,
                 &field("table_name"),
                 &field("after"),
                 &field("wait_ms"),
--- a/crates/standin/src/pooled/store.rs
+++ b/crates/standin/src/pooled/store.rs
@@ -15,7 +15,7 @@
     Up,
     /// It refuses everything with 503.
     Busy,
-    /// It answers nothing.
+    /// It answers nothing, also not what it was asked before.
     Silent,
     /// It answers after this time.
     Slow(Duration),
@@ -108,6 +108,10 @@
         self.lock().calls
     }
 
+    pub(super) fn mode(&self) -> Mode {
+        self.lock().mode
+    }
+
     pub(super) fn called(&self) -> Mode {
         let mut state = self.lock();
         state.calls += 1;
