Pause before a history that is gone again is read anew

Cause: a feed whose history is gone made the host read the whole table at once, however often; the guard against storms covered only calls that fail.

--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -19,6 +19,12 @@
 /// Longest such wait: an outage may end at any moment, and what was missed counts from then.
 const PAUSE_MOST: Duration = Duration::from_millis(800);
 
+/// Time between two losses of a table's history within which the second is not taken for one of
+/// its own. Guards against a storm: a store that keeps hardly any history refuses each feed as
+/// soon as the table has been read, and a host that reads it again at once made 1,900 calls a
+/// second to a stand-in store; with [`PAUSE`] between them it makes some 60.
+const GONE_AGAIN: Duration = Duration::from_secs(1);
+
 /// How long after the last failed read the list of servers is not trusted to be complete.
 const BLIND: Duration = Duration::from_millis(1_500);
 
@@ -49,6 +55,8 @@
     what: &'static str,
     lost: Option<Duration>,
     pause: Duration,
+    /// When its history was last gone.
+    gone: Option<Duration>,
 }
 
 impl<C: Codec, P: Platform> Watch<C, P> {
@@ -241,6 +249,9 @@
             let what = track.what;
             self.site.log(&Event::HistoryGone { what });
             *after = None;
+            if track.is_gone_again(self.site.now()) {
+                tokio::time::sleep(PAUSE).await;
+            }
             return;
         }
         track.lost(&self.site, error);
@@ -254,6 +265,7 @@
             what,
             lost: None,
             pause: PAUSE,
+            gone: None,
         }
     }
 
@@ -268,6 +280,12 @@
         }
     }
 
+    /// Whether its history, which is gone `now`, was so a moment ago.
+    fn is_gone_again(&mut self, now: Duration) -> bool {
+        let before = self.gone.replace(now);
+        before.is_some_and(|before| now < before + GONE_AGAIN)
+    }
+
     fn lost(&mut self, site: &Site, error: &Error) {
         self.pause = (self.pause * 2).min(PAUSE_MOST);
         if self.lost.is_none() {
