Show that a replaced primary is ordered back to lead

A cut-off zone knows that its primary has lost the lead and nobody who has it. It takes the replaced primary, the only server that it reaches, for the best candidate. Where all hosts are in touch, its log is the longest, by writes that were lost in the change. Both tests fail on the code as it is.

--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -400,3 +400,57 @@
     };
     assert_eq!(scene.step(ms(1_050)), [order]);
 }
+
+/// A zone is cut off together with the primary while the store is away. The others have a replica
+/// promoted, so the primary refuses to lead, and its zone knows nobody who does. Hosts there had
+/// the only server that they reached promoted: the replaced primary. Their order came through when
+/// the cut healed. Sales recorded since were gone, those told before the change were back, and
+/// clerks had meanwhile read lots as open that were sold.
+#[test]
+fn a_replaced_primary_is_not_ordered_back() {
+    let mut scene = scene();
+    scene.view.trouble = None;
+    scene.step(ms(500));
+    scene.view.leader = None;
+    scene.view.trouble = Some(Trouble::Absent { since: ms(1_000) });
+    let mut now = ms(1_020);
+    while now < ms(9_000) {
+        for next in scene.step(now) {
+            assert!(!matches!(next, Next::Promote { .. }), "{next:?} at {now:?}");
+            if next == Next::Claim {
+                scene.succession.won(Grant(7), now);
+            }
+        }
+        scene.succession.report(scene.servers[0], replica(56));
+        now += ms(20);
+    }
+}
+
+/// The same with the path healed: most hosts miss a primary just after a change, since none has
+/// heard of the successor yet. The replaced primary has the longest log of all, by writes that
+/// no other server has. It was promoted again, within a second of its replacement.
+#[test]
+fn the_longest_log_is_not_best_where_its_server_was_replaced() {
+    let mut scene = scene();
+    scene.view.trouble = None;
+    scene.step(ms(500));
+    scene.view.leader = None;
+    scene.view.trouble = Some(Trouble::Absent { since: ms(1_000) });
+    let mut orders = Vec::new();
+    let mut now = ms(1_020);
+    while now < ms(2_500) {
+        for next in scene.step(now) {
+            match next {
+                Next::Claim => orders.extend(scene.succession.won(Grant(7), now)),
+                Next::Promote { .. } => orders.push(next),
+                Next::AskHosts | Next::AskServers => {}
+            }
+        }
+        scene.hear(5, 0);
+        scene.succession.report(scene.servers[0], replica(56));
+        scene.succession.report(scene.servers[1], replica(40));
+        scene.succession.report(scene.servers[2], replica(43));
+        now += ms(20);
+    }
+    assert_eq!(orders, [scene.order()]);
+}
