Wait for changes only while the platform answers

Cause: a call that waits for changes and is lost hid the end of an outage for its wait and limit: 6.2 s, 26.2 s for the list of hosts.

Change: after a call that failed, hosts ask for what there is, at most 2 s apart, until one is answered, and only then wait again. The configuration is waited for 1.8 s instead of 5 s (3 s in a larger fleet), so that a call lost in an outage's last moment is over within 3.2 s; the list of servers for 5 s everywhere. The first answer after an outage has the host's other waiting calls made anew. Events 5001 and 5002 tell when the lost call was made, how old the last answer is and how many calls failed.

--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -6,14 +6,16 @@
     pub enum Event {
         /// configuration version {version} in force after {before}, {routes} routes, read in {millis} ms
         5000 Info Adopted { version: u64, before: u64, routes: usize, millis: u128 },
-        /// platform does not answer for {what}: {error}
-        5001 Warn StoreLost { what: &'static str, error: String },
-        /// platform answers again for {what} after {millis} ms
-        5002 Info StoreBack { what: &'static str, millis: u128 },
+        /// platform does not answer for {what}: {error}; called {called} ms ago, last answer {silent} ms ago
+        5001 Warn StoreLost { what: &'static str, error: String, called: u128, silent: u128 },
+        /// platform answers again for {what} after {millis} ms, {calls} calls failed
+        5002 Info StoreBack { what: &'static str, millis: u128, calls: u32 },
         /// platform dropped the history of {what}, reading all of it
         5003 Info HistoryGone { what: &'static str },
         /// other hosts have read changes of {what} that this one waits for, reading all of it
         5004 Warn FeedStuck { what: &'static str },
+        /// platform answered another call again, asking anew for changes of {what}
+        5005 Info FeedDoubted { what: &'static str },
         /// {service}: server {server} listed at {address} as {role:?}, leaving: {leaving}, revision {revision}
         5010 Info Listed { service: String, server: String, address: std::net::SocketAddr, role: flamingopost_core::leader::Role, leaving: bool, revision: u64 },
         /// {service}: server {server} no longer listed, dropped after {millis} ms
--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -10,33 +10,106 @@
 use crate::platform::{Read, Revision};
 
 /// How far the platform's feeds have been read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Feeds {
     /// The configuration; numbers are its versions.
     pub configuration: Follower,
     /// The list of backend servers; numbers are places in the platform's history.
     pub backends: Follower,
+    /// The list of entry hosts; nobody is told how far it has been read.
+    pub peers: Follower,
 }
 
 /// One feed.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Follower {
     feed: RefCell<Feed>,
-    stuck: Notify,
+    behind: Notify,
+    outage: Notify,
+    wait: Duration,
 }
 
 /// Who notices that a feed is stuck.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Patience {
-    /// This host, for itself.
-    Alone,
-    /// This host, for all the others as well.
-    ForOthers,
+    /// This host, for itself and for those that it tells.
+    Own,
     /// Others, who tell this host.
     Told,
 }
 
+/// Why a call that waits may wait for nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// Others have read more.
+    Behind,
+    /// The platform has answered another call again after one was lost: it may have forgotten this
+    /// one, or its answer is lost.
+    Outage,
+}
+
+/// How a call that waits for changes has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended<T> {
+    /// With this.
+    Answered(T),
+    /// It was given up.
+    GivenUp(Doubt),
+}
+
+impl Feeds {
+    /// How long a call for the configuration may wait. Callers count on each acknowledged version
+    /// from 4 s after the end of an outage on, the shortest time that the platform's settings give.
+    /// A call that is lost in an outage's last moment may use up this wait, 1.2 s for its answer
+    /// and 0.2 s of pause; where others are told, they know 0.65 s later.
+    pub const CONFIGURATION: Duration = Duration::from_millis(1_800);
+
+    /// How long a call for the list of servers may wait: a server that leaves may be used for 7 s
+    /// after it said so, the shortest time that the platform's settings give.
+    pub const BACKENDS: Duration = Duration::from_secs(5);
+
+    /// How long a call for the list of entry hosts may wait: they change rarely, and the platform's
+    /// limit is 30 s.
+    pub const PEERS: Duration = Duration::from_secs(25);
+
+    /// The platform answers again after a call was lost. What waits was asked before, and may wait
+    /// for nothing: lost calls and answers come together.
+    pub fn ask_again(&self) {
+        for follower in [&self.configuration, &self.backends, &self.peers] {
+            follower.outage.notify_waiters();
+        }
+    }
+}
+
+impl Default for Feeds {
+    fn default() -> Feeds {
+        Feeds {
+            configuration: Follower::new(Feeds::CONFIGURATION),
+            backends: Follower::new(Feeds::BACKENDS),
+            peers: Follower::new(Feeds::PEERS),
+        }
+    }
+}
+
 impl Follower {
+    /// One whose calls wait at most `wait` where nobody else notices that they are stuck.
+    fn new(wait: Duration) -> Follower {
+        Follower {
+            feed: RefCell::default(),
+            behind: Notify::new(),
+            outage: Notify::new(),
+            wait,
+        }
+    }
+
+    /// How long a call may wait for a change.
+    pub fn wait(&self, patience: Patience) -> Duration {
+        match patience {
+            Patience::Own => self.wait,
+            Patience::Told => Patience::TOLD,
+        }
+    }
+
     /// Everything up to `revision` was read.
     pub fn read(&self, revision: u64, newest: Option<u64>) {
         self.feed.borrow_mut().read(revision, newest);
@@ -63,38 +136,23 @@
         let mut feed = self.feed.borrow_mut();
         if feed.is_stuck(now) {
             feed.ask_again(now);
-            self.stuck.notify_one();
+            self.behind.notify_one();
         }
     }
 
-    /// What `call` gives, or nothing if others are ahead of it.
-    pub async fn unless_stuck<T>(&self, call: impl Future<Output = T>) -> Option<T> {
+    /// What `call` gives, unless there is a doubt whether it ever gives anything.
+    pub async fn unless_in_doubt<T>(&self, call: impl Future<Output = T>) -> Ended<T> {
         tokio::select! {
             biased;
-            answer = call => Some(answer),
-            () = self.stuck.notified() => None,
+            answer = call => Ended::Answered(answer),
+            () = self.behind.notified() => Ended::GivenUp(Doubt::Behind),
+            () = self.outage.notified() => Ended::GivenUp(Doubt::Outage),
         }
     }
 }
 
 impl Patience {
-    /// How long a call may wait that nobody else looks after.
-    const ALONE: Duration = Duration::from_secs(5);
-
-    /// How long a call may wait whose host the others rely on. There are few of these, and what
-    /// they lack all others lack.
-    const FOR_OTHERS: Duration = Duration::from_secs(3);
-
     /// How long a call may wait whose host is told when it is stuck: the platform's limit is 30 s.
     /// With 5 s for all, 65 hosts made 3,200 calls a minute, more than any other call.
     const TOLD: Duration = Duration::from_secs(25);
-
-    /// How long a call may wait for a change.
-    pub fn wait(self) -> Duration {
-        match self {
-            Patience::Alone => Patience::ALONE,
-            Patience::ForOthers => Patience::FOR_OTHERS,
-            Patience::Told => Patience::TOLD,
-        }
-    }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -306,21 +306,16 @@
         self.peers.borrow().by_host.len() < SMALL
     }
 
-    /// How long calls that wait for changes may wait.
+    /// Who notices that a call which waits for changes is stuck.
     ///
     /// The hosts that all others ask find out for themselves whether a feed is stuck, and so do
     /// all where they are few. The others are told, for as long as they hear most of those.
     pub fn patience(&self) -> Patience {
         let quorum = self.quorum.borrow();
-        match (
-            self.is_small(),
-            quorum.takes_part(),
-            quorum.is_with_most(self.site.now()),
-        ) {
-            (true, _, _) => Patience::Alone,
-            (false, true, _) => Patience::ForOthers,
-            (false, false, true) => Patience::Told,
-            (false, false, false) => Patience::Alone,
+        let is_told = !quorum.takes_part() && quorum.is_with_most(self.site.now());
+        match is_told && !self.is_small() {
+            true => Patience::Told,
+            false => Patience::Own,
         }
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod session;
 pub mod site;
 pub mod socket;
+pub mod track;
 pub mod watch;
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -141,7 +141,12 @@
     Refused,
 }
 
-/// The platform, as an entry host uses it.
+/// How long a call may take, beside what it waits: the platform needs milliseconds, and some
+/// hundreds of them while it is slow.
+pub const ANSWER: Duration = Duration::from_millis(1_200);
+
+/// The platform, as an entry host uses it. Calls end within [`ANSWER`], those that wait for changes
+/// within their wait and [`ANSWER`].
 pub trait Platform: 'static {
     /// The configuration in force, if there is one.
     fn configuration(&self) -> impl Future<Output = Result<Read<Option<Configuration>>, Error>>;
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -7,25 +7,16 @@
 use crate::codec::Codec;
 use crate::election::Election;
 use crate::event::Event;
+use crate::feeds::{Doubt, Ended, Patience};
 use crate::fleet::Fleet;
 use crate::meter;
-use crate::platform::{Configuration, Error, Peer, Platform, Read, Revision};
+use crate::platform::{Configuration, Error, Peer, Platform, Revision};
 use crate::site::Site;
-
-/// First wait after a call that failed; doubled up to [`PAUSE_MOST`]. Calls to the store are
-/// charged for, refused ones too.
-const PAUSE: Duration = Duration::from_millis(100);
-
-/// Longest such wait: an outage may end at any moment, and what was missed counts from then.
-const PAUSE_MOST: Duration = Duration::from_millis(800);
+use crate::track::{Ask, Setback, Track};
 
 /// How long after the last failed read the list of servers is not trusted to be complete.
 const BLIND: Duration = Duration::from_millis(1_500);
 
-/// How long a call waits for changes among entry hosts, which are rare: the platform's limit is
-/// 30 s.
-const PEERS_WAIT: Duration = Duration::from_secs(25);
-
 /// Pause after changes of the list of servers in a large fleet: those of the next moments come with
 /// one call. While 24 servers started, 65 hosts made 24 calls each. Few hosts ask again at once.
 const BACKENDS_REST: Duration = Duration::from_millis(600);
@@ -44,13 +35,6 @@
     failed: Cell<Option<Duration>>,
 }
 
-/// How one of the store's tables fares.
-struct Track {
-    what: &'static str,
-    lost: Option<Duration>,
-    pause: Duration,
-}
-
 impl<C: Codec, P: Platform> Watch<C, P> {
     /// Ready to run.
     pub fn new(
@@ -76,111 +60,103 @@
 
     /// Follows the configuration, for ever.
     pub async fn configuration(self: Rc<Self>) {
-        let mut track = Track::new("configuration");
-        let mut after: Option<Revision> = None;
+        let feed = &self.fleet.feeds.configuration;
+        let mut track = Track::new("configuration", self.site.now());
         loop {
             let asked = self.site.now();
-            let read = match after {
-                None => self.platform.configuration().await,
-                Some(after) => self.follow_configuration(after, &track).await,
+            let read = match track.ask(asked) {
+                Ask::All => Ended::Answered(self.platform.configuration().await),
+                Ask::Changes(after) => {
+                    let call = self.platform.next_configuration(after, Duration::ZERO);
+                    Ended::Answered(call.await)
+                }
+                Ask::Wait(after) => {
+                    let wait = feed.wait(self.fleet.patience());
+                    let call = self.platform.next_configuration(after, wait);
+                    feed.unless_in_doubt(call).await
+                }
             };
             match read {
-                Ok(Read {
-                    value, revision, ..
-                }) => {
-                    track.answered(&self.site);
-                    after = Some(revision);
-                    self.adopt(value, self.site.now().saturating_sub(asked));
+                Ended::Answered(Ok(read)) => {
+                    self.answered(&mut track, read.revision);
+                    self.adopt(read.value, self.site.now().saturating_sub(asked));
                     let version = self.fleet.version();
-                    let feed = &self.fleet.feeds.configuration;
                     feed.read(version, Some(version));
                 }
-                Err(error) => self.failed(&mut track, &error, &mut after).await,
+                Ended::Answered(Err(error)) => self.failed(&mut track, &error).await,
+                Ended::GivenUp(doubt) => self.given_up(&mut track, doubt),
             }
         }
     }
 
     /// Follows the list of servers, for ever.
     pub async fn backends(self: Rc<Self>) {
-        let mut track = Track::new("servers");
-        let mut after: Option<Revision> = None;
+        let feed = &self.fleet.feeds.backends;
+        let mut track = Track::new("servers", self.site.now());
         loop {
-            let read = match after {
-                None => self.list_backends().await,
-                Some(after) => self.follow_backends(after, &track).await,
+            let read = match track.ask(self.site.now()) {
+                Ask::All => Ended::Answered(self.list_backends().await),
+                Ask::Changes(after) => {
+                    Ended::Answered(self.change_backends(after, Duration::ZERO).await)
+                }
+                Ask::Wait(after) => {
+                    let wait = feed.wait(self.fleet.patience());
+                    feed.unless_in_doubt(self.change_backends(after, wait))
+                        .await
+                }
             };
             match read {
-                Ok(revision) => {
-                    track.answered(&self.site);
-                    after = Some(revision);
+                Ended::Answered(Ok(revision)) => {
+                    self.answered(&mut track, revision);
                     self.election.attend();
                     self.rest(BACKENDS_REST).await;
                 }
-                Err(error) => {
+                Ended::Answered(Err(error)) => {
                     self.failed.set(Some(self.site.now()));
-                    self.failed(&mut track, &error, &mut after).await;
+                    self.failed(&mut track, &error).await;
                 }
+                Ended::GivenUp(doubt) => self.given_up(&mut track, doubt),
             }
         }
     }
 
     /// Announces this host and follows the list of others, for ever.
     pub async fn peers(self: Rc<Self>, own: Peer) {
-        let mut track = Track::new("hosts");
-        let mut after: Option<Revision> = None;
-        let mut announced = false;
+        let feed = &self.fleet.feeds.peers;
+        let mut track = Track::new("hosts", self.site.now());
+        self.announce(&own, &mut track).await;
         loop {
-            if !announced {
-                match self.platform.announce(&own).await {
-                    Ok(token) => {
-                        announced = true;
-                        self.site.log(&Event::Announced { token: token.0 });
-                        self.election.reserve(token);
-                    }
-                    Err(error) => {
-                        self.failed(&mut track, &error, &mut after).await;
-                        continue;
-                    }
+            let read = match track.ask(self.site.now()) {
+                Ask::All => Ended::Answered(self.list_peers().await),
+                Ask::Changes(after) => {
+                    Ended::Answered(self.change_peers(after, Duration::ZERO).await)
+                }
+                Ask::Wait(after) => {
+                    let wait = feed.wait(Patience::Own);
+                    feed.unless_in_doubt(self.change_peers(after, wait)).await
                 }
-            }
-            let read = match after {
-                None => self.platform.peers().await.map(|read| {
-                    self.fleet.list_peers(read.value);
-                    read.revision
-                }),
-                Some(after) => self
-                    .platform
-                    .next_peers(after, PEERS_WAIT)
-                    .await
-                    .map(|read| {
-                        self.fleet.change_peers(read.value);
-                        read.revision
-                    }),
             };
             match read {
-                Ok(revision) => {
-                    track.answered(&self.site);
-                    after = Some(revision);
+                Ended::Answered(Ok(revision)) => {
+                    self.answered(&mut track, revision);
                     self.rest(PEERS_REST).await;
                 }
-                Err(error) => self.failed(&mut track, &error, &mut after).await,
+                Ended::Answered(Err(error)) => self.failed(&mut track, &error).await,
+                Ended::GivenUp(doubt) => self.given_up(&mut track, doubt),
             }
         }
     }
 
-    /// Waits for a configuration newer than the one at `after`.
-    async fn follow_configuration(
-        &self,
-        after: Revision,
-        track: &Track,
-    ) -> Result<Read<Option<Configuration>>, Error> {
-        let wait = self.fleet.patience().wait();
-        let call = self.platform.next_configuration(after, wait);
-        match self.fleet.feeds.configuration.unless_stuck(call).await {
-            Some(read) => read,
-            None => {
-                self.given_up(track);
-                self.platform.configuration().await
+    /// Announces this host, as often as it takes.
+    async fn announce(&self, own: &Peer, track: &mut Track) {
+        loop {
+            match self.platform.announce(own).await {
+                Ok(token) => {
+                    self.site.log(&Event::Announced { token: token.0 });
+                    self.election.reserve(token);
+                    return;
+                }
+                Err(error) => self.failed(track, &error).await,
             }
         }
     }
@@ -200,27 +176,28 @@
         Ok(read.revision)
     }
 
-    /// Waits for changes of the list of servers after `after`.
-    async fn follow_backends(&self, after: Revision, track: &Track) -> Result<Revision, Error> {
-        let feed = &self.fleet.feeds.backends;
-        let wait = self.fleet.patience().wait();
-        let call = self.platform.next_backends(after, wait);
-        let Some(read) = feed.unless_stuck(call).await else {
-            self.given_up(track);
-            return self.list_backends().await;
-        };
-        let read = read?;
-        feed.took(&read);
+    /// Reads changes of the list of servers after `after`, waiting for some at most `wait`.
+    async fn change_backends(&self, after: Revision, wait: Duration) -> Result<Revision, Error> {
+        let read = self.platform.next_backends(after, wait).await?;
+        self.fleet.feeds.backends.took(&read);
         for change in read.value {
             self.fleet.change(change);
         }
         Ok(read.revision)
     }
 
-    /// A call that waited for changes was given up, since others have got some meanwhile.
-    fn given_up(&self, track: &Track) {
-        let what = track.what;
-        self.site.log(&Event::FeedStuck { what });
+    /// Reads the whole list of entry hosts.
+    async fn list_peers(&self) -> Result<Revision, Error> {
+        let read = self.platform.peers().await?;
+        self.fleet.list_peers(read.value);
+        Ok(read.revision)
+    }
+
+    /// Reads changes among entry hosts after `after`, waiting for some at most `wait`.
+    async fn change_peers(&self, after: Revision, wait: Duration) -> Result<Revision, Error> {
+        let read = self.platform.next_peers(after, wait).await?;
+        self.fleet.change_peers(read.value);
+        Ok(read.revision)
     }
 
     fn adopt(&self, configuration: Option<Configuration>, took: Duration) {
@@ -229,47 +206,53 @@
         }
     }
 
-    async fn failed(&self, track: &mut Track, error: &Error, after: &mut Option<Revision>) {
-        meter::platform_call(track.what, false);
-        if *error == Error::HistoryGone {
-            let what = track.what;
-            self.site.log(&Event::HistoryGone { what });
-            *after = None;
-            return;
-        }
-        track.lost(&self.site, error);
-        tokio::time::sleep(track.pause).await;
-    }
-}
-
-impl Track {
-    fn new(what: &'static str) -> Track {
-        Track {
-            what,
-            lost: None,
-            pause: PAUSE,
+    /// Everything up to `revision` was read.
+    fn answered(&self, track: &mut Track, revision: Revision) {
+        let what = track.what();
+        meter::platform_call(what, true);
+        if let Some(outage) = track.answered(revision, self.site.now()) {
+            self.site.log(&Event::StoreBack {
+                what,
+                millis: outage.lasted.as_millis(),
+                calls: outage.calls,
+            });
+            self.fleet.feeds.ask_again();
         }
     }
 
-    fn answered(&mut self, site: &Site) {
-        meter::platform_call(self.what, true);
-        self.pause = PAUSE;
-        if let Some(lost) = self.lost.take() {
-            site.log(&Event::StoreBack {
-                what: self.what,
-                millis: site.now().saturating_sub(lost).as_millis(),
-            });
+    /// A call that waited for changes was given up.
+    fn given_up(&self, track: &mut Track, doubt: Doubt) {
+        let what = track.what();
+        match doubt {
+            Doubt::Behind => self.site.log(&Event::FeedStuck { what }),
+            Doubt::Outage => self.site.log(&Event::FeedDoubted { what }),
         }
+        track.given_up(doubt);
     }
 
-    fn lost(&mut self, site: &Site, error: &Error) {
-        self.pause = (self.pause * 2).min(PAUSE_MOST);
-        if self.lost.is_none() {
-            self.lost = Some(site.now());
-            site.log(&Event::StoreLost {
-                what: self.what,
-                error: error.to_string(),
-            });
-        }
+    async fn failed(&self, track: &mut Track, error: &Error) {
+        let what = track.what();
+        meter::platform_call(what, false);
+        let pause = match track.failed(error, self.site.now()) {
+            Setback::HistoryGone => {
+                self.site.log(&Event::HistoryGone { what });
+                return;
+            }
+            Setback::Begun {
+                called,
+                silent,
+                pause,
+            } => {
+                self.site.log(&Event::StoreLost {
+                    what,
+                    error: error.to_string(),
+                    called: called.as_millis(),
+                    silent: silent.as_millis(),
+                });
+                pause
+            }
+            Setback::GoesOn { pause } => pause,
+        };
+        tokio::time::sleep(pause).await;
     }
 }
