--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod site;
 pub mod socket;
 pub mod told;
+pub mod track;
 pub mod unusable;
 pub mod watch;
