Play changes of a primary by fleets of 6 and 65 hosts at random

A zone is cut off with the primary, over links that lose and delay, with the store away at times. No order may name a server whose log ends with what a change has dropped; in the end all hosts know who leads.

--- /dev/null
+++ b/crates/core/tests/succession_fleet.rs
@@ -0,0 +1,460 @@
+//! Changes of a primary by whole fleets of hosts, over links that lose, delay and cut.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::leader::Role;
+use flamingopost_core::names::Names;
+use flamingopost_core::position::Position;
+use flamingopost_core::succession::{
+    Grant, HOLDER, Next, Opinion, Order, Report, SILENCE, Succession, Trouble, View,
+};
+use flamingopost_core::term::Term;
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Availability zones; the first is cut off, with its server and its hosts.
+const ZONES: usize = 3;
+
+/// One server in each zone; the first leads at the start.
+const SERVERS: usize = 3;
+
+/// Hosts that are asked in a large fleet, and up to how many hosts all are.
+const ELECTORS: usize = 7;
+const SMALL: usize = 9;
+
+const CUT: Duration = ms(1_000);
+const END: Duration = ms(14_000);
+const STEP: Duration = ms(20);
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn position(term: i64, log: u64) -> Position {
+    Position {
+        term: Term::from_number(term),
+        log,
+    }
+}
+
+/// A server's log: for each term the number after its last write.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Log(Vec<(i64, u64)>);
+
+impl Log {
+    fn end(&self) -> Position {
+        let (term, log) = self.0.last().copied().unwrap_or_default();
+        position(term, log)
+    }
+
+    fn write(&mut self, term: i64) {
+        let next = self.0.last().map_or(0, |(_, log)| *log) + 1;
+        match self.0.last_mut() {
+            Some((last, log)) if *last == term => *log = next,
+            _ => self.0.push((term, next)),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Server {
+    log: Log,
+    /// The term that it knows.
+    term: i64,
+}
+
+struct Host {
+    succession: Succession,
+    leader: Option<usize>,
+    term: i64,
+    /// Since when the primary is silent, or nobody leads.
+    since: Option<Duration>,
+    /// Claims of others, and since when each is known.
+    held: BTreeMap<(i64, u64), Duration>,
+}
+
+/// What happens at some moment.
+enum Event {
+    Step(usize),
+    Ask(usize, usize, Option<usize>),
+    Tell(usize, usize, Option<usize>, Opinion),
+    Report(usize, usize, Report),
+    Acting(usize),
+    Claimed(usize, i64),
+    Ordered(usize, Order),
+    Order(usize, usize, u64),
+    Leads(usize),
+    Heals,
+}
+
+struct World {
+    dice: ChaCha8Rng,
+    now: Duration,
+    events: BTreeMap<(Duration, u64), Event>,
+    count: u64,
+    hosts: Vec<Host>,
+    servers: Vec<Server>,
+    /// Who leads in truth, and the newest term.
+    leader: usize,
+    term: i64,
+    host_keys: Vec<HostKey>,
+    server_keys: Vec<ServerKey>,
+    /// When the cut ends, and when the store is away.
+    heals: Duration,
+    away: (Duration, Duration),
+    promotion: Duration,
+    claims: BTreeMap<i64, (usize, u64)>,
+    token: u64,
+    fence: u64,
+    orders: usize,
+}
+
+impl World {
+    fn new(seed: u64, count: usize) -> World {
+        let mut dice = ChaCha8Rng::seed_from_u64(seed);
+        let mut names: Names<HostKey> = Names::default();
+        let host_keys = (0..count).map(|i| names.intern(&format!("entry-{i}")));
+        let host_keys = host_keys.collect();
+        let mut names: Names<ServerKey> = Names::default();
+        let server_keys = (0..SERVERS).map(|i| names.intern(&format!("ledger-{i}")));
+        let server_keys = server_keys.collect();
+        let start = Log(vec![(1, 40)]);
+        let server = Server {
+            log: start,
+            term: 1,
+        };
+        let away = ms(dice.random_range(0..3_000));
+        let mut world = World {
+            now: ms(0),
+            events: BTreeMap::new(),
+            count: 0,
+            hosts: (0..count).map(|i| Host::new(i)).collect(),
+            servers: vec![server; SERVERS],
+            leader: 0,
+            term: 1,
+            host_keys,
+            server_keys,
+            heals: CUT + ms(dice.random_range(3_000..8_000)),
+            away: (away, away + ms(dice.random_range(0..6_000))),
+            promotion: ms(dice.random_range(300..1_000)),
+            claims: BTreeMap::new(),
+            token: 100,
+            fence: 0,
+            orders: 0,
+            dice,
+        };
+        for host in 0..count {
+            let first = ms(world.dice.random_range(0..20));
+            world.at(first, Event::Step(host));
+        }
+        let settled = world.heals + ms(world.dice.random_range(20..400));
+        world.at(settled, Event::Heals);
+        world
+    }
+
+    fn at(&mut self, when: Duration, event: Event) {
+        self.count += 1;
+        self.events.insert((when, self.count), event);
+    }
+
+    /// After a way between zones, if it is not lost.
+    fn send(&mut self, event: Event) {
+        if !self.dice.random_bool(0.05) {
+            let delay = ms(self.dice.random_range(1..30));
+            self.at(self.now + delay, event);
+        }
+    }
+
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        let apart = (one % ZONES == 0) != (other % ZONES == 0);
+        apart && CUT <= self.now && self.now < self.heals
+    }
+
+    /// Store and platform are with the zones that are not cut off.
+    fn reaches_platform(&self, host: usize) -> bool {
+        !self.is_cut(host, 1)
+    }
+
+    fn electors(&self, host: usize) -> BTreeSet<usize> {
+        let count = if self.hosts.len() > SMALL {
+            ELECTORS
+        } else {
+            self.hosts.len()
+        };
+        (0..count).filter(|other| *other != host).collect()
+    }
+
+    fn view(&mut self, host: usize) -> View {
+        let peers = self.electors(host);
+        let believed = self.hosts[host].leader;
+        let now = self.now;
+        let reaches = believed.is_some_and(|server| !self.is_cut(host, server));
+        let deposed = reaches && believed != Some(self.leader);
+        let it = &mut self.hosts[host];
+        if deposed {
+            it.leader = None;
+            it.since = Some(now);
+        } else if reaches {
+            it.since = None;
+        } else {
+            it.since.get_or_insert(now);
+        }
+        let trouble = match (it.leader, it.since) {
+            (None, Some(since)) => Some(Trouble::Absent { since }),
+            (Some(_), Some(since)) if now >= since + SILENCE => Some(Trouble::Silent { since }),
+            _ => None,
+        };
+        View {
+            leader: it.leader.map(|server| self.server_keys[server]),
+            term: Term::from_number(it.term),
+            trouble,
+            candidates: self.server_keys.iter().copied().collect(),
+            peers: peers.iter().map(|peer| self.host_keys[*peer]).collect(),
+            rank: u32::try_from(host).unwrap_or(u32::MAX),
+            quiet_at: ms(0),
+            synchronous: false,
+            newest: position(1, 40),
+        }
+    }
+
+    fn step(&mut self, host: usize) {
+        self.write(host);
+        let view = self.view(host);
+        let now = self.now;
+        let next = self.hosts[host].succession.step(&view, now);
+        self.act(host, next);
+        if view.leader.is_none() && self.dice.random_bool(0.15) {
+            self.act(host, vec![Next::AskServers]);
+        }
+        self.at(now + STEP, Event::Step(host));
+    }
+
+    /// Hosts write to the primary that they believe in, if it leads; it passes the writes on.
+    fn write(&mut self, host: usize) {
+        let leads = self.hosts[host].leader == Some(self.leader);
+        if !leads || self.is_cut(host, self.leader) || self.dice.random_bool(0.8) {
+            return;
+        }
+        self.hosts[host].term = self.term;
+        let (leader, term) = (self.leader, self.term);
+        self.servers[leader].log.write(term);
+        for other in 0..SERVERS {
+            if other != leader && !self.is_cut(other, leader) {
+                self.servers[other] = self.servers[leader].clone();
+            }
+        }
+    }
+
+    fn act(&mut self, host: usize, next: Vec<Next>) {
+        for next in next {
+            match next {
+                Next::AskHosts => {
+                    let about = self.hosts[host].leader;
+                    for other in self.electors(host) {
+                        self.send(Event::Ask(host, other, about));
+                    }
+                }
+                Next::AskServers => {
+                    for server in 0..SERVERS {
+                        if !self.is_cut(host, server) {
+                            let report = self.report(server);
+                            self.send(Event::Report(host, server, report));
+                        }
+                    }
+                }
+                Next::Claim => {
+                    let attempt = self.hosts[host].term;
+                    let way = ms(self.dice.random_range(5..240));
+                    self.at(self.now + way, Event::Claimed(host, attempt));
+                }
+                Next::Promote { server, grant } => {
+                    let server = self.server_keys.iter().position(|key| *key == server);
+                    let server = server.expect("it is one of the servers");
+                    for other in 0..self.hosts.len() {
+                        if other != host {
+                            self.send(Event::Acting(other));
+                        }
+                    }
+                    self.at(self.now + ms(10), Event::Order(host, server, grant.0));
+                }
+            }
+        }
+    }
+
+    fn report(&self, server: usize) -> Report {
+        let leads = self.leader == server;
+        let it = &self.servers[server];
+        Report {
+            role: if leads { Role::Primary } else { Role::Replica },
+            term: Term::from_number(it.term),
+            received: it.log.end(),
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Step(host) => self.step(host),
+            Event::Ask(from, to, about) if !self.is_cut(from, to) => {
+                let server = about.or(self.hosts[to].leader);
+                let reaches = server.is_some_and(|server| !self.is_cut(to, server));
+                let opinion = match reaches {
+                    true => Opinion::Reaches,
+                    false => Opinion::Fails,
+                };
+                self.send(Event::Tell(from, to, about, opinion));
+            }
+            Event::Tell(host, from, about, opinion) if !self.is_cut(host, from) => {
+                if self.hosts[host].leader == about {
+                    let from = self.host_keys[from];
+                    self.hosts[host].succession.opinion(from, opinion);
+                }
+            }
+            Event::Report(host, server, report) if !self.is_cut(host, server) => {
+                let key = self.server_keys[server];
+                let it = &mut self.hosts[host];
+                it.succession.report(key, report);
+                if report.role == Role::Primary && report.term >= Term::from_number(it.term) {
+                    it.leader = Some(server);
+                    it.term = it.term.max(self.servers[server].term);
+                    it.since = None;
+                }
+            }
+            Event::Acting(host) => self.hosts[host].succession.other_acts(now),
+            Event::Claimed(host, attempt) => self.claim(host, attempt),
+            Event::Ordered(host, order) => self.hosts[host].succession.ordered(order, now),
+            Event::Order(host, server, token) => self.order(host, server, token),
+            Event::Leads(server) => self.lead(server),
+            Event::Heals => {
+                let leader = self.servers[self.leader].clone();
+                self.servers.fill(leader);
+            }
+            Event::Ask(..) | Event::Tell(..) | Event::Report(..) => {}
+        }
+    }
+
+    fn claim(&mut self, host: usize, attempt: i64) {
+        let now = self.now;
+        let is_away = self.away.0 <= now && now < self.away.1;
+        let rank = u32::try_from(host).unwrap_or(u32::MAX);
+        if is_away || !self.reaches_platform(host) {
+            self.hosts[host].succession.unclaimed(rank, now);
+            return;
+        }
+        if let Some((by, revision)) = self.claims.get(&attempt).copied() {
+            let it = &mut self.hosts[host];
+            let seen = *it.held.entry((attempt, revision)).or_insert(now);
+            if by != host && now < seen + HOLDER {
+                it.succession.held(now);
+                return;
+            }
+        }
+        self.token += 1;
+        self.claims.insert(attempt, (host, self.token));
+        let next = self.hosts[host].succession.won(Grant(self.token), now);
+        self.act(host, next);
+    }
+
+    fn order(&mut self, host: usize, server: usize, token: u64) {
+        if !self.reaches_platform(host) {
+            self.at(self.now + ms(500), Event::Ordered(host, Order::Unknown));
+            return;
+        }
+        let order = match token < self.fence {
+            true => Order::Refused,
+            false => Order::Accepted,
+        };
+        if order == Order::Accepted {
+            self.fence = token;
+            self.check(server);
+            self.orders += 1;
+            self.at(self.now + self.promotion, Event::Leads(server));
+        }
+        self.at(self.now + ms(10), Event::Ordered(host, order));
+    }
+
+    /// Nothing may come back that an earlier change has dropped.
+    fn check(&self, server: usize) {
+        let truth = &self.servers[self.leader].log.0;
+        let dropped = self.servers[server].log.0.iter().find(|(term, end)| {
+            let newer = truth.iter().any(|(other, _)| other > term);
+            let kept = truth.iter().find(|(other, _)| other == term);
+            newer && kept.is_none_or(|(_, kept)| end > kept)
+        });
+        assert_eq!(dropped, None, "{server} is to lead again, {:?}", self.now);
+    }
+
+    /// An order takes effect.
+    fn lead(&mut self, server: usize) {
+        if server == self.leader {
+            return;
+        }
+        self.term += 1;
+        self.leader = server;
+        self.servers[server].term = self.term;
+        let leader = self.servers[server].clone();
+        for other in 0..SERVERS {
+            if other != server && !self.is_cut(other, server) {
+                self.servers[other] = leader.clone();
+            }
+        }
+    }
+
+    fn play(mut self) -> World {
+        while let Some(((now, _), event)) = self.events.pop_first() {
+            if now >= END {
+                break;
+            }
+            self.now = now;
+            self.take(event);
+        }
+        self
+    }
+}
+
+impl Host {
+    fn new(number: usize) -> Host {
+        let mut succession = Succession::default();
+        succession.reserve(Grant(u64::try_from(number).unwrap_or_default()));
+        Host {
+            succession,
+            leader: Some(0),
+            term: 1,
+            since: None,
+            held: BTreeMap::new(),
+        }
+    }
+}
+
+/// A zone is cut off with the primary, and its hosts write there until the successor leads. Around
+/// the end of the cut, orders of that zone come through. Whichever way it goes, no server is made
+/// the primary whose log still ends with writes that the change has dropped, and callers can write
+/// again in the end.
+fn no_change_brings_back_what_was_dropped(hosts: usize, seeds: u64) {
+    let mut changes = 0;
+    for seed in 0..seeds {
+        let world = World::new(seed, hosts).play();
+        changes += usize::from(world.term > 1);
+        let served = world
+            .hosts
+            .iter()
+            .filter(|it| it.leader == Some(world.leader));
+        let served = served.count();
+        assert_eq!(served, hosts, "seed {seed}: hosts that know the primary");
+        assert!(world.orders <= 3, "seed {seed}: {} orders", world.orders);
+    }
+    let most = usize::try_from(seeds).unwrap_or_default() * 9 / 10;
+    assert!(changes >= most, "{changes} changes of {seeds}");
+}
+
+#[test]
+fn no_change_brings_back_what_was_dropped_with_six_hosts() {
+    no_change_brings_back_what_was_dropped(6, 300);
+}
+
+#[test]
+fn no_change_brings_back_what_was_dropped_with_sixty_five_hosts() {
+    no_change_brings_back_what_was_dropped(65, 30);
+}
