--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -130,7 +130,7 @@
             now: ms(0),
             events: BTreeMap::new(),
             count: 0,
-            hosts: (0..count).map(|i| Host::new(i)).collect(),
+            hosts: (0..count).map(Host::new).collect(),
             servers: vec![server; SERVERS],
             leader: 0,
             term: 1,
@@ -168,7 +168,7 @@
     }
 
     fn is_cut(&self, one: usize, other: usize) -> bool {
-        let apart = (one % ZONES == 0) != (other % ZONES == 0);
+        let apart = one.is_multiple_of(ZONES) != other.is_multiple_of(ZONES);
         apart && CUT <= self.now && self.now < self.heals
     }
 
