--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// How long ago something last came from `host`, or it was first listed.
+    pub fn age(&self, host: HostKey, now: Duration) -> Option<Duration> {
+        let contact = self.others.get(&host)?;
+        Some(now.saturating_sub(contact.heard))
+    }
+
     /// `host` has answered what was sent at `sent`.
     pub fn answered(&mut self, host: HostKey, sent: Duration) {
         if let Some(contact) = self.others.get_mut(&host) {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -1,12 +1,12 @@
 //! Carries the succession of each service's primary out: asks hosts and servers, claims, orders.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::dispatch::Standing;
-use flamingopost_core::key::ServerKey;
+use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::succession::{
     Grant, HOLDER, Next, Order, Report, Succession, Trouble, View,
 };
@@ -141,8 +141,12 @@
                 sought = now;
                 self.ask_servers(&service, &succession);
             }
+            let answered = succession.borrow().answered();
             let next = succession.borrow_mut().step(&view, now);
             for next in next {
+                if let Next::Promote { server, .. } = next {
+                    self.tell_word(&service, server, &answered);
+                }
                 self.act(&service, &succession, next, &view);
             }
             // Another change of the service's state ends the pause early.
@@ -189,6 +193,26 @@
         }
     }
 
+    /// Logs whose word an order rests on, and how old it is.
+    fn tell_word(&self, service: &Rc<Service<C>>, server: ServerKey, answered: &BTreeSet<HostKey>) {
+        let electors = self.fleet.electors();
+        let words = electors.iter().map(|(key, peer)| {
+            let said = match answered.contains(key) {
+                true => "answered",
+                false => "silent",
+            };
+            let age = self.fleet.with_quorum(|quorum, now| quorum.age(*key, now));
+            let millis = age.unwrap_or_default().as_millis();
+            format!("{} ({said}, heard {millis} ms ago)", peer.host)
+        });
+        let words: Vec<String> = words.collect();
+        self.site.log(&Event::Rests {
+            service: service.name.clone(),
+            server: service.name_of(Some(server)),
+            hosts: words.join(", "),
+        });
+    }
+
     fn ask_hosts(&self, service: &Rc<Service<C>>, view: &View) {
         if let Some(trouble) = view.trouble {
             self.site.log(&Event::Suspected {
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -36,6 +36,12 @@
         5112 Warn Ordered { service: String, server: String, token: u64, outcome: String, millis: u128 },
         /// {service}: host {host} says that it changes the primary
         5113 Info OtherActs { service: String, host: String },
+        /// {service}: {server} is to lead, on the word of {hosts}
+        5114 Info Rests { service: String, server: String, hosts: String },
+        /// {service}: statements for the primary are held no longer after {millis} ms: {why}
+        5115 Info HoldEnded { service: String, why: &'static str, millis: u128 },
+        /// {service}: write {id} was acknowledged at {position} while the primary is being replaced
+        5116 Warn AcknowledgedDuring { service: String, id: String, position: String },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} tried again: {reason} at {server}, attempt {attempt} after {millis} ms
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -21,18 +21,12 @@
 use crate::site::Site;
 
 mod connect;
+mod hold;
 mod lent;
 
+pub(crate) use hold::HOLD;
 pub use lent::{Awaited, Lent};
 
-/// A primary that is about to leave serves until shortly before its successor leads. What it
-/// acknowledges within this time before, its successor might not have received: many times the
-/// way between zones.
-const HANDOVER: Duration = Duration::from_millis(60);
-
-/// How long nothing is sent to a primary that is being replaced, if no successor shows.
-pub(crate) const HOLD: Duration = Duration::from_millis(1_600);
-
 /// One service on this host.
 pub struct Service<C: Codec> {
     /// Its name.
@@ -55,6 +49,8 @@
     allotment: Allotment,
     /// When a change of primary was last ordered.
     ordered: Option<Duration>,
+    /// When statements for the primary are held.
+    held: Option<dispatch::Hold>,
     /// Servers that are at their limit while this host has less than its part.
     short_of: BTreeSet<ServerKey>,
 }
@@ -103,6 +99,7 @@
                     most: 1,
                 },
                 ordered: None,
+                held: None,
                 short_of: BTreeSet::new(),
             }),
         }
@@ -187,7 +184,9 @@
 
     /// Runs what is due by time alone.
     pub fn tick(self: &Rc<Self>) {
-        self.tick_dispatch(self.site.now());
+        let now = self.site.now();
+        self.tick_hold(now);
+        self.tick_dispatch(now);
         self.sweep();
     }
 
@@ -330,20 +329,6 @@
         std::mem::take(&mut self.state.borrow_mut().short_of)
     }
 
-    /// The primary is being replaced; `planned` when it is alive and about to leave.
-    pub fn hold(&self, planned: bool) {
-        let now = self.site.now();
-        let from = match planned {
-            true => now + self.site.promotion.get().saturating_sub(HANDOVER),
-            false => now,
-        };
-        let until = now + HOLD;
-        let hold = dispatch::Hold { from, until };
-        let mut state = self.state.borrow_mut();
-        state.dispatch.hold(hold);
-        state.ordered = Some(now);
-    }
-
     /// Another host lacks connections to a server.
     pub fn squeeze(self: &Rc<Self>, server: ServerKey) {
         let now = self.site.now();
@@ -444,6 +429,10 @@
             before: self.name_of(change.before),
             millis: change.lasted.as_millis(),
         });
+        self.end_hold(match change.after {
+            Some(_) => "a server is seen to lead",
+            None => "the old primary leads no more",
+        });
         self.alarm.notify_one();
         self.tick_dispatch(now);
     }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -311,6 +311,9 @@
                 if access == Access::Write || led {
                     self.saw(&service, outcome.position);
                 }
+                if access == Access::Write && outcome.end.is_ok() {
+                    service.acknowledged(&query.id, outcome.position);
+                }
                 self.saw(&service, outcome.position.filter(|_| outcome.end.is_ok()));
                 let end = if led { End::Primary } else { End::Replica };
                 self.deliver(&outcome, Transaction::Idle, end, arrived);
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -183,6 +183,9 @@
                 let led = open.led && open.wrote && outcome.end.is_ok();
                 open.heard(&outcome, arrived, led);
                 self.saw(&open.service, outcome.position);
+                if open.wrote && outcome.end.is_ok() {
+                    open.service.acknowledged(&query.id, outcome.position);
+                }
                 let end = if open.led { End::Primary } else { End::Replica };
                 self.deliver(&outcome, Transaction::Idle, end, arrived);
                 if outcome.transaction == Transaction::Idle {
