Have a server of the stand-in start again under its id with nothing

Servers of the users' platform may start again under the id that they had, holding and knowing nothing of before. The stand-in could only start one with its log and list it in the same moment. Now it starts with or without its log, its entry follows when the test says so, and an entry of any content may be written. One that led goes on as the primary of its term with an empty log, which no replica follows; what it lost counts as rolled back only where no running server has it.

--- a/crates/standin/src/pooled.rs
+++ b/crates/standin/src/pooled.rs
@@ -15,7 +15,7 @@
 
 pub use self::caller::{Broken, Caller, Reply};
 pub use self::group::{Entry, Group, Run};
-pub use self::server::Faults;
+pub use self::server::{Faults, Remains};
 pub use self::site::{Order, Site, Sizes};
 pub use self::statement::{is_proved, is_same_statement};
 pub use self::store::{Mode, Store};
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -56,6 +56,10 @@
     pub leaving: bool,
     /// Nothing from the primary reaches it.
     pub deaf: bool,
+    /// It started again without its log and has received none since.
+    pub blank: bool,
+    /// What it had before that.
+    pub forgotten: Vec<Entry>,
 }
 
 /// A service's servers.
@@ -99,6 +103,8 @@
                 running: true,
                 leaving: false,
                 deaf: false,
+                blank: false,
+                forgotten: Vec::new(),
             };
             (id.clone(), member)
         };
@@ -158,12 +164,14 @@
         let newest = state.members.values().map(|member| member.term).max();
         let term = newest.unwrap_or_default() + 1;
         let length = state.members[server].log.len();
+        let kept = state.kept(server);
         let old = state.members.values().find(|member| member.leads);
-        let dropped = old.and_then(|old| old.log.get(length..));
+        let dropped = old.and_then(|old| old.before().get(kept..));
         let dropped = dropped.map(<[Entry]>::to_vec).unwrap_or_default();
         state.dropped.extend(dropped);
         for (id, member) in &mut state.members {
             member.leads = id == server;
+            member.blank = false;
             if member.leads || !member.deaf {
                 member.term = term;
             }
@@ -187,6 +195,17 @@
         }
     }
 
+    /// A server that does not run loses its log.
+    pub(super) fn forget(&self, server: &str) {
+        if let Some(member) = self.lock().members.get_mut(server) {
+            if !member.blank {
+                member.forgotten = std::mem::take(&mut member.log);
+            }
+            member.log.clear();
+            member.blank = true;
+        }
+    }
+
     pub(super) fn set_leaving(&self, server: &str, leaving: bool) {
         if let Some(member) = self.lock().members.get_mut(server) {
             member.leaving = leaving;
@@ -255,7 +274,10 @@
     /// Brings replicas up to what their lag allows.
     fn replicate(&self) {
         let mut state = self.lock();
-        let Some((_, primary)) = state.members.iter().find(|(_, it)| it.leads && it.running) else {
+        // One that lost its log goes on as the primary of its term, with nothing in it; no replica
+        // gives up its own log for that.
+        let followed = |it: &Member| it.leads && it.running && !it.blank;
+        let Some(primary) = state.members.values().find(|it| followed(it)) else {
             return;
         };
         let (log, term) = (primary.log.clone(), primary.term);
@@ -264,6 +286,7 @@
                 continue;
             }
             member.term = term;
+            member.blank = false;
             let due = log
                 .iter()
                 .take_while(|entry| entry.at.elapsed() >= self.lag);
@@ -282,7 +305,28 @@
     }
 }
 
+impl State {
+    /// How much of the old primary's log a promotion of `server` has to keep. What a server lost
+    /// that started again without its log counts as rolled back only where no other one has it.
+    fn kept(&self, server: &str) -> usize {
+        let chosen = &self.members[server];
+        if !chosen.blank {
+            return chosen.log.len();
+        }
+        let running = self.members.values().filter(|it| it.running && !it.leads);
+        running.map(|it| it.log.len()).max().unwrap_or_default()
+    }
+}
+
 impl Member {
+    /// Its log, or the one that it lost.
+    fn before(&self) -> &[Entry] {
+        match self.blank {
+            true => &self.forgotten,
+            false => &self.log,
+        }
+    }
+
     /// The position of its log, as servers write it.
     pub(super) fn position(&self) -> String {
         match self.log.last() {
--- a/crates/standin/src/pooled/server.rs
+++ b/crates/standin/src/pooled/server.rs
@@ -22,6 +22,15 @@
     pub full: bool,
 }
 
+/// What a server has left when it starts again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Remains {
+    /// Its log.
+    Log,
+    /// Nothing: it knows nothing of before.
+    Nothing,
+}
+
 /// A server's settings.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Settings {
@@ -41,7 +50,7 @@
     pub faults: Mutex<Faults>,
     pub address: SocketAddr,
     /// Unix milliseconds of its last start.
-    pub born: AtomicU64,
+    born: AtomicU64,
     /// Where callers are told that it listens.
     pub shown: Mutex<SocketAddr>,
     /// Counts its crashes: what began before one ends with it, also when it is back at once.
@@ -79,14 +88,22 @@
         self.crashes.send_modify(|crashes| *crashes += 1);
     }
 
-    /// Starts it again at its address, with its log.
-    pub async fn restart(self: &Arc<Self>) -> std::io::Result<()> {
+    /// Unix milliseconds of its last start.
+    pub fn born(&self) -> u64 {
+        self.born.load(Ordering::Relaxed)
+    }
+
+    /// Starts it again at its address, with `remains` of what it had.
+    pub async fn restart(self: &Arc<Self>, remains: Remains) -> std::io::Result<()> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(self.address)?;
         let listener = socket.listen(128)?;
-        let before = self.born.load(Ordering::Relaxed);
-        let born = unix_millis().max(before + 1);
+        if remains == Remains::Nothing {
+            self.group.forget(&self.id);
+        }
+        // Two starts within a millisecond differ as well.
+        let born = unix_millis().max(self.born() + 1);
         self.born.store(born, Ordering::Relaxed);
         self.group.set_running(&self.id, true);
         tokio::spawn(Arc::clone(self).serve(listener));
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -15,7 +15,7 @@
 
 use super::group::Group;
 use super::http::{self, Asked};
-use super::server::{Faults, Server, Settings};
+use super::server::{Faults, Remains, Server, Settings};
 use super::store::{Change, Row, Store};
 
 /// How large a stand-in platform is.
@@ -179,11 +179,30 @@
     /// # Errors
     /// Its port is in use.
     pub async fn restart(&self, server: &str) -> io::Result<()> {
-        self.servers[server].restart().await?;
+        self.restart_unlisted(server, Remains::Log).await?;
         self.register(server);
         Ok(())
     }
 
+    /// Starts a killed server again under its id; its entry stays as it was until
+    /// [`Site::register`].
+    ///
+    /// # Errors
+    /// Its port is in use.
+    pub async fn restart_unlisted(&self, server: &str, remains: Remains) -> io::Result<()> {
+        self.servers[server].restart(remains).await
+    }
+
+    /// A server's entry, as the store would show it now.
+    pub fn entry(&self, server: &str) -> serde_json::Value {
+        entry(&self.servers[server])
+    }
+
+    /// Writes `value` as a server's entry, whatever it is.
+    pub fn put_entry(&self, server: &str, value: &serde_json::Value) {
+        self.put("servers", server, value);
+    }
+
     /// What goes wrong at a server from now on.
     pub fn set_faults(&self, server: &str, faults: Faults) {
         let own = &self.servers[server].faults;
@@ -257,7 +276,8 @@
         self.put("flamingopost-claims", &key, &json!({"holder": host}));
     }
 
-    fn register(&self, id: &str) {
+    /// Writes a server's entry as it is now.
+    pub fn register(&self, id: &str) {
         register(&self.store, &self.servers, id);
     }
 
@@ -267,18 +287,18 @@
 }
 
 fn register(store: &Store, servers: &BTreeMap<String, Arc<Server>>, id: &str) {
-    let server = &servers[id];
-    let Some(member) = server.group.member(id) else {
-        return;
-    };
-    let zone = id.rsplit('-').next().unwrap_or_default();
+    put(store, "servers", id, &entry(&servers[id]));
+}
+
+fn entry(server: &Server) -> serde_json::Value {
+    let member = server.group.member(&server.id);
+    let (leads, leaving) = member.map_or((false, false), |it| (it.leads, it.leaving));
+    let zone = server.id.rsplit('-').next().unwrap_or_default();
     let address = *server.shown.lock().unwrap_or_else(PoisonError::into_inner);
-    let value = json!({"service": server.group.service, "address": address,
+    json!({"service": server.group.service, "address": address, "born": server.born(),
         "zone": format!("zone-{zone}"), "version": "v1", "capacity": server.settings.slots,
-        "state": if member.leaving { "draining" } else { "ready" }, "cold_left_ms": 0,
-        "sequence": 1, "born": server.born.load(Ordering::Relaxed),
-        "reported_role": if member.leads { "primary" } else { "replica" }});
-    put(store, "servers", id, &value);
+        "state": if leaving { "draining" } else { "ready" }, "cold_left_ms": 0,
+        "sequence": 1, "reported_role": if leads { "primary" } else { "replica" }})
 }
 
 fn put(store: &Store, table: &str, key: &str, value: &serde_json::Value) {
