Make the start of a server part of its identity

Cause: a server was known by its id. One that started again under it, with nothing of before, was given connections, positions, lag, window and proof of leadership of its former start: reads at an empty primary, and an empty replica promoted where it alone answered in time.

Change: a key stands for one start. A newer one drops the key of the former with all that is kept by it; statements on the way end at once, as rolled back, or in doubt where a COMMIT or a single write was sent. An entry of a former start changes nothing. Hosts name the start when they speak of a server, and how far they have seen the log reach. A server that started again leads only when it has shown the log of the service (core::extent); the same comparison on each new connection and status tells an empty primary before the list does. An election passes over a server that has lost its log while others may answer, 10 s at most.

--- /dev/null
+++ b/crates/core/src/extent.rs
@@ -0,0 +1,71 @@
+//! How far the log of a service has been seen to reach, at whichever of its servers.
+//!
+//! A server that starts again without its log answers at its address as before, and one that led
+//! may go on saying so. What it shows of its log tells it apart: within one term a log only grows,
+//! so a primary that was asked after some server had shown a position has that position too.
+
+use std::time::Duration;
+
+use crate::position::Position;
+use crate::term::Term;
+
+/// How far the log of one service has been seen to reach.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::extent::Extent;
+/// use flamingopost_core::position::Position;
+/// use flamingopost_core::term::Term;
+///
+/// let at = Duration::from_millis;
+/// let position = |log| Position { term: Term::from_number(3), log };
+/// let mut extent = Extent::default();
+/// extent.showed(position(40), at(100));
+/// assert!(extent.lacks(position(2), at(120)), "it has lost its log");
+/// assert!(!extent.lacks(position(39), at(90)), "it was asked before");
+/// ```
+#[derive(Debug, Default)]
+pub struct Extent {
+    furthest: Position,
+    at: Duration,
+}
+
+impl Extent {
+    /// The log of some server reached `position` at `now`.
+    ///
+    /// Numbers go on across terms, so a position without one shows an empty log, whatever its
+    /// term.
+    pub fn showed(&mut self, position: Position, now: Duration) {
+        if position.log > 0 && position > self.furthest {
+            self.furthest = position;
+            self.at = now;
+        }
+    }
+
+    /// The furthest position that was shown.
+    pub fn furthest(&self) -> Position {
+        self.furthest
+    }
+
+    /// Whether anything was ever written, as far as this host knows.
+    pub fn is_written(&self) -> bool {
+        self.furthest.log > 0
+    }
+
+    /// Whether a server that was asked at `sent`, and whose log reaches `position`, cannot be the
+    /// primary of the newest term: another server had shown more before.
+    pub fn lacks(&self, position: Position, sent: Duration) -> bool {
+        sent >= self.at && position < self.furthest
+    }
+
+    /// Whether `position`, shown by a server that was asked at `sent`, proves that it leads with
+    /// the service's log, although it has started again in term `since` or later.
+    ///
+    /// The start of a term is no proof by itself: an empty log shows it as well. It counts where
+    /// nothing was ever written, and in a term that began after the restart, which takes a
+    /// promotion.
+    pub fn proves(&self, position: Position, sent: Duration, since: Term) -> bool {
+        let whole = position.log > 0 || !self.is_written() || position.term > since;
+        whole && !self.lacks(position, sent)
+    }
+}
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -47,6 +47,8 @@
 #[derive(Debug)]
 struct Known {
     claims: bool,
+    /// It may lack what the service's log holds: whatever it claims does not count.
+    doubted: bool,
     term: Term,
     listed: u64,
 }
@@ -56,6 +58,7 @@
     pub fn listed(&mut self, server: ServerKey, role: Role, version: u64) {
         let known = self.servers.entry(server).or_insert(Known {
             claims: false,
+            doubted: false,
             term: Term::default(),
             listed: 0,
         });
@@ -93,6 +96,31 @@
         }
     }
 
+    /// `server` may lack what the service's log holds: its claims to lead do not count until
+    /// [`Leader::trust`].
+    ///
+    /// Guards against a primary that has started again without its log. It claims to lead the term
+    /// that it led before; reads there would be stale, and writes lost when another server is
+    /// promoted, which is not before somebody misses it.
+    pub fn doubt(&mut self, server: ServerKey) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.doubted = true;
+        }
+    }
+
+    /// `server` has shown that it has the service's log.
+    pub fn trust(&mut self, server: ServerKey) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.doubted = false;
+        }
+    }
+
+    /// Whether the claims of `server` do not count.
+    pub fn is_doubted(&self, server: ServerKey) -> bool {
+        let known = self.servers.get(&server);
+        known.is_some_and(|known| known.doubted)
+    }
+
     /// The log of `server` reaches `term`.
     pub fn saw_term(&mut self, server: ServerKey, term: Term) {
         if let Some(known) = self.servers.get_mut(&server) {
@@ -102,7 +130,8 @@
 
     /// Who leads, if anybody is known to.
     pub fn get(&self) -> Option<ServerKey> {
-        let claiming = self.servers.iter().filter(|(_, known)| known.claims);
+        let claims = |known: &Known| known.claims && !known.doubted;
+        let claiming = self.servers.iter().filter(|(_, known)| claims(known));
         let newest = claiming.max_by_key(|(_, known)| (known.term, known.listed))?;
         Some(*newest.0)
     }
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -357,7 +357,7 @@
         let best = inquiry.best(view).filter(|_| quiet);
         let over = now >= until;
         let complete = inquiry.is_complete(view, now);
-        let lacks = view.synchronous && !complete;
+        let lacks = view.synchronous && !complete || inquiry.may_gain(view, now);
         match best {
             Some(server) if complete || over && !lacks => {
                 self.phase = Phase::Ordering { grant, server };
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -5,7 +5,6 @@
 
 use crate::key::{HostKey, ServerKey};
 use crate::leader::Role;
-use crate::position::Position;
 
 use super::contact::Trouble;
 use super::next::{Opinion, Report};
@@ -105,7 +104,7 @@
     /// seen acknowledged must be there, also when the replica that had it is gone for a while.
     /// With the first answers alone, 54 and 67 acknowledged commits were lost on two of 24 days.
     pub(super) fn is_complete(&self, view: &View, now: Duration) -> bool {
-        if !self.all_heard(view) {
+        if !self.all_heard(view) || self.may_gain(view, now) {
             return false;
         }
         // A primary that leaves acknowledges further commits meanwhile, and its replicas receive
@@ -118,19 +117,48 @@
         has_all || now >= self.since + RETURN
     }
 
+    /// Whether a server with more than the best candidate may still be heard.
+    ///
+    /// Guards against the promotion of a server that has started again and has nothing of before,
+    /// or not all of it yet. All that others hold would be rolled back. It is the best of those
+    /// heard where the others are busy, cut off or down for a moment; the bound is the time in
+    /// which those come back.
+    pub(super) fn may_gain(&self, view: &View, now: Duration) -> bool {
+        if now >= self.since + RETURN {
+            return false;
+        }
+        let best = self.best(view);
+        let Some((best, report)) = best.and_then(|it| Some((it, self.reports.get(&it)?))) else {
+            return false;
+        };
+        let mark = view.marks.get(&best);
+        let behind = mark.is_some_and(|mark| report.received < *mark);
+        let unheard = !self.all_heard(view);
+        // The old primary may come back with its log, and is no candidate while it is gone: with a
+        // server as the alternative that has lost everything it is worth the wait as well.
+        let lost_all = report.is_empty() && behind;
+        lost_all || unheard && (report.is_empty() || behind)
+    }
+
     /// The candidate that has received most; ties go to the lowest key, on every host alike.
     pub(super) fn best(&self, view: &View) -> Option<ServerKey> {
         let candidates = view.candidates.iter().filter_map(|server| {
             let report = self.reports.get(server)?;
             let fit = view.leader != Some(*server) && report.role == Role::Replica;
-            fit.then_some((report.received, *server))
+            fit.then_some(((!report.is_empty(), report.received), *server))
         });
-        let best: Option<(Position, ServerKey)> = candidates.max_by_key(|(position, _)| *position);
+        let best = candidates.max_by_key(|(extent, _)| *extent);
         best.map(|(_, server)| server)
     }
 }
 
 impl Report {
+    /// Whether the log has nothing in it. Its position may name the newest term all the same, and
+    /// would then be past each log that ends in an older one.
+    fn is_empty(&self) -> bool {
+        self.received.log == 0
+    }
+
     fn leads_beside(&self, server: ServerKey, view: &View) -> bool {
         self.role == Role::Primary && self.term > view.term && view.leader != Some(server)
     }
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -1,6 +1,6 @@
 //! What a host sees of a service when it takes a step.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::key::{HostKey, ServerKey};
@@ -30,4 +30,7 @@
     pub synchronous: bool,
     /// The newest position of the log that this host has heard of.
     pub newest: Position,
+    /// What servers that have started again have to have received before they count like others:
+    /// how far the log was seen to reach when they came back.
+    pub marks: BTreeMap<ServerKey, Position>,
 }
--- /dev/null
+++ b/crates/core/tests/extent.rs
@@ -0,0 +1,73 @@
+//! How far a service's log was seen to reach, and which server cannot lead for that.
+
+use std::time::Duration;
+
+use flamingopost_core::extent::Extent;
+use flamingopost_core::position::Position;
+use flamingopost_core::term::Term;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn term(number: i64) -> Term {
+    Term::from_number(number)
+}
+
+fn position(number: i64, log: u64) -> Position {
+    Position {
+        term: term(number),
+        log,
+    }
+}
+
+/// A primary starts again without its log, in the term that it led. On the first connection to it,
+/// it shows the start of that term, while a replica had shown an entry of it.
+#[test]
+fn a_primary_with_less_than_was_shown_before_is_not_the_one_that_led() {
+    let mut extent = Extent::default();
+    extent.showed(position(3, 40), ms(100));
+    assert!(extent.lacks(position(3, 0), ms(200)));
+    assert!(extent.lacks(position(3, 39), ms(200)));
+    assert!(!extent.lacks(position(3, 40), ms(200)));
+    assert!(!extent.lacks(position(4, 0), ms(200)), "a newer term leads");
+}
+
+/// Answers overtake each other. What was asked before the log had got that far was answered in
+/// good faith: a primary was taken for an empty one whenever two callers wrote at once.
+#[test]
+fn a_question_from_before_proves_nothing() {
+    let mut extent = Extent::default();
+    extent.showed(position(3, 40), ms(100));
+    assert!(!extent.lacks(position(3, 39), ms(99)));
+}
+
+/// An empty log shows the start of the newest term. It is past each entry of older terms, so right
+/// after a change of primary an empty server would count as the one with most.
+#[test]
+fn the_start_of_a_term_is_nothing_that_was_written() {
+    let mut extent = Extent::default();
+    extent.showed(position(3, 40), ms(100));
+    extent.showed(position(4, 0), ms(110));
+    assert_eq!(extent.furthest(), position(3, 40));
+}
+
+/// The list says that the primary has started again. It leads on with its log, or after a promotion
+/// that came later; an empty log in its old term is no proof.
+#[test]
+fn a_server_that_started_again_proves_its_log() {
+    let mut extent = Extent::default();
+    let since = term(3);
+    assert!(
+        extent.proves(position(3, 0), ms(50), since),
+        "nothing was written"
+    );
+    extent.showed(position(2, 40), ms(100));
+    assert!(!extent.proves(position(3, 0), ms(200), since));
+    assert!(!extent.proves(position(2, 39), ms(200), since));
+    assert!(extent.proves(position(2, 40), ms(200), since));
+    assert!(
+        extent.proves(position(4, 0), ms(200), since),
+        "promoted since"
+    );
+}
--- a/crates/core/tests/leader.rs
+++ b/crates/core/tests/leader.rs
@@ -70,3 +70,39 @@
     assert_eq!((change.before, change.after), (Some(first), None));
     assert_eq!(change.lasted, Duration::from_secs(3));
 }
+
+/// A primary starts again without its log, and its new entry in the list says that it leads. Bids
+/// went there, and were gone with the next change of primary. It has to show the log first,
+/// whatever it says of itself.
+#[test]
+fn a_claim_that_is_doubted_does_not_count() {
+    let (empty, other) = servers();
+    let mut leader = Leader::default();
+    leader.listed(other, Role::Replica, 3);
+    leader.listed(empty, Role::Primary, 7);
+    leader.doubt(empty);
+    assert_eq!(leader.get(), None);
+    leader.listed(empty, Role::Primary, 9);
+    leader.said(empty, Role::Primary, term(1));
+    assert_eq!(leader.get(), None, "saying so again proves nothing");
+    leader.said(other, Role::Primary, term(2));
+    assert_eq!(leader.get(), Some(other));
+    leader.trust(empty);
+    assert_eq!(leader.get(), Some(other), "its term has ended");
+}
+
+/// A server starts again under its id. The count by which its entries are told apart is that of
+/// the list, but the former start was refused and gone for a while: nothing of that holds for the
+/// newer one, which is known under a key of its own.
+#[test]
+fn a_newer_start_owes_nothing_to_the_former() {
+    let (former, newer) = servers();
+    let mut leader = Leader::default();
+    leader.listed(former, Role::Primary, 9);
+    leader.refused(former);
+    leader.unlisted(former);
+    leader.said(former, Role::Primary, term(5));
+    assert_eq!(leader.get(), None, "a late word of the former start");
+    leader.listed(newer, Role::Primary, 4);
+    assert_eq!(leader.get(), Some(newer));
+}
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -1,6 +1,6 @@
 //! When the primary of a service is replaced, by whom and by which server.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use flamingopost_core::key::{HostKey, ServerKey};
@@ -57,6 +57,7 @@
         quiet_at: ms(0),
         synchronous: false,
         newest: position(1, 40),
+        marks: BTreeMap::new(),
     };
     Scene {
         succession: Succession::default(),
@@ -163,6 +164,88 @@
     assert!((11_000..12_000).contains(&ordered), "at {ordered}");
 }
 
+/// A replica has started again without its log when the primary dies, and the other one is too busy
+/// to answer in time. The empty one was the only one heard, and all that had been sold was open
+/// again. It is passed over while the other one may answer.
+#[test]
+fn a_replica_that_lost_its_log_is_passed_over_while_others_may_answer() {
+    let mut scene = scene();
+    scene.view.marks.insert(scene.servers[1], position(1, 40));
+    scene.step(ms(1_020));
+    scene.succession.report(scene.servers[1], replica(0));
+    scene.hear(5, 0);
+    scene.step(ms(1_025));
+    scene.succession.won(Grant(7), ms(1_032));
+    for now in (1_040..4_000).step_by(20) {
+        let next = scene.step(ms(now));
+        let promotes = next.iter().any(|it| matches!(it, Next::Promote { .. }));
+        assert!(!promotes, "at {now}");
+    }
+    scene.succession.report(scene.servers[2], replica(38));
+    let order = scene.order();
+    assert_eq!(scene.step(ms(4_000)), [order]);
+}
+
+/// The same on a host that has started since and knows of no restart: an empty log is reason enough
+/// to wait for a server that has not answered.
+#[test]
+fn an_empty_log_is_not_chosen_on_a_host_that_knows_nothing() {
+    let mut scene = scene();
+    scene.view.newest = Position::default();
+    scene.step(ms(1_020));
+    scene.succession.report(scene.servers[1], replica(0));
+    scene.hear(5, 0);
+    scene.step(ms(1_025));
+    scene.succession.won(Grant(7), ms(1_032));
+    assert_eq!(scene.step(ms(1_500)), [Next::AskHosts, Next::AskServers]);
+    scene.succession.report(scene.servers[2], replica(38));
+    let order = scene.order();
+    assert_eq!(scene.step(ms(1_510)), [order]);
+}
+
+/// Right after a change of primary nothing is written yet. A replica that has lost its log shows the
+/// start of the new term, which is past what the others have; it was taken for the one with most.
+#[test]
+fn an_empty_log_in_the_newest_term_is_less_than_a_full_one_in_the_term_before() {
+    let mut scene = scene();
+    scene.step(ms(1_020));
+    let empty = Report {
+        received: position(2, 0),
+        ..replica(0)
+    };
+    scene.succession.report(scene.servers[1], empty);
+    scene.succession.report(scene.servers[2], replica(38));
+    scene.hear(5, 0);
+    scene.step(ms(1_025));
+    scene.succession.won(Grant(7), ms(1_032));
+    let order = scene.order();
+    assert_eq!(scene.step(ms(1_032)), [order]);
+}
+
+/// All servers that are left have lost their logs. Callers wait for one that has more as long as a
+/// restart takes, not for ever.
+#[test]
+fn an_empty_replica_leads_when_nobody_else_comes_back() {
+    let mut scene = scene();
+    scene.view.marks.insert(scene.servers[1], position(1, 40));
+    scene.view.candidates.remove(&scene.servers[2]);
+    scene.step(ms(1_020));
+    scene.succession.report(scene.servers[1], replica(0));
+    scene.hear(5, 0);
+    scene.step(ms(1_025));
+    scene.succession.won(Grant(7), ms(1_032));
+    let mut now = 1_040;
+    let ordered = loop {
+        let next = scene.step(ms(now));
+        if next.iter().any(|it| matches!(it, Next::Promote { .. })) {
+            break now;
+        }
+        assert!(now < 20_000, "it never ends");
+        now += 20;
+    };
+    assert!((11_000..12_000).contains(&ordered), "at {ordered}");
+}
+
 /// One host is cut off from the primary and from all other hosts, but not from the platform's
 /// store. It had a replica promoted while the others went on writing to the primary: what they
 /// had acknowledged within the second of the change was missing afterwards, and buyers saw lots
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -56,9 +56,18 @@
 
 /// Runs `job` on `lent` within `limit`.
 pub async fn run<C: Codec>(lent: &mut Lent<C>, job: &Job<'_>, limit: Duration) -> Ran {
+    let life = lent.life();
+    if life.is_over() {
+        return Ran::Unsent(gone());
+    }
     let mut sent = false;
     let _awaited = lent.awaits();
-    match timeout(limit, exchange(lent, job, &mut sent)).await {
+    let ran = tokio::select! {
+        biased;
+        ran = timeout(limit, exchange(lent, job, &mut sent)) => ran,
+        () = life.ended() => Ok(Err(gone())),
+    };
+    match ran {
         Ok(Ok(ran)) => ran,
         Ok(Err(error)) if sent => Ran::Unanswered(error),
         Ok(Err(error)) => Ran::Unsent(error),
@@ -72,6 +81,11 @@
     }
 }
 
+/// The start of the server that a connection leads to is over.
+fn gone() -> back::Error {
+    back::Error::Io(std::io::ErrorKind::ConnectionAborted.into())
+}
+
 async fn exchange<C: Codec>(
     lent: &mut Lent<C>,
     job: &Job<'_>,
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -198,10 +198,11 @@
                 servers: view.candidates.len(),
             });
         }
-        let server = view.leader.map(|leader| service.name_of(Some(leader)));
+        let server = view.leader.and_then(|leader| service.named(leader));
+        let furthest = service.furthest().into();
         for (_, peer) in self.fleet.electors() {
             let server = server.clone();
-            self.send(service, Word::Ask { server }, peer.address);
+            self.send(service, Word::Ask { server, furthest }, peer.address);
         }
     }
 
@@ -227,7 +228,6 @@
                     received: status.received,
                 };
                 succession.borrow_mut().report(target.server, report);
-                service.said(target.server, &status);
                 service.alarm.notify_one();
             });
         }
@@ -243,7 +243,7 @@
         });
         let error = match asked.await {
             Ok(Ok(status)) => {
-                service.said(target.server, &status);
+                service.said(target.server, &status, sent);
                 return Probe::Status(status);
             }
             Ok(Err(error)) => error,
@@ -327,10 +327,12 @@
         let id = service.name_of(Some(server));
         let planned = self.trouble(&service) == Some(Trouble::Leaving);
         service.hold(planned);
-        for (_, peer) in self.fleet.peers() {
-            let server = id.clone();
-            let word = Word::Acting { server, planned };
-            self.send(&service, word, peer.address);
+        if let Some(named) = service.named(server) {
+            for (_, peer) in self.fleet.peers() {
+                let server = named.clone();
+                let word = Word::Acting { server, planned };
+                self.send(&service, word, peer.address);
+            }
         }
         let sent = self.site.now();
         let token = Token(grant.0);
@@ -382,6 +384,7 @@
             rank: self.fleet.rank(&service.name),
             synchronous,
             newest: service.newest(),
+            marks: service.marks(),
         }
     }
 
--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -4,15 +4,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::key::ServerKey;
 use flamingopost_core::quorum::HEARTBEAT;
 use tokio::time::timeout;
 
 use super::{CLAIM, Election, FRESH, Probe, target};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::peer::{Message, Word};
+use crate::peer::{Message, Server, Word};
 use crate::platform::Platform;
-use crate::service::Service;
+use crate::service::{Meant, Service};
 
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Answers what other hosts ask and takes in what they tell, for ever.
@@ -103,18 +104,22 @@
         match message.word {
             // From a host that is not listed yet.
             Word::Beat { .. } | Word::Echo { .. } => {}
-            Word::Ask { server } => {
+            Word::Ask { server, furthest } => {
+                service.told(furthest.into());
                 let election = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     election.answer(service, server, from).await;
                 });
             }
-            Word::Tell { server, reaches } => {
-                let leader = service.leader();
-                let about = server.and_then(|server| service.find(&server));
+            Word::Tell {
+                server,
+                furthest,
+                reaches,
+            } => {
+                service.told(furthest.into());
                 let host = self.fleet.peer(&message.host);
                 if let (Some(succession), Some(host)) = (succession, host)
-                    && about == leader
+                    && is_about_leader(&service, server.as_ref())
                 {
                     let opinion = Word::opinion(reaches);
                     succession.borrow_mut().opinion(host, opinion);
@@ -122,7 +127,7 @@
                 }
             }
             Word::Short { server } => {
-                if let Some(server) = service.find(&server) {
+                if let Meant::Listed(server) = service.meant(&server) {
                     service.squeeze(server);
                 }
             }
@@ -140,37 +145,48 @@
     }
 
     /// Tells whether this host reaches `server`, which it tries first.
-    async fn answer(&self, service: Rc<Service<C>>, server: Option<String>, from: SocketAddr) {
-        let key = match &server {
-            Some(server) => service.find(server),
-            None => service.leader(),
+    async fn answer(&self, service: Rc<Service<C>>, server: Option<Server>, from: SocketAddr) {
+        let meant = match &server {
+            Some(server) => service.meant(server),
+            None => service.leader().map_or(Meant::Unknown, Meant::Listed),
         };
-        let Some(key) = key else {
-            let reaches = false;
-            self.send(&service, Word::Tell { server, reaches }, from);
-            return;
+        let reaches = match meant {
+            Meant::Listed(key) => self.reaches(&service, key).await,
+            // A former start is over, whoever answers at its address now.
+            Meant::Former | Meant::Unknown => false,
+            // Of a start that is not listed here yet, nothing can be said.
+            Meant::Newer => return,
         };
-        let reaches = match target(&service, key) {
-            Some(target) => match self.ask(&service, &target).await {
-                Probe::Status(_) | Probe::Alive => true,
-                Probe::Refused => false,
-                // Too busy to answer a question in time, it may still answer statements.
-                Probe::Silent => {
-                    let now = self.site.now();
-                    let contact = service.contact(key).unwrap_or_default();
-                    contact.age(now).is_some_and(|age| age < FRESH)
-                }
-            },
-            None => false,
+        let word = Word::Tell {
+            server,
+            furthest: service.furthest().into(),
+            reaches,
         };
-        let word = Word::Tell { server, reaches };
         self.send(&service, word, from);
     }
 
+    /// Whether this host reaches a server, and believes that it has the service's log.
+    async fn reaches(&self, service: &Rc<Service<C>>, server: ServerKey) -> bool {
+        let Some(target) = target(service, server) else {
+            return false;
+        };
+        match self.ask(service, &target).await {
+            Probe::Status(_) => !service.is_doubted(server),
+            Probe::Alive => true,
+            Probe::Refused => false,
+            // Too busy to answer a question in time, it may still answer statements.
+            Probe::Silent => {
+                let now = self.site.now();
+                let contact = service.contact(server).unwrap_or_default();
+                contact.age(now).is_some_and(|age| age < FRESH)
+            }
+        }
+    }
+
     /// Tells the other hosts of which servers this one lacks connections.
     pub(super) fn plead(&self, service: &Rc<Service<C>>) {
-        for server in service.take_short() {
-            let server = service.name_of(Some(server));
+        let short = service.take_short();
+        for server in short.into_iter().filter_map(|it| service.named(it)) {
             for (_, peer) in self.fleet.peers() {
                 let server = server.clone();
                 self.send(service, Word::Short { server }, peer.address);
@@ -193,6 +209,16 @@
     }
 }
 
+/// Whether `server`, of which another host tells, is the one that leads as far as this host knows;
+/// none is named where nobody does.
+fn is_about_leader<C: Codec>(service: &Rc<Service<C>>, server: Option<&Server>) -> bool {
+    match (server.map(|server| service.meant(server)), service.leader()) {
+        (Some(Meant::Listed(server)), Some(leader)) => server == leader,
+        (None, None) => true,
+        _ => false,
+    }
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -16,6 +16,10 @@
         5004 Warn FeedStuck { what: &'static str },
         /// {service}: server {server} listed at {address} as {role:?}, leaving: {leaving}, revision {revision}
         5010 Info Listed { service: String, server: String, address: std::net::SocketAddr, role: flamingopost_core::leader::Role, leaving: bool, revision: u64 },
+        /// {service}: server {server} has started again, at {after} after {before} (Unix ms): what was known of it is dropped
+        5015 Warn Restarted { service: String, server: String, before: u64, after: u64 },
+        /// {service}: entry of a former start of server {server} ignored, of {former}, the newest is of {newest} (Unix ms)
+        5016 Warn FormerStart { service: String, server: String, former: u64, newest: u64 },
         /// {service}: server {server} no longer listed, dropped after {millis} ms
         5011 Info Unlisted { service: String, server: String, millis: u128 },
         /// entry host {host} in {zone} answers at {address}
@@ -28,6 +32,8 @@
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: server {server} cannot be connected to: {error}; {connections} connections to it here, {waiting} requests wait
         5101 Warn Unconnected { service: String, server: String, error: String, connections: u16, waiting: usize },
+        /// {service}: server {server} claims to lead and shows {position}, while the log was seen to reach {furthest}: not believed
+        5102 Warn LogLost { service: String, server: String, position: flamingopost_core::position::Position, furthest: flamingopost_core::position::Position },
         /// {service}: primary in trouble ({trouble:?}), asking {hosts} hosts and {servers} servers
         5110 Warn Suspected { service: String, trouble: flamingopost_core::succession::Trouble, hosts: usize, servers: usize },
         /// {service}: claim of change {attempt}: {outcome}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::invariant::{self, Invariant};
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::Quorum;
@@ -17,7 +18,7 @@
 use crate::peer::News;
 use crate::platform::{Backend, Change, Configuration, Peer, Service as Configured};
 use crate::route::Route;
-use crate::service::Service;
+use crate::service::{Service, Start};
 use crate::site::Site;
 
 mod homes;
@@ -62,12 +63,35 @@
 }
 
 struct Entry {
+    /// Stands for one start of the server: what is kept by it goes with it.
     key: ServerKey,
+    incarnation: Incarnation,
     service: String,
     /// When it went from the list.
     gone: Option<Duration>,
 }
 
+/// Which start of a server an entry of the list speaks of.
+enum Sighting {
+    /// The one that is known, or the first.
+    Known(ServerKey),
+    /// A newer one than is known.
+    Again { key: ServerKey, former: Entry },
+    /// One before the one that is known.
+    Former(Incarnation),
+}
+
+impl Entry {
+    fn new(key: ServerKey, backend: &Backend) -> Entry {
+        Entry {
+            key,
+            incarnation: backend.incarnation,
+            service: backend.service.clone(),
+            gone: None,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Peers {
     keys: SlotMap<HostKey, ()>,
@@ -399,26 +423,64 @@
             leaving: backend.leaving,
             revision: backend.changed.0,
         });
-        let key = {
-            let mut servers = self.servers.borrow_mut();
-            let Servers { keys, by_id } = &mut *servers;
-            let entry = by_id.entry(backend.id.clone()).or_insert_with(|| Entry {
-                key: keys.insert(backend.id.clone()),
-                service: backend.service.clone(),
-                gone: None,
-            });
-            entry.gone = None;
-            entry.key
+        let (key, start) = match self.sight(backend) {
+            Sighting::Known(key) => (key, Start::Known),
+            Sighting::Again { key, former } => {
+                self.restarted(backend, former);
+                (key, Start::Again)
+            }
+            Sighting::Former(newest) => {
+                self.site.log(&Event::FormerStart {
+                    service: backend.service.clone(),
+                    server: backend.id.clone(),
+                    former: backend.incarnation.0,
+                    newest: newest.0,
+                });
+                return;
+            }
         };
         let service = self.service(&backend.service);
         let slots = service.slots();
-        service.listed(key, backend);
+        service.listed(key, backend, start);
         // Which hosts serve it depends on what its servers run at once.
         if service.slots() != slots {
             service.allot(self.allotment(&service.name));
         }
     }
 
+    /// Which start of a server `backend` speaks of.
+    fn sight(&self, backend: &Backend) -> Sighting {
+        let mut servers = self.servers.borrow_mut();
+        let Servers { keys, by_id } = &mut *servers;
+        let Some(entry) = by_id.get_mut(&backend.id) else {
+            let key = keys.insert(backend.id.clone());
+            by_id.insert(backend.id.clone(), Entry::new(key, backend));
+            return Sighting::Known(key);
+        };
+        if backend.incarnation < entry.incarnation {
+            return Sighting::Former(entry.incarnation);
+        }
+        entry.gone = None;
+        if backend.incarnation == entry.incarnation {
+            return Sighting::Known(entry.key);
+        }
+        keys.remove(entry.key);
+        let key = keys.insert(backend.id.clone());
+        let former = std::mem::replace(entry, Entry::new(key, backend));
+        Sighting::Again { key, former }
+    }
+
+    /// Drops all that was known of the `former` start of a server.
+    fn restarted(&self, backend: &Backend, former: Entry) {
+        self.site.log(&Event::Restarted {
+            service: backend.service.clone(),
+            server: backend.id.clone(),
+            before: former.incarnation.0,
+            after: backend.incarnation.0,
+        });
+        self.service(&former.service).unlisted(former.key);
+    }
+
     fn service(&self, name: &str) -> Rc<Service<C>> {
         if let Some(service) = self.named(name) {
             return service;
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -7,7 +7,10 @@
 use std::io;
 use std::net::SocketAddr;
 
+use flamingopost_core::incarnation::Incarnation;
+use flamingopost_core::position::Position;
 use flamingopost_core::succession::Opinion;
+use flamingopost_core::term::Term;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -42,30 +45,81 @@
     },
     /// Do you reach server `server`, or, where none is named, any that leads?
     Ask {
-        /// Identity of the server.
-        server: Option<String>,
+        /// The server.
+        server: Option<Server>,
+        /// How far the host that asks has seen the service's log reach.
+        furthest: Extent,
     },
     /// An answer to [`Word::Ask`].
     Tell {
-        /// Identity of the server, if one was named.
-        server: Option<String>,
+        /// The server, if one was named.
+        server: Option<Server>,
+        /// How far the host that answers has seen the service's log reach.
+        furthest: Extent,
         /// Whether the host has just heard from it.
         reaches: bool,
     },
     /// I lack connections to `server`, which is at its limit.
     Short {
-        /// Identity of the server.
-        server: String,
+        /// The server.
+        server: Server,
     },
     /// I change the primary to `server`.
     Acting {
-        /// Identity of the server.
-        server: String,
+        /// The server.
+        server: Server,
         /// Whether the primary before it is alive and about to leave.
         planned: bool,
     },
 }
 
+/// A server, and which of its starts is meant: what is said of one does not hold for another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Its identity.
+    pub id: String,
+    /// When it started, in Unix milliseconds.
+    incarnation: u64,
+}
+
+impl Server {
+    /// The start `incarnation` of server `id`.
+    pub fn new(id: String, incarnation: Incarnation) -> Server {
+        let incarnation = incarnation.0;
+        Server { id, incarnation }
+    }
+
+    /// Which of its starts is meant.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation(self.incarnation)
+    }
+}
+
+/// How far a log has been seen to reach.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extent {
+    term: i64,
+    log: u64,
+}
+
+impl From<Position> for Extent {
+    fn from(position: Position) -> Extent {
+        Extent {
+            term: position.term.number(),
+            log: position.log,
+        }
+    }
+}
+
+impl From<Extent> for Position {
+    fn from(extent: Extent) -> Position {
+        Position {
+            term: Term::from_number(extent.term),
+            log: extent.log,
+        }
+    }
+}
+
 /// How far a host has read what the platform tells: the newest change of each.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use flamingopost_core::dispatch::{self, Dispatch, Need, Next, Standing, Ticket, Unserved};
+use flamingopost_core::extent::Extent;
+use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::{Leader, Role};
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::{Contact, Trouble};
+use flamingopost_core::term::Term;
 use flamingopost_core::vouch::Vouch;
 use tokio::sync::{Notify, oneshot};
 
@@ -22,8 +25,12 @@
 
 mod connect;
 mod lent;
+mod life;
+mod restart;
 
 pub use lent::{Awaited, Lent};
+pub use life::Life;
+pub use restart::{Meant, Start};
 
 /// A primary that is about to leave serves until shortly before its successor leads. What it
 /// acknowledges within this time before, its successor might not have received: many times the
@@ -47,6 +54,7 @@
 struct State<C: Codec> {
     dispatch: Dispatch,
     vouch: Vouch,
+    extent: Extent,
     leader: Leader,
     absent: Option<Duration>,
     servers: BTreeMap<ServerKey, Known>,
@@ -61,6 +69,11 @@
 
 struct Known {
     target: Target,
+    incarnation: Incarnation,
+    life: Life,
+    /// How far the log was seen to reach, and in which term, when the server came back: `None`
+    /// where it is not known to have started again.
+    back: Option<(Position, Term)>,
     contact: Contact,
     /// When statements were sent that have no answer yet.
     outstanding: BTreeMap<u64, Duration>,
@@ -92,6 +105,7 @@
             state: RefCell::new(State {
                 dispatch: Dispatch::default(),
                 vouch: Vouch::default(),
+                extent: Extent::default(),
                 leader: Leader::default(),
                 absent: Some(Duration::ZERO),
                 servers: BTreeMap::new(),
@@ -108,8 +122,8 @@
         }
     }
 
-    /// The platform lists `backend` under `key`.
-    pub fn listed(self: &Rc<Self>, key: ServerKey, backend: &Backend) {
+    /// The platform lists `backend` under `key`, which stands for one of its starts.
+    pub fn listed(self: &Rc<Self>, key: ServerKey, backend: &Backend, start: Start) {
         {
             let mut state = self.state.borrow_mut();
             let Allotment { base, fair, most } = state.allotment;
@@ -126,12 +140,19 @@
                 id: backend.id.clone(),
                 service: self.name.clone(),
             };
+            let back = (state.extent.furthest(), state.vouch.term());
             let known = state.servers.entry(key).or_insert_with(|| Known {
                 target: target.clone(),
+                incarnation: backend.incarnation,
+                life: Life::default(),
+                back: (start == Start::Again).then_some(back),
                 contact: Contact::default(),
                 outstanding: BTreeMap::new(),
             });
             known.target = target;
+            if start == Start::Again {
+                state.leader.doubt(key);
+            }
         }
         self.refresh();
     }
@@ -141,7 +162,9 @@
         let next = {
             let mut state = self.state.borrow_mut();
             state.leader.unlisted(key);
-            state.servers.remove(&key);
+            if let Some(known) = state.servers.remove(&key) {
+                known.life.end();
+            }
             state.dispatch.remove(key)
         };
         self.apply(next);
@@ -228,14 +251,16 @@
             return;
         };
         let passed = state.vouch.passed(position);
+        let holds = state.holds(server, position);
         if let Some(server) = state.dispatch.server_mut(server) {
-            server.saw(position, passed, now);
+            server.saw(holds, passed, now);
         }
         state.vouch.saw_term(position.term);
         state.leader.saw_term(server, position.term);
-        if led {
+        if led && !state.extent.lacks(position, sent) {
             state.vouch.led(position, sent);
         }
+        state.extent.showed(position, now);
     }
 
     /// A request took `took` at a server.
@@ -276,8 +301,8 @@
         Need::Position { position, at }
     }
 
-    /// A server said what it is.
-    pub fn said(self: &Rc<Self>, server: ServerKey, status: &Status) {
+    /// A server that was asked at `sent` said what it is.
+    pub fn said(self: &Rc<Self>, server: ServerKey, status: &Status, sent: Duration) {
         let now = self.site.now();
         {
             let mut state = self.state.borrow_mut();
@@ -289,6 +314,7 @@
                 state.vouch.saw_term(status.term);
             }
         }
+        self.weigh(server, status.received, sent);
         self.refresh();
     }
 
@@ -426,6 +452,7 @@
         let now = self.site.now();
         let change = {
             let mut state = self.state.borrow_mut();
+            state.trust_the_last();
             let Some(change) = state.leader.refresh(now) else {
                 return;
             };
@@ -498,11 +525,14 @@
         let mut state = self.state.borrow_mut();
         let waiter = state.waiters.remove(&ticket);
         let back = state.idle.remove(&connection);
+        let known = state.servers.get(&server);
+        let life = known.map(|known| known.life.clone()).unwrap_or_default();
         match (waiter, back) {
             (Some(waiter), Some(back)) if !back.is_over() => {
                 drop(state);
                 let lent = Lent {
                     back: Some(back),
+                    life,
                     service: Rc::clone(self),
                     rests: false,
                     long: waiter.ticket.long,
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -40,6 +40,10 @@
             Ok(back) => {
                 meter::connected(&self.name);
                 self.heard(server, back.position, now, false);
+                if let Some(position) = back.position {
+                    self.weigh(server, position, now);
+                    self.refresh();
+                }
                 let now = self.site.now();
                 let next = {
                     let mut state = self.state.borrow_mut();
--- a/crates/proxy/src/service/lent.rs
+++ b/crates/proxy/src/service/lent.rs
@@ -5,7 +5,7 @@
 
 use flamingopost_core::key::ServerKey;
 
-use super::Service;
+use super::{Life, Service};
 use crate::back::Back;
 use crate::codec::Codec;
 
@@ -13,6 +13,7 @@
 /// in order is given back.
 pub struct Lent<C: Codec> {
     pub(super) back: Option<Back<C>>,
+    pub(super) life: Life,
     pub(super) service: Rc<Service<C>>,
     pub(super) rests: bool,
     pub(super) long: bool,
@@ -34,6 +35,11 @@
         self.service.apply(next);
     }
 
+    /// The life of the start of its server that it leads to.
+    pub fn life(&self) -> Life {
+        self.life.clone()
+    }
+
     /// The service that its server belongs to.
     pub fn service(&self) -> &Rc<Service<C>> {
         &self.service
--- /dev/null
+++ b/crates/proxy/src/service/restart.rs
@@ -0,0 +1,140 @@
+//! Servers that have started again: whether what they claim to be is believed.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use flamingopost_core::key::ServerKey;
+use flamingopost_core::position::Position;
+
+use super::{Service, State};
+use crate::codec::Codec;
+use crate::event::Event;
+use crate::peer;
+
+/// Which start of a server is listed, as far as this host knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Start {
+    /// The one that it has heard of, or the first.
+    Known,
+    /// One after another.
+    Again,
+}
+
+/// Which server another host means, as far as this one knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Meant {
+    /// The start that is listed here.
+    Listed(ServerKey),
+    /// One before that, which is over.
+    Former,
+    /// One after that: the other host has read more of the list.
+    Newer,
+    /// No server of the service.
+    Unknown,
+}
+
+impl<C: Codec> Service<C> {
+    /// Weighs whether a server may lead whose log reaches `position`, as it said to a question or
+    /// on a connection of `sent`.
+    ///
+    /// A primary that has lost its log goes on claiming to lead, and the list may say for seconds
+    /// what its former start was. Its own first word on a new connection is older than any
+    /// statement there: a position below what some server had shown before the question is that
+    /// of another log.
+    pub(super) fn weigh(self: &Rc<Self>, server: ServerKey, position: Position, sent: Duration) {
+        let mut state = self.state.borrow_mut();
+        let doubted = state.leader.is_doubted(server);
+        let leads = state.leader.get() == Some(server);
+        let since = state.servers.get(&server).and_then(|known| known.back);
+        let since = since.map(|(_, term)| term).unwrap_or_default();
+        if doubted && state.extent.proves(position, sent, since) {
+            state.leader.trust(server);
+        } else if leads && state.extent.lacks(position, sent) {
+            state.leader.doubt(server);
+            let furthest = state.extent.furthest();
+            drop(state);
+            self.site.log(&Event::LogLost {
+                service: self.name.clone(),
+                server: self.name_of(Some(server)),
+                position,
+                furthest,
+            });
+        }
+    }
+
+    /// What servers that have started again have to have received before they count like others
+    /// in an election.
+    pub fn marks(&self) -> BTreeMap<ServerKey, Position> {
+        let state = self.state.borrow();
+        let known = state.servers.iter();
+        known
+            .filter_map(|(key, known)| Some((*key, known.back?.0)))
+            .collect()
+    }
+
+    /// How far the log has been seen to reach, at whichever server.
+    pub fn furthest(&self) -> Position {
+        self.state.borrow().extent.furthest()
+    }
+
+    /// Another host has seen the log reach `position`.
+    pub fn told(&self, position: Position) {
+        let now = self.site.now();
+        self.state.borrow_mut().extent.showed(position, now);
+    }
+
+    /// A server as other hosts are told of it.
+    pub fn named(&self, server: ServerKey) -> Option<peer::Server> {
+        let state = self.state.borrow();
+        let known = state.servers.get(&server)?;
+        let id = known.target.id.clone();
+        Some(peer::Server::new(id, known.incarnation))
+    }
+
+    /// The server that another host means.
+    pub fn meant(&self, server: &peer::Server) -> Meant {
+        let Some(key) = self.find(&server.id) else {
+            return Meant::Unknown;
+        };
+        let state = self.state.borrow();
+        let listed = state.servers.get(&key).map(|known| known.incarnation);
+        match listed.cmp(&Some(server.incarnation())) {
+            Ordering::Less => Meant::Newer,
+            Ordering::Equal => Meant::Listed(key),
+            Ordering::Greater => Meant::Former,
+        }
+    }
+
+    /// Whether a server may lack what the service's log holds.
+    pub fn is_doubted(&self, server: ServerKey) -> bool {
+        self.state.borrow().leader.is_doubted(server)
+    }
+}
+
+impl<C: Codec> State<C> {
+    /// What `position`, shown by `server`, says of its data: the start of a term nothing, unless it
+    /// leads that term or nothing was ever written, since an empty log shows it as well.
+    ///
+    /// Guards against reads that need the start of a term: each server takes its log to contain
+    /// that, and one that has lost its log would answer from nothing.
+    pub(super) fn holds(&self, server: ServerKey, position: Position) -> Position {
+        let leads = self.dispatch.leader() == Some(server);
+        match position.log > 0 || leads || !self.extent.is_written() {
+            true => position,
+            false => Position::default(),
+        }
+    }
+
+    /// Where a service has one server left, no other can have more, and nobody would ever replace
+    /// it.
+    pub(super) fn trust_the_last(&mut self) {
+        if self.servers.len() > 1 {
+            return;
+        }
+        for server in self.servers.keys() {
+            self.leader.trust(*server);
+        }
+    }
+}
