--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -16,10 +16,6 @@
         5004 Warn FeedStuck { what: &'static str },
         /// {service}: server {server} listed at {address} as {role:?}, leaving: {leaving}, revision {revision}
         5010 Info Listed { service: String, server: String, address: std::net::SocketAddr, role: flamingopost_core::leader::Role, leaving: bool, revision: u64 },
-        /// {service}: server {server} has started again, at {after} after {before} (Unix ms): what was known of it is dropped
-        5015 Warn Restarted { service: String, server: String, before: u64, after: u64 },
-        /// {service}: entry of a former start of server {server} ignored, of {former}, the newest is of {newest} (Unix ms)
-        5016 Warn FormerStart { service: String, server: String, former: u64, newest: u64 },
         /// {service}: server {server} no longer listed, dropped after {millis} ms
         5011 Info Unlisted { service: String, server: String, millis: u128 },
         /// entry host {host} in {zone} answers at {address}
@@ -28,6 +24,14 @@
         5013 Info PeerGone { host: String },
         /// this host is announced, token {token}
         5014 Info Announced { token: u64 },
+        /// entry {id} of {table} is not used: {fault}; revision {revision}
+        5015 Warn Spoilt { table: &'static str, id: String, fault: String, revision: u64 },
+        /// configuration version {version} is refused and version {kept} stays in force: {fault}; revision {revision}
+        5016 Error ConfigurationRefused { version: String, kept: u64, fault: String, revision: u64 },
+        /// {service}: server {server} has started again, at {after} after {before} (Unix ms): what was known of it is dropped
+        5017 Warn Restarted { service: String, server: String, before: u64, after: u64 },
+        /// {service}: entry of a former start of server {server} ignored, of {former}, the newest is of {newest} (Unix ms)
+        5018 Warn FormerStart { service: String, server: String, former: u64, newest: u64 },
         /// {service}: {after} leads after {before}, which was so for {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: server {server} cannot be connected to: {error}; {connections} connections to it here, {waiting} requests wait
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What this host knows of the fleet: configuration, services and their servers, other hosts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,15 +16,19 @@
 use crate::event::Event;
 use crate::feeds::{Feeds, Patience};
 use crate::peer::News;
-use crate::platform::{Backend, Change, Configuration, Peer, Service as Configured};
+use crate::platform::{Backend, Change, Configuration, Entry, Peer, Service as Configured};
 use crate::route::Route;
-use crate::service::{Service, Start};
+use crate::service::Service;
 use crate::site::Site;
+use crate::told::Told;
 
 mod homes;
+mod starts;
+mod strangers;
 
 pub use homes::Home;
 use homes::spread;
+use strangers::{CONFIGURATION, HOSTS, SERVERS, backend_id, peer_id};
 
 /// How long an entry that has gone from the list is still believed in. Entries of living servers
 /// lapse while the platform's store is away and are back within two seconds of its return; the
@@ -44,6 +48,9 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     services: RefCell<BTreeMap<String, Rc<Service<C>>>>,
     servers: RefCell<Servers>,
+    /// Entries of servers whose service no configuration names yet, by id.
+    unnamed: RefCell<BTreeMap<String, Backend>>,
+    told: RefCell<Told>,
     peers: RefCell<Peers>,
     quorum: RefCell<Quorum>,
     /// The other hosts whose majority counts; worked out anew with each change of the list, since
@@ -59,10 +66,10 @@
 #[derive(Default)]
 struct Servers {
     keys: SlotMap<ServerKey, String>,
-    by_id: BTreeMap<String, Entry>,
+    by_id: BTreeMap<String, Listed>,
 }
 
-struct Entry {
+struct Listed {
     /// Stands for one start of the server: what is kept by it goes with it.
     key: ServerKey,
     incarnation: Incarnation,
@@ -71,27 +78,6 @@
     gone: Option<Duration>,
 }
 
-/// Which start of a server an entry of the list speaks of.
-enum Sighting {
-    /// The one that is known, or the first.
-    Known(ServerKey),
-    /// A newer one than is known.
-    Again { key: ServerKey, former: Entry },
-    /// One before the one that is known.
-    Former(Incarnation),
-}
-
-impl Entry {
-    fn new(key: ServerKey, backend: &Backend) -> Entry {
-        Entry {
-            key,
-            incarnation: backend.incarnation,
-            service: backend.service.clone(),
-            gone: None,
-        }
-    }
-}
-
 #[derive(Default)]
 struct Peers {
     keys: SlotMap<HostKey, ()>,
@@ -106,6 +92,8 @@
             configuration: RefCell::default(),
             services: RefCell::default(),
             servers: RefCell::default(),
+            unnamed: RefCell::default(),
+            told: RefCell::default(),
             peers: RefCell::default(),
             quorum: RefCell::default(),
             electors: RefCell::default(),
@@ -168,24 +156,32 @@
             millis: took.as_millis(),
         });
         *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+        self.told.borrow_mut().all_mended(CONFIGURATION);
         invariant::check(Invariant::UpwardConfiguration, version > before, || {
             format!("version {version} after {before}")
         });
+        // Servers may register before the operators configure their service.
+        let unnamed = std::mem::take(&mut *self.unnamed.borrow_mut());
+        for backend in unnamed.into_values() {
+            self.change(Change::Put(backend));
+        }
         self.allot();
     }
 
     /// Takes a whole list of servers: what it lacks has gone.
-    pub fn list(&self, backends: Vec<Backend>) {
+    pub fn list(&self, entries: Vec<Entry<Backend>>) {
+        let named: BTreeSet<&str> = entries.iter().map(backend_id).collect();
         let missing: Vec<String> = {
-            let servers = self.servers.borrow();
-            let listed = |id: &&String| !backends.iter().any(|backend| backend.id == **id);
-            servers.by_id.keys().filter(listed).cloned().collect()
+            let (servers, unnamed) = (self.servers.borrow(), self.unnamed.borrow());
+            let known = servers.by_id.keys().chain(unnamed.keys());
+            let missing = known.filter(|id| !named.contains(id.as_str()));
+            missing.cloned().collect()
         };
         for id in missing {
             self.change(Change::Gone(id));
         }
-        for backend in backends {
-            self.change(Change::Put(backend));
+        for entry in entries {
+            self.change(Change::from(entry));
         }
         self.listed.set(true);
     }
@@ -193,13 +189,27 @@
     /// Takes one change of the list of servers.
     pub fn change(&self, change: Change<Backend>) {
         match change {
-            Change::Put(backend) => self.put(&backend),
-            Change::Gone(id) => {
-                let now = self.site.now();
-                if let Some(entry) = self.servers.borrow_mut().by_id.get_mut(&id) {
-                    entry.gone.get_or_insert(now);
-                }
+            Change::Put(backend) if self.names(&backend.service) => self.put(&backend),
+            Change::Put(backend) if self.is_former(&backend) => {}
+            Change::Put(backend) => self.put_aside(backend),
+            Change::Spoilt(unusable) => {
+                self.spoilt(SERVERS, &unusable);
+                self.gone(&unusable.id);
             }
+            Change::Gone(id) => self.gone(&id),
+        }
+    }
+
+    /// The entry of server `id` has gone or names no server any more. Both may pass: entries of
+    /// living servers lapse, and a server writes its entry anew over what somebody else has put in
+    /// its place. So the server is used for [`LAPSE`] longer, which is within the time in which
+    /// servers that have left still serve; dropped at once, a primary would lose its transactions
+    /// and be replaced for an entry that is good again a heartbeat later.
+    fn gone(&self, id: &str) {
+        self.unnamed.borrow_mut().remove(id);
+        let now = self.site.now();
+        if let Some(listed) = self.servers.borrow_mut().by_id.get_mut(id) {
+            listed.gone.get_or_insert(now);
         }
     }
 
@@ -238,14 +248,17 @@
     }
 
     /// Takes a whole list of hosts.
-    pub fn list_peers(&self, peers: Vec<Peer>) {
+    pub fn list_peers(&self, entries: Vec<Entry<Peer>>) {
+        let named: BTreeSet<&str> = entries.iter().map(peer_id).collect();
         let missing: Vec<String> = {
-            let known = self.peers.borrow();
-            let listed = |host: &&String| !peers.iter().any(|peer| peer.host == **host);
-            known.by_host.keys().filter(listed).cloned().collect()
+            let peers = self.peers.borrow();
+            let known = peers.by_host.keys();
+            let missing = known.filter(|host| !named.contains(host.as_str()));
+            missing.cloned().collect()
         };
         let gone = missing.into_iter().map(Change::Gone);
-        self.change_peers(gone.chain(peers.into_iter().map(Change::Put)).collect());
+        let rest = entries.into_iter().map(Change::from);
+        self.change_peers(gone.chain(rest).collect());
     }
 
     /// Takes changes of the list of hosts. What follows from the list is worked out once for all of
@@ -274,6 +287,7 @@
         match change {
             Change::Put(peer) if peer.host == self.site.host => {}
             Change::Put(peer) => {
+                self.told.borrow_mut().mended(HOSTS, &peer.host);
                 self.site.log(&Event::PeerListed {
                     host: peer.host.clone(),
                     zone: peer.zone.clone(),
@@ -286,6 +300,9 @@
                 };
                 peers.by_host.insert(peer.host.clone(), (key, peer));
             }
+            // A host that is known stays: it has not withdrawn, and without it fewer hosts would
+            // be a majority than without its word may be one.
+            Change::Spoilt(unusable) => self.spoilt(HOSTS, &unusable),
             Change::Gone(host) => {
                 let mut peers = self.peers.borrow_mut();
                 if let Some((key, _)) = peers.by_host.remove(&host) {
@@ -415,6 +432,11 @@
     }
 
     fn put(&self, backend: &Backend) {
+        self.told.borrow_mut().mended(SERVERS, &backend.id);
+        self.unnamed.borrow_mut().remove(&backend.id);
+        let Some((key, start)) = self.take_in(backend) else {
+            return;
+        };
         self.site.log(&Event::Listed {
             service: backend.service.clone(),
             server: backend.id.clone(),
@@ -423,22 +445,6 @@
             leaving: backend.leaving,
             revision: backend.changed.0,
         });
-        let (key, start) = match self.sight(backend) {
-            Sighting::Known(key) => (key, Start::Known),
-            Sighting::Again { key, former } => {
-                self.restarted(backend, former);
-                (key, Start::Again)
-            }
-            Sighting::Former(newest) => {
-                self.site.log(&Event::FormerStart {
-                    service: backend.service.clone(),
-                    server: backend.id.clone(),
-                    former: backend.incarnation.0,
-                    newest: newest.0,
-                });
-                return;
-            }
-        };
         let service = self.service(&backend.service);
         let slots = service.slots();
         service.listed(key, backend, start);
@@ -448,39 +454,6 @@
         }
     }
 
-    /// Which start of a server `backend` speaks of.
-    fn sight(&self, backend: &Backend) -> Sighting {
-        let mut servers = self.servers.borrow_mut();
-        let Servers { keys, by_id } = &mut *servers;
-        let Some(entry) = by_id.get_mut(&backend.id) else {
-            let key = keys.insert(backend.id.clone());
-            by_id.insert(backend.id.clone(), Entry::new(key, backend));
-            return Sighting::Known(key);
-        };
-        if backend.incarnation < entry.incarnation {
-            return Sighting::Former(entry.incarnation);
-        }
-        entry.gone = None;
-        if backend.incarnation == entry.incarnation {
-            return Sighting::Known(entry.key);
-        }
-        keys.remove(entry.key);
-        let key = keys.insert(backend.id.clone());
-        let former = std::mem::replace(entry, Entry::new(key, backend));
-        Sighting::Again { key, former }
-    }
-
-    /// Drops all that was known of the `former` start of a server.
-    fn restarted(&self, backend: &Backend, former: Entry) {
-        self.site.log(&Event::Restarted {
-            service: backend.service.clone(),
-            server: backend.id.clone(),
-            before: former.incarnation.0,
-            after: backend.incarnation.0,
-        });
-        self.service(&former.service).unlisted(former.key);
-    }
-
     fn service(&self, name: &str) -> Rc<Service<C>> {
         if let Some(service) = self.named(name) {
             return service;
--- a/crates/standin/src/pooled/http.rs
+++ b/crates/standin/src/pooled/http.rs
@@ -87,7 +87,8 @@
             Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
         },
         "/rows-get" => {
-            let (found, version) = store.rows(&field("table_name"), &field("from"));
+            let (table, part) = (field("table_name"), field("part"));
+            let (found, version) = store.rows(&table, &part, &field("from"));
             (StatusCode::OK, rows(found, version))
         }
         "/rows-feed" => {
