Have the soak draw servers that start again, and entries by other writers

A server loses its log only while another one runs that has it. A service's last server is trusted only after the time in which others come back, which the soak's series of crashes would show as lost commits otherwise.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -17,7 +17,7 @@
 mod view;
 
 pub use contact::{Contact, Trouble};
-pub use inquiry::{ALONE, DIVIDED, OBJECTION};
+pub use inquiry::{ALONE, DIVIDED, OBJECTION, RETURN};
 use inquiry::{Inquiry, Verdict};
 pub use next::{Grant, Next, Opinion, Order, Report};
 pub use view::View;
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -24,7 +24,7 @@
 
 /// Where commits wait for one replica, a change waits this long for a replica that has what this
 /// host has seen acknowledged: restarts and cuts of servers last some seconds.
-const RETURN: Duration = Duration::from_secs(10);
+pub const RETURN: Duration = Duration::from_secs(10);
 
 /// What other hosts and the servers have said.
 #[derive(Debug, Default, Clone)]
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -30,6 +30,7 @@
 
 pub use lent::{Awaited, Lent};
 pub use life::Life;
+use restart::Last;
 pub use restart::{Meant, Start};
 
 /// A primary that is about to leave serves until shortly before its successor leads. What it
@@ -56,6 +57,8 @@
     vouch: Vouch,
     extent: Extent,
     leader: Leader,
+    /// Since when the service has had a single server, and whether it ever had another.
+    last: Last,
     absent: Option<Duration>,
     servers: BTreeMap<ServerKey, Known>,
     idle: BTreeMap<u64, Back<C>>,
@@ -107,6 +110,7 @@
                 vouch: Vouch::default(),
                 extent: Extent::default(),
                 leader: Leader::default(),
+                last: Last::default(),
                 absent: Some(Duration::ZERO),
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
@@ -210,6 +214,7 @@
 
     /// Runs what is due by time alone.
     pub fn tick(self: &Rc<Self>) {
+        self.refresh();
         self.tick_dispatch(self.site.now());
         self.sweep();
     }
@@ -452,7 +457,7 @@
         let now = self.site.now();
         let change = {
             let mut state = self.state.borrow_mut();
-            state.trust_the_last();
+            state.trust_the_last(now);
             let Some(change) = state.leader.refresh(now) else {
                 return;
             };
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -7,6 +7,7 @@
 
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
+use flamingopost_core::succession::RETURN;
 
 use super::{Service, State};
 use crate::codec::Codec;
@@ -35,6 +36,18 @@
     Unknown,
 }
 
+/// Whether a service has a single server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Last {
+    /// It never had another one.
+    #[default]
+    Never,
+    /// It has others.
+    Others,
+    /// It had others until then.
+    Since(Duration),
+}
+
 impl<C: Codec> Service<C> {
     /// Weighs whether a server may lead whose log reaches `position`, as it said to a question or
     /// on a connection of `sent`.
@@ -127,10 +140,23 @@
         }
     }
 
-    /// Where a service has one server left, no other can have more, and nobody would ever replace
-    /// it.
-    pub(super) fn trust_the_last(&mut self) {
-        if self.servers.len() > 1 {
+    /// Trusts the one server that a service has left, which nobody would ever replace: at once
+    /// where there was never another, otherwise after the time in which others come back.
+    pub(super) fn trust_the_last(&mut self, now: Duration) {
+        let count = self.servers.len();
+        if count > 1 {
+            self.last = Last::Others;
+            return;
+        }
+        let since = match self.last {
+            Last::Never => now.saturating_sub(RETURN),
+            Last::Others => now,
+            Last::Since(since) => since,
+        };
+        if self.last != Last::Never {
+            self.last = Last::Since(since);
+        }
+        if now < since + RETURN {
             return;
         }
         for server in self.servers.keys() {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use flamingopost_standin::pooled::Remains;
+
 use crate::net::End;
 
 /// Something that goes wrong, and for how long where it ends by itself.
@@ -40,6 +42,26 @@
         /// Until it comes back.
         lasts: Duration,
     },
+    /// A server dies and starts again under its id.
+    Restart {
+        /// Which one.
+        server: Victim,
+        /// Until it starts again.
+        after: Duration,
+        /// How much later its entry says so.
+        late: Duration,
+        /// What it has left.
+        remains: Remains,
+    },
+    /// Another writer puts something into the list of servers, or in the place of an entry.
+    Overwrite {
+        /// Which server's entry, or the one beside it.
+        server: usize,
+        /// What.
+        what: Garbage,
+        /// Until the server writes its entry anew.
+        lasts: Duration,
+    },
     /// A server accepts connections and answers nothing.
     Silence {
         /// Which one.
@@ -129,6 +151,19 @@
     Number(usize),
 }
 
+/// What another writer puts into the list of servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Garbage {
+    /// Bytes that nobody can read, under an id of its own.
+    Stranger,
+    /// The same in place of the server's entry.
+    Unreadable,
+    /// The server's entry in a state that nobody knows.
+    UnknownState,
+    /// The server's entry of a start before the present one, leading and about to leave.
+    FormerStart,
+}
+
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Storage {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use flamingopost_standin::pooled::Sizes;
+use flamingopost_standin::pooled::{Remains, Sizes};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::fault::{Fault, Storage, Victim};
+use crate::fault::{Fault, Garbage, Storage, Victim};
 use crate::net::End;
 
 /// Mean time between two faults of a run. Most last longer, so that they overlap.
@@ -15,6 +15,14 @@
 /// Longest time that a fault lasts: failure detection takes up to two seconds, recovery more.
 const LONGEST: Duration = Duration::from_millis(4_000);
 
+/// Seeds from here on also draw servers that start again under their id, and entries by other
+/// writers. Those below draw what they drew before there was that, so that the kept ones still show
+/// what they were kept for.
+pub const RESTARTS: u64 = 1 << 32;
+
+/// Mean time between two of these.
+const RESTARTS_SPACING: Duration = Duration::from_millis(1_500);
+
 /// How a run is made.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -75,6 +83,9 @@
             faults: Vec::new(),
         };
         plan.draw_faults(&mut dice);
+        if seed >= RESTARTS {
+            plan.draw_restarts(&mut dice);
+        }
         plan
     }
 
@@ -93,6 +104,58 @@
         self.faults.sort_by_key(|(at, _)| *at);
     }
 
+    fn draw_restarts(&mut self, dice: &mut ChaCha8Rng) {
+        let mut at = Duration::from_millis(dice.random_range(200..=1_500));
+        while at < self.length {
+            let fault = match dice.random_bool(0.7) {
+                true => self.restart(dice),
+                false => self.overwrite(dice),
+            };
+            self.faults.push((at, fault));
+            at += RESTARTS_SPACING.mul_f64(dice.random_range(0.1..1.9));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+    }
+
+    /// Quickly, before the entry of the former start has lapsed, or slowly; listed at once or late.
+    fn restart(&self, dice: &mut ChaCha8Rng) -> Fault {
+        let number = dice.random_range(0..self.sizes.servers);
+        let server = match dice.random_bool(0.5) {
+            true => Victim::Primary,
+            false => Victim::Number(number),
+        };
+        let after = match dice.random_bool(0.6) {
+            true => dice.random_range(20..=400),
+            false => dice.random_range(400..=2_500),
+        };
+        let late = match dice.random_bool(0.5) {
+            true => 0,
+            false => dice.random_range(50..=2_500),
+        };
+        Fault::Restart {
+            server,
+            after: Duration::from_millis(after),
+            late: Duration::from_millis(late),
+            remains: match dice.random_bool(0.7) {
+                true => Remains::Nothing,
+                false => Remains::Log,
+            },
+        }
+    }
+
+    fn overwrite(&self, dice: &mut ChaCha8Rng) -> Fault {
+        Fault::Overwrite {
+            server: dice.random_range(0..self.sizes.servers),
+            what: match dice.random_range(0..4) {
+                0 => Garbage::Stranger,
+                1 => Garbage::Unreadable,
+                2 => Garbage::UnknownState,
+                _ => Garbage::FormerStart,
+            },
+            lasts: Duration::from_millis(dice.random_range(50..=3_000)),
+        }
+    }
+
     fn fault(&self, dice: &mut ChaCha8Rng) -> Fault {
         let host = dice.random_range(0..self.hosts);
         let other = dice.random_range(0..self.hosts);
--- a/crates/soak/src/strike.rs
+++ b/crates/soak/src/strike.rs
@@ -3,9 +3,10 @@
 use std::os::unix::process::ExitStatusExt;
 use std::time::{Duration, Instant};
 
-use flamingopost_standin::pooled::{Faults, Mode};
+use flamingopost_standin::pooled::{Faults, Mode, Remains};
+use serde_json::json;
 
-use crate::fault::{Fault, Storage};
+use crate::fault::{Fault, Garbage, Storage, Victim};
 use crate::net::End;
 use crate::problem::Kind;
 use crate::process::Host;
@@ -17,6 +18,9 @@
 /// A server that leaves ends this long after it has said so.
 const LEAVING: Duration = Duration::from_millis(2_500);
 
+/// Key of an entry that is no server's.
+const STRANGER: &str = "ledger-0";
+
 /// How slow the slow store is.
 const SLOW: Duration = Duration::from_millis(400);
 
@@ -43,6 +47,26 @@
                 self.hosts[host].reload();
             }
             Fault::Crash { server, lasts } => self.crash(&self.victim(server), lasts).await,
+            Fault::Restart {
+                server,
+                after,
+                late,
+                remains,
+            } => {
+                let victim = self.victim(server);
+                self.restart(&victim, after, late, remains).await;
+            }
+            Fault::Overwrite {
+                server,
+                what,
+                lasts,
+            } => {
+                let victim = self.victim(Victim::Number(server));
+                self.overwrite(&victim, what);
+                tokio::time::sleep(lasts).await;
+                self.site.remove("servers", "", STRANGER);
+                self.site.register(&victim);
+            }
             Fault::Silence { server, lasts } => {
                 let silent = Faults {
                     silent: true,
@@ -157,6 +181,48 @@
         self.revive(server).await;
     }
 
+    /// A server that starts again has nothing left only where another one can take over: what all
+    /// have lost nobody can bring back.
+    async fn restart(&self, server: &str, after: Duration, late: Duration, remains: Remains) {
+        self.site.crash(server);
+        let lapse = after.min(LAPSE);
+        tokio::time::sleep(lapse).await;
+        if after > LAPSE {
+            self.site.unregister(server);
+        }
+        tokio::time::sleep(after - lapse).await;
+        let remains = match self.site.group(SERVICE).can_spare(server) {
+            true => remains,
+            false => Remains::Log,
+        };
+        // Another fault may have brought it back already: its port is taken then.
+        if self.site.restart_unlisted(server, remains).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(late).await;
+        self.site.register(server);
+    }
+
+    fn overwrite(&self, server: &str, what: Garbage) {
+        let garbage = |key| self.site.overwrite("servers", "", key, "%%%");
+        let mut entry = self.site.newest_entry(server);
+        match what {
+            Garbage::Stranger => garbage(STRANGER),
+            Garbage::Unreadable => garbage(server),
+            Garbage::UnknownState => {
+                entry["state"] = json!("resting");
+                self.site.put_entry(server, &entry);
+            }
+            Garbage::FormerStart => {
+                let born = entry["born"].as_u64().unwrap_or_default();
+                entry["born"] = json!(born.saturating_sub(1));
+                entry["state"] = json!("draining");
+                entry["reported_role"] = json!("primary");
+                self.site.put_entry(server, &entry);
+            }
+        }
+    }
+
     async fn impair(&self, server: &str, faults: Faults, lasts: Duration) {
         self.site.set_faults(server, faults);
         tokio::time::sleep(lasts).await;
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -195,6 +195,16 @@
         }
     }
 
+    /// Whether another server runs and has received what the service holds, so that `server` may
+    /// lose its log: one that hears nothing from the primary, or has lost its own, cannot stand in.
+    pub fn can_spare(&self, server: &str) -> bool {
+        self.replicate();
+        let state = self.lock();
+        let others = state.members.iter().filter(|(id, _)| *id != server);
+        let mut others = others.map(|(_, member)| member);
+        others.any(|it| it.running && !it.deaf && !it.blank)
+    }
+
     /// A server that does not run loses its log.
     pub(super) fn forget(&self, server: &str) {
         if let Some(member) = self.lock().members.get_mut(server) {
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -193,6 +193,11 @@
         self.servers[server].restart(remains).await
     }
 
+    /// The entry that a server would write now.
+    pub fn newest_entry(&self, server: &str) -> serde_json::Value {
+        entry(&self.servers[server])
+    }
+
     /// Writes `value` as a server's entry, whatever it is.
     pub fn put_entry(&self, server: &str, value: &serde_json::Value) {
         self.put("servers", server, value);
