Believe no empty primary on a host that has just started

Found by the soak: hosts that started while the other server's entry had lapsed took an empty primary for the last server of its service, and trusted it at once; a host that started believed the first primary in the list before it heard what others hold; and a doubted one was believed again where a replica's word came between question and answer. Now the last server is trusted after the time in which others come back, each server that is believed to lead is asked once more 150 ms later, and a doubted one has to show all that was seen.

--- a/crates/core/src/extent.rs
+++ b/crates/core/src/extent.rs
@@ -58,14 +58,17 @@
         sent >= self.at && position < self.furthest
     }
 
-    /// Whether `position`, shown by a server that was asked at `sent`, proves that it leads with
-    /// the service's log, although it has started again in term `since` or later.
+    /// Whether `position`, shown by a server that has started again in term `since` or later, proves
+    /// that it has the service's log all the same.
     ///
     /// The start of a term is no proof by itself: an empty log shows it as well. It counts where
     /// nothing was ever written, and in a term that began after the restart, which takes a
     /// promotion.
-    pub fn proves(&self, position: Position, sent: Duration, since: Term) -> bool {
+    ///
+    /// Unlike [`Extent::lacks`] it makes no allowance for what was shown since the question:
+    /// nothing is written that an honest primary would lack while it is not believed.
+    pub fn proves(&self, position: Position, since: Term) -> bool {
         let whole = position.log > 0 || !self.is_written() || position.term > since;
-        whole && !self.lacks(position, sent)
+        whole && position >= self.furthest
     }
 }
--- a/crates/core/tests/extent.rs
+++ b/crates/core/tests/extent.rs
@@ -58,16 +58,21 @@
 fn a_server_that_started_again_proves_its_log() {
     let mut extent = Extent::default();
     let since = term(3);
-    assert!(
-        extent.proves(position(3, 0), ms(50), since),
-        "nothing was written"
-    );
+    assert!(extent.proves(position(3, 0), since), "nothing was written");
     extent.showed(position(2, 40), ms(100));
-    assert!(!extent.proves(position(3, 0), ms(200), since));
-    assert!(!extent.proves(position(2, 39), ms(200), since));
-    assert!(extent.proves(position(2, 40), ms(200), since));
-    assert!(
-        extent.proves(position(4, 0), ms(200), since),
-        "promoted since"
-    );
+    assert!(!extent.proves(position(3, 0), since));
+    assert!(!extent.proves(position(2, 39), since));
+    assert!(extent.proves(position(2, 40), since));
+    assert!(extent.proves(position(4, 0), since), "promoted since");
+}
+
+/// A host looks at an empty primary again and again while it hears from a replica. The replica's
+/// word came between a question and its answer; the empty one was believed for a moment, and took
+/// the bids that had waited.
+#[test]
+fn no_allowance_is_made_for_a_server_that_is_doubted() {
+    let mut extent = Extent::default();
+    extent.showed(position(3, 40), ms(100));
+    assert!(!extent.lacks(position(3, 39), ms(90)));
+    assert!(!extent.proves(position(3, 39), term(3)));
 }
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -123,6 +123,7 @@
         let mut sought = Duration::ZERO;
         let mut doubted = Duration::ZERO;
         let mut pleaded = Duration::ZERO;
+        let mut checked = Duration::ZERO;
         loop {
             let now = self.site.now();
             let view = self.view(&service, &succession);
@@ -137,6 +138,12 @@
                 doubted = now;
                 self.try_primary(&service, target, since);
             }
+            if let Some(target) = service.unchecked()
+                && now >= checked + ASK
+            {
+                checked = now;
+                self.check(&service, target);
+            }
             if view.leader.is_none() && now >= sought + SEEK {
                 sought = now;
                 self.ask_servers(&service, &succession);
@@ -161,6 +168,14 @@
         });
     }
 
+    /// Asks a server that is believed to lead what it is; its answer is weighed as it comes.
+    fn check(self: &Rc<Self>, service: &Rc<Service<C>>, target: Target) {
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        tokio::task::spawn_local(async move {
+            election.ask(&service, &target).await;
+        });
+    }
+
     fn act(
         self: &Rc<Self>,
         service: &Rc<Service<C>>,
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -30,7 +30,7 @@
 
 pub use lent::{Awaited, Lent};
 pub use life::Life;
-use restart::Last;
+use restart::Check;
 pub use restart::{Meant, Start};
 
 /// A primary that is about to leave serves until shortly before its successor leads. What it
@@ -57,8 +57,9 @@
     vouch: Vouch,
     extent: Extent,
     leader: Leader,
-    /// Since when the service has had a single server, and whether it ever had another.
-    last: Last,
+    /// Since when the service has had a single server.
+    alone: Option<Duration>,
+    check: Check,
     absent: Option<Duration>,
     servers: BTreeMap<ServerKey, Known>,
     idle: BTreeMap<u64, Back<C>>,
@@ -110,7 +111,8 @@
                 vouch: Vouch::default(),
                 extent: Extent::default(),
                 leader: Leader::default(),
-                last: Last::default(),
+                alone: None,
+                check: Check::default(),
                 absent: Some(Duration::ZERO),
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
@@ -462,6 +464,7 @@
                 return;
             };
             state.dispatch.lead(change.after);
+            state.check = Check::after(now);
             if change.after.is_some()
                 && let Some(ordered) = state.ordered.take()
             {
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -10,6 +10,7 @@
 use flamingopost_core::succession::RETURN;
 
 use super::{Service, State};
+use crate::back::Target;
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::peer;
@@ -36,16 +37,19 @@
     Unknown,
 }
 
-/// Whether a service has a single server.
+/// How long after a server is believed to lead it is asked what it is. Each other server has shown
+/// by then, on a connection of its own, what it has: a few round trips between zones, and the tens
+/// of milliseconds that a server takes for a new connection.
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
+
+/// What a host checks once of a server that it believes to lead.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) enum Last {
-    /// It never had another one.
+pub(super) enum Check {
+    /// Whether it has the service's log, from this moment on.
+    Due(Duration),
+    /// Nothing any more.
     #[default]
-    Never,
-    /// It has others.
-    Others,
-    /// It had others until then.
-    Since(Duration),
+    Done,
 }
 
 impl<C: Codec> Service<C> {
@@ -58,11 +62,17 @@
     /// of another log.
     pub(super) fn weigh(self: &Rc<Self>, server: ServerKey, position: Position, sent: Duration) {
         let mut state = self.state.borrow_mut();
+        if state.dispatch.leader() == Some(server)
+            && let Check::Due(due) = state.check
+            && sent >= due
+        {
+            state.check = Check::Done;
+        }
         let doubted = state.leader.is_doubted(server);
         let leads = state.leader.get() == Some(server);
         let since = state.servers.get(&server).and_then(|known| known.back);
         let since = since.map(|(_, term)| term).unwrap_or_default();
-        if doubted && state.extent.proves(position, sent, since) {
+        if doubted && state.extent.proves(position, since) {
             state.leader.trust(server);
         } else if leads && state.extent.lacks(position, sent) {
             state.leader.doubt(server);
@@ -77,6 +87,20 @@
         }
     }
 
+    /// The server that is believed to lead, where it has not been looked at since it was.
+    ///
+    /// Guards against an empty primary on a host that has just started, and believed the first one
+    /// in the list before it had heard what the others hold.
+    pub fn unchecked(&self) -> Option<Target> {
+        let now = self.site.now();
+        let state = self.state.borrow();
+        let Check::Due(due) = state.check else {
+            return None;
+        };
+        let known = state.servers.get(&state.dispatch.leader()?)?;
+        (now >= due).then(|| known.target.clone())
+    }
+
     /// What servers that have started again have to have received before they count like others
     /// in an election.
     pub fn marks(&self) -> BTreeMap<ServerKey, Position> {
@@ -126,6 +150,13 @@
     }
 }
 
+impl Check {
+    /// Another server is believed to lead from `now` on.
+    pub(super) fn after(now: Duration) -> Check {
+        Check::Due(now + LOOK_AGAIN)
+    }
+}
+
 impl<C: Codec> State<C> {
     /// What `position`, shown by `server`, says of its data: the start of a term nothing, unless it
     /// leads that term or nothing was ever written, since an empty log shows it as well.
@@ -140,22 +171,17 @@
         }
     }
 
-    /// Trusts the one server that a service has left, which nobody would ever replace: at once
-    /// where there was never another, otherwise after the time in which others come back.
+    /// Trusts the one server that a service has left, which nobody would ever replace, after the
+    /// time in which others come back.
+    ///
+    /// A host that has just started cannot know whether there are others: the entry of one that is
+    /// down has lapsed.
     pub(super) fn trust_the_last(&mut self, now: Duration) {
-        let count = self.servers.len();
-        if count > 1 {
-            self.last = Last::Others;
+        if self.servers.len() > 1 {
+            self.alone = None;
             return;
         }
-        let since = match self.last {
-            Last::Never => now.saturating_sub(RETURN),
-            Last::Others => now,
-            Last::Since(since) => since,
-        };
-        if self.last != Last::Never {
-            self.last = Last::Since(since);
-        }
+        let since = *self.alone.get_or_insert(now);
         if now < since + RETURN {
             return;
         }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -105,13 +105,23 @@
             let Write { data, item, .. } = write;
             problems.push(Problem::new(
                 Kind::Lost,
-                format!("{data} of {item} was acknowledged and is gone"),
+                format!(
+                    "{data} of {item} was acknowledged by {} and is gone",
+                    ran(record, data)
+                ),
             ));
         }
     }
     problems
 }
 
+/// The server that ran a write.
+fn ran<'a>(record: &'a Record, data: &str) -> &'a str {
+    let ends = |run: &&Run| run.text.ends_with(data);
+    let run = record.runs.iter().find(ends);
+    run.map_or("nobody", |run| run.server.as_str())
+}
+
 /// Servers run only what callers sent, as they sent it.
 fn runs(sent: &BTreeMap<String, Sent>, runs: &[Run]) -> Vec<Problem> {
     let mut problems = Vec::new();
