Go on holding writes at a primary that is back before its successor leads

Cause: a change of the leader ended the hold on writes, also where the leader was the old primary, come back as a newer start while the order for its successor took effect. What it acknowledged in that time the successor lacked. Now the hold ends when another server leads, or the same one in a newer term.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -131,6 +131,11 @@
         self.hold = Some(hold);
     }
 
+    /// What was held when the primary's replacement was last heard of.
+    pub fn held(&self) -> Option<Hold> {
+        self.hold
+    }
+
     fn is_held(&self, now: Duration) -> bool {
         self.hold
             .is_some_and(|hold| hold.from <= now && now < hold.until)
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -463,11 +463,14 @@
             let Some(change) = state.leader.refresh(now) else {
                 return;
             };
+            let succeeds = state.succeeds(change.after);
+            let hold = state.dispatch.held().filter(|_| !succeeds);
             state.dispatch.lead(change.after);
+            if let Some(hold) = hold {
+                state.dispatch.hold(hold);
+            }
             state.check = Check::after(now);
-            if change.after.is_some()
-                && let Some(ordered) = state.ordered.take()
-            {
+            if succeeds && let Some(ordered) = state.ordered.take() {
                 self.site.promoted(now.saturating_sub(ordered));
             }
             state.absent = change.after.is_none().then_some(now);
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -171,6 +171,21 @@
         }
     }
 
+    /// Whether `leader` leads for another reason than that it came back in the term that it had led
+    /// before.
+    ///
+    /// Guards against writes at a primary that starts again with its log while its successor is
+    /// already ordered: what it acknowledges until that one leads, the successor lacks. The list
+    /// shows it as the primary for as long as that takes, so what was held goes on being held.
+    pub(super) fn succeeds(&self, leader: Option<ServerKey>) -> bool {
+        let Some(leader) = leader else {
+            return false;
+        };
+        let known = self.servers.get(&leader);
+        let back = known.and_then(|known| known.back);
+        back.is_none_or(|(_, term)| self.vouch.term() > term)
+    }
+
     /// Trusts the one server that a service has left, which nobody would ever replace, after the
     /// time in which others come back.
     ///
