--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -33,4 +33,8 @@
     /// What servers that have started again have to have received before they count like others:
     /// how far the log was seen to reach when they came back.
     pub marks: BTreeMap<ServerKey, Position>,
+    /// The former start of each of these servers.
+    pub former: BTreeMap<ServerKey, ServerKey>,
+    /// Servers that claim to lead and may lack what the service's log holds.
+    pub doubted: BTreeSet<ServerKey>,
 }
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -400,6 +400,8 @@
             synchronous,
             newest: service.newest(),
             marks: service.marks(),
+            former: service.former(),
+            doubted: service.doubted(),
         }
     }
 
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -12,7 +12,6 @@
 use flamingopost_core::leader::{Leader, Role};
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::{Contact, Trouble};
-use flamingopost_core::term::Term;
 use flamingopost_core::vouch::Vouch;
 use tokio::sync::{Notify, oneshot};
 
@@ -75,9 +74,8 @@
     target: Target,
     incarnation: Incarnation,
     life: Life,
-    /// How far the log was seen to reach, and in which term, when the server came back: `None`
-    /// where it is not known to have started again.
-    back: Option<(Position, Term)>,
+    /// How the server came back, if it is known to have started again.
+    back: Option<restart::Back>,
     contact: Contact,
     /// When statements were sent that have no answer yet.
     outstanding: BTreeMap<u64, Duration>,
@@ -146,17 +144,24 @@
                 id: backend.id.clone(),
                 service: self.name.clone(),
             };
-            let back = (state.extent.furthest(), state.vouch.term());
+            let back = match start {
+                Start::Known => None,
+                Start::Again(former) => Some(restart::Back {
+                    former,
+                    extent: state.extent.furthest(),
+                    term: state.vouch.term(),
+                }),
+            };
             let known = state.servers.entry(key).or_insert_with(|| Known {
                 target: target.clone(),
                 incarnation: backend.incarnation,
                 life: Life::default(),
-                back: (start == Start::Again).then_some(back),
+                back,
                 contact: Contact::default(),
                 outstanding: BTreeMap::new(),
             });
             known.target = target;
-            if start == Start::Again {
+            if start != Start::Known {
                 state.leader.doubt(key);
             }
         }
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -1,13 +1,14 @@
 //! Servers that have started again: whether what they claim to be is believed.
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::RETURN;
+use flamingopost_core::term::Term;
 
 use super::{Service, State};
 use crate::back::Target;
@@ -20,8 +21,19 @@
 pub enum Start {
     /// The one that it has heard of, or the first.
     Known,
-    /// One after another.
-    Again,
+    /// A newer one than the one under this key.
+    Again(ServerKey),
+}
+
+/// How a server came back.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Back {
+    /// Its former start.
+    pub former: ServerKey,
+    /// How far the service's log was seen to reach at that moment.
+    pub extent: Position,
+    /// The newest term that was known.
+    pub term: Term,
 }
 
 /// Which server another host means, as far as this one knows.
@@ -71,7 +83,7 @@
         let doubted = state.leader.is_doubted(server);
         let leads = state.leader.get() == Some(server);
         let since = state.servers.get(&server).and_then(|known| known.back);
-        let since = since.map(|(_, term)| term).unwrap_or_default();
+        let since = since.map(|back| back.term).unwrap_or_default();
         if doubted && state.extent.proves(position, since) {
             state.leader.trust(server);
         } else if leads && state.extent.lacks(position, sent) {
@@ -107,10 +119,26 @@
         let state = self.state.borrow();
         let known = state.servers.iter();
         known
-            .filter_map(|(key, known)| Some((*key, known.back?.0)))
+            .filter_map(|(key, known)| Some((*key, known.back?.extent)))
             .collect()
     }
 
+    /// The former start of each server that has started again.
+    pub fn former(&self) -> BTreeMap<ServerKey, ServerKey> {
+        let state = self.state.borrow();
+        let known = state.servers.iter();
+        known
+            .filter_map(|(key, known)| Some((*key, known.back?.former)))
+            .collect()
+    }
+
+    /// Servers whose claims to lead are not believed.
+    pub fn doubted(&self) -> BTreeSet<ServerKey> {
+        let state = self.state.borrow();
+        let keys = state.servers.keys().copied();
+        keys.filter(|key| state.leader.is_doubted(*key)).collect()
+    }
+
     /// How far the log has been seen to reach, at whichever server.
     pub fn furthest(&self) -> Position {
         self.state.borrow().extent.furthest()
@@ -183,7 +211,7 @@
         };
         let known = self.servers.get(&leader);
         let back = known.and_then(|known| known.back);
-        back.is_none_or(|(_, term)| self.vouch.term() > term)
+        back.is_none_or(|back| self.vouch.term() > back.term)
     }
 
     /// Trusts the one server that a service has left, which nobody would ever replace, after the
