Take no start of a term as proof of a server's log

Now only written positions prove a log; a server is doubted only for claiming to lead, and no longer once it has followed.

--- a/crates/core/src/extent.rs
+++ b/crates/core/src/extent.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use crate::position::Position;
-use crate::term::Term;
 
 /// How far the log of one service has been seen to reach.
 ///
@@ -58,17 +57,16 @@
         sent >= self.at && position < self.furthest
     }
 
-    /// Whether `position`, shown by a server that has started again in term `since` or later, proves
-    /// that it has the service's log all the same.
+    /// Whether `position`, shown by a server that has started again, proves that it has the service's
+    /// log all the same.
     ///
-    /// The start of a term is no proof by itself: an empty log shows it as well. It counts where
-    /// nothing was ever written, and in a term that began after the restart, which takes a
-    /// promotion.
+    /// The start of a term is no proof, not even of one that this host had not heard of: an empty
+    /// log shows it as well. It counts where nothing was ever written.
     ///
     /// Unlike [`Extent::lacks`] it makes no allowance for what was shown since the question:
     /// nothing is written that an honest primary would lack while it is not believed.
-    pub fn proves(&self, position: Position, since: Term) -> bool {
-        let whole = position.log > 0 || !self.is_written() || position.term > since;
+    pub fn proves(&self, position: Position) -> bool {
+        let whole = position.log > 0 || !self.is_written();
         whole && position >= self.furthest
     }
 }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -67,6 +67,7 @@
         }
         known.listed = version;
         known.claims = role == Role::Primary;
+        known.doubted &= known.claims;
     }
 
     /// `server` is no longer in the list.
@@ -92,12 +93,15 @@
             // A primary that was cut off while it was replaced still says that it leads, under
             // the term that has ended.
             Role::Primary => known.claims = term >= newest,
-            Role::Replica => known.claims = false,
+            Role::Replica => {
+                known.claims = false;
+                known.doubted = false;
+            }
         }
     }
 
     /// `server` may lack what the service's log holds: its claims to lead do not count until
-    /// [`Leader::trust`].
+    /// [`Leader::trust`], or until it follows: one that claims to lead after that was promoted.
     ///
     /// Guards against a primary that has started again without its log. It claims to lead the term
     /// that it led before; reads there would be stale, and writes lost when another server is
--- a/crates/core/tests/extent.rs
+++ b/crates/core/tests/extent.rs
@@ -52,18 +52,21 @@
     assert_eq!(extent.furthest(), position(3, 40));
 }
 
-/// The list says that the primary has started again. It leads on with its log, or after a promotion
-/// that came later; an empty log in its old term is no proof.
+/// The list says that the primary has started again. It had been promoted just before, in a term
+/// that this host had not heard of; its empty log showed the start of that one, and was taken for the
+/// log of a server that had been promoted since.
 #[test]
 fn a_server_that_started_again_proves_its_log() {
     let mut extent = Extent::default();
-    let since = term(3);
-    assert!(extent.proves(position(3, 0), since), "nothing was written");
+    assert!(extent.proves(position(3, 0)), "nothing was written");
     extent.showed(position(2, 40), ms(100));
-    assert!(!extent.proves(position(3, 0), since));
-    assert!(!extent.proves(position(2, 39), since));
-    assert!(extent.proves(position(2, 40), since));
-    assert!(extent.proves(position(4, 0), since), "promoted since");
+    assert!(!extent.proves(position(3, 0)));
+    assert!(!extent.proves(position(2, 39)));
+    assert!(extent.proves(position(2, 40)));
+    assert!(
+        !extent.proves(position(4, 0)),
+        "of a term that began before"
+    );
 }
 
 /// A host looks at an empty primary again and again while it hears from a replica. The replica's
@@ -74,5 +77,5 @@
     let mut extent = Extent::default();
     extent.showed(position(3, 40), ms(100));
     assert!(!extent.lacks(position(3, 39), ms(90)));
-    assert!(!extent.proves(position(3, 39), term(3)));
+    assert!(!extent.proves(position(3, 39)));
 }
--- a/crates/core/tests/leader.rs
+++ b/crates/core/tests/leader.rs
@@ -91,6 +91,25 @@
     assert_eq!(leader.get(), Some(other), "its term has ended");
 }
 
+/// An empty primary was replaced and follows its successor. Later it is promoted, and
+/// nothing is written at first; it was still doubted for what it had lost, and nobody led.
+#[test]
+fn a_server_that_has_followed_is_believed_again() {
+    let (empty, other) = servers();
+    let mut leader = Leader::default();
+    leader.listed(other, Role::Replica, 3);
+    leader.listed(empty, Role::Primary, 7);
+    leader.doubt(empty);
+    leader.listed(empty, Role::Replica, 9);
+    assert!(!leader.is_doubted(empty));
+    leader.listed(empty, Role::Primary, 12);
+    assert_eq!(leader.get(), Some(empty));
+    leader.doubt(empty);
+    leader.said(empty, Role::Replica, term(1));
+    leader.said(empty, Role::Primary, term(2));
+    assert_eq!(leader.get(), Some(empty));
+}
+
 /// A server starts again under its id. The count by which its entries are told apart is that of
 /// the list, but the former start was refused and gone for a while: nothing of that holds for the
 /// newer one, which is known under a key of its own.
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -161,7 +161,7 @@
                 outstanding: BTreeMap::new(),
             });
             known.target = target;
-            if start != Start::Known {
+            if start != Start::Known && backend.role == Role::Primary {
                 state.leader.doubt(key);
             }
         }
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -82,9 +82,7 @@
         }
         let doubted = state.leader.is_doubted(server);
         let leads = state.leader.get() == Some(server);
-        let since = state.servers.get(&server).and_then(|known| known.back);
-        let since = since.map(|back| back.term).unwrap_or_default();
-        if doubted && state.extent.proves(position, since) {
+        if doubted && state.extent.proves(position) {
             state.leader.trust(server);
         } else if leads && state.extent.lacks(position, sent) {
             state.leader.doubt(server);
