--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -131,6 +131,11 @@
         self.hold = Some(hold);
     }
 
+    /// Nothing is held any more.
+    pub fn release(&mut self) {
+        self.hold = None;
+    }
+
     /// What was held when the primary's replacement was last heard of.
     pub fn held(&self) -> Option<Hold> {
         self.hold
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -29,7 +29,7 @@
 
 pub use lent::{Awaited, Lent};
 pub use life::Life;
-use restart::Check;
+use restart::{Acquaintance, Check};
 pub use restart::{Meant, Start};
 
 /// A primary that is about to leave serves until shortly before its successor leads. What it
@@ -59,6 +59,7 @@
     /// Since when the service has had a single server.
     alone: Option<Duration>,
     check: Check,
+    acquaintance: Acquaintance,
     absent: Option<Duration>,
     servers: BTreeMap<ServerKey, Known>,
     idle: BTreeMap<u64, Back<C>>,
@@ -111,6 +112,7 @@
                 leader: Leader::default(),
                 alone: None,
                 check: Check::default(),
+                acquaintance: Acquaintance::default(),
                 absent: Some(Duration::ZERO),
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
@@ -379,6 +381,7 @@
         let hold = dispatch::Hold { from, until };
         let mut state = self.state.borrow_mut();
         state.dispatch.hold(hold);
+        state.acquaintance = Acquaintance::Made;
         state.ordered = Some(now);
     }
 
@@ -474,7 +477,7 @@
             if let Some(hold) = hold {
                 state.dispatch.hold(hold);
             }
-            state.check = Check::after(now);
+            state.check_leader(now);
             if succeeds && let Some(ordered) = state.ordered.take() {
                 self.site.promoted(now.saturating_sub(ordered));
             }
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::dispatch::Hold;
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::RETURN;
@@ -54,6 +55,22 @@
 /// of milliseconds that a server takes for a new connection.
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
 
+/// Longest time that a host which has just started sends nothing to the first server that it
+/// believes to lead: the check, and as much again for its answer.
+const ACQUAINTANCE: Duration = Duration::from_millis(350);
+
+/// Whether a host has seen a primary of the service since it started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Acquaintance {
+    /// It has not.
+    #[default]
+    None,
+    /// It has not checked the first one yet, and holds what needs it.
+    First,
+    /// It has.
+    Made,
+}
+
 /// What a host checks once of a server that it believes to lead.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum Check {
@@ -79,6 +96,7 @@
             && sent >= due
         {
             state.check = Check::Done;
+            state.acquaint();
         }
         let doubted = state.leader.is_doubted(server);
         let leads = state.leader.get() == Some(server);
@@ -197,6 +215,28 @@
         }
     }
 
+    /// Another server is believed to lead, which is checked a moment later.
+    ///
+    /// Guards against an empty primary on hosts that have all just started: none of them knows how
+    /// far the log had got, and until the check they wrote to it. So what needs the first primary
+    /// that a host hears of waits for the check.
+    pub(super) fn check_leader(&mut self, now: Duration) {
+        self.check = Check::after(now);
+        if self.acquaintance == Acquaintance::None && self.dispatch.leader().is_some() {
+            self.acquaintance = Acquaintance::First;
+            let until = now + ACQUAINTANCE;
+            self.dispatch.hold(Hold { from: now, until });
+        }
+    }
+
+    /// The first primary was checked: what was held for that goes on.
+    fn acquaint(&mut self) {
+        if self.acquaintance == Acquaintance::First {
+            self.acquaintance = Acquaintance::Made;
+            self.dispatch.release();
+        }
+    }
+
     /// Whether `leader` leads for another reason than that it came back in the term that it had led
     /// before.
     ///
