--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -539,3 +539,31 @@
     }
     assert_eq!(orders, [scene.order()]);
 }
+
+/// A replaced primary starts again with its log, before it has followed its successor. Its log ends
+/// with writes that no other server has; as a server that nobody had seen lead, it was ordered back,
+/// and what its successor had acknowledged was gone.
+#[test]
+fn a_replaced_primary_that_starts_again_is_not_ordered_back() {
+    let mut scene = scene();
+    scene.view.trouble = None;
+    scene.step(ms(500));
+    let mut names: Names<ServerKey> = Names::default();
+    let starts = ["ledger-1", "ledger-2", "ledger-3", "ledger-1 again"];
+    let again = starts.map(|name| names.intern(name))[3];
+    scene.view.former.insert(again, scene.servers[0]);
+    scene.view.candidates = BTreeSet::from([again, scene.servers[1], scene.servers[2]]);
+    scene.view.leader = None;
+    scene.view.trouble = Some(Trouble::Absent { since: ms(1_000) });
+    let mut now = ms(1_020);
+    while now < ms(9_000) {
+        for next in scene.step(now) {
+            assert!(!matches!(next, Next::Promote { .. }), "{next:?} at {now:?}");
+            if next == Next::Claim {
+                scene.succession.won(Grant(7), now);
+            }
+        }
+        scene.succession.report(again, replica(56));
+        now += ms(20);
+    }
+}
