Give up a long call once nobody tells whether it is stuck

Cause, suspected from the code: a host of a large fleet waits 25 s a call while others tell it of what it misses. It chose so when it made the call; when it stopped hearing most of the others meanwhile and the answer was lost, changes were missed for up to 26 s.

Change: at each heartbeat, a call that was made so is given up if the host no longer hears most of the others; the next one waits 1.8 s or 5 s.

--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -14,8 +14,8 @@
         5003 Info HistoryGone { what: &'static str },
         /// other hosts have read changes of {what} that this one waits for, reading all of it
         5004 Warn FeedStuck { what: &'static str },
-        /// platform answered another call again, asking anew for changes of {what}
-        5005 Info FeedDoubted { what: &'static str },
+        /// asking anew for changes of {what}: {doubt}
+        5005 Info FeedDoubted { what: &'static str, doubt: String },
         /// {service}: server {server} listed at {address} as {role:?}, leaving: {leaving}, revision {revision}
         5010 Info Listed { service: String, server: String, address: std::net::SocketAddr, role: flamingopost_core::leader::Role, leaving: bool, revision: u64 },
         /// {service}: server {server} no longer listed, dropped after {millis} ms
--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -1,6 +1,6 @@
 //! The platform's feeds, as this host follows them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::time::Duration;
 
@@ -26,7 +26,10 @@
     feed: RefCell<Feed>,
     behind: Notify,
     outage: Notify,
+    untold: Notify,
     wait: Duration,
+    /// Who looks after the call that was made last.
+    patience: Cell<Patience>,
 }
 
 /// Who notices that a feed is stuck.
@@ -39,13 +42,14 @@
 }
 
 /// Why a call that waits may wait for nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub enum Doubt {
-    /// Others have read more.
+    /// others have read more
     Behind,
-    /// The platform has answered another call again after one was lost: it may have forgotten this
-    /// one, or its answer is lost.
+    /// another call was lost before the platform answered again
     Outage,
+    /// the hosts that would tell of changes are no longer heard
+    Untold,
 }
 
 /// How a call that waits for changes has ended.
@@ -98,12 +102,15 @@
             feed: RefCell::default(),
             behind: Notify::new(),
             outage: Notify::new(),
+            untold: Notify::new(),
             wait,
+            patience: Cell::new(Patience::Own),
         }
     }
 
-    /// How long a call may wait for a change.
+    /// How long a call that is made now may wait for a change.
     pub fn wait(&self, patience: Patience) -> Duration {
+        self.patience.set(patience);
         match patience {
             Patience::Own => self.wait,
             Patience::Told => Patience::TOLD,
@@ -131,8 +138,13 @@
         self.feed.borrow_mut().told(newest, now);
     }
 
-    /// Has the call that waits given up if it is stuck.
-    pub fn look(&self, now: Duration) {
+    /// Has the call that waits given up if it is stuck, or if it was made while others would have
+    /// told that, and they no longer can.
+    pub fn look(&self, patience: Patience, now: Duration) {
+        if (self.patience.get(), patience) == (Patience::Told, Patience::Own) {
+            self.patience.set(patience);
+            self.untold.notify_waiters();
+        }
         let mut feed = self.feed.borrow_mut();
         if feed.is_stuck(now) {
             feed.ask_again(now);
@@ -147,6 +159,7 @@
             answer = call => Ended::Answered(answer),
             () = self.behind.notified() => Ended::GivenUp(Doubt::Behind),
             () = self.outage.notified() => Ended::GivenUp(Doubt::Outage),
+            () = self.untold.notified() => Ended::GivenUp(Doubt::Untold),
         }
     }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -294,11 +294,13 @@
         self.feeds.backends.told(news.backends, now);
     }
 
-    /// Has calls given up that wait for what others have read already.
+    /// Has calls given up that wait for what others have read already, or that others no longer
+    /// look after.
     pub fn look_at_feeds(&self) {
         let now = self.site.now();
-        self.feeds.configuration.look(now);
-        self.feeds.backends.look(now);
+        let patience = self.patience();
+        self.feeds.configuration.look(patience, now);
+        self.feeds.backends.look(patience, now);
     }
 
     /// Whether all hosts ask all others.
--- a/crates/proxy/src/track.rs
+++ b/crates/proxy/src/track.rs
@@ -142,7 +142,7 @@
     pub fn given_up(&mut self, doubt: Doubt) {
         match doubt {
             Doubt::Behind => self.after = None,
-            Doubt::Outage => self.sure = false,
+            Doubt::Outage | Doubt::Untold => self.sure = false,
         }
     }
 
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -225,7 +225,10 @@
         let what = track.what();
         match doubt {
             Doubt::Behind => self.site.log(&Event::FeedStuck { what }),
-            Doubt::Outage => self.site.log(&Event::FeedDoubted { what }),
+            Doubt::Outage | Doubt::Untold => self.site.log(&Event::FeedDoubted {
+                what,
+                doubt: doubt.to_string(),
+            }),
         }
         track.given_up(doubt);
     }
