--- /dev/null
+++ b/crates/core/tests/dispatch/crowd.rs
@@ -0,0 +1,179 @@
+//! Several hosts before the same server, which has more work than it bears.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use flamingopost_core::dispatch::{Dispatch, Need, Next, Server};
+use flamingopost_core::key::ServerKey;
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{keys, ms, ticket};
+
+/// Requests that the server runs at once.
+const SLOTS: usize = 2;
+
+/// Mean work of a request, in milliseconds.
+const WORK: f64 = 9.0;
+
+/// Connections that a host may have.
+const MOST: u16 = 6;
+
+/// How long the server has little work, so that hosts learn what it takes then; how long hosts
+/// have to find their parts once it has too much; how long they are counted. In milliseconds.
+const CALM: u64 = 4_000;
+const SETTLING: u64 = 8_000;
+const COUNTED: u64 = 10_000;
+
+/// Two hosts serve a service for all others of their zone, and its primary has more work than it
+/// bears. Callers of one host are answered as usual, those of the other are refused after the whole
+/// time that they may wait, beside idle connections. Each host narrows its window while requests
+/// take long, whoever's requests the primary is busy with; once the times hover where windows
+/// narrow, a host that measures a little more narrows down to one request, and the times stay as
+/// they are by the work of the other.
+#[test]
+fn hosts_share_a_crowded_server_evenly() {
+    for hosts in [2, 5] {
+        for seed in 0..4 {
+            let served = Crowd::new(hosts, seed).play();
+            let least = served.iter().min().copied().unwrap_or_default();
+            let most = served.iter().max().copied().unwrap_or_default();
+            assert!(
+                least * 2 >= most,
+                "{hosts} hosts, seed {seed}: served {served:?}"
+            );
+        }
+    }
+}
+
+/// Hosts, and the server that all of them use.
+struct Crowd {
+    rng: ChaCha8Rng,
+    server: ServerKey,
+    hosts: Vec<Host>,
+    running: Vec<(Duration, Job)>,
+    queue: VecDeque<Job>,
+    id: u64,
+    now: Duration,
+}
+
+struct Host {
+    dispatch: Dispatch,
+    served: u64,
+    opening: u64,
+}
+
+/// A request that was sent.
+#[derive(Debug, Clone, Copy)]
+struct Job {
+    host: usize,
+    connection: u64,
+    sent: Duration,
+}
+
+impl Crowd {
+    fn new(hosts: usize, seed: u64) -> Crowd {
+        let server = keys()[0];
+        let host = |_| {
+            let mut dispatch = Dispatch::default();
+            dispatch.insert(server, Server::new(true, SLOTS as u16, 3, MOST, MOST));
+            dispatch.lead(Some(server));
+            Host {
+                dispatch,
+                served: 0,
+                opening: 0,
+            }
+        };
+        Crowd {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            server,
+            hosts: (0..hosts).map(host).collect(),
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            id: 0,
+            now: ms(1_000),
+        }
+    }
+
+    /// Requests that each host had served, once all had found their parts.
+    fn play(mut self) -> Vec<u64> {
+        let start = self.now;
+        for tick in 0..CALM + SETTLING + COUNTED {
+            if tick == CALM + SETTLING {
+                self.hosts.iter_mut().for_each(|host| host.served = 0);
+            }
+            self.now = start + ms(tick);
+            self.finish();
+            // A third of what the server can run, then half as much again as that.
+            let load = if tick < CALM { 0.3 } else { 1.5 };
+            for host in 0..self.hosts.len() {
+                self.step(host, load);
+            }
+            self.begin();
+        }
+        self.hosts.iter().map(|host| host.served).collect()
+    }
+
+    /// What opens is open, callers ask, and time passes.
+    fn step(&mut self, host: usize, load: f64) {
+        let (server, now) = (self.server, self.now);
+        for _ in 0..std::mem::take(&mut self.hosts[host].opening) {
+            self.id += 1;
+            let next = self.hosts[host].dispatch.opened(server, self.id, now);
+            self.apply(host, next);
+        }
+        let all = SLOTS as f64 / WORK * load;
+        if self.rng.random_bool(all / self.hosts.len() as f64) {
+            self.id += 1;
+            let ticket = ticket(self.id, Need::Lead, now);
+            let next = self.hosts[host].dispatch.arrive(ticket, now);
+            self.apply(host, next);
+        }
+        let next = self.hosts[host].dispatch.tick(now);
+        self.apply(host, next);
+    }
+
+    /// The server answers what it has run.
+    fn finish(&mut self) {
+        let now = self.now;
+        let done: Vec<Job> = self
+            .running
+            .extract_if(.., |(until, _)| *until <= now)
+            .map(|(_, job)| job)
+            .collect();
+        for job in done {
+            let host = &mut self.hosts[job.host];
+            host.served += 1;
+            if let Some(server) = host.dispatch.server_mut(self.server) {
+                server.took(now - job.sent, now);
+            }
+            let next = host.dispatch.returned(self.server, job.connection, now);
+            self.apply(job.host, next);
+        }
+    }
+
+    /// The server runs what its slots take, in the order of arrival.
+    fn begin(&mut self) {
+        while self.running.len() < SLOTS
+            && let Some(job) = self.queue.pop_front()
+        {
+            let work = -WORK * (1.0 - self.rng.random::<f64>()).ln();
+            let until = self.now + Duration::from_secs_f64(work / 1_000.0);
+            self.running.push((until, job));
+        }
+    }
+
+    fn apply(&mut self, host: usize, next: Vec<Next>) {
+        for next in next {
+            match next {
+                Next::Lend { connection, .. } => self.queue.push_back(Job {
+                    host,
+                    connection,
+                    sent: self.now,
+                }),
+                Next::Open { .. } => self.hosts[host].opening += 1,
+                Next::Close { .. } | Next::Refuse { .. } => {}
+            }
+        }
+    }
+}
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Which pooled connection runs a request.
 
+mod crowd;
 mod load;
 mod random;
 
