Let a window bear longer times the narrower it is, so that hosts share a server evenly

Cause: windows narrow while requests take three times as long as at the unloaded server. Change: the bound falls with the size of the window, 1.25 x (1 + 4 / size), so that hosts meet where sizes are alike (as delay-based congestion control does by bounding what each sender has queued).

--- a/crates/core/src/dispatch/window.rs
+++ b/crates/core/src/dispatch/window.rs
@@ -22,8 +22,13 @@
 /// the lowest trend of some half minute.
 const DRIFT: f64 = 0.02;
 
-/// A server whose requests take this many times as long as when it was not loaded has a queue.
-const CROWDED: u32 = 3;
+/// A server whose requests take this many times as long as when it was not loaded has a queue. It is
+/// the bound of a window without end; see [`Window::is_crowded`].
+const CROWDED: f64 = 1.25;
+
+/// How much higher the bound of a window of one request is than that of a window without end, as a
+/// part of it.
+const EASE: f64 = 4.0;
 
 /// What such a queue leaves of the window.
 const NARROWER_BY_DELAY: f64 = 0.9;
@@ -76,7 +81,7 @@
         let drift = now.saturating_sub(self.unloaded_at).as_secs_f64() * DRIFT;
         self.unloaded_at = now;
         self.unloaded = self.unloaded.mul_f64(1.0 + drift).min(self.trend);
-        if self.trend > self.unloaded * CROWDED {
+        if self.is_crowded() {
             self.narrow(NARROWER_BY_DELAY, DELAY_REST, now);
         } else {
             let most = f64::from(most).max(FIRST);
@@ -84,6 +89,19 @@
         }
     }
 
+    /// Whether requests wait in the server's queue for longer than a window of this size may make
+    /// them.
+    ///
+    /// The narrower the window, the longer: all hosts measure the same queue, and with one bound
+    /// for all windows those that measure a little more would narrow down to one request each,
+    /// while the queue is what the windows of the others make it. Of two hosts before a crowded
+    /// server one then has a third of the requests of the other. With a bound that falls with the
+    /// size, windows meet where the bound is what is measured, so they are of like size.
+    fn is_crowded(&self) -> bool {
+        let bound = CROWDED * (1.0 + EASE / self.size);
+        self.trend > self.unloaded.mul_f64(bound)
+    }
+
     /// The server's queue was full. Without a narrower window the refused requests come back at
     /// once, each refusal costs a round trip, and the server answers hardly anything else.
     pub(super) fn refused(&mut self, now: Duration) {
