--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -23,23 +23,17 @@
 use crate::site::Site;
 
 mod connect;
+mod hold;
 mod lent;
 mod life;
 mod restart;
 
+pub(crate) use hold::HOLD;
 pub use lent::{Awaited, Lent};
 pub use life::Life;
 use restart::{Acquaintance, Check};
 pub use restart::{Meant, Start};
 
-/// A primary that is about to leave serves until shortly before its successor leads. What it
-/// acknowledges within this time before, its successor might not have received: many times the
-/// way between zones.
-const HANDOVER: Duration = Duration::from_millis(60);
-
-/// How long nothing is sent to a primary that is being replaced, if no successor shows.
-pub(crate) const HOLD: Duration = Duration::from_millis(1_600);
-
 /// One service on this host.
 pub struct Service<C: Codec> {
     /// Its name.
@@ -67,6 +61,8 @@
     allotment: Allotment,
     /// When a change of primary was last ordered.
     ordered: Option<Duration>,
+    /// When statements for the primary are held.
+    held: Option<dispatch::Hold>,
     /// Servers that are at their limit while this host has less than its part.
     short_of: BTreeSet<ServerKey>,
 }
@@ -123,6 +119,7 @@
                     most: 1,
                 },
                 ordered: None,
+                held: None,
                 short_of: BTreeSet::new(),
             }),
         }
@@ -223,8 +220,10 @@
 
     /// Runs what is due by time alone.
     pub fn tick(self: &Rc<Self>) {
+        let now = self.site.now();
         self.refresh();
-        self.tick_dispatch(self.site.now());
+        self.tick_hold(now);
+        self.tick_dispatch(now);
         self.sweep();
     }
 
@@ -370,21 +369,6 @@
         std::mem::take(&mut self.state.borrow_mut().short_of)
     }
 
-    /// The primary is being replaced; `planned` when it is alive and about to leave.
-    pub fn hold(&self, planned: bool) {
-        let now = self.site.now();
-        let from = match planned {
-            true => now + self.site.promotion.get().saturating_sub(HANDOVER),
-            false => now,
-        };
-        let until = now + HOLD;
-        let hold = dispatch::Hold { from, until };
-        let mut state = self.state.borrow_mut();
-        state.dispatch.hold(hold);
-        state.acquaintance = Acquaintance::Made;
-        state.ordered = Some(now);
-    }
-
     /// Another host lacks connections to a server.
     pub fn squeeze(self: &Rc<Self>, server: ServerKey) {
         let now = self.site.now();
@@ -465,7 +449,7 @@
 
     fn refresh(self: &Rc<Self>) {
         let now = self.site.now();
-        let change = {
+        let (change, succeeds) = {
             let mut state = self.state.borrow_mut();
             state.trust_the_last(now);
             let Some(change) = state.leader.refresh(now) else {
@@ -482,7 +466,7 @@
                 self.site.promoted(now.saturating_sub(ordered));
             }
             state.absent = change.after.is_none().then_some(now);
-            change
+            (change, succeeds)
         };
         self.site.log(&Event::Leads {
             service: self.name.clone(),
@@ -490,6 +474,9 @@
             before: self.name_of(change.before),
             millis: change.lasted.as_millis(),
         });
+        if succeeds {
+            self.end_hold("a server is seen to lead");
+        }
         self.alarm.notify_one();
         self.tick_dispatch(now);
     }
