--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::invariant::{self, Invariant};
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::Quorum;
@@ -22,6 +23,7 @@
 use crate::told::Told;
 
 mod homes;
+mod starts;
 mod strangers;
 
 pub use homes::Home;
@@ -68,7 +70,9 @@
 }
 
 struct Listed {
+    /// Stands for one start of the server: what is kept by it goes with it.
     key: ServerKey,
+    incarnation: Incarnation,
     service: String,
     /// When it went from the list.
     gone: Option<Duration>,
@@ -186,6 +190,7 @@
     pub fn change(&self, change: Change<Backend>) {
         match change {
             Change::Put(backend) if self.names(&backend.service) => self.put(&backend),
+            Change::Put(backend) if self.is_former(&backend) => {}
             Change::Put(backend) => self.put_aside(backend),
             Change::Spoilt(unusable) => {
                 self.spoilt(SERVERS, &unusable);
@@ -330,11 +335,13 @@
         self.feeds.backends.told(news.backends, now);
     }
 
-    /// Has calls given up that wait for what others have read already.
+    /// Has calls given up that wait for what others have read already, or that others no longer
+    /// look after.
     pub fn look_at_feeds(&self) {
         let now = self.site.now();
-        self.feeds.configuration.look(now);
-        self.feeds.backends.look(now);
+        let patience = self.patience();
+        self.feeds.configuration.look(patience, now);
+        self.feeds.backends.look(patience, now);
     }
 
     /// Whether all hosts ask all others.
@@ -424,7 +431,9 @@
     fn put(&self, backend: &Backend) {
         self.told.borrow_mut().mended(SERVERS, &backend.id);
         self.unnamed.borrow_mut().remove(&backend.id);
-        self.move_service(backend);
+        let Some((key, start)) = self.take_in(backend) else {
+            return;
+        };
         self.site.log(&Event::Listed {
             service: backend.service.clone(),
             server: backend.id.clone(),
@@ -433,45 +442,15 @@
             leaving: backend.leaving,
             revision: backend.changed.0,
         });
-        let key = {
-            let mut servers = self.servers.borrow_mut();
-            let Servers { keys, by_id } = &mut *servers;
-            let entry = by_id.entry(backend.id.clone()).or_insert_with(|| Listed {
-                key: keys.insert(backend.id.clone()),
-                service: backend.service.clone(),
-                gone: None,
-            });
-            entry.gone = None;
-            entry.key
-        };
         let service = self.service(&backend.service);
         let slots = service.slots();
-        service.listed(key, backend);
+        service.listed(key, backend, start);
         // Which hosts serve it depends on what its servers run at once.
         if service.slots() != slots {
             service.allot(self.allotment(&service.name));
         }
     }
 
-    /// Takes a server out of the service that it was of, if its entry names another one now.
-    fn move_service(&self, backend: &Backend) {
-        let moved = {
-            let mut servers = self.servers.borrow_mut();
-            let Servers { keys, by_id } = &mut *servers;
-            let before = by_id.get(&backend.id);
-            if before.is_none_or(|listed| listed.service == backend.service) {
-                return;
-            }
-            let moved = by_id.remove(&backend.id);
-            moved.inspect(|listed| {
-                keys.remove(listed.key);
-            })
-        };
-        if let Some(listed) = moved {
-            self.service(&listed.service).unlisted(listed.key);
-        }
-    }
-
     fn service(&self, name: &str) -> Rc<Service<C>> {
         if let Some(service) = self.named(name) {
             return service;
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use flamingopost_core::dispatch::{self, Dispatch, Need, Next, Standing, Ticket, Unserved};
+use flamingopost_core::extent::Extent;
+use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::{Leader, Role};
 use flamingopost_core::position::Position;
@@ -23,9 +25,14 @@
 mod connect;
 mod hold;
 mod lent;
+mod life;
+mod restart;
 
 pub(crate) use hold::HOLD;
 pub use lent::{Awaited, Lent};
+pub use life::Life;
+use restart::{Acquaintance, Check};
+pub use restart::{Meant, Start};
 
 /// One service on this host.
 pub struct Service<C: Codec> {
@@ -41,7 +48,12 @@
 struct State<C: Codec> {
     dispatch: Dispatch,
     vouch: Vouch,
+    extent: Extent,
     leader: Leader,
+    /// Since when the service has had a single server.
+    alone: Option<Duration>,
+    check: Check,
+    acquaintance: Acquaintance,
     absent: Option<Duration>,
     servers: BTreeMap<ServerKey, Known>,
     idle: BTreeMap<u64, Back<C>>,
@@ -57,6 +69,10 @@
 
 struct Known {
     target: Target,
+    incarnation: Incarnation,
+    life: Life,
+    /// How the server came back, if it is known to have started again.
+    back: Option<restart::Back>,
     contact: Contact,
     /// When statements were sent that have no answer yet.
     outstanding: BTreeMap<u64, Duration>,
@@ -88,7 +104,11 @@
             state: RefCell::new(State {
                 dispatch: Dispatch::default(),
                 vouch: Vouch::default(),
+                extent: Extent::default(),
                 leader: Leader::default(),
+                alone: None,
+                check: Check::default(),
+                acquaintance: Acquaintance::default(),
                 absent: Some(Duration::ZERO),
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
@@ -105,8 +125,8 @@
         }
     }
 
-    /// The platform lists `backend` under `key`.
-    pub fn listed(self: &Rc<Self>, key: ServerKey, backend: &Backend) {
+    /// The platform lists `backend` under `key`, which stands for one of its starts.
+    pub fn listed(self: &Rc<Self>, key: ServerKey, backend: &Backend, start: Start) {
         {
             let mut state = self.state.borrow_mut();
             let Allotment { base, fair, most } = state.allotment;
@@ -123,12 +143,26 @@
                 id: backend.id.clone(),
                 service: self.name.clone(),
             };
+            let back = match start {
+                Start::Known => None,
+                Start::Again(former) => Some(restart::Back {
+                    former,
+                    extent: state.extent.furthest(),
+                    term: state.vouch.term(),
+                }),
+            };
             let known = state.servers.entry(key).or_insert_with(|| Known {
                 target: target.clone(),
+                incarnation: backend.incarnation,
+                life: Life::default(),
+                back,
                 contact: Contact::default(),
                 outstanding: BTreeMap::new(),
             });
             known.target = target;
+            if start != Start::Known && backend.role == Role::Primary {
+                state.leader.doubt(key);
+            }
         }
         self.refresh();
     }
@@ -138,7 +172,9 @@
         let next = {
             let mut state = self.state.borrow_mut();
             state.leader.unlisted(key);
-            state.servers.remove(&key);
+            if let Some(known) = state.servers.remove(&key) {
+                known.life.end();
+            }
             state.dispatch.remove(key)
         };
         self.apply(next);
@@ -185,6 +221,7 @@
     /// Runs what is due by time alone.
     pub fn tick(self: &Rc<Self>) {
         let now = self.site.now();
+        self.refresh();
         self.tick_hold(now);
         self.tick_dispatch(now);
         self.sweep();
@@ -227,14 +264,16 @@
             return;
         };
         let passed = state.vouch.passed(position);
+        let holds = state.holds(server, position);
         if let Some(server) = state.dispatch.server_mut(server) {
-            server.saw(position, passed, now);
+            server.saw(holds, passed, now);
         }
         state.vouch.saw_term(position.term);
         state.leader.saw_term(server, position.term);
-        if led {
+        if led && !state.extent.lacks(position, sent) {
             state.vouch.led(position, sent);
         }
+        state.extent.showed(position, now);
     }
 
     /// A request took `took` at a server.
@@ -275,8 +314,8 @@
         Need::Position { position, at }
     }
 
-    /// A server said what it is.
-    pub fn said(self: &Rc<Self>, server: ServerKey, status: &Status) {
+    /// A server that was asked at `sent` said what it is.
+    pub fn said(self: &Rc<Self>, server: ServerKey, status: &Status, sent: Duration) {
         let now = self.site.now();
         {
             let mut state = self.state.borrow_mut();
@@ -288,6 +327,7 @@
                 state.vouch.saw_term(status.term);
             }
         }
+        self.weigh(server, status.received, sent);
         self.refresh();
     }
 
@@ -409,19 +449,24 @@
 
     fn refresh(self: &Rc<Self>) {
         let now = self.site.now();
-        let change = {
+        let (change, succeeds) = {
             let mut state = self.state.borrow_mut();
+            state.trust_the_last(now);
             let Some(change) = state.leader.refresh(now) else {
                 return;
             };
+            let succeeds = state.succeeds(change.after);
+            let hold = state.dispatch.held().filter(|_| !succeeds);
             state.dispatch.lead(change.after);
-            if change.after.is_some()
-                && let Some(ordered) = state.ordered.take()
-            {
+            if let Some(hold) = hold {
+                state.dispatch.hold(hold);
+            }
+            state.check_leader(now);
+            if succeeds && let Some(ordered) = state.ordered.take() {
                 self.site.promoted(now.saturating_sub(ordered));
             }
             state.absent = change.after.is_none().then_some(now);
-            change
+            (change, succeeds)
         };
         self.site.log(&Event::Leads {
             service: self.name.clone(),
@@ -429,10 +474,9 @@
             before: self.name_of(change.before),
             millis: change.lasted.as_millis(),
         });
-        self.end_hold(match change.after {
-            Some(_) => "a server is seen to lead",
-            None => "the old primary leads no more",
-        });
+        if succeeds {
+            self.end_hold("a server is seen to lead");
+        }
         self.alarm.notify_one();
         self.tick_dispatch(now);
     }
@@ -487,11 +531,14 @@
         let mut state = self.state.borrow_mut();
         let waiter = state.waiters.remove(&ticket);
         let back = state.idle.remove(&connection);
+        let known = state.servers.get(&server);
+        let life = known.map(|known| known.life.clone()).unwrap_or_default();
         match (waiter, back) {
             (Some(waiter), Some(back)) if !back.is_over() => {
                 drop(state);
                 let lent = Lent {
                     back: Some(back),
+                    life,
                     service: Rc::clone(self),
                     rests: false,
                     long: waiter.ticket.long,
