--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -31,7 +31,7 @@
 #[test]
 fn the_page_names_every_metric() {
     let mut used = BTreeSet::new();
-    for part in ["daemon", "entry", "control"] {
+    for part in ["daemon", "entry", "control", "proxy"] {
         sources(&root().join("crates").join(part).join("src"), &mut used);
     }
     let page = fs::read_to_string(root().join("docs/operators/METRICS.md")).unwrap();
