End only the hold that is over

Cause: a host that has just started holds writes until it has asked the first primary it hears of; the answer released whatever was held, also the hold of a change of primary that was heard of meanwhile. Found by reading. Change: a hold is released by itself, and one put in its place stays (the_end_of_one_hold_does_not_end_another).

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -131,9 +131,12 @@
         self.hold = Some(hold);
     }
 
-    /// Nothing is held any more.
-    pub fn release(&mut self) {
-        self.hold = None;
+    /// `hold` is over. One that was put in its place since stays: released with it, writes would
+    /// go to a primary whose successor is ordered.
+    pub fn release(&mut self, hold: Hold) {
+        if self.hold == Some(hold) {
+            self.hold = None;
+        }
     }
 
     /// What was held when the primary's replacement was last heard of.
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -177,6 +177,27 @@
     assert_eq!(lent(&dispatch.tick(now + ms(10))), Some(keys[1]));
 }
 
+/// A host has just started, and waits with writes until it has asked the first primary that it
+/// hears of. Meanwhile another host says that it replaces that primary. The answer came, the host
+/// let its writes go, and what the old primary acknowledged was missing at its successor.
+#[test]
+fn the_end_of_one_hold_does_not_end_another() {
+    let now = ms(5_000);
+    let (mut dispatch, keys) = dispatch(now);
+    let hold = |millis| Hold {
+        from: now,
+        until: now + ms(millis),
+    };
+    let (check, change) = (hold(350), hold(1_600));
+    dispatch.hold(check);
+    dispatch.hold(change);
+    assert_eq!(dispatch.arrive(ticket(1, Need::Lead, now), now), []);
+    dispatch.release(check);
+    assert_eq!(lent(&dispatch.tick(now + ms(10))), None);
+    dispatch.release(change);
+    assert_eq!(lent(&dispatch.tick(now + ms(20))), Some(keys[0]));
+}
+
 /// Three hosts hold twelve of a server's sixteen connections; a fourth has one and a queue of a
 /// hundred. Once it has asked, the others keep to their part.
 #[test]
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -66,7 +66,7 @@
     #[default]
     None,
     /// It has not checked the first one yet, and holds what needs it.
-    First,
+    First(Hold),
     /// It has.
     Made,
 }
@@ -223,17 +223,18 @@
     pub(super) fn check_leader(&mut self, now: Duration) {
         self.check = Check::after(now);
         if self.acquaintance == Acquaintance::None && self.dispatch.leader().is_some() {
-            self.acquaintance = Acquaintance::First;
             let until = now + ACQUAINTANCE;
-            self.dispatch.hold(Hold { from: now, until });
+            let hold = Hold { from: now, until };
+            self.acquaintance = Acquaintance::First(hold);
+            self.dispatch.hold(hold);
         }
     }
 
     /// The first primary was checked: what was held for that goes on.
     fn acquaint(&mut self) {
-        if self.acquaintance == Acquaintance::First {
+        if let Acquaintance::First(hold) = self.acquaintance {
             self.acquaintance = Acquaintance::Made;
-            self.dispatch.release();
+            self.dispatch.release(hold);
         }
     }
 
