--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -14,8 +14,8 @@
         5003 Info HistoryGone { what: &'static str },
         /// other hosts have read changes of {what} that this one waits for, reading all of it
         5004 Warn FeedStuck { what: &'static str },
-        /// platform answered another call again, asking anew for changes of {what}
-        5005 Info FeedDoubted { what: &'static str },
+        /// asking anew for changes of {what}: {doubt}
+        5005 Info FeedDoubted { what: &'static str, doubt: String },
         /// {service}: server {server} listed at {address} as {role:?}, leaving: {leaving}, revision {revision}
         5010 Info Listed { service: String, server: String, address: std::net::SocketAddr, role: flamingopost_core::leader::Role, leaving: bool, revision: u64 },
         /// {service}: server {server} no longer listed, dropped after {millis} ms
@@ -26,6 +26,10 @@
         5013 Info PeerGone { host: String },
         /// this host is announced, token {token}
         5014 Info Announced { token: u64 },
+        /// entry {id} of {table} is not used: {fault}; revision {revision}
+        5015 Warn Spoilt { table: &'static str, id: String, fault: String, revision: u64 },
+        /// configuration version {version} is refused and version {kept} stays in force: {fault}; revision {revision}
+        5016 Error ConfigurationRefused { version: String, kept: u64, fault: String, revision: u64 },
         /// {service}: {after} leads after {before}, which was so for {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: server {server} cannot be connected to: {error}; {connections} connections to it here, {waiting} requests wait
--- a/crates/proxy/src/track.rs
+++ b/crates/proxy/src/track.rs
@@ -12,6 +12,12 @@
 /// Longest such wait: an outage may end at any moment, and what was missed counts from then.
 pub const PAUSE_MOST: Duration = Duration::from_millis(800);
 
+/// Time between two losses of a table's history within which the second waits [`PAUSE`]. Guards
+/// against a storm: a store that keeps hardly any history refuses each feed as soon as the table
+/// has been read, and a host that reads it again at once made 1,900 calls a second to a stand-in
+/// store. The first loss waits for nothing, since what was missed counts.
+const GONE_AGAIN: Duration = Duration::from_secs(1);
+
 /// How one of the platform's tables is followed.
 ///
 /// A call that waits for changes and is lost hangs for its whole wait, and hides the end of an
@@ -46,6 +52,8 @@
     answered: Duration,
     outage: Option<Since>,
     pause: Duration,
+    /// When its history was last gone.
+    gone: Option<Duration>,
 }
 
 /// An outage that goes on.
@@ -78,8 +86,11 @@
 /// What a failed call leads to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Setback {
-    /// The changes since the last read are gone; everything is read, at once.
-    HistoryGone,
+    /// The changes since the last read are gone; everything is read.
+    HistoryGone {
+        /// Wait before that; none unless they were gone a moment ago as well.
+        pause: Duration,
+    },
     /// An outage begins.
     Begun {
         /// Time since the call was made.
@@ -107,6 +118,7 @@
             answered: now,
             outage: None,
             pause: PAUSE,
+            gone: None,
         }
     }
 
@@ -142,7 +154,7 @@
     pub fn given_up(&mut self, doubt: Doubt) {
         match doubt {
             Doubt::Behind => self.after = None,
-            Doubt::Outage => self.sure = false,
+            Doubt::Outage | Doubt::Untold => self.sure = false,
         }
     }
 
@@ -150,7 +162,10 @@
     pub fn failed(&mut self, error: &Error, now: Duration) -> Setback {
         if *error == Error::HistoryGone {
             self.after = None;
-            return Setback::HistoryGone;
+            let before = self.gone.replace(now);
+            let is_again = before.is_some_and(|before| now < before + GONE_AGAIN);
+            let pause = if is_again { PAUSE } else { Duration::ZERO };
+            return Setback::HistoryGone { pause };
         }
         self.sure = false;
         let pause = self.pause;
