--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -26,6 +26,10 @@
         5013 Info PeerGone { host: String },
         /// this host is announced, token {token}
         5014 Info Announced { token: u64 },
+        /// entry {id} of {table} is not used: {fault}; revision {revision}
+        5015 Warn Spoilt { table: &'static str, id: String, fault: String, revision: u64 },
+        /// configuration version {version} is refused and version {kept} stays in force: {fault}; revision {revision}
+        5016 Error ConfigurationRefused { version: String, kept: u64, fault: String, revision: u64 },
         /// {service}: {after} leads after {before}, which was so for {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: server {server} cannot be connected to: {error}; {connections} connections to it here, {waiting} requests wait
@@ -38,6 +42,12 @@
         5112 Warn Ordered { service: String, server: String, token: u64, outcome: String, millis: u128 },
         /// {service}: host {host} says that it changes the primary
         5113 Info OtherActs { service: String, host: String },
+        /// {service}: {server} is to lead, on the word of {hosts}
+        5114 Info Rests { service: String, server: String, hosts: String },
+        /// {service}: statements for the primary are held no longer after {millis} ms: {why}
+        5115 Info HoldEnded { service: String, why: &'static str, millis: u128 },
+        /// {service}: write {id} was acknowledged at {position} while the primary is being replaced
+        5116 Warn AcknowledgedDuring { service: String, id: String, position: String },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} tried again: {reason} at {server}, attempt {attempt} after {millis} ms
