--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -18,7 +18,7 @@
 mod view;
 
 pub use contact::{Contact, Trouble};
-pub use inquiry::{ALONE, DIVIDED, OBJECTION};
+pub use inquiry::{ALONE, DIVIDED, OBJECTION, RETURN};
 use inquiry::{Inquiry, Verdict};
 use led::Led;
 pub use next::{Grant, Next, Opinion, Order, Report};
@@ -362,7 +362,8 @@
         let best = inquiry.best(view, &self.led, now).filter(|_| quiet);
         let over = now >= until;
         let complete = inquiry.is_complete(view, &self.led, now);
-        let lacks = view.synchronous && !complete;
+        let gains = inquiry.may_gain(view, &self.led, now);
+        let lacks = view.synchronous && !complete || gains;
         match best {
             Some(server) if complete || over && !lacks => {
                 self.phase = Phase::Ordering { grant, server };
--- a/crates/core/src/succession/led.rs
+++ b/crates/core/src/succession/led.rs
@@ -16,8 +16,12 @@
 }
 
 impl Led {
-    /// Takes note of who leads in `view`.
+    /// Takes note of who leads in `view`, and of servers that have started again: what a log ends
+    /// with outlives a restart.
     pub(super) fn saw(&mut self, view: &View) {
+        for (server, former) in &view.former {
+            self.follow(*server, *former);
+        }
         if let Some(leader) = view.leader {
             let term = self.terms.entry(leader).or_default();
             *term = view.term.max(*term);
@@ -25,6 +29,15 @@
         }
     }
 
+    fn follow(&mut self, server: ServerKey, former: ServerKey) {
+        if let Some(term) = self.terms.remove(&former) {
+            self.terms.insert(server, term);
+        }
+        if self.last == Some(former) {
+            self.last = Some(server);
+        }
+    }
+
     /// Whether `server`, which says `report` of itself, was replaced and has not followed its
     /// successor yet.
     ///
@@ -40,9 +53,10 @@
 
     /// Whether nobody leads because the last known primary was replaced. Its entry is still
     /// listed, so it was not lost; and a server gives up its lead only to a successor, which this
-    /// host has not heard of yet.
+    /// host has not heard of yet. One that still claims to lead and is not believed was not
+    /// replaced.
     pub(super) fn is_replaced(&self, view: &View) -> bool {
-        let listed = |last| view.candidates.contains(&last);
+        let listed = |last| view.candidates.contains(&last) && !view.doubted.contains(&last);
         view.leader.is_none() && self.last.is_some_and(listed)
     }
 }
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -123,6 +123,7 @@
         let mut sought = Duration::ZERO;
         let mut doubted = Duration::ZERO;
         let mut pleaded = Duration::ZERO;
+        let mut checked = Duration::ZERO;
         loop {
             let now = self.site.now();
             let view = self.view(&service, &succession);
@@ -137,6 +138,12 @@
                 doubted = now;
                 self.try_primary(&service, target, since);
             }
+            if let Some(target) = service.unchecked()
+                && now >= checked + ASK
+            {
+                checked = now;
+                self.check(&service, target);
+            }
             if view.leader.is_none() && now >= sought + SEEK {
                 sought = now;
                 self.ask_servers(&service, &succession);
@@ -165,6 +172,14 @@
         });
     }
 
+    /// Asks a server that is believed to lead what it is; its answer is weighed as it comes.
+    fn check(self: &Rc<Self>, service: &Rc<Service<C>>, target: Target) {
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        tokio::task::spawn_local(async move {
+            election.ask(&service, &target).await;
+        });
+    }
+
     fn act(
         self: &Rc<Self>,
         service: &Rc<Service<C>>,
@@ -222,10 +237,11 @@
                 servers: view.candidates.len(),
             });
         }
-        let server = view.leader.map(|leader| service.name_of(Some(leader)));
+        let server = view.leader.and_then(|leader| service.named(leader));
+        let furthest = service.furthest().into();
         for (_, peer) in self.fleet.electors() {
             let server = server.clone();
-            self.send(service, Word::Ask { server }, peer.address);
+            self.send(service, Word::Ask { server, furthest }, peer.address);
         }
     }
 
@@ -251,7 +267,6 @@
                     received: status.received,
                 };
                 succession.borrow_mut().report(target.server, report);
-                service.said(target.server, &status);
                 service.alarm.notify_one();
             });
         }
@@ -267,7 +282,7 @@
         });
         let error = match asked.await {
             Ok(Ok(status)) => {
-                service.said(target.server, &status);
+                service.said(target.server, &status, sent);
                 return Probe::Status(status);
             }
             Ok(Err(error)) => error,
@@ -351,10 +366,12 @@
         let id = service.name_of(Some(server));
         let planned = self.trouble(&service) == Some(Trouble::Leaving);
         service.hold(planned);
-        for (_, peer) in self.fleet.peers() {
-            let server = id.clone();
-            let word = Word::Acting { server, planned };
-            self.send(&service, word, peer.address);
+        if let Some(named) = service.named(server) {
+            for (_, peer) in self.fleet.peers() {
+                let server = named.clone();
+                let word = Word::Acting { server, planned };
+                self.send(&service, word, peer.address);
+            }
         }
         let sent = self.site.now();
         let token = Token(grant.0);
@@ -406,6 +423,9 @@
             rank: self.fleet.rank(&service.name),
             synchronous,
             newest: service.newest(),
+            marks: service.marks(),
+            former: service.former(),
+            doubted: service.doubted(),
         }
     }
 
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -30,10 +30,16 @@
         5015 Warn Spoilt { table: &'static str, id: String, fault: String, revision: u64 },
         /// configuration version {version} is refused and version {kept} stays in force: {fault}; revision {revision}
         5016 Error ConfigurationRefused { version: String, kept: u64, fault: String, revision: u64 },
+        /// {service}: server {server} has started again, at {after} after {before} (Unix ms): what was known of it is dropped
+        5017 Warn Restarted { service: String, server: String, before: u64, after: u64 },
+        /// {service}: entry of a former start of server {server} ignored, of {former}, the newest is of {newest} (Unix ms)
+        5018 Warn FormerStart { service: String, server: String, former: u64, newest: u64 },
         /// {service}: {after} leads after {before}, which was so for {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: server {server} cannot be connected to: {error}; {connections} connections to it here, {waiting} requests wait
         5101 Warn Unconnected { service: String, server: String, error: String, connections: u16, waiting: usize },
+        /// {service}: server {server} claims to lead and shows {position}, while the log was seen to reach {furthest}: not believed
+        5102 Warn LogLost { service: String, server: String, position: flamingopost_core::position::Position, furthest: flamingopost_core::position::Position },
         /// {service}: primary in trouble ({trouble:?}), asking {hosts} hosts and {servers} servers
         5110 Warn Suspected { service: String, trouble: flamingopost_core::succession::Trouble, hosts: usize, servers: usize },
         /// {service}: claim of change {attempt}: {outcome}
--- /dev/null
+++ b/crates/proxy/src/service/restart.rs
@@ -0,0 +1,273 @@
+//! Servers that have started again: whether what they claim to be is believed.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use flamingopost_core::dispatch::Hold;
+use flamingopost_core::key::ServerKey;
+use flamingopost_core::position::Position;
+use flamingopost_core::succession::RETURN;
+use flamingopost_core::term::Term;
+
+use super::{Service, State};
+use crate::back::Target;
+use crate::codec::Codec;
+use crate::event::Event;
+use crate::peer;
+
+/// Which start of a server is listed, as far as this host knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Start {
+    /// The one that it has heard of, or the first.
+    Known,
+    /// A newer one than the one under this key.
+    Again(ServerKey),
+}
+
+/// How a server came back.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Back {
+    /// Its former start.
+    pub former: ServerKey,
+    /// How far the service's log was seen to reach at that moment.
+    pub extent: Position,
+    /// The newest term that was known.
+    pub term: Term,
+}
+
+/// Which server another host means, as far as this one knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Meant {
+    /// The start that is listed here.
+    Listed(ServerKey),
+    /// One before that, which is over.
+    Former,
+    /// One after that: the other host has read more of the list.
+    Newer,
+    /// No server of the service.
+    Unknown,
+}
+
+/// How long after a server is believed to lead it is asked what it is. Each other server has shown
+/// by then, on a connection of its own, what it has: a few round trips between zones, and the tens
+/// of milliseconds that a server takes for a new connection.
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
+
+/// Longest time that a host which has just started sends nothing to the first server that it
+/// believes to lead: the check, and as much again for its answer.
+const ACQUAINTANCE: Duration = Duration::from_millis(350);
+
+/// Whether a host has seen a primary of the service since it started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Acquaintance {
+    /// It has not.
+    #[default]
+    None,
+    /// It has not checked the first one yet, and holds what needs it.
+    First,
+    /// It has.
+    Made,
+}
+
+/// What a host checks once of a server that it believes to lead.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Check {
+    /// Whether it has the service's log, from this moment on.
+    Due(Duration),
+    /// Nothing any more.
+    #[default]
+    Done,
+}
+
+impl<C: Codec> Service<C> {
+    /// Weighs whether a server may lead whose log reaches `position`, as it said to a question or
+    /// on a connection of `sent`.
+    ///
+    /// A primary that has lost its log goes on claiming to lead, and the list may say for seconds
+    /// what its former start was. Its own first word on a new connection is older than any
+    /// statement there: a position below what some server had shown before the question is that
+    /// of another log.
+    pub(super) fn weigh(self: &Rc<Self>, server: ServerKey, position: Position, sent: Duration) {
+        let mut state = self.state.borrow_mut();
+        if state.dispatch.leader() == Some(server)
+            && let Check::Due(due) = state.check
+            && sent >= due
+        {
+            state.check = Check::Done;
+            state.acquaint();
+        }
+        let doubted = state.leader.is_doubted(server);
+        let leads = state.leader.get() == Some(server);
+        if doubted && state.extent.proves(position) {
+            state.leader.trust(server);
+        } else if leads && state.extent.lacks(position, sent) {
+            state.leader.doubt(server);
+            let furthest = state.extent.furthest();
+            drop(state);
+            self.site.log(&Event::LogLost {
+                service: self.name.clone(),
+                server: self.name_of(Some(server)),
+                position,
+                furthest,
+            });
+        }
+    }
+
+    /// The server that is believed to lead, where it has not been looked at since it was.
+    ///
+    /// Guards against an empty primary on a host that has just started, and believed the first one
+    /// in the list before it had heard what the others hold.
+    pub fn unchecked(&self) -> Option<Target> {
+        let now = self.site.now();
+        let state = self.state.borrow();
+        let Check::Due(due) = state.check else {
+            return None;
+        };
+        let known = state.servers.get(&state.dispatch.leader()?)?;
+        (now >= due).then(|| known.target.clone())
+    }
+
+    /// What servers that have started again have to have received before they count like others
+    /// in an election.
+    pub fn marks(&self) -> BTreeMap<ServerKey, Position> {
+        let state = self.state.borrow();
+        let known = state.servers.iter();
+        known
+            .filter_map(|(key, known)| Some((*key, known.back?.extent)))
+            .collect()
+    }
+
+    /// The former start of each server that has started again.
+    pub fn former(&self) -> BTreeMap<ServerKey, ServerKey> {
+        let state = self.state.borrow();
+        let known = state.servers.iter();
+        known
+            .filter_map(|(key, known)| Some((*key, known.back?.former)))
+            .collect()
+    }
+
+    /// Servers whose claims to lead are not believed.
+    pub fn doubted(&self) -> BTreeSet<ServerKey> {
+        let state = self.state.borrow();
+        let keys = state.servers.keys().copied();
+        keys.filter(|key| state.leader.is_doubted(*key)).collect()
+    }
+
+    /// How far the log has been seen to reach, at whichever server.
+    pub fn furthest(&self) -> Position {
+        self.state.borrow().extent.furthest()
+    }
+
+    /// Another host has seen the log reach `position`.
+    pub fn told(&self, position: Position) {
+        let now = self.site.now();
+        self.state.borrow_mut().extent.showed(position, now);
+    }
+
+    /// A server as other hosts are told of it.
+    pub fn named(&self, server: ServerKey) -> Option<peer::Server> {
+        let state = self.state.borrow();
+        let known = state.servers.get(&server)?;
+        let id = known.target.id.clone();
+        Some(peer::Server::new(id, known.incarnation))
+    }
+
+    /// The server that another host means.
+    pub fn meant(&self, server: &peer::Server) -> Meant {
+        let Some(key) = self.find(&server.id) else {
+            return Meant::Unknown;
+        };
+        let state = self.state.borrow();
+        let listed = state.servers.get(&key).map(|known| known.incarnation);
+        match listed.cmp(&Some(server.incarnation())) {
+            Ordering::Less => Meant::Newer,
+            Ordering::Equal => Meant::Listed(key),
+            Ordering::Greater => Meant::Former,
+        }
+    }
+
+    /// Whether a server may lack what the service's log holds.
+    pub fn is_doubted(&self, server: ServerKey) -> bool {
+        self.state.borrow().leader.is_doubted(server)
+    }
+}
+
+impl Check {
+    /// Another server is believed to lead from `now` on.
+    pub(super) fn after(now: Duration) -> Check {
+        Check::Due(now + LOOK_AGAIN)
+    }
+}
+
+impl<C: Codec> State<C> {
+    /// What `position`, shown by `server`, says of its data: the start of a term nothing, unless it
+    /// leads that term or nothing was ever written, since an empty log shows it as well.
+    ///
+    /// Guards against reads that need the start of a term: each server takes its log to contain
+    /// that, and one that has lost its log would answer from nothing.
+    pub(super) fn holds(&self, server: ServerKey, position: Position) -> Position {
+        let leads = self.dispatch.leader() == Some(server);
+        match position.log > 0 || leads || !self.extent.is_written() {
+            true => position,
+            false => Position::default(),
+        }
+    }
+
+    /// Another server is believed to lead, which is checked a moment later.
+    ///
+    /// Guards against an empty primary on hosts that have all just started: none of them knows how
+    /// far the log had got, and until the check they wrote to it. So what needs the first primary
+    /// that a host hears of waits for the check.
+    pub(super) fn check_leader(&mut self, now: Duration) {
+        self.check = Check::after(now);
+        if self.acquaintance == Acquaintance::None && self.dispatch.leader().is_some() {
+            self.acquaintance = Acquaintance::First;
+            let until = now + ACQUAINTANCE;
+            self.dispatch.hold(Hold { from: now, until });
+        }
+    }
+
+    /// The first primary was checked: what was held for that goes on.
+    fn acquaint(&mut self) {
+        if self.acquaintance == Acquaintance::First {
+            self.acquaintance = Acquaintance::Made;
+            self.dispatch.release();
+        }
+    }
+
+    /// Whether `leader` leads for another reason than that it came back in the term that it had led
+    /// before.
+    ///
+    /// Guards against writes at a primary that starts again with its log while its successor is
+    /// already ordered: what it acknowledges until that one leads, the successor lacks. The list
+    /// shows it as the primary for as long as that takes, so what was held goes on being held.
+    pub(super) fn succeeds(&self, leader: Option<ServerKey>) -> bool {
+        let Some(leader) = leader else {
+            return false;
+        };
+        let known = self.servers.get(&leader);
+        let back = known.and_then(|known| known.back);
+        back.is_none_or(|back| self.vouch.term() > back.term)
+    }
+
+    /// Trusts the one server that a service has left, which nobody would ever replace, after the
+    /// time in which others come back.
+    ///
+    /// A host that has just started cannot know whether there are others: the entry of one that is
+    /// down has lapsed.
+    pub(super) fn trust_the_last(&mut self, now: Duration) {
+        if self.servers.len() > 1 {
+            self.alone = None;
+            return;
+        }
+        let since = *self.alone.get_or_insert(now);
+        if now < since + RETURN {
+            return;
+        }
+        for server in self.servers.keys() {
+            self.leader.trust(*server);
+        }
+    }
+}
