--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -10,7 +10,7 @@
 use crate::feeds::{Doubt, Ended, Patience};
 use crate::fleet::Fleet;
 use crate::meter;
-use crate::platform::{Configuration, Error, Peer, Platform, Revision};
+use crate::platform::{Configuration, Entry, Error, Peer, Platform, Revision};
 use crate::site::Site;
 use crate::track::{Ask, Setback, Track};
 
@@ -200,9 +200,14 @@
         Ok(read.revision)
     }
 
-    fn adopt(&self, configuration: Option<Configuration>, took: Duration) {
-        if let Some(configuration) = configuration {
-            self.fleet.adopt(configuration, took);
+    /// Takes configurations in the order of their writing. One that cannot be read never replaces
+    /// one that can, and is passed over: to ask for it again would bring the same.
+    fn adopt(&self, configurations: Vec<Entry<Configuration>>, took: Duration) {
+        for configuration in configurations {
+            match configuration {
+                Ok(configuration) => self.fleet.adopt(configuration, took),
+                Err(unusable) => self.fleet.refuse(&unusable),
+            }
         }
     }
 
@@ -225,7 +230,10 @@
         let what = track.what();
         match doubt {
             Doubt::Behind => self.site.log(&Event::FeedStuck { what }),
-            Doubt::Outage => self.site.log(&Event::FeedDoubted { what }),
+            Doubt::Outage | Doubt::Untold => self.site.log(&Event::FeedDoubted {
+                what,
+                doubt: doubt.to_string(),
+            }),
         }
         track.given_up(doubt);
     }
@@ -234,9 +242,9 @@
         let what = track.what();
         meter::platform_call(what, false);
         let pause = match track.failed(error, self.site.now()) {
-            Setback::HistoryGone => {
+            Setback::HistoryGone { pause } => {
                 self.site.log(&Event::HistoryGone { what });
-                return;
+                pause
             }
             Setback::Begun {
                 called,
--- a/crates/proxy/tests/track.rs
+++ b/crates/proxy/tests/track.rs
@@ -50,7 +50,7 @@
             now = due + ANSWER;
             match track.failed(&lost(), now) {
                 Setback::Begun { pause, .. } | Setback::GoesOn { pause } => now += pause,
-                Setback::HistoryGone => unreachable!("it was lost"),
+                Setback::HistoryGone { .. } => unreachable!("it was lost"),
             }
         } else {
             now = due;
@@ -119,7 +119,30 @@
     assert_eq!(track.ask(at(200)), Ask::All);
     assert_eq!(
         track.failed(&Error::HistoryGone, at(210)),
-        Setback::HistoryGone
+        Setback::HistoryGone {
+            pause: Duration::ZERO
+        }
     );
     assert_eq!(track.ask(at(210)), Ask::All);
 }
+
+/// A store keeps hardly any history and refuses each feed as soon as the table has been read. A
+/// host that read it again at once would take all the calls that the store can answer.
+#[test]
+fn history_that_is_gone_again_is_waited_for() {
+    let mut track = Track::new("servers", at(0));
+    let gone = |pause| Setback::HistoryGone { pause };
+    track.answered(Revision(7), at(0));
+    assert_eq!(
+        track.failed(&Error::HistoryGone, at(10)),
+        gone(Duration::ZERO)
+    );
+    assert_eq!(track.ask(at(10)), Ask::All);
+    track.answered(Revision(8), at(20));
+    assert_eq!(track.failed(&Error::HistoryGone, at(30)), gone(PAUSE));
+    track.answered(Revision(9), at(240));
+    assert_eq!(
+        track.failed(&Error::HistoryGone, at(5_000)),
+        gone(Duration::ZERO)
+    );
+}
