--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -131,6 +131,19 @@
         self.hold = Some(hold);
     }
 
+    /// `hold` is over. One that was put in its place since stays: released with it, writes would
+    /// go to a primary whose successor is ordered.
+    pub fn release(&mut self, hold: Hold) {
+        if self.hold == Some(hold) {
+            self.hold = None;
+        }
+    }
+
+    /// What was held when the primary's replacement was last heard of.
+    pub fn held(&self) -> Option<Hold> {
+        self.hold
+    }
+
     fn is_held(&self, now: Duration) -> bool {
         self.hold
             .is_some_and(|hold| hold.from <= now && now < hold.until)
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -216,6 +216,9 @@
             quiet_at: ms(0),
             synchronous: false,
             newest: position(1, 40),
+            marks: BTreeMap::new(),
+            former: BTreeMap::new(),
+            doubted: BTreeSet::new(),
         }
     }
 
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -6,6 +6,7 @@
 use flamingopost_core::position::Position;
 
 use super::Service;
+use super::restart::Acquaintance;
 use crate::codec::Codec;
 use crate::event::Event;
 
@@ -29,6 +30,7 @@
         let hold = dispatch::Hold { from, until };
         let mut state = self.state.borrow_mut();
         state.dispatch.hold(hold);
+        state.acquaintance = Acquaintance::Made;
         state.ordered = Some(now);
         state.held = Some(hold);
     }
