Relieve no leaving primary by an empty replica

Found by the soak: hosts that had just started knew of no restart, all replicas were heard, and the empty one was ordered to lead while the primary, alive, had everything. It is waited for like a server that has lost its log, as long as the primary has shown that anything was written.

--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -157,7 +157,9 @@
         // The old primary may come back with its log, and is no candidate while it is gone: with a
         // server as the alternative that has lost everything it is worth the wait as well.
         let lost_all = report.is_empty() && behind;
-        lost_all || unheard && (report.is_empty() || behind)
+        // A primary that leaves is alive and has more: it may still send it.
+        let leaves = self.cause == Some(Trouble::Leaving) && view.newest.log > 0;
+        lost_all || leaves && report.is_empty() || unheard && (report.is_empty() || behind)
     }
 
     /// The candidate that has received most; ties go to the lowest key, on every host alike.
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -573,3 +573,25 @@
     }
     assert_eq!(orders, [scene.order()]);
 }
+
+/// A primary is about to leave, and its only replica has just started again without its log, which
+/// the hosts do not know: they have just started as well. The primary has all, and seconds to send
+/// it; the empty replica was ordered to lead at once.
+#[test]
+fn a_leaving_primary_is_not_relieved_by_an_empty_replica() {
+    let mut scene = scene();
+    scene.view.trouble = Some(Trouble::Leaving);
+    scene.view.candidates = BTreeSet::from([scene.servers[1]]);
+    scene.step(ms(1_000));
+    assert_eq!(scene.step(ms(1_040)), [Next::Claim]);
+    scene.succession.won(Grant(7), ms(1_045));
+    scene.succession.report(scene.servers[1], replica(0));
+    for now in (1_060..3_000).step_by(20) {
+        let next = scene.step(ms(now));
+        let promotes = next.iter().any(|it| matches!(it, Next::Promote { .. }));
+        assert!(!promotes, "at {now}");
+    }
+    scene.succession.report(scene.servers[1], replica(40));
+    let next = scene.step(ms(3_000));
+    assert!(matches!(next[..], [Next::Promote { .. }]), "{next:?}");
+}
