Look after services when a configuration names them, too

Cause: servers whose service no configuration names wait for one that does, and hosts began to look after a service's primary only with the next answer about servers: on a host that reads the list first, a primary that died in between was not replaced for seconds.

--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -80,6 +80,8 @@
                 Ended::Answered(Ok(read)) => {
                     self.answered(&mut track, read.revision);
                     self.adopt(read.value, self.site.now().saturating_sub(asked));
+                    // Its services may have servers that were listed before it named them.
+                    self.election.attend();
                     let version = self.fleet.version();
                     feed.read(version, Some(version));
                 }
