Show four ways in which changes in quick succession lose or strand a service's log

Cause: which term a server led is taken from whichever log was seen, a log that ends in that term counts as not following, and a token serves for orders of several servers. Tests only; nothing is mended.

--- /dev/null
+++ b/crates/core/tests/succession_terms.rs
@@ -0,0 +1,220 @@
+//! Which servers are passed over after several changes of a service's primary.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::leader::Role;
+use flamingopost_core::names::Names;
+use flamingopost_core::position::Position;
+use flamingopost_core::succession::{
+    Grant, Next, Opinion, Order, Report, Succession, Trouble, View,
+};
+use flamingopost_core::term::Term;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn position(term: i64, log: u64) -> Position {
+    Position {
+        term: Term::from_number(term),
+        log,
+    }
+}
+
+/// What a server says that follows the primary of `term`.
+fn replica(term: i64, received: Position) -> Report {
+    Report {
+        role: Role::Replica,
+        term: Term::from_number(term),
+        received,
+    }
+}
+
+/// Six hosts of which one is played, and servers of which the first has led the first term.
+struct Scene {
+    succession: Succession,
+    view: View,
+    servers: Vec<ServerKey>,
+    hosts: Vec<HostKey>,
+}
+
+fn scene(servers: &[&str]) -> Scene {
+    let mut names: Names<ServerKey> = Names::default();
+    let servers: Vec<ServerKey> = servers.iter().map(|name| names.intern(name)).collect();
+    let mut names: Names<HostKey> = Names::default();
+    let hosts: Vec<HostKey> = (2..=6)
+        .map(|i| names.intern(&format!("entry-{i}")))
+        .collect();
+    let view = View {
+        leader: Some(servers[0]),
+        term: Term::from_number(1),
+        trouble: None,
+        candidates: servers.iter().copied().collect(),
+        peers: hosts.iter().copied().collect(),
+        rank: 0,
+        quiet_at: ms(0),
+        synchronous: true,
+        newest: position(1, 40),
+        marks: BTreeMap::new(),
+        former: BTreeMap::new(),
+        doubted: BTreeSet::new(),
+    };
+    Scene {
+        succession: Succession::default(),
+        view,
+        servers,
+        hosts,
+    }
+}
+
+impl Scene {
+    /// The second server is seen to lead the second term.
+    fn succeed(&mut self, now: Duration) {
+        self.view.leader = Some(self.servers[1]);
+        self.view.term = Term::from_number(2);
+        self.view.trouble = None;
+        self.succession.step(&self.view, now);
+    }
+
+    /// All hosts miss the primary from `from` on and servers say `reports`; the first order until
+    /// `until`, and when it was given.
+    fn lose(
+        &mut self,
+        reports: &[(ServerKey, Report)],
+        from: Duration,
+        until: Duration,
+    ) -> Option<(ServerKey, Duration)> {
+        self.view.trouble = Some(Trouble::Refuses { since: from });
+        let mut now = from;
+        while now < until {
+            let mut steps = self.succession.step(&self.view, now);
+            for host in &self.hosts {
+                self.succession.opinion(*host, Opinion::Fails);
+            }
+            for (server, report) in reports {
+                self.succession.report(*server, *report);
+            }
+            if steps.contains(&Next::Claim) {
+                steps.extend(self.succession.won(Grant(7), now));
+            }
+            for next in steps {
+                if let Next::Promote { server, .. } = next {
+                    return Some((server, now));
+                }
+            }
+            now += ms(20);
+        }
+        None
+    }
+}
+
+/// A primary is replaced. A host reads at a replica that has the second term's log before it learns
+/// who leads that term, and still takes the first primary for the leader. The first primary comes
+/// back and follows; it alone has the last acknowledged bids when its successor dies. The host
+/// takes it for one that led the second term, passes it over, and the bids are lost.
+#[test]
+fn a_term_known_from_a_replica_is_not_one_that_the_old_primary_led() {
+    let mut scene = scene(&["ledger-1", "ledger-2", "ledger-3"]);
+    scene.succession.step(&scene.view, ms(500));
+    scene.view.term = Term::from_number(2);
+    scene.succession.step(&scene.view, ms(600));
+    scene.succeed(ms(700));
+    scene.view.newest = position(2, 60);
+    let reports = [
+        (scene.servers[0], replica(2, position(2, 60))),
+        (scene.servers[2], replica(2, position(2, 50))),
+    ];
+    let ordered = scene.lose(&reports, ms(30_000), ms(45_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(scene.servers[0]), "{ordered:?}");
+}
+
+/// A service of two servers. The primary was replaced, came back and follows, and nothing was
+/// written since, so its log still ends in the first term though it knows the second. Then the
+/// successor dies and its entry stays listed. Nobody else is there to lead, and nobody is ordered.
+#[test]
+fn a_replaced_primary_that_follows_leads_again_where_it_is_the_last() {
+    let mut scene = scene(&["ledger-1", "ledger-2"]);
+    scene.succession.step(&scene.view, ms(500));
+    scene.succeed(ms(700));
+    let reports = [(scene.servers[0], replica(2, position(1, 40)))];
+    let ordered = scene.lose(&reports, ms(30_000), ms(60_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(scene.servers[0]), "none within 30 s");
+}
+
+/// The same change, with the host told of the successor at once: the old primary counts.
+#[test]
+fn an_old_primary_that_follows_is_a_candidate() {
+    let mut scene = scene(&["ledger-1", "ledger-2", "ledger-3"]);
+    scene.succession.step(&scene.view, ms(500));
+    scene.succeed(ms(700));
+    scene.view.newest = position(2, 60);
+    let reports = [
+        (scene.servers[0], replica(2, position(2, 60))),
+        (scene.servers[2], replica(2, position(2, 50))),
+    ];
+    let ordered = scene.lose(&reports, ms(30_000), ms(45_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(scene.servers[0]), "{ordered:?}");
+}
+
+/// The store is away, and a host orders a replica under the token that it has. The answer is lost,
+/// the replica dies, and the host orders the other one under the same token, which leads. Seconds
+/// later the platform carries out the first order: its token is not lower than the last one. Bids
+/// that the new primary has acknowledged are rolled back.
+#[test]
+fn an_order_without_an_answer_is_not_followed_by_another_under_its_token() {
+    let mut scene = scene(&["ledger-1", "ledger-2", "ledger-3"]);
+    scene.view.synchronous = false;
+    scene.succession.reserve(Grant(7));
+    scene.view.trouble = Some(Trouble::Refuses { since: ms(1_000) });
+    let mut orders: Vec<(ServerKey, Grant)> = Vec::new();
+    for now in (1_000..12_000).step_by(20).map(ms) {
+        let steps = scene.succession.step(&scene.view, now);
+        for host in &scene.hosts {
+            scene.succession.opinion(*host, Opinion::Fails);
+        }
+        let report = replica(1, position(1, 40));
+        scene.succession.report(scene.servers[1], report);
+        if orders.is_empty() {
+            let report = replica(1, position(1, 43));
+            scene.succession.report(scene.servers[2], report);
+        }
+        for next in steps {
+            match next {
+                Next::Claim => scene.succession.unclaimed(0, now),
+                Next::Promote { server, grant } => {
+                    orders.push((server, grant));
+                    scene.succession.ordered(Order::Unknown, now + ms(500));
+                }
+                Next::AskHosts | Next::AskServers => {}
+            }
+        }
+    }
+    let (first, token) = orders[0];
+    let others = orders.iter().filter(|(server, _)| *server != first);
+    let again = others.filter(|(_, grant)| *grant == token).count();
+    assert_eq!(again, 0, "{orders:?}");
+}
+
+/// A replaced primary is back and follows. Before anything is written under its successor, that one
+/// dies too. The old primary has all that was acknowledged and the third server lags by seconds, yet
+/// that one is ordered, as the old primary's log still ends in the term that it led: thirty
+/// acknowledged bids are gone.
+#[test]
+fn a_replaced_primary_that_follows_is_better_than_a_server_that_lags() {
+    let mut scene = scene(&["ledger-1", "ledger-2", "ledger-3"]);
+    scene.view.synchronous = false;
+    scene.succession.step(&scene.view, ms(500));
+    scene.succeed(ms(700));
+    let reports = [
+        (scene.servers[0], replica(2, position(1, 40))),
+        (scene.servers[2], replica(2, position(1, 10))),
+    ];
+    let ordered = scene.lose(&reports, ms(3_000), ms(20_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(scene.servers[0]), "{ordered:?}");
+}
