Show that hosts take no turns at a second primary that leaves, and that a last host orders nobody

Cause: the moment since which a primary leaves is only forgotten when something else goes wrong; a server that led is passed over without end where most hosts are silent.

--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -218,3 +218,44 @@
     let server = ordered.map(|(server, _)| server);
     assert_eq!(server, Some(scene.servers[0]), "{ordered:?}");
 }
+
+/// Two primaries leave one after the other, as in a rolling restart, with nothing else wrong between.
+/// At the second one no host waits its turn any more: all claim and ask at once, which fills the
+/// servers' connections.
+#[test]
+fn hosts_take_turns_at_a_second_primary_that_leaves() {
+    let mut scene = scene(&["ledger-1", "ledger-2", "ledger-3"]);
+    scene.view.rank = 2;
+    scene.view.trouble = Some(Trouble::Leaving);
+    assert_eq!(scene.succession.step(&scene.view, ms(1_000)), []);
+    scene.succession.other_acts(ms(1_010));
+    scene.succeed(ms(2_000));
+    assert_eq!(scene.succession.step(&scene.view, ms(50_000)), []);
+    scene.view.trouble = Some(Trouble::Leaving);
+    assert_eq!(scene.succession.step(&scene.view, ms(60_000)), []);
+}
+
+/// The same service of two servers on the last host that is up: the successor is gone from the list
+/// too, so that one host may act. It claims again and again and orders nobody, for ever.
+#[test]
+fn the_last_host_orders_a_replaced_primary_that_follows() {
+    let mut scene = scene(&["ledger-1", "ledger-2"]);
+    scene.succession.step(&scene.view, ms(500));
+    scene.succeed(ms(700));
+    scene.view.leader = None;
+    scene.view.candidates.remove(&scene.servers[1]);
+    let since = ms(30_000);
+    scene.view.trouble = Some(Trouble::Absent { since });
+    let mut orders = Vec::new();
+    for now in (30_000..90_000).step_by(20).map(ms) {
+        let mut steps = scene.succession.step(&scene.view, now);
+        let report = replica(2, position(1, 40));
+        scene.succession.report(scene.servers[0], report);
+        if steps.contains(&Next::Claim) {
+            steps.extend(scene.succession.won(Grant(7), now));
+        }
+        let promotes = |it: &Next| matches!(it, Next::Promote { .. });
+        orders.extend(steps.into_iter().filter(promotes));
+    }
+    assert!(!orders.is_empty(), "nobody is ordered within 60 s");
+}
