Note the term that a server itself led in, and do not reuse a token while an order is unanswered

Cause 1: the term that a host noted for a former primary was the newest that any log had shown, also a replica's of its successor. The former primary, following again and alone with the last commits, was passed over. Now it is the term in which the server itself showed that it leads. Cause 2: with the store away, an order without an answer was followed by one for another server under the same token. The platform may carry the first one out later. Now another server is ordered under that token only after 15 s. Cause 3: where the dead primary stays listed and only a replaced one is left, nobody was ordered, since the 10 s bound looked at services without a known primary only. Now it counts for each trouble. Cause 4: at a second planned change all hosts claimed at once: since when a primary leaves was never forgotten.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -50,6 +50,8 @@
     /// It may lack what the service's log holds: whatever it claims does not count.
     doubted: bool,
     term: Term,
+    /// The newest term in which it has itself shown that it leads.
+    led: Term,
     listed: u64,
 }
 
@@ -60,6 +62,7 @@
             claims: false,
             doubted: false,
             term: Term::default(),
+            led: Term::default(),
             listed: 0,
         });
         if version <= known.listed {
@@ -92,7 +95,10 @@
         match role {
             // A primary that was cut off while it was replaced still says that it leads, under
             // the term that has ended.
-            Role::Primary => known.claims = term >= newest,
+            Role::Primary => {
+                known.claims = term >= newest;
+                known.led = known.led.max(term);
+            }
             Role::Replica => {
                 known.claims = false;
                 known.doubted = false;
@@ -125,6 +131,20 @@
         known.is_some_and(|known| known.doubted)
     }
 
+    /// `server` answered what only the primary of `term` answers.
+    pub fn led(&mut self, server: ServerKey, term: Term) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.led = known.led.max(term);
+        }
+    }
+
+    /// The newest term in which `server` has itself shown that it leads; the first where it has
+    /// not.
+    pub fn term_led(&self, server: ServerKey) -> Term {
+        let known = self.servers.get(&server);
+        known.map_or_else(Term::default, |known| known.led)
+    }
+
     /// The log of `server` reaches `term`.
     pub fn saw_term(&mut self, server: ServerKey, term: Term) {
         if let Some(known) = self.servers.get_mut(&server) {
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -39,6 +39,10 @@
 /// about a second.
 const EFFECT: Duration = Duration::from_millis(2_500);
 
+/// How long an order without an answer may be carried out late: the platform speaks of seconds, and
+/// this is several of them.
+const LATE: Duration = Duration::from_secs(15);
+
 /// Hosts relieve a leaving primary one after the other with this between them: a claim and an
 /// order take about as long.
 const RELIEF_TURN: Duration = Duration::from_millis(20);
@@ -65,6 +69,16 @@
     /// Since when the primary is known to be about to leave.
     leaving: Option<Duration>,
     led: Led,
+    /// An order that had no answer.
+    unanswered: Option<Unanswered>,
+}
+
+/// An order without an answer: the platform may carry it out later.
+#[derive(Debug, Clone, Copy)]
+struct Unanswered {
+    grant: Grant,
+    server: ServerKey,
+    at: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -192,8 +206,12 @@
 
     /// How the order ended.
     pub fn ordered(&mut self, order: Order, now: Duration) {
-        if !matches!(self.phase, Phase::Ordering { .. }) {
+        let Phase::Ordering { grant, server } = self.phase else {
             return;
+        };
+        if order == Order::Unknown {
+            let at = now;
+            self.unanswered = Some(Unanswered { grant, server, at });
         }
         self.phase = match order {
             Order::Accepted | Order::Unknown => Phase::Awaiting {
@@ -215,6 +233,9 @@
         if matches!(view.trouble, None | Some(Trouble::Leaving)) {
             self.outvoted = None;
         }
+        if view.trouble.is_none() {
+            self.leaving = None;
+        }
         match std::mem::take(&mut self.phase) {
             Phase::Watching => self.watch(view, now),
             Phase::Inquiring(inquiry) => self.judge(inquiry, view, now),
@@ -359,7 +380,8 @@
         // Hosts that are cut off together with the primary may go on writing to it; what they
         // acknowledge after the order, the successor lacks.
         let quiet = inquiry.cause == Some(Trouble::Leaving) || now >= view.quiet_at;
-        let best = inquiry.best(view, &self.led, now).filter(|_| quiet);
+        let best = inquiry.best(view, &self.led, now);
+        let best = best.filter(|best| quiet && self.may_order(grant, *best, now));
         let over = now >= until;
         let complete = inquiry.is_complete(view, &self.led, now);
         let gains = inquiry.may_gain(view, &self.led, now);
@@ -395,6 +417,17 @@
         }
     }
 
+    /// Whether an order for `server` may go out under `grant`.
+    ///
+    /// Guards against an order without an answer that the platform carries out after a later one:
+    /// the platform refuses lower tokens only, so under one token the earlier order would replace
+    /// the server of the later one and roll back what that has acknowledged.
+    fn may_order(&self, grant: Grant, server: ServerKey, now: Duration) -> bool {
+        self.unanswered.is_none_or(|order| {
+            order.grant != grant || order.server == server || now >= order.at + LATE
+        })
+    }
+
     /// Stays in `phase` until the trouble or the wait is over.
     fn wait(&mut self, phase: Phase, until: Duration, view: &View, now: Duration) -> Vec<Next> {
         if view.trouble.is_none() {
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -171,10 +171,13 @@
         if let Some(best) = self.longest(view, fit) {
             return Some(best);
         }
-        let long = match view.trouble {
-            Some(Trouble::Absent { since }) => now >= since + RETURN,
-            _ => false,
+        let since = match view.trouble {
+            Some(
+                Trouble::Absent { since } | Trouble::Refuses { since } | Trouble::Silent { since },
+            ) => Some(since),
+            Some(Trouble::Leaving) | None => None,
         };
+        let long = since.is_some_and(|since| now >= since + RETURN);
         match long && self.has_most(view) {
             true => self.longest(view, |_, _| true),
             false => None,
--- a/crates/core/src/succession/led.rs
+++ b/crates/core/src/succession/led.rs
@@ -8,7 +8,7 @@
 use super::next::Report;
 use super::view::View;
 
-/// Servers that were seen to lead, each with the newest term that was known while it did.
+/// Servers that were seen to lead, each with the newest term in which it did.
 #[derive(Debug, Default)]
 pub(super) struct Led {
     terms: BTreeMap<ServerKey, Term>,
@@ -24,7 +24,10 @@
         }
         if let Some(leader) = view.leader {
             let term = self.terms.entry(leader).or_default();
-            *term = view.term.max(*term);
+            // Not the newest term that is known: a replica's log shows a change before the host
+            // hears of the successor, and the old primary would count as having led that term. Once
+            // it follows, it would be passed over with commits that it alone has.
+            *term = view.led.max(*term);
             self.last = Some(leader);
         }
     }
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -16,6 +16,9 @@
     pub leader: Option<ServerKey>,
     /// The newest term that is known to have begun.
     pub term: Term,
+    /// The newest term in which the one who leads has itself shown that it leads. Another server's
+    /// log may show a newer one before its primary is heard of.
+    pub led: Term,
     /// What is wrong with the primary, as far as this host sees.
     pub trouble: Option<Trouble>,
     /// Servers that may take over: listed and not leaving.
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -50,6 +50,7 @@
     let view = View {
         leader: Some(servers[0]),
         term: Term::from_number(1),
+        led: Term::from_number(1),
         trouble: Some(Trouble::Refuses { since: ms(1_000) }),
         candidates: servers.into_iter().collect(),
         peers: hosts.iter().copied().collect(),
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -209,6 +209,7 @@
         View {
             leader: it.leader.map(|server| self.server_keys[server]),
             term: Term::from_number(it.term),
+            led: Term::from_number(it.term),
             trouble,
             candidates: self.server_keys.iter().copied().collect(),
             peers: peers.iter().map(|peer| self.host_keys[*peer]).collect(),
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -412,6 +412,7 @@
         View {
             leader: service.leader(),
             term: service.term(),
+            led: service.term_led(),
             trouble: self.trouble(service),
             candidates: candidates.map(|(target, _)| target.server).collect(),
             peers: peers
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -272,6 +272,7 @@
         state.leader.saw_term(server, position.term);
         if led && !state.extent.lacks(position, sent) {
             state.vouch.led(position, sent);
+            state.leader.led(server, position.term);
         }
         state.extent.showed(position, now);
     }
@@ -437,6 +438,13 @@
             .map(|(key, _)| *key)
     }
 
+    /// The newest term in which the primary has itself shown that it leads.
+    pub fn term_led(&self) -> flamingopost_core::term::Term {
+        let state = self.state.borrow();
+        let leader = state.dispatch.leader();
+        leader.map_or_else(Default::default, |leader| state.leader.term_led(leader))
+    }
+
     /// The newest position of a primary's log that this host has heard of.
     pub fn newest(&self) -> Position {
         self.state.borrow().vouch.newest()
