Cut nothing off at a server whose entry has gone

Cause: what is on its way at a server, and open transactions there, ended when its entry lapsed, since that ended the same life as a newer start does. A server that only cannot reach the platform is still at work. Change: only a newer start ends them. Test: a_transaction_ends_at_a_server_whose_entry_has_gone, which failed before (ABORTED). Found by reading the join.

--- a/crates/core/src/succession/led.rs
+++ b/crates/core/src/succession/led.rs
@@ -47,7 +47,7 @@
     /// A primary that is cut off goes on writing until its successor leads. Its log then ends with
     /// writes that no other server has, so it is the longest and looks like the best candidate. A
     /// server that was promoted with such a log brought back what the change had dropped, and
-    /// dropped what its successor had acknowledged since: 816 to 849 stale reads on 3 of 24 plays.
+    /// dropped what its successor had acknowledged since: 816 to 849 stale reads in 3 of 24 trials.
     /// A log that has reached a newer term than its server led in follows the successor's.
     pub(super) fn is_superseded(&self, server: ServerKey, report: &Report) -> bool {
         let term = self.terms.get(&server);
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -167,14 +167,21 @@
         self.refresh();
     }
 
-    /// The platform no longer lists the server.
+    /// The server under `key` has started again: what is on its way there gets no answer any more.
+    pub fn restarted(self: &Rc<Self>, key: ServerKey) {
+        if let Some(known) = self.state.borrow().servers.get(&key) {
+            known.life.end();
+        }
+        self.unlisted(key);
+    }
+
+    /// The platform no longer lists the server. It may still be at work, cut off from the platform:
+    /// what is on its way there is awaited, and open transactions go on to their end.
     pub fn unlisted(self: &Rc<Self>, key: ServerKey) {
         let next = {
             let mut state = self.state.borrow_mut();
             state.leader.unlisted(key);
-            if let Some(known) = state.servers.remove(&key) {
-                known.life.end();
-            }
+            state.servers.remove(&key);
             state.dispatch.remove(key)
         };
         self.apply(next);
--- a/crates/proxy/src/service/life.rs
+++ b/crates/proxy/src/service/life.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-/// Whether one start of a server is over: it has gone from the list, or has started again.
+/// Whether one start of a server is over: the server has started again.
 ///
 /// Guards against waiting for an answer that nobody will give. Where a server's machine went dark
 /// with it, nothing comes back on its connections, not even that they have ended, and a statement
