--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -1,11 +1,11 @@
 //! One service on this host: its servers, the pooled connections to them, and who waits for one.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use flamingopost_core::dispatch::{self, Dispatch, Need, Next, Standing, Ticket, Unserved};
+use flamingopost_core::dispatch::{self, Dispatch, Need, Standing, Ticket, Unserved};
 use flamingopost_core::extent::Extent;
 use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::key::ServerKey;
@@ -19,13 +19,14 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::Status;
-use crate::platform::Backend;
 use crate::site::Site;
 
 mod connect;
 mod hold;
 mod lent;
 mod life;
+mod listing;
+mod queue;
 mod restart;
 
 pub(crate) use hold::HOLD;
@@ -125,106 +126,6 @@
         }
     }
 
-    /// The platform lists `backend` under `key`, which stands for one of its starts.
-    pub fn listed(self: &Rc<Self>, key: ServerKey, backend: &Backend, start: Start) {
-        {
-            let mut state = self.state.borrow_mut();
-            let Allotment { base, fair, most } = state.allotment;
-            let local = backend.zone == self.site.zone;
-            let mut server = dispatch::Server::new(local, backend.slots, base, fair, most);
-            if backend.leaving {
-                server.standing = Standing::Leaving;
-            }
-            state.dispatch.insert(key, server);
-            state.leader.listed(key, backend.role, backend.changed.0);
-            let target = Target {
-                server: key,
-                address: backend.address,
-                id: backend.id.clone(),
-                service: self.name.clone(),
-            };
-            let back = match start {
-                Start::Known => None,
-                Start::Again(former) => Some(restart::Back {
-                    former,
-                    extent: state.extent.furthest(),
-                    term: state.vouch.term(),
-                }),
-            };
-            let known = state.servers.entry(key).or_insert_with(|| Known {
-                target: target.clone(),
-                incarnation: backend.incarnation,
-                life: Life::default(),
-                back,
-                contact: Contact::default(),
-                outstanding: BTreeMap::new(),
-            });
-            known.target = target;
-            if start != Start::Known && backend.role == Role::Primary {
-                state.leader.doubt(key);
-            }
-        }
-        self.refresh();
-    }
-
-    /// The server under `key` has started again: what is on its way there gets no answer any more.
-    pub fn restarted(self: &Rc<Self>, key: ServerKey) {
-        if let Some(known) = self.state.borrow().servers.get(&key) {
-            known.life.end();
-        }
-        self.unlisted(key);
-    }
-
-    /// The platform no longer lists the server. It may still be at work, cut off from the platform:
-    /// what is on its way there is awaited, and open transactions go on to their end.
-    pub fn unlisted(self: &Rc<Self>, key: ServerKey) {
-        let next = {
-            let mut state = self.state.borrow_mut();
-            state.leader.unlisted(key);
-            state.servers.remove(&key);
-            state.dispatch.remove(key)
-        };
-        self.apply(next);
-        self.refresh();
-    }
-
-    /// The connections that this host may have have changed.
-    pub fn allot(&self, allotment: Allotment) {
-        let mut state = self.state.borrow_mut();
-        state.allotment = allotment;
-        let keys: Vec<ServerKey> = state.servers.keys().copied().collect();
-        for key in keys {
-            if let Some(server) = state.dispatch.server_mut(key) {
-                server.base = allotment.base;
-                server.fair = allotment.fair;
-                server.most = allotment.most;
-            }
-        }
-    }
-
-    /// Waits for a connection that may serve `ticket`.
-    ///
-    /// # Errors
-    /// Why there was none before the ticket's deadline.
-    pub async fn acquire(self: &Rc<Self>, ticket: Ticket) -> Result<Lent<C>, Unserved> {
-        let now = self.site.now();
-        let id = ticket.id;
-        let (sender, receiver) = oneshot::channel();
-        let next = {
-            let mut state = self.state.borrow_mut();
-            let waiter = Waiter {
-                ticket: ticket.clone(),
-                sender,
-            };
-            state.waiters.insert(id, waiter);
-            state.dispatch.arrive(ticket, now)
-        };
-        let _waiting = Waiting { service: self, id };
-        self.apply(next);
-        // The sender is dropped unused only with the service itself.
-        receiver.await.unwrap_or(Err(Unserved::Busy))
-    }
-
     /// Runs what is due by time alone.
     pub fn tick(self: &Rc<Self>) {
         let now = self.site.now();
@@ -516,75 +417,6 @@
             }
         }
     }
-
-    fn apply(self: &Rc<Self>, next: Vec<Next>) {
-        let mut queue = VecDeque::from(next);
-        while let Some(next) = queue.pop_front() {
-            match next {
-                Next::Lend {
-                    ticket,
-                    server,
-                    connection,
-                } => queue.extend(self.lend(ticket, server, connection)),
-                Next::Open { server } => self.open(server),
-                Next::Close { connection, .. } => {
-                    self.state.borrow_mut().idle.remove(&connection);
-                }
-                Next::Refuse { ticket, why } => {
-                    let waiter = self.state.borrow_mut().waiters.remove(&ticket);
-                    if let Some(waiter) = waiter {
-                        // A caller that no longer waits needs no answer.
-                        let _ = waiter.sender.send(Err(why));
-                    }
-                }
-            }
-        }
-    }
-
-    fn lend(self: &Rc<Self>, ticket: u64, server: ServerKey, connection: u64) -> Vec<Next> {
-        let now = self.site.now();
-        let mut state = self.state.borrow_mut();
-        let waiter = state.waiters.remove(&ticket);
-        let back = state.idle.remove(&connection);
-        let known = state.servers.get(&server);
-        let life = known.map(|known| known.life.clone()).unwrap_or_default();
-        match (waiter, back) {
-            (Some(waiter), Some(back)) if !back.is_over() => {
-                drop(state);
-                let lent = Lent {
-                    back: Some(back),
-                    life,
-                    service: Rc::clone(self),
-                    rests: false,
-                    long: waiter.ticket.long,
-                };
-                if let Err(Ok(lent)) = waiter.sender.send(Ok(lent)) {
-                    lent.give_back();
-                }
-                Vec::new()
-            }
-            (Some(waiter), _) => {
-                // The server has ended the connection meanwhile: the request goes on waiting.
-                let mut next = state.dispatch.lost(server, now);
-                let ticket = waiter.ticket.clone();
-                state.waiters.insert(ticket.id, waiter);
-                next.extend(state.dispatch.arrive(ticket, now));
-                next
-            }
-            (None, Some(back)) => {
-                state.idle.insert(connection, back);
-                state.dispatch.returned(server, connection, now)
-            }
-            (None, None) => state.dispatch.lost(server, now),
-        }
-    }
-
-    fn cancel(&self, ticket: u64) {
-        let mut state = self.state.borrow_mut();
-        if state.waiters.remove(&ticket).is_some() {
-            state.dispatch.cancel(ticket);
-        }
-    }
 }
 
 enum Miss {
@@ -601,15 +433,3 @@
         back::Error::Codec(_) | back::Error::Refused(_) => Miss::None,
     }
 }
-
-/// Takes the ticket of a request out of the queue when its caller stops waiting.
-struct Waiting<'a, C: Codec> {
-    service: &'a Rc<Service<C>>,
-    id: u64,
-}
-
-impl<C: Codec> Drop for Waiting<'_, C> {
-    fn drop(&mut self) {
-        self.service.cancel(self.id);
-    }
-}
