standin: write other writers' entries where the platform's words belong

The soak spelled fields of the platform's list. What another writer puts there stands in standin::pooled::garbage now, and the soak names it.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flamingopost_standin::pooled::Remains;
+use flamingopost_standin::pooled::{Garbage, Remains};
 
 use crate::net::End;
 
@@ -151,19 +151,6 @@
     Number(usize),
 }
 
-/// What another writer puts into the list of servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Garbage {
-    /// Bytes that nobody can read, under an id of its own.
-    Stranger,
-    /// The same in place of the server's entry.
-    Unreadable,
-    /// The server's entry in a state that nobody knows.
-    UnknownState,
-    /// The server's entry of a start before the present one, leading and about to leave.
-    FormerStart,
-}
-
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Storage {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use flamingopost_standin::pooled::{Remains, Sizes};
+use flamingopost_standin::pooled::{Garbage, Remains, Sizes};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::fault::{Fault, Garbage, Storage, Victim};
+use crate::fault::{Fault, Storage, Victim};
 use crate::net::End;
 
 /// Mean time between two faults of a run. Most last longer, so that they overlap.
--- a/crates/soak/src/strike.rs
+++ b/crates/soak/src/strike.rs
@@ -4,9 +4,8 @@
 use std::time::{Duration, Instant};
 
 use flamingopost_standin::pooled::{Faults, Mode, Remains};
-use serde_json::json;
 
-use crate::fault::{Fault, Garbage, Storage, Victim};
+use crate::fault::{Fault, Storage, Victim};
 use crate::net::End;
 use crate::problem::Kind;
 use crate::process::Host;
@@ -18,9 +17,6 @@
 /// A server that leaves ends this long after it has said so.
 const LEAVING: Duration = Duration::from_millis(2_500);
 
-/// Key of an entry that is no server's.
-const STRANGER: &str = "ledger-0";
-
 /// How slow the slow store is.
 const SLOW: Duration = Duration::from_millis(400);
 
@@ -62,10 +58,9 @@
                 lasts,
             } => {
                 let victim = self.victim(Victim::Number(server));
-                self.overwrite(&victim, what);
+                self.site.spoil(&victim, what);
                 tokio::time::sleep(lasts).await;
-                self.site.remove("servers", "", STRANGER);
-                self.site.register(&victim);
+                self.site.mend(&victim);
             }
             Fault::Silence { server, lasts } => {
                 let silent = Faults {
@@ -203,26 +198,6 @@
         self.site.register(server);
     }
 
-    fn overwrite(&self, server: &str, what: Garbage) {
-        let garbage = |key| self.site.overwrite("servers", "", key, "%%%");
-        let mut entry = self.site.newest_entry(server);
-        match what {
-            Garbage::Stranger => garbage(STRANGER),
-            Garbage::Unreadable => garbage(server),
-            Garbage::UnknownState => {
-                entry["state"] = json!("resting");
-                self.site.put_entry(server, &entry);
-            }
-            Garbage::FormerStart => {
-                let born = entry["born"].as_u64().unwrap_or_default();
-                entry["born"] = json!(born.saturating_sub(1));
-                entry["state"] = json!("draining");
-                entry["reported_role"] = json!("primary");
-                self.site.put_entry(server, &entry);
-            }
-        }
-    }
-
     async fn impair(&self, server: &str, faults: Faults, lasts: Duration) {
         self.site.set_faults(server, faults);
         tokio::time::sleep(lasts).await;
--- a/crates/standin/src/pooled.rs
+++ b/crates/standin/src/pooled.rs
@@ -5,6 +5,7 @@
 //! injected by method, for tests that drive the deployed program.
 
 mod caller;
+mod garbage;
 mod group;
 mod http;
 mod server;
@@ -14,6 +15,7 @@
 mod store;
 
 pub use self::caller::{Broken, Caller, Reply};
+pub use self::garbage::Garbage;
 pub use self::group::{Entry, Group, Run};
 pub use self::server::{Faults, Remains};
 pub use self::site::{Order, Site, Sizes};
