Check a primary once, by the hosts that serve its service

Cause: each host asked a server that is newly believed to lead what it is, on a connection of its own, every 200 ms until it answered.

Change: only hosts that send statements to the servers themselves ask, and once for each change.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -123,7 +123,6 @@
         let mut sought = Duration::ZERO;
         let mut doubted = Duration::ZERO;
         let mut pleaded = Duration::ZERO;
-        let mut checked = Duration::ZERO;
         loop {
             let now = self.site.now();
             let view = self.view(&service, &succession);
@@ -138,10 +137,9 @@
                 doubted = now;
                 self.try_primary(&service, target, since);
             }
-            if let Some(target) = service.unchecked()
-                && now >= checked + ASK
+            if self.fleet.serves(&service.name)
+                && let Some(target) = service.take_unchecked()
             {
-                checked = now;
                 self.check(&service, target);
             }
             if view.leader.is_none() && now >= sought + SEEK {
--- a/crates/proxy/src/fleet/homes.rs
+++ b/crates/proxy/src/fleet/homes.rs
@@ -62,6 +62,12 @@
         Some(homes.map(|(_, home)| home).collect())
     }
 
+    /// Whether this host sends statements to the servers of `service` itself.
+    pub fn serves(&self, service: &str) -> bool {
+        let homes = self.homes(service);
+        homes.is_none_or(|homes| homes.contains(&Home::Here))
+    }
+
     /// Requests that each server of `service` runs at once; `None` while none is listed.
     fn slots(&self, service: &str) -> Option<usize> {
         self.named(service)?.slots().map(usize::from)
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -76,6 +76,8 @@
 pub(super) enum Check {
     /// Whether it has the service's log, from this moment on.
     Due(Duration),
+    /// The same, and it was asked.
+    Asked(Duration),
     /// Nothing any more.
     #[default]
     Done,
@@ -92,7 +94,7 @@
     pub(super) fn weigh(self: &Rc<Self>, server: ServerKey, position: Position, sent: Duration) {
         let mut state = self.state.borrow_mut();
         if state.dispatch.leader() == Some(server)
-            && let Check::Due(due) = state.check
+            && let Check::Due(due) | Check::Asked(due) = state.check
             && sent >= due
         {
             state.check = Check::Done;
@@ -119,14 +121,23 @@
     ///
     /// Guards against an empty primary on a host that has just started, and believed the first one
     /// in the list before it had heard what the others hold.
-    pub fn unchecked(&self) -> Option<Target> {
+    ///
+    /// It is asked once. Each question takes a connection, and with it a slot for tens of
+    /// milliseconds: 65 hosts that asked a server with 5 slots until it answered within 200 ms kept
+    /// it from ever answering, and nobody wrote to the service for the rest of the day.
+    pub fn take_unchecked(&self) -> Option<Target> {
         let now = self.site.now();
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
         let Check::Due(due) = state.check else {
             return None;
         };
         let known = state.servers.get(&state.dispatch.leader()?)?;
-        (now >= due).then(|| known.target.clone())
+        let target = known.target.clone();
+        if now < due {
+            return None;
+        }
+        state.check = Check::Asked(due);
+        Some(target)
     }
 
     /// What servers that have started again have to have received before they count like others
