--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -52,6 +52,10 @@
     term: Term,
     /// The newest term in which it has itself shown that it leads.
     led: Term,
+    /// Its lead of terms up to this one is over, whatever it claims.
+    over: Option<Term>,
+    /// It does not even count as the last one that is known.
+    disowned: bool,
     listed: u64,
 }
 
@@ -63,6 +67,8 @@
             doubted: false,
             term: Term::default(),
             led: Term::default(),
+            over: None,
+            disowned: false,
             listed: 0,
         });
         if version <= known.listed {
@@ -71,6 +77,9 @@
         known.listed = version;
         known.claims = role == Role::Primary;
         known.doubted &= known.claims;
+        if !known.claims {
+            known.forgive();
+        }
     }
 
     /// `server` is no longer in the list.
@@ -102,10 +111,61 @@
             Role::Replica => {
                 known.claims = false;
                 known.doubted = false;
+                known.forgive();
+            }
+        }
+    }
+
+    /// A successor was ordered for the primary of `term`, maybe `successor`: any other server that
+    /// claims to lead goes before those that lead that term, or one before.
+    ///
+    /// Guards against a primary that goes on leading its term while its successor leads the next.
+    /// Nothing that it says or lists shows that it was replaced, and an order whose answer is lost
+    /// may still be carried out after seconds in which it looked well again.
+    ///
+    /// ```
+    /// use flamingopost_core::key::ServerKey;
+    /// use flamingopost_core::leader::{Leader, Role};
+    /// use flamingopost_core::term::Term;
+    ///
+    /// let (server, term) = (ServerKey::default(), Term::from_number(3));
+    /// let mut leader = Leader::default();
+    /// leader.listed(server, Role::Primary, 17);
+    /// leader.said(server, Role::Primary, term);
+    /// leader.end(term, None);
+    /// leader.said(server, Role::Primary, term);
+    /// assert_eq!(leader.get(), Some(server), "its successor does not lead yet");
+    /// leader.disown();
+    /// leader.said(server, Role::Primary, term);
+    /// assert_eq!(leader.get(), None);
+    /// leader.said(server, Role::Primary, Term::from_number(5));
+    /// assert_eq!(leader.get(), Some(server), "it was promoted again");
+    /// ```
+    pub fn end(&mut self, term: Term, successor: Option<ServerKey>) {
+        for (server, known) in &mut self.servers {
+            if known.claims && known.led <= term && Some(*server) != successor {
+                known.over = known.over.max(Some(term));
+            }
+        }
+    }
+
+    /// `term` has begun: a server that has shown that it leads an older one was replaced.
+    pub fn began(&mut self, term: Term) {
+        for known in self.servers.values_mut() {
+            // One that has not shown its term may be the successor.
+            if known.claims && known.led > Term::default() && known.led < term {
+                known.over = known.over.max(Some(known.led));
             }
         }
     }
 
+    /// Servers whose terms are over do not lead, though no other one claims to.
+    pub fn disown(&mut self) {
+        for known in self.servers.values_mut() {
+            known.disowned |= known.over.is_some();
+        }
+    }
+
     /// `server` may lack what the service's log holds: its claims to lead do not count until
     /// [`Leader::trust`], or until it follows: one that claims to lead after that was promoted.
     ///
@@ -155,8 +215,10 @@
     /// Who leads, if anybody is known to.
     pub fn get(&self) -> Option<ServerKey> {
         let claims = |known: &Known| known.claims && !known.doubted;
-        let claiming = self.servers.iter().filter(|(_, known)| claims(known));
-        let newest = claiming.max_by_key(|(_, known)| (known.term, known.listed))?;
+        let counts = |known: &Known| claims(known) && !(known.is_over() && known.disowned);
+        let claiming = self.servers.iter().filter(|(_, known)| counts(known));
+        let order = |known: &Known| (!known.is_over(), known.term, known.listed);
+        let newest = claiming.max_by_key(|(_, known)| order(known))?;
         Some(*newest.0)
     }
 
@@ -182,6 +244,19 @@
     }
 }
 
+impl Known {
+    /// Whether it leads no term but those that are over.
+    fn is_over(&self) -> bool {
+        self.over.is_some_and(|over| self.led <= over)
+    }
+
+    /// It follows: if it claims to lead again, it was promoted.
+    fn forgive(&mut self) {
+        self.over = None;
+        self.disowned = false;
+    }
+}
+
 /// Another server leads, or none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Change {
--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -1,10 +1,14 @@
-//! Whether a host may acknowledge writes, by its contact with most of the others.
+//! Whether a host may rely on a primary, by its contact with most of the others.
 //!
-//! A primary that is cut off together with some hosts goes on taking their writes while the
-//! others have it replaced. A promotion takes about a second from its order; what those hosts
-//! acknowledge meanwhile is missing at the successor although nobody was told. So a host
-//! acknowledges writes only for a while after most hosts have answered it, and whoever orders a
-//! promotion first waits out that while for every host that it does not hear.
+//! A primary that is cut off together with some hosts goes on answering them while the others have
+//! it replaced, and on some platforms it goes on leading its own term for as long as the cut lasts.
+//! What it answers then lacks what its successor has acknowledged, and what it acknowledges is
+//! lost. So a host has a lease: for a while after most hosts have answered it, it may read at a
+//! primary, take its word for how fresh data are, and acknowledge its writes. Whoever orders a
+//! promotion first waits until the lease of every host that it does not hear has run out.
+//!
+//! For a read it is enough that the lease holds when it is sent, which is after it was asked for:
+//! until then no successor led. A write has to be acknowledged under the lease.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -39,17 +43,51 @@
 /// let at = Duration::from_millis(100);
 /// let mut quorum = Quorum::default();
 /// quorum.list(others.into_iter().collect(), at);
-/// assert!(!quorum.may_write(at));
+/// assert!(!quorum.holds_lease(at));
 /// quorum.answered(others[0], at);
-/// assert!(quorum.may_write(at), "two of three");
-/// assert!(!quorum.may_write(at + LEASE));
+/// assert!(quorum.holds_lease(at), "two of three");
+/// assert!(!quorum.holds_lease(at + LEASE));
 /// ```
 #[derive(Debug, Default)]
 pub struct Quorum {
     others: BTreeMap<HostKey, Contact>,
     /// This host only asks; it is not one of those whose majority counts.
     outside: bool,
-    store: Option<Duration>,
+}
+
+/// The lease that a host has by the platform's store, for one service, where it is out of touch
+/// with most others: whoever replaces a primary claims that in the store first.
+///
+/// For one service at a time: with a lease for all or none, hosts on the smaller side of a split
+/// refused what needed any primary while a single one was replaced on the other side, half of all
+/// statements for six seconds.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::quorum::{LEASE, Unclaimed};
+///
+/// let at = Duration::from_millis(100);
+/// let mut unclaimed = Unclaimed::default();
+/// assert!(!unclaimed.holds_lease(at));
+/// unclaimed.asked(at);
+/// assert!(unclaimed.holds_lease(at));
+/// assert!(!unclaimed.holds_lease(at + LEASE));
+/// ```
+#[derive(Debug, Default)]
+pub struct Unclaimed {
+    asked: Option<Duration>,
+}
+
+impl Unclaimed {
+    /// The store has answered what was sent at `sent`: nobody has claimed to replace the primary.
+    pub fn asked(&mut self, sent: Duration) {
+        self.asked = self.asked.max(Some(sent));
+    }
+
+    /// Whether this host may rely on the primary at `now`.
+    pub fn holds_lease(&self, now: Duration) -> bool {
+        self.asked.is_some_and(|sent| now < sent + LEASE)
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -102,19 +140,9 @@
         }
     }
 
-    /// The store has answered what was sent at `sent`: no change of a primary is claimed there.
-    pub fn store(&mut self, sent: Duration) {
-        self.store = self.store.max(Some(sent));
-    }
-
-    /// Whether a write may be sent, or be acknowledged, at `now`.
-    pub fn may_write(&self, now: Duration) -> bool {
-        let store = self.store.is_some_and(|sent| now < sent + LEASE);
-        store || self.is_with_most(now)
-    }
-
-    /// Whether most hosts have answered lately.
-    pub fn is_with_most(&self, now: Duration) -> bool {
+    /// Whether most hosts have answered lately, so that this host may rely on a primary at `now`:
+    /// send it what only a primary may run, and acknowledge its writes.
+    pub fn holds_lease(&self, now: Duration) -> bool {
         let fresh = |contact: &&Contact| contact.answered.is_some_and(|at| now < at + LEASE);
         let own = usize::from(!self.outside);
         let fresh = self.others.values().filter(fresh).count() + own;
@@ -135,8 +163,14 @@
         gone.map(|(host, _)| *host).collect()
     }
 
-    /// From when on no host but those in `told` can acknowledge a write by an earlier answer of
-    /// this one.
+    /// Other hosts that were heard within two heartbeats: what they have to know reaches them.
+    pub fn in_touch(&self, now: Duration) -> BTreeSet<HostKey> {
+        let heard = |contact: &Contact| now < contact.heard + HEARTBEAT * 2;
+        let others = self.others.iter().filter(|(_, contact)| heard(contact));
+        others.map(|(host, _)| *host).collect()
+    }
+
+    /// From when on no host but those in `told` has a lease by an earlier answer of this one.
     pub fn quiet_at(&self, told: &BTreeSet<HostKey>, now: Duration) -> Duration {
         let gone = self.gone(now);
         let writing = self.others.iter();
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -3,8 +3,10 @@
 //! Every entry host runs one of these for each service. Nothing is promoted on one host's word
 //! where others can be asked: a host that is cut off sees every primary dead. The host that acts
 //! holds a claim in the platform's store, or, while the store is away, waits its turn behind hosts
-//! that come first. The platform itself refuses orders with an outdated token, so two hosts that
-//! act at once do no harm beyond a second change.
+//! that come first. Not every platform refuses orders with an outdated token, so a host gives none
+//! under a token below one that it has heard of, and drops what it was about to do when it was
+//! paused. Where the platform does refuse them, two hosts that act at once do no harm beyond a
+//! second change.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -37,7 +39,7 @@
 
 /// How long an accepted order may take to show before another one is given. A promotion takes
 /// about a second.
-const EFFECT: Duration = Duration::from_millis(2_500);
+pub const EFFECT: Duration = Duration::from_millis(2_500);
 
 /// How long an order without an answer may be carried out late: the platform speaks of seconds, and
 /// this is several of them.
@@ -59,6 +61,10 @@
 /// A planned change waits at most this long for a replica to have all that its primary has.
 const CATCH_UP: Duration = Duration::from_millis(400);
 
+/// A host that takes no step for so long was paused. Others may have acted meanwhile: a claim is
+/// taken over after [`HOLDER`], and steps are tens of milliseconds apart.
+pub const PAUSED: Duration = Duration::from_secs(1);
+
 /// What one host knows of the succession in one service.
 #[derive(Debug, Default)]
 pub struct Succession {
@@ -258,6 +264,18 @@
         }
     }
 
+    /// This host was paused for [`PAUSED`] or longer: what it was about to do is dropped, since what
+    /// that rests on is outdated.
+    ///
+    /// Guards against an order under a claim that another host has taken over, on a platform that
+    /// carries out whatever it is told.
+    pub fn paused(&mut self, now: Duration) {
+        if !matches!(self.phase, Phase::Ordering { .. }) {
+            self.phase = Phase::Watching;
+            self.pause_until = now + INQUIRY;
+        }
+    }
+
     fn watch(&mut self, view: &View, now: Duration) -> Vec<Next> {
         let Some(trouble) = view.trouble else {
             return Vec::new();
@@ -271,6 +289,7 @@
         self.leaving = None;
         self.phase = Phase::Inquiring(Inquiry {
             cause: Some(trouble),
+            term: view.term,
             since: now,
             until: now + INQUIRY,
             ..Inquiry::default()
@@ -288,6 +307,7 @@
         }
         self.phase = Phase::Claiming(Inquiry {
             cause: Some(Trouble::Leaving),
+            term: view.term,
             since: now,
             until: now + INQUIRY,
             ..Inquiry::default()
@@ -328,7 +348,7 @@
         if view.trouble.is_none() {
             return Vec::new();
         }
-        match self.reserve {
+        match self.reserve.filter(|grant| Some(*grant) >= view.ordered) {
             Some(grant) if now >= until => self.choose(grant, inquiry, now),
             Some(_) => {
                 self.phase = Phase::Queued { until, inquiry };
@@ -374,14 +394,16 @@
         now: Duration,
     ) -> Vec<Next> {
         // Another host's order may have taken effect while the store decided on this one's claim.
-        if view.trouble.is_none() || inquiry.newer_leader(view) {
+        // What was found out of one primary is no reason to replace the next.
+        let over = view.term > inquiry.term;
+        if view.trouble.is_none() || over || inquiry.newer_leader(view) {
             return Vec::new();
         }
-        // Hosts that are cut off together with the primary may go on writing to it; what they
+        // Hosts that are cut off together with the primary may go on relying on it; what they
         // acknowledge after the order, the successor lacks.
-        let quiet = inquiry.cause == Some(Trouble::Leaving) || now >= view.quiet_at;
+        let quiet = now >= view.quiet_at;
         let best = inquiry.best(view, &self.led, now);
-        let best = best.filter(|best| quiet && self.may_order(grant, *best, now));
+        let best = best.filter(|best| quiet && self.may_order(grant, *best, view, now));
         let over = now >= until;
         let complete = inquiry.is_complete(view, &self.led, now);
         let gains = inquiry.may_gain(view, &self.led, now);
@@ -421,11 +443,14 @@
     ///
     /// Guards against an order without an answer that the platform carries out after a later one:
     /// the platform refuses lower tokens only, so under one token the earlier order would replace
-    /// the server of the later one and roll back what that has acknowledged.
-    fn may_order(&self, grant: Grant, server: ServerKey, now: Duration) -> bool {
-        self.unanswered.is_none_or(|order| {
-            order.grant != grant || order.server == server || now >= order.at + LATE
-        })
+    /// the server of the later one and roll back what that has acknowledged. And against an order
+    /// under a token below one that was used: whoever used that one has acted since.
+    fn may_order(&self, grant: Grant, server: ServerKey, view: &View, now: Duration) -> bool {
+        let newest = Some(grant) >= view.ordered;
+        newest
+            && self.unanswered.is_none_or(|order| {
+                order.grant != grant || order.server == server || now >= order.at + LATE
+            })
     }
 
     /// Stays in `phase` until the trouble or the wait is over.
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -5,6 +5,7 @@
 
 use crate::key::{HostKey, ServerKey};
 use crate::leader::Role;
+use crate::term::Term;
 
 use super::contact::Trouble;
 use super::led::Led;
@@ -31,6 +32,8 @@
 #[derive(Debug, Default, Clone)]
 pub(super) struct Inquiry {
     pub(super) cause: Option<Trouble>,
+    /// The newest term that was known when it began.
+    pub(super) term: Term,
     pub(super) since: Duration,
     pub(super) until: Duration,
     pub(super) opinions: BTreeMap<HostKey, Opinion>,
--- a/crates/core/src/succession/next.rs
+++ b/crates/core/src/succession/next.rs
@@ -6,7 +6,7 @@
 use crate::term::Term;
 
 /// A token under which orders may be given.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Grant(pub u64);
 
 /// What to do next.
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -8,6 +8,7 @@
 use crate::term::Term;
 
 use super::contact::Trouble;
+use super::next::Grant;
 
 /// The situation as the host sees it when it takes a step.
 #[derive(Debug, Clone)]
@@ -27,7 +28,9 @@
     pub peers: BTreeSet<HostKey>,
     /// How many of them come before this host when the store is away.
     pub rank: u32,
-    /// From when on no host that has not answered can acknowledge writes any more.
+    /// The newest token under which an order for the service was given, as far as is known.
+    pub ordered: Option<Grant>,
+    /// From when on no host that has not answered has a lease any more.
     pub quiet_at: Duration,
     /// Whether the primary acknowledges a commit only when a replica has received it.
     pub synchronous: bool,
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -5,7 +5,7 @@
 
 use flamingopost_core::key::HostKey;
 use flamingopost_core::names::Names;
-use flamingopost_core::quorum::{GONE, HEARTBEAT, LEASE, MARGIN, Quorum};
+use flamingopost_core::quorum::{GONE, HEARTBEAT, LEASE, MARGIN, Quorum, Unclaimed};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -30,10 +30,10 @@
     others
         .iter()
         .for_each(|host| quorum.answered(*host, ms(1_000)));
-    assert!(quorum.may_write(ms(1_000) + LEASE - ms(1)));
+    assert!(quorum.holds_lease(ms(1_000) + LEASE - ms(1)));
     quorum.answered(others[0], ms(1_500));
     assert!(
-        !quorum.may_write(ms(1_000) + LEASE),
+        !quorum.holds_lease(ms(1_000) + LEASE),
         "two of six are not most"
     );
 }
@@ -47,9 +47,9 @@
     quorum.take_part(false);
     quorum.list(others.iter().copied().collect(), ms(0));
     quorum.answered(others[0], ms(1_000));
-    assert!(!quorum.may_write(ms(1_100)), "one of three");
+    assert!(!quorum.holds_lease(ms(1_100)), "one of three");
     quorum.answered(others[1], ms(1_000));
-    assert!(quorum.may_write(ms(1_100)));
+    assert!(quorum.holds_lease(ms(1_100)));
 }
 
 /// Most hosts are killed at once. The one that is left has nobody to ask, but the platform's
@@ -58,10 +58,12 @@
 fn the_store_stands_in_for_hosts_that_are_gone() {
     let mut quorum = Quorum::default();
     quorum.list(hosts(5).into_iter().collect(), ms(0));
-    assert!(!quorum.may_write(ms(2_000)));
-    quorum.store(ms(2_000));
-    assert!(quorum.may_write(ms(2_100)));
-    assert!(!quorum.may_write(ms(2_000) + LEASE));
+    assert!(!quorum.holds_lease(ms(2_000)));
+    let mut unclaimed = Unclaimed::default();
+    assert!(!unclaimed.holds_lease(ms(2_000)));
+    unclaimed.asked(ms(2_000));
+    assert!(unclaimed.holds_lease(ms(2_100)));
+    assert!(!unclaimed.holds_lease(ms(2_000) + LEASE));
 }
 
 /// A host was removed for good without notice and stays in the list. It must not count for ever:
@@ -75,7 +77,7 @@
     quorum.heard(others[0], now);
     quorum.heard(others[1], now);
     quorum.answered(others[0], now);
-    assert!(quorum.may_write(now), "two of three that are there");
+    assert!(quorum.holds_lease(now), "two of three that are there");
     assert_eq!(quorum.gone(now), BTreeSet::from([others[2]]));
 }
 
@@ -97,7 +99,7 @@
     let mut quorum = Quorum::default();
     quorum.list(hosts(4).into_iter().collect(), ms(0));
     assert!(quorum.gone(GONE * 4).is_empty());
-    assert!(!quorum.may_write(GONE * 4));
+    assert!(!quorum.holds_lease(GONE * 4));
 }
 
 /// Hosts exchange heartbeats over links that lose, delay and cut, one way too. Whenever one part
@@ -150,7 +152,7 @@
             for writer in &quorums[count - cut..] {
                 let alone = cut * 2 < count;
                 assert!(
-                    !(quiet && alone && writer.may_write(now)),
+                    !(quiet && alone && writer.holds_lease(now)),
                     "seed {seed}: a write at {now:?} after the order"
                 );
             }
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -55,6 +55,7 @@
         candidates: servers.into_iter().collect(),
         peers: hosts.iter().copied().collect(),
         rank: 2,
+        ordered: None,
         quiet_at: ms(0),
         synchronous: false,
         newest: position(1, 40),
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -214,6 +214,7 @@
             candidates: self.server_keys.iter().copied().collect(),
             peers: peers.iter().map(|peer| self.host_keys[*peer]).collect(),
             rank: u32::try_from(host).unwrap_or(u32::MAX),
+            ordered: None,
             quiet_at: ms(0),
             synchronous: false,
             newest: position(1, 40),
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -55,6 +55,7 @@
         candidates: servers.iter().copied().collect(),
         peers: hosts.iter().copied().collect(),
         rank: 0,
+        ordered: None,
         quiet_at: ms(0),
         synchronous: true,
         newest: position(1, 40),
--- a/crates/proxy/src/back.rs
+++ b/crates/proxy/src/back.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
+use flamingopost_core::term::Term;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -193,7 +194,20 @@
     /// # Errors
     /// The connection is lost, or the server does not answer the question.
     pub async fn status(&mut self) -> Result<Status, Error> {
-        self.push(&Command::Status);
+        self.told(&Command::Status).await
+    }
+
+    /// Makes the server a replica, if it leads a term before `term`.
+    ///
+    /// # Errors
+    /// The connection is lost, or the server does not do it.
+    pub async fn step_down(&mut self, term: Term) -> Result<Status, Error> {
+        self.told(&Command::StepDown { term }).await
+    }
+
+    /// Sends a command that the server answers with what it is then.
+    async fn told(&mut self, command: &Command<'_>) -> Result<Status, Error> {
+        self.push(command);
         self.flush().await?;
         let outcome = self.outcome().await?;
         match (&outcome.end, outcome.rows.first()) {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -7,9 +7,11 @@
 
 use flamingopost_core::dispatch::Standing;
 use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::leader::Role;
 use flamingopost_core::succession::{
-    Grant, HOLDER, Next, Order, Report, Succession, Trouble, View,
+    EFFECT, Grant, HOLDER, Next, Order, PAUSED, Report, Succession, Trouble, View,
 };
+use flamingopost_core::term::Term;
 use tokio::time::timeout;
 
 use crate::back::{self, Back, Target};
@@ -17,7 +19,7 @@
 use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::message::Status;
-use crate::peer::{Socket, Word};
+use crate::peer::{Ended, Socket, Word};
 use crate::platform::{Claim, Error, Platform, Promotion, Revision, Token};
 use crate::service::Service;
 use crate::site::Site;
@@ -46,6 +48,15 @@
 /// How long the store may take to decide a claim before hosts act in turn.
 const CLAIM: Duration = Duration::from_millis(250);
 
+/// A primary that leaves is told to step down this long after the last write was sent there, so
+/// that its replicas receive what it has acknowledged: half of the time that is left until the
+/// earliest moment at which its successor leads.
+const DELIVERY: Duration = Duration::from_millis(30);
+
+/// How often a replaced primary is tried to be told of it: it may be cut off for a moment, and
+/// notices by itself a second after it can reach its successor.
+const STEP_DOWNS: u32 = 8;
+
 /// How long an order may take to be answered before it is repeated.
 const ORDER: Duration = Duration::from_millis(500);
 
@@ -61,6 +72,8 @@
     held: RefCell<BTreeMap<(String, Revision), Duration>>,
     /// Whether a question to the store is on its way.
     asking: Cell<bool>,
+    /// When most other hosts were last in touch.
+    in_touch: Cell<Option<Duration>>,
 }
 
 impl<C: Codec, P: Platform> Election<C, P> {
@@ -80,6 +93,7 @@
             reserve: RefCell::default(),
             held: RefCell::default(),
             asking: Cell::new(false),
+            in_touch: Cell::new(None),
         }
     }
 
@@ -123,8 +137,13 @@
         let mut sought = Duration::ZERO;
         let mut doubted = Duration::ZERO;
         let mut pleaded = Duration::ZERO;
+        let mut last = self.site.now();
         loop {
             let now = self.site.now();
+            if now >= last + PAUSED {
+                succession.borrow_mut().paused(now);
+            }
+            last = now;
             let view = self.view(&service, &succession);
             let pause = if view.trouble.is_some() { STEP } else { LOOK };
             if now >= pleaded + PLEA {
@@ -276,7 +295,13 @@
         let asked = timeout(ASK, async {
             let id = self.site.next_id();
             let mut back = Back::<C>::connect(id, target, &self.site.host).await?;
-            back.status().await
+            let status = back.status().await?;
+            let newest = service.term();
+            match status.role {
+                // It comes back, or is reached again, after it was replaced.
+                Role::Primary if status.term < newest => back.step_down(newest).await,
+                Role::Primary | Role::Replica => Ok(status),
+            }
         });
         let error = match asked.await {
             Ok(Ok(status)) => {
@@ -362,13 +387,18 @@
         grant: Grant,
     ) {
         let id = service.name_of(Some(server));
-        let planned = self.trouble(&service) == Some(Trouble::Leaving);
-        service.hold(planned);
+        let serves = match self.trouble(&service) {
+            Some(Trouble::Leaving) => service.serves_until_relieved(),
+            _ => Duration::ZERO,
+        };
+        let replaced = service.leader().and_then(|leader| target(&service, leader));
+        let term = service.term();
         if let Some(named) = service.named(server) {
+            let ended = Ended::new(service.name.clone(), term, grant.0, named, serves);
+            service.end_term(&ended);
             for (_, peer) in self.fleet.peers() {
-                let server = named.clone();
-                let word = Word::Acting { server, planned };
-                self.send(&service, word, peer.address);
+                let ended = ended.clone();
+                self.send(&service, Word::Acting { ended }, peer.address);
             }
         }
         let sent = self.site.now();
@@ -385,6 +415,19 @@
         };
         let now = self.site.now();
         succession.borrow_mut().ordered(order, now);
+        if order == Order::Accepted {
+            let next = Term::from_number(term.number() + 1);
+            if let Some(replaced) = replaced {
+                let at = match serves.is_zero() {
+                    true => sent,
+                    false => sent + serves + DELIVERY,
+                };
+                self.step_down(&service, &replaced, next, at);
+            }
+            if let Some(successor) = target(&service, server) {
+                self.look_for_effect(&service, successor, term, sent);
+            }
+        }
         self.site.log(&Event::Ordered {
             service: service.name.clone(),
             server: id,
@@ -395,11 +438,141 @@
         service.alarm.notify_one();
     }
 
+    /// Asks the server that was ordered to lead at `ordered` until it does, in a term after `term`,
+    /// and tells the other hosts.
+    ///
+    /// The platform's list tells as well, but is away or late at times: on a day with an outage of
+    /// the store, hosts found out 1.1 s after the change, and nothing was written until then.
+    fn look_for_effect(
+        self: &Rc<Self>,
+        service: &Rc<Service<C>>,
+        successor: Target,
+        term: Term,
+        ordered: Duration,
+    ) {
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        tokio::task::spawn_local(async move {
+            // The last moment at which it is known not to have led.
+            let mut followed = ordered;
+            let until = ordered + EFFECT;
+            while election.site.now() < until {
+                let seen = election.watch_lead(&service, &successor, term, &mut followed);
+                if let Ok(led) = seen.await {
+                    let took = followed.saturating_sub(ordered);
+                    election.tell_of_lead(&service, successor.server, led, took);
+                    return;
+                }
+                tokio::time::sleep(STEP).await;
+            }
+        });
+    }
+
+    /// Asks a server on one connection until it leads a term after `term`; `followed` is when it was
+    /// last asked and did not.
+    async fn watch_lead(
+        &self,
+        service: &Rc<Service<C>>,
+        target: &Target,
+        term: Term,
+        followed: &mut Duration,
+    ) -> Result<Term, back::Error> {
+        let timed_out = |_| back::Error::Io(std::io::ErrorKind::TimedOut.into());
+        let id = self.site.next_id();
+        let back = timeout(ASK, Back::<C>::connect(id, target, &self.site.host)).await;
+        let mut back = back.map_err(timed_out)??;
+        loop {
+            let asked = self.site.now();
+            let status = timeout(ASK, back.status()).await;
+            let status = status.map_err(timed_out)??;
+            service.said(target.server, &status, asked);
+            if status.role == Role::Primary && status.term > term {
+                return Ok(status.term);
+            }
+            *followed = asked;
+            tokio::time::sleep(STEP).await;
+        }
+    }
+
+    fn tell_of_lead(
+        &self,
+        service: &Rc<Service<C>>,
+        server: ServerKey,
+        term: Term,
+        took: Duration,
+    ) {
+        self.site.promoted(took);
+        let Some(server) = service.named(server) else {
+            return;
+        };
+        for (_, peer) in self.fleet.peers() {
+            let word = Word::Leads {
+                server: server.clone(),
+                term: term.number(),
+                took: u32::try_from(took.as_millis()).unwrap_or(u32::MAX),
+            };
+            self.send(service, word, peer.address);
+        }
+    }
+
+    /// Tells a primary whose successor leads from `term` on, or is about to, to follow it, at `at` or
+    /// as soon as it can be reached after that.
+    ///
+    /// Guards against hosts that have not heard of the change: on some platforms a replaced primary
+    /// goes on leading its own term until it is told, and they would go on writing to it.
+    fn step_down(
+        self: &Rc<Self>,
+        service: &Rc<Service<C>>,
+        target: &Target,
+        term: Term,
+        at: Duration,
+    ) {
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        let target = target.clone();
+        tokio::task::spawn_local(async move {
+            for _ in 0..STEP_DOWNS {
+                let Ok(status) = election.tell_to_step_down(&target, term, at).await else {
+                    tokio::time::sleep(ASK).await;
+                    continue;
+                };
+                service.said(target.server, &status, election.site.now());
+                election.site.log(&Event::SteppedDown {
+                    service: service.name.clone(),
+                    server: target.id.clone(),
+                    term: term.number(),
+                    role: status.role,
+                });
+                return;
+            }
+        });
+    }
+
+    async fn tell_to_step_down(
+        &self,
+        target: &Target,
+        term: Term,
+        at: Duration,
+    ) -> Result<Status, back::Error> {
+        let id = self.site.next_id();
+        let timed_out = |_| back::Error::Io(std::io::ErrorKind::TimedOut.into());
+        let back = timeout(ASK, Back::<C>::connect(id, target, &self.site.host)).await;
+        let mut back = back.map_err(timed_out)??;
+        tokio::time::sleep(at.saturating_sub(self.site.now())).await;
+        let status = timeout(ASK, back.step_down(term)).await;
+        status.map_err(timed_out)?
+    }
+
     fn view(&self, service: &Rc<Service<C>>, succession: &Rc<RefCell<Succession>>) -> View {
         let told = succession.borrow().answered();
-        let (gone, quiet_at) = self
-            .fleet
-            .with_quorum(|quorum, now| (quorum.gone(now), quorum.quiet_at(&told, now)));
+        let trouble = self.trouble(service);
+        let (gone, quiet_at) = self.fleet.with_quorum(|quorum, now| {
+            // Nobody is asked about a primary that leaves: who is in touch hears of the order while
+            // it still serves.
+            let told = match trouble {
+                Some(Trouble::Leaving) => quorum.in_touch(now),
+                _ => told,
+            };
+            (quorum.gone(now), quorum.quiet_at(&told, now))
+        });
         let targets = service.targets();
         let synchronous = self.fleet.is_synchronous(&service.name);
         // One that is leaving still receives, and may be the only one to have a commit.
@@ -411,7 +584,8 @@
             leader: service.leader(),
             term: service.term(),
             led: service.term_led(),
-            trouble: self.trouble(service),
+            trouble,
+            ordered: service.newest_order(),
             candidates: candidates.map(|(target, _)| target.server).collect(),
             peers: peers
                 .into_iter()
--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -6,15 +6,24 @@
 
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::quorum::HEARTBEAT;
+use flamingopost_core::term::Term;
 use tokio::time::timeout;
 
 use super::{CLAIM, Election, FRESH, Probe, target};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::peer::{Message, Server, Word};
+use crate::peer::{Ended, Message, Server, Word};
 use crate::platform::Platform;
 use crate::service::{Meant, Service};
 
+/// For how long hosts tell each other of a change of primary: datagrams are lost, and a host that
+/// has heard nothing of it for so long has no lease either.
+const TELL: Duration = Duration::from_millis(1_000);
+
+/// Changes that one message tells of: it has to fit into a datagram. What is left out is told with
+/// the next one, as those before it come of age.
+const ENDED_MOST: usize = 12;
+
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Answers what other hosts ask and takes in what they tell, for ever.
     ///
@@ -40,20 +49,63 @@
             }
             self.fleet.look_at_feeds();
             let now = self.site.now();
-            let sent = micros(now);
-            for (_, peer) in self.fleet.electors() {
-                self.tell(String::new(), Word::Beat { sent }, peer.address);
-            }
             let with_most = self
                 .fleet
-                .with_quorum(|quorum, now| quorum.is_with_most(now));
+                .with_quorum(|quorum, now| quorum.holds_lease(now));
+            let out_of_touch = self.out_of_touch(with_most, now);
+            let ended = self.ended(TELL);
+            for (_, peer) in self.fleet.electors() {
+                let beat = Word::Beat {
+                    sent: micros(now),
+                    out_of_touch,
+                    ended: ended.clone(),
+                };
+                self.tell(String::new(), beat, peer.address);
+            }
             if !with_most {
                 self.ask_store();
             }
         }
     }
 
-    /// Asks the store whether anybody replaces a primary; with most hosts silent, only it can
+    /// For how many milliseconds this host may have missed what the others heard.
+    fn out_of_touch(&self, with_most: bool, now: Duration) -> u32 {
+        if with_most {
+            self.in_touch.set(Some(now));
+        }
+        let since = self.in_touch.get().map(|at| now.saturating_sub(at));
+        let millis = since.and_then(|since| u32::try_from(since.as_millis()).ok());
+        millis.unwrap_or(u32::MAX)
+    }
+
+    /// Changes of primaries that this host has heard of within `age`.
+    ///
+    /// An order is announced by one datagram to each host, which may be lost, and a host that was
+    /// cut off meanwhile hears none. What keeps a lease alive tells of the change as well.
+    fn ended(&self, age: Duration) -> Vec<Ended> {
+        let services = self.fleet.services();
+        let ended = services.iter().filter_map(|service| service.ended(age));
+        ended.take(ENDED_MOST).collect()
+    }
+
+    /// Another host tells that a primary is replaced.
+    fn take_ended(&self, host: &str, ended: &Ended) {
+        let Some(service) = self.fleet.named(&ended.service) else {
+            return;
+        };
+        if !service.end_term(ended) {
+            return;
+        }
+        self.site.log(&Event::OtherActs {
+            service: service.name.clone(),
+            host: host.to_owned(),
+        });
+        if let Some(succession) = self.services.borrow().get(&service.name) {
+            succession.borrow_mut().other_acts(self.site.now());
+        }
+    }
+
+    /// Asks the store which primaries are being replaced; with most hosts silent, only it can
     /// tell that this host is not the one that is cut off.
     fn ask_store(self: &Rc<Self>) {
         if self.asking.replace(true) {
@@ -67,12 +119,11 @@
             let Ok(Ok(claims)) = claims else {
                 return;
             };
-            let under_way = |service: &Rc<Service<C>>| {
+            for service in election.fleet.services() {
                 let attempt = service.term().number().unsigned_abs();
-                claims.contains(&(service.name.clone(), attempt))
-            };
-            if !election.fleet.services().iter().any(under_way) {
-                election.fleet.with_quorum(|quorum, _| quorum.store(sent));
+                if !claims.contains(&(service.name.clone(), attempt)) {
+                    service.unclaimed(sent);
+                }
             }
         });
     }
@@ -82,13 +133,29 @@
             self.fleet
                 .with_quorum(|quorum, now| quorum.heard(host, now));
             match message.word {
-                Word::Beat { sent } => {
-                    let news = self.fleet.news();
-                    self.tell(String::new(), Word::Echo { sent, news }, from);
+                Word::Beat {
+                    sent,
+                    out_of_touch,
+                    ended,
+                } => {
+                    let missed = Duration::from_millis(u64::from(out_of_touch)) + TELL;
+                    let echo = Word::Echo {
+                        sent,
+                        news: self.fleet.news(),
+                        ended: self.ended(missed),
+                    };
+                    self.tell(String::new(), echo, from);
+                    ended
+                        .iter()
+                        .for_each(|it| self.take_ended(&message.host, it));
                     return;
                 }
-                Word::Echo { sent, news } => {
+                Word::Echo { sent, news, ended } => {
                     self.fleet.told(news);
+                    // Before the answer prolongs the lease.
+                    ended
+                        .iter()
+                        .for_each(|it| self.take_ended(&message.host, it));
                     let sent = Duration::from_micros(sent);
                     self.fleet
                         .with_quorum(|quorum, _| quorum.answered(host, sent));
@@ -131,16 +198,11 @@
                     service.squeeze(server);
                 }
             }
-            Word::Acting { planned, .. } => {
-                service.hold(planned);
-                self.site.log(&Event::OtherActs {
-                    service: service.name.clone(),
-                    host: message.host,
-                });
-                if let Some(succession) = succession {
-                    succession.borrow_mut().other_acts(self.site.now());
-                }
+            Word::Leads { server, term, took } => {
+                self.site.promoted(Duration::from_millis(u64::from(took)));
+                service.seen_to_lead(&server, Term::from_number(term));
             }
+            Word::Acting { ended } => self.take_ended(&message.host, &ended),
         }
     }
 
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -54,6 +54,8 @@
         5115 Info HoldEnded { service: String, why: &'static str, millis: u128 },
         /// {service}: write {id} was acknowledged at {position} while the primary is being replaced
         5116 Warn AcknowledgedDuring { service: String, id: String, position: String },
+        /// {service}: server {server} was told that term {term} is not its own, and is {role:?} now
+        5117 Info SteppedDown { service: String, server: String, term: i64, role: flamingopost_core::leader::Role },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} tried again: {reason} at {server}, attempt {attempt} after {millis} ms
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -279,7 +279,7 @@
     /// all where they are few. The others are told, for as long as they hear most of those.
     pub fn patience(&self) -> Patience {
         let quorum = self.quorum.borrow();
-        let is_told = !quorum.takes_part() && quorum.is_with_most(self.site.now());
+        let is_told = !quorum.takes_part() && quorum.holds_lease(self.site.now());
         match is_told && !self.is_small() {
             true => Patience::Told,
             false => Patience::Own,
@@ -291,9 +291,10 @@
         work(&mut self.quorum.borrow_mut(), self.site.now())
     }
 
-    /// Whether a write may be sent, or be acknowledged, now.
-    pub fn may_write(&self) -> bool {
-        self.quorum.borrow().may_write(self.site.now())
+    /// Whether this host may rely on the primary of `service` now: send it what only a primary may
+    /// run, and acknowledge its writes.
+    pub fn holds_lease(&self, service: &Service<C>) -> bool {
+        self.quorum.borrow().holds_lease(self.site.now()) || service.is_unclaimed()
     }
 
     /// Whether commits of `service` are acknowledged only when a replica has received them.
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -139,6 +139,11 @@
     Discard,
     /// Asks the server for its role and position.
     Status,
+    /// Makes the server a replica, if it leads a term before `term`.
+    StepDown {
+        /// The term.
+        term: Term,
+    },
 }
 
 /// One message of a server.
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::position::Position;
@@ -35,6 +36,10 @@
     Beat {
         /// When it was sent, by the sender's clock, in microseconds.
         sent: u64,
+        /// How long ago the sender was last in touch with most hosts, in milliseconds.
+        out_of_touch: u32,
+        /// Primaries that are replaced, as the sender has lately heard.
+        ended: Vec<Ended>,
     },
     /// An answer to [`Word::Beat`].
     Echo {
@@ -42,6 +47,9 @@
         sent: u64,
         /// How far the host that answers has read what the platform tells.
         news: News,
+        /// Primaries that are replaced, as the host that answers has heard since the one that asks
+        /// was in touch.
+        ended: Vec<Ended>,
     },
     /// Do you reach server `server`, or, where none is named, any that leads?
     Ask {
@@ -64,15 +72,68 @@
         /// The server.
         server: Server,
     },
-    /// I change the primary to `server`.
-    Acting {
+    /// Server `server` leads `term`, as I have just seen.
+    Leads {
         /// The server.
         server: Server,
-        /// Whether the primary before it is alive and about to leave.
-        planned: bool,
+        /// The term.
+        term: i64,
+        /// How long after the order it did not lead yet, in milliseconds.
+        took: u32,
+    },
+    /// I replace a primary.
+    Acting {
+        /// Which, and by whom.
+        ended: Ended,
     },
 }
 
+/// A primary's term is over: its successor is being ordered, or leads already.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The service.
+    pub service: String,
+    /// The newest term that was known when the order was given.
+    term: i64,
+    /// Token of the order.
+    pub token: u64,
+    /// The server that is to lead.
+    pub successor: Server,
+    /// For how long the primary still serves, in milliseconds: one that is about to leave does
+    /// until shortly before its successor leads.
+    serves: u32,
+}
+
+impl Ended {
+    /// The primary of `term` of `service` serves for `serves` more; `successor` is to lead, by an
+    /// order under `token`.
+    pub fn new(
+        service: String,
+        term: Term,
+        token: u64,
+        successor: Server,
+        serves: Duration,
+    ) -> Ended {
+        Ended {
+            service,
+            term: term.number(),
+            token,
+            successor,
+            serves: u32::try_from(serves.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// The newest term that was known when the order was given.
+    pub fn term(&self) -> Term {
+        Term::from_number(self.term)
+    }
+
+    /// For how long the primary still serves.
+    pub fn serves(&self) -> Duration {
+        Duration::from_millis(u64::from(self.serves))
+    }
+}
+
 /// A server, and which of its starts is meant: what is said of one does not hold for another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -11,7 +11,9 @@
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::{Leader, Role};
 use flamingopost_core::position::Position;
+use flamingopost_core::quorum::Unclaimed;
 use flamingopost_core::succession::{Contact, Trouble};
+use flamingopost_core::term::Term;
 use flamingopost_core::vouch::Vouch;
 use tokio::sync::{Notify, oneshot};
 
@@ -19,6 +21,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::Status;
+use crate::peer;
 use crate::site::Site;
 
 mod connect;
@@ -29,7 +32,6 @@
 mod queue;
 mod restart;
 
-pub(crate) use hold::HOLD;
 pub use lent::{Awaited, Lent};
 pub use life::Life;
 use restart::{Acquaintance, Check};
@@ -60,10 +62,10 @@
     idle: BTreeMap<u64, Back<C>>,
     waiters: BTreeMap<u64, Waiter<C>>,
     allotment: Allotment,
-    /// When a change of primary was last ordered.
-    ordered: Option<Duration>,
     /// When statements for the primary are held.
     held: Option<dispatch::Hold>,
+    change: Option<hold::Change>,
+    unclaimed: Unclaimed,
     /// Servers that are at their limit while this host has less than its part.
     short_of: BTreeSet<ServerKey>,
 }
@@ -119,8 +121,9 @@
                     fair: 1,
                     most: 1,
                 },
-                ordered: None,
                 held: None,
+                change: None,
+                unclaimed: Unclaimed::default(),
                 short_of: BTreeSet::new(),
             }),
         }
@@ -155,7 +158,7 @@
     }
 
     /// A server answered at `position` to what was sent at `sent`. With `led`, it could only
-    /// answer because it led.
+    /// answer because it led, and this host had a lease when it asked.
     pub fn heard(
         self: &Rc<Self>,
         server: ServerKey,
@@ -178,7 +181,8 @@
         }
         state.vouch.saw_term(position.term);
         state.leader.saw_term(server, position.term);
-        if led && !state.extent.lacks(position, sent) {
+        let is_current = position.term >= state.vouch.term();
+        if led && is_current && !state.extent.lacks(position, sent) {
             state.vouch.led(position, sent);
             state.leader.led(server, position.term);
         }
@@ -240,6 +244,19 @@
         self.refresh();
     }
 
+    /// Another host has seen `server` lead `term`.
+    pub fn seen_to_lead(self: &Rc<Self>, server: &peer::Server, term: Term) {
+        let Meant::Listed(server) = self.meant(server) else {
+            return;
+        };
+        {
+            let mut state = self.state.borrow_mut();
+            state.vouch.saw_term(term);
+            state.leader.said(server, Role::Primary, term);
+        }
+        self.refresh();
+    }
+
     /// Something sent to a server at `sent` came to nothing.
     pub fn missed(&self, server: ServerKey, error: &back::Error, sent: Duration) {
         let now = self.site.now();
@@ -347,7 +364,7 @@
     }
 
     /// The newest term in which the primary has itself shown that it leads.
-    pub fn term_led(&self) -> flamingopost_core::term::Term {
+    pub fn term_led(&self) -> Term {
         let state = self.state.borrow();
         let leader = state.dispatch.leader();
         leader.map_or_else(Default::default, |leader| state.leader.term_led(leader))
@@ -359,7 +376,7 @@
     }
 
     /// The newest term that is known to have begun.
-    pub fn term(&self) -> flamingopost_core::term::Term {
+    pub fn term(&self) -> Term {
         self.state.borrow().vouch.term()
     }
 
@@ -368,6 +385,8 @@
         let (change, succeeds) = {
             let mut state = self.state.borrow_mut();
             state.trust_the_last(now);
+            let newest = state.vouch.term();
+            state.leader.began(newest);
             let Some(change) = state.leader.refresh(now) else {
                 return;
             };
@@ -378,9 +397,6 @@
                 state.dispatch.hold(hold);
             }
             state.check_leader(now);
-            if succeeds && let Some(ordered) = state.ordered.take() {
-                self.site.promoted(now.saturating_sub(ordered));
-            }
             state.absent = change.after.is_none().then_some(now);
             (change, succeeds)
         };
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -1,14 +1,19 @@
-//! The pause in what is sent to a primary that is being replaced.
+//! Changes of primary as a host hears of them: what is held meanwhile, and what counts no more.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::dispatch;
+use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
+use flamingopost_core::succession::Grant;
+use flamingopost_core::term::Term;
 
-use super::Service;
 use super::restart::Acquaintance;
+use super::{Meant, Service};
 use crate::codec::Codec;
 use crate::event::Event;
+use crate::peer::{self, Ended};
 
 /// A primary that is about to leave serves until shortly before its successor leads. What it
 /// acknowledges within this time before, its successor might not have received: many times the
@@ -16,23 +21,114 @@
 const HANDOVER: Duration = Duration::from_millis(60);
 
 /// How long nothing is sent to a primary that is being replaced, if no successor shows.
-pub(crate) const HOLD: Duration = Duration::from_millis(1_600);
+const HOLD: Duration = Duration::from_millis(1_600);
+
+/// The newest change of primary that a host has heard of.
+#[derive(Debug)]
+pub(super) struct Change {
+    /// The newest term that was known when it was ordered; no primary of that term or one before
+    /// is relied on any more.
+    term: Term,
+    /// Token of the order.
+    token: u64,
+    successor: peer::Server,
+    /// From when on nothing is sent to the primary.
+    from: Duration,
+    /// From when on nothing that it answers counts.
+    over: Duration,
+    heard: Duration,
+}
 
 impl<C: Codec> Service<C> {
-    /// The primary is being replaced; `planned` when it is alive and about to leave.
-    pub fn hold(&self, planned: bool) {
+    /// For how long a primary still serves whose successor is ordered now, if it is alive and about
+    /// to leave.
+    pub fn serves_until_relieved(&self) -> Duration {
+        self.site.promotion().saturating_sub(HANDOVER)
+    }
+
+    /// The primary is being replaced, as `ended` says; whether that is news.
+    ///
+    /// Statements that need it are held for its successor. From then on no server is relied on that
+    /// leads the term that has ended, however well it looks: the order may be carried out late.
+    pub fn end_term(&self, ended: &Ended) -> bool {
         let now = self.site.now();
-        let from = match planned {
-            true => now + self.site.promotion.get().saturating_sub(HANDOVER),
-            false => now,
+        let successor = self.listed_as(&ended.successor);
+        let mut state = self.state.borrow_mut();
+        let known = state.change.as_ref();
+        if known.is_some_and(|it| (it.term, it.token) >= (ended.term(), ended.token)) {
+            return false;
+        }
+        let serves = ended.serves();
+        let from = now + serves;
+        let over = match serves.is_zero() {
+            true => now,
+            false => from + HANDOVER,
         };
+        state.change = Some(Change {
+            term: ended.term(),
+            token: ended.token,
+            successor: ended.successor.clone(),
+            from,
+            over,
+            heard: now,
+        });
+        state.leader.end(ended.term(), successor);
+        let leads = state.dispatch.leader();
+        let is_done = state.vouch.term() > ended.term() || leads.is_some() && leads == successor;
+        if is_done {
+            return true;
+        }
         let until = now + HOLD;
         let hold = dispatch::Hold { from, until };
-        let mut state = self.state.borrow_mut();
         state.dispatch.hold(hold);
         state.acquaintance = Acquaintance::Made;
-        state.ordered = Some(now);
         state.held = Some(hold);
+        true
+    }
+
+    /// The newest change of primary, for hosts that may not have heard of it, if this host has
+    /// heard of it within `age`.
+    pub fn ended(&self, age: Duration) -> Option<Ended> {
+        let now = self.site.now();
+        let state = self.state.borrow();
+        let change = state.change.as_ref()?;
+        let serves = change.from.saturating_sub(now);
+        (now <= change.heard + age).then(|| {
+            let (service, successor) = (self.name.clone(), change.successor.clone());
+            Ended::new(service, change.term, change.token, successor, serves)
+        })
+    }
+
+    /// The store has answered what was sent at `sent`: nobody has claimed to replace the primary.
+    pub fn unclaimed(&self, sent: Duration) {
+        self.state.borrow_mut().unclaimed.asked(sent);
+    }
+
+    /// Whether this host may rely on the primary for what the store has said.
+    pub fn is_unclaimed(&self) -> bool {
+        let now = self.site.now();
+        self.state.borrow().unclaimed.holds_lease(now)
+    }
+
+    /// The newest token under which an order for the service was given, as far as is known.
+    pub fn newest_order(&self) -> Option<Grant> {
+        let state = self.state.borrow();
+        state.change.as_ref().map(|change| Grant(change.token))
+    }
+
+    /// Whether an answer at `position` comes from a primary whose term is over.
+    ///
+    /// Guards against a replaced primary that goes on leading its own term: its answers look like
+    /// those of a primary, and only the term in them tells.
+    pub fn is_past(&self, position: Option<Position>) -> bool {
+        let now = self.site.now();
+        let Some(position) = position else {
+            return false;
+        };
+        let state = self.state.borrow();
+        let change = state.change.as_ref();
+        let ended = change.is_some_and(|it| position.term <= it.term && now >= it.over);
+        ended || position.term < state.vouch.term()
     }
 
     /// A write was acknowledged; it is logged if the primary is being replaced meanwhile.
@@ -50,10 +146,26 @@
     }
 
     /// Notes the end of a hold whose time is over.
-    pub(super) fn tick_hold(&self, now: Duration) {
+    pub(super) fn tick_hold(self: &Rc<Self>, now: Duration) {
         let held = self.state.borrow().held;
         if held.is_some_and(|hold| now >= hold.until) {
             self.end_hold("its time is over");
+            self.disown();
+        }
+    }
+
+    /// No successor has shown. The old primary is not relied on again all the same: the order may
+    /// still be carried out. With nobody left that leads, hosts look for the successor and order
+    /// one again.
+    fn disown(self: &Rc<Self>) {
+        self.state.borrow_mut().leader.disown();
+        self.refresh();
+    }
+
+    fn listed_as(&self, server: &peer::Server) -> Option<ServerKey> {
+        match self.meant(server) {
+            Meant::Listed(server) => Some(server),
+            Meant::Former | Meant::Newer | Meant::Unknown => None,
         }
     }
 
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -174,7 +174,9 @@
     /// Another host has seen the log reach `position`.
     pub fn told(&self, position: Position) {
         let now = self.site.now();
-        self.state.borrow_mut().extent.showed(position, now);
+        let mut state = self.state.borrow_mut();
+        state.vouch.saw_term(position.term);
+        state.extent.showed(position, now);
     }
 
     /// A server as other hosts are told of it.
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -31,6 +31,9 @@
 /// host hearing of it, and what it acknowledges then is lost.
 const OUT_OF_TOUCH: &str = "this host is out of touch with most others";
 
+/// Told where a write was answered by a primary whose successor may lead already.
+const REPLACED: &str = "the primary that answered is being replaced";
+
 /// How long a caller may take to say which database it wants.
 const STARTUP: Duration = Duration::from_secs(5);
 
--- a/crates/proxy/src/session/place.rs
+++ b/crates/proxy/src/session/place.rs
@@ -12,7 +12,7 @@
 use flamingopost_core::retry::{self, Attempt};
 
 use super::tell::text;
-use super::{OUT_OF_TOUCH, Session};
+use super::{OUT_OF_TOUCH, REPLACED, Session};
 use crate::attempt::{self, Frame, Job, Ran};
 use crate::back::Outcome;
 use crate::codec::Codec;
@@ -147,11 +147,10 @@
             let reason = "there is no such database any more".to_owned();
             return Tried::Served(Served::NotRun(Code::NoDatabase, reason));
         };
-        if plan.writes_alone() && !self.context.fleet.may_write() {
-            let reason = OUT_OF_TOUCH.to_owned();
-            return Tried::Served(Served::NotRun(Code::Busy, reason));
-        }
         let need = self.need(plan, &route, &service);
+        if need == Need::Lead && !self.context.fleet.holds_lease(&service) {
+            return Tried::Served(out_of_touch());
+        }
         let ticket = Ticket {
             id: self.context.site.next_id(),
             need,
@@ -167,14 +166,20 @@
             Err(unserved) => return Tried::Served(unserved_as(unserved)),
         };
         let frame = fence(plan.frame, plan.access, need);
+        let sent = self.context.site.now();
+        // It may have run out while the statement waited.
+        if need == Need::Lead && !self.context.fleet.holds_lease(&service) {
+            lent.give_back();
+            return Tried::Served(out_of_touch());
+        }
         let job = Job {
             query,
             carry: &self.carry,
             prepared: prepared.map(|(shape, arguments)| (shape, &arguments[..])),
             frame,
             after: position_of(need),
+            sent,
         };
-        let sent = self.context.site.now();
         let repeatable = plan.access == Access::Read || matches!(frame, Frame::Opens(_));
         let limit = self.limit(plan, repeatable, service.average(lent.server), sent);
         let ran = attempt::run(&mut lent, &job, limit).await;
@@ -222,11 +227,13 @@
                 let led = need == Need::Lead;
                 let code = outcome.end.as_ref().err().map(|fault| fault.code);
                 service.heard(server, outcome.position, sent, led && code.is_none());
-                if code.is_none() && plan.writes_alone() && !self.context.fleet.may_write() {
+                if code.is_none()
+                    && plan.writes_alone()
+                    && let Some(reason) = self.unacknowledged(&service, outcome.position)
+                {
                     lent.give_back();
-                    let reason = OUT_OF_TOUCH.to_owned();
-                    self.doubt(query, &service, server, &reason, plan.arrived);
-                    return Tried::Served(Served::InDoubt(Code::InDoubt, reason));
+                    self.doubt(query, &service, server, reason, plan.arrived);
+                    return Tried::Served(Served::InDoubt(Code::InDoubt, reason.to_owned()));
                 }
                 let final_failure =
                     |code: Code| !code.did_not_run() && (plan.access == Access::Write || count > 1);
@@ -332,6 +339,18 @@
         }
     }
 
+    /// Why a write is not acknowledged that a primary has answered at `position`, if it is not.
+    pub(super) fn unacknowledged(
+        &self,
+        service: &Service<C>,
+        position: Option<Position>,
+    ) -> Option<&'static str> {
+        if !self.context.fleet.holds_lease(service) {
+            return Some(OUT_OF_TOUCH);
+        }
+        service.is_past(position).then_some(REPLACED)
+    }
+
     /// Who may run a statement of `plan`.
     pub(super) fn need(&self, plan: &Plan, route: &Route, service: &Rc<Service<C>>) -> Need {
         if plan.access == Access::Write {
@@ -374,6 +393,11 @@
     }
 }
 
+/// A statement needs a primary, and this host has no lease.
+fn out_of_touch<C: Codec>() -> Served<C> {
+    Served::NotRun(Code::Busy, OUT_OF_TOUCH.to_owned())
+}
+
 fn unserved_as<C: Codec>(unserved: Unserved) -> Served<C> {
     match unserved {
         Unserved::Busy => Served::NotRun(Code::Busy, "no connection was free in time".to_owned()),
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 
 use super::place::{Answered, Plan, Served};
-use super::{Begun, OUT_OF_TOUCH, Session, State};
+use super::{Begun, Session, State};
 use crate::attempt::{self, Frame, Job, Ran};
 use crate::back::Outcome;
 use crate::codec::Codec;
@@ -114,12 +114,14 @@
             prepared: prepared.map(|(shape, arguments)| (shape, &arguments[..])),
             frame: Frame::Bare,
             after: None,
+            sent: arrived,
         };
+        let holds_lease = self.context.fleet.holds_lease(&open.service);
         open.lent.rest(false);
         let ran = insist(&mut open, &job, self.timeout()).await;
         match ran {
             Ran::Answered(outcome) => {
-                let led = open.led && outcome.end.is_ok();
+                let led = open.led && holds_lease && outcome.end.is_ok();
                 open.heard(&outcome, arrived, led);
                 let transaction = outcome.transaction;
                 let end = if open.led { End::Primary } else { End::Replica };
@@ -155,9 +157,11 @@
 
     pub(super) async fn commit_open(&mut self, query: &Query, mut open: Box<Open<C>>) {
         let arrived = self.context.site.now();
-        if open.wrote && !self.context.fleet.may_write() {
+        if open.wrote
+            && let Some(reason) = self.unacknowledged(&open.service, open.lent.position)
+        {
             open.roll_back();
-            self.tell(query, Code::Aborted, OUT_OF_TOUCH, arrived);
+            self.tell(query, Code::Aborted, reason, arrived);
             return;
         }
         let job = Job {
@@ -166,20 +170,23 @@
             prepared: None,
             frame: Frame::Bare,
             after: None,
+            sent: arrived,
         };
         open.lent.rest(false);
         let ran = insist(&mut open, &job, self.timeout()).await;
         let server = open.lent.server;
         match ran {
-            Ran::Answered(outcome)
-                if open.wrote && outcome.end.is_ok() && !self.context.fleet.may_write() =>
-            {
-                open.service.heard(server, outcome.position, arrived, false);
-                open.lent.give_back();
-                self.doubt(query, &open.service, server, OUT_OF_TOUCH, arrived);
-                self.tell(query, Code::InDoubt, OUT_OF_TOUCH, arrived);
-            }
             Ran::Answered(outcome) => {
+                if open.wrote
+                    && outcome.end.is_ok()
+                    && let Some(reason) = self.unacknowledged(&open.service, outcome.position)
+                {
+                    open.service.heard(server, outcome.position, arrived, false);
+                    open.lent.give_back();
+                    self.doubt(query, &open.service, server, reason, arrived);
+                    self.tell(query, Code::InDoubt, reason, arrived);
+                    return;
+                }
                 let led = open.led && open.wrote && outcome.end.is_ok();
                 open.heard(&outcome, arrived, led);
                 self.saw(&open.service, outcome.position);
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -7,10 +7,6 @@
 use flamingopost_core::clock::Clock;
 
 use crate::event::{Event, Limit};
-use crate::service::HOLD;
-
-/// A change is seen this much after it has taken effect: a write of the platform's and a feed.
-const SEEN_LATE: Duration = Duration::from_millis(20);
 
 /// What all of a host's parts share.
 pub struct Site {
@@ -22,8 +18,10 @@
     pub clock: Arc<dyn Clock>,
     /// Keeps logs bounded.
     pub limit: Limit,
-    /// How long a promotion takes at the least.
-    pub promotion: Cell<Duration>,
+    /// How long a promotion takes at the least, until one was measured.
+    assumed: Duration,
+    /// How long a promotion has taken at the least.
+    measured: Cell<Option<Duration>>,
     ids: Cell<u64>,
 }
 
@@ -32,7 +30,8 @@
     /// measured.
     pub fn new(host: String, zone: String, promotion: Duration, clock: Arc<dyn Clock>) -> Site {
         Site {
-            promotion: Cell::new(promotion),
+            assumed: promotion,
+            measured: Cell::new(None),
             host,
             zone,
             clock,
@@ -51,11 +50,19 @@
         self.limit.log(event, self.now());
     }
 
-    /// A promotion took `took` from its order until it was seen here.
-    pub(crate) fn promoted(&self, took: Duration) {
-        if took < HOLD {
-            self.promotion.set(took.saturating_sub(SEEN_LATE));
-        }
+    /// How long a promotion takes at the least.
+    pub fn promotion(&self) -> Duration {
+        self.measured.get().unwrap_or(self.assumed)
+    }
+
+    /// A server that was ordered to lead did not `took` after the order.
+    ///
+    /// A bound from below is what counts: taken for longer than it is, the primary before would
+    /// still be written to while its successor leads. When a change is seen is no such bound, since
+    /// the list of servers may be late by seconds.
+    pub fn promoted(&self, took: Duration) {
+        let least = self.measured.get().unwrap_or(took).min(took);
+        self.measured.set(Some(least));
     }
 
     /// A number that this process has not used.
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -46,6 +46,20 @@
     pub proof: String,
 }
 
+/// What a primary does when another server has been promoted.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Replaced {
+    /// It follows its successor from that moment on.
+    #[default]
+    Follows,
+    /// It goes on leading its own term until it is told to step down, or [`NOTICES`] after it can
+    /// reach its successor.
+    LeadsOn,
+}
+
+/// How long after its successor leads, and can be reached, a primary notices it.
+pub const NOTICES: Duration = Duration::from_secs(1);
+
 /// How a server stands.
 #[derive(Debug, Clone)]
 pub(super) struct Member {
@@ -81,6 +95,10 @@
     signatures: u64,
     connections: u64,
     dropped: Vec<Entry>,
+    replaced: Replaced,
+    /// When a server was last promoted.
+    promoted: Option<Instant>,
+    strays: Vec<Entry>,
 }
 
 /// Why a server does not run a statement.
@@ -125,18 +143,44 @@
         self.lock().runs.clone()
     }
 
-    /// Who leads.
+    /// Who leads the newest term.
     pub fn leader(&self) -> Option<String> {
-        let state = self.lock();
-        let leads = state.members.iter().find(|(_, member)| member.leads);
-        leads.map(|(id, _)| id.clone())
+        self.lock().leader().map(|(id, _)| id.clone())
     }
 
-    /// What is committed at the server that leads.
+    /// What is committed at the server that leads the newest term.
     pub fn log(&self) -> Vec<Entry> {
         let state = self.lock();
-        let leads = state.members.values().find(|member| member.leads);
-        leads.map_or_else(Vec::new, |member| member.log.clone())
+        let leader = state.leader();
+        leader.map_or_else(Vec::new, |(_, member)| member.log.clone())
+    }
+
+    /// What a primary does from now on when another server is promoted.
+    pub fn set_replaced(&self, replaced: Replaced) {
+        self.lock().replaced = replaced;
+    }
+
+    /// Writes that a primary committed after its successor had begun to lead.
+    pub fn strays(&self) -> Vec<Entry> {
+        self.lock().strays.clone()
+    }
+
+    /// Whether `server` leads some term, the newest one or one that is over.
+    pub fn leads(&self, server: &str) -> bool {
+        self.replicate();
+        let state = self.lock();
+        state.members.get(server).is_some_and(|it| it.leads)
+    }
+
+    /// `server` follows if it leads a term before `term`.
+    pub fn step_down(&self, server: &str, term: i64) {
+        // What was due before had been sent.
+        self.replicate();
+        if let Some(member) = self.lock().members.get_mut(server)
+            && member.term < term
+        {
+            member.leads = false;
+        }
     }
 
     /// Commits that promotions have rolled back.
@@ -165,11 +209,16 @@
         let term = newest.unwrap_or_default() + 1;
         let length = state.members[server].log.len();
         let kept = state.kept(server);
-        let old = state.members.values().find(|member| member.leads);
-        let dropped = old.and_then(|old| old.before().get(kept..));
+        let old = state.leader();
+        let dropped = old.and_then(|(_, old)| old.before().get(kept..));
         let dropped = dropped.map(<[Entry]>::to_vec).unwrap_or_default();
         state.dropped.extend(dropped);
+        state.promoted = Some(Instant::now());
+        let leads_on = state.replaced == Replaced::LeadsOn;
         for (id, member) in &mut state.members {
+            if leads_on && member.leads && id != server {
+                continue;
+            }
             member.leads = id == server;
             member.blank = false;
             if member.leads || !member.deaf {
@@ -251,6 +300,7 @@
     /// Commits `writes` at `server`, if it leads.
     pub(super) fn commit(&self, server: &str, writes: &[(String, String)]) -> Result<(), Refused> {
         let mut state = self.lock();
+        let newest = state.leader().map(|(_, leader)| leader.term);
         let member = state.members.get_mut(server).ok_or(Refused::ReadOnly)?;
         if writes.is_empty() {
             return Ok(());
@@ -258,11 +308,16 @@
         if !member.leads {
             return Err(Refused::ReadOnly);
         }
+        let mut strays = Vec::new();
         for (item, data) in writes {
             let number = member.log.last().map_or(0, |entry| entry.number) + 1;
             let entry = Entry::new(member.term, number, item, data);
+            if newest > Some(member.term) {
+                strays.push(entry.clone());
+            }
             member.log.push(entry);
         }
+        state.strays.extend(strays);
         Ok(())
     }
 
@@ -287,11 +342,15 @@
         // One that lost its log goes on as the primary of its term, with nothing in it; no replica
         // gives up its own log for that.
         let followed = |it: &Member| it.leads && it.running && !it.blank;
-        let Some(primary) = state.members.values().find(|it| followed(it)) else {
+        let Some((_, primary)) = state.leader().filter(|(_, it)| followed(it)) else {
             return;
         };
         let (log, term) = (primary.log.clone(), primary.term);
+        let noticed = state.promoted.is_some_and(|at| at.elapsed() >= NOTICES);
         for member in state.members.values_mut() {
+            if noticed && member.running && !member.deaf && member.term < term {
+                member.leads = false;
+            }
             if member.leads || member.deaf || !member.running {
                 continue;
             }
@@ -316,6 +375,12 @@
 }
 
 impl State {
+    /// The server that leads the newest term.
+    fn leader(&self) -> Option<(&String, &Member)> {
+        let leading = self.members.iter().filter(|(_, member)| member.leads);
+        leading.max_by_key(|(_, member)| member.term)
+    }
+
     /// How much of the old primary's log a promotion of `server` has to keep. What a server lost
     /// that started again without its log counts as rolled back only where no other one has it.
     fn kept(&self, server: &str) -> usize {
--- a/crates/standin/src/pooled/session.rs
+++ b/crates/standin/src/pooled/session.rs
@@ -151,6 +151,13 @@
                 Answer::Done("-".to_owned())
             }
             "STATUS" => self.status(),
+            "STEPDOWN" => {
+                let Ok(term) = tail.parse() else {
+                    return Answer::Error("MALFORMED");
+                };
+                self.server.group.step_down(&self.server.id, term);
+                self.status()
+            }
             "EXECUTE" => {
                 let (name, arguments) = tail.split_once(' ').unwrap_or((tail, ""));
                 let Some(shape) = self.prepared.get(name).cloned() else {
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -66,6 +66,8 @@
 /// Tokens seen and orders taken, by service.
 #[derive(Debug, Default)]
 struct Orders {
+    /// Orders are carried out whatever their token is.
+    unfenced: AtomicBool,
     newest: Mutex<BTreeMap<String, u64>>,
     taken: Mutex<Vec<Order>>,
 }
@@ -81,7 +83,8 @@
     pub holder: String,
     /// Its fencing token.
     pub token: u64,
-    /// Whether it was carried out; those with a token below the newest are not.
+    /// Whether it was carried out; those with a token below the newest are not, where tokens are
+    /// checked.
     pub accepted: bool,
 }
 
@@ -90,7 +93,7 @@
     fn take(&self, mut order: Order) -> bool {
         let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
         let seen = newest.entry(order.service.clone()).or_default();
-        order.accepted = order.token >= *seen;
+        order.accepted = order.token >= *seen || self.unfenced.load(Ordering::Relaxed);
         *seen = (*seen).max(order.token);
         let accepted = order.accepted;
         let taken = self.taken.lock();
@@ -233,6 +236,12 @@
         self.register(server);
     }
 
+    /// Whether the platform refuses orders whose token is below one that it has seen; it does unless
+    /// told otherwise.
+    pub fn set_fencing(&self, fencing: bool) {
+        self.orders.unfenced.store(!fencing, Ordering::Relaxed);
+    }
+
     /// All orders so far.
     pub fn orders(&self) -> Vec<Order> {
         let taken = self.orders.taken.lock();
