Tell a replaced primary by the server, not by its position; confirm reads by the other servers

Cause: a server that has just been promoted shows a position of the old term until it has caught up with its own log. Change: who is past follows from the terms that a server was seen to lead. Reads without a lease go to the primary when all other servers of the service say, after the read was asked for, that they follow.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -42,6 +42,8 @@
     servers: BTreeMap<ServerKey, Known>,
     changed: Duration,
     current: Option<ServerKey>,
+    /// A successor was ordered for the primary of this term.
+    ended: Term,
 }
 
 #[derive(Debug)]
@@ -107,6 +109,9 @@
             Role::Primary => {
                 known.claims = term >= newest;
                 known.led = known.led.max(term);
+                if known.led <= self.ended {
+                    known.over = Some(self.ended);
+                }
             }
             Role::Replica => {
                 known.claims = false;
@@ -142,6 +147,7 @@
     /// assert_eq!(leader.get(), Some(server), "it was promoted again");
     /// ```
     pub fn end(&mut self, term: Term, successor: Option<ServerKey>) {
+        self.ended = self.ended.max(term);
         for (server, known) in &mut self.servers {
             if known.claims && known.led <= term && Some(*server) != successor {
                 known.over = known.over.max(Some(term));
@@ -159,6 +165,12 @@
         }
     }
 
+    /// Whether `server` leads no term but those that are over, as far as is known.
+    pub fn is_over(&self, server: ServerKey) -> bool {
+        let known = self.servers.get(&server);
+        known.is_some_and(Known::is_over)
+    }
+
     /// Servers whose terms are over do not lead, though no other one claims to.
     pub fn disown(&mut self) {
         for known in self.servers.values_mut() {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -25,9 +25,8 @@
     pub frame: Frame,
     /// What the server's log must contain for it to run.
     pub after: Option<Position>,
-    /// When this host was last seen to have a lease, where the statement needs one, and else when
-    /// it was sent. What a primary shows is known to be current up to here.
-    pub sent: Duration,
+    /// Up to when what a primary shows by it is known to be current.
+    pub current: Duration,
 }
 
 /// What goes around a statement.
@@ -139,7 +138,7 @@
         Access::Write => None,
     };
     lent.push(&Command::Begin { access, after });
-    let sent = job.sent;
+    let sent = job.current;
     lent.flush().await?;
     settle(lent, 1).await?;
     let outcome = lent.outcome().await?;
@@ -150,7 +149,7 @@
     // a day with 65 hosts, for good, after its replicas had been behind for six seconds.
     let led = access == Access::Write && outcome.end.is_ok();
     let service = Rc::clone(lent.service());
-    let is_past = led && service.is_past(outcome.position);
+    let is_past = led && service.is_past(lent.server);
     service.heard(lent.server, outcome.position, sent, led && !is_past);
     if is_past {
         // It goes on leading a term that is over. The statement is not sent there, and the
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -24,6 +24,7 @@
 use crate::peer;
 use crate::site::Site;
 
+mod confirm;
 mod connect;
 mod hold;
 mod lent;
@@ -32,6 +33,7 @@
 mod queue;
 mod restart;
 
+use confirm::Confirmation;
 pub use lent::{Awaited, Lent};
 pub use life::Life;
 use restart::{Acquaintance, Check};
@@ -45,6 +47,8 @@
     pub site: Rc<Site>,
     /// Something happened that may call for another primary.
     pub alarm: Notify,
+    /// A round of questions to the other servers has ended.
+    confirmed: Notify,
     state: RefCell<State<C>>,
 }
 
@@ -66,6 +70,7 @@
     held: Option<dispatch::Hold>,
     change: Option<hold::Change>,
     unclaimed: Unclaimed,
+    confirmation: Confirmation,
     /// Servers that are at their limit while this host has less than its part.
     short_of: BTreeSet<ServerKey>,
 }
@@ -104,6 +109,7 @@
             name,
             site,
             alarm: Notify::new(),
+            confirmed: Notify::new(),
             state: RefCell::new(State {
                 dispatch: Dispatch::default(),
                 vouch: Vouch::default(),
@@ -124,6 +130,7 @@
                 held: None,
                 change: None,
                 unclaimed: Unclaimed::default(),
+                confirmation: Confirmation::default(),
                 short_of: BTreeSet::new(),
             }),
         }
@@ -181,8 +188,7 @@
         }
         state.vouch.saw_term(position.term);
         state.leader.saw_term(server, position.term);
-        let is_current = position.term >= state.vouch.term();
-        if led && is_current && !state.extent.lacks(position, sent) {
+        if led && !state.extent.lacks(position, sent) {
             state.vouch.led(position, sent);
             state.leader.led(server, position.term);
         }
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -116,19 +116,18 @@
         state.change.as_ref().map(|change| Grant(change.token))
     }
 
-    /// Whether an answer at `position` comes from a primary whose term is over.
+    /// Whether what `server` answers as a primary does not count: its term is over.
     ///
     /// Guards against a replaced primary that goes on leading its own term: its answers look like
-    /// those of a primary, and only the term in them tells.
-    pub fn is_past(&self, position: Option<Position>) -> bool {
+    /// those of a primary. The position in them does not tell, since a server that has just been
+    /// promoted shows one of the old term until it has caught up with its own log.
+    pub fn is_past(&self, server: ServerKey) -> bool {
         let now = self.site.now();
-        let Some(position) = position else {
-            return false;
-        };
         let state = self.state.borrow();
         let change = state.change.as_ref();
-        let ended = change.is_some_and(|it| position.term <= it.term && now >= it.over);
-        ended || position.term < state.vouch.term()
+        let relieved = change.is_some_and(|change| now >= change.over);
+        let led = state.leader.term_led(server);
+        state.leader.is_over(server) && (relieved || led < state.vouch.term())
     }
 
     /// A write was acknowledged; it is logged if the primary is being replaced meanwhile.
--- a/crates/proxy/src/session/place.rs
+++ b/crates/proxy/src/session/place.rs
@@ -70,6 +70,8 @@
     frame: Frame,
     repeatable: bool,
     sent: Duration,
+    /// Up to when what it shows of a primary is known to be current.
+    current: Duration,
     count: u8,
 }
 
@@ -148,7 +150,7 @@
             return Tried::Served(Served::NotRun(Code::NoDatabase, reason));
         };
         let need = self.need(plan, &route, &service);
-        if need == Need::Lead && !self.context.fleet.holds_lease(&service) {
+        if self.current_at(plan, need, &service).await.is_none() {
             return Tried::Served(out_of_touch());
         }
         let ticket = Ticket {
@@ -166,20 +168,20 @@
             Err(unserved) => return Tried::Served(unserved_as(unserved)),
         };
         let frame = fence(plan.frame, plan.access, need);
-        let sent = self.context.site.now();
-        // It may have run out while the statement waited.
-        if need == Need::Lead && !self.context.fleet.holds_lease(&service) {
+        // A lease may have run out while the statement waited.
+        let Some(current) = self.current_at(plan, need, &service).await else {
             lent.give_back();
             return Tried::Served(out_of_touch());
-        }
+        };
         let job = Job {
             query,
             carry: &self.carry,
             prepared: prepared.map(|(shape, arguments)| (shape, &arguments[..])),
             frame,
             after: position_of(need),
-            sent,
+            current,
         };
+        let sent = self.context.site.now();
         let repeatable = plan.access == Access::Read || matches!(frame, Frame::Opens(_));
         let limit = self.limit(plan, repeatable, service.average(lent.server), sent);
         let ran = attempt::run(&mut lent, &job, limit).await;
@@ -189,6 +191,7 @@
             frame,
             repeatable,
             sent,
+            current,
             count,
         };
         self.judge(query, plan, lent, ran, sending)
@@ -220,16 +223,23 @@
             frame,
             repeatable,
             sent,
+            current,
             count,
         } = sending;
         let (code, run, error) = match ran {
             Ran::Answered(outcome) => {
                 let led = need == Need::Lead;
+                let is_past = led && service.is_past(server);
                 let code = outcome.end.as_ref().err().map(|fault| fault.code);
-                service.heard(server, outcome.position, sent, led && code.is_none());
+                service.heard(
+                    server,
+                    outcome.position,
+                    current,
+                    led && !is_past && code.is_none(),
+                );
                 if code.is_none()
                     && plan.writes_alone()
-                    && let Some(reason) = self.unacknowledged(&service, outcome.position)
+                    && let Some(reason) = self.unacknowledged(&service, server)
                 {
                     lent.give_back();
                     self.doubt(query, &service, server, reason, plan.arrived);
@@ -339,16 +349,37 @@
         }
     }
 
-    /// Why a write is not acknowledged that a primary has answered at `position`, if it is not.
+    /// A moment, no earlier than that at which the statement was asked for, up to which the primary
+    /// is known to have had no successor; `None` where that cannot be shown, and now where it does
+    /// not matter.
+    ///
+    /// By this host's lease, or for a statement that only reads by the word of the service's other
+    /// servers.
+    async fn current_at(
+        &self,
+        plan: &Plan,
+        need: Need,
+        service: &Rc<Service<C>>,
+    ) -> Option<Duration> {
+        if need != Need::Lead || self.context.fleet.holds_lease(service) {
+            return Some(self.context.site.now());
+        }
+        match plan.access {
+            Access::Read => service.confirm(plan.arrived).await,
+            Access::Write => None,
+        }
+    }
+
+    /// Why a write is not acknowledged that `server` has answered as the primary, if it is not.
     pub(super) fn unacknowledged(
         &self,
         service: &Service<C>,
-        position: Option<Position>,
+        server: ServerKey,
     ) -> Option<&'static str> {
         if !self.context.fleet.holds_lease(service) {
             return Some(OUT_OF_TOUCH);
         }
-        service.is_past(position).then_some(REPLACED)
+        service.is_past(server).then_some(REPLACED)
     }
 
     /// Who may run a statement of `plan`.
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -114,14 +114,15 @@
             prepared: prepared.map(|(shape, arguments)| (shape, &arguments[..])),
             frame: Frame::Bare,
             after: None,
-            sent: arrived,
+            current: arrived,
         };
         let holds_lease = self.context.fleet.holds_lease(&open.service);
         open.lent.rest(false);
         let ran = insist(&mut open, &job, self.timeout()).await;
         match ran {
             Ran::Answered(outcome) => {
-                let led = open.led && holds_lease && outcome.end.is_ok();
+                let is_past = open.service.is_past(open.lent.server);
+                let led = open.led && holds_lease && !is_past && outcome.end.is_ok();
                 open.heard(&outcome, arrived, led);
                 let transaction = outcome.transaction;
                 let end = if open.led { End::Primary } else { End::Replica };
@@ -158,7 +159,7 @@
     pub(super) async fn commit_open(&mut self, query: &Query, mut open: Box<Open<C>>) {
         let arrived = self.context.site.now();
         if open.wrote
-            && let Some(reason) = self.unacknowledged(&open.service, open.lent.position)
+            && let Some(reason) = self.unacknowledged(&open.service, open.lent.server)
         {
             open.roll_back();
             self.tell(query, Code::Aborted, reason, arrived);
@@ -170,7 +171,7 @@
             prepared: None,
             frame: Frame::Bare,
             after: None,
-            sent: arrived,
+            current: arrived,
         };
         open.lent.rest(false);
         let ran = insist(&mut open, &job, self.timeout()).await;
@@ -179,7 +180,7 @@
             Ran::Answered(outcome) => {
                 if open.wrote
                     && outcome.end.is_ok()
-                    && let Some(reason) = self.unacknowledged(&open.service, outcome.position)
+                    && let Some(reason) = self.unacknowledged(&open.service, server)
                 {
                     open.service.heard(server, outcome.position, arrived, false);
                     open.lent.give_back();
