Test terms that are over, tokens, pauses and the wait before an order in core

nobody_writes_once_an_order_may_go_out is replaced by nobody_relies_on_a_primary_whose_successor_leads: its check began only LEASE, MARGIN and 10 ms after the cut, which is what the wait of quiet_at should give by itself, so it passed without that wait. Now the order goes out as soon as quiet_at allows, and when a promotion can have taken effect no host that was not told has a lease; the old check stands beside it. The later start had been needed because of hosts that the others hear and the orderer does not; they are told with the heartbeats now, which the test plays.

--- a/crates/core/tests/leader.rs
+++ b/crates/core/tests/leader.rs
@@ -125,3 +125,54 @@
     leader.listed(newer, Role::Primary, 4);
     assert_eq!(leader.get(), Some(newer));
 }
+
+/// A primary is replaced on a platform where it goes on leading its own term. It lists itself as
+/// before and answers as before, and hosts went back and forth between it and its successor, whose
+/// term they had not seen yet.
+#[test]
+fn a_replaced_primary_that_leads_on_gives_way_to_any_other() {
+    let (old, new) = servers();
+    let mut leader = Leader::default();
+    leader.listed(old, Role::Primary, 3);
+    leader.said(old, Role::Primary, term(1));
+    leader.listed(new, Role::Replica, 4);
+    leader.end(term(1), Some(new));
+    assert_eq!(leader.get(), Some(old), "nobody else leads yet");
+    leader.listed(new, Role::Primary, 9);
+    assert_eq!(leader.get(), Some(new));
+    leader.said(old, Role::Primary, term(1));
+    leader.listed(old, Role::Primary, 10);
+    assert_eq!(leader.get(), Some(new));
+    assert!(leader.is_over(old));
+    assert!(!leader.is_over(new));
+}
+
+/// A host hears of an order, but no successor shows. The order may still be carried out after
+/// seconds, so the old primary is not gone back to, not even when it says that it leads.
+#[test]
+fn an_ended_term_does_not_come_back() {
+    let (old, new) = servers();
+    let mut leader = Leader::default();
+    leader.listed(old, Role::Primary, 3);
+    leader.end(term(1), Some(new));
+    leader.disown();
+    assert_eq!(leader.get(), None);
+    leader.said(old, Role::Primary, term(1));
+    assert_eq!(leader.get(), None);
+    leader.said(old, Role::Replica, term(2));
+    leader.said(old, Role::Primary, term(3));
+    assert_eq!(leader.get(), Some(old), "it was promoted again");
+}
+
+/// A host missed the order and sees only that some replica's log has reached the next term.
+#[test]
+fn a_newer_term_ends_those_before() {
+    let (old, new) = servers();
+    let mut leader = Leader::default();
+    leader.said(old, Role::Primary, term(1));
+    leader.listed(old, Role::Primary, 3);
+    leader.said(old, Role::Primary, term(1));
+    leader.listed(new, Role::Primary, 2);
+    leader.began(term(2));
+    assert_eq!(leader.get(), Some(new));
+}
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -102,10 +102,18 @@
     assert!(!quorum.holds_lease(GONE * 4));
 }
 
-/// Hosts exchange heartbeats over links that lose, delay and cut, one way too. Whenever one part
-/// may order a promotion, no host outside of what it has heard may write.
+/// A promotion takes no less than this from its order, on any of the users' deployments.
+const PROMOTION: Duration = Duration::from_millis(300);
+
+/// Hosts exchange heartbeats over links that lose, delay and cut, one way too. As soon as one part
+/// may order a promotion, it does, and its heartbeats tell of it. When the successor leads, no host
+/// that was cut off and has not been told may rely on the primary before.
+///
+/// Cut one way, a host that nobody hears may still be answered, and one that is heard may not: both
+/// sides of a contact have to be looked at, which is why the order waits from when a host was last
+/// heard and the lease runs from when the question was sent.
 #[test]
-fn nobody_writes_once_an_order_may_go_out() {
+fn nobody_relies_on_a_primary_whose_successor_leads() {
     for seed in 0..300 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = rng.random_range(3..8);
@@ -126,6 +134,8 @@
             1 => (false, true),
             _ => (true, true),
         };
+        let mut ordered = None;
+        let mut told_of_it = vec![false; count];
         let mut now = ms(0);
         while now < ms(8_000) {
             for from in 0..count {
@@ -141,18 +151,27 @@
                     if !blocked(!asks_in) {
                         quorums[from].answered(keys[to], now);
                         quorums[from].heard(keys[to], now + ms(4));
+                        told_of_it[from] |= ordered.is_some() && to < count - cut;
                     }
                 }
             }
             now += HEARTBEAT;
-            // The first host would order a promotion, told to nobody who is cut off.
+            // The first host orders a promotion, with the word of all that are not cut off.
             let told: BTreeSet<HostKey> = keys[..count - cut].iter().copied().collect();
-            let quiet =
-                now >= cut_at + LEASE + MARGIN + ms(10) && now >= quorums[0].quiet_at(&told, now);
-            for writer in &quorums[count - cut..] {
+            let quiet = now >= quorums[0].quiet_at(&told, now);
+            if now >= cut_at && quiet {
+                ordered.get_or_insert(now);
+            }
+            let late = quiet && now >= cut_at + LEASE + MARGIN + ms(10);
+            let leads = ordered.is_some_and(|at| now >= at + PROMOTION);
+            for (writer, told) in quorums.iter().zip(&told_of_it).skip(count - cut) {
                 let alone = cut * 2 < count;
                 assert!(
-                    !(quiet && alone && writer.holds_lease(now)),
+                    !(leads && alone && !told && writer.holds_lease(now)),
+                    "seed {seed}: a write at {now:?} while the successor leads"
+                );
+                assert!(
+                    !(late && alone && writer.holds_lease(now)),
                     "seed {seed}: a write at {now:?} after the order"
                 );
             }
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -597,3 +597,59 @@
     let next = scene.step(ms(3_000));
     assert!(matches!(next[..], [Next::Promote { .. }]), "{next:?}");
 }
+
+/// The store is away, and another host has replaced the primary before under a token of its own.
+/// The platform carries out whatever it is told: an order under the lower token that this host had
+/// reserved at its start undid the change of whoever came next.
+#[test]
+fn no_order_goes_out_under_a_lower_token_than_was_used() {
+    let mut scene = scene();
+    scene.succession.reserve(Grant(4));
+    scene.view.ordered = Some(Grant(18));
+    scene.step(ms(1_020));
+    scene.succession.report(scene.servers[2], replica(43));
+    scene.hear(5, 0);
+    assert_eq!(scene.step(ms(1_025)), [Next::Claim]);
+    scene.succession.unclaimed(2, ms(1_275));
+    for now in (1_280..3_000).step_by(20) {
+        let next = scene.step(ms(now));
+        let orders = next.iter().any(|it| matches!(it, Next::Promote { .. }));
+        assert!(!orders, "at {now}: {next:?}");
+    }
+}
+
+/// The same with the claim won: while this host waited for a better candidate, another one took
+/// the claim over and acted.
+#[test]
+fn a_claim_that_was_taken_over_is_not_acted_on() {
+    let mut scene = scene();
+    scene.claim();
+    scene.succession.report(scene.servers[2], replica(43));
+    scene.view.ordered = Some(Grant(9));
+    let next = scene.step(ms(1_300));
+    assert!(!next.contains(&scene.order()), "{next:?}");
+}
+
+/// A host is suspended between its claim and its order. When it wakes up, another host has taken
+/// the claim over and somebody else leads, which it has not heard of yet.
+#[test]
+fn a_host_that_was_paused_drops_its_claim() {
+    let mut scene = scene();
+    scene.claim();
+    scene.succession.report(scene.servers[2], replica(43));
+    scene.succession.paused(ms(6_000));
+    let next = scene.step(ms(6_000));
+    assert_eq!(next, [], "it looks around first");
+}
+
+/// Hosts were asked about one primary. Before the order goes out, a replica's log shows a newer
+/// term: another server leads, whom nobody was asked about.
+#[test]
+fn what_was_found_out_of_one_primary_replaces_no_other() {
+    let mut scene = scene();
+    scene.claim();
+    scene.succession.report(scene.servers[2], replica(43));
+    scene.view.term = Term::from_number(2);
+    assert_eq!(scene.step(ms(1_300)), []);
+    assert!(!scene.succession.is_under_way());
+}
