standin: count what a promotion rolls back also where the primary has stepped down before

They were rolled back by a promotion whose old primary had been told to step down a moment before, so the stand-in found no old primary to compare with. It remembers the one that stepped down.

--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -99,6 +99,8 @@
     /// When a server was last promoted.
     promoted: Option<Instant>,
     strays: Vec<Entry>,
+    /// The primary that has stepped down for a successor that does not lead yet.
+    stepped: Option<String>,
 }
 
 /// Why a server does not run a statement.
@@ -176,10 +178,17 @@
     pub fn step_down(&self, server: &str, term: i64) {
         // What was due before had been sent.
         self.replicate();
-        if let Some(member) = self.lock().members.get_mut(server)
-            && member.term < term
-        {
-            member.leads = false;
+        let mut state = self.lock();
+        let leads = state.leader().is_some_and(|(id, _)| id == server);
+        let Some(member) = state.members.get_mut(server) else {
+            return;
+        };
+        if member.term >= term {
+            return;
+        }
+        member.leads = false;
+        if leads {
+            state.stepped = Some(server.to_owned());
         }
     }
 
@@ -209,8 +218,10 @@
         let term = newest.unwrap_or_default() + 1;
         let length = state.members[server].log.len();
         let kept = state.kept(server);
-        let old = state.leader();
-        let dropped = old.and_then(|(_, old)| old.before().get(kept..));
+        let stepped = state.stepped.take();
+        let stepped = stepped.and_then(|id| state.members.get(&id));
+        let old = state.leader().map(|(_, old)| old).or(stepped);
+        let dropped = old.and_then(|old| old.before().get(kept..));
         let dropped = dropped.map(<[Entry]>::to_vec).unwrap_or_default();
         state.dropped.extend(dropped);
         state.promoted = Some(Instant::now());
