--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -30,6 +30,8 @@
         /// Instead of seeds: for how long nothing is written when a primary goes, measured so often
         /// in each of the ways.
         optional --gaps count: usize
+        /// With --gaps: replaced primaries lead their own term on, and tokens are not checked.
+        optional --lax
         /// Prints each plan before it is played.
         optional --plan
     }
--- a/crates/soak/src/gap.rs
+++ b/crates/soak/src/gap.rs
@@ -52,13 +52,15 @@
     pub const ALL: [Way; 4] = [Way::Dies, Way::Silent, Way::Leaves, Way::DiesWithoutStore];
 }
 
-/// Measures the gap of `way` `count` times with `program`; settings and logs go to `folder`.
+/// Measures the gap of `way` `count` times with `program`; settings and logs go to `folder`. With
+/// `lax`, replaced primaries lead on and tokens are not checked.
 ///
 /// # Errors
 /// Processes or relays cannot be started.
 pub async fn measure(
     way: Way,
     count: usize,
+    lax: bool,
     program: &Path,
     folder: &Path,
 ) -> io::Result<Vec<Duration>> {
@@ -66,7 +68,11 @@
         promotion: PROMOTION,
         ..Sizes::default()
     };
-    let stage = Stage::set(Plan::calm(HOSTS, sizes), program, folder).await?;
+    let plan = Plan {
+        lax,
+        ..Plan::calm(HOSTS, sizes)
+    };
+    let stage = Stage::set(plan, program, folder).await?;
     stage.started().await;
     let stop = Arc::new(AtomicBool::new(false));
     let acknowledged: Arc<Mutex<Vec<Instant>>> = Arc::default();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -38,7 +38,7 @@
 #[tokio::main]
 async fn run(flags: &FlamingopostSoak) -> std::io::Result<usize> {
     if let Some(count) = flags.gaps {
-        gaps(count, &flags.program).await?;
+        gaps(count, flags.lax, &flags.program).await?;
         return Ok(0);
     }
     let first = flags.first.unwrap_or_else(rand::random);
@@ -67,10 +67,10 @@
 }
 
 /// Measures and prints the gap of each way in which a primary goes.
-async fn gaps(count: usize, program: &Path) -> std::io::Result<()> {
+async fn gaps(count: usize, lax: bool, program: &Path) -> std::io::Result<()> {
     for way in Way::ALL {
         let folder = tempfile::tempdir()?;
-        let mut gaps = gap::measure(way, count, program, folder.path()).await?;
+        let mut gaps = gap::measure(way, count, lax, program, folder.path()).await?;
         gaps.sort_unstable();
         let median = gaps.get(gaps.len() / 2).copied().unwrap_or_default();
         let worst = gaps.last().copied().unwrap_or_default();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -20,6 +20,11 @@
 /// what they were kept for.
 pub const RESTARTS: u64 = 1 << 32;
 
+/// Seeds from here on are played on a platform where a replaced primary leads its own term on until
+/// it is told, and orders are carried out whatever their token is. They draw the faults that the
+/// seeds from 0 on draw.
+pub const LAX: u64 = 1 << 33;
+
 /// Mean time between two of these.
 const RESTARTS_SPACING: Duration = Duration::from_millis(1_500);
 
@@ -38,6 +43,8 @@
     pub callers: usize,
     /// For how long faults strike.
     pub length: Duration,
+    /// Replaced primaries lead on, and tokens are not checked.
+    pub lax: bool,
     /// A host whose log nobody reads.
     pub unread: Option<usize>,
     /// The faults, by when they strike.
@@ -54,6 +61,7 @@
             sizes,
             callers: 0,
             length: Duration::ZERO,
+            lax: false,
             unread: None,
             faults: Vec::new(),
         }
@@ -79,11 +87,12 @@
             sizes,
             callers: (hosts * 3).clamp(6, 60),
             length,
+            lax: seed >= LAX,
             unread: dice.random_bool(0.3).then(|| dice.random_range(0..hosts)),
             faults: Vec::new(),
         };
         plan.draw_faults(&mut dice);
-        if seed >= RESTARTS {
+        if (RESTARTS..LAX).contains(&seed) {
             plan.draw_restarts(&mut dice);
         }
         plan
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
-use flamingopost_standin::pooled::{Faults, Mode, Site};
+use flamingopost_standin::pooled::{Faults, Mode, Replaced, Site};
 use flamingopost_standin::ports;
 use tokio::task::JoinSet;
 
@@ -57,6 +57,10 @@
     /// Starts everything; hosts may not serve yet.
     pub(crate) async fn set(plan: Plan, program: &Path, folder: &Path) -> io::Result<Stage> {
         let site = Site::start(&[SERVICE], plan.sizes).await?;
+        if plan.lax {
+            site.group(SERVICE).set_replaced(Replaced::LeadsOn);
+            site.set_fencing(false);
+        }
         let net = Net::default();
         let names: BTreeMap<String, usize> =
             (0..plan.hosts).map(|host| (name(host), host)).collect();
