Log lost and regained leases, and reads that go without one

On call, a read that was too old could not be told from one that a primary was rightly believed for. 5118 says when a host has lost its lease and whom it hears, 5206 names each read that rests on the word of the other servers. Measured: nothing but the tests of the catalogue and two_leaders; the volume is bounded like that of every event.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -151,6 +151,11 @@
         fresh * 2 > hosts || fresh * 2 > hosts - self.gone(now).len()
     }
 
+    /// How many other hosts are listed.
+    pub fn hosts(&self) -> usize {
+        self.others.len()
+    }
+
     /// Hosts that count as gone for good.
     pub fn gone(&self, now: Duration) -> BTreeSet<HostKey> {
         let silent = |contact: &Contact| now >= contact.heard + GONE;
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -74,6 +74,8 @@
     asking: Cell<bool>,
     /// When most other hosts were last in touch.
     in_touch: Cell<Option<Duration>>,
+    /// Whether this host has a lease, and since when that is so.
+    lease: Cell<(bool, Duration)>,
 }
 
 impl<C: Codec, P: Platform> Election<C, P> {
@@ -84,7 +86,9 @@
         platform: Rc<P>,
         socket: Rc<Socket>,
     ) -> Election<C, P> {
+        let lease = Cell::new((false, site.now()));
         Election {
+            lease,
             site,
             fleet,
             platform,
--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -70,6 +70,7 @@
 
     /// For how many milliseconds this host may have missed what the others heard.
     fn out_of_touch(&self, with_most: bool, now: Duration) -> u32 {
+        self.tell_of_lease(with_most, now);
         if with_most {
             self.in_touch.set(Some(now));
         }
@@ -78,6 +79,24 @@
         millis.unwrap_or(u32::MAX)
     }
 
+    /// Logs that this host has lost its lease, or has it back.
+    fn tell_of_lease(&self, holds: bool, now: Duration) {
+        let (held, since) = self.lease.get();
+        if held == holds {
+            return;
+        }
+        self.lease.set((holds, now));
+        let (heard, hosts) = self
+            .fleet
+            .with_quorum(|quorum, now| (quorum.in_touch(now).len(), quorum.hosts()));
+        self.site.log(&Event::Lease {
+            outcome: if holds { "back" } else { "lost" },
+            millis: now.saturating_sub(since).as_millis(),
+            heard,
+            hosts,
+        });
+    }
+
     /// Changes of primaries that this host has heard of within `age`.
     ///
     /// An order is announced by one datagram to each host, which may be lost, and a host that was
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -56,6 +56,8 @@
         5116 Warn AcknowledgedDuring { service: String, id: String, position: String },
         /// {service}: server {server} was told that term {term} is not its own, and is {role:?} now
         5117 Info SteppedDown { service: String, server: String, term: i64, role: flamingopost_core::leader::Role },
+        /// this host has its lease {outcome}, the state before lasted {millis} ms; in touch with {heard} of {hosts} hosts
+        5118 Warn Lease { outcome: &'static str, millis: u128, heard: usize, hosts: usize },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} tried again: {reason} at {server}, attempt {attempt} after {millis} ms
@@ -68,6 +70,8 @@
         5204 Warn BadCaller { error: String },
         /// request {id} for {database} ends without an answer from the host that serves it: {error} after {millis} ms
         5205 Warn RelayLost { id: String, database: String, error: String, millis: u128 },
+        /// request {id} for {database} read at {server} without a lease: the other servers, asked {millis} ms before, follow it
+        5206 Info ReadConfirmed { id: String, database: String, server: String, millis: u128 },
         /// {count} more lines of event {event} were left out within a second
         5290 Warn Suppressed { event: u16, count: u64 },
         /// settings file changed: {outcome}
--- a/crates/proxy/src/session/place.rs
+++ b/crates/proxy/src/session/place.rs
@@ -182,6 +182,14 @@
             current,
         };
         let sent = self.context.site.now();
+        if need == Need::Lead && !self.context.fleet.holds_lease(&service) {
+            self.context.site.log(&Event::ReadConfirmed {
+                id: text(&query.id),
+                database: self.database.clone(),
+                server: service.name_of(Some(lent.server)),
+                millis: sent.saturating_sub(current).as_millis(),
+            });
+        }
         let repeatable = plan.access == Access::Read || matches!(frame, Frame::Opens(_));
         let limit = self.limit(plan, repeatable, service.average(lent.server), sent);
         let ran = attempt::run(&mut lent, &job, limit).await;
