Take a promotion's time only where it was seen well; part what follows an order from the election

A successor that answers nothing until it leads would have been measured as one that took no time; as the least bound it would stay, and every primary that leaves afterwards would be given up a whole promotion too early. Test: a_promotion_that_was_not_seen_well_is_no_measure.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -14,12 +14,14 @@
 use crate::key::{HostKey, ServerKey};
 
 mod contact;
+mod effect;
 mod inquiry;
 mod led;
 mod next;
 mod view;
 
 pub use contact::{Contact, Trouble};
+pub use effect::Effect;
 pub use inquiry::{ALONE, DIVIDED, OBJECTION, RETURN};
 use inquiry::{Inquiry, Verdict};
 use led::Led;
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -8,8 +8,8 @@
 use flamingopost_core::names::Names;
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::{
-    ALONE, DIVIDED, Grant, INQUIRY, Next, OBJECTION, Opinion, Order, Report, Succession, Trouble,
-    View,
+    ALONE, DIVIDED, Effect, Grant, INQUIRY, Next, OBJECTION, Opinion, Order, Report, Succession,
+    Trouble, View,
 };
 use flamingopost_core::term::Term;
 
@@ -653,3 +653,15 @@
     assert_eq!(scene.step(ms(1_300)), []);
     assert!(!scene.succession.is_under_way());
 }
+
+/// A successor was too busy to say for half a second whether it leads. Its promotion counted as one
+/// that took no time, the shortest of all, and each primary that left afterwards was given up a whole
+/// promotion too early.
+#[test]
+fn a_promotion_that_was_not_seen_well_is_no_measure() {
+    let mut effect = Effect::ordered(ms(1_000));
+    assert_eq!(effect.took(ms(1_600)), None, "nothing was heard before");
+    effect.follows(ms(1_250));
+    assert_eq!(effect.took(ms(1_600)), None);
+    assert_eq!(effect.took(ms(1_290)), Some(ms(250)));
+}
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -9,7 +9,7 @@
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::leader::Role;
 use flamingopost_core::succession::{
-    EFFECT, Grant, HOLDER, Next, Order, PAUSED, Report, Succession, Trouble, View,
+    Grant, HOLDER, Next, Order, PAUSED, Report, Succession, Trouble, View,
 };
 use flamingopost_core::term::Term;
 use tokio::time::timeout;
@@ -24,6 +24,7 @@
 use crate::service::Service;
 use crate::site::Site;
 
+mod handover;
 mod talk;
 
 /// Time between two steps while something is wrong.
@@ -48,15 +49,6 @@
 /// How long the store may take to decide a claim before hosts act in turn.
 const CLAIM: Duration = Duration::from_millis(250);
 
-/// A primary that leaves is told to step down this long after the last write was sent there, so
-/// that its replicas receive what it has acknowledged: half of the time that is left until the
-/// earliest moment at which its successor leads.
-const DELIVERY: Duration = Duration::from_millis(30);
-
-/// How often a replaced primary is tried to be told of it: it may be cut off for a moment, and
-/// notices by itself a second after it can reach its successor.
-const STEP_DOWNS: u32 = 8;
-
 /// How long an order may take to be answered before it is repeated.
 const ORDER: Duration = Duration::from_millis(500);
 
@@ -422,11 +414,7 @@
         if order == Order::Accepted {
             let next = Term::from_number(term.number() + 1);
             if let Some(replaced) = replaced {
-                let at = match serves.is_zero() {
-                    true => sent,
-                    false => sent + serves + DELIVERY,
-                };
-                self.step_down(&service, &replaced, next, at);
+                self.step_down(&service, &replaced, next, handover::moment(sent, serves));
             }
             if let Some(successor) = target(&service, server) {
                 self.look_for_effect(&service, successor, term, sent);
@@ -442,129 +430,6 @@
         service.alarm.notify_one();
     }
 
-    /// Asks the server that was ordered to lead at `ordered` until it does, in a term after `term`,
-    /// and tells the other hosts.
-    ///
-    /// The platform's list tells as well, but is away or late at times: on a day with an outage of
-    /// the store, hosts found out 1.1 s after the change, and nothing was written until then.
-    fn look_for_effect(
-        self: &Rc<Self>,
-        service: &Rc<Service<C>>,
-        successor: Target,
-        term: Term,
-        ordered: Duration,
-    ) {
-        let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
-            // The last moment at which it is known not to have led.
-            let mut followed = ordered;
-            let until = ordered + EFFECT;
-            while election.site.now() < until {
-                let seen = election.watch_lead(&service, &successor, term, &mut followed);
-                if let Ok(led) = seen.await {
-                    let took = followed.saturating_sub(ordered);
-                    election.tell_of_lead(&service, successor.server, led, took);
-                    return;
-                }
-                tokio::time::sleep(STEP).await;
-            }
-        });
-    }
-
-    /// Asks a server on one connection until it leads a term after `term`; `followed` is when it was
-    /// last asked and did not.
-    async fn watch_lead(
-        &self,
-        service: &Rc<Service<C>>,
-        target: &Target,
-        term: Term,
-        followed: &mut Duration,
-    ) -> Result<Term, back::Error> {
-        let timed_out = |_| back::Error::Io(std::io::ErrorKind::TimedOut.into());
-        let id = self.site.next_id();
-        let back = timeout(ASK, Back::<C>::connect(id, target, &self.site.host)).await;
-        let mut back = back.map_err(timed_out)??;
-        loop {
-            let asked = self.site.now();
-            let status = timeout(ASK, back.status()).await;
-            let status = status.map_err(timed_out)??;
-            service.said(target.server, &status, asked);
-            if status.role == Role::Primary && status.term > term {
-                return Ok(status.term);
-            }
-            *followed = asked;
-            tokio::time::sleep(STEP).await;
-        }
-    }
-
-    fn tell_of_lead(
-        &self,
-        service: &Rc<Service<C>>,
-        server: ServerKey,
-        term: Term,
-        took: Duration,
-    ) {
-        self.site.promoted(took);
-        let Some(server) = service.named(server) else {
-            return;
-        };
-        for (_, peer) in self.fleet.peers() {
-            let word = Word::Leads {
-                server: server.clone(),
-                term: term.number(),
-                took: u32::try_from(took.as_millis()).unwrap_or(u32::MAX),
-            };
-            self.send(service, word, peer.address);
-        }
-    }
-
-    /// Tells a primary whose successor leads from `term` on, or is about to, to follow it, at `at` or
-    /// as soon as it can be reached after that.
-    ///
-    /// Guards against hosts that have not heard of the change: on some platforms a replaced primary
-    /// goes on leading its own term until it is told, and they would go on writing to it.
-    fn step_down(
-        self: &Rc<Self>,
-        service: &Rc<Service<C>>,
-        target: &Target,
-        term: Term,
-        at: Duration,
-    ) {
-        let (election, service) = (Rc::clone(self), Rc::clone(service));
-        let target = target.clone();
-        tokio::task::spawn_local(async move {
-            for _ in 0..STEP_DOWNS {
-                let Ok(status) = election.tell_to_step_down(&target, term, at).await else {
-                    tokio::time::sleep(ASK).await;
-                    continue;
-                };
-                service.said(target.server, &status, election.site.now());
-                election.site.log(&Event::SteppedDown {
-                    service: service.name.clone(),
-                    server: target.id.clone(),
-                    term: term.number(),
-                    role: status.role,
-                });
-                return;
-            }
-        });
-    }
-
-    async fn tell_to_step_down(
-        &self,
-        target: &Target,
-        term: Term,
-        at: Duration,
-    ) -> Result<Status, back::Error> {
-        let id = self.site.next_id();
-        let timed_out = |_| back::Error::Io(std::io::ErrorKind::TimedOut.into());
-        let back = timeout(ASK, Back::<C>::connect(id, target, &self.site.host)).await;
-        let mut back = back.map_err(timed_out)??;
-        tokio::time::sleep(at.saturating_sub(self.site.now())).await;
-        let status = timeout(ASK, back.step_down(term)).await;
-        status.map_err(timed_out)?
-    }
-
     fn view(&self, service: &Rc<Service<C>>, succession: &Rc<RefCell<Succession>>) -> View {
         let told = succession.borrow().answered();
         let trouble = self.trouble(service);
--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -218,7 +218,9 @@
                 }
             }
             Word::Leads { server, term, took } => {
-                self.site.promoted(Duration::from_millis(u64::from(took)));
+                if let Some(took) = took {
+                    self.site.promoted(Duration::from_millis(u64::from(took)));
+                }
                 service.seen_to_lead(&server, Term::from_number(term));
             }
             Word::Acting { ended } => self.take_ended(&message.host, &ended),
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -78,8 +78,8 @@
         server: Server,
         /// The term.
         term: i64,
-        /// How long after the order it did not lead yet, in milliseconds.
-        took: u32,
+        /// How long after the order it did not lead yet, in milliseconds, if that was seen well.
+        took: Option<u32>,
     },
     /// I replace a primary.
     Acting {
