standin: compare a promotion with the newest primary, also beside an older one that leads on

With three servers of which an old primary led its own term on, a promotion was compared with that one's log, not with that of the primary that had just stepped down, whose writes it rolled back. What it also shows of the product, a server of an ended term that lists itself again, is listed as open.

--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -220,7 +220,9 @@
         let kept = state.kept(server);
         let stepped = state.stepped.take();
         let stepped = stepped.and_then(|id| state.members.get(&id));
-        let old = state.leader().map(|(_, old)| old).or(stepped);
+        // A primary of a term before that leads on has lost its commits already.
+        let leads = state.leader().map(|(_, leader)| leader);
+        let old = leads.into_iter().chain(stepped).max_by_key(|it| it.term);
         let dropped = old.and_then(|old| old.before().get(kept..));
         let dropped = dropped.map(<[Entry]>::to_vec).unwrap_or_default();
         state.dropped.extend(dropped);
