Let a minority wait 8 s before it replaces a primary that the list has lost

Cause: a minority with the store on its side of a cut acted 1.5 s after the list had lost the primary, while most hosts, on the other side with the primary, kept each other's leases and went on writing. Change: core::succession::ALONE from 1.5 s to 8 s. Test: a_minority_with_the_store_waits_until_a_cut_has_ended, failed before.

--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -13,8 +13,13 @@
 use super::view::View;
 
 /// Without most hosts, a change waits this long after the platform's list has lost the primary,
-/// which takes seconds by itself: cuts last about as long, and end.
-pub const ALONE: Duration = Duration::from_millis(1_500);
+/// which takes seconds by itself: longer than cuts usually last.
+///
+/// Guards against a minority that has the store on its side of a cut while the primary and most
+/// hosts are on the other. Those keep each other's leases and rely on the primary, and 1.5 s after
+/// the list had lost it, two hosts of six had it replaced: 19 writes were acknowledged by the old one
+/// meanwhile. Where most hosts are dead, and the primary with them, the service waits as long.
+pub const ALONE: Duration = Duration::from_secs(8);
 
 /// When some hosts reach the primary and most do not, the change waits this long, since the
 /// path may heal sooner than a change takes.
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -665,3 +665,18 @@
     assert_eq!(effect.took(ms(1_600)), None);
     assert_eq!(effect.took(ms(1_290)), Some(ms(250)));
 }
+
+/// Two hosts of six are cut off from the others, with the store and the replicas on their side. The
+/// primary is on the other side, with most hosts, which keep each other's leases and go on writing to
+/// it. The list loses it, since it does not reach the store, and 1.5 s later the two had it replaced,
+/// while the others acknowledged 19 more writes.
+#[test]
+fn a_minority_with_the_store_waits_until_a_cut_has_ended() {
+    let mut scene = scene();
+    scene.view.leader = None;
+    scene.view.trouble = Some(Trouble::Absent { since: ms(1_000) });
+    for now in (1_020..8_700).step_by(20) {
+        let next = scene.step(ms(now));
+        assert!(!next.contains(&Next::Claim), "at {now}");
+    }
+}
