Believe a server that is new to the list after an order only by its term

A primary that was cut off starts again under another id, with its log, 20 ms after its successor was seen to lead. It lists itself as the primary, later than the successor, and its term is not known: hosts wrote to it for up to 45 ms. Change: such a server, unless it is the successor that was ordered, goes behind any other that claims to lead until it shows a newer term. Test: a_replaced_primary_under_another_id_is_not_believed_before_it_shows_its_term, failed before.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -44,6 +44,7 @@
     current: Option<ServerKey>,
     /// A successor was ordered for the primary of this term.
     ended: Term,
+    successor: Option<ServerKey>,
 }
 
 #[derive(Debug)]
@@ -63,13 +64,19 @@
 
 impl Leader {
     /// The platform's list gives `role` for `server`, in a row last changed at `version`.
+    ///
+    /// A server that is new to the list after a successor was ordered may be the old primary, come
+    /// back under another id with its log: unless it is that successor, its claim has to be proved by
+    /// a newer term. It took writes for 45 ms beside its successor otherwise.
     pub fn listed(&mut self, server: ServerKey, role: Role, version: u64) {
+        let proves = self.ended > Term::default() && self.successor != Some(server);
+        let ended = proves.then_some(self.ended);
         let known = self.servers.entry(server).or_insert(Known {
             claims: false,
             doubted: false,
             term: Term::default(),
             led: Term::default(),
-            over: None,
+            over: ended,
             disowned: false,
             listed: 0,
         });
@@ -147,7 +154,10 @@
     /// assert_eq!(leader.get(), Some(server), "it was promoted again");
     /// ```
     pub fn end(&mut self, term: Term, successor: Option<ServerKey>) {
-        self.ended = self.ended.max(term);
+        if term >= self.ended {
+            self.ended = term;
+            self.successor = successor;
+        }
         for (server, known) in &mut self.servers {
             if known.claims && known.led <= term && Some(*server) != successor {
                 known.over = known.over.max(Some(term));
--- a/crates/core/tests/leader.rs
+++ b/crates/core/tests/leader.rs
@@ -176,3 +176,24 @@
     leader.began(term(2));
     assert_eq!(leader.get(), Some(new));
 }
+
+/// A primary that was cut off starts again under another id, with its log, just after its successor
+/// was seen to lead. It lists itself as the primary, later than the successor did, and its term is not
+/// known yet: hosts wrote to it until they had asked.
+#[test]
+fn a_replaced_primary_under_another_id_is_not_believed_before_it_shows_its_term() {
+    let mut names: Names<ServerKey> = Names::default();
+    let [old, new, again] = ["ledger-1", "ledger-2", "ledger-4"].map(|name| names.intern(name));
+    let mut leader = Leader::default();
+    leader.listed(old, Role::Primary, 3);
+    leader.listed(new, Role::Replica, 4);
+    leader.end(term(1), Some(new));
+    leader.listed(new, Role::Primary, 9);
+    leader.unlisted(old);
+    leader.listed(again, Role::Primary, 12);
+    assert_eq!(leader.get(), Some(new));
+    leader.said(again, Role::Primary, term(1));
+    assert_eq!(leader.get(), Some(new));
+    leader.said(again, Role::Primary, term(3));
+    assert_eq!(leader.get(), Some(again), "it was promoted since");
+}
