soak: keep what became of the servers' logs beside a broken run

A run that lost acknowledged writes told which, and not which server had what when it was ordered to lead, promoted, or started again without its log. The record has that now, with the time of the hosts' logs, so that the causes of such losses can be told apart.

--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -237,6 +237,7 @@
             dropped: group.dropped(),
             runs: group.runs(),
             orders: self.site.orders(),
+            moments: group.moments(),
         }
     }
 
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A committed write.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,6 +57,45 @@
     LeadsOn,
 }
 
+/// What became of a group's logs, for whoever looks for the cause of a loss.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Moment {
+    /// Unix milliseconds, as in the logs of hosts.
+    pub at: u128,
+    /// What happened.
+    pub what: Change,
+}
+
+/// Something that changes a server's log or who leads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// An order for `server` was accepted.
+    Ordered {
+        /// The server.
+        server: String,
+        /// Entries that it had received.
+        had: usize,
+    },
+    /// `server` leads `term` with the first `kept` entries of the log.
+    Promoted {
+        /// The server.
+        server: String,
+        /// The term.
+        term: i64,
+        /// How many entries it has.
+        kept: usize,
+        /// How many that others had are rolled back.
+        dropped: usize,
+    },
+    /// `server` started again without its log.
+    Forgot {
+        /// The server.
+        server: String,
+        /// How many entries it had.
+        had: usize,
+    },
+}
+
 /// How long after its successor leads, and can be reached, a primary notices it.
 pub const NOTICES: Duration = Duration::from_secs(1);
 
@@ -72,6 +111,10 @@
     pub deaf: bool,
     /// It started again without its log and has received none since.
     pub blank: bool,
+    /// When it last did.
+    pub forgot: Option<Instant>,
+    /// When an order for it was last accepted.
+    pub ordered: Option<Instant>,
     /// What it had before that.
     pub forgotten: Vec<Entry>,
 }
@@ -101,6 +144,7 @@
     strays: Vec<Entry>,
     /// The primary that has stepped down for a successor that does not lead yet.
     stepped: Option<String>,
+    moments: Vec<Moment>,
 }
 
 /// Why a server does not run a statement.
@@ -124,6 +168,8 @@
                 leaving: false,
                 deaf: false,
                 blank: false,
+                forgot: None,
+                ordered: None,
                 forgotten: Vec::new(),
             };
             (id.clone(), member)
@@ -192,6 +238,26 @@
         }
     }
 
+    /// What became of the logs, in order.
+    pub fn moments(&self) -> Vec<Moment> {
+        self.lock().moments.clone()
+    }
+
+    /// An order for `server` was accepted.
+    pub(super) fn ordered(&self, server: &str) {
+        self.replicate();
+        let mut state = self.lock();
+        let Some(member) = state.members.get_mut(server) else {
+            return;
+        };
+        member.ordered = Some(Instant::now());
+        let had = member.log.len();
+        state.note(Change::Ordered {
+            server: server.to_owned(),
+            had,
+        });
+    }
+
     /// Commits that promotions have rolled back.
     pub fn dropped(&self) -> Vec<Entry> {
         self.lock().dropped.clone()
@@ -225,6 +291,12 @@
         let old = leads.into_iter().chain(stepped).max_by_key(|it| it.term);
         let dropped = old.and_then(|old| old.before().get(kept..));
         let dropped = dropped.map(<[Entry]>::to_vec).unwrap_or_default();
+        state.note(Change::Promoted {
+            server: server.to_owned(),
+            term,
+            kept: length,
+            dropped: dropped.len(),
+        });
         state.dropped.extend(dropped);
         state.promoted = Some(Instant::now());
         let leads_on = state.replaced == Replaced::LeadsOn;
@@ -269,13 +341,21 @@
 
     /// A server that does not run loses its log.
     pub(super) fn forget(&self, server: &str) {
-        if let Some(member) = self.lock().members.get_mut(server) {
-            if !member.blank {
-                member.forgotten = std::mem::take(&mut member.log);
-            }
-            member.log.clear();
-            member.blank = true;
+        let mut state = self.lock();
+        let Some(member) = state.members.get_mut(server) else {
+            return;
+        };
+        let had = member.log.len();
+        if !member.blank {
+            member.forgotten = std::mem::take(&mut member.log);
         }
+        member.log.clear();
+        member.blank = true;
+        member.forgot = Some(Instant::now());
+        state.note(Change::Forgot {
+            server: server.to_owned(),
+            had,
+        });
     }
 
     pub(super) fn set_leaving(&self, server: &str, leaving: bool) {
@@ -388,6 +468,12 @@
 }
 
 impl State {
+    fn note(&mut self, what: Change) {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at = since.map_or(0, |since| since.as_millis());
+        self.moments.push(Moment { at, what });
+    }
+
     /// The server that leads the newest term.
     fn leader(&self) -> Option<(&String, &Member)> {
         let leading = self.members.iter().filter(|(_, member)| member.leads);
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -401,6 +401,7 @@
         return (StatusCode::CONFLICT, String::new());
     }
     let (group, id) = (Arc::clone(group), id.to_owned());
+    group.ordered(&id);
     tokio::spawn(async move {
         tokio::time::sleep(group.promotion).await;
         if group.leader().as_deref() != Some(&id) && group.promote(&id) {
