--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -222,6 +222,104 @@
     assert_eq!(server, Some(scene.servers[0]), "{ordered:?}");
 }
 
+/// A replaced primary is back and follows, and nothing was written under its successor, which is about
+/// to leave. No other server is there. The successor was never relieved, and what it had to acknowledge
+/// at its end was refused until somebody missed it.
+#[test]
+fn a_replaced_primary_that_follows_relieves_one_that_leaves() {
+    let mut scene = scene(&["ledger-1", "ledger-2"]);
+    scene.view.synchronous = false;
+    scene.succession.step(&scene.view, ms(500));
+    scene.succeed(ms(700));
+    scene.view.trouble = Some(Trouble::Leaving);
+    let mut orders = Vec::new();
+    for now in (3_000..5_000).step_by(20).map(ms) {
+        let mut steps = scene.succession.step(&scene.view, now);
+        if steps.contains(&Next::Claim) {
+            steps.extend(scene.succession.won(Grant(7), now));
+        }
+        let report = replica(2, position(1, 40));
+        scene.succession.report(scene.servers[0], report);
+        orders.extend(steps.into_iter().filter_map(|it| match it {
+            Next::Promote { server, .. } => Some(server),
+            Next::Claim | Next::AskHosts | Next::AskServers => None,
+        }));
+    }
+    assert_eq!(orders, [scene.servers[0]]);
+}
+
+/// The store is away, so hosts act in turn, and the third one waits 0.75 s. Meanwhile the replica that
+/// had answered with the longest log starts again without it. By its old word it was ordered to lead,
+/// with nothing, and all that the other one held was rolled back.
+#[test]
+fn an_order_does_not_rest_on_what_a_server_said_long_before() {
+    let mut scene = scene(&["ledger-1", "ledger-2", "ledger-3"]);
+    scene.view.synchronous = false;
+    scene.succession.reserve(Grant(7));
+    scene.view.trouble = Some(Trouble::Refuses { since: ms(1_000) });
+    let mut orders = Vec::new();
+    for now in (1_000..4_000).step_by(20).map(ms) {
+        let steps = scene.succession.step(&scene.view, now);
+        for host in &scene.hosts {
+            scene.succession.opinion(*host, Opinion::Fails);
+        }
+        for next in steps {
+            match next {
+                Next::Claim => scene.succession.unclaimed(3, now),
+                Next::AskServers => {
+                    let longest = if now < ms(1_300) { 43 } else { 0 };
+                    let said = [(1, position(1, 40)), (2, position(1, longest))];
+                    for (server, received) in said {
+                        let report = replica(1, received);
+                        scene.succession.report(scene.servers[server], report);
+                    }
+                }
+                Next::Promote { server, .. } => orders.push((server, now)),
+                Next::AskHosts => {}
+            }
+        }
+    }
+    let servers: Vec<ServerKey> = orders.iter().map(|(server, _)| *server).collect();
+    assert_eq!(servers, [scene.servers[1]], "{orders:?}");
+}
+
+/// A primary is told to step down for a successor that dies before it leads. No other server but one
+/// that has started again without its log is there, and its entry is new to the list. The old primary
+/// has all that was acknowledged, yet it was passed over as one that was replaced, and all was gone.
+#[test]
+fn an_empty_server_does_not_lead_where_a_former_primary_has_its_log() {
+    let mut scene = scene(&["ledger-1", "ledger-2"]);
+    scene.view.synchronous = false;
+    scene.succession.step(&scene.view, ms(500));
+    scene.view.leader = None;
+    let since = ms(1_000);
+    let empty = replica(1, position(1, 0));
+    let reports = [
+        (scene.servers[0], replica(1, position(1, 40))),
+        (scene.servers[1], empty),
+    ];
+    let mut ordered = None;
+    for now in (1_000..20_000).step_by(20).map(ms) {
+        scene.view.trouble = Some(Trouble::Absent { since });
+        let mut steps = scene.succession.step(&scene.view, now);
+        for host in &scene.hosts {
+            scene.succession.opinion(*host, Opinion::Fails);
+        }
+        for (server, report) in reports {
+            scene.succession.report(server, report);
+        }
+        if steps.contains(&Next::Claim) {
+            steps.extend(scene.succession.won(Grant(7), now));
+        }
+        let server = steps.into_iter().find_map(|it| match it {
+            Next::Promote { server, .. } => Some(server),
+            Next::Claim | Next::AskHosts | Next::AskServers => None,
+        });
+        ordered = ordered.or(server);
+    }
+    assert_eq!(ordered, Some(scene.servers[0]));
+}
+
 /// Two primaries leave one after the other, as in a rolling restart, with nothing else wrong between.
 /// At the second one no host waits its turn any more: all claim and ask at once, which fills the
 /// servers' connections.
