Rely on no primary and replace none before the other hosts are known

Callers saw a primary replaced that most hosts reached, and writes acknowledged that were gone: a host that started while the store answered no writes took itself for the whole fleet. Its announcement was repeated, 1.2 s a try, before it read the list of hosts, and an empty list looked like a majority of one with a lease.

Whether the list was ever read is known now (core::quorum). Without it there is no lease, by hosts or by the store's word, no election, and the host is not ready. The list is read 100 ms after the announcement went out. It holds since nothing else lets a host act before it knows whom to ask.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -57,6 +57,8 @@
     others: BTreeMap<HostKey, Contact>,
     /// This host only asks; it is not one of those whose majority counts.
     outside: bool,
+    /// Whether it was told which others there are.
+    listed: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -70,6 +72,7 @@
 impl Quorum {
     /// The other hosts that are listed.
     pub fn list(&mut self, others: BTreeSet<HostKey>, now: Duration) {
+        self.listed = true;
         self.others.retain(|host, _| others.contains(host));
         for host in others {
             self.others.entry(host).or_insert(Contact {
@@ -79,6 +82,14 @@
         }
     }
 
+    /// Whether this host has been told which others there are.
+    ///
+    /// Guards against a host that has just started and takes itself for the whole fleet: while the
+    /// store answered no writes, one relied on primaries and replaced them on its own word alone.
+    pub fn knows_hosts(&self) -> bool {
+        self.listed
+    }
+
     /// Whether this host is one of those whose majority counts; it is unless told otherwise.
     pub fn take_part(&mut self, takes_part: bool) {
         self.outside = !takes_part;
@@ -112,6 +123,9 @@
     /// Whether most hosts have answered lately, so that this host may rely on a primary at `now`:
     /// send it what only a primary may run, and acknowledge its writes.
     pub fn holds_lease(&self, now: Duration) -> bool {
+        if !self.knows_hosts() {
+            return false;
+        }
         let fresh = |contact: &&Contact| contact.answered.is_some_and(|at| now < at + LEASE);
         let own = usize::from(!self.outside);
         let fresh = self.others.values().filter(fresh).count() + own;
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -38,6 +38,18 @@
     );
 }
 
+/// A host has started, and the store has not told it yet which others there are. It took itself for
+/// the whole fleet: it wrote to a primary that most hosts had had replaced.
+#[test]
+fn a_host_that_does_not_know_the_others_holds_no_lease() {
+    let mut quorum = Quorum::default();
+    assert!(!quorum.knows_hosts());
+    assert!(!quorum.holds_lease(ms(1_000)));
+    quorum.list(BTreeSet::new(), ms(1_000));
+    assert!(quorum.knows_hosts());
+    assert!(quorum.holds_lease(ms(1_000)), "it is the only one");
+}
+
 /// In a large fleet a few hosts are asked by all. One that is not among them counts only those:
 /// its own opinion is no part of a majority.
 #[test]
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -113,7 +113,8 @@
 
     /// Whether enough is known to serve callers.
     pub fn is_known(&self) -> bool {
-        self.listed.get() && self.version() > 0
+        let hosts = self.quorum.borrow().knows_hosts();
+        hosts && self.listed.get() && self.version() > 0
     }
 
     /// The route of a database and the service that it leads to.
@@ -293,8 +294,12 @@
 
     /// Whether this host may rely on the primary of `service` now: send it what only a primary may
     /// run, and acknowledge its writes.
+    ///
+    /// The store's word is for hosts that most others are out of reach of. One that does not know the
+    /// others yet has asked none of them what it may have missed.
     pub fn holds_lease(&self, service: &Service<C>) -> bool {
-        self.quorum.borrow().holds_lease(self.site.now()) || service.is_unclaimed()
+        let quorum = self.quorum.borrow();
+        quorum.holds_lease(self.site.now()) || quorum.knows_hosts() && service.is_unclaimed()
     }
 
     /// Whether commits of `service` are acknowledged only when a replica has received them.
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -26,15 +26,19 @@
         };
         let gone = missing.into_iter().map(Change::Gone);
         let rest = entries.into_iter().map(Change::from);
-        self.change_peers(gone.chain(rest).collect());
+        self.take_peers(gone.chain(rest).collect());
     }
 
-    /// Takes changes of the list of hosts. What follows from the list is worked out once for all of
-    /// them: it walks over all hosts, and a host that starts is told of each.
+    /// Takes changes of the list of hosts.
     pub fn change_peers(&self, changes: Vec<Change<Peer>>) {
-        if changes.is_empty() {
-            return;
+        if !changes.is_empty() {
+            self.take_peers(changes);
         }
+    }
+
+    /// Takes changes, and works out what follows from the list once for all of them: that walks over
+    /// all hosts, and a host that starts is told of each.
+    fn take_peers(&self, changes: Vec<Change<Peer>>) {
         for change in changes {
             self.change_peer(change);
         }
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -26,6 +26,11 @@
 /// yet would take itself for the majority.
 const PEERS_REST: Duration = Duration::from_millis(1_000);
 
+/// How long a host waits for the answer to its announcement before it reads the list of hosts: the
+/// store may tell of the others while it takes no writes, or answers none, and nothing is served
+/// before. Many times what a call takes.
+const ANNOUNCEMENT: Duration = Duration::from_millis(100);
+
 /// Follows the platform's store.
 pub struct Watch<C: Codec, P> {
     site: Rc<Site>,
@@ -127,7 +132,10 @@
     pub async fn peers(self: Rc<Self>, own: Peer) {
         let feed = &self.fleet.feeds.peers;
         let mut track = Track::new("hosts", self.site.now());
-        self.announce(&own, &mut track).await;
+        let watch = Rc::clone(&self);
+        let announced = tokio::task::spawn_local(async move { watch.announce(&own).await });
+        // Where the store is well, one call then tells of this host as well.
+        let _ = tokio::time::timeout(ANNOUNCEMENT, announced).await;
         loop {
             let read = match track.ask(self.site.now()) {
                 Ask::All => Ended::Answered(self.list_peers().await),
@@ -151,7 +159,8 @@
     }
 
     /// Announces this host, as often as it takes.
-    async fn announce(&self, own: &Peer, track: &mut Track) {
+    async fn announce(&self, own: &Peer) {
+        let mut track = Track::new("announcement", self.site.now());
         loop {
             match self.platform.announce(own).await {
                 Ok(token) => {
@@ -159,7 +168,7 @@
                     self.election.reserve(token);
                     return;
                 }
-                Err(error) => self.failed(track, &error).await,
+                Err(error) => self.failed(&mut track, &error).await,
             }
         }
     }
