Take a former primary that follows its successor, and one with a log before an empty server

Callers lost 30 acknowledged commits in a double failure (the listed test), and 242 where an empty server was ordered while a former primary with the whole log was heard; services stood still for 11 s.

A server that led counts again once its log has got past its term. Nothing need have been written since. If its successor was seen to lead, is gone, and the server names that term as its own, it has what any other has: it counts, where most hosts miss the primary or the primary leaves.

--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -151,14 +151,21 @@
     /// or not all of it yet. All that others hold would be rolled back. It is the best of those
     /// heard where the others are busy, cut off or down for a moment; the bound is the time in
     /// which those come back.
+    ///
+    /// A former primary that stepped down for a successor which never came to lead is passed over, and
+    /// may be the only one with a log: 242 acknowledged writes were rolled back for an empty server
+    /// that had just been listed anew. Waiting that long, most hosts take the former primary.
     pub(super) fn may_gain(&self, view: &View, led: &Led, now: Duration) -> bool {
-        if now >= self.since + RETURN {
-            return false;
-        }
         let best = self.best(view, led, now);
         let Some((best, report)) = best.and_then(|it| Some((it, self.reports.get(&it)?))) else {
             return false;
         };
+        if report.is_empty() && self.has_log(view) {
+            return true;
+        }
+        if now >= self.since + RETURN {
+            return false;
+        }
         let mark = view.marks.get(&best);
         let behind = mark.is_some_and(|mark| report.received < *mark);
         let unheard = !self.all_heard(view);
@@ -173,23 +180,43 @@
     /// The candidate that has received most; ties go to the lowest key, on every host alike.
     ///
     /// A server that was replaced and has not followed since is passed over. Where most hosts
-    /// have heard no other server for long, it is better than none.
+    /// have heard no other server for long, it is better than none. By its own word alone a host
+    /// that hears few others does not believe that it follows: it may be cut off together with it
+    /// while others go on with its successor.
     pub(super) fn best(&self, view: &View, led: &Led, now: Duration) -> Option<ServerKey> {
-        let fit = |server: &ServerKey, report: &Report| !led.is_superseded(*server, report);
-        if let Some(best) = self.longest(view, fit) {
-            return Some(best);
+        let most = self.has_most(view);
+        // Nobody is asked about a primary that leaves: it leads, so no other successor does.
+        let known = most || self.cause == Some(Trouble::Leaving);
+        let fit = |server: &ServerKey, report: &Report| {
+            !led.is_superseded(*server, report) || known && led.follows(*server, report)
+        };
+        let best = self.longest(view, fit);
+        let any = self.longest(view, |_, _| true);
+        let waited = self.has_waited(view, now);
+        let empty = |server: ServerKey| self.reports.get(&server).is_some_and(Report::is_empty);
+        match best {
+            Some(best) if empty(best) && waited => any,
+            Some(best) => Some(best),
+            None => any.filter(|_| waited && most),
         }
+    }
+
+    /// Whether the primary is missed for so long that any server is better than none.
+    fn has_waited(&self, view: &View, now: Duration) -> bool {
         let since = match view.trouble {
             Some(
                 Trouble::Absent { since } | Trouble::Refuses { since } | Trouble::Silent { since },
             ) => Some(since),
             Some(Trouble::Leaving) | None => None,
         };
-        let long = since.is_some_and(|since| now >= since + RETURN);
-        match long && self.has_most(view) {
-            true => self.longest(view, |_, _| true),
-            false => None,
-        }
+        since.is_some_and(|since| now >= since + RETURN)
+    }
+
+    /// Whether some server that was heard, and is passed over so far, has a log.
+    fn has_log(&self, view: &View) -> bool {
+        let longest = self.longest(view, |_, _| true);
+        let report = longest.and_then(|longest| self.reports.get(&longest));
+        report.is_some_and(|report| !report.is_empty())
     }
 
     fn longest(&self, view: &View, fit: impl Fn(&ServerKey, &Report) -> bool) -> Option<ServerKey> {
--- a/crates/core/src/succession/led.rs
+++ b/crates/core/src/succession/led.rs
@@ -54,6 +54,23 @@
         term.is_some_and(|term| report.received.term <= *term)
     }
 
+    /// Whether `server`, which was replaced, follows the newest primary that this host knows, by its own
+    /// `report`.
+    ///
+    /// Its log does not show it: nothing may have been written since, so it still ends in the term
+    /// that the server led. Where the successor of that server has led and is gone, none of the other
+    /// servers has more of what that one wrote, or its log would name the newer term and go first. So
+    /// the former primary is passed over for less: 30 acknowledged commits were lost to a replica that
+    /// lagged, and a service stood still for 11 s before an empty server was promoted in its place.
+    ///
+    /// A former primary that has not heard of its successor names its own term, and stays passed over:
+    /// the successor may lead.
+    pub(super) fn follows(&self, server: ServerKey, report: &Report) -> bool {
+        let newest = self.terms.values().max();
+        let own = self.terms.get(&server);
+        own < newest && newest.is_some_and(|newest| report.term >= *newest)
+    }
+
     /// Whether nobody leads because the last known primary was replaced. Its entry is still
     /// listed, so it was not lost; and a server gives up its lead only to a successor, which this
     /// host has not heard of yet. One that still claims to lead and is not believed was not
