Tell a host that has just started how far logs reach

The others knew better; they told it only with questions about a primary in trouble.

A host asks for that with each heartbeat of its first second, while it is out of touch and in the first second after. The answers tell as well where the newest term began that was ordered, which its order has told since it was given. Whoever hears of a first write that way has the primary asked again.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -68,6 +68,8 @@
     in_touch: Cell<Option<Duration>>,
     /// Whether this host has a lease, and since when that is so.
     lease: Cell<(bool, Duration)>,
+    /// Since when this host has known the servers.
+    known: Cell<Option<Duration>>,
 }
 
 impl<C: Codec, P: Platform> Election<C, P> {
@@ -90,6 +92,7 @@
             held: RefCell::default(),
             asking: Cell::new(false),
             in_touch: Cell::new(None),
+            known: Cell::new(None),
         }
     }
 
@@ -390,7 +393,8 @@
         let replaced = service.leader().and_then(|leader| target(&service, leader));
         let term = service.term();
         if let Some(named) = service.named(server) {
-            let ended = Ended::new(service.name.clone(), term, grant.0, named, serves);
+            let successor = (named, succession.borrow().received());
+            let ended = Ended::new(service.name.clone(), term, grant.0, successor, serves);
             service.end_term(&ended);
             for (_, peer) in self.fleet.peers() {
                 let ended = ended.clone();
--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -12,7 +12,7 @@
 use super::{CLAIM, Election, FRESH, Probe, target};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::peer::{Ended, Message, Server, Word};
+use crate::peer::{Ended, Log, Message, Server, Word};
 use crate::platform::Platform;
 use crate::service::{Meant, Service};
 
@@ -24,6 +24,9 @@
 /// the next one, as those before it come of age.
 const ENDED_MOST: usize = 12;
 
+/// Logs that one message tells of, which has to fit into a datagram.
+const LOGS_MOST: usize = 16;
+
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Answers what other hosts ask and takes in what they tell, for ever.
     ///
@@ -45,7 +48,7 @@
             // answered, and refuses writes meanwhile.
             tokio::select! {
                 _ = interval.tick() => {}
-                () = self.fleet.peers_changed.notified() => {}
+                () = self.fleet.contact_due.notified() => {}
             }
             self.fleet.look_at_feeds();
             let now = self.site.now();
@@ -54,6 +57,7 @@
                 .with_quorum(|quorum, now| quorum.holds_lease(now));
             let out_of_touch = self.out_of_touch(with_most, now);
             let ended = self.ended(TELL);
+            let looks = self.looks(with_most, now);
             for (_, peer) in self.fleet.electors() {
                 let beat = Word::Beat {
                     sent: micros(now),
@@ -61,6 +65,9 @@
                     ended: ended.clone(),
                 };
                 self.tell(String::new(), beat, peer.address);
+                if looks {
+                    self.tell(String::new(), Word::Look, peer.address);
+                }
             }
             if !with_most {
                 self.ask_store();
@@ -79,6 +86,47 @@
         millis.unwrap_or(u32::MAX)
     }
 
+    /// Whether this host asks the others how far logs reach: it may have missed that.
+    ///
+    /// Guards against a primary that has started again without its log, on a host that has just
+    /// started or was cut off: it knows of nothing that the primary lacks, and wrote to it for 350 ms
+    /// beside hosts that did not believe it. What it had acknowledged was rolled back.
+    fn looks(&self, with_most: bool, now: Duration) -> bool {
+        if self.known.get().is_none() && self.fleet.is_known() {
+            self.known.set(Some(now));
+        }
+        let is_new = self.known.get().is_none_or(|known| now < known + TELL);
+        let (_, since) = self.lease.get();
+        is_new || !with_most || now < since + TELL
+    }
+
+    /// Tells `to` how far this host has seen logs reach.
+    fn tell_logs(&self, to: SocketAddr) {
+        let services = self.fleet.services();
+        let logs = services.iter().filter(|service| service.furthest().log > 0);
+        let logs: Vec<Log> = logs
+            .map(|service| Log {
+                service: service.name.clone(),
+                furthest: service.furthest().into(),
+                start: service.newest_start(),
+            })
+            .collect();
+        for logs in logs.chunks(LOGS_MOST) {
+            let logs = logs.to_vec();
+            self.tell(String::new(), Word::Logs { logs }, to);
+        }
+    }
+
+    /// Another host has seen logs reach so far.
+    fn take_logs(&self, logs: &[Log]) {
+        for log in logs {
+            if let Some(service) = self.fleet.named(&log.service) {
+                service.told(log.furthest.into());
+                log.start.iter().for_each(|start| service.begun(start));
+            }
+        }
+    }
+
     /// Logs that this host has lost its lease, or has it back.
     fn tell_of_lease(&self, holds: bool, now: Duration) {
         let (held, since) = self.lease.get();
@@ -183,6 +231,11 @@
                 _ => {}
             }
         }
+        match &message.word {
+            Word::Look => return self.tell_logs(from),
+            Word::Logs { logs } => return self.take_logs(logs),
+            _ => {}
+        }
         let Some(service) = self.fleet.named(&message.service) else {
             return;
         };
@@ -190,6 +243,8 @@
         match message.word {
             // From a host that is not listed yet.
             Word::Beat { .. } | Word::Echo { .. } => {}
+            // They are about no service.
+            Word::Look | Word::Logs { .. } => {}
             Word::Ask { server, furthest } => {
                 service.told(furthest.into());
                 let election = Rc::clone(self);
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -53,8 +53,8 @@
     /// The other hosts whose majority counts; worked out anew with each change of the list, since
     /// heartbeats and elections ask for them many times a second.
     electors: RefCell<Vec<(HostKey, Peer)>>,
-    /// The list of hosts has changed.
-    pub peers_changed: Notify,
+    /// Other hosts are to be asked at once: who they are, or which servers there are, is news.
+    pub contact_due: Notify,
     /// How far the platform's feeds have been read.
     pub feeds: Feeds,
     listed: Cell<bool>,
@@ -94,7 +94,7 @@
             peers: RefCell::default(),
             quorum: RefCell::default(),
             electors: RefCell::default(),
-            peers_changed: Notify::new(),
+            contact_due: Notify::new(),
             feeds: Feeds::default(),
             listed: Cell::new(false),
         }
@@ -181,7 +181,9 @@
         for entry in entries {
             self.change(Change::from(entry));
         }
-        self.listed.set(true);
+        if !self.listed.replace(true) {
+            self.contact_due.notify_one();
+        }
     }
 
     /// Takes one change of the list of servers.
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -51,7 +51,7 @@
             quorum.take_part(takes_part);
             quorum.list(others, now);
         }
-        self.peers_changed.notify_one();
+        self.contact_due.notify_one();
         self.allot();
     }
 
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -86,6 +86,56 @@
         /// Which, and by whom.
         ended: Ended,
     },
+    /// How far have you seen the logs of services reach? Asked about no service.
+    Look,
+    /// An answer to [`Word::Look`].
+    Logs {
+        /// The logs, or some of them where one message cannot hold all.
+        logs: Vec<Log>,
+    },
+}
+
+/// How far the log of a service has been seen to reach, at whichever of its servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Log {
+    /// The service.
+    pub service: String,
+    /// How far.
+    pub furthest: Extent,
+    /// Where the newest term began that was ordered, as far as is known.
+    pub start: Option<Start>,
+}
+
+/// Where a log was when its server was ordered to lead.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// Identity of the server.
+    pub server: String,
+    /// The newest term that was known then.
+    before: i64,
+    /// How far the server had received the log, by its own word.
+    had: Extent,
+}
+
+impl Start {
+    /// `server` had received `had` when it was ordered to lead after the primary of `before`.
+    pub fn new(server: String, before: Term, had: Position) -> Start {
+        Start {
+            server,
+            before: before.number(),
+            had: had.into(),
+        }
+    }
+
+    /// The newest term that was known then.
+    pub fn before(&self) -> Term {
+        Term::from_number(self.before)
+    }
+
+    /// How far the server had received the log, by its own word.
+    pub fn had(&self) -> Position {
+        self.had.into()
+    }
 }
 
 /// A primary's term is over: its successor is being ordered, or leads already.
@@ -99,19 +149,21 @@
     pub token: u64,
     /// The server that is to lead.
     pub successor: Server,
+    /// How far that one has received the log, by its own word.
+    had: Extent,
     /// For how long the primary still serves, in milliseconds: one that is about to leave does
     /// until shortly before its successor leads.
     serves: u32,
 }
 
 impl Ended {
-    /// The primary of `term` of `service` serves for `serves` more; `successor` is to lead, by an
-    /// order under `token`.
+    /// The primary of `term` of `service` serves for `serves` more; `successor`, which has received
+    /// `had`, is to lead, by an order under `token`.
     pub fn new(
         service: String,
         term: Term,
         token: u64,
-        successor: Server,
+        (successor, had): (Server, Position),
         serves: Duration,
     ) -> Ended {
         Ended {
@@ -119,6 +171,7 @@
             term: term.number(),
             token,
             successor,
+            had: had.into(),
             serves: u32::try_from(serves.as_millis()).unwrap_or(u32::MAX),
         }
     }
@@ -128,6 +181,11 @@
         Term::from_number(self.term)
     }
 
+    /// How far the server that is to lead has received the log, by its own word.
+    pub fn had(&self) -> Position {
+        self.had.into()
+    }
+
     /// For how long the primary still serves.
     pub fn serves(&self) -> Duration {
         Duration::from_millis(u64::from(self.serves))
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -69,6 +69,8 @@
     /// When statements for the primary are held.
     held: Option<dispatch::Hold>,
     replacement: Option<hold::Replacement>,
+    /// By identity of the servers that were ordered to lead.
+    starts: BTreeMap<String, hold::TermStart>,
     store_lease: StoreLease,
     confirmation: Confirmation,
     /// Servers that are at their limit while this host has less than its part.
@@ -129,6 +131,7 @@
                 },
                 held: None,
                 replacement: None,
+                starts: BTreeMap::new(),
                 store_lease: StoreLease::default(),
                 confirmation: Confirmation::default(),
                 short_of: BTreeSet::new(),
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -10,10 +10,10 @@
 use flamingopost_core::term::Term;
 
 use super::restart::Acquaintance;
-use super::{Meant, Service};
+use super::{Meant, Service, State};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::peer::{self, Ended};
+use crate::peer::{self, Ended, Start};
 
 /// A primary that is about to leave serves until shortly before its successor leads. What it
 /// acknowledges within this time before, its successor might not have received: many times the
@@ -32,6 +32,8 @@
     /// Token of the order.
     token: u64,
     successor: peer::Server,
+    /// How far that one had received the log, by its own word.
+    had: Position,
     /// From when on nothing is sent to the primary.
     from: Duration,
     /// From when on nothing that it answers counts.
@@ -39,7 +41,51 @@
     heard: Duration,
 }
 
+/// Where a server's log was when it was ordered to lead. Kept for each server, since later orders name
+/// others.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct TermStart {
+    /// The newest term that was known then.
+    before: Term,
+    /// How far the server had received the log, by its own word.
+    had: Position,
+}
+
+impl TermStart {
+    /// Whether a log that reaches `position` cannot be that of the server in the term that it was
+    /// ordered to lead: it had received more before, and numbers go on across terms.
+    pub(super) fn is_short(&self, position: Position) -> bool {
+        let ordered = position.term.number() == self.before.number() + 1;
+        ordered && position.log > 0 && position.log <= self.had.log
+    }
+}
+
+impl<C: Codec> State<C> {
+    /// A term begins, or has begun, as `start` says.
+    fn begins(&mut self, start: &Start) {
+        let known = self.starts.entry(start.server.clone()).or_default();
+        if known.before <= start.before() {
+            *known = TermStart {
+                before: start.before(),
+                had: start.had(),
+            };
+        }
+    }
+}
+
 impl<C: Codec> Service<C> {
+    /// Another host says where a term began.
+    pub fn begun(&self, start: &Start) {
+        self.state.borrow_mut().begins(start);
+    }
+
+    /// Where the newest term began that was ordered, as far as is known.
+    pub fn newest_start(&self) -> Option<Start> {
+        let state = self.state.borrow();
+        let newest = state.starts.iter().max_by_key(|(_, start)| start.before);
+        newest.map(|(id, start)| Start::new(id.clone(), start.before, start.had))
+    }
+
     /// For how long a primary still serves whose successor is ordered now, if it is alive and about
     /// to leave.
     pub fn serves_until_relieved(&self) -> Duration {
@@ -68,10 +114,13 @@
             term: ended.term(),
             token: ended.token,
             successor: ended.successor.clone(),
+            had: ended.had(),
             from,
             over,
             heard: now,
         });
+        let id = ended.successor.id.clone();
+        state.begins(&Start::new(id, ended.term(), ended.had()));
         state.leader.end(ended.term(), successor);
         let leads = state.dispatch.leader();
         let is_done = state.vouch.term() > ended.term() || leads.is_some() && leads == successor;
@@ -94,8 +143,14 @@
         let known = state.replacement.as_ref()?;
         let serves = known.from.saturating_sub(now);
         (now <= known.heard + age).then(|| {
-            let (service, successor) = (self.name.clone(), known.successor.clone());
-            Ended::new(service, known.term, known.token, successor, serves)
+            let successor = (known.successor.clone(), known.had);
+            Ended::new(
+                self.name.clone(),
+                known.term,
+                known.token,
+                successor,
+                serves,
+            )
         })
     }
 
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -172,11 +172,19 @@
     }
 
     /// Another host has seen the log reach `position`.
+    ///
+    /// Where this is the first word of any write, a primary that was believed before is asked what it
+    /// has: it showed an empty log, which may have been a lost one.
     pub fn told(&self, position: Position) {
         let now = self.site.now();
         let mut state = self.state.borrow_mut();
+        let was_written = state.extent.is_written();
         state.vouch.saw_term(position.term);
         state.extent.showed(position, now);
+        if !was_written && state.extent.is_written() && state.dispatch.leader().is_some() {
+            state.check = Check::Due(now);
+            self.alarm.notify_one();
+        }
     }
 
     /// A server as other hosts are told of it.
