Believe no primary that may have lost its log

It was weighed once a connection, by the newest position alone; the start of a term without writes looked the same before and after; and what hosts wrote to it then passed for the proof of its log.

Earlier positions are kept with their moments; each answer of a primary is weighed before it is given on; the other servers' word counts where they confirm a primary; in a term without writes a primary to which connections have broken has to show a write; a first write whose number its server had got past before it was ordered shows the loss; a server in doubt proves and has nothing. It holds since within a term a log only grows and numbers go on across terms.

--- a/crates/core/src/extent.rs
+++ b/crates/core/src/extent.rs
@@ -4,10 +4,18 @@
 //! may go on saying so. What it shows of its log tells it apart: within one term a log only grows,
 //! so a primary that was asked after some server had shown a position has that position too.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::position::Position;
 
+/// Moments closer together than this are merged: a question to a server takes as long.
+const SPACING: Duration = Duration::from_millis(50);
+
+/// Moments that are kept: with [`SPACING`] they reach back further than a statement waits at a server
+/// that answers at all.
+const KEPT: usize = 64;
+
 /// How far the log of one service has been seen to reach.
 ///
 /// ```
@@ -25,7 +33,14 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Extent {
-    furthest: Position,
+    /// In the order in which the log was seen to grow.
+    marks: VecDeque<Mark>,
+}
+
+/// The log had reached a position at some moment.
+#[derive(Debug, Clone, Copy)]
+struct Mark {
+    position: Position,
     at: Duration,
 }
 
@@ -35,26 +50,41 @@
     /// Numbers go on across terms, so a position without one shows an empty log, whatever its
     /// term.
     pub fn showed(&mut self, position: Position, now: Duration) {
-        if position.log > 0 && position > self.furthest {
-            self.furthest = position;
-            self.at = now;
+        if position.log == 0 || position <= self.furthest() {
+            return;
         }
+        let count = self.marks.len();
+        let before = count.checked_sub(2).and_then(|at| self.marks.get(at));
+        // The one between goes; the one before it is old enough for questions that are on their way.
+        if before.is_some_and(|before| now < before.at + SPACING) {
+            self.marks.pop_back();
+        }
+        if count >= KEPT {
+            self.marks.pop_front();
+        }
+        self.marks.push_back(Mark { position, at: now });
     }
 
     /// The furthest position that was shown.
     pub fn furthest(&self) -> Position {
-        self.furthest
+        self.marks
+            .back()
+            .map_or_else(Position::default, |it| it.position)
     }
 
     /// Whether anything was ever written, as far as this host knows.
     pub fn is_written(&self) -> bool {
-        self.furthest.log > 0
+        self.furthest().log > 0
     }
 
     /// Whether a server that was asked at `sent`, and whose log reaches `position`, cannot be the
     /// primary of the newest term: another server had shown more before.
+    ///
+    /// What was shown after the question says nothing, so earlier moments are kept as well. With the
+    /// newest one alone, a log that had just grown hid for a moment that its primary had lost it.
     pub fn lacks(&self, position: Position, sent: Duration) -> bool {
-        sent >= self.at && position < self.furthest
+        let before = self.marks.iter().rev().find(|mark| mark.at <= sent);
+        before.is_some_and(|mark| position < mark.position)
     }
 
     /// Whether `position`, shown by a server that has started again, proves that it has the service's
@@ -67,6 +97,6 @@
     /// nothing is written that an honest primary would lack while it is not believed.
     pub fn proves(&self, position: Position) -> bool {
         let whole = position.log > 0 || !self.is_written();
-        whole && position >= self.furthest
+        whole && position >= self.furthest()
     }
 }
--- a/crates/core/tests/extent.rs
+++ b/crates/core/tests/extent.rs
@@ -79,3 +79,19 @@
     assert!(!extent.lacks(position(3, 39), ms(90)));
     assert!(!extent.proves(position(3, 39)));
 }
+
+/// A primary starts again without its log. A read is sent there, and while it is on its way another
+/// server shows a write more. That the primary lacked nearly all of the log was known long before.
+#[test]
+fn a_log_that_has_just_grown_hides_no_loss() {
+    let mut extent = Extent::default();
+    extent.showed(position(3, 111), ms(1_000));
+    extent.showed(position(3, 113), ms(2_040));
+    assert!(extent.lacks(position(3, 0), ms(2_030)));
+    assert!(!extent.lacks(position(3, 111), ms(2_030)), "asked before");
+    for log in 0..500 {
+        extent.showed(position(3, 114 + log), ms(3_000 + log * 10));
+    }
+    assert!(extent.lacks(position(3, 0), ms(7_000)));
+    assert!(!extent.lacks(position(3, 600), ms(7_000)));
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -138,7 +138,8 @@
         Access::Write => None,
     };
     lent.push(&Command::Begin { access, after });
-    let sent = job.current;
+    let service = Rc::clone(lent.service());
+    let sent = service.site.now();
     lent.flush().await?;
     settle(lent, 1).await?;
     let outcome = lent.outcome().await?;
@@ -148,11 +149,10 @@
     // fresh the replicas are, and all of them went on asking the primary: 5% of the requests of
     // a day with 65 hosts, for good, after its replicas had been behind for six seconds.
     let led = access == Access::Write && outcome.end.is_ok();
-    let service = Rc::clone(lent.service());
-    let is_past = led && service.is_past(lent.server);
-    service.heard(lent.server, outcome.position, sent, led && !is_past);
-    if is_past {
-        // It goes on leading a term that is over. The statement is not sent there, and the
+    let refuted = led && service.is_refuted(lent.server, outcome.position, sent);
+    service.heard(lent.server, outcome.position, job.current, led && !refuted);
+    if refuted {
+        // It goes on leading a term that is over, or without its log. The statement is not sent there, and the
         // connection is closed, since the transaction is open on it.
         lent.broken = true;
         return Ok(Some(Code::ReadOnly));
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -83,6 +83,8 @@
     life: Life,
     /// How the server came back, if it is known to have started again.
     back: Option<restart::Back>,
+    /// Connections to it have broken while it was believed to lead, and it has shown no write since.
+    broke: bool,
     contact: Contact,
     /// When statements were sent that have no answer yet.
     outstanding: BTreeMap<u64, Duration>,
@@ -195,7 +197,10 @@
             state.vouch.led(position, sent);
             state.leader.led(server, position.term);
         }
-        state.extent.showed(position, now);
+        // What is written to an empty log would look like the proof of a whole one.
+        if !state.leader.is_doubted(server) {
+            state.extent.showed(position, now);
+        }
     }
 
     /// A request took `took` at a server.
@@ -278,6 +283,9 @@
             Miss::Silent => known.contact.silent(sent),
             Miss::None => known.contact.answered(now),
         }
+        if matches!(miss(error), Miss::Refused) {
+            state.broke(server, true);
+        }
         let leads = state.dispatch.leader() == Some(server);
         drop(state);
         if leads {
@@ -438,6 +446,7 @@
             .collect();
         for id in over {
             if let Some(back) = state.idle.remove(&id) {
+                state.broke(back.server, true);
                 state.dispatch.ended(back.server, id);
             }
         }
--- a/crates/proxy/src/service/confirm.rs
+++ b/crates/proxy/src/service/confirm.rs
@@ -112,7 +112,14 @@
             return false;
         };
         self.said(server, &status, asked);
-        status.role == Role::Replica && status.term <= self.term_of_leader(server)
+        let follows = status.role == Role::Replica && status.term <= self.term_of_leader(server);
+        if follows {
+            // The primary has that too. Where it has lost its log, this host may have nothing else to
+            // tell it by: it was out of touch when the log got so far.
+            let now = self.site.now();
+            self.state.borrow_mut().extent.showed(status.received, now);
+        }
+        follows
     }
 
     async fn status(&self, target: &Target) -> Result<Status, back::Error> {
--- a/crates/proxy/src/service/listing.rs
+++ b/crates/proxy/src/service/listing.rs
@@ -45,6 +45,7 @@
                 incarnation: backend.incarnation,
                 life: Life::default(),
                 back,
+                broke: false,
                 contact: Contact::default(),
                 outstanding: BTreeMap::new(),
             });
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -34,6 +34,9 @@
 /// Told where a write was answered by a primary whose successor may lead already.
 const REPLACED: &str = "the primary that answered is being replaced";
 
+/// Why a write is not acknowledged that a primary has run without the service's log.
+const LOG_LOST: &str = "the primary that answered has lost its log";
+
 /// How long a caller may take to say which database it wants.
 const STARTUP: Duration = Duration::from_secs(5);
 
--- a/crates/proxy/src/session/place.rs
+++ b/crates/proxy/src/session/place.rs
@@ -12,7 +12,7 @@
 use flamingopost_core::retry::{self, Attempt};
 
 use super::tell::text;
-use super::{OUT_OF_TOUCH, REPLACED, Session};
+use super::{LOG_LOST, OUT_OF_TOUCH, REPLACED, Session};
 use crate::attempt::{self, Frame, Job, Ran};
 use crate::back::Outcome;
 use crate::codec::Codec;
@@ -237,17 +237,19 @@
         let (code, run, error) = match ran {
             Ran::Answered(outcome) => {
                 let led = need == Need::Lead;
-                let is_past = led && service.is_past(server);
+                let refuted = led && service.is_refuted(server, outcome.position, sent);
                 let code = outcome.end.as_ref().err().map(|fault| fault.code);
                 service.heard(
                     server,
                     outcome.position,
                     current,
-                    led && !is_past && code.is_none(),
+                    led && !refuted && code.is_none(),
                 );
                 if code.is_none()
                     && plan.writes_alone()
-                    && let Some(reason) = self.unacknowledged(&service, server)
+                    && let Some(reason) = self
+                        .unacknowledged(&service, server)
+                        .or(refuted.then_some(LOG_LOST))
                 {
                     lent.give_back();
                     self.doubt(query, &service, server, reason, plan.arrived);
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 
 use super::place::{Answered, Plan, Served};
-use super::{Begun, Session, State};
+use super::{Begun, LOG_LOST, Session, State};
 use crate::attempt::{self, Frame, Job, Ran};
 use crate::back::Outcome;
 use crate::codec::Codec;
@@ -178,9 +178,13 @@
         let server = open.lent.server;
         match ran {
             Ran::Answered(outcome) => {
+                let refuted =
+                    open.led && open.service.is_refuted(server, outcome.position, arrived);
                 if open.wrote
                     && outcome.end.is_ok()
-                    && let Some(reason) = self.unacknowledged(&open.service, server)
+                    && let Some(reason) = self
+                        .unacknowledged(&open.service, server)
+                        .or(refuted.then_some(LOG_LOST))
                 {
                     open.service.heard(server, outcome.position, arrived, false);
                     open.lent.give_back();
@@ -188,7 +192,7 @@
                     self.tell(query, Code::InDoubt, reason, arrived);
                     return;
                 }
-                let led = open.led && open.wrote && outcome.end.is_ok();
+                let led = open.led && open.wrote && !refuted && outcome.end.is_ok();
                 open.heard(&outcome, arrived, led);
                 self.saw(&open.service, outcome.position);
                 if open.wrote && outcome.end.is_ok() {
