--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -23,7 +23,7 @@
 
 pub use contact::{Contact, Trouble};
 pub use effect::Effect;
-pub use inquiry::{ALONE, DIVIDED, OBJECTION, RETURN, WORD};
+pub use inquiry::{ALONE, DIVIDED, OBJECTION, REPORT_AGE, RETURN};
 use inquiry::{Inquiry, Verdict};
 use led::Led;
 pub use next::{Grant, Next, Opinion, Order, Report};
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -34,10 +34,10 @@
 /// cuts last some seconds.
 pub const RETURN: Duration = Duration::from_secs(10);
 
-/// How old what servers have said may be when an order rests on it: as long as a primary may be silent.
-/// A host whose claim is won does not get as old as that; one that waits for its turn, or for others'
-/// leases to run out, does.
-pub const WORD: Duration = super::SILENCE;
+/// How old a server's report may be when an order rests on it: as long as a primary may be silent. A
+/// claim that is won at once rests on younger ones; a host that waits for its turn, or for others'
+/// leases to run out, asks again.
+pub const REPORT_AGE: Duration = super::SILENCE;
 
 /// What other hosts and the servers have said.
 #[derive(Debug, Default, Clone)]
@@ -138,7 +138,7 @@
     /// no start of it, so it is carried out, and all that the others have is rolled back. In a run of
     /// servers that start again in series, orders without the store rested on words of 0.8 s before.
     pub(super) fn is_outdated(&self, now: Duration) -> bool {
-        now > self.asked + WORD
+        now > self.asked + REPORT_AGE
     }
 
     /// Whether `server` has answered what it was last asked.
@@ -196,7 +196,7 @@
     ///
     /// A former primary that stepped down for a successor which never came to lead is passed over, and
     /// may be the only one with a log: 242 acknowledged writes were rolled back for an empty server
-    /// that had just been listed anew. Waiting that long, most hosts take the former primary.
+    /// that had just been listed anew. After [`RETURN`] without a primary, the former one is the best.
     pub(super) fn may_gain(&self, view: &View, led: &Led, now: Duration) -> bool {
         let best = self.best(view, led, now);
         let Some((best, report)) = best.and_then(|it| Some((it, self.reports.get(&it)?))) else {
@@ -265,8 +265,8 @@
         let candidates = view.candidates.iter().filter_map(|server| {
             let report = self.reports.get(server)?;
             let follows = view.leader != Some(*server) && report.role == Role::Replica;
-            let extent = (!report.is_empty(), report.received);
-            let extent = (extent, self.has_confirmed(*server));
+            let confirmed = self.has_confirmed(*server);
+            let extent = (!report.is_empty(), report.received, confirmed);
             (follows && fit(server, report)).then_some((extent, *server))
         });
         let best = candidates.max_by_key(|(extent, _)| *extent);
--- a/crates/core/src/succession/led.rs
+++ b/crates/core/src/succession/led.rs
@@ -57,11 +57,10 @@
     /// Whether `server`, which was replaced, follows the newest primary that this host knows, by its own
     /// `report`.
     ///
-    /// Its log does not show it: nothing may have been written since, so it still ends in the term
-    /// that the server led. Where the successor of that server has led and is gone, none of the other
-    /// servers has more of what that one wrote, or its log would name the newer term and go first. So
-    /// the former primary is passed over for less: 30 acknowledged commits were lost to a replica that
-    /// lagged, and a service stood still for 11 s before an empty server was promoted in its place.
+    /// Its log does not show it where nothing has been written since: it still ends in the term that
+    /// the server led. A server that has more, by its successor, names the newer term and goes first
+    /// anyway. Guards against passing over the longest log: 30 acknowledged commits were lost to a
+    /// replica that lagged, and a service had no primary for 11 s, until an empty server was promoted.
     ///
     /// A former primary that has not heard of its successor names its own term, and stays passed over:
     /// the successor may lead.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -152,8 +152,8 @@
     let refuted = led && service.is_refuted(lent.server, outcome.position, sent);
     service.heard(lent.server, outcome.position, job.current, led && !refuted);
     if refuted {
-        // It goes on leading a term that is over, or without its log. The statement is not sent there, and the
-        // connection is closed, since the transaction is open on it.
+        // It goes on leading a term that is over, or without its log. The statement is not sent
+        // there, and the connection is closed, since the transaction is open on it.
         lent.broken = true;
         return Ok(Some(Code::ReadOnly));
     }
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -69,7 +69,7 @@
     /// Whether this host has a lease, and since when that is so.
     lease: Cell<(bool, Duration)>,
     /// Since when this host has known the servers.
-    known: Cell<Option<Duration>>,
+    servers_known: Cell<Option<Duration>>,
 }
 
 impl<C: Codec, P: Platform> Election<C, P> {
@@ -92,7 +92,7 @@
             held: RefCell::default(),
             asking: Cell::new(false),
             in_touch: Cell::new(None),
-            known: Cell::new(None),
+            servers_known: Cell::new(None),
         }
     }
 
--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -92,10 +92,13 @@
     /// started or was cut off: it knows of nothing that the primary lacks, and wrote to it for 350 ms
     /// beside hosts that did not believe it. What it had acknowledged was rolled back.
     fn looks(&self, with_most: bool, now: Duration) -> bool {
-        if self.known.get().is_none() && self.fleet.is_known() {
-            self.known.set(Some(now));
+        if self.servers_known.get().is_none() && self.fleet.is_known() {
+            self.servers_known.set(Some(now));
         }
-        let is_new = self.known.get().is_none_or(|known| now < known + TELL);
+        let is_new = self
+            .servers_known
+            .get()
+            .is_none_or(|known| now < known + TELL);
         let (_, since) = self.lease.get();
         is_new || !with_most || now < since + TELL
     }
@@ -108,7 +111,7 @@
             .map(|service| Log {
                 service: service.name.clone(),
                 furthest: service.furthest().into(),
-                start: service.newest_start(),
+                term_start: service.newest_term_start(),
             })
             .collect();
         for logs in logs.chunks(LOGS_MOST) {
@@ -122,7 +125,7 @@
         for log in logs {
             if let Some(service) = self.fleet.named(&log.service) {
                 service.told(log.furthest.into());
-                log.start.iter().for_each(|start| service.begun(start));
+                log.term_start.iter().for_each(|it| service.term_began(it));
             }
         }
     }
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -103,12 +103,12 @@
     /// How far.
     pub furthest: Extent,
     /// Where the newest term began that was ordered, as far as is known.
-    pub start: Option<Start>,
+    pub term_start: Option<TermStart>,
 }
 
 /// Where a log was when its server was ordered to lead.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Start {
+pub struct TermStart {
     /// Identity of the server.
     pub server: String,
     /// The newest term that was known then.
@@ -117,10 +117,10 @@
     had: Extent,
 }
 
-impl Start {
+impl TermStart {
     /// `server` had received `had` when it was ordered to lead after the primary of `before`.
-    pub fn new(server: String, before: Term, had: Position) -> Start {
-        Start {
+    pub fn new(server: String, before: Term, had: Position) -> TermStart {
+        TermStart {
             server,
             before: before.number(),
             had: had.into(),
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -30,6 +30,7 @@
 mod lent;
 mod life;
 mod listing;
+mod loss;
 mod queue;
 mod restart;
 
@@ -69,8 +70,8 @@
     /// When statements for the primary are held.
     held: Option<dispatch::Hold>,
     replacement: Option<hold::Replacement>,
-    /// By identity of the servers that were ordered to lead.
-    starts: BTreeMap<String, hold::TermStart>,
+    /// Servers that were ordered to lead, by identity: as many as there ever were.
+    ordered: BTreeMap<String, hold::Ordered>,
     store_lease: StoreLease,
     confirmation: Confirmation,
     /// Servers that are at their limit while this host has less than its part.
@@ -133,7 +134,7 @@
                 },
                 held: None,
                 replacement: None,
-                starts: BTreeMap::new(),
+                ordered: BTreeMap::new(),
                 store_lease: StoreLease::default(),
                 confirmation: Confirmation::default(),
                 short_of: BTreeSet::new(),
@@ -284,7 +285,7 @@
             Miss::None => known.contact.answered(now),
         }
         if matches!(miss(error), Miss::Refused) {
-            state.broke(server, true);
+            state.broke(server);
         }
         let leads = state.dispatch.leader() == Some(server);
         drop(state);
@@ -446,7 +447,7 @@
             .collect();
         for id in over {
             if let Some(back) = state.idle.remove(&id) {
-                state.broke(back.server, true);
+                state.broke(back.server);
                 state.dispatch.ended(back.server, id);
             }
         }
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -13,7 +13,7 @@
 use super::{Meant, Service, State};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::peer::{self, Ended, Start};
+use crate::peer::{self, Ended};
 
 /// A primary that is about to leave serves until shortly before its successor leads. What it
 /// acknowledges within this time before, its successor might not have received: many times the
@@ -44,14 +44,14 @@
 /// Where a server's log was when it was ordered to lead. Kept for each server, since later orders name
 /// others.
 #[derive(Debug, Default, Clone, Copy)]
-pub(super) struct TermStart {
+pub(super) struct Ordered {
     /// The newest term that was known then.
     before: Term,
     /// How far the server had received the log, by its own word.
     had: Position,
 }
 
-impl TermStart {
+impl Ordered {
     /// Whether a log that reaches `position` cannot be that of the server in the term that it was
     /// ordered to lead: it had received more before, and numbers go on across terms.
     pub(super) fn is_short(&self, position: Position) -> bool {
@@ -61,11 +61,10 @@
 }
 
 impl<C: Codec> State<C> {
-    /// A term begins, or has begun, as `start` says.
-    fn begins(&mut self, start: &Start) {
-        let known = self.starts.entry(start.server.clone()).or_default();
+    fn term_began(&mut self, start: &peer::TermStart) {
+        let known = self.ordered.entry(start.server.clone()).or_default();
         if known.before <= start.before() {
-            *known = TermStart {
+            *known = Ordered {
                 before: start.before(),
                 had: start.had(),
             };
@@ -75,15 +74,15 @@
 
 impl<C: Codec> Service<C> {
     /// Another host says where a term began.
-    pub fn begun(&self, start: &Start) {
-        self.state.borrow_mut().begins(start);
+    pub fn term_began(&self, start: &peer::TermStart) {
+        self.state.borrow_mut().term_began(start);
     }
 
     /// Where the newest term began that was ordered, as far as is known.
-    pub fn newest_start(&self) -> Option<Start> {
+    pub fn newest_term_start(&self) -> Option<peer::TermStart> {
         let state = self.state.borrow();
-        let newest = state.starts.iter().max_by_key(|(_, start)| start.before);
-        newest.map(|(id, start)| Start::new(id.clone(), start.before, start.had))
+        let newest = state.ordered.iter().max_by_key(|(_, it)| it.before);
+        newest.map(|(id, it)| peer::TermStart::new(id.clone(), it.before, it.had))
     }
 
     /// For how long a primary still serves whose successor is ordered now, if it is alive and about
@@ -120,7 +119,7 @@
             heard: now,
         });
         let id = ended.successor.id.clone();
-        state.begins(&Start::new(id, ended.term(), ended.had()));
+        state.term_began(&peer::TermStart::new(id, ended.term(), ended.had()));
         state.leader.end(ended.term(), successor);
         let leads = state.dispatch.leader();
         let is_done = state.vouch.term() > ended.term() || leads.is_some() && leads == successor;
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -14,7 +14,6 @@
 use super::{Service, State};
 use crate::back::Target;
 use crate::codec::Codec;
-use crate::event::Event;
 use crate::peer;
 
 /// Which start of a server is listed, as far as this host knows.
@@ -111,66 +110,10 @@
             drop(state);
             self.doubt_log(server, position);
         } else if leads && position.log > 0 {
-            state.broke(server, false);
+            state.has_written(server);
         }
     }
 
-    /// Whether what `server` answers as a primary, asked at `sent` and at `position`, does not count:
-    /// its term is over, or it has lost its log.
-    ///
-    /// Guards against a primary that starts again without its log between the moment at which it was
-    /// weighed and an answer: a host that was cut off from the others read there, on a connection that
-    /// was opened just before what the log held was last heard of, 1 to 6 stale reads in four of six
-    /// runs of such a restart. Within one term a log only grows. An answer in an older term shows
-    /// nothing: a server that has just been promoted gives the position that it has applied.
-    pub fn is_refuted(
-        self: &Rc<Self>,
-        server: ServerKey,
-        position: Option<Position>,
-        sent: Duration,
-    ) -> bool {
-        if self.is_past(server) {
-            return true;
-        }
-        let Some(position) = position else {
-            return false;
-        };
-        let lost = {
-            let state = self.state.borrow();
-            let led = state.leader.term_led(server);
-            let newest = position.term == led && led >= state.vouch.term();
-            newest && (state.extent.lacks(position, sent) || state.is_short(server, position))
-        };
-        if lost {
-            self.doubt_log(server, position);
-            self.refresh();
-        }
-        lost
-    }
-
-    /// Believes no longer that `server` leads, whose log reaches no further than `position`.
-    fn doubt_log(&self, server: ServerKey, position: Position) {
-        let now = self.site.now();
-        let furthest = {
-            let mut state = self.state.borrow_mut();
-            if state.leader.is_doubted(server) {
-                return;
-            }
-            state.leader.doubt(server);
-            // The start of its term, which it has shown as the primary, is in no log that is empty.
-            if let Some(server) = state.dispatch.server_mut(server) {
-                server.saw(Position::default(), None, now);
-            }
-            state.extent.furthest()
-        };
-        self.site.log(&Event::LogLost {
-            service: self.name.clone(),
-            server: self.name_of(Some(server)),
-            position,
-            furthest,
-        });
-    }
-
     /// The server that is believed to lead, where it has not been looked at since it was.
     ///
     /// Guards against an empty primary on a host that has just started, and believed the first one
@@ -277,40 +220,6 @@
 }
 
 impl<C: Codec> State<C> {
-    /// Whether a primary to which connections have broken since it began to lead may have come back
-    /// without its log. It shows the start of its term, as it did before: nothing was written in that one.
-    ///
-    /// Guards against the loss of all that was written before that term. While the list could not be
-    /// read, hosts wrote to such a primary for three seconds, and then took what they had written for
-    /// the proof of its log: 17 to 93 acknowledged writes were gone in five of six runs. One that has
-    /// its log, or whose connections were only reset, is replaced for nothing unless somebody else
-    /// writes there, which costs the time of a promotion.
-    fn may_be_empty(&self, server: ServerKey, position: Position) -> bool {
-        let broke = self.servers.get(&server).is_some_and(|known| known.broke);
-        broke && position.log == 0 && self.extent.is_written()
-    }
-
-    /// Whether a server that has been promoted shows less than it had received before that.
-    ///
-    /// Guards against one that has started again without its log before anything was written in its
-    /// term: the number of the first write there is the only thing that tells. Hosts that had not seen
-    /// its process end went on writing to it.
-    fn is_short(&self, server: ServerKey, position: Position) -> bool {
-        let Some(known) = self.servers.get(&server) else {
-            return false;
-        };
-        let start = self.starts.get(&known.target.id);
-        start.is_some_and(|start| start.is_short(position))
-    }
-
-    /// Connections to `server` have broken, or it has shown since that it has its log.
-    pub(super) fn broke(&mut self, server: ServerKey, broke: bool) {
-        let leads = self.dispatch.leader() == Some(server);
-        if let Some(known) = self.servers.get_mut(&server) {
-            known.broke = broke && leads;
-        }
-    }
-
     /// What `position`, shown by `server`, says of its data: the start of a term nothing, unless it
     /// leads that term or nothing was ever written, since an empty log shows it as well; and nothing
     /// what was written to a log that may be empty otherwise.
@@ -358,7 +267,7 @@
     ///
     /// And against what was held going to a primary that was replaced long before, where nobody else
     /// seems to lead for a moment: this host refuses to rely on it, so statements went to and fro, with
-    /// 25 changes of mind in 100 ms.
+    /// 25 changes of the primary that hosts believed in within 100 ms.
     pub(super) fn succeeds(&self, leader: Option<ServerKey>) -> bool {
         let Some(leader) = leader.filter(|leader| !self.leader.is_over(*leader)) else {
             return false;
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use flamingopost_standin::pooled::{Entry, Moment, Order, Run, is_proved, is_same_statement};
+use flamingopost_standin::pooled::{Entry, LogEvent, Order, Run, is_proved, is_same_statement};
 
 use crate::ledger::{Fate, Ledger, Seen, Sent, Write};
 use crate::problem::{Kind, Problem};
@@ -23,7 +23,7 @@
     /// Orders to change a primary.
     pub orders: Vec<Order>,
     /// What became of the servers' logs.
-    pub moments: Vec<Moment>,
+    pub log_events: Vec<LogEvent>,
 }
 
 /// What was found.
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -237,7 +237,7 @@
             dropped: group.dropped(),
             runs: group.runs(),
             orders: self.site.orders(),
-            moments: group.moments(),
+            log_events: group.log_events(),
         }
     }
 
--- a/crates/standin/src/pooled.rs
+++ b/crates/standin/src/pooled.rs
@@ -8,6 +8,7 @@
 mod garbage;
 mod group;
 mod http;
+mod log_event;
 mod server;
 mod session;
 mod site;
@@ -16,7 +17,8 @@
 
 pub use self::caller::{Broken, Caller, Reply};
 pub use self::garbage::Garbage;
-pub use self::group::{Change, Entry, Group, Moment, NOTICES, Replaced, Run};
+pub use self::group::{Entry, Group, NOTICES, Replaced, Run};
+pub use self::log_event::{LogChange, LogEvent};
 pub use self::server::{Faults, Remains};
 pub use self::site::{Order, Site, Sizes};
 pub use self::statement::{is_proved, is_same_statement};
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use super::log_event::{LogChange, LogEvent};
+
 /// A committed write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -57,45 +59,6 @@
     LeadsOn,
 }
 
-/// What became of a group's logs, for whoever looks for the cause of a loss.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Moment {
-    /// Unix milliseconds, as in the logs of hosts.
-    pub at: u128,
-    /// What happened.
-    pub what: Change,
-}
-
-/// Something that changes a server's log or who leads.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Change {
-    /// An order for `server` was accepted.
-    Ordered {
-        /// The server.
-        server: String,
-        /// Entries that it had received.
-        had: usize,
-    },
-    /// `server` leads `term` with the first `kept` entries of the log.
-    Promoted {
-        /// The server.
-        server: String,
-        /// The term.
-        term: i64,
-        /// How many entries it has.
-        kept: usize,
-        /// How many that others had are rolled back.
-        dropped: usize,
-    },
-    /// `server` started again without its log.
-    Forgot {
-        /// The server.
-        server: String,
-        /// How many entries it had.
-        had: usize,
-    },
-}
-
 /// How long after its successor leads, and can be reached, a primary notices it.
 pub const NOTICES: Duration = Duration::from_secs(1);
 
@@ -144,7 +107,7 @@
     strays: Vec<Entry>,
     /// The primary that has stepped down for a successor that does not lead yet.
     stepped: Option<String>,
-    moments: Vec<Moment>,
+    log_events: Vec<LogEvent>,
 }
 
 /// Why a server does not run a statement.
@@ -239,8 +202,8 @@
     }
 
     /// What became of the logs, in order.
-    pub fn moments(&self) -> Vec<Moment> {
-        self.lock().moments.clone()
+    pub fn log_events(&self) -> Vec<LogEvent> {
+        self.lock().log_events.clone()
     }
 
     /// An order for `server` was accepted.
@@ -252,7 +215,7 @@
         };
         member.ordered = Some(Instant::now());
         let had = member.log.len();
-        state.note(Change::Ordered {
+        state.note(LogChange::Ordered {
             server: server.to_owned(),
             had,
         });
@@ -291,7 +254,7 @@
         let old = leads.into_iter().chain(stepped).max_by_key(|it| it.term);
         let dropped = old.and_then(|old| old.before().get(kept..));
         let dropped = dropped.map(<[Entry]>::to_vec).unwrap_or_default();
-        state.note(Change::Promoted {
+        state.note(LogChange::Promoted {
             server: server.to_owned(),
             term,
             kept: length,
@@ -352,7 +315,7 @@
         member.log.clear();
         member.blank = true;
         member.forgot = Some(Instant::now());
-        state.note(Change::Forgot {
+        state.note(LogChange::Forgot {
             server: server.to_owned(),
             had,
         });
@@ -468,10 +431,10 @@
 }
 
 impl State {
-    fn note(&mut self, what: Change) {
+    fn note(&mut self, what: LogChange) {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         let at = since.map_or(0, |since| since.as_millis());
-        self.moments.push(Moment { at, what });
+        self.log_events.push(LogEvent { at, what });
     }
 
     /// The server that leads the newest term.
