Tell a host that has just started which primary the others do not believe

Whoever asks how far logs reach is told which primaries are not believed. It holds since a doubt ends with the next write that a whole log shows. And a connection that had ended when it was to be lent counts as broken: a host without others read from nothing there.

--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -112,6 +112,7 @@
                 service: service.name.clone(),
                 furthest: service.furthest().into(),
                 term_start: service.newest_term_start(),
+                doubted: service.doubted_servers(),
             })
             .collect();
         for logs in logs.chunks(LOGS_MOST) {
@@ -126,6 +127,9 @@
             if let Some(service) = self.fleet.named(&log.service) {
                 service.told(log.furthest.into());
                 log.term_start.iter().for_each(|it| service.term_began(it));
+                log.doubted
+                    .iter()
+                    .for_each(|it| service.doubted_elsewhere(it));
             }
         }
     }
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -104,6 +104,8 @@
     pub furthest: Extent,
     /// Where the newest term began that was ordered, as far as is known.
     pub term_start: Option<TermStart>,
+    /// Servers whose claims to lead are not believed.
+    pub doubted: Vec<Server>,
 }
 
 /// Where a log was when its server was ordered to lead.
--- a/crates/proxy/src/service/loss.rs
+++ b/crates/proxy/src/service/loss.rs
@@ -6,9 +6,10 @@
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
 
-use super::{Service, State};
+use super::{Meant, Service, State};
 use crate::codec::Codec;
 use crate::event::Event;
+use crate::peer;
 
 impl<C: Codec> Service<C> {
     /// Whether what `server` answers as a primary, asked at `sent` and at `position`, does not count:
@@ -44,6 +45,34 @@
         lost
     }
 
+    /// Servers whose claims to lead are not believed, as other hosts are told of them.
+    pub fn doubted_servers(&self) -> Vec<peer::Server> {
+        let doubted = self.doubted().into_iter();
+        doubted.filter_map(|server| self.named(server)).collect()
+    }
+
+    /// Another host does not believe that `server` leads.
+    ///
+    /// Guards against a primary of a term without writes that has lost its log, on a host that has
+    /// started since: it has seen no connection break, and the start of the term is all that the
+    /// primary shows. It answered reads from nothing until the first write there, 340 ms beside three
+    /// hosts that knew better. One that has its log shows it with its next write.
+    pub fn doubted_elsewhere(self: &Rc<Self>, server: &peer::Server) {
+        let Meant::Listed(server) = self.meant(server) else {
+            return;
+        };
+        let start = {
+            let state = self.state.borrow();
+            let leads = state.leader.get() == Some(server);
+            let term = state.leader.term_led(server);
+            leads.then_some(Position { term, log: 0 })
+        };
+        if let Some(start) = start {
+            self.doubt_log(server, start);
+            self.refresh();
+        }
+    }
+
     /// Believes no longer that `server` leads, whose log reaches no further than `position`.
     pub(super) fn doubt_log(&self, server: ServerKey, position: Position) {
         let now = self.site.now();
--- a/crates/proxy/src/service/queue.rs
+++ b/crates/proxy/src/service/queue.rs
@@ -80,8 +80,11 @@
                 }
                 Vec::new()
             }
-            (Some(waiter), _) => {
+            (Some(waiter), back) => {
                 // The server has ended the connection meanwhile: the request goes on waiting.
+                if back.is_some() {
+                    state.broke(server);
+                }
                 let mut next = state.dispatch.lost(server, now);
                 let ticket = waiter.ticket.clone();
                 state.waiters.insert(ticket.id, waiter);
