standin: replicas follow no primary of a former term, and terms only rise

Cause: after STEPDOWN of the newest primary, `replicate` followed whichever server still led, also one of a former term.

Change: a replica follows no primary of a term before its own, and a group counts the terms that it has given out. Nothing else counts as rolled back than before, so what a decision of the product loses is still counted as lost.

Test: a_replica_follows_no_primary_of_a_term_before_its_own failed before ([car-1 of 1, car-3 of 2] in place of [car-1 of 1, car-2 of 2, car-3 of 3]), passes now.

--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -62,6 +62,9 @@
 /// How long after its successor leads, and can be reached, a primary notices it.
 pub const NOTICES: Duration = Duration::from_secs(1);
 
+/// The term of a group's first primary.
+const FIRST_TERM: i64 = 1;
+
 /// How a server stands.
 #[derive(Debug, Clone)]
 pub(super) struct Member {
@@ -102,6 +105,8 @@
     connections: u64,
     dropped: Vec<Entry>,
     replaced: Replaced,
+    /// The newest term that a server was promoted to: terms only rise.
+    term: i64,
     /// When a server was last promoted.
     promoted: Option<Instant>,
     strays: Vec<Entry>,
@@ -125,7 +130,7 @@
         let member = |(index, id): (usize, &String)| {
             let member = Member {
                 leads: index == 0,
-                term: 1,
+                term: FIRST_TERM,
                 log: Vec::new(),
                 running: true,
                 leaving: false,
@@ -139,6 +144,7 @@
         };
         let state = State {
             members: servers.iter().enumerate().map(member).collect(),
+            term: FIRST_TERM,
             ..State::default()
         };
         Group {
@@ -243,8 +249,8 @@
         if !running {
             return false;
         }
-        let newest = state.members.values().map(|member| member.term).max();
-        let term = newest.unwrap_or_default() + 1;
+        state.term += 1;
+        let term = state.term;
         let length = state.members[server].log.len();
         let kept = state.kept(server);
         let stepped = state.stepped.take();
@@ -411,6 +417,11 @@
             if member.leads || member.deaf || !member.running {
                 continue;
             }
+            // A replica follows no primary of a term before its own: it would give up what it has
+            // received since for a log that ends earlier.
+            if member.term > term {
+                continue;
+            }
             member.term = term;
             member.blank = false;
             let due = log
--- a/crates/standin/tests/pooled.rs
+++ b/crates/standin/tests/pooled.rs
@@ -130,3 +130,23 @@
     assert!(group.promote("ledger-1"));
     assert_eq!(group.dropped(), []);
 }
+
+/// Guards against a replica that gives up what it has received for the log of a primary that was replaced
+/// long before and leads on: the one between them has stepped down for a successor that does not lead yet.
+#[tokio::test]
+async fn a_replica_follows_no_primary_of_a_term_before_its_own() {
+    let site = platform().await;
+    let group = site.group("ledger");
+    group.set_replaced(Replaced::LeadsOn);
+    assert!(group.promote("ledger-2"));
+    store(&site, "ledger-2", "car-2").await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    group.step_down("ledger-2", 3);
+    assert!(group.leads("ledger-1"));
+    assert!(group.promote("ledger-3"));
+    store(&site, "ledger-3", "car-3").await;
+    let log = group.log().into_iter();
+    let log: Vec<(String, i64)> = log.map(|it| (it.item, it.term)).collect();
+    let expected = [("car-1", 1), ("car-2", 2), ("car-3", 3)];
+    assert_eq!(log, expected.map(|(item, term)| (item.to_owned(), term)));
+}
