standin: an older primary that steps down does not hide the newest one's log

Cause: ledger-2, primary of term 3, crashed with 170 entries; ledger-1, which had received 165, was ordered 27 ms later. Before that took effect ledger-2 was told to step down, and then ledger-3, which still led term 2 with 72 entries, as well. The stand-in kept one server as the primary that has stepped down, the last one, so it compared the promotion with 72 entries and counted nothing as rolled back.

Change: the one of the newest term is kept. The five writes had reached no other server when the primary crashed, so a promotion of any of them drops them.

--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -195,6 +195,7 @@
         self.replicate();
         let mut state = self.lock();
         let leads = state.leader().is_some_and(|(id, _)| id == server);
+        let newest = state.stepped_down().map(|it| it.term);
         let Some(member) = state.members.get_mut(server) else {
             return;
         };
@@ -202,7 +203,8 @@
             return;
         }
         member.leads = false;
-        if leads {
+        // A replaced primary that leads on until after that is not the one whose log counts.
+        if leads && newest.is_none_or(|newest| newest < member.term) {
             state.stepped = Some(server.to_owned());
         }
     }
@@ -253,8 +255,7 @@
         let term = state.term;
         let length = state.members[server].log.len();
         let kept = state.kept(server);
-        let stepped = state.stepped.take();
-        let stepped = stepped.and_then(|id| state.members.get(&id));
+        let stepped = state.stepped_down();
         // A primary of a term before that leads on has lost its commits already.
         let leads = state.leader().map(|(_, leader)| leader);
         let old = leads.into_iter().chain(stepped).max_by_key(|it| it.term);
@@ -268,6 +269,7 @@
             dropped: dropped.len(),
         });
         state.dropped.extend(dropped);
+        state.stepped = None;
         state.promoted = Some(Instant::now());
         let leads_on = state.replaced == Replaced::LeadsOn;
         for (id, member) in &mut state.members {
@@ -455,6 +457,11 @@
         leading.max_by_key(|(_, member)| member.term)
     }
 
+    /// The primary of the newest term, where it has stepped down and no successor leads yet.
+    fn stepped_down(&self) -> Option<&Member> {
+        self.members.get(self.stepped.as_ref()?)
+    }
+
     /// What a promotion of the server with log `chosen` rolls back of the old primary's log `before`, of
     /// which it has to keep the first `kept` entries: those after that, and those in whose place the
     /// chosen one wrote others, where no server has them any more.
--- a/crates/standin/tests/pooled.rs
+++ b/crates/standin/tests/pooled.rs
@@ -150,3 +150,28 @@
     let expected = [("car-1", 1), ("car-2", 2), ("car-3", 3)];
     assert_eq!(log, expected.map(|(item, term)| (item.to_owned(), term)));
 }
+
+/// Guards against counting as lost what a crashed primary wrote last: its successor was ordered at once, it
+/// steps down before that one leads, and a primary that was replaced long before steps down after it.
+#[tokio::test]
+async fn what_a_crashed_primary_wrote_last_is_rolled_back_though_an_older_one_steps_down_after_it()
+{
+    let site = platform().await;
+    let group = site.group("ledger");
+    group.set_replaced(Replaced::LeadsOn);
+    group.set_deaf("ledger-1", true);
+    assert!(group.promote("ledger-2"));
+    store(&site, "ledger-2", "car-2").await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    group.set_deaf("ledger-3", true);
+    store(&site, "ledger-2", "car-3").await;
+    site.crash("ledger-2");
+    order(&site, "ledger-3").await;
+    start_again_empty(&site, "ledger-2").await;
+    group.step_down("ledger-2", 3);
+    group.step_down("ledger-1", 3);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(group.leader().as_deref(), Some("ledger-3"));
+    let dropped: Vec<String> = group.dropped().into_iter().map(|it| it.item).collect();
+    assert_eq!(dropped, ["car-3"]);
+}
