Confirm a primary by the word of others only where there are others, and all are known

Callers at a host that had just started were told that nothing had been written.

Cause: a host without a lease reads at a primary where all other servers of the service say that they follow it. This host listed one server, the primary, which had lost its log: the entry of the second could not be read and that of the third had lapsed, so nobody was asked and all had agreed. The log shows it: `the other servers, asked 38 ms before, follow it`, when it knew no other server.

Change: with nobody to ask, nothing is confirmed. Nor while an entry cannot be read, names a service that is not configured, or comes from the copy from which the store was restored. A bound on the age of the list was tried as well and left out: it refuses reads that an existing test rightly expects.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -72,6 +72,8 @@
 struct Servers {
     keys: SlotMap<ServerKey, String>,
     by_id: BTreeMap<String, Listed>,
+    /// Entries that name no server, by id.
+    unreadable: BTreeSet<String>,
     /// Starts of servers that were dropped lately, and when.
     dropped: BTreeMap<String, (Incarnation, Duration)>,
 }
@@ -130,6 +132,16 @@
         hosts && self.listed.get() && self.version() > 0
     }
 
+    /// Whether the list of servers names all that may lead, as far as can be told.
+    ///
+    /// A successor may be one whose entry cannot be read, or is missing in the copy from which the store was
+    /// restored.
+    pub fn knows_all_servers(&self) -> bool {
+        let copied = self.epochs.borrow().may_be_copied(self.site.now());
+        let unreadable = !self.servers.borrow().unreadable.is_empty();
+        !copied && !unreadable && self.unnamed.borrow().is_empty()
+    }
+
     /// Whether the configuration in force is that of a copy: the store was restored a moment ago, and other
     /// hosts have a newer one, which operators will write again.
     ///
@@ -198,6 +210,7 @@
         let missing: Vec<String> = {
             let (servers, unnamed) = (self.servers.borrow(), self.unnamed.borrow());
             let known = servers.by_id.keys().chain(unnamed.keys());
+            let known = known.chain(&servers.unreadable);
             let missing = known.filter(|id| !named.contains(id.as_str()));
             missing.cloned().collect()
         };
@@ -227,6 +240,8 @@
             Change::Spoilt(unusable) => {
                 self.spoilt(SERVERS, &unusable);
                 self.gone(&unusable.id);
+                let mut servers = self.servers.borrow_mut();
+                servers.unreadable.insert(unusable.id);
             }
             Change::Gone(id) => self.gone(&id),
         }
@@ -240,7 +255,9 @@
     fn gone(&self, id: &str) {
         self.unnamed.borrow_mut().remove(id);
         let now = self.site.now();
-        if let Some(listed) = self.servers.borrow_mut().by_id.get_mut(id) {
+        let mut servers = self.servers.borrow_mut();
+        servers.unreadable.remove(id);
+        if let Some(listed) = servers.by_id.get_mut(id) {
             listed.gone.get_or_insert(now);
         }
     }
@@ -256,6 +273,7 @@
                 keys,
                 by_id,
                 dropped,
+                ..
             } = &mut *servers;
             dropped.retain(|_, (_, at)| now < *at + DROPPED);
             by_id.retain(|id, entry| {
@@ -419,6 +437,7 @@
     fn put(&self, backend: &Backend, source: Source) {
         self.told.borrow_mut().mended(SERVERS, &backend.id);
         self.unnamed.borrow_mut().remove(&backend.id);
+        self.servers.borrow_mut().unreadable.remove(&backend.id);
         let Some((key, start)) = self.take_in(backend) else {
             return;
         };
--- a/crates/proxy/src/service/confirm.rs
+++ b/crates/proxy/src/service/confirm.rs
@@ -33,7 +33,8 @@
 
 impl<C: Codec> Service<C> {
     /// When all other servers were asked, at `since` or later, and said that they follow in no newer
-    /// term: no successor of the primary led at that moment. `None` if that cannot be shown.
+    /// term: no successor of the primary led at that moment. `None` if that cannot be shown. It holds
+    /// only for a host that knows all servers of the service.
     ///
     /// Stands in for a lease where a host is cut off from most others and from the store but not
     /// from the service's servers: a successor can only be one of these. It is enough for reads,
@@ -86,13 +87,17 @@
         });
     }
 
-    /// Whether all servers but the primary answer, and follow in no term newer than its own.
+    /// Whether all servers but the primary answer, and follow in no term newer than its own. With no
+    /// other server there is nobody who could tell.
     async fn others_follow(self: &Rc<Self>, asked: Duration) -> bool {
         let Some(leader) = self.leader() else {
             return false;
         };
         let targets = self.targets().into_iter().map(|(target, _)| target);
         let others: Vec<Target> = targets.filter(|it| it.server != leader).collect();
+        if others.is_empty() {
+            return false;
+        }
         let questions = others.into_iter().map(|target| {
             let service = Rc::clone(self);
             tokio::task::spawn_local(async move { service.follows(target, asked).await })
--- a/crates/proxy/src/session/place.rs
+++ b/crates/proxy/src/session/place.rs
@@ -405,8 +405,10 @@
             return Some(self.context.site.now());
         }
         match plan.access {
-            Access::Read => service.confirm(plan.arrived).await,
-            Access::Write => None,
+            Access::Read if self.context.fleet.knows_all_servers() => {
+                service.confirm(plan.arrived).await
+            }
+            Access::Read | Access::Write => None,
         }
     }
 
