A host that starts finds out about orders from before it relies on a primary

Cause: all seven hosts start anew between the order and its effect. Hosts hear of an order from the one that gives it and from each other, so none of these did. The claim on the change was in the store, and no host has a line that it read it.

Change: core::succession::Orders says whether the primary of a term may be about to be replaced unheard. A host that has been in touch with most others for 2.5 s says so with its answer to a heartbeat (4 bytes more), next to the orders that it knows. Without such a host the claims tell; a host without a lease reads them anyway, so there are no further calls. Where the change is claimed, what needs the primary is held until a server is seen to lead, 1.6 s at most, event 5121.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -19,6 +19,7 @@
 mod inquiry;
 mod led;
 mod next;
+mod orders;
 mod view;
 
 pub use contact::{Contact, Trouble};
@@ -27,6 +28,7 @@
 use inquiry::{Inquiry, Verdict};
 use led::Led;
 pub use next::{Grant, Next, Opinion, Order, Report};
+pub use orders::Orders;
 pub use view::View;
 
 /// How long other hosts and servers may take to say what they see: a few round trips between
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -73,6 +73,11 @@
     held: RefCell<BTreeMap<(String, Revision), Duration>>,
     /// Changes of primaries that were claimed or ordered, and when this host heard of each.
     changes: RefCell<BTreeMap<(String, u64), claims::Change>>,
+    /// By service: the newest term for the change of whose primary the store has a claim. Nothing before the
+    /// claims were read.
+    claimed_terms: RefCell<Option<BTreeMap<String, Term>>>,
+    /// Whether a host that would know has told of the orders that were given before this one started.
+    orders_heard: Cell<bool>,
     /// The epoch of the store in which claims were last known to be there.
     claimed_in: Cell<Epoch>,
     /// Which services are recorded as written to.
@@ -108,6 +113,8 @@
             reserve: RefCell::default(),
             held: RefCell::default(),
             changes: RefCell::default(),
+            claimed_terms: RefCell::default(),
+            orders_heard: Cell::new(false),
             claimed_in: Cell::default(),
             records: RefCell::default(),
             written: Mutex::default(),
@@ -159,6 +166,7 @@
         let mut pleaded = Duration::ZERO;
         let mut last = self.site.now();
         let mut epoch = self.epoch_heard();
+        self.tell_of_orders(&service);
         loop {
             let now = self.site.now();
             if now >= last + PAUSED {
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -1,13 +1,16 @@
 //! Claims on changes of a primary in the platform's store.
 
 use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::epoch::Epoch;
-use flamingopost_core::succession::{Grant, HOLDER, Succession, Trouble};
+use flamingopost_core::succession::{EFFECT, Grant, HOLDER, Succession, Trouble};
+use flamingopost_core::term::Term;
+use tokio::time::timeout;
 
-use super::{Election, in_time};
+use super::{CLAIM, Election, in_time};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::platform::{Claim, Error, Platform};
@@ -122,6 +125,47 @@
         }
     }
 
+    /// The claims that the store holds: services and numbers of changes. Nothing where it does not tell in
+    /// time.
+    pub(super) async fn read_claims(&self) -> Option<BTreeSet<(String, u64)>> {
+        let read = timeout(CLAIM, self.platform.claims()).await.ok()?.ok()?;
+        if !self.fleet.saw_epoch(read.revision.epoch()) {
+            return None;
+        }
+        let mut newest: BTreeMap<String, Term> = BTreeMap::new();
+        for (service, attempt) in &read.value {
+            let term = Term::from_number(attempt.cast_signed());
+            let known = newest.entry(service.clone()).or_default();
+            *known = term.max(*known);
+        }
+        *self.claimed_terms.borrow_mut() = Some(newest);
+        self.tell_all_of_orders();
+        Some(read.value)
+    }
+
+    /// Another host has told which orders it knows of. It has been in touch with most others for
+    /// `in_touch`; where that is long enough, any order that it has not heard of has taken effect.
+    pub(super) fn told_of_orders(&self, in_touch: Duration) {
+        if in_touch >= EFFECT && !self.orders_heard.replace(true) {
+            self.tell_all_of_orders();
+        }
+    }
+
+    fn tell_all_of_orders(&self) {
+        for service in self.fleet.services() {
+            self.tell_of_orders(&service);
+        }
+    }
+
+    /// Tells `service` what is known of orders that were given before this host started.
+    pub(super) fn tell_of_orders(&self, service: &Service<C>) {
+        if self.orders_heard.get() {
+            service.heard_of_orders();
+        } else if let Some(claimed) = &*self.claimed_terms.borrow() {
+            service.claimed(claimed.get(&service.name).copied());
+        }
+    }
+
     /// A change of the primary of `service` was claimed by this host.
     fn claimed(&self, service: &str, attempt: u64) {
         self.remember(service, attempt, true);
--- a/crates/proxy/src/election/proof.rs
+++ b/crates/proxy/src/election/proof.rs
@@ -13,6 +13,7 @@
 use crate::back::{self, Back, Target};
 use crate::codec::Codec;
 use crate::event::Event;
+use crate::message::Status;
 use crate::platform::{Platform, Recorded};
 use crate::service::{Missing, Service};
 
@@ -60,6 +61,10 @@
             let Probe::Status(status) = election.ask(&service, &target).await else {
                 return;
             };
+            if service.missing(target.server, &status) == Missing::Orders {
+                election.find_order(&service, &target, &status).await;
+                return;
+            }
             if service.missing(target.server, &status) == Missing::Record {
                 election.read_record(&service).await;
             }
@@ -69,6 +74,21 @@
         });
     }
 
+    /// Finds out by the claims in the store whether the successor of a primary may be ordered already.
+    async fn find_order(&self, service: &Rc<Service<C>>, target: &Target, status: &Status) {
+        let is_read = self.claimed_terms.borrow().is_some();
+        if !is_read && self.read_claims().await.is_none() {
+            return;
+        }
+        if service.missing(target.server, status) == Missing::Orders {
+            service.hold_for_unheard_order();
+            self.site.log(&Event::OrderUnheard {
+                service: service.name.clone(),
+                term: status.term.number(),
+            });
+        }
+    }
+
     /// Asks whether the log of a primary that shows no more than `position` is empty.
     async fn prove(&self, service: &Rc<Service<C>>, target: &Target, position: Position) {
         for _ in 0..QUESTIONS {
--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -8,9 +8,8 @@
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::quorum::HEARTBEAT;
 use flamingopost_core::term::Term;
-use tokio::time::timeout;
 
-use super::{CLAIM, Election, FRESH, Probe, target};
+use super::{Election, FRESH, Probe, target};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::peer::{Ended, Log, Message, Sample, Server, Word};
@@ -149,6 +148,17 @@
         }
     }
 
+    /// For how many milliseconds this host has been in touch with most others without a break.
+    fn in_touch_for(&self) -> u32 {
+        let now = self.site.now();
+        let (holds, since) = self.lease.get();
+        let lasts = now.saturating_sub(since).as_millis();
+        match holds && self.is_with_most() {
+            true => u32::try_from(lasts).unwrap_or(u32::MAX),
+            false => 0,
+        }
+    }
+
     /// Logs that this host has lost its lease, or has it back.
     fn tell_of_lease(&self, holds: bool, now: Duration) {
         let (held, since) = self.lease.get();
@@ -241,18 +251,16 @@
         let election = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let sent = election.site.now();
-            let claims = timeout(CLAIM, election.platform.claims()).await;
+            let claims = election.read_claims().await;
             election.asking.set(false);
-            let Ok(Ok(claims)) = claims else {
+            let Some(claims) = claims else {
                 return;
             };
             // A restored store may lack a claim that is being acted on.
             let fleet = &election.fleet;
-            let holds = fleet.saw_epoch(claims.revision.epoch());
-            if !holds || !fleet.with_epochs(|epochs, now| epochs.knows_claims(now)) {
+            if !fleet.with_epochs(|epochs, now| epochs.knows_claims(now)) {
                 return;
             }
-            let claims = claims.value;
             for service in election.fleet.services() {
                 let attempt = service.term().number().unsigned_abs();
                 if !claims.contains(&(service.name.clone(), attempt)) {
@@ -279,6 +287,7 @@
                     let echo = Word::Echo {
                         sent,
                         news: self.fleet.news(),
+                        in_touch: self.in_touch_for(),
                         ended: self.ended(missed),
                         samples: self.samples(&lacks),
                     };
@@ -291,6 +300,7 @@
                 Word::Echo {
                     sent,
                     news,
+                    in_touch,
                     ended,
                     samples,
                 } => {
@@ -300,6 +310,7 @@
                     ended
                         .iter()
                         .for_each(|it| self.take_ended(&message.host, it));
+                    self.told_of_orders(Duration::from_millis(u64::from(in_touch)));
                     let sent = Duration::from_micros(sent);
                     self.fleet
                         .with_quorum(|quorum, _| quorum.answered(host, sent));
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -70,6 +70,8 @@
         5119 Info TurnGivenUp { service: String, server: String, token: u64 },
         /// {service}: recorded in the platform's store that something was written: {outcome}
         5120 Info Recorded { service: String, outcome: String },
+        /// {service}: the change of the primary of term {term} is claimed, and no host has told of its order: what needs the primary is held
+        5121 Warn OrderUnheard { service: String, term: i64 },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} tried again: {reason} at {server}, attempt {attempt} after {millis} ms
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -51,6 +51,9 @@
         sent: u64,
         /// How far the host that answers has read what the platform tells.
         news: News,
+        /// For how long the host that answers has been in touch with most others without a break, in
+        /// milliseconds: it has heard of all orders of that time.
+        in_touch: u32,
         /// Primaries that are replaced, as the host that answers has heard since the one that asks
         /// was in touch.
         ended: Vec<Ended>,
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -12,7 +12,7 @@
 use flamingopost_core::leader::{Leader, Role};
 use flamingopost_core::position::Position;
 use flamingopost_core::quorum::StoreLease;
-use flamingopost_core::succession::{Contact, Trouble};
+use flamingopost_core::succession::{Contact, Orders, Trouble};
 use flamingopost_core::term::Term;
 use flamingopost_core::vouch::{SPACING, Vouch};
 use tokio::sync::{Notify, oneshot};
@@ -80,6 +80,10 @@
     unchecked: Option<dispatch::Hold>,
     /// The primary that was last found to have the service's log.
     proved: Option<ServerKey>,
+    /// How far the log of the server that is believed to lead was last seen to reach.
+    weighed: Option<Position>,
+    /// Whether an order may be on its way that this host has not heard of.
+    orders: Orders,
     absent: Option<Duration>,
     servers: BTreeMap<ServerKey, Known>,
     idle: BTreeMap<u64, Back<C>>,
@@ -147,6 +151,8 @@
                 check: Check::default(),
                 unchecked: None,
                 proved: None,
+                weighed: None,
+                orders: Orders::default(),
                 absent: Some(Duration::ZERO),
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -113,14 +113,16 @@
         }
     }
 
-    /// The primary is about to leave, and its successor may be ordered without this host's knowledge:
-    /// what needs the primary is held until a server is seen to lead.
+    /// The primary's successor may be ordered without this host's knowledge: what needs the primary is held
+    /// until a server is seen to lead.
     pub fn hold_for_unheard_order(&self) {
         let from = self.site.now();
         let mut state = self.state.borrow_mut();
         if state.held.is_some() {
             return;
         }
+        state.orders.heard();
+        state.unchecked = None;
         state.hold_for_successor(from, from + HOLD);
     }
 
--- a/crates/proxy/src/service/proof.rs
+++ b/crates/proxy/src/service/proof.rs
@@ -11,6 +11,8 @@
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::Role;
 use flamingopost_core::position::Position;
+use flamingopost_core::succession::Orders;
+use flamingopost_core::term::Term;
 
 use super::{Known, Service, State};
 use crate::codec::Codec;
@@ -26,6 +28,8 @@
 pub enum Missing {
     /// Nothing.
     Nothing,
+    /// Whether its successor was ordered before this host started.
+    Orders,
     /// Whether anything was ever written: no server that could show it is heard.
     Record,
     /// Whether its log is empty: something was written at some time.
@@ -42,6 +46,28 @@
         }
     }
 
+    /// A host that would know of an order has told this one what it knows.
+    pub fn heard_of_orders(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.orders == Orders::Heard {
+            return;
+        }
+        state.orders.heard();
+        state.weigh_again(self.site.now());
+        self.alarm.notify_one();
+    }
+
+    /// The newest term for the change of whose primary the store has a claim, if any.
+    pub fn claimed(&self, newest: Option<Term>) {
+        let mut state = self.state.borrow_mut();
+        if state.orders != Orders::Unknown {
+            return;
+        }
+        state.orders.claimed(newest);
+        state.weigh_again(self.site.now());
+        self.alarm.notify_one();
+    }
+
     /// Whether some server was seen to hold anything.
     pub fn is_seen(&self) -> bool {
         self.state.borrow().extent.is_seen()
@@ -88,8 +114,17 @@
     /// Guards against the loss of a whole log: all hosts started anew beside a primary that had lost its
     /// log in a term without writes, believed it and wrote to it; all that had been acknowledged before was
     /// gone when the others followed it.
+    ///
+    /// And against the loss of what is written to a primary whose successor is ordered already: all hosts
+    /// started anew in the time between, and what the primary acknowledged in its last milliseconds its
+    /// successor had not received.
     pub(super) fn missing(&self, position: Position) -> Missing {
-        if position.log > 0 {
+        if self
+            .orders
+            .may_replace(self.vouch.term().max(position.term))
+        {
+            Missing::Orders
+        } else if position.log > 0 {
             Missing::Nothing
         } else if self.extent.is_written() {
             Missing::Proof
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -249,6 +249,7 @@
     /// term, which servers take every log to contain.
     pub(super) fn check_leader(&mut self, now: Duration) {
         self.check = Check::after(now);
+        self.weighed = None;
         self.servers
             .values_mut()
             .for_each(|known| known.shown = false);
@@ -290,11 +291,25 @@
         held.is_none() || held == self.unchecked
     }
 
+    /// What was missing may have been found out: the primary is weighed again by what it last showed.
+    pub(super) fn weigh_again(&mut self, now: Duration) {
+        let Some(position) = self.weighed else {
+            return;
+        };
+        match self.missing(position) {
+            Missing::Nothing => self.checked(position, now),
+            Missing::Orders => {}
+            Missing::Record | Missing::Proof => self.check = Check::Due(now),
+        }
+    }
+
     /// The server that is believed to lead has shown that its log reaches `position`.
     fn checked(&mut self, position: Position, now: Duration) {
+        self.weighed = Some(position);
         match (self.missing(position), self.check) {
             (Missing::Nothing, _) => {
                 self.check = Check::Done;
+                self.weighed = None;
                 self.proved = self.dispatch.leader();
                 self.end_check();
             }
