Ask on each new connection to a primary without writes in its term whether it has a log

Callers were told that nothing had been written.

Cause: ledger-1, ordered and leading term 3, started again without its log before a host had seen it lead. It shows the start of the term either way. The host had heard of the order, so it did not check ledger-1, and had seen connections to it break only while it still believed in another primary, when that is not counted. At the moment it came to believe it, a read and a write went there.

Change: a host that opens a connection to a server that shows the start of a term asks there, before the connection is used, whether the log holds the first entry. No extra question where something was written in the term, or nothing at all.

--- a/crates/proxy/src/back.rs
+++ b/crates/proxy/src/back.rs
@@ -219,7 +219,9 @@
             after: Some(first),
         });
         self.flush().await?;
-        match self.outcome().await?.end {
+        let outcome = self.outcome().await?;
+        self.broken |= outcome.end.is_err() && outcome.transaction != Transaction::Idle;
+        match outcome.end {
             Ok(_) => {}
             Err(fault) if fault.code == Code::Lagging => return Ok(false),
             Err(fault) => return Err(Error::Refused(fault.code)),
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -108,6 +108,8 @@
     back: Option<restart::Back>,
     /// Connections to it have broken while it was believed to lead, and it has shown no write since.
     broke: bool,
+    /// It was found without a log, and has shown none since.
+    blank: bool,
     /// It has shown how far its log reaches since the primary was last another one.
     shown: bool,
     contact: Contact,
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -1,18 +1,23 @@
 //! Opens connections to servers.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::dispatch;
 use flamingopost_core::key::ServerKey;
+use tokio::time::timeout;
 
 use super::Service;
-use crate::back::{self, Back};
+use crate::back::{self, Back, Target};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::Code;
 use crate::meter;
 
+/// How long a server may take to say whether its log holds anything: some round trips between zones.
+const EXAMINATION: Duration = Duration::from_millis(200);
+
 impl<C: Codec> Service<C> {
     pub(super) fn open(self: &Rc<Self>, server: ServerKey) {
         let service = Rc::clone(self);
@@ -36,7 +41,7 @@
             return;
         };
         let id = self.site.next_id();
-        match Back::connect(id, &target, &self.site.host).await {
+        match self.connect_examined(id, &target).await {
             Ok(back) => {
                 meter::connected(&self.name);
                 self.heard(server, back.position, now, false);
@@ -56,6 +61,32 @@
         }
     }
 
+    /// Connects to `target`, and asks whether its log holds anything where it shows no write of its term.
+    ///
+    /// Guards against a successor that lost its log before it was seen to lead: it shows the start of its
+    /// term with its log or without, and hosts expect it to lead. A connection that is kept shows that the
+    /// process which was asked is still there.
+    async fn connect_examined(
+        self: &Rc<Self>,
+        id: u64,
+        target: &Target,
+    ) -> Result<Back<C>, back::Error> {
+        let mut back = Back::connect(id, target, &self.site.host).await?;
+        let Some(position) = back.position.filter(|_| self.is_seen()) else {
+            return Ok(back);
+        };
+        if position.log > 0 {
+            return Ok(back);
+        }
+        let asked = timeout(EXAMINATION, back.has_entries()).await;
+        let has_entries = asked.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        self.examined(target.server, position, has_entries);
+        match back.broken {
+            true => Err(back::Error::Refused(Code::Lagging)),
+            false => Ok(back),
+        }
+    }
+
     fn unconnected(self: &Rc<Self>, server: ServerKey, error: &back::Error, sent: Duration) {
         let (connections, waiting) = self.load(server);
         self.site.log(&Event::Unconnected {
--- a/crates/proxy/src/service/listing.rs
+++ b/crates/proxy/src/service/listing.rs
@@ -64,6 +64,7 @@
                 life: Life::default(),
                 back,
                 broke: false,
+                blank: false,
                 shown: false,
                 contact: Contact::default(),
                 outstanding: BTreeMap::new(),
--- a/crates/proxy/src/service/proof.rs
+++ b/crates/proxy/src/service/proof.rs
@@ -82,12 +82,33 @@
         }
     }
 
+    /// `server` was asked on a new connection whether its log holds anything, which shows `position`.
+    pub(super) fn examined(
+        self: &Rc<Self>,
+        server: ServerKey,
+        position: Position,
+        has_entries: bool,
+    ) {
+        let leads = {
+            let mut state = self.state.borrow_mut();
+            if let Some(known) = state.servers.get_mut(&server) {
+                known.blank = !has_entries;
+            }
+            state.leader.get() == Some(server)
+        };
+        if leads {
+            self.proved(server, position, has_entries);
+        }
+    }
+
     /// `server`, which claims to lead at `position`, was asked whether its log holds anything.
     pub fn proved(self: &Rc<Self>, server: ServerKey, position: Position, has_entries: bool) {
         if has_entries {
             let mut state = self.state.borrow_mut();
             state.proved = Some(server);
-            state.end_check();
+            if state.missing(position) != Missing::Orders {
+                state.end_check();
+            }
             return;
         }
         let is_seen = {
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -267,9 +267,14 @@
     /// Whether `leader` was found to have the service's log before, or was ordered to lead while this host
     /// ran: those who order look for a server that has it.
     ///
+    /// One that was found without a log since then may lead without it.
+    ///
     /// A host that has just started may hear of an order of long ago, and the list may tell it of the start
     /// that was ordered, long after that one is over.
     fn is_expected(&self, leader: ServerKey) -> bool {
+        if self.servers.get(&leader).is_some_and(|known| known.blank) {
+            return false;
+        }
         let Some(proved) = self.proved else {
             return false;
         };
@@ -327,6 +332,11 @@
     /// Where that is the first that was seen of any log, a primary that shows the start of its term is
     /// asked what it has.
     pub(super) fn showed(&mut self, server: ServerKey, position: Position, now: Duration) {
+        if position.log > 0
+            && let Some(known) = self.servers.get_mut(&server)
+        {
+            known.blank = false;
+        }
         let was_seen = self.extent.is_seen();
         self.extent.showed(position, now);
         let leader = self.dispatch.leader();
