Tell hosts that start who was seen to lead, so that a replaced primary is passed over there too

Cause: a former primary that has not followed its successor has the longest log, and its end is what the change dropped, so it is passed over in elections, by what each host has seen itself of who led. A host that had started since had seen nothing, and ordered it 0.1 to 2 s after the newer primary became unreachable. It had heard it claim to lead, told it to step down, and kept only the answer to that. Traced with all hosts' logs read: `ledger-2 claims to lead and shows 0.2/110, while the log was seen to reach 0.3/108`, then `ordered ledger-2 to lead`.

Change: what a primary says before it is told to step down counts as seen. Hosts that ask how far logs reach are told who was seen to lead which term.

Tests: two in core/tests/succession_terms.rs fail without their part, a third keeps the former primary from being passed over for good. The views of other tests gain a field.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -244,6 +244,16 @@
         known.map_or_else(Term::default, |known| known.led)
     }
 
+    /// Servers that have themselves shown that they lead, believed or not, and the newest term in which they
+    /// did.
+    pub fn led_by(&self) -> BTreeMap<ServerKey, Term> {
+        let led = self
+            .servers
+            .iter()
+            .map(|(server, known)| (*server, known.led));
+        led.filter(|(_, term)| *term > Term::default()).collect()
+    }
+
     /// The log of `server` reaches `term`.
     pub fn saw_term(&mut self, server: ServerKey, term: Term) {
         if let Some(known) = self.servers.get_mut(&server) {
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -13,6 +13,7 @@
 
 use crate::key::{HostKey, ServerKey};
 use crate::position::Position;
+use crate::term::Term;
 
 mod contact;
 mod effect;
@@ -160,6 +161,19 @@
         }
     }
 
+    /// Servers that were seen to lead, by this host or another, each with the newest term in which it did.
+    pub fn led(&self) -> &BTreeMap<ServerKey, Term> {
+        self.led.terms()
+    }
+
+    /// Another host has seen `server` lead `term`.
+    ///
+    /// Guards against the promotion of a replaced primary by a host that has started since, and has not seen
+    /// it lead: its log is the longest, and ends with what the change dropped.
+    pub fn told_led(&mut self, server: ServerKey, term: Term) {
+        self.led.told(server, term);
+    }
+
     /// How far the server that is being ordered to lead has received the log, by its own word: its term
     /// begins there or after that.
     pub fn received(&self) -> Position {
--- a/crates/core/src/succession/led.rs
+++ b/crates/core/src/succession/led.rs
@@ -22,6 +22,11 @@
         for (server, former) in &view.former {
             self.follow(*server, *former);
         }
+        // A host that has just started learns of a replaced primary only by a claim that it does not
+        // believe.
+        for (server, term) in &view.led_by {
+            self.told(*server, *term);
+        }
         if let Some(leader) = view.leader {
             let term = self.terms.entry(leader).or_default();
             // Not the newest term that is known: a replica's log shows a change before the host
@@ -32,6 +37,17 @@
         }
     }
 
+    /// `server` was seen to lead `term`.
+    pub(super) fn told(&mut self, server: ServerKey, term: Term) {
+        let known = self.terms.entry(server).or_default();
+        *known = term.max(*known);
+    }
+
+    /// Servers that were seen to lead, each with the newest term in which it did.
+    pub(super) fn terms(&self) -> &BTreeMap<ServerKey, Term> {
+        &self.terms
+    }
+
     fn follow(&mut self, server: ServerKey, former: ServerKey) {
         if let Some(term) = self.terms.remove(&former) {
             self.terms.insert(server, term);
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -20,6 +20,9 @@
     /// The newest term in which the one who leads has itself shown that it leads. Another server's
     /// log may show a newer one before its primary is heard of.
     pub led: Term,
+    /// Servers that have themselves shown that they lead, each with the newest term in which they did:
+    /// also those whose claim this host does not believe.
+    pub led_by: BTreeMap<ServerKey, Term>,
     /// What is wrong with the primary, as far as this host sees.
     pub trouble: Option<Trouble>,
     /// Servers that may take over: listed and not leaving.
--- a/crates/core/tests/epoch.rs
+++ b/crates/core/tests/epoch.rs
@@ -84,6 +84,7 @@
             leader: Some(self.servers[0]),
             term: Term::from_number(1),
             led: Term::from_number(1),
+            led_by: BTreeMap::new(),
             trouble: Some(Trouble::Silent { since: ms(0) }),
             candidates: self.servers.iter().copied().collect(),
             peers: electors.filter(|key| host.others.contains(key)).collect(),
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -51,6 +51,7 @@
         leader: Some(servers[0]),
         term: Term::from_number(1),
         led: Term::from_number(1),
+        led_by: BTreeMap::new(),
         trouble: Some(Trouble::Refuses { since: ms(1_000) }),
         candidates: servers.into_iter().collect(),
         peers: hosts.iter().copied().collect(),
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -210,6 +210,7 @@
             leader: it.leader.map(|server| self.server_keys[server]),
             term: Term::from_number(it.term),
             led: Term::from_number(it.term),
+            led_by: BTreeMap::new(),
             trouble,
             candidates: self.server_keys.iter().copied().collect(),
             peers: peers.iter().map(|peer| self.host_keys[*peer]).collect(),
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -51,6 +51,7 @@
         leader: Some(servers[0]),
         term: Term::from_number(1),
         led: Term::from_number(1),
+        led_by: BTreeMap::new(),
         trouble: None,
         candidates: servers.iter().copied().collect(),
         peers: hosts.iter().copied().collect(),
@@ -360,3 +361,47 @@
         assert!(!steps.iter().any(promotes), "{steps:?} at {now:?}");
     }
 }
+
+/// A host that has started after the first primary was replaced, and takes the second one to lead. The first
+/// one, whose log is the longest, is all that answers.
+fn fresh_beside_a_replaced_primary() -> (Scene, [(ServerKey, Report); 1]) {
+    let mut scene = scene(&["ledger-1", "ledger-2"]);
+    scene.view.synchronous = false;
+    scene.view.leader = Some(scene.servers[1]);
+    scene.view.term = Term::from_number(2);
+    scene.view.led = Term::default();
+    let report = replica(1, position(1, 45));
+    let reports = [(scene.servers[0], report)];
+    (scene, reports)
+}
+
+/// Guards against the promotion of a replaced primary that this host has never believed: its log ends with
+/// what the change dropped.
+#[test]
+fn a_replaced_primary_that_was_never_believed_is_passed_over() {
+    let (mut scene, reports) = fresh_beside_a_replaced_primary();
+    scene.view.led_by = BTreeMap::from([(scene.servers[0], Term::from_number(1))]);
+    assert_eq!(scene.lose(&reports, ms(1_000), ms(9_000)), None);
+}
+
+/// The same where only another host has seen it lead.
+#[test]
+fn a_replaced_primary_that_another_host_saw_lead_is_passed_over() {
+    let (mut scene, reports) = fresh_beside_a_replaced_primary();
+    scene
+        .succession
+        .told_led(scene.servers[0], Term::from_number(1));
+    assert_eq!(scene.lose(&reports, ms(1_000), ms(9_000)), None);
+}
+
+/// Guards against a service without a primary for good, where the replaced one is the only server left.
+#[test]
+fn a_replaced_primary_that_is_the_only_server_left_is_ordered_in_the_end() {
+    let (mut scene, reports) = fresh_beside_a_replaced_primary();
+    scene
+        .succession
+        .told_led(scene.servers[0], Term::from_number(1));
+    let ordered = scene.lose(&reports, ms(1_000), ms(14_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(scene.servers[0]), "{ordered:?}");
+}
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -325,7 +325,10 @@
             let newest = service.term();
             match status.role {
                 // It comes back, or is reached again, after it was replaced.
-                Role::Primary if status.term < newest => back.step_down(newest).await,
+                Role::Primary if status.term < newest => {
+                    service.said(target.server, &status, sent);
+                    back.step_down(newest).await
+                }
                 Role::Primary | Role::Replica => Ok(status),
             }
         });
@@ -445,6 +448,7 @@
             leader: service.leader(),
             term: service.term(),
             led: service.term_led(),
+            led_by: service.led_by(),
             trouble,
             ordered: service.newest_order(),
             candidates: candidates.map(|(target, _)| target.server).collect(),
--- a/crates/proxy/src/election/talk.rs
+++ b/crates/proxy/src/election/talk.rs
@@ -12,7 +12,7 @@
 use super::{Election, FRESH, Probe, target};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::peer::{Ended, Log, Message, Sample, Server, Word};
+use crate::peer::{Ended, Led, Log, Message, Sample, Server, Word};
 use crate::platform::Platform;
 use crate::service::{Meant, Service};
 
@@ -28,7 +28,7 @@
 const SAMPLES_MOST: usize = 16;
 
 /// Logs that one message tells of, which has to fit into a datagram.
-const LOGS_MOST: usize = 16;
+const LOGS_MOST: usize = 8;
 
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Answers what other hosts ask and takes in what they tell, for ever.
@@ -127,6 +127,7 @@
                 furthest: service.furthest().into(),
                 term_start: service.newest_term_start(),
                 doubted: service.doubted_servers(),
+                led: self.led(service),
             })
             .collect();
         for logs in logs.chunks(LOGS_MOST) {
@@ -135,6 +136,31 @@
         }
     }
 
+    /// Servers of `service` that were seen to lead.
+    fn led(&self, service: &Rc<Service<C>>) -> Vec<Led> {
+        let services = self.services.borrow();
+        let Some(succession) = services.get(&service.name) else {
+            return Vec::new();
+        };
+        let succession = succession.borrow();
+        let led = succession.led().iter();
+        led.filter_map(|(server, term)| Some(Led::new(service.named(*server)?, *term)))
+            .collect()
+    }
+
+    /// Another host has seen servers of `service` lead.
+    fn take_led(&self, service: &Rc<Service<C>>, led: &[Led]) {
+        let services = self.services.borrow();
+        let Some(succession) = services.get(&service.name) else {
+            return;
+        };
+        for it in led {
+            if let Meant::Listed(server) = service.meant(&it.server) {
+                succession.borrow_mut().told_led(server, it.term());
+            }
+        }
+    }
+
     /// Another host has seen logs reach so far.
     fn take_logs(&self, logs: &[Log]) {
         for log in logs {
@@ -144,6 +170,7 @@
                 log.doubted
                     .iter()
                     .for_each(|it| service.doubted_elsewhere(it));
+                self.take_led(&service, &log.led);
             }
         }
     }
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -115,6 +115,29 @@
     pub term_start: Option<TermStart>,
     /// Servers whose claims to lead are not believed.
     pub doubted: Vec<Server>,
+    /// Servers that were seen to lead.
+    pub led: Vec<Led>,
+}
+
+/// A server was seen to lead a term, and none newer than that.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Led {
+    /// The server.
+    pub server: Server,
+    term: i64,
+}
+
+impl Led {
+    /// `server` was seen to lead `term`.
+    pub fn new(server: Server, term: Term) -> Led {
+        let term = term.number();
+        Led { server, term }
+    }
+
+    /// The term.
+    pub fn term(&self) -> Term {
+        Term::from_number(self.term)
+    }
 }
 
 /// Where a log was when its server was ordered to lead.
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -467,6 +467,12 @@
         leader.map_or_else(Default::default, |leader| state.leader.term_led(leader))
     }
 
+    /// Servers that have themselves shown that they lead, believed or not, and the newest term in which they
+    /// did.
+    pub fn led_by(&self) -> BTreeMap<ServerKey, Term> {
+        self.state.borrow().leader.led_by()
+    }
+
     /// The newest position of a primary's log that this host has heard of.
     pub fn newest(&self) -> Position {
         self.state.borrow().vouch.newest()
