soak: a read may miss a commit between the promotion that rolled it back and one that restored it

Trace: d884 of term 2 is acknowledged by ledger-2, which crashes; ledger-1 is promoted at 258014 without it (kept 103, dropped 3), and the read is answered there. ledger-1 then starts again without its log; for 10 s no other server has one, so ledger-2 is ordered at 270397, which brings d884 back. The check looked only at what is committed in the end, and asked the read to have seen it. By the users' rule commits that a promotion rolled back do not count.

Change: the stand-in tells when each commit was rolled back and restored, reads tell when they were answered, and a read is excused exactly between the two. What was answered before the rollback or began after the commit was back is stale as before.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -235,6 +235,7 @@
                     id,
                     item,
                     since,
+                    until: Instant::now(),
                     age: open.database.age,
                     own: own.filter(|_| open.database.own),
                     data,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use flamingopost_standin::pooled::{Entry, LogEvent, Order, Run, is_proved, is_same_statement};
+use flamingopost_standin::pooled::{
+    Entry, LogEvent, Order, Rollback, Run, is_proved, is_same_statement,
+};
 
 use crate::ledger::{Fate, Ledger, Seen, Sent, Write};
 use crate::problem::{Kind, Problem};
@@ -17,7 +19,7 @@
     /// What is committed.
     pub log: Vec<Entry>,
     /// What promotions rolled back.
-    pub dropped: Vec<Entry>,
+    pub rollbacks: Vec<Rollback>,
     /// What servers ran, in order.
     pub runs: Vec<Run>,
     /// Orders to change a primary.
@@ -26,6 +28,20 @@
     pub log_events: Vec<LogEvent>,
 }
 
+impl Record {
+    /// Whether a promotion rolled `data` back.
+    fn is_rolled_back(&self, data: &str) -> bool {
+        self.rollbacks.iter().any(|it| it.entry.data == data)
+    }
+
+    /// Whether a read that began at `since` and was answered at `until` may miss `data`, which is committed
+    /// in the end: a promotion had rolled it back, and another one brought it back later.
+    fn excuses(&self, data: &str, since: Instant, until: Instant) -> bool {
+        let mut rollbacks = self.rollbacks.iter().filter(|it| it.entry.data == data);
+        rollbacks.any(|it| it.excuses(since, until))
+    }
+}
+
 /// What was found.
 #[derive(Debug, Clone, Default)]
 pub struct Verdict {
@@ -62,7 +78,7 @@
         refused: state.refused,
         unknown: state.unknown,
         commits: record.log.len(),
-        dropped: record.dropped.len(),
+        dropped: record.rollbacks.len(),
         promotions: record.orders.iter().filter(|it| it.accepted).count(),
     }
 }
@@ -102,7 +118,7 @@
         }
     }
     for write in writes.iter().filter(|it| it.fate == Fate::Kept) {
-        let rolled_back = record.dropped.iter().any(|it| it.data == write.data);
+        let rolled_back = record.is_rolled_back(&write.data);
         if !places.contains_key(write.data.as_str()) && !rolled_back {
             let Write { data, item, .. } = write;
             problems.push(Problem::new(
@@ -222,11 +238,11 @@
     record: &Record,
     places: &BTreeMap<&str, usize>,
 ) -> Vec<Problem> {
-    let mut by_item: BTreeMap<&str, Vec<(Instant, usize)>> = BTreeMap::new();
+    let mut by_item: BTreeMap<&str, Vec<(&Write, usize)>> = BTreeMap::new();
     for write in writes.iter().filter(|it| it.fate == Fate::Kept) {
         if let Some(place) = places.get(write.data.as_str()) {
             let of_item = by_item.entry(&write.item).or_default();
-            of_item.push((write.at, *place));
+            of_item.push((write, *place));
         }
     }
     let mut problems = Vec::new();
@@ -234,6 +250,7 @@
         id,
         item,
         since,
+        until,
         age,
         own,
         data,
@@ -245,7 +262,7 @@
                 Some(place) => Some(*place),
                 None => {
                     // What a promotion rolled back may have been seen before.
-                    if !record.dropped.iter().any(|it| it.data == *data) {
+                    if !record.is_rolled_back(data) {
                         problems.push(Problem::new(
                             Kind::Uncommitted,
                             format!("{id} saw {data}, which is not committed"),
@@ -257,10 +274,12 @@
         };
         let acknowledged = by_item.get(item.as_str()).into_iter().flatten();
         let before = acknowledged
-            .filter(|(at, _)| at.checked_add(*age).is_some_and(|at| at < *since))
+            .filter(|(write, _)| write.at.checked_add(*age).is_some_and(|at| at < *since))
+            .filter(|(write, _)| !record.excuses(&write.data, *since, *until))
             .map(|(_, place)| *place);
         let own = own
             .as_ref()
+            .filter(|own| !record.excuses(own, *since, *until))
             .and_then(|own| places.get(own.as_str()).copied());
         let needed = before.chain(own).max();
         if saw < needed {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -48,6 +48,8 @@
     pub item: String,
     /// When the first byte of the read, or of its transaction, was sent.
     pub since: Instant,
+    /// When its answer came.
+    pub until: Instant,
     /// How old the data may be, by the route.
     pub age: Duration,
     /// What the session has last had acknowledged for the item, on routes on which sessions see
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -234,7 +234,7 @@
         let group = self.site.group(SERVICE);
         Record {
             log: group.log(),
-            dropped: group.dropped(),
+            rollbacks: group.rollbacks(),
             runs: group.runs(),
             orders: self.site.orders(),
             log_events: group.log_events(),
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use super::log_event::{LogChange, LogEvent};
+use super::rollback::Rollback;
 
 /// A committed write.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -103,7 +104,7 @@
     runs: Vec<Run>,
     signatures: u64,
     connections: u64,
-    dropped: Vec<Entry>,
+    rollbacks: Vec<Rollback>,
     replaced: Replaced,
     /// The newest term that a server was promoted to: terms only rise.
     term: i64,
@@ -231,7 +232,14 @@
 
     /// Commits that promotions have rolled back.
     pub fn dropped(&self) -> Vec<Entry> {
-        self.lock().dropped.clone()
+        let state = self.lock();
+        let entries = state.rollbacks.iter().map(|it| it.entry.clone());
+        entries.collect()
+    }
+
+    /// The same, and when that was.
+    pub fn rollbacks(&self) -> Vec<Rollback> {
+        self.lock().rollbacks.clone()
     }
 
     /// From now on nothing from the primary reaches `server`, or all of it does again.
@@ -268,7 +276,7 @@
             kept: length,
             dropped: dropped.len(),
         });
-        state.dropped.extend(dropped);
+        state.roll_back(dropped, server);
         state.stepped = None;
         state.promoted = Some(Instant::now());
         let leads_on = state.replaced == Replaced::LeadsOn;
@@ -457,6 +465,14 @@
         leading.max_by_key(|(_, member)| member.term)
     }
 
+    /// The promotion of `server` rolls `dropped` back, and brings back what it has of those before.
+    fn roll_back(&mut self, dropped: Vec<Entry>, server: &str) {
+        let log = &self.members[server].log;
+        self.rollbacks.iter_mut().for_each(|it| it.promoted(log));
+        let dropped = dropped.into_iter().map(Rollback::new);
+        self.rollbacks.extend(dropped);
+    }
+
     /// The primary of the newest term, where it has stepped down and no successor leads yet.
     fn stepped_down(&self) -> Option<&Member> {
         self.members.get(self.stepped.as_ref()?)
--- a/crates/standin/tests/pooled.rs
+++ b/crates/standin/tests/pooled.rs
@@ -175,3 +175,22 @@
     let dropped: Vec<String> = group.dropped().into_iter().map(|it| it.item).collect();
     assert_eq!(dropped, ["car-3"]);
 }
+
+/// Guards against taking a commit for gone that a later promotion brings back.
+#[tokio::test]
+async fn what_a_promotion_rolls_back_may_be_brought_back_by_the_next_one() {
+    let site = two_that_lead().await;
+    let group = site.group("ledger");
+    group.step_down("ledger-1", 2);
+    assert!(group.promote("ledger-1"));
+    store(&site, "ledger-1", "car-2").await;
+    assert!(group.promote("ledger-2"));
+    let gone = |item: &str| {
+        let rollbacks = group.rollbacks().into_iter();
+        let mut rollbacks = rollbacks.filter(|it| it.entry.item == item);
+        rollbacks.any(|it| it.restored.is_none())
+    };
+    assert!(gone("car-2"));
+    assert!(group.promote("ledger-1"));
+    assert!(!gone("car-2"));
+}
