soak: tell what the process of a host does that does not serve

The record does not tell a process that stands still from one that gets no processor time or waits for its program's pages. The message now has its state, the processor time that it has had, and the call in which it waits.

--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -32,6 +32,29 @@
     Ok(kib.ok_or_else(|| unreadable(pid))? * 1024)
 }
 
+/// What process `pid` does: its state, the processor time that it has had, and the call of the kernel in
+/// which its first thread waits, as `/proc` tells them.
+///
+/// ```
+/// let condition = flamingopost_load::process::condition(std::process::id())?;
+/// assert!(condition.contains("ms of processor time"), "{condition}");
+/// # Ok::<(), flamingopost_load::error::Error>(())
+/// ```
+///
+/// # Errors
+/// The process has ended, or `/proc` cannot be read.
+pub fn condition(pid: u32) -> Result<String, Error> {
+    let status = read(pid, "status")?;
+    let state = status.lines().find_map(|it| it.strip_prefix("State:"));
+    let state = state.ok_or_else(|| unreadable(pid))?.trim();
+    let used = processor_time(pid)?.as_millis();
+    // Not every kernel tells.
+    let waits = read(pid, "wchan").unwrap_or_default();
+    Ok(format!(
+        "{state}, {used} ms of processor time, waits in `{waits}`"
+    ))
+}
+
 fn read(pid: u32, file: &str) -> Result<String, Error> {
     fs::read_to_string(format!("/proc/{pid}/{file}"))
         .map_err(|source| Error::Process { pid, source })
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -231,6 +231,15 @@
         id.and_then(|id| process::resident(id).ok()).unwrap_or(0)
     }
 
+    /// What its process does, for whoever looks for the reason why it does not serve.
+    pub fn condition(&self) -> String {
+        let state = self.lock();
+        let Some(child) = &state.child else {
+            return "it does not run".to_owned();
+        };
+        process::condition(child.id()).unwrap_or_else(|error| error.to_string())
+    }
+
     /// What it has logged since its last start, where its log is read.
     ///
     /// # Errors
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -183,7 +183,9 @@
             while !self.serves(host, database).await {
                 if start.elapsed() > RECOVERY {
                     let name = &host.settings.name;
-                    let problem = format!("{name} does not serve {database} after {RECOVERY:?}");
+                    let condition = host.condition();
+                    let problem =
+                        format!("{name} does not serve {database} after {RECOVERY:?}: {condition}");
                     self.ledger.object(Kind::NotRecovered, problem);
                     break;
                 }
