Do not go back to a new start of a replaced primary whose successor never came to lead

Callers got Busy for as long as anybody looked.

Change: giving up holds for the term and not only for the servers known at that moment.

Test: a_new_start_of_a_replaced_primary_is_not_gone_back_to failed before.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -45,6 +45,8 @@
     /// A successor was ordered for the primary of this term.
     ended: Term,
     successor: Option<ServerKey>,
+    /// No server is gone back to for a lead of this term or one before.
+    given_up: Option<Term>,
 }
 
 #[derive(Debug)]
@@ -198,8 +200,14 @@
         known.is_some_and(Known::is_over)
     }
 
-    /// Servers whose terms are over do not lead, though no other one claims to.
+    /// Servers whose terms are over do not lead, though no other one claims to: neither those that are known
+    /// nor one that claims the term that has ended later.
+    ///
+    /// Guards against a service that nobody serves and nobody gives another primary. The order was not
+    /// carried out, and the replaced primary came back as a new start: hosts believed its claim, refused
+    /// its answers, and began anew to miss a primary each time, up to a hundred times a second.
     pub fn disown(&mut self) {
+        self.given_up = Some(self.ended);
         for known in self.servers.values_mut() {
             known.disowned |= known.over.is_some();
         }
@@ -264,7 +272,7 @@
     /// Who leads, if anybody is known to.
     pub fn get(&self) -> Option<ServerKey> {
         let claims = |known: &Known| known.claims && !known.doubted;
-        let counts = |known: &Known| claims(known) && !(known.is_over() && known.disowned);
+        let counts = |known: &Known| claims(known) && !self.is_given_up(known);
         let claiming = self.servers.iter().filter(|(_, known)| counts(known));
         let order = |known: &Known| (!known.is_over(), known.term, known.claimed);
         let newest = claiming.max_by_key(|(_, known)| order(known))?;
@@ -287,6 +295,12 @@
         Some(change)
     }
 
+    /// Whether a server that claims to lead is not gone back to.
+    fn is_given_up(&self, known: &Known) -> bool {
+        let given_up = known.over <= self.given_up;
+        known.is_over() && (known.disowned || given_up)
+    }
+
     fn newest_term(&self) -> Term {
         let terms = self.servers.values().map(|known| known.term);
         terms.max().unwrap_or_default()
--- a/crates/core/tests/leader.rs
+++ b/crates/core/tests/leader.rs
@@ -241,3 +241,25 @@
     leader.listed(old, Role::Primary, 15);
     assert_eq!(leader.get(), Some(old), "it was promoted again");
 }
+
+/// Guards against a service without a primary for good: its successor never came to lead, and hosts went back
+/// to a new start of the replaced one again and again, which they refuse to rely on.
+#[test]
+fn a_new_start_of_a_replaced_primary_is_not_gone_back_to() {
+    let (old, successor) = servers();
+    let mut names: Names<ServerKey> = Names::default();
+    let again = ["ledger-1", "ledger-2", "ledger-1 again"].map(|name| names.intern(name))[2];
+    let mut leader = Leader::default();
+    leader.listed(old, Role::Primary, 3);
+    leader.listed(successor, Role::Replica, 4);
+    leader.said(old, Role::Primary, term(4));
+    leader.end(term(4), Some(successor));
+    leader.disown();
+    leader.unlisted(old);
+    leader.listed(again, Role::Primary, 9);
+    assert_eq!(leader.get(), None);
+    leader.said(again, Role::Primary, term(4));
+    assert_eq!(leader.get(), None);
+    leader.said(again, Role::Primary, term(6));
+    assert_eq!(leader.get(), Some(again), "it was promoted");
+}
