--- a/crates/core/tests/epoch.rs
+++ b/crates/core/tests/epoch.rs
@@ -93,6 +93,7 @@
             quiet_at: leases.max(host.epochs.orders_from(&host.others)),
             synchronous: false,
             newest: Position::default(),
+            written: false,
             marks: BTreeMap::new(),
             former: BTreeMap::new(),
             doubted: BTreeSet::new(),
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -219,6 +219,7 @@
             quiet_at: ms(0),
             synchronous: false,
             newest: position(1, 40),
+            written: true,
             marks: BTreeMap::new(),
             former: BTreeMap::new(),
             doubted: BTreeSet::new(),
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -60,6 +60,7 @@
         quiet_at: ms(0),
         synchronous: true,
         newest: position(1, 40),
+        written: true,
         marks: BTreeMap::new(),
         former: BTreeMap::new(),
         doubted: BTreeSet::new(),
@@ -405,3 +406,20 @@
     let server = ordered.map(|(server, _)| server);
     assert_eq!(server, Some(scene.servers[0]), "{ordered:?}");
 }
+
+/// Guards against the loss of the whole log: an empty server, which names the newest term, is ordered while the
+/// primary that has the log is down for a moment.
+#[test]
+fn an_empty_server_that_names_the_newest_term_is_not_ordered_at_once() {
+    let mut scene = scene(&["ledger-1", "ledger-2"]);
+    scene.view.synchronous = false;
+    scene.view.term = Term::from_number(4);
+    scene.view.led = Term::from_number(4);
+    scene.view.newest = position(4, 0);
+    scene.view.marks = BTreeMap::from([(scene.servers[1], position(3, 391))]);
+    let reports = [(scene.servers[1], replica(4, position(4, 0)))];
+    assert_eq!(scene.lose(&reports, ms(1_000), ms(9_000)), None);
+    let ordered = scene.lose(&reports, ms(9_000), ms(14_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(scene.servers[1]), "{ordered:?}");
+}
