Believe a primary without a log that was ordered as such

Cause: a host that finds a primary empty does not believe it and has it replaced, also where every other server is empty too.

Change: an order tells what its successor had received. Where that was nothing, the primary is believed without a log: nothing is left to lose.

--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -58,6 +58,11 @@
 }
 
 impl Ordered {
+    /// Whether the server was ordered to lead `term` without a log: no other had one.
+    pub(super) fn was_empty(&self, term: Term) -> bool {
+        term.number() == self.before.number() + 1 && self.had.log == 0
+    }
+
     /// Whether a log that reaches `position` cannot be that of the server in the term that it was
     /// ordered to lead: it had received more before, and numbers go on across terms.
     pub(super) fn is_short(&self, position: Position) -> bool {
--- a/crates/proxy/src/service/loss.rs
+++ b/crates/proxy/src/service/loss.rs
@@ -113,7 +113,8 @@
     /// writes there, which costs the time of a promotion.
     pub(super) fn may_be_empty(&self, server: ServerKey, position: Position) -> bool {
         let broke = self.servers.get(&server).is_some_and(|known| known.broke);
-        broke && position.log == 0 && self.extent.is_written()
+        let shows_none = position.log == 0 && self.extent.is_written();
+        broke && shows_none && !self.was_ordered_empty(server)
     }
 
     /// Whether a server that has been promoted shows less than it had received before that.
--- a/crates/proxy/src/service/proof.rs
+++ b/crates/proxy/src/service/proof.rs
@@ -108,7 +108,8 @@
 
     /// `server`, which claims to lead at `position`, was asked whether its log holds anything.
     pub fn proved(self: &Rc<Self>, server: ServerKey, position: Position, has_entries: bool) {
-        if has_entries {
+        let was_empty = self.state.borrow().was_ordered_empty(server);
+        if has_entries || was_empty {
             let mut state = self.state.borrow_mut();
             state.proved = Some(server);
             if state.missing(position) != Missing::Orders {
@@ -161,6 +162,19 @@
         }
     }
 
+    /// Whether `server` leads a term that it was ordered to lead without a log.
+    ///
+    /// Guards against a service without a primary for good: all servers had lost their logs, and each one
+    /// that was ordered was found empty and replaced by the next, every 0.7 s.
+    pub(super) fn was_ordered_empty(&self, server: ServerKey) -> bool {
+        let Some(known) = self.servers.get(&server) else {
+            return false;
+        };
+        let ordered = self.ordered.get(&known.target.id);
+        let led = self.leader.term_led(server);
+        ordered.is_some_and(|ordered| ordered.was_empty(led))
+    }
+
     /// Whether a server that is not heard may hold what the primary lacks: it cannot be reached, or is not
     /// tried since it leaves, or is down and no longer listed, as may be where the primary is the only one.
     ///
