standin: a promotion gives no log to servers that have received none

Cause: with two servers, ledger-2 has lost its log and is down when ledger-1 is promoted. The stand-in took ledger-2 for one with a log from then on, so the soak could have ledger-1 start again without its own 0.3 s later (`Forgot ledger-1, had: 154`), 9 ms after ledger-2 was back with nothing. No server had a log any more, which no decision of the hosts can help, and the soak is meant to leave one (`can_spare`).

Change: a server that has lost its log counts as without one until it has received something.

--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -285,7 +285,8 @@
                 continue;
             }
             member.leads = id == server;
-            member.blank = false;
+            // The others have received nothing by that.
+            member.blank &= !member.leads;
             if member.leads || !member.deaf {
                 member.term = term;
             }
--- a/crates/standin/tests/pooled.rs
+++ b/crates/standin/tests/pooled.rs
@@ -194,3 +194,24 @@
     assert!(group.promote("ledger-1"));
     assert!(!gone("car-2"));
 }
+
+/// Guards against the loss of all logs, which no decision of the hosts can help: a server that has lost its own
+/// cannot stand in for another one before it has received something, whoever was promoted meanwhile.
+#[tokio::test]
+async fn a_server_that_has_received_nothing_lets_no_other_lose_its_log() {
+    let site = platform_of(Sizes {
+        servers: 2,
+        ..SIZES
+    })
+    .await;
+    let group = site.group("ledger");
+    group.set_deaf("ledger-2", true);
+    start_again_empty(&site, "ledger-2").await;
+    assert!(group.promote("ledger-1"));
+    site.crash("ledger-1");
+    group.set_deaf("ledger-2", false);
+    assert!(!group.can_spare("ledger-1"));
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    site.restart("ledger-1").await.expect("its port is free");
+    assert!(group.can_spare("ledger-1"), "it follows again");
+}
