soak: keep a host from being started anew while its killed process still holds its ports

Cause, by the plan and by reading: faults overlap. `kill` took the process out of the state first, then killed it and waited. A stop of the same host that waited for its end saw no process meanwhile, took it for ended, and started a new one on the same ports. All hosts are killed at 9.9 s of that plan, and the new process failed at 9.94 s.

Change: `kill` holds the state until the process is gone. Not shown by a test: a new process takes longer to its ports than a killed one to end, but for a machine under load; a test that was tried passed both ways and was not kept.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -173,14 +173,11 @@
         kill_process(pid, signal).is_ok()
     }
 
-    /// Kills it and waits for its end.
+    /// Kills it and waits for its end. Nobody starts it anew before that: its ports are taken for as long.
     pub fn kill(&self) {
-        let child = {
-            let mut state = self.lock();
-            state.disturbed = Some(Instant::now());
-            state.child.take()
-        };
-        if let Some(mut child) = child {
+        let mut state = self.lock();
+        state.disturbed = Some(Instant::now());
+        if let Some(mut child) = state.child.take() {
             // It may have ended just before.
             let _ = child.kill();
             let _ = child.wait();
