Count a server that has come back empty as behind; no wait for one that has not received a first write

Change: what counts is what was seen of the log when a server came back, by its number where the server is empty, as its position names the newest term. The field of the views goes.

Tests: an_empty_server_that_names_the_newest_term_is_not_ordered_at_once as before; both of failure.rs pass.

Beside: a host that is told of an order while it holds statements for the check of a primary goes on holding reads of some age as well.

--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -209,12 +209,13 @@
             return false;
         }
         let mark = view.marks.get(&best);
-        let behind = mark.is_some_and(|mark| report.received < *mark);
+        // The position of an empty log names the newest term, past each log that ends in an older one.
+        let lacks = |mark: &Position| report.received < *mark || report.is_empty() && mark.log > 0;
+        let behind = mark.is_some_and(lacks);
         let unheard = !self.all_heard(view);
         // The old primary may come back with its log, and is no candidate while it is gone: with a
-        // server as the alternative that has lost everything it is worth the wait as well. Its position
-        // does not tell that it is behind: it names the newest term.
-        let lost_all = report.is_empty() && view.written;
+        // server as the alternative that has lost everything it is worth the wait as well.
+        let lost_all = report.is_empty() && behind;
         // A primary that leaves is alive and has more: it may still send it.
         let leaves = self.cause == Some(Trouble::Leaving) && view.newest.log > 0;
         lost_all || leaves && report.is_empty() || unheard && (report.is_empty() || behind)
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -39,8 +39,6 @@
     pub synchronous: bool,
     /// The newest position of the log that this host has heard of.
     pub newest: Position,
-    /// Whether anything was ever written, as far as this host knows.
-    pub written: bool,
     /// What servers that have started again have to have received before they count like others:
     /// how far the log was seen to reach when they came back.
     pub marks: BTreeMap<ServerKey, Position>,
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -463,7 +463,6 @@
             rank: self.fleet.rank(&service.name),
             synchronous,
             newest: service.newest(),
-            written: service.is_written(),
             marks: service.marks(),
             former: service.former(),
             doubted: service.doubted(),
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -79,9 +79,19 @@
     }
 
     /// What needs the primary waits for its successor from `from` on, and no longer than `until`.
-    fn hold_for_successor(&mut self, from: Duration, until: Duration) {
+    ///
+    /// What is held for the check of the primary goes on being held, reads of some age as well.
+    ///
+    /// Guards against a read at an empty primary that the list of a copy names: a host that had just started
+    /// was told of its successor's order 2 ms later, and sent the read there before it had checked it.
+    fn hold_for_successor(&mut self, from: Duration, until: Duration, now: Duration) {
+        let unchecked = self.unchecked.take().filter(|it| now < it.until);
+        let from = unchecked.map_or(from, |unchecked| unchecked.from);
         let hold = dispatch::Hold { from, until };
-        self.dispatch.hold(hold);
+        match unchecked {
+            Some(_) => self.dispatch.hold_with_reads(hold),
+            None => self.dispatch.hold(hold),
+        }
         self.held = Some(hold);
     }
 
@@ -127,8 +137,7 @@
             return;
         }
         state.orders.heard();
-        state.unchecked = None;
-        state.hold_for_successor(from, from + HOLD);
+        state.hold_for_successor(from, from + HOLD, from);
     }
 
     /// The primary is being replaced, as `ended` says; whether that is news.
@@ -166,8 +175,7 @@
         if is_done {
             return true;
         }
-        state.unchecked = None;
-        state.hold_for_successor(from, now + HOLD);
+        state.hold_for_successor(from, now + HOLD, now);
         true
     }
 
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -256,11 +256,16 @@
         let Some(leader) = self.dispatch.leader() else {
             return;
         };
-        if !self.is_expected(leader) && self.may_hold_for_check() {
+        if self.is_expected(leader) {
+            return;
+        }
+        if self.may_hold_for_check() {
             let until = now + UNCHECKED;
             let hold = Hold { from: now, until };
             self.unchecked = Some(hold);
             self.dispatch.hold_with_reads(hold);
+        } else if let Some(hold) = self.dispatch.held() {
+            self.dispatch.hold_with_reads(hold);
         }
     }
 
