--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -203,9 +203,9 @@
     /// Servers whose terms are over do not lead, though no other one claims to: neither those that are known
     /// nor one that claims the term that has ended later.
     ///
-    /// Guards against a service that nobody serves and nobody gives another primary. The order was not
-    /// carried out, and the replaced primary came back as a new start: hosts believed its claim, refused
-    /// its answers, and began anew to miss a primary each time, up to a hundred times a second.
+    /// Guards against a service without a primary for good. Where the order is not carried out and the replaced
+    /// primary comes back as a new start, hosts would believe its claim, refuse its answers, and begin anew
+    /// to miss a primary each time.
     pub fn disown(&mut self) {
         self.given_up = Some(self.ended);
         for known in self.servers.values_mut() {
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -160,9 +160,9 @@
     /// Tells `service` what is known of orders that were given before this host started.
     pub(super) fn tell_of_orders(&self, service: &Service<C>) {
         if self.orders_heard.get() {
-            service.heard_of_orders();
+            service.told_of_orders();
         } else if let Some(claimed) = &*self.claimed_terms.borrow() {
-            service.claimed(claimed.get(&service.name).copied());
+            service.told_of_claims(claimed.get(&service.name).copied());
         }
     }
 
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -72,12 +72,10 @@
         target: &Target,
     ) -> Result<Back<C>, back::Error> {
         let mut back = Back::connect(id, target, &self.site.host).await?;
-        let Some(position) = back.position.filter(|_| self.is_seen()) else {
+        let start = back.position.filter(|it| it.log == 0 && self.is_seen());
+        let Some(position) = start else {
             return Ok(back);
         };
-        if position.log > 0 {
-            return Ok(back);
-        }
         let asked = timeout(EXAMINATION, back.has_entries()).await;
         let has_entries = asked.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         self.examined(target.server, position, has_entries);
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -80,10 +80,8 @@
 
     /// What needs the primary waits for its successor from `from` on, and no longer than `until`.
     ///
-    /// What is held for the check of the primary goes on being held, reads of some age as well.
-    ///
-    /// Guards against a read at an empty primary that the list of a copy names: a host that had just started
-    /// was told of its successor's order 2 ms later, and sent the read there before it had checked it.
+    /// What is held for the check of the primary goes on being held, reads of some age as well: a host that is
+    /// told of an order before the check would otherwise read at a primary that may have lost its log.
     fn hold_for_successor(&mut self, from: Duration, until: Duration, now: Duration) {
         let unchecked = self.unchecked.take().filter(|it| now < it.until);
         let from = unchecked.map_or(from, |unchecked| unchecked.from);
--- a/crates/proxy/src/service/proof.rs
+++ b/crates/proxy/src/service/proof.rs
@@ -47,7 +47,7 @@
     }
 
     /// A host that would know of an order has told this one what it knows.
-    pub fn heard_of_orders(&self) {
+    pub fn told_of_orders(&self) {
         let mut state = self.state.borrow_mut();
         if state.orders == Orders::Heard {
             return;
@@ -58,7 +58,7 @@
     }
 
     /// The newest term for the change of whose primary the store has a claim, if any.
-    pub fn claimed(&self, newest: Option<Term>) {
+    pub fn told_of_claims(&self, newest: Option<Term>) {
         let mut state = self.state.borrow_mut();
         if state.orders != Orders::Unknown {
             return;
@@ -159,8 +159,8 @@
 
     /// Whether `server` leads a term that it was ordered to lead without a log.
     ///
-    /// Guards against a service without a primary for good: all servers had lost their logs, and each one
-    /// that was ordered was found empty and replaced by the next, every 0.7 s.
+    /// Guards against a service without a primary for good where all servers have lost their logs: each one that
+    /// is ordered would be found empty and replaced by the next.
     pub(super) fn was_ordered_empty(&self, server: ServerKey) -> bool {
         let Some(known) = self.servers.get(&server) else {
             return false;
