Read claims and note who led by the pieces that were there already

`read_claims` bounded its call by a timeout of its own, where `in_time` beside it does that for every other call on claims and records. `Led::saw` wrote out for the believed leader what `Led::told` does for all others since hosts tell each other who led.

--- a/crates/core/src/succession/led.rs
+++ b/crates/core/src/succession/led.rs
@@ -28,11 +28,10 @@
             self.told(*server, *term);
         }
         if let Some(leader) = view.leader {
-            let term = self.terms.entry(leader).or_default();
             // Not the newest term that is known: a replica's log shows a change before the host
             // hears of the successor, and the old primary would count as having led that term. Once
             // it follows, it would be passed over with commits that it alone has.
-            *term = view.led.max(*term);
+            self.told(leader, view.led);
             self.last = Some(leader);
         }
     }
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -8,9 +8,8 @@
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::succession::{EFFECT, Grant, HOLDER, Succession, Trouble};
 use flamingopost_core::term::Term;
-use tokio::time::timeout;
 
-use super::{CLAIM, Election, in_time};
+use super::{Election, in_time};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::platform::{Claim, Error, Platform};
@@ -128,7 +127,7 @@
     /// The claims that the store holds: services and numbers of changes. Nothing where it does not tell in
     /// time.
     pub(super) async fn read_claims(&self) -> Option<BTreeSet<(String, u64)>> {
-        let read = timeout(CLAIM, self.platform.claims()).await.ok()?.ok()?;
+        let read = in_time(self.platform.claims()).await.ok()?;
         if !self.fleet.saw_epoch(read.revision.epoch()) {
             return None;
         }
