Doubt a primary that may have been replaced until there is evidence

Each had been written to a primary that was replaced and led on, after all hosts had restarted, and was gone when its successor came back.

Cause: a host that has just started asks other hosts and the claims in the store whether its primary was replaced. Where nobody knew, it took that for "no": a store restored from a copy without the claim, a change that was ordered while the store was away, or a claim without a visible order for 1.6 s. Fresh hosts then vouched for each other.

Change: the doubt is a state (core::succession::UnheardOrder) that ends by evidence. The other servers are asked for a newer term; claims count only in an epoch in which a host that lived through the restore has verified them; where a server does not answer or claims may be missing, the primary itself is ordered to lead, which changes nothing if it is the present one. A host vouches only for what it knows. While it waits for an order, the check for an empty log is no longer skipped.

--- a/crates/core/src/epoch.rs
+++ b/crates/core/src/epoch.rs
@@ -177,6 +177,12 @@
         self.store_epoch.is_some() && now >= self.store_epoch_since + CLAIM_REWRITE_TIME
     }
 
+    /// Reports whether the list of servers may be that of a copy, on a host that does not know when
+    /// the store's epoch began.
+    pub fn may_list_be_copied(&self, now: Duration) -> bool {
+        self.store_epoch.is_none() || now < self.store_epoch_since + SERVER_REWRITE_TIME
+    }
+
     /// Reports whether the store may still return the contents of the copy. Such an answer
     /// overrides nothing that was known before.
     pub fn may_store_be_stale(&self, now: Duration) -> bool {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -308,7 +308,8 @@
         known.has_ended() && (known.excluded || given_up)
     }
 
-    fn newest_term(&self) -> Term {
+    /// Returns the newest term that any server has reported or shown in its log.
+    pub fn newest_term(&self) -> Term {
         let terms = self.servers.values().map(|known| known.term);
         terms.max().unwrap_or_default()
     }
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -21,6 +21,7 @@
 mod leader_history;
 mod prior_orders;
 mod promotion_timer;
+mod unheard_order;
 mod view;
 
 pub use action::{FencingToken, NextStep, Opinion, Order, Report};
@@ -32,6 +33,7 @@
 use leader_history::LeaderHistory;
 pub use prior_orders::PriorOrders;
 pub use promotion_timer::PromotionTimer;
+pub use unheard_order::{ClaimRecord, Finding, UnheardOrder};
 pub use view::View;
 
 /// Timeout of an inquiry among hosts and servers: a few round trips between zones, plus the time in
--- a/crates/core/src/succession/prior_orders.rs
+++ b/crates/core/src/succession/prior_orders.rs
@@ -19,6 +19,7 @@
 /// orders.record_claim(Some(first));
 /// assert!(orders.may_replace(first), "its change is claimed");
 /// assert!(!orders.may_replace(second), "the change has taken effect");
+/// assert!(!orders.shows_newer_term(first));
 /// orders.record_complete();
 /// assert!(!orders.may_replace(first));
 /// ```
@@ -49,6 +50,15 @@
         *self = PriorOrders::AllKnown;
     }
 
+    /// Reports whether the store's claims show that a term after `term` has begun: some host has
+    /// claimed to replace the primary of that one.
+    pub fn shows_newer_term(self, term: Term) -> bool {
+        match self {
+            PriorOrders::Claimed(claimed) => term < claimed,
+            PriorOrders::Unknown | PriorOrders::AllKnown => false,
+        }
+    }
+
     /// Reports whether the primary of `term` may be about to be replaced.
     pub fn may_replace(self, term: Term) -> bool {
         match self {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -32,6 +32,7 @@
 mod empty_log;
 mod handover;
 mod messaging;
+mod unheard_order;
 
 /// Interval between two steps of a service's state machine while its primary is in trouble.
 const ACTIVE_STEP_INTERVAL: Duration = Duration::from_millis(20);
@@ -82,6 +83,14 @@
     orders_known: Cell<bool>,
     /// The store epoch for which claims were last checked, and rewritten where necessary.
     claims_checked_in: Cell<Epoch>,
+    /// Changes that this host has ordered without a claim, which the store does not show yet.
+    unclaimed_changes: RefCell<BTreeSet<(String, u64)>>,
+    /// When this host last tried to claim such changes.
+    late_claims_at: Cell<Duration>,
+    /// The newest store epoch in which the store's claims are known to be complete.
+    claims_verified_in: Cell<Epoch>,
+    /// When this host last began to record that the store's claims are complete.
+    verification_attempted_at: Cell<Option<Duration>>,
     /// Which services are recorded in the store as written to.
     records: RefCell<empty_log::Records>,
     /// The store's records as last read, cached for a short time.
@@ -118,6 +127,10 @@
             claimed_terms: RefCell::default(),
             orders_known: Cell::new(false),
             claims_checked_in: Cell::default(),
+            unclaimed_changes: RefCell::default(),
+            late_claims_at: Cell::default(),
+            claims_verified_in: Cell::default(),
+            verification_attempted_at: Cell::default(),
             records: RefCell::default(),
             written_services: Mutex::default(),
             is_reading_claims: Cell::new(false),
@@ -424,6 +437,10 @@
             });
             return;
         }
+        if succession.borrow().acts_without_claim() {
+            let attempt = term.number().unsigned_abs();
+            self.record_unclaimed_change(&service.name, attempt);
+        }
         let sent = self.site.now();
         let platform_token = Token(token.0);
         let host = &self.site.host;
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -25,6 +25,15 @@
 /// More than one, since the first of them may be gone too.
 const CLAIM_REWRITERS: u32 = 2;
 
+/// Interval between two attempts to claim changes that were ordered without a claim.
+const LATE_CLAIM_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What the host that records the verification of claims is chosen by.
+const CLAIMS_VERIFIER: &str = "claims";
+
+/// Pause after a failed attempt to record the verification of claims.
+const VERIFICATION_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A change of primary known to this host.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Change {
@@ -95,7 +104,11 @@
     /// primary forever. A holder that is merely slow is fenced by its lower token.
     ///
     /// The previous holder may have given its order, so requests for a leaving primary are held.
-    async fn claim_or_take_over(&self, service: &Service<C>, attempt: u64) -> Result<Claim, Error> {
+    pub(super) async fn claim_or_take_over(
+        &self,
+        service: &Service<C>,
+        attempt: u64,
+    ) -> Result<Claim, Error> {
         let (name, host) = (&service.name, &self.site.host);
         let claim = self.platform.claim(name, attempt, host, None).await?;
         let Claim::Held { by, revision } = &claim else {
@@ -130,21 +143,27 @@
     }
 
     /// Reads the claims in the store, as pairs of service and change number. Returns `None` if the
-    /// store does not answer in time.
+    /// store does not answer in time. A store that may lack claims tells nothing about orders given
+    /// before this host started.
     pub(super) async fn read_claims(&self) -> Option<BTreeSet<(String, u64)>> {
         let read = in_time(self.platform.claims()).await.ok()?;
-        if !self.fleet.observe_epoch(read.revision.epoch()) {
+        let epoch = read.revision.epoch();
+        if !self.fleet.observe_epoch(epoch) {
             return None;
         }
+        if !read.value.are_complete(epoch) || self.fleet.has_started_in_outage() {
+            return Some(read.value.changes);
+        }
+        self.claims_verified_in.set(epoch);
         let mut newest: BTreeMap<String, Term> = BTreeMap::new();
-        for (service, attempt) in &read.value {
+        for (service, attempt) in &read.value.changes {
             let term = Term::from_number(attempt.cast_signed());
             let known = newest.entry(service.clone()).or_default();
             *known = term.max(*known);
         }
         *self.claimed_terms.borrow_mut() = Some(newest);
         self.update_all_known_orders();
-        Some(read.value)
+        Some(read.value.changes)
     }
 
     /// Records that another host, connected to a majority for `in_touch`, has reported the orders
@@ -171,6 +190,30 @@
         }
     }
 
+    /// Records that this host orders a change of the primary of `service` without a claim, because
+    /// the store does not answer.
+    pub(super) fn record_unclaimed_change(&self, service: &str, attempt: u64) {
+        self.record_own_claim(service, attempt);
+        let mut unclaimed = self.unclaimed_changes.borrow_mut();
+        unclaimed.insert((service.to_owned(), attempt));
+    }
+
+    /// Claims the changes that this host ordered without a claim, once the store answers again.
+    ///
+    /// Guards against a replaced primary that keeps leading its term: if all hosts restart, only
+    /// the claims show that it was replaced.
+    pub(super) fn claim_ordered_changes(self: &Rc<Self>) {
+        let now = self.site.now();
+        let is_due = now >= self.late_claims_at.get() + LATE_CLAIM_INTERVAL;
+        if !is_due || self.unclaimed_changes.borrow().is_empty() {
+            return;
+        }
+        self.late_claims_at.set(now);
+        for (service, attempt) in self.unclaimed_changes.borrow().iter() {
+            self.rewrite_claim(service.clone(), *attempt);
+        }
+    }
+
     /// Records that this host claimed a change of the primary of `service`.
     fn record_own_claim(&self, service: &str, attempt: u64) {
         self.record_change(service, attempt, true);
@@ -211,13 +254,57 @@
         }
     }
 
+    /// Records in the store that no claim is missing, once per epoch and after the hosts that know
+    /// of claims have written them again.
+    ///
+    /// If all hosts restart later, the store's claims tell them about earlier orders again.
+    pub(super) fn record_claims_verified_if_due(self: &Rc<Self>) {
+        let (epoch, now) = (self.epoch(), self.site.now());
+        let is_known = self.claims_verified_in.get() >= epoch;
+        if is_known || self.fleet.rank(CLAIMS_VERIFIER) >= CLAIM_REWRITERS {
+            return;
+        }
+        let is_complete = self
+            .fleet
+            .with_epochs(|it, now| it.are_claims_complete(now));
+        if !is_complete || !self.has_known_orders_for(PROMOTION_TIMEOUT) {
+            return;
+        }
+        let attempted_at = self.verification_attempted_at.get();
+        if attempted_at.is_some_and(|at| now < at + VERIFICATION_RETRY_INTERVAL) {
+            return;
+        }
+        self.verification_attempted_at.set(Some(now));
+        let election = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let host = &election.site.host;
+            let recorded = in_time(election.platform.record_claims_verified(epoch, host)).await;
+            let outcome = match recorded {
+                Ok(()) => {
+                    election.claims_verified_in.set(epoch);
+                    "recorded".to_owned()
+                }
+                Err(why) => why,
+            };
+            election.site.log(&Event::ClaimsVerified {
+                epoch: epoch.0,
+                outcome,
+            });
+        });
+    }
+
     /// Rewrites the claim of one change, and logs whether the store lacked it.
     fn rewrite_claim(self: &Rc<Self>, service: String, attempt: u64) {
         let election = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let host = &election.site.host;
             let claim = election.platform.claim(&service, attempt, host, None);
-            let outcome = match in_time(claim).await {
+            let claimed = in_time(claim).await;
+            if claimed.is_ok() {
+                let mut unclaimed = election.unclaimed_changes.borrow_mut();
+                unclaimed.remove(&(service.clone(), attempt));
+            }
+            let outcome = match claimed {
                 Ok(Claim::Won(_)) => "it was missing".to_owned(),
                 Ok(Claim::Held { by, .. }) => format!("held by {by}"),
                 Err(why) => why,
--- a/crates/proxy/src/election/empty_log.rs
+++ b/crates/proxy/src/election/empty_log.rs
@@ -12,7 +12,6 @@
 use super::{ACTIVE_STEP_INTERVAL, CLAIM_TIMEOUT, Election, Probe, STATUS_TIMEOUT, in_time};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::message::Status;
 use crate::platform::{Platform, Recorded};
 use crate::server_connection::{self, ServerConnection, Target};
 use crate::service::{MissingEvidence, Service};
@@ -81,27 +80,6 @@
         });
     }
 
-    /// Checks the claims in the store to find out whether a successor may already have been
-    /// ordered.
-    async fn check_for_unheard_order(
-        &self,
-        service: &Rc<Service<C>>,
-        target: &Target,
-        status: &Status,
-    ) {
-        let is_read = self.claimed_terms.borrow().is_some();
-        if !is_read && self.read_claims().await.is_none() {
-            return;
-        }
-        if service.missing_evidence(target.server, status) == MissingEvidence::Orders {
-            service.hold_for_unknown_order();
-            self.site.log(&Event::OrderUnheard {
-                service: service.name.clone(),
-                term: status.term.number(),
-            });
-        }
-    }
-
     /// Asks a primary that shows no more than `position` whether its log is empty.
     async fn check_log_empty(&self, service: &Rc<Service<C>>, target: &Target, position: Position) {
         for _ in 0..EMPTY_LOG_ATTEMPTS {
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -58,6 +58,8 @@
             let now = self.site.now();
             let has_quorum = self.has_quorum();
             self.rewrite_claims();
+            self.claim_ordered_changes();
+            self.record_claims_verified_if_due();
             let beat = self.heartbeat(now);
             let needs_logs = self.needs_log_reports(has_quorum, now);
             for (_, peer) in self.fleet.electors() {
@@ -183,17 +185,33 @@
     }
 
     /// Returns for how many milliseconds this host has been in contact with a majority without a
-    /// break.
+    /// break, or 0 if it does not know itself which orders were given before.
     fn quorum_held_ms(&self) -> u32 {
-        let now = self.site.now();
+        let millis = self.quorum_held().as_millis();
+        u32::try_from(millis).unwrap_or(u32::MAX)
+    }
+
+    /// Reports whether this host has known for `time` which orders were given.
+    pub(super) fn has_known_orders_for(&self, time: Duration) -> bool {
+        self.quorum_held() >= time
+    }
+
+    fn quorum_held(&self) -> Duration {
         let (holds, since) = self.lease_state.get();
-        let lasts = now.saturating_sub(since).as_millis();
-        match holds && self.has_quorum() {
-            true => u32::try_from(lasts).unwrap_or(u32::MAX),
-            false => 0,
+        match holds && self.has_quorum() && self.knows_prior_orders() {
+            true => self.site.now().saturating_sub(since),
+            false => Duration::ZERO,
         }
     }
 
+    /// Reports whether this host knows for each service that it serves whether its primary was
+    /// replaced before this host started.
+    fn knows_prior_orders(&self) -> bool {
+        let services = self.fleet.services();
+        let mut served = services.iter().filter(|it| self.fleet.serves(&it.name));
+        served.all(|it| it.knows_prior_orders())
+    }
+
     /// Logs that this host has lost or regained its lease.
     fn log_lease_change(&self, holds: bool, now: Duration) {
         let (held_before, since) = self.lease_state.get();
@@ -294,9 +312,14 @@
             let Some(claims) = claims else {
                 return;
             };
-            // A restored store may lack a claim that is being acted on.
+            // A restored store may lack a claim that is being acted on, for good if no host that
+            // made one has run since.
             let fleet = &election.fleet;
-            if !fleet.with_epochs(|epochs, now| epochs.are_claims_complete(now)) {
+            let is_verified = election.claims_verified_in.get() >= election.epoch();
+            let is_complete = fleet.with_epochs(|epochs, now| {
+                epochs.are_claims_complete(now) && (is_verified || epochs.restored_at().is_some())
+            });
+            if !is_complete {
                 return;
             }
             for service in election.fleet.services() {
--- /dev/null
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -0,0 +1,173 @@
+//! Search for orders that were given before this host started, where no running host knows them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use flamingopost_core::leader::Role;
+use flamingopost_core::succession::{ClaimRecord, Finding, PROMOTION_TIMEOUT, UnheardOrder};
+use tokio::time::sleep;
+
+use super::{Election, Probe, in_time};
+use crate::codec::Codec;
+use crate::event::Event;
+use crate::message::Status;
+use crate::platform::{Claim, Platform, Promotion, Token};
+use crate::server_connection::Target;
+use crate::service::{MissingEvidence, Service};
+
+/// Interval between two rounds of questions to the other servers. Each round takes a connection and
+/// a slot at each of them.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+
+impl<C: Codec, P: Platform> Election<C, P> {
+    /// Finds out whether a successor of the primary `target`, which reports `status`, was ordered
+    /// before this host started. The claims in the store tell, unless the store does not answer or
+    /// may lack some.
+    pub(super) async fn check_for_unheard_order(
+        &self,
+        service: &Rc<Service<C>>,
+        target: &Target,
+        status: &Status,
+    ) {
+        if self.claimed_terms.borrow().is_none() {
+            self.read_claims().await;
+        }
+        if service.missing_evidence(target.server, status) != MissingEvidence::Orders {
+            return;
+        }
+        let Some(search) = service.start_search(status.term) else {
+            return;
+        };
+        self.site.log(&Event::OrderUnheard {
+            service: service.name.clone(),
+            term: status.term.number(),
+        });
+        let outcome = self.search(service, target, search).await;
+        self.site.log(&Event::OrderSearched {
+            service: service.name.clone(),
+            term: search.term().number(),
+            outcome,
+            millis: self.site.now().saturating_sub(search.since()).as_millis(),
+        });
+    }
+
+    /// Searches until it is known whether the primary `target` was replaced, and returns the
+    /// outcome in words.
+    async fn search(
+        &self,
+        service: &Rc<Service<C>>,
+        target: &Target,
+        search: UnheardOrder,
+    ) -> &'static str {
+        loop {
+            sleep(SEARCH_INTERVAL).await;
+            let confirmed_at = self.ask_other_servers(service).await;
+            match service.conclude_search(search, confirmed_at, self.claim_record()) {
+                Finding::Pending => {}
+                Finding::NotReplaced => return "was not replaced",
+                Finding::Replaced => return "was replaced",
+                Finding::Inconclusive => {
+                    if self.order_present_primary(service, target, search).await {
+                        service.keep_primary(search);
+                        return "leads on, as ordered";
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reports whether the store has a claim for each order that was given before this host
+    /// started.
+    fn claim_record(&self) -> ClaimRecord {
+        match self.claimed_terms.borrow().is_some() {
+            true => ClaimRecord::Complete,
+            false => ClaimRecord::Incomplete,
+        }
+    }
+
+    /// Returns when all other servers were asked and reported that they follow in no newer term, if
+    /// they did.
+    async fn ask_other_servers(&self, service: &Rc<Service<C>>) -> Option<Duration> {
+        let is_list_complete = self.knows_all_servers(self.site.now());
+        let confirmed_at = service.confirm_primary(self.site.now()).await;
+        confirmed_at.filter(|_| is_list_complete)
+    }
+
+    /// Reports whether the list of servers is known to be complete. A host that has just started
+    /// does not know whether the store was restored a moment ago, unless the claims in it were
+    /// verified since.
+    fn knows_all_servers(&self, now: Duration) -> bool {
+        let is_verified = self.claims_verified_in.get() >= self.epoch();
+        let may_be_copy = self
+            .fleet
+            .with_epochs(|epochs, _| epochs.may_list_be_copied(now));
+        self.fleet.knows_all_servers() && (is_verified || !may_be_copy)
+    }
+
+    /// Orders the primary that nobody can vouch for to lead. Returns whether it leads on in the
+    /// same term, because it was not replaced. Otherwise it begins a new term, or another server
+    /// leads.
+    async fn order_present_primary(
+        &self,
+        service: &Rc<Service<C>>,
+        target: &Target,
+        search: UnheardOrder,
+    ) -> bool {
+        let attempt = search.term().number().unsigned_abs();
+        let claim = in_time(self.claim_or_take_over(service, attempt)).await;
+        let Ok(Claim::Won(token)) = claim else {
+            return false;
+        };
+        self.order_and_observe(service, target, search, token).await
+    }
+
+    /// Orders `target` to lead under `token`, and reports whether it still leads the term of
+    /// `search` once the order must have taken effect.
+    async fn order_and_observe(
+        &self,
+        service: &Rc<Service<C>>,
+        target: &Target,
+        search: UnheardOrder,
+        token: Token,
+    ) -> bool {
+        let host = &self.site.host;
+        let order = in_time(
+            self.platform
+                .promote(&service.name, &target.id, host, token),
+        )
+        .await;
+        self.site.log(&Event::PrimaryReordered {
+            service: service.name.clone(),
+            server: target.id.clone(),
+            token: token.0,
+            outcome: format!("{order:?}"),
+        });
+        if order != Ok(Promotion::Accepted) {
+            return false;
+        }
+        let effective = self.site.now() + PROMOTION_TIMEOUT;
+        while self.site.now() < effective {
+            sleep(SEARCH_INTERVAL).await;
+            if self.leads_newer_term(service, target, search).await == Some(true) {
+                return false;
+            }
+        }
+        self.leads_newer_term(service, target, search).await == Some(false)
+    }
+
+    /// Reports whether `target` leads a term after that of `search`, or `None` if it does not lead
+    /// or does not answer.
+    async fn leads_newer_term(
+        &self,
+        service: &Rc<Service<C>>,
+        target: &Target,
+        search: UnheardOrder,
+    ) -> Option<bool> {
+        match self.query_status(service, target).await {
+            Probe::Status(status) if status.role == Role::Primary => {
+                Some(status.term > search.term())
+            }
+            Probe::Status(_) | Probe::Alive | Probe::Refused | Probe::Silent => None,
+        }
+    }
+}
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -20,8 +20,10 @@
         5006 Warn StoreRestored { before: u64, epoch: u64, version: u64, servers: usize, hosts: usize },
         /// {service}: server {server} is in the restored list but was dropped before: ignored until it rewrites its entry
         5007 Warn CopyIgnored { service: String, server: String },
-        /// claim of change {attempt} of {service} rewritten after a restore: {outcome}
+        /// claim of change {attempt} of {service} written after the change: {outcome}
         5008 Info ClaimRewritten { service: String, attempt: u64, outcome: String },
+        /// claims in the store verified to be complete in epoch {epoch}: {outcome}
+        5009 Info ClaimsVerified { epoch: u64, outcome: String },
         /// {service}: server {server} listed at {address} as {role:?}, leaving: {leaving}, revision {revision}
         5010 Info Listed { service: String, server: String, address: std::net::SocketAddr, role: flamingopost_core::leader::Role, leaving: bool, revision: crate::platform::Revision },
         /// {service}: server {server} no longer listed, dropped after {millis} ms
@@ -70,8 +72,12 @@
         5119 Info TurnGivenUp { service: String, server: String, token: u64 },
         /// {service}: recorded in the platform's store as written to: {outcome}
         5120 Info Recorded { service: String, outcome: String },
-        /// {service}: the change of the primary of term {term} is claimed, and no host has reported its order: requests for the primary are held
+        /// {service}: the primary of term {term} may have been replaced by an order that no host has reported: requests for the primary are held, and its servers are asked
         5121 Warn OrderUnheard { service: String, term: i64 },
+        /// {service}: the primary of term {term} {outcome}, after a search of {millis} ms for an order that no host has reported
+        5122 Warn OrderSearched { service: String, term: i64, outcome: &'static str, millis: u128 },
+        /// {service}: primary {server} ordered to lead under token {token}, because nobody can tell whether it was replaced: {outcome}
+        5123 Warn PrimaryReordered { service: String, server: String, token: u64, outcome: String },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} retried: {reason} at {server}, attempt {attempt} after {millis} ms
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -68,6 +68,8 @@
     pub feeds: Rc<Feeds>,
     /// Whether the list of servers was read at least once.
     server_list_read: Cell<bool>,
+    /// Whether the store did not answer before the fleet was known.
+    started_in_outage: Cell<bool>,
 }
 
 /// The list of servers.
@@ -117,6 +119,7 @@
             contact_due: Notify::new(),
             feeds: Rc::default(),
             server_list_read: Cell::new(false),
+            started_in_outage: Cell::new(false),
         }
     }
 
@@ -137,6 +140,19 @@
         hosts && self.server_list_read.get() && self.version() > 0
     }
 
+    /// Records that a read from the store has failed.
+    pub fn record_failed_read(&self) {
+        if !self.is_known() {
+            self.started_in_outage.set(true);
+        }
+    }
+
+    /// Reports whether the store did not answer when this host started. Hosts that ran before may
+    /// have replaced primaries without a claim.
+    pub fn has_started_in_outage(&self) -> bool {
+        self.started_in_outage.get()
+    }
+
     /// Reports whether the list of servers is known to include all that may become primary.
     ///
     /// The entry of a successor may be unreadable, or missing in the backup from which the store
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -242,6 +242,34 @@
     },
 }
 
+/// The claims on changes of primaries in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Claims {
+    /// The claimed changes, as pairs of service and change number.
+    pub changes: BTreeSet<(String, u64)>,
+    /// The newest epoch in which hosts have verified that no claim is missing.
+    pub verified_in: Epoch,
+}
+
+impl Claims {
+    /// Reports whether the claims, read in `epoch`, include all that were ever made. A store that
+    /// was restored from a copy may lack some until the hosts that made them have written them
+    /// again. Nobody does if these hosts have all restarted as well.
+    ///
+    /// ```
+    /// use flamingopost_core::epoch::Epoch;
+    /// use flamingopost_proxy::platform::Claims;
+    ///
+    /// let claims = Claims { verified_in: Epoch(2), ..Claims::default() };
+    /// assert!(claims.are_complete(Epoch(2)));
+    /// assert!(!claims.are_complete(Epoch(3)), "the store was restored since");
+    /// assert!(Claims::default().are_complete(Epoch(0)), "it was never restored");
+    /// ```
+    pub fn are_complete(&self, epoch: Epoch) -> bool {
+        self.verified_in >= epoch
+    }
+}
+
 /// Outcome of recording that a service was written to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Recorded {
@@ -313,8 +341,15 @@
         take_over: Option<Revision>,
     ) -> impl Future<Output = Result<Claim, Error>>;
 
-    /// Reads all readable claims, as pairs of service and change number.
-    fn claims(&self) -> impl Future<Output = Result<Read<BTreeSet<(String, u64)>>, Error>>;
+    /// Reads all readable claims.
+    fn claims(&self) -> impl Future<Output = Result<Read<Claims>, Error>>;
+
+    /// Records that the claims in the store were complete in `epoch`, as verified by `host`.
+    fn record_claims_verified(
+        &self,
+        epoch: Epoch,
+        host: &str,
+    ) -> impl Future<Output = Result<(), Error>>;
 
     /// Reads the services that hosts have recorded as written to.
     fn written_services(&self) -> impl Future<Output = Result<Read<BTreeSet<String>>, Error>>;
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -14,7 +14,7 @@
 use flamingopost_core::leader::{LeaderTracker, Role};
 use flamingopost_core::position::Position;
 use flamingopost_core::quorum::StoreLease;
-use flamingopost_core::succession::{Contact, PriorOrders, Trouble};
+use flamingopost_core::succession::{Contact, PriorOrders, Trouble, UnheardOrder};
 use flamingopost_core::term::Term;
 use tokio::sync::{Notify, oneshot};
 
@@ -35,6 +35,7 @@
 mod queue;
 mod restart;
 mod restart_signal;
+mod unheard_order;
 
 use confirm::Confirmation;
 pub use listing::Source;
@@ -86,6 +87,8 @@
     primary_position: Option<Position>,
     /// Whether a promotion may have been ordered without this host's knowledge.
     prior_orders: PriorOrders,
+    /// The search for such a promotion, while it goes on.
+    unheard_order: Option<UnheardOrder>,
     no_primary_since: Option<Duration>,
     servers: BTreeMap<ServerKey, ServerEntry>,
     idle: BTreeMap<u64, ServerConnection<C>>,
@@ -158,6 +161,7 @@
                 proven_primary: None,
                 primary_position: None,
                 prior_orders: PriorOrders::default(),
+                unheard_order: None,
                 no_primary_since: Some(Duration::ZERO),
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -87,7 +87,7 @@
     /// Statements that are held for the check of the primary stay held, including bounded-staleness
     /// reads. Otherwise a host that learns of an order before the check would read from a primary
     /// that may have lost its log.
-    fn hold_for_successor(&mut self, from: Duration, until: Duration, now: Duration) {
+    pub(super) fn hold_for_successor(&mut self, from: Duration, until: Duration, now: Duration) {
         let unchecked = self.check_hold.take().filter(|hold| now < hold.until);
         let from = unchecked.map_or(from, |unchecked| unchecked.from);
         let hold = dispatch::Hold { from, until };
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -15,7 +15,7 @@
 use flamingopost_core::succession::PriorOrders;
 use flamingopost_core::term::Term;
 
-use super::{ServerEntry, Service, State};
+use super::{PrimaryCheck, ServerEntry, Service, State};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::Status;
@@ -199,6 +199,16 @@
         leaves || entry.contact.is_failing()
     }
 
+    /// Holds statements for the primary while the check whether it has a log is due.
+    pub(super) fn hold_for_due_check(&mut self, now: Duration) {
+        if matches!(self.check, PrimaryCheck::Due(_)) {
+            let until = now + PROOF_HOLD;
+            let hold = Hold { from: now, until };
+            self.check_hold = Some(hold);
+            self.dispatch.hold_with_reads(hold);
+        }
+    }
+
     /// Extends the hold on statements for an unexpected primary until it is known to have a log.
     pub(super) fn wait_for_proof(&mut self, now: Duration) {
         let Some(hold) = self.check_hold else {
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -332,6 +332,7 @@
     async fn record_failure(&self, poll: &mut PollState, error: &Error) {
         let what = poll.table();
         meter::platform_call(what, false);
+        self.fleet.record_failed_read();
         let pause = match poll.failed(error, self.site.now()) {
             PollFailure::HistoryGone { pause } => {
                 self.site.log(&Event::HistoryGone { what });
