Hold requests until the check of a primary is answered

All hosts had started beside a primary that had lost its log in a term without writes.

Such a primary is asked whether its log has entries before anything relies on it. The hold on requests ended after 0.35 s or 1 s with or without an answer, and the primary then counted as checked. Where the change of the primary was claimed in the store, the log was not asked about at all, and the hold for the unknown order took the place of the one for the check.

A host that usually relays checks the primary too when requests wait on it.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -216,7 +216,7 @@
                 last_probe = now;
                 self.probe_primary(&service, target, since);
             }
-            if self.fleet.serves(&service.name)
+            if (self.fleet.serves(&service.name) || service.has_waiting_requests())
                 && let Some(target) = service.take_due_check()
             {
                 self.check_primary(&service, target);
--- a/crates/proxy/src/election/empty_log.rs
+++ b/crates/proxy/src/election/empty_log.rs
@@ -12,6 +12,7 @@
 use super::{ACTIVE_STEP_INTERVAL, CLAIM_TIMEOUT, Election, Probe, STATUS_TIMEOUT, in_time};
 use crate::codec::Codec;
 use crate::event::Event;
+use crate::message::Status;
 use crate::platform::{Platform, Recorded};
 use crate::server_connection::{self, ServerConnection, Target};
 use crate::service::{MissingEvidence, Service};
@@ -56,30 +57,36 @@
 
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Queries a server that is believed to be the primary and evaluates its status. If the server
-    /// shows no write of its term, the check continues until it is known whether its log is empty.
+    /// shows no write of its term, it is asked whether its log is empty, whatever is known of
+    /// orders. Requests for a primary that is not known to have its log wait for the next attempt.
     pub(super) fn check_primary(self: &Rc<Self>, service: &Rc<Service<C>>, target: Target) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         tokio::task::spawn_local(async move {
-            let Probe::Status(status) = election.query_status(&service, &target).await else {
-                return;
-            };
-            if service.missing_evidence(target.server, &status) == MissingEvidence::Orders {
-                election
-                    .check_for_unheard_order(&service, &target, &status)
-                    .await;
-                return;
-            }
-            if service.missing_evidence(target.server, &status) == MissingEvidence::Record {
-                election.read_record(&service).await;
-            }
-            if service.missing_evidence(target.server, &status) == MissingEvidence::Proof {
-                election
-                    .check_log_empty(&service, &target, status.received)
-                    .await;
+            if let Probe::Status(status) = election.query_status(&service, &target).await {
+                election.gather_evidence(&service, &target, &status).await;
             }
+            service.finish_check(target.server);
         });
     }
 
+    /// Gathers the evidence needed to believe a primary that reports `status`.
+    async fn gather_evidence(
+        self: &Rc<Self>,
+        service: &Rc<Service<C>>,
+        target: &Target,
+        status: &Status,
+    ) {
+        if service.missing_evidence(target.server, status) == MissingEvidence::Orders {
+            self.check_for_unheard_order(service, target, status).await;
+        }
+        if service.missing_log_evidence(target.server, status) == MissingEvidence::Record {
+            self.read_record(service).await;
+        }
+        if service.missing_log_evidence(target.server, status) != MissingEvidence::Nothing {
+            self.check_log_empty(service, target, status.received).await;
+        }
+    }
+
     /// Asks a primary that shows no more than `position` whether its log is empty.
     async fn check_log_empty(&self, service: &Rc<Service<C>>, target: &Target, position: Position) {
         for _ in 0..EMPTY_LOG_ATTEMPTS {
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -22,9 +22,9 @@
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Finds out whether a successor of the primary `target`, which reports `status`, was ordered
     /// before this host started. The claims in the store tell, unless the store does not answer or
-    /// may lack some.
+    /// may lack some. Otherwise a search is started.
     pub(super) async fn check_for_unheard_order(
-        &self,
+        self: &Rc<Self>,
         service: &Rc<Service<C>>,
         target: &Target,
         status: &Status,
@@ -42,12 +42,17 @@
             service: service.name.clone(),
             term: status.term.number(),
         });
-        let outcome = self.search(service, target, search).await;
-        self.site.log(&Event::OrderSearched {
-            service: service.name.clone(),
-            term: search.term().number(),
-            outcome,
-            millis: self.site.now().saturating_sub(search.since()).as_millis(),
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        let target = target.clone();
+        tokio::task::spawn_local(async move {
+            let outcome = election.search(&service, &target, search).await;
+            let lasted = election.site.now().saturating_sub(search.since());
+            election.site.log(&Event::OrderSearched {
+                service: service.name.clone(),
+                term: search.term().number(),
+                outcome,
+                millis: lasted.as_millis(),
+            });
         });
     }
 
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -81,6 +81,9 @@
     check: PrimaryCheck,
     /// Hold on statements until an unexpected primary has been checked.
     check_hold: Option<dispatch::Hold>,
+    /// Whether the log of the believed primary needs no further check: it has entries, or nothing
+    /// was ever written to the service.
+    is_log_checked: bool,
     /// The last primary that was verified to have the service's log.
     proven_primary: Option<ServerKey>,
     /// Last observed log position of the believed primary, while its check is incomplete.
@@ -158,6 +161,7 @@
                 single_server_since: None,
                 check: PrimaryCheck::default(),
                 check_hold: None,
+                is_log_checked: false,
                 proven_primary: None,
                 primary_position: None,
                 prior_orders: PriorOrders::default(),
@@ -523,12 +527,8 @@
                 return;
             };
             let succeeds = state.is_successor(change.after);
-            let hold = state.dispatch.current_hold().filter(|_| !succeeds);
             state.dispatch.set_leader(change.after);
-            if let Some(hold) = hold {
-                state.dispatch.hold(hold);
-            }
-            state.schedule_leader_check(now);
+            state.schedule_leader_check(succeeds, now);
             state.no_primary_since = change.after.is_none().then_some(now);
             (change, succeeds)
         };
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -87,15 +87,35 @@
     /// Statements that are held for the check of the primary stay held, including bounded-staleness
     /// reads. Otherwise a host that learns of an order before the check would read from a primary
     /// that may have lost its log.
-    pub(super) fn hold_for_successor(&mut self, from: Duration, until: Duration, now: Duration) {
-        let unchecked = self.check_hold.take().filter(|hold| now < hold.until);
-        let from = unchecked.map_or(from, |unchecked| unchecked.from);
-        let hold = dispatch::Hold { from, until };
-        match unchecked {
-            Some(_) => self.dispatch.hold_with_reads(hold),
-            None => self.dispatch.hold(hold),
+    pub(super) fn hold_for_successor(&mut self, from: Duration, until: Duration) {
+        self.successor_hold = Some(dispatch::Hold { from, until });
+        self.apply_holds();
+    }
+
+    /// Holds statements for the primary for as long as its check or its successor requires it.
+    ///
+    /// Guards against writes to a primary without its log: the hold for an order that this host had
+    /// not heard of took the place of the one for the check, and ended first.
+    pub(super) fn apply_holds(&mut self) {
+        match (self.check_hold, self.successor_hold) {
+            (Some(check), Some(successor)) => self.dispatch.hold_with_reads(dispatch::Hold {
+                from: check.from.min(successor.from),
+                until: check.until.max(successor.until),
+            }),
+            (Some(check), None) => self.dispatch.hold_with_reads(check),
+            (None, Some(successor)) => self.dispatch.hold(successor),
+            (None, None) => {
+                if let Some(hold) = self.dispatch.current_hold() {
+                    self.dispatch.release(hold);
+                }
+            }
         }
-        self.successor_hold = Some(hold);
+    }
+
+    fn end_successor_hold(&mut self) -> Option<dispatch::Hold> {
+        let ended = self.successor_hold.take();
+        self.apply_holds();
+        ended
     }
 
     fn record_term_start(&mut self, start: &peer::TermStart) {
@@ -146,7 +166,7 @@
             return;
         }
         state.prior_orders.record_complete();
-        state.hold_for_successor(from, from + SUCCESSOR_HOLD, from);
+        state.hold_for_successor(from, from + SUCCESSOR_HOLD);
     }
 
     /// Records that the primary is being replaced, as described by `ended`. Returns whether that
@@ -188,7 +208,7 @@
         if is_done {
             return true;
         }
-        state.hold_for_successor(hold_from, now + SUCCESSOR_HOLD, now);
+        state.hold_for_successor(hold_from, now + SUCCESSOR_HOLD);
         true
     }
 
@@ -268,8 +288,15 @@
         });
     }
 
-    /// Ends a hold that has expired.
+    /// Ends holds that have expired.
     pub(super) fn tick_hold(self: &Rc<Self>, now: Duration) {
+        let check = self.state.borrow().check_hold;
+        if let Some(hold) = check.filter(|hold| now >= hold.until) {
+            self.state.borrow_mut().end_check_hold();
+            if self.leader().is_some() {
+                self.log_hold_end(hold, "the primary's log could not be checked in time");
+            }
+        }
         let hold = self.state.borrow().successor_hold;
         if hold.is_some_and(|hold| now >= hold.until) {
             self.end_hold("no successor appeared in time");
@@ -294,9 +321,13 @@
 
     /// Ends the hold on statements for the primary, and logs the reason `why`.
     pub(super) fn end_hold(&self, why: &'static str) {
-        let Some(hold) = self.state.borrow_mut().successor_hold.take() else {
-            return;
-        };
+        let ended = self.state.borrow_mut().end_successor_hold();
+        if let Some(hold) = ended {
+            self.log_hold_end(hold, why);
+        }
+    }
+
+    fn log_hold_end(&self, hold: dispatch::Hold, why: &'static str) {
         self.site.log(&Event::HoldEnded {
             service: self.name.clone(),
             why,
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -6,24 +6,19 @@
 //! entry, which is in every log that is not empty.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use flamingopost_core::dispatch::{Hold, ServerState};
+use flamingopost_core::dispatch::ServerState;
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::Role;
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::PriorOrders;
 use flamingopost_core::term::Term;
 
-use super::{PrimaryCheck, ServerEntry, Service, State};
+use super::{ServerEntry, Service, State};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::Status;
 
-/// Longest time that a host which has just started sends nothing to a primary while it determines
-/// whether that primary's log is empty: one call to the store and a few requests to a busy server.
-const PROOF_HOLD: Duration = Duration::from_secs(1);
-
 /// Evidence that a host still needs before it believes a primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MissingEvidence {
@@ -47,6 +42,16 @@
         }
     }
 
+    /// Returns the evidence about its log needed before `server`, which reports `status`, is
+    /// believed to lead.
+    pub fn missing_log_evidence(&self, server: ServerKey, status: &Status) -> MissingEvidence {
+        let state = self.state.borrow();
+        match state.leader.primary() == Some(server) && status.role == Role::Primary {
+            true => state.missing_log_evidence(status.received),
+            false => MissingEvidence::Nothing,
+        }
+    }
+
     /// Records that this host has received all promotion orders known to a host that would know of
     /// one.
     pub fn record_orders_known(&self) {
@@ -80,7 +85,7 @@
         let mut state = self.state.borrow_mut();
         match is_written {
             true => state.log_extent.record_written(),
-            false => state.end_check_hold(),
+            false => state.record_log_checked(self.site.now()),
         }
     }
 
@@ -104,7 +109,8 @@
         }
     }
 
-    /// Records whether the log of `server`, which claims to lead at `position`, has any entry.
+    /// Records whether the log of `server`, which claims to lead at `position`, has any entry. An
+    /// empty log tells nothing while it is not known whether the service was written to.
     pub fn record_log_check(
         self: &Rc<Self>,
         server: ServerKey,
@@ -115,11 +121,15 @@
         if has_entries || was_empty {
             let mut state = self.state.borrow_mut();
             state.proven_primary = Some(server);
-            if state.missing_evidence(position) != MissingEvidence::Orders {
-                state.end_check_hold();
+            if state.dispatch.leader() == Some(server) {
+                state.primary_position = Some(position);
+                state.record_log_checked(self.site.now());
             }
             return;
         }
+        if !self.state.borrow().log_extent.is_written() {
+            return;
+        }
         let is_seen = {
             let mut state = self.state.borrow_mut();
             state.distrust(server, self.site.now());
@@ -154,7 +164,15 @@
             .may_replace(self.freshness.term().max(position.term))
         {
             MissingEvidence::Orders
-        } else if position.log > 0 {
+        } else {
+            self.missing_log_evidence(position)
+        }
+    }
+
+    /// Returns the evidence about its log needed before a primary that shows `position` is
+    /// believed.
+    fn missing_log_evidence(&self, position: Position) -> MissingEvidence {
+        if position.log > 0 || self.is_log_checked {
             MissingEvidence::Nothing
         } else if self.log_extent.is_written() {
             MissingEvidence::Proof
@@ -198,27 +216,4 @@
         let leaves = server.is_none_or(|server| server.state == ServerState::Leaving);
         leaves || entry.contact.is_failing()
     }
-
-    /// Holds statements for the primary while the check whether it has a log is due.
-    pub(super) fn hold_for_due_check(&mut self, now: Duration) {
-        if matches!(self.check, PrimaryCheck::Due(_)) {
-            let until = now + PROOF_HOLD;
-            let hold = Hold { from: now, until };
-            self.check_hold = Some(hold);
-            self.dispatch.hold_with_reads(hold);
-        }
-    }
-
-    /// Extends the hold on statements for an unexpected primary until it is known to have a log.
-    pub(super) fn wait_for_proof(&mut self, now: Duration) {
-        let Some(hold) = self.check_hold else {
-            return;
-        };
-        let until = hold.until.max(now + PROOF_HOLD);
-        let longer = Hold { until, ..hold };
-        self.check_hold = Some(longer);
-        if self.dispatch.current_hold() == Some(hold) {
-            self.dispatch.hold_with_reads(longer);
-        }
-    }
 }
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -55,9 +55,13 @@
 /// connection.
 const CHECK_DELAY: Duration = Duration::from_millis(150);
 
-/// Longest time that a host sends nothing to a believed but unchecked primary: the delay until the
-/// check, and as much again for its answer.
-const CHECK_HOLD: Duration = Duration::from_millis(350);
+/// Longest time that a host sends nothing to a believed but unchecked primary. By then, a server
+/// that has the log would have come back. The end of this time proves nothing, so it is long.
+const CHECK_HOLD_MAX: Duration = RETURN_TIMEOUT;
+
+/// Pause before the check of a primary that did not answer is repeated. Each attempt takes a slot
+/// of a server that may be busy.
+const CHECK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// State of the one-time check of a believed primary.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -66,6 +70,8 @@
     Due(Duration),
     /// The check was due from this time on, and the status query has been sent.
     Asked(Duration),
+    /// The check was due from `due` on, was not answered, and is repeated from `retry_at` on.
+    Repeat { due: Duration, retry_at: Duration },
     /// No check is pending.
     #[default]
     Done,
@@ -87,10 +93,9 @@
     ) {
         let mut state = self.state.borrow_mut();
         if state.dispatch.leader() == Some(server)
-            && let PrimaryCheck::Due(due) | PrimaryCheck::Asked(due) = state.check
-            && sent >= due
+            && state.check.due().is_some_and(|due| sent >= due)
         {
-            state.record_leader_position(position, self.site.now());
+            state.record_leader_position(position);
         }
         let distrusted = state.leader.is_distrusted(server);
         let leads = state.leader.primary() == Some(server);
@@ -114,25 +119,48 @@
     /// Guards against an empty primary on a host that has just started, and believed the first
     /// primary in the list before it learned what the other servers hold.
     ///
-    /// The primary is asked only once. Each request takes a connection, and with it a slot for tens
-    /// of milliseconds: 65 hosts that repeated the request until a server with 5 slots answered
-    /// within 200 ms kept it from ever answering, and no writes reached the service for the rest of
-    /// the day.
+    /// The primary is asked again only after a pause, and only while requests are held for the
+    /// answer. Each request takes a connection, and with it a slot for tens of milliseconds: 65
+    /// hosts that repeated the request without a pause until a server with 5 slots answered within
+    /// 200 ms kept it from ever answering, and no writes reached the service for the rest of the
+    /// day.
     pub fn take_due_check(&self) -> Option<Target> {
         let now = self.site.now();
         let mut state = self.state.borrow_mut();
-        let PrimaryCheck::Due(due) = state.check else {
-            return None;
+        let due = match state.check {
+            PrimaryCheck::Due(due) if now >= due || state.all_others_shown() => due.min(now),
+            PrimaryCheck::Repeat { due, retry_at } if now >= retry_at => due,
+            _ => return None,
         };
         let entry = state.servers.get(&state.dispatch.leader()?)?;
         let target = entry.target.clone();
-        if now < due && !state.all_others_shown() {
-            return None;
-        }
-        state.check = PrimaryCheck::Asked(due.min(now));
+        state.check = PrimaryCheck::Asked(due);
         Some(target)
     }
 
+    /// Records that an attempt to check `server` has ended, with or without an answer.
+    ///
+    /// Guards against a primary that lost its log and does not answer its check in time: once the
+    /// hold on statements had expired, the host wrote to it, and everything acknowledged before was
+    /// lost.
+    pub fn finish_check(&self, server: ServerKey) {
+        let now = self.site.now();
+        let mut state = self.state.borrow_mut();
+        if let PrimaryCheck::Asked(due) = state.check
+            && state.dispatch.leader() == Some(server)
+            && state.check_hold.is_some()
+        {
+            let retry_at = now + CHECK_RETRY_INTERVAL;
+            state.check = PrimaryCheck::Repeat { due, retry_at };
+        }
+    }
+
+    /// Reports whether any request waits for a server, so that it is worth checking the primary
+    /// even on a host that usually sends nothing itself.
+    pub fn has_waiting_requests(&self) -> bool {
+        self.state.borrow().dispatch.waiting() > 0
+    }
+
     /// Returns the position that each restarted server must have received before it counts like any
     /// other server in an election.
     pub fn required_positions(&self) -> BTreeMap<ServerKey, Position> {
@@ -176,6 +204,7 @@
         state.freshness.record_term(position.term);
         state.log_extent.record_position(position, now);
         if !was_written && state.log_extent.is_written() && state.dispatch.leader().is_some() {
+            state.is_log_checked = false;
             state.check = PrimaryCheck::Due(now);
             self.failover_notify.notify_one();
         }
@@ -214,6 +243,15 @@
     pub(super) fn due_after(now: Duration) -> PrimaryCheck {
         PrimaryCheck::Due(now + CHECK_DELAY)
     }
+
+    /// Returns the time from which the primary's position counts for the pending check.
+    fn due(self) -> Option<Duration> {
+        match self {
+            PrimaryCheck::Due(due) | PrimaryCheck::Asked(due) => Some(due),
+            PrimaryCheck::Repeat { due, .. } => Some(due),
+            PrimaryCheck::Done => None,
+        }
+    }
 }
 
 impl<C: Codec> State<C> {
@@ -262,26 +300,25 @@
     /// that this host did not expect are therefore held until the check. So are bounded-staleness
     /// reads: they may only need the start of the primary's term, which servers assume to be in
     /// every log.
-    pub(super) fn schedule_leader_check(&mut self, now: Duration) {
+    ///
+    /// A primary that does not succeed another one, because its term has ended, gets nothing that
+    /// was held for the check of the previous one either.
+    pub(super) fn schedule_leader_check(&mut self, succeeds: bool, now: Duration) {
         self.check = PrimaryCheck::due_after(now);
+        self.is_log_checked = false;
         self.primary_position = None;
         self.servers
             .values_mut()
             .for_each(|entry| entry.has_shown_position = false);
-        let Some(leader) = self.dispatch.leader() else {
-            return;
+        let leader = self.dispatch.leader();
+        self.check_hold = match leader.is_some_and(|leader| !self.is_expected(leader)) {
+            true => Some(Hold {
+                from: now,
+                until: now + CHECK_HOLD_MAX,
+            }),
+            false => self.check_hold.filter(|_| !succeeds),
         };
-        if self.is_expected(leader) {
-            return;
-        }
-        if self.may_hold_for_check() {
-            let until = now + CHECK_HOLD;
-            let hold = Hold { from: now, until };
-            self.check_hold = Some(hold);
-            self.dispatch.hold_with_reads(hold);
-        } else if let Some(hold) = self.dispatch.current_hold() {
-            self.dispatch.hold_with_reads(hold);
-        }
+        self.apply_holds();
     }
 
     /// Reports whether `leader` was previously found to have the service's log, or was ordered to
@@ -318,12 +355,6 @@
         })
     }
 
-    /// Reports whether no other hold is in place, which would last longer.
-    fn may_hold_for_check(&self) -> bool {
-        let held = self.dispatch.current_hold();
-        held.is_none() || held == self.check_hold
-    }
-
     /// Checks the primary again at its last shown position, because missing evidence may have
     /// become available.
     pub(super) fn recheck_leader(&mut self, now: Duration) {
@@ -331,14 +362,14 @@
             return;
         };
         match self.missing_evidence(position) {
-            MissingEvidence::Nothing => self.record_leader_position(position, now),
+            MissingEvidence::Nothing => self.record_leader_position(position),
             MissingEvidence::Orders => {}
             MissingEvidence::Record | MissingEvidence::Proof => self.check = PrimaryCheck::Due(now),
         }
     }
 
     /// Records that the believed primary has shown the log position `position`.
-    fn record_leader_position(&mut self, position: Position, now: Duration) {
+    fn record_leader_position(&mut self, position: Position) {
         self.primary_position = Some(position);
         match (self.missing_evidence(position), self.check) {
             (MissingEvidence::Nothing, _) => {
@@ -347,15 +378,22 @@
                 self.proven_primary = self.dispatch.leader();
                 self.end_check_hold();
             }
-            // The sender of the status query goes on to gather the remaining evidence.
-            (_, PrimaryCheck::Asked(_)) => {
+            // The sender of the status query goes on to gather the remaining evidence, and asks
+            // again while statements are held for it.
+            (_, PrimaryCheck::Asked(_)) if self.check_hold.is_none() => {
                 self.check = PrimaryCheck::Done;
-                self.wait_for_proof(now);
             }
-            (_, PrimaryCheck::Due(_) | PrimaryCheck::Done) => {}
+            _ => {}
         }
     }
 
+    /// Records that the log of the believed primary has entries, or that nothing was ever written to
+    /// the service. The hold on statements ends unless an order may be unknown.
+    pub(super) fn record_log_checked(&mut self, now: Duration) {
+        self.is_log_checked = true;
+        self.recheck_leader(now);
+    }
+
     /// Records that `server` has shown the log position `position`.
     ///
     /// If this is the first entry seen in any log, a primary that shows only the start of its term
@@ -375,14 +413,15 @@
             && by_other
             && position.term < self.freshness.term()
         {
+            self.is_log_checked = false;
             self.check = PrimaryCheck::Due(now);
         }
     }
 
     /// Releases the statements held for the check of the believed primary.
     pub(super) fn end_check_hold(&mut self) {
-        if let Some(hold) = self.check_hold.take() {
-            self.dispatch.release(hold);
+        if self.check_hold.take().is_some() {
+            self.apply_holds();
         }
     }
 
--- a/crates/proxy/src/service/unheard_order.rs
+++ b/crates/proxy/src/service/unheard_order.rs
@@ -21,7 +21,7 @@
         if state.successor_hold.is_none() {
             // Only the result of the search ends the hold. After a pause of the process, a hold of
             // limited length would be over before the search has concluded.
-            state.hold_for_successor(now, Duration::MAX, now);
+            state.hold_for_successor(now, Duration::MAX);
         }
         current.is_none().then_some(search)
     }
@@ -45,7 +45,8 @@
         finding
     }
 
-    /// Relies on the primary after no successor was found, once it has been checked for its log.
+    /// Relies on the primary after no successor was found, unless it still has to be checked for its
+    /// log.
     pub fn keep_primary(self: &Rc<Self>, search: UnheardOrder) {
         let now = self.site.now();
         {
@@ -56,10 +57,6 @@
             state.unheard_order = None;
             state.prior_orders.record_complete();
             state.recheck_leader(now);
-            if let Some(hold) = state.successor_hold {
-                state.dispatch.release(hold);
-            }
-            state.hold_for_due_check(now);
         }
         self.end_hold("no server follows a newer primary");
         self.failover_notify.notify_one();
