End the search for an order when its successor leads

With the check of a primary repeated, a host that searched for the successor of term 1 found the primary in term 3, as it had just ordered, and searched again for that term: three cases of platform/tests/restored_claims.rs were served after 15 s only. A newer term of the same server ends the search.

--- a/crates/proxy/src/service/unheard_order.rs
+++ b/crates/proxy/src/service/unheard_order.rs
@@ -11,11 +11,16 @@
 
 impl<C: Codec> Service<C> {
     /// Holds what needs the primary of `term`, and starts the search for an order that replaced it.
-    /// Returns `None` if that search is already going on.
-    pub fn start_search(&self, term: Term) -> Option<UnheardOrder> {
+    /// Returns `None` if no search is needed, or one is already going on.
+    pub fn start_search(self: &Rc<Self>, term: Term) -> Option<UnheardOrder> {
         let now = self.site.now();
+        let current = self.state.borrow().unheard_order;
+        if let Some(former) = current.filter(|it| it.term() < term) {
+            // The order that was searched for has taken effect.
+            self.keep_primary(former);
+            return None;
+        }
         let mut state = self.state.borrow_mut();
-        let current = state.unheard_order.filter(|it| it.term() >= term);
         let search = current.unwrap_or(UnheardOrder::new(term, now));
         state.unheard_order = Some(search);
         if state.successor_hold.is_none() {
