Do not take a write in a newer term for the proof of a longer log

Positions are ordered by term first.

Log numbers go on from term to term. LogExtent keeps the largest number that an older term has shown, and a server that is not trusted has to show a larger one, unless its order tells that the term began with less. Such a write ends no doubt raised by broken connections either, and is no evidence for the first primary of a host that has just started. A trusted primary is not replaced for it, because hosts may not know where its term began.

--- a/crates/core/tests/extent.rs
+++ b/crates/core/tests/extent.rs
@@ -112,3 +112,49 @@
     assert!(!extent.lacks(position(4, 0), ms(100)));
     assert!(extent.proves(position(4, 1)));
 }
+
+/// A primary lost its log before anything was written in its term, and a host that did not know
+/// wrote to it. The second write there was taken for the furthest position of the log, and the
+/// server was trusted with the 211 entries of the previous term gone.
+#[test]
+fn a_newer_term_with_a_smaller_number_does_not_prove_the_log() {
+    let mut extent = LogExtent::default();
+    extent.record_position(position(2, 211), ms(100));
+    extent.record_position(position(3, 2), ms(200));
+    assert!(!extent.proves(position(3, 2)));
+    assert!(!extent.proves(position(3, 211)), "number 211 is of term 2");
+    assert!(extent.proves(position(3, 212)));
+    extent.record_position(position(4, 3), ms(300));
+    assert!(!extent.proves(position(4, 4)));
+    assert!(extent.proves(position(4, 212)));
+}
+
+/// The same, where the host first hears of the new writes and then of the server with the old log.
+#[test]
+fn an_older_term_with_a_larger_number_is_not_ignored() {
+    let mut extent = LogExtent::default();
+    extent.record_position(position(3, 2), ms(100));
+    assert!(extent.proves(position(3, 2)));
+    extent.record_position(position(2, 211), ms(200));
+    assert_eq!(extent.furthest(), position(3, 2));
+    assert!(!extent.proves(position(3, 3)));
+    assert!(extent.proves(position(3, 212)));
+}
+
+/// A server is ordered to lead with fewer entries than another one has, whose last entries are
+/// rolled back. It must not be taken for one that has lost its log.
+#[test]
+fn a_term_that_is_known_to_begin_with_fewer_entries_proves_its_log() {
+    let mut extent = LogExtent::default();
+    extent.record_position(position(2, 211), ms(100));
+    assert!(extent.contradicts(position(3, 209), None));
+    assert!(!extent.contradicts(position(3, 209), Some(208)));
+    assert!(extent.proves_since(position(3, 209), Some(208)));
+    assert!(!extent.proves_since(position(3, 208), Some(208)));
+    extent.record_position(position(3, 209), ms(200));
+    assert!(extent.proves_since(position(3, 209), Some(208)));
+    assert!(
+        extent.proves_since(position(4, 210), Some(209)),
+        "the order after term 3"
+    );
+}
--- a/crates/proxy/src/election/empty_log.rs
+++ b/crates/proxy/src/election/empty_log.rs
@@ -82,8 +82,12 @@
         if service.missing_log_evidence(target.server, status) == MissingEvidence::Record {
             self.read_record(service).await;
         }
-        if service.missing_log_evidence(target.server, status) != MissingEvidence::Nothing {
-            self.check_log_empty(service, target, status.received).await;
+        match service.missing_log_evidence(target.server, status) {
+            MissingEvidence::Record | MissingEvidence::Proof => {
+                self.check_log_empty(service, target, status.received).await;
+            }
+            // Other hosts report where a term began, if any knows.
+            MissingEvidence::Nothing | MissingEvidence::Orders | MissingEvidence::TermStart => {}
         }
     }
 
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -62,15 +62,22 @@
     /// Reports whether the server was ordered to lead `term` with an empty log, because no other
     /// server had a log.
     pub(super) fn was_empty(&self, term: Term) -> bool {
-        term.number() == self.previous_term.number() + 1 && self.received.log == 0
+        self.start_of(term) == Some(0)
+    }
+
+    /// Returns the number of the last entry that the server had received when it was ordered to
+    /// lead `term`, if the order was for that term.
+    pub(super) fn start_of(&self, term: Term) -> Option<u64> {
+        let is_ordered = term.number() == self.previous_term.number() + 1;
+        is_ordered.then_some(self.received.log)
     }
 
     /// Reports whether a log that ends at `position` cannot be the log of the server in the term
     /// that it was ordered to lead: it had already received more, and log numbers continue across
     /// terms.
     pub(super) fn is_behind_promotion(&self, position: Position) -> bool {
-        let promoted = position.term.number() == self.previous_term.number() + 1;
-        promoted && position.log > 0 && position.log <= self.received.log
+        let start = self.start_of(position.term);
+        position.log > 0 && start.is_some_and(|start| position.log <= start)
     }
 }
 
@@ -132,7 +139,9 @@
 impl<C: Codec> Service<C> {
     /// Records where a term began, as reported by another host.
     pub fn record_term_start(&self, start: &peer::TermStart) {
-        self.state.borrow_mut().record_term_start(start);
+        let mut state = self.state.borrow_mut();
+        state.record_term_start(start);
+        state.recheck_leader(self.site.now());
     }
 
     /// Returns the start of the newest term that was ordered, if known.
--- a/crates/proxy/src/service/log_loss.rs
+++ b/crates/proxy/src/service/log_loss.rs
@@ -5,6 +5,7 @@
 
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
+use flamingopost_core::term::Term;
 
 use super::{ResolvedServer, Service, State};
 use crate::codec::Codec;
@@ -112,7 +113,8 @@
 
     /// Reports whether a primary may have come back without its log: connections to it have broken
     /// since it began to lead, and it shows only the start of its term, as it did before, because
-    /// nothing was written in that term.
+    /// nothing was written in that term. Or it shows a write that another host may have made on an
+    /// empty log since.
     ///
     /// Guards against the loss of everything that was written before that term. While the server
     /// list could not be read, hosts wrote to such a primary for three seconds and then took their
@@ -125,7 +127,33 @@
             .get(&server)
             .is_some_and(|entry| entry.connections_broke);
         let shows_none = position.log == 0 && self.log_extent.is_written();
-        broke && shows_none && !self.was_promoted_empty(server)
+        let shows_no_more = shows_none && !self.was_promoted_empty(server);
+        broke && (shows_no_more || self.contradicts_older_terms(server, position))
+    }
+
+    /// Reports whether `server` shows a write whose number an older term had reached before, and is
+    /// not known to have been ordered to lead with fewer entries.
+    ///
+    /// Guards against writes to an empty primary that are taken for the proof of its log: one write
+    /// in its term comes after every entry of the older terms.
+    pub(super) fn contradicts_older_terms(&self, server: ServerKey, position: Position) -> bool {
+        let start = self.start_of_term(server, position.term);
+        self.log_extent.contradicts(position, start)
+    }
+
+    /// Reports whether `position`, shown by a server that is not trusted, proves that it has the
+    /// service's log.
+    pub(super) fn proves_log(&self, server: ServerKey, position: Position) -> bool {
+        let start = self.start_of_term(server, position.term);
+        self.log_extent.proves_since(position, start)
+            && !self.lacks_received_entries(server, position)
+    }
+
+    /// Returns the number of the last entry that `server` had received when it was ordered to lead
+    /// `term`, if known.
+    fn start_of_term(&self, server: ServerKey, term: Term) -> Option<u64> {
+        let entry = self.servers.get(&server)?;
+        self.promotions.get(&entry.target.id)?.start_of(term)
     }
 
     /// Reports whether a promoted server shows less than it had received before its promotion.
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -30,6 +30,8 @@
     Record,
     /// Whether the primary's log is empty: something has been written to the service.
     Proof,
+    /// Where the primary's term began: an older term has reached the number of its last write.
+    TermStart,
 }
 
 impl<C: Codec> Service<C> {
@@ -158,6 +160,10 @@
     /// Also guards against the loss of writes to a primary whose successor has already been
     /// ordered: all hosts were restarted in the interval between, and the successor had not
     /// received what the primary acknowledged in its last milliseconds.
+    ///
+    /// A write that another host made on an empty log is no evidence of the log. Where its number
+    /// was reached in an older term already, the start of the newer term is needed. Nobody may know
+    /// it, so the primary is not replaced for that.
     pub(super) fn missing_evidence(&self, position: Position) -> MissingEvidence {
         if self
             .prior_orders
@@ -172,7 +178,9 @@
     /// Returns the evidence about its log needed before a primary that shows `position` is
     /// believed.
     fn missing_log_evidence(&self, position: Position) -> MissingEvidence {
-        if position.log > 0 || self.is_log_checked {
+        if self.is_contradicted(position) {
+            MissingEvidence::TermStart
+        } else if position.log > 0 || self.is_log_checked {
             MissingEvidence::Nothing
         } else if self.log_extent.is_written() {
             MissingEvidence::Proof
@@ -183,6 +191,13 @@
         }
     }
 
+    /// Reports whether the believed primary cannot be shown to have the service's log by
+    /// `position`, since older terms have shown more.
+    fn is_contradicted(&self, position: Position) -> bool {
+        let leader = self.dispatch.leader();
+        leader.is_some_and(|leader| self.contradicts_older_terms(leader, position))
+    }
+
     /// Reports whether `server` leads a term that it was ordered to lead with an empty log.
     ///
     /// Guards against a service that never gets a primary again after all its servers have lost
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -100,7 +100,7 @@
         let distrusted = state.leader.is_distrusted(server);
         let leads = state.leader.primary() == Some(server);
         let short = state.lacks_received_entries(server, position);
-        if distrusted && state.log_extent.proves(position) && !short {
+        if distrusted && state.proves_log(server, position) {
             state.leader.trust(server);
         } else if leads
             && (short
@@ -109,7 +109,7 @@
         {
             drop(state);
             self.report_lost_log(server, position);
-        } else if leads && position.log > 0 {
+        } else if leads && position.log > 0 && !state.contradicts_older_terms(server, position) {
             state.record_own_write(server);
         }
     }
@@ -364,7 +364,9 @@
         match self.missing_evidence(position) {
             MissingEvidence::Nothing => self.record_leader_position(position),
             MissingEvidence::Orders => {}
-            MissingEvidence::Record | MissingEvidence::Proof => self.check = PrimaryCheck::Due(now),
+            MissingEvidence::Record | MissingEvidence::Proof | MissingEvidence::TermStart => {
+                self.check = PrimaryCheck::Due(now);
+            }
         }
     }
 
