Let no host that may not know all servers elect an empty one

A host that had just started could not read the entry of one server, and another was missing in the copy from which the store was restored. 28 ms after it had listed its first server, which had lost its log, it ordered that one to lead, and a server with the log dropped it to follow.

An election orders the best of the listed servers, and waits for a better one than an empty server only where another server has reported a log. What a host could not read counted as nothing.

core::succession now takes from View whether the host may lack servers: an entry cannot be read whose server it does not know, for 4 s, or the only list that it has read is that of a copy, for 4 s after the restore. Such a host claims no change, and gives no order under a claim that it has, unless a server with a log has reported, for at most 10 s from when it first missed a primary. A running server has rewritten its entry by then, and hosts that know all servers act meanwhile. A leaving primary is replaced as before.

--- a/crates/core/src/epoch.rs
+++ b/crates/core/src/epoch.rs
@@ -177,9 +177,9 @@
         self.store_epoch.is_some() && now >= self.store_epoch_since + CLAIM_REWRITE_TIME
     }
 
-    /// Reports whether the list of servers may be that of a copy, on a host that does not know when
-    /// the store's epoch began.
-    pub fn may_list_be_copied(&self, now: Duration) -> bool {
+    /// Reports whether the store's epoch may have begun a moment ago, as far as its own answers
+    /// tell: servers may not have written their entries again.
+    pub fn is_epoch_recent(&self, now: Duration) -> bool {
         self.store_epoch.is_none() || now < self.store_epoch_since + SERVER_REWRITE_TIME
     }
 
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -83,6 +83,8 @@
     retry_at: Duration,
     reserved_token: Option<FencingToken>,
     outvoted_since: Option<Duration>,
+    /// Since when this host has missed a primary while it may not know all servers.
+    servers_lacking_since: Option<Duration>,
     /// When this host learned that the primary is about to leave.
     leaving_since: Option<Duration>,
     leader_history: LeaderHistory,
@@ -292,6 +294,10 @@
         if view.trouble.is_none() {
             self.leaving_since = None;
         }
+        let may_lack_servers = self.may_lack_servers(view, now);
+        if let Some(inquiry) = self.inquiry_mut() {
+            inquiry.may_lack_servers = may_lack_servers;
+        }
         match std::mem::take(&mut self.phase) {
             Phase::Watching => self.detect_failure(view, now),
             Phase::Inquiring(inquiry) => self.evaluate_inquiry(inquiry, view, now),
@@ -355,6 +361,21 @@
         }
     }
 
+    /// Reports whether servers that this host does not know may have the service's log, and are
+    /// still worth waiting for.
+    fn may_lack_servers(&mut self, view: &View, now: Duration) -> bool {
+        if view.trouble.is_none() {
+            self.servers_lacking_since = None;
+        }
+        // A leaving primary is known, and there are only seconds left to replace it.
+        let misses_primary = !matches!(view.trouble, None | Some(Trouble::Leaving));
+        if !misses_primary || !view.may_lack_servers {
+            return false;
+        }
+        let since = *self.servers_lacking_since.get_or_insert(now);
+        now < since + RETURN_TIMEOUT
+    }
+
     fn detect_failure(&mut self, view: &View, now: Duration) -> Vec<NextStep> {
         let Some(trouble) = view.trouble else {
             return Vec::new();
@@ -411,6 +432,13 @@
                 self.outvoted_since.get_or_insert(now);
                 Vec::new()
             }
+            Decision::Replace if inquiry.must_await_servers(view, &self.leader_history, now) => {
+                match now >= inquiry.deadline {
+                    true => self.retry_at = now + INQUIRY_BACKOFF,
+                    false => self.phase = Phase::Inquiring(inquiry),
+                }
+                Vec::new()
+            }
             Decision::Replace => {
                 self.outvoted_since = None;
                 self.phase = Phase::Claiming(inquiry);
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -54,6 +54,8 @@
     pub(super) servers_asked_at: Duration,
     /// Servers that have answered an earlier request and not yet the last one.
     pub(super) unconfirmed: BTreeSet<ServerKey>,
+    /// Whether servers that this host does not know may have the service's log.
+    pub(super) may_lack_servers: bool,
 }
 
 /// The result of an inquiry.
@@ -216,7 +218,7 @@
         let Some((best, report)) = best.and_then(|it| Some((it, self.reports.get(&it)?))) else {
             return false;
         };
-        if report.has_empty_log() && self.any_has_log(view) {
+        if report.has_empty_log() && (self.any_has_log(view) || self.may_lack_servers) {
             return true;
         }
         if now >= self.started_at + RETURN_TIMEOUT {
@@ -270,6 +272,23 @@
         }
     }
 
+    /// Reports whether a claim has to wait because this host may not know the servers that have the
+    /// service's log. It goes ahead once a server with a log has reported.
+    ///
+    /// Guards against an election by a host that has just started: of three servers it knew the one
+    /// that had lost its log 2 ms before, and ordered it 28 ms later. The other two had 199 entries
+    /// and dropped them to follow it. Hosts that know all servers act meanwhile.
+    pub(super) fn must_await_servers(
+        &self,
+        view: &View,
+        history: &LeaderHistory,
+        now: Duration,
+    ) -> bool {
+        let best = self.best_candidate(view, history, now);
+        let report = best.and_then(|best| self.reports.get(&best));
+        self.may_lack_servers && report.is_none_or(Report::has_empty_log)
+    }
+
     /// Reports whether the primary has been missed for so long that any server is better than none.
     fn has_waited_long(&self, view: &View, now: Duration) -> bool {
         let since = match view.trouble {
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -27,6 +27,9 @@
     pub trouble: Option<Trouble>,
     /// Servers that may be promoted: listed and not leaving.
     pub candidates: BTreeSet<ServerKey>,
+    /// Whether the service may have servers that this host does not know, because it has not read a
+    /// usable list of them.
+    pub may_lack_servers: bool,
     /// The other hosts whose opinions count.
     pub peers: BTreeSet<HostKey>,
     /// How many hosts take their turn before this one while the store is unavailable.
--- a/crates/core/tests/epoch.rs
+++ b/crates/core/tests/epoch.rs
@@ -97,6 +97,7 @@
             synchronous: false,
             newest_position: Position::default(),
             required_positions: BTreeMap::new(),
+            may_lack_servers: false,
             previous_starts: BTreeMap::new(),
             distrusted: BTreeSet::new(),
         }
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -9,7 +9,7 @@
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::{
     DIVIDED_DELAY, FencingToken, INQUIRY_TIMEOUT, MINORITY_DELAY, NextStep, OBJECTION_TIMEOUT,
-    Opinion, Order, PromotionTimer, Report, Succession, Trouble, View,
+    Opinion, Order, PromotionTimer, RETURN_TIMEOUT, Report, Succession, Trouble, View,
 };
 use flamingopost_core::term::Term;
 
@@ -61,6 +61,7 @@
         synchronous: false,
         newest_position: position(1, 40),
         required_positions: BTreeMap::new(),
+        may_lack_servers: false,
         previous_starts: BTreeMap::new(),
         distrusted: BTreeSet::new(),
     };
@@ -253,6 +254,72 @@
     assert_eq!(setup.step(ms(1_032)), [order]);
 }
 
+/// Guards against the promotion of an empty server by a host that has just started and does not
+/// know the servers that have the log: they drop it to follow. It goes ahead when it has waited for
+/// as long as servers take to come back.
+#[test]
+fn a_host_that_may_not_know_all_servers_claims_nothing_for_an_empty_one() {
+    let mut setup = setup();
+    setup.view.leader = None;
+    setup.view.trouble = Some(Trouble::Absent { since: ms(0) });
+    setup.view.candidates = BTreeSet::from([setup.servers[1]]);
+    setup.view.may_lack_servers = true;
+    let mut claimed_at = None;
+    let mut now = ms(20_000);
+    while claimed_at.is_none() && now < ms(40_000) {
+        let next = setup.step(now);
+        if next.contains(&NextStep::AskHosts) {
+            setup.succession.record_report(setup.servers[1], replica(0));
+            setup.record_opinions(5, 0);
+        }
+        if next.contains(&NextStep::Claim) {
+            claimed_at = Some(now);
+        }
+        now += ms(20);
+    }
+    let waited = claimed_at.expect("a claim") - ms(20_000);
+    assert!(waited >= RETURN_TIMEOUT, "claimed after {waited:?}");
+    assert!(
+        waited < RETURN_TIMEOUT + ms(1_000),
+        "claimed after {waited:?}"
+    );
+}
+
+/// Guards against a wait for unknown servers where a known one has the log.
+#[test]
+fn a_host_that_may_not_know_all_servers_promotes_one_with_a_log() {
+    let mut setup = setup();
+    setup.view.may_lack_servers = true;
+    setup.step(ms(1_020));
+    setup.record_opinions(5, 0);
+    assert_eq!(setup.step(ms(1_021)), [], "no server has reported");
+    for (server, log) in [(1, 0), (2, 43)] {
+        let server = setup.servers[server];
+        setup.succession.record_report(server, replica(log));
+    }
+    assert_eq!(setup.step(ms(1_025)), [NextStep::Claim]);
+    setup.succession.claim_won(FencingToken(7), ms(1_032));
+    let order = setup.expected_order();
+    assert_eq!(setup.step(ms(1_032)), [order]);
+}
+
+/// Guards against an order for an empty server under a claim that was won while the list of servers
+/// was complete.
+#[test]
+fn no_empty_server_is_ordered_once_an_entry_of_the_list_is_unusable() {
+    let mut setup = setup();
+    setup.view.candidates = BTreeSet::from([setup.servers[1]]);
+    setup.step(ms(1_020));
+    setup.succession.record_report(setup.servers[1], replica(0));
+    setup.record_opinions(5, 0);
+    assert_eq!(setup.step(ms(1_025)), [NextStep::Claim]);
+    setup.succession.claim_won(FencingToken(7), ms(1_032));
+    setup.view.may_lack_servers = true;
+    assert_eq!(setup.step(ms(1_040)), []);
+    let asks = [NextStep::AskHosts, NextStep::AskServers];
+    assert_eq!(setup.step(ms(1_300)), asks);
+}
+
 /// All remaining servers have lost their logs. Callers wait for a server with more for as long as a
 /// restart takes, not longer.
 #[test]
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -222,6 +222,7 @@
             synchronous: false,
             newest_position: position(1, 40),
             required_positions: BTreeMap::new(),
+            may_lack_servers: false,
             previous_starts: BTreeMap::new(),
             distrusted: BTreeSet::new(),
         }
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -61,6 +61,7 @@
         synchronous: true,
         newest_position: position(1, 40),
         required_positions: BTreeMap::new(),
+        may_lack_servers: false,
         previous_starts: BTreeMap::new(),
         distrusted: BTreeSet::new(),
     };
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -518,6 +518,7 @@
             trouble,
             newest_token: service.newest_order(),
             candidates: candidates.map(|(target, _)| target.server).collect(),
+            may_lack_servers: self.fleet.may_lack_servers() || self.may_list_be_copied(),
             peers: self
                 .fleet
                 .electors()
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -93,20 +93,19 @@
     /// Returns when all other servers were asked and reported that they follow in no newer term, if
     /// they did.
     async fn ask_other_servers(&self, service: &Rc<Service<C>>) -> Option<Duration> {
-        let is_list_complete = self.knows_all_servers(self.site.now());
+        let is_list_complete = self.fleet.knows_all_servers() && !self.may_list_be_copied();
         let confirmed_at = service.confirm_primary(self.site.now()).await;
         confirmed_at.filter(|_| is_list_complete)
     }
 
-    /// Reports whether the list of servers is known to be complete. A host that has just started
-    /// does not know whether the store was restored a moment ago, unless the claims in it were
-    /// verified since.
-    fn knows_all_servers(&self, now: Duration) -> bool {
+    /// Reports whether the list of servers may be that of a copy, as far as a host knows that has
+    /// just started. It is not once the claims in the store were verified in the same epoch.
+    pub(super) fn may_list_be_copied(&self) -> bool {
         let is_verified = self.claims_verified_in.get() >= self.epoch();
-        let may_be_copy = self
+        let is_recent = self
             .fleet
-            .with_epochs(|epochs, _| epochs.may_list_be_copied(now));
-        self.fleet.knows_all_servers() && (is_verified || !may_be_copy)
+            .with_epochs(|epochs, now| epochs.is_epoch_recent(now));
+        !is_verified && is_recent
     }
 
     /// Orders the primary that nobody can vouch for to lead. Returns whether it leads on in the
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -66,8 +66,8 @@
     pub contact_due: Notify,
     /// How far the platform's feeds have been read.
     pub feeds: Rc<Feeds>,
-    /// Whether the list of servers was read at least once.
-    server_list_read: Cell<bool>,
+    /// The store epoch in which the list of servers was first read.
+    server_list_read_in: Cell<Option<Epoch>>,
     /// Whether the store did not answer before the fleet was known.
     started_in_outage: Cell<bool>,
 }
@@ -77,8 +77,8 @@
 struct Servers {
     keys: SlotMap<ServerKey, String>,
     by_id: BTreeMap<String, ListedServer>,
-    /// Ids of entries that cannot be read.
-    unreadable: BTreeSet<String>,
+    /// Ids of entries that cannot be read, and since when.
+    unreadable: BTreeMap<String, Duration>,
     /// Incarnations of recently dropped servers, and when they were dropped.
     dropped: BTreeMap<String, (Incarnation, Duration)>,
 }
@@ -118,7 +118,7 @@
             electors: RefCell::default(),
             contact_due: Notify::new(),
             feeds: Rc::default(),
-            server_list_read: Cell::new(false),
+            server_list_read_in: Cell::new(None),
             started_in_outage: Cell::new(false),
         }
     }
@@ -137,7 +137,7 @@
     /// Reports whether enough is known to serve callers.
     pub fn is_known(&self) -> bool {
         let hosts = self.quorum.borrow().knows_hosts();
-        hosts && self.server_list_read.get() && self.version() > 0
+        hosts && self.server_list_read_in.get().is_some() && self.version() > 0
     }
 
     /// Records that a read from the store has failed.
@@ -163,6 +163,24 @@
         !copied && !unreadable && self.unconfigured.borrow().is_empty()
     }
 
+    /// Reports whether there may be running servers that this host cannot reach because it does not
+    /// know their addresses: an entry became unreadable a moment ago and its server was not listed
+    /// before, or this host has read no list but that of a backup from which the store was restored
+    /// a moment ago. A running server has rewritten its entry within [`SERVER_REWRITE_TIME`].
+    ///
+    /// An entry of a service that is not configured names no server of another service, and may stay
+    /// for long.
+    pub fn may_lack_servers(&self) -> bool {
+        let now = self.site.now();
+        let servers = self.servers.borrow();
+        let unreadable = servers.unreadable.iter().any(|(id, since)| {
+            !servers.by_id.contains_key(id) && now < *since + SERVER_REWRITE_TIME
+        });
+        let epochs = self.epochs.borrow();
+        let read_earlier = self.server_list_read_in.get() < Some(epochs.newest_epoch());
+        unreadable || !read_earlier && epochs.may_store_be_stale(now)
+    }
+
     /// Reports whether the configuration in force comes from a backup: the store was restored a
     /// moment ago, and other hosts have a newer version, which operators will write again.
     ///
@@ -231,7 +249,7 @@
         let missing: Vec<String> = {
             let (servers, unconfigured) = (self.servers.borrow(), self.unconfigured.borrow());
             let known = servers.by_id.keys().chain(unconfigured.keys());
-            let known = known.chain(&servers.unreadable);
+            let known = known.chain(servers.unreadable.keys());
             let missing = known.filter(|id| !named.contains(id.as_str()));
             missing.cloned().collect()
         };
@@ -245,7 +263,9 @@
                 change => self.apply_server_change(change),
             }
         }
-        if !self.server_list_read.replace(true) {
+        if self.server_list_read_in.get().is_none() {
+            let epoch = self.epochs.borrow().store_epoch();
+            self.server_list_read_in.set(Some(epoch));
             self.contact_due.notify_one();
         }
     }
@@ -260,9 +280,11 @@
             Change::Put(backend) => self.set_aside(backend),
             Change::Unusable(unusable) => {
                 self.report_unusable(SERVERS, &unusable);
+                let since = self.servers.borrow().unreadable.get(&unusable.id).copied();
                 self.mark_missing(&unusable.id);
+                let since = since.unwrap_or(self.site.now());
                 let mut servers = self.servers.borrow_mut();
-                servers.unreadable.insert(unusable.id);
+                servers.unreadable.insert(unusable.id, since);
             }
             Change::Removed(id) => self.mark_missing(&id),
         }
