Do not trust a primary that was found empty for new writes

A server whose log was found empty has nothing but what was written since, so no position proves its log.

--- a/crates/proxy/src/service/log_loss.rs
+++ b/crates/proxy/src/service/log_loss.rs
@@ -143,9 +143,15 @@
 
     /// Reports whether `position`, shown by a server that is not trusted, proves that it has the
     /// service's log.
+    ///
+    /// Nothing proves it for a server whose log was found empty: what it shows was written since.
+    /// Hosts that knew from the store alone that there had been writes know no position that it
+    /// lacks.
     pub(super) fn proves_log(&self, server: ServerKey, position: Position) -> bool {
+        let entry = self.servers.get(&server);
         let start = self.start_of_term(server, position.term);
-        self.log_extent.proves_since(position, start)
+        !entry.is_some_and(|entry| entry.found_empty)
+            && self.log_extent.proves_since(position, start)
             && !self.lacks_received_entries(server, position)
     }
 
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -135,6 +135,9 @@
         let is_seen = {
             let mut state = self.state.borrow_mut();
             state.distrust(server, self.site.now());
+            if let Some(entry) = state.servers.get_mut(&server) {
+                entry.found_empty = true;
+            }
             state.log_extent.has_position()
         };
         self.site.log(&Event::LogEmpty {
