Tell other hosts of empty primaries also without a known position

Hosts tell those that start which servers they do not trust, but only for services of which they know a position. Such a report is sent now also where a host knows of writes from the store alone, and tells the one that gets it that there were writes: without that, the start of the term proved the log. The message is unchanged.

--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -125,9 +125,11 @@
     /// Sends `to` how far this host has seen the logs of services reach.
     fn send_logs(&self, to: SocketAddr) {
         let services = self.fleet.services();
-        let logs = services
-            .iter()
-            .filter(|service| service.furthest_position().log > 0);
+        // A host that knows from the store alone that there were writes may have found a primary
+        // empty.
+        let logs = services.iter().filter(|service| {
+            service.has_seen_entries() || service.is_written() && !service.distrusted().is_empty()
+        });
         let logs: Vec<LogReport> = logs
             .map(|service| LogReport {
                 service: service.name.clone(),
@@ -173,6 +175,8 @@
         for log in logs {
             if let Some(service) = self.fleet.find_service(&log.service) {
                 service.record_peer_position(log.furthest.into());
+                // A report without a position is sent only if there were writes.
+                service.apply_store_record(true);
                 log.term_start
                     .iter()
                     .for_each(|it| service.record_term_start(it));
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -77,6 +77,11 @@
         self.failover_notify.notify_one();
     }
 
+    /// Reports whether this host knows of any write to the service.
+    pub fn is_written(&self) -> bool {
+        self.state.borrow().log_extent.is_written()
+    }
+
     /// Reports whether any server has shown a log entry.
     pub fn has_seen_entries(&self) -> bool {
         self.state.borrow().log_extent.has_position()
