Keep the log of a soak host whose log is not read while it runs

Once such a process has exited, what is left in the pipe is written to the log file of its start. The host sees the same full pipe as before while it runs, and nothing that is checked depends on the file.

an_unread_log_is_kept_once_the_host_has_exited failed before.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -42,7 +42,7 @@
     pub promotion: Duration,
     /// Time limit for a graceful shutdown.
     pub grace: Duration,
-    /// Whether its log goes to a pipe that is never read.
+    /// Whether its log goes to a pipe that is not read while the process runs.
     pub unread_log: bool,
 }
 
@@ -186,9 +186,21 @@
             // It may have exited just before.
             let _ = child.kill();
             let _ = child.wait();
+            self.keep_unread_log(&mut child, state.start_count);
         }
     }
 
+    /// Writes what an exited process left in the pipe that was not read to its log file. That is
+    /// the beginning of its log, up to the capacity of the pipe.
+    fn keep_unread_log(&self, child: &mut Child, start: u32) {
+        let Some(mut output) = child.stdout.take() else {
+            return;
+        };
+        // The log is only for a person who traces a failure: a run does not depend on it.
+        let _ = File::create(self.log_path(start))
+            .and_then(|mut file| std::io::copy(&mut output, &mut file));
+    }
+
     /// Waits for the process to exit. Returns `None` if it still runs after `limit`.
     pub async fn wait_for_exit(&self, limit: Duration) -> Option<ExitStatus> {
         let start = Instant::now();
@@ -199,7 +211,10 @@
                     return Some(ExitStatus::default());
                 };
                 if let Ok(Some(status)) = child.try_wait() {
-                    state.child = None;
+                    let start = state.start_count;
+                    if let Some(mut child) = state.child.take() {
+                        self.keep_unread_log(&mut child, start);
+                    }
                     state.last_disturbed = Some(Instant::now());
                     return Some(status);
                 }
@@ -216,7 +231,10 @@
             return None;
         }
         let status = state.child.as_mut()?.try_wait().ok()??;
-        state.child = None;
+        let start = state.start_count;
+        if let Some(mut child) = state.child.take() {
+            self.keep_unread_log(&mut child, start);
+        }
         Some(status)
     }
 
@@ -242,7 +260,8 @@
         process::condition(child.id()).unwrap_or_else(|error| error.to_string())
     }
 
-    /// Returns the host's log since its last start. A host with `unread_log` has no log file.
+    /// Returns the host's log since its last start. A host with `unread_log` has a log file only
+    /// once its process has exited.
     ///
     /// # Errors
     /// The log cannot be read.
@@ -250,7 +269,7 @@
         std::fs::read_to_string(self.log_path(self.lock().start_count))
     }
 
-    /// Returns the number of bytes of the log that wait in the pipe that is never read.
+    /// Returns the number of bytes of the log that wait in the pipe that is not read.
     pub fn unread_log_bytes(&self) -> u64 {
         let state = self.lock();
         let output = state.child.as_ref().and_then(|it| it.stdout.as_ref());
