Promote a leaving server where the others have lost their logs

A server that leaves was no candidate of a service without synchronous commits, and was not even asked. Where the others were empty, an empty one was the best, and was ordered at once.

Leaving servers are now asked too, unless the primary itself is only leaving, so that such a handover is as before. One that has entries goes before empty servers and after all that stay and have any. An empty server waits for the reports of leaving ones, and a leaving one for those of all that stay, both for up to RETURN_TIMEOUT. Where a server that stays may be promoted and has entries, nothing changes.

--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -168,10 +168,16 @@
     }
 
     fn all_reported(&self, view: &View) -> bool {
-        let others = view.candidates.iter();
-        others
-            .filter(|server| view.leader != Some(**server))
-            .all(|server| self.reports.contains_key(server))
+        self.have_reported(view, view.candidates.iter())
+    }
+
+    /// Reports whether all of `servers` except the primary have reported.
+    fn have_reported<'a>(
+        &self,
+        view: &View,
+        mut servers: impl Iterator<Item = &'a ServerKey>,
+    ) -> bool {
+        servers.all(|server| view.leader == Some(*server) || self.reports.contains_key(server))
     }
 
     /// Reports whether waiting for further reports gains nothing.
@@ -208,6 +214,9 @@
     /// and may be the only server with a log: 242 acknowledged writes were rolled back for an empty
     /// server that had just been listed again. After [`RETURN_TIMEOUT`] without a primary, the
     /// former primary is the best candidate.
+    ///
+    /// A leaving server may be the only one with the log, so an empty server waits for its report
+    /// too. It is gone after some seconds, so it waits for every server that stays.
     pub(super) fn may_find_better(
         &self,
         view: &View,
@@ -231,6 +240,7 @@
             |mark: &Position| report.received < *mark || report.has_empty_log() && mark.log > 0;
         let behind = required.is_some_and(lacks);
         let incomplete = !self.all_reported(view);
+        let unheard = incomplete || !self.have_reported(view, promotable_leaving(view));
         // The old primary may come back with its log, and is no candidate while it is down. It is
         // worth the wait when the alternative is a server that has lost its whole log.
         let lost_all = report.has_empty_log() && behind;
@@ -238,7 +248,8 @@
         let is_leaving = self.cause == Some(Trouble::Leaving) && view.newest_position.log > 0;
         lost_all
             || is_leaving && report.has_empty_log()
-            || incomplete && (report.has_empty_log() || behind)
+            || unheard && report.has_empty_log()
+            || incomplete && (behind || view.leaving.contains(&best))
     }
 
     /// Returns the candidate with the longest log. On a tie all hosts choose the lowest key.
@@ -308,23 +319,42 @@
         report.is_some_and(|report| !report.has_empty_log())
     }
 
+    /// Returns the server with the longest log among those that are `eligible`. A leaving server
+    /// comes after all that stay and have entries, and before those without any.
+    ///
+    /// Guards against the loss of the whole log. A leaving server was never promoted, and empty
+    /// ones that had just restarted were the only candidates: 101 to 181 acknowledged writes were
+    /// lost in 8 of 16 runs of two plans. In one of them the server did not leave at all: the store
+    /// had been restored from a copy, with the server's entry from before its last restart.
     fn longest_log(
         &self,
         view: &View,
         eligible: impl Fn(&ServerKey, &Report) -> bool,
     ) -> Option<ServerKey> {
-        let candidates = view.candidates.iter().filter_map(|server| {
+        let servers = view.candidates.iter().chain(promotable_leaving(view));
+        let candidates = servers.filter_map(|server| {
             let report = self.reports.get(server)?;
             let is_replica = view.leader != Some(*server) && report.role == Role::Replica;
             let confirmed = self.has_confirmed(*server);
-            let order = (!report.has_empty_log(), report.received, confirmed);
-            (is_replica && eligible(server, report)).then_some((order, *server))
+            let has_entries = !report.has_empty_log();
+            let stays = !view.leaving.contains(server);
+            let order = (has_entries, stays, report.received, confirmed);
+            let qualifies = is_replica && (has_entries || stays) && eligible(server, report);
+            qualifies.then_some((order, *server))
         });
         let best = candidates.max_by_key(|(order, _)| *order);
         best.map(|(_, server)| server)
     }
 }
 
+/// Returns the leaving servers that may be promoted: none while the primary is only leaving itself,
+/// since it still sends its log to the servers that stay.
+fn promotable_leaving(view: &View) -> impl Iterator<Item = &ServerKey> {
+    let primary_leaves = view.trouble == Some(Trouble::Leaving);
+    let leaving = view.leaving.iter();
+    leaving.filter(move |_| !primary_leaves)
+}
+
 impl Report {
     /// Reports whether the log is empty. Its position may carry the newest term all the same, and
     /// would then compare greater than every log that ends in an older one.
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -27,6 +27,9 @@
     pub trouble: Option<Trouble>,
     /// Servers that may be promoted: listed and not leaving.
     pub candidates: BTreeSet<ServerKey>,
+    /// Listed servers that are about to leave. One of them is promoted only if it has entries of
+    /// the log and no candidate has any.
+    pub leaving: BTreeSet<ServerKey>,
     /// Whether the service may have servers that this host does not know, because it has not read a
     /// usable list of them.
     pub may_lack_servers: bool,
--- a/crates/core/tests/epoch.rs
+++ b/crates/core/tests/epoch.rs
@@ -90,6 +90,7 @@
             terms_led: BTreeMap::new(),
             trouble: Some(Trouble::Silent { since: ms(0) }),
             candidates: self.servers.iter().copied().collect(),
+            leaving: BTreeSet::new(),
             peers: electors.filter(|key| host.others.contains(key)).collect(),
             rank: 0,
             newest_token: None,
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -54,6 +54,7 @@
         terms_led: BTreeMap::new(),
         trouble: Some(Trouble::Refuses { since: ms(1_000) }),
         candidates: servers.into_iter().collect(),
+        leaving: BTreeSet::new(),
         peers: hosts.iter().copied().collect(),
         rank: 2,
         newest_token: None,
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -215,6 +215,7 @@
             terms_led: BTreeMap::new(),
             trouble,
             candidates: self.server_keys.iter().copied().collect(),
+            leaving: BTreeSet::new(),
             peers: peers.iter().map(|peer| self.host_keys[*peer]).collect(),
             rank: u32::try_from(host).unwrap_or(u32::MAX),
             newest_token: None,
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -54,6 +54,7 @@
         terms_led: BTreeMap::new(),
         trouble: None,
         candidates: servers.iter().copied().collect(),
+        leaving: BTreeSet::new(),
         peers: hosts.iter().copied().collect(),
         rank: 0,
         newest_token: None,
@@ -428,3 +429,60 @@
     let server = ordered.map(|(server, _)| server);
     assert_eq!(server, Some(setup.servers[1]), "{ordered:?}");
 }
+
+/// A service whose primary has failed, a replica that has lost its log, and one that is about to
+/// leave and has the whole log.
+fn setup_with_an_empty_and_a_leaving_replica() -> (Setup, [(ServerKey, Report); 2]) {
+    let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
+    setup.view.synchronous = false;
+    setup.view.candidates.remove(&setup.servers[2]);
+    setup.view.leaving.insert(setup.servers[2]);
+    let reports = [
+        (setup.servers[1], replica(1, position(1, 0))),
+        (setup.servers[2], replica(1, position(1, 40))),
+    ];
+    (setup, reports)
+}
+
+/// Guards against the loss of the whole log: the only server that had it was about to leave, or the
+/// list said so by an entry from before its last restart. It was no candidate, and an empty server
+/// was promoted.
+#[test]
+fn a_leaving_server_with_the_log_is_preferred_to_an_empty_one() {
+    let (mut setup, reports) = setup_with_an_empty_and_a_leaving_replica();
+    let ordered = setup.fail_primary(&reports, ms(1_000), ms(2_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(setup.servers[2]), "{ordered:?}");
+}
+
+/// Guards against two changes in a row: a leaving server is gone after some seconds, so any server
+/// that stays and has entries goes first.
+#[test]
+fn a_leaving_server_is_passed_over_for_one_with_entries() {
+    let (mut setup, mut reports) = setup_with_an_empty_and_a_leaving_replica();
+    reports[0].1 = replica(1, position(1, 30));
+    let ordered = setup.fail_primary(&reports, ms(1_000), ms(2_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(setup.servers[1]), "{ordered:?}");
+}
+
+/// Guards against the promotion of a leaving server while one that stays and may have the log has
+/// not answered yet.
+#[test]
+fn a_leaving_server_is_not_promoted_while_another_may_answer() {
+    let (mut setup, reports) = setup_with_an_empty_and_a_leaving_replica();
+    let reports = &reports[1..];
+    assert_eq!(setup.fail_primary(reports, ms(1_000), ms(9_000)), None);
+}
+
+/// Guards against the loss of the whole log: the former primary stepped down for a successor that
+/// lost its log before it led, and was about to leave itself. The empty successor was the only
+/// candidate and was promoted at once.
+#[test]
+fn an_empty_server_is_not_promoted_while_a_former_primary_with_the_log_is_leaving() {
+    let (mut setup, reports) = setup_with_an_empty_and_a_leaving_replica();
+    setup
+        .succession
+        .record_leader(setup.servers[2], Term::from_number(1));
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(9_000)), None);
+}
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -329,16 +329,18 @@
         }
     }
 
-    /// Queries the status of all serving servers. For a service with synchronous commits, the other
-    /// servers are queried as well, since any of them may be the only one that holds a commit.
+    /// Queries the status of all servers. While the primary is only leaving, other leaving servers are
+    /// no candidates and left out, unless the service has synchronous commits: any of them may be the
+    /// only one that holds a commit.
     fn ask_servers(
         self: &Rc<Self>,
         service: &Rc<Service<C>>,
         succession: &Rc<RefCell<Succession>>,
     ) {
-        let synchronous = self.fleet.is_synchronous(&service.name);
+        let all = self.fleet.is_synchronous(&service.name)
+            || self.trouble(service) != Some(Trouble::Leaving);
         for (target, state) in service.targets() {
-            if state != ServerState::Serving && !synchronous {
+            if state != ServerState::Serving && !all {
                 continue;
             }
             let (election, service) = (Rc::clone(self), Rc::clone(service));
@@ -507,9 +509,13 @@
         let targets = service.targets();
         let synchronous = self.fleet.is_synchronous(&service.name);
         // A leaving replica still receives the log and may be the only one that holds a commit.
-        let candidates = targets
+        let (candidates, leaving): (Vec<_>, Vec<_>) = targets
             .iter()
-            .filter(|(_, state)| synchronous || *state == ServerState::Serving);
+            .partition(|(_, state)| synchronous || *state == ServerState::Serving);
+        let keys = |targets: Vec<&(Target, ServerState)>| {
+            let keys = targets.into_iter().map(|(target, _)| target.server);
+            keys.collect()
+        };
         View {
             leader: service.leader(),
             term: service.newest_term(),
@@ -517,7 +523,8 @@
             terms_led: service.led_by(),
             trouble,
             newest_token: service.newest_order(),
-            candidates: candidates.map(|(target, _)| target.server).collect(),
+            candidates: keys(candidates),
+            leaving: keys(leaving),
             may_lack_servers: self.fleet.may_lack_servers() || self.may_list_be_copied(),
             peers: self
                 .fleet
