Give no order on a report that its server does not repeat

A host that waits for its turn, or for leases to end, asks servers again before it gives an order. A server that did not answer again kept its report, which went before a confirmed shorter log, and was ordered once a round of 220 ms was over: in a test, 1 s after its report. It may have restarted without its log meanwhile. An order names no start of a server, so it is carried out all the same and rolls back what the others have.

An order now rests on an answer of the last round. An older report is a reason to ask on, for up to RETURN_TIMEOUT; after that, servers that have answered go first. A server that refuses or closes a connection has no report any more. Where servers answer, nothing changes.

a_server_that_does_not_answer_again_is_not_promoted, the_wait_for_a_server_that_does_not_answer_again_is_bounded and a_server_that_refuses_connections_since_its_report_is_passed_over failed before; a_server_that_answers_late_is_waited_for shows that a busy server keeps its place.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -214,6 +214,14 @@
         }
     }
 
+    /// Records that `server` has refused a connection or closed it: its process may have ended since
+    /// its report, and its log may be gone.
+    pub fn record_refusal(&mut self, server: ServerKey) {
+        if let Some(inquiry) = self.inquiry_mut() {
+            inquiry.drop_report(server);
+        }
+    }
+
     /// Records that another host is replacing the primary, and waits for the effect.
     pub fn defer_to_peer(&mut self, now: Duration) {
         match self.phase {
@@ -543,7 +551,8 @@
                 vec![NextStep::AskServers]
             }
             Some(server)
-                if complete && inquiry.has_confirmed(server) || timed_out && !must_wait =>
+                if inquiry.has_confirmed(server) && complete
+                    || inquiry.may_rest_on(server, now) && timed_out && !must_wait =>
             {
                 let position = inquiry.received_position(server);
                 self.phase = Phase::Ordering {
@@ -553,7 +562,7 @@
                 };
                 vec![NextStep::Promote { server, token }]
             }
-            _ if timed_out && (must_wait || !leases_ended) => {
+            _ if timed_out && (must_wait || !leases_ended || best.is_some()) => {
                 inquiry.ask_again(now);
                 self.phase = Phase::Choosing {
                     token,
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -128,14 +128,20 @@
         self.reports.insert(server, report);
     }
 
+    /// Drops the report of a server that may have lost its log since.
+    pub(super) fn drop_report(&mut self, server: ServerKey) {
+        self.unconfirmed.remove(&server);
+        self.reports.remove(&server);
+    }
+
     /// Returns the replication position that `server` has reported.
     pub(super) fn received_position(&self, server: ServerKey) -> Position {
         let report = self.reports.get(&server);
         report.map_or_else(Position::default, |report| report.received)
     }
 
-    /// Starts another round of requests to servers. Earlier reports stay valid for servers that do
-    /// not answer again.
+    /// Starts another round of requests to servers. The earlier report of a server that does not
+    /// answer again is a reason to wait for that server, but none to promote it.
     pub(super) fn ask_again(&mut self, now: Duration) {
         self.servers_asked_at = now;
         self.unconfirmed = self.reports.keys().copied().collect();
@@ -147,6 +153,9 @@
     /// does not name a start of the server, so it is carried out all the same and rolls back what
     /// the other servers have. In a test with servers that restarted one after the other, orders
     /// given without the store rested on reports that were 0.8 s old.
+    ///
+    /// A server that is asked again and does not answer may be restarting without its log, so it is
+    /// asked until it answers, or [`RETURN_TIMEOUT`] has passed.
     pub(super) fn are_reports_outdated(&self, now: Duration) -> bool {
         now > self.servers_asked_at + REPORT_AGE_MAX
     }
@@ -156,6 +165,17 @@
         !self.unconfirmed.contains(&server)
     }
 
+    /// Reports whether an order for `server` may rest on its report once a round of requests has
+    /// ended. After [`RETURN_TIMEOUT`] any server is better than none.
+    pub(super) fn may_rest_on(&self, server: ServerKey, now: Duration) -> bool {
+        self.has_confirmed(server) || self.is_overdue(now)
+    }
+
+    /// Reports whether servers that have not answered again have had the time of a restart.
+    fn is_overdue(&self, now: Duration) -> bool {
+        now >= self.started_at + RETURN_TIMEOUT
+    }
+
     fn count(&self, opinion: Opinion) -> usize {
         self.opinions.values().filter(|it| **it == opinion).count()
     }
@@ -200,7 +220,7 @@
             .best_candidate(view, history, now)
             .and_then(|best| self.reports.get(&best));
         let has_all = best.is_some_and(|report| report.received >= view.newest_position);
-        has_all || now >= self.started_at + RETURN_TIMEOUT
+        has_all || self.is_overdue(now)
     }
 
     /// Reports whether a better candidate than the current best may still report.
@@ -227,10 +247,10 @@
         let Some((best, report)) = best.and_then(|it| Some((it, self.reports.get(&it)?))) else {
             return false;
         };
-        if report.has_empty_log() && (self.any_has_log(view) || self.may_lack_servers) {
+        if report.has_empty_log() && (self.any_has_log(view, now) || self.may_lack_servers) {
             return true;
         }
-        if now >= self.started_at + RETURN_TIMEOUT {
+        if self.is_overdue(now) {
             return false;
         }
         let required = view.required_positions.get(&best);
@@ -271,8 +291,8 @@
             !history.has_unmerged_log(*server, report)
                 || trusts_report && history.follows_newest_primary(*server, report)
         };
-        let best = self.longest_log(view, eligible);
-        let longest = self.longest_log(view, |_, _| true);
+        let best = self.longest_log(view, now, eligible);
+        let longest = self.longest_log(view, now, |_, _| true);
         let waited = self.has_waited_long(view, now);
         let is_empty =
             |server: ServerKey| self.reports.get(&server).is_some_and(Report::has_empty_log);
@@ -313,14 +333,15 @@
 
     /// Reports whether some server that has reported, including those passed over so far, has a
     /// log.
-    fn any_has_log(&self, view: &View) -> bool {
-        let longest = self.longest_log(view, |_, _| true);
+    fn any_has_log(&self, view: &View, now: Duration) -> bool {
+        let longest = self.longest_log(view, now, |_, _| true);
         let report = longest.and_then(|longest| self.reports.get(&longest));
         report.is_some_and(|report| !report.has_empty_log())
     }
 
     /// Returns the server with the longest log among those that are `eligible`. A leaving server
-    /// comes after all that stay and have entries, and before those without any.
+    /// comes after all that stay and have entries, and before those without any. A server that has
+    /// not answered again comes after those that have, once it has had the time of a restart.
     ///
     /// Guards against the loss of the whole log. A leaving server was never promoted, and empty
     /// ones that had just restarted were the only candidates: 101 to 181 acknowledged writes were
@@ -329,6 +350,7 @@
     fn longest_log(
         &self,
         view: &View,
+        now: Duration,
         eligible: impl Fn(&ServerKey, &Report) -> bool,
     ) -> Option<ServerKey> {
         let servers = view.candidates.iter().chain(promotable_leaving(view));
@@ -336,9 +358,10 @@
             let report = self.reports.get(server)?;
             let is_replica = view.leader != Some(*server) && report.role == Role::Replica;
             let confirmed = self.has_confirmed(*server);
+            let counts = confirmed || !self.is_overdue(now);
             let has_entries = !report.has_empty_log();
             let stays = !view.leaving.contains(server);
-            let order = (has_entries, stays, report.received, confirmed);
+            let order = (has_entries, stays, counts, report.received, confirmed);
             let qualifies = is_replica && (has_entries || stays) && eligible(server, report);
             qualifies.then_some((order, *server))
         });
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -290,6 +290,113 @@
     assert_eq!(servers, [setup.servers[1]], "{orders:?}");
 }
 
+/// What a server does when it is asked.
+#[derive(Debug, Clone, Copy)]
+enum Answer {
+    Log(u64),
+    Refuses,
+    Silent,
+}
+
+/// The store is unavailable, so this host waits 0.75 s for its turn, and then asks again. One
+/// replica has 40 entries, and the other one 43 at first; `later` tells what the other one does
+/// when it is asked again. Returns the orders until 14 s.
+fn orders_in_turn(later: impl Fn(Duration) -> Answer) -> Vec<(usize, Duration)> {
+    let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
+    setup.view.synchronous = false;
+    setup.succession.reserve_token(FencingToken(7));
+    setup.view.trouble = Some(Trouble::Refuses { since: ms(1_000) });
+    let mut orders = Vec::new();
+    for now in (1_000..14_000).step_by(20).map(ms) {
+        let steps = setup.succession.step(&setup.view, now);
+        for host in &setup.hosts {
+            setup.succession.record_opinion(*host, Opinion::Fails);
+        }
+        for next in steps {
+            match next {
+                NextStep::Claim => setup.succession.claim_undecided(3, now),
+                NextStep::AskServers => {
+                    let other = match now < ms(1_300) {
+                        true => Answer::Log(43),
+                        false => later(now),
+                    };
+                    for (server, answer) in [(1, Answer::Log(40)), (2, other)] {
+                        let server = setup.servers[server];
+                        match answer {
+                            Answer::Log(log) => {
+                                let report = replica(1, position(1, log));
+                                setup.succession.record_report(server, report);
+                            }
+                            Answer::Refuses => setup.succession.record_refusal(server),
+                            Answer::Silent => {}
+                        }
+                    }
+                }
+                NextStep::Promote { server, .. } => {
+                    let number = setup.servers.iter().position(|it| *it == server);
+                    orders.push((number.expect("a server"), now));
+                }
+                NextStep::AskHosts => {}
+            }
+        }
+    }
+    orders
+}
+
+/// Guards against an order that rests on an old report of a server that does not answer again: it
+/// may be restarting without its log, and everything that the other replica has would be rolled
+/// back.
+#[test]
+fn a_server_that_does_not_answer_again_is_not_promoted() {
+    let orders = orders_in_turn(|now| match now < ms(4_000) {
+        true => Answer::Silent,
+        false => Answer::Log(0),
+    });
+    let [(server, at)] = orders[..] else {
+        panic!("{orders:?}");
+    };
+    assert_eq!(server, 1, "{orders:?}");
+    assert!((ms(4_000)..ms(4_500)).contains(&at), "{orders:?}");
+}
+
+/// Guards against the loss of a longer log whose server is only too busy to answer for a while.
+#[test]
+fn a_server_that_answers_late_is_waited_for() {
+    let orders = orders_in_turn(|now| match now < ms(4_000) {
+        true => Answer::Silent,
+        false => Answer::Log(43),
+    });
+    let [(server, at)] = orders[..] else {
+        panic!("{orders:?}");
+    };
+    assert_eq!(server, 2, "{orders:?}");
+    assert!((ms(4_000)..ms(4_500)).contains(&at), "{orders:?}");
+}
+
+/// Guards against a service without a primary for as long as the server with the longest log is
+/// silent.
+#[test]
+fn the_wait_for_a_server_that_does_not_answer_again_is_bounded() {
+    let orders = orders_in_turn(|_| Answer::Silent);
+    let [(server, at)] = orders[..] else {
+        panic!("{orders:?}");
+    };
+    assert_eq!(server, 1, "{orders:?}");
+    assert!((ms(11_000)..ms(12_000)).contains(&at), "{orders:?}");
+}
+
+/// Guards against an order for a server whose process has ended since its report, and against a
+/// wait for it: only a server that may have its log is worth one.
+#[test]
+fn a_server_that_refuses_connections_since_its_report_is_passed_over() {
+    let orders = orders_in_turn(|_| Answer::Refuses);
+    let [(server, at)] = orders[..] else {
+        panic!("{orders:?}");
+    };
+    assert_eq!(server, 1, "{orders:?}");
+    assert!(at < ms(2_500), "{orders:?}");
+}
+
 /// A primary steps down for a successor that dies before it leads. The only other server has
 /// restarted without its log, and its entry is new to the list. The old primary has everything that
 /// was acknowledged, but was passed over as replaced, and all data was lost.
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -346,8 +346,13 @@
             let (election, service) = (Rc::clone(self), Rc::clone(service));
             let succession = Rc::clone(succession);
             tokio::task::spawn_local(async move {
-                let Probe::Status(status) = election.query_status(&service, &target).await else {
-                    return;
+                let status = match election.query_status(&service, &target).await {
+                    Probe::Status(status) => status,
+                    Probe::Refused => {
+                        succession.borrow_mut().record_refusal(target.server);
+                        return;
+                    }
+                    Probe::Alive | Probe::Silent => return,
                 };
                 let report = Report {
                     role: status.role,
