Test which replaced entries count as lost, not as rolled back

The soak reports exactly one lost write, beside others that count as rolled back, where the promoted server has another entry of its own in the place of one of the old primary's, and some server still has the latter. Nobody had tested that with a third server that the primary does not reach, nor with a replica that is promoted, and it was asked whether the stand-in miscounts.

It does not: a server that had the entry was there, and could have been chosen or waited for.

--- a/crates/standin/tests/pooled.rs
+++ b/crates/standin/tests/pooled.rs
@@ -131,6 +131,54 @@
     assert_eq!(group.dropped(), []);
 }
 
+/// The same while the successor has lost its log, and a third server still has it that the primary does not
+/// reach. Whoever promoted the replaced one could have chosen that server: what stood in the place
+/// of the replaced one's entry is lost, also once the third server gives it up.
+#[tokio::test]
+async fn what_a_deaf_server_has_is_lost_by_the_promotion_of_a_replaced_primary() {
+    let site = platform().await;
+    let group = site.group("ledger");
+    group.set_replaced(Replaced::LeadsOn);
+    group.set_deaf("ledger-1", true);
+    assert!(group.promote("ledger-2"));
+    for (server, item) in [("ledger-2", "car-2"), ("ledger-1", "car-4")] {
+        store(&site, server, item).await;
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    group.set_deaf("ledger-3", true);
+    start_again_empty(&site, "ledger-2").await;
+    assert!(group.promote("ledger-1"));
+    assert_eq!(group.dropped(), []);
+    group.set_deaf("ledger-3", false);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(group.promote("ledger-3"));
+    let log: Vec<String> = group.log().into_iter().map(|it| it.item).collect();
+    assert_eq!(log, ["car-1", "car-4"]);
+    assert_eq!(group.dropped(), []);
+}
+
+/// The same where the promoted server is a replica that was ahead of the successor, and the
+/// successor is down with its log. What follows its last entry is rolled back, as by any replica
+/// that is behind; what stood in the place of that entry is lost.
+#[tokio::test]
+async fn what_stood_in_the_place_of_a_deaf_replicas_entry_is_lost_while_a_server_has_it() {
+    let site = platform().await;
+    let group = site.group("ledger");
+    group.set_deaf("ledger-2", true);
+    store(&site, "ledger-1", "car-2").await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    group.set_deaf("ledger-3", true);
+    site.crash("ledger-1");
+    assert!(group.promote("ledger-2"));
+    for item in ["car-3", "car-4"] {
+        store(&site, "ledger-2", item).await;
+    }
+    site.crash("ledger-2");
+    assert!(group.promote("ledger-3"));
+    let dropped: Vec<String> = group.dropped().into_iter().map(|it| it.item).collect();
+    assert_eq!(dropped, ["car-2", "car-4"]);
+}
+
 /// Guards against a replica that gives up what it has received for the log of a primary that was replaced
 /// long before and leads on: the one between them has stepped down for a successor that does not lead yet.
 #[tokio::test]
