Wait for a former primary where the others followed only older terms

A former primary is passed over until its log has reached a newer term, because its successor may lead. Only an empty candidate waited for it.

A candidate that follows an older term than the log of the former primary now waits too, for up to RETURN_TIMEOUT; then the former primary is chosen. Nothing is risked for the successor: a server that had followed it would report its term, so the candidate has nothing of it either. As the entries of a former primary may have been dropped by a successor that a cut-off host does not know, this holds only where most hosts miss the primary. A replica that lags within the term is chosen at once, as before.

a_former_primary_with_its_log_is_preferred_to_a_server_of_an_older_term failed before: the server of the older term was ordered. The second test passed before and limits the rule.

--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -233,7 +233,8 @@
     /// A former primary that stepped down for a successor which never came to lead is passed over,
     /// and may be the only server with a log: 242 acknowledged writes were rolled back for an empty
     /// server that had just been listed again. After [`RETURN_TIMEOUT`] without a primary, the
-    /// former primary is the best candidate.
+    /// former primary is the best candidate. The same holds where the others have followed only
+    /// older terms, and most hosts miss the primary.
     ///
     /// A leaving server may be the only one with the log, so an empty server waits for its report
     /// too. It is gone after some seconds, so it waits for every server that stays.
@@ -253,6 +254,9 @@
         if self.is_overdue(now) {
             return false;
         }
+        if self.has_majority(view) && self.is_outclassed(report, view, now) {
+            return true;
+        }
         let required = view.required_positions.get(&best);
         // The position of an empty log carries the newest term, so it compares greater than every
         // log that ends in an older one.
@@ -296,8 +300,13 @@
         let waited = self.has_waited_long(view, now);
         let is_empty =
             |server: ServerKey| self.reports.get(&server).is_some_and(Report::has_empty_log);
+        let is_outclassed = |server: ServerKey| {
+            let report = self.reports.get(&server);
+            report.is_some_and(|report| self.is_outclassed(report, view, now))
+        };
         match best {
             Some(best) if is_empty(best) && waited => longest,
+            Some(best) if majority && waited && is_outclassed(best) => longest,
             Some(best) => Some(best),
             None => longest.filter(|_| waited && majority),
         }
@@ -339,6 +348,20 @@
         report.is_some_and(|report| !report.has_empty_log())
     }
 
+    /// Reports whether the server with the longest log, which may be passed over so far, follows a
+    /// newer term than the candidate that has sent `report` and has entries of that term.
+    ///
+    /// The candidate then lacks all that was written in the newer term, and has nothing of a
+    /// successor's either: a server that had followed that one would report its term. Guards
+    /// against such a candidate replacing a former primary that stepped down for a successor which
+    /// never came to lead: 47 commits were given up.
+    fn is_outclassed(&self, report: &Report, view: &View, now: Duration) -> bool {
+        let longest = self.longest_log(view, now, |_, _| true);
+        let longest = longest.and_then(|longest| self.reports.get(&longest));
+        longest
+            .is_some_and(|longest| longest.received.term > report.term && !longest.has_empty_log())
+    }
+
     /// Returns the server with the longest log among those that are `eligible`. A leaving server
     /// comes after all that stay and have entries, and before those without any. A server that has
     /// not answered again comes after those that have, once it has had the time of a restart.
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -434,6 +434,47 @@
     assert_eq!(ordered, Some(setup.servers[0]));
 }
 
+/// The successor of a former primary loses its log before it leads, and the only other server was cut
+/// off two terms before. The former primary has everything that was acknowledged since, and
+/// answers. It was passed over as replaced, and 47 commits were given up.
+#[test]
+fn a_former_primary_with_its_log_is_preferred_to_a_server_of_an_older_term() {
+    let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
+    setup.view.synchronous = false;
+    setup.view.term = Term::from_number(4);
+    setup.view.leader_term = Term::from_number(4);
+    setup.view.newest_position = position(4, 124);
+    setup.succession.step(&setup.view, ms(500));
+    setup.view.leader = None;
+    let former = replica(4, position(4, 124));
+    let reports = [
+        (setup.servers[0], former),
+        (setup.servers[1], replica(4, position(4, 0))),
+        (setup.servers[2], replica(2, position(2, 78))),
+    ];
+    let ordered = setup.fail_primary(&reports, ms(1_000), ms(20_000));
+    assert_eq!(ordered.map(|(server, _)| server), Some(setup.servers[0]));
+}
+
+/// As above, but the other server followed the former primary and only lags: the former primary
+/// may end with writes that its successor dropped, so it is passed over at once.
+#[test]
+fn a_former_primary_is_passed_over_for_a_lagging_replica_of_its_term() {
+    let mut setup = setup(&["ledger-1", "ledger-2"]);
+    setup.view.synchronous = false;
+    setup.succession.step(&setup.view, ms(500));
+    setup.view.leader = None;
+    let reports = [
+        (setup.servers[0], replica(1, position(1, 40))),
+        (setup.servers[1], replica(1, position(1, 38))),
+    ];
+    let (server, at) = setup
+        .fail_primary(&reports, ms(1_000), ms(20_000))
+        .expect("an order");
+    assert_eq!(server, setup.servers[1]);
+    assert!(at < ms(5_000), "{at:?}");
+}
+
 /// Two primaries leave one after the other, as in a rolling restart, and nothing else happens
 /// between. No host waited for its turn at the second one: all claimed and asked at the same time,
 /// which uses up the servers' connections.
