Keep a search for an order apart from elections, and vouch only with a primary

A review of the change found, by reading: hosts that know no primary vouched for all orders, and so did hosts that serve no service; a search could end the hold of an order that was heard of meanwhile, or order the primary beside an election; a newer term of the primary counted as knowledge of all orders; a hold for an order that a host had not heard of did as well; a claim that could not be written again after a restore was never tried again; and hosts that lost the claim asked for it every 200 ms.

A host now vouches only for services whose primary it knows and has settled. A search ends without a result when its server is not the primary of that term any more or its successor was ordered, and orders only while the primary is in no trouble. Whoever loses the claim waits until the holder has observed its order.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -83,7 +83,8 @@
     orders_known: Cell<bool>,
     /// The store epoch for which claims were last checked, and rewritten where necessary.
     claims_checked_in: Cell<Epoch>,
-    /// Changes that this host has ordered without a claim, which the store does not show yet.
+    /// Changes whose claims this host has yet to write: it ordered them without a claim, or the
+    /// store did not answer when they were to be written again after a restore.
     unclaimed_changes: RefCell<BTreeSet<(String, u64)>>,
     /// When this host last tried to claim such changes.
     late_claims_at: Cell<Duration>,
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -28,7 +28,7 @@
 /// Interval between two attempts to claim changes that were ordered without a claim.
 const LATE_CLAIM_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What the host that records the verification of claims is chosen by.
+/// Name by which hosts are ranked for recording the verification of claims.
 const CLAIMS_VERIFIER: &str = "claims";
 
 /// Pause after a failed attempt to record the verification of claims.
@@ -267,7 +267,8 @@
         let is_complete = self
             .fleet
             .with_epochs(|it, now| it.are_claims_complete(now));
-        if !is_complete || !self.has_known_orders_for(PROMOTION_TIMEOUT) {
+        let is_claimed = self.unclaimed_changes.borrow().is_empty();
+        if !is_complete || !is_claimed || !self.has_known_orders_for(PROMOTION_TIMEOUT) {
             return;
         }
         let attempted_at = self.verification_attempted_at.get();
@@ -300,10 +301,11 @@
             let host = &election.site.host;
             let claim = election.platform.claim(&service, attempt, host, None);
             let claimed = in_time(claim).await;
-            if claimed.is_ok() {
-                let mut unclaimed = election.unclaimed_changes.borrow_mut();
-                unclaimed.remove(&(service.clone(), attempt));
-            }
+            let change = (service.clone(), attempt);
+            match claimed.is_ok() {
+                true => election.unclaimed_changes.borrow_mut().remove(&change),
+                false => election.unclaimed_changes.borrow_mut().insert(change),
+            };
             let outcome = match claimed {
                 Ok(Claim::Won(_)) => "it was missing".to_owned(),
                 Ok(Claim::Held { by, .. }) => format!("held by {by}"),
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -208,12 +208,11 @@
         }
     }
 
-    /// Reports whether this host knows for each service that it serves whether its primary was
-    /// replaced before this host started.
+    /// Reports whether this host knows for each service whether its primary was replaced before this
+    /// host started.
     fn knows_prior_orders(&self) -> bool {
         let services = self.fleet.services();
-        let mut served = services.iter().filter(|it| self.fleet.serves(&it.name));
-        served.all(|it| it.knows_prior_orders())
+        !services.is_empty() && services.iter().all(|it| it.knows_prior_orders())
     }
 
     /// Logs that this host has lost or regained its lease.
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -17,7 +17,24 @@
 
 /// Interval between two rounds of questions to the other servers. Each round takes a connection and
 /// a slot at each of them.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Pause after a failed attempt to order the primary. It is longer than the host that holds the
+/// claim observes the effect of its order.
+const ORDER_RETRY_INTERVAL: Duration = PROMOTION_TIMEOUT.saturating_add(Duration::from_secs(1));
+
+/// Result of a search.
+#[derive(Debug, Clone, Copy, displaydoc::Display)]
+pub enum Outcome {
+    /// was not replaced
+    NotReplaced,
+    /// was replaced
+    Replaced,
+    /// was ordered to lead and leads
+    Ordered,
+    /// is not the primary of that term any more
+    Superseded,
+}
 
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Finds out whether a successor of the primary `target`, which reports `status`, was ordered
@@ -50,33 +67,38 @@
             election.site.log(&Event::OrderSearched {
                 service: service.name.clone(),
                 term: search.term().number(),
-                outcome,
+                outcome: outcome.to_string(),
                 millis: lasted.as_millis(),
             });
         });
     }
 
-    /// Searches until it is known whether the primary `target` was replaced, and returns the
-    /// outcome in words.
+    /// Searches until it is known whether the primary `target` was replaced.
     async fn search(
         &self,
         service: &Rc<Service<C>>,
         target: &Target,
         search: UnheardOrder,
-    ) -> &'static str {
+    ) -> Outcome {
+        let mut order_at = search.since();
         loop {
             sleep(SEARCH_INTERVAL).await;
             let confirmed_at = self.ask_other_servers(service).await;
-            match service.conclude_search(search, confirmed_at, self.claim_record()) {
-                Finding::Pending => {}
-                Finding::NotReplaced => return "was not replaced",
-                Finding::Replaced => return "was replaced",
-                Finding::Inconclusive => {
+            let claims = self.claim_record();
+            match service.conclude_search(search, target.server, confirmed_at, claims) {
+                None => return Outcome::Superseded,
+                Some(Finding::NotReplaced) => return Outcome::NotReplaced,
+                Some(Finding::Replaced) => return Outcome::Replaced,
+                Some(Finding::Inconclusive)
+                    if self.site.now() >= order_at && self.trouble(service).is_none() =>
+                {
                     if self.order_present_primary(service, target, search).await {
                         service.keep_primary(search);
-                        return "leads on, as ordered";
+                        return Outcome::Ordered;
                     }
+                    order_at = self.site.now() + ORDER_RETRY_INTERVAL;
                 }
+                Some(Finding::Pending | Finding::Inconclusive) => {}
             }
         }
     }
@@ -108,9 +130,8 @@
         !is_verified && is_recent
     }
 
-    /// Orders the primary that nobody can vouch for to lead. Returns whether it leads on in the
-    /// same term, because it was not replaced. Otherwise it begins a new term, or another server
-    /// leads.
+    /// Orders the primary that nobody can vouch for to lead. Returns whether it leads after that: a
+    /// new term if it was replaced, or else the same one.
     async fn order_present_primary(
         &self,
         service: &Rc<Service<C>>,
@@ -125,8 +146,8 @@
         self.order_and_observe(service, target, search, token).await
     }
 
-    /// Orders `target` to lead under `token`, and reports whether it still leads the term of
-    /// `search` once the order must have taken effect.
+    /// Orders `target` to lead under `token`, and reports whether it leads once the order has taken
+    /// effect: a term after that of `search`, or still that one after the time that an order takes.
     async fn order_and_observe(
         &self,
         service: &Rc<Service<C>>,
@@ -153,10 +174,12 @@
         while self.site.now() < effective {
             sleep(SEARCH_INTERVAL).await;
             if self.leads_newer_term(service, target, search).await == Some(true) {
-                return false;
+                return true;
             }
         }
-        self.leads_newer_term(service, target, search).await == Some(false)
+        self.leads_newer_term(service, target, search)
+            .await
+            .is_some()
     }
 
     /// Reports whether `target` leads a term after that of `search`, or `None` if it does not lead
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -75,7 +75,7 @@
         /// {service}: the primary of term {term} may have been replaced by an order that no host has reported: requests for the primary are held, and its servers are asked
         5121 Warn OrderUnheard { service: String, term: i64 },
         /// {service}: the primary of term {term} {outcome}, after a search of {millis} ms for an order that no host has reported
-        5122 Warn OrderSearched { service: String, term: i64, outcome: &'static str, millis: u128 },
+        5122 Warn OrderSearched { service: String, term: i64, outcome: String, millis: u128 },
         /// {service}: primary {server} ordered to lead under token {token}, because nobody can tell whether it was replaced: {outcome}
         5123 Warn PrimaryReordered { service: String, server: String, token: u64, outcome: String },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -538,7 +538,8 @@
             before: self.name_of(change.before),
             millis: change.lasted.as_millis(),
         });
-        if succeeds {
+        let is_searching = self.state.borrow().unheard_order.is_some();
+        if succeeds && !is_searching {
             self.end_hold("a server was seen to lead");
         }
         self.failover_notify.notify_one();
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -174,7 +174,6 @@
         if state.successor_hold.is_some() {
             return;
         }
-        state.prior_orders.record_complete();
         state.hold_for_successor(from, from + SUCCESSOR_HOLD);
     }
 
--- a/crates/proxy/src/service/unheard_order.rs
+++ b/crates/proxy/src/service/unheard_order.rs
@@ -3,42 +3,46 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::key::ServerKey;
 use flamingopost_core::succession::{ClaimRecord, Finding, UnheardOrder};
 use flamingopost_core::term::Term;
 
 use super::{Service, State};
 use crate::codec::Codec;
 
+/// End of the hold during a search, which is not limited in time.
+const SEARCH_HOLD_END: Duration = Duration::MAX;
+
 impl<C: Codec> Service<C> {
     /// Holds what needs the primary of `term`, and starts the search for an order that replaced it.
-    /// Returns `None` if no search is needed, or one is already going on.
-    pub fn start_search(self: &Rc<Self>, term: Term) -> Option<UnheardOrder> {
+    /// Returns `None` if that search is already going on.
+    pub fn start_search(&self, term: Term) -> Option<UnheardOrder> {
         let now = self.site.now();
-        let current = self.state.borrow().unheard_order;
-        if let Some(former) = current.filter(|it| it.term() < term) {
-            // The order that was searched for has taken effect.
-            self.keep_primary(former);
-            return None;
-        }
         let mut state = self.state.borrow_mut();
+        let current = state.unheard_order.filter(|it| it.term() >= term);
         let search = current.unwrap_or(UnheardOrder::new(term, now));
         state.unheard_order = Some(search);
-        if state.successor_hold.is_none() {
-            // Only the result of the search ends the hold. After a pause of the process, a hold of
-            // limited length would be over before the search has concluded.
-            state.hold_for_successor(now, Duration::MAX);
-        }
+        // Only the result of the search ends the hold. After a pause of the process, a hold of
+        // limited length would be over before the search has concluded.
+        state.hold_for_successor(now, SEARCH_HOLD_END);
         current.is_none().then_some(search)
     }
 
-    /// Evaluates what `search` has found so far, and ends it once that is conclusive.
+    /// Evaluates what `search` has found so far on the primary `server`, and ends it once that is
+    /// conclusive. Returns `None` if the search has ended otherwise: `server` is not the primary of
+    /// that term any more, or its successor was ordered meanwhile.
     pub fn conclude_search(
         self: &Rc<Self>,
         search: UnheardOrder,
+        server: ServerKey,
         confirmed_at: Option<Duration>,
         claims: ClaimRecord,
-    ) -> Finding {
+    ) -> Option<Finding> {
         let now = self.site.now();
+        if !self.state.borrow().is_searched(search, server) {
+            self.abandon_search(search);
+            return None;
+        }
         let state = self.state.borrow();
         let finding = state.evaluate(search, confirmed_at, claims, now);
         drop(state);
@@ -47,7 +51,25 @@
             Finding::NotReplaced => self.keep_primary(search),
             Finding::Replaced => self.give_up_primary(search),
         }
-        finding
+        Some(finding)
+    }
+
+    /// Ends a search whose result does not matter any more. The next primary is checked anew.
+    fn abandon_search(self: &Rc<Self>, search: UnheardOrder) {
+        let ends_hold = {
+            let mut state = self.state.borrow_mut();
+            if state.unheard_order != Some(search) {
+                return;
+            }
+            state.unheard_order = None;
+            // The hold for a successor that was ordered meanwhile has replaced that of the search.
+            state
+                .successor_hold
+                .is_some_and(|hold| hold.until == SEARCH_HOLD_END)
+        };
+        if ends_hold {
+            self.end_hold("another primary is checked");
+        }
     }
 
     /// Relies on the primary after no successor was found, unless it still has to be checked for its
@@ -56,7 +78,11 @@
         let now = self.site.now();
         {
             let mut state = self.state.borrow_mut();
-            if state.unheard_order != Some(search) {
+            // A search for the term that an order has begun is over as well.
+            if state
+                .unheard_order
+                .is_none_or(|it| it.term() < search.term())
+            {
                 return;
             }
             state.unheard_order = None;
@@ -67,12 +93,12 @@
         self.failover_notify.notify_one();
     }
 
-    /// Reports whether this host knows of every order to replace the primary, if there is one.
+    /// Reports whether there is a primary, and this host knows of every order to replace it.
     pub fn knows_prior_orders(&self) -> bool {
         let state = self.state.borrow();
         let has_primary = state.dispatch.leader().is_some();
         let term = state.freshness.term();
-        !has_primary || !state.prior_orders.may_replace(term)
+        has_primary && !state.prior_orders.may_replace(term)
     }
 
     /// Stops relying on the primary. The hosts look for its successor, and order one if there is
@@ -96,6 +122,14 @@
 }
 
 impl<C: Codec> State<C> {
+    /// Reports whether `search` still concerns the believed primary, `server`.
+    fn is_searched(&self, search: UnheardOrder, server: ServerKey) -> bool {
+        self.unheard_order == Some(search)
+            && self.dispatch.leader() == Some(server)
+            && self.leader.term_led(server) <= search.term()
+            && !self.leader.is_term_ended(server)
+    }
+
     fn evaluate(
         &self,
         search: UnheardOrder,
@@ -104,10 +138,8 @@
         now: Duration,
     ) -> Finding {
         let term = search.term();
-        let leader = self.dispatch.leader();
-        let led = leader.map_or(term, |leader| self.leader.term_led(leader));
-        // Another host or the store has told meanwhile, or a successor leads.
-        if !self.prior_orders.may_replace(term) || led > term {
+        // Another host or the store has told meanwhile.
+        if !self.prior_orders.may_replace(term) {
             return Finding::NotReplaced;
         }
         let claims = match self.prior_orders.shows_newer_term(term) {
