--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -120,13 +120,14 @@
         confirmed_at.filter(|_| is_list_complete)
     }
 
-    /// Reports whether the list of servers may be that of a copy, as far as a host knows that has
-    /// just started. It is not once the claims in the store were verified in the same epoch.
+    /// Reports whether the list of servers may be that of a copy, on a host that has just started
+    /// and was not told when the store was restored. It is not once the claims in the store were
+    /// verified in the same epoch.
     pub(super) fn may_list_be_copied(&self) -> bool {
         let is_verified = self.claims_verified_in.get() >= self.epoch();
-        let is_recent = self
-            .fleet
-            .with_epochs(|epochs, now| epochs.is_epoch_recent(now));
+        let is_recent = self.fleet.with_epochs(|epochs, now| {
+            epochs.restored_at().is_none() && epochs.is_epoch_recent(now)
+        });
         !is_verified && is_recent
     }
 
