--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -42,6 +42,11 @@
 }
 
 impl Replacement {
+    /// Returns the newest term known when the replacement was ordered.
+    pub(super) fn ended_term(&self) -> Term {
+        self.ended_term
+    }
+
     /// Returns the server that was ordered to become primary.
     pub(super) fn successor(&self) -> &peer::Server {
         &self.successor
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -173,10 +173,7 @@
     /// was reached in an older term already, the start of the newer term is needed. Nobody may know
     /// it, so the primary is not replaced for that.
     pub(super) fn missing_evidence(&self, position: Position) -> MissingEvidence {
-        if self
-            .prior_orders
-            .may_replace(self.freshness.term().max(position.term))
-        {
+        if self.may_be_replaced(self.freshness.term().max(position.term)) {
             MissingEvidence::Orders
         } else {
             self.missing_log_evidence(position)
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -348,7 +348,7 @@
     }
 
     /// Reports whether `key` stands for the incarnation of a server that `server` names.
-    fn is_same_start(&self, key: ServerKey, server: &peer::Server) -> bool {
+    pub(super) fn is_same_start(&self, key: ServerKey, server: &peer::Server) -> bool {
         let entry = self.servers.get(&key);
         entry.is_some_and(|entry| {
             entry.target.id == server.id && entry.incarnation == server.incarnation()
--- a/crates/proxy/src/service/unheard_order.rs
+++ b/crates/proxy/src/service/unheard_order.rs
@@ -97,8 +97,7 @@
     pub fn knows_prior_orders(&self) -> bool {
         let state = self.state.borrow();
         let has_primary = state.dispatch.leader().is_some();
-        let term = state.freshness.term();
-        has_primary && !state.prior_orders.may_replace(term)
+        has_primary && !state.may_be_replaced(state.freshness.term())
     }
 
     /// Stops relying on the primary. The hosts look for its successor, and order one if there is
@@ -122,6 +121,21 @@
 }
 
 impl<C: Codec> State<C> {
+    /// Reports whether an order that this host does not know may replace the primary of `term`. It
+    /// does not if the primary leads by the newest order that this host has heard of.
+    pub(super) fn may_be_replaced(&self, term: Term) -> bool {
+        self.prior_orders.may_replace(term) && !self.leads_as_ordered()
+    }
+
+    /// Reports whether the believed primary is the successor that was ordered last, and leads.
+    fn leads_as_ordered(&self) -> bool {
+        let (Some(leader), Some(order)) = (self.dispatch.leader(), &self.replacement) else {
+            return false;
+        };
+        self.is_same_start(leader, order.successor())
+            && self.leader.term_led(leader) > order.ended_term()
+    }
+
     /// Reports whether `search` still concerns the believed primary, `server`.
     fn is_searched(&self, search: UnheardOrder, server: ServerKey) -> bool {
         self.unheard_order == Some(search)
@@ -139,7 +153,7 @@
     ) -> Finding {
         let term = search.term();
         // Another host or the store has told meanwhile.
-        if !self.prior_orders.may_replace(term) {
+        if !self.may_be_replaced(term) {
             return Finding::NotReplaced;
         }
         let claims = match self.prior_orders.shows_newer_term(term) {
