Postpone the check of a primary for a server that is new to the list

A host that started beside an empty primary, alone in the list and with the store silent, held writes for it rightly. When the server with the log was listed again, the next check passed: a listed server that has not shown its position yet was no reason to ask for more evidence. The write went to the empty primary, and what had been acknowledged before was gone.

A check that has begun is due again 150 ms after a server is new to the list, by when it has shown its position, as for a primary that is new.

--- a/crates/proxy/src/service/listing.rs
+++ b/crates/proxy/src/service/listing.rs
@@ -34,6 +34,9 @@
     ) {
         {
             let mut state = self.state.borrow_mut();
+            if !state.servers.contains_key(&key) {
+                state.await_new_server(self.site.now());
+            }
             let Allotment { base, fair, most } = state.allotment;
             let local = backend.zone == self.site.zone;
             let mut server = dispatch::Server::new(local, backend.slots, base, fair, most);
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -273,6 +273,14 @@
         }
     }
 
+    /// Postpones a check that has begun, because a server is new to the list and may show more of
+    /// the log than the primary.
+    pub(super) fn await_new_server(&mut self, now: Duration) {
+        if let PrimaryCheck::Asked(_) | PrimaryCheck::Repeat { .. } = self.check {
+            self.check = PrimaryCheck::due_after(now);
+        }
+    }
+
     /// Reports whether a pending check can be made early because nothing more will be shown.
     pub(super) fn can_check_now(&self) -> bool {
         matches!(self.check, PrimaryCheck::Due(_)) && self.all_others_shown()
