--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -315,9 +315,9 @@
     /// Reports whether a claim has to wait because this host may not know the servers that have the
     /// service's log. It goes ahead once a server with a log has reported.
     ///
-    /// Guards against an election by a host that has just started: of three servers it knew the one
-    /// that had lost its log 2 ms before, and ordered it 28 ms later. The other two had 199 entries
-    /// and dropped them to follow it. Hosts that know all servers act meanwhile.
+    /// Guards against an election by a host that has just started and knows only a server that has
+    /// lost its log: the others drop theirs to follow it. Hosts that know all servers act
+    /// meanwhile.
     pub(super) fn must_await_servers(
         &self,
         view: &View,
@@ -354,7 +354,7 @@
     /// The candidate then lacks all that was written in the newer term, and has nothing of a
     /// successor's either: a server that had followed that one would report its term. Guards
     /// against such a candidate replacing a former primary that stepped down for a successor which
-    /// never came to lead: 47 commits were given up.
+    /// never came to lead.
     fn is_outclassed(&self, report: &Report, view: &View, now: Duration) -> bool {
         let longest = self.longest_log(view, now, |_, _| true);
         let longest = longest.and_then(|longest| self.reports.get(&longest));
@@ -366,10 +366,9 @@
     /// comes after all that stay and have entries, and before those without any. A server that has
     /// not answered again comes after those that have, once it has had the time of a restart.
     ///
-    /// Guards against the loss of the whole log. A leaving server was never promoted, and empty
-    /// ones that had just restarted were the only candidates: 101 to 181 acknowledged writes were
-    /// lost in 8 of 16 runs of two plans. In one of them the server did not leave at all: the store
-    /// had been restored from a copy, with the server's entry from before its last restart.
+    /// Guards against the loss of the whole log where empty servers that have just restarted are
+    /// the only others. An entry that says that a server is leaving may also be that of its former
+    /// start, if the store was restored from a copy.
     fn longest_log(
         &self,
         view: &View,
