Leave the check of a primary to hosts that serve its service

Hosts that relay requests checked primaries as well while requests waited, each half second, and held what needs a primary for 10 s without a check. They leave the check to the hosts that serve, as before, and hold for 350 ms; pauses between two checks grow to 2 s.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -217,9 +217,9 @@
                 last_probe = now;
                 self.probe_primary(&service, target, since);
             }
-            if (self.fleet.serves(&service.name) || service.has_waiting_requests())
-                && let Some(target) = service.take_due_check()
-            {
+            if !self.fleet.serves(&service.name) {
+                service.end_unserved_check_hold();
+            } else if let Some(target) = service.take_due_check() {
                 self.check_primary(&service, target);
             }
             self.write_record_if_due(&service, view.rank);
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -59,9 +59,16 @@
 /// that has the log would have come back. The end of this time proves nothing, so it is long.
 const CHECK_HOLD_MAX: Duration = RETURN_TIMEOUT;
 
-/// Pause before the check of a primary that did not answer is repeated. Each attempt takes a slot
-/// of a server that may be busy.
-const CHECK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest pause before the check of a primary that did not answer is repeated. Each attempt takes
+/// a slot of a server that may be busy, so pauses grow with the time that the check has taken.
+const MIN_CHECK_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause before the check of a primary is repeated.
+const MAX_CHECK_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest time that a host sends nothing to an unchecked primary if it relays requests to other
+/// hosts.
+const UNSERVED_CHECK_HOLD: Duration = Duration::from_millis(350);
 
 /// State of the one-time check of a believed primary.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -150,15 +157,26 @@
             && state.dispatch.leader() == Some(server)
             && state.check_hold.is_some()
         {
-            let retry_at = now + CHECK_RETRY_INTERVAL;
+            let lasted = now.saturating_sub(due);
+            let retry_at = now + lasted.clamp(MIN_CHECK_PAUSE, MAX_CHECK_PAUSE);
             state.check = PrimaryCheck::Repeat { due, retry_at };
         }
     }
 
-    /// Reports whether any request waits for a server, so that it is worth checking the primary
-    /// even on a host that usually sends nothing itself.
-    pub fn has_waiting_requests(&self) -> bool {
-        self.state.borrow().dispatch.waiting() > 0
+    /// Ends the hold for the check of the primary after [`UNSERVED_CHECK_HOLD`], on a host that
+    /// relays requests to hosts that check the primary.
+    ///
+    /// Guards against checks by all hosts of a large fleet: they took the slots of the servers.
+    pub fn end_unserved_check_hold(&self) {
+        let now = self.site.now();
+        let mut state = self.state.borrow_mut();
+        if state
+            .check_hold
+            .is_some_and(|hold| now >= hold.from + UNSERVED_CHECK_HOLD)
+        {
+            state.check = PrimaryCheck::Done;
+            state.end_check_hold();
+        }
     }
 
     /// Returns the position that each restarted server must have received before it counts like any
