--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,14 +1,14 @@
 //! Connection pools and the request queue of one service on one entry host.
 //!
 //! Backend servers have few slots and few connections, and each entry host may open its share of
-//! them. A request waits here, ordered by priority and age, until a connection to a server that
-//! may answer it is free. The module performs no input or output: each call returns the actions
+//! them. A request waits here, ordered by priority and age, until a connection of its team to a
+//! server that may answer it is free. The module performs no input or output: each call returns the actions
 //! that the caller has to carry out.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::key::ServerKey;
+use crate::key::{ServerKey, TeamKey};
 
 mod action;
 mod hold;
@@ -51,15 +51,16 @@
 /// ```
 /// use std::time::Duration;
 /// use flamingopost_core::dispatch::{Dispatch, Need, Action, Server, Ticket};
-/// use flamingopost_core::key::ServerKey;
+/// use flamingopost_core::key::{ServerKey, TeamKey};
 ///
 /// let now = Duration::ZERO;
-/// let server = ServerKey::default();
+/// let (server, team) = (ServerKey::default(), TeamKey::default());
 /// let mut dispatch = Dispatch::default();
 /// dispatch.insert(server, Server::new(true, 2, 2, 2, 4));
 /// dispatch.set_leader(Some(server));
 /// let ticket = Ticket {
 ///     id: 1,
+///     team,
 ///     need: Need::Leader,
 ///     priority: 1,
 ///     opens_transaction: false,
@@ -68,9 +69,9 @@
 ///     deadline: Duration::from_secs(1),
 ///     avoid: None,
 /// };
-/// assert_eq!(dispatch.arrive(ticket, now), [Action::Open { server }]);
+/// assert_eq!(dispatch.arrive(ticket, now), [Action::Open { server, team }]);
 /// let assigned = Action::Assign { ticket: 1, server, connection: 7 };
-/// assert_eq!(dispatch.connection_opened(server, 7, now), [assigned]);
+/// assert_eq!(dispatch.connection_opened(server, 7, team, now), [assigned]);
 /// ```
 #[derive(Debug, Default)]
 pub struct Dispatch {
@@ -83,6 +84,8 @@
     waiting: Vec<Ticket>,
     /// The time since which the queue has not been empty.
     queued_since: Option<Duration>,
+    /// Whether callers belong to teams, so that nobody can use a connection of no team.
+    has_teams: bool,
 }
 
 impl Dispatch {
@@ -173,6 +176,12 @@
             .is_some_and(|hold| hold.from <= now && now < hold.until)
     }
 
+    /// Sets whether callers belong to teams. If so, no connections are opened in advance, because
+    /// the team that will need one is not known.
+    pub fn set_has_teams(&mut self, has_teams: bool) {
+        self.has_teams = has_teams;
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -189,11 +198,12 @@
         self.waiting.retain(|other| other.id != ticket);
     }
 
-    /// Adds a newly opened connection to a server.
+    /// Adds a connection to a server that was opened for `team`.
     pub fn connection_opened(
         &mut self,
         key: ServerKey,
         connection: u64,
+        team: TeamKey,
         now: Duration,
     ) -> Vec<Action> {
         let Some(server) = self.servers.get_mut(&key) else {
@@ -202,32 +212,34 @@
                 connection,
             }];
         };
-        server.connection_opened(connection, now);
+        server.connection_opened(connection, team, now);
         self.run(now)
     }
 
-    /// Records that opening a connection to a server failed.
+    /// Records that opening a connection to a server for `team` failed.
     pub fn connect_failed(
         &mut self,
         key: ServerKey,
+        team: TeamKey,
         failure: Failure,
         now: Duration,
     ) -> Vec<Action> {
         if let Some(server) = self.servers.get_mut(&key) {
-            server.connect_failed(failure, now);
+            server.connect_failed(team, failure, now);
         }
         self.run(now)
     }
 
-    /// Takes back a usable connection after its request has ended.
+    /// Takes back a usable connection of `team` after its request has ended.
     pub fn connection_returned(
         &mut self,
         key: ServerKey,
         connection: u64,
+        team: TeamKey,
         now: Duration,
     ) -> Vec<Action> {
         let usable = match self.servers.get_mut(&key) {
-            Some(server) => server.connection_returned(connection, now),
+            Some(server) => server.connection_returned(connection, team, now),
             None => false,
         };
         let mut actions = self.run(now);
@@ -305,7 +317,9 @@
             }));
         }
         actions.extend(self.run(now));
-        actions.extend(self.warm(now));
+        if !self.has_teams {
+            actions.extend(self.warm(now));
+        }
         actions
     }
 
@@ -316,8 +330,9 @@
         let mut actions = Vec::new();
         for (key, server) in &mut self.servers {
             if server.needs_warming(now) {
-                server.opening += 1;
-                actions.push(Action::Open { server: *key });
+                let team = TeamKey::default();
+                server.start_opening(team);
+                actions.push(Action::Open { server: *key, team });
             }
         }
         actions
@@ -331,7 +346,7 @@
         // has once grown past the goal would answer every request late.
         let order = self.order(now);
         waiting.sort_by_key(|ticket| ticket.queue_key(order, now));
-        let mut wanted: BTreeMap<ServerKey, u16> = BTreeMap::new();
+        let mut wanted = BTreeMap::new();
         waiting.retain(|ticket| {
             if ticket.deadline <= now {
                 let reason = self.unserved(ticket, now);
@@ -351,7 +366,14 @@
                     false
                 }
                 Placement::Open(server) => {
-                    actions.push(Action::Open { server });
+                    let team = ticket.team;
+                    actions.push(Action::Open { server, team });
+                    true
+                }
+                Placement::Replace(server, connection) => {
+                    let team = ticket.team;
+                    actions.push(Action::Close { server, connection });
+                    actions.push(Action::Open { server, team });
                     true
                 }
                 Placement::Wait => true,
@@ -391,14 +413,15 @@
         }
     }
 
-    /// Picks the cheapest server that may answer `ticket` and has an idle connection.
+    /// Picks the cheapest server that may answer `ticket` and has an idle connection of its team.
     ///
     /// Without an idle connection, it opens one to the cheapest server that may answer, unless
-    /// enough are being opened for the tickets that `wanted` counts.
+    /// enough are being opened for the tickets that `wanted` counts. At the limit of connections,
+    /// an idle one of another team makes room.
     fn placement(
         &mut self,
         ticket: &Ticket,
-        wanted: &mut BTreeMap<ServerKey, u16>,
+        wanted: &mut BTreeMap<(ServerKey, TeamKey), u16>,
         now: Duration,
     ) -> Placement {
         let mut best: Option<(Duration, ServerKey)> = None;
@@ -412,13 +435,13 @@
             if smaller(best) {
                 best = Some((cost, *key));
             }
-            if server.can_check_out() && smaller(idle) {
+            if server.can_check_out(ticket.team) && smaller(idle) {
                 idle = Some((cost, *key));
             }
         }
         if let Some((_, key)) = idle
             && let Some(server) = self.servers.get_mut(&key)
-            && let Some(connection) = server.check_out()
+            && let Some(connection) = server.check_out(ticket.team)
         {
             if ticket.opens_transaction {
                 server.count_transaction(true);
@@ -428,20 +451,23 @@
         let Some((_, key)) = best else {
             return Placement::Wait;
         };
-        let count = wanted.entry(key).or_default();
+        let count = wanted.entry((key, ticket.team)).or_default();
         *count += 1;
-        let server = self.servers.get_mut(&key);
-        match server {
-            Some(server)
-                if server.opening < *count
-                    && server.has_room(server.opening)
-                    && server.can_open(now) =>
-            {
-                server.opening += 1;
-                Placement::Open(key)
-            }
-            _ => Placement::Wait,
+        let Some(server) = self.servers.get_mut(&key) else {
+            return Placement::Wait;
+        };
+        if server.opening_for(ticket.team) >= *count || !server.has_room(server.opening()) {
+            return Placement::Wait;
         }
+        if server.can_open(now) {
+            server.start_opening(ticket.team);
+            return Placement::Open(key);
+        }
+        let Some(evicted) = server.evict(ticket.team, now) else {
+            return Placement::Wait;
+        };
+        server.start_opening(ticket.team);
+        Placement::Replace(key, evicted)
     }
 
     /// Returns whether `server` may answer `ticket`, apart from free connections.
@@ -485,6 +511,8 @@
     Assign(ServerKey, u64),
     /// It waits, and a connection to this server is opened.
     Open(ServerKey),
+    /// It waits, and a connection to this server is opened in place of this idle one.
+    Replace(ServerKey, u64),
     /// It waits.
     Wait,
 }
--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -1,6 +1,6 @@
 //! Actions that a [`Dispatch`](super::Dispatch) asks its caller to carry out.
 
-use crate::key::ServerKey;
+use crate::key::{ServerKey, TeamKey};
 
 /// One action to carry out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,10 +14,13 @@
         /// The connection to it.
         connection: u64,
     },
-    /// Open a connection to `server`, then call `connection_opened` or `connect_failed`.
+    /// Open a connection to `server` for `team`, then call `connection_opened` or
+    /// `connect_failed`.
     Open {
         /// The server.
         server: ServerKey,
+        /// The team whose requests the connection will serve.
+        team: TeamKey,
     },
     /// Close an idle `connection`.
     Close {
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -1,7 +1,9 @@
 //! One backend server and this host's connections to it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::key::TeamKey;
 use crate::position::Position;
 
 use super::window::Window;
@@ -65,8 +67,8 @@
     pub fair_connections: u16,
     /// Replication position that it last reported.
     pub applied: Position,
-    /// Number of connections that are being opened.
-    pub(super) opening: u16,
+    /// Number of connections that are being opened, by team.
+    opening: BTreeMap<TeamKey, u16>,
     /// Estimated replication lag.
     lag: Duration,
     lag_measured_at: Duration,
@@ -95,6 +97,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Idle {
     connection: u64,
+    team: TeamKey,
     since: Duration,
 }
 
@@ -119,7 +122,7 @@
             idle_in_transaction: 0,
             transactions: 0,
             applied: Position::default(),
-            opening: 0,
+            opening: BTreeMap::new(),
             lag: INITIAL_LAG,
             lag_measured_at: Duration::ZERO,
             lag_retry_at: Duration::ZERO,
@@ -179,7 +182,32 @@
     /// Returns the number of connections that are open or being opened.
     pub fn connections(&self) -> u16 {
         let idle = u16::try_from(self.idle.len()).unwrap_or(u16::MAX);
-        self.busy.saturating_add(idle).saturating_add(self.opening)
+        self.busy
+            .saturating_add(idle)
+            .saturating_add(self.opening())
+    }
+
+    /// Returns the number of connections that are being opened.
+    pub(super) fn opening(&self) -> u16 {
+        self.opening.values().sum()
+    }
+
+    /// Returns the number of connections that are being opened for `team`.
+    pub(super) fn opening_for(&self, team: TeamKey) -> u16 {
+        self.opening.get(&team).copied().unwrap_or_default()
+    }
+
+    /// Counts a connection for `team` that is opened now.
+    pub(super) fn start_opening(&mut self, team: TeamKey) {
+        *self.opening.entry(team).or_default() += 1;
+    }
+
+    /// Counts a connection for `team` that is no longer being opened.
+    fn end_opening(&mut self, team: TeamKey) {
+        if let Some(count) = self.opening.get_mut(&team) {
+            *count = count.saturating_sub(1);
+        }
+        self.opening.retain(|_, count| *count > 0);
     }
 
     /// Returns whether the last connect failed and no connection is idle. This no longer holds once
@@ -250,7 +278,7 @@
     /// Returns whether this host has fewer connections than its fair share. Connections that are
     /// being opened do not count, because the server may still refuse them.
     pub fn is_below_fair_share(&self) -> bool {
-        self.connections().saturating_sub(self.opening) < self.fair_connections
+        self.connections().saturating_sub(self.opening()) < self.fair_connections
     }
 
     /// Returns the number of connections that this host may have at `now`.
@@ -261,17 +289,18 @@
         }
     }
 
-    pub(super) fn connection_opened(&mut self, connection: u64, now: Duration) {
-        self.opening = self.opening.saturating_sub(1);
+    pub(super) fn connection_opened(&mut self, connection: u64, team: TeamKey, now: Duration) {
+        self.end_opening(team);
         self.backoff = Duration::ZERO;
         self.idle.push(Idle {
             connection,
+            team,
             since: now,
         });
     }
 
-    pub(super) fn connect_failed(&mut self, failure: Failure, now: Duration) {
-        self.opening = self.opening.saturating_sub(1);
+    pub(super) fn connect_failed(&mut self, team: TeamKey, failure: Failure, now: Duration) {
+        self.end_opening(team);
         match failure {
             Failure::Full => self.full_until = now + FULL_RETRY_AFTER,
             Failure::Unreachable => {
@@ -282,13 +311,19 @@
     }
 
     /// Takes back a connection. Returns `false` if it has to be closed instead.
-    pub(super) fn connection_returned(&mut self, connection: u64, now: Duration) -> bool {
+    pub(super) fn connection_returned(
+        &mut self,
+        connection: u64,
+        team: TeamKey,
+        now: Duration,
+    ) -> bool {
         self.busy = self.busy.saturating_sub(1);
         if self.state == ServerState::Leaving || self.connections() >= self.connection_limit(now) {
             return false;
         }
         self.idle.push(Idle {
             connection,
+            team,
             since: now,
         });
         true
@@ -302,15 +337,16 @@
         self.idle.retain(|idle| idle.connection != connection);
     }
 
-    /// Takes the idle connection that was used last.
-    pub(super) fn check_out(&mut self) -> Option<u64> {
-        let idle = self.idle.pop()?;
+    /// Takes the idle connection of `team` that was used last.
+    pub(super) fn check_out(&mut self, team: TeamKey) -> Option<u64> {
+        let place = self.idle.iter().rposition(|idle| idle.team == team)?;
+        let idle = self.idle.remove(place);
         self.busy += 1;
         Some(idle.connection)
     }
 
-    pub(super) fn can_check_out(&self) -> bool {
-        !self.idle.is_empty() && self.has_room(0)
+    pub(super) fn can_check_out(&self, team: TeamKey) -> bool {
+        self.idle.iter().any(|idle| idle.team == team) && self.has_room(0)
     }
 
     pub(super) fn drain_idle(&mut self) -> Vec<u64> {
@@ -319,16 +355,30 @@
     }
 
     pub(super) fn can_open(&self, now: Duration) -> bool {
-        self.connections() < self.connection_limit(now)
-            && now >= self.retry_at
-            && now >= self.full_until
+        self.connections() < self.connection_limit(now) && self.accepts_connects(now)
+    }
+
+    /// Returns whether the server may accept a new connection at `now`, as far as its earlier
+    /// answers tell.
+    fn accepts_connects(&self, now: Duration) -> bool {
+        now >= self.retry_at && now >= self.full_until
+    }
+
+    /// Removes and returns the connection of another team than `team` that has been idle longest,
+    /// so that one for `team` can be opened in its place.
+    pub(super) fn evict(&mut self, team: TeamKey, now: Duration) -> Option<u64> {
+        if !self.accepts_connects(now) {
+            return None;
+        }
+        let place = self.idle.iter().position(|idle| idle.team != team)?;
+        Some(self.idle.remove(place).connection)
     }
 
     /// Returns whether a base connection is missing and can be opened now.
     pub(super) fn needs_warming(&self, now: Duration) -> bool {
         self.state == ServerState::Serving
             && self.connections() < self.base_connections
-            && self.opening == 0
+            && self.opening.is_empty()
             && self.can_open(now)
     }
 
--- a/crates/core/src/dispatch/ticket.rs
+++ b/crates/core/src/dispatch/ticket.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::key::ServerKey;
+use crate::key::{ServerKey, TeamKey};
 use crate::position::Position;
 
 /// Which servers may answer a request.
@@ -34,6 +34,8 @@
 pub struct Ticket {
     /// Identifier, unique within the process.
     pub id: u64,
+    /// The team of its caller. Only connections of this team may serve it.
+    pub team: TeamKey,
     /// Servers that may answer it.
     pub need: Need,
     /// Requests with a lower number go first.
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -12,6 +12,8 @@
     pub struct HostKey;
     /// An availability zone.
     pub struct ZoneKey;
+    /// A team, on whose behalf callers connect. The null key stands for no team.
+    pub struct TeamKey;
     /// A customer, who pays for services.
     pub struct CustomerKey;
     /// A caller, who connects and is authenticated.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod leader;
 pub mod leadership;
 pub mod lease;
+pub mod limit;
 pub mod membership;
 pub mod names;
 pub mod once;
--- a/crates/core/tests/dispatch/load.rs
+++ b/crates/core/tests/dispatch/load.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use flamingopost_core::dispatch::{Action, Dispatch, Need};
-use flamingopost_core::key::ServerKey;
+use flamingopost_core::key::{ServerKey, TeamKey};
 
 use super::{assigned, dispatch, ms, ticket};
 
@@ -15,7 +15,7 @@
     let now = ms(5_000);
     let (mut dispatch, keys) = dispatch(now);
     let leader = keys[0];
-    dispatch.connection_opened(leader, 10, now);
+    dispatch.connection_opened(leader, 10, TeamKey::default(), now);
     dispatch.queue_full(leader, now);
     assert!(assigned(&dispatch.arrive(ticket(1, Need::Leader, now), now)).is_some());
     assert_eq!(
@@ -43,7 +43,7 @@
         let actions = dispatch.arrive(ticket(id, Need::Leader, now), now);
         assert_eq!(actions, [], "the window is full, not the connection limit");
     }
-    let actions = dispatch.connection_returned(keys[0], 1, now);
+    let actions = dispatch.connection_returned(keys[0], 1, TeamKey::default(), now);
     assert_eq!(assigned(&actions), Some(keys[0]), "the next one runs");
 }
 
@@ -79,7 +79,7 @@
 /// Returns how many requests run at `server` at once when the host has enough connections.
 fn window(dispatch: &mut Dispatch, server: ServerKey, now: Duration) -> usize {
     for connection in 100..103 {
-        dispatch.connection_opened(server, connection, now);
+        dispatch.connection_opened(server, connection, TeamKey::default(), now);
     }
     let mut running = Vec::new();
     for id in 1_000..1_004 {
@@ -94,7 +94,7 @@
         dispatch.cancel(id);
     }
     for connection in running {
-        dispatch.connection_returned(server, connection, now);
+        dispatch.connection_returned(server, connection, TeamKey::default(), now);
     }
     for connection in 100..103 {
         dispatch.idle_connection_closed(server, connection);
@@ -111,7 +111,7 @@
     let leader = keys[0];
     dispatch.queue_full(leader, now);
     assert!(assigned(&dispatch.arrive(ticket(1, Need::Leader, now), now)).is_some());
-    dispatch.connection_opened(leader, 10, now);
+    dispatch.connection_opened(leader, 10, TeamKey::default(), now);
     assert_eq!(
         assigned(&dispatch.arrive(ticket(2, Need::Leader, now), now)),
         None
@@ -142,7 +142,12 @@
         }
         if let Some((connection, until)) = running.pop() {
             match now >= until {
-                true => actions.extend(dispatch.connection_returned(keys[0], connection, now)),
+                true => actions.extend(dispatch.connection_returned(
+                    keys[0],
+                    connection,
+                    TeamKey::default(),
+                    now,
+                )),
                 false => running.push((connection, until)),
             }
         }
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -3,13 +3,14 @@
 mod load;
 mod random;
 mod shared_server;
+mod teams;
 
 use std::time::Duration;
 
 use flamingopost_core::dispatch::{
     Action, Dispatch, Hold, Need, Server, ServerState, Ticket, Unserved,
 };
-use flamingopost_core::key::ServerKey;
+use flamingopost_core::key::{ServerKey, TeamKey};
 use flamingopost_core::names::Names;
 use flamingopost_core::position::Position;
 use flamingopost_core::term::Term;
@@ -33,6 +34,7 @@
 fn ticket(id: u64, need: Need, arrived: Duration) -> Ticket {
     Ticket {
         id,
+        team: TeamKey::default(),
         need,
         priority: 1,
         opens_transaction: false,
@@ -65,7 +67,7 @@
         "one connection to each server is opened ahead of need"
     );
     for (index, key) in keys.into_iter().enumerate() {
-        dispatch.connection_opened(key, index as u64 + 1, now);
+        dispatch.connection_opened(key, index as u64 + 1, TeamKey::default(), now);
     }
     (dispatch, keys)
 }
@@ -144,7 +146,7 @@
     assert_eq!(assigned(&more), None);
     let later = start + ms(150);
     dispatch.arrive(ticket(3, Need::Leader, later), later);
-    let actions = dispatch.connection_returned(keys[0], 1, later);
+    let actions = dispatch.connection_returned(keys[0], 1, TeamKey::default(), later);
     let first = actions.iter().find_map(|action| match action {
         Action::Assign { ticket, .. } => Some(*ticket),
         _ => None,
@@ -243,7 +245,7 @@
     let (mut dispatch, keys) = dispatch(now);
     let leader = keys[0];
     for connection in 10..13 {
-        dispatch.connection_opened(leader, connection, now);
+        dispatch.connection_opened(leader, connection, TeamKey::default(), now);
     }
     assert_eq!(dispatch.servers()[&leader].connections(), 4);
     dispatch
@@ -285,7 +287,7 @@
     let (mut dispatch, keys) = dispatch(now);
     let leader = keys[0];
     for connection in 10..13 {
-        dispatch.connection_opened(leader, connection, now);
+        dispatch.connection_opened(leader, connection, TeamKey::default(), now);
     }
     for id in 1..=4 {
         let mut transaction = ticket(id, Need::Leader, now);
@@ -298,7 +300,7 @@
     assert_eq!(assigned(&actions), Some(leader));
     dispatch.transaction_ended(leader);
     assert_eq!(
-        assigned(&dispatch.connection_returned(leader, 10, now)),
+        assigned(&dispatch.connection_returned(leader, 10, TeamKey::default(), now)),
         Some(leader)
     );
 }
--- a/crates/core/tests/dispatch/random.rs
+++ b/crates/core/tests/dispatch/random.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use flamingopost_core::dispatch::{Action, Dispatch, Failure, Need, Server};
-use flamingopost_core::key::ServerKey;
+use flamingopost_core::dispatch::{Action, Dispatch, Failure, Need, Server, Ticket};
+use flamingopost_core::key::{ServerKey, TeamKey};
+use flamingopost_core::names::Names;
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -16,7 +17,15 @@
 #[test]
 fn randomised_runs_keep_every_connection_to_one_request() {
     for seed in 0..400 {
-        Run::new(seed).play();
+        Run::new(seed, 0).play();
+    }
+}
+
+/// The same with callers of three teams, each of which is served only on connections of its team.
+#[test]
+fn randomised_runs_keep_every_connection_to_one_team() {
+    for seed in 400..800 {
+        Run::new(seed, 3).play();
     }
 }
 
@@ -26,18 +35,23 @@
     dispatch: Dispatch,
     keys: [ServerKey; 3],
     now: Duration,
-    opening: Vec<ServerKey>,
-    /// Open connections, with the server and the ticket that each serves.
-    connections: BTreeMap<u64, (ServerKey, Option<u64>)>,
-    waiting: BTreeMap<u64, Need>,
+    teams: Vec<TeamKey>,
+    opening: Vec<(ServerKey, TeamKey)>,
+    /// Open connections, with the server, the team and the ticket that each serves.
+    connections: BTreeMap<u64, (ServerKey, TeamKey, Option<u64>)>,
+    waiting: BTreeMap<u64, (Need, TeamKey)>,
     done: BTreeSet<u64>,
     next_id: u64,
 }
 
 impl Run {
-    fn new(seed: u64) -> Run {
+    fn new(seed: u64, teams: usize) -> Run {
         let keys = keys();
+        let mut names: Names<TeamKey> = Names::default();
+        let teams = (0..teams).map(|number| names.intern(&number.to_string()));
+        let teams: Vec<TeamKey> = teams.collect();
         let mut dispatch = Dispatch::default();
+        dispatch.set_has_teams(!teams.is_empty());
         for (index, key) in keys.into_iter().enumerate() {
             dispatch.insert(key, Server::new(index == 0, 2, 1, 2, 4));
         }
@@ -46,6 +60,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             dispatch,
             keys,
+            teams,
             now: ms(1_000),
             opening: Vec::new(),
             connections: BTreeMap::new(),
@@ -112,23 +127,34 @@
             true => Need::Leader,
             false => after(self.rng.random_range(1..60), self.now - ms(500)),
         };
-        self.waiting.insert(id, need);
-        self.dispatch.arrive(ticket(id, need, self.now), self.now)
+        let team = match self.teams.len() {
+            0 => TeamKey::default(),
+            count => self.teams[self.rng.random_range(0..count)],
+        };
+        self.waiting.insert(id, (need, team));
+        let ticket = Ticket {
+            team,
+            ..ticket(id, need, self.now)
+        };
+        self.dispatch.arrive(ticket, self.now)
     }
 
     fn answer_connect(&mut self) -> Vec<Action> {
-        let Some(key) = self.opening.pop() else {
+        let Some((key, team)) = self.opening.pop() else {
             return Vec::new();
         };
         match self.rng.random_range(0..4) {
-            0 => self.dispatch.connect_failed(key, Failure::Full, self.now),
+            0 => self
+                .dispatch
+                .connect_failed(key, team, Failure::Full, self.now),
             1 => self
                 .dispatch
-                .connect_failed(key, Failure::Unreachable, self.now),
+                .connect_failed(key, team, Failure::Unreachable, self.now),
             _ => {
                 let connection = self.id();
-                self.connections.insert(connection, (key, None));
-                self.dispatch.connection_opened(key, connection, self.now)
+                self.connections.insert(connection, (key, team, None));
+                self.dispatch
+                    .connection_opened(key, connection, team, self.now)
             }
         }
     }
@@ -137,16 +163,17 @@
         let busy = self
             .connections
             .iter()
-            .find(|(_, (_, ticket))| ticket.is_some());
-        let Some((connection, (key, _))) = busy.map(|(id, of)| (*id, *of)) else {
+            .find(|(_, (_, _, ticket))| ticket.is_some());
+        let Some((connection, (key, team, _))) = busy.map(|(id, of)| (*id, *of)) else {
             return Vec::new();
         };
         if self.rng.random_bool(0.2) {
             self.connections.remove(&connection);
             return self.dispatch.connection_lost(key, self.now);
         }
-        self.connections.insert(connection, (key, None));
-        self.dispatch.connection_returned(key, connection, self.now)
+        self.connections.insert(connection, (key, team, None));
+        self.dispatch
+            .connection_returned(key, connection, team, self.now)
     }
 
     fn apply(&mut self, actions: Vec<Action>) {
@@ -157,7 +184,7 @@
                     server,
                     connection,
                 } => {
-                    let need = self
+                    let (need, team) = self
                         .waiting
                         .remove(&ticket)
                         .expect("assigned to a waiting request");
@@ -171,16 +198,16 @@
                         .expect("the connection is open");
                     assert_eq!(
                         *of,
-                        (server, None),
-                        "seed {}: one request per connection",
+                        (server, team, None),
+                        "seed {}: one request per connection, of the same team",
                         self.seed
                     );
-                    of.1 = Some(ticket);
+                    of.2 = Some(ticket);
                 }
-                Action::Open { server } => self.opening.push(server),
+                Action::Open { server, team } => self.opening.push((server, team)),
                 Action::Close { connection, .. } => {
                     let closed = self.connections.remove(&connection);
-                    let idle = closed.is_some_and(|(_, ticket)| ticket.is_none());
+                    let idle = closed.is_some_and(|(_, _, ticket)| ticket.is_none());
                     assert!(idle, "seed {}: only idle connections are closed", self.seed);
                 }
                 Action::Refuse { ticket, .. } => {
@@ -192,9 +219,9 @@
             let open = self
                 .connections
                 .values()
-                .filter(|(of, _)| *of == key)
+                .filter(|(of, _, _)| *of == key)
                 .count();
-            let opening = self.opening.iter().filter(|of| **of == key).count();
+            let opening = self.opening.iter().filter(|(of, _)| *of == key).count();
             assert!(
                 open + opening <= 4,
                 "seed {}: over the connection limit",
--- a/crates/core/tests/dispatch/shared_server.rs
+++ b/crates/core/tests/dispatch/shared_server.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use flamingopost_core::dispatch::{Action, Dispatch, Need, Server};
-use flamingopost_core::key::ServerKey;
+use flamingopost_core::key::{ServerKey, TeamKey};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -119,9 +119,12 @@
         let (server, now) = (self.server, self.now);
         for _ in 0..std::mem::take(&mut self.hosts[host].opening) {
             self.id += 1;
-            let actions = self.hosts[host]
-                .dispatch
-                .connection_opened(server, self.id, now);
+            let actions = self.hosts[host].dispatch.connection_opened(
+                server,
+                self.id,
+                TeamKey::default(),
+                now,
+            );
             self.apply(host, actions);
         }
         let all = SLOTS as f64 / WORK * load;
@@ -149,9 +152,12 @@
             if let Some(server) = host.dispatch.server_mut(self.server) {
                 server.record_latency(now - job.sent, now);
             }
-            let actions = host
-                .dispatch
-                .connection_returned(self.server, job.connection, now);
+            let actions = host.dispatch.connection_returned(
+                self.server,
+                job.connection,
+                TeamKey::default(),
+                now,
+            );
             self.apply(job.host, actions);
         }
     }
--- /dev/null
+++ b/crates/core/tests/dispatch/teams.rs
@@ -0,0 +1,99 @@
+//! Connections belong to teams.
+
+use flamingopost_core::dispatch::{Action, Dispatch, Need, Server, Ticket};
+use flamingopost_core::key::{ServerKey, TeamKey};
+use flamingopost_core::names::Names;
+
+use super::{keys, ms, ticket};
+
+fn teams() -> [TeamKey; 2] {
+    let mut names: Names<TeamKey> = Names::default();
+    ["canning", "basirhat"].map(|name| names.intern(name))
+}
+
+fn ticket_of(team: TeamKey, id: u64) -> Ticket {
+    Ticket {
+        team,
+        ..ticket(id, Need::Leader, ms(0))
+    }
+}
+
+/// Returns a dispatcher for one primary that this host may have `connections` connections to.
+fn dispatch(connections: u16) -> (Dispatch, ServerKey) {
+    let [server, ..] = keys();
+    let mut dispatch = Dispatch::default();
+    dispatch.insert(
+        server,
+        Server::new(true, 3, connections, connections, connections),
+    );
+    dispatch.set_has_teams(true);
+    dispatch.set_leader(Some(server));
+    (dispatch, server)
+}
+
+/// Guards against a server that runs a request under the name of another team.
+#[test]
+fn an_idle_connection_serves_no_other_team() {
+    let (mut dispatch, server) = dispatch(2);
+    let [first, second] = teams();
+    dispatch.arrive(ticket_of(first, 1), ms(0));
+    dispatch.connection_opened(server, 10, first, ms(0));
+    dispatch.connection_returned(server, 10, first, ms(5));
+    assert_eq!(
+        dispatch.arrive(ticket_of(second, 2), ms(6)),
+        [Action::Open {
+            server,
+            team: second
+        }]
+    );
+    assert_eq!(
+        dispatch.arrive(ticket_of(first, 3), ms(7)),
+        [Action::Assign {
+            ticket: 3,
+            server,
+            connection: 10
+        }]
+    );
+}
+
+/// Guards against a team that waits for as long as idle connections of other teams take up this
+/// host's share.
+#[test]
+fn an_idle_connection_of_another_team_makes_room() {
+    let (mut dispatch, server) = dispatch(1);
+    let [first, second] = teams();
+    dispatch.arrive(ticket_of(first, 1), ms(0));
+    dispatch.connection_opened(server, 10, first, ms(0));
+    assert_eq!(
+        dispatch.arrive(ticket_of(second, 2), ms(1)),
+        [],
+        "the only connection is in use"
+    );
+    let close = Action::Close {
+        server,
+        connection: 10,
+    };
+    let open = Action::Open {
+        server,
+        team: second,
+    };
+    assert_eq!(
+        dispatch.connection_returned(server, 10, first, ms(5)),
+        [close, open]
+    );
+    assert_eq!(
+        dispatch.connection_opened(server, 11, second, ms(17)),
+        [Action::Assign {
+            ticket: 2,
+            server,
+            connection: 11
+        }]
+    );
+}
+
+/// Guards against connections that are opened in advance for no team and that nobody can use.
+#[test]
+fn no_connection_is_opened_before_its_team_is_known() {
+    let (mut dispatch, _) = dispatch(3);
+    assert_eq!(dispatch.tick(ms(100)), []);
+}
--- a/crates/proxy/src/caller_connection.rs
+++ b/crates/proxy/src/caller_connection.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::codec::{self, Codec};
+use crate::gate::Refusal;
 use crate::message::{Code, Request, Transaction};
 use crate::server_connection::Outcome;
 
@@ -102,6 +103,12 @@
         C::error(&mut self.out, code, text);
     }
 
+    /// Queues the refusal of a statement outside of a transaction.
+    pub fn refuse(&mut self, refusal: &Refusal) {
+        self.error(refusal.code, refusal.reason.as_bytes());
+        self.ready(Transaction::Idle, None);
+    }
+
     /// Queues the message that the next statement is expected.
     pub fn ready(&mut self, transaction: Transaction, position: Option<Position>) {
         C::ready(&mut self.out, transaction, position);
--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -40,8 +40,8 @@
     /// The row has a different format.
     fn status(row: &Bytes) -> Result<Status, Error>;
 
-    /// Appends the message that opens a connection to server `id` of `service` as `host`.
-    fn startup(out: &mut BytesMut, service: &str, host: &str, id: &str);
+    /// Appends the message that opens a connection to server `id` of `service` for `client`.
+    fn startup(out: &mut BytesMut, service: &str, client: &str, id: &str);
 
     /// Appends a command to a server.
     fn command(out: &mut BytesMut, command: &Command<'_>);
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -92,6 +92,8 @@
         5205 Warn RelayLost { id: String, database: String, error: String, millis: u128 },
         /// request {id} for {database} read at {server} without a lease: all other servers, queried {millis} ms before, follow it
         5206 Info ReadConfirmed { id: String, database: String, server: String, millis: u128 },
+        /// session for {database} refused: no team has the API key with digest {digest}, version {version}
+        5207 Warn KeyRefused { database: String, digest: String, version: u64 },
         /// {count} more lines of event {event} suppressed within a second
         5290 Warn Suppressed { event: u16, count: u64 },
         /// settings file changed: {outcome}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::digest::Digest;
 use flamingopost_core::epoch::{Epoch, EpochStatus, EpochTracker, SERVER_REWRITE_TIME};
 use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::invariant::{self, Invariant};
-use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::key::{HostKey, ServerKey, TeamKey};
 use flamingopost_core::quorum::Quorum;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -198,6 +199,26 @@
         Some((route.clone(), self.service_or_new(&route.service)))
     }
 
+    /// Returns the team of a caller of `database` whose API key has the digest `key`. It is the null
+    /// key if the caller needs none and has none.
+    pub fn authenticate(&self, database: &str, key: &Digest) -> Option<TeamKey> {
+        let configuration = self.configuration()?;
+        let Some(teams) = &configuration.teams else {
+            return Some(TeamKey::default());
+        };
+        if let Some(name) = teams.find(key) {
+            return Some(self.site.team(name));
+        }
+        let route = configuration.routes.get(database)?;
+        route.anonymous.then(TeamKey::default)
+    }
+
+    /// Reports whether callers belong to teams.
+    pub fn has_teams(&self) -> bool {
+        let configuration = self.configuration();
+        configuration.is_some_and(|it| it.teams.is_some())
+    }
+
     /// Returns the statement timeout of the route of `database`.
     pub fn timeout(&self, database: &str) -> Option<Duration> {
         let configuration = self.configuration()?;
@@ -523,6 +544,7 @@
         }
         let service = Rc::new(Service::new(name.to_owned(), Rc::clone(&self.site)));
         service.set_allotment(self.allotment(name));
+        service.set_has_teams(self.has_teams());
         let mut services = self.services.borrow_mut();
         services.insert(name.to_owned(), Rc::clone(&service));
         service
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -12,6 +12,8 @@
     Startup {
         /// Name of the database.
         database: Bytes,
+        /// The caller's API key, or on a relayed session the name of its team. May be empty.
+        credential: Bytes,
     },
     /// Runs one statement.
     Query(Query),
@@ -194,6 +196,8 @@
     Malformed,
     /// Not run: the database does not exist.
     NoDatabase,
+    /// Not run: no team has the caller's API key.
+    Unauthorized,
     /// It ran and failed.
     Failed,
     /// It took too long and may have run.
@@ -223,7 +227,8 @@
             | Code::ConnectionLimit
             | Code::NoStatement
             | Code::Malformed
-            | Code::NoDatabase => true,
+            | Code::NoDatabase
+            | Code::Unauthorized => true,
             Code::Failed | Code::Timeout | Code::InDoubt | Code::Other => false,
         }
     }
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -65,6 +65,7 @@
         Code::NoStatement => "no_statement",
         Code::Malformed => "malformed",
         Code::NoDatabase => "no_database",
+        Code::Unauthorized => "unauthorized",
         Code::Failed => "failed",
         Code::Timeout => "timeout",
         Code::InDoubt => "in_doubt",
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -11,6 +11,7 @@
 use flamingopost_core::leader::Role;
 
 use crate::route::Route;
+use crate::team::Directory;
 use crate::unusable::UnusableEntry;
 
 /// Reason for which a call to the platform has no result.
@@ -114,6 +115,8 @@
     pub routes: BTreeMap<String, Route>,
     /// Services by name.
     pub services: BTreeMap<String, Service>,
+    /// The teams and their API keys, or `None` if callers need no key.
+    pub teams: Option<Directory>,
     /// How long a transaction may stay idle before it is ended.
     pub transaction_idle: Duration,
 }
@@ -132,6 +135,7 @@
     ///     version: 7,
     ///     routes: BTreeMap::new(),
     ///     services: BTreeMap::from([("ledger".to_owned(), ledger)]),
+    ///     teams: None,
     ///     transaction_idle: Duration::from_secs(3),
     /// };
     /// assert!(configuration.has_service("ledger"));
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::caller_connection::{self, CallerConnection};
 use crate::codec::Codec;
 use crate::event::Event;
+use crate::gate::Gate;
 use crate::message::{Command, Request, Transaction};
 use crate::server_connection::{self, Outcome, ServerConnection, Target};
 use crate::session::Context;
@@ -32,6 +33,7 @@
     database: String,
     caller: CallerConnection<C>,
     peer: ServerConnection<C>,
+    gate: Gate<C>,
     transaction: Transaction,
     moves: u64,
 }
@@ -43,10 +45,12 @@
     End,
 }
 
-/// Opens a session on `database` at the host that accepts relayed sessions at `address`.
+/// Opens a session on `database` for the team called `team` at the host that accepts relayed
+/// sessions at `address`.
 pub async fn open<C: Codec>(
     context: &Context<C>,
     database: &str,
+    team: &str,
     address: SocketAddr,
 ) -> Option<ServerConnection<C>> {
     let target = Target {
@@ -56,7 +60,7 @@
         service: database.to_owned(),
     };
     let id = context.site.next_id();
-    let connecting = ServerConnection::connect(id, &target, &context.site.host);
+    let connecting = ServerConnection::connect(id, &target, team);
     tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
         .ok()?
@@ -70,6 +74,7 @@
         database: String,
         caller: CallerConnection<C>,
         peer: ServerConnection<C>,
+        gate: Gate<C>,
     ) -> Relay<C> {
         let moves = context.stop.moves();
         Relay {
@@ -77,6 +82,7 @@
             database,
             caller,
             peer,
+            gate,
             transaction: Transaction::Idle,
             moves,
         }
@@ -95,6 +101,16 @@
             let Some(Request::Query(query)) = request else {
                 break;
             };
+            if self.transaction == Transaction::Idle
+                && let Err(refusal) = self.gate.admit()
+            {
+                self.caller.refuse(&refusal);
+                if refusal.ends_session {
+                    break;
+                }
+                self.caller.flush().await?;
+                continue;
+            }
             self.peer.push(&Command::Run {
                 id: &query.id,
                 text: &query.text,
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -15,6 +15,8 @@
     pub goal: Duration,
     /// Priority. Requests with a lower number are served first.
     pub priority: u8,
+    /// Whether callers need no API key.
+    pub anonymous: bool,
 }
 
 /// Consistency of reads: which writes they must see.
--- a/crates/proxy/src/server_connection.rs
+++ b/crates/proxy/src/server_connection.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use flamingopost_core::key::ServerKey;
+use flamingopost_core::key::{ServerKey, TeamKey};
 use flamingopost_core::position::Position;
 use flamingopost_core::term::Term;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -86,6 +86,8 @@
     pub id: u64,
     /// The server.
     pub server: ServerKey,
+    /// The team whose requests it serves. Null if it serves those of any caller.
+    pub team: TeamKey,
     /// Session state that earlier statements left on the connection.
     pub connection_state: ConnectionState,
     /// The position that the server's data had reached at its last answer.
@@ -100,19 +102,20 @@
 }
 
 impl<C: Codec> ServerConnection<C> {
-    /// Connects to `target` as `host`.
+    /// Connects to `target` in the name of `client`.
     ///
     /// # Errors
     /// The server cannot be reached, or refuses the connection.
     pub async fn connect(
         id: u64,
         target: &Target,
-        host: &str,
+        client: &str,
     ) -> Result<ServerConnection<C>, Error> {
         let stream = socket::connect(target.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await?;
         let mut connection = ServerConnection {
             id,
             server: target.server,
+            team: TeamKey::default(),
             connection_state: ConnectionState::default(),
             position: None,
             broken: false,
@@ -122,7 +125,7 @@
             pending: 0,
             codec: PhantomData,
         };
-        C::startup(&mut connection.out, &target.service, host, &target.id);
+        C::startup(&mut connection.out, &target.service, client, &target.id);
         let greeting = tokio::time::timeout(CONNECT_TIMEOUT, connection.read_greeting());
         greeting
             .await
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use flamingopost_core::dispatch;
-use flamingopost_core::key::ServerKey;
+use flamingopost_core::key::{ServerKey, TeamKey};
 use tokio::time::timeout;
 
 use super::Service;
@@ -20,12 +20,12 @@
 const EXAMINATION_TIMEOUT: Duration = Duration::from_millis(200);
 
 impl<C: Codec> Service<C> {
-    pub(super) fn open(self: &Rc<Self>, server: ServerKey) {
+    pub(super) fn open(self: &Rc<Self>, server: ServerKey, team: TeamKey) {
         let service = Rc::clone(self);
-        tokio::task::spawn_local(async move { service.connect(server).await });
+        tokio::task::spawn_local(async move { service.connect(server, team).await });
     }
 
-    async fn connect(self: Rc<Self>, server: ServerKey) {
+    async fn connect(self: Rc<Self>, server: ServerKey, team: TeamKey) {
         let now = self.site.now();
         let target = {
             let state = self.state.borrow();
@@ -37,12 +37,12 @@
                 .state
                 .borrow_mut()
                 .dispatch
-                .connect_failed(server, failure, now);
+                .connect_failed(server, team, failure, now);
             self.apply(next);
             return;
         };
         let id = self.site.next_id();
-        match self.connect_and_examine(id, &target).await {
+        match self.connect_and_examine(id, &target, team).await {
             Ok(connection) => {
                 meter::server_connected(&self.name);
                 self.record_answer(server, connection.position, now, false);
@@ -54,11 +54,11 @@
                 let next = {
                     let mut state = self.state.borrow_mut();
                     state.idle.insert(id, connection);
-                    state.dispatch.connection_opened(server, id, now)
+                    state.dispatch.connection_opened(server, id, team, now)
                 };
                 self.apply(next);
             }
-            Err(error) => self.connection_failed(server, &error, now),
+            Err(error) => self.connection_failed(server, team, &error, now),
         }
     }
 
@@ -72,8 +72,11 @@
         self: &Rc<Self>,
         id: u64,
         target: &Target,
+        team: TeamKey,
     ) -> Result<ServerConnection<C>, server_connection::Error> {
-        let mut connection = ServerConnection::connect(id, target, &self.site.host).await?;
+        let client = self.site.client_name(team);
+        let mut connection = ServerConnection::connect(id, target, &client).await?;
+        connection.team = team;
         let term_start = connection
             .position
             .filter(|position| position.log == 0 && self.has_seen_entries());
@@ -92,6 +95,7 @@
     fn connection_failed(
         self: &Rc<Self>,
         server: ServerKey,
+        team: TeamKey,
         error: &server_connection::Error,
         sent: Duration,
     ) {
@@ -113,7 +117,7 @@
         let now = self.site.now();
         let next = {
             let mut state = self.state.borrow_mut();
-            let next = state.dispatch.connect_failed(server, failure, now);
+            let next = state.dispatch.connect_failed(server, team, failure, now);
             let entry = state.dispatch.servers().get(&server);
             if entry.is_some_and(dispatch::Server::is_below_fair_share)
                 && failure == dispatch::Failure::Full
--- a/crates/proxy/src/service/pooled_connection.rs
+++ b/crates/proxy/src/service/pooled_connection.rs
@@ -86,12 +86,12 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
-        let (server, id) = (connection.server, connection.id);
+        let (server, id, team) = (connection.server, connection.id, connection.team);
         let now = self.service.site.now();
         let next = {
             let mut state = self.service.state.borrow_mut();
             state.idle.insert(id, connection);
-            state.dispatch.connection_returned(server, id, now)
+            state.dispatch.connection_returned(server, id, team, now)
         };
         self.service.apply(next);
     }
--- a/crates/proxy/src/service/queue.rs
+++ b/crates/proxy/src/service/queue.rs
@@ -43,7 +43,7 @@
                     server,
                     connection,
                 } => queue.extend(self.assign(ticket, server, connection)),
-                Action::Open { server } => self.open(server),
+                Action::Open { server, team } => self.open(server, team),
                 Action::Close { connection, .. } => {
                     self.state.borrow_mut().idle.remove(&connection);
                 }
@@ -95,8 +95,11 @@
                 next
             }
             (None, Some(idle)) => {
+                let team = idle.team;
                 state.idle.insert(connection, idle);
-                state.dispatch.connection_returned(server, connection, now)
+                state
+                    .dispatch
+                    .connection_returned(server, connection, team, now)
             }
             (None, None) => state.dispatch.connection_lost(server, now),
         }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -5,14 +5,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flamingopost_core::key::TeamKey;
 use flamingopost_core::position::Position;
 use flamingopost_core::retry::budget::Budget;
+use slotmap::Key as _;
 
 use crate::attempt::TransactionFrame;
 use crate::caller_connection::{self, CallerConnection};
 use crate::caller_state::CallerState;
 use crate::codec::Codec;
 use crate::fleet::{Fleet, ServingHost};
+use crate::gate::{Gate, NO_TEAM};
 use crate::host::Stop;
 use crate::message::{Access, Code, Query, Request, Shape, Statement, Transaction};
 use crate::meter::StatementEnd;
@@ -56,6 +59,7 @@
     context: Rc<Context<C>>,
     caller: CallerConnection<C>,
     database: String,
+    gate: Gate<C>,
     caller_state: CallerState,
     /// The newest position that the session has written or read, by service.
     seen_positions: BTreeMap<String, Position>,
@@ -115,8 +119,11 @@
         relay_policy: RelayPolicy,
     ) -> Result<(), caller_connection::Error> {
         let started = tokio::time::timeout(STARTUP_TIMEOUT, caller.request()).await;
-        let database = match started {
-            Ok(Ok(Some(Request::Startup { database }))) => database,
+        let (database, credential) = match started {
+            Ok(Ok(Some(Request::Startup {
+                database,
+                credential,
+            }))) => (database, credential),
             Ok(Ok(None)) | Err(_) => return Ok(()),
             Ok(Ok(Some(_))) => {
                 let reason = b"a session starts with the name of its database";
@@ -134,12 +141,23 @@
             caller.error(Code::NoDatabase, b"there is no such database");
             return caller.close().await;
         }
+        let authenticated = match relay_policy {
+            RelayPolicy::Allowed => Gate::authenticate(&context, &database, &credential),
+            RelayPolicy::Never => Ok(Gate::relayed(&context, &database, &credential)),
+        };
+        let gate = match authenticated {
+            Ok(gate) => gate,
+            Err(refusal) => {
+                caller.error(refusal.code, refusal.reason.as_bytes());
+                return caller.close().await;
+            }
+        };
         if relay_policy == RelayPolicy::Allowed
-            && let Some(peer) = connect_to_home(&context, &database).await
+            && let Some(peer) = connect_to_home(&context, &database, gate.team()).await
         {
             caller.ready(Transaction::Idle, None);
             caller.flush().await?;
-            let relay = Relay::new(context, database, caller, peer);
+            let relay = Relay::new(context, database, caller, peer, gate);
             return relay.run().await;
         }
         caller.ready(Transaction::Idle, None);
@@ -150,6 +168,7 @@
             context,
             caller,
             database,
+            gate,
             caller_state: CallerState::default(),
             seen_positions: BTreeMap::new(),
             transaction: TransactionState::Idle,
@@ -215,6 +234,15 @@
     }
 
     async fn query(&mut self, query: &Query) -> Result<Flow, caller_connection::Error> {
+        if matches!(self.transaction, TransactionState::Idle)
+            && let Err(refusal) = self.gate.admit()
+        {
+            self.caller.refuse(&refusal);
+            return Ok(match refusal.ends_session {
+                true => Flow::Close,
+                false => Flow::Continue,
+            });
+        }
         match &query.statement {
             Statement::Begin(access) => self.begin(*access),
             Statement::Commit => self.commit(query).await,
@@ -368,22 +396,27 @@
     }
 }
 
-/// Connects to a host that serves `database` on behalf of this host. Returns `None` if there is no
+/// Connects to a host that serves `database` on behalf of this host, for a caller of `team`. Returns `None` if there is no
 /// such host, or none can be reached.
 async fn connect_to_home<C: Codec>(
     context: &Context<C>,
     database: &str,
+    team: TeamKey,
 ) -> Option<ServerConnection<C>> {
     let (route, _) = context.fleet.route(database)?;
     let homes = context.fleet.serving_hosts(&route.service)?;
     if homes.contains(&ServingHost::Local) {
         return None;
     }
+    let name = match team.is_null() {
+        true => NO_TEAM.to_owned(),
+        false => context.site.client_name(team),
+    };
     let first = usize::try_from(context.site.next_id()).unwrap_or_default();
     for place in 0..homes.len() {
         // Distributes sessions over the serving hosts in turn.
         if let ServingHost::Remote(address) = homes[(first + place) % homes.len()]
-            && let Some(peer) = relay::open(context, database, address).await
+            && let Some(peer) = relay::open(context, database, &name, address).await
         {
             return Some(peer);
         }
--- a/crates/proxy/src/session/placement.rs
+++ b/crates/proxy/src/session/placement.rs
@@ -221,6 +221,7 @@
             }
             let ticket = Ticket {
                 id: self.context.site.next_id(),
+                team: self.gate.team(),
                 need,
                 priority: route.priority,
                 opens_transaction: matches!(plan.frame, TransactionFrame::Opens(_)),
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -1,10 +1,12 @@
 //! State shared by all parts of a host: its identity, clock and log.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::Duration;
 
 use flamingopost_core::clock::Clock;
+use flamingopost_core::key::TeamKey;
+use flamingopost_core::names::Names;
 
 use crate::event::{Event, LogLimit};
 
@@ -18,6 +20,8 @@
     pub clock: Arc<dyn Clock>,
     /// Limits the volume of logs.
     pub limit: LogLimit,
+    /// Names of the teams that callers have belonged to.
+    teams: RefCell<Names<TeamKey>>,
     /// Shortest duration of a promotion, until one was measured.
     assumed_promotion: Duration,
     /// Shortest measured duration of a promotion.
@@ -36,6 +40,7 @@
             zone,
             clock,
             limit: LogLimit::default(),
+            teams: RefCell::default(),
             ids: Cell::new(0),
         }
     }
@@ -50,6 +55,18 @@
         self.limit.log(event, self.now());
     }
 
+    /// Returns the key of the team called `name`.
+    pub fn team(&self, name: &str) -> TeamKey {
+        self.teams.borrow_mut().intern(name)
+    }
+
+    /// Returns the name under which connections for `team` are opened: the team's, or that of this
+    /// host for no team.
+    pub fn client_name(&self, team: TeamKey) -> String {
+        let teams = self.teams.borrow();
+        teams.name(team).unwrap_or(&self.host).to_owned()
+    }
+
     /// Returns the shortest duration of a promotion.
     pub fn shortest_promotion(&self) -> Duration {
         self.measured_promotion
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -20,6 +20,8 @@
         id: id.to_owned(),
         text: text.to_owned(),
         connection,
+        client: String::new(),
+        at: Instant::now(),
         proof: format!("proof-{id}"),
     }
 }
--- a/crates/standin/src/pooled.rs
+++ b/crates/standin/src/pooled.rs
@@ -15,6 +15,7 @@
 mod site;
 mod statement;
 mod store;
+mod team;
 
 pub use self::caller::{Broken, Caller, Reply};
 pub use self::garbage::Garbage;
@@ -25,3 +26,4 @@
 pub use self::site::{Order, Site, Sizes};
 pub use self::statement::{is_proved, is_same_statement};
 pub use self::store::{Mode, Store};
+pub use self::team::Team;
--- a/crates/standin/src/pooled/caller.rs
+++ b/crates/standin/src/pooled/caller.rs
@@ -7,13 +7,14 @@
 use tokio::net::TcpStream;
 
 /// Codes that promise that nothing of the statement, or of its transaction, is kept.
-const PROMISES: [&str; 6] = [
+const PROMISES: [&str; 7] = [
     "BUSY",
     "ABORTED",
     "LAGGING",
     "READONLY",
     "MISROUTED",
     "CONNLIMIT",
+    "UNAUTH",
 ];
 
 /// A caller's connection.
@@ -87,7 +88,12 @@
 
     /// Asks for a session on `database`; what is said to it, `None` when the connection has ended.
     pub async fn greet(&mut self, database: &str) -> Option<String> {
-        self.send(&format!("STARTUP {database} anybody\r\n")).await;
+        self.greet_as(database, "anybody").await
+    }
+
+    /// The same with an API key.
+    pub async fn greet_as(&mut self, database: &str, key: &str) -> Option<String> {
+        self.send(&format!("STARTUP {database} {key}\r\n")).await;
         self.line().await
     }
 
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -45,6 +45,10 @@
     pub text: String,
     /// The connection that it came on, unique among all servers of a group.
     pub connection: u64,
+    /// In whose name that connection was opened.
+    pub client: String,
+    /// When it ran.
+    pub at: Instant,
     /// What was answered to prove that it ran.
     pub proof: String,
 }
@@ -396,7 +400,13 @@
     }
 
     /// Notes that `server` ran a caller's statement, and returns what proves it.
-    pub(super) fn ran(&self, server: &str, connection: u64, id: &str, text: &str) -> String {
+    pub(super) fn ran(
+        &self,
+        server: &str,
+        (connection, client): (u64, &str),
+        id: &str,
+        text: &str,
+    ) -> String {
         let mut state = self.lock();
         state.signatures += 1;
         let proof = format!("{server}.{}", state.signatures);
@@ -405,6 +415,8 @@
             id: id.to_owned(),
             text: text.to_owned(),
             connection,
+            client: client.to_owned(),
+            at: Instant::now(),
             proof: proof.clone(),
         });
         proof
--- a/crates/standin/src/pooled/session.rs
+++ b/crates/standin/src/pooled/session.rs
@@ -29,6 +29,8 @@
     values: BTreeMap<String, String>,
     prepared: BTreeMap<String, String>,
     number: u64,
+    /// In whose name the connection was opened.
+    client: String,
 }
 
 /// What is answered to a statement.
@@ -46,6 +48,7 @@
         Session {
             server,
             number,
+            client: String::new(),
             stream: BufReader::new(stream),
             state: State::Idle,
             staged: Vec::new(),
@@ -64,6 +67,7 @@
             return;
         };
         let fields: Vec<&str> = hello.split(' ').collect();
+        self.client = fields.get(2).copied().unwrap_or_default().to_owned();
         let service = fields.get(1).copied().unwrap_or_default();
         let wrong_id = fields.get(3).is_some_and(|id| *id != self.server.id);
         let open = self.server.open.load(Ordering::Relaxed);
@@ -220,7 +224,7 @@
                 };
                 Answer::Row(
                     self.with_values(row),
-                    group.ran(&server.id, self.number, id, text),
+                    group.ran(&server.id, (self.number, &self.client), id, text),
                 )
             }
             "STORE" => {
@@ -236,7 +240,7 @@
                         }
                     }
                 }
-                Answer::Done(group.ran(&server.id, self.number, id, text))
+                Answer::Done(group.ran(&server.id, (self.number, &self.client), id, text))
             }
             _ => return self.commit(id, text),
         };
@@ -256,7 +260,9 @@
         if server.group.commit(&server.id, &staged).is_err() {
             return Answer::Error("READONLY");
         }
-        let proof = server.group.ran(&server.id, self.number, id, text);
+        let proof = server
+            .group
+            .ran(&server.id, (self.number, &self.client), id, text);
         match server.loses_answer() {
             true => Answer::Lost,
             false => Answer::Done(proof),
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -17,6 +17,7 @@
 use super::http::{self, Answer, Asked};
 use super::server::{Faults, Remains, Server, Settings};
 use super::store::{Change, Row, Store};
+use super::team::Team;
 
 /// How large a stand-in platform is.
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +63,8 @@
     version: Mutex<u64>,
     /// The newest configuration, as the operators know it.
     configuration: Mutex<serde_json::Value>,
+    /// The teams that configurations name from now on; `None` where callers need no key.
+    teams: Mutex<Option<Vec<Team>>>,
     sizes: Sizes,
 }
 
@@ -123,6 +126,7 @@
             orders: Arc::default(),
             version: Mutex::new(0),
             configuration: Mutex::default(),
+            teams: Mutex::default(),
             sizes,
         };
         for service in services {
@@ -255,6 +259,12 @@
         });
     }
 
+    /// Sets the teams that the next configurations name.
+    pub fn set_teams(&self, teams: &[Team]) {
+        let own = self.teams.lock();
+        *own.unwrap_or_else(PoisonError::into_inner) = Some(teams.to_vec());
+    }
+
     /// Puts a configuration in force whose routes lead from databases to services, each with its
     /// kind and the age in milliseconds that its reads accept.
     pub fn configure(&self, routes: &[(&str, &str, &str, u64)]) {
@@ -278,8 +288,12 @@
             .iter()
             .map(|name| json!({"name": name, "max_conns": self.sizes.connections}))
             .collect();
-        let value = json!({"version": *version, "routes": routes, "services": services,
+        let mut value = json!({"version": *version, "routes": routes, "services": services,
             "limits": {"tx_idle_ms": 3000}});
+        let teams = self.teams.lock();
+        if let Some(teams) = &*teams.unwrap_or_else(PoisonError::into_inner) {
+            value["tenants"] = teams.iter().map(Team::to_json).collect();
+        }
         self.put("op", "config", &value);
         let newest = self.configuration.lock();
         *newest.unwrap_or_else(PoisonError::into_inner) = value;
