Hold all hosts together to the limit of each team

Change: core::limit. One of the electors, by an order of its own for each team, keeps a bucket with the team's rate and burst. Hosts ask it for operations ahead of need; what is not used within 500 ms expires and goes back. Each answer also grants a share, the usual demand at the host, which the host uses alone while the grantor is silent; the grantor takes the shares of silent hosts off its refill for 60 s. After 2.5 s of silence the next elector takes over, if it is in contact with most others, with an empty bucket. An operation over the limit is refused at once with the time after which one will be within it.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -1,4 +1,43 @@
 //! Limits on how much a team may ask of all entry hosts together.
+//!
+//! One host, the grantor of the team, keeps a token bucket with the team's rate and burst. Hosts
+//! whose callers belong to the team ask it for operations ahead of need, so that callers do not
+//! wait for a round trip. An operation that was granted and not used within
+//! [`OPERATION_LIFETIME`] expires and goes back to the bucket.
+//!
+//! A host that gets no answer cannot know what the others use. So each answer also grants a share:
+//! a rate, about what the team asked of this host before, which the host may use on its own while
+//! the grantor is silent. The grantor takes the shares of silent hosts off the rate at which it
+//! refills its bucket, from before a host may use its share until the share has expired. So the sum
+//! over all hosts stays within the limit, whether they are in contact or not.
+//!
+//! The module performs no input or output.
+
+use std::time::Duration;
+
+mod account;
+mod grantor;
+mod turn;
+
+pub use account::{Account, Admission};
+pub use grantor::Grantor;
+pub use turn::{grants_since, passed_over_since};
+
+/// How long a host may use operations that it was granted, from when it asked for them. Whatever is
+/// granted in one window may be used in the next for this long, so it has to be a small part of the
+/// window over which operators measure a limit, which is seconds.
+pub const OPERATION_LIFETIME: Duration = Duration::from_millis(500);
+
+/// Time without an answer, from when the last answered request was sent, after which a host uses
+/// its share. Two requests may be lost before.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a share may be used without an answer. It outlasts most partitions. The share of a host
+/// that is gone for good is unavailable to the others for this long.
+pub const SHARE_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Time without a sign of life of a grantor after which the next host in order takes its place.
+pub const HANDOVER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// How much a team may ask of all entry hosts together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -8,3 +47,33 @@
     /// Operations beyond the rate that may come at once.
     pub burst: u32,
 }
+
+/// A host's request for operations of one team.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Request {
+    /// Identifies the process that asks. A new process of the same host holds nothing.
+    pub incarnation: u64,
+    /// When it was sent, by the clock of the asking host.
+    pub sent: Duration,
+    /// Operations to grant.
+    pub wanted: u32,
+    /// Operations granted earlier that have expired unused since the last request.
+    pub returned: u32,
+    /// Operations per second that callers ask of the host.
+    pub demand: f64,
+    /// The share that the host holds, in operations per second.
+    pub share: f64,
+}
+
+/// Answer to a [`Request`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Grant {
+    /// When the request was sent, by the clock of the asking host.
+    pub sent: Duration,
+    /// Operations that are granted.
+    pub granted: u32,
+    /// The share of the host from now on, in operations per second.
+    pub share: f64,
+    /// Time until the next operation may be granted, if fewer were granted than wanted.
+    pub retry_after: Duration,
+}
--- /dev/null
+++ b/crates/core/tests/limit/grantor.rs
@@ -0,0 +1,144 @@
+//! The host that grants the operations of a team.
+
+use std::time::Duration;
+
+use flamingopost_core::key::HostKey;
+use flamingopost_core::limit::{Grantor, Limit, Request};
+use flamingopost_core::names::Names;
+
+use super::ms;
+
+const LIMIT: Limit = Limit {
+    per_second: 20,
+    burst: 20,
+};
+
+fn hosts() -> [HostKey; 2] {
+    let mut names: Names<HostKey> = Names::default();
+    ["entry-1", "entry-2"].map(|name| names.intern(name))
+}
+
+fn request(sent: Duration, wanted: u32, demand: f64) -> Request {
+    Request {
+        incarnation: 1,
+        sent,
+        wanted,
+        returned: 0,
+        demand,
+        share: 0.0,
+    }
+}
+
+/// Guards against a grantor that fills its bucket while a host that it does not hear uses its share.
+#[test]
+fn the_share_of_a_silent_host_is_taken_off_the_rate() {
+    let [first, second] = hosts();
+    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let asked = request(ms(1_000), 20, 15.0);
+    let grant = grantor.grant(first, &asked, 0.0, ms(1_000)).expect("new");
+    assert_eq!((grant.granted, grant.share), (20, 15.0));
+    let asked = request(ms(2_000), 20, 5.0);
+    let grant = grantor.grant(second, &asked, 0.0, ms(2_000)).expect("new");
+    assert_eq!(grant.granted, 5, "20 a second, less 15");
+}
+
+/// Guards against shares that add up to more than the rate.
+#[test]
+fn shares_add_up_to_the_rate_at_most() {
+    let [first, second] = hosts();
+    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let grant = grantor.grant(first, &request(ms(10), 0, 30.0), 0.0, ms(10));
+    assert_eq!(grant.expect("new").share, 20.0);
+    let grant = grantor.grant(second, &request(ms(20), 0, 30.0), 0.0, ms(20));
+    assert_eq!(grant.expect("new").share, 0.0, "nothing is left yet");
+    let held = Request {
+        share: 20.0,
+        ..request(ms(260), 0, 30.0)
+    };
+    let grant = grantor.grant(first, &held, 0.0, ms(260)).expect("newer");
+    assert_eq!(grant.share, 10.0, "half of the demand");
+    let grant = grantor.grant(second, &request(ms(270), 0, 30.0), 0.0, ms(270));
+    assert_eq!(
+        grant.expect("newer").share,
+        0.0,
+        "the first may not know yet"
+    );
+    let held = Request {
+        share: 10.0,
+        ..request(ms(510), 0, 30.0)
+    };
+    grantor.grant(first, &held, 0.0, ms(510)).expect("newer");
+    let grant = grantor.grant(second, &request(ms(520), 0, 30.0), 0.0, ms(520));
+    assert_eq!(grant.expect("newer").share, 10.0);
+}
+
+/// Guards against a request that was overtaken and is answered twice.
+#[test]
+fn an_overtaken_request_is_not_answered() {
+    let [first, _] = hosts();
+    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let (older, newer) = (request(ms(400), 1, 1.0), request(ms(500), 1, 1.0));
+    assert!(grantor.grant(first, &newer, 0.0, ms(502)).is_some());
+    assert!(grantor.grant(first, &older, 0.0, ms(503)).is_none());
+    assert!(grantor.grant(first, &newer, 0.0, ms(504)).is_none());
+}
+
+/// A process that was started again holds nothing, so that its callers get the share of the former
+/// process at once.
+#[test]
+fn a_restarted_host_frees_the_share_of_its_former_process() {
+    let [first, second] = hosts();
+    let mut grantor = Grantor::new(LIMIT, ms(0));
+    grantor.grant(first, &request(ms(1_000), 0, 20.0), 0.0, ms(1_000));
+    let restarted = Request {
+        incarnation: 2,
+        ..request(ms(5), 0, 0.0)
+    };
+    grantor
+        .grant(first, &restarted, 0.0, ms(2_000))
+        .expect("new");
+    let grant = grantor.grant(second, &request(ms(2_010), 0, 20.0), 0.0, ms(2_010));
+    assert_eq!(grant.expect("new").share, 20.0);
+}
+
+/// Guards against a grantor that has just taken over and doubles what hosts use that it has not
+/// heard of.
+#[test]
+fn a_new_grantor_assumes_that_unknown_hosts_use_shares() {
+    let [first, _] = hosts();
+    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let asked = request(ms(1_000), 20, 20.0);
+    let grant = grantor.grant(first, &asked, 0.25, ms(1_000)).expect("new");
+    assert_eq!(grant.granted, 10, "twice the average share of a quarter");
+}
+
+#[test]
+fn a_lowered_limit_applies_at_once() {
+    let [first, _] = hosts();
+    let mut grantor = Grantor::new(LIMIT, ms(0));
+    grantor.set_limit(Limit {
+        per_second: 2,
+        burst: 3,
+    });
+    let asked = request(ms(5_000), 20, 20.0);
+    let grant = grantor.grant(first, &asked, 0.0, ms(5_000)).expect("new");
+    assert_eq!(grant.granted, 3);
+    assert!(grant.retry_after >= ms(400), "{:?}", grant.retry_after);
+}
+
+/// Guards against a division by a rate of zero.
+#[test]
+fn a_team_without_any_operations_is_told_to_wait() {
+    let [first, _] = hosts();
+    let mut grantor = Grantor::new(
+        Limit {
+            per_second: 0,
+            burst: 0,
+        },
+        ms(0),
+    );
+    let grant = grantor.grant(first, &request(ms(5_000), 3, 3.0), 0.0, ms(5_000));
+    let grant = grant.expect("new");
+    assert_eq!((grant.granted, grant.share), (0, 0.0));
+    assert_eq!(grant.retry_after, ms(1_000));
+}
--- /dev/null
+++ b/crates/core/tests/limit/main.rs
@@ -0,0 +1,142 @@
+//! Limits of teams over all hosts: one host at a time, and a model of many.
+
+use std::time::Duration;
+
+use flamingopost_core::limit::{
+    ANSWER_TIMEOUT, Account, Admission, Grant, OPERATION_LIFETIME, SHARE_LIFETIME,
+};
+
+mod grantor;
+mod model;
+mod random;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Returns the grant that answers the account's request at `now`.
+fn answer(account: &mut Account, granted: u32, share: f64, now: Duration) -> Grant {
+    let request = account.request(1, now).expect("a request is due");
+    Grant {
+        sent: request.sent,
+        granted,
+        share,
+        retry_after: Duration::ZERO,
+    }
+}
+
+#[test]
+fn granted_operations_are_admitted_once_each() {
+    let mut account = Account::new(1, ms(0));
+    account.record_arrival(ms(0));
+    let grant = answer(&mut account, 2, 0.0, ms(0));
+    account.record_grant(&grant, ms(3));
+    account.record_grant(&grant, ms(4));
+    assert_eq!(account.admit(ms(5)), Admission::Admitted);
+    assert_eq!(account.admit(ms(5)), Admission::Admitted);
+    assert!(matches!(account.admit(ms(5)), Admission::Wait { .. }));
+}
+
+/// Guards against operations that pile up on many hosts and are used at once.
+#[test]
+fn granted_operations_expire_and_are_returned() {
+    let mut account = Account::new(1, ms(0));
+    account.record_arrival(ms(0));
+    let grant = answer(&mut account, 5, 0.0, ms(0));
+    account.record_grant(&grant, ms(3));
+    assert_eq!(account.admit(ms(10)), Admission::Admitted);
+    let later = OPERATION_LIFETIME;
+    assert!(!matches!(account.admit(later), Admission::Admitted));
+    let request = account.request(1, later).expect("a caller waits");
+    assert_eq!(request.returned, 4);
+}
+
+/// Guards against an answer that was overtaken: the grantor has changed the share since.
+#[test]
+fn only_the_newest_request_is_answered() {
+    let mut account = Account::new(1, ms(0));
+    account.record_arrival(ms(0));
+    let first = answer(&mut account, 5, 9.0, ms(0));
+    let second = answer(&mut account, 1, 2.0, ms(100));
+    account.record_grant(&second, ms(103));
+    account.record_grant(&first, ms(104));
+    assert_eq!(account.share(), 2.0);
+    assert_eq!(account.admit(ms(105)), Admission::Admitted);
+    assert!(!matches!(account.admit(ms(105)), Admission::Admitted));
+}
+
+/// Guards against a host that uses its share while the grantor still counts it as asking.
+#[test]
+fn the_share_is_used_only_while_the_grantor_is_silent() {
+    let mut account = Account::new(1, ms(0));
+    account.record_arrival(ms(0));
+    let grant = answer(&mut account, 0, 4.0, ms(0));
+    account.record_grant(&grant, ms(3));
+    let silent = ANSWER_TIMEOUT;
+    assert_eq!(account.admit(ms(10)), Admission::Wait { until: silent });
+    let mut admitted = 0;
+    for now in (0..10_000).map(ms) {
+        admitted += u32::from(account.admit(silent + now) == Admission::Admitted);
+    }
+    assert!(
+        (38..=41).contains(&admitted),
+        "{admitted} at 4 a second in 10 s"
+    );
+    let expired = SHARE_LIFETIME;
+    assert!(matches!(account.admit(expired), Admission::Refused { .. }));
+}
+
+/// A caller that was refused is within the limit when it comes back at the time it was told.
+#[test]
+fn the_retry_time_is_when_the_share_admits_the_next_operation() {
+    let mut account = Account::new(1, ms(0));
+    account.record_arrival(ms(0));
+    let grant = answer(&mut account, 0, 2.0, ms(0));
+    account.record_grant(&grant, ms(3));
+    let mut now = ANSWER_TIMEOUT + ms(500);
+    assert_eq!(account.admit(now), Admission::Admitted);
+    let Admission::Refused { retry_after } = account.admit(now) else {
+        panic!("one operation each 500 ms");
+    };
+    now += retry_after;
+    assert_eq!(account.admit(now), Admission::Admitted);
+}
+
+/// Guards against callers that wait for an answer although the grantor has nothing to grant.
+#[test]
+fn an_operation_beyond_the_limit_is_refused_at_once() {
+    let mut account = Account::new(1, ms(0));
+    account.record_arrival(ms(0));
+    let grant = Grant {
+        retry_after: ms(80),
+        ..answer(&mut account, 0, 4.0, ms(0))
+    };
+    account.record_grant(&grant, ms(3));
+    let retry_after = ms(75);
+    assert_eq!(account.admit(ms(8)), Admission::Refused { retry_after });
+}
+
+/// Guards against the traffic of requests for teams that nobody calls for any more.
+#[test]
+fn an_unused_account_gives_up_its_share_and_falls_silent() {
+    let mut account = Account::new(1, ms(0));
+    account.record_arrival(ms(0));
+    let grant = answer(&mut account, 1, 1.0, ms(0));
+    account.record_grant(&grant, ms(3));
+    let mut last = None;
+    for now in (0..10_000).map(ms) {
+        if let Some(request) = account.request(0, now) {
+            last = Some(request);
+            let grant = Grant {
+                sent: request.sent,
+                granted: 0,
+                share: request.demand,
+                retry_after: Duration::ZERO,
+            };
+            account.record_grant(&grant, now);
+        }
+    }
+    let last = last.expect("requests were sent");
+    assert!(last.sent < ms(5_000), "still sent at {:?}", last.sent);
+    assert_eq!(account.share(), 0.0);
+}
--- /dev/null
+++ b/crates/core/tests/limit/model.rs
@@ -0,0 +1,557 @@
+//! A model of many entry hosts that share the limit of one team, on one virtual clock.
+//!
+//! The deciding code is the product's: accounts, grantors, their order, and the leases of hosts.
+//! Messages take time, are lost and are cut off; hosts are killed, paused and started again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use flamingopost_core::key::HostKey;
+use flamingopost_core::limit::{
+    Account, Admission, Grant, Grantor, Limit, Request, grants_since, passed_over_since,
+};
+use flamingopost_core::names::Names;
+use flamingopost_core::quorum::{HEARTBEAT_INTERVAL, Quorum};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::ms;
+
+/// Number of electors, one of which grants.
+const ELECTORS: usize = 7;
+
+/// Interval between checks for requests that are due.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time without a heartbeat after which a host counts as silent.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
+
+/// One in this many messages is lost.
+const LOST_ONE_IN: u32 = 200;
+
+/// How hosts share a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// Each host may use an equal part.
+    EqualParts,
+    /// One host grants all operations, and none are admitted while it is silent.
+    GrantorAlone,
+    /// One host grants operations and shares, which hosts use while it is silent.
+    GrantorWithShares,
+}
+
+/// A message between two hosts.
+#[derive(Debug, Clone)]
+enum Message {
+    Heartbeat { sent: Duration },
+    Ack { sent: Duration },
+    Request(Request),
+    Grant(Grant),
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Heartbeat {
+        host: usize,
+        start: u32,
+    },
+    Check {
+        host: usize,
+        start: u32,
+    },
+    Deliver {
+        from: usize,
+        to: usize,
+        message: Message,
+    },
+    Arrival {
+        caller: usize,
+    },
+    Retry {
+        caller: usize,
+        host: usize,
+        start: u32,
+        since: Duration,
+    },
+    Configure {
+        host: usize,
+        limit: Limit,
+    },
+    Fault(Fault),
+    Heal(Fault),
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    /// The process of a host ends, and a new one starts when the fault ends.
+    Kill(usize),
+    /// All processes end.
+    KillAll,
+    /// A host stands still.
+    Pause(usize),
+    /// A host is cut off from all others.
+    CutHost(usize),
+    /// A zone is cut off from the others.
+    CutZone(usize),
+    /// Callers ask for this many times as much.
+    Rush(f64),
+}
+
+struct Host {
+    /// Counts the starts of its process.
+    start: u32,
+    running: bool,
+    paused: bool,
+    account: Account,
+    waiting: u32,
+    grantor: Option<Grantor>,
+    quorum: Quorum,
+    heartbeats: BTreeMap<HostKey, Duration>,
+    /// Whether it holds its lease, and since when that has been so.
+    lease: (bool, Duration),
+    limit: Limit,
+    /// Used where each host has an equal part.
+    part: (f64, Duration),
+}
+
+/// A caller of the team, which stays at one host while that runs.
+struct Caller {
+    host: usize,
+    rate: f64,
+}
+
+/// What came of a run.
+#[derive(Debug, Default, Clone)]
+pub struct Tally {
+    /// When operations were admitted.
+    pub admitted: Vec<Duration>,
+    /// Operations that were refused.
+    pub refused: u64,
+    /// Operations that one bucket which sees all hosts would have admitted.
+    pub allowed: u64,
+    /// Time that admitted operations have waited.
+    pub waited: Duration,
+}
+
+/// One run.
+pub struct Model {
+    way: Way,
+    rng: ChaCha8Rng,
+    now: Duration,
+    events: BTreeMap<(Duration, u64), Event>,
+    next: u64,
+    hosts: Vec<Host>,
+    keys: Vec<HostKey>,
+    zones: usize,
+    callers: Vec<Caller>,
+    rush: f64,
+    cut_hosts: BTreeSet<usize>,
+    cut_zones: BTreeSet<usize>,
+    /// The limits that operators have set, and when the last host had them.
+    pub limits: Vec<(Duration, Limit)>,
+    /// Tokens of one bucket that sees all hosts.
+    ideal: (f64, Duration),
+    tally: Tally,
+}
+
+impl Model {
+    /// Creates `hosts` hosts in `zones` zones whose callers ask for `demand` operations per second
+    /// together.
+    pub fn new(
+        seed: u64,
+        way: Way,
+        hosts: usize,
+        zones: usize,
+        limit: Limit,
+        demand: f64,
+    ) -> Model {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut names: Names<HostKey> = Names::default();
+        let keys = (0..hosts).map(|host| names.intern(&host.to_string()));
+        let keys: Vec<HostKey> = keys.collect();
+        let count = rng.random_range(1..=hosts * 2);
+        let weights: Vec<f64> = (0..count).map(|_| rng.random_range(0.1..1.0)).collect();
+        let all: f64 = weights.iter().sum();
+        let callers = weights.iter().map(|weight| Caller {
+            host: rng.random_range(0..hosts),
+            rate: demand * weight / all,
+        });
+        let mut model = Model {
+            way,
+            callers: callers.collect(),
+            rng,
+            now: Duration::ZERO,
+            events: BTreeMap::new(),
+            next: 0,
+            hosts: Vec::new(),
+            keys,
+            zones,
+            rush: 1.0,
+            cut_hosts: BTreeSet::new(),
+            cut_zones: BTreeSet::new(),
+            limits: vec![(Duration::ZERO, limit)],
+            ideal: (0.0, Duration::ZERO),
+            tally: Tally::default(),
+        };
+        for host in 0..hosts {
+            let started = model.process(host, 0, limit);
+            model.hosts.push(started);
+            model.start_timers(host);
+        }
+        for caller in 0..model.callers.len() {
+            let start = ms(3_000);
+            model.next_arrival(caller, start);
+        }
+        model
+    }
+
+    /// Adds a fault from `at` for `lasts`.
+    pub fn add_fault(&mut self, at: Duration, lasts: Duration, fault: Fault) {
+        self.at(at, Event::Fault(fault));
+        self.at(at + lasts, Event::Heal(fault));
+    }
+
+    /// Changes the limit at `at`; each host learns of it within a second.
+    pub fn change_limit(&mut self, at: Duration, limit: Limit) {
+        for host in 0..self.hosts.len() {
+            let delay = ms(self.rng.random_range(5..1_000));
+            self.at(at + delay, Event::Configure { host, limit });
+        }
+        self.limits.push((at + ms(1_000), limit));
+    }
+
+    /// Plays until `end`.
+    pub fn play(mut self, end: Duration) -> Tally {
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at >= end {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.tally
+    }
+
+    fn at(&mut self, at: Duration, event: Event) {
+        self.next += 1;
+        self.events.insert((at, self.next), event);
+    }
+
+    fn process(&mut self, host: usize, start: u32, limit: Limit) -> Host {
+        let mut quorum = Quorum::default();
+        let electors = ELECTORS.min(self.keys.len());
+        let others = (0..electors).filter(|other| *other != host);
+        quorum.set_elector(host < electors);
+        quorum.set_hosts(others.map(|it| self.keys[it]).collect(), self.now);
+        Host {
+            start,
+            running: true,
+            paused: false,
+            account: Account::new(self.rng.random(), self.now),
+            waiting: 0,
+            grantor: None,
+            quorum,
+            heartbeats: BTreeMap::new(),
+            lease: (false, self.now),
+            limit,
+            part: (0.0, self.now),
+        }
+    }
+
+    fn start_timers(&mut self, host: usize) {
+        let start = self.hosts[host].start;
+        let offset = ms(self.rng.random_range(0..50));
+        let at = self.now + offset;
+        self.at(at, Event::Heartbeat { host, start });
+        self.at(at, Event::Check { host, start });
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Heartbeat { host, start } => self.heartbeat(host, start),
+            Event::Check { host, start } => self.check(host, start),
+            Event::Deliver { from, to, message } => self.deliver(from, to, message),
+            Event::Arrival { caller } => self.arrive(caller),
+            Event::Retry {
+                caller,
+                host,
+                start,
+                since,
+            } => self.retry(caller, host, start, since),
+            Event::Configure { host, limit } => self.configure(host, limit),
+            Event::Fault(fault) => self.set_fault(fault, true),
+            Event::Heal(fault) => self.set_fault(fault, false),
+        }
+    }
+
+    fn configure(&mut self, host: usize, limit: Limit) {
+        self.hosts[host].limit = limit;
+        if let Some(grantor) = &mut self.hosts[host].grantor {
+            grantor.set_limit(limit);
+        }
+    }
+
+    fn set_fault(&mut self, fault: Fault, begins: bool) {
+        match (fault, begins) {
+            (Fault::Kill(host), true) => self.hosts[host].running = false,
+            (Fault::Kill(host), false) => self.restart(host),
+            (Fault::KillAll, true) => self.hosts.iter_mut().for_each(|it| it.running = false),
+            (Fault::KillAll, false) => (0..self.hosts.len()).for_each(|host| self.restart(host)),
+            (Fault::Pause(host), begins) => self.hosts[host].paused = begins,
+            (Fault::CutHost(host), true) => drop(self.cut_hosts.insert(host)),
+            (Fault::CutHost(host), false) => drop(self.cut_hosts.remove(&host)),
+            (Fault::CutZone(zone), true) => drop(self.cut_zones.insert(zone)),
+            (Fault::CutZone(zone), false) => drop(self.cut_zones.remove(&zone)),
+            (Fault::Rush(times), true) => self.rush = times,
+            (Fault::Rush(_), false) => self.rush = 1.0,
+        }
+    }
+
+    fn restart(&mut self, host: usize) {
+        let (start, limit) = (self.hosts[host].start + 1, self.hosts[host].limit);
+        self.hosts[host] = self.process(host, start, limit);
+        self.start_timers(host);
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let (a, b) = (from % self.zones, to % self.zones);
+        let zones = a != b && (self.cut_zones.contains(&a) || self.cut_zones.contains(&b));
+        zones || self.cut_hosts.contains(&from) || self.cut_hosts.contains(&to)
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        if from == to {
+            return self.receive(from, to, message);
+        }
+        if self.is_cut(from, to) || self.rng.random_range(0..LOST_ONE_IN) == 0 {
+            return;
+        }
+        let delay = Duration::from_micros(self.rng.random_range(400..6_000));
+        self.at(self.now + delay, Event::Deliver { from, to, message });
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        if !self.hosts[to].running {
+            return;
+        }
+        if self.hosts[to].paused {
+            // The kernel keeps it until the process goes on.
+            let event = Event::Deliver { from, to, message };
+            return self.at(self.now + ms(20), event);
+        }
+        self.receive(from, to, message);
+    }
+
+    fn receive(&mut self, from: usize, to: usize, message: Message) {
+        let (now, sender) = (self.now, self.keys[from]);
+        let host = &mut self.hosts[to];
+        host.quorum.record_message(sender, now);
+        match message {
+            Message::Heartbeat { sent } => {
+                host.heartbeats.insert(sender, now);
+                self.send(to, from, Message::Ack { sent });
+            }
+            Message::Ack { sent } => host.quorum.record_reply(sender, sent),
+            Message::Request(request) => {
+                if let Some(grant) = self.grant(to, sender, &request) {
+                    self.send(to, from, Message::Grant(grant));
+                }
+            }
+            Message::Grant(mut grant) => {
+                if self.way == Way::GrantorAlone {
+                    grant.share = 0.0;
+                }
+                host.account.record_grant(&grant, now);
+                self.wake(to);
+            }
+        }
+    }
+
+    /// Lets the operations that wait at `host` ask again.
+    fn wake(&mut self, host: usize) {
+        let waiting = self
+            .events
+            .iter()
+            .filter(|(_, event)| matches!(event, Event::Retry { host: of, .. } if *of == host));
+        let keys: Vec<(Duration, u64)> = waiting.map(|(key, _)| *key).collect();
+        for key in keys {
+            if let Some(event) = self.events.remove(&key) {
+                self.at(self.now, event);
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, host: usize, start: u32) {
+        let now = self.now;
+        if !self.hosts[host].running || self.hosts[host].start != start {
+            return;
+        }
+        self.at(now + HEARTBEAT_INTERVAL, Event::Heartbeat { host, start });
+        if self.hosts[host].paused {
+            return;
+        }
+        let holds = self.hosts[host].quorum.holds_lease(now);
+        if self.hosts[host].lease.0 != holds {
+            self.hosts[host].lease = (holds, now);
+        }
+        for elector in (0..ELECTORS.min(self.hosts.len())).filter(|it| *it != host) {
+            self.send(host, elector, Message::Heartbeat { sent: now });
+        }
+    }
+
+    fn check(&mut self, host: usize, start: u32) {
+        if !self.hosts[host].running || self.hosts[host].start != start {
+            return;
+        }
+        self.at(self.now + CHECK_INTERVAL, Event::Check { host, start });
+        if !self.hosts[host].paused {
+            self.request(host);
+        }
+    }
+
+    fn request(&mut self, host: usize) {
+        let now = self.now;
+        let waiting = self.hosts[host].waiting;
+        let Some(request) = self.hosts[host].account.request(waiting, now) else {
+            return;
+        };
+        let electors = 0..ELECTORS.min(self.hosts.len());
+        let grantor = electors.into_iter().find(|elector| {
+            *elector == host || passed_over_since(self.age(host, *elector), now).is_none()
+        });
+        if let Some(grantor) = grantor {
+            self.send(host, grantor, Message::Request(request));
+        }
+    }
+
+    /// Returns the time since `host` last heard of `elector`.
+    fn age(&self, host: usize, elector: usize) -> Duration {
+        let age = self.hosts[host].quorum.age(self.keys[elector], self.now);
+        age.unwrap_or(Duration::MAX)
+    }
+
+    fn grant(&mut self, host: usize, sender: HostKey, request: &Request) -> Option<Grant> {
+        let now = self.now;
+        let (holds, since) = self.hosts[host].lease;
+        if !holds || !self.hosts[host].quorum.holds_lease(now) {
+            return None;
+        }
+        let ages: Vec<Duration> = (0..host).map(|before| self.age(host, before)).collect();
+        let since = grants_since(since, ages, now)?;
+        let others = self.hosts.len() - 1;
+        let host = &mut self.hosts[host];
+        let heard = host.heartbeats.values();
+        let heard = heard.filter(|at| now < **at + SILENT_AFTER).count();
+        let silent = others.saturating_sub(heard) as f64 / (others + 1) as f64;
+        if host.grantor.as_ref().is_none_or(|it| it.since() < since) {
+            host.grantor = Some(Grantor::new(host.limit, since));
+        }
+        host.grantor.as_mut()?.grant(sender, request, silent, now)
+    }
+
+    fn next_arrival(&mut self, caller: usize, after: Duration) {
+        let rate = (self.callers[caller].rate * self.rush).max(1e-3);
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+        let at = after + Duration::from_secs_f64(gap);
+        self.at(at, Event::Arrival { caller });
+    }
+
+    fn arrive(&mut self, caller: usize) {
+        let now = self.now;
+        self.next_arrival(caller, now);
+        if !self.hosts[self.callers[caller].host].running {
+            // The balancer leads the caller to another host.
+            let running = (0..self.hosts.len()).filter(|it| self.hosts[*it].running);
+            let running: Vec<usize> = running.collect();
+            if running.is_empty() {
+                return;
+            }
+            self.callers[caller].host = running[self.rng.random_range(0..running.len())];
+        }
+        let host = self.callers[caller].host;
+        if self.hosts[host].paused {
+            return;
+        }
+        self.count_ideal();
+        let start = self.hosts[host].start;
+        self.hosts[host].account.record_arrival(now);
+        self.decide(caller, host, start, now);
+    }
+
+    fn retry(&mut self, caller: usize, host: usize, start: u32, since: Duration) {
+        if !self.hosts[host].running || self.hosts[host].start != start {
+            return;
+        }
+        if self.hosts[host].paused {
+            let event = Event::Retry {
+                caller,
+                host,
+                start,
+                since,
+            };
+            return self.at(self.now + ms(20), event);
+        }
+        self.hosts[host].waiting -= 1;
+        self.decide(caller, host, start, since);
+    }
+
+    fn decide(&mut self, caller: usize, host: usize, start: u32, since: Duration) {
+        let now = self.now;
+        let admission = match self.way {
+            Way::EqualParts => self.admit_part(host),
+            Way::GrantorAlone | Way::GrantorWithShares => self.hosts[host].account.admit(now),
+        };
+        match admission {
+            Admission::Admitted => {
+                self.tally.admitted.push(now);
+                self.tally.waited += now - since;
+            }
+            Admission::Refused { .. } => self.tally.refused += 1,
+            Admission::Wait { until } => {
+                self.hosts[host].waiting += 1;
+                let event = Event::Retry {
+                    caller,
+                    host,
+                    start,
+                    since,
+                };
+                self.at(until + ms(1), event);
+                self.request(host);
+            }
+        }
+    }
+
+    /// Admits from an equal part of the rate and the burst.
+    fn admit_part(&mut self, host: usize) -> Admission {
+        let (now, hosts) = (self.now, self.hosts.len() as f64);
+        let host = &mut self.hosts[host];
+        let (tokens, at) = host.part;
+        let rate = f64::from(host.limit.per_second) / hosts;
+        let burst = (f64::from(host.limit.burst) / hosts).max(1.0);
+        let tokens = (tokens + (now - at).as_secs_f64() * rate).min(burst);
+        let admitted = tokens >= 1.0;
+        host.part = (if admitted { tokens - 1.0 } else { tokens }, now);
+        match admitted {
+            true => Admission::Admitted,
+            false => Admission::Refused {
+                retry_after: ms(50),
+            },
+        }
+    }
+
+    /// Counts the arrival against one bucket that sees all hosts.
+    fn count_ideal(&mut self) {
+        let (tokens, at) = self.ideal;
+        let in_force = self.limits.iter().filter(|(since, _)| *since <= self.now);
+        let limit = in_force
+            .last()
+            .map_or(self.limits[0].1, |(_, limit)| *limit);
+        let passed = (self.now - at).as_secs_f64();
+        let tokens = tokens + passed * f64::from(limit.per_second);
+        let tokens = tokens.min(f64::from(limit.burst));
+        let allowed = tokens >= 1.0;
+        self.tally.allowed += u64::from(allowed);
+        self.ideal = (if allowed { tokens - 1.0 } else { tokens }, self.now);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/limit/random.rs
@@ -0,0 +1,138 @@
+//! Random schedules of faults: no window of time over the limit.
+//!
+//! `FLAMINGOPOST_SCHEDULES=N` sets how many are played and `FLAMINGOPOST_SEED=N` the first seed.
+
+use std::time::Duration;
+
+use flamingopost_core::limit::Limit;
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::model::{Fault, Model, Tally, Way};
+use super::ms;
+
+/// Schedules played by default.
+const SCHEDULES: u64 = 60;
+
+/// Length of a schedule.
+const LENGTH: Duration = Duration::from_secs(30);
+
+/// The window over which operators measure a limit, how far it may be exceeded as a fraction, and
+/// by how many operations in addition.
+const WINDOW: Duration = Duration::from_secs(5);
+const OVERRUN: f64 = 0.1;
+const TOLERANCE: f64 = 20.0;
+
+/// Time after a change of a limit in which a window may still be measured by the former one: the
+/// time for hosts to apply it, and one window.
+const CHANGE_TIME: Duration = Duration::from_secs(10);
+
+fn env_number(name: &str) -> Option<u64> {
+    let value = std::env::var(name).ok()?;
+    Some(
+        value
+            .parse()
+            .unwrap_or_else(|_| panic!("{name} is a number")),
+    )
+}
+
+fn play(seed: u64, way: Way) -> (Tally, Vec<(Duration, Limit)>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x7ea5);
+    let hosts = rng.random_range(2..=24);
+    let per_second = rng.random_range(2..=120);
+    let limit = Limit {
+        per_second,
+        burst: rng.random_range(1..=per_second * 2),
+    };
+    let demand = f64::from(per_second) * rng.random_range(0.2..1.1);
+    let zones = rng.random_range(2..=4);
+    let mut model = Model::new(seed, way, hosts, zones, limit, demand);
+    for _ in 0..rng.random_range(0..=7) {
+        let at = ms(rng.random_range(4_000..26_000));
+        let lasts = ms(rng.random_range(200..9_000));
+        let host = rng.random_range(0..hosts);
+        let fault = match rng.random_range(0..12) {
+            0..=2 => Fault::Kill(host),
+            3 => Fault::KillAll,
+            4 | 5 => Fault::Pause(host),
+            6 => Fault::CutHost(host),
+            7 | 8 => Fault::CutZone(rng.random_range(0..zones)),
+            _ => Fault::Rush(rng.random_range(1.5..8.0)),
+        };
+        let lasts = match fault {
+            Fault::KillAll => lasts.min(ms(1_500)),
+            _ => lasts,
+        };
+        model.add_fault(at, lasts, fault);
+    }
+    if rng.random_bool(0.3) {
+        let lower = Limit {
+            per_second: per_second.div_ceil(3),
+            burst: limit.burst.div_ceil(3),
+        };
+        model.change_limit(ms(rng.random_range(5_000..20_000)), lower);
+    }
+    let limits = model.limits.clone();
+    (model.play(LENGTH), limits)
+}
+
+/// Returns the worst excess over the limit of any window, in operations.
+fn worst_excess(tally: &Tally, limits: &[(Duration, Limit)]) -> f64 {
+    let mut worst = f64::MIN;
+    let mut first = 0;
+    for (last, end) in tally.admitted.iter().enumerate() {
+        while *end - tally.admitted[first] >= WINDOW {
+            first += 1;
+        }
+        let begin = tally.admitted[first].saturating_sub(CHANGE_TIME);
+        let after = limits.iter().position(|(since, _)| *since > begin);
+        let binding = &limits[after.unwrap_or(limits.len()).saturating_sub(1)..];
+        let allowed = binding.iter().map(|(_, limit)| {
+            let operations = f64::from(limit.per_second) * WINDOW.as_secs_f64();
+            (operations + f64::from(limit.burst)) * (1.0 + OVERRUN) + TOLERANCE
+        });
+        let allowed = allowed.fold(0.0, f64::max);
+        worst = worst.max((last - first + 1) as f64 - allowed);
+    }
+    worst
+}
+
+/// Guards against hosts that exceed a team's limit together, because some are cut off, paused,
+/// killed or new.
+#[test]
+fn no_window_exceeds_the_limit() {
+    let count = env_number("FLAMINGOPOST_SCHEDULES").unwrap_or(SCHEDULES);
+    let first = env_number("FLAMINGOPOST_SEED").unwrap_or(1);
+    for seed in first..first + count {
+        let (tally, limits) = play(seed, Way::GrantorWithShares);
+        let excess = worst_excess(&tally, &limits);
+        assert!(excess <= 0.0, "seed {seed}: {excess} operations too many");
+    }
+}
+
+/// The ways to share a limit on the same schedules: what each refuses although one bucket that saw
+/// all hosts would have allowed it. Run with `--nocapture` for the figures.
+#[test]
+fn demand_decides_what_is_refused() {
+    let count = env_number("FLAMINGOPOST_SCHEDULES").unwrap_or(SCHEDULES);
+    let first = env_number("FLAMINGOPOST_SEED").unwrap_or(1);
+    let mut served = Vec::new();
+    for way in [Way::EqualParts, Way::GrantorAlone, Way::GrantorWithShares] {
+        let (mut admitted, mut allowed, mut over) = (0.0, 0.0, 0);
+        let mut waited = Duration::ZERO;
+        for seed in first..first + count {
+            let (tally, limits) = play(seed, way);
+            admitted += (tally.admitted.len() as f64).min(tally.allowed as f64);
+            allowed += tally.allowed as f64;
+            waited += tally.waited;
+            over += u32::from(worst_excess(&tally, &limits) > 0.0);
+        }
+        let share = admitted / allowed;
+        println!(
+            "{way:?}: {share:.3} of what is allowed is admitted, {over} of {count} schedules over the limit, {:.1} ms waited on average",
+            waited.as_secs_f64() * 1e3 / admitted
+        );
+        served.push(share);
+    }
+    assert!(served[2] > served[0] && served[2] > served[1], "{served:?}");
+}
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -31,6 +31,7 @@
 mod claims;
 mod empty_log;
 mod handover;
+mod limits;
 mod messaging;
 mod unheard_order;
 
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -12,7 +12,7 @@
 use super::{Election, Probe, RECENT_CONTACT, target};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::peer::{EndedTerm, LedTerm, LogReport, Message, Payload, Sample, Server};
+use crate::peer::{EndedTerm, LedTerm, LogReport, Message, Payload, Sample, Server, micros};
 use crate::platform::Platform;
 use crate::service::{ResolvedServer, Service};
 
@@ -75,7 +75,7 @@
     }
 
     /// Reports whether this host is in contact with a majority of hosts.
-    fn has_quorum(&self) -> bool {
+    pub(super) fn has_quorum(&self) -> bool {
         self.fleet
             .with_quorum(|quorum, now| quorum.holds_lease(now))
     }
@@ -349,6 +349,7 @@
                     ended_terms,
                 } => {
                     self.fleet.record_peer_epoch(host, Epoch(epoch));
+                    self.fleet.record_heartbeat(host);
                     let missed =
                         Duration::from_millis(u64::from(out_of_touch)) + PROPAGATION_WINDOW;
                     let echo = Payload::HeartbeatAck {
@@ -384,6 +385,10 @@
                     self.apply_samples(&samples, sent);
                     return;
                 }
+                Payload::OperationRequest { requests } => {
+                    return self.answer_requests(host, &requests, from);
+                }
+                Payload::OperationGrant { grants } => return self.apply_grants(&grants),
                 _ => {}
             }
         }
@@ -398,7 +403,10 @@
         let succession = self.services.borrow().get(&service.name).cloned();
         match message.payload {
             // Sent by a host that is not listed yet.
-            Payload::Heartbeat { .. } | Payload::HeartbeatAck { .. } => {}
+            Payload::Heartbeat { .. }
+            | Payload::HeartbeatAck { .. }
+            | Payload::OperationRequest { .. }
+            | Payload::OperationGrant { .. } => {}
             // Not specific to a service, and handled above.
             Payload::LogQuery | Payload::LogReply { .. } => {}
             Payload::ReachabilityQuery { server, furthest } => {
@@ -536,8 +544,3 @@
         _ => false,
     }
 }
-
-/// Converts a time to the microseconds sent in heartbeats.
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -94,6 +94,8 @@
         5206 Info ReadConfirmed { id: String, database: String, server: String, millis: u128 },
         /// session for {database} refused: no team has the API key with digest {digest}, version {version}
         5207 Warn KeyRefused { database: String, digest: String, version: u64 },
+        /// request {id} for {database} refused: team {team} may ask {rate} operations per second and {burst} at once; share here {share:.1}, grantor's last answer {answered:?} ms ago, retry after {millis} ms, version {version}
+        5208 Warn LimitReached { id: String, database: String, team: String, rate: u32, burst: u32, share: f64, answered: Option<u128>, millis: u128, version: u64 },
         /// {count} more lines of event {event} suppressed within a second
         5290 Warn Suppressed { event: u16, count: u64 },
         /// settings file changed: {outcome}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -5,11 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use flamingopost_core::digest::Digest;
 use flamingopost_core::epoch::{Epoch, EpochStatus, EpochTracker, SERVER_REWRITE_TIME};
 use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::invariant::{self, Invariant};
-use flamingopost_core::key::{HostKey, ServerKey, TeamKey};
+use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::Quorum;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -17,6 +16,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::feeds::{Feeds, StuckDetection};
+use crate::limits::Limits;
 use crate::meter;
 use crate::peer::FeedProgress;
 use crate::platform::{Backend, Change, Configuration, Entry, Peer, Service as Configured};
@@ -29,10 +29,12 @@
 mod peers;
 mod placement;
 mod restored;
+mod teams;
 mod unusable_entries;
 
 pub use placement::ServingHost;
 use placement::rendezvous_hash;
+pub use teams::Grantor;
 use unusable_entries::{CONFIGURATION, SERVERS, backend_id};
 
 /// How long a server stays in use after its entry disappears from the list. Entries of running
@@ -67,6 +69,8 @@
     pub contact_due: Notify,
     /// How far the platform's feeds have been read.
     pub feeds: Rc<Feeds>,
+    /// Limits of teams on this host.
+    pub limits: Limits,
     /// The store epoch in which the list of servers was first read.
     server_list_read_in: Cell<Option<Epoch>>,
     /// Whether the store did not answer before the fleet was known.
@@ -101,6 +105,8 @@
 struct Peers {
     keys: SlotMap<HostKey, ()>,
     by_host: BTreeMap<String, (HostKey, Peer)>,
+    /// When the last heartbeat arrived from each host that sends some to this one.
+    heartbeats: BTreeMap<HostKey, Duration>,
 }
 
 impl<C: Codec> Fleet<C> {
@@ -119,6 +125,7 @@
             electors: RefCell::default(),
             contact_due: Notify::new(),
             feeds: Rc::default(),
+            limits: Limits::default(),
             server_list_read_in: Cell::new(None),
             started_in_outage: Cell::new(false),
         }
@@ -199,26 +206,6 @@
         Some((route.clone(), self.service_or_new(&route.service)))
     }
 
-    /// Returns the team of a caller of `database` whose API key has the digest `key`. It is the null
-    /// key if the caller needs none and has none.
-    pub fn authenticate(&self, database: &str, key: &Digest) -> Option<TeamKey> {
-        let configuration = self.configuration()?;
-        let Some(teams) = &configuration.teams else {
-            return Some(TeamKey::default());
-        };
-        if let Some(name) = teams.find(key) {
-            return Some(self.site.team(name));
-        }
-        let route = configuration.routes.get(database)?;
-        route.anonymous.then(TeamKey::default)
-    }
-
-    /// Reports whether callers belong to teams.
-    pub fn has_teams(&self) -> bool {
-        let configuration = self.configuration();
-        configuration.is_some_and(|it| it.teams.is_some())
-    }
-
     /// Returns the statement timeout of the route of `database`.
     pub fn timeout(&self, database: &str) -> Option<Duration> {
         let configuration = self.configuration()?;
@@ -259,6 +246,7 @@
             self.apply_server_change(Change::Put(backend));
         }
         self.allot_connections();
+        self.forget_teams();
     }
 
     /// Applies a complete list of servers. Servers that are not in it count as missing.
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -87,6 +87,7 @@
             Change::Removed(host) => {
                 let mut peers = self.peers.borrow_mut();
                 if let Some((key, _)) = peers.by_host.remove(&host) {
+                    peers.heartbeats.remove(&key);
                     peers.keys.remove(key);
                     drop(peers);
                     self.site.log(&Event::PeerGone { host });
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -1,14 +1,16 @@
-//! Admission of a session's operations: whether the caller's API key is still valid.
+//! Admission of a session's operations: whether the caller's API key is still valid, and whether its
+//! team may ask for more.
 
 use std::rc::Rc;
 
 use bytes::Bytes;
 use flamingopost_core::digest::Digest;
 use flamingopost_core::key::TeamKey;
+use slotmap::Key as _;
 
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::message::Code;
+use crate::message::{Code, Query, Statement};
 use crate::session::Context;
 
 /// Name that stands for no team on a relayed session.
@@ -86,8 +88,58 @@
     ///
     /// # Errors
     /// The statement must not run.
-    pub fn admit(&mut self) -> Result<(), Refusal> {
-        self.check_key()
+    pub async fn admit(&mut self, query: &Query) -> Result<(), Refusal> {
+        self.check_key()?;
+        match &query.statement {
+            Statement::Begin(_) | Statement::Run(_) | Statement::Execute { .. } => {
+                self.check_limit(query).await
+            }
+            // Runs at no server.
+            Statement::Commit
+            | Statement::Rollback
+            | Statement::Set { .. }
+            | Statement::Prepare { .. }
+            | Statement::Deallocate { .. }
+            | Statement::Unknown => Ok(()),
+        }
+    }
+
+    /// Counts an operation, which is a single statement or a transaction.
+    async fn check_limit(&self, query: &Query) -> Result<(), Refusal> {
+        // The host that relays a session counts its operations.
+        if self.key.is_none() || self.team.is_null() {
+            return Ok(());
+        }
+        let Context { site, fleet, .. } = &*self.context;
+        let name = site.client_name(self.team);
+        let Some(limit) = fleet.limit(&name) else {
+            return Ok(());
+        };
+        let Err(retry_after) = fleet.limits.admit(site, self.team).await else {
+            return Ok(());
+        };
+        let share = fleet.limits.share(self.team, site.now());
+        let (share, answered) = share.unwrap_or_default();
+        let millis = retry_after.as_millis();
+        site.log(&Event::LimitReached {
+            id: String::from_utf8_lossy(&query.id).into_owned(),
+            database: self.database.clone(),
+            team: name,
+            rate: limit.per_second,
+            burst: limit.burst,
+            share,
+            answered: answered.map(|age| age.as_millis()),
+            millis,
+            version: fleet.version(),
+        });
+        Err(Refusal {
+            code: Code::Busy,
+            reason: format!(
+                "not run: the limit of {} operations per second is reached, retry after {millis} ms",
+                limit.per_second
+            ),
+            ends_session: false,
+        })
     }
 
     /// Looks up the caller's team again if the configuration has changed. The team of a key may
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -217,6 +217,7 @@
     tokio::task::spawn_local(probe::serve(probes, readiness));
     tokio::task::spawn_local(Rc::clone(&election).listen());
     tokio::task::spawn_local(Rc::clone(&election).send_heartbeats());
+    tokio::task::spawn_local(Rc::clone(&election).request_operations());
     tokio::task::spawn_local(Rc::clone(&watch).follow_configuration());
     tokio::task::spawn_local(Rc::clone(&watch).follow_servers());
     tokio::task::spawn_local(Rc::clone(&watch).follow_hosts(own));
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod host;
+pub mod limits;
 pub mod message;
 pub mod meter;
 pub mod peer;
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use flamingopost_core::incarnation::Incarnation;
+use flamingopost_core::limit::{Grant, Request};
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::Opinion;
 use flamingopost_core::term::Term;
@@ -119,6 +120,117 @@
         /// The logs, or some of them if one message cannot hold all.
         logs: Vec<LogReport>,
     },
+    /// Asks the receiver for operations within the limits of teams. Concerns no service.
+    OperationRequest {
+        /// The requests.
+        requests: Vec<TeamRequest>,
+    },
+    /// Answers [`Payload::OperationRequest`].
+    OperationGrant {
+        /// The grants. A team that the answering host does not grant for is missing.
+        grants: Vec<TeamGrant>,
+    },
+}
+
+/// A request for operations of a team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamRequest {
+    /// Name of the team.
+    pub team: String,
+    incarnation: u64,
+    /// When it was sent, by the sender's clock, in nanoseconds: the answer is matched by it.
+    sent: u64,
+    wanted: u32,
+    returned: u32,
+    /// In thousandths of an operation per second, like `share`.
+    demand: u32,
+    share: u32,
+}
+
+impl TeamRequest {
+    /// Creates the message of `request` for the team called `team`.
+    pub fn new(team: String, request: &Request) -> TeamRequest {
+        TeamRequest {
+            team,
+            incarnation: request.incarnation,
+            sent: nanos(request.sent),
+            wanted: request.wanted,
+            returned: request.returned,
+            demand: thousandths(request.demand),
+            share: thousandths(request.share),
+        }
+    }
+}
+
+impl From<&TeamRequest> for Request {
+    fn from(message: &TeamRequest) -> Request {
+        Request {
+            incarnation: message.incarnation,
+            sent: Duration::from_nanos(message.sent),
+            wanted: message.wanted,
+            returned: message.returned,
+            demand: f64::from(message.demand) / THOUSAND,
+            share: f64::from(message.share) / THOUSAND,
+        }
+    }
+}
+
+/// A grant of operations to a host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamGrant {
+    /// Name of the team.
+    pub team: String,
+    /// The time from the request, in nanoseconds.
+    sent: u64,
+    granted: u32,
+    /// In thousandths of an operation per second.
+    share: u32,
+    /// In milliseconds.
+    retry_after: u32,
+}
+
+impl TeamGrant {
+    /// Creates the message of `grant` for the team called `team`.
+    pub fn new(team: String, grant: &Grant) -> TeamGrant {
+        let retry_after = u32::try_from(grant.retry_after.as_millis());
+        TeamGrant {
+            team,
+            sent: nanos(grant.sent),
+            granted: grant.granted,
+            share: thousandths(grant.share),
+            retry_after: retry_after.unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<&TeamGrant> for Grant {
+    fn from(message: &TeamGrant) -> Grant {
+        Grant {
+            sent: Duration::from_nanos(message.sent),
+            granted: message.granted,
+            share: f64::from(message.share) / THOUSAND,
+            retry_after: Duration::from_millis(u64::from(message.retry_after)),
+        }
+    }
+}
+
+/// Scale of rates in messages.
+const THOUSAND: f64 = 1_000.0;
+
+/// Converts a rate to thousandths, rounded down: a host must not hold more than it was granted.
+fn thousandths(rate: f64) -> u32 {
+    // The cast saturates.
+    (rate * THOUSAND) as u32
+}
+
+/// Converts a time to nanoseconds.
+fn nanos(time: Duration) -> u64 {
+    u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
+}
+
+/// Converts a time to microseconds.
+pub fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
 /// How far the log of a service has been seen to reach on any of its servers.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -102,7 +102,7 @@
                 break;
             };
             if self.transaction == Transaction::Idle
-                && let Err(refusal) = self.gate.admit()
+                && let Err(refusal) = self.gate.admit(&query).await
             {
                 self.caller.refuse(&refusal);
                 if refusal.ends_session {
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -235,7 +235,7 @@
 
     async fn query(&mut self, query: &Query) -> Result<Flow, caller_connection::Error> {
         if matches!(self.transaction, TransactionState::Idle)
-            && let Err(refusal) = self.gate.admit()
+            && let Err(refusal) = self.gate.admit(query).await
         {
             self.caller.refuse(&refusal);
             return Ok(match refusal.ends_session {
--- a/crates/proxy/src/team.rs
+++ b/crates/proxy/src/team.rs
@@ -51,4 +51,9 @@
     pub fn limit(&self, name: &str) -> Option<Limit> {
         self.limits.get(name).copied()
     }
+
+    /// Returns the names of all teams that are limited.
+    pub fn limited_teams(&self) -> impl Iterator<Item = &str> {
+        self.limits.keys().map(String::as_str)
+    }
 }
