--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -68,7 +68,6 @@
 #[derive(Debug)]
 pub struct Account {
     incarnation: u64,
-    created_at: Duration,
     /// Operations granted and not yet used, with the end of their lifetime.
     granted: Vec<(u32, Duration)>,
     /// Operations that have expired since the last request.
@@ -82,6 +81,8 @@
     answered_at: Option<Duration>,
     /// When the newest request was sent.
     sent_at: Option<Duration>,
+    /// When the first request was sent that has not been answered, nor any after it.
+    unanswered_since: Option<Duration>,
     /// Until when the grantor has nothing to grant.
     exhausted_until: Duration,
     /// Moving average of the operations per second that callers ask for.
@@ -94,7 +95,6 @@
     pub fn new(incarnation: u64, now: Duration) -> Account {
         Account {
             incarnation,
-            created_at: now,
             granted: Vec::new(),
             expired: 0,
             share: 0.0,
@@ -102,6 +102,7 @@
             share_refilled_at: now,
             answered_at: None,
             sent_at: None,
+            unanswered_since: None,
             exhausted_until: Duration::ZERO,
             demand: 0.0,
             demand_at: now,
@@ -140,7 +141,7 @@
             }
             return Admission::Admitted;
         }
-        let until = self.answered_at.unwrap_or(self.created_at) + ANSWER_TIMEOUT;
+        let until = self.unanswered_since.unwrap_or(now) + ANSWER_TIMEOUT;
         if now < until {
             return match now < self.exhausted_until {
                 true => refuse(self.exhausted_until - now),
@@ -181,6 +182,7 @@
         // The cast cannot overflow: the demand is bounded by what one host receives.
         let ahead = (self.demand * PREFETCH.as_secs_f64()).round() as u32;
         self.sent_at = Some(now);
+        self.unanswered_since.get_or_insert(now);
         Some(Request {
             incarnation: self.incarnation,
             sent: now,
@@ -215,6 +217,7 @@
             return;
         }
         self.answered_at = Some(grant.sent);
+        self.unanswered_since = None;
         if grant.granted > 0 {
             let until = grant.sent + OPERATION_LIFETIME;
             self.granted.push((grant.granted, until));
--- a/crates/proxy/src/fleet/teams.rs
+++ b/crates/proxy/src/fleet/teams.rs
@@ -7,6 +7,7 @@
 use flamingopost_core::digest::Digest;
 use flamingopost_core::key::{HostKey, TeamKey};
 use flamingopost_core::limit::Limit;
+use slotmap::Key as _;
 
 use super::{Fleet, rendezvous_hash};
 use crate::codec::Codec;
@@ -46,6 +47,16 @@
         self.configuration()?.teams.as_ref()?.limit(name)
     }
 
+    /// Returns the label of `team` in metrics, or `None` if it is no team.
+    pub fn team_label(&self, team: TeamKey) -> Option<String> {
+        if team.is_null() {
+            return None;
+        }
+        let configuration = self.configuration()?;
+        let teams = configuration.teams.as_ref()?;
+        Some(teams.label(&self.site.client_name(team)).to_owned())
+    }
+
     /// Forgets the limits of teams that the configuration no longer limits.
     pub(super) fn forget_teams(&self) {
         let configuration = self.configuration();
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -11,6 +11,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::{Code, Query, Statement};
+use crate::meter::{self, Limited};
 use crate::session::Context;
 
 /// Name that stands for no team on a relayed session.
@@ -115,7 +116,16 @@
         let Some(limit) = fleet.limit(&name) else {
             return Ok(());
         };
-        let Err(retry_after) = fleet.limits.admit(site, self.team).await else {
+        let since = site.now();
+        let admitted = fleet.limits.admit(site, self.team).await;
+        let limited = match admitted {
+            Ok(()) => Limited::Admitted,
+            Err(_) => Limited::Refused,
+        };
+        if let Some(label) = fleet.team_label(self.team) {
+            meter::team_operation(&label, limited, site.now().saturating_sub(since));
+        }
+        let Err(retry_after) = admitted else {
             return Ok(());
         };
         let share = fleet.limits.share(self.team, site.now());
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -29,6 +29,34 @@
         .record(took.as_secs_f64());
 }
 
+/// Whether an operation of a team is within its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Limited {
+    /// It is.
+    Admitted,
+    /// It was refused.
+    Refused,
+}
+
+/// Counts an operation of the team labelled `team`, and records how long it waited for a grant.
+pub fn team_operation(team: &str, limited: Limited, waited: Duration) {
+    let outcome = match limited {
+        Limited::Admitted => "admitted",
+        Limited::Refused => "over_limit",
+    };
+    let team = team.to_owned();
+    metrics::counter!("flamingopost_team_operations_total", "team" => team.clone(), "outcome" => outcome)
+        .increment(1);
+    metrics::histogram!("flamingopost_team_grant_seconds", "team" => team)
+        .record(waited.as_secs_f64());
+}
+
+/// Records the duration of a statement of the team labelled `team`.
+pub fn team_statement(team: &str, took: Duration) {
+    metrics::histogram!("flamingopost_team_statement_seconds", "team" => team.to_owned())
+        .record(took.as_secs_f64());
+}
+
 /// Counts a connection opened to a server of `service`.
 pub fn server_connected(service: &str) {
     metrics::counter!("flamingopost_server_connections_total", "service" => service.to_owned())
--- a/crates/proxy/src/session/respond.rs
+++ b/crates/proxy/src/session/respond.rs
@@ -41,6 +41,9 @@
         };
         let took = self.context.site.now().saturating_sub(since);
         meter::statement(&self.database, end, took);
+        if let Some(label) = self.context.fleet.team_label(self.gate.team()) {
+            meter::team_statement(&label, took);
+        }
     }
 
     /// Reports an error raised by this host to the caller, and logs the reason.
