--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -5,11 +5,12 @@
 //! wait for a round trip. An operation that was granted and not used within
 //! [`OPERATION_LIFETIME`] expires and goes back to the bucket.
 //!
-//! A host that gets no answer cannot know what the others use. So each answer also grants a share:
-//! a rate, about what the team asked of this host before, which the host may use on its own while
-//! the grantor is silent. The grantor takes the shares of silent hosts off the rate at which it
-//! refills its bucket, from before a host may use its share until the share has expired. So the sum
-//! over all hosts stays within the limit, whether they are in contact or not.
+//! A host that gets no answer cannot know what the others use. So each answer also grants a share of
+//! the rate and of the burst, in proportion to the host's demand, which the host may use on its own
+//! while the grantor is silent. The grantor reserves the bursts of all shares in its bucket. It takes
+//! the share of a silent host off its bucket and off the rate at which it refills it, from before
+//! the host may use its share until the share has expired, and settles the account once the host
+//! asks again. So the sum over all hosts stays within the limit, whether they are in contact or not.
 //!
 //! The module performs no input or output.
 
@@ -37,7 +38,7 @@
 pub const SHARE_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Time without a sign of life of a grantor after which the next host in order takes its place.
-pub const HANDOVER_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// How much a team may ask of all entry hosts together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,8 +62,19 @@
     pub returned: u32,
     /// Operations per second that callers ask of the host.
     pub demand: f64,
-    /// The share that the host holds, in operations per second.
-    pub share: f64,
+    /// The share that the host holds.
+    pub share: Share,
+    /// Operations that the host has admitted from its share since the last answer.
+    pub used: u32,
+}
+
+/// What a host may use of a limit while the grantor is silent.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Share {
+    /// Operations per second.
+    pub rate: f64,
+    /// Operations beyond the rate, once.
+    pub burst: f64,
 }
 
 /// Answer to a [`Request`].
@@ -72,8 +84,8 @@
     pub sent: Duration,
     /// Operations that are granted.
     pub granted: u32,
-    /// The share of the host from now on, in operations per second.
-    pub share: f64,
+    /// The share of the host from now on.
+    pub share: Share,
     /// Time until the next operation may be granted, if fewer were granted than wanted.
     pub retry_after: Duration,
 }
--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{ANSWER_TIMEOUT, Grant, OPERATION_LIFETIME, Request, SHARE_LIFETIME};
+use super::{ANSWER_TIMEOUT, Grant, OPERATION_LIFETIME, Request, SHARE_LIFETIME, Share};
 
 /// Interval between requests while callers ask for operations.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
@@ -13,9 +13,13 @@
 /// Time after an answer before the next request, if callers wait.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time constant of the moving average of the demand.
+/// Time constant of the moving average of the demand by which operations are requested ahead.
 const DEMAND_SMOOTHING: Duration = Duration::from_millis(1_000);
 
+/// Time constant of the moving average of the demand by which shares are granted. It is longer than
+/// the pauses of a team's few callers at one host.
+const USUAL_DEMAND_SMOOTHING: Duration = Duration::from_secs(5);
+
 /// Demand, in operations per second, below which a host gives up its share.
 const NO_DEMAND: f64 = 0.05;
 
@@ -49,17 +53,17 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use flamingopost_core::limit::{Account, Admission, Grant};
+/// use flamingopost_core::limit::{Account, Admission, Grant, Share};
 ///
 /// let now = Duration::from_secs(1);
 /// let mut account = Account::new(7, now);
 /// account.record_arrival(now);
 /// assert!(matches!(account.admit(now), Admission::Wait { .. }));
-/// let request = account.request(1, now).expect("a caller waits");
+/// let request = account.request(1, now);
 /// let grant = Grant {
 ///     sent: request.sent,
 ///     granted: 2,
-///     share: 1.0,
+///     share: Share { rate: 1.0, burst: 1.0 },
 ///     retry_after: Duration::ZERO,
 /// };
 /// account.record_grant(&grant, now);
@@ -72,11 +76,13 @@
     granted: Vec<(u32, Duration)>,
     /// Operations that have expired since the last request.
     expired: u32,
-    /// Operations per second that this host may admit while the grantor is silent.
-    share: f64,
+    /// What this host may admit while the grantor is silent.
+    share: Share,
     /// Operations that the share admits at once.
     share_tokens: f64,
     share_refilled_at: Duration,
+    /// Operations admitted from the share since the last answer.
+    share_used: u32,
     /// When the newest request that was answered was sent.
     answered_at: Option<Duration>,
     /// When the newest request was sent.
@@ -85,8 +91,10 @@
     unanswered_since: Option<Duration>,
     /// Until when the grantor has nothing to grant.
     exhausted_until: Duration,
-    /// Moving average of the operations per second that callers ask for.
+    /// Moving averages of the operations per second that callers ask for: over a short and a long
+    /// time.
     demand: f64,
+    usual_demand: f64,
     demand_at: Duration,
 }
 
@@ -97,20 +105,22 @@
             incarnation,
             granted: Vec::new(),
             expired: 0,
-            share: 0.0,
+            share: Share::default(),
             share_tokens: 0.0,
             share_refilled_at: now,
+            share_used: 0,
             answered_at: None,
             sent_at: None,
             unanswered_since: None,
             exhausted_until: Duration::ZERO,
             demand: 0.0,
+            usual_demand: 0.0,
             demand_at: now,
         }
     }
 
-    /// Returns the share of this host, in operations per second.
-    pub fn share(&self) -> f64 {
+    /// Returns the share of this host.
+    pub fn share(&self) -> Share {
         self.share
     }
 
@@ -123,11 +133,13 @@
     pub fn record_arrival(&mut self, now: Duration) {
         self.decay_demand(now);
         self.demand += 1.0 / DEMAND_SMOOTHING.as_secs_f64();
+        self.usual_demand += 1.0 / USUAL_DEMAND_SMOOTHING.as_secs_f64();
     }
 
     fn decay_demand(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.demand_at).as_secs_f64();
-        self.demand *= (-passed / DEMAND_SMOOTHING.as_secs_f64()).exp();
+        let passed = now.saturating_sub(self.demand_at);
+        self.demand *= decay(passed, DEMAND_SMOOTHING);
+        self.usual_demand *= decay(passed, USUAL_DEMAND_SMOOTHING);
         self.demand_at = now;
     }
 
@@ -154,47 +166,53 @@
     /// Decides whether an operation may run while the grantor is silent.
     fn admit_from_share(&mut self, now: Duration) -> Admission {
         let valid = self.answered_at.is_some_and(|at| now < at + SHARE_LIFETIME);
-        if !valid || self.share <= 0.0 {
+        if !valid || self.share.rate <= 0.0 {
             return refuse(ANSWER_TIMEOUT);
         }
         let passed = now.saturating_sub(self.share_refilled_at).as_secs_f64();
-        let most = (self.share * OPERATION_LIFETIME.as_secs_f64()).max(1.0);
-        self.share_tokens = (self.share_tokens + passed * self.share).min(most);
+        let most = self.share.burst.max(1.0);
+        self.share_tokens = (self.share_tokens + passed * self.share.rate).min(most);
         self.share_refilled_at = now;
         if self.share_tokens >= 1.0 {
             self.share_tokens -= 1.0;
+            self.share_used += 1;
             return Admission::Admitted;
         }
-        let wait = (1.0 - self.share_tokens) / self.share;
+        let wait = (1.0 - self.share_tokens) / self.share.rate;
         refuse(Duration::try_from_secs_f64(wait).unwrap_or(MAX_RETRY_AFTER))
     }
 
-    /// Returns the request to send to the grantor now, if one is due, while `waiting` operations
-    /// wait for the answer.
-    pub fn request(&mut self, waiting: u32, now: Duration) -> Option<Request> {
+    /// Returns whether a request to the grantor is due at `now`, or within `early`, while `waiting`
+    /// operations wait for the answer.
+    pub fn is_request_due(&self, waiting: u32, early: Duration, now: Duration) -> bool {
+        let usual =
+            self.usual_demand * decay(now.saturating_sub(self.demand_at), USUAL_DEMAND_SMOOTHING);
+        let is_used = waiting > 0 || usual > NO_DEMAND || self.share.rate > 0.0;
+        is_used && now + early >= self.next_request_at(waiting)
+    }
+
+    /// Returns the request to send to the grantor now, while `waiting` operations wait for the
+    /// answer.
+    pub fn request(&mut self, waiting: u32, now: Duration) -> Request {
         self.expire(now);
         self.decay_demand(now);
-        let is_used = waiting > 0 || self.demand > NO_DEMAND || self.share > 0.0;
-        if !is_used || now < self.next_request_at(waiting) {
-            return None;
-        }
         let held: u32 = self.granted.iter().map(|(count, _)| count).sum();
         // The cast cannot overflow: the demand is bounded by what one host receives.
-        let ahead = (self.demand * PREFETCH.as_secs_f64()).round() as u32;
+        let ahead = (self.demand * PREFETCH.as_secs_f64()) as u32;
         self.sent_at = Some(now);
         self.unanswered_since.get_or_insert(now);
-        Some(Request {
+        Request {
             incarnation: self.incarnation,
             sent: now,
             wanted: (ahead + waiting).saturating_sub(held),
             returned: std::mem::take(&mut self.expired),
-            demand: if self.demand > NO_DEMAND {
-                self.demand
-            } else {
-                0.0
+            demand: match self.usual_demand > NO_DEMAND {
+                true => self.usual_demand,
+                false => 0.0,
             },
             share: self.share,
-        })
+            used: self.share_used,
+        }
     }
 
     /// Returns when the next request is due.
@@ -204,9 +222,9 @@
         };
         let is_answered = self.answered_at == Some(sent_at);
         match (is_answered, waiting > 0) {
-            (false, true) => sent_at + REPEAT_AFTER,
+            (false, _) => sent_at + REPEAT_AFTER,
             (true, true) => self.exhausted_until.max(sent_at + MIN_REQUEST_INTERVAL),
-            (_, false) => sent_at + REQUEST_INTERVAL,
+            (true, false) => sent_at + REQUEST_INTERVAL,
         }
     }
 
@@ -227,8 +245,9 @@
             false => now + grant.retry_after,
         };
         self.share = grant.share;
-        self.share_tokens = 0.0;
+        self.share_tokens = grant.share.burst;
         self.share_refilled_at = grant.sent + ANSWER_TIMEOUT;
+        self.share_used = 0;
     }
 
     /// Drops operations that were granted too long ago.
@@ -238,6 +257,12 @@
     }
 }
 
+/// Returns the factor by which a moving average with the time constant `smoothing` falls in `passed`
+/// without arrivals.
+fn decay(passed: Duration, smoothing: Duration) -> f64 {
+    (-passed.as_secs_f64() / smoothing.as_secs_f64()).exp()
+}
+
 fn refuse(retry_after: Duration) -> Admission {
     Admission::Refused {
         retry_after: retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{ANSWER_TIMEOUT, Grant, Limit, Request, SHARE_LIFETIME};
+use super::{ANSWER_TIMEOUT, Grant, Limit, Request, SHARE_LIFETIME, Share};
 use crate::key::HostKey;
 
 /// Time without a request from a host after which it counts as silent. It is shorter than the time
@@ -14,6 +14,9 @@
 /// some hosts serve more of a team's callers than others.
 const UNKNOWN_SHARE_FACTOR: f64 = 2.0;
 
+/// Part of the burst that shares reserve. The rest is for hosts in contact, wherever callers are.
+const SHARED_BURST: f64 = 0.35;
+
 /// Shortest time after which a host that was granted too little asks again.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -25,7 +28,7 @@
 /// ```
 /// use std::time::Duration;
 /// use flamingopost_core::key::HostKey;
-/// use flamingopost_core::limit::{Grantor, Limit, Request};
+/// use flamingopost_core::limit::{Grantor, Limit, Request, Share};
 ///
 /// let limit = Limit { per_second: 10, burst: 20 };
 /// let (start, now) = (Duration::from_secs(1), Duration::from_secs(2));
@@ -36,11 +39,12 @@
 ///     wanted: 15,
 ///     returned: 0,
 ///     demand: 4.0,
-///     share: 0.0,
+///     share: Share::default(),
+///     used: 0,
 /// };
 /// let grant = grantor.grant(HostKey::default(), &request, 0.0, now).expect("in order");
 /// assert_eq!(grant.granted, 10, "the bucket was empty a second ago");
-/// assert_eq!(grant.share, 4.0);
+/// assert_eq!(grant.share.rate, 10.0, "nobody else has asked");
 /// ```
 #[derive(Debug)]
 pub struct Grantor {
@@ -50,6 +54,8 @@
     /// Since when this process grants without a break. It knows nothing of shares that were granted
     /// before, unless the hosts have told since.
     since: Duration,
+    /// Sum of the shares that hosts had from an earlier grantor when they first asked this one.
+    inherited: f64,
     hosts: BTreeMap<HostKey, Holder>,
 }
 
@@ -62,7 +68,11 @@
     heard_at: Duration,
     demand: f64,
     /// The greatest share that the host may hold.
-    share: f64,
+    share: Share,
+    /// Operations taken off the bucket for the share since the host was last heard.
+    charged: f64,
+    /// Whether the burst of the share is among them.
+    is_burst_charged: bool,
 }
 
 impl Holder {
@@ -75,6 +85,20 @@
     fn may_hold(&self, now: Duration) -> bool {
         now < self.heard_at + SHARE_LIFETIME
     }
+
+    /// Returns what the host may have used of its share in the time `passed` until `now` that was
+    /// not charged before, and records it as charged.
+    fn charge(&mut self, passed: f64, now: Duration) -> f64 {
+        if !self.is_silent(now) {
+            return 0.0;
+        }
+        let mut charge = self.share.rate * passed;
+        if !std::mem::replace(&mut self.is_burst_charged, true) {
+            charge += self.share.burst;
+        }
+        self.charged += charge;
+        charge
+    }
 }
 
 impl Grantor {
@@ -86,6 +110,7 @@
             tokens: 0.0,
             refilled_at: since,
             since,
+            inherited: 0.0,
             hosts: BTreeMap::new(),
         }
     }
@@ -111,20 +136,22 @@
         now: Duration,
     ) -> Option<Grant> {
         let known = self.hosts.get(&host);
-        let restarted = known.is_none_or(|it| it.incarnation != request.incarnation);
-        if !restarted && known.is_some_and(|it| it.sent >= request.sent) {
+        let known = known.filter(|it| it.incarnation == request.incarnation);
+        if known.is_some_and(|it| it.sent >= request.sent) {
             return None;
         }
         // Before the host counts as heard: it may have used its share until now.
         self.refill(silent, now);
-        let burst = f64::from(self.limit.burst);
-        if !restarted {
-            self.tokens = (self.tokens + f64::from(request.returned)).min(burst);
-        }
+        self.settle(host, request);
+        let (demand, held) = self.others(host, now);
         let wanted = f64::from(request.wanted);
-        let granted = wanted.min(self.tokens.max(0.0).floor());
+        let granted = wanted.min((self.tokens - held.burst).max(0.0).floor());
         self.tokens -= granted;
-        let share = self.share(host, request, now);
+        let share = self.share(request.demand, demand, held);
+        let may_hold = Share {
+            rate: share.rate.max(request.share.rate),
+            burst: share.burst.max(request.share.burst),
+        };
         self.hosts.insert(
             host,
             Holder {
@@ -132,11 +159,13 @@
                 sent: request.sent,
                 heard_at: now,
                 demand: request.demand,
-                share: share.max(request.share),
+                share: may_hold,
+                charged: 0.0,
+                is_burst_charged: false,
             },
         );
         self.hosts
-            .retain(|_, it| it.may_hold(now) && (it.share > 0.0 || it.demand > 0.0));
+            .retain(|_, it| it.may_hold(now) && (it.share.rate > 0.0 || it.demand > 0.0));
         Some(Grant {
             sent: request.sent,
             // The cast is exact: at most `wanted`, which is a `u32`.
@@ -154,35 +183,68 @@
         let passed = now.saturating_sub(self.refilled_at).as_secs_f64();
         self.refilled_at = self.refilled_at.max(now);
         let rate = f64::from(self.limit.per_second);
-        let used = self.hosts.values().filter(|it| it.is_silent(now));
-        let used: f64 = used.map(|it| it.share).sum();
-        let unknown = match now < self.since + SHARE_LIFETIME {
-            true => rate * (silent * UNKNOWN_SHARE_FACTOR).min(1.0),
-            false => 0.0,
+        let charges = self.hosts.values_mut().map(|it| it.charge(passed, now));
+        let charged: f64 = charges.sum();
+        let charged = charged.max(self.unknown_shares(silent, now) * passed);
+        let burst = f64::from(self.limit.burst.max(1));
+        self.tokens = (self.tokens + passed * rate - charged).min(burst);
+    }
+
+    /// Puts back what was taken off for the share of `host` and not used, and operations that have
+    /// expired. A process that was started again uses nothing of what the former one held.
+    fn settle(&mut self, host: HostKey, request: &Request) {
+        let Some(holder) = self.hosts.get(&host) else {
+            self.inherited += request.share.rate;
+            return;
         };
-        let refill = rate - used.max(unknown);
+        let mut unused = holder.charged;
+        if holder.incarnation == request.incarnation {
+            unused += f64::from(request.returned) - f64::from(request.used);
+        }
         let burst = f64::from(self.limit.burst.max(1));
-        self.tokens = (self.tokens + passed * refill.max(0.0)).min(burst);
+        self.tokens = (self.tokens + unused).min(burst);
+    }
+
+    /// Returns the sum of the shares that hosts may use which have not asked this process yet and
+    /// are silent. All shares of an earlier grantor together were within the rate.
+    fn unknown_shares(&self, silent: f64, now: Duration) -> f64 {
+        if now >= self.since + SHARE_LIFETIME {
+            return 0.0;
+        }
+        let rate = f64::from(self.limit.per_second);
+        let expected = rate * silent * UNKNOWN_SHARE_FACTOR;
+        expected.min((rate - self.inherited).max(0.0))
     }
 
-    /// Returns the share of `host`: its part of the demand, and no more than the shares of other
-    /// hosts leave.
-    fn share(&self, host: HostKey, request: &Request, now: Duration) -> f64 {
-        let others = self
-            .hosts
-            .iter()
-            .filter(|(other, it)| **other != host && it.may_hold(now));
-        let (mut demand, mut held) = (request.demand, 0.0);
+    /// Returns the demand at the other hosts than `host`, and what their shares may add up to.
+    fn others(&self, host: HostKey, now: Duration) -> (f64, Share) {
+        let others = self.hosts.iter();
+        let others = others.filter(|(other, it)| **other != host && it.may_hold(now));
+        let (mut demand, mut held) = (0.0, Share::default());
         for (_, other) in others {
             demand += other.demand;
-            held += other.share;
+            held.rate += other.share.rate;
+            // That of a silent host is no longer in the bucket.
+            if !other.is_burst_charged {
+                held.burst += other.share.burst;
+            }
         }
+        (demand, held)
+    }
+
+    /// Returns the share of a host with `demand`: in proportion to the whole demand, and no more
+    /// than the shares of others, which `held` adds up, leave.
+    fn share(&self, demand: f64, others: f64, held: Share) -> Share {
+        if demand <= 0.0 {
+            return Share::default();
+        }
+        let part = demand / (demand + others);
         let rate = f64::from(self.limit.per_second);
-        let part = match demand > rate {
-            true => request.demand * rate / demand,
-            false => request.demand,
-        };
-        part.min((rate - held).max(0.0))
+        let burst = f64::from(self.limit.burst) * SHARED_BURST;
+        Share {
+            rate: (rate * part).min((rate - held.rate).max(0.0)),
+            burst: (burst * part).min((burst.min(self.tokens) - held.burst).max(0.0)),
+        }
     }
 
     /// Returns the time until the bucket holds another operation.
--- a/crates/core/tests/limit/random.rs
+++ b/crates/core/tests/limit/random.rs
@@ -136,3 +136,39 @@
     }
     assert!(served[2] > served[0] && served[2] > served[1], "{served:?}");
 }
+
+/// What 58 hosts in three zones admit while a zone is cut off, of teams that ask for half of their
+/// limit.
+#[test]
+fn a_zone_that_is_cut_off_keeps_its_part() {
+    for per_second in [10, 40, 160] {
+        let limit = Limit {
+            per_second,
+            burst: per_second,
+        };
+        let demand = f64::from(per_second) / 2.0;
+        for zone in 0..2 {
+            let (mut before, mut during, mut after) = ([0.0; 2], [0.0; 2], [0.0; 2]);
+            for seed in 1..=20 {
+                let mut model = Model::new(seed, Way::GrantorWithShares, 58, 3, limit, demand);
+                model.add_fault(ms(15_000), ms(6_000), Fault::CutZone(zone));
+                let tally = model.play(LENGTH);
+                for (at, admitted) in &tally.decisions {
+                    let phase = match at.as_secs() {
+                        0..15 => &mut before,
+                        15..21 => &mut during,
+                        _ => &mut after,
+                    };
+                    phase[usize::from(*admitted)] += 1.0;
+                }
+            }
+            let share = |phase: [f64; 2]| phase[1] / (phase[0] + phase[1]);
+            println!(
+                "{per_second}/s, cut zone {zone}: {:.3} before, {:.3} during, {:.3} after",
+                share(before),
+                share(during),
+                share(after)
+            );
+        }
+    }
+}
--- a/crates/proxy/src/election/limits.rs
+++ b/crates/proxy/src/election/limits.rs
@@ -10,14 +10,14 @@
 use super::Election;
 use crate::codec::Codec;
 use crate::fleet::Grantor;
-use crate::peer::{Payload, TeamGrant, TeamRequest};
+use crate::peer::{Payload, TeamGrant, TeamRequest, nanos};
 use crate::platform::Platform;
 
 /// Interval between checks for requests that are due by time alone.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Maximum number of teams in one message, which has to fit into a datagram.
-const MAX_TEAMS: usize = 8;
+const MAX_TEAMS: usize = 16;
 
 /// Time without a heartbeat after which a host counts as silent.
 const SILENT_AFTER: Duration = Duration::from_secs(1);
@@ -60,8 +60,11 @@
         }
         for (address, requests) in remote {
             for requests in requests.chunks(MAX_TEAMS) {
-                let requests = requests.to_vec();
-                let payload = Payload::OperationRequest { requests };
+                let payload = Payload::OperationRequest {
+                    incarnation: self.fleet.limits.incarnation,
+                    sent: nanos(now),
+                    requests: requests.to_vec(),
+                };
                 self.send_message(String::new(), payload, address);
             }
         }
@@ -106,29 +109,30 @@
         limits.grant((team, limit), (host, request), (since, silent), now)
     }
 
-    /// Answers the requests of another host.
-    pub(super) fn answer_requests(
+    /// Answers the requests of another host, which it sent at `sent` by its clock.
+    pub(super) fn answer_requests<'a>(
         &self,
         host: HostKey,
-        requests: &[TeamRequest],
+        sent: u64,
+        requests: impl Iterator<Item = (&'a str, Request)>,
         from: SocketAddr,
     ) {
-        let answer = |it: &TeamRequest| {
-            let request = Request::from(it);
-            let grant = self.grant(&it.team, host, &request)?;
-            Some(TeamGrant::new(it.team.clone(), &grant))
+        let answer = |(team, request): (&str, Request)| {
+            let grant = self.grant(team, host, &request)?;
+            Some(TeamGrant::new(team.to_owned(), &grant))
         };
-        let grants: Vec<TeamGrant> = requests.iter().filter_map(answer).collect();
+        let grants: Vec<TeamGrant> = requests.filter_map(answer).collect();
         if !grants.is_empty() {
-            self.send_message(String::new(), Payload::OperationGrant { grants }, from);
+            let payload = Payload::OperationGrant { sent, grants };
+            self.send_message(String::new(), payload, from);
         }
     }
 
-    /// Applies the answers of a grantor.
-    pub(super) fn apply_grants(&self, grants: &[TeamGrant]) {
+    /// Applies the answers of a grantor to the requests that were sent at `sent`.
+    pub(super) fn apply_grants(&self, sent: u64, grants: &[TeamGrant]) {
         let grants: Vec<(TeamKey, Grant)> = grants
             .iter()
-            .map(|it| (self.site.team(&it.team), Grant::from(it)))
+            .map(|it| (self.site.team(&it.team), it.grant(sent)))
             .collect();
         self.fleet.limits.record_grants(&grants, self.site.now());
     }
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -385,10 +385,19 @@
                     self.apply_samples(&samples, sent);
                     return;
                 }
-                Payload::OperationRequest { requests } => {
-                    return self.answer_requests(host, &requests, from);
+                Payload::OperationRequest {
+                    incarnation,
+                    sent,
+                    requests,
+                } => {
+                    let requests = requests
+                        .iter()
+                        .map(|it| (it.team.as_str(), it.request(incarnation, sent)));
+                    return self.answer_requests(host, sent, requests, from);
+                }
+                Payload::OperationGrant { sent, grants } => {
+                    return self.apply_grants(sent, &grants);
                 }
-                Payload::OperationGrant { grants } => return self.apply_grants(&grants),
                 _ => {}
             }
         }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -10,6 +10,9 @@
 
 use crate::site::Site;
 
+/// How early requests are sent together with one that is due, so that a datagram carries several.
+const EARLY: Duration = Duration::from_millis(120);
+
 /// Longest time that an operation waits for the grantor, in addition to the time after which this
 /// host uses its share.
 const WAIT_MARGIN: Duration = Duration::from_millis(1);
@@ -17,7 +20,7 @@
 /// Accounts of this host's callers, and the grantors of the teams that this host grants for.
 pub struct Limits {
     /// Identifies this process to grantors.
-    incarnation: u64,
+    pub incarnation: u64,
     accounts: RefCell<BTreeMap<TeamKey, TeamAccount>>,
     grantors: RefCell<BTreeMap<TeamKey, Grantor>>,
     /// Notified when an operation waits for a request to a grantor.
@@ -87,16 +90,19 @@
     pub fn share(&self, team: TeamKey, now: Duration) -> Option<(f64, Option<Duration>)> {
         let accounts = self.accounts.borrow();
         let account = &accounts.get(&team)?.account;
-        Some((account.share(), account.answer_age(now)))
+        Some((account.share().rate, account.answer_age(now)))
     }
 
     /// Returns the requests that are due now.
     pub fn due_requests(&self, now: Duration) -> Vec<(TeamKey, Request)> {
         let mut accounts = self.accounts.borrow_mut();
-        let due = accounts
-            .iter_mut()
-            .filter_map(|(team, it)| Some((*team, it.account.request(it.waiting, now)?)));
-        due.collect()
+        let is_due = |it: &TeamAccount, early| it.account.is_request_due(it.waiting, early, now);
+        if !accounts.values().any(|it| is_due(it, Duration::ZERO)) {
+            return Vec::new();
+        }
+        let due = accounts.iter_mut().filter(|(_, it)| is_due(it, EARLY));
+        due.map(|(team, it)| (*team, it.account.request(it.waiting, now)))
+            .collect()
     }
 
     /// Applies a grantor's answers.
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use flamingopost_core::incarnation::Incarnation;
-use flamingopost_core::limit::{Grant, Request};
+use flamingopost_core::limit::{Grant, Request, Share};
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::Opinion;
 use flamingopost_core::term::Term;
@@ -122,11 +122,18 @@
     },
     /// Asks the receiver for operations within the limits of teams. Concerns no service.
     OperationRequest {
+        /// Identifies the sending process.
+        incarnation: u64,
+        /// When the requests were sent, by the sender's clock, in nanoseconds: answers are matched
+        /// by it.
+        sent: u64,
         /// The requests.
         requests: Vec<TeamRequest>,
     },
     /// Answers [`Payload::OperationRequest`].
     OperationGrant {
+        /// The time from the requests.
+        sent: u64,
         /// The grants. A team that the answering host does not grant for is missing.
         grants: Vec<TeamGrant>,
     },
@@ -137,14 +144,12 @@
 pub struct TeamRequest {
     /// Name of the team.
     pub team: String,
-    incarnation: u64,
-    /// When it was sent, by the sender's clock, in nanoseconds: the answer is matched by it.
-    sent: u64,
     wanted: u32,
     returned: u32,
-    /// In thousandths of an operation per second, like `share`.
+    /// In thousandths of an operation per second.
     demand: u32,
-    share: u32,
+    share: WireShare,
+    used: u32,
 }
 
 impl TeamRequest {
@@ -152,25 +157,24 @@
     pub fn new(team: String, request: &Request) -> TeamRequest {
         TeamRequest {
             team,
-            incarnation: request.incarnation,
-            sent: nanos(request.sent),
             wanted: request.wanted,
             returned: request.returned,
             demand: thousandths(request.demand),
-            share: thousandths(request.share),
+            share: request.share.into(),
+            used: request.used,
         }
     }
-}
 
-impl From<&TeamRequest> for Request {
-    fn from(message: &TeamRequest) -> Request {
+    /// Returns the request of the process `incarnation`, which sent it at `sent`.
+    pub fn request(&self, incarnation: u64, sent: u64) -> Request {
         Request {
-            incarnation: message.incarnation,
-            sent: Duration::from_nanos(message.sent),
-            wanted: message.wanted,
-            returned: message.returned,
-            demand: f64::from(message.demand) / THOUSAND,
-            share: f64::from(message.share) / THOUSAND,
+            incarnation,
+            sent: Duration::from_nanos(sent),
+            wanted: self.wanted,
+            returned: self.returned,
+            demand: f64::from(self.demand) / THOUSAND,
+            share: self.share.into(),
+            used: self.used,
         }
     }
 }
@@ -180,11 +184,8 @@
 pub struct TeamGrant {
     /// Name of the team.
     pub team: String,
-    /// The time from the request, in nanoseconds.
-    sent: u64,
     granted: u32,
-    /// In thousandths of an operation per second.
-    share: u32,
+    share: WireShare,
     /// In milliseconds.
     retry_after: u32,
 }
@@ -195,21 +196,44 @@
         let retry_after = u32::try_from(grant.retry_after.as_millis());
         TeamGrant {
             team,
-            sent: nanos(grant.sent),
             granted: grant.granted,
-            share: thousandths(grant.share),
+            share: grant.share.into(),
             retry_after: retry_after.unwrap_or(u32::MAX),
         }
     }
-}
 
-impl From<&TeamGrant> for Grant {
-    fn from(message: &TeamGrant) -> Grant {
+    /// Returns the answer to the request that was sent at `sent`.
+    pub fn grant(&self, sent: u64) -> Grant {
         Grant {
-            sent: Duration::from_nanos(message.sent),
-            granted: message.granted,
-            share: f64::from(message.share) / THOUSAND,
-            retry_after: Duration::from_millis(u64::from(message.retry_after)),
+            sent: Duration::from_nanos(sent),
+            granted: self.granted,
+            share: self.share.into(),
+            retry_after: Duration::from_millis(u64::from(self.retry_after)),
+        }
+    }
+}
+
+/// A share of a limit, in thousandths of an operation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct WireShare {
+    rate: u32,
+    burst: u32,
+}
+
+impl From<Share> for WireShare {
+    fn from(share: Share) -> WireShare {
+        WireShare {
+            rate: thousandths(share.rate),
+            burst: thousandths(share.burst),
+        }
+    }
+}
+
+impl From<WireShare> for Share {
+    fn from(share: WireShare) -> Share {
+        Share {
+            rate: f64::from(share.rate) / THOUSAND,
+            burst: f64::from(share.burst) / THOUSAND,
         }
     }
 }
@@ -224,7 +248,7 @@
 }
 
 /// Converts a time to nanoseconds.
-fn nanos(time: Duration) -> u64 {
+pub fn nanos(time: Duration) -> u64 {
     u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
 }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -15,7 +15,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::gate::Gate;
-use crate::message::{Command, Request, Transaction};
+use crate::message::{Code, Command, Request, Transaction};
 use crate::server_connection::{self, Outcome, ServerConnection, Target};
 use crate::session::Context;
 
@@ -24,6 +24,9 @@
 /// acknowledges data while its process answers nothing.
 const RELAY_MARGIN: Duration = Duration::from_millis(300);
 
+/// Reason given when the other host has ended the session before a statement was sent there.
+const SESSION_ENDED: &[u8] = b"not run: the host that serves this session has ended it";
+
 /// Time limit for connecting to the other host before the next host is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -111,6 +114,13 @@
                 self.caller.flush().await?;
                 continue;
             }
+            // The other host may have ended the session while the statement waited to be admitted.
+            // It has not been sent, so the caller can be told that it did not run.
+            if self.peer.is_closed() {
+                self.caller.error(Code::Aborted, SESSION_ENDED);
+                self.caller.ready(Transaction::Idle, None);
+                break;
+            }
             self.peer.push(&Command::Run {
                 id: &query.id,
                 text: &query.text,
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -15,6 +15,7 @@
 use crate::problem::Kind;
 use crate::process::Host;
 use crate::session::{Error, Session};
+use crate::teams::Teams;
 
 /// Number of items that each caller writes.
 const ITEMS_PER_CALLER: u64 = 3;
@@ -70,6 +71,8 @@
     hosts: Arc<Vec<Host>>,
     history: Arc<History>,
     stop: Arc<AtomicBool>,
+    /// The teams, where callers belong to some.
+    teams: Option<Arc<Teams>>,
 }
 
 /// An open session and the state that the caller expects of it.
@@ -108,6 +111,7 @@
         hosts: Arc<Vec<Host>>,
         history: Arc<History>,
         stop: Arc<AtomicBool>,
+        teams: Option<Arc<Teams>>,
     ) -> Caller {
         Caller {
             number,
@@ -116,6 +120,7 @@
             hosts,
             history,
             stop,
+            teams,
         }
     }
 
@@ -147,7 +152,9 @@
         let host = self.rng.random_range(0..self.hosts.len());
         let database = DATABASES[self.rng.random_range(0..DATABASES.len())];
         let address: SocketAddr = self.hosts[host].settings.callers;
-        let session = Session::open(address, database.name).await.ok()?;
+        let teams = self.teams.as_ref();
+        let key = teams.map_or_else(|| "anybody".to_owned(), |teams| teams.key(self.number));
+        let session = Session::open(address, database.name, &key).await.ok()?;
         let value = format!("y{}", self.history.next_number());
         let mut open = OpenSession {
             session,
@@ -187,7 +194,8 @@
         transaction: Option<u64>,
     ) -> Result<(String, Reply), Error> {
         let id = format!("{:016x}", self.history.next_number());
-        self.history.record_statement(&id, text, transaction);
+        let team = self.teams.as_ref().map(|_| Teams::name(self.number));
+        self.history.record_statement(&id, text, transaction, team);
         let start = Instant::now();
         let reply = open.session.run(&id, text, REPLY_TIMEOUT).await;
         let host = &self.hosts[open.host];
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -10,6 +10,9 @@
 
 use crate::history::{History, Outcome, Read, Statement, Write};
 use crate::problem::{Kind, Problem};
+use crate::teams::Limit;
+
+mod limits;
 
 /// Maximum number of problems of one kind that are reported.
 const MAX_PROBLEMS_PER_KIND: usize = 5;
@@ -25,6 +28,8 @@
     pub runs: Vec<Run>,
     /// Orders to promote a server.
     pub orders: Vec<Order>,
+    /// The limits that each team has had, by its number.
+    pub limits: Vec<Vec<Limit>>,
     /// Events that affected the servers' logs.
     pub log_events: Vec<LogEvent>,
 }
@@ -74,6 +79,8 @@
     problems.extend(check_transactions(&state.statements, &record.runs));
     problems.extend(check_reads(&state.reads, &state.writes, record, &positions));
     problems.extend(check_orders(&record.orders));
+    problems.extend(limits::check_teams(&state.statements, &record.runs));
+    problems.extend(limits::check_limits(&state.statements, record));
     Verdict {
         problems: limit_per_kind(problems),
         done: state.done,
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -144,6 +144,18 @@
         /// The receiving endpoint.
         to: Endpoint,
     },
+    /// Operators replace the API key of a team.
+    ReplaceKey {
+        /// Number of the team.
+        team: usize,
+    },
+    /// Operators change the limit of a team.
+    ChangeLimit {
+        /// Number of the team.
+        team: usize,
+        /// Operations per second, and size of a burst.
+        rate: u32,
+    },
     /// A host is partitioned from everything except its callers.
     Isolate {
         /// Number of the host.
--- a/crates/soak/src/gap.rs
+++ b/crates/soak/src/gap.rs
@@ -155,7 +155,7 @@
 ) {
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
-        let Ok(mut session) = Session::open(host, "bids").await else {
+        let Ok(mut session) = Session::open(host, "bids", "anybody").await else {
             tokio::time::sleep(WRITE_PAUSE).await;
             continue;
         };
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -37,6 +37,8 @@
     pub text: String,
     /// The transaction that it belongs to, if any.
     pub transaction: Option<u64>,
+    /// The team of the caller, where callers belong to teams.
+    pub team: Option<String>,
 }
 
 /// A read that succeeded.
@@ -93,9 +95,18 @@
     }
 
     /// Records a statement that is about to be sent.
-    pub fn record_statement(&self, id: &str, text: &str, transaction: Option<u64>) {
-        let text = text.to_owned();
-        let statement = Statement { text, transaction };
+    pub fn record_statement(
+        &self,
+        id: &str,
+        text: &str,
+        transaction: Option<u64>,
+        team: Option<String>,
+    ) {
+        let statement = Statement {
+            text: text.to_owned(),
+            transaction,
+            team,
+        };
         self.lock().statements.insert(id.to_owned(), statement);
     }
 
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -119,6 +119,10 @@
                 self.site.rewrite();
             }
             Fault::Configure => self.configure(),
+            Fault::ReplaceKey { team } => self.change_teams(|teams| teams.replace_key(team)),
+            Fault::ChangeLimit { team, rate } => {
+                self.change_teams(|teams| teams.change_limit(team, rate));
+            }
             Fault::Cut { from, to, lasts } => {
                 self.net.cut(from, to, true);
                 tokio::time::sleep(lasts).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod problem;
 pub mod process;
 pub mod session;
+pub mod teams;
 mod testbed;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,7 @@
 
 use crate::fault::{Fault, StoreFault, Victim};
 use crate::net::Endpoint;
+use crate::teams::TEAMS;
 
 /// Mean time between two faults. Most faults last longer, so that they overlap.
 const FAULT_INTERVAL: Duration = Duration::from_millis(700);
@@ -30,6 +31,13 @@
 /// of all lower seeds. Even seeds are played on a platform as described at [`FIRST_LAX_SEED`].
 pub const FIRST_RESTORE_SEED: u64 = 1 << 34;
 
+/// The first seed whose callers belong to teams with API keys and limits. Its other faults are those
+/// of the seeds from [`FIRST_RESTORE_SEED`] on.
+pub const FIRST_TEAM_SEED: u64 = 1 << 35;
+
+/// Mean time between two changes of a team's keys or limit.
+const TEAM_INTERVAL: Duration = Duration::from_millis(2_500);
+
 /// Mean time between two faults that restart a server or overwrite an entry.
 const RESTART_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -107,9 +115,35 @@
         if seed >= FIRST_RESTORE_SEED {
             plan.draw_restores(&mut rng);
         }
+        if plan.has_teams() {
+            plan.draw_team_changes(&mut rng);
+        }
         plan
     }
 
+    /// Reports whether callers belong to teams.
+    pub fn has_teams(&self) -> bool {
+        self.seed >= FIRST_TEAM_SEED
+    }
+
+    /// Draws changes of the teams' keys and limits.
+    fn draw_team_changes(&mut self, rng: &mut ChaCha8Rng) {
+        let mut at = Duration::from_millis(rng.random_range(500..=2_500));
+        while at < self.length {
+            let team = rng.random_range(0..TEAMS);
+            let fault = match rng.random_bool(0.5) {
+                true => Fault::ReplaceKey { team },
+                false => Fault::ChangeLimit {
+                    team,
+                    rate: rng.random_range(5..=150),
+                },
+            };
+            self.faults.push((at, fault));
+            at += TEAM_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+    }
+
     /// Draws the faults that all seeds have.
     fn draw_faults(&mut self, rng: &mut ChaCha8Rng) {
         let mut at = Duration::from_millis(rng.random_range(200..=1_500));
--- a/crates/soak/src/problem.rs
+++ b/crates/soak/src/problem.rs
@@ -23,6 +23,12 @@
     Uncommitted,
     /// fencing token used by two hosts
     SharedToken,
+    /// statement run in the name of another team
+    ForeignTeam,
+    /// team over its limit
+    OverLimit,
+    /// removed API key that is still accepted
+    RemovedKey,
     /// slow answer
     Slow,
     /// unexpected answer
--- a/crates/soak/src/session.rs
+++ b/crates/soak/src/session.rs
@@ -32,16 +32,17 @@
 }
 
 impl Session {
-    /// Opens a session on `database` at `address`.
+    /// Opens a session on `database` at `address` with an API key, which may be anything where
+    /// callers need none.
     ///
     /// # Errors
     /// The connection or the session is refused, the host does not answer in time, or the greeting
     /// is malformed.
-    pub async fn open(address: SocketAddr, database: &str) -> Result<Session, Error> {
+    pub async fn open(address: SocketAddr, database: &str, key: &str) -> Result<Session, Error> {
         let connected = timeout(CONNECT_TIMEOUT, Caller::connect(address)).await;
         let connected = connected.map_err(|_| Error::Timeout(CONNECT_TIMEOUT))?;
         let mut caller = connected.map_err(|_| Error::Closed)?;
-        let greeting = timeout(GREETING_TIMEOUT, caller.greet(database)).await;
+        let greeting = timeout(GREETING_TIMEOUT, caller.greet_as(database, key)).await;
         let greeting = greeting.map_err(|_| Error::Timeout(GREETING_TIMEOUT))?;
         match greeting.ok_or(Error::Closed)? {
             greeting if Caller::is_open(&greeting) => Ok(Session { caller }),
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -21,6 +21,7 @@
 use crate::problem::Kind;
 use crate::process::{Host, Settings};
 use crate::session::Session;
+use crate::teams::{TEAMS, Teams};
 
 /// Name of the only service of a run.
 pub(crate) const SERVICE: &str = "ledger";
@@ -41,6 +42,9 @@
 /// bounded.
 const MAX_MEMORY_BYTES: u64 = 64 << 20;
 
+/// Number of the team in whose name hosts are checked.
+const PROBE_TEAM: u64 = 0;
+
 /// Time limit for each statement that checks whether a host has recovered.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -53,6 +57,8 @@
     pub(crate) plan: Plan,
     /// Number of configuration versions that were published so far.
     configurations: AtomicU16,
+    /// The teams, where callers belong to some.
+    pub(crate) teams: Option<Arc<Teams>>,
 }
 
 impl Testbed {
@@ -110,7 +116,9 @@
                 unread_log: plan.unread == Some(host),
             })?);
         }
+        let teams = plan.has_teams().then(Arc::default);
         let testbed = Testbed {
+            teams,
             site,
             net,
             hosts: Arc::new(hosts),
@@ -137,6 +145,7 @@
                 Arc::clone(&self.hosts),
                 Arc::clone(&self.history),
                 Arc::clone(stop),
+                self.teams.clone(),
             );
             callers.spawn(caller.run());
         }
@@ -153,9 +162,20 @@
             .map(|it| (it.name, SERVICE, it.kind, millis(it.max_staleness)))
             .collect();
         routes.push((&extra_database, SERVICE, "primary", 0));
+        if let Some(teams) = &self.teams {
+            self.site.set_teams(&teams.configured());
+        }
         self.site.configure(&routes);
     }
 
+    /// Changes the teams, and publishes a new version of the configuration.
+    pub(crate) fn change_teams(&self, change: impl FnOnce(&Teams)) {
+        if let Some(teams) = &self.teams {
+            change(teams);
+            self.configure();
+        }
+    }
+
     /// Ends all faults, restarts all servers and hosts that are down, and publishes a new version
     /// of the configuration.
     pub(crate) async fn heal(&self) -> io::Result<()> {
@@ -186,6 +206,26 @@
             .iter()
             .map(|host| self.wait_until_serving(host, &newest));
         futures::future::join_all(waits).await;
+        for host in self.hosts.iter() {
+            self.check_removed_keys(host).await;
+        }
+    }
+
+    /// Reports API keys that operators have removed and `host` still accepts.
+    async fn check_removed_keys(&self, host: &Host) {
+        let former = self
+            .teams
+            .iter()
+            .flat_map(|teams| (0..TEAMS).filter_map(|team| teams.former_key(team)));
+        for key in former {
+            if Session::open(host.settings.callers, DATABASES[0].name, &key)
+                .await
+                .is_ok()
+            {
+                let problem = format!("{} accepts {key}", host.settings.name);
+                self.history.report_problem(Kind::RemovedKey, problem);
+            }
+        }
     }
 
     /// Waits until `host` serves the usual databases and `newest` again, and reports each one that
@@ -210,7 +250,8 @@
 
     /// Returns whether `host` answers a read and a write on `database`.
     async fn serves(&self, host: &Host, database: &str) -> bool {
-        let Ok(mut session) = Session::open(host.settings.callers, database).await else {
+        let opened = Session::open(host.settings.callers, database, &self.probe_key()).await;
+        let Ok(mut session) = opened else {
             return false;
         };
         for text in [
@@ -218,7 +259,8 @@
             format!("STORE probe d{}", self.history.next_number()),
         ] {
             let id = format!("{:016x}", self.history.next_number());
-            self.history.record_statement(&id, &text, None);
+            let team = self.teams.as_ref().map(|_| Teams::name(PROBE_TEAM));
+            self.history.record_statement(&id, &text, None, team);
             if let Some(data) = text.strip_prefix("STORE probe ") {
                 self.history.record_write(Write {
                     item: "probe".to_owned(),
@@ -235,6 +277,12 @@
         true
     }
 
+    /// Returns the API key of the statements that check hosts.
+    fn probe_key(&self) -> String {
+        let teams = self.teams.as_ref();
+        teams.map_or_else(|| "anybody".to_owned(), |teams| teams.key(PROBE_TEAM))
+    }
+
     /// Reports a problem and returns `true` if `host` has exited without being asked to.
     pub(crate) fn check_unexpected_exit(&self, host: &Host) -> bool {
         let Some(status) = host.unexpected_exit() else {
@@ -253,6 +301,10 @@
             rollbacks: group.rollbacks(),
             runs: group.runs(),
             orders: self.site.orders(),
+            limits: self
+                .teams
+                .as_ref()
+                .map_or_else(Vec::new, |teams| teams.limits()),
             log_events: group.log_events(),
         }
     }
@@ -294,7 +346,7 @@
     async fn all_ready(&self, limit: Duration) -> bool {
         let start = Instant::now();
         for host in self.hosts.iter() {
-            while Session::open(host.settings.callers, DATABASES[0].name)
+            while Session::open(host.settings.callers, DATABASES[0].name, &self.probe_key())
                 .await
                 .is_err()
             {
