--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -29,8 +29,8 @@
 /// window over which operators measure a limit, which is seconds.
 pub const OPERATION_LIFETIME: Duration = Duration::from_millis(500);
 
-/// Time without an answer, from when the last answered request was sent, after which a host uses
-/// its share. Two requests may be lost before.
+/// Time without an answer, from when the newest message was sent that the grantor has answered, after
+/// which a host uses its share. Hosts and grantors exchange heartbeats twice in this time.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long a share may be used without an answer. It outlasts most partitions. The share of a host
@@ -58,13 +58,13 @@
     pub sent: Duration,
     /// Operations to grant.
     pub wanted: u32,
-    /// Operations granted earlier that have expired unused since the last request.
+    /// Granted operations that have expired unused since the process started.
     pub returned: u32,
     /// Operations per second that callers ask of the host.
     pub demand: f64,
     /// The share that the host holds.
     pub share: Share,
-    /// Operations that the host has admitted from its share since the last answer.
+    /// Operations that the host has admitted from its shares since the process started.
     pub used: u32,
 }
 
--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -4,8 +4,11 @@
 
 use super::{ANSWER_TIMEOUT, Grant, OPERATION_LIFETIME, Request, SHARE_LIFETIME, Share};
 
-/// Interval between requests while callers ask for operations.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between requests while callers ask for operations, by which shares follow the demand.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Shortest interval between requests ahead of need.
+const PREFETCH_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Time after which an unanswered request is repeated. Several round trips between zones.
 const REPEAT_AFTER: Duration = Duration::from_millis(60);
@@ -58,7 +61,7 @@
 /// let now = Duration::from_secs(1);
 /// let mut account = Account::new(7, now);
 /// account.record_arrival(now);
-/// assert!(matches!(account.admit(now), Admission::Wait { .. }));
+/// assert!(matches!(account.admit(None, now), Admission::Wait { .. }));
 /// let request = account.request(1, now);
 /// let grant = Grant {
 ///     sent: request.sent,
@@ -67,21 +70,21 @@
 ///     retry_after: Duration::ZERO,
 /// };
 /// account.record_grant(&grant, now);
-/// assert_eq!(account.admit(now), Admission::Admitted);
+/// assert_eq!(account.admit(None, now), Admission::Admitted);
 /// ```
 #[derive(Debug)]
 pub struct Account {
     incarnation: u64,
     /// Operations granted and not yet used, with the end of their lifetime.
     granted: Vec<(u32, Duration)>,
-    /// Operations that have expired since the last request.
+    /// Number of operations that have expired so far.
     expired: u32,
     /// What this host may admit while the grantor is silent.
     share: Share,
     /// Operations that the share admits at once.
     share_tokens: f64,
     share_refilled_at: Duration,
-    /// Operations admitted from the share since the last answer.
+    /// Number of operations admitted from shares so far.
     share_used: u32,
     /// When the newest request that was answered was sent.
     answered_at: Option<Duration>,
@@ -143,8 +146,9 @@
         self.demand_at = now;
     }
 
-    /// Decides whether an operation may run at `now`, and counts it if so.
-    pub fn admit(&mut self, now: Duration) -> Admission {
+    /// Decides whether an operation may run at `now`, and counts it if so. `contact` is when the
+    /// newest message was sent, of whatever kind, that the grantor of the share has answered.
+    pub fn admit(&mut self, contact: Option<Duration>, now: Duration) -> Admission {
         self.expire(now);
         if let Some((count, _)) = self.granted.first_mut() {
             *count -= 1;
@@ -153,7 +157,9 @@
             }
             return Admission::Admitted;
         }
-        let until = self.unanswered_since.unwrap_or(now) + ANSWER_TIMEOUT;
+        let contact = contact.max(self.answered_at);
+        let asked_at = self.unanswered_since.unwrap_or(now);
+        let until = contact.map_or(asked_at, |contact| contact.min(asked_at)) + ANSWER_TIMEOUT;
         if now < until {
             return match now < self.exhausted_until {
                 true => refuse(self.exhausted_until - now),
@@ -175,7 +181,7 @@
         self.share_refilled_at = now;
         if self.share_tokens >= 1.0 {
             self.share_tokens -= 1.0;
-            self.share_used += 1;
+            self.share_used = self.share_used.wrapping_add(1);
             return Admission::Admitted;
         }
         let wait = (1.0 - self.share_tokens) / self.share.rate;
@@ -196,16 +202,14 @@
     pub fn request(&mut self, waiting: u32, now: Duration) -> Request {
         self.expire(now);
         self.decay_demand(now);
-        let held: u32 = self.granted.iter().map(|(count, _)| count).sum();
-        // The cast cannot overflow: the demand is bounded by what one host receives.
-        let ahead = (self.demand * PREFETCH.as_secs_f64()) as u32;
+        let wanted = (self.ahead() + waiting).saturating_sub(self.held());
         self.sent_at = Some(now);
         self.unanswered_since.get_or_insert(now);
         Request {
             incarnation: self.incarnation,
             sent: now,
-            wanted: (ahead + waiting).saturating_sub(held),
-            returned: std::mem::take(&mut self.expired),
+            wanted,
+            returned: self.expired,
             demand: match self.usual_demand > NO_DEMAND {
                 true => self.usual_demand,
                 false => 0.0,
@@ -215,6 +219,17 @@
         }
     }
 
+    /// Returns the number of operations to hold ahead of need.
+    fn ahead(&self) -> u32 {
+        // The cast cannot overflow: the demand is bounded by what one host receives.
+        (self.demand * PREFETCH.as_secs_f64()) as u32
+    }
+
+    /// Returns the number of operations that were granted and not yet used.
+    fn held(&self) -> u32 {
+        self.granted.iter().map(|(count, _)| count).sum()
+    }
+
     /// Returns when the next request is due.
     fn next_request_at(&self, waiting: u32) -> Duration {
         let Some(sent_at) = self.sent_at else {
@@ -224,6 +239,7 @@
         match (is_answered, waiting > 0) {
             (false, _) => sent_at + REPEAT_AFTER,
             (true, true) => self.exhausted_until.max(sent_at + MIN_REQUEST_INTERVAL),
+            (true, false) if self.ahead() > self.held() => sent_at + PREFETCH_INTERVAL,
             (true, false) => sent_at + REQUEST_INTERVAL,
         }
     }
@@ -247,13 +263,13 @@
         self.share = grant.share;
         self.share_tokens = grant.share.burst;
         self.share_refilled_at = grant.sent + ANSWER_TIMEOUT;
-        self.share_used = 0;
     }
 
     /// Drops operations that were granted too long ago.
     fn expire(&mut self, now: Duration) {
         let expired = self.granted.extract_if(.., |(_, until)| *until <= now);
-        self.expired += expired.map(|(count, _)| count).sum::<u32>();
+        let expired: u32 = expired.map(|(count, _)| count).sum();
+        self.expired = self.expired.wrapping_add(expired);
     }
 }
 
--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -6,7 +6,7 @@
 use super::{ANSWER_TIMEOUT, Grant, Limit, Request, SHARE_LIFETIME, Share};
 use crate::key::HostKey;
 
-/// Time without a request from a host after which it counts as silent. It is shorter than the time
+/// Time without a message from a host after which it counts as silent. It is shorter than the time
 /// after which such a host uses its share, by more than a request may take to arrive.
 const SILENCE: Duration = ANSWER_TIMEOUT.saturating_sub(Duration::from_millis(150));
 
@@ -14,6 +14,11 @@
 /// some hosts serve more of a team's callers than others.
 const UNKNOWN_SHARE_FACTOR: f64 = 2.0;
 
+/// Operations, and part of the burst, that a new grantor grants although an earlier one may have
+/// emptied the bucket. After a restart of all hosts, callers come back at once.
+const START_OPERATIONS: f64 = 8.0;
+const START_BURST: f64 = 0.05;
+
 /// Part of the burst that shares reserve. The rest is for hosts in contact, wherever callers are.
 const SHARED_BURST: f64 = 0.35;
 
@@ -69,7 +74,10 @@
     demand: f64,
     /// The greatest share that the host may hold.
     share: Share,
-    /// Operations taken off the bucket for the share since the host was last heard.
+    /// Counts of the newest request.
+    returned: u32,
+    used: u32,
+    /// Operations taken off the bucket for the share since the newest request.
     charged: f64,
     /// Whether the burst of the share is among them.
     is_burst_charged: bool,
@@ -105,9 +113,10 @@
     /// Creates the grantor of a team, which has granted since `since` and nothing so far. Whoever
     /// granted before may have emptied the bucket.
     pub fn new(limit: Limit, since: Duration) -> Grantor {
+        let burst = f64::from(limit.burst);
         Grantor {
             limit,
-            tokens: 0.0,
+            tokens: (START_OPERATIONS + burst * START_BURST).min(burst),
             refilled_at: since,
             since,
             inherited: 0.0,
@@ -126,6 +135,18 @@
         self.tokens = self.tokens.min(f64::from(limit.burst));
     }
 
+    /// Records a message of `host` that is no request. The host does not use its share from now on,
+    /// if the message is answered.
+    pub fn record_contact(&mut self, host: HostKey, silent: f64, now: Duration) {
+        if self.hosts.get(&host).is_some_and(|it| it.is_silent(now)) {
+            // Before the host counts as heard: it may have used its share until now.
+            self.refill(silent, now);
+        }
+        if let Some(holder) = self.hosts.get_mut(&host) {
+            holder.heard_at = now;
+        }
+    }
+
     /// Answers a request of `host`. `silent` is the fraction of all hosts that this process hears
     /// nothing of. Returns `None` if the request is older than one that was answered.
     pub fn grant(
@@ -160,6 +181,8 @@
                 heard_at: now,
                 demand: request.demand,
                 share: may_hold,
+                returned: request.returned,
+                used: request.used,
                 charged: 0.0,
                 is_burst_charged: false,
             },
@@ -199,7 +222,8 @@
         };
         let mut unused = holder.charged;
         if holder.incarnation == request.incarnation {
-            unused += f64::from(request.returned) - f64::from(request.used);
+            unused += f64::from(request.returned.wrapping_sub(holder.returned));
+            unused -= f64::from(request.used.wrapping_sub(holder.used));
         }
         let burst = f64::from(self.limit.burst.max(1));
         self.tokens = (self.tokens + unused).min(burst);
--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -115,6 +115,11 @@
         Some(now.saturating_sub(contact.heard_at))
     }
 
+    /// Returns when the newest request was sent that `host` has answered.
+    pub fn answered_at(&self, host: HostKey) -> Option<Duration> {
+        self.others.get(&host)?.answered_at
+    }
+
     /// Reports whether `host` has answered a request sent at `since` or later, or `None` if its
     /// answers do not count.
     pub fn has_answered(&self, host: HostKey, since: Duration) -> Option<bool> {
--- a/crates/proxy/src/election/limits.rs
+++ b/crates/proxy/src/election/limits.rs
@@ -20,7 +20,7 @@
 const MAX_TEAMS: usize = 16;
 
 /// Time without a heartbeat after which a host counts as silent.
-const SILENT_AFTER: Duration = Duration::from_secs(1);
+pub(super) const SILENT_AFTER: Duration = Duration::from_secs(1);
 
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Asks grantors for operations ahead of need, forever.
@@ -46,7 +46,7 @@
                     let grant = self.grant(&name, HostKey::default(), &request);
                     let grants: Vec<(TeamKey, Grant)> =
                         grant.into_iter().map(|grant| (team, grant)).collect();
-                    self.fleet.limits.record_grants(&grants, now);
+                    self.fleet.limits.record_grants(None, &grants, now);
                 }
                 Some(Grantor::Remote(_, address)) => {
                     let request = TeamRequest::new(name, &request);
@@ -128,12 +128,13 @@
         }
     }
 
-    /// Applies the answers of a grantor to the requests that were sent at `sent`.
-    pub(super) fn apply_grants(&self, sent: u64, grants: &[TeamGrant]) {
+    /// Applies the answers of the grantor `host` to the requests that were sent at `sent`.
+    pub(super) fn apply_grants(&self, host: HostKey, sent: u64, grants: &[TeamGrant]) {
         let grants: Vec<(TeamKey, Grant)> = grants
             .iter()
             .map(|it| (self.site.team(&it.team), it.grant(sent)))
             .collect();
-        self.fleet.limits.record_grants(&grants, self.site.now());
+        let limits = &self.fleet.limits;
+        limits.record_grants(Some(host), &grants, self.site.now());
     }
 }
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -9,6 +9,7 @@
 use flamingopost_core::quorum::HEARTBEAT_INTERVAL;
 use flamingopost_core::term::Term;
 
+use super::limits::SILENT_AFTER;
 use super::{Election, Probe, RECENT_CONTACT, target};
 use crate::codec::Codec;
 use crate::event::Event;
@@ -349,7 +350,7 @@
                     ended_terms,
                 } => {
                     self.fleet.record_peer_epoch(host, Epoch(epoch));
-                    self.fleet.record_heartbeat(host);
+                    self.fleet.record_heartbeat(host, SILENT_AFTER);
                     let missed =
                         Duration::from_millis(u64::from(out_of_touch)) + PROPAGATION_WINDOW;
                     let echo = Payload::HeartbeatAck {
@@ -396,7 +397,7 @@
                     return self.answer_requests(host, sent, requests, from);
                 }
                 Payload::OperationGrant { sent, grants } => {
-                    return self.apply_grants(sent, &grants);
+                    return self.apply_grants(host, sent, &grants);
                 }
                 _ => {}
             }
--- a/crates/proxy/src/fleet/teams.rs
+++ b/crates/proxy/src/fleet/teams.rs
@@ -88,10 +88,12 @@
         grantors.into_iter().map(|(_, grantor)| grantor).collect()
     }
 
-    /// Records a heartbeat of `host`.
-    pub fn record_heartbeat(&self, host: HostKey) {
+    /// Records a heartbeat of `host`. A host counts as silent that has sent none for `timeout`.
+    pub fn record_heartbeat(&self, host: HostKey, timeout: Duration) {
         let now = self.site.now();
         self.peers.borrow_mut().heartbeats.insert(host, now);
+        let silent = self.silent_hosts(now, timeout);
+        self.limits.record_contact(host, silent, now);
     }
 
     /// Returns the fraction of all hosts that have sent this host no heartbeat for `timeout`.
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -117,7 +117,8 @@
             return Ok(());
         };
         let since = site.now();
-        let admitted = fleet.limits.admit(site, self.team).await;
+        let contact = |host| fleet.with_quorum(|quorum, _| quorum.answered_at(host));
+        let admitted = fleet.limits.admit(site, self.team, contact).await;
         let limited = match admitted {
             Ok(()) => Limited::Admitted,
             Err(_) => Limited::Refused,
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -31,6 +31,8 @@
 
 struct TeamAccount {
     account: Account,
+    /// The host that granted the share, unless it is this one.
+    issuer: Option<HostKey>,
     /// Operations that wait for an answer of the grantor.
     waiting: u32,
 }
@@ -48,15 +50,24 @@
 }
 
 impl Limits {
-    /// Waits until an operation of `team` is within the team's limit.
+    /// Waits until an operation of `team` is within the team's limit. `contact` returns when the
+    /// newest message was sent that a host has answered.
     ///
     /// # Errors
     /// Returns the time after which the next operation will be, if this one is not.
-    pub async fn admit(&self, site: &Site, team: TeamKey) -> Result<(), Duration> {
+    pub async fn admit(
+        &self,
+        site: &Site,
+        team: TeamKey,
+        contact: impl Fn(HostKey) -> Option<Duration>,
+    ) -> Result<(), Duration> {
         self.with_account(site, team, |it, now| it.account.record_arrival(now));
         loop {
             let granted = self.granted.notified();
-            let admission = self.with_account(site, team, |it, now| it.account.admit(now));
+            let admission = self.with_account(site, team, |it, now| {
+                let contact = it.issuer.map_or(Some(now), &contact);
+                it.account.admit(contact, now)
+            });
             match admission {
                 Admission::Admitted => return Ok(()),
                 Admission::Refused { retry_after } => return Err(retry_after),
@@ -80,6 +91,7 @@
         let mut accounts = self.accounts.borrow_mut();
         let account = accounts.entry(team).or_insert_with(|| TeamAccount {
             account: Account::new(self.incarnation, now),
+            issuer: None,
             waiting: 0,
         });
         change(account, now)
@@ -105,11 +117,17 @@
             .collect()
     }
 
-    /// Applies a grantor's answers.
-    pub fn record_grants(&self, grants: &[(TeamKey, Grant)], now: Duration) {
+    /// Applies the answers of the grantor `issuer`, which is this host if there is none.
+    pub fn record_grants(
+        &self,
+        issuer: Option<HostKey>,
+        grants: &[(TeamKey, Grant)],
+        now: Duration,
+    ) {
         let mut accounts = self.accounts.borrow_mut();
         for (team, grant) in grants {
             if let Some(it) = accounts.get_mut(team) {
+                it.issuer = issuer;
                 it.account.record_grant(grant, now);
             }
         }
@@ -136,6 +154,14 @@
         grantor.grant(host, request, silent, now)
     }
 
+    /// Records a message of `host` that is no request. `silent` is the fraction of all hosts that this
+    /// host hears nothing of.
+    pub fn record_contact(&self, host: HostKey, silent: f64, now: Duration) {
+        for grantor in self.grantors.borrow_mut().values_mut() {
+            grantor.record_contact(host, silent, now);
+        }
+    }
+
     /// Forgets the teams that are not in `teams`.
     pub fn retain(&self, teams: &BTreeSet<TeamKey>) {
         let mut accounts = self.accounts.borrow_mut();
