--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -48,7 +48,7 @@
 ///     used: 0,
 /// };
 /// let grant = grantor.grant(HostKey::default(), &request, 0.0, now).expect("in order");
-/// assert_eq!(grant.granted, 10, "the bucket was empty a second ago");
+/// assert_eq!(grant.granted, 15, "a few at first, and 10 of the second since");
 /// assert_eq!(grant.share.rate, 10.0, "nobody else has asked");
 /// ```
 #[derive(Debug)]
