--- a/crates/core/tests/limit/main.rs
+++ b/crates/core/tests/limit/main.rs
@@ -148,7 +148,10 @@
     assert_eq!(account.admit(None, ms(3)), Admission::Admitted);
     let later = ms(60_000);
     account.record_arrival(later);
-    assert!(matches!(account.admit(Some(later), later), Admission::Wait { .. }));
+    assert!(matches!(
+        account.admit(Some(later), later),
+        Admission::Wait { .. }
+    ));
     let grant = answer(&mut account, 1, 0.0, later);
     account.record_grant(&grant, later + ms(3));
     assert_eq!(account.admit(None, later + ms(3)), Admission::Admitted);
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -32,8 +32,7 @@
 mod teams;
 mod unusable_entries;
 
-pub use placement::ServingHost;
-use placement::rendezvous_hash;
+pub use placement::{ServingHost, rendezvous_hash};
 pub use teams::Grantor;
 use unusable_entries::{CONFIGURATION, SERVERS, backend_id};
 
--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -166,7 +166,7 @@
 }
 
 /// Computes the FNV-1a hash of two names. Every host computes the same value.
-pub(super) fn rendezvous_hash(what: &str, host: &str) -> u64 {
+pub fn rendezvous_hash(what: &str, host: &str) -> u64 {
     let bytes = what.bytes().chain(host.bytes());
     bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -14,7 +14,7 @@
 use crate::caller_connection::{self, CallerConnection};
 use crate::caller_state::CallerState;
 use crate::codec::Codec;
-use crate::fleet::{Fleet, ServingHost};
+use crate::fleet::{Fleet, ServingHost, rendezvous_hash};
 use crate::gate::{Gate, NO_TEAM};
 use crate::host::Stop;
 use crate::message::{Access, Code, Query, Request, Shape, Statement, Transaction};
@@ -396,6 +396,22 @@
     }
 }
 
+/// Returns the number of the serving host at which a session of `team` is tried first.
+///
+/// Sessions of no team are distributed over the serving hosts in turn. Those of a team go to the same
+/// one, where the connections that serve the team are: at a random one of several, more connections
+/// would be opened for one session and closed for the next.
+fn first_home<C: Codec>(context: &Context<C>, team: TeamKey) -> usize {
+    match team.is_null() {
+        true => usize::try_from(context.site.next_id()).unwrap_or_default(),
+        false => {
+            let order = rendezvous_hash("home", &context.site.client_name(team));
+            // Any part of the hash will do.
+            order as usize
+        }
+    }
+}
+
 /// Connects to a host that serves `database` on behalf of this host, for a caller of `team`. Returns `None` if there is no
 /// such host, or none can be reached.
 async fn connect_to_home<C: Codec>(
@@ -412,10 +428,9 @@
         true => NO_TEAM.to_owned(),
         false => context.site.client_name(team),
     };
-    let first = usize::try_from(context.site.next_id()).unwrap_or_default();
+    let first = first_home(context, team);
     for place in 0..homes.len() {
-        // Distributes sessions over the serving hosts in turn.
-        if let ServingHost::Remote(address) = homes[(first + place) % homes.len()]
+        if let ServingHost::Remote(address) = homes[(first.wrapping_add(place)) % homes.len()]
             && let Some(peer) = relay::open(context, database, &name, address).await
         {
             return Some(peer);
