--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! server that may answer it is free. The module performs no input or output: each call returns the actions
 //! that the caller has to carry out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::key::{ServerKey, TeamKey};
@@ -70,7 +70,7 @@
 ///     avoid: None,
 /// };
 /// assert_eq!(dispatch.arrive(ticket, now), [Action::Open { server, team }]);
-/// let assigned = Action::Assign { ticket: 1, server, connection: 7 };
+/// let assigned = Action::Assign { ticket: 1, team, server, connection: 7 };
 /// assert_eq!(dispatch.connection_opened(server, 7, team, now), [assigned]);
 /// ```
 #[derive(Debug, Default)]
@@ -86,6 +86,8 @@
     queued_since: Option<Duration>,
     /// Whether callers belong to teams, so that nobody can use a connection of no team.
     has_teams: bool,
+    /// Number of connections in use, by team.
+    in_use: BTreeMap<TeamKey, u16>,
 }
 
 impl Dispatch {
@@ -238,6 +240,7 @@
         team: TeamKey,
         now: Duration,
     ) -> Vec<Action> {
+        self.release_connection(team);
         let usable = match self.servers.get_mut(&key) {
             Some(server) => server.connection_returned(connection, team, now),
             None => false,
@@ -282,8 +285,9 @@
         }
     }
 
-    /// Records that a connection broke while it was in use.
-    pub fn connection_lost(&mut self, key: ServerKey, now: Duration) -> Vec<Action> {
+    /// Records that a connection of `team` broke while it was in use.
+    pub fn connection_lost(&mut self, key: ServerKey, team: TeamKey, now: Duration) -> Vec<Action> {
+        self.release_connection(team);
         if let Some(server) = self.servers.get_mut(&key) {
             server.connection_lost();
         }
@@ -345,7 +349,11 @@
         // Requests that can still meet their goal go first: served strictly by age, a queue that
         // has once grown past the goal would answer every request late.
         let order = self.order(now);
-        waiting.sort_by_key(|ticket| ticket.queue_key(order, now));
+        let fair_share = self.fair_share(&waiting);
+        waiting.sort_by_key(|ticket| {
+            let in_use = self.in_use.get(&ticket.team).copied().unwrap_or_default();
+            ticket.queue_key(order, in_use > fair_share, now)
+        });
         let mut wanted = BTreeMap::new();
         waiting.retain(|ticket| {
             if ticket.deadline <= now {
@@ -360,6 +368,7 @@
                 Placement::Assign(server, connection) => {
                     actions.push(Action::Assign {
                         ticket: ticket.id,
+                        team: ticket.team,
                         server,
                         connection,
                     });
@@ -385,6 +394,27 @@
         actions
     }
 
+    /// Returns the number of connections that each team may use while others wait: an equal part of
+    /// those in use.
+    ///
+    /// Without it, a team that sends many times its usual fills the queue, and the requests of the
+    /// others wait behind it.
+    fn fair_share(&self, waiting: &[Ticket]) -> u16 {
+        let mut teams: BTreeSet<TeamKey> = self.in_use.keys().copied().collect();
+        teams.extend(waiting.iter().map(|ticket| ticket.team));
+        let in_use: u16 = self.in_use.values().sum();
+        let teams = u16::try_from(teams.len()).unwrap_or(u16::MAX);
+        in_use.div_ceil(teams.max(1))
+    }
+
+    /// Counts a connection of `team` that is no longer in use.
+    fn release_connection(&mut self, team: TeamKey) {
+        if let Some(count) = self.in_use.get_mut(&team) {
+            *count = count.saturating_sub(1);
+        }
+        self.in_use.retain(|_, count| *count > 0);
+    }
+
     /// Returns the order of requests of equal rank: oldest first, or newest first under overload
     /// (adaptive LIFO).
     ///
@@ -443,6 +473,7 @@
             && let Some(server) = self.servers.get_mut(&key)
             && let Some(connection) = server.check_out(ticket.team)
         {
+            *self.in_use.entry(ticket.team).or_default() += 1;
             if ticket.opens_transaction {
                 server.count_transaction(true);
             }
--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -9,6 +9,8 @@
     Assign {
         /// The request.
         ticket: u64,
+        /// Its team.
+        team: TeamKey,
         /// The server.
         server: ServerKey,
         /// The connection to it.
--- a/crates/core/src/dispatch/ticket.rs
+++ b/crates/core/src/dispatch/ticket.rs
@@ -55,9 +55,15 @@
 impl Ticket {
     /// Returns the sort key of this ticket; the least key is served first.
     ///
-    /// Transactions wait behind single statements of the same priority: while connections are
-    /// scarce, one transaction takes the time of dozens of statements.
-    pub(super) fn queue_key(&self, order: QueueOrder, now: Duration) -> (bool, u8, bool, Duration) {
+    /// Requests of a team that uses more than its fair share of connections wait behind those of the
+    /// others. Transactions wait behind single statements of the same priority: while connections
+    /// are scarce, one transaction takes the time of dozens of statements.
+    pub(super) fn queue_key(
+        &self,
+        order: QueueOrder,
+        is_over_share: bool,
+        now: Duration,
+    ) -> (bool, u8, bool, bool, Duration) {
         let age_rank = match order {
             QueueOrder::OldestFirst => self.arrived,
             QueueOrder::NewestFirst => Duration::MAX - self.arrived,
@@ -65,6 +71,7 @@
         (
             now >= self.goal,
             self.priority,
+            is_over_share,
             self.opens_transaction,
             age_rank,
         )
--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -16,8 +16,8 @@
 
 /// Operations, and part of the burst, that a new grantor grants although an earlier one may have
 /// emptied the bucket. After a restart of all hosts, callers come back at once.
-const START_OPERATIONS: f64 = 8.0;
-const START_BURST: f64 = 0.05;
+const START_OPERATIONS: f64 = 10.0;
+const START_BURST: f64 = 0.1;
 
 /// Part of the burst that shares reserve. The rest is for hosts in contact, wherever callers are.
 const SHARED_BURST: f64 = 0.35;
--- a/crates/core/tests/dispatch/teams.rs
+++ b/crates/core/tests/dispatch/teams.rs
@@ -50,6 +50,7 @@
         dispatch.arrive(ticket_of(first, 3), ms(7)),
         [Action::Assign {
             ticket: 3,
+            team: first,
             server,
             connection: 10
         }]
@@ -85,6 +86,7 @@
         dispatch.connection_opened(server, 11, second, ms(17)),
         [Action::Assign {
             ticket: 2,
+            team: second,
             server,
             connection: 11
         }]
@@ -97,3 +99,27 @@
     let (mut dispatch, _) = dispatch(3);
     assert_eq!(dispatch.tick(ms(100)), []);
 }
+
+/// Guards against a team that sends many times its usual and whose requests fill the queue: those of
+/// the others waited behind all of them.
+#[test]
+fn a_team_with_many_requests_does_not_hold_up_the_others() {
+    let (mut dispatch, server) = dispatch(4);
+    let [hot, other] = teams();
+    for id in 1..=8 {
+        dispatch.arrive(ticket_of(hot, id), ms(0));
+    }
+    for (connection, team) in [(10, hot), (11, hot), (12, other)] {
+        dispatch.connection_opened(server, connection, team, ms(1));
+    }
+    dispatch.arrive(ticket_of(other, 20), ms(2));
+    // Two requests run at once. The hot team runs both, and six more of its requests are older.
+    let assigned = Action::Assign {
+        ticket: 20,
+        team: other,
+        server,
+        connection: 12,
+    };
+    let actions = dispatch.connection_returned(server, 10, hot, ms(4));
+    assert_eq!(actions, [assigned]);
+}
--- a/crates/proxy/src/service/pooled_connection.rs
+++ b/crates/proxy/src/service/pooled_connection.rs
@@ -108,7 +108,9 @@
         let now = self.service.site.now();
         let next = {
             let mut state = self.service.state.borrow_mut();
-            state.dispatch.connection_lost(connection.server, now)
+            state
+                .dispatch
+                .connection_lost(connection.server, connection.team, now)
         };
         drop(connection);
         self.service.apply(next);
--- a/crates/proxy/src/service/queue.rs
+++ b/crates/proxy/src/service/queue.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use flamingopost_core::dispatch::{Action, Ticket, Unserved};
-use flamingopost_core::key::ServerKey;
+use flamingopost_core::key::{ServerKey, TeamKey};
 use tokio::sync::oneshot;
 
 use super::{PooledConnection, Service, Waiter};
@@ -40,9 +40,10 @@
             match next {
                 Action::Assign {
                     ticket,
+                    team,
                     server,
                     connection,
-                } => queue.extend(self.assign(ticket, server, connection)),
+                } => queue.extend(self.assign(ticket, team, server, connection)),
                 Action::Open { server, team } => self.open(server, team),
                 Action::Close { connection, .. } => {
                     self.state.borrow_mut().idle.remove(&connection);
@@ -58,7 +59,13 @@
         }
     }
 
-    fn assign(self: &Rc<Self>, ticket: u64, server: ServerKey, connection: u64) -> Vec<Action> {
+    fn assign(
+        self: &Rc<Self>,
+        ticket: u64,
+        team: TeamKey,
+        server: ServerKey,
+        connection: u64,
+    ) -> Vec<Action> {
         let now = self.site.now();
         let mut state = self.state.borrow_mut();
         let waiter = state.waiters.remove(&ticket);
@@ -88,20 +95,19 @@
                 if idle.is_some() {
                     state.record_broken_connection(server);
                 }
-                let mut next = state.dispatch.connection_lost(server, now);
+                let mut next = state.dispatch.connection_lost(server, team, now);
                 let ticket = waiter.ticket.clone();
                 state.waiters.insert(ticket.id, waiter);
                 next.extend(state.dispatch.arrive(ticket, now));
                 next
             }
             (None, Some(idle)) => {
-                let team = idle.team;
                 state.idle.insert(connection, idle);
                 state
                     .dispatch
                     .connection_returned(server, connection, team, now)
             }
-            (None, None) => state.dispatch.connection_lost(server, now),
+            (None, None) => state.dispatch.connection_lost(server, team, now),
         }
     }
 
