--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -35,10 +35,6 @@
 /// use it.
 const SURPLUS_IDLE: Duration = Duration::from_millis(400);
 
-/// The same where connections belong to teams. It is longer, because the next request of the same
-/// team may be a while away, and a new connection takes a server's slot for as long as a request.
-const TEAM_SURPLUS_IDLE: Duration = Duration::from_secs(3);
-
 /// Time without an empty queue after which the service counts as overloaded.
 ///
 /// It is several times the latency of a request, so that a burst does not count as overload.
@@ -317,12 +313,8 @@
     /// connections and opens missing ones.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
-        let max_idle = match self.has_teams {
-            true => TEAM_SURPLUS_IDLE,
-            false => SURPLUS_IDLE,
-        };
         for (key, server) in &mut self.servers {
-            let surplus = server.take_surplus(now, max_idle);
+            let surplus = server.take_surplus(now, SURPLUS_IDLE);
             actions.extend(surplus.into_iter().map(|connection| Action::Close {
                 server: *key,
                 connection,
