Soak callers of teams whose keys and limits change

The stand-in platform learns teams, its servers record in whose name and when a statement ran. Relays cannot tell the host of a connection that is opened in a team's name, so cuts between one host and the servers do not apply to those.

--- a/crates/core/tests/limit/model.rs
+++ b/crates/core/tests/limit/model.rs
@@ -570,9 +570,9 @@
     /// Counts the arrival against one bucket that sees all hosts.
     fn count_ideal(&mut self) {
         let (tokens, at) = self.ideal;
-        let in_force = self.limits.iter().filter(|(since, _)| *since <= self.now);
+        let mut in_force = self.limits.iter().filter(|(since, _)| *since <= self.now);
         let limit = in_force
-            .last()
+            .next_back()
             .map_or(self.limits[0].1, |(_, limit)| *limit);
         let passed = (self.now - at).as_secs_f64();
         let tokens = tokens + passed * f64::from(limit.per_second);
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -424,8 +424,9 @@
     if homes.contains(&ServingHost::Local) {
         return None;
     }
-    let name = match team.is_null() {
+    let name = match team.is_null() && context.fleet.has_teams() {
         true => NO_TEAM.to_owned(),
+        // Without teams, it is the name of this host.
         false => context.site.client_name(team),
     };
     let first = first_home(context, team);
--- a/crates/soak/src/net.rs
+++ b/crates/soak/src/net.rs
@@ -23,6 +23,8 @@
 pub enum Endpoint {
     /// The host with this number.
     Host(usize),
+    /// Any host, on a connection that was opened in the name of a team and does not tell which.
+    Teams,
     /// The server with this number.
     Server(usize),
     /// The platform's store.
@@ -134,7 +136,7 @@
     }
 
     /// Relays connections from all hosts to server `to`, which listens at `target`, and returns the
-    /// address of the relay. The first line of a connection names the host that opened it.
+    /// address of the relay. The first line of a connection names the client that opened it.
     ///
     /// # Errors
     /// No port can be bound.
@@ -142,38 +144,35 @@
         &self,
         to: Endpoint,
         target: SocketAddr,
-        host_numbers: Arc<BTreeMap<String, usize>>,
+        clients: Arc<BTreeMap<String, Endpoint>>,
     ) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        tokio::spawn(
-            self.clone()
-                .relay_sessions(listener, to, target, host_numbers),
-        );
+        tokio::spawn(self.clone().relay_sessions(listener, to, target, clients));
         Ok(address)
     }
 
-    /// Accepts connections and relays those whose first line names a known host.
+    /// Accepts connections and relays those whose first line names one of `clients`.
     async fn relay_sessions(
         self,
         listener: TcpListener,
         to: Endpoint,
         target: SocketAddr,
-        host_numbers: Arc<BTreeMap<String, usize>>,
+        clients: Arc<BTreeMap<String, Endpoint>>,
     ) {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let (net, host_numbers) = (self.clone(), Arc::clone(&host_numbers));
+            let (net, clients) = (self.clone(), Arc::clone(&clients));
             tokio::spawn(async move {
                 let Some(first) = first_line(&mut stream).await else {
                     return;
                 };
                 let text = String::from_utf8_lossy(&first);
                 let name = text.split_whitespace().nth(2);
-                let Some(host) = name.and_then(|name| host_numbers.get(name)) else {
+                let Some(from) = name.and_then(|name| clients.get(name)) else {
                     return;
                 };
-                let from = Endpoint::Host(*host);
-                net.relay_connection(from, to, stream, target, &first).await;
+                net.relay_connection(*from, to, stream, target, &first)
+                    .await;
             });
         }
     }
@@ -248,15 +247,15 @@
         &self,
         to: usize,
         target: SocketAddr,
-        host_numbers: Arc<BTreeMap<String, usize>>,
+        clients: Arc<BTreeMap<String, Endpoint>>,
         hosts_by_address: Arc<BTreeMap<SocketAddr, usize>>,
     ) -> io::Result<SocketAddr> {
         let (socket, listener) = bind_udp_and_tcp().await?;
         let socket = Arc::new(socket);
         let address = socket.local_addr()?;
-        let sessions =
-            self.clone()
-                .relay_sessions(listener, Endpoint::Host(to), target, host_numbers);
+        let sessions = self
+            .clone()
+            .relay_sessions(listener, Endpoint::Host(to), target, clients);
         tokio::spawn(sessions);
         tokio::spawn(
             self.clone()
--- a/crates/soak/src/teams.rs
+++ b/crates/soak/src/teams.rs
@@ -8,6 +8,11 @@
 /// Number of teams.
 pub const TEAMS: usize = 3;
 
+/// Name and API key of the team in whose name hosts are checked. It is not limited, so that its
+/// statements are not refused for what callers ask.
+pub const CHECKS: &str = "checks";
+pub const CHECKS_KEY: &str = "key-checks";
+
 /// Operations per second, and size of a burst, before operators change them.
 const INITIAL_RATE: u32 = 80;
 
@@ -95,7 +100,7 @@
             let rate = it.limits.last().map_or(INITIAL_RATE, |limit| limit.rate);
             Team::new(&Teams::name(team as u64), &[&key(team, it.keys)]).limited(rate, rate)
         });
-        teams.collect()
+        teams.chain([Team::new(CHECKS, &[CHECKS_KEY])]).collect()
     }
 }
 
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -21,7 +21,7 @@
 use crate::problem::Kind;
 use crate::process::{Host, Settings};
 use crate::session::Session;
-use crate::teams::{TEAMS, Teams};
+use crate::teams::{CHECKS, CHECKS_KEY, TEAMS, Teams};
 
 /// Name of the only service of a run.
 pub(crate) const SERVICE: &str = "ledger";
@@ -42,9 +42,6 @@
 /// bounded.
 const MAX_MEMORY_BYTES: u64 = 64 << 20;
 
-/// Number of the team in whose name hosts are checked.
-const PROBE_TEAM: u64 = 0;
-
 /// Time limit for each statement that checks whether a host has recovered.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -73,11 +70,20 @@
         let host_numbers: BTreeMap<String, usize> = (0..plan.hosts)
             .map(|host| (host_name(host), host))
             .collect();
-        let host_numbers = Arc::new(host_numbers);
+        let mut clients: BTreeMap<String, Endpoint> = host_numbers
+            .iter()
+            .map(|(name, host)| (name.clone(), Endpoint::Host(*host)))
+            .collect();
+        if plan.has_teams() {
+            let teams = (0..TEAMS as u64).map(Teams::name);
+            let teams = teams.chain([CHECKS.to_owned()]);
+            clients.extend(teams.map(|team| (team, Endpoint::Teams)));
+        }
+        let clients = Arc::new(clients);
         for number in 0..plan.sizes.servers {
             let (id, end) = (server_name(number), Endpoint::Server(number));
             let relay = net
-                .relay_server(end, site.address(&id), Arc::clone(&host_numbers))
+                .relay_server(end, site.address(&id), Arc::clone(&clients))
                 .await?;
             site.show(&id, relay);
         }
@@ -97,7 +103,7 @@
                 site.store_address,
                 site.orders_address,
             );
-            let host_numbers = Arc::clone(&host_numbers);
+            let clients = Arc::clone(&clients);
             hosts.push(Host::new(Settings {
                 program: program.to_owned(),
                 folder: PathBuf::from(folder),
@@ -107,7 +113,7 @@
                 probe,
                 peers,
                 announced: net
-                    .relay_peers(host, peers, host_numbers, Arc::clone(&hosts_by_address))
+                    .relay_peers(host, peers, clients, Arc::clone(&hosts_by_address))
                     .await?,
                 store: net.relay(from, Endpoint::Store, store).await?,
                 orders: net.relay(from, Endpoint::Orders, orders).await?,
@@ -250,7 +256,7 @@
 
     /// Returns whether `host` answers a read and a write on `database`.
     async fn serves(&self, host: &Host, database: &str) -> bool {
-        let opened = Session::open(host.settings.callers, database, &self.probe_key()).await;
+        let opened = Session::open(host.settings.callers, database, self.probe_key()).await;
         let Ok(mut session) = opened else {
             return false;
         };
@@ -259,7 +265,7 @@
             format!("STORE probe d{}", self.history.next_number()),
         ] {
             let id = format!("{:016x}", self.history.next_number());
-            let team = self.teams.as_ref().map(|_| Teams::name(PROBE_TEAM));
+            let team = self.teams.as_ref().map(|_| CHECKS.to_owned());
             self.history.record_statement(&id, &text, None, team);
             if let Some(data) = text.strip_prefix("STORE probe ") {
                 self.history.record_write(Write {
@@ -278,9 +284,11 @@
     }
 
     /// Returns the API key of the statements that check hosts.
-    fn probe_key(&self) -> String {
-        let teams = self.teams.as_ref();
-        teams.map_or_else(|| "anybody".to_owned(), |teams| teams.key(PROBE_TEAM))
+    fn probe_key(&self) -> &'static str {
+        match self.teams {
+            Some(_) => CHECKS_KEY,
+            None => "anybody",
+        }
     }
 
     /// Reports a problem and returns `true` if `host` has exited without being asked to.
@@ -346,7 +354,7 @@
     async fn all_ready(&self, limit: Duration) -> bool {
         let start = Instant::now();
         for host in self.hosts.iter() {
-            while Session::open(host.settings.callers, DATABASES[0].name, &self.probe_key())
+            while Session::open(host.settings.callers, DATABASES[0].name, self.probe_key())
                 .await
                 .is_err()
             {
