Tell the shares of one grantor from those of another

Shares carry the term of their grantor. A new grantor subtracts the shares of hosts that ask from the rate only if all are of one term, and otherwise takes hosts that it does not hear for users of the whole rate.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -64,6 +64,8 @@
     pub demand: f64,
     /// The share that the host holds.
     pub share: Share,
+    /// The term of the grantor that granted the share; 0 if it holds none.
+    pub issuer: u32,
     /// Operations that the host has admitted from its shares since the process started.
     pub used: u32,
 }
@@ -86,6 +88,8 @@
     pub granted: u32,
     /// The share of the host from now on.
     pub share: Share,
+    /// The term of the grantor.
+    pub issuer: u32,
     /// Time until the next operation may be granted, if fewer were granted than wanted.
     pub retry_after: Duration,
 }
--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -67,6 +67,7 @@
 ///     sent: request.sent,
 ///     granted: 2,
 ///     share: Share { rate: 1.0, burst: 1.0 },
+///     issuer: 1,
 ///     retry_after: Duration::ZERO,
 /// };
 /// account.record_grant(&grant, now);
@@ -81,6 +82,8 @@
     expired: u32,
     /// What this host may admit while the grantor is silent.
     share: Share,
+    /// The term of the grantor that granted the share.
+    issuer: u32,
     /// Operations that the share admits at once.
     share_tokens: f64,
     share_refilled_at: Duration,
@@ -109,6 +112,7 @@
             granted: Vec::new(),
             expired: 0,
             share: Share::default(),
+            issuer: 0,
             share_tokens: 0.0,
             share_refilled_at: now,
             share_used: 0,
@@ -215,6 +219,7 @@
                 false => 0.0,
             },
             share: self.share,
+            issuer: self.issuer,
             used: self.share_used,
         }
     }
@@ -261,6 +266,7 @@
             false => now + grant.retry_after,
         };
         self.share = grant.share;
+        self.issuer = grant.issuer;
         self.share_tokens = grant.share.burst;
         self.share_refilled_at = grant.sent + ANSWER_TIMEOUT;
     }
--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -37,7 +37,7 @@
 ///
 /// let limit = Limit { per_second: 10, burst: 20 };
 /// let (start, now) = (Duration::from_secs(1), Duration::from_secs(2));
-/// let mut grantor = Grantor::new(limit, start);
+/// let mut grantor = Grantor::new(limit, 1, start);
 /// let request = Request {
 ///     incarnation: 1,
 ///     sent: now,
@@ -45,6 +45,7 @@
 ///     returned: 0,
 ///     demand: 4.0,
 ///     share: Share::default(),
+///     issuer: 0,
 ///     used: 0,
 /// };
 /// let grant = grantor.grant(HostKey::default(), &request, 0.0, now).expect("in order");
@@ -59,8 +60,11 @@
     /// Since when this process grants without a break. It knows nothing of shares that were granted
     /// before, unless the hosts have told since.
     since: Duration,
-    /// Sum of the shares that hosts had from an earlier grantor when they first asked this one.
-    inherited: f64,
+    /// Distinguishes this grantor's shares from those of others.
+    term: u32,
+    /// Sums of the shares that hosts had when they first asked this one, by the term of the grantor
+    /// that had granted them.
+    inherited: BTreeMap<u32, f64>,
     hosts: BTreeMap<HostKey, Holder>,
 }
 
@@ -112,14 +116,17 @@
 impl Grantor {
     /// Creates the grantor of a team, which has granted since `since` and nothing so far. Whoever
     /// granted before may have emptied the bucket.
-    pub fn new(limit: Limit, since: Duration) -> Grantor {
+    ///
+    /// `term` distinguishes it from all other grantors of the team, and is not 0.
+    pub fn new(limit: Limit, term: u32, since: Duration) -> Grantor {
         let burst = f64::from(limit.burst);
         Grantor {
             limit,
             tokens: (START_OPERATIONS + burst * START_BURST).min(burst),
             refilled_at: since,
             since,
-            inherited: 0.0,
+            term,
+            inherited: BTreeMap::new(),
             hosts: BTreeMap::new(),
         }
     }
@@ -195,6 +202,7 @@
             // The cast is exact: at most `wanted`, which is a `u32`.
             granted: granted as u32,
             share,
+            issuer: self.term,
             retry_after: match granted < wanted {
                 true => self.retry_after(),
                 false => Duration::ZERO,
@@ -218,7 +226,9 @@
     /// expired. A process that was started again uses nothing of what the former one held.
     fn settle(&mut self, host: HostKey, request: &Request) {
         let Some(holder) = self.hosts.get(&host) else {
-            self.inherited += request.share.rate;
+            if request.share.rate > 0.0 {
+                *self.inherited.entry(request.issuer).or_default() += request.share.rate;
+            }
             return;
         };
         let mut unused = holder.charged;
@@ -231,14 +241,25 @@
     }
 
     /// Returns the sum of the shares that hosts may use which have not asked this process yet and
-    /// are silent. All shares of an earlier grantor together were within the rate.
+    /// are silent.
+    ///
+    /// All shares of an earlier grantor together were within the rate, so the shares of the hosts
+    /// that ask tell what the others can hold. If they are of several grantors, they tell nothing. If there are none, as after a restart of all hosts, a multiple of the average
+    /// share is assumed.
     fn unknown_shares(&self, silent: f64, now: Duration) -> f64 {
         if now >= self.since + SHARE_LIFETIME {
             return 0.0;
         }
         let rate = f64::from(self.limit.per_second);
-        let expected = rate * silent * UNKNOWN_SHARE_FACTOR;
-        expected.min((rate - self.inherited).max(0.0))
+        if silent <= 0.0 {
+            return 0.0;
+        }
+        let mut told = self.inherited.values();
+        match (told.next(), told.next()) {
+            (None, _) => (rate * silent * UNKNOWN_SHARE_FACTOR).min(rate),
+            (Some(told), None) => (rate - told).max(0.0),
+            (Some(_), Some(_)) => rate,
+        }
     }
 
     /// Returns the demand at the other hosts than `host`, and what their shares may add up to.
--- a/crates/core/tests/limit/grantor.rs
+++ b/crates/core/tests/limit/grantor.rs
@@ -26,6 +26,7 @@
         returned: 0,
         demand,
         share: share(0.0),
+        issuer: 1,
         used: 0,
     }
 }
@@ -34,7 +35,7 @@
 #[test]
 fn the_share_of_a_silent_host_is_taken_off_the_rate() {
     let [first, second] = hosts();
-    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
     let silent = request(ms(1_000), 20, 15.0);
     let grant = grantor.grant(first, &silent, 0.0, ms(1_000)).expect("new");
     assert_eq!((grant.granted, grant.share.rate), (20, 20.0));
@@ -53,7 +54,7 @@
 #[test]
 fn shares_add_up_to_the_rate_at_most() {
     let [first, second] = hosts();
-    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
     let grant = grantor.grant(first, &request(ms(10), 0, 30.0), 0.0, ms(10));
     assert_eq!(grant.expect("new").share.rate, 20.0);
     let grant = grantor.grant(second, &request(ms(20), 0, 30.0), 0.0, ms(20));
@@ -83,7 +84,7 @@
 #[test]
 fn an_overtaken_request_is_not_answered() {
     let [first, _] = hosts();
-    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
     let (older, newer) = (request(ms(400), 1, 1.0), request(ms(500), 1, 1.0));
     assert!(grantor.grant(first, &newer, 0.0, ms(502)).is_some());
     assert!(grantor.grant(first, &older, 0.0, ms(503)).is_none());
@@ -95,7 +96,7 @@
 #[test]
 fn a_restarted_host_frees_the_share_of_its_former_process() {
     let [first, second] = hosts();
-    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
     grantor.grant(first, &request(ms(1_000), 0, 20.0), 0.0, ms(1_000));
     let restarted = Request {
         incarnation: 2,
@@ -112,7 +113,7 @@
 #[test]
 fn a_new_grantor_learns_from_the_shares_of_the_hosts_that_ask() {
     let [first, second] = hosts();
-    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
     let mut granted = 0;
     for now in (10..=1_010).step_by(100).map(ms) {
         let held = Request {
@@ -132,7 +133,7 @@
 #[test]
 fn a_new_grantor_assumes_that_unknown_hosts_use_shares() {
     let [first, _] = hosts();
-    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
     let asked = request(ms(1_000), 20, 20.0);
     let grant = grantor.grant(first, &asked, 0.25, ms(1_000)).expect("new");
     // At first 10 operations and a tenth of the burst, then half of the rate for a second: twice
@@ -143,7 +144,7 @@
 #[test]
 fn a_lowered_limit_applies_at_once() {
     let [first, _] = hosts();
-    let mut grantor = Grantor::new(LIMIT, ms(0));
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
     grantor.set_limit(Limit {
         per_second: 2,
         burst: 3,
@@ -163,6 +164,7 @@
             per_second: 0,
             burst: 0,
         },
+        2,
         ms(0),
     );
     let grant = grantor.grant(first, &request(ms(5_000), 3, 3.0), 0.0, ms(5_000));
--- a/crates/core/tests/limit/main.rs
+++ b/crates/core/tests/limit/main.rs
@@ -26,6 +26,7 @@
         sent: request.sent,
         granted,
         share: share(rate),
+        issuer: 1,
         retry_after: Duration::ZERO,
     }
 }
@@ -173,6 +174,7 @@
                 sent: request.sent,
                 granted: 0,
                 share: share(request.demand),
+                issuer: 1,
                 retry_after: Duration::ZERO,
             };
             account.record_grant(&grant, now);
--- a/crates/core/tests/limit/model.rs
+++ b/crates/core/tests/limit/model.rs
@@ -447,9 +447,10 @@
         let ages: Vec<Duration> = (0..host).map(|before| self.age(host, before)).collect();
         let since = grants_since(since, ages, now)?;
         let silent = self.silent_hosts(host);
+        let term = self.rng.random_range(1..=u32::MAX);
         let host = &mut self.hosts[host];
         if host.grantor.as_ref().is_none_or(|it| it.since() < since) {
-            host.grantor = Some(Grantor::new(host.limit, since));
+            host.grantor = Some(Grantor::new(host.limit, term, since));
         }
         host.grantor.as_mut()?.grant(sender, request, silent, now)
     }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -146,9 +146,9 @@
         let mut grantors = self.grantors.borrow_mut();
         let grantor = grantors
             .entry(team)
-            .or_insert_with(|| Grantor::new(limit, since));
+            .or_insert_with(|| Grantor::new(limit, term(), since));
         if grantor.since() < since {
-            *grantor = Grantor::new(limit, since);
+            *grantor = Grantor::new(limit, term(), since);
         }
         grantor.set_limit(limit);
         grantor.grant(host, request, silent, now)
@@ -179,6 +179,11 @@
     HostKey::default()
 }
 
+/// Returns a new term of a grantor.
+fn term() -> u32 {
+    rand::random::<u32>().max(1)
+}
+
 /// Counts an operation that waits for an answer.
 struct Waiting<'a> {
     limits: &'a Limits,
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -149,6 +149,7 @@
     /// In thousandths of an operation per second.
     demand: u32,
     share: WireShare,
+    issuer: u32,
     used: u32,
 }
 
@@ -161,6 +162,7 @@
             returned: request.returned,
             demand: thousandths(request.demand),
             share: request.share.into(),
+            issuer: request.issuer,
             used: request.used,
         }
     }
@@ -174,6 +176,7 @@
             returned: self.returned,
             demand: f64::from(self.demand) / THOUSAND,
             share: self.share.into(),
+            issuer: self.issuer,
             used: self.used,
         }
     }
@@ -186,6 +189,7 @@
     pub team: String,
     granted: u32,
     share: WireShare,
+    issuer: u32,
     /// In milliseconds.
     retry_after: u32,
 }
@@ -198,6 +202,7 @@
             team,
             granted: grant.granted,
             share: grant.share.into(),
+            issuer: grant.issuer,
             retry_after: retry_after.unwrap_or(u32::MAX),
         }
     }
@@ -208,6 +213,7 @@
             sent: Duration::from_nanos(sent),
             granted: self.granted,
             share: self.share.into(),
+            issuer: self.issuer,
             retry_after: Duration::from_millis(u64::from(self.retry_after)),
         }
     }
