--- a/crates/core/tests/limit/random.rs
+++ b/crates/core/tests/limit/random.rs
@@ -36,7 +36,11 @@
     )
 }
 
-fn play(seed: u64, way: Way) -> (Tally, Vec<(Duration, Limit)>) {
+/// How much callers ask for, in multiples of the limit.
+const USUAL: std::ops::Range<f64> = 0.2..1.1;
+const PRESSING: std::ops::Range<f64> = 2.0..5.0;
+
+fn play(seed: u64, way: Way, pressure: std::ops::Range<f64>) -> (Tally, Vec<(Duration, Limit)>) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x7ea5);
     let hosts = rng.random_range(2..=24);
     let per_second = rng.random_range(2..=120);
@@ -44,7 +48,7 @@
         per_second,
         burst: rng.random_range(1..=per_second * 2),
     };
-    let demand = f64::from(per_second) * rng.random_range(0.2..1.1);
+    let demand = f64::from(per_second) * rng.random_range(pressure);
     let zones = rng.random_range(2..=4);
     let mut model = Model::new(seed, way, hosts, zones, limit, demand);
     for _ in 0..rng.random_range(0..=7) {
@@ -104,9 +108,14 @@
     let count = env_number("FLAMINGOPOST_SCHEDULES").unwrap_or(SCHEDULES);
     let first = env_number("FLAMINGOPOST_SEED").unwrap_or(1);
     for seed in first..first + count {
-        let (tally, limits) = play(seed, Way::GrantorWithShares);
-        let excess = worst_excess(&tally, &limits);
-        assert!(excess <= 0.0, "seed {seed}: {excess} operations too many");
+        for pressure in [USUAL, PRESSING] {
+            let (tally, limits) = play(seed, Way::GrantorWithShares, pressure.clone());
+            let excess = worst_excess(&tally, &limits);
+            assert!(
+                excess <= 0.0,
+                "seed {seed}, pressure {pressure:?}: {excess} operations too many"
+            );
+        }
     }
 }
 
@@ -121,7 +130,7 @@
         let (mut admitted, mut allowed, mut over) = (0.0, 0.0, 0);
         let mut waited = Duration::ZERO;
         for seed in first..first + count {
-            let (tally, limits) = play(seed, way);
+            let (tally, limits) = play(seed, way, USUAL);
             admitted += (tally.admitted.len() as f64).min(tally.allowed as f64);
             allowed += tally.allowed as f64;
             waited += tally.waited;
