Keep connections open in advance also where callers belong to teams

Cause: where there were teams no connection was opened before one was needed. A host without callers for a while had none that could break, missed that the primary had restarted without its log, and used it.

Also: what a former process of a host may have used of its share is not put back when the host is started again.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -84,8 +84,6 @@
     waiting: Vec<Ticket>,
     /// The time since which the queue has not been empty.
     queued_since: Option<Duration>,
-    /// Whether callers belong to teams, so that nobody can use a connection of no team.
-    has_teams: bool,
     /// Number of connections in use, by team.
     in_use: BTreeMap<TeamKey, u16>,
 }
@@ -178,12 +176,6 @@
             .is_some_and(|hold| hold.from <= now && now < hold.until)
     }
 
-    /// Sets whether callers belong to teams. If so, no connections are opened in advance, because
-    /// the team that will need one is not known.
-    pub fn set_has_teams(&mut self, has_teams: bool) {
-        self.has_teams = has_teams;
-    }
-
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -321,15 +313,16 @@
             }));
         }
         actions.extend(self.run(now));
-        if !self.has_teams {
-            actions.extend(self.warm(now));
-        }
+        actions.extend(self.warm(now));
         actions
     }
 
     /// Opens base connections before a request needs them.
     ///
-    /// A request that waits for a connect loses tens of milliseconds, most of its latency goal.
+    /// A request that waits for a connect loses tens of milliseconds, most of its latency goal. These
+    /// connections are of no team. Where callers belong to teams, they serve nobody, and make room for
+    /// others. They are opened nevertheless: a server that starts again without its log is known by
+    /// its broken connections, also on a host that has no callers at the moment.
     fn warm(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         for (key, server) in &mut self.servers {
--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -223,7 +223,7 @@
     }
 
     /// Puts back what was taken off for the share of `host` and not used, and operations that have
-    /// expired. A process that was started again uses nothing of what the former one held.
+    /// expired. What a former process of the host has used is not known, so nothing is put back.
     fn settle(&mut self, host: HostKey, request: &Request) {
         let Some(holder) = self.hosts.get(&host) else {
             if request.share.rate > 0.0 {
@@ -231,11 +231,12 @@
             }
             return;
         };
-        let mut unused = holder.charged;
-        if holder.incarnation == request.incarnation {
-            unused += f64::from(request.returned.wrapping_sub(holder.returned));
-            unused -= f64::from(request.used.wrapping_sub(holder.used));
+        if holder.incarnation != request.incarnation {
+            return;
         }
+        let returned = f64::from(request.returned.wrapping_sub(holder.returned));
+        let used = f64::from(request.used.wrapping_sub(holder.used));
+        let unused = holder.charged + returned - used;
         let burst = f64::from(self.limit.burst.max(1));
         self.tokens = (self.tokens + unused).min(burst);
     }
@@ -244,8 +245,8 @@
     /// are silent.
     ///
     /// All shares of an earlier grantor together were within the rate, so the shares of the hosts
-    /// that ask tell what the others can hold. If they are of several grantors, they tell nothing. If there are none, as after a restart of all hosts, a multiple of the average
-    /// share is assumed.
+    /// that ask tell what the others can hold. If they are of several grantors, they tell nothing. If
+    /// there are none, as after a restart of all hosts, a multiple of the average share is assumed.
     fn unknown_shares(&self, silent: f64, now: Duration) -> f64 {
         if now >= self.since + SHARE_LIFETIME {
             return 0.0;
--- a/crates/core/tests/limit/grantor.rs
+++ b/crates/core/tests/limit/grantor.rs
@@ -109,6 +109,28 @@
     assert_eq!(grant.expect("new").share.rate, 20.0);
 }
 
+/// Guards against a host that uses its share while it is cut off, and is started again: what its former
+/// process used was given to others a second time.
+#[test]
+fn what_a_former_process_may_have_used_is_not_granted_again() {
+    let [first, second] = hosts();
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
+    grantor.grant(first, &request(ms(1_000), 20, 20.0), 0.0, ms(1_000));
+    let restarted = Request {
+        incarnation: 2,
+        ..request(ms(5), 0, 0.0)
+    };
+    grantor
+        .grant(first, &restarted, 0.0, ms(3_000))
+        .expect("new");
+    let grant = grantor.grant(second, &request(ms(3_001), 20, 20.0), 0.0, ms(3_001));
+    assert_eq!(
+        grant.expect("new").granted,
+        0,
+        "20 a second for two seconds"
+    );
+}
+
 /// The hosts that do ask tell how much the others can hold at the most.
 #[test]
 fn a_new_grantor_learns_from_the_shares_of_the_hosts_that_ask() {
