--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -84,6 +84,8 @@
     waiting: Vec<Ticket>,
     /// The time since which the queue has not been empty.
     queued_since: Option<Duration>,
+    /// Whether callers belong to teams, so that nobody can use a connection of no team.
+    has_teams: bool,
     /// Number of connections in use, by team.
     in_use: BTreeMap<TeamKey, u16>,
 }
@@ -176,6 +178,11 @@
             .is_some_and(|hold| hold.from <= now && now < hold.until)
     }
 
+    /// Sets whether callers belong to teams.
+    pub fn set_has_teams(&mut self, has_teams: bool) {
+        self.has_teams = has_teams;
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -319,14 +326,19 @@
 
     /// Opens base connections before a request needs them.
     ///
-    /// A request that waits for a connect loses tens of milliseconds, most of its latency goal. These
-    /// connections are of no team. Where callers belong to teams, they serve nobody, and make room for
-    /// others. They are opened nevertheless: a server that starts again without its log is known by
-    /// its broken connections, also on a host that has no callers at the moment.
+    /// A request that waits for a connect loses tens of milliseconds, most of its latency goal.
+    ///
+    /// These connections are of no team. Where callers belong to teams, they serve nobody and make room
+    /// for others. One is opened nevertheless where there is none: a server that starts again without
+    /// its log is known by its broken connections, also on a host that has no callers at the moment.
     fn warm(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         for (key, server) in &mut self.servers {
-            if server.needs_warming(now) {
+            let wanted = match self.has_teams {
+                true => server.base_connections.min(1),
+                false => server.base_connections,
+            };
+            if server.needs_warming(wanted, now) {
                 let team = TeamKey::default();
                 server.start_opening(team);
                 actions.push(Action::Open { server: *key, team });
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -374,10 +374,10 @@
         Some(self.idle.remove(place).connection)
     }
 
-    /// Returns whether a base connection is missing and can be opened now.
-    pub(super) fn needs_warming(&self, now: Duration) -> bool {
+    /// Returns whether there are fewer than `wanted` connections and one can be opened now.
+    pub(super) fn needs_warming(&self, wanted: u16, now: Duration) -> bool {
         self.state == ServerState::Serving
-            && self.connections() < self.base_connections
+            && self.connections() < wanted
             && self.opening.is_empty()
             && self.can_open(now)
     }
--- a/crates/core/tests/dispatch/random.rs
+++ b/crates/core/tests/dispatch/random.rs
@@ -51,6 +51,7 @@
         let teams = (0..teams).map(|number| names.intern(&number.to_string()));
         let teams: Vec<TeamKey> = teams.collect();
         let mut dispatch = Dispatch::default();
+        dispatch.set_has_teams(!teams.is_empty());
         for (index, key) in keys.into_iter().enumerate() {
             dispatch.insert(key, Server::new(index == 0, 2, 1, 2, 4));
         }
--- a/crates/core/tests/dispatch/teams.rs
+++ b/crates/core/tests/dispatch/teams.rs
@@ -26,6 +26,7 @@
         server,
         Server::new(true, 3, connections, connections, connections),
     );
+    dispatch.set_has_teams(true);
     dispatch.set_leader(Some(server));
     (dispatch, server)
 }
@@ -95,9 +96,9 @@
 /// Guards against a host without callers that misses the restart of a primary without its log, and then
 /// writes to it: it had no connection that could break.
 #[test]
-fn connections_are_kept_open_without_callers() {
-    let (mut dispatch, server) = dispatch(1);
-    let [first, _] = teams();
+fn a_connection_is_kept_open_without_callers() {
+    let (mut dispatch, server) = dispatch(2);
+    let [first, second] = teams();
     let none = TeamKey::default();
     let open = |team| Action::Open { server, team };
     assert_eq!(dispatch.tick(ms(100)), [open(none)]);
@@ -106,9 +107,12 @@
         server,
         connection: 10,
     };
+    assert_eq!(dispatch.tick(ms(110)), [], "one is enough");
+    assert_eq!(dispatch.arrive(ticket_of(first, 1), ms(111)), [open(first)]);
+    dispatch.connection_opened(server, 11, first, ms(123));
     assert_eq!(
-        dispatch.arrive(ticket_of(first, 1), ms(110)),
-        [close, open(first)],
+        dispatch.arrive(ticket_of(second, 2), ms(124)),
+        [close, open(second)],
         "it makes room for a team"
     );
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -533,6 +533,7 @@
         }
         let service = Rc::new(Service::new(name.to_owned(), Rc::clone(&self.site)));
         service.set_allotment(self.allotment(name));
+        service.set_has_teams(self.has_teams());
         let mut services = self.services.borrow_mut();
         services.insert(name.to_owned(), Rc::clone(&service));
         service
--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -99,8 +99,10 @@
 
     /// Recomputes the connection allotment of all services.
     pub(super) fn allot_connections(&self) {
+        let has_teams = self.has_teams();
         for service in self.services() {
             service.set_allotment(self.allotment(&service.name));
+            service.set_has_teams(has_teams);
         }
     }
 
--- a/crates/proxy/src/service/listing.rs
+++ b/crates/proxy/src/service/listing.rs
@@ -107,6 +107,11 @@
         self.refresh_leader();
     }
 
+    /// Sets whether callers belong to teams.
+    pub fn set_has_teams(&self, has_teams: bool) {
+        self.state.borrow_mut().dispatch.set_has_teams(has_teams);
+    }
+
     /// Updates the number of connections that this host may open.
     pub fn set_allotment(&self, allotment: Allotment) {
         let mut state = self.state.borrow_mut();
