--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -2,8 +2,8 @@
 //!
 //! Backend servers have few slots and few connections, and each entry host may open its share of
 //! them. A request waits here, ordered by priority and age, until a connection of its team to a
-//! server that may answer it is free. The module performs no input or output: each call returns the actions
-//! that the caller has to carry out.
+//! server that may answer it is free. The module performs no input or output: each call returns
+//! the actions that the caller has to carry out.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -412,8 +412,8 @@
     }
 }
 
-/// Connects to a host that serves `database` on behalf of this host, for a caller of `team`. Returns `None` if there is no
-/// such host, or none can be reached.
+/// Connects to a host that serves `database` on behalf of this host, for a caller of `team`. Returns
+/// `None` if there is no such host, or none can be reached.
 async fn connect_to_home<C: Codec>(
     context: &Context<C>,
     database: &str,
