Keep no connections open before the list of hosts is read

Cause: a host that starts reads the list of servers and the list of hosts at the same time. With the servers alone it took itself for the only host and opened up to four connections to each server. Change: until the list of hosts is known, a host keeps no connection open and uses at most one.

--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -108,7 +108,11 @@
 
     /// Returns how many connections this host may have to each server of `service`.
     pub(super) fn allotment(&self, service: &str) -> Allotment {
-        let Some(configured) = self.configured(service) else {
+        // A host that does not know of the others yet would take their connections as well. After a
+        // restart of the whole fleet, all hosts together filled the servers in that way.
+        let is_alone = !self.quorum.borrow().knows_hosts();
+        let configured = self.configured(service).filter(|_| !is_alone);
+        let Some(configured) = configured else {
             return Allotment {
                 base: 0,
                 fair: 1,
