Cache what follows from the list of hosts until it changes

Each session, election step and request for operations of a team sorted or hashed the names of all hosts again to find the serving hosts, this host's rank or the grantors, and copied the electors or all hosts with their names.

These results are now computed at most once for each change of the list (serving hosts also after a change of the servers' slots or connections) and shared. The same hosts are chosen as before; tests compare all hosts' choices and check that each kind of change is followed.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -321,7 +321,7 @@
             .leader
             .and_then(|leader| service.to_peer_server(leader));
         let furthest = service.furthest_position().into();
-        for (_, peer) in self.fleet.electors() {
+        for (_, peer) in self.fleet.electors().iter() {
             let server = server.clone();
             self.send(
                 service,
@@ -424,7 +424,7 @@
             let successor = (named, succession.borrow().successor_position());
             let ended_term = EndedTerm::new(service.name.clone(), term, token.0, successor, serves);
             service.end_term(&ended_term);
-            for (_, peer) in self.fleet.peers() {
+            for (_, peer) in self.fleet.peers().iter() {
                 let ended_term = ended_term.clone();
                 self.send(
                     &service,
@@ -536,8 +536,8 @@
             peers: self
                 .fleet
                 .electors()
-                .into_iter()
-                .map(|(key, _)| key)
+                .iter()
+                .map(|(key, _)| *key)
                 .filter(|key| !gone.contains(key))
                 .collect(),
             leases_end: quiet_at.max(orders_from),
--- a/crates/proxy/src/election/claim_holder.rs
+++ b/crates/proxy/src/election/claim_holder.rs
@@ -29,7 +29,7 @@
             return;
         }
         let listed = self.fleet.peers();
-        let holder = listed.into_iter().find(|(_, peer)| peer.host == by);
+        let holder = listed.iter().find(|(_, peer)| peer.host == by).cloned();
         let sent = self.site.now();
         if let Some((_, peer)) = &holder {
             self.send_message(String::new(), self.heartbeat(sent), peer.address);
--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -110,7 +110,7 @@
         let Some(server) = service.to_peer_server(server) else {
             return;
         };
-        for (_, peer) in self.fleet.peers() {
+        for (_, peer) in self.fleet.peers().iter() {
             let payload = Payload::PrimaryObserved {
                 server: server.clone(),
                 term: term.number(),
--- a/crates/proxy/src/election/limits.rs
+++ b/crates/proxy/src/election/limits.rs
@@ -72,7 +72,8 @@
     fn grantor(&self, name: &str, now: Duration) -> Option<Grantor> {
         let grantors = self.fleet.grantors(name);
         grantors
-            .into_iter()
+            .iter()
+            .copied()
             .find(|it| passed_over_since(self.age(it), now).is_none())
     }
 
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -62,7 +62,7 @@
             self.record_claims_verified_if_due();
             let beat = self.heartbeat(now);
             let needs_logs = self.needs_log_reports(has_quorum, now);
-            for (_, peer) in self.fleet.electors() {
+            for (_, peer) in self.fleet.electors().iter() {
                 self.send_message(String::new(), beat.clone(), peer.address);
                 if needs_logs {
                     self.send_message(String::new(), Payload::LogQuery, peer.address);
@@ -513,7 +513,7 @@
             .into_iter()
             .filter_map(|it| service.to_peer_server(it))
         {
-            for (_, peer) in self.fleet.peers() {
+            for (_, peer) in self.fleet.peers().iter() {
                 let server = server.clone();
                 self.send(
                     service,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -25,6 +25,7 @@
 use crate::service::{Service, Source};
 use crate::site::Site;
 
+mod derived;
 mod incarnations;
 mod peers;
 mod placement;
@@ -32,6 +33,7 @@
 mod teams;
 mod unusable_entries;
 
+use derived::Derived;
 pub use placement::{ServingHost, rendezvous_hash};
 pub use teams::Grantor;
 use unusable_entries::{CONFIGURATION, SERVERS, backend_id};
@@ -62,7 +64,9 @@
     epochs: RefCell<EpochTracker>,
     /// The other hosts whose majority forms a quorum. Recomputed only when the list of hosts
     /// changes, since heartbeats and elections read it many times a second.
-    electors: RefCell<Vec<(HostKey, Peer)>>,
+    electors: RefCell<Rc<[(HostKey, Peer)]>>,
+    /// Other results that depend on the list of hosts.
+    derived: Derived,
     /// Notifies the heartbeat task to contact the other hosts immediately, because the list of
     /// hosts or of servers has changed.
     pub contact_due: Notify,
@@ -124,6 +128,7 @@
             quorum: RefCell::default(),
             epochs: RefCell::default(),
             electors: RefCell::default(),
+            derived: Derived::default(),
             contact_due: Notify::new(),
             feeds: Rc::default(),
             limits: Limits::default(),
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -1,6 +1,7 @@
 //! The other entry hosts, and the electors among them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::key::HostKey;
@@ -50,9 +51,10 @@
         for change in changes {
             self.apply_host_change(change);
         }
+        self.derived.clear();
         let (electors, takes_part) = self.choose_electors();
         let others = electors.iter().map(|(key, _)| *key).collect();
-        *self.electors.borrow_mut() = electors;
+        *self.electors.borrow_mut() = electors.into();
         let now = self.site.now();
         {
             let mut quorum = self.quorum.borrow_mut();
@@ -103,8 +105,9 @@
     }
 
     /// Returns the other hosts.
-    pub fn peers(&self) -> Vec<(HostKey, Peer)> {
-        self.peers.borrow().by_host.values().cloned().collect()
+    pub fn peers(&self) -> Rc<[(HostKey, Peer)]> {
+        let list = || self.peers.borrow().by_host.values().cloned().collect();
+        self.derived.peers(list)
     }
 
     /// Returns the earliest time at which this host may order a change of primary, as far as that
@@ -123,15 +126,15 @@
     }
 
     /// Returns the other hosts whose majority forms a quorum.
-    pub fn electors(&self) -> Vec<(HostKey, Peer)> {
-        self.electors.borrow().clone()
+    pub fn electors(&self) -> Rc<[(HostKey, Peer)]> {
+        Rc::clone(&self.electors.borrow())
     }
 
     /// Chooses the electors. Returns the other hosts among them, and whether this host is one.
     fn choose_electors(&self) -> (Vec<(HostKey, Peer)>, bool) {
         let peers = self.peers();
         if self.is_small() {
-            return (peers, true);
+            return (peers.to_vec(), true);
         }
         // Orders the hosts of each zone by hash, then takes one host of each zone in turn.
         let mut zones: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use super::Fleet;
+use super::derived::Capacity;
 use crate::codec::Codec;
 use crate::service::Allotment;
 
@@ -45,9 +47,18 @@
     /// all the time. With many more hosts than server slots, a server's queue overflows: with 65
     /// hosts and servers with 5 slots, one in eight requests to a service was refused for the rest
     /// of a day after its replicas had lagged for a few seconds.
-    pub fn serving_hosts(&self, service: &str) -> Option<Vec<ServingHost>> {
+    pub fn serving_hosts(&self, service: &str) -> Option<Rc<[ServingHost]>> {
         let connections = usize::from(self.configured(service)?.connections);
         let slots = self.slots(service);
+        let capacity = Capacity { connections, slots };
+        self.derived.serving(service, capacity, || {
+            self.choose_serving_hosts(service, capacity)
+        })
+    }
+
+    /// Chooses the serving hosts of `service`, whose servers have `capacity`.
+    fn choose_serving_hosts(&self, service: &str, capacity: Capacity) -> Option<Rc<[ServingHost]>> {
+        let Capacity { connections, slots } = capacity;
         let peers = self.peers.borrow();
         let crowded =
             slots.is_some_and(|slots| peers.by_host.len() > slots * CROWDED_HOSTS_PER_SLOT);
@@ -90,11 +101,13 @@
 
     /// Returns the number of availability zones that have hosts.
     fn zones(&self) -> usize {
-        let peers = self.peers.borrow();
-        let zones = peers.by_host.values().map(|(_, peer)| peer.zone.as_str());
-        let mut zones: BTreeSet<&str> = zones.collect();
-        zones.insert(&self.site.zone);
-        zones.len()
+        self.derived.zones(|| {
+            let peers = self.peers.borrow();
+            let zones = peers.by_host.values().map(|(_, peer)| peer.zone.as_str());
+            let mut zones: BTreeSet<&str> = zones.collect();
+            zones.insert(&self.site.zone);
+            zones.len()
+        })
     }
 
     /// Recomputes the connection allotment of all services.
@@ -139,13 +152,15 @@
     ///
     /// The order differs by `what`, so that one lost host is not the first for every task.
     pub fn rank(&self, what: &str) -> u32 {
-        let own = rendezvous_hash(what, &self.site.host);
-        let peers = self.peers.borrow();
-        let before = peers
-            .by_host
-            .keys()
-            .filter(|host| rendezvous_hash(what, host) < own);
-        u32::try_from(before.count()).unwrap_or(u32::MAX)
+        self.derived.rank(what, || {
+            let own = rendezvous_hash(what, &self.site.host);
+            let peers = self.peers.borrow();
+            let before = peers
+                .by_host
+                .keys()
+                .filter(|host| rendezvous_hash(what, host) < own);
+            u32::try_from(before.count()).unwrap_or(u32::MAX)
+        })
     }
 }
 
--- a/crates/proxy/src/fleet/teams.rs
+++ b/crates/proxy/src/fleet/teams.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::digest::Digest;
@@ -77,7 +78,11 @@
     ///
     /// They are the electors, which exchange heartbeats with all hosts, so that hosts agree on which
     /// of them is silent.
-    pub fn grantors(&self, name: &str) -> Vec<Grantor> {
+    pub fn grantors(&self, name: &str) -> Rc<[Grantor]> {
+        self.derived.grantors(name, || self.order_grantors(name))
+    }
+
+    fn order_grantors(&self, name: &str) -> Rc<[Grantor]> {
         let electors = self.electors.borrow();
         let mut grantors: Vec<(u64, Grantor)> = electors
             .iter()
--- /dev/null
+++ b/crates/proxy/tests/common/mod.rs
@@ -0,0 +1,192 @@
+//! A fleet of a given size, as one of its hosts knows it, without a network.
+
+// Each test and example uses only a part of this module.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use flamingopost_core::clock::Manual;
+use flamingopost_core::incarnation::Incarnation;
+use flamingopost_core::leader::Role;
+use flamingopost_core::position::Position;
+use flamingopost_proxy::codec::{Codec, Error};
+use flamingopost_proxy::fleet::Fleet;
+use flamingopost_proxy::message::{Answer, Code, Command, Request, Status, Transaction};
+use flamingopost_proxy::platform::{Backend, Configuration, Entry, Peer, Revision, Service};
+use flamingopost_proxy::route::{Consistency, Route};
+use flamingopost_proxy::site::Site;
+use tokio::task::LocalSet;
+
+/// Number of services.
+pub const SERVICES: usize = 8;
+/// Number of servers of each service.
+const SERVERS: usize = 3;
+/// Number of availability zones.
+const ZONES: usize = 4;
+
+/// A codec of no protocol, for code that sends and receives nothing.
+pub struct NoProtocol;
+
+impl Codec for NoProtocol {
+    fn request(_: &mut BytesMut) -> Result<Option<Request>, Error> {
+        Ok(None)
+    }
+
+    fn answer(_: &mut BytesMut) -> Result<Option<Answer>, Error> {
+        Ok(None)
+    }
+
+    fn status(_: &Bytes) -> Result<Status, Error> {
+        Err(Error::MissingField)
+    }
+
+    fn startup(_: &mut BytesMut, _: &str, _: &str, _: &str) {}
+
+    fn command(_: &mut BytesMut, _: &Command<'_>) {}
+
+    fn row(_: &mut BytesMut, _: &[u8]) {}
+
+    fn complete(_: &mut BytesMut, _: Option<&[u8]>) {}
+
+    fn error(_: &mut BytesMut, _: Code, _: &[u8]) {}
+
+    fn ready(_: &mut BytesMut, _: Transaction, _: Option<Position>) {}
+}
+
+/// Calls `work` where tasks can be started. They never run, so nothing is sent.
+pub fn without_tasks<T>(work: impl FnOnce() -> T) -> T {
+    let tasks = LocalSet::new();
+    let _entered = tasks.enter();
+    work()
+}
+
+/// Returns the entry of host `number`.
+pub fn peer(number: usize) -> Peer {
+    Peer {
+        host: format!("entry-{number:03}"),
+        zone: format!("zone-{}", number % ZONES),
+        address: address(10_000 + number),
+    }
+}
+
+/// Returns the list of `hosts` hosts as the store returns it.
+pub fn host_list(hosts: usize) -> Vec<Entry<Peer>> {
+    (0..hosts).map(|number| Ok(peer(number))).collect()
+}
+
+/// Returns the name of service `number`, which is also the name of its database.
+pub fn service(number: usize) -> String {
+    format!("service-{number}")
+}
+
+/// Returns version `version` of the configuration, with `connections` per server.
+pub fn configuration(version: u64, connections: u16) -> Configuration {
+    let routes = (0..SERVICES).map(|number| {
+        let route = Route {
+            service: service(number),
+            consistency: Consistency::Primary,
+            timeout: Duration::from_millis(800),
+            goal: Duration::from_millis(150),
+            priority: 0,
+            anonymous: false,
+        };
+        (service(number), route)
+    });
+    let synchronous = false;
+    let settings = Service {
+        connections,
+        synchronous,
+    };
+    Configuration {
+        version,
+        routes: routes.collect(),
+        services: (0..SERVICES)
+            .map(|number| (service(number), settings))
+            .collect(),
+        teams: None,
+        transaction_idle: Duration::from_secs(3),
+    }
+}
+
+/// Returns the list of servers, each with `slots`.
+pub fn server_list(slots: u16) -> Vec<Entry<Backend>> {
+    let server = |number: usize| Backend {
+        id: format!("server-{number}"),
+        incarnation: Incarnation(1),
+        service: service(number / SERVERS),
+        address: address(20_000 + number),
+        zone: format!("zone-{}", number % SERVERS),
+        slots,
+        leaving: false,
+        role: match number % SERVERS {
+            0 => Role::Primary,
+            _ => Role::Replica,
+        },
+        revision: Revision(1),
+    };
+    let servers = (0..SERVICES * SERVERS).map(|number| Ok(server(number)));
+    servers.collect()
+}
+
+/// Returns a fleet of `hosts` hosts as known to host `number`.
+pub fn fleet(hosts: usize, number: usize) -> Fleet<NoProtocol> {
+    let fleet = unlisted(number);
+    fleet.apply_host_list(host_list(hosts));
+    fleet
+}
+
+/// Returns what host `number` knows before it has read the list of hosts.
+pub fn unlisted(number: usize) -> Fleet<NoProtocol> {
+    let own = peer(number);
+    let clock = Arc::new(Manual::default());
+    let promotion = Duration::from_millis(300);
+    let site = Site::new(own.host, own.zone, promotion, clock);
+    let fleet = Fleet::new(Rc::new(site));
+    fleet.adopt(configuration(1, 56), Duration::ZERO);
+    fleet.apply_server_list(server_list(4));
+    fleet
+}
+
+/// Returns the elected hosts by name as seen by `fleet`, which is that of host `number`.
+pub fn elected(fleet: &Fleet<NoProtocol>, number: usize) -> Vec<String> {
+    let electors = fleet.electors();
+    let mut names: Vec<String> = electors.iter().map(|(_, peer)| peer.host.clone()).collect();
+    if fleet.with_quorum(|quorum, _| quorum.is_elector()) {
+        names.push(peer(number).host);
+    }
+    names.sort();
+    names
+}
+
+/// Returns the addresses of the hosts that serve `service` for the zone of host `number`, in order.
+pub fn serving(fleet: &Fleet<NoProtocol>, number: usize, service: &str) -> Option<Vec<SocketAddr>> {
+    use flamingopost_proxy::fleet::ServingHost;
+    let hosts = fleet.serving_hosts(service)?;
+    let addresses = hosts.iter().map(|host| match host {
+        ServingHost::Local => peer(number).address,
+        ServingHost::Remote(address) => *address,
+    });
+    Some(addresses.collect())
+}
+
+/// Returns how many of `hosts` hosts serve each service.
+pub fn serving_counts(hosts: usize) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for number in 0..hosts {
+        let fleet = fleet(hosts, number);
+        for service in (0..SERVICES).map(service) {
+            *counts.entry(service.clone()).or_default() += usize::from(fleet.serves(&service));
+        }
+    }
+    counts
+}
+
+fn address(port: usize) -> SocketAddr {
+    let port = u16::try_from(port).expect("a port");
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
