Leave a restarted fleet enough connections, and serving hosts the first

After a loss of power of all hosts, servers count the dead connections for 3 s. Hosts that had not read the list of hosts yet took themselves for the only one, kept opening four connections to each server, and served the sessions that arrived meanwhile until their end. The serving hosts found no connection free.

A host without the list of hosts now opens none ahead of need. Sessions wait up to 500 ms for the list and for a serving host that is starting. Where a few hosts serve for the others, they use half of a server's connections in place of three quarters, and in the first 3 s after their start only their part of the other half. Pauses at a full server are spread, longer for hosts with a connection and after 3 s. Hosts that do not serve a service no longer ask others for connections.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::key::{ServerKey, TeamKey};
 
 mod action;
+mod allotment;
 mod connections;
 mod hold;
 mod placement;
@@ -20,6 +21,7 @@
 mod window;
 
 pub use action::{Action, Unserved};
+pub use allotment::{Allotment, DEAD_CONNECTION_LIFETIME, Serving};
 pub use hold::Hold;
 pub use server::{Failure, Server, ServerState};
 pub use ticket::{Need, Ticket};
@@ -66,14 +68,38 @@
     has_teams: bool,
     /// Number of connections in use, by team.
     in_use: BTreeMap<TeamKey, u16>,
+    /// When this host started, and a number that differs from host to host.
+    start: Start,
+}
+
+/// Start of this host.
+#[derive(Debug, Default, Clone, Copy)]
+struct Start {
+    /// Time until which servers may count connections of this host's former process.
+    counted_until: Duration,
+    /// Number that differs from host to host, so that they do not act at the same moment.
+    seed: u64,
 }
 
 impl Dispatch {
+    /// Records that this host started at `now`, and a `seed` that differs from host to host.
+    ///
+    /// For [`DEAD_CONNECTION_LIFETIME`] it opens no more than [`Allotment::restart`] connections to
+    /// each server that is inserted afterwards.
+    pub fn set_start(&mut self, seed: u64, now: Duration) {
+        let counted_until = now + DEAD_CONNECTION_LIFETIME;
+        self.start = Start {
+            counted_until,
+            seed,
+        };
+    }
+
     /// Adds `server`, or updates its settings if it is already known.
-    pub fn insert(&mut self, key: ServerKey, server: Server) {
+    pub fn insert(&mut self, key: ServerKey, mut server: Server) {
         match self.servers.get_mut(&key) {
             Some(known) => known.update(&server),
             None => {
+                server.set_start(self.start.counted_until, self.start.seed);
                 self.servers.insert(key, server);
             }
         }
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -6,9 +6,13 @@
 use crate::key::TeamKey;
 use crate::position::Position;
 
+use super::allotment::Allotment;
 use super::window::Window;
 
 mod connections;
+mod full;
+
+use full::Full;
 
 /// Assumed latency of a server before the first measurement.
 pub(super) const INITIAL_LATENCY: Duration = Duration::from_millis(15);
@@ -60,6 +64,9 @@
     pub max_connections: u16,
     /// Number of connections that this host may always have: its fair share of the server's limit.
     pub fair_connections: u16,
+    /// Number of connections that this host may have while the server may still count those of its
+    /// former process.
+    pub restart_connections: u16,
     /// Replication position that it last reported.
     pub applied: Position,
     /// Number of connections that are being opened, by team.
@@ -78,8 +85,9 @@
     retry_at: Duration,
     /// Current backoff between connects; zero after a success.
     backoff: Duration,
-    /// Time until which the server counts as being at its connection limit.
-    full_until: Duration,
+    full: Full,
+    /// Time until which this host keeps to `restart_connections`.
+    restart_until: Duration,
     /// Time until which this host keeps to `fair_connections`.
     fair_share_until: Duration,
     window: Window,
@@ -112,6 +120,7 @@
             base_connections,
             max_connections: max_connections.max(1),
             fair_connections: fair_connections.max(1),
+            restart_connections: max_connections.max(1),
             fair_share_until: Duration::ZERO,
             window: Window::default(),
             idle_in_transaction: 0,
@@ -126,7 +135,8 @@
             average_latency: INITIAL_LATENCY,
             retry_at: Duration::ZERO,
             backoff: Duration::ZERO,
-            full_until: Duration::ZERO,
+            full: Full::default(),
+            restart_until: Duration::ZERO,
         }
     }
 
@@ -181,6 +191,22 @@
         self.base_connections = newer.base_connections;
         self.max_connections = newer.max_connections;
         self.fair_connections = newer.fair_connections;
+        self.restart_connections = newer.restart_connections;
+    }
+
+    /// Sets the number of connections that this host may have.
+    pub fn set_allotment(&mut self, allotment: Allotment) {
+        self.base_connections = allotment.base;
+        self.max_connections = allotment.most.max(1);
+        self.fair_connections = allotment.fair.max(1);
+        self.restart_connections = allotment.restart.max(1);
+    }
+
+    /// Sets the time until which the server may count connections of this host's former process,
+    /// and a number that differs from host to host.
+    pub(super) fn set_start(&mut self, counted_until: Duration, seed: u64) {
+        self.restart_until = counted_until;
+        self.full.set_seed(seed);
     }
 
     /// Shrinks the window after the server refused a request because its queue was full.
--- a/crates/core/src/dispatch/server/connections.rs
+++ b/crates/core/src/dispatch/server/connections.rs
@@ -9,9 +9,6 @@
 /// How long a host keeps to its fair share after another host has reported a lack of connections.
 const FAIR_SHARE_DURATION: Duration = Duration::from_millis(1_000);
 
-/// Pause before the next connect to a server that has reached its connection limit.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
-
 /// Backoff after the first failed connect; it doubles up to [`BACKOFF_MAX`].
 const BACKOFF_MIN: Duration = Duration::from_millis(40);
 
@@ -71,11 +68,21 @@
         self.connections().saturating_sub(self.opening()) < self.fair_connections
     }
 
+    /// Returns whether this host serves the service and has fewer connections than its fair share, so
+    /// that other hosts have to give some up.
+    pub fn lacks_connections(&self) -> bool {
+        self.base_connections > 0 && self.is_below_fair_share()
+    }
+
     /// Returns the number of connections that this host may have at `now`.
     pub(super) fn connection_limit(&self, now: Duration) -> u16 {
-        match now < self.fair_share_until {
+        let shared = match now < self.fair_share_until {
             true => self.fair_connections,
             false => self.max_connections,
+        };
+        match now < self.restart_until {
+            true => self.restart_connections.min(shared),
+            false => shared,
         }
     }
 
@@ -87,6 +94,7 @@
     ) {
         self.end_opening(team);
         self.backoff = Duration::ZERO;
+        self.full.record_success();
         self.idle.push(Idle {
             connection,
             team,
@@ -102,7 +110,7 @@
     ) {
         self.end_opening(team);
         match failure {
-            Failure::Full => self.full_until = now + FULL_RETRY_AFTER,
+            Failure::Full => self.full.record_refusal(self.connections() > 0, now),
             Failure::Unreachable => {
                 self.backoff = (self.backoff * 2).clamp(BACKOFF_MIN, BACKOFF_MAX);
                 self.retry_at = now + self.backoff;
@@ -161,7 +169,7 @@
     /// Returns whether the server may accept a new connection at `now`, as far as its earlier
     /// answers tell.
     fn accepts_connects(&self, now: Duration) -> bool {
-        now >= self.retry_at && now >= self.full_until
+        now >= self.retry_at && self.full.accepts_connects(now)
     }
 
     /// Removes and returns the connection of another team than `team` that has been idle longest,
--- /dev/null
+++ b/crates/core/src/dispatch/server/full.rs
@@ -0,0 +1,73 @@
+//! Backoff from a server that has reached its connection limit.
+
+use std::time::Duration;
+
+use crate::dispatch::allotment::DEAD_CONNECTION_LIFETIME;
+
+/// Mean pause before the next connect to a full server for a host that has no connection to it.
+///
+/// A few hosts serve a service for all others, so that a server sees some dozens of attempts in a
+/// second at most while dead connections fill it.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Factor by which a host that has a connection waits longer, so that hosts without any go first.
+const CONNECTED_FACTOR: u32 = 2;
+
+/// Factor by which the pause grows once dead connections cannot be the reason any more, and living
+/// hosts use the server's connections.
+const LASTING_FACTOR: u32 = 4;
+
+/// Refusals of a server because of its connection limit.
+#[derive(Debug, Default)]
+pub(super) struct Full {
+    /// The first refusal since the last success.
+    since: Option<Duration>,
+    retry_at: Duration,
+    /// State of the generator of pauses, different on each host.
+    spread: u64,
+}
+
+impl Full {
+    /// Sets the seed from which pauses are spread.
+    pub(super) fn set_seed(&mut self, seed: u64) {
+        self.spread = seed;
+    }
+
+    /// Returns whether the server may accept a connection at `now`.
+    pub(super) fn accepts_connects(&self, now: Duration) -> bool {
+        now >= self.retry_at
+    }
+
+    /// Records that the server accepted a connection, which tells that there is room.
+    pub(super) fn record_success(&mut self) {
+        self.since = None;
+        self.retry_at = Duration::ZERO;
+    }
+
+    /// Records a refusal. `is_connected` tells whether this host has another connection there.
+    ///
+    /// Guards against hosts that all come back at the same moment: after a loss of power, 1,319
+    /// connects were refused within 250 ms.
+    pub(super) fn record_refusal(&mut self, is_connected: bool, now: Duration) {
+        let since = *self.since.get_or_insert(now);
+        let mut pause = RETRY_AFTER;
+        if is_connected {
+            pause *= CONNECTED_FACTOR;
+        }
+        if now >= since + DEAD_CONNECTION_LIFETIME {
+            pause *= LASTING_FACTOR;
+        }
+        self.retry_at = now + self.spread(pause);
+    }
+
+    /// Returns a duration between half of `mean` and one and a half times `mean`.
+    fn spread(&mut self, mean: Duration) -> Duration {
+        // SplitMix64, which needs no more than a counter as its state.
+        self.spread = self.spread.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut bits = self.spread;
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        let thousandths = u32::try_from((bits ^ (bits >> 31)) % 1_000).unwrap_or_default();
+        mean / 2 + mean * thousandths / 1_000
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod route;
 pub mod row;
 pub mod rule;
+pub mod serving_contact;
 pub mod session;
 pub mod statement;
 pub mod submission;
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -1,7 +1,9 @@
 //! Assignment of requests to pooled connections.
 
+mod full_server;
 mod load;
 mod random;
+mod restart;
 mod shared_server;
 mod teams;
 
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -145,8 +145,12 @@
 
     /// Reports whether enough is known to serve callers.
     pub fn is_known(&self) -> bool {
-        let hosts = self.quorum.borrow().knows_hosts();
-        hosts && self.server_list_read_in.get().is_some() && self.version() > 0
+        self.knows_hosts() && self.server_list_read_in.get().is_some() && self.version() > 0
+    }
+
+    /// Reports whether the list of hosts has been read.
+    pub fn knows_hosts(&self) -> bool {
+        self.quorum.borrow().knows_hosts()
     }
 
     /// Records that a read from the store has failed.
--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -3,25 +3,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use flamingopost_core::dispatch::{Allotment, Serving};
+
 use super::Fleet;
 use crate::codec::Codec;
-use crate::service::Allotment;
-
-/// Divisor for the part of a server's connections that hosts keep open. After a power loss, servers
-/// keep counting the connections of dead hosts for a few seconds, and the other part admits the
-/// hosts that start meanwhile. With all connections kept open, no request was served for two
-/// seconds after such a restart.
-const KEPT_OPEN_DIVISOR: u16 = 2;
-
-/// Maximum number of connections that a host keeps open to one server: one for each of the few
-/// statements that a fraction of a core can have in flight.
-const MAX_KEPT_OPEN: u16 = 4;
-
-/// Percentage of a server's connections that all hosts together use at most, where each host's
-/// share is rounded up. The remainder is for a restart of the whole fleet: servers keep counting
-/// the connections of hosts that lost power for a few seconds. With all of them in use, no host
-/// reached a primary for another second.
-const MAX_USED_PERCENT: u32 = 75;
 
 /// Connections to each server that a host should have if it serves a service for its zone.
 const CONNECTIONS_PER_SERVING_HOST: usize = 5;
@@ -107,31 +92,24 @@
     }
 
     /// Returns how many connections this host may have to each server of `service`.
+    ///
+    /// A host that has not read the list of hosts cannot tell its share. Each of 83 hosts that
+    /// started at once took itself for the only one and kept opening four connections to each
+    /// server, which left none to the serving hosts.
     pub(super) fn allotment(&self, service: &str) -> Allotment {
-        let Some(configured) = self.configured(service) else {
-            return Allotment {
-                base: 0,
-                fair: 1,
-                most: 1,
-            };
+        let configured = self.configured(service);
+        let Some(configured) = configured.filter(|_| self.knows_hosts()) else {
+            return Allotment::NOT_SERVING;
         };
-        let hosts = match self.serving_hosts(service) {
-            None => self.peers.borrow().by_host.len() + 1,
-            Some(homes) if homes.contains(&ServingHost::Local) => homes.len() * self.zones(),
-            // Other hosts serve it. One connection remains for when none of them is reachable.
-            Some(_) => {
-                return Allotment {
-                    base: 0,
-                    fair: 1,
-                    most: 1,
-                };
+        let (hosts, serving) = match self.serving_hosts(service) {
+            None => (self.peers.borrow().by_host.len() + 1, Serving::All),
+            Some(homes) if homes.contains(&ServingHost::Local) => {
+                (homes.len() * self.zones(), Serving::Chosen)
             }
+            Some(_) => return Allotment::NOT_SERVING,
         };
         let hosts = u16::try_from(hosts).unwrap_or(u16::MAX);
-        let base = (configured.connections / KEPT_OPEN_DIVISOR / hosts).clamp(1, MAX_KEPT_OPEN);
-        let most = connection_share(configured.connections, hosts);
-        let fair = (configured.connections / hosts).clamp(1, most);
-        Allotment { base, fair, most }
+        Allotment::new(configured.connections, hosts, serving)
     }
 
     /// Returns this host's rank for a task named `what`, which is the number of hosts that come
@@ -149,13 +127,6 @@
     }
 }
 
-/// Returns how many of `connections` each of `hosts` may use, rounded up.
-fn connection_share(connections: u16, hosts: u16) -> u16 {
-    let used = u32::from(connections) * MAX_USED_PERCENT / 100;
-    let share = used.div_ceil(u32::from(hosts).max(1)).max(1);
-    u16::try_from(share).unwrap_or(u16::MAX)
-}
-
 /// A host that serves a service for this host's availability zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServingHost {
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use flamingopost_core::dispatch::{self, Dispatch, Need, ServerState, Ticket, Unserved};
+use flamingopost_core::dispatch::{self, Allotment, Dispatch, Need, ServerState, Ticket, Unserved};
 use flamingopost_core::extent::LogExtent;
 use flamingopost_core::freshness::{FreshnessTracker, SAMPLE_SPACING};
 use flamingopost_core::incarnation::Incarnation;
@@ -14,6 +14,7 @@
 use flamingopost_core::leader::{LeaderTracker, Role};
 use flamingopost_core::position::Position;
 use flamingopost_core::quorum::StoreLease;
+use flamingopost_core::serving_contact::ServingContact;
 use flamingopost_core::succession::{Contact, PriorOrders, Trouble, UnheardOrder};
 use flamingopost_core::term::Term;
 use tokio::sync::{Notify, oneshot};
@@ -66,6 +67,8 @@
     pub lacks_sample: Cell<bool>,
     /// When other hosts were last asked for a sample.
     sample_requested_at: Cell<Duration>,
+    /// Contact with the hosts that serve the service on behalf of this one.
+    pub serving_contact: RefCell<ServingContact>,
     /// Notified when a round of status queries to the other servers has ended.
     confirmation_notify: Notify,
     state: RefCell<State<C>>,
@@ -131,20 +134,11 @@
     sender: oneshot::Sender<Result<PooledConnection<C>, Unserved>>,
 }
 
-/// Number of connections that this host may open to each server of the service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Allotment {
-    /// Connections that are kept open.
-    pub base: u16,
-    /// This host's fair share of the server's connection limit.
-    pub fair: u16,
-    /// Upper limit of connections, including those opened temporarily.
-    pub most: u16,
-}
-
 impl<C: Codec> Service<C> {
     /// Creates a service without any known server.
     pub fn new(name: String, site: Rc<Site>) -> Service<C> {
+        let mut dispatch = Dispatch::default();
+        dispatch.set_start(rand::random(), site.now());
         Service {
             name,
             site,
@@ -152,9 +146,10 @@
             sample_notify: Notify::new(),
             lacks_sample: Cell::new(false),
             sample_requested_at: Cell::default(),
+            serving_contact: RefCell::default(),
             confirmation_notify: Notify::new(),
             state: RefCell::new(State {
-                dispatch: Dispatch::default(),
+                dispatch,
                 freshness: FreshnessTracker::default(),
                 log_extent: LogExtent::default(),
                 leader: LeaderTracker::default(),
@@ -170,11 +165,7 @@
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
                 waiters: BTreeMap::new(),
-                allotment: Allotment {
-                    base: 1,
-                    fair: 1,
-                    most: 1,
-                },
+                allotment: Allotment::NOT_SERVING,
                 successor_hold: None,
                 replacement: None,
                 promotions: BTreeMap::new(),
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -119,7 +119,7 @@
             let mut state = self.state.borrow_mut();
             let next = state.dispatch.connect_failed(server, team, failure, now);
             let entry = state.dispatch.servers().get(&server);
-            if entry.is_some_and(dispatch::Server::is_below_fair_share)
+            if entry.is_some_and(dispatch::Server::lacks_connections)
                 && failure == dispatch::Failure::Full
             {
                 state.connection_shortages.insert(server);
--- a/crates/proxy/src/service/listing.rs
+++ b/crates/proxy/src/service/listing.rs
@@ -37,9 +37,9 @@
             if !state.servers.contains_key(&key) {
                 state.await_new_server(self.site.now());
             }
-            let Allotment { base, fair, most } = state.allotment;
             let local = backend.zone == self.site.zone;
-            let mut server = dispatch::Server::new(local, backend.slots, base, fair, most);
+            let mut server = dispatch::Server::new(local, backend.slots, 0, 1, 1);
+            server.set_allotment(state.allotment);
             if backend.leaving {
                 server.state = ServerState::Leaving;
             }
@@ -119,9 +119,7 @@
         let keys: Vec<ServerKey> = state.servers.keys().copied().collect();
         for key in keys {
             if let Some(server) = state.dispatch.server_mut(key) {
-                server.base_connections = allotment.base;
-                server.fair_connections = allotment.fair;
-                server.max_connections = allotment.most;
+                server.set_allotment(allotment);
             }
         }
     }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -8,6 +8,7 @@
 use flamingopost_core::key::TeamKey;
 use flamingopost_core::position::Position;
 use flamingopost_core::retry::budget::Budget;
+use flamingopost_core::serving_contact::Next;
 use slotmap::Key as _;
 
 use crate::attempt::TransactionFrame;
@@ -413,17 +414,41 @@
 }
 
 /// Connects to a host that serves `database` on behalf of this host, for a caller of `team`. Returns
-/// `None` if there is no such host, or none can be reached.
+/// `None` if this host serves it, or if no such host could be reached for a while.
 async fn connect_to_home<C: Codec>(
     context: &Context<C>,
     database: &str,
     team: TeamKey,
 ) -> Option<ServerConnection<C>> {
-    let (route, _) = context.fleet.route(database)?;
-    let homes = context.fleet.serving_hosts(&route.service)?;
-    if homes.contains(&ServingHost::Local) {
-        return None;
+    loop {
+        let (route, service) = context.fleet.route(database)?;
+        // Without the list of hosts, this host cannot tell whether it serves the service.
+        if context.fleet.knows_hosts() {
+            let homes = context.fleet.serving_hosts(&route.service)?;
+            if homes.contains(&ServingHost::Local) {
+                return None;
+            }
+            if let Some(peer) = try_homes(context, database, team, &homes).await {
+                service.serving_contact.borrow_mut().record_success();
+                return Some(peer);
+            }
+        }
+        let now = context.site.now();
+        let next = service.serving_contact.borrow_mut().record_failure(now);
+        match next {
+            Next::RetryAfter(pause) => tokio::time::sleep(pause).await,
+            Next::ServeHere => return None,
+        }
     }
+}
+
+/// Connects to the first of `homes` that answers.
+async fn try_homes<C: Codec>(
+    context: &Context<C>,
+    database: &str,
+    team: TeamKey,
+    homes: &[ServingHost],
+) -> Option<ServerConnection<C>> {
     let name = match team.is_null() && context.fleet.has_teams() {
         true => NO_TEAM.to_owned(),
         // Without teams, it is the name of this host.
