Play the order of the queue beside three others in a load spike

Strict priority may starve the lowest kind. A model of one queue before four slots plays spikes of 1.6 and 2.5 times the usual rate of each kind. The order stays.

--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod full_server;
 mod load;
+mod orders;
 mod random;
 mod restart;
 mod shared_server;
