--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -1,7 +1,10 @@
 //! Assignment of requests to pooled connections.
 
+mod full_server;
 mod load;
+mod orders;
 mod random;
+mod restart;
 mod shared_server;
 mod teams;
 
