Borrow operations from zone grantors in large fleets

proxy::limits chooses where an operation is obtained: the team's first hosts of the own zone, those of other zones, at last the own account, which asks the grantor. Requests to borrow, loans and NoShares are new messages at the end of the payloads, so that processes of the former build still understand the others. A grantor does not count hosts that have reported NoShares since it took over among the silent ones. Fleets of up to 9 hosts ask the grantor themselves as before.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -51,6 +51,10 @@
 /// Time without an answer after which a lender counts as silent. Several round trips between zones.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Time after which an operation that waits to be borrowed is left to the account of its own host,
+/// which asks the grantor.
+pub const BORROW_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How long a share may be used without an answer. It outlasts most partitions. The share of a host
 /// that is gone for good is unavailable to the others for this long.
 pub const SHARE_LIFETIME: Duration = Duration::from_secs(60);
--- a/crates/core/src/limit/borrower.rs
+++ b/crates/core/src/limit/borrower.rs
@@ -137,10 +137,15 @@
         Admission::Wait { until }
     }
 
+    /// Reports whether more operations are to be borrowed, while `waiting` wait.
+    pub fn needs(&self, waiting: u32, now: Duration) -> bool {
+        waiting > 0 || self.ahead(now) > self.held()
+    }
+
     /// Returns whether a request to `lender` is due at `now`, while `waiting` operations wait for
     /// the answer.
     pub fn is_request_due(&self, lender: HostKey, waiting: u32, now: Duration) -> bool {
-        if waiting == 0 && self.ahead(now) <= self.held() {
+        if !self.needs(waiting, now) {
             return false;
         }
         let newest = self.newest.as_ref().filter(|it| it.lender == lender);
--- a/crates/core/tests/limit/model.rs
+++ b/crates/core/tests/limit/model.rs
@@ -8,8 +8,9 @@
 
 use flamingopost_core::key::HostKey;
 use flamingopost_core::limit::{
-    Account, Admission, Borrower, Grant, Grantor, Lender, Lenders, Limit, LoanAnswer, LoanRequest,
-    NoShares, Request, Share, Source, grants_since, passed_over_since, silent_fraction,
+    Account, Admission, BORROW_TIMEOUT, Borrower, Grant, Grantor, Lender, Lenders, Limit,
+    LoanAnswer, LoanRequest, NoShares, Request, Share, Source, grants_since, passed_over_since,
+    silent_fraction,
 };
 use flamingopost_core::names::Names;
 use flamingopost_core::quorum::{HEARTBEAT_INTERVAL, Quorum};
@@ -724,7 +725,10 @@
 
     fn decide(&mut self, caller: usize, host: usize, start: u32, since: Duration) {
         let now = self.now;
-        let source = self.source(host);
+        let source = match now < since + BORROW_TIMEOUT {
+            true => self.source(host),
+            false => Source::Own,
+        };
         let admission = match self.way {
             Way::EqualParts => self.admit_part(host),
             Way::GrantorAlone | Way::GrantorWithShares | Way::ZoneGrantors => {
--- a/crates/proxy/src/election/limits.rs
+++ b/crates/proxy/src/election/limits.rs
@@ -10,7 +10,7 @@
 use super::Election;
 use crate::codec::Codec;
 use crate::fleet::Grantor;
-use crate::limits::own_host;
+use crate::limits::{Exchange, own_host};
 use crate::peer::{Payload, TeamGrant, TeamRequest, nanos};
 use crate::platform::Platform;
 
@@ -31,9 +31,15 @@
                 () = self.fleet.limits.request_due.notified() => {}
             }
             self.send_requests();
+            self.exchange().run_due();
         }
     }
 
+    /// Returns the exchange of operations with hosts that are no grantors.
+    pub(super) fn exchange(&self) -> Exchange<'_, C> {
+        Exchange::new(&self.site, &self.fleet, &self.socket)
+    }
+
     fn send_requests(self: &Rc<Self>) {
         let now = self.site.now();
         let mut remote: Vec<(SocketAddr, Vec<TeamRequest>)> = Vec::new();
@@ -68,6 +74,13 @@
         }
     }
 
+    /// Reports whether to tell the electors that this host holds no share of any team. Hosts of a
+    /// small fleet do not.
+    pub(super) fn reports_no_shares(&self, now: Duration) -> bool {
+        let fleet = &self.fleet;
+        !fleet.is_small() && fleet.has_limits() && fleet.limits.is_report_due(now)
+    }
+
     /// Returns the host that grants operations of the team called `name`, as far as this host knows.
     fn grantor(&self, name: &str, now: Duration) -> Option<Grantor> {
         let grantors = self.fleet.grantors(name);
@@ -101,8 +114,8 @@
         let now = self.site.now();
         let limit = self.fleet.limit(name)?;
         let since = self.grants_since(name, now)?;
-        let silent = self.fleet.silent_hosts(now);
         let team = self.site.team(name);
+        let silent = self.fleet.silent_hosts(team, since, now);
         let limits = &self.fleet.limits;
         limits.grant((team, limit), (host, request), (since, silent), now)
     }
@@ -134,5 +147,6 @@
             .collect();
         let limits = &self.fleet.limits;
         limits.record_grants(Some(host), &grants, self.site.now());
+        self.exchange().run_due();
     }
 }
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -62,11 +62,15 @@
             self.record_claims_verified_if_due();
             let beat = self.heartbeat(now);
             let needs_logs = self.needs_log_reports(has_quorum, now);
+            let reports_no_shares = self.reports_no_shares(now);
             for (_, peer) in self.fleet.electors() {
                 self.send_message(String::new(), beat.clone(), peer.address);
                 if needs_logs {
                     self.send_message(String::new(), Payload::LogQuery, peer.address);
                 }
+                if reports_no_shares {
+                    self.send_message(String::new(), Payload::NoShares, peer.address);
+                }
             }
             if !has_quorum {
                 self.check_claims_in_store();
@@ -398,6 +402,18 @@
                 Payload::OperationGrant { sent, grants } => {
                     return self.apply_grants(host, sent, &grants);
                 }
+                Payload::ZoneOperationRequest {
+                    incarnation,
+                    sent,
+                    requests,
+                } => {
+                    let exchange = self.exchange();
+                    return exchange.answer(host, (incarnation, sent), &requests);
+                }
+                Payload::ZoneOperationGrant { sent, grants } => {
+                    return self.exchange().apply(host, sent, &grants);
+                }
+                Payload::NoShares => return self.fleet.record_no_shares(host),
                 _ => {}
             }
         }
@@ -415,7 +431,10 @@
             Payload::Heartbeat { .. }
             | Payload::HeartbeatAck { .. }
             | Payload::OperationRequest { .. }
-            | Payload::OperationGrant { .. } => {}
+            | Payload::OperationGrant { .. }
+            | Payload::ZoneOperationRequest { .. }
+            | Payload::ZoneOperationGrant { .. }
+            | Payload::NoShares => {}
             // Not specific to a service, and handled above.
             Payload::LogQuery | Payload::LogReply { .. } => {}
             Payload::ReachabilityQuery { server, furthest } => {
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -2,13 +2,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::epoch::{Epoch, EpochStatus, EpochTracker, SERVER_REWRITE_TIME};
 use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::invariant::{self, Invariant};
-use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::key::{HostKey, ServerKey, TeamKey};
+use flamingopost_core::limit::NoShares;
 use flamingopost_core::quorum::Quorum;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -26,12 +28,14 @@
 use crate::site::Site;
 
 mod incarnations;
+mod lenders;
 mod peers;
 mod placement;
 mod restored;
 mod teams;
 mod unusable_entries;
 
+use lenders::TeamSources;
 pub use placement::{ServingHost, rendezvous_hash};
 pub use teams::Grantor;
 use unusable_entries::{CONFIGURATION, SERVERS, backend_id};
@@ -70,6 +74,9 @@
     pub feeds: Rc<Feeds>,
     /// Limits of teams on this host.
     pub limits: Limits,
+    /// Where this host obtains operations of each team. Computed anew when the list of hosts has
+    /// changed.
+    sources: RefCell<BTreeMap<TeamKey, TeamSources>>,
     /// The store epoch in which the list of servers was first read.
     server_list_read_in: Cell<Option<Epoch>>,
     /// Whether the store did not answer before the fleet was known.
@@ -102,12 +109,15 @@
 /// The list of other hosts.
 #[derive(Default)]
 struct Peers {
-    keys: SlotMap<HostKey, ()>,
+    /// Addresses of the hosts.
+    keys: SlotMap<HostKey, SocketAddr>,
     by_host: BTreeMap<String, (HostKey, Peer)>,
     /// When the last heartbeat arrived from each host that sends some to this one.
     heartbeats: BTreeMap<HostKey, Duration>,
-    /// The fraction of silent hosts, and when it was computed.
-    silent: Option<(f64, Duration)>,
+    /// Which hosts have reported that they hold no shares.
+    no_shares: NoShares,
+    /// The silent hosts, and when the list was computed.
+    silent: Option<(Vec<HostKey>, Duration)>,
 }
 
 impl<C: Codec> Fleet<C> {
@@ -127,6 +137,7 @@
             contact_due: Notify::new(),
             feeds: Rc::default(),
             limits: Limits::default(),
+            sources: RefCell::default(),
             server_list_read_in: Cell::new(None),
             started_in_outage: Cell::new(false),
         }
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -60,6 +60,7 @@
             quorum.set_hosts(others, now);
         }
         self.contact_due.notify_one();
+        self.forget_sources();
         self.allot_connections();
     }
 
@@ -77,8 +78,9 @@
                 let mut peers = self.peers.borrow_mut();
                 let key = match peers.by_host.get(&peer.host) {
                     Some((key, _)) => *key,
-                    None => peers.keys.insert(()),
+                    None => peers.keys.insert(peer.address),
                 };
+                peers.keys[key] = peer.address;
                 peers.by_host.insert(peer.host.clone(), (key, peer));
             }
             // A known host stays listed, because it has not withdrawn. Dropping it would lower the
@@ -88,6 +90,7 @@
                 let mut peers = self.peers.borrow_mut();
                 if let Some((key, _)) = peers.by_host.remove(&host) {
                     peers.heartbeats.remove(&key);
+                    peers.no_shares.remove(key);
                     peers.keys.remove(key);
                     drop(peers);
                     self.site.log(&Event::PeerGone { host });
--- a/crates/proxy/src/fleet/teams.rs
+++ b/crates/proxy/src/fleet/teams.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use flamingopost_core::digest::Digest;
 use flamingopost_core::key::{HostKey, TeamKey};
@@ -12,12 +11,6 @@
 use super::{Fleet, rendezvous_hash};
 use crate::codec::Codec;
 
-/// Time without a heartbeat after which a host counts as silent.
-const SILENT_AFTER: Duration = Duration::from_secs(1);
-
-/// How long the fraction of silent hosts is used once it was computed.
-const SILENT_VALIDITY: Duration = Duration::from_millis(50);
-
 /// A host that may grant the operations of a team.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Grantor {
@@ -42,6 +35,13 @@
         route.anonymous.then(TeamKey::default)
     }
 
+    /// Reports whether any team has a limit.
+    pub fn has_limits(&self) -> bool {
+        let configuration = self.configuration();
+        let teams = configuration.as_ref().and_then(|it| it.teams.as_ref());
+        teams.is_some_and(|it| it.limited_teams().next().is_some())
+    }
+
     /// Reports whether callers belong to teams.
     pub fn has_teams(&self) -> bool {
         let configuration = self.configuration();
@@ -70,6 +70,9 @@
         let limited = teams.into_iter().flat_map(|it| it.limited_teams());
         let limited: BTreeSet<TeamKey> = limited.map(|name| self.site.team(name)).collect();
         self.limits.retain(&limited);
+        self.sources
+            .borrow_mut()
+            .retain(|team, _| limited.contains(team));
     }
 
     /// Returns the hosts that may grant operations of the team called `name`, in the order in which
@@ -98,26 +101,7 @@
     pub fn record_heartbeat(&self, host: HostKey) {
         let now = self.site.now();
         self.peers.borrow_mut().heartbeats.insert(host, now);
-        let silent = || self.silent_hosts(now);
+        let silent = |team, since| self.silent_hosts(team, since, now);
         self.limits.record_contact(host, silent, now);
     }
-
-    /// Returns the fraction of all hosts that have sent this host no heartbeat for [`SILENT_AFTER`].
-    ///
-    /// Each heartbeat and each request may ask for it, and the list of hosts may be long. So it is
-    /// computed once in [`SILENT_VALIDITY`].
-    pub fn silent_hosts(&self, now: Duration) -> f64 {
-        let mut peers = self.peers.borrow_mut();
-        if let Some((silent, at)) = peers.silent
-            && now < at + SILENT_VALIDITY
-        {
-            return silent;
-        }
-        let heard = peers.heartbeats.values();
-        let heard = heard.filter(|at| now < **at + SILENT_AFTER).count();
-        let others = peers.by_host.len();
-        let silent = others.saturating_sub(heard) as f64 / (others + 1) as f64;
-        peers.silent = Some((silent, now));
-        silent
-    }
 }
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -118,7 +118,9 @@
         };
         let since = site.now();
         let contact = |host| fleet.with_quorum(|quorum, _| quorum.answered_at(host));
-        let admitted = fleet.limits.admit(site, self.team, contact).await;
+        let sources = || fleet.sources(self.team);
+        let limits = &fleet.limits;
+        let admitted = limits.admit(site, self.team, sources, contact).await;
         let limited = match admitted {
             Ok(()) => Limited::Admitted,
             Err(_) => Limited::Refused,
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -1,15 +1,23 @@
-//! Limits of teams on this host: what its callers may use, and what it grants to other hosts.
+//! Limits of teams on this host: what its callers may use, and what it grants and lends to other
+//! hosts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use flamingopost_core::key::{HostKey, TeamKey};
-use flamingopost_core::limit::{Account, Admission, Grant, Grantor, Limit, Request};
+use flamingopost_core::limit::{
+    Account, Admission, Borrower, Grant, Grantor, Lender, Lenders, Limit, Request, Source,
+};
 use tokio::sync::Notify;
 
 use crate::site::Site;
 
+mod exchange;
+mod loans;
+
+pub use exchange::Exchange;
+
 /// How early requests are sent together with one that is due, so that a datagram carries several.
 const EARLY: Duration = Duration::from_millis(120);
 
@@ -17,15 +25,26 @@
 /// host uses its share.
 const WAIT_MARGIN: Duration = Duration::from_millis(1);
 
+/// Interval between reports that this host holds no share.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Accounts of this host's callers, and the grantors of the teams that this host grants for.
 pub struct Limits {
     /// Identifies this process to grantors.
     pub incarnation: u64,
     accounts: RefCell<BTreeMap<TeamKey, TeamAccount>>,
     grantors: RefCell<BTreeMap<TeamKey, Grantor>>,
-    /// Notified when an operation waits for a request to a grantor.
+    /// The hosts that lend to this one.
+    lenders: RefCell<Lenders>,
+    /// Silent lenders that are to be asked whether they answer.
+    probes: RefCell<Vec<HostKey>>,
+    /// Whether this process has asked a grantor, so that it may hold a share.
+    has_asked: Cell<bool>,
+    /// When this host last reported that it holds no share.
+    reported_at: Cell<Option<Duration>>,
+    /// Notified when an operation waits for a request to a grantor or lender.
     pub request_due: Notify,
-    /// Notified when a grantor has answered.
+    /// Notified when a grantor or lender has answered.
     granted: Notify,
 }
 
@@ -35,6 +54,47 @@
     issuer: Option<HostKey>,
     /// Operations that wait for an answer of the grantor.
     waiting: u32,
+    /// What other hosts borrow from the account.
+    lender: Lender,
+    /// What this host borrows from others.
+    borrower: Borrower,
+    /// Operations that wait for an answer of a lender.
+    borrowing: u32,
+}
+
+impl TeamAccount {
+    fn new(incarnation: u64, now: Duration) -> TeamAccount {
+        TeamAccount {
+            account: Account::new(incarnation, now),
+            issuer: None,
+            waiting: 0,
+            lender: Lender::default(),
+            borrower: Borrower::new(incarnation, now),
+            borrowing: 0,
+        }
+    }
+
+    /// Returns when the newest message was sent that the grantor of the share has answered.
+    fn contact(
+        &self,
+        contact: impl Fn(HostKey) -> Option<Duration>,
+        now: Duration,
+    ) -> Option<Duration> {
+        self.issuer.map_or(Some(now), contact)
+    }
+
+    /// Returns the operations that wait for an answer of the grantor, here and at borrowers.
+    fn waiting(&self) -> u32 {
+        self.waiting.saturating_add(self.lender.waiting())
+    }
+
+    /// Returns the number of operations that wait for an answer of `source`.
+    fn waiting_for(&mut self, source: Source) -> &mut u32 {
+        match source {
+            Source::Own => &mut self.waiting,
+            Source::Lender(_) => &mut self.borrowing,
+        }
+    }
 }
 
 impl Default for Limits {
@@ -43,6 +103,10 @@
             incarnation: rand::random(),
             accounts: RefCell::default(),
             grantors: RefCell::default(),
+            lenders: RefCell::default(),
+            probes: RefCell::default(),
+            has_asked: Cell::new(false),
+            reported_at: Cell::new(None),
             request_due: Notify::new(),
             granted: Notify::new(),
         }
@@ -50,8 +114,9 @@
 }
 
 impl Limits {
-    /// Waits until an operation of `team` is within the team's limit. `contact` returns when the
-    /// newest message was sent that a host has answered.
+    /// Waits until an operation of `team` is within the team's limit. `sources` returns where this
+    /// host obtains operations of the team, in order, and `contact` when the newest message was sent
+    /// that a host has answered.
     ///
     /// # Errors
     /// Returns the time after which the next operation will be, if this one is not.
@@ -59,21 +124,29 @@
         &self,
         site: &Site,
         team: TeamKey,
+        sources: impl Fn() -> Vec<Source>,
         contact: impl Fn(HostKey) -> Option<Duration>,
     ) -> Result<(), Duration> {
-        self.with_account(site, team, |it, now| it.account.record_arrival(now));
+        let since = site.now();
+        let source = self.choose((team, &sources()), since, &contact, since);
+        self.with_account(team, since, |it| match source {
+            Source::Own => it.account.record_arrival(since),
+            Source::Lender(_) => it.borrower.record_arrival(since),
+        });
         loop {
             let granted = self.granted.notified();
-            let admission = self.with_account(site, team, |it, now| {
-                let contact = it.issuer.map_or(Some(now), &contact);
-                it.account.admit(contact, now)
+            let now = site.now();
+            let source = self.choose((team, &sources()), since, &contact, now);
+            let admission = self.with_account(team, now, |it| match source {
+                Source::Own => it.account.admit(it.contact(&contact, now), now),
+                Source::Lender(lender) => it.borrower.admit(lender, now),
             });
             match admission {
                 Admission::Admitted => return Ok(()),
                 Admission::Refused { retry_after } => return Err(retry_after),
                 Admission::Wait { until } => {
                     let wait = until.saturating_sub(site.now()) + WAIT_MARGIN;
-                    let _waiting = Waiting::new(self, site, team);
+                    let _waiting = Waiting::new(self, site, (team, source));
                     // Either way, the account is asked again.
                     let _ = tokio::time::timeout(wait, granted).await;
                 }
@@ -83,18 +156,15 @@
 
     fn with_account<T>(
         &self,
-        site: &Site,
         team: TeamKey,
-        change: impl FnOnce(&mut TeamAccount, Duration) -> T,
+        now: Duration,
+        change: impl FnOnce(&mut TeamAccount) -> T,
     ) -> T {
-        let now = site.now();
         let mut accounts = self.accounts.borrow_mut();
-        let account = accounts.entry(team).or_insert_with(|| TeamAccount {
-            account: Account::new(self.incarnation, now),
-            issuer: None,
-            waiting: 0,
-        });
-        change(account, now)
+        let account = accounts
+            .entry(team)
+            .or_insert_with(|| TeamAccount::new(self.incarnation, now));
+        change(account)
     }
 
     /// Returns the share of this host in the limit of `team`, in operations per second, and the time
@@ -105,16 +175,32 @@
         Some((account.share().rate, account.answer_age(now)))
     }
 
-    /// Returns the requests that are due now.
+    /// Returns the requests to grantors that are due now.
     pub fn due_requests(&self, now: Duration) -> Vec<(TeamKey, Request)> {
         let mut accounts = self.accounts.borrow_mut();
-        let is_due = |it: &TeamAccount, early| it.account.is_request_due(it.waiting, early, now);
+        let is_due = |it: &TeamAccount, early| it.account.is_request_due(it.waiting(), early, now);
         if !accounts.values().any(|it| is_due(it, Duration::ZERO)) {
             return Vec::new();
         }
+        self.has_asked.set(true);
         let due = accounts.iter_mut().filter(|(_, it)| is_due(it, EARLY));
-        due.map(|(team, it)| (*team, it.account.request(it.waiting, now)))
-            .collect()
+        due.map(|(team, it)| {
+            let waiting = it.waiting();
+            (*team, it.account.request(waiting, now))
+        })
+        .collect()
+    }
+
+    /// Reports whether to tell the electors now that this host holds no share, since it has not
+    /// asked for any.
+    pub fn is_report_due(&self, now: Duration) -> bool {
+        let reported_at = self.reported_at.get();
+        let is_due = !self.has_asked.get()
+            && reported_at.is_none_or(|reported_at| now >= reported_at + REPORT_INTERVAL);
+        if is_due {
+            self.reported_at.set(Some(now));
+        }
+        is_due
     }
 
     /// Applies the answers of the grantor `issuer`, which is this host if there is none.
@@ -135,7 +221,8 @@
     }
 
     /// Answers the request of `host` for operations of `team`, which has `limit`, as the grantor
-    /// since `since`. `silent` is the fraction of all hosts that this host hears nothing of.
+    /// since `since`. `silent` is the fraction of all hosts that may hold shares of earlier grantors
+    /// and that this host hears nothing of.
     pub fn grant(
         &self,
         (team, limit): (TeamKey, Limit),
@@ -155,12 +242,19 @@
     }
 
     /// Records a message of `host` that is no request. `silent` returns the fraction of all hosts
-    /// that this host hears nothing of.
-    pub fn record_contact(&self, host: HostKey, silent: impl Fn() -> f64, now: Duration) {
-        for grantor in self.grantors.borrow_mut().values_mut() {
+    /// that may hold shares of a team from before the given time, and that this host hears nothing
+    /// of.
+    pub fn record_contact(
+        &self,
+        host: HostKey,
+        silent: impl Fn(TeamKey, Duration) -> f64,
+        now: Duration,
+    ) {
+        for (team, grantor) in self.grantors.borrow_mut().iter_mut() {
+            let since = grantor.since();
             // This host is in contact with itself.
             for host in [host, own_host()] {
-                grantor.record_contact(host, &silent, now);
+                grantor.record_contact(host, || silent(*team, since), now);
             }
         }
     }
@@ -168,7 +262,7 @@
     /// Forgets the teams that are not in `teams`.
     pub fn retain(&self, teams: &BTreeSet<TeamKey>) {
         let mut accounts = self.accounts.borrow_mut();
-        accounts.retain(|team, it| it.waiting > 0 || teams.contains(team));
+        accounts.retain(|team, it| it.waiting > 0 || it.borrowing > 0 || teams.contains(team));
         let mut grantors = self.grantors.borrow_mut();
         grantors.retain(|team, _| teams.contains(team));
     }
@@ -189,21 +283,28 @@
     limits: &'a Limits,
     site: &'a Site,
     team: TeamKey,
+    source: Source,
 }
 
 impl<'a> Waiting<'a> {
-    fn new(limits: &'a Limits, site: &'a Site, team: TeamKey) -> Waiting<'a> {
-        limits.with_account(site, team, |it, _| it.waiting += 1);
+    fn new(limits: &'a Limits, site: &'a Site, (team, source): (TeamKey, Source)) -> Waiting<'a> {
+        limits.with_account(team, site.now(), |it| *it.waiting_for(source) += 1);
         limits.request_due.notify_one();
-        Waiting { limits, site, team }
+        Waiting {
+            limits,
+            site,
+            team,
+            source,
+        }
     }
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let (limits, site) = (self.limits, self.site);
-        limits.with_account(site, self.team, |it, _| {
-            it.waiting = it.waiting.saturating_sub(1);
+        limits.with_account(self.team, site.now(), |it| {
+            let waiting = it.waiting_for(self.source);
+            *waiting = waiting.saturating_sub(1);
         });
     }
 }
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -16,6 +16,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+mod loan;
+
+pub use loan::{TeamLoan, TeamLoanRequest};
+
 /// Maximum size of a datagram. Larger ones were not sent by an entry host.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
@@ -137,6 +141,27 @@
         /// The grants. A team that the answering host does not grant for is missing.
         grants: Vec<TeamGrant>,
     },
+    /// Asks the receiver, a zone grantor, to lend operations. Without requests, it asks whether the
+    /// receiver answers. Concerns no service.
+    ZoneOperationRequest {
+        /// Identifies the sending process.
+        incarnation: u64,
+        /// When the requests were sent, by the sender's clock, in nanoseconds: answers are matched
+        /// by it.
+        sent: u64,
+        /// The requests.
+        requests: Vec<TeamLoanRequest>,
+    },
+    /// Answers [`Payload::ZoneOperationRequest`].
+    ZoneOperationGrant {
+        /// The time from the requests.
+        sent: u64,
+        /// What is lent.
+        grants: Vec<TeamLoan>,
+    },
+    /// The sending process has not asked any grantor for operations, and so holds no share. Concerns
+    /// no service.
+    NoShares,
 }
 
 /// A request for operations of a team.
