Keep shares of several grantors within the rate, and bursts within one

The model of many hosts with hosts that are cut off together found two faults of the grantor. Shares now leave what unknown hosts may hold, and the bucket is filled up to what silent hosts leave of the burst. Both are guarded by tests of the grantor.

--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -171,12 +171,20 @@
         }
         // Before the host counts as heard: it may have used its share until now.
         self.refill(silent, now);
-        self.settle(host, request);
+        self.settle(host, request, now);
         let (demand, held) = self.others(host, now);
+        let rate = f64::from(self.limit.per_second);
+        let burst = f64::from(self.limit.burst) * SHARED_BURST;
         let wanted = f64::from(request.wanted);
         let granted = wanted.min((self.tokens - held.burst).max(0.0).floor());
         self.tokens -= granted;
-        let share = self.share(request.demand, demand, held);
+        // Shares of earlier grantors that silent hosts hold and those of this one add up, and the
+        // next grantor knows of some of them only.
+        let free = Share {
+            rate: (rate - held.rate - self.unknown_shares(silent, now)).max(0.0),
+            burst: (burst.min(self.tokens) - held.burst).max(0.0),
+        };
+        let share = self.share(request.demand, demand, free);
         let may_hold = Share {
             rate: share.rate.max(request.share.rate),
             burst: share.burst.max(request.share.burst),
@@ -218,13 +226,13 @@
         let charges = self.hosts.values_mut().map(|it| it.charge(passed, now));
         let charged: f64 = charges.sum();
         let charged = charged.max(self.unknown_shares(silent, now) * passed);
-        let burst = f64::from(self.limit.burst.max(1));
-        self.tokens = (self.tokens + passed * rate - charged).min(burst);
+        let most = self.most_tokens(None, now);
+        self.tokens = (self.tokens + passed * rate - charged).min(most);
     }
 
     /// Puts back what was taken off for the share of `host` and not used, and operations that have
     /// expired. What a former process of the host has used is not known, so nothing is put back.
-    fn settle(&mut self, host: HostKey, request: &Request) {
+    fn settle(&mut self, host: HostKey, request: &Request, now: Duration) {
         let Some(holder) = self.hosts.get(&host) else {
             if request.share.rate > 0.0 {
                 *self.inherited.entry(request.issuer).or_default() += request.share.rate;
@@ -237,8 +245,20 @@
         let returned = f64::from(request.returned.wrapping_sub(holder.returned));
         let used = f64::from(request.used.wrapping_sub(holder.used));
         let unused = holder.charged + returned - used;
-        let burst = f64::from(self.limit.burst.max(1));
-        self.tokens = (self.tokens + unused).min(burst);
+        let most = self.most_tokens(Some(host), now);
+        self.tokens = (self.tokens + unused).min(most);
+    }
+
+    /// Returns how many operations the bucket holds at most: the burst, less those parts of it that
+    /// silent hosts other than `settled` may still use. They were taken off the bucket once, and
+    /// would be refilled otherwise.
+    fn most_tokens(&self, settled: Option<HostKey>, now: Duration) -> f64 {
+        let holders = self.hosts.iter();
+        let silent = holders.filter(|(host, it)| {
+            Some(**host) != settled && it.is_burst_charged && it.may_hold(now)
+        });
+        let held: f64 = silent.map(|(_, it)| it.share.burst).sum();
+        f64::from(self.limit.burst.max(1)) - held
     }
 
     /// Returns the sum of the shares that hosts may use which have not asked this process yet and
@@ -280,8 +300,8 @@
     }
 
     /// Returns the share of a host with `demand`: in proportion to the whole demand, and no more
-    /// than the shares of others, which `held` adds up, leave.
-    fn share(&self, demand: f64, others: f64, held: Share) -> Share {
+    /// than is `free`.
+    fn share(&self, demand: f64, others: f64, free: Share) -> Share {
         if demand <= 0.0 {
             return Share::default();
         }
@@ -289,8 +309,8 @@
         let rate = f64::from(self.limit.per_second);
         let burst = f64::from(self.limit.burst) * SHARED_BURST;
         Share {
-            rate: (rate * part).min((rate - held.rate).max(0.0)),
-            burst: (burst * part).min((burst.min(self.tokens) - held.burst).max(0.0)),
+            rate: (rate * part).min(free.rate),
+            burst: (burst * part).min(free.burst),
         }
     }
 
--- a/crates/core/tests/limit/grantor.rs
+++ b/crates/core/tests/limit/grantor.rs
@@ -194,3 +194,36 @@
     assert_eq!((grant.granted, grant.share.rate), (0, 0.0));
     assert_eq!(grant.retry_after, ms(1_000));
 }
+
+/// Guards against shares of two grantors that add up to more than the rate: the third grantor learns
+/// from the shares of the second only, and took hosts that held shares of the first for empty (seed
+/// 1005511 of the model: 47 operations too many).
+#[test]
+fn a_new_grantor_leaves_the_shares_of_silent_hosts() {
+    let [first, _] = hosts();
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
+    let grant = grantor.grant(first, &request(ms(1_000), 1, 5.0), 0.25, ms(1_000));
+    assert_eq!(grant.expect("new").share.rate, 10.0, "half may be held");
+}
+
+/// Guards against a bucket that is filled to the whole burst while silent hosts may use their parts
+/// of it (seed 1001431 of the model: 2 operations too many).
+#[test]
+fn the_bursts_of_silent_hosts_are_not_refilled() {
+    let [first, second] = hosts();
+    let mut grantor = Grantor::new(LIMIT, 2, ms(0));
+    let grant = grantor.grant(first, &request(ms(5_000), 0, 5.0), 0.0, ms(5_000));
+    let share = grant.expect("new").share;
+    assert_eq!(share.burst, 7.0);
+    let other = grantor.grant(second, &request(ms(5_100), 0, 5.0), 0.0, ms(5_100));
+    let other = other.expect("new").share.burst;
+    let asked = request(ms(20_000), 30, 5.0);
+    let grant = grantor
+        .grant(second, &asked, 0.0, ms(20_000))
+        .expect("newer");
+    assert!(
+        f64::from(grant.granted) <= 20.0 - share.burst - other,
+        "{} of a burst of 20",
+        grant.granted
+    );
+}
--- a/crates/core/tests/limit/main.rs
+++ b/crates/core/tests/limit/main.rs
@@ -9,6 +9,7 @@
 mod grantor;
 mod model;
 mod random;
+mod zones;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
