--- a/crates/core/tests/limit/model.rs
+++ b/crates/core/tests/limit/model.rs
@@ -271,6 +271,11 @@
         model
     }
 
+    /// Returns the host that the hosts of `zone` ask first.
+    pub fn zone_grantor(&self, zone: usize) -> usize {
+        self.choices[zone][0]
+    }
+
     /// Adds a fault from `at` for `lasts`.
     pub fn add_fault(&mut self, at: Duration, lasts: Duration, fault: Fault) {
         self.at(at, Event::Fault(fault));
--- a/crates/core/tests/limit/random.rs
+++ b/crates/core/tests/limit/random.rs
@@ -254,3 +254,56 @@
         assert!(zones[1] > shares[1], "{zones:?} and {shares:?}");
     }
 }
+
+/// Plays 58 hosts in three zones of a team that asks for half of its limit, with the faults that
+/// `faults` returns from 15 s on for 6 s. Returns the fraction that is admitted meanwhile and the worst
+/// excess over the limit.
+fn play_faults(faults: impl Fn(&Model) -> Vec<Fault>) -> (f64, f64) {
+    let limit = Limit {
+        per_second: 40,
+        burst: 40,
+    };
+    let (mut admitted, mut all, mut worst) = (0.0, 0.0, f64::MIN);
+    for seed in 1..=20 {
+        let mut model = Model::new(seed, Way::ZoneGrantors, 58, 3, limit, 20.0);
+        for fault in faults(&model) {
+            model.add_fault(ms(15_000), ms(6_000), fault);
+        }
+        let tally = model.play(LENGTH);
+        worst = worst.max(worst_excess(&tally, &[(Duration::ZERO, limit)]));
+        let during = tally.decisions.iter();
+        for (_, is_admitted) in during.filter(|(at, _)| (15..21).contains(&at.as_secs())) {
+            admitted += f64::from(u8::from(*is_admitted));
+            all += 1.0;
+        }
+    }
+    (admitted / all, worst)
+}
+
+/// Guards against a zone that refuses its callers because its zone grantor is gone.
+#[test]
+fn a_zone_grantor_that_is_lost_is_replaced() {
+    let (admitted, excess) = play_faults(|model| vec![Fault::Kill(model.zone_grantor(1))]);
+    println!("zone grantor lost: {admitted:.3}");
+    assert!(admitted > 0.97 && excess <= 0.0, "{admitted}, {excess}");
+}
+
+/// Guards against two zone grantors of a zone that lend the same operations: one stands still, the
+/// second takes its place, and then both lend.
+#[test]
+fn two_zone_grantors_at_the_same_time_stay_within_the_limit() {
+    let (admitted, excess) = play_faults(|model| {
+        let paused = Fault::Pause(model.zone_grantor(1));
+        vec![paused, Fault::Rush(4.0)]
+    });
+    println!("zone grantor stands still in a rush: {admitted:.3}");
+    assert!(excess <= 0.0, "{excess} operations too many");
+}
+
+/// Guards against a grantor that is lost during a load spike: its successor knows of no shares.
+#[test]
+fn a_grantor_that_is_lost_in_a_rush_is_replaced_within_the_limit() {
+    let (admitted, excess) = play_faults(|_| vec![Fault::Kill(0), Fault::Rush(4.0)]);
+    println!("grantor lost in a rush: {admitted:.3}");
+    assert!(excess <= 0.0, "{excess} operations too many");
+}
