Decide where a host reads a feed

The three feeds of the platform's store are followed by every host, and each change is returned to each of them. Adds the decision between the store and the hosts that follow it, without input or output: the first read and the one after a host was behind go to the store, others to the first host in order that answers, and while none can read the store, to one that says when it can.

--- a/crates/core/src/feed.rs
+++ b/crates/core/src/feed.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+pub mod source;
+
 /// How long a feed may be behind the feeds of other hosts before it counts as stuck. Changes reach
 /// hosts some milliseconds apart, and hundreds of milliseconds apart when the store is slow.
 pub const STUCK_AFTER: Duration = Duration::from_millis(400);
