Give hosts in tests two ports in a row

A host is about to listen on the port after that for messages, which was the caller port of the next host in tests and in the soak test.

--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -88,7 +88,8 @@
             site.show(&id, relay);
         }
         let ports: Vec<[SocketAddr; 3]> = (0..plan.hosts)
-            .map(|_| [(); 3].map(|()| ports::free()))
+            // A host serves feeds on the port after that for messages, so two in a row are needed.
+            .map(|_| [ports::free(), ports::free(), ports::free_pair()])
             .collect();
         let hosts_by_address = ports
             .iter()
--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -51,6 +51,29 @@
     range.ports[0]
 }
 
+/// Returns a free address like [`free`] whose next port is free as well, and is given to nobody
+/// else either.
+///
+/// # Panics
+/// Panics if no two ports in a row are free.
+///
+/// ```
+/// let first = flamingopost_standin::ports::free_pair();
+/// let next = std::net::SocketAddr::new(first.ip(), first.port() + 1);
+/// std::net::TcpListener::bind(next).unwrap();
+/// ```
+pub fn free_pair() -> SocketAddr {
+    let mut first = free();
+    for _ in 0..RANGE {
+        let next = free();
+        if next.port() == first.port() + 1 {
+            return first;
+        }
+        first = next;
+    }
+    panic!("no two ports in a row are free")
+}
+
 impl Range {
     fn take() -> Range {
         let taken = (0..RANGES).find_map(|number| {
