Read the store's claims as often as the lease needs

A host without a majority read the claims with every heartbeat, 250 ms apart, for a lease that lasts 900 ms. After an answered read the next is now made 450 ms later, which is every second heartbeat. A failed read is repeated with the next heartbeat, in time for its answer to extend the lease.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -18,7 +18,7 @@
 
 mod store;
 
-pub use store::StoreLease;
+pub use store::{STORE_RENEWAL_INTERVAL, StoreLease};
 
 /// Time between two heartbeats. Three of them fit into a lease with round trips to spare, so that
 /// one lost datagram does not end a lease.
--- a/crates/core/src/quorum/store.rs
+++ b/crates/core/src/quorum/store.rs
@@ -4,6 +4,11 @@
 
 use super::LEASE_DURATION;
 
+/// Time after a request that the store has answered until it is asked again. Heartbeats are 250 ms
+/// apart, so the next request is sent after 500 ms. One that is lost is noticed 250 ms later, and
+/// repeated in time for the answer to arrive before the lease ends.
+pub const STORE_RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
+
 /// The lease that a host obtains from the platform's store, for one service, while it is out of
 /// contact with most other hosts: a host that replaces a primary claims that in the store first.
 ///
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -99,6 +99,8 @@
     written_services: Mutex<Option<empty_log::WrittenServices>>,
     /// Whether a read of the store's claims is in flight.
     is_reading_claims: Cell<bool>,
+    /// When the newest such read was sent that the store has answered.
+    claims_read_at: Cell<Option<Duration>>,
     /// When this host was last in contact with a majority of the other hosts.
     last_quorum_at: Cell<Option<Duration>>,
     /// Whether this host holds its lease, and since when that has been the case.
@@ -136,6 +138,7 @@
             records: RefCell::default(),
             written_services: Mutex::default(),
             is_reading_claims: Cell::new(false),
+            claims_read_at: Cell::new(None),
             last_quorum_at: Cell::new(None),
             servers_known_since: Cell::new(None),
         }
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -6,7 +6,7 @@
 
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::key::ServerKey;
-use flamingopost_core::quorum::HEARTBEAT_INTERVAL;
+use flamingopost_core::quorum::{HEARTBEAT_INTERVAL, STORE_RENEWAL_INTERVAL};
 use flamingopost_core::term::Term;
 
 use super::{Election, Probe, RECENT_CONTACT, target};
@@ -304,7 +304,10 @@
     /// Asks the store which primaries are being replaced. While most hosts are silent, only the
     /// store can show that this host is not the partitioned one.
     fn check_claims_in_store(self: &Rc<Self>) {
-        if self.is_reading_claims.replace(true) {
+        let now = self.site.now();
+        let read_at = self.claims_read_at.get();
+        let is_recent = read_at.is_some_and(|at| now < at + STORE_RENEWAL_INTERVAL);
+        if is_recent || self.is_reading_claims.replace(true) {
             return;
         }
         let election = Rc::clone(self);
@@ -315,6 +318,7 @@
             let Some(claims) = claims else {
                 return;
             };
+            election.claims_read_at.set(Some(sent));
             // A restored store may lack a claim that is being acted on, for good if no host that
             // made one has run since.
             let fleet = &election.fleet;
