Read the platform's lists at electors in large fleets

Every host followed the three feeds of the store, and each change was returned to each host.

In fleets of more than 9 hosts, hosts that are no electors now read them at an elector of their zone, by long poll over HTTP on the port after that for messages, with bodies in postcard. They read the store at their start, when they are behind what electors report with heartbeats, and without contact to a majority. An elector that cannot read the store says so, and while none can, only electors call it, for the configuration alone. Answers of a former epoch or revision are not applied.

The metrics port that is logged is now the one in use if the settings leave it to the system.

--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -28,6 +28,16 @@
     pub fn of(body: &[u8]) -> Digest {
         Digest(Sha256::digest(body).into())
     }
+
+    /// Returns the digest with these bytes.
+    pub fn from_bytes(bytes: [u8; 32]) -> Digest {
+        Digest(bytes)
+    }
+
+    /// Returns the bytes of the digest.
+    pub fn bytes(&self) -> [u8; 32] {
+        self.0
+    }
 }
 
 impl fmt::Display for Digest {
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -42,6 +42,12 @@
         5017 Warn Restarted { service: String, server: String, before: u64, after: u64 },
         /// {service}: entry of a former incarnation of server {server} ignored: started at {former}, the newest at {newest} (Unix ms)
         5018 Warn FormerStart { service: String, server: String, former: u64, newest: u64 },
+        /// {what} is read at {from} from now on
+        5019 Info FeedSource { what: &'static str, from: String },
+        /// {what} was not read at {host}: {why}
+        5020 Info FeedUnrelayed { what: &'static str, host: String, why: String },
+        /// no feeds are served to other hosts on {address}: {error}
+        5021 Error FeedsUnserved { address: String, error: String },
         /// {service}: {after} leads after {before}; the previous state lasted {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: cannot connect to server {server}: {error}; {connections} connections open on this host, {waiting} requests waiting
--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -2,12 +2,24 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::feed::Feed;
+use flamingopost_core::feed::source::Selector;
+use flamingopost_core::key::HostKey;
 use tokio::sync::Notify;
 
-use crate::platform::{Read, Revision};
+use crate::platform::{Backend, Configuration, Peer, Read, Revision};
+
+pub mod client;
+pub mod published;
+pub mod query;
+pub mod server;
+pub mod wire;
+
+use client::Client;
+use published::Published;
 
 /// The platform's feeds.
 #[derive(Debug)]
@@ -18,6 +30,12 @@
     pub backends: Follower,
     /// The list of entry hosts. Hosts do not report to each other how far they have read it.
     pub peers: Follower,
+    /// The configuration, for hosts that follow this one.
+    pub published_configuration: Published<Rc<Configuration>>,
+    /// The list of backend servers, for hosts that follow this one.
+    pub published_backends: Published<Backend>,
+    /// The list of entry hosts, for hosts that follow this one.
+    pub published_peers: Published<Peer>,
 }
 
 /// Read progress of one feed, and the signals that cancel a call waiting for its changes.
@@ -34,6 +52,14 @@
     wait: Duration,
     /// Who monitors the most recent call.
     stuck_detection: Cell<StuckDetection>,
+    /// Chooses where to read the feed.
+    pub selector: RefCell<Selector>,
+    /// Reads the feed at other hosts.
+    pub client: Client,
+    /// The host that is being asked, if the feed is read at another host.
+    pub asked_host: Cell<Option<HostKey>>,
+    /// Where the feed was read last, for the log.
+    pub read_at: RefCell<String>,
 }
 
 /// Who detects that a feed is stuck.
@@ -52,7 +78,7 @@
     Behind,
     /// another call was lost before the platform answered again
     Outage,
-    /// the hosts that monitor the feed are no longer in contact
+    /// the hosts that monitor or deliver the feed are no longer in contact
     PeersLost,
     /// the store was restored from a copy
     Restored,
@@ -109,6 +135,9 @@
             configuration: Follower::new(Feeds::CONFIGURATION_WAIT),
             backends: Follower::new(Feeds::BACKENDS_WAIT),
             peers: Follower::new(Feeds::PEERS_WAIT),
+            published_configuration: Published::default(),
+            published_backends: Published::default(),
+            published_peers: Published::default(),
         }
     }
 }
@@ -126,6 +155,10 @@
             possibly_stale: Notify::new(),
             wait,
             stuck_detection: Cell::new(StuckDetection::Local),
+            selector: RefCell::default(),
+            client: Client::default(),
+            asked_host: Cell::new(None),
+            read_at: RefCell::default(),
         }
     }
 
@@ -186,6 +219,15 @@
         }
     }
 
+    /// Cancels the call to another host if that host is not among `relays`, the hosts in contact
+    /// that may be asked.
+    pub fn check_asked_host(&self, relays: &[HostKey]) {
+        let is_lost = |host: HostKey| !relays.contains(&host);
+        if self.asked_host.get().is_some_and(is_lost) {
+            self.peers_lost.notify_waiters();
+        }
+    }
+
     /// Returns the result of `call`, unless it is cancelled because it may never return.
     pub async fn run_cancellable<T>(&self, call: impl Future<Output = T>) -> WaitOutcome<T> {
         tokio::select! {
--- /dev/null
+++ b/crates/proxy/src/feeds/published.rs
@@ -0,0 +1,270 @@
+//! A feed as this host serves it to others.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+
+use hyper::body::Bytes;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+
+use super::query::Query;
+use super::wire::{Answer, Item, WireEntry};
+use crate::platform::{Change, Entry, Error, Read, Revision};
+
+/// What was read of a list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Batch<T> {
+    /// The complete list.
+    Snapshot(Vec<Entry<T>>),
+    /// The changes since the last read.
+    Changes(Vec<Change<T>>),
+}
+
+impl<T> Batch<T> {
+    /// Returns the entries that were read, without those that were removed.
+    pub fn into_entries(self) -> Vec<Entry<T>> {
+        match self {
+            Batch::Snapshot(entries) => entries,
+            Batch::Changes(changes) => {
+                let entries = changes.into_iter().filter_map(|change| match change {
+                    Change::Put(value) => Some(Ok(value)),
+                    Change::Unusable(unusable) => Some(Err(unusable)),
+                    Change::Removed(_) => None,
+                });
+                entries.collect()
+            }
+        }
+    }
+}
+
+/// Where this host reads a feed, as far as others may rely on it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// At another host, or nowhere yet.
+    #[default]
+    NotFollowed,
+    /// At the store, which has answered the last call.
+    Followed,
+    /// At the store, which has not answered the last call.
+    Outage,
+}
+
+/// A list as it was read, for other hosts that follow this one.
+#[derive(Debug)]
+pub struct Published<T> {
+    list: RefCell<List<T>>,
+    /// Notifies held answers of changes of the list and of the standing.
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct List<T> {
+    entries: BTreeMap<String, Entry<T>>,
+    /// Revision up to which the list is complete.
+    as_of: Revision,
+    /// Revision that contains the newest change of the list.
+    changed: Revision,
+    /// Revision of the newest change, as reported by the store.
+    newest: Option<Revision>,
+    standing: Standing,
+    /// The answer with the whole list, until the next change.
+    encoded: Option<Bytes>,
+}
+
+impl<T> Default for Published<T> {
+    fn default() -> Published<T> {
+        Published {
+            list: RefCell::new(List {
+                entries: BTreeMap::new(),
+                as_of: Revision::default(),
+                changed: Revision::default(),
+                newest: None,
+                standing: Standing::default(),
+                encoded: None,
+            }),
+            changed: Notify::new(),
+        }
+    }
+}
+
+impl<T: Item> Published<T> {
+    /// Records what was read.
+    pub fn record(&self, read: &Read<Batch<T>>, standing: Standing) {
+        let has_changed = self.list.borrow_mut().record(read);
+        if has_changed {
+            self.changed.notify_waiters();
+        }
+        self.set_standing(standing);
+    }
+
+    /// Records what was read of a table that holds versions of a single value. A version that
+    /// cannot be used does not replace the newest one that can.
+    pub fn record_versions(&self, read: &Read<Vec<Entry<T>>>, standing: Standing) {
+        let mut list = self.list.borrow_mut();
+        let before = list.entries.clone();
+        for entry in &read.value {
+            if entry.is_ok() {
+                list.entries.clear();
+            }
+            list.entries.insert(key(entry).to_owned(), entry.clone());
+        }
+        let has_changed = list.entries != before;
+        list.advance(read.revision, read.newest, has_changed);
+        drop(list);
+        self.changed.notify_waiters();
+        self.set_standing(standing);
+    }
+
+    /// Sets where this host reads the feed, and answers the calls that wait for changes.
+    pub fn set_standing(&self, standing: Standing) {
+        let before = std::mem::replace(&mut self.list.borrow_mut().standing, standing);
+        if before != standing {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Records that the store has not answered a call for the list.
+    pub fn record_failure(&self, error: &Error) {
+        // A lost history is no outage: the whole list is read next.
+        if *error != Error::HistoryGone {
+            self.set_standing(Standing::Outage);
+        }
+    }
+
+    /// Returns the changes that lead from this list to the list of `entries`.
+    pub fn changes_to(&self, entries: Vec<Entry<T>>) -> Vec<Change<T>> {
+        let list = self.list.borrow();
+        let named: BTreeSet<&str> = entries.iter().map(key).collect();
+        let gone = list
+            .entries
+            .keys()
+            .filter(|id| !named.contains(id.as_str()));
+        let mut changes: Vec<Change<T>> = gone.cloned().map(Change::Removed).collect();
+        let new = entries
+            .into_iter()
+            .filter(|entry| list.entries.get(key(entry)) != Some(entry));
+        changes.extend(new.map(Change::from));
+        changes
+    }
+
+    /// Answers `query`, after waiting for a change if there is none.
+    pub async fn answer(&self, query: &Query) -> Bytes {
+        let deadline = Instant::now() + query.wait;
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Registers before the list is read, so that no change in between is missed.
+            changed.as_mut().enable();
+            if let Some(answer) = self.list.borrow_mut().answer(query) {
+                return answer;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = sleep_until(deadline) => return self.list.borrow().answer_unchanged(query),
+            }
+        }
+    }
+}
+
+impl<T: Item> List<T> {
+    /// Records what was read. Returns whether the list has changed.
+    fn record(&mut self, read: &Read<Batch<T>>) -> bool {
+        let has_changed = match &read.value {
+            Batch::Snapshot(entries) => {
+                let entries = entries.iter();
+                let entries = entries.map(|entry| (key(entry).to_owned(), entry.clone()));
+                let before = std::mem::replace(&mut self.entries, entries.collect());
+                before != self.entries
+            }
+            Batch::Changes(changes) => {
+                changes.iter().for_each(|change| self.apply(change));
+                !changes.is_empty()
+            }
+        };
+        self.advance(read.revision, read.newest, has_changed);
+        has_changed
+    }
+
+    fn apply(&mut self, change: &Change<T>) {
+        match change {
+            Change::Put(value) => {
+                let id = value.key().to_owned();
+                self.entries.insert(id, Ok(value.clone()));
+            }
+            Change::Unusable(unusable) => {
+                let id = unusable.id.clone();
+                self.entries.insert(id, Err(unusable.clone()));
+            }
+            Change::Removed(id) => {
+                self.entries.remove(id);
+            }
+        }
+    }
+
+    fn advance(&mut self, as_of: Revision, newest: Option<Revision>, has_changed: bool) {
+        let is_new_epoch = as_of.epoch() != self.as_of.epoch();
+        self.as_of = as_of;
+        self.newest = newest.or(self.newest.filter(|_| !is_new_epoch));
+        if has_changed || is_new_epoch {
+            // What a list has lost since the last complete read has no revision of its own.
+            self.changed = as_of;
+            self.encoded = None;
+        }
+    }
+
+    /// Returns the answer to `query`, or `None` if it has to wait.
+    fn answer(&mut self, query: &Query) -> Option<Bytes> {
+        let is_former = self.as_of.epoch() < query.after.epoch();
+        let is_behind = query.whole && self.as_of < query.after;
+        if self.standing == Standing::NotFollowed || is_former || is_behind {
+            return Some(encode::<T>(&Answer::NotFollowed));
+        }
+        if query.whole || self.changed > query.after {
+            return Some(self.whole());
+        }
+        match (self.standing, query.recovering) {
+            (Standing::Outage, false) => Some(encode::<T>(&Answer::Outage)),
+            // An answer to a call that waits for the end of an outage reports that end.
+            (Standing::Followed, true) => Some(self.answer_unchanged(query)),
+            _ => None,
+        }
+    }
+
+    /// Returns the answer to `query` if nothing has changed.
+    fn answer_unchanged(&self, query: &Query) -> Bytes {
+        match self.standing {
+            Standing::NotFollowed => encode::<T>(&Answer::NotFollowed),
+            Standing::Outage => encode::<T>(&Answer::Outage),
+            Standing::Followed => {
+                let revision = self.as_of.max(query.after).0;
+                encode::<T>(&Answer::Unchanged { revision })
+            }
+        }
+    }
+
+    fn whole(&mut self) -> Bytes {
+        let encoded = self.encoded.take();
+        let encoded = encoded.unwrap_or_else(|| {
+            let entries = self.entries.values().map(WireEntry::from).collect();
+            encode::<T>(&Answer::List {
+                revision: self.as_of.0,
+                newest: self.newest.map(|newest| newest.0),
+                entries,
+            })
+        });
+        self.encoded = Some(encoded.clone());
+        encoded
+    }
+}
+
+fn key<T: Item>(entry: &Entry<T>) -> &str {
+    match entry {
+        Ok(value) => value.key(),
+        Err(unusable) => &unusable.id,
+    }
+}
+
+fn encode<T: Item>(answer: &Answer<T::Wire>) -> Bytes {
+    // Encoding into memory cannot fail for these types; an empty answer cannot be decoded.
+    Bytes::from(postcard::to_stdvec(answer).unwrap_or_default())
+}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -28,11 +28,13 @@
 mod incarnations;
 mod peers;
 mod placement;
+mod relays;
 mod restored;
 mod teams;
 mod unusable_entries;
 
 pub use placement::{ServingHost, rendezvous_hash};
+pub use relays::{Relay, feeds_address, relay_order};
 pub use teams::Grantor;
 use unusable_entries::{CONFIGURATION, SERVERS, backend_id};
 
@@ -224,7 +226,7 @@
     }
 
     /// Puts `configuration` in force if it is newer than the one in force.
-    pub fn adopt(&self, configuration: Configuration, took: Duration) {
+    pub fn adopt(&self, configuration: Rc<Configuration>, took: Duration) {
         let before = self.version();
         if configuration.version <= before {
             return;
@@ -236,7 +238,7 @@
             routes: configuration.routes.len(),
             millis: took.as_millis(),
         });
-        *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+        *self.configuration.borrow_mut() = Some(configuration);
         self.reported_faults.borrow_mut().clear_table(CONFIGURATION);
         invariant::check(Invariant::UpwardConfiguration, version > before, || {
             format!("version {version} after {before}")
@@ -406,6 +408,7 @@
         let detection = self.stuck_detection();
         self.feeds.configuration.check_stuck(detection, now);
         self.feeds.backends.check_stuck(detection, now);
+        self.check_asked_hosts();
     }
 
     /// Reports whether the fleet is small enough for all hosts to exchange heartbeats.
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -19,7 +19,8 @@
 use crate::codec::Codec;
 use crate::election::Election;
 use crate::event::Event;
-use crate::fleet::Fleet;
+use crate::feeds::server;
+use crate::fleet::{Fleet, feeds_address};
 use crate::peer::Socket;
 use crate::platform::{Peer, Platform};
 use crate::probe;
@@ -179,6 +180,8 @@
     .log();
     serve_metrics(settings.metrics).await;
 
+    serve_feeds(socket.address()?, &site, &fleet).await;
+
     let election = Rc::new(Election::new(
         Rc::clone(&site),
         Rc::clone(&fleet),
@@ -358,10 +361,29 @@
     }
 }
 
+/// Serves feeds to other hosts on the port after `messages`, or logs why that is not possible: other
+/// hosts then read them elsewhere.
+async fn serve_feeds<C: Codec>(messages: SocketAddr, site: &Site, fleet: &Fleet<C>) {
+    let Some(address) = feeds_address(messages) else {
+        return;
+    };
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            tokio::task::spawn_local(server::serve(listener, Rc::clone(&fleet.feeds)));
+        }
+        Err(error) => site.log(&Event::FeedsUnserved {
+            address: address.to_string(),
+            error: error.to_string(),
+        }),
+    }
+}
+
 /// Serves metrics on `address`, or logs why that is not possible.
 async fn serve_metrics(address: SocketAddr) {
     match TcpListener::bind(address).await {
         Ok(listener) => {
+            // The settings may leave the choice of the port to the system.
+            let address = listener.local_addr().unwrap_or(address);
             Daemon::Listening { address }.log();
             tokio::task::spawn_local(probe::serve(listener, |path| match path {
                 "/metrics" => (StatusCode::OK, metrics::render()),
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -81,6 +81,31 @@
         .increment(1);
 }
 
+/// Outcome of a request for a feed to another host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayedRead {
+    /// The host has delivered changes.
+    Changed,
+    /// The host has reported that there are no changes.
+    Unchanged,
+    /// The host cannot read the store.
+    Outage,
+    /// The host has delivered nothing usable.
+    Failed,
+}
+
+/// Counts a request for `feed` to another host.
+pub fn relayed_read(feed: &'static str, outcome: RelayedRead) {
+    let outcome = match outcome {
+        RelayedRead::Changed => "changed",
+        RelayedRead::Unchanged => "unchanged",
+        RelayedRead::Outage => "outage",
+        RelayedRead::Failed => "failed",
+    };
+    metrics::counter!("flamingopost_relayed_reads_total", "feed" => feed, "outcome" => outcome)
+        .increment(1);
+}
+
 /// Returns the metric label of an error code.
 fn error_label(code: Code) -> &'static str {
     match code {
--- a/crates/proxy/src/poll_state.rs
+++ b/crates/proxy/src/poll_state.rs
@@ -47,6 +47,9 @@
     table: &'static str,
     /// Revision up to which everything was read, or `None` if the whole table has to be read.
     read_up_to: Option<Revision>,
+    /// Revision up to which everything was read at last, also if the whole table has to be read
+    /// again.
+    last_read: Option<Revision>,
     /// Whether the last call was answered, so that the next one may wait.
     may_wait: bool,
     last_call_at: Duration,
@@ -114,6 +117,7 @@
         PollState {
             table,
             read_up_to: None,
+            last_read: None,
             may_wait: false,
             last_call_at: now,
             last_answer_at: now,
@@ -141,6 +145,7 @@
     /// Records that everything up to `after` was read. Returns the outage that this ends, if any.
     pub fn answered(&mut self, after: Revision, now: Duration) -> Option<Outage> {
         self.read_up_to = Some(after);
+        self.last_read = Some(after);
         self.may_wait = true;
         self.last_answer_at = now;
         self.next_pause = MIN_BACKOFF;
@@ -151,6 +156,30 @@
         })
     }
 
+    /// Returns the revision up to which everything was read at last, and whether the whole table has
+    /// to be read again.
+    pub fn last_read(&self) -> (Revision, bool) {
+        let last_read = self.last_read.unwrap_or_default();
+        (last_read, self.read_up_to.is_none())
+    }
+
+    /// Records that another host has delivered everything up to `after`. The next call to the
+    /// platform does not wait, since the answers of other hosts do not tell whether it answers. An
+    /// outage that this host has noticed is no longer observed.
+    pub fn relayed(&mut self, after: Revision, now: Duration) {
+        self.read_up_to = Some(after);
+        self.last_read = Some(after);
+        self.may_wait = false;
+        self.last_answer_at = now;
+        self.next_pause = MIN_BACKOFF;
+        self.outage = None;
+    }
+
+    /// Reports whether the platform has not answered the last call.
+    pub fn is_in_outage(&self) -> bool {
+        self.outage.is_some()
+    }
+
     /// Records that a waiting call was cancelled because of `reason`.
     pub fn cancelled(&mut self, reason: CancelReason) {
         match reason {
--- a/crates/proxy/src/team.rs
+++ b/crates/proxy/src/team.rs
@@ -71,6 +71,30 @@
         directory
     }
 
+    /// Creates a directory from the teams by the digests of their API keys, the limits of teams,
+    /// and the teams that metrics name.
+    pub fn from_parts(
+        by_key: BTreeMap<Digest, String>,
+        limits: BTreeMap<String, Limit>,
+        named: BTreeSet<String>,
+    ) -> Directory {
+        Directory {
+            by_key,
+            limits,
+            named,
+        }
+    }
+
+    /// Returns the digests of all API keys, and the team of each.
+    pub fn keys(&self) -> impl Iterator<Item = (&Digest, &str)> {
+        self.by_key.iter().map(|(key, team)| (key, team.as_str()))
+    }
+
+    /// Returns the teams that metrics name.
+    pub fn named(&self) -> &BTreeSet<String> {
+        &self.named
+    }
+
     /// Returns the name of the team whose API key has this digest.
     pub fn find(&self, key: &Digest) -> Option<&str> {
         self.by_key.get(key).map(String::as_str)
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -7,14 +7,19 @@
 use crate::codec::Codec;
 use crate::election::Election;
 use crate::event::Event;
-use crate::feeds::{CancelReason, StuckDetection, WaitOutcome};
+use crate::feeds::published::{Batch, Standing};
+use crate::feeds::query::Table;
+use crate::feeds::{CancelReason, Follower, StuckDetection, WaitOutcome};
 use crate::fleet::Fleet;
 use crate::meter;
-use crate::platform::{
-    Backend, Change, Configuration, Entry, Error, Peer, Platform, Read, Revision,
-};
+use crate::platform::{Backend, Configuration, Entry, Error, Peer, Platform, Read, Revision};
 use crate::poll_state::{MIN_BACKOFF, PollFailure, PollRequest, PollState};
 use crate::site::Site;
+use tokio::sync::Notify;
+
+mod relayed;
+
+use relayed::ReadFrom;
 
 /// How long after a failed read the list of servers may be incomplete.
 const LIST_DISTRUST_AFTER_FAILURE: Duration = Duration::from_millis(1_500);
@@ -34,6 +39,11 @@
 /// the list is known. This is many times the duration of a call.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Longest time for which the lists of servers and hosts wait for the configuration to be answered
+/// before they call the store themselves. Only a store that refuses the configuration alone makes
+/// them wait as long.
+const MAX_PROBE_WAIT: Duration = Duration::from_secs(10);
+
 /// Follows the lists in the platform's store.
 pub struct Watch<C: Codec, P> {
     site: Rc<Site>,
@@ -42,16 +52,14 @@
     election: Rc<Election<C, P>>,
     /// When the list of servers last could not be read.
     servers_failed_at: Cell<Option<Duration>>,
-    /// Whether the store has acknowledged this host's entry.
-    announced: Cell<bool>,
-}
-
-/// The result of reading one of the lists.
-enum Batch<T> {
-    /// The complete list.
-    Snapshot(Vec<Entry<T>>),
-    /// The changes since the last read.
-    Changes(Vec<Change<T>>),
+    /// Whether the list of servers cannot be read at present, as far as this host knows.
+    servers_unreadable: Cell<bool>,
+    /// Whether the store has not answered the last call for the configuration.
+    configuration_failing: Cell<bool>,
+    /// Notifies the feeds that wait for the store to answer the call for the configuration.
+    configuration_answered: Notify,
+    /// Revision of this host's entry that the store has acknowledged.
+    announced: Cell<Option<Revision>>,
 }
 
 impl<C: Codec, P: Platform> Watch<C, P> {
@@ -68,85 +76,105 @@
             platform,
             election,
             servers_failed_at: Cell::new(None),
-            announced: Cell::new(false),
+            servers_unreadable: Cell::new(false),
+            configuration_failing: Cell::new(false),
+            configuration_answered: Notify::new(),
+            announced: Cell::new(None),
         }
     }
 
     /// Reports whether the list of servers may lack entries of running servers.
     pub fn may_miss_servers(&self) -> bool {
         let now = self.site.now();
-        self.servers_failed_at
-            .get()
-            .is_some_and(|at| now < at + LIST_DISTRUST_AFTER_FAILURE)
+        let failed_at = self.servers_failed_at.get();
+        let failed = failed_at.is_some_and(|at| now < at + LIST_DISTRUST_AFTER_FAILURE);
+        failed || self.servers_unreadable.get()
     }
 
     /// Follows the configuration, forever.
     pub async fn follow_configuration(self: Rc<Self>) {
         let feed = &self.fleet.feeds.configuration;
-        let mut poll = PollState::new("configuration", self.site.now());
+        let published = &self.fleet.feeds.published_configuration;
+        let mut poll = PollState::new(Table::Configuration.name(), self.site.now());
         loop {
             let asked = self.site.now();
-            let read = match poll.next_request(asked) {
-                PollRequest::All => WaitOutcome::Answered(self.platform.configuration().await),
-                PollRequest::Changes(after) => {
-                    let call = self.platform.next_configuration(after, Duration::ZERO);
-                    WaitOutcome::Answered(call.await)
-                }
-                PollRequest::LongPoll(after) => {
-                    let wait = feed.max_wait(self.fleet.stuck_detection());
-                    let call = self.platform.next_configuration(after, wait);
-                    feed.run_cancellable(call).await
-                }
-            };
-            match read {
-                WaitOutcome::Answered(Ok(read)) => {
-                    if !self.record_answer(&mut poll, read.revision).await {
+            let read = match self.read_from(feed, &poll) {
+                ReadFrom::Store => match self.read_configuration(&mut poll).await {
+                    WaitOutcome::Answered(Ok(read)) => {
+                        if !self.record_answer(&mut poll, feed, read.revision).await {
+                            continue;
+                        }
+                        let read = read.map(|it| it.into_iter().map(|it| it.map(Rc::new)));
+                        let read = read.map(Iterator::collect);
+                        published.record_versions(&read, Standing::Followed);
+                        read
+                    }
+                    WaitOutcome::Answered(Err(error)) => {
+                        published.record_failure(&error);
+                        self.record_failure(&mut poll, Some(feed), &error).await;
+                        continue;
+                    }
+                    WaitOutcome::Cancelled(doubt) => {
+                        self.record_cancellation(&mut poll, doubt);
                         continue;
                     }
-                    self.apply_configurations(read.value, self.site.now().saturating_sub(asked));
-                    // The list of servers may have arrived first, and its next answer may take
-                    // seconds. Until then no host would replace the primary of a service that is
-                    // new here.
-                    self.election.start_new_services();
-                    let version = self.fleet.version();
-                    feed.record_read(version, Some(version));
+                },
+                ReadFrom::Host(request) => {
+                    self.release_probe_waits();
+                    let read = self.read_relayed(feed, published, &mut poll, request);
+                    let Some(read) = read.await else {
+                        continue;
+                    };
+                    let read = read.map(Batch::into_entries);
+                    published.record_versions(&read, Standing::NotFollowed);
+                    read
                 }
-                WaitOutcome::Answered(Err(error)) => self.record_failure(&mut poll, &error).await,
-                WaitOutcome::Cancelled(doubt) => self.record_cancellation(&mut poll, doubt),
-            }
+            };
+            self.apply_configurations(read.value, self.site.now().saturating_sub(asked));
+            // The list of servers may have arrived first, and its next answer may take seconds.
+            // Until then no host would replace the primary of a service that is new here.
+            self.election.start_new_services();
+            let version = self.fleet.version();
+            feed.record_read(version, Some(version));
         }
     }
 
     /// Follows the list of servers, forever.
     pub async fn follow_servers(self: Rc<Self>) {
         let feed = &self.fleet.feeds.backends;
-        let mut poll = PollState::new("servers", self.site.now());
+        let published = &self.fleet.feeds.published_backends;
+        let mut poll = PollState::new(Table::Servers.name(), self.site.now());
         loop {
-            let read = match poll.next_request(self.site.now()) {
-                PollRequest::All => WaitOutcome::Answered(self.read_servers().await),
-                PollRequest::Changes(after) => {
-                    WaitOutcome::Answered(self.read_server_changes(after, Duration::ZERO).await)
-                }
-                PollRequest::LongPoll(after) => {
-                    let wait = feed.max_wait(self.fleet.stuck_detection());
-                    feed.run_cancellable(self.read_server_changes(after, wait))
-                        .await
-                }
-            };
-            match read {
-                WaitOutcome::Answered(Ok(read)) => {
-                    if !self.record_answer(&mut poll, read.revision).await {
-                        continue;
+            match self.read_from(feed, &poll) {
+                ReadFrom::Store => match self.read_servers(&mut poll).await {
+                    WaitOutcome::Answered(Ok(read)) => {
+                        if !self.record_answer(&mut poll, feed, read.revision).await {
+                            continue;
+                        }
+                        published.record(&read, Standing::Followed);
+                        self.apply_servers(read);
+                        self.delay_in_large_fleet(SERVER_CHANGE_DELAY).await;
+                    }
+                    WaitOutcome::Answered(Err(error)) => {
+                        published.record_failure(&error);
+                        self.servers_failed_at.set(Some(self.site.now()));
+                        self.record_failure(&mut poll, Some(feed), &error).await;
+                    }
+                    WaitOutcome::Cancelled(doubt) => self.record_cancellation(&mut poll, doubt),
+                },
+                ReadFrom::Host(request) => {
+                    let is_recovering = request.recovering;
+                    self.servers_unreadable.set(is_recovering);
+                    let read = self.read_relayed(feed, published, &mut poll, request).await;
+                    self.servers_unreadable.set(false);
+                    if is_recovering {
+                        self.servers_failed_at.set(Some(self.site.now()));
+                    }
+                    if let Some(read) = read {
+                        published.record(&read, Standing::NotFollowed);
+                        self.apply_servers(read);
                     }
-                    self.apply_servers(read);
-                    self.election.start_new_services();
-                    self.delay_in_large_fleet(SERVER_CHANGE_DELAY).await;
-                }
-                WaitOutcome::Answered(Err(error)) => {
-                    self.servers_failed_at.set(Some(self.site.now()));
-                    self.record_failure(&mut poll, &error).await;
                 }
-                WaitOutcome::Cancelled(doubt) => self.record_cancellation(&mut poll, doubt),
             }
         }
     }
@@ -154,33 +182,100 @@
     /// Announces this host and follows the list of other hosts, forever.
     pub async fn follow_hosts(self: Rc<Self>, own: Peer) {
         let feed = &self.fleet.feeds.peers;
-        let mut poll = PollState::new("hosts", self.site.now());
+        let published = &self.fleet.feeds.published_peers;
+        let mut poll = PollState::new(Table::Hosts.name(), self.site.now());
         let (watch, announcing) = (Rc::clone(&self), own.clone());
         let announced = tokio::task::spawn_local(async move { watch.announce(&announcing).await });
         // If the store is healthy, one call then returns this host's entry as well.
         let _ = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         loop {
-            let read = match poll.next_request(self.site.now()) {
-                PollRequest::All => WaitOutcome::Answered(self.read_hosts().await),
-                PollRequest::Changes(after) => {
-                    WaitOutcome::Answered(self.read_host_changes(after, Duration::ZERO).await)
-                }
-                PollRequest::LongPoll(after) => {
-                    let wait = feed.max_wait(StuckDetection::Local);
-                    feed.run_cancellable(self.read_host_changes(after, wait))
-                        .await
-                }
-            };
-            match read {
-                WaitOutcome::Answered(Ok(read)) => {
-                    if !self.record_answer(&mut poll, read.revision).await {
-                        continue;
+            match self.read_from(feed, &poll) {
+                ReadFrom::Store => match self.read_hosts(&mut poll).await {
+                    WaitOutcome::Answered(Ok(read)) => {
+                        if !self.record_answer(&mut poll, feed, read.revision).await {
+                            continue;
+                        }
+                        published.record(&read, Standing::Followed);
+                        self.apply_hosts(read, &own);
+                        self.delay_in_large_fleet(HOST_CHANGE_DELAY).await;
+                    }
+                    WaitOutcome::Answered(Err(error)) => {
+                        published.record_failure(&error);
+                        self.record_failure(&mut poll, Some(feed), &error).await;
+                    }
+                    WaitOutcome::Cancelled(doubt) => self.record_cancellation(&mut poll, doubt),
+                },
+                ReadFrom::Host(request) => {
+                    let read = self.read_relayed(feed, published, &mut poll, request);
+                    if let Some(read) = read.await {
+                        published.record(&read, Standing::NotFollowed);
+                        self.apply_hosts(read, &own);
                     }
-                    self.apply_hosts(read, &own);
-                    self.delay_in_large_fleet(HOST_CHANGE_DELAY).await;
                 }
-                WaitOutcome::Answered(Err(error)) => self.record_failure(&mut poll, &error).await,
-                WaitOutcome::Cancelled(doubt) => self.record_cancellation(&mut poll, doubt),
+            }
+        }
+    }
+
+    /// Makes the next call to the store for the configuration.
+    async fn read_configuration(
+        &self,
+        poll: &mut PollState,
+    ) -> WaitOutcome<Result<Read<Vec<Entry<Configuration>>>, Error>> {
+        let feed = &self.fleet.feeds.configuration;
+        match poll.next_request(self.site.now()) {
+            PollRequest::All => WaitOutcome::Answered(self.platform.configuration().await),
+            PollRequest::Changes(after) => {
+                let call = self.platform.next_configuration(after, Duration::ZERO);
+                WaitOutcome::Answered(call.await)
+            }
+            PollRequest::LongPoll(after) => {
+                let wait = feed.max_wait(self.fleet.stuck_detection());
+                let call = self.platform.next_configuration(after, wait);
+                feed.run_cancellable(call).await
+            }
+        }
+    }
+
+    /// Makes the next call to the store for the list of servers.
+    async fn read_servers(
+        &self,
+        poll: &mut PollState,
+    ) -> WaitOutcome<Result<Read<Batch<Backend>>, Error>> {
+        let feed = &self.fleet.feeds.backends;
+        match poll.next_request(self.site.now()) {
+            PollRequest::All => {
+                let read = self.platform.backends().await;
+                WaitOutcome::Answered(read.map(|read| read.map(Batch::Snapshot)))
+            }
+            PollRequest::Changes(after) => {
+                WaitOutcome::Answered(self.read_server_changes(after, Duration::ZERO).await)
+            }
+            PollRequest::LongPoll(after) => {
+                let wait = feed.max_wait(self.fleet.stuck_detection());
+                feed.run_cancellable(self.read_server_changes(after, wait))
+                    .await
+            }
+        }
+    }
+
+    /// Makes the next call to the store for the list of hosts.
+    async fn read_hosts(
+        &self,
+        poll: &mut PollState,
+    ) -> WaitOutcome<Result<Read<Batch<Peer>>, Error>> {
+        let feed = &self.fleet.feeds.peers;
+        match poll.next_request(self.site.now()) {
+            PollRequest::All => {
+                let read = self.platform.peers().await;
+                WaitOutcome::Answered(read.map(|read| read.map(Batch::Snapshot)))
+            }
+            PollRequest::Changes(after) => {
+                WaitOutcome::Answered(self.read_host_changes(after, Duration::ZERO).await)
+            }
+            PollRequest::LongPoll(after) => {
+                let wait = feed.max_wait(StuckDetection::Local);
+                feed.run_cancellable(self.read_host_changes(after, wait))
+                    .await
             }
         }
     }
@@ -193,10 +288,10 @@
                 Ok(token) => {
                     self.site.log(&Event::Announced { token: token.0 });
                     self.election.reserve_token(token);
-                    self.announced.set(true);
+                    self.announced.set(Some(token.revision()));
                     return;
                 }
-                Err(error) => self.record_failure(&mut poll, &error).await,
+                Err(error) => self.record_failure(&mut poll, None, &error).await,
             }
         }
     }
@@ -209,12 +304,6 @@
         }
     }
 
-    /// Reads the complete list of servers.
-    async fn read_servers(&self) -> Result<Read<Batch<Backend>>, Error> {
-        let read = self.platform.backends().await?;
-        Ok(read.map(Batch::Snapshot))
-    }
-
     /// Waits up to `wait` for changes to the list of servers after `after`.
     async fn read_server_changes(
         &self,
@@ -234,12 +323,7 @@
                 .into_iter()
                 .for_each(|it| self.fleet.apply_server_change(it)),
         }
-    }
-
-    /// Reads the complete list of entry hosts.
-    async fn read_hosts(&self) -> Result<Read<Batch<Peer>>, Error> {
-        let read = self.platform.peers().await?;
-        Ok(read.map(Batch::Snapshot))
+        self.election.start_new_services();
     }
 
     /// Waits up to `wait` for changes to the list of entry hosts after `after`.
@@ -257,7 +341,7 @@
         match read.value {
             Batch::Snapshot(entries) => {
                 if !entries.iter().flatten().any(|peer| peer.host == own.host) {
-                    self.announce_again(own);
+                    self.announce_again(own, read.revision);
                 }
                 self.fleet.apply_host_list(entries);
             }
@@ -265,15 +349,21 @@
         }
     }
 
-    /// Announces this host again, because the store no longer has its entry.
+    /// Announces this host again, because the list as of `read` lacks its entry.
     ///
     /// Guards against a majority that is counted without this host, by hosts that start after the
     /// store was restored from a backup older than the announcement.
-    fn announce_again(self: &Rc<Self>, own: &Peer) {
-        // The first announcement may still be in flight.
-        if !self.announced.replace(false) {
+    fn announce_again(self: &Rc<Self>, own: &Peer, read: Revision) {
+        // The first announcement may still be in flight, and another host may have read the list
+        // before it.
+        if self
+            .announced
+            .get()
+            .is_none_or(|announced| read < announced)
+        {
             return;
         }
+        self.announced.set(None);
         let (watch, own) = (Rc::clone(self), own.clone());
         tokio::task::spawn_local(async move { watch.announce(&own).await });
     }
@@ -281,7 +371,7 @@
     /// Applies configurations in the order in which they were written. A configuration that cannot
     /// be read is skipped and never replaces a readable one. It is not requested again, since the
     /// answer would be the same.
-    fn apply_configurations(&self, configurations: Vec<Entry<Configuration>>, took: Duration) {
+    fn apply_configurations(&self, configurations: Vec<Entry<Rc<Configuration>>>, took: Duration) {
         for configuration in configurations {
             match configuration {
                 Ok(configuration) => self.fleet.adopt(configuration, took),
@@ -292,14 +382,23 @@
 
     /// Records that everything up to `revision` was read. Returns whether the answer is valid: it
     /// is not if its epoch is over, and then this pauses before the next call.
-    async fn record_answer(&self, poll: &mut PollState, revision: Revision) -> bool {
+    async fn record_answer(
+        &self,
+        poll: &mut PollState,
+        feed: &Follower,
+        revision: Revision,
+    ) -> bool {
         let what = poll.table();
         meter::platform_call(what, true);
+        if what == Table::Configuration.name() {
+            self.release_probe_waits();
+        }
         if !self.fleet.observe_epoch(revision.epoch()) {
             self.record_cancellation(poll, CancelReason::FormerEpoch);
             tokio::time::sleep(MIN_BACKOFF).await;
             return false;
         }
+        feed.selector.borrow_mut().record_store_answer();
         if let Some(outage) = poll.answered(revision, self.site.now()) {
             self.site.log(&Event::StoreBack {
                 what,
@@ -328,11 +427,15 @@
         poll.cancelled(doubt);
     }
 
-    /// Records and logs a failed call, then pauses before the next one.
-    async fn record_failure(&self, poll: &mut PollState, error: &Error) {
+    /// Records and logs a failed call, then pauses before the next one, unless the feed is read at
+    /// another host next.
+    async fn record_failure(&self, poll: &mut PollState, feed: Option<&Follower>, error: &Error) {
         let what = poll.table();
         meter::platform_call(what, false);
         self.fleet.record_failed_read();
+        if let Some(feed) = feed {
+            feed.selector.borrow_mut().record_store_failure();
+        }
         let pause = match poll.failed(error, self.site.now()) {
             PollFailure::HistoryGone { pause } => {
                 self.site.log(&Event::HistoryGone { what });
@@ -353,6 +456,40 @@
             }
             PollFailure::OutageContinues { pause } => pause,
         };
+        if feed.is_some_and(|feed| self.is_read_at_host(feed)) {
+            return;
+        }
+        let is_probe = what == Table::Configuration.name();
+        match error {
+            Error::HistoryGone if is_probe => self.release_probe_waits(),
+            _ if is_probe => self.configuration_failing.set(true),
+            _ => {}
+        }
+        let waits_for_probe = *error != Error::HistoryGone && feed.is_some() && !is_probe;
+        if waits_for_probe && self.configuration_failing.get() && !self.fleet.is_small() {
+            return self.wait_for_configuration(what).await;
+        }
         tokio::time::sleep(pause).await;
     }
+
+    /// Waits until the store has answered the call for the configuration. During an outage only
+    /// that call is repeated, and the other feeds of this host wait for it.
+    async fn wait_for_configuration(&self, what: &'static str) {
+        let is_servers = what == Table::Servers.name();
+        self.servers_unreadable
+            .set(is_servers || self.servers_unreadable.get());
+        let answered = self.configuration_answered.notified();
+        let _ = tokio::time::timeout(MAX_PROBE_WAIT, answered).await;
+        if is_servers {
+            self.servers_unreadable.set(false);
+            self.servers_failed_at.set(Some(self.site.now()));
+        }
+    }
+
+    /// Lets the feeds that wait for the configuration to be answered call the store themselves.
+    fn release_probe_waits(&self) {
+        if self.configuration_failing.replace(false) {
+            self.configuration_answered.notify_waiters();
+        }
+    }
 }
