--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -147,7 +147,7 @@
     let promotion = Duration::from_millis(300);
     let site = Site::new(own.host, own.zone, promotion, clock);
     let fleet = Fleet::new(Rc::new(site));
-    fleet.adopt(configuration(1, 56), Duration::ZERO);
+    fleet.adopt(configuration(1, 56).into(), Duration::ZERO);
     fleet.apply_server_list(server_list(4));
     fleet
 }
--- a/crates/proxy/tests/placement.rs
+++ b/crates/proxy/tests/placement.rs
@@ -88,7 +88,7 @@
         let narrow = serving(&fleet, 0, &name).expect("crowded");
         assert!(narrow.len() < before.len(), "{narrow:?}");
         fleet.apply_server_list(server_list(32));
-        fleet.adopt(configuration(2, 200), Duration::ZERO);
+        fleet.adopt(configuration(2, 200).into(), Duration::ZERO);
         assert_eq!(serving(&fleet, 0, &name), None, "room for all");
     });
 }
