Lower shares with the limit at hosts that are cut off

The account now lowers its share by the same factor when the limit in force at its host falls. What accounts lend moves into a file of its own.

--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -4,7 +4,11 @@
 
 use super::average::Average;
 use super::retry::RetryTimes;
-use super::{ANSWER_TIMEOUT, Grant, OPERATION_LIFETIME, Request, SHARE_LIFETIME, Share};
+use super::{ANSWER_TIMEOUT, Grant, Limit, OPERATION_LIFETIME, Request, SHARE_LIFETIME, Share};
+
+mod loan;
+
+pub use loan::Loan;
 
 /// Interval between requests while callers ask for operations, by which shares follow the demand.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -31,13 +35,6 @@
 /// Time for which operations are requested ahead.
 const PREFETCH: Duration = Duration::from_millis(400);
 
-/// Shortest remaining lifetime of granted operations that are lent. Less would end on the way.
-const MIN_LENT_LIFETIME: Duration = Duration::from_millis(40);
-
-/// How long operations may be used that were lent from a share. Callers wait for them, so it only
-/// has to cover the way, and [`OPERATION_LIFETIME`] is the most.
-const SHARE_LOAN_LIFETIME: Duration = Duration::from_millis(200);
-
 /// Whether an operation may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -55,27 +52,6 @@
     },
 }
 
-/// What an account lends to another host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Loan {
-    /// These operations, which may be none.
-    Lent {
-        /// Number of operations.
-        operations: u32,
-        /// End of their lifetime.
-        until: Duration,
-        /// Time until there is another one, if there are fewer than needed.
-        retry_after: Duration,
-    },
-    /// It has to wait for an answer of the grantor, until this time at the longest.
-    Wait {
-        /// Time at which to ask again if no answer has arrived.
-        until: Duration,
-    },
-    /// There is neither contact with the grantor nor a share.
-    Unavailable,
-}
-
 /// What this host may use of the limit of one team.
 ///
 /// ```
@@ -100,6 +76,8 @@
 #[derive(Debug)]
 pub struct Account {
     incarnation: u64,
+    /// The limit in force, once it is known.
+    limit: Option<Limit>,
     /// Operations granted and not yet used, with the end of their lifetime.
     granted: Vec<(u32, Duration)>,
     /// Number of operations that have expired so far.
@@ -134,6 +112,7 @@
     pub fn new(incarnation: u64, now: Duration) -> Account {
         Account {
             incarnation,
+            limit: None,
             granted: Vec::new(),
             expired: 0,
             share: Share::default(),
@@ -151,6 +130,16 @@
         }
     }
 
+    /// Sets the limit in force. The share falls with it: the grantor may not be heard, and the shares
+    /// of all hosts together would exceed the lower limit.
+    pub fn set_limit(&mut self, limit: Limit) {
+        let former = self.limit.replace(limit).unwrap_or(limit);
+        let part = |new: u32, old: u32| (f64::from(new) / f64::from(old.max(1))).min(1.0);
+        self.share.rate *= part(limit.per_second, former.per_second);
+        self.share.burst *= part(limit.burst, former.burst);
+        self.share_tokens = self.share_tokens.min(self.share.burst.max(1.0));
+    }
+
     /// Returns the share of this host.
     pub fn share(&self) -> Share {
         self.share
@@ -204,66 +193,6 @@
         self.admit_from_share(now)
     }
 
-    /// Takes operations that another host may use: `needed` for which callers wait there, and
-    /// `ahead` more if they are granted already.
-    pub fn lend(
-        &mut self,
-        needed: u32,
-        ahead: u32,
-        contact: Option<Duration>,
-        now: Duration,
-    ) -> Loan {
-        self.expire(now);
-        let (mut operations, mut until) = (0, now + OPERATION_LIFETIME);
-        let most = needed.saturating_add(ahead);
-        let lasting = self.granted.iter_mut();
-        for (count, end) in lasting.filter(|(_, end)| *end >= now + MIN_LENT_LIFETIME) {
-            let taken = (*count).min(most - operations);
-            if taken > 0 {
-                *count -= taken;
-                operations += taken;
-                until = until.min(*end);
-            }
-        }
-        self.granted.retain(|(count, _)| *count > 0);
-        let mut retry_after = Duration::ZERO;
-        let share_used_from = self.share_used_from(contact, now);
-        if operations < needed && now < share_used_from {
-            if now < self.exhausted_until {
-                retry_after = self.exhausted_until - now;
-            } else if operations == 0 {
-                let until = share_used_from;
-                return Loan::Wait { until };
-            }
-        } else if operations < needed && !self.has_share(now) {
-            if operations == 0 {
-                return Loan::Unavailable;
-            }
-        } else {
-            while operations < needed && retry_after.is_zero() {
-                match self.take_from_share(now) {
-                    Ok(()) => {
-                        operations += 1;
-                        until = until.min(now + SHARE_LOAN_LIFETIME);
-                    }
-                    Err(wait) => retry_after = wait.max(Duration::from_millis(1)),
-                }
-            }
-        }
-        Loan::Lent {
-            operations,
-            until,
-            retry_after,
-        }
-    }
-
-    /// Reports whether there is neither contact with the grantor, nor a share, nor an operation
-    /// that was granted before.
-    pub fn is_unavailable(&self, contact: Option<Duration>, now: Duration) -> bool {
-        let holds = self.granted.iter().any(|(_, until)| now < *until);
-        !holds && now >= self.share_used_from(contact, now) && !self.has_share(now)
-    }
-
     /// Returns from when on the share is used unless an answer arrives.
     fn share_used_from(&self, contact: Option<Duration>, now: Duration) -> Duration {
         let contact = contact.max(self.answered_at);
--- a/crates/core/tests/limit/main.rs
+++ b/crates/core/tests/limit/main.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use flamingopost_core::limit::{
-    ANSWER_TIMEOUT, Account, Admission, Grant, OPERATION_LIFETIME, SHARE_LIFETIME, Share,
+    ANSWER_TIMEOUT, Account, Admission, Grant, Limit, OPERATION_LIFETIME, SHARE_LIFETIME, Share,
 };
 
 mod grantor;
@@ -159,6 +159,24 @@
     assert_eq!(account.admit(None, later + ms(3)), Admission::Admitted);
 }
 
+/// Guards against hosts that use shares of a former, higher limit while they do not hear the grantor
+/// (seed 1005862 of the model: 61 operations too many).
+#[test]
+fn a_lowered_limit_lowers_the_share() {
+    let mut account = Account::new(1, ms(0));
+    let limit = |per_second| Limit {
+        per_second,
+        burst: per_second,
+    };
+    account.set_limit(limit(100));
+    let grant = answer(&mut account, 0, 40.0, ms(0));
+    account.record_grant(&grant, ms(3));
+    account.set_limit(limit(25));
+    assert_eq!(account.share(), share(10.0));
+    account.set_limit(limit(50));
+    assert_eq!(account.share(), share(10.0), "only the grantor raises it");
+}
+
 /// Guards against the traffic of requests for teams that nobody calls for any more.
 #[test]
 fn an_unused_account_gives_up_its_share_and_falls_silent() {
--- a/crates/core/tests/limit/model.rs
+++ b/crates/core/tests/limit/model.rs
@@ -315,11 +315,13 @@
         quorum.set_elector(host < electors);
         quorum.set_hosts(others.map(|it| self.keys[it]).collect(), self.now);
         let incarnation = self.rng.random();
+        let mut account = Account::new(incarnation, self.now);
+        account.set_limit(limit);
         Host {
             start,
             running: true,
             paused: false,
-            account: Account::new(incarnation, self.now),
+            account,
             waiting: 0,
             borrower: Borrower::new(incarnation, self.now),
             borrowing: 0,
@@ -367,6 +369,7 @@
 
     fn configure(&mut self, host: usize, limit: Limit) {
         self.hosts[host].limit = limit;
+        self.hosts[host].account.set_limit(limit);
         if let Some(grantor) = &mut self.hosts[host].grantor {
             grantor.set_limit(limit);
         }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -258,7 +258,7 @@
             self.apply_server_change(Change::Put(backend));
         }
         self.allot_connections();
-        self.forget_teams();
+        self.apply_limits();
     }
 
     /// Applies a complete list of servers. Servers that are not in it count as missing.
--- a/crates/proxy/src/fleet/teams.rs
+++ b/crates/proxy/src/fleet/teams.rs
@@ -1,6 +1,6 @@
 //! Teams: who may call, how much each may ask, and which hosts grant it.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use flamingopost_core::digest::Digest;
@@ -63,16 +63,19 @@
         Some(teams.label(&self.site.client_name(team)).to_owned())
     }
 
-    /// Forgets the limits of teams that the configuration no longer limits.
-    pub(super) fn forget_teams(&self) {
+    /// Applies the limits of the configuration, and forgets the teams that it no longer limits.
+    pub(super) fn apply_limits(&self) {
         let configuration = self.configuration();
         let teams = configuration.as_ref().and_then(|it| it.teams.as_ref());
-        let limited = teams.into_iter().flat_map(|it| it.limited_teams());
-        let limited: BTreeSet<TeamKey> = limited.map(|name| self.site.team(name)).collect();
-        self.limits.retain(&limited);
+        let limited = teams.into_iter().flat_map(|teams| {
+            let names = teams.limited_teams();
+            names.filter_map(|name| Some((self.site.team(name), teams.limit(name)?)))
+        });
+        let limited: BTreeMap<TeamKey, Limit> = limited.collect();
+        self.limits.set_limits(&limited);
         self.sources
             .borrow_mut()
-            .retain(|team, _| limited.contains(team));
+            .retain(|team, _| limited.contains_key(team));
     }
 
     /// Returns the hosts that may grant operations of the team called `name`, in the order in which
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -2,7 +2,7 @@
 //! hosts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use flamingopost_core::key::{HostKey, TeamKey};
@@ -34,6 +34,8 @@
     pub incarnation: u64,
     accounts: RefCell<BTreeMap<TeamKey, TeamAccount>>,
     grantors: RefCell<BTreeMap<TeamKey, Grantor>>,
+    /// The limits in force.
+    in_force: RefCell<BTreeMap<TeamKey, Limit>>,
     /// The hosts that lend to this one.
     lenders: RefCell<Lenders>,
     /// Silent lenders that are to be asked whether they answer.
@@ -103,6 +105,7 @@
             incarnation: rand::random(),
             accounts: RefCell::default(),
             grantors: RefCell::default(),
+            in_force: RefCell::default(),
             lenders: RefCell::default(),
             probes: RefCell::default(),
             has_asked: Cell::new(false),
@@ -161,9 +164,13 @@
         change: impl FnOnce(&mut TeamAccount) -> T,
     ) -> T {
         let mut accounts = self.accounts.borrow_mut();
-        let account = accounts
-            .entry(team)
-            .or_insert_with(|| TeamAccount::new(self.incarnation, now));
+        let account = accounts.entry(team).or_insert_with(|| {
+            let mut created = TeamAccount::new(self.incarnation, now);
+            if let Some(limit) = self.in_force.borrow().get(&team) {
+                created.account.set_limit(*limit);
+            }
+            created
+        });
         change(account)
     }
 
@@ -259,12 +266,18 @@
         }
     }
 
-    /// Forgets the teams that are not in `teams`.
-    pub fn retain(&self, teams: &BTreeSet<TeamKey>) {
+    /// Applies the limits of `teams` and forgets all other teams.
+    pub fn set_limits(&self, teams: &BTreeMap<TeamKey, Limit>) {
+        self.in_force.replace(teams.clone());
         let mut accounts = self.accounts.borrow_mut();
-        accounts.retain(|team, it| it.waiting > 0 || it.borrowing > 0 || teams.contains(team));
+        accounts.retain(|team, it| it.waiting > 0 || it.borrowing > 0 || teams.contains_key(team));
+        for (team, it) in accounts.iter_mut() {
+            if let Some(limit) = teams.get(team) {
+                it.account.set_limit(*limit);
+            }
+        }
         let mut grantors = self.grantors.borrow_mut();
-        grantors.retain(|team, _| teams.contains(team));
+        grantors.retain(|team, _| teams.contains_key(team));
     }
 }
 
