Wait for the electors before the first waiting call at the store

A host that has just started followed the store until its first heartbeat was acknowledged, with waiting calls that it gave up a moment later. It now waits up to a second after its start for that.

--- a/crates/proxy/src/fleet/relays.rs
+++ b/crates/proxy/src/fleet/relays.rs
@@ -76,6 +76,12 @@
         relays.into_iter().map(|(_, relay)| relay).collect()
     }
 
+    /// Reports whether this host would read feeds at electors if it were in contact with them.
+    pub fn lacks_electors(&self) -> bool {
+        let quorum = self.quorum.borrow();
+        !self.is_small() && !quorum.is_elector() && !quorum.holds_lease(self.site.now())
+    }
+
     /// Reports whether `host` has answered a recent heartbeat.
     fn is_in_contact(&self, host: HostKey, now: Duration) -> bool {
         let answered = self.quorum.borrow().answered_at(host);
--- a/crates/proxy/src/poll_state.rs
+++ b/crates/proxy/src/poll_state.rs
@@ -163,6 +163,11 @@
         (last_read, self.read_up_to.is_none())
     }
 
+    /// Reports whether the table was read.
+    pub fn has_read(&self) -> bool {
+        self.read_up_to.is_some()
+    }
+
     /// Records that another host has delivered everything up to `after`. The next call to the
     /// platform does not wait, since the answers of other hosts do not tell whether it answers. An
     /// outage that this host has noticed is no longer observed.
@@ -175,11 +180,6 @@
         self.outage = None;
     }
 
-    /// Reports whether the platform has not answered the last call.
-    pub fn is_in_outage(&self) -> bool {
-        self.outage.is_some()
-    }
-
     /// Records that a waiting call was cancelled because of `reason`.
     pub fn cancelled(&mut self, reason: CancelReason) {
         match reason {
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -50,6 +50,8 @@
     fleet: Rc<Fleet<C>>,
     platform: Rc<P>,
     election: Rc<Election<C, P>>,
+    /// When this host started.
+    started_at: Duration,
     /// When the list of servers last could not be read.
     servers_failed_at: Cell<Option<Duration>>,
     /// Whether the list of servers cannot be read at present, as far as this host knows.
@@ -71,6 +73,7 @@
         election: Rc<Election<C, P>>,
     ) -> Watch<C, P> {
         Watch {
+            started_at: site.now(),
             site,
             fleet,
             platform,
@@ -97,6 +100,7 @@
         let published = &self.fleet.feeds.published_configuration;
         let mut poll = PollState::new(Table::Configuration.name(), self.site.now());
         loop {
+            self.wait_for_electors(&poll).await;
             let asked = self.site.now();
             let read = match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_configuration(&mut poll).await {
@@ -145,6 +149,7 @@
         let published = &self.fleet.feeds.published_backends;
         let mut poll = PollState::new(Table::Servers.name(), self.site.now());
         loop {
+            self.wait_for_electors(&poll).await;
             match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_servers(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
@@ -189,6 +194,7 @@
         // If the store is healthy, one call then returns this host's entry as well.
         let _ = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         loop {
+            self.wait_for_electors(&poll).await;
             match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_hosts(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
--- a/crates/proxy/src/watch/relayed.rs
+++ b/crates/proxy/src/watch/relayed.rs
@@ -21,6 +21,13 @@
 /// store may answer that one.
 const RECOVERY_WAIT: Duration = Duration::from_secs(4);
 
+/// How long after its start a host waits for the first answers of the electors before it follows
+/// the store. Every host would otherwise make waiting calls there that it gives up a moment later.
+const ELECTOR_CONTACT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Interval between checks for those answers, which take one round trip after the list of hosts.
+const ELECTOR_CONTACT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Name of the store in the log.
 const STORE: &str = "the store";
 
@@ -42,6 +49,15 @@
 }
 
 impl<C: Codec, P: Platform> Watch<C, P> {
+    /// Waits after the first read of a host in a large fleet until electors are in contact. A host
+    /// that has just started, and has read the whole list, misses changes for that long.
+    pub(super) async fn wait_for_electors(&self, poll: &PollState) {
+        let until = self.started_at + ELECTOR_CONTACT_TIMEOUT;
+        while poll.has_read() && self.fleet.lacks_electors() && self.site.now() < until {
+            tokio::time::sleep(ELECTOR_CONTACT_INTERVAL).await;
+        }
+    }
+
     /// Chooses where `feed` is read next.
     pub(super) fn read_from(&self, feed: &Follower, poll: &PollState) -> ReadFrom {
         let relays = self.fleet.relays();
