Wait once for a better candidate than an empty former primary

The only candidate had led an earlier term and reported that one. Elections passed it over for 10 s, as a replaced primary whose log may end with writes that a change has dropped. It then qualified as the last server left, and the wait of 10 s for a server with a log began with that inquiry, since inquiries that find no candidate end and start anew. The two waits add up to 20 s.

The time for which inquiries about the same term have passed over the same server now counts for that wait. It begins with the first inquiry in which this server has reported, so a server that is listed or answers late gains nothing from the wait for another one, and servers with a log have had the full time of a restart. A pause of the process, a new term or a primary that is well again ends it.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -29,7 +29,7 @@
 pub use inquiry::{
     DIVIDED_DELAY, MINORITY_DELAY, OBJECTION_TIMEOUT, REPORT_AGE_MAX, RETURN_TIMEOUT,
 };
-use inquiry::{Decision, Inquiry};
+use inquiry::{Decision, Inquiry, PassedOver};
 use leader_history::LeaderHistory;
 pub use prior_orders::PriorOrders;
 pub use promotion_timer::PromotionTimer;
@@ -93,6 +93,8 @@
     /// Whether the current change rests on this host's turn alone, without a claim in the store
     /// that excludes other hosts.
     without_claim: bool,
+    /// The server that the last inquiries have passed over.
+    passed_over: Option<PassedOver>,
 }
 
 /// An order without an answer, which the platform may still carry out.
@@ -301,6 +303,7 @@
         }
         if view.trouble.is_none() {
             self.leaving_since = None;
+            self.passed_over = None;
         }
         let may_lack_servers = self.may_lack_servers(view, now);
         if let Some(inquiry) = self.inquiry_mut() {
@@ -344,6 +347,7 @@
     pub fn resume_after_pause(&mut self, now: Duration) {
         if !matches!(self.phase, Phase::Ordering { .. }) {
             self.phase = Phase::Watching;
+            self.passed_over = None;
             self.retry_at = now + INQUIRY_TIMEOUT;
         }
     }
@@ -395,12 +399,14 @@
             return self.replace_leaving(view, now);
         }
         self.leaving_since = None;
+        let passed_over = self.passed_over.take();
         self.phase = Phase::Inquiring(Inquiry {
             cause: Some(trouble),
             term: view.term,
             started_at: now,
             deadline: now + INQUIRY_TIMEOUT,
             servers_asked_at: now,
+            passed_over: passed_over.filter(|it| it.is_of_term(view.term)),
             ..Inquiry::default()
         });
         vec![NextStep::AskHosts, NextStep::AskServers]
@@ -573,6 +579,7 @@
                 vec![NextStep::AskHosts, NextStep::AskServers]
             }
             None if timed_out => {
+                self.passed_over = inquiry.passed_over(view, now);
                 self.retry_at = now + INQUIRY_BACKOFF;
                 Vec::new()
             }
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -56,6 +56,19 @@
     pub(super) unconfirmed: BTreeSet<ServerKey>,
     /// Whether servers that this host does not know may have the service's log.
     pub(super) may_lack_servers: bool,
+    /// The server that earlier inquiries of this term have passed over.
+    pub(super) passed_over: Option<PassedOver>,
+}
+
+/// A server with the longest log that was not promoted, because it was replaced and has not followed
+/// its successor.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PassedOver {
+    server: ServerKey,
+    /// The term whose primary is missed.
+    term: Term,
+    /// When the first of the inquiries that have passed it over began.
+    since: Duration,
 }
 
 /// The result of an inquiry.
@@ -176,6 +189,28 @@
         now >= self.started_at + RETURN_TIMEOUT
     }
 
+    /// Returns the server that this inquiry passes over if it promotes none. The time counts from the
+    /// first inquiry in a row that has passed over the same server; one that it does not answer is no
+    /// reason to wait again.
+    pub(super) fn passed_over(&self, view: &View, now: Duration) -> Option<PassedOver> {
+        let Some(server) = self.longest_log(view, now, |_, _| true) else {
+            return self.passed_over;
+        };
+        let earlier = self.passed_over.filter(|it| it.server == server);
+        Some(earlier.unwrap_or(PassedOver {
+            server,
+            term: self.term,
+            since: self.started_at,
+        }))
+    }
+
+    /// Reports whether `server` was passed over for so long that a better one had the time of a
+    /// restart.
+    fn was_passed_over_for_long(&self, server: ServerKey, now: Duration) -> bool {
+        let earlier = self.passed_over.filter(|it| it.server == server);
+        earlier.is_some_and(|it| now >= it.since + RETURN_TIMEOUT)
+    }
+
     fn count(&self, opinion: Opinion) -> usize {
         self.opinions.values().filter(|it| **it == opinion).count()
     }
@@ -238,6 +273,9 @@
     ///
     /// A leaving server may be the only one with the log, so an empty server waits for its report
     /// too. It is gone after some seconds, so it waits for every server that stays.
+    ///
+    /// The time for which the same server was passed over counts: a better one has had it to report.
+    /// Guards against two waits in a row, in which a service had no primary for 20 s.
     pub(super) fn may_find_better(
         &self,
         view: &View,
@@ -251,7 +289,7 @@
         if report.has_empty_log() && (self.any_has_log(view, now) || self.may_lack_servers) {
             return true;
         }
-        if self.is_overdue(now) {
+        if self.is_overdue(now) || self.was_passed_over_for_long(best, now) {
             return false;
         }
         if self.has_majority(view) && self.is_outclassed(report, view, now) {
@@ -400,6 +438,13 @@
     leaving.filter(move |_| !primary_leaves)
 }
 
+impl PassedOver {
+    /// Reports whether the server was passed over in inquiries about the primary of `term`.
+    pub(super) fn is_of_term(&self, term: Term) -> bool {
+        self.term == term
+    }
+}
+
 impl Report {
     /// Reports whether the log is empty. Its position may carry the newest term all the same, and
     /// would then compare greater than every log that ends in an older one.
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -93,6 +93,16 @@
         until: Duration,
     ) -> Option<(ServerKey, Duration)> {
         self.view.trouble = Some(Trouble::Refuses { since: from });
+        self.miss_primary(reports, from, until)
+    }
+
+    /// Does the same for a primary that has failed before.
+    fn miss_primary(
+        &mut self,
+        reports: &[(ServerKey, Report)],
+        from: Duration,
+        until: Duration,
+    ) -> Option<(ServerKey, Duration)> {
         let mut now = from;
         while now < until {
             let mut steps = self.succession.step(&self.view, now);
@@ -578,6 +588,65 @@
     assert_eq!(server, Some(setup.servers[1]), "{ordered:?}");
 }
 
+/// A service whose last primary has come back without its log and still claims to lead, and whose
+/// former primary has an empty log and has not followed it. Returns the reports of both.
+fn setup_with_an_empty_former_primary() -> (Setup, [(ServerKey, Report); 2]) {
+    let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
+    setup.view.candidates.remove(&setup.servers[2]);
+    setup.view.synchronous = false;
+    setup.succession.step(&setup.view, ms(200));
+    setup.observe_successor(ms(400));
+    setup.view.leader = None;
+    setup.view.distrusted = BTreeSet::from([setup.servers[1]]);
+    setup.view.newest_position = position(2, 29);
+    setup.view.required_positions = BTreeMap::from([(setup.servers[0], position(2, 0))]);
+    let claims_to_lead = Report {
+        role: Role::Primary,
+        ..replica(2, position(2, 0))
+    };
+    let reports = [
+        (setup.servers[0], replica(1, position(1, 0))),
+        (setup.servers[1], claims_to_lead),
+    ];
+    (setup, reports)
+}
+
+/// Guards against a service without a primary for 20 s. Its only candidate was passed over for 10 s as
+/// a replaced primary that does not follow its successor, and then waited for a server with a log for
+/// another 10 s.
+#[test]
+fn an_empty_former_primary_is_promoted_after_one_wait() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(10_900)), None);
+    let ordered = setup.miss_primary(&reports, ms(10_900), ms(12_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(setup.servers[0]), "{ordered:?}");
+}
+
+/// Guards against the loss of the whole log: an empty server that is listed late must not profit from
+/// the wait for another one.
+#[test]
+fn an_empty_server_that_is_listed_late_is_not_promoted_at_once() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    let silent = &reports[1..];
+    assert_eq!(setup.fail_primary(silent, ms(1_000), ms(12_000)), None);
+    let late = setup.servers[2];
+    setup.view.candidates.insert(late);
+    setup.view.required_positions.insert(late, position(2, 29));
+    let reports = [reports[1], (late, replica(2, position(2, 0)))];
+    assert_eq!(setup.miss_primary(&reports, ms(12_000), ms(21_000)), None);
+}
+
+/// Guards against the loss of the whole log: an empty former primary that was down for long must not
+/// be promoted as soon as it answers, as a server with the log may come back with it.
+#[test]
+fn an_empty_former_primary_that_answers_late_is_not_promoted_at_once() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    let silent = &reports[1..];
+    assert_eq!(setup.fail_primary(silent, ms(1_000), ms(12_000)), None);
+    assert_eq!(setup.miss_primary(&reports, ms(12_000), ms(21_000)), None);
+}
+
 /// A service whose primary has failed, a replica that has lost its log, and one that is about to
 /// leave and has the whole log.
 fn setup_with_an_empty_and_a_leaving_replica() -> (Setup, [(ServerKey, Report); 2]) {
