Add flamingopostctl metrics

Operators who have no collector at hand could not see what a host of the pooled data path has rejected: flamingopostctl read only the operators' API, and log lines are suppressed under load. The new subcommand reads a host's metrics address, which needs no token and gets none, and shows as tables or JSON: rejections by reason, service, team and contact, most frequent first; operations of teams admitted and over the limit, with the mean time until that was decided; statements by database and outcome; connections opened by service.

The workspace has no parser of the metrics' text format, so exposition.rs reads its sample lines. An answer that is not of that format fails and names the first such line.

crates/ctl/tests: three tests of the command, and its name in those of the help and of wrong usage.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -29,7 +29,8 @@
 #[derive(Debug)]
 pub struct Client {
     address: String,
-    token: String,
+    /// Absent for requests that need none.
+    token: Option<String>,
     http: reqwest::Client,
     runtime: Runtime,
 }
@@ -57,6 +58,21 @@
             Some(path) => fs::read_to_string(&path).map_err(|source| Error::file(&path, source))?,
             None => env::var("FLAMINGOPOST_TOKEN").map_err(|_| Error::NoToken)?,
         };
+        Client::with_token(address, Some(token.trim().to_owned()))
+    }
+
+    /// Creates a client of the metrics at `address`, which are served without a token. Defaults to
+    /// `FLAMINGOPOST_METRICS`. Nothing is sent yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is missing, or the HTTP client or its runtime cannot be created.
+    pub fn open_metrics(address: Option<String>) -> Result<Client, Error> {
+        let address = address.or_else(|| env::var("FLAMINGOPOST_METRICS").ok());
+        Client::with_token(address.ok_or(Error::NoMetricsAddress)?, None)
+    }
+
+    fn with_token(address: String, token: Option<String>) -> Result<Client, Error> {
         let http = reqwest::Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
             .timeout(REQUEST_TIMEOUT)
@@ -69,7 +85,7 @@
             .map_err(Error::Output)?;
         Ok(Client {
             address,
-            token: token.trim().to_owned(),
+            token,
             http,
             runtime,
         })
@@ -109,6 +125,23 @@
         self.send(request, path)
     }
 
+    /// Sends a GET request for `path` and returns the body as text.
+    pub fn get_text(&self, path: &str) -> Result<String, Error> {
+        let request = self.http.get(self.url(path)?.0);
+        let (status, body) = self.exchange(request)?;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let (address, path) = (self.address.clone(), path.to_owned());
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::NOT_FOUND => Err(Error::NotFound { address, path }),
+            _ => Err(Error::Unexpected {
+                address,
+                status: status.as_u16(),
+                body,
+            }),
+        }
+    }
+
     fn url(&self, path: &str) -> Result<Url, Error> {
         let text = format!("http://{}{path}", self.address);
         match reqwest::Url::parse(&text) {
@@ -125,8 +158,17 @@
         request: RequestBuilder,
         path: &str,
     ) -> Result<Reply<T>, Error> {
-        let request = request.bearer_auth(&self.token);
-        let (status, body) = self.runtime.block_on(async {
+        let (status, body) = self.exchange(request)?;
+        self.decode_reply(status, &body, path)
+    }
+
+    /// Sends `request` and returns the status and the body of the response.
+    fn exchange(&self, request: RequestBuilder) -> Result<(StatusCode, Vec<u8>), Error> {
+        let request = match &self.token {
+            Some(token) => request.bearer_auth(token),
+            None => request,
+        };
+        self.runtime.block_on(async {
             let response = request
                 .send()
                 .await
@@ -136,9 +178,8 @@
                 .bytes()
                 .await
                 .map_err(|error| self.send_error(&error))?;
-            Ok::<_, Error>((status, body))
-        })?;
-        self.decode_reply(status, &body, path)
+            Ok((status, body.to_vec()))
+        })
     }
 
     fn decode_reply<T: DeserializeOwned>(
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -16,7 +16,7 @@
     run: Run,
 }
 
-const COMMANDS: [Command; 10] = [
+const COMMANDS: [Command; 11] = [
     Command {
         name: "check",
         summary: "Check a configuration file",
@@ -52,6 +52,11 @@
         summary: "Show hosts, services and controllers",
         run: cmd::status::run,
     },
+    Command {
+        name: "metrics",
+        summary: "Show what an entry host has rejected, and its teams and connections",
+        run: cmd::metrics::run,
+    },
     Command {
         name: "drain",
         summary: "Drain an entry host or a backend server: it receives no new work",
@@ -82,6 +87,7 @@
 const HELP_FOOTER: &str = "
 ENVIRONMENT:
     FLAMINGOPOST_ADMIN   IP:PORT of a host's operators' HTTP API, used when --admin is not given
+    FLAMINGOPOST_METRICS IP:PORT of a host's metrics, used when --metrics is not given
     FLAMINGOPOST_TOKEN   the operators' token, used when --token-file is not given
 
 EXIT CODES:
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -19,6 +19,8 @@
     UnknownCommand(String),
     /// no address: give --admin IP:PORT or set FLAMINGOPOST_ADMIN
     NoAddress,
+    /// no address: give --metrics IP:PORT or set FLAMINGOPOST_METRICS
+    NoMetricsAddress,
     /// no token: give --token-file FILE or set FLAMINGOPOST_TOKEN
     NoToken,
     /// {path}: {source}
@@ -78,6 +80,13 @@
         /// Reason that the controller gives.
         reason: Ordered,
     },
+    /// {address} answered with metrics that cannot be read: {line}
+    Metrics {
+        /// Address that serves the metrics.
+        address: String,
+        /// The first line that cannot be read.
+        line: String,
+    },
     /// {address} answered {status}: {body}
     Unexpected {
         /// Address of the host's operators' HTTP API.
@@ -123,6 +132,7 @@
             Error::Usage(_)
             | Error::UnknownCommand(_)
             | Error::NoAddress
+            | Error::NoMetricsAddress
             | Error::NoToken
             | Error::AmbiguousName(_) => Error::USAGE,
             Error::Invalid(_) => Error::INVALID,
@@ -132,6 +142,7 @@
             Error::Unknown { .. } | Error::AnswerLost { .. } => Error::UNKNOWN,
             Error::File { .. }
             | Error::NotFound { .. }
+            | Error::Metrics { .. }
             | Error::Unexpected { .. }
             | Error::OrderRefused { .. }
             | Error::NotInConfiguration { .. }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,6 +6,7 @@
 mod cmd;
 mod command;
 mod error;
+mod exposition;
 mod output;
 
 fn main() -> ExitCode {
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -9,6 +9,7 @@
 
 pub mod fleet_tables;
 pub mod host_tables;
+pub mod metrics_tables;
 
 /// Returns an empty table with the column titles `headings`.
 pub fn table(headings: &[&str]) -> Table {
--- a/crates/ctl/tests/ctl/fake_host.rs
+++ b/crates/ctl/tests/ctl/fake_host.rs
@@ -19,6 +19,8 @@
 pub enum Answer {
     /// A response with this status and JSON body.
     Respond(u16, Value),
+    /// A successful response with this text.
+    Text(&'static str),
     /// The host accepts the request and the connection breaks before the body of the response.
     Disconnect,
 }
@@ -77,7 +79,10 @@
 async fn answer(request: HttpRequest, body: Bytes, state: Data<Mutex<State>>) -> HttpResponse {
     let header = request.headers().get("Authorization");
     let expected = format!("Bearer {TOKEN}");
-    if header.and_then(|value| value.to_str().ok()) != Some(expected.as_str()) {
+    let has_token = header.and_then(|value| value.to_str().ok()) == Some(expected.as_str());
+    // Hosts serve their metrics to anyone, so that no token may be sent there.
+    let is_public = request.path() == "/metrics";
+    if has_token == is_public {
         return HttpResponse::Unauthorized().finish();
     }
     let mut state = state.lock().expect("no panic");
@@ -90,6 +95,7 @@
             let status = StatusCode::from_u16(status).expect("a status");
             HttpResponse::build(status).json(body)
         }
+        Some(Answer::Text(text)) => HttpResponse::Ok().body(text),
         Some(Answer::Disconnect) => {
             let broken = Err::<Bytes, io::Error>(io::ErrorKind::ConnectionReset.into());
             HttpResponse::Ok().streaming(stream::iter([broken]))
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod fake_host;
 mod history;
+mod metrics;
 mod promote;
 mod show;
 mod status;
--- a/crates/ctl/tests/ctl/usage.rs
+++ b/crates/ctl/tests/ctl/usage.rs
@@ -5,9 +5,9 @@
 use crate::fake_host::FakeHost;
 use crate::workdir::Workdir;
 
-const COMMANDS: [&str; 10] = [
-    "check", "diff", "submit", "history", "show", "explain", "status", "drain", "promote",
-    "verifier",
+const COMMANDS: [&str; 11] = [
+    "check", "diff", "submit", "history", "show", "explain", "status", "metrics", "drain",
+    "promote", "verifier",
 ];
 
 #[test]
@@ -38,6 +38,7 @@
         &["check"],
         &["check", "--wrong", "x"],
         &["history"],
+        &["metrics"],
     ] {
         let run = workdir.run(args);
         assert_eq!(run.code, 2, "{args:?}");
--- a/crates/ctl/tests/ctl/workdir.rs
+++ b/crates/ctl/tests/ctl/workdir.rs
@@ -73,6 +73,7 @@
             .args(args)
             .current_dir(self.directory.path())
             .env_remove("FLAMINGOPOST_ADMIN")
+            .env_remove("FLAMINGOPOST_METRICS")
             .env_remove("FLAMINGOPOST_TOKEN")
             .env("USER", "asha")
             .stdin(Stdio::piped())
