Count rejected requests by reason, service, team and contact

A rejected request appeared only in log lines, of which at most 20 a second are written, and some rejections had none: without a configuration, for an unknown database, for a session that its serving host had ended, or for an invalid message.

flamingopost_rejections_total counts each rejection where it is made, with a reason of a closed enum (rejection::Reason), the service of the database, the team's label and whether the host holds its lease from a majority of the hosts. Labels are bounded: 17 reasons, the configured services, 20 teams and `other`, two states of contact. A relayed session is counted by the host that rejects, so that none counts twice; errors of servers that tell that a statement did not run count as well. Requests in doubt are no rejections and stay in flamingopost_statements_total.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -12,6 +12,7 @@
 use crate::event::Event;
 use crate::message::{Code, Query, Statement};
 use crate::meter::{self, Limited};
+use crate::rejection::Reason;
 use crate::session::Context;
 
 /// Name that stands for no team on a relayed session.
@@ -143,6 +144,7 @@
             millis,
             version: fleet.version(),
         });
+        self.count_rejection(Reason::TeamLimit);
         Err(Refusal {
             code: Code::Busy,
             reason: format!(
@@ -153,6 +155,11 @@
         })
     }
 
+    fn count_rejection(&self, reason: Reason) {
+        let Gate { database, team, .. } = self;
+        self.context.count_rejection(reason, database, *team);
+    }
+
     /// Looks up the caller's team again if the configuration has changed. The team of a key may
     /// change as well: a key that was removed may be given to another team.
     fn check_key(&mut self) -> Result<(), Refusal> {
@@ -177,6 +184,7 @@
                     digest,
                     version,
                 });
+                self.count_rejection(Reason::UnknownKey);
                 Err(Refusal {
                     code: Code::Unauthorized,
                     reason: "not run: no team has this API key".to_owned(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod platform;
 pub mod poll_state;
 pub mod probe;
+pub mod rejection;
 pub mod relay;
 pub mod reported_faults;
 pub mod route;
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
+use metrics::Label;
+
 use crate::message::Code;
+use crate::rejection::Reason;
 
 /// Outcome of a statement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,6 +60,30 @@
         .record(took.as_secs_f64());
 }
 
+/// Whether this host is in contact with a majority of the hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contact {
+    /// It is.
+    Majority,
+    /// It is not.
+    Minority,
+}
+
+/// Counts a rejected request for `service`, if it names one, of the team labelled `team`, if there is one.
+pub fn rejection(reason: Reason, service: Option<String>, team: Option<String>, contact: Contact) {
+    let contact = match contact {
+        Contact::Majority => "majority",
+        Contact::Minority => "minority",
+    };
+    let mut labels = vec![
+        Label::from_static_parts("reason", reason.label()),
+        Label::from_static_parts("contact", contact),
+    ];
+    labels.extend(service.map(|service| Label::new("service", service)));
+    labels.extend(team.map(|team| Label::new("team", team)));
+    metrics::counter!("flamingopost_rejections_total", labels).increment(1);
+}
+
 /// Counts a connection opened to a server of `service`.
 pub fn server_connected(service: &str) {
     metrics::counter!("flamingopost_server_connections_total", "service" => service.to_owned())
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::event::Event;
 use crate::gate::Gate;
 use crate::message::{Code, Command, Request, Transaction};
+use crate::rejection::Reason;
 use crate::server_connection::{self, Outcome, ServerConnection, Target};
 use crate::session::Context;
 
@@ -117,6 +118,9 @@
             // The other host may have ended the session while the statement waited to be admitted.
             // It has not been sent, so the caller can be told that it did not run.
             if self.peer.is_closed() {
+                let team = self.gate.team();
+                self.context
+                    .count_rejection(Reason::SessionEnded, &self.database, team);
                 self.caller.error(Code::Aborted, SESSION_ENDED);
                 self.caller.ready(Transaction::Idle, None);
                 break;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -18,7 +18,8 @@
 use crate::gate::{Gate, NO_TEAM};
 use crate::host::Stop;
 use crate::message::{Access, Code, Query, Request, Shape, Statement, Transaction};
-use crate::meter::StatementEnd;
+use crate::meter::{self, Contact, StatementEnd};
+use crate::rejection::Reason;
 use crate::relay::{self, Relay};
 use crate::server_connection::ServerConnection;
 use crate::site::Site;
@@ -54,6 +55,22 @@
     pub stop: Rc<Stop>,
 }
 
+impl<C: Codec> Context<C> {
+    /// Counts a rejected request of `team` on `database`.
+    pub fn count_rejection(&self, reason: Reason, database: &str, team: TeamKey) {
+        let route = self.fleet.route(database);
+        let service = route.map(|(_, service)| service.name.clone());
+        let in_contact = self
+            .fleet
+            .with_quorum(|quorum, now| quorum.holds_lease(now));
+        let contact = match in_contact {
+            true => Contact::Majority,
+            false => Contact::Minority,
+        };
+        meter::rejection(reason, service, self.fleet.team_label(team), contact);
+    }
+}
+
 /// One caller's session.
 pub struct Session<C: Codec> {
     context: Rc<Context<C>>,
@@ -127,17 +144,25 @@
             Ok(Ok(None)) | Err(_) => return Ok(()),
             Ok(Ok(Some(_))) => {
                 let reason = b"a session starts with the name of its database";
+                context.count_rejection(Reason::InvalidRequest, "", TeamKey::default());
                 caller.error(Code::Malformed, reason);
                 return caller.close().await;
             }
-            Ok(Err(error)) => return caller.reject(error).await,
+            Ok(Err(error)) => {
+                if let caller_connection::Error::Codec(_) = error {
+                    context.count_rejection(Reason::InvalidRequest, "", TeamKey::default());
+                }
+                return caller.reject(error).await;
+            }
         };
         let database = String::from_utf8_lossy(&database).into_owned();
         if context.fleet.version() == 0 {
+            context.count_rejection(Reason::NoConfiguration, &database, TeamKey::default());
             caller.error(Code::Busy, b"not run: this host has no configuration yet");
             return caller.close().await;
         }
         if context.fleet.route(&database).is_none() {
+            context.count_rejection(Reason::UnknownDatabase, &database, TeamKey::default());
             caller.error(Code::NoDatabase, b"there is no such database");
             return caller.close().await;
         }
@@ -183,13 +208,17 @@
                 Ok(event) => event,
                 Err(error) => {
                     self.abandon();
+                    if let caller_connection::Error::Codec(_) = error {
+                        self.count_rejection(Reason::InvalidRequest);
+                    }
                     return self.caller.reject(error).await;
                 }
             };
             let flow = match event {
                 SessionEvent::Request(Some(Request::Query(query))) => self.query(&query).await?,
                 SessionEvent::Request(Some(Request::Startup { .. })) => {
-                    self.refuse(Code::Malformed, b"the session has started already");
+                    let reason = b"the session has started already";
+                    self.refuse(Code::Malformed, Reason::InvalidRequest, reason);
                     Flow::Continue
                 }
                 SessionEvent::Request(Some(Request::Terminate) | None) | SessionEvent::Stop => {
@@ -250,7 +279,7 @@
             Statement::Run(access) => self.statement(query, *access, None).await,
             Statement::Execute { name, arguments } => {
                 let Some(shape) = self.caller_state.prepared(name).cloned() else {
-                    self.refuse(Code::NoStatement, b"no statement was prepared by this name");
+                    self.refuse_unprepared();
                     return Ok(Flow::Continue);
                 };
                 let prepared = Some((&shape, arguments));
@@ -266,9 +295,13 @@
             }
             Statement::Deallocate { name } => match self.caller_state.deallocate(name) {
                 true => self.acknowledge(),
-                false => self.refuse(Code::NoStatement, b"no statement was prepared by this name"),
+                false => self.refuse_unprepared(),
             },
-            Statement::Unknown => self.refuse(Code::Malformed, b"no such statement"),
+            Statement::Unknown => self.refuse(
+                Code::Malformed,
+                Reason::InvalidRequest,
+                b"no such statement",
+            ),
         }
         Ok(Flow::Continue)
     }
@@ -280,13 +313,16 @@
                 self.transaction = TransactionState::Begun(PendingTransaction { access, begun_at });
                 self.acknowledge();
             }
-            _ => self.refuse(Code::Malformed, b"a transaction is open already"),
+            _ => {
+                let reason = b"a transaction is open already";
+                self.refuse(Code::Malformed, Reason::InvalidRequest, reason)
+            }
         }
     }
 
     fn rollback(&mut self) {
         match std::mem::replace(&mut self.transaction, TransactionState::Idle) {
-            TransactionState::Idle => self.refuse(Code::Malformed, b"no transaction is open"),
+            TransactionState::Idle => self.refuse_outside_transaction(),
             TransactionState::Begun(_) | TransactionState::Failed => self.acknowledge(),
             TransactionState::Open(open) => {
                 open.roll_back();
@@ -297,9 +333,10 @@
 
     async fn commit(&mut self, query: &Query) {
         match std::mem::replace(&mut self.transaction, TransactionState::Idle) {
-            TransactionState::Idle => self.refuse(Code::Malformed, b"no transaction is open"),
+            TransactionState::Idle => self.refuse_outside_transaction(),
             TransactionState::Failed => {
-                self.refuse(Code::Aborted, b"the transaction was rolled back")
+                let reason = b"the transaction was rolled back";
+                self.refuse(Code::Aborted, Reason::TransactionFailed, reason)
             }
             TransactionState::Begun(begun) => {
                 self.first_statement(query, begun, Access::Read, None).await;
@@ -326,7 +363,8 @@
             }
             TransactionState::Failed => {
                 self.transaction = TransactionState::Failed;
-                self.refuse(Code::Malformed, b"the transaction has failed");
+                let reason = b"the transaction has failed";
+                self.refuse(Code::Malformed, Reason::TransactionFailed, reason);
             }
         }
     }
@@ -340,7 +378,7 @@
     ) {
         let arrived = self.context.site.now();
         let Some((route, _)) = self.context.fleet.route(&self.database) else {
-            self.refuse(Code::NoDatabase, b"there is no such database any more");
+            self.refuse_without_route();
             return;
         };
         let plan = Plan {
@@ -373,15 +411,15 @@
                 self.deliver(&outcome, Transaction::Idle, end, arrived);
                 connection.return_to_pool();
             }
-            StatementResult::NotRun(code, reason) => {
-                self.report_error(query, code, &reason, arrived)
+            StatementResult::NotRun(code, why, reason) => {
+                self.report_error(query, code, Some(why), &reason, arrived)
             }
             StatementResult::InDoubt(code, reason) => {
                 let code = match access {
                     Access::Read => code,
                     Access::Write => Code::InDoubt,
                 };
-                self.report_error(query, code, &reason, arrived);
+                self.report_error(query, code, None, &reason, arrived);
             }
         }
     }
--- a/crates/proxy/src/session/placement.rs
+++ b/crates/proxy/src/session/placement.rs
@@ -18,6 +18,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::{Access, Code, Query, Shape, Transaction};
+use crate::rejection::Reason;
 use crate::route::Route;
 use crate::server_connection::Outcome;
 use crate::service::{PooledConnection, Service};
@@ -61,6 +62,8 @@
     code: Code,
     run: Run,
     repeatable: bool,
+    /// Why the statement is rejected if it did not run and this was the last attempt.
+    rejection: Reason,
     reason: String,
 }
 
@@ -88,7 +91,7 @@
 pub(super) enum StatementResult<C: Codec> {
     Answered(Box<Answered<C>>),
     /// The statement did not run.
-    NotRun(Code, String),
+    NotRun(Code, Reason, String),
     /// The statement may have run.
     InDoubt(Code, String),
 }
@@ -151,7 +154,9 @@
         // The configuration may change while a statement waits for its next attempt.
         let Some((route, service)) = self.context.fleet.route(&self.database) else {
             let reason = "there is no such database any more".to_owned();
-            return AttemptResult::Final(StatementResult::NotRun(Code::NoDatabase, reason));
+            let rejection = Reason::UnknownDatabase;
+            let result = StatementResult::NotRun(Code::NoDatabase, rejection, reason);
+            return AttemptResult::Final(result);
         };
         let (need, mut connection) = match self.acquire(plan, &route, &service, avoid).await {
             Ok(acquired) => acquired,
@@ -349,9 +354,9 @@
             (Code::Busy, _) if error.is_none() => service.record_busy(server),
             _ => {}
         }
-        let reason = match error {
-            Some(error) => error.to_string(),
-            None => format!("{code:?}"),
+        let (rejection, reason) = match error {
+            Some(error) => (Reason::ConnectionLost, error.to_string()),
+            None => (Reason::of_server(code), format!("{code:?}")),
         };
         AttemptResult::Failed(FailedAttempt {
             service,
@@ -360,6 +365,7 @@
             code,
             run,
             repeatable,
+            rejection,
             reason,
         })
     }
@@ -371,11 +377,12 @@
             server,
             code,
             run,
+            rejection,
             reason,
             ..
         } = failed;
         match run {
-            Run::No => StatementResult::NotRun(code, reason),
+            Run::No => StatementResult::NotRun(code, rejection, reason),
             Run::Unknown | Run::Yes => {
                 self.log_in_doubt(query, &service, server, &reason, plan.arrived);
                 StatementResult::InDoubt(code, reason)
@@ -507,20 +514,24 @@
 
 /// Returns the refusal of a statement that needs the primary while this host has no lease.
 fn refuse_out_of_touch<C: Codec>() -> StatementResult<C> {
-    StatementResult::NotRun(Code::Busy, OUT_OF_TOUCH.to_owned())
+    StatementResult::NotRun(Code::Busy, Reason::OutOfContact, OUT_OF_TOUCH.to_owned())
 }
 
 fn unserved_result<C: Codec>(unserved: Unserved) -> StatementResult<C> {
     match unserved {
-        Unserved::Busy => {
-            StatementResult::NotRun(Code::Busy, "no connection was free in time".to_owned())
-        }
+        Unserved::Busy => StatementResult::NotRun(
+            Code::Busy,
+            Reason::NoConnection,
+            "no connection was free in time".to_owned(),
+        ),
         Unserved::NoPrimary => StatementResult::NotRun(
             Code::Busy,
+            Reason::NoPrimary,
             "the service has no primary at the moment".to_owned(),
         ),
         Unserved::Lagging => StatementResult::NotRun(
             Code::Lagging,
+            Reason::DataTooOld,
             "no server that can be reached has data young enough".to_owned(),
         ),
     }
--- a/crates/proxy/src/session/respond.rs
+++ b/crates/proxy/src/session/respond.rs
@@ -11,6 +11,7 @@
 use crate::event::Event;
 use crate::message::{Code, Query, Transaction};
 use crate::meter::{self, StatementEnd};
+use crate::rejection::Reason;
 use crate::server_connection::Outcome;
 use crate::service::Service;
 
@@ -37,7 +38,12 @@
         self.caller.answer(outcome, transaction);
         let end = match &outcome.end {
             Ok(_) => end,
-            Err(error) => StatementEnd::Error(error.code),
+            Err(error) => {
+                if error.code.did_not_run() {
+                    self.count_rejection(Reason::of_server(error.code));
+                }
+                StatementEnd::Error(error.code)
+            }
         };
         let took = self.context.site.now().saturating_sub(since);
         meter::statement(&self.database, end, took);
@@ -46,11 +52,13 @@
         }
     }
 
-    /// Reports an error raised by this host to the caller, and logs the reason.
+    /// Reports an error raised by this host to the caller, logs the reason, and counts the rejection.
+    /// `why` is absent if the request may have run.
     pub(super) fn report_error(
         &mut self,
         query: &Query,
         code: Code,
+        why: Option<Reason>,
         reason: &str,
         since: Duration,
     ) {
@@ -66,7 +74,16 @@
             version: self.context.fleet.version(),
         });
         meter::statement(&self.database, StatementEnd::Error(code), took);
-        self.refuse(code, reason.as_bytes());
+        if let Some(why) = why {
+            self.count_rejection(why);
+        }
+        self.send_error(code, reason.as_bytes());
+    }
+
+    /// Counts a rejected request of this session.
+    pub(super) fn count_rejection(&self, reason: Reason) {
+        let team = self.gate.team();
+        self.context.count_rejection(reason, &self.database, team);
     }
 
     pub(super) fn log_transaction_lost(
@@ -102,7 +119,31 @@
         });
     }
 
-    pub(super) fn refuse(&mut self, code: Code, reason: &[u8]) {
+    /// Rejects a request that needs no server.
+    pub(super) fn refuse(&mut self, code: Code, why: Reason, reason: &[u8]) {
+        self.count_rejection(why);
+        self.send_error(code, reason);
+    }
+
+    /// Rejects the use of a prepared statement that does not exist.
+    pub(super) fn refuse_unprepared(&mut self) {
+        let reason = b"no statement was prepared by this name";
+        self.refuse(Code::NoStatement, Reason::InvalidRequest, reason);
+    }
+
+    /// Rejects the end of a transaction where none is open.
+    pub(super) fn refuse_outside_transaction(&mut self) {
+        let reason = b"no transaction is open";
+        self.refuse(Code::Malformed, Reason::InvalidRequest, reason);
+    }
+
+    /// Rejects a statement on a database that is no longer configured.
+    pub(super) fn refuse_without_route(&mut self) {
+        let reason = b"there is no such database any more";
+        self.refuse(Code::NoDatabase, Reason::UnknownDatabase, reason);
+    }
+
+    fn send_error(&mut self, code: Code, reason: &[u8]) {
         self.caller.error(code, reason);
         let transaction = self.transaction_status();
         self.caller.ready(transaction, None);
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 
 use super::placement::{Answered, Plan, StatementResult};
-use super::{LOG_LOST, PendingTransaction, Session, TransactionState};
+use super::{LOG_LOST, OUT_OF_TOUCH, PendingTransaction, Session, TransactionState};
 use crate::attempt::{self, Job, RunResult, TransactionFrame};
 use crate::codec::Codec;
 use crate::message::{Access, Code, Command, Query, Shape, Transaction};
 use crate::meter::StatementEnd;
+use crate::rejection::Reason;
 use crate::route::Consistency;
 use crate::server_connection::Outcome;
 use crate::service::{PooledConnection, Service};
@@ -42,7 +43,7 @@
         let arrived = self.context.site.now();
         let Some((route, _)) = self.context.fleet.route(&self.database) else {
             self.transaction = TransactionState::Failed;
-            self.refuse(Code::NoDatabase, b"there is no such database any more");
+            self.refuse_without_route();
             return;
         };
         // Statements that a server does not refuse because of its role may be answered by a
@@ -92,17 +93,33 @@
                 self.deliver(&outcome, transaction, end, arrived);
             }
             // Nothing of a transaction is kept unless it is committed.
-            StatementResult::NotRun(code, reason) | StatementResult::InDoubt(code, reason) => {
-                self.transaction = TransactionState::Failed;
-                let code = match code.did_not_run() {
-                    true => code,
-                    false => Code::Aborted,
-                };
-                self.report_error(query, code, &reason, arrived);
+            StatementResult::NotRun(code, why, reason) => {
+                self.fail_first_statement(query, code, why, &reason, arrived);
+            }
+            StatementResult::InDoubt(code, reason) => {
+                let why = Reason::TransactionLost;
+                self.fail_first_statement(query, code, why, &reason, arrived);
             }
         }
     }
 
+    /// Ends a transaction whose first statement failed.
+    fn fail_first_statement(
+        &mut self,
+        query: &Query,
+        code: Code,
+        why: Reason,
+        reason: &str,
+        arrived: Duration,
+    ) {
+        self.transaction = TransactionState::Failed;
+        let code = match code.did_not_run() {
+            true => code,
+            false => Code::Aborted,
+        };
+        self.report_error(query, code, Some(why), reason, arrived);
+    }
+
     /// Runs a further statement of an open transaction.
     pub(super) async fn further_statement(
         &mut self,
@@ -154,14 +171,16 @@
             }
             RunResult::Refused(code) => {
                 self.transaction = TransactionState::Failed;
-                self.report_error(query, code, "the server refused", arrived);
+                let why = Some(Reason::of_server(code));
+                self.report_error(query, code, why, "the server refused", arrived);
             }
             RunResult::Unsent(error) | RunResult::Unanswered(error) => {
                 let server = open.connection.server;
                 open.service.record_failure(server, &error, arrived);
                 self.log_transaction_lost(query, &open.service, server, &error.to_string());
                 self.transaction = TransactionState::Failed;
-                self.report_error(query, Code::Aborted, "its connection is lost", arrived);
+                let (why, reason) = (Some(Reason::TransactionLost), "its connection is lost");
+                self.report_error(query, Code::Aborted, why, reason, arrived);
             }
         }
     }
@@ -172,7 +191,11 @@
             && let Some(reason) = self.reason_to_withhold(&open.service, open.connection.server)
         {
             open.roll_back();
-            self.report_error(query, Code::Aborted, reason, arrived);
+            let why = match reason {
+                OUT_OF_TOUCH => Reason::OutOfContact,
+                _ => Reason::PrimaryReplaced,
+            };
+            self.report_error(query, Code::Aborted, Some(why), reason, arrived);
             return;
         }
         let job = Job {
@@ -200,7 +223,7 @@
                         .record_answer(server, outcome.position, arrived, false);
                     open.connection.return_to_pool();
                     self.log_in_doubt(query, &open.service, server, reason, arrived);
-                    self.report_error(query, Code::InDoubt, reason, arrived);
+                    self.report_error(query, Code::InDoubt, None, reason, arrived);
                     return;
                 }
                 let by_primary = open.by_primary && open.wrote && !refuted && outcome.end.is_ok();
@@ -221,26 +244,24 @@
                 }
             }
             RunResult::Refused(code) => {
-                self.report_error(query, code, "the server refused", arrived)
+                let why = Some(Reason::of_server(code));
+                self.report_error(query, code, why, "the server refused", arrived)
             }
             RunResult::Unsent(error) => {
                 open.service.record_failure(server, &error, arrived);
-                self.report_error(query, Code::Aborted, "its connection is lost", arrived);
+                let (why, reason) = (Some(Reason::TransactionLost), "its connection is lost");
+                self.report_error(query, Code::Aborted, why, reason, arrived);
             }
             RunResult::Unanswered(error) => {
                 open.service.record_failure(server, &error, arrived);
                 self.log_transaction_lost(query, &open.service, server, &error.to_string());
-                let code = match open.wrote {
-                    true => Code::InDoubt,
+                let (code, why) = match open.wrote {
+                    true => (Code::InDoubt, None),
                     // The transaction wrote nothing, so nothing can have been committed.
-                    false => Code::Aborted,
+                    false => (Code::Aborted, Some(Reason::TransactionLost)),
                 };
-                self.report_error(
-                    query,
-                    code,
-                    "the end of the transaction has no answer",
-                    arrived,
-                );
+                let reason = "the end of the transaction has no answer";
+                self.report_error(query, code, why, reason, arrived);
             }
         }
     }
