Limit relayed sessions to leave room for a host's own callers

A serving host accepted relayed sessions up to its limit of sessions, and then refused callers of its own.

--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -1,6 +1,5 @@
 //! One entry host: its listeners, its tasks and its shutdown.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -20,6 +19,7 @@
 use crate::election::Election;
 use crate::event::Event;
 use crate::fleet::Fleet;
+use crate::open_sessions::OpenSessions;
 use crate::peer::Socket;
 use crate::platform::{Peer, Platform};
 use crate::probe;
@@ -232,24 +232,18 @@
         fleet,
         stop: Rc::clone(&stop),
     });
-    let open = Rc::new(Cell::new(0));
-    let limit = settings.sessions;
+    let open = Rc::new(OpenSessions::new(settings.sessions));
     let (peers, counted) = (Rc::clone(&context), Rc::clone(&open));
-    tokio::task::spawn_local(accept(relays, peers, counted, limit, RelayPolicy::Never));
+    tokio::task::spawn_local(accept(relays, peers, counted, RelayPolicy::Never));
     let counted = Rc::clone(&open);
-    let accepting = tokio::task::spawn_local(accept(
-        callers,
-        context,
-        counted,
-        limit,
-        RelayPolicy::Allowed,
-    ));
+    let accepting =
+        tokio::task::spawn_local(accept(callers, context, counted, RelayPolicy::Allowed));
     ended.await;
     Daemon::Draining { daemon: NAME }.log();
     drain(&stop, &open, settings.grace).await;
     accepting.abort();
     site.log(&Event::Ended {
-        sessions: open.get(),
+        sessions: open.count(),
     });
     Daemon::Stopped { daemon: NAME }.log();
     Ok(())
@@ -257,7 +251,7 @@
 
 /// Ends all sessions in an order that callers do not notice: first the balancer stops sending new
 /// callers, then idle sessions end, and transactions get half of the grace to finish.
-async fn drain(stop: &Stop, open: &Cell<usize>, grace: Duration) {
+async fn drain(stop: &Stop, open: &OpenSessions, grace: Duration) {
     stop.advance(Phase::Unready);
     let rotation = BALANCER_ROTATION.min(grace / 3);
     tokio::time::sleep(rotation).await;
@@ -270,9 +264,9 @@
 }
 
 /// Waits up to `limit` until no session is open. Returns whether that is so.
-async fn wait_for_sessions(open: &Cell<usize>, limit: Duration) -> bool {
+async fn wait_for_sessions(open: &OpenSessions, limit: Duration) -> bool {
     let over = async {
-        while open.get() > 0 {
+        while open.count() > 0 {
             tokio::time::sleep(TICK_INTERVAL).await;
         }
     };
@@ -315,12 +309,11 @@
     }
 }
 
-/// Accepts connections and runs a session on each, up to `max_sessions` at once.
+/// Accepts connections and runs a session on each, as far as `open` admits them.
 async fn accept<C: Codec>(
     listener: TcpListener,
     context: Rc<Context<C>>,
-    open: Rc<Cell<usize>>,
-    max_sessions: usize,
+    open: Rc<OpenSessions>,
     relay_policy: RelayPolicy,
 ) {
     loop {
@@ -329,16 +322,15 @@
             tokio::time::sleep(TICK_INTERVAL).await;
             continue;
         };
-        if open.get() >= max_sessions {
+        if !open.admit(relay_policy) {
             // Closed before anything was read, so the caller knows that nothing was run.
             drop(stream);
             continue;
         }
-        open.set(open.get() + 1);
         let (context, open) = (Rc::clone(&context), Rc::clone(&open));
         tokio::task::spawn_local(async move {
             session(context, stream, relay_policy).await;
-            open.set(open.get() - 1);
+            open.end(relay_policy);
         });
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod limits;
 pub mod message;
 pub mod meter;
+pub mod open_sessions;
 pub mod peer;
 pub mod platform;
 pub mod poll_state;
