Count messages between hosts and rows decoded

The cost of a fleet's size shows in messages to other hosts and in rows of lists, and neither was counted. Three counters are added: messages and their bytes by kind and direction, and decoded rows by table.

--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -81,6 +81,34 @@
         .increment(1);
 }
 
+/// Direction of a message between hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// Sent by this host.
+    Sent,
+    /// Received by this host.
+    Received,
+}
+
+/// Counts a message of `kind` between this host and another one, and its size.
+pub fn peer_message(kind: &'static str, direction: Direction, bytes: usize) {
+    let direction = match direction {
+        Direction::Sent => "sent",
+        Direction::Received => "received",
+    };
+    let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+    metrics::counter!("flamingopost_peer_messages_total", "kind" => kind, "direction" => direction)
+        .increment(1);
+    metrics::counter!("flamingopost_peer_bytes_total", "kind" => kind, "direction" => direction)
+        .increment(bytes);
+}
+
+/// Counts rows that were read from `table` of the platform's store and decoded.
+pub fn rows_decoded(table: &'static str, rows: usize) {
+    let rows = u64::try_from(rows).unwrap_or(u64::MAX);
+    metrics::counter!("flamingopost_rows_decoded_total", "table" => table).increment(rows);
+}
+
 /// Returns the metric label of an error code.
 fn error_label(code: Code) -> &'static str {
     match code {
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -16,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::meter::{self, Direction};
+
 /// Maximum size of a datagram. Larger ones were not sent by an entry host.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
@@ -462,6 +464,23 @@
 }
 
 impl Payload {
+    /// Returns the metric label of this kind of message.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Payload::Heartbeat { .. } => "heartbeat",
+            Payload::HeartbeatAck { .. } => "heartbeat_ack",
+            Payload::ReachabilityQuery { .. } => "reachability_query",
+            Payload::ReachabilityReply { .. } => "reachability_reply",
+            Payload::ConnectionShortage { .. } => "connection_shortage",
+            Payload::PrimaryObserved { .. } => "primary_observed",
+            Payload::PromotionStarted { .. } => "promotion_started",
+            Payload::LogQuery => "log_query",
+            Payload::LogReply { .. } => "log_reply",
+            Payload::OperationRequest { .. } => "operation_request",
+            Payload::OperationGrant { .. } => "operation_grant",
+        }
+    }
+
     /// Converts a reachability answer to an opinion on the primary.
     pub fn opinion(reaches: bool) -> Opinion {
         match reaches {
@@ -498,6 +517,7 @@
     /// Sends `message` to `to`. Like any datagram, it may be lost.
     pub fn send(&self, message: &Message, to: SocketAddr) {
         if let Ok(bytes) = postcard::to_stdvec(message) {
+            meter::peer_message(message.payload.label(), Direction::Sent, bytes.len());
             // A full buffer drops the message, as the network might.
             let _ = self.socket.try_send_to(&bytes, to);
         }
@@ -511,7 +531,8 @@
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         loop {
             let (length, from) = self.socket.recv_from(&mut buffer).await?;
-            if let Ok(message) = postcard::from_bytes(&buffer[..length]) {
+            if let Ok(message) = postcard::from_bytes::<Message>(&buffer[..length]) {
+                meter::peer_message(message.payload.label(), Direction::Received, length);
                 return Ok((message, from));
             }
         }
