Bound messages, probes and steps in a large fleet

Each host that lacked connections told all others, five times a second for each full server, so messages grew with the square of the fleet. Each elector connected to a server once for each question of each host, and each host searched for a missing primary at the same rate, whether it serves the service or not.

Shortages now go to the hosts that may have more than one connection. Questions that arrive within 20 ms share a probe. Hosts that do not serve a service, have no request for it and are not among the first nine by rank take a step each 300 ms and search each second. A list of more than nine hosts is logged in one line. A test counts entries, messages and probes at 30, 100 and 300 hosts.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -25,6 +25,7 @@
 use crate::platform::{Error, Platform, Promotion, Revision, Token};
 use crate::server_connection::{self, ServerConnection, Target};
 use crate::service::Service;
+use crate::shared_probe::SharedProbes;
 use crate::site::Site;
 
 mod claim_holder;
@@ -33,14 +34,15 @@
 mod handover;
 mod limits;
 mod messaging;
+mod pace;
+mod reachability;
 mod unheard_order;
 
+use pace::{FREQUENT_HOSTS, Pace};
+
 /// Interval between two steps of a service's state machine while its primary is in trouble.
 const ACTIVE_STEP_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Interval between two steps while the primary is healthy.
-const IDLE_STEP_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Timeout of a status query to a server. It allows for request slots that are busy for a while.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -48,12 +50,6 @@
 /// request within this time.
 const RECENT_CONTACT: Duration = Duration::from_millis(200);
 
-/// Interval between two status queries to all servers while a service has no primary.
-const LEADER_SEARCH_INTERVAL: Duration = Duration::from_millis(120);
-
-/// Interval between two connection shortage reports. Each report is in effect for one second.
-const SHORTAGE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Timeout of a claim in the store. After it, hosts act in turn without the store.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -97,6 +93,8 @@
     records: RefCell<empty_log::Records>,
     /// The store's records as last read, cached for a short time.
     written_services: Mutex<Option<empty_log::WrittenServices>>,
+    /// Probes of servers that other hosts have asked about.
+    probes: RefCell<SharedProbes<reachability::Asker>>,
     /// Whether a read of the store's claims is in flight.
     is_reading_claims: Cell<bool>,
     /// When this host was last in contact with a majority of the other hosts.
@@ -135,6 +133,7 @@
             verification_attempted_at: Cell::default(),
             records: RefCell::default(),
             written_services: Mutex::default(),
+            probes: RefCell::default(),
             is_reading_claims: Cell::new(false),
             last_quorum_at: Cell::new(None),
             servers_known_since: Cell::new(None),
@@ -203,12 +202,13 @@
                 succession.borrow_mut().invalidate_claim(now);
             }
             let view = self.view(&service, &succession);
+            let pace = self.pace(&service);
             let pause = if view.trouble.is_some() {
                 ACTIVE_STEP_INTERVAL
             } else {
-                IDLE_STEP_INTERVAL
+                pace.idle_step
             };
-            if now >= last_shortage_report + SHORTAGE_REPORT_INTERVAL {
+            if now >= last_shortage_report + pace.shortage_report {
                 last_shortage_report = now;
                 self.send_shortages(&service);
             }
@@ -224,7 +224,7 @@
                 self.check_primary(&service, target);
             }
             self.write_record_if_due(&service, view.rank);
-            if view.leader.is_none() && now >= last_search + LEADER_SEARCH_INTERVAL {
+            if view.leader.is_none() && now >= last_search + pace.search {
                 last_search = now;
                 self.ask_servers(&service, &succession);
             }
@@ -241,6 +241,17 @@
         }
     }
 
+    /// Returns how often this host does the periodic work for `service`.
+    fn pace(&self, service: &Service<C>) -> Pace {
+        let is_involved = self.fleet.serves(&service.name)
+            || service.has_requests()
+            || self.fleet.rank(&service.name) < FREQUENT_HOSTS;
+        match is_involved {
+            true => Pace::INVOLVED,
+            false => Pace::BYSTANDER,
+        }
+    }
+
     /// Probes a silent primary on a separate connection. This distinguishes a slow primary from a
     /// dead one long before pending statements reach their timeout.
     fn probe_primary(self: &Rc<Self>, service: &Rc<Service<C>>, target: Target, since: Duration) {
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use flamingopost_core::epoch::Epoch;
-use flamingopost_core::key::ServerKey;
 use flamingopost_core::quorum::HEARTBEAT_INTERVAL;
 use flamingopost_core::term::Term;
 
-use super::{Election, Probe, RECENT_CONTACT, target};
+use super::Election;
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::peer::{EndedTerm, LedTerm, LogReport, Message, Payload, Sample, Server, micros};
@@ -420,10 +419,7 @@
             Payload::LogQuery | Payload::LogReply { .. } => {}
             Payload::ReachabilityQuery { server, furthest } => {
                 service.record_peer_position(furthest.into());
-                let election = Rc::clone(self);
-                tokio::task::spawn_local(async move {
-                    election.answer_reachability(service, server, from).await;
-                });
+                self.answer_reachability(service, server, from);
             }
             Payload::ReachabilityReply {
                 server,
@@ -458,68 +454,17 @@
         }
     }
 
-    /// Answers whether this host reaches `server`, after probing it.
-    async fn answer_reachability(
-        &self,
-        service: Rc<Service<C>>,
-        server: Option<Server>,
-        from: SocketAddr,
-    ) {
-        let meant = match &server {
-            Some(server) => service.resolve_server(server),
-            None => service
-                .leader()
-                .map_or(ResolvedServer::Unknown, ResolvedServer::Listed),
-        };
-        let reaches = match meant {
-            ResolvedServer::Listed(key) => self.reaches(&service, key).await,
-            // A former incarnation is over, no matter what answers at its address now.
-            ResolvedServer::Former | ResolvedServer::Unknown => false,
-            // Nothing is known about an incarnation that is not listed here yet.
-            ResolvedServer::Newer => return,
-        };
-        let payload = Payload::ReachabilityReply {
-            server,
-            furthest: service.furthest_position().into(),
-            reaches,
-        };
-        self.send(&service, payload, from);
-    }
-
-    /// Reports whether this host reaches a server and trusts that it has the service's log.
-    async fn reaches(&self, service: &Rc<Service<C>>, server: ServerKey) -> bool {
-        let Some(target) = target(service, server) else {
-            return false;
-        };
-        match self.query_status(service, &target).await {
-            Probe::Status(_) => !service.is_distrusted(server),
-            Probe::Alive => true,
-            Probe::Refused => false,
-            // A server too busy to answer a query in time may still answer statements.
-            Probe::Silent => {
-                let now = self.site.now();
-                let contact = service.contact(server).unwrap_or_default();
-                contact
-                    .answer_age(now)
-                    .is_some_and(|age| age < RECENT_CONTACT)
-            }
-        }
-    }
-
-    /// Notifies the other hosts of servers to which this host lacks connections.
+    /// Notifies the hosts that may have more than one connection to each server of those to which
+    /// this host lacks connections.
     pub(super) fn send_shortages(&self, service: &Rc<Service<C>>) {
         let short = service.take_connection_shortages();
         for server in short
             .into_iter()
             .filter_map(|it| service.to_peer_server(it))
         {
-            for (_, peer) in self.fleet.peers().iter() {
+            for address in self.fleet.connection_holders(&service.name).iter() {
                 let server = server.clone();
-                self.send(
-                    service,
-                    Payload::ConnectionShortage { server },
-                    peer.address,
-                );
+                self.send(service, Payload::ConnectionShortage { server }, *address);
             }
         }
     }
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -42,6 +42,8 @@
         5017 Warn Restarted { service: String, server: String, before: u64, after: u64 },
         /// {service}: entry of a former incarnation of server {server} ignored: started at {former}, the newest at {newest} (Unix ms)
         5018 Warn FormerStart { service: String, server: String, former: u64, newest: u64 },
+        /// {puts} entry hosts listed at once, {hosts} others known now
+        5019 Info PeersListed { puts: usize, hosts: usize },
         /// {service}: {after} leads after {before}; the previous state lasted {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: cannot connect to server {server}: {error}; {connections} connections open on this host, {waiting} requests waiting
--- a/crates/proxy/src/fleet/derived.rs
+++ b/crates/proxy/src/fleet/derived.rs
@@ -3,8 +3,9 @@
 //! Elections, sessions and requests for operations of teams ask for it many times a second, and
 //! each answer sorts or hashes the names of all hosts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use flamingopost_core::key::HostKey;
@@ -15,14 +16,23 @@
 /// Maximum number of teams whose grantors are kept. Names of teams also arrive from other hosts.
 const MAX_GRANTOR_ORDERS: usize = 1_024;
 
+/// Other hosts.
+type Peers = Rc<[(HostKey, Peer)]>;
+
+/// A result for each service, and the capacity of its servers for which it holds.
+type ByService<T> = RefCell<BTreeMap<String, (Capacity, T)>>;
+
 /// Results that depend on the list of hosts.
 #[derive(Debug, Default)]
 pub(super) struct Derived {
     zones: RefCell<Option<usize>>,
-    peers: RefCell<Option<Rc<[(HostKey, Peer)]>>>,
+    peers: RefCell<Option<Peers>>,
     ranks: RefCell<BTreeMap<String, u32>>,
     grantors: RefCell<BTreeMap<String, Rc<[Grantor]>>>,
-    serving: RefCell<BTreeMap<String, (Capacity, Option<Rc<[ServingHost]>>)>>,
+    serving: ByService<Option<Rc<[ServingHost]>>>,
+    holders: ByService<Rc<[SocketAddr]>>,
+    /// Number of entries of hosts that were iterated over.
+    examined: Cell<u64>,
 }
 
 /// The capacity of a service's servers, on which the number of its serving hosts depends.
@@ -42,6 +52,18 @@
         self.ranks.take();
         self.grantors.take();
         self.serving.take();
+        self.holders.take();
+    }
+
+    /// Counts that the entries of `hosts` were iterated over.
+    pub fn count_examined(&self, hosts: usize) {
+        let hosts = u64::try_from(hosts).unwrap_or(u64::MAX);
+        self.examined.set(self.examined.get().saturating_add(hosts));
+    }
+
+    /// Returns how many entries of hosts were iterated over.
+    pub fn examined(&self) -> u64 {
+        self.examined.get()
     }
 
     /// Returns the number of zones.
@@ -50,7 +72,7 @@
     }
 
     /// Returns the other hosts.
-    pub fn peers(&self, list: impl FnOnce() -> Rc<[(HostKey, Peer)]>) -> Rc<[(HostKey, Peer)]> {
+    pub fn peers(&self, list: impl FnOnce() -> Peers) -> Peers {
         Rc::clone(self.peers.borrow_mut().get_or_insert_with(list))
     }
 
@@ -78,6 +100,25 @@
         ordered
     }
 
+    /// Returns the addresses of the other hosts that hold connections to the servers of `service`,
+    /// which have `capacity`.
+    pub fn holders(
+        &self,
+        service: &str,
+        capacity: Capacity,
+        choose: impl FnOnce() -> Rc<[SocketAddr]>,
+    ) -> Rc<[SocketAddr]> {
+        if let Some((at, chosen)) = self.holders.borrow().get(service)
+            && *at == capacity
+        {
+            return Rc::clone(chosen);
+        }
+        let chosen = choose();
+        let kept = (capacity, Rc::clone(&chosen));
+        self.holders.borrow_mut().insert(service.to_owned(), kept);
+        chosen
+    }
+
     /// Returns the hosts that serve `service`, whose servers have `capacity`.
     pub fn serving(
         &self,
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -7,7 +7,7 @@
 use flamingopost_core::key::HostKey;
 
 use super::unusable_entries::{HOSTS, peer_id};
-use super::{Fleet, rendezvous_hash};
+use super::{Fleet, SMALL_FLEET_HOSTS, rendezvous_hash};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::platform::{Change, Entry, Peer};
@@ -17,6 +17,10 @@
 /// availability zones. The number is odd so that a split cannot tie.
 const MAX_ELECTORS: usize = 7;
 
+/// Maximum number of entries of a list that are logged one by one, which is that of a small fleet. A
+/// longer list is logged in one line with its length.
+const MAX_HOST_LINES: usize = SMALL_FLEET_HOSTS;
+
 impl<C: Codec> Fleet<C> {
     /// Applies a complete list of hosts.
     ///
@@ -48,8 +52,15 @@
     /// changes, since it iterates over all hosts and a starting host receives an entry of each of
     /// them.
     fn update_hosts(&self, changes: Vec<Change<Peer>>) {
+        let puts = changes.iter().filter(|it| matches!(it, Change::Put(_)));
+        let (puts, changed) = (puts.count(), changes.len());
         for change in changes {
-            self.apply_host_change(change);
+            self.apply_host_change(change, puts <= MAX_HOST_LINES);
+        }
+        self.derived.count_examined(changed);
+        if puts > MAX_HOST_LINES {
+            let hosts = self.peers.borrow().by_host.len();
+            self.site.log(&Event::PeersListed { puts, hosts });
         }
         self.derived.clear();
         let (electors, takes_part) = self.choose_electors();
@@ -65,17 +76,19 @@
         self.allot_connections();
     }
 
-    /// Applies one change of the list of hosts.
-    fn apply_host_change(&self, change: Change<Peer>) {
+    /// Applies one change of the list of hosts. An entry is logged only if `logs_put`.
+    fn apply_host_change(&self, change: Change<Peer>, logs_put: bool) {
         match change {
             Change::Put(peer) if peer.host == self.site.host => {}
             Change::Put(peer) => {
                 self.reported_faults.borrow_mut().clear(HOSTS, &peer.host);
-                self.site.log(&Event::PeerListed {
-                    host: peer.host.clone(),
-                    zone: peer.zone.clone(),
-                    address: peer.address,
-                });
+                if logs_put {
+                    self.site.log(&Event::PeerListed {
+                        host: peer.host.clone(),
+                        zone: peer.zone.clone(),
+                        address: peer.address,
+                    });
+                }
                 let mut peers = self.peers.borrow_mut();
                 let key = match peers.by_host.get(&peer.host) {
                     Some((key, _)) => *key,
@@ -106,10 +119,20 @@
 
     /// Returns the other hosts.
     pub fn peers(&self) -> Rc<[(HostKey, Peer)]> {
-        let list = || self.peers.borrow().by_host.values().cloned().collect();
+        let list = || {
+            let peers = self.peers.borrow();
+            self.derived.count_examined(peers.by_host.len());
+            peers.by_host.values().cloned().collect()
+        };
         self.derived.peers(list)
     }
 
+    /// Returns how many entries of hosts this host has iterated over: a measure of the work that
+    /// grows with the fleet.
+    pub fn examined_hosts(&self) -> u64 {
+        self.derived.examined()
+    }
+
     /// Returns the earliest time at which this host may order a change of primary, as far as that
     /// depends on entries that a restored store may lack. Hosts in `gone` are not waited for.
     ///
@@ -136,6 +159,7 @@
         if self.is_small() {
             return (peers.to_vec(), true);
         }
+        self.derived.count_examined(peers.len());
         // Orders the hosts of each zone by hash, then takes one host of each zone in turn.
         let mut zones: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
         let own = (self.site.zone.as_str(), self.site.host.as_str());
--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -1,6 +1,6 @@
 //! Assigns services to hosts, and a number of server connections to each host.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -58,16 +58,9 @@
 
     /// Chooses the serving hosts of `service`, whose servers have `capacity`.
     fn choose_serving_hosts(&self, service: &str, capacity: Capacity) -> Option<Rc<[ServingHost]>> {
-        let Capacity { connections, slots } = capacity;
+        let count = self.serving_hosts_per_zone(capacity)?;
         let peers = self.peers.borrow();
-        let crowded =
-            slots.is_some_and(|slots| peers.by_host.len() > slots * CROWDED_HOSTS_PER_SLOT);
-        if peers.by_host.len() < connections && !crowded {
-            return None;
-        }
-        let by_connections = connections / CONNECTIONS_PER_SERVING_HOST;
-        let by_slots = slots.map_or(by_connections, |slots| slots * SERVING_HOSTS_PER_SLOT);
-        let count = (by_connections.min(by_slots) / self.zones()).max(1);
+        self.derived.count_examined(peers.by_host.len());
         let all = peers.by_host.values().map(|(_, peer)| peer);
         let mut hosts: Vec<(u64, ServingHost)> = all
             .filter(|peer| peer.zone == self.site.zone)
@@ -87,6 +80,56 @@
         Some(homes.map(|(_, home)| home).collect())
     }
 
+    /// Returns how many hosts of each zone serve a service whose servers have `capacity`, or `None`
+    /// if each host serves it for itself.
+    fn serving_hosts_per_zone(&self, capacity: Capacity) -> Option<usize> {
+        let Capacity { connections, slots } = capacity;
+        let peers = self.peers.borrow();
+        let crowded =
+            slots.is_some_and(|slots| peers.by_host.len() > slots * CROWDED_HOSTS_PER_SLOT);
+        if peers.by_host.len() < connections && !crowded {
+            return None;
+        }
+        let by_connections = connections / CONNECTIONS_PER_SERVING_HOST;
+        let by_slots = slots.map_or(by_connections, |slots| slots * SERVING_HOSTS_PER_SLOT);
+        drop(peers);
+        Some((by_connections.min(by_slots) / self.zones()).max(1))
+    }
+
+    /// Returns the addresses of the other hosts that may have more than one connection to each
+    /// server of `service`: its serving hosts in all zones, or all hosts if each serves it for
+    /// itself.
+    ///
+    /// Guards against messages to the whole fleet from each of its hosts while servers are at their
+    /// connection limit.
+    pub fn connection_holders(&self, service: &str) -> Rc<[SocketAddr]> {
+        let Some(configured) = self.configured(service) else {
+            return Rc::default();
+        };
+        let capacity = Capacity {
+            connections: usize::from(configured.connections),
+            slots: self.slots(service),
+        };
+        self.derived.holders(service, capacity, || {
+            let count = self.serving_hosts_per_zone(capacity);
+            let own = (&self.site.zone, rendezvous_hash(service, &self.site.host));
+            let mut zones: BTreeMap<&String, Vec<(u64, Option<SocketAddr>)>> = BTreeMap::new();
+            zones.entry(own.0).or_default().push((own.1, None));
+            let peers = self.peers.borrow();
+            self.derived.count_examined(peers.by_host.len());
+            for (_, peer) in peers.by_host.values() {
+                let order = rendezvous_hash(service, &peer.host);
+                let zone = zones.entry(&peer.zone).or_default();
+                zone.push((order, Some(peer.address)));
+            }
+            let serving = zones.into_values().flat_map(|mut hosts| {
+                hosts.sort_by_key(|(order, _)| *order);
+                hosts.into_iter().take(count.unwrap_or(usize::MAX))
+            });
+            serving.filter_map(|(_, address)| address).collect()
+        })
+    }
+
     /// Reports whether this host itself sends statements to the servers of `service`.
     pub fn serves(&self, service: &str) -> bool {
         let homes = self.serving_hosts(service);
@@ -103,6 +146,7 @@
     fn zones(&self) -> usize {
         self.derived.zones(|| {
             let peers = self.peers.borrow();
+            self.derived.count_examined(peers.by_host.len());
             let zones = peers.by_host.values().map(|(_, peer)| peer.zone.as_str());
             let mut zones: BTreeSet<&str> = zones.collect();
             zones.insert(&self.site.zone);
@@ -155,6 +199,7 @@
         self.derived.rank(what, || {
             let own = rendezvous_hash(what, &self.site.host);
             let peers = self.peers.borrow();
+            self.derived.count_examined(peers.by_host.len());
             let before = peers
                 .by_host
                 .keys()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod server_connection;
 pub mod service;
 pub mod session;
+pub mod shared_probe;
 pub mod site;
 pub mod socket;
 pub mod team;
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -403,6 +403,13 @@
         }
     }
 
+    /// Reports whether this host has requests for the service, waiting or sent.
+    pub fn has_requests(&self) -> bool {
+        let state = self.state.borrow();
+        let mut servers = state.servers.values();
+        state.dispatch.waiting() > 0 || servers.any(|it| !it.outstanding.is_empty())
+    }
+
     /// Records that a server has answered nothing sent since `since`, and did not answer on another
     /// connection either.
     pub fn record_silence(&self, server: ServerKey, since: Duration) {
