--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -48,6 +48,8 @@
         5020 Info FeedUnrelayed { what: &'static str, host: String, why: String },
         /// no feeds are served to other hosts on {address}: {error}
         5021 Error FeedsUnserved { address: String, error: String },
+        /// {puts} entry hosts listed at once, {hosts} others known now
+        5022 Info PeersListed { puts: usize, hosts: usize },
         /// {service}: {after} leads after {before}; the previous state lasted {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: cannot connect to server {server}: {error}; {connections} connections open on this host, {waiting} requests waiting
