--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -19,6 +19,10 @@
 const START_OPERATIONS: f64 = 10.0;
 const START_BURST: f64 = 0.1;
 
+/// Time until a new grantor grants shares, in which all hosts in contact have asked. One that was cut
+/// off before granted itself most of the rate.
+const SHARE_DELAY: Duration = Duration::from_secs(1);
+
 /// Part of the burst that shares reserve. The rest is for hosts in contact, wherever callers are.
 const SHARED_BURST: f64 = 0.35;
 
@@ -186,7 +190,10 @@
             rate: (rate - held.rate - self.unknown_shares(silent, now)).max(0.0),
             burst: (burst.min(self.tokens) - held.burst).max(0.0),
         };
-        let share = self.share(request.demand, demand, free);
+        let share = match now < self.since + SHARE_DELAY {
+            true => Share::default(),
+            false => self.share(request.demand, demand, free),
+        };
         let may_hold = Share {
             rate: share.rate.max(request.share.rate),
             burst: share.burst.max(request.share.burst),
