Do not count blocked requests as ahead of others

Admission counted each kept request of the same need as one that runs first, also those that no server may serve now. Single statements were refused because of transactions above the limit of transactions, and reads because of reads of a position that no server has. The blocked requests were refused early themselves, transactions as if there was no primary.

Requests that no server may serve are refused only at their deadline and do not count as ahead. A transaction above the limit is refused as busy.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -62,13 +62,17 @@
         let mut ahead = Ahead::default();
         let mut refused = Vec::new();
         waiting.retain(|ticket| {
+            let is_servable = self.is_servable(ticket, now);
             let before = ahead.of(ticket.need);
-            let wait = pace.of(ticket.need).unwrap_or_default() * *before;
+            let wait = match is_servable {
+                true => pace.of(ticket.need).unwrap_or_default() * *before,
+                false => Duration::ZERO,
+            };
             if now + wait / CAUTION >= ticket.deadline {
                 refused.push((ticket.clone(), wait));
                 return false;
             }
-            *before += 1;
+            *before += u32::from(is_servable);
             true
         });
         let refuse = |(ticket, wait): (Ticket, Duration)| Action::Refuse {
@@ -83,6 +87,15 @@
         refused.into_iter().map(refuse).collect()
     }
 
+    /// Returns whether a server may serve `ticket` once it has a free connection.
+    ///
+    /// It is not known when a ticket can start that no server may serve, and others do not wait for
+    /// it.
+    fn is_servable(&self, ticket: &Ticket, now: Duration) -> bool {
+        let mut servers = self.servers.iter();
+        servers.any(|(key, server)| self.may_serve(ticket, *key, server, now))
+    }
+
     /// Returns after which time a refused caller should come back, after all those that were told
     /// before it.
     fn promise(&mut self, wait: Duration, pace: Option<Duration>, now: Duration) -> Duration {
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -83,9 +83,19 @@
         server: &Server,
         now: Duration,
     ) -> bool {
-        if ticket.opens_transaction && !server.accepts_transaction(now) {
-            return false;
-        }
+        let is_admitted = !ticket.opens_transaction || server.accepts_transaction(now);
+        is_admitted && self.may_answer(ticket, key, server, now)
+    }
+
+    /// Returns whether `server` may answer `ticket`, apart from free connections and the limit of
+    /// transactions.
+    pub(super) fn may_answer(
+        &self,
+        ticket: &Ticket,
+        key: ServerKey,
+        server: &Server,
+        now: Duration,
+    ) -> bool {
         let is_leader = self.leader == Some(key);
         if ticket.need == Need::Leader {
             // A leaving primary serves writes until another server is the primary.
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -113,7 +113,7 @@
         let is_servable = self
             .servers
             .iter()
-            .any(|(key, server)| self.may_serve(ticket, *key, server, now));
+            .any(|(key, server)| self.may_answer(ticket, *key, server, now));
         match (is_servable, ticket.need) {
             (true, _) => Unserved::Busy {
                 retry_after: Duration::ZERO,
--- a/crates/core/tests/dispatch/admission.rs
+++ b/crates/core/tests/dispatch/admission.rs
@@ -3,18 +3,23 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use flamingopost_core::dispatch::{Action, Dispatch, Hold, Need, Server, Unserved};
+use flamingopost_core::dispatch::{Action, Dispatch, Hold, Need, Server, Ticket, Unserved};
 use flamingopost_core::key::{ServerKey, TeamKey};
 
-use super::{keys, ms, ticket};
+use super::{after, keys, ms, position, ticket};
 
 /// Returns a dispatcher whose primary has one connection in use and answers in `latency`.
 fn busy(latency: u64, now: Duration) -> (Dispatch, ServerKey) {
+    busy_with(ticket(1, Need::Leader, now), latency, now)
+}
+
+/// Returns the same with `first` on the connection.
+fn busy_with(first: Ticket, latency: u64, now: Duration) -> (Dispatch, ServerKey) {
     let server = keys()[0];
     let mut dispatch = Dispatch::default();
     dispatch.insert(server, Server::new(true, 2, 1, 1, 1));
     dispatch.set_leader(Some(server));
-    dispatch.arrive(ticket(1, Need::Leader, now), now);
+    dispatch.arrive(first, now);
     dispatch.connection_opened(server, 10, TeamKey::default(), now);
     for _ in 0..100 {
         let server = dispatch.server_mut(server).expect("it is listed");
@@ -35,6 +40,14 @@
     refused.collect()
 }
 
+/// Returns the number of requests refused for any reason.
+fn refusals(actions: &[Action]) -> usize {
+    let refused = actions.iter();
+    refused
+        .filter(|action| matches!(action, Action::Refuse { .. }))
+        .count()
+}
+
 /// Guards against requests that wait until their deadline in vain: with 100 ms for each request and
 /// 800 ms to wait, the queue of one connection holds 17 at most even if the server is twice as fast.
 #[test]
@@ -115,3 +128,45 @@
     let later = now + ms(900);
     assert_eq!(refused(&dispatch.tick(later)).len(), 3);
 }
+
+/// Guards against refusals by the length of a queue that is blocked: transactions above their limit
+/// do not run before a single statement, and whether they can start in time is not known.
+#[test]
+fn blocked_transactions_do_not_count_as_ahead() {
+    let now = ms(5_000);
+    let mut open = ticket(1, Need::Leader, now);
+    open.opens_transaction = true;
+    let (mut dispatch, _) = busy_with(open, 100, now);
+    for id in 2..42 {
+        let mut transaction = ticket(id, Need::Leader, now);
+        transaction.opens_transaction = true;
+        transaction.priority = 0;
+        let actions = dispatch.arrive(transaction, now);
+        assert_eq!(refusals(&actions), 0, "transaction {id}");
+    }
+    let actions = dispatch.arrive(ticket(42, Need::Leader, now), now);
+    assert_eq!(refusals(&actions), 0);
+    let actions = dispatch.tick(now + ms(800));
+    assert_eq!(refusals(&actions), refused(&actions).len(), "{actions:?}");
+    assert_eq!(refused(&actions).len(), 41, "refused as busy");
+}
+
+/// Guards against refusals of reads by the number of those that wait for a later position.
+#[test]
+fn reads_of_an_unreached_position_do_not_count_as_ahead() {
+    let now = ms(5_000);
+    let (mut dispatch, server) = busy(100, now);
+    dispatch.set_leader(None);
+    let replica = dispatch.server_mut(server).expect("it is listed");
+    replica.record_position(position(1, 40), None, now);
+    for id in 2..42 {
+        let unreached = Need::Position {
+            position: position(2, 0),
+            at: now,
+        };
+        let actions = dispatch.arrive(ticket(id, unreached, now), now);
+        assert_eq!(refusals(&actions), 0, "read {id}");
+    }
+    let read = ticket(42, after(40, now), now);
+    assert_eq!(refusals(&dispatch.arrive(read, now)), 0);
+}
