Spread the times at which refused callers come back

All callers refused in one run were told 400 ms where the requests ahead take longer than that, and 50 ms where it is not known how fast requests start. They came back at the same moment.

Callers whose time would be later than the longest one are spread evenly over the whole range. Where the pace is not known, each is told 10 ms more than the one before.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -71,6 +71,8 @@
     in_use: BTreeMap<TeamKey, u16>,
     /// The latest time at which a refused caller was told to come back.
     promised: Duration,
+    /// Number of refused callers whose time to come back was spread over the whole range.
+    spread_retries: u32,
     /// When this host started, and a number that differs from host to host.
     start: Start,
 }
--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -18,6 +18,13 @@
 /// Longest such time: what the shortest deadline, 1,200 ms, leaves after a timeout of 800 ms.
 const MAX_RETRY: Duration = Duration::from_millis(400);
 
+/// Time between two refused callers where it is not known how fast requests start.
+const UNKNOWN_PACE: Duration = Duration::from_millis(10);
+
+/// Fractional part of the golden ratio, in millionths. Its multiples modulo one are spread evenly,
+/// however many there are.
+const GOLDEN_MILLIONTHS: u64 = 618_034;
+
 /// Mean time between the starts of two waiting requests, for each kind of need.
 #[derive(Debug, Clone, Copy, Default)]
 struct Pace {
@@ -79,7 +86,7 @@
             ticket: ticket.id,
             reason: match self.unserved(&ticket, now) {
                 Unserved::Busy { .. } => Unserved::Busy {
-                    retry_after: self.promise(wait, pace.of(ticket.need), now),
+                    retry_after: self.retry_after(wait, pace.of(ticket.need), now),
                 },
                 reason => reason,
             },
@@ -96,15 +103,26 @@
         servers.any(|(key, server)| self.may_serve(ticket, *key, server, now))
     }
 
-    /// Returns after which time a refused caller should come back, after all those that were told
-    /// before it.
-    fn promise(&mut self, wait: Duration, pace: Option<Duration>, now: Duration) -> Duration {
+    /// Returns after which time a refused caller should come back: after all those that were told
+    /// before it, or, where that is later than [`MAX_RETRY`], at any time within the bounds.
+    fn retry_after(&mut self, wait: Duration, pace: Option<Duration>, now: Duration) -> Duration {
         let at = self.promised.max(now + MIN_RETRY + wait);
-        let at = at.min(now + MAX_RETRY);
-        self.promised = at + pace.unwrap_or_default();
+        if at > now + MAX_RETRY {
+            return self.spread_retry();
+        }
+        self.promised = at + pace.unwrap_or(UNKNOWN_PACE).min(MAX_RETRY);
         at - now
     }
 
+    /// Returns a time between [`MIN_RETRY`] and [`MAX_RETRY`], spread evenly among those that
+    /// were returned before.
+    fn spread_retry(&mut self) -> Duration {
+        self.spread_retries = self.spread_retries.wrapping_add(1);
+        let part = u64::from(self.spread_retries) * GOLDEN_MILLIONTHS % 1_000_000;
+        let part = u32::try_from(part).unwrap_or_default();
+        MIN_RETRY + (MAX_RETRY - MIN_RETRY) * part / 1_000_000
+    }
+
     /// Returns the pace at which waiting requests start, or `None` where it is not known: no
     /// primary, a hold, or no open connection. A request waits then, because each of these may end
     /// at any moment.
--- a/crates/core/tests/dispatch/admission.rs
+++ b/crates/core/tests/dispatch/admission.rs
@@ -170,3 +170,48 @@
     let read = ticket(42, after(40, now), now);
     assert_eq!(refusals(&dispatch.arrive(read, now)), 0);
 }
+
+/// Asserts that at most 3 of 100 refused callers come back within the same 5 ms, which is twice an
+/// even spread over 350 ms, rounded up, and that all come back between 50 and 400 ms.
+fn assert_spread(told: &BTreeMap<u64, Duration>) {
+    assert_eq!(told.len(), 100);
+    let mut by_time: BTreeMap<u128, u32> = BTreeMap::new();
+    for time in told.values() {
+        assert!((ms(50)..=ms(400)).contains(time), "{told:?}");
+        *by_time.entry(time.as_millis() / 5).or_default() += 1;
+    }
+    assert!(by_time.values().all(|count| *count <= 3), "{by_time:?}");
+}
+
+/// Guards against many refused callers that are told the same time, the longest one, because the
+/// requests ahead of them take longer than that.
+#[test]
+fn callers_refused_behind_a_long_queue_come_back_at_different_times() {
+    let now = ms(5_000);
+    for latency in [20, 100, 350, 400] {
+        let (mut dispatch, _) = busy(latency, now);
+        let mut told = BTreeMap::new();
+        for id in 2.. {
+            let actions = dispatch.arrive(ticket(id, Need::Leader, now), now);
+            told.extend(refused(&actions));
+            if told.len() == 100 {
+                break;
+            }
+        }
+        assert_spread(&told);
+    }
+}
+
+/// Guards against the same where it is not known how fast requests start.
+#[test]
+fn callers_refused_at_an_unknown_pace_come_back_at_different_times() {
+    let now = ms(5_000);
+    let server = keys()[0];
+    let mut dispatch = Dispatch::default();
+    dispatch.insert(server, Server::new(true, 2, 1, 1, 1));
+    dispatch.set_leader(Some(server));
+    for id in 1..=100 {
+        dispatch.arrive(ticket(id, Need::Leader, now), now);
+    }
+    assert_spread(&refused(&dispatch.tick(now + ms(800))));
+}
