Estimate the start of requests from recent answers only

One pause of a server made admission refuse the queue when it could run again: the few answers after it were slow, and older ones never expired. The latency that is assumed of a new server counted as measured.

The estimate takes the fastest of the last 8 answers, and is unknown unless all of them were given within the last second. The test of the longest queue of one connection expects 16 requests, not 17: with 100 ms for each, the 17th would start at its deadline. The former mean had not quite reached 100 ms.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -124,8 +124,8 @@
     }
 
     /// Returns the pace at which waiting requests start, or `None` where it is not known: no
-    /// primary, a hold, or no open connection. A request waits then, because each of these may end
-    /// at any moment.
+    /// primary, a hold, no open connection, or too few answers lately. A request waits then, because
+    /// each of these may end at any moment.
     fn pace(&self, now: Duration) -> Pace {
         let leader = self.leader.filter(|_| !self.is_on_hold(now));
         let leader = leader.and_then(|key| self.servers.get(&key)?.starts_per_second(now));
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -9,9 +9,11 @@
 use super::allotment::Allotment;
 use super::window::Window;
 
+mod answers;
 mod connections;
 mod full;
 
+use answers::Answers;
 use full::Full;
 
 /// Assumed latency of a server before the first measurement.
@@ -81,7 +83,7 @@
     /// Number of connections in use.
     busy: u16,
     average_latency: Duration,
-    last_latency: Duration,
+    answers: Answers,
     /// Time before which no connect is tried, after one failed.
     retry_at: Duration,
     /// Current backoff between connects; zero after a success.
@@ -134,7 +136,7 @@
             idle: Vec::new(),
             busy: 0,
             average_latency: INITIAL_LATENCY,
-            last_latency: INITIAL_LATENCY,
+            answers: Answers::default(),
             retry_at: Duration::ZERO,
             backoff: Duration::ZERO,
             full: Full::default(),
@@ -178,7 +180,7 @@
     pub fn record_latency(&mut self, took: Duration, now: Duration) {
         self.average_latency =
             (self.average_latency * (SMOOTHING_DIVISOR - 1) + took) / SMOOTHING_DIVISOR;
-        self.last_latency = took;
+        self.answers.record(took, now);
         self.window.record_latency(took, self.max_connections, now);
     }
 
@@ -273,16 +275,13 @@
         now >= self.lag_retry_at && (caught_up || now >= self.lag_measured_at + LAG_RETRY_AFTER)
     }
 
-    /// Returns how many requests this host can start here in a second, or `None` if it has no open
-    /// connection.
-    ///
-    /// The last answer counts alone where it was faster than the average: a server that was slow a
-    /// moment ago may be fast now.
+    /// Returns how many requests this host can start here in a second, or `None` if that is not
+    /// known: it has no open connection, or the server has given too few answers lately.
     pub(super) fn starts_per_second(&self, now: Duration) -> Option<f64> {
         let is_open = self.connections() > self.opening();
-        let latency = self.average_latency.min(self.last_latency);
+        let latency = self.answers.fastest(now).filter(|_| is_open)?;
         let running = self.window.size().min(self.connection_limit(now));
-        (is_open && !latency.is_zero()).then(|| f64::from(running) / latency.as_secs_f64())
+        (!latency.is_zero()).then(|| f64::from(running) / latency.as_secs_f64())
     }
 
     /// Returns the expected latency of one more request.
--- a/crates/core/tests/dispatch/admission.rs
+++ b/crates/core/tests/dispatch/admission.rs
@@ -49,18 +49,18 @@
 }
 
 /// Guards against requests that wait until their deadline in vain: with 100 ms for each request and
-/// 800 ms to wait, the queue of one connection holds 17 at most even if the server is twice as fast.
+/// 800 ms to wait, the queue of one connection holds 16 at most even if the server is twice as fast.
 #[test]
 fn a_request_that_cannot_start_in_time_is_refused_at_once() {
     let now = ms(5_000);
     let (mut dispatch, _) = busy(100, now);
-    for id in 2..19 {
+    for id in 2..18 {
         let actions = dispatch.arrive(ticket(id, Need::Leader, now), now);
         assert_eq!(refused(&actions), BTreeMap::new(), "request {id}");
     }
-    let actions = dispatch.arrive(ticket(19, Need::Leader, now), now);
+    let actions = dispatch.arrive(ticket(18, Need::Leader, now), now);
     assert_eq!(refused(&actions).len(), 1);
-    assert_eq!(dispatch.waiting(), 17);
+    assert_eq!(dispatch.waiting(), 16);
 }
 
 /// Guards against refused callers that all come back at the same moment, and against a time after
@@ -215,3 +215,41 @@
     }
     assert_spread(&refused(&dispatch.tick(now + ms(800))));
 }
+
+/// Guards against the refusal of a queue that could run: the server hung for a second, gave the few
+/// answers that it owed, and is as fast as before.
+#[test]
+fn a_pause_of_the_server_refuses_no_request() {
+    let now = ms(5_000);
+    let (mut dispatch, server) = busy(10, now);
+    let later = now + ms(1_010);
+    for _ in 0..4 {
+        let answered = dispatch.server_mut(server).expect("it is listed");
+        answered.record_latency(ms(1_000), later);
+    }
+    for id in 2..52 {
+        let actions = dispatch.arrive(ticket(id, Need::Leader, later), later);
+        assert_eq!(refused(&actions), BTreeMap::new(), "request {id}");
+    }
+}
+
+/// Guards against refusals by the latency of a server that has not answered for a while, and by that
+/// assumed of one that has not answered yet.
+#[test]
+fn requests_wait_where_a_server_has_not_answered_lately() {
+    let now = ms(5_000);
+    let (mut slow, _) = busy(400, now);
+    let mut unmeasured = Dispatch::default();
+    let server = keys()[0];
+    unmeasured.insert(server, Server::new(true, 2, 1, 1, 1));
+    unmeasured.set_leader(Some(server));
+    unmeasured.arrive(ticket(1, Need::Leader, now), now);
+    unmeasured.connection_opened(server, 10, TeamKey::default(), now);
+    let later = now + ms(1_000);
+    for dispatch in [&mut slow, &mut unmeasured] {
+        for id in 2..202 {
+            let actions = dispatch.arrive(ticket(id, Need::Leader, later), later);
+            assert_eq!(refused(&actions), BTreeMap::new(), "request {id}");
+        }
+    }
+}
