Shorten the pause before evictions at a full server

A host that may close an idle connection of another team to open its own waited up to 3 s at a full server, like one that adds a connection. Connects refused as busy also got the pause that grows once living hosts use the connections.

Evictions wait for the plain pause of 250 ms, without the factors. Failure::Busy tells a full request queue from the connection limit, and its pause does not grow. Shortages are reported as before.

--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -47,6 +47,8 @@
 pub enum Failure {
     /// The server has reached its connection limit.
     Full,
+    /// The server's request queue is full, which ends within moments.
+    Busy,
     /// The server refused for another reason, or did not answer.
     Unreachable,
 }
--- a/crates/core/src/dispatch/server/connections.rs
+++ b/crates/core/src/dispatch/server/connections.rs
@@ -110,7 +110,8 @@
     ) {
         self.end_opening(team);
         match failure {
-            Failure::Full => self.full.record_refusal(self.connections() > 0, now),
+            Failure::Full => self.full.record_full(self.connections() > 0, now),
+            Failure::Busy => self.full.record_busy(self.connections() > 0, now),
             Failure::Unreachable => {
                 self.backoff = (self.backoff * 2).clamp(BACKOFF_MIN, BACKOFF_MAX);
                 self.retry_at = now + self.backoff;
@@ -175,7 +176,7 @@
     /// Removes and returns the connection of another team than `team` that has been idle longest,
     /// so that one for `team` can be opened in its place.
     pub(in crate::dispatch) fn evict(&mut self, team: TeamKey, now: Duration) -> Option<u64> {
-        if !self.accepts_connects(now) {
+        if now < self.retry_at || !self.full.accepts_replacements(now) {
             return None;
         }
         let place = self.idle.iter().position(|idle| idle.team != team)?;
--- a/crates/core/src/dispatch/server/full.rs
+++ b/crates/core/src/dispatch/server/full.rs
@@ -22,7 +22,10 @@
 pub(super) struct Full {
     /// The first refusal since the last success.
     since: Option<Duration>,
+    /// Time before which no connect is tried that adds a connection.
     retry_at: Duration,
+    /// Time before which no connection is closed to open another in its place.
+    replace_at: Duration,
     /// State of the generator of pauses, different on each host.
     spread: u64,
 }
@@ -33,31 +36,50 @@
         self.spread = seed;
     }
 
-    /// Returns whether the server may accept a connection at `now`.
+    /// Returns whether the server may accept one more connection at `now`.
     pub(super) fn accepts_connects(&self, now: Duration) -> bool {
         now >= self.retry_at
     }
 
+    /// Returns whether the server may accept a connection at `now` in place of one that is closed.
+    ///
+    /// Such a connect makes its own room, so that it does not wait for that of others.
+    pub(super) fn accepts_replacements(&self, now: Duration) -> bool {
+        now >= self.replace_at
+    }
+
     /// Records that the server accepted a connection, which tells that there is room.
     pub(super) fn record_success(&mut self) {
         self.since = None;
         self.retry_at = Duration::ZERO;
+        self.replace_at = Duration::ZERO;
     }
 
-    /// Records a refusal. `is_connected` tells whether this host has another connection there.
+    /// Records a refusal because of the connection limit. `is_connected` tells whether this host has
+    /// another connection there.
     ///
     /// Guards against hosts that all come back at the same moment: after a loss of power, 1,319
     /// connects were refused within 250 ms.
-    pub(super) fn record_refusal(&mut self, is_connected: bool, now: Duration) {
+    pub(super) fn record_full(&mut self, is_connected: bool, now: Duration) {
         let since = *self.since.get_or_insert(now);
-        let mut pause = RETRY_AFTER;
-        if is_connected {
-            pause *= CONNECTED_FACTOR;
-        }
-        if now >= since + DEAD_CONNECTION_LIFETIME {
-            pause *= LASTING_FACTOR;
-        }
-        self.retry_at = now + self.spread(pause);
+        let is_lasting = now >= since + DEAD_CONNECTION_LIFETIME;
+        let factor = if is_lasting { LASTING_FACTOR } else { 1 };
+        self.pause(is_connected, factor, now);
+    }
+
+    /// Records a refusal because the server's request queue was full, which says nothing of its
+    /// connections.
+    pub(super) fn record_busy(&mut self, is_connected: bool, now: Duration) {
+        self.pause(is_connected, 1, now);
+    }
+
+    /// Sets when this host connects again. `factor` prolongs the pause before a connect that adds a
+    /// connection.
+    fn pause(&mut self, is_connected: bool, factor: u32, now: Duration) {
+        let connected_factor = if is_connected { CONNECTED_FACTOR } else { 1 };
+        let pause = self.spread(RETRY_AFTER);
+        self.replace_at = now + pause;
+        self.retry_at = now + pause * factor * connected_factor;
     }
 
     /// Returns a duration between half of `mean` and one and a half times `mean`.
--- a/crates/core/tests/dispatch/full_server.rs
+++ b/crates/core/tests/dispatch/full_server.rs
@@ -2,14 +2,22 @@
 
 use std::collections::BTreeMap;
 
-use flamingopost_core::dispatch::{Action, Allotment, Dispatch, Failure, Need, Server, Serving};
+use flamingopost_core::dispatch::{
+    Action, Allotment, Dispatch, Failure, Need, Server, Serving, Ticket,
+};
 use flamingopost_core::key::TeamKey;
+use flamingopost_core::names::Names;
 
-use super::{keys, ms};
+use super::{keys, ms, ticket};
 
 /// Times at which a host without connections attempts to connect to a server that stays full until
 /// `room`, in milliseconds.
 fn attempts_at_full_server(seed: u64, room: u64, end: u64) -> Vec<u64> {
+    attempts_refused(Failure::Full, seed, room, end)
+}
+
+/// The same for a server that refuses connects with `failure`.
+fn attempts_refused(failure: Failure, seed: u64, room: u64, end: u64) -> Vec<u64> {
     let server = keys()[0];
     let mut dispatch = Dispatch::default();
     dispatch.set_start(seed, ms(1_000));
@@ -24,7 +32,7 @@
             if now >= room {
                 dispatch.connection_opened(server, now, team, ms(now));
             } else {
-                dispatch.connect_failed(server, team, Failure::Full, ms(now));
+                dispatch.connect_failed(server, team, failure, ms(now));
             }
         }
     }
@@ -104,3 +112,61 @@
         assert_eq!(dispatch.servers()[&server].connections(), connections);
     }
 }
+
+/// Guards against a pause that grows as if living hosts used the connections of a server whose
+/// request queue is full.
+#[test]
+fn a_busy_server_is_tried_as_often_as_at_first() {
+    for seed in 0..20 {
+        let attempts = attempts_refused(Failure::Busy, seed, 14_000, 14_000);
+        let late = attempts.iter().filter(|at| **at >= 4_500).count();
+        // Pauses of 375 ms at most, found by ticks of 50 ms.
+        assert!(late >= 22, "{late} attempts in 9.5 s, seed {seed}");
+    }
+}
+
+/// Guards against a team that waits for seconds at a full server, although closing an idle
+/// connection of another team makes room for its own.
+#[test]
+fn an_eviction_at_a_full_server_waits_for_a_short_pause_only() {
+    let server = keys()[0];
+    let mut names: Names<TeamKey> = Names::default();
+    let [first, second] = ["canning", "basirhat"].map(|name| names.intern(name));
+    for seed in 0..20 {
+        let mut dispatch = Dispatch::default();
+        dispatch.set_start(seed, ms(0));
+        dispatch.insert(server, Server::new(true, 4, 4, 4, 4));
+        dispatch.set_has_teams(true);
+        dispatch.set_leader(Some(server));
+        for id in 0..2 {
+            let ticket = Ticket {
+                team: first,
+                ..ticket(id, Need::Leader, ms(1_000))
+            };
+            dispatch.arrive(ticket, ms(1_000));
+        }
+        for connection in 10..12 {
+            dispatch.connection_opened(server, connection, first, ms(1_000));
+        }
+        dispatch.connection_returned(server, 10, first, ms(1_010));
+        dispatch.connect_failed(server, first, Failure::Full, ms(1_010));
+        dispatch.connect_failed(server, first, Failure::Full, ms(4_100));
+        let waits = Ticket {
+            team: second,
+            ..ticket(5, Need::Leader, ms(4_100))
+        };
+        assert_eq!(dispatch.arrive(waits, ms(4_100)), []);
+        let close = Action::Close {
+            server,
+            connection: 10,
+        };
+        let actions = dispatch.arrive(
+            Ticket {
+                team: second,
+                ..ticket(6, Need::Leader, ms(4_475))
+            },
+            ms(4_475),
+        );
+        assert!(actions.contains(&close), "{actions:?}, seed {seed}");
+    }
+}
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -109,9 +109,8 @@
         });
         self.record_failure(server, error, sent);
         let failure = match error {
-            server_connection::Error::Refused(Code::ConnectionLimit | Code::Busy) => {
-                dispatch::Failure::Full
-            }
+            server_connection::Error::Refused(Code::ConnectionLimit) => dispatch::Failure::Full,
+            server_connection::Error::Refused(Code::Busy) => dispatch::Failure::Busy,
             _ => dispatch::Failure::Unreachable,
         };
         let now = self.site.now();
@@ -120,7 +119,7 @@
             let next = state.dispatch.connect_failed(server, team, failure, now);
             let entry = state.dispatch.servers().get(&server);
             if entry.is_some_and(dispatch::Server::lacks_connections)
-                && failure == dispatch::Failure::Full
+                && failure != dispatch::Failure::Unreachable
             {
                 state.connection_shortages.insert(server);
             }
