Forget refusals of a full server after a gap

The first refusal by a full server was kept until a connect succeeded. A host that had not tried for minutes took the server for full all the time, and waited four times as long as after a first refusal, also where the server had just lost power.

A refusal 3 s or more after the end of the last pause is the first again.

--- a/crates/core/src/dispatch/server/full.rs
+++ b/crates/core/src/dispatch/server/full.rs
@@ -20,7 +20,7 @@
 /// Refusals of a server because of its connection limit.
 #[derive(Debug, Default)]
 pub(super) struct Full {
-    /// The first refusal since the last success.
+    /// The first of the refusals that lasted until now.
     since: Option<Duration>,
     /// Time before which no connect is tried that adds a connection.
     retry_at: Duration,
@@ -61,6 +61,10 @@
     /// Guards against hosts that all come back at the same moment: after a loss of power, 1,319
     /// connects were refused within 250 ms.
     pub(super) fn record_full(&mut self, is_connected: bool, now: Duration) {
+        // Without any attempt for so long, it is not known whether the server was full meanwhile.
+        if now >= self.retry_at + DEAD_CONNECTION_LIFETIME {
+            self.since = None;
+        }
         let since = *self.since.get_or_insert(now);
         let is_lasting = now >= since + DEAD_CONNECTION_LIFETIME;
         let factor = if is_lasting { LASTING_FACTOR } else { 1 };
--- a/crates/core/tests/dispatch/full_server.rs
+++ b/crates/core/tests/dispatch/full_server.rs
@@ -170,3 +170,20 @@
         assert!(actions.contains(&close), "{actions:?}, seed {seed}");
     }
 }
+
+/// Guards against a host that takes a server for full since its last refusal, minutes ago, although
+/// it has not tried since: the server has just lost power, and dead connections fill it.
+#[test]
+fn a_refusal_after_a_gap_is_the_first() {
+    let server = keys()[0];
+    for seed in 0..20 {
+        let mut dispatch = Dispatch::default();
+        dispatch.set_start(seed, ms(0));
+        dispatch.insert(server, Server::new(true, 4, 1, 2, 2));
+        dispatch.tick(ms(1_000));
+        dispatch.connect_failed(server, TeamKey::default(), Failure::Full, ms(1_000));
+        dispatch.tick(ms(60_000));
+        dispatch.connect_failed(server, TeamKey::default(), Failure::Full, ms(60_000));
+        assert_eq!(dispatch.tick(ms(60_375)).len(), 1, "seed {seed}");
+    }
+}
