--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -70,7 +70,7 @@
     /// Number of connections in use, by team.
     in_use: BTreeMap<TeamKey, u16>,
     /// The latest time at which a refused caller was told to come back.
-    promised: Duration,
+    last_retry_at: Duration,
     /// Number of refused callers whose time to come back was spread over the whole range.
     spread_retries: u32,
     /// When this host started, and a number that differs from host to host.
--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -5,7 +5,7 @@
 use super::{Action, Dispatch, Need, ServerState, Ticket, Unserved};
 
 /// How many times as fast as observed the requests ahead may run before a request counts as
-/// hopeless.
+/// unservable.
 ///
 /// A refused caller has spent one of its three attempts, while a request that waits may still run.
 /// In a model, a factor of one lost 0.092 of all requests in a load spike, waiting until the
@@ -60,7 +60,7 @@
 impl Dispatch {
     /// Refuses the requests of `waiting`, which is in the order of service, whose deadline has
     /// passed or that cannot start before it.
-    pub(super) fn refuse_hopeless(
+    pub(super) fn refuse_unservable(
         &mut self,
         waiting: &mut Vec<Ticket>,
         now: Duration,
@@ -106,11 +106,11 @@
     /// Returns after which time a refused caller should come back: after all those that were told
     /// before it, or, where that is later than [`MAX_RETRY`], at any time within the bounds.
     fn retry_after(&mut self, wait: Duration, pace: Option<Duration>, now: Duration) -> Duration {
-        let at = self.promised.max(now + MIN_RETRY + wait);
+        let at = self.last_retry_at.max(now + MIN_RETRY + wait);
         if at > now + MAX_RETRY {
             return self.spread_retry();
         }
-        self.promised = at + pace.unwrap_or(UNKNOWN_PACE).min(MAX_RETRY);
+        self.last_retry_at = at + pace.unwrap_or(UNKNOWN_PACE).min(MAX_RETRY);
         at - now
     }
 
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -73,7 +73,7 @@
                 Placement::Wait => true,
             }
         });
-        actions.extend(self.refuse_hopeless(&mut waiting, now));
+        actions.extend(self.refuse_unservable(&mut waiting, now));
         let since = self.queued_since.unwrap_or(now);
         self.queued_since = (!waiting.is_empty()).then_some(since);
         self.waiting = waiting;
