--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -5,7 +5,7 @@
 use super::{Action, Dispatch, Need, ServerState, Ticket, Unserved};
 
 /// How many times as fast as observed the requests ahead may run before a request counts as
-/// hopeless.
+/// unservable.
 ///
 /// A refused caller has spent one of its three attempts, while a request that waits may still run.
 /// In a model, a factor of one lost 0.092 of all requests in a load spike, waiting until the
@@ -18,6 +18,13 @@
 /// Longest such time: what the shortest deadline, 1,200 ms, leaves after a timeout of 800 ms.
 const MAX_RETRY: Duration = Duration::from_millis(400);
 
+/// Time between two refused callers where it is not known how fast requests start.
+const UNKNOWN_PACE: Duration = Duration::from_millis(10);
+
+/// Fractional part of the golden ratio, in millionths. Its multiples modulo one are spread evenly,
+/// however many there are.
+const GOLDEN_MILLIONTHS: u64 = 618_034;
+
 /// Mean time between the starts of two waiting requests, for each kind of need.
 #[derive(Debug, Clone, Copy, Default)]
 struct Pace {
@@ -53,7 +60,7 @@
 impl Dispatch {
     /// Refuses the requests of `waiting`, which is in the order of service, whose deadline has
     /// passed or that cannot start before it.
-    pub(super) fn refuse_hopeless(
+    pub(super) fn refuse_unservable(
         &mut self,
         waiting: &mut Vec<Ticket>,
         now: Duration,
@@ -62,20 +69,24 @@
         let mut ahead = Ahead::default();
         let mut refused = Vec::new();
         waiting.retain(|ticket| {
+            let is_servable = self.is_servable(ticket, now);
             let before = ahead.of(ticket.need);
-            let wait = pace.of(ticket.need).unwrap_or_default() * *before;
+            let wait = match is_servable {
+                true => pace.of(ticket.need).unwrap_or_default() * *before,
+                false => Duration::ZERO,
+            };
             if now + wait / CAUTION >= ticket.deadline {
                 refused.push((ticket.clone(), wait));
                 return false;
             }
-            *before += 1;
+            *before += u32::from(is_servable);
             true
         });
         let refuse = |(ticket, wait): (Ticket, Duration)| Action::Refuse {
             ticket: ticket.id,
             reason: match self.unserved(&ticket, now) {
                 Unserved::Busy { .. } => Unserved::Busy {
-                    retry_after: self.promise(wait, pace.of(ticket.need), now),
+                    retry_after: self.retry_after(wait, pace.of(ticket.need), now),
                 },
                 reason => reason,
             },
@@ -83,18 +94,38 @@
         refused.into_iter().map(refuse).collect()
     }
 
-    /// Returns after which time a refused caller should come back, after all those that were told
-    /// before it.
-    fn promise(&mut self, wait: Duration, pace: Option<Duration>, now: Duration) -> Duration {
-        let at = self.promised.max(now + MIN_RETRY + wait);
-        let at = at.min(now + MAX_RETRY);
-        self.promised = at + pace.unwrap_or_default();
+    /// Returns whether a server may serve `ticket` once it has a free connection.
+    ///
+    /// It is not known when a ticket can start that no server may serve, and others do not wait for
+    /// it.
+    fn is_servable(&self, ticket: &Ticket, now: Duration) -> bool {
+        let mut servers = self.servers.iter();
+        servers.any(|(key, server)| self.may_serve(ticket, *key, server, now))
+    }
+
+    /// Returns after which time a refused caller should come back: after all those that were told
+    /// before it, or, where that is later than [`MAX_RETRY`], at any time within the bounds.
+    fn retry_after(&mut self, wait: Duration, pace: Option<Duration>, now: Duration) -> Duration {
+        let at = self.last_retry_at.max(now + MIN_RETRY + wait);
+        if at > now + MAX_RETRY {
+            return self.spread_retry();
+        }
+        self.last_retry_at = at + pace.unwrap_or(UNKNOWN_PACE).min(MAX_RETRY);
         at - now
     }
 
+    /// Returns a time between [`MIN_RETRY`] and [`MAX_RETRY`], spread evenly among those that
+    /// were returned before.
+    fn spread_retry(&mut self) -> Duration {
+        self.spread_retries = self.spread_retries.wrapping_add(1);
+        let part = u64::from(self.spread_retries) * GOLDEN_MILLIONTHS % 1_000_000;
+        let part = u32::try_from(part).unwrap_or_default();
+        MIN_RETRY + (MAX_RETRY - MIN_RETRY) * part / 1_000_000
+    }
+
     /// Returns the pace at which waiting requests start, or `None` where it is not known: no
-    /// primary, a hold, or no open connection. A request waits then, because each of these may end
-    /// at any moment.
+    /// primary, a hold, no open connection, or too few answers lately. A request waits then, because
+    /// each of these may end at any moment.
     fn pace(&self, now: Duration) -> Pace {
         let leader = self.leader.filter(|_| !self.is_on_hold(now));
         let leader = leader.and_then(|key| self.servers.get(&key)?.starts_per_second(now));
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -73,7 +73,7 @@
                 Placement::Wait => true,
             }
         });
-        actions.extend(self.refuse_hopeless(&mut waiting, now));
+        actions.extend(self.refuse_unservable(&mut waiting, now));
         let since = self.queued_since.unwrap_or(now);
         self.queued_since = (!waiting.is_empty()).then_some(since);
         self.waiting = waiting;
@@ -113,7 +113,7 @@
         let is_servable = self
             .servers
             .iter()
-            .any(|(key, server)| self.may_serve(ticket, *key, server, now));
+            .any(|(key, server)| self.may_answer(ticket, *key, server, now));
         match (is_servable, ticket.need) {
             (true, _) => Unserved::Busy {
                 retry_after: Duration::ZERO,
