Report a lost path to the store for the list of hosts as well

An elector that loses its path to the store notices with its call for the configuration after 3 s at most, but its call for the list of hosts waits for up to 26 s. Until then it counted as following that list, and its followers learned of no host.

A failed call for the configuration now sets the outage standing of the list of hosts, unless the history is gone or the fleet is small. While it stands, the next call for the list does not wait, so that its answer ends it.

--- a/crates/proxy/src/feeds/published.rs
+++ b/crates/proxy/src/feeds/published.rs
@@ -131,6 +131,19 @@
         }
     }
 
+    /// Records that the store has not answered a call for another list, while a call for this one
+    /// may wait in vain until its time is over.
+    pub fn record_path_failure(&self, error: &Error) {
+        if self.list.borrow().standing == Standing::Followed {
+            self.record_failure(error);
+        }
+    }
+
+    /// Reports whether the store has not answered the last call.
+    pub fn is_in_outage(&self) -> bool {
+        self.list.borrow().standing == Standing::Outage
+    }
+
     /// Returns the changes that lead from this list to the list of `entries`.
     pub fn changes_to(&self, entries: Vec<Entry<T>>) -> Vec<Change<T>> {
         let list = self.list.borrow();
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -115,6 +115,9 @@
                     }
                     WaitOutcome::Answered(Err(error)) => {
                         published.record_failure(&error);
+                        if !self.fleet.is_small() {
+                            self.fleet.feeds.published_peers.record_path_failure(&error);
+                        }
                         self.record_failure(&mut poll, Some(feed), &error).await;
                         continue;
                     }
@@ -195,6 +198,10 @@
         let _ = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         loop {
             self.wait_for_electors(&poll).await;
+            if !self.fleet.is_small() && published.is_in_outage() {
+                // Only an answer lets followers read the list here again, so it must come soon.
+                poll.cancelled(CancelReason::Outage);
+            }
             match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_hosts(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
