Bound the wait of the list of servers for the configuration

A store that fails only calls for the configuration made the list of servers wait for 10 s. A leaving server may be used for 7 s after its announcement on small deployments.

The list of servers now waits for 3 s at most: with 1.2 s of a call and 0.65 s until followers are notified that is 4.85 s. The list of hosts waits as before.

--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -39,11 +39,14 @@
 /// the list is known. This is many times the duration of a call.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Longest time for which the lists of servers and hosts wait for the configuration to be answered
-/// before they call the store themselves. Only a store that refuses the configuration alone makes
-/// them wait as long.
+/// Longest time for which the list of hosts waits for the configuration to be answered before it
+/// calls the store itself. Only a store that refuses the configuration alone makes it wait as long.
 const MAX_PROBE_WAIT: Duration = Duration::from_secs(10);
 
+/// The same for the list of servers. A leaving server may be used for 7 s after its announcement, and
+/// this wait is followed by a call of up to 1.2 s and by 0.65 s until followers are notified.
+const MAX_SERVER_PROBE_WAIT: Duration = Duration::from_secs(3);
+
 /// Follows the lists in the platform's store.
 pub struct Watch<C: Codec, P> {
     site: Rc<Site>,
@@ -491,8 +494,12 @@
         let is_servers = what == Table::Servers.name();
         self.servers_unreadable
             .set(is_servers || self.servers_unreadable.get());
+        let longest = match is_servers {
+            true => MAX_SERVER_PROBE_WAIT,
+            false => MAX_PROBE_WAIT,
+        };
         let answered = self.configuration_answered.notified();
-        let _ = tokio::time::timeout(MAX_PROBE_WAIT, answered).await;
+        let _ = tokio::time::timeout(longest, answered).await;
         if is_servers {
             self.servers_unreadable.set(false);
             self.servers_failed_at.set(Some(self.site.now()));
