Repeat a read of the claims that gave no lease at once

A host without a majority skips every second read of the claims, because the lease that a read gives lasts for two heartbeats. It skipped the read also if the last one gave no lease, because the claims may be incomplete after a restore or a service has a claim, and then waited 450 ms for the next instead of 250 ms.

Only a read that gave a lease for every service now delays the next.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -98,7 +98,7 @@
     probes: RefCell<SharedProbes<reachability::Asker>>,
     /// Whether a read of the store's claims is in flight.
     is_reading_claims: Cell<bool>,
-    /// When the newest such read was sent that the store has answered.
+    /// When the newest such read was sent that gave a lease for every service.
     claims_read_at: Cell<Option<Duration>>,
     /// When this host was last in contact with a majority of the other hosts.
     last_quorum_at: Cell<Option<Duration>>,
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -321,7 +321,6 @@
             let Some(claims) = claims else {
                 return;
             };
-            election.claims_read_at.set(Some(sent));
             // A restored store may lack a claim that is being acted on, for good if no host that
             // made one has run since.
             let fleet = &election.fleet;
@@ -332,12 +331,17 @@
             if !is_complete {
                 return;
             }
+            let mut is_every_lease_extended = true;
             for service in election.fleet.services() {
                 let attempt = service.newest_term().number().unsigned_abs();
-                if !claims.contains(&(service.name.clone(), attempt)) {
-                    service.record_no_claims(sent);
+                match claims.contains(&(service.name.clone(), attempt)) {
+                    true => is_every_lease_extended = false,
+                    false => service.record_no_claims(sent),
                 }
             }
+            if is_every_lease_extended {
+                election.claims_read_at.set(Some(sent));
+            }
         });
     }
 
