Ignore cancellations of a feed that has caught up

A host whose feed is behind stores a cancellation if no call waits at that time. The next call then ended with it: a healthy elector was paused for 5 s, or the whole list was read at the store again although the feed had caught up.

A cancelled call now counts only while the feed is behind, and one from before a host is asked is discarded. A feed that stays behind is cancelled anew.

--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -228,12 +228,31 @@
         }
     }
 
+    /// Discards a cancellation that was meant for an earlier call, so that a host that is asked now
+    /// is not considered behind because of it. If the feed is still behind, another one follows.
+    pub fn discard_cancellation(&self) {
+        let behind = self.behind.notified();
+        tokio::pin!(behind);
+        behind.as_mut().enable();
+    }
+
+    /// Waits until the call is cancelled because the feed is behind. Ignores a cancellation that
+    /// was stored while no call waited, if the feed has caught up since.
+    async fn cancelled_as_behind(&self) {
+        loop {
+            self.behind.notified().await;
+            if self.is_behind() {
+                return;
+            }
+        }
+    }
+
     /// Returns the result of `call`, unless it is cancelled because it may never return.
     pub async fn run_cancellable<T>(&self, call: impl Future<Output = T>) -> WaitOutcome<T> {
         tokio::select! {
             biased;
             answer = call => WaitOutcome::Answered(answer),
-            () = self.behind.notified() => WaitOutcome::Cancelled(CancelReason::Behind),
+            () = self.cancelled_as_behind() => WaitOutcome::Cancelled(CancelReason::Behind),
             () = self.outage.notified() => WaitOutcome::Cancelled(CancelReason::Outage),
             () = self.peers_lost.notified() => WaitOutcome::Cancelled(CancelReason::PeersLost),
             () = self.restored.notified() => WaitOutcome::Cancelled(CancelReason::Restored),
--- a/crates/proxy/src/watch/relayed.rs
+++ b/crates/proxy/src/watch/relayed.rs
@@ -120,6 +120,7 @@
             },
         };
         feed.asked_host.set(Some(relay.key));
+        feed.discard_cancellation();
         let call = feed.client.ask::<T>(relay.address, &query);
         let outcome = feed.run_cancellable(call).await;
         feed.asked_host.set(None);
--- a/crates/proxy/tests/feeds.rs
+++ b/crates/proxy/tests/feeds.rs
@@ -51,3 +51,32 @@
     let later = feeds.backends.run_cancellable(ready(7)).await;
     assert_eq!(later, WaitOutcome::Answered(7));
 }
+
+/// Guards against a healthy elector that is paused, and a whole read of the store that is repeated,
+/// because a cancellation was stored while no call waited and the feed has caught up since.
+#[tokio::test]
+async fn a_feed_that_has_caught_up_is_not_cancelled() {
+    let feeds = Feeds::default();
+    let feed = &feeds.backends;
+    feed.record_peer_read(7, at(0));
+    feed.check_stuck(StuckDetection::ByPeers, at(400));
+    feed.record_read(7, Some(7));
+    let ended = feed.run_cancellable(tokio::time::sleep(at(5))).await;
+    assert_eq!(ended, WaitOutcome::Answered(()));
+}
+
+/// Guards against an elector that is paused for a cancellation from before it was asked, and against
+/// one that keeps its followers behind.
+#[tokio::test]
+async fn only_later_cancellations_concern_a_host_that_is_asked() {
+    let feeds = Feeds::default();
+    let feed = &feeds.backends;
+    feed.record_peer_read(7, at(0));
+    feed.check_stuck(StuckDetection::ByPeers, at(400));
+    feed.discard_cancellation();
+    let ended = feed.run_cancellable(tokio::time::sleep(at(5))).await;
+    assert_eq!(ended, WaitOutcome::Answered(()));
+    feed.check_stuck(StuckDetection::ByPeers, at(1_200));
+    let ended = feed.run_cancellable(pending::<()>()).await;
+    assert_eq!(ended, WaitOutcome::Cancelled(CancelReason::Behind));
+}
