Don't delay the configuration at the start of a follower

After its first read, a host that starts in a large fleet waited up to 1 s after its start for electors before it read any list again. Changes of that second were in force later there than on other hosts.

The configuration no longer waits, and the list of servers waits for 0.6 s after its first read at most, which is the delay after a change of that list anyway. The list of hosts waits as before.

--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -19,7 +19,7 @@
 
 mod relayed;
 
-use relayed::ReadFrom;
+use relayed::{ELECTOR_CONTACT_TIMEOUT, ReadFrom};
 
 /// How long after a failed read the list of servers may be incomplete.
 const LIST_DISTRUST_AFTER_FAILURE: Duration = Duration::from_millis(1_500);
@@ -103,7 +103,6 @@
         let published = &self.fleet.feeds.published_configuration;
         let mut poll = PollState::new(Table::Configuration.name(), self.site.now());
         loop {
-            self.wait_for_electors(&poll).await;
             let asked = self.site.now();
             let read = match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_configuration(&mut poll).await {
@@ -154,8 +153,10 @@
         let feed = &self.fleet.feeds.backends;
         let published = &self.fleet.feeds.published_backends;
         let mut poll = PollState::new(Table::Servers.name(), self.site.now());
+        let mut first_read_at: Option<Duration> = None;
         loop {
-            self.wait_for_electors(&poll).await;
+            let until = first_read_at.map_or(Duration::ZERO, |at| at + SERVER_CHANGE_DELAY);
+            self.wait_for_electors(&poll, until).await;
             match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_servers(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
@@ -164,6 +165,7 @@
                         }
                         published.record(&read, Standing::Followed);
                         self.apply_servers(read);
+                        first_read_at.get_or_insert(self.site.now());
                         self.delay_in_large_fleet(SERVER_CHANGE_DELAY).await;
                     }
                     WaitOutcome::Answered(Err(error)) => {
@@ -195,12 +197,13 @@
         let feed = &self.fleet.feeds.peers;
         let published = &self.fleet.feeds.published_peers;
         let mut poll = PollState::new(Table::Hosts.name(), self.site.now());
+        let contact_until = self.started_at + ELECTOR_CONTACT_TIMEOUT;
         let (watch, announcing) = (Rc::clone(&self), own.clone());
         let announced = tokio::task::spawn_local(async move { watch.announce(&announcing).await });
         // If the store is healthy, one call then returns this host's entry as well.
         let _ = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         loop {
-            self.wait_for_electors(&poll).await;
+            self.wait_for_electors(&poll, contact_until).await;
             if !self.fleet.is_small() && published.is_in_outage() {
                 // Only an answer lets followers read the list here again, so it must come soon.
                 poll.cancelled(CancelReason::Outage);
--- a/crates/proxy/src/watch/relayed.rs
+++ b/crates/proxy/src/watch/relayed.rs
@@ -22,8 +22,8 @@
 const RECOVERY_WAIT: Duration = Duration::from_secs(4);
 
 /// How long after its start a host waits for the first answers of the electors before it follows
-/// the store. Every host would otherwise make waiting calls there that it gives up a moment later.
-const ELECTOR_CONTACT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// the store, for lists that may be that late. Every host would otherwise make waiting calls there that it gives up a moment later.
+pub(super) const ELECTOR_CONTACT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Interval between checks for those answers, which take one round trip after the list of hosts.
 const ELECTOR_CONTACT_INTERVAL: Duration = Duration::from_millis(50);
@@ -49,10 +49,11 @@
 }
 
 impl<C: Codec, P: Platform> Watch<C, P> {
-    /// Waits after the first read of a host in a large fleet until electors are in contact. A host
-    /// that has just started, and has read the whole list, misses changes for that long.
-    pub(super) async fn wait_for_electors(&self, poll: &PollState) {
-        let until = self.started_at + ELECTOR_CONTACT_TIMEOUT;
+    /// Waits after the first read of a host in a large fleet until electors are in contact, but not
+    /// after `until`. A host that has just started, and has read the whole list, misses changes for
+    /// that long.
+    pub(super) async fn wait_for_electors(&self, poll: &PollState, until: Duration) {
+        let until = until.min(self.started_at + ELECTOR_CONTACT_TIMEOUT);
         while poll.has_read() && self.fleet.lacks_electors() && self.site.now() < until {
             tokio::time::sleep(ELECTOR_CONTACT_INTERVAL).await;
         }
