Don't deliver lists of a former epoch to followers

An elector that has heard of a restore of the store, and has not read the new list yet, delivered the former list to followers that had not heard of it, and let their calls wait. docs/design/FEED-RELAY.md says that it does not.

Each published list now knows the newest epoch that this host has heard of, and answers NotFollowed while it is older, also to calls that wait.

--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::epoch::Epoch;
 use flamingopost_core::feed::Feed;
 use flamingopost_core::feed::source::Selector;
 use flamingopost_core::key::HostKey;
@@ -113,8 +114,12 @@
     pub const PEERS_WAIT: Duration = Duration::from_secs(25);
 
     /// Cancels all waiting calls after the store was restored from a backup, since they were made
-    /// for its previous state. Later calls detect the restore by themselves.
-    pub fn cancel_after_restore(&self) {
+    /// for its previous state, which is not delivered to other hosts any more either: the store is
+    /// in `epoch`. Later calls detect the restore by themselves.
+    pub fn cancel_after_restore(&self, epoch: Epoch) {
+        self.published_configuration.record_epoch(epoch);
+        self.published_backends.record_epoch(epoch);
+        self.published_peers.record_epoch(epoch);
         for follower in [&self.configuration, &self.backends, &self.peers] {
             follower.restored.notify_waiters();
         }
--- a/crates/proxy/src/feeds/published.rs
+++ b/crates/proxy/src/feeds/published.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 
+use flamingopost_core::epoch::Epoch;
 use hyper::body::Bytes;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
@@ -67,6 +68,8 @@
     /// Revision of the newest change, as reported by the store.
     newest: Option<Revision>,
     standing: Standing,
+    /// Newest epoch of the store that this host has heard of.
+    newest_epoch: Epoch,
     /// The answer with the whole list, until the next change.
     encoded: Option<Bytes>,
 }
@@ -80,6 +83,7 @@
                 changed: Revision::default(),
                 newest: None,
                 standing: Standing::default(),
+                newest_epoch: Epoch::default(),
                 encoded: None,
             }),
             changed: Notify::new(),
@@ -123,6 +127,16 @@
         }
     }
 
+    /// Records that the store is in `epoch`. A list of a former epoch is no longer delivered.
+    pub fn record_epoch(&self, epoch: Epoch) {
+        let mut list = self.list.borrow_mut();
+        if list.newest_epoch < epoch {
+            list.newest_epoch = epoch;
+            drop(list);
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Records that the store has not answered a call for the list.
     pub fn record_failure(&self, error: &Error) {
         // A lost history is no outage: the whole list is read next.
@@ -227,7 +241,7 @@
 
     /// Returns the answer to `query`, or `None` if it has to wait.
     fn answer(&mut self, query: &Query) -> Option<Bytes> {
-        let is_former = self.as_of.epoch() < query.after.epoch();
+        let is_former = self.as_of.epoch() < self.newest_epoch.max(query.after.epoch());
         let is_behind = query.whole && self.as_of < query.after;
         if self.standing == Standing::NotFollowed || is_former || is_behind {
             return Some(encode::<T>(&Answer::NotFollowed));
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -458,7 +458,7 @@
     /// Records that another host knows of `epoch`.
     pub fn record_peer_epoch(&self, host: HostKey, epoch: Epoch) {
         if self.with_epochs(|epochs, now| epochs.record_peer_epoch(host, epoch, now)) {
-            self.feeds.cancel_after_restore();
+            self.feeds.cancel_after_restore(epoch);
         }
     }
 
@@ -486,7 +486,7 @@
             servers: self.servers.borrow().by_id.len(),
             hosts: self.peers.borrow().by_host.len(),
         });
-        self.feeds.cancel_after_restore();
+        self.feeds.cancel_after_restore(epoch);
         let feeds = Rc::clone(&self.feeds);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(SERVER_REWRITE_TIME).await;
--- a/crates/proxy/tests/published.rs
+++ b/crates/proxy/tests/published.rs
@@ -118,6 +118,33 @@
     assert_eq!(list(ask(&published, &former).await).0, revision(10));
 }
 
+/// Guards against hosts that get a list from before a restore, or wait for its changes, at a host that
+/// has heard of the restore and has not read the new list.
+#[tokio::test]
+async fn a_list_of_a_former_epoch_is_not_delivered() {
+    let published = followed();
+    let waiting = Query {
+        wait: Duration::from_secs(20),
+        ..query(10)
+    };
+    let hears = async {
+        tokio::task::yield_now().await;
+        published.record_epoch(Epoch(3));
+    };
+    let (answer, ()) = tokio::join!(ask(&published, &waiting), hears);
+    assert_eq!(answer, Answer::NotFollowed);
+    published.set_standing(Standing::Outage);
+    assert_eq!(ask(&published, &query(9)).await, Answer::NotFollowed);
+    let restored = Read {
+        value: Batch::Snapshot(vec![Ok(peer(3))]),
+        revision: Revision::new(Epoch(3), 1),
+        newest: None,
+    };
+    published.record(&restored, Standing::Followed);
+    let answer = list(ask(&published, &query(10)).await);
+    assert_eq!(answer, (restored.revision, vec![Ok(peer(3))]));
+}
+
 /// Guards against followers that wait at a host that cannot read the store, or that reads it at
 /// another host.
 #[tokio::test]
