--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::epoch::Epoch;
 use flamingopost_core::feed::Feed;
 use flamingopost_core::feed::source::Selector;
 use flamingopost_core::key::HostKey;
@@ -113,8 +114,12 @@
     pub const PEERS_WAIT: Duration = Duration::from_secs(25);
 
     /// Cancels all waiting calls after the store was restored from a backup, since they were made
-    /// for its previous state. Later calls detect the restore by themselves.
-    pub fn cancel_after_restore(&self) {
+    /// for its previous state, which is not delivered to other hosts any more either: the store is
+    /// in `epoch`. Later calls detect the restore by themselves.
+    pub fn cancel_after_restore(&self, epoch: Epoch) {
+        self.published_configuration.record_epoch(epoch);
+        self.published_backends.record_epoch(epoch);
+        self.published_peers.record_epoch(epoch);
         for follower in [&self.configuration, &self.backends, &self.peers] {
             follower.restored.notify_waiters();
         }
@@ -228,12 +233,31 @@
         }
     }
 
+    /// Discards a cancellation that was meant for an earlier call, so that a host that is asked now
+    /// is not considered behind because of it. If the feed is still behind, another one follows.
+    pub fn discard_cancellation(&self) {
+        let behind = self.behind.notified();
+        tokio::pin!(behind);
+        behind.as_mut().enable();
+    }
+
+    /// Waits until the call is cancelled because the feed is behind. Ignores a cancellation that
+    /// was stored while no call waited, if the feed has caught up since.
+    async fn cancelled_as_behind(&self) {
+        loop {
+            self.behind.notified().await;
+            if self.is_behind() {
+                return;
+            }
+        }
+    }
+
     /// Returns the result of `call`, unless it is cancelled because it may never return.
     pub async fn run_cancellable<T>(&self, call: impl Future<Output = T>) -> WaitOutcome<T> {
         tokio::select! {
             biased;
             answer = call => WaitOutcome::Answered(answer),
-            () = self.behind.notified() => WaitOutcome::Cancelled(CancelReason::Behind),
+            () = self.cancelled_as_behind() => WaitOutcome::Cancelled(CancelReason::Behind),
             () = self.outage.notified() => WaitOutcome::Cancelled(CancelReason::Outage),
             () = self.peers_lost.notified() => WaitOutcome::Cancelled(CancelReason::PeersLost),
             () = self.restored.notified() => WaitOutcome::Cancelled(CancelReason::Restored),
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -19,7 +19,7 @@
 
 mod relayed;
 
-use relayed::ReadFrom;
+use relayed::{ELECTOR_CONTACT_TIMEOUT, ReadFrom};
 
 /// How long after a failed read the list of servers may be incomplete.
 const LIST_DISTRUST_AFTER_FAILURE: Duration = Duration::from_millis(1_500);
@@ -39,11 +39,14 @@
 /// the list is known. This is many times the duration of a call.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Longest time for which the lists of servers and hosts wait for the configuration to be answered
-/// before they call the store themselves. Only a store that refuses the configuration alone makes
-/// them wait as long.
+/// Longest time for which the list of hosts waits for the configuration to be answered before it
+/// calls the store itself. Only a store that refuses the configuration alone makes it wait as long.
 const MAX_PROBE_WAIT: Duration = Duration::from_secs(10);
 
+/// The same for the list of servers. A leaving server may be used for 7 s after its announcement, and
+/// this wait is followed by a call of up to 1.2 s and by 0.65 s until followers are notified.
+const MAX_SERVER_PROBE_WAIT: Duration = Duration::from_secs(3);
+
 /// Follows the lists in the platform's store.
 pub struct Watch<C: Codec, P> {
     site: Rc<Site>,
@@ -100,7 +103,6 @@
         let published = &self.fleet.feeds.published_configuration;
         let mut poll = PollState::new(Table::Configuration.name(), self.site.now());
         loop {
-            self.wait_for_electors(&poll).await;
             let asked = self.site.now();
             let read = match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_configuration(&mut poll).await {
@@ -115,6 +117,9 @@
                     }
                     WaitOutcome::Answered(Err(error)) => {
                         published.record_failure(&error);
+                        if !self.fleet.is_small() {
+                            self.fleet.feeds.published_peers.record_path_failure(&error);
+                        }
                         self.record_failure(&mut poll, Some(feed), &error).await;
                         continue;
                     }
@@ -148,8 +153,10 @@
         let feed = &self.fleet.feeds.backends;
         let published = &self.fleet.feeds.published_backends;
         let mut poll = PollState::new(Table::Servers.name(), self.site.now());
+        let mut first_read_at: Option<Duration> = None;
         loop {
-            self.wait_for_electors(&poll).await;
+            let until = first_read_at.map_or(Duration::ZERO, |at| at + SERVER_CHANGE_DELAY);
+            self.wait_for_electors(&poll, until).await;
             match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_servers(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
@@ -158,6 +165,7 @@
                         }
                         published.record(&read, Standing::Followed);
                         self.apply_servers(read);
+                        first_read_at.get_or_insert(self.site.now());
                         self.delay_in_large_fleet(SERVER_CHANGE_DELAY).await;
                     }
                     WaitOutcome::Answered(Err(error)) => {
@@ -189,12 +197,17 @@
         let feed = &self.fleet.feeds.peers;
         let published = &self.fleet.feeds.published_peers;
         let mut poll = PollState::new(Table::Hosts.name(), self.site.now());
+        let contact_until = self.started_at + ELECTOR_CONTACT_TIMEOUT;
         let (watch, announcing) = (Rc::clone(&self), own.clone());
         let announced = tokio::task::spawn_local(async move { watch.announce(&announcing).await });
         // If the store is healthy, one call then returns this host's entry as well.
         let _ = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         loop {
-            self.wait_for_electors(&poll).await;
+            self.wait_for_electors(&poll, contact_until).await;
+            if !self.fleet.is_small() && published.is_in_outage() {
+                // Only an answer lets followers read the list here again, so it must come soon.
+                poll.cancelled(CancelReason::Outage);
+            }
             match self.read_from(feed, &poll) {
                 ReadFrom::Store => match self.read_hosts(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
@@ -484,8 +497,12 @@
         let is_servers = what == Table::Servers.name();
         self.servers_unreadable
             .set(is_servers || self.servers_unreadable.get());
+        let longest = match is_servers {
+            true => MAX_SERVER_PROBE_WAIT,
+            false => MAX_PROBE_WAIT,
+        };
         let answered = self.configuration_answered.notified();
-        let _ = tokio::time::timeout(MAX_PROBE_WAIT, answered).await;
+        let _ = tokio::time::timeout(longest, answered).await;
         if is_servers {
             self.servers_unreadable.set(false);
             self.servers_failed_at.set(Some(self.site.now()));
