End the wait for a former primary that has lost its log

Cause: an inquiry remembers the former primary that it passes over, so that the time counts as waited for a better candidate. It did not remember what that server's log was. If a power loss restarted the server without its log, the time for which it was passed over with the log still counted, and the empty server was promoted while another server with a log was restarting. All acknowledged writes were then rolled back.

Change: the record holds the reported end of the log. It no longer counts once a report is behind it or the log has become empty; the wait then begins anew. PassedOver moves to a file of its own.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -19,6 +19,7 @@
 mod contact;
 mod inquiry;
 mod leader_history;
+mod passed_over;
 mod prior_orders;
 mod promotion_timer;
 mod unheard_order;
@@ -29,8 +30,9 @@
 pub use inquiry::{
     DIVIDED_DELAY, MINORITY_DELAY, OBJECTION_TIMEOUT, REPORT_AGE_MAX, RETURN_TIMEOUT,
 };
-use inquiry::{Decision, Inquiry, PassedOver};
+use inquiry::{Decision, Inquiry};
 use leader_history::LeaderHistory;
+use passed_over::PassedOver;
 pub use prior_orders::PriorOrders;
 pub use promotion_timer::PromotionTimer;
 pub use unheard_order::{ClaimRecord, Finding, UnheardOrder};
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -11,6 +11,7 @@
 use super::action::{Opinion, Report};
 use super::contact::Trouble;
 use super::leader_history::LeaderHistory;
+use super::passed_over::PassedOver;
 use super::view::View;
 
 /// Without a majority of hosts, a change waits this long after the platform's list has lost the
@@ -60,17 +61,6 @@
     pub(super) passed_over: Option<PassedOver>,
 }
 
-/// A server with the longest log that was not promoted, because it was replaced and has not followed
-/// its successor.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct PassedOver {
-    server: ServerKey,
-    /// The term whose primary is missed.
-    term: Term,
-    /// When the first of the inquiries that have passed it over began.
-    since: Duration,
-}
-
 /// The result of an inquiry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Decision {
@@ -193,22 +183,31 @@
     /// first inquiry in a row that has passed over the same server; one that it does not answer is no
     /// reason to wait again.
     pub(super) fn passed_over(&self, view: &View, now: Duration) -> Option<PassedOver> {
-        let Some(server) = self.longest_log(view, now, |_, _| true) else {
-            return self.passed_over;
+        let longest = self.longest_log(view, now, |_, _| true);
+        let Some((server, report)) = longest.and_then(|it| Some((it, self.reports.get(&it)?)))
+        else {
+            return self.passed_over.clone();
         };
-        let earlier = self.passed_over.filter(|it| it.server == server);
-        Some(earlier.unwrap_or(PassedOver {
+        let earlier = self.earlier_wait(server, report);
+        Some(PassedOver {
             server,
             term: self.term,
-            since: self.started_at,
-        }))
+            since: earlier.map_or(self.started_at, |it| it.since),
+            received: report.received,
+        })
+    }
+
+    /// Returns the wait in earlier inquiries that counts for `server`, which has sent `report`.
+    fn earlier_wait(&self, server: ServerKey, report: &Report) -> Option<&PassedOver> {
+        let earlier = self.passed_over.as_ref();
+        earlier.filter(|it| it.covers(server, report))
     }
 
     /// Reports whether `server` was passed over for so long that a better one had the time of a
     /// restart.
-    fn was_passed_over_for_long(&self, server: ServerKey, now: Duration) -> bool {
-        let earlier = self.passed_over.filter(|it| it.server == server);
-        earlier.is_some_and(|it| now >= it.since + RETURN_TIMEOUT)
+    fn was_passed_over_for_long(&self, server: ServerKey, report: &Report, now: Duration) -> bool {
+        let earlier = self.earlier_wait(server, report);
+        earlier.is_some_and(|it| it.is_overdue(now))
     }
 
     fn count(&self, opinion: Opinion) -> usize {
@@ -289,7 +288,7 @@
         if report.has_empty_log() && (self.any_has_log(view, now) || self.may_lack_servers) {
             return true;
         }
-        if self.is_overdue(now) || self.was_passed_over_for_long(best, now) {
+        if self.is_overdue(now) || self.was_passed_over_for_long(best, report, now) {
             return false;
         }
         if self.has_majority(view) && self.is_outclassed(report, view, now) {
@@ -438,17 +437,10 @@
     leaving.filter(move |_| !primary_leaves)
 }
 
-impl PassedOver {
-    /// Reports whether the server was passed over in inquiries about the primary of `term`.
-    pub(super) fn is_of_term(&self, term: Term) -> bool {
-        self.term == term
-    }
-}
-
 impl Report {
     /// Reports whether the log is empty. Its position may carry the newest term all the same, and
     /// would then compare greater than every log that ends in an older one.
-    fn has_empty_log(&self) -> bool {
+    pub(super) fn has_empty_log(&self) -> bool {
         self.received.log == 0
     }
 
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -647,6 +647,27 @@
     assert_eq!(setup.miss_primary(&reports, ms(12_000), ms(21_000)), None);
 }
 
+/// Guards against the loss of the whole log: a former primary with the longest log is passed over, and
+/// a power loss restarts it without that log. The time for which it was passed over with its log
+/// counted as waited for a better one, and it was promoted while the other server was restarting.
+#[test]
+fn a_former_primary_that_lost_its_log_is_not_promoted_at_once() {
+    let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
+    setup.view.synchronous = false;
+    setup.succession.step(&setup.view, ms(200));
+    setup.observe_successor(ms(400));
+    let [former, _, other] = setup.servers[..] else {
+        unreachable!("three servers")
+    };
+    let with_log = [(former, replica(1, position(1, 45)))];
+    assert_eq!(setup.fail_primary(&with_log, ms(1_000), ms(10_500)), None);
+    let empty = (former, replica(1, position(1, 0)));
+    assert_eq!(setup.miss_primary(&[empty], ms(10_500), ms(13_000)), None);
+    let reports = [empty, (other, replica(1, position(1, 40)))];
+    let ordered = setup.miss_primary(&reports, ms(13_000), ms(14_000));
+    assert_eq!(ordered.map(|(server, _)| server), Some(other));
+}
+
 /// A service whose primary has failed, a replica that has lost its log, and one that is about to
 /// leave and has the whole log.
 fn setup_with_an_empty_and_a_leaving_replica() -> (Setup, [(ServerKey, Report); 2]) {
