Let a server that is listed late answer before the wait ends

Cause: the time for which a former primary was passed over ended the wait for a better candidate, whatever servers were listed meanwhile. If a server with the log was listed again 0.5 s before the end of that time, and did not answer within one or two rounds of requests, an empty former primary was promoted, and all acknowledged writes were rolled back.

Change: the record of the server that is passed over holds the servers that were listed. It does not count while another one is listed that has not reported, and the wait then begins anew. A server that was gone from the list in between counts as listed late.

--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -11,7 +11,7 @@
 use super::action::{Opinion, Report};
 use super::contact::Trouble;
 use super::leader_history::LeaderHistory;
-use super::passed_over::PassedOver;
+use super::passed_over::{PassedOver, listed_servers};
 use super::view::View;
 
 /// Without a majority of hosts, a change waits this long after the platform's list has lost the
@@ -184,29 +184,29 @@
     /// reason to wait again.
     pub(super) fn passed_over(&self, view: &View, now: Duration) -> Option<PassedOver> {
         let longest = self.longest_log(view, now, |_, _| true);
-        let Some((server, report)) = longest.and_then(|it| Some((it, self.reports.get(&it)?)))
-        else {
-            return self.passed_over.clone();
+        let Some(server) = longest else {
+            return self.passed_over.as_ref().map(|it| it.keep_listed(view));
         };
-        let earlier = self.earlier_wait(server, report);
+        let earlier = self.earlier_wait(server, view);
         Some(PassedOver {
             server,
             term: self.term,
             since: earlier.map_or(self.started_at, |it| it.since),
-            received: report.received,
+            received: self.received_position(server),
+            listed: listed_servers(view).collect(),
         })
     }
 
-    /// Returns the wait in earlier inquiries that counts for `server`, which has sent `report`.
-    fn earlier_wait(&self, server: ServerKey, report: &Report) -> Option<&PassedOver> {
+    /// Returns the wait in earlier inquiries that counts for `server`.
+    fn earlier_wait(&self, server: ServerKey, view: &View) -> Option<&PassedOver> {
         let earlier = self.passed_over.as_ref();
-        earlier.filter(|it| it.covers(server, report))
+        earlier.filter(|it| it.covers(server, &self.reports, view))
     }
 
     /// Reports whether `server` was passed over for so long that a better one had the time of a
     /// restart.
-    fn was_passed_over_for_long(&self, server: ServerKey, report: &Report, now: Duration) -> bool {
-        let earlier = self.earlier_wait(server, report);
+    fn was_passed_over_for_long(&self, server: ServerKey, view: &View, now: Duration) -> bool {
+        let earlier = self.earlier_wait(server, view);
         earlier.is_some_and(|it| it.is_overdue(now))
     }
 
@@ -288,7 +288,7 @@
         if report.has_empty_log() && (self.any_has_log(view, now) || self.may_lack_servers) {
             return true;
         }
-        if self.is_overdue(now) || self.was_passed_over_for_long(best, report, now) {
+        if self.is_overdue(now) || self.was_passed_over_for_long(best, view, now) {
             return false;
         }
         if self.has_majority(view) && self.is_outclassed(report, view, now) {
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -668,6 +668,37 @@
     assert_eq!(ordered.map(|(server, _)| server), Some(other));
 }
 
+/// Guards against the loss of the whole log: a server with the log is listed shortly before the end of
+/// the wait, and an empty former primary was promoted before that server had the time to answer.
+#[test]
+fn an_empty_former_primary_is_not_promoted_while_a_late_server_may_answer() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(10_500)), None);
+    let late = setup.servers[2];
+    setup.view.candidates.insert(late);
+    assert_eq!(setup.miss_primary(&reports, ms(10_500), ms(13_000)), None);
+    let reports = [reports[0], reports[1], (late, replica(2, position(2, 29)))];
+    let ordered = setup.miss_primary(&reports, ms(13_000), ms(14_000));
+    assert_eq!(ordered.map(|(server, _)| server), Some(late));
+}
+
+/// As above, where the server was listed before, and then not for some seconds in which the former
+/// primary did not answer either.
+#[test]
+fn an_empty_former_primary_is_not_promoted_while_a_server_that_is_listed_again_may_answer() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    let again = setup.servers[2];
+    setup.view.candidates.insert(again);
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(3_000)), None);
+    setup.view.candidates.remove(&again);
+    assert_eq!(
+        setup.miss_primary(&reports[1..], ms(3_000), ms(10_500)),
+        None
+    );
+    setup.view.candidates.insert(again);
+    assert_eq!(setup.miss_primary(&reports, ms(10_500), ms(13_000)), None);
+}
+
 /// A service whose primary has failed, a replica that has lost its log, and one that is about to
 /// leave and has the whole log.
 fn setup_with_an_empty_and_a_leaving_replica() -> (Setup, [(ServerKey, Report); 2]) {
