Do not count a candidate that was not ordered as passed over

Cause: an inquiry that ends without an order recorded the server with the longest log as passed over, also if that server qualified and only the token was outdated or belonged to an unanswered order. That time then counted as waited for a better candidate: the server was promoted at once when the host had learned that it lacks acknowledged entries, and before the silent server that may have them came back.

Change: a server is recorded only if no candidate qualifies. One that has qualified keeps the time for which it was passed over before, so an empty former primary still waits once.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -581,7 +581,7 @@
                 vec![NextStep::AskHosts, NextStep::AskServers]
             }
             None if timed_out => {
-                self.passed_over = inquiry.passed_over(view, now);
+                self.passed_over = inquiry.passed_over(view, &self.leader_history, now);
                 self.retry_at = now + INQUIRY_BACKOFF;
                 Vec::new()
             }
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -182,7 +182,18 @@
     /// Returns the server that this inquiry passes over if it promotes none. The time counts from the
     /// first inquiry in a row that has passed over the same server; one that it does not answer is no
     /// reason to wait again.
-    pub(super) fn passed_over(&self, view: &View, now: Duration) -> Option<PassedOver> {
+    ///
+    /// A candidate that qualifies and was not ordered, for example under an outdated token, is not
+    /// passed over. Only the time counts for it that it was passed over before it qualified.
+    pub(super) fn passed_over(
+        &self,
+        view: &View,
+        history: &LeaderHistory,
+        now: Duration,
+    ) -> Option<PassedOver> {
+        if let Some(best) = self.best_candidate(view, history, now) {
+            return self.earlier_wait(best, view).cloned();
+        }
         let longest = self.longest_log(view, now, |_, _| true);
         let Some(server) = longest else {
             return self.passed_over.as_ref().map(|it| it.keep_listed(view));
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -38,6 +38,8 @@
     view: View,
     servers: Vec<ServerKey>,
     hosts: Vec<HostKey>,
+    /// The token of the claims that the host wins.
+    token: FencingToken,
 }
 
 fn setup(servers: &[&str]) -> Setup {
@@ -71,6 +73,7 @@
         view,
         servers,
         hosts,
+        token: FencingToken(7),
     }
 }
 
@@ -113,7 +116,7 @@
                 self.succession.record_report(*server, *report);
             }
             if steps.contains(&NextStep::Claim) {
-                steps.extend(self.succession.claim_won(FencingToken(7), now));
+                steps.extend(self.succession.claim_won(self.token, now));
             }
             for next in steps {
                 if let NextStep::Promote { server, .. } = next {
@@ -699,6 +702,22 @@
     assert_eq!(setup.miss_primary(&reports, ms(10_500), ms(13_000)), None);
 }
 
+/// Guards against an order without the wait for a better candidate: a replica that qualified, and was
+/// not ordered because the token was outdated, counted as passed over. The host then learns that the
+/// replica lacks entries, which the silent one may have.
+#[test]
+fn a_candidate_that_was_not_ordered_does_not_count_as_passed_over() {
+    let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
+    setup.view.synchronous = false;
+    setup.view.newest_token = Some(FencingToken(8));
+    let candidate = setup.servers[1];
+    let reports = [(candidate, replica(1, position(1, 40)))];
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(10_900)), None);
+    setup.token = FencingToken(9);
+    setup.view.required_positions = BTreeMap::from([(candidate, position(1, 43))]);
+    assert_eq!(setup.miss_primary(&reports, ms(10_900), ms(19_000)), None);
+}
+
 /// A service whose primary has failed, a replica that has lost its log, and one that is about to
 /// leave and has the whole log.
 fn setup_with_an_empty_and_a_leaving_replica() -> (Setup, [(ServerKey, Report); 2]) {
