--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -718,6 +718,19 @@
     assert_eq!(setup.miss_primary(&reports, ms(10_900), ms(19_000)), None);
 }
 
+/// Guards against a second wait of 10 s for an empty former primary that qualifies after the first one,
+/// and is not ordered at once because the token is outdated.
+#[test]
+fn an_empty_former_primary_that_was_not_ordered_keeps_its_wait() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    setup.view.newest_token = Some(FencingToken(8));
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(12_500)), None);
+    setup.token = FencingToken(9);
+    let ordered = setup.miss_primary(&reports, ms(12_500), ms(14_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(setup.servers[0]), "{ordered:?}");
+}
+
 /// A service whose primary has failed, a replica that has lost its log, and one that is about to
 /// leave and has the whole log.
 fn setup_with_an_empty_and_a_leaving_replica() -> (Setup, [(ServerKey, Report); 2]) {
