--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -38,6 +38,8 @@
     view: View,
     servers: Vec<ServerKey>,
     hosts: Vec<HostKey>,
+    /// The token of the claims that the host wins.
+    token: FencingToken,
 }
 
 fn setup(servers: &[&str]) -> Setup {
@@ -71,6 +73,7 @@
         view,
         servers,
         hosts,
+        token: FencingToken(7),
     }
 }
 
@@ -113,7 +116,7 @@
                 self.succession.record_report(*server, *report);
             }
             if steps.contains(&NextStep::Claim) {
-                steps.extend(self.succession.claim_won(FencingToken(7), now));
+                steps.extend(self.succession.claim_won(self.token, now));
             }
             for next in steps {
                 if let NextStep::Promote { server, .. } = next {
@@ -647,6 +650,87 @@
     assert_eq!(setup.miss_primary(&reports, ms(12_000), ms(21_000)), None);
 }
 
+/// Guards against the loss of the whole log: a former primary with the longest log is passed over, and
+/// a power loss restarts it without that log. The time for which it was passed over with its log
+/// counted as waited for a better one, and it was promoted while the other server was restarting.
+#[test]
+fn a_former_primary_that_lost_its_log_is_not_promoted_at_once() {
+    let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
+    setup.view.synchronous = false;
+    setup.succession.step(&setup.view, ms(200));
+    setup.observe_successor(ms(400));
+    let [former, _, other] = setup.servers[..] else {
+        unreachable!("three servers")
+    };
+    let with_log = [(former, replica(1, position(1, 45)))];
+    assert_eq!(setup.fail_primary(&with_log, ms(1_000), ms(10_500)), None);
+    let empty = (former, replica(1, position(1, 0)));
+    assert_eq!(setup.miss_primary(&[empty], ms(10_500), ms(13_000)), None);
+    let reports = [empty, (other, replica(1, position(1, 40)))];
+    let ordered = setup.miss_primary(&reports, ms(13_000), ms(14_000));
+    assert_eq!(ordered.map(|(server, _)| server), Some(other));
+}
+
+/// Guards against the loss of the whole log: a server with the log is listed shortly before the end of
+/// the wait, and an empty former primary was promoted before that server had the time to answer.
+#[test]
+fn an_empty_former_primary_is_not_promoted_while_a_late_server_may_answer() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(10_500)), None);
+    let late = setup.servers[2];
+    setup.view.candidates.insert(late);
+    assert_eq!(setup.miss_primary(&reports, ms(10_500), ms(13_000)), None);
+    let reports = [reports[0], reports[1], (late, replica(2, position(2, 29)))];
+    let ordered = setup.miss_primary(&reports, ms(13_000), ms(14_000));
+    assert_eq!(ordered.map(|(server, _)| server), Some(late));
+}
+
+/// As above, where the server was listed before, and then not for some seconds in which the former
+/// primary did not answer either.
+#[test]
+fn an_empty_former_primary_is_not_promoted_while_a_server_that_is_listed_again_may_answer() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    let again = setup.servers[2];
+    setup.view.candidates.insert(again);
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(3_000)), None);
+    setup.view.candidates.remove(&again);
+    assert_eq!(
+        setup.miss_primary(&reports[1..], ms(3_000), ms(10_500)),
+        None
+    );
+    setup.view.candidates.insert(again);
+    assert_eq!(setup.miss_primary(&reports, ms(10_500), ms(13_000)), None);
+}
+
+/// Guards against an order without the wait for a better candidate: a replica that qualified, and was
+/// not ordered because the token was outdated, counted as passed over. The host then learns that the
+/// replica lacks entries, which the silent one may have.
+#[test]
+fn a_candidate_that_was_not_ordered_does_not_count_as_passed_over() {
+    let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
+    setup.view.synchronous = false;
+    setup.view.newest_token = Some(FencingToken(8));
+    let candidate = setup.servers[1];
+    let reports = [(candidate, replica(1, position(1, 40)))];
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(10_900)), None);
+    setup.token = FencingToken(9);
+    setup.view.required_positions = BTreeMap::from([(candidate, position(1, 43))]);
+    assert_eq!(setup.miss_primary(&reports, ms(10_900), ms(19_000)), None);
+}
+
+/// Guards against a second wait of 10 s for an empty former primary that qualifies after the first one,
+/// and is not ordered at once because the token is outdated.
+#[test]
+fn an_empty_former_primary_that_was_not_ordered_keeps_its_wait() {
+    let (mut setup, reports) = setup_with_an_empty_former_primary();
+    setup.view.newest_token = Some(FencingToken(8));
+    assert_eq!(setup.fail_primary(&reports, ms(1_000), ms(12_500)), None);
+    setup.token = FencingToken(9);
+    let ordered = setup.miss_primary(&reports, ms(12_500), ms(14_000));
+    let server = ordered.map(|(server, _)| server);
+    assert_eq!(server, Some(setup.servers[0]), "{ordered:?}");
+}
+
 /// A service whose primary has failed, a replica that has lost its log, and one that is about to
 /// leave and has the whole log.
 fn setup_with_an_empty_and_a_leaving_replica() -> (Setup, [(ServerKey, Report); 2]) {
