Count the shares of silent hosts as lowered with the limit

Cause: a lowered limit left the shares of silent hosts as they were granted. With a burst lowered from 100 to 10 and a lost host that held 35, the bucket held at most -25, and nothing was granted until the share expired, up to 60 s.

Change: a holder keeps the limit that its share was granted under. The grantor counts the rate and burst scaled to the limit in force, as the host does in Account::set_limit. A limit that is raised again counts the whole share, since the host may not have seen the lower one.

Result: the team gets the lowered burst less the scaled share at once.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -101,6 +101,18 @@
     pub burst: f64,
 }
 
+impl Share {
+    /// Returns the part of the share that remains when `limit` replaces `former`. A higher limit
+    /// does not raise it.
+    fn lowered(self, former: Limit, limit: Limit) -> Share {
+        let part = |new: u32, old: u32| (f64::from(new) / f64::from(old.max(1))).min(1.0);
+        Share {
+            rate: self.rate * part(limit.per_second, former.per_second),
+            burst: self.burst * part(limit.burst, former.burst),
+        }
+    }
+}
+
 /// Answer to a [`Request`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Grant {
--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -134,9 +134,7 @@
     /// of all hosts together would exceed the lower limit.
     pub fn set_limit(&mut self, limit: Limit) {
         let former = self.limit.replace(limit).unwrap_or(limit);
-        let part = |new: u32, old: u32| (f64::from(new) / f64::from(old.max(1))).min(1.0);
-        self.share.rate *= part(limit.per_second, former.per_second);
-        self.share.burst *= part(limit.burst, former.burst);
+        self.share = self.share.lowered(former, limit);
         self.share_tokens = self.share_tokens.min(self.share.burst.max(1.0));
     }
 
--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -76,8 +76,10 @@
     sent: Duration,
     heard_at: Duration,
     demand: f64,
-    /// The greatest share that the host may hold.
+    /// The greatest share that the host may hold, while `limit` is in force.
     share: Share,
+    /// The limit at the time of the newest request.
+    limit: Limit,
     /// Counts of the newest request.
     returned: u32,
     used: u32,
@@ -90,6 +92,12 @@
 }
 
 impl Holder {
+    /// Returns the greatest share that the host may hold while `limit` is in force: hosts lower
+    /// their shares with the limit.
+    fn share(&self, limit: Limit) -> Share {
+        self.share.lowered(self.limit, limit)
+    }
+
     /// Reports whether the host may use its share at `now`.
     fn is_silent(&self, now: Duration) -> bool {
         now >= self.heard_at + SILENCE && now < self.heard_at + SHARE_LIFETIME
@@ -101,14 +109,15 @@
     }
 
     /// Returns what the host may have used of its share in the time `passed` until `now` that was
-    /// not charged before, and records it as charged.
-    fn charge(&mut self, passed: f64, now: Duration) -> f64 {
+    /// not charged before, and records it as charged. `limit` is the one in force.
+    fn charge(&mut self, limit: Limit, passed: f64, now: Duration) -> f64 {
         if !self.is_silent(now) {
             return 0.0;
         }
-        let mut charge = self.share.rate * passed;
+        let share = self.share(limit);
+        let mut charge = share.rate * passed;
         if !std::mem::replace(&mut self.is_burst_charged, true) {
-            charge += self.share.burst;
+            charge += share.burst;
         }
         self.charged += charge;
         charge
@@ -199,6 +208,7 @@
                 heard_at: now,
                 demand: request.demand,
                 share: may_hold,
+                limit: self.limit,
                 returned: request.returned,
                 used: request.used,
                 charged: 0.0,
@@ -226,9 +236,10 @@
         let passed = now.saturating_sub(self.refilled_at).as_secs_f64();
         self.refilled_at = self.refilled_at.max(now);
         let rate = f64::from(self.limit.per_second);
+        let limit = self.limit;
         let charges = self.hosts.iter_mut();
         let charges: Vec<(HostKey, f64)> = charges
-            .map(|(host, it)| (*host, it.charge(passed, now)))
+            .map(|(host, it)| (*host, it.charge(limit, passed, now)))
             .collect();
         let charged: f64 = charges.iter().map(|(_, charge)| charge).sum();
         let charged = charged.max(self.unknown_shares(silent, now) * passed);
@@ -294,7 +305,7 @@
         let silent = holders.filter(|(host, it)| {
             Some(**host) != settled && it.is_burst_charged && it.may_hold(now)
         });
-        let held: f64 = silent.map(|(_, it)| it.share.burst).sum();
+        let held: f64 = silent.map(|(_, it)| it.share(self.limit).burst).sum();
         f64::from(self.limit.burst.max(1)) - held
     }
 
@@ -327,10 +338,11 @@
         let (mut demand, mut held) = (0.0, Share::default());
         for (_, other) in others {
             demand += other.demand;
-            held.rate += other.share.rate;
+            let share = other.share(self.limit);
+            held.rate += share.rate;
             // That of a silent host is no longer in the bucket.
             if !other.is_burst_charged {
-                held.burst += other.share.burst;
+                held.burst += share.burst;
             }
         }
         (demand, held)
--- a/crates/core/tests/limit/grantor.rs
+++ b/crates/core/tests/limit/grantor.rs
@@ -177,6 +177,32 @@
     assert!(grant.retry_after >= ms(400), "{:?}", grant.retry_after);
 }
 
+/// Guards against a team that is refused for the lifetime of a share, 60 s, because a host is lost
+/// whose share of the former limit exceeds the lowered one.
+#[test]
+fn the_share_of_a_silent_host_falls_with_the_limit() {
+    let [lost, other] = hosts();
+    let limit = |count| Limit {
+        per_second: count,
+        burst: count,
+    };
+    let mut grantor = Grantor::new(limit(100), 2, ms(0));
+    let grant = grantor.grant(lost, &request(ms(5_000), 0, 90.0), 0.0, ms(5_000));
+    assert_eq!(grant.expect("new").share.burst, 35.0);
+    grantor
+        .grant(other, &request(ms(6_000), 0, 0.0), 0.0, ms(6_000))
+        .expect("new");
+    grantor.set_limit(limit(10));
+    let asked = request(ms(8_000), 20, 5.0);
+    let grant = grantor.grant(other, &asked, 0.0, ms(8_000)).expect("newer");
+    // A burst of 10, less the lost host's 3.5.
+    assert_eq!(grant.granted, 6);
+    // A host that has applied only the first and the last of these limits holds its whole share.
+    grantor.set_limit(limit(100));
+    let grant = grantor.grant(other, &request(ms(8_010), 0, 5.0), 0.0, ms(8_010));
+    assert_eq!(grant.expect("newer").share.rate, 0.0);
+}
+
 /// Guards against a division by a rate of zero.
 #[test]
 fn a_team_without_any_operations_is_told_to_wait() {
