Accept no greater share than the lowered one from a grantor with a former limit

Cause: a host that applied a lowered limit before the grantor was granted a share of the former limit with the next answer. When it was cut off then, it used that share for up to 60 s.

Change: for 5 s after a limit was lowered, a host accepts no greater share than its lowered one. A share above the host's own limit is always cut to it. Account::set_limit takes the time for this.

Result: no change of the wire format. A host without a share at the change accepts none for 5 s; it obtains granted operations meanwhile.

--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -35,6 +35,10 @@
 /// Time for which operations are requested ahead.
 const PREFETCH: Duration = Duration::from_millis(400);
 
+/// Time after a limit was lowered for which a grantor may still grant shares of the former one:
+/// hosts apply a configuration within a second, and a delayed answer takes less than another.
+const LOWERING_TIME: Duration = Duration::from_secs(5);
+
 /// Whether an operation may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -78,6 +82,8 @@
     incarnation: u64,
     /// The limit in force, once it is known.
     limit: Option<Limit>,
+    /// The greatest share to accept after the limit was lowered, and until when.
+    lowered: Option<(Share, Duration)>,
     /// Operations granted and not yet used, with the end of their lifetime.
     granted: Vec<(u32, Duration)>,
     /// Number of operations that have expired so far.
@@ -113,6 +119,7 @@
         Account {
             incarnation,
             limit: None,
+            lowered: None,
             granted: Vec::new(),
             expired: 0,
             share: Share::default(),
@@ -132,9 +139,15 @@
 
     /// Sets the limit in force. The share falls with it: the grantor may not be heard, and the shares
     /// of all hosts together would exceed the lower limit.
-    pub fn set_limit(&mut self, limit: Limit) {
+    ///
+    /// The grantor may apply a lower limit later than this host, so no greater share than the
+    /// lowered one is accepted for a few seconds.
+    pub fn set_limit(&mut self, limit: Limit, now: Duration) {
         let former = self.limit.replace(limit).unwrap_or(limit);
         self.share = self.share.lowered(former, limit);
+        if limit.per_second < former.per_second || limit.burst < former.burst {
+            self.lowered = Some((self.share, now + LOWERING_TIME));
+        }
         self.share_tokens = self.share_tokens.min(self.share.burst.max(1.0));
     }
 
@@ -309,12 +322,28 @@
         if self.exhausted_until.is_zero() {
             self.retry_times.clear();
         }
-        self.share = grant.share;
+        self.share = self.accepted(grant.share, now);
         self.issuer = grant.issuer;
-        self.share_tokens = grant.share.burst;
+        self.share_tokens = self.share.burst;
         self.share_refilled_at = grant.sent + ANSWER_TIMEOUT;
     }
 
+    /// Returns what this host may use of a share that a grantor has granted, which may know a
+    /// former limit only.
+    fn accepted(&self, mut share: Share, now: Duration) -> Share {
+        if let Some(limit) = self.limit {
+            share.rate = share.rate.min(f64::from(limit.per_second));
+            share.burst = share.burst.min(f64::from(limit.burst));
+        }
+        match self.lowered {
+            Some((most, until)) if now < until => Share {
+                rate: share.rate.min(most.rate),
+                burst: share.burst.min(most.burst),
+            },
+            _ => share,
+        }
+    }
+
     /// Drops operations that were granted too long ago.
     fn expire(&mut self, now: Duration) {
         let expired = self.granted.extract_if(.., |(_, until)| *until <= now);
--- a/crates/core/tests/limit/main.rs
+++ b/crates/core/tests/limit/main.rs
@@ -168,15 +168,39 @@
         per_second,
         burst: per_second,
     };
-    account.set_limit(limit(100));
+    account.set_limit(limit(100), ms(0));
     let grant = answer(&mut account, 0, 40.0, ms(0));
     account.record_grant(&grant, ms(3));
-    account.set_limit(limit(25));
+    account.set_limit(limit(25), ms(10));
     assert_eq!(account.share(), share(10.0));
-    account.set_limit(limit(50));
+    account.set_limit(limit(50), ms(20));
     assert_eq!(account.share(), share(10.0), "only the grantor raises it");
 }
 
+/// Guards against a host that learns of a lowered limit before the grantor, is granted a share of the
+/// former one, is cut off and uses it for 60 s.
+#[test]
+fn a_grantor_that_knows_the_former_limit_does_not_raise_a_lowered_share() {
+    let mut account = Account::new(1, ms(0));
+    let limit = |per_second| Limit {
+        per_second,
+        burst: per_second,
+    };
+    account.set_limit(limit(100), ms(0));
+    let grant = answer(&mut account, 0, 40.0, ms(0));
+    account.record_grant(&grant, ms(3));
+    account.set_limit(limit(25), ms(10));
+    let grant = answer(&mut account, 0, 100.0, ms(1_000));
+    account.record_grant(&grant, ms(1_003));
+    assert_eq!(account.share(), share(10.0));
+    let grant = answer(&mut account, 0, 100.0, ms(9_000));
+    account.record_grant(&grant, ms(9_003));
+    assert_eq!(account.share(), share(25.0), "never above the own limit");
+    let grant = answer(&mut account, 0, 20.0, ms(10_000));
+    account.record_grant(&grant, ms(10_003));
+    assert_eq!(account.share(), share(20.0));
+}
+
 /// Guards against the traffic of requests for teams that nobody calls for any more.
 #[test]
 fn an_unused_account_gives_up_its_share_and_falls_silent() {
--- a/crates/core/tests/limit/model.rs
+++ b/crates/core/tests/limit/model.rs
@@ -316,7 +316,7 @@
         quorum.set_hosts(others.map(|it| self.keys[it]).collect(), self.now);
         let incarnation = self.rng.random();
         let mut account = Account::new(incarnation, self.now);
-        account.set_limit(limit);
+        account.set_limit(limit, self.now);
         Host {
             start,
             running: true,
@@ -369,7 +369,7 @@
 
     fn configure(&mut self, host: usize, limit: Limit) {
         self.hosts[host].limit = limit;
-        self.hosts[host].account.set_limit(limit);
+        self.hosts[host].account.set_limit(limit, self.now);
         if let Some(grantor) = &mut self.hosts[host].grantor {
             grantor.set_limit(limit);
         }
--- a/crates/proxy/src/fleet/teams.rs
+++ b/crates/proxy/src/fleet/teams.rs
@@ -73,7 +73,7 @@
             names.filter_map(|name| Some((self.site.team(name), teams.limit(name)?)))
         });
         let limited: BTreeMap<TeamKey, Limit> = limited.collect();
-        self.limits.set_limits(&limited);
+        self.limits.set_limits(&limited, self.site.now());
         self.sources
             .borrow_mut()
             .retain(|team, _| limited.contains_key(team));
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -167,7 +167,7 @@
         let account = accounts.entry(team).or_insert_with(|| {
             let mut created = TeamAccount::new(self.incarnation, now);
             if let Some(limit) = self.in_force.borrow().get(&team) {
-                created.account.set_limit(*limit);
+                created.account.set_limit(*limit, now);
             }
             created
         });
@@ -267,13 +267,13 @@
     }
 
     /// Applies the limits of `teams` and forgets all other teams.
-    pub fn set_limits(&self, teams: &BTreeMap<TeamKey, Limit>) {
+    pub fn set_limits(&self, teams: &BTreeMap<TeamKey, Limit>, now: Duration) {
         self.in_force.replace(teams.clone());
         let mut accounts = self.accounts.borrow_mut();
         accounts.retain(|team, it| it.waiting > 0 || it.borrowing > 0 || teams.contains_key(team));
         for (team, it) in accounts.iter_mut() {
             if let Some(limit) = teams.get(team) {
-                it.account.set_limit(*limit);
+                it.account.set_limit(*limit, now);
             }
         }
         let mut grantors = self.grantors.borrow_mut();
