Keep counts when a team's limit is removed and set again

Cause: removing a limit dropped the team's account and borrower. When the limit was set again within the process, the counts of expired and used operations began at 0 under the same incarnation, and the difference wrapped to about 2^32: the grantor filled its bucket or emptied it, and a lender took back operations that had been used.

Change: accounts with counts are cleared instead of dropped. Grantors and lenders treat a count that went backwards as one that tells nothing, and put nothing back.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -101,6 +101,13 @@
     pub burst: f64,
 }
 
+/// Returns by how much a count has increased since `former`, or `None` if it went backwards: the
+/// asking host has started to count anew.
+fn increase(count: u32, former: u32) -> Option<u32> {
+    let increase = count.wrapping_sub(former);
+    (increase <= i32::MAX.unsigned_abs()).then_some(increase)
+}
+
 impl Share {
     /// Returns the part of the share that remains when `limit` replaces `former`. A higher limit
     /// does not raise it.
--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -137,6 +137,21 @@
         }
     }
 
+    /// Removes what the account holds, when its team is no longer limited. The counts go on, since
+    /// grantors compare them with earlier ones of this process.
+    pub fn clear(&mut self, now: Duration) {
+        *self = Account {
+            expired: self.expired,
+            share_used: self.share_used,
+            ..Account::new(self.incarnation, now)
+        };
+    }
+
+    /// Reports whether it has counted anything that a grantor may know of.
+    pub fn has_counts(&self) -> bool {
+        self.expired > 0 || self.share_used > 0
+    }
+
     /// Sets the limit in force. The share falls with it: the grantor may not be heard, and the shares
     /// of all hosts together would exceed the lower limit.
     ///
--- a/crates/core/src/limit/borrower.rs
+++ b/crates/core/src/limit/borrower.rs
@@ -91,6 +91,20 @@
         }
     }
 
+    /// Removes what was borrowed, when the team is no longer limited. The counts go on, since lenders
+    /// compare them with earlier ones of this process.
+    pub fn clear(&mut self, now: Duration) {
+        *self = Borrower {
+            returned: std::mem::take(&mut self.returned),
+            ..Borrower::new(self.incarnation, now)
+        };
+    }
+
+    /// Reports whether it has counted anything that a lender may know of.
+    pub fn has_counts(&self) -> bool {
+        !self.returned.is_empty()
+    }
+
     /// Counts an operation that a caller asks for, whether it is admitted or not.
     pub fn record_arrival(&mut self, now: Duration) {
         self.demand.record(1, now);
--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{ANSWER_TIMEOUT, Grant, Limit, Request, SHARE_LIFETIME, Share};
+use super::{ANSWER_TIMEOUT, Grant, Limit, Request, SHARE_LIFETIME, Share, increase};
 use crate::key::HostKey;
 
 /// Time without a message from a host after which it counts as silent. It is shorter than the time
@@ -268,7 +268,8 @@
     }
 
     /// Puts back what was taken off for the share of `host` and not used, and operations that have
-    /// expired. What a former process of the host has used is not known, so nothing is put back.
+    /// expired. What a former process of the host has used is not known, so nothing is put back, nor if
+    /// a count went backwards.
     ///
     /// The bucket holds no more than if all that was used had been used just now: a host that used
     /// little of its share for long and then all of it got back the former, although a bucket that
@@ -283,8 +284,12 @@
         if holder.incarnation != request.incarnation {
             return;
         }
-        let returned = f64::from(request.returned.wrapping_sub(holder.returned));
-        let used = f64::from(request.used.wrapping_sub(holder.used));
+        let returned = increase(request.returned, holder.returned);
+        let used = increase(request.used, holder.used);
+        let (Some(returned), Some(used)) = (returned, used) else {
+            return;
+        };
+        let (returned, used) = (f64::from(returned), f64::from(used));
         let unused = holder.charged + returned - used;
         let most = self.most_tokens(Some(host), now);
         let most = holder
--- a/crates/core/src/limit/lender.rs
+++ b/crates/core/src/limit/lender.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Account, Loan, LoanAnswer, LoanRequest};
+use super::{Account, Loan, LoanAnswer, LoanRequest, increase};
 use crate::key::HostKey;
 
 /// Time after a borrower's previous request within which it may return operations. Those that it
@@ -59,7 +59,9 @@
         }
         let mut lent = known.map_or(0, |it| it.lent);
         if let Some(known) = known.filter(|it| now < it.received_at + RETURN_WINDOW) {
-            let returned = request.returned.wrapping_sub(known.returned).min(lent);
+            let returned = increase(request.returned, known.returned)
+                .unwrap_or(0)
+                .min(lent);
             lent -= returned;
             account.record_returned(returned);
         } else {
--- a/crates/core/tests/limit/grantor.rs
+++ b/crates/core/tests/limit/grantor.rs
@@ -203,6 +203,29 @@
     assert_eq!(grant.expect("newer").share.rate, 0.0);
 }
 
+/// Guards against counts that restart within one process, as when a limit is removed and set again:
+/// the difference of about 2^32 was put back into the bucket, or taken off it.
+#[test]
+fn a_count_that_went_backwards_changes_nothing() {
+    let [first, _] = hosts();
+    for (returned, used) in [(9, 0), (0, 9)] {
+        let mut grantor = Grantor::new(LIMIT, 2, ms(0));
+        let counted = Request {
+            returned,
+            used,
+            ..request(ms(1_000), 20, 20.0)
+        };
+        let grant = grantor.grant(first, &counted, 0.0, ms(1_000));
+        assert_eq!(grant.expect("new").granted, 20);
+        let anew = request(ms(1_100), 20, 20.0);
+        let grant = grantor.grant(first, &anew, 0.0, ms(1_100));
+        assert_eq!(grant.expect("newer").granted, 2, "of 20 a second");
+        let later = request(ms(1_300), 20, 20.0);
+        let grant = grantor.grant(first, &later, 0.0, ms(1_300));
+        assert_eq!(grant.expect("newer").granted, 4);
+    }
+}
+
 /// Guards against a division by a rate of zero.
 #[test]
 fn a_team_without_any_operations_is_told_to_wait() {
--- a/crates/core/tests/limit/zones.rs
+++ b/crates/core/tests/limit/zones.rs
@@ -95,6 +95,34 @@
     );
 }
 
+/// Guards against a borrower whose count restarts within one process: all that it had borrowed was
+/// taken for returned.
+#[test]
+fn a_count_of_returned_operations_that_went_backwards_returns_nothing() {
+    let ([borrower, _], mut lender) = (hosts(), Lender::default());
+    let mut account = granted(5, Share::default());
+    let counted = LoanRequest {
+        returned: 7,
+        ..loan_request(ms(10), 5)
+    };
+    let answer = lender.lend(&mut account, (borrower, &counted), None, ms(12));
+    assert_eq!(lent(answer).0, 5);
+    let anew = loan_request(ms(20), 0);
+    lender.lend(&mut account, (borrower, &anew), None, ms(22));
+    assert_eq!(account.request(0, ms(30)).returned, 0);
+}
+
+/// Guards against counts that restart when a limit is removed and set again.
+#[test]
+fn counts_go_on_after_a_limit_was_removed() {
+    let mut account = granted(5, Share::default());
+    assert_eq!(account.request(0, ms(600)).returned, 5);
+    account.clear(ms(700));
+    assert!(account.has_counts());
+    assert_eq!(account.share(), Share::default());
+    assert_eq!(account.request(0, ms(800)).returned, 5);
+}
+
 /// Guards against operations that are used later than 500 ms after they were requested of the
 /// grantor, because two hosts in turn held them.
 #[test]
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -76,6 +76,16 @@
         }
     }
 
+    /// Removes what the account holds, has borrowed and lends. Reports whether it is to be kept for
+    /// the counts that other hosts know.
+    fn clear(&mut self, now: Duration) -> bool {
+        self.account.clear(now);
+        self.borrower.clear(now);
+        self.issuer = None;
+        self.lender = Lender::default();
+        self.account.has_counts() || self.borrower.has_counts()
+    }
+
     /// Returns when the newest message was sent that the grantor of the share has answered.
     fn contact(
         &self,
@@ -270,7 +280,10 @@
     pub fn set_limits(&self, teams: &BTreeMap<TeamKey, Limit>, now: Duration) {
         self.in_force.replace(teams.clone());
         let mut accounts = self.accounts.borrow_mut();
-        accounts.retain(|team, it| it.waiting > 0 || it.borrowing > 0 || teams.contains_key(team));
+        accounts.retain(|team, it| {
+            let is_kept = it.waiting > 0 || it.borrowing > 0 || teams.contains_key(team);
+            is_kept || it.clear(now)
+        });
         for (team, it) in accounts.iter_mut() {
             if let Some(limit) = teams.get(team) {
                 it.account.set_limit(*limit, now);
