Bound the operations that a host requests without overflow

Cause: the operations ahead of need and those that wait come from what other hosts state and were added without a bound, which overflows a u32.

Change: the sum saturates; a test requests the greatest number.

--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -274,7 +274,10 @@
     /// answer.
     pub fn request(&mut self, waiting: u32, now: Duration) -> Request {
         self.expire(now);
-        let wanted = (self.ahead(now) + waiting).saturating_sub(self.held());
+        let wanted = self
+            .ahead(now)
+            .saturating_add(waiting)
+            .saturating_sub(self.held());
         let usual = self.usual_demand.at(now);
         self.sent_at = Some(now);
         self.unanswered_since.get_or_insert(now);
--- a/crates/core/tests/limit/zones.rs
+++ b/crates/core/tests/limit/zones.rs
@@ -123,6 +123,15 @@
     assert_eq!(account.request(0, ms(800)).returned, 5);
 }
 
+/// Guards against an overflow by the arrivals and the need that another host states.
+#[test]
+fn a_request_for_any_number_of_operations_is_answered() {
+    let mut account = granted(1, Share::default());
+    account.record_arrivals(u32::MAX, ms(10));
+    account.record_arrivals(u32::MAX, ms(20));
+    assert!(account.request(u32::MAX, ms(30)).wanted >= u32::MAX - 1);
+}
+
 /// Guards against operations that are used later than 500 ms after they were requested of the
 /// grantor, because two hosts in turn held them.
 #[test]
