--- a/crates/core/src/limit/grantor.rs
+++ b/crates/core/src/limit/grantor.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{ANSWER_TIMEOUT, Grant, Limit, Request, SHARE_LIFETIME, Share};
+use super::{ANSWER_TIMEOUT, Grant, Limit, Request, SHARE_LIFETIME, Share, increase};
 use crate::key::HostKey;
 
 /// Time without a message from a host after which it counts as silent. It is shorter than the time
@@ -80,8 +80,10 @@
     sent: Duration,
     heard_at: Duration,
     demand: f64,
-    /// The greatest share that the host may hold.
+    /// The greatest share that the host may hold, while `limit` is in force.
     share: Share,
+    /// The limit at the time of the newest request.
+    limit: Limit,
     /// Counts of the newest request.
     returned: u32,
     used: u32,
@@ -94,6 +96,12 @@
 }
 
 impl Holder {
+    /// Returns the greatest share that the host may hold while `limit` is in force: hosts lower
+    /// their shares with the limit.
+    fn share(&self, limit: Limit) -> Share {
+        self.share.lowered(self.limit, limit)
+    }
+
     /// Reports whether the host may use its share at `now`.
     fn is_silent(&self, now: Duration) -> bool {
         now >= self.heard_at + SILENCE && now < self.heard_at + SHARE_LIFETIME
@@ -105,14 +113,15 @@
     }
 
     /// Returns what the host may have used of its share in the time `passed` until `now` that was
-    /// not charged before, and records it as charged.
-    fn charge(&mut self, passed: f64, now: Duration) -> f64 {
+    /// not charged before, and records it as charged. `limit` is the one in force.
+    fn charge(&mut self, limit: Limit, passed: f64, now: Duration) -> f64 {
         if !self.is_silent(now) {
             return 0.0;
         }
-        let mut charge = self.share.rate * passed;
+        let share = self.share(limit);
+        let mut charge = share.rate * passed;
         if !std::mem::replace(&mut self.is_burst_charged, true) {
-            charge += self.share.burst;
+            charge += share.burst;
         }
         self.charged += charge;
         charge
@@ -206,6 +215,7 @@
                 heard_at: now,
                 demand: request.demand,
                 share: may_hold,
+                limit: self.limit,
                 returned: request.returned,
                 used: request.used,
                 charged: 0.0,
@@ -233,9 +243,10 @@
         let passed = now.saturating_sub(self.refilled_at).as_secs_f64();
         self.refilled_at = self.refilled_at.max(now);
         let rate = f64::from(self.limit.per_second);
+        let limit = self.limit;
         let charges = self.hosts.iter_mut();
         let charges: Vec<(HostKey, f64)> = charges
-            .map(|(host, it)| (*host, it.charge(passed, now)))
+            .map(|(host, it)| (*host, it.charge(limit, passed, now)))
             .collect();
         let charged: f64 = charges.iter().map(|(_, charge)| charge).sum();
         let charged = charged.max(self.unknown_shares(silent, now) * passed);
@@ -264,7 +275,8 @@
     }
 
     /// Puts back what was taken off for the share of `host` and not used, and operations that have
-    /// expired. What a former process of the host has used is not known, so nothing is put back.
+    /// expired. What a former process of the host has used is not known, so nothing is put back, nor if
+    /// a count went backwards.
     ///
     /// The bucket holds no more than if all that was used had been used just now: a host that used
     /// little of its share for long and then all of it got back the former, although a bucket that
@@ -279,8 +291,12 @@
         if holder.incarnation != request.incarnation {
             return;
         }
-        let returned = f64::from(request.returned.wrapping_sub(holder.returned));
-        let used = f64::from(request.used.wrapping_sub(holder.used));
+        let returned = increase(request.returned, holder.returned);
+        let used = increase(request.used, holder.used);
+        let (Some(returned), Some(used)) = (returned, used) else {
+            return;
+        };
+        let (returned, used) = (f64::from(returned), f64::from(used));
         let unused = holder.charged + returned - used;
         let most = self.most_tokens(Some(host), now);
         let most = holder
@@ -301,7 +317,7 @@
         let silent = holders.filter(|(host, it)| {
             Some(**host) != settled && it.is_burst_charged && it.may_hold(now)
         });
-        let held: f64 = silent.map(|(_, it)| it.share.burst).sum();
+        let held: f64 = silent.map(|(_, it)| it.share(self.limit).burst).sum();
         f64::from(self.limit.burst.max(1)) - held
     }
 
@@ -334,10 +350,11 @@
         let (mut demand, mut held) = (0.0, Share::default());
         for (_, other) in others {
             demand += other.demand;
-            held.rate += other.share.rate;
+            let share = other.share(self.limit);
+            held.rate += share.rate;
             // That of a silent host is no longer in the bucket.
             if !other.is_burst_charged {
-                held.burst += other.share.burst;
+                held.burst += share.burst;
             }
         }
         (demand, held)
