--- a/crates/core/src/limit/account/loan.rs
+++ b/crates/core/src/limit/account/loan.rs
@@ -5,7 +5,7 @@
 use super::Account;
 use crate::limit::OPERATION_LIFETIME;
 
-/// Shortest remaining lifetime of granted operations that are lent. Less would end on the way.
+/// Shortest remaining lifetime of granted operations that are lent. Shorter ones would expire before they arrive.
 const MIN_LENT_LIFETIME: Duration = Duration::from_millis(40);
 
 /// How long operations may be used that were lent from a share. Callers wait for them, so it only
--- a/crates/proxy/src/feeds/wire.rs
+++ b/crates/proxy/src/feeds/wire.rs
@@ -1,4 +1,4 @@
-//! Feeds as they travel between hosts.
+//! Wire encoding of the feeds that hosts read from each other.
 //!
 //! Hosts of different builds exchange them while a fleet is updated. An answer that cannot be
 //! decoded counts as none, and the store is read instead.
@@ -21,9 +21,9 @@
 use crate::team::Directory;
 use crate::unusable::UnusableEntry;
 
-/// A value of one of the feeds, and how it travels.
+/// A value of one of the feeds, and its wire type.
 pub trait Item: Clone + PartialEq + 'static {
-    /// How it travels.
+    /// Its wire type.
     type Wire: Serialize + DeserializeOwned + for<'a> From<&'a Self> + Into<Self>;
 
     /// Returns the key under which the store keeps the value.
