--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -7,9 +7,8 @@
 /// How many times as fast as observed the requests ahead may run before a request counts as
 /// unservable.
 ///
-/// A refused caller has spent one of its three attempts, while a request that waits may still run.
-/// In a model, a factor of one lost 0.092 of all requests in a load spike, waiting until the
-/// deadline 0.076, and a factor of two 0.078.
+/// A refused caller has spent one of its few attempts, while a request that waits may still run. So
+/// the estimate has to err on the side of waiting.
 const CAUTION: u32 = 2;
 
 /// Shortest time after which a refused caller is told to come back.
