Split the election by what its parts do

Change: the task of a service, its view, status queries, orders, received messages and log reports each have a file. No behaviour changes.

--- /dev/null
+++ b/crates/proxy/src/election/receive.rs
@@ -0,0 +1,177 @@
+//! Handles messages from other entry hosts.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use flamingopost_core::epoch::Epoch;
+use flamingopost_core::term::Term;
+
+use super::Election;
+use super::messaging::PROPAGATION_WINDOW;
+use crate::codec::Codec;
+use crate::peer::{Message, Payload, Server};
+use crate::platform::Platform;
+use crate::service::{ResolvedServer, Service};
+
+impl<C: Codec, P: Platform> Election<C, P> {
+    /// Receives messages from other hosts and handles them, forever.
+    ///
+    /// # Errors
+    /// Returns an error if the socket is unusable.
+    pub async fn listen(self: Rc<Self>) -> std::io::Result<()> {
+        loop {
+            let (message, from) = self.socket.receive().await?;
+            self.handle(message, from);
+        }
+    }
+
+    /// Handles one message. Any message from a listed host counts as contact with it. Heartbeats
+    /// and acknowledgements from hosts that are not listed are ignored.
+    fn handle(self: &Rc<Self>, message: Message, from: SocketAddr) {
+        if let Some(host) = self.fleet.peer(&message.host) {
+            self.fleet
+                .with_quorum(|quorum, now| quorum.record_message(host, now));
+            match message.payload {
+                Payload::Heartbeat {
+                    sent,
+                    out_of_touch,
+                    epoch,
+                    sample_requests,
+                    ended_terms,
+                } => {
+                    self.fleet.record_peer_epoch(host, Epoch(epoch));
+                    self.fleet.record_heartbeat(host);
+                    let missed =
+                        Duration::from_millis(u64::from(out_of_touch)) + PROPAGATION_WINDOW;
+                    let echo = Payload::HeartbeatAck {
+                        sent,
+                        progress: self.fleet.feed_progress(),
+                        in_touch: self.quorum_held_ms(),
+                        ended_terms: self.recent_ended_terms(missed),
+                        samples: self.samples(&sample_requests),
+                    };
+                    self.send_message(String::new(), echo, from);
+                    ended_terms
+                        .iter()
+                        .for_each(|it| self.apply_ended_term(&message.host, it));
+                    return;
+                }
+                Payload::HeartbeatAck {
+                    sent,
+                    progress,
+                    in_touch,
+                    ended_terms,
+                    samples,
+                } => {
+                    self.fleet.record_peer_epoch(host, Epoch(progress.epoch));
+                    self.fleet.record_peer_progress(progress);
+                    // Ended terms are applied before the acknowledgement extends the lease.
+                    ended_terms
+                        .iter()
+                        .for_each(|it| self.apply_ended_term(&message.host, it));
+                    self.peer_knows_orders(Duration::from_millis(u64::from(in_touch)));
+                    let sent = Duration::from_micros(sent);
+                    self.fleet
+                        .with_quorum(|quorum, _| quorum.record_reply(host, sent));
+                    self.apply_samples(&samples, sent);
+                    return;
+                }
+                Payload::OperationRequest {
+                    incarnation,
+                    sent,
+                    requests,
+                } => {
+                    let requests = requests
+                        .iter()
+                        .map(|it| (it.team.as_str(), it.request(incarnation, sent)));
+                    return self.answer_requests(host, sent, requests, from);
+                }
+                Payload::OperationGrant { sent, grants } => {
+                    return self.apply_grants(host, sent, &grants);
+                }
+                Payload::ZoneOperationRequest {
+                    incarnation,
+                    sent,
+                    requests,
+                } => {
+                    let exchange = self.exchange();
+                    return exchange.answer(host, (incarnation, sent), &requests);
+                }
+                Payload::ZoneOperationGrant { sent, grants } => {
+                    return self.exchange().apply(host, sent, &grants);
+                }
+                Payload::NoShares => return self.fleet.record_no_shares(host),
+                _ => {}
+            }
+        }
+        match &message.payload {
+            Payload::LogQuery => return self.send_logs(from),
+            Payload::LogReply { logs } => return self.apply_logs(logs),
+            _ => {}
+        }
+        let Some(service) = self.fleet.find_service(&message.service) else {
+            return;
+        };
+        let succession = self.services.borrow().get(&service.name).cloned();
+        match message.payload {
+            // Sent by a host that is not listed yet.
+            Payload::Heartbeat { .. }
+            | Payload::HeartbeatAck { .. }
+            | Payload::OperationRequest { .. }
+            | Payload::OperationGrant { .. }
+            | Payload::ZoneOperationRequest { .. }
+            | Payload::ZoneOperationGrant { .. }
+            | Payload::NoShares => {}
+            // Not specific to a service, and handled above.
+            Payload::LogQuery | Payload::LogReply { .. } => {}
+            Payload::ReachabilityQuery { server, furthest } => {
+                service.record_peer_position(furthest.into());
+                self.answer_reachability(service, server, from);
+            }
+            Payload::ReachabilityReply {
+                server,
+                furthest,
+                reaches,
+            } => {
+                service.record_peer_position(furthest.into());
+                let host = self.fleet.peer(&message.host);
+                if let (Some(succession), Some(host)) = (succession, host)
+                    && is_about_leader(&service, server.as_ref())
+                {
+                    let opinion = Payload::opinion(reaches);
+                    succession.borrow_mut().record_opinion(host, opinion);
+                    service.failover_notify.notify_one();
+                }
+            }
+            Payload::ConnectionShortage { server } => {
+                if let ResolvedServer::Listed(server) = service.resolve_server(&server) {
+                    service.yield_connections(server);
+                }
+            }
+            Payload::PrimaryObserved { server, term, took } => {
+                if let Some(took) = took {
+                    self.site
+                        .record_promotion_time(Duration::from_millis(u64::from(took)));
+                }
+                service.record_peer_leader(&server, Term::from_number(term));
+            }
+            Payload::PromotionStarted { ended_term } => {
+                self.apply_ended_term(&message.host, &ended_term)
+            }
+        }
+    }
+}
+
+/// Reports whether a report from another host about `server` concerns the primary known to this
+/// host. No server is named if there is no primary.
+fn is_about_leader<C: Codec>(service: &Rc<Service<C>>, server: Option<&Server>) -> bool {
+    match (
+        server.map(|server| service.resolve_server(server)),
+        service.leader(),
+    ) {
+        (Some(ResolvedServer::Listed(server)), Some(leader)) => server == leader,
+        (None, None) => true,
+        _ => false,
+    }
+}
