Update homes and ranks by the hosts that have changed

Cause: each change of the list of hosts dropped all results, and ranks and homes of each service were computed again over all hosts: a million hashes with 1,000 hosts and 1,000 services, up to once a second, while hosts that restart in turn change the list all the time. Change: a changed host updates the rank of each service by one hash, and drops only the homes that it is or may become one of. Entries that are read again unchanged change nothing. The hash has a type of its own.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -33,14 +33,16 @@
 mod peers;
 mod placement;
 mod relays;
+mod rendezvous;
 mod restored;
 mod teams;
 mod unusable_entries;
 
 use derived::Derived;
 use lenders::TeamSources;
-pub use placement::{ServingHost, rendezvous_hash};
+pub use placement::ServingHost;
 pub use relays::{Relay, feeds_address, relay_order};
+pub use rendezvous::{Rendezvous, rendezvous_hash};
 pub use teams::Grantor;
 use unusable_entries::{CONFIGURATION, SERVERS, backend_id};
 
--- a/crates/proxy/src/fleet/derived.rs
+++ b/crates/proxy/src/fleet/derived.rs
@@ -10,7 +10,7 @@
 
 use flamingopost_core::key::HostKey;
 
-use super::{Grantor, ServingHost};
+use super::{Grantor, Rendezvous, ServingHost};
 use crate::platform::Peer;
 
 /// Maximum number of teams whose grantors are kept. Names of teams also arrive from other hosts.
@@ -27,9 +27,9 @@
 pub(super) struct Derived {
     zones: RefCell<Option<usize>>,
     peers: RefCell<Option<Peers>>,
-    ranks: RefCell<BTreeMap<String, u32>>,
+    ranks: RefCell<BTreeMap<String, Rank>>,
     grantors: RefCell<BTreeMap<String, Rc<[Grantor]>>>,
-    serving: ByService<Option<Rc<[ServingHost]>>>,
+    serving: RefCell<BTreeMap<String, Homes>>,
     holders: ByService<Rc<[SocketAddr]>>,
     /// Number of entries of hosts that were iterated over.
     examined: Cell<u64>,
@@ -44,15 +44,87 @@
     pub slots: Option<usize>,
 }
 
+/// This host's place among the hosts for a task.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Rank {
+    /// The hash of this host.
+    pub own: u64,
+    /// Number of other hosts that come before this one.
+    pub before: u32,
+}
+
+/// The hosts of this zone that serve a service.
+#[derive(Debug)]
+pub(super) struct Homes {
+    /// How many hosts of a zone serve the service, or `None` if each serves it for itself.
+    per_zone: Option<usize>,
+    chosen: Option<Rc<[ServingHost]>>,
+    /// A host with a greater hash would not be one of them, and is none.
+    last: u64,
+}
+
+impl Homes {
+    /// Each host serves the service for itself.
+    pub fn every_host() -> Homes {
+        Homes {
+            per_zone: None,
+            chosen: None,
+            last: 0,
+        }
+    }
+
+    /// The first `per_zone` hosts of the zone, with their hashes in ascending order.
+    pub fn chosen(per_zone: usize, hosts: Vec<(u64, ServingHost)>) -> Homes {
+        let last = hosts.last().filter(|_| hosts.len() == per_zone);
+        Homes {
+            per_zone: Some(per_zone),
+            last: last.map_or(u64::MAX, |(order, _)| *order),
+            chosen: Some(hosts.into_iter().map(|(_, host)| host).collect()),
+        }
+    }
+}
+
+/// A change of one entry of the list of hosts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Moved {
+    pub host: String,
+    /// Whether the host was listed before.
+    pub was_listed: bool,
+    /// Whether the host is listed now.
+    pub is_listed: bool,
+    /// Whether it is or was in the zone of this host.
+    pub in_own_zone: bool,
+}
+
 impl Derived {
-    /// Drops all results, because the list of hosts has changed.
-    pub fn clear(&self) {
+    /// Brings the results up to date after `changes` of the list of hosts.
+    ///
+    /// What exists for each service is updated by the hosts that have changed. Computing it anew
+    /// would iterate over all hosts for each service, while hosts that are restarted one after the
+    /// other change the list all the time.
+    pub fn update(&self, changes: &[Moved]) {
         self.zones.take();
         self.peers.take();
-        self.ranks.take();
         self.grantors.take();
-        self.serving.take();
         self.holders.take();
+        for (what, rank) in self.ranks.borrow_mut().iter_mut() {
+            let order = Rendezvous::of(what);
+            for change in changes {
+                if change.was_listed == change.is_listed || order.place(&change.host) >= rank.own {
+                    continue;
+                }
+                rank.before = match change.is_listed {
+                    true => rank.before + 1,
+                    false => rank.before - 1,
+                };
+            }
+        }
+        let local: Vec<&Moved> = changes.iter().filter(|it| it.in_own_zone).collect();
+        self.serving.borrow_mut().retain(|service, homes| {
+            let order = Rendezvous::of(service);
+            let affects = |change: &&Moved| order.place(&change.host) <= homes.last;
+            homes.per_zone.is_none() || !local.iter().any(affects)
+        });
     }
 
     /// Counts that the entries of `hosts` were iterated over.
@@ -77,13 +149,14 @@
     }
 
     /// Returns this host's rank for the task `what`.
-    pub fn rank(&self, what: &str, count: impl FnOnce() -> u32) -> u32 {
+    pub fn rank(&self, what: &str, count: impl FnOnce() -> Rank) -> u32 {
         let known = self.ranks.borrow().get(what).copied();
-        known.unwrap_or_else(|| {
+        let rank = known.unwrap_or_else(|| {
             let rank = count();
             self.ranks.borrow_mut().insert(what.to_owned(), rank);
             rank
-        })
+        });
+        rank.before
     }
 
     /// Returns the grantors of `team` in order.
@@ -119,21 +192,21 @@
         chosen
     }
 
-    /// Returns the hosts that serve `service`, whose servers have `capacity`.
+    /// Returns the hosts of this zone that serve `service`, `per_zone` of them.
     pub fn serving(
         &self,
         service: &str,
-        capacity: Capacity,
-        choose: impl FnOnce() -> Option<Rc<[ServingHost]>>,
+        per_zone: Option<usize>,
+        choose: impl FnOnce() -> Homes,
     ) -> Option<Rc<[ServingHost]>> {
-        if let Some((at, chosen)) = self.serving.borrow().get(service)
-            && *at == capacity
+        if let Some(known) = self.serving.borrow().get(service)
+            && known.per_zone == per_zone
         {
-            return chosen.clone();
+            return known.chosen.clone();
         }
-        let chosen = choose();
-        let kept = (capacity, chosen.clone());
-        self.serving.borrow_mut().insert(service.to_owned(), kept);
+        let homes = choose();
+        let chosen = homes.chosen.clone();
+        self.serving.borrow_mut().insert(service.to_owned(), homes);
         chosen
     }
 }
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -6,6 +6,7 @@
 
 use flamingopost_core::key::HostKey;
 
+use super::derived::Moved;
 use super::unusable_entries::{HOSTS, peer_id};
 use super::{Fleet, SMALL_FLEET_HOSTS, rendezvous_hash};
 use crate::codec::Codec;
@@ -54,15 +55,16 @@
     fn update_hosts(&self, changes: Vec<Change<Peer>>) {
         let puts = changes.iter().filter(|it| matches!(it, Change::Put(_)));
         let (puts, changed) = (puts.count(), changes.len());
+        let mut moved = Vec::with_capacity(changed);
         for change in changes {
-            self.apply_host_change(change, puts <= MAX_HOST_LINES);
+            moved.extend(self.apply_host_change(change, puts <= MAX_HOST_LINES));
         }
         self.derived.count_examined(changed);
         if puts > MAX_HOST_LINES {
             let hosts = self.peers.borrow().by_host.len();
             self.site.log(&Event::PeersListed { puts, hosts });
         }
-        self.derived.clear();
+        self.derived.update(&moved);
         let (electors, takes_part) = self.choose_electors();
         let others = electors.iter().map(|(key, _)| *key).collect();
         *self.electors.borrow_mut() = electors.into();
@@ -77,41 +79,67 @@
         self.allot_connections();
     }
 
-    /// Applies one change of the list of hosts. An entry is logged only if `logs_put`.
-    fn apply_host_change(&self, change: Change<Peer>, logs_put: bool) {
+    /// Applies one change of the list of hosts. An entry is logged only if `logs_put`. Returns what
+    /// has changed, if anything.
+    fn apply_host_change(&self, change: Change<Peer>, logs_put: bool) -> Option<Moved> {
         match change {
-            Change::Put(peer) if peer.host == self.site.host => {}
-            Change::Put(peer) => {
-                self.reported_faults.borrow_mut().clear(HOSTS, &peer.host);
-                if logs_put {
-                    self.site.log(&Event::PeerListed {
-                        host: peer.host.clone(),
-                        zone: peer.zone.clone(),
-                        address: peer.address,
-                    });
-                }
-                let mut peers = self.peers.borrow_mut();
-                let key = match peers.by_host.get(&peer.host) {
-                    Some((key, _)) => *key,
-                    None => peers.keys.insert(peer.address),
-                };
-                peers.keys[key] = peer.address;
-                peers.by_host.insert(peer.host.clone(), (key, peer));
-            }
+            Change::Put(peer) if peer.host == self.site.host => None,
+            Change::Put(peer) => self.put_host(peer, logs_put),
             // A known host stays listed, because it has not withdrawn. Dropping it would lower the
             // number of hosts that form a majority while it may still be part of one.
-            Change::Unusable(unusable) => self.report_unusable(HOSTS, &unusable),
-            Change::Removed(host) => {
-                let mut peers = self.peers.borrow_mut();
-                if let Some((key, _)) = peers.by_host.remove(&host) {
-                    peers.heartbeats.remove(&key);
-                    peers.no_shares.remove(key);
-                    peers.keys.remove(key);
-                    drop(peers);
-                    self.site.log(&Event::PeerGone { host });
-                }
+            Change::Unusable(unusable) => {
+                self.report_unusable(HOSTS, &unusable);
+                None
             }
+            Change::Removed(host) => self.remove_host(host),
+        }
+    }
+
+    fn put_host(&self, peer: Peer, logs_put: bool) -> Option<Moved> {
+        self.reported_faults.borrow_mut().clear(HOSTS, &peer.host);
+        if logs_put {
+            self.site.log(&Event::PeerListed {
+                host: peer.host.clone(),
+                zone: peer.zone.clone(),
+                address: peer.address,
+            });
+        }
+        let mut peers = self.peers.borrow_mut();
+        let known = peers.by_host.get(&peer.host);
+        if known.is_some_and(|(_, known)| *known == peer) {
+            return None;
         }
+        let former_zone = known.map(|(_, known)| known.zone.clone());
+        let key = match known {
+            Some((key, _)) => *key,
+            None => peers.keys.insert(peer.address),
+        };
+        peers.keys[key] = peer.address;
+        let own_zone = &self.site.zone;
+        let moved = Moved {
+            host: peer.host.clone(),
+            was_listed: former_zone.is_some(),
+            is_listed: true,
+            in_own_zone: peer.zone == *own_zone || former_zone.as_ref() == Some(own_zone),
+        };
+        peers.by_host.insert(peer.host.clone(), (key, peer));
+        Some(moved)
+    }
+
+    fn remove_host(&self, host: String) -> Option<Moved> {
+        let mut peers = self.peers.borrow_mut();
+        let (key, peer) = peers.by_host.remove(&host)?;
+        peers.heartbeats.remove(&key);
+        peers.no_shares.remove(key);
+        peers.keys.remove(key);
+        drop(peers);
+        self.site.log(&Event::PeerGone { host: host.clone() });
+        Some(Moved {
+            host,
+            was_listed: true,
+            is_listed: false,
+            in_own_zone: peer.zone == self.site.zone,
+        })
     }
 
     /// Returns the key of a listed host.
--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -6,8 +6,8 @@
 
 use flamingopost_core::dispatch::{Allotment, Serving};
 
-use super::Fleet;
-use super::derived::Capacity;
+use super::derived::{Capacity, Homes, Rank};
+use super::{Fleet, Rendezvous, rendezvous_hash};
 use crate::codec::Codec;
 
 /// Connections to each server that a host should have if it serves a service for its zone.
@@ -19,6 +19,10 @@
 /// further.
 const CROWDED_HOSTS_PER_SLOT: usize = 6;
 
+/// Number of hosts that follow a service even if they do not serve it. They are the first ones to act
+/// when its primary has to be replaced.
+const DECIDING_HOSTS: u32 = 9;
+
 /// Number of hosts that serve a service for their zones, over all zones, per server slot. This is
 /// enough for most of them to remain when one is lost, and few enough for their windows to reflect
 /// the server's capacity.
@@ -35,34 +39,28 @@
     pub fn serving_hosts(&self, service: &str) -> Option<Rc<[ServingHost]>> {
         let connections = usize::from(self.configured(service)?.connections);
         let slots = self.slots(service);
-        let capacity = Capacity { connections, slots };
-        self.derived.serving(service, capacity, || {
-            self.choose_serving_hosts(service, capacity)
-        })
+        let per_zone = self.serving_hosts_per_zone(Capacity { connections, slots });
+        self.derived
+            .serving(service, per_zone, || self.choose_homes(service, per_zone))
     }
 
-    /// Chooses the serving hosts of `service`, whose servers have `capacity`.
-    fn choose_serving_hosts(&self, service: &str, capacity: Capacity) -> Option<Rc<[ServingHost]>> {
-        let count = self.serving_hosts_per_zone(capacity)?;
+    /// Chooses the hosts of this zone that serve `service`, `per_zone` of them.
+    fn choose_homes(&self, service: &str, per_zone: Option<usize>) -> Homes {
+        let Some(count) = per_zone else {
+            return Homes::every_host();
+        };
         let peers = self.peers.borrow();
         self.derived.count_examined(peers.by_host.len());
+        let order = Rendezvous::of(service);
         let all = peers.by_host.values().map(|(_, peer)| peer);
         let mut hosts: Vec<(u64, ServingHost)> = all
             .filter(|peer| peer.zone == self.site.zone)
-            .map(|peer| {
-                (
-                    rendezvous_hash(service, &peer.host),
-                    ServingHost::Remote(peer.address),
-                )
-            })
+            .map(|peer| (order.place(&peer.host), ServingHost::Remote(peer.address)))
             .collect();
-        hosts.push((
-            rendezvous_hash(service, &self.site.host),
-            ServingHost::Local,
-        ));
+        hosts.push((order.place(&self.site.host), ServingHost::Local));
         hosts.sort_by_key(|(order, _)| *order);
-        let homes = hosts.into_iter().take(count);
-        Some(homes.map(|(_, home)| home).collect())
+        hosts.truncate(count);
+        Homes::chosen(count, hosts)
     }
 
     /// Returns how many hosts of each zone serve a service whose servers have `capacity`, or `None`
@@ -121,6 +119,12 @@
         homes.is_none_or(|homes| homes.contains(&ServingHost::Local))
     }
 
+    /// Reports whether this host follows `service` even without requests for it: it serves the service
+    /// or is among the first to decide on its primary.
+    pub fn follows(&self, service: &str) -> bool {
+        self.knows_hosts() && (self.serves(service) || self.rank(service) < DECIDING_HOSTS)
+    }
+
     /// Returns how many requests each server of `service` runs concurrently, or `None` while no
     /// server is listed.
     fn slots(&self, service: &str) -> Option<usize> {
@@ -175,14 +179,14 @@
     /// The order differs by `what`, so that one lost host is not the first for every task.
     pub fn rank(&self, what: &str) -> u32 {
         self.derived.rank(what, || {
-            let own = rendezvous_hash(what, &self.site.host);
+            let order = Rendezvous::of(what);
+            let own = order.place(&self.site.host);
             let peers = self.peers.borrow();
             self.derived.count_examined(peers.by_host.len());
-            let before = peers
-                .by_host
-                .keys()
-                .filter(|host| rendezvous_hash(what, host) < own);
-            u32::try_from(before.count()).unwrap_or(u32::MAX)
+            let hosts = peers.by_host.keys();
+            let before = hosts.filter(|host| order.place(host) < own);
+            let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
+            Rank { own, before }
         })
     }
 }
@@ -195,11 +199,3 @@
     /// Another host, which answers its peers at this address.
     Remote(SocketAddr),
 }
-
-/// Computes the FNV-1a hash of two names. Every host computes the same value.
-pub fn rendezvous_hash(what: &str, host: &str) -> u64 {
-    let bytes = what.bytes().chain(host.bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -86,7 +86,12 @@
 
 /// Returns version `version` of the configuration, with `connections` per server.
 pub fn configuration(version: u64, connections: u16) -> Configuration {
-    let routes = (0..SERVICES).map(|number| {
+    configuration_of(version, connections, SERVICES)
+}
+
+/// Returns version `version` of the configuration of `services` services.
+pub fn configuration_of(version: u64, connections: u16, services: usize) -> Configuration {
+    let routes = (0..services).map(|number| {
         let route = Route {
             service: service(number),
             consistency: Consistency::Primary,
@@ -105,7 +110,7 @@
     Configuration {
         version,
         routes: routes.collect(),
-        services: (0..SERVICES)
+        services: (0..services)
             .map(|number| (service(number), settings))
             .collect(),
         teams: None,
@@ -115,6 +120,11 @@
 
 /// Returns the list of servers, each with `slots`.
 pub fn server_list(slots: u16) -> Vec<Entry<Backend>> {
+    server_list_of(slots, SERVICES)
+}
+
+/// Returns the list of the servers of `services` services.
+pub fn server_list_of(slots: u16, services: usize) -> Vec<Entry<Backend>> {
     let server = |number: usize| Backend {
         id: format!("server-{number}"),
         incarnation: Incarnation(1),
@@ -129,7 +139,7 @@
         },
         revision: Revision(1),
     };
-    let servers = (0..SERVICES * SERVERS).map(|number| Ok(server(number)));
+    let servers = (0..services * SERVERS).map(|number| Ok(server(number)));
     servers.collect()
 }
 
@@ -140,15 +150,33 @@
     fleet
 }
 
+/// Returns a fleet of `hosts` hosts and `services` services, whose servers are as small as those of
+/// large fleets, as known to host `number`.
+pub fn fleet_of(hosts: usize, services: usize, number: usize) -> Fleet<NoProtocol> {
+    let fleet = unlisted_of((185, 2), services, number);
+    fleet.apply_host_list(host_list(hosts));
+    fleet
+}
+
 /// Returns what host `number` knows before it has read the list of hosts.
 pub fn unlisted(number: usize) -> Fleet<NoProtocol> {
+    unlisted_of((56, 4), SERVICES, number)
+}
+
+/// Returns the same for `services` services whose servers have these connections and slots.
+fn unlisted_of(
+    (connections, slots): (u16, u16),
+    services: usize,
+    number: usize,
+) -> Fleet<NoProtocol> {
     let own = peer(number);
     let clock = Arc::new(Manual::default());
     let promotion = Duration::from_millis(300);
     let site = Site::new(own.host, own.zone, promotion, clock);
     let fleet = Fleet::new(Rc::new(site));
-    fleet.adopt(configuration(1, 56).into(), Duration::ZERO);
-    fleet.apply_server_list(server_list(4));
+    let configuration = configuration_of(1, connections, services);
+    fleet.adopt(configuration.into(), Duration::ZERO);
+    fleet.apply_server_list(server_list_of(slots, services));
     fleet
 }
 
