Run nothing for services that a host does not follow

Cause: each host ran a task with 3 to 50 steps a second for each service, asked the servers of each service without a known primary once a second, and ticked each service 20 times a second: with 1,000 services most of a small host's processor, and as many connects as hosts times servers. Change: a host follows the services that it serves, decides on (the first 9 by rank) or has had requests for within 5 s. The task of any other service waits for a change of the list of hosts, a request or news, and the service is ticked once a second.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -160,6 +160,29 @@
         !matches!(self.phase, Phase::Watching | Phase::Inquiring(_))
     }
 
+    /// Forgets what it has observed of the primary if no change is pending, because the host stops
+    /// following the service. Returns whether that is the case.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use flamingopost_core::succession::Succession;
+    ///
+    /// let mut succession = Succession::default();
+    /// assert!(succession.suspend());
+    /// succession.defer_to_peer(Duration::ZERO);
+    /// assert!(!succession.suspend(), "another host's change is pending");
+    /// ```
+    pub fn suspend(&mut self) -> bool {
+        let is_watching = matches!(self.phase, Phase::Watching);
+        if is_watching {
+            self.outvoted_since = None;
+            self.servers_lacking_since = None;
+            self.leaving_since = None;
+            self.passed_over = None;
+        }
+        is_watching
+    }
+
     /// Returns the hosts that have answered the current inquiry.
     pub fn answered_hosts(&self) -> BTreeSet<HostKey> {
         match &self.phase {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -30,7 +30,6 @@
 mod limits;
 mod log_reports;
 mod messaging;
-mod pace;
 mod promote;
 mod reachability;
 mod receive;
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -8,12 +8,20 @@
 use tokio::time::timeout;
 
 use super::handover::{NOTIFYING_HOSTS, REPLACEMENT_NOTICE_INTERVAL};
-use super::pace::{FREQUENT_HOSTS, Pace};
 use super::{ACTIVE_STEP_INTERVAL, Election, STATUS_TIMEOUT};
 use crate::codec::Codec;
 use crate::platform::Platform;
 use crate::service::Service;
 
+/// Interval between two steps of the state machine while the primary is healthy.
+const IDLE_STEP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval between two status queries to all servers while the service has no primary.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(120);
+
+/// Interval between two connection shortage reports. Each report is in effect for one second.
+const SHORTAGE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Starts a task for each service that does not have one yet.
     pub fn start_new_services(self: &Rc<Self>) {
@@ -51,8 +59,9 @@
         let mut epoch = self.newest_known_epoch();
         self.update_known_orders(&service);
         loop {
+            let has_waited = self.wait_until_followed(&service, &succession).await;
             let now = self.site.now();
-            if now >= last_step + PAUSE_THRESHOLD {
+            if !has_waited && now >= last_step + PAUSE_THRESHOLD {
                 succession.borrow_mut().resume_after_pause(now);
             }
             last_step = now;
@@ -61,13 +70,12 @@
                 succession.borrow_mut().invalidate_claim(now);
             }
             let view = self.view(&service, &succession);
-            let pace = self.pace(&service);
             let pause = if view.trouble.is_some() {
                 ACTIVE_STEP_INTERVAL
             } else {
-                pace.idle_step
+                IDLE_STEP_INTERVAL
             };
-            if now >= last_shortage_report + pace.shortage_report {
+            if now >= last_shortage_report + SHORTAGE_REPORT_INTERVAL {
                 last_shortage_report = now;
                 self.send_shortages(&service);
             }
@@ -83,7 +91,7 @@
                 self.check_primary(&service, target);
             }
             self.write_record_if_due(&service, view.rank);
-            if view.leader.is_none() && now >= last_search + pace.search {
+            if view.leader.is_none() && now >= last_search + SEARCH_INTERVAL {
                 last_search = now;
                 self.ask_servers(&service, &succession);
             }
@@ -108,14 +116,25 @@
         }
     }
 
-    /// Returns how often this host does the periodic work for `service`.
-    fn pace(&self, service: &Service<C>) -> Pace {
-        let is_involved = self.fleet.serves(&service.name)
-            || service.has_requests()
-            || self.fleet.rank(&service.name) < FREQUENT_HOSTS;
-        match is_involved {
-            true => Pace::INVOLVED,
-            false => Pace::BYSTANDER,
+    /// Waits for as long as this host does not follow `service` and no change of its primary is
+    /// pending here. Returns whether it had to wait.
+    ///
+    /// Guards against work that grows with the number of services on every host: with 1,000
+    /// services, steps and searches of hosts that neither serve nor decide took most of a small
+    /// host's processor, and their searches filled the servers.
+    async fn wait_until_followed(
+        &self,
+        service: &Service<C>,
+        succession: &RefCell<Succession>,
+    ) -> bool {
+        let mut has_waited = false;
+        while !self.fleet.follows(&service.name)
+            && !service.is_in_use()
+            && succession.borrow_mut().suspend()
+        {
+            service.wait_until_needed().await;
+            has_waited = true;
         }
+        has_waited
     }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -548,6 +548,9 @@
         // The set of serving hosts depends on the number of request slots.
         if service.slots() != slots {
             service.set_allotment(self.allotment(&service.name));
+            if self.follows(&service.name) {
+                service.start_following();
+            }
         }
     }
 
--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -143,12 +143,16 @@
         })
     }
 
-    /// Recomputes the connection allotment of all services.
+    /// Recomputes the connection allotment of all services, and starts to follow those that this host
+    /// now serves or decides on.
     pub(super) fn allot_connections(&self) {
         let has_teams = self.has_teams();
         for service in self.services() {
             service.set_allotment(self.allotment(&service.name));
             service.set_has_teams(has_teams);
+            if self.follows(&service.name) {
+                service.start_following();
+            }
         }
     }
 
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -37,6 +37,7 @@
 mod restart;
 mod restart_signal;
 mod unheard_order;
+mod use_state;
 
 use confirm::Confirmation;
 pub use listing::Source;
@@ -45,6 +46,7 @@
 use restart::PrimaryCheck;
 pub use restart::{ResolvedServer, Start};
 pub use restart_signal::RestartSignal;
+use use_state::UseState;
 
 /// Minimum interval between requests to other hosts for a position sample, in addition to those
 /// sent with heartbeats.
@@ -71,6 +73,7 @@
     pub serving_contact: RefCell<ServingContact>,
     /// Notified when a round of status queries to the other servers has ended.
     confirmation_notify: Notify,
+    usage: UseState,
     state: RefCell<State<C>>,
 }
 
@@ -148,6 +151,7 @@
             sample_requested_at: Cell::default(),
             serving_contact: RefCell::default(),
             confirmation_notify: Notify::new(),
+            usage: UseState::default(),
             state: RefCell::new(State {
                 dispatch,
                 freshness: FreshnessTracker::default(),
@@ -176,13 +180,17 @@
         }
     }
 
-    /// Runs all work that depends only on the passage of time.
+    /// Runs all work that depends only on the passage of time, if there is any.
     pub fn tick(self: &Rc<Self>) {
         let now = self.site.now();
+        if !self.is_tick_due(now) {
+            return;
+        }
         self.refresh_leader();
         self.tick_hold(now);
         self.tick_dispatch(now);
         self.close_ended_connections();
+        self.schedule_tick(now);
     }
 
     /// Returns the average duration of a request at a server.
@@ -549,6 +557,7 @@
             self.end_hold("a server was seen to lead");
         }
         self.failover_notify.notify_one();
+        self.require_tick();
         self.tick_dispatch(now);
     }
 
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -180,6 +180,7 @@
             return;
         }
         state.hold_for_successor(from, from + SUCCESSOR_HOLD);
+        self.require_tick();
     }
 
     /// Records that the primary is being replaced, as described by `ended`. Returns whether that
@@ -222,6 +223,7 @@
             return true;
         }
         state.hold_for_successor(hold_from, now + SUCCESSOR_HOLD);
+        self.require_tick();
         true
     }
 
--- a/crates/proxy/src/service/listing.rs
+++ b/crates/proxy/src/service/listing.rs
@@ -114,6 +114,7 @@
 
     /// Updates the number of connections that this host may open.
     pub fn set_allotment(&self, allotment: Allotment) {
+        self.require_tick();
         let mut state = self.state.borrow_mut();
         state.allotment = allotment;
         let keys: Vec<ServerKey> = state.servers.keys().copied().collect();
--- a/crates/proxy/src/service/queue.rs
+++ b/crates/proxy/src/service/queue.rs
@@ -20,6 +20,7 @@
         let now = self.site.now();
         let id = ticket.id;
         let (sender, receiver) = oneshot::channel();
+        self.record_use(now);
         let next = {
             let mut state = self.state.borrow_mut();
             let waiter = Waiter {
