Share out electors, homes and decisions by strength

Names that differ in their last characters have neighbouring hashes: of 214 hosts of a zone 50 were home to all of 1,000 services, the busiest to 78 of them (worked out from the hash; with spread hashes 208 hosts, 16 at most). Each zone's electors are its strongest hosts; homes and ranks go by a spread hash with places in proportion to the strength. While a listed host has announced none, the plain hash decides, as in earlier builds. Feeds carry the strength under a new version of their path.

--- a/crates/proxy/src/feeds/query.rs
+++ b/crates/proxy/src/feeds/query.rs
@@ -6,6 +6,10 @@
 
 use crate::platform::Revision;
 
+/// Path under which feeds are served. It contains the version of their encoding: a host of a build
+/// with another one does not find them, and reads the store.
+const PATH: &str = "/feeds/2/";
+
 /// The feeds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Table {
@@ -44,7 +48,7 @@
 ///     wait: Duration::from_secs(25),
 /// };
 /// let path = query.to_string();
-/// assert_eq!(path, "/feeds/servers?epoch=2&after=900&wait_ms=25000");
+/// assert_eq!(path, "/feeds/2/servers?epoch=2&after=900&wait_ms=25000");
 /// let (path, parameters) = path.split_once('?').expect("parameters");
 /// assert_eq!(Query::parse(path, parameters), Some(query));
 /// ```
@@ -66,7 +70,7 @@
 impl Query {
     /// Parses the path and the parameters of a request.
     pub fn parse(path: &str, parameters: &str) -> Option<Query> {
-        let table = match path.strip_prefix("/feeds/")? {
+        let table = match path.strip_prefix(PATH)? {
             "configuration" => Table::Configuration,
             "servers" => Table::Servers,
             "hosts" => Table::Hosts,
@@ -92,7 +96,7 @@
         let wait = self.wait.as_millis();
         write!(
             f,
-            "/feeds/{table}?epoch={}&after={}",
+            "{PATH}{table}?epoch={}&after={}",
             after.epoch(),
             after.count()
         )?;
--- a/crates/proxy/src/feeds/wire.rs
+++ b/crates/proxy/src/feeds/wire.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fault::Fault;
-use crate::platform::{Backend, Configuration, Entry, Peer, Revision, Service};
+use crate::platform::{Backend, Configuration, Entry, Peer, Revision, Service, Strength};
 use crate::route::{Consistency, Route};
 use crate::team::Directory;
 use crate::unusable::UnusableEntry;
@@ -247,6 +247,8 @@
     host: String,
     zone: String,
     address: SocketAddr,
+    /// In thousandths of a core.
+    strength: Option<u32>,
 }
 
 impl From<&Peer> for WirePeer {
@@ -255,6 +257,7 @@
             host: peer.host.clone(),
             zone: peer.zone.clone(),
             address: peer.address,
+            strength: peer.strength.map(|Strength(share)| share),
         }
     }
 }
@@ -265,6 +268,7 @@
             host: peer.host,
             zone: peer.zone,
             address: peer.address,
+            strength: peer.strength.map(Strength),
         }
     }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -21,7 +21,9 @@
 use crate::limits::Limits;
 use crate::meter;
 use crate::peer::FeedProgress;
-use crate::platform::{Backend, Change, Configuration, Entry, Peer, Service as Configured};
+use crate::platform::{
+    Backend, Change, Configuration, Entry, Peer, Service as Configured, Strength,
+};
 use crate::reported_faults::ReportedFaults;
 use crate::route::Route;
 use crate::service::{Service, Source};
@@ -120,6 +122,9 @@
     /// Addresses of the hosts.
     keys: SlotMap<HostKey, SocketAddr>,
     by_host: BTreeMap<String, (HostKey, Peer)>,
+    /// Whether tasks are shared out by strength, because each host has announced one. Otherwise the
+    /// plain hash decides, as it does on hosts of earlier builds, which announce none.
+    is_weighted: bool,
     /// When the last heartbeat arrived from each host that sends some to this one.
     heartbeats: BTreeMap<HostKey, Duration>,
     /// Which hosts have reported that they hold no shares.
@@ -128,6 +133,13 @@
     silent: Option<(Vec<HostKey>, Duration)>,
 }
 
+impl Peers {
+    /// Returns the strength of `peer` if it counts.
+    fn weight(&self, peer: &Peer) -> Option<Strength> {
+        peer.strength.filter(|_| self.is_weighted)
+    }
+}
+
 impl<C: Codec> Fleet<C> {
     /// Creates a fleet of which nothing is known yet.
     pub fn new(site: Rc<Site>) -> Fleet<C> {
--- a/crates/proxy/src/fleet/derived.rs
+++ b/crates/proxy/src/fleet/derived.rs
@@ -11,7 +11,7 @@
 use flamingopost_core::key::HostKey;
 
 use super::{Grantor, Rendezvous, ServingHost};
-use crate::platform::Peer;
+use crate::platform::{Peer, Strength};
 
 /// Maximum number of teams whose grantors are kept. Names of teams also arrive from other hosts.
 const MAX_GRANTOR_ORDERS: usize = 1_024;
@@ -84,19 +84,26 @@
     }
 }
 
-/// A change of one entry of the list of hosts.
+/// A host that is added to the list of hosts, or removed from it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Moved {
     pub host: String,
-    /// Whether the host was listed before.
-    pub was_listed: bool,
-    /// Whether the host is listed now.
+    /// The strength with which the host is placed, if it counts.
+    pub strength: Option<Strength>,
+    /// Whether the host is added, or else removed.
     pub is_listed: bool,
-    /// Whether it is or was in the zone of this host.
+    /// Whether it is in the zone of this host.
     pub in_own_zone: bool,
 }
 
 impl Derived {
+    /// Drops all results, because hosts are ordered in another way.
+    pub fn clear(&self) {
+        self.ranks.take();
+        self.serving.take();
+        self.update(&[]);
+    }
+
     /// Brings the results up to date after `changes` of the list of hosts.
     ///
     /// What exists for each service is updated by the hosts that have changed. Computing it anew
@@ -110,7 +117,7 @@
         for (what, rank) in self.ranks.borrow_mut().iter_mut() {
             let order = Rendezvous::of(what);
             for change in changes {
-                if change.was_listed == change.is_listed || order.place(&change.host) >= rank.own {
+                if order.place(&change.host, change.strength) >= rank.own {
                     continue;
                 }
                 rank.before = match change.is_listed {
@@ -122,7 +129,8 @@
         let local: Vec<&Moved> = changes.iter().filter(|it| it.in_own_zone).collect();
         self.serving.borrow_mut().retain(|service, homes| {
             let order = Rendezvous::of(service);
-            let affects = |change: &&Moved| order.place(&change.host) <= homes.last;
+            let affects =
+                |change: &&Moved| order.place(&change.host, change.strength) <= homes.last;
             homes.per_zone.is_none() || !local.iter().any(affects)
         });
     }
--- a/crates/proxy/src/fleet/lenders.rs
+++ b/crates/proxy/src/fleet/lenders.rs
@@ -8,6 +8,7 @@
 use flamingopost_core::key::{HostKey, TeamKey};
 use flamingopost_core::limit::{Source, silent_fraction};
 
+use super::rendezvous::spread;
 use super::{Fleet, rendezvous_hash};
 use crate::codec::Codec;
 
@@ -150,11 +151,3 @@
         })
     }
 }
-
-/// Spreads a hash over all bits. Names of hosts and teams often differ in their last digits only,
-/// and without it 17 of 25 hosts were first in the order of any of 80 teams.
-fn spread(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    hash ^ (hash >> 33)
-}
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -1,5 +1,6 @@
 //! The other entry hosts, and the electors among them.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,10 +9,10 @@
 
 use super::derived::Moved;
 use super::unusable_entries::{HOSTS, peer_id};
-use super::{Fleet, SMALL_FLEET_HOSTS, rendezvous_hash};
+use super::{Fleet, Peers, Rendezvous, SMALL_FLEET_HOSTS};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::platform::{Change, Entry, Peer};
+use crate::platform::{Change, Entry, Peer, Strength};
 
 /// Number of electors in a large fleet. All hosts exchange heartbeats with them, so the number of
 /// messages that a host sends does not depend on the size of the fleet. They are spread over the
@@ -64,7 +65,11 @@
             let hosts = self.peers.borrow().by_host.len();
             self.site.log(&Event::PeersListed { puts, hosts });
         }
-        self.derived.update(&moved);
+        let was_weighted = self.weigh_hosts();
+        match was_weighted == self.peers.borrow().is_weighted {
+            true => self.derived.update(&moved),
+            false => self.derived.clear(),
+        }
         let (electors, takes_part) = self.choose_electors();
         let others = electors.iter().map(|(key, _)| *key).collect();
         *self.electors.borrow_mut() = electors.into();
@@ -81,21 +86,30 @@
 
     /// Applies one change of the list of hosts. An entry is logged only if `logs_put`. Returns what
     /// has changed, if anything.
-    fn apply_host_change(&self, change: Change<Peer>, logs_put: bool) -> Option<Moved> {
+    fn apply_host_change(&self, change: Change<Peer>, logs_put: bool) -> Vec<Moved> {
         match change {
-            Change::Put(peer) if peer.host == self.site.host => None,
+            Change::Put(peer) if peer.host == self.site.host => Vec::new(),
             Change::Put(peer) => self.put_host(peer, logs_put),
             // A known host stays listed, because it has not withdrawn. Dropping it would lower the
             // number of hosts that form a majority while it may still be part of one.
             Change::Unusable(unusable) => {
                 self.report_unusable(HOSTS, &unusable);
-                None
+                Vec::new()
             }
-            Change::Removed(host) => self.remove_host(host),
+            Change::Removed(host) => self.remove_host(host).into_iter().collect(),
         }
     }
 
-    fn put_host(&self, peer: Peer, logs_put: bool) -> Option<Moved> {
+    /// Determines whether tasks are shared out by strength. Returns whether they were before.
+    fn weigh_hosts(&self) -> bool {
+        let mut peers = self.peers.borrow_mut();
+        let mut others = peers.by_host.values();
+        let is_weighted =
+            self.site.strength.is_some() && others.all(|(_, peer)| peer.strength.is_some());
+        std::mem::replace(&mut peers.is_weighted, is_weighted)
+    }
+
+    fn put_host(&self, peer: Peer, logs_put: bool) -> Vec<Moved> {
         self.reported_faults.borrow_mut().clear(HOSTS, &peer.host);
         if logs_put {
             self.site.log(&Event::PeerListed {
@@ -105,25 +119,28 @@
             });
         }
         let mut peers = self.peers.borrow_mut();
-        let known = peers.by_host.get(&peer.host);
-        if known.is_some_and(|(_, known)| *known == peer) {
-            return None;
-        }
-        let former_zone = known.map(|(_, known)| known.zone.clone());
-        let key = match known {
+        let known = peers.by_host.get(&peer.host).cloned();
+        let key = match &known {
+            Some((_, known)) if *known == peer => return Vec::new(),
             Some((key, _)) => *key,
             None => peers.keys.insert(peer.address),
         };
         peers.keys[key] = peer.address;
-        let own_zone = &self.site.zone;
-        let moved = Moved {
-            host: peer.host.clone(),
-            was_listed: former_zone.is_some(),
-            is_listed: true,
-            in_own_zone: peer.zone == *own_zone || former_zone.as_ref() == Some(own_zone),
-        };
+        let mut moved: Vec<Moved> = Vec::new();
+        moved.extend(known.map(|(_, former)| self.moved(&peers, &former, false)));
+        moved.push(self.moved(&peers, &peer, true));
         peers.by_host.insert(peer.host.clone(), (key, peer));
-        Some(moved)
+        moved
+    }
+
+    /// Returns the change of the list that adds or removes `peer`.
+    fn moved(&self, peers: &Peers, peer: &Peer, is_listed: bool) -> Moved {
+        Moved {
+            host: peer.host.clone(),
+            strength: peers.weight(peer),
+            is_listed,
+            in_own_zone: peer.zone == self.site.zone,
+        }
     }
 
     fn remove_host(&self, host: String) -> Option<Moved> {
@@ -132,14 +149,10 @@
         peers.heartbeats.remove(&key);
         peers.no_shares.remove(key);
         peers.keys.remove(key);
+        let moved = self.moved(&peers, &peer, false);
         drop(peers);
-        self.site.log(&Event::PeerGone { host: host.clone() });
-        Some(Moved {
-            host,
-            was_listed: true,
-            is_listed: false,
-            in_own_zone: peer.zone == self.site.zone,
-        })
+        self.site.log(&Event::PeerGone { host });
+        Some(moved)
     }
 
     /// Returns the key of a listed host.
@@ -191,15 +204,22 @@
             return (peers.to_vec(), true);
         }
         self.derived.count_examined(peers.len());
-        // Orders the hosts of each zone by hash, then takes one host of each zone in turn.
-        let mut zones: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
+        // Orders the hosts of each zone by strength and hash, then takes one host of each zone in
+        // turn.
+        let listed = self.peers.borrow();
         let own = (self.site.zone.as_str(), self.site.host.as_str());
-        let hosts = peers
-            .iter()
-            .map(|(_, peer)| (peer.zone.as_str(), peer.host.as_str()));
-        for (zone, host) in hosts.chain([own]) {
-            let order = rendezvous_hash("electors", host);
-            zones.entry(zone).or_default().push((order, host));
+        let own_strength = self.site.strength.filter(|_| listed.is_weighted);
+        let hosts = peers.iter().map(|(_, peer)| {
+            let zone = peer.zone.as_str();
+            (zone, peer.host.as_str(), listed.weight(peer))
+        });
+        let mut zones: BTreeMap<&str, Vec<(Reverse<Option<Strength>>, u64, &str)>> =
+            BTreeMap::new();
+        let electors = Rendezvous::of("electors");
+        for (zone, host, strength) in hosts.chain([(own.0, own.1, own_strength)]) {
+            let place = electors.place(host, strength);
+            let zone = zones.entry(zone).or_default();
+            zone.push((Reverse(strength), place, host));
         }
         let mut order: Vec<(usize, &str)> = Vec::new();
         for hosts in zones.values_mut() {
@@ -208,7 +228,7 @@
                 hosts
                     .iter()
                     .enumerate()
-                    .map(|(place, (_, host))| (place, *host)),
+                    .map(|(place, (_, _, host))| (place, *host)),
             );
         }
         order.sort_by_key(|(place, _)| *place);
--- a/crates/proxy/src/fleet/placement.rs
+++ b/crates/proxy/src/fleet/placement.rs
@@ -7,7 +7,7 @@
 use flamingopost_core::dispatch::{Allotment, Serving};
 
 use super::derived::{Capacity, Homes, Rank};
-use super::{Fleet, Rendezvous, rendezvous_hash};
+use super::{Fleet, Peers, Rendezvous};
 use crate::codec::Codec;
 
 /// Connections to each server that a host should have if it serves a service for its zone.
@@ -55,9 +55,12 @@
         let all = peers.by_host.values().map(|(_, peer)| peer);
         let mut hosts: Vec<(u64, ServingHost)> = all
             .filter(|peer| peer.zone == self.site.zone)
-            .map(|peer| (order.place(&peer.host), ServingHost::Remote(peer.address)))
+            .map(|peer| {
+                let place = order.place(&peer.host, peers.weight(peer));
+                (place, ServingHost::Remote(peer.address))
+            })
             .collect();
-        hosts.push((order.place(&self.site.host), ServingHost::Local));
+        hosts.push((self.own_place(order, &peers), ServingHost::Local));
         hosts.sort_by_key(|(order, _)| *order);
         hosts.truncate(count);
         Homes::chosen(count, hosts)
@@ -95,13 +98,14 @@
         };
         self.derived.holders(service, capacity, || {
             let count = self.serving_hosts_per_zone(capacity);
-            let own = (&self.site.zone, rendezvous_hash(service, &self.site.host));
+            let peers = self.peers.borrow();
+            let order = Rendezvous::of(service);
+            let own = (&self.site.zone, self.own_place(order, &peers));
             let mut zones: BTreeMap<&String, Vec<(u64, Option<SocketAddr>)>> = BTreeMap::new();
             zones.entry(own.0).or_default().push((own.1, None));
-            let peers = self.peers.borrow();
             self.derived.count_examined(peers.by_host.len());
             for (_, peer) in peers.by_host.values() {
-                let order = rendezvous_hash(service, &peer.host);
+                let order = order.place(&peer.host, peers.weight(peer));
                 let zone = zones.entry(&peer.zone).or_default();
                 zone.push((order, Some(peer.address)));
             }
@@ -119,6 +123,12 @@
         homes.is_none_or(|homes| homes.contains(&ServingHost::Local))
     }
 
+    /// Returns the place of this host in `order`.
+    fn own_place(&self, order: Rendezvous, peers: &Peers) -> u64 {
+        let strength = self.site.strength.filter(|_| peers.is_weighted);
+        order.place(&self.site.host, strength)
+    }
+
     /// Reports whether this host follows `service` even without requests for it: it serves the service
     /// or is among the first to decide on its primary.
     pub fn follows(&self, service: &str) -> bool {
@@ -184,11 +194,11 @@
     pub fn rank(&self, what: &str) -> u32 {
         self.derived.rank(what, || {
             let order = Rendezvous::of(what);
-            let own = order.place(&self.site.host);
             let peers = self.peers.borrow();
+            let own = self.own_place(order, &peers);
             self.derived.count_examined(peers.by_host.len());
-            let hosts = peers.by_host.keys();
-            let before = hosts.filter(|host| order.place(host) < own);
+            let hosts = peers.by_host.values().map(|(_, peer)| peer);
+            let before = hosts.filter(|it| order.place(&it.host, peers.weight(it)) < own);
             let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
             Rank { own, before }
         })
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -22,7 +22,7 @@
 use crate::fleet::{Fleet, feeds_address};
 use crate::open_sessions::OpenSessions;
 use crate::peer::Socket;
-use crate::platform::{Peer, Platform};
+use crate::platform::{Peer, Platform, Strength};
 use crate::probe;
 use crate::session::{Context, RelayPolicy, Session};
 use crate::site::Site;
@@ -70,6 +70,8 @@
     pub grace: Duration,
     /// Maximum number of open caller sessions.
     pub sessions: usize,
+    /// Strength of the host, by which tasks are shared out in a large fleet.
+    pub strength: Option<Strength>,
 }
 
 /// Phase of a host's shutdown.
@@ -157,12 +159,8 @@
     ended: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
-    let site = Rc::new(Site::new(
-        host.clone(),
-        zone.clone(),
-        settings.promotion,
-        clock,
-    ));
+    let site = Site::new(host.clone(), zone.clone(), settings.promotion, clock);
+    let site = Rc::new(site.with_strength(settings.strength));
     let fleet = Rc::new(Fleet::<C>::new(Rc::clone(&site)));
     let stop = Rc::new(Stop::default());
     let platform = Rc::new(platform);
@@ -201,6 +199,7 @@
             Some(address) => address,
             None => socket.address()?,
         },
+        strength: settings.strength,
     };
     let readiness = {
         let (fleet, stop) = (Rc::clone(&fleet), Rc::clone(&stop));
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -211,6 +211,34 @@
     pub zone: String,
     /// The address where it receives messages from other hosts.
     pub address: SocketAddr,
+    /// Its strength, if it has announced one. Hosts of earlier builds do not.
+    pub strength: Option<Strength>,
+}
+
+/// The processor share of a host, in thousandths of a core.
+///
+/// ```
+/// use flamingopost_proxy::platform::Strength;
+///
+/// assert!(Strength(1_000) > Strength(120));
+/// assert_eq!((Strength(1_000).places(), Strength(120).places()), (16, 2));
+/// assert_eq!(Strength(0).places(), 1);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Strength(pub u32);
+
+impl Strength {
+    /// Processor share for each place that a host has in an order of hosts, in thousandths of a core.
+    const PER_PLACE: u32 = 60;
+
+    /// Maximum number of places, which bounds the cost of an order: that of four cores.
+    const MAX_PLACES: u32 = 64;
+
+    /// Returns the number of places that a host has in an order of hosts, of which the first counts.
+    /// Its share of the tasks is proportional to that.
+    pub fn places(self) -> u32 {
+        (self.0 / Strength::PER_PLACE).clamp(1, Strength::MAX_PLACES)
+    }
 }
 
 /// A fencing token. The platform refuses an order to change a primary if its token is lower than
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -9,6 +9,7 @@
 use flamingopost_core::names::Names;
 
 use crate::event::{Event, LogLimit};
+use crate::platform::Strength;
 
 /// State shared by all parts of a host.
 pub struct Site {
@@ -16,6 +17,8 @@
     pub host: String,
     /// Its availability zone.
     pub zone: String,
+    /// Strength of the host, if the settings name one.
+    pub strength: Option<Strength>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Limits the volume of logs.
@@ -38,6 +41,7 @@
             measured_promotion: Cell::new(None),
             host,
             zone,
+            strength: None,
             clock,
             limit: LogLimit::default(),
             teams: RefCell::default(),
@@ -45,6 +49,11 @@
         }
     }
 
+    /// Sets the strength of the host.
+    pub fn with_strength(self, strength: Option<Strength>) -> Site {
+        Site { strength, ..self }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Duration {
         self.clock.now()
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -17,7 +17,9 @@
 use flamingopost_proxy::codec::{Codec, Error};
 use flamingopost_proxy::fleet::Fleet;
 use flamingopost_proxy::message::{Answer, Code, Command, Request, Status, Transaction};
-use flamingopost_proxy::platform::{Backend, Configuration, Entry, Peer, Revision, Service};
+use flamingopost_proxy::platform::{
+    Backend, Configuration, Entry, Peer, Revision, Service, Strength,
+};
 use flamingopost_proxy::route::{Consistency, Route};
 use flamingopost_proxy::site::Site;
 use tokio::task::LocalSet;
@@ -29,6 +31,13 @@
 /// Number of availability zones.
 const ZONES: usize = 4;
 
+/// One host of each zone is strong among this many hosts of the fleet.
+const STRONG_EACH: usize = 20 * ZONES;
+/// Strength of a strong host.
+pub const STRONG: Strength = Strength(1_000);
+/// Strength of the other hosts.
+pub const WEAK: Strength = Strength(120);
+
 /// A codec of no protocol, for code that sends and receives nothing.
 pub struct NoProtocol;
 
@@ -71,9 +80,32 @@
         host: format!("entry-{number:03}"),
         zone: format!("zone-{}", number % ZONES),
         address: address(10_000 + number),
+        strength: None,
     }
 }
 
+/// Returns the entry of host `number`, which is one of the few strong ones or a weak one.
+pub fn weighed_peer(number: usize) -> Peer {
+    let strength = match number % STRONG_EACH < ZONES {
+        true => STRONG,
+        false => WEAK,
+    };
+    Peer {
+        strength: Some(strength),
+        ..peer(number)
+    }
+}
+
+/// Returns a fleet of `hosts` hosts that have announced their strength, and `services` services, as
+/// known to host `number`.
+pub fn weighed_fleet(hosts: usize, services: usize, number: usize) -> Fleet<NoProtocol> {
+    let strength = weighed_peer(number).strength;
+    let fleet = unlisted_of((185, 2), services, number, strength);
+    let list = (0..hosts).map(|number| Ok(weighed_peer(number)));
+    fleet.apply_host_list(list.collect());
+    fleet
+}
+
 /// Returns the list of `hosts` hosts as the store returns it.
 pub fn host_list(hosts: usize) -> Vec<Entry<Peer>> {
     (0..hosts).map(|number| Ok(peer(number))).collect()
@@ -153,14 +185,14 @@
 /// Returns a fleet of `hosts` hosts and `services` services, whose servers are as small as those of
 /// large fleets, as known to host `number`.
 pub fn fleet_of(hosts: usize, services: usize, number: usize) -> Fleet<NoProtocol> {
-    let fleet = unlisted_of((185, 2), services, number);
+    let fleet = unlisted_of((185, 2), services, number, None);
     fleet.apply_host_list(host_list(hosts));
     fleet
 }
 
 /// Returns what host `number` knows before it has read the list of hosts.
 pub fn unlisted(number: usize) -> Fleet<NoProtocol> {
-    unlisted_of((56, 4), SERVICES, number)
+    unlisted_of((56, 4), SERVICES, number, None)
 }
 
 /// Returns the same for `services` services whose servers have these connections and slots.
@@ -168,12 +200,13 @@
     (connections, slots): (u16, u16),
     services: usize,
     number: usize,
+    strength: Option<Strength>,
 ) -> Fleet<NoProtocol> {
     let own = peer(number);
     let clock = Arc::new(Manual::default());
     let promotion = Duration::from_millis(300);
     let site = Site::new(own.host, own.zone, promotion, clock);
-    let fleet = Fleet::new(Rc::new(site));
+    let fleet = Fleet::new(Rc::new(site.with_strength(strength)));
     let configuration = configuration_of(1, connections, services);
     fleet.adopt(configuration.into(), Duration::ZERO);
     fleet.apply_server_list(server_list_of(slots, services));
--- a/crates/proxy/tests/published.rs
+++ b/crates/proxy/tests/published.rs
@@ -22,6 +22,7 @@
         host: format!("entry-{number}"),
         zone: format!("zone-{}", number % 4),
         address: format!("10.1.0.{number}:7440").parse().expect("an address"),
+        strength: None,
     }
 }
 
