Tell a host every change of a primary before its lease is extended

Cause: a heartbeat and its answer carried at most 12 changes of the last second. When a zone is lost some 333 services change their primaries within a second; a host that had missed the one datagram about the thirteenth kept its lease and went on relying on the replaced primary. Each answer also iterated twice over all services, which with 1,000 services and 985 hosts was most of an elector's work, and a starting host asked each elector four times for the logs of all services. Change: changes are numbered (core::change_log), divided into pages by size, confirmed, and sent again if a page is lost; the acknowledgement follows the confirmation. Answers to a former process of a host extend no lease. Hosts announce the version of their messages; an earlier build gets what it understands. Whether prior orders are known is asked of the services after a change only. Logs are asked for by service, for those that a host follows.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod adoption;
 pub mod authority;
 pub mod budget;
+pub mod change_log;
 pub mod clock;
 pub mod config;
 pub mod digest;
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::change_log::{ChangeLog, Coverage};
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::succession::{FencingToken, NextStep, Succession, View};
@@ -26,6 +27,7 @@
 mod claim_holder;
 mod claims;
 mod empty_log;
+mod ended_terms;
 mod handover;
 mod limits;
 mod log_reports;
@@ -68,6 +70,14 @@
     socket: Rc<Socket>,
     services: RefCell<BTreeMap<String, Rc<RefCell<Succession>>>>,
     reserved_token: RefCell<Option<FencingToken>>,
+    /// Identifies this process to the other hosts.
+    process: u64,
+    /// When this process started.
+    started_at: Duration,
+    /// Changes of primaries that this host has learned of, for the other hosts.
+    ended_terms: RefCell<ChangeLog>,
+    /// Which changes were received from each elector.
+    received_terms: RefCell<BTreeMap<HostKey, Coverage>>,
     /// Claims held by other hosts, and when this host first saw each of them.
     known_claims: RefCell<BTreeMap<(String, Revision), Duration>>,
     /// Changes of primaries that were claimed or ordered, by service and change number.
@@ -103,6 +113,8 @@
     last_quorum_at: Cell<Option<Duration>>,
     /// Whether this host holds its lease, and since when that has been the case.
     lease_state: Cell<(bool, Duration)>,
+    /// Whether all prior orders were known when that was last checked.
+    orders_check: Cell<Option<messaging::OrdersCheck>>,
     /// When this host first knew the list of servers.
     servers_known_since: Cell<Option<Duration>>,
 }
@@ -115,7 +127,8 @@
         platform: Rc<P>,
         socket: Rc<Socket>,
     ) -> Election<C, P> {
-        let lease_state = Cell::new((false, site.now()));
+        let started_at = site.now();
+        let lease_state = Cell::new((false, started_at));
         Election {
             lease_state,
             site,
@@ -124,6 +137,10 @@
             socket,
             services: RefCell::default(),
             reserved_token: RefCell::default(),
+            process: rand::random(),
+            started_at,
+            ended_terms: RefCell::default(),
+            received_terms: RefCell::default(),
             known_claims: RefCell::default(),
             changes: RefCell::default(),
             claimed_terms: RefCell::default(),
@@ -139,6 +156,7 @@
             is_reading_claims: Cell::new(false),
             claims_read_at: Cell::new(None),
             last_quorum_at: Cell::new(None),
+            orders_check: Cell::new(None),
             servers_known_since: Cell::new(None),
         }
     }
--- a/crates/proxy/src/election/claim_holder.rs
+++ b/crates/proxy/src/election/claim_holder.rs
@@ -32,7 +32,7 @@
         let holder = listed.iter().find(|(_, peer)| peer.host == by).cloned();
         let sent = self.site.now();
         if let Some((_, peer)) = &holder {
-            self.send_message(String::new(), self.heartbeat(sent), peer.address);
+            self.send_heartbeat(peer, sent);
         }
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         tokio::task::spawn_local(async move {
--- /dev/null
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -0,0 +1,192 @@
+//! Changes of primaries, as this host tells the other hosts of them and learns of them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flamingopost_core::change_log::Coverage;
+use flamingopost_core::key::HostKey;
+
+use super::Election;
+use super::messaging::PROPAGATION_WINDOW;
+use crate::codec::Codec;
+use crate::event::Event;
+use crate::peer::{EndedTerm, Payload, pages};
+use crate::platform::Platform;
+
+/// A heartbeat to be answered.
+pub(super) struct Heartbeat {
+    /// When it was sent, by its sender's clock, in microseconds.
+    pub sent: u64,
+    /// The process that has sent it, if it names one.
+    pub process: Option<u64>,
+    /// For how long its sender may have missed notifications, in milliseconds.
+    pub out_of_touch: u32,
+    /// Services of which its sender needs samples.
+    pub sample_requests: Vec<String>,
+}
+
+/// A part of the changes that another host has sent.
+pub(super) struct Page {
+    pub sent: u64,
+    pub process: u64,
+    pub start: u64,
+    pub from: u64,
+    pub to: u64,
+    pub is_last: bool,
+}
+
+impl<C: Codec, P: Platform> Election<C, P> {
+    /// Answers a heartbeat of `host`.
+    ///
+    /// The acknowledgement extends a lease, so its receiver must know each change that this host
+    /// knows. If they fit into no single message, they are sent in pages, and the acknowledgement
+    /// follows the confirmation. A host of an earlier build confirms nothing, and gets the oldest
+    /// ones only.
+    ///
+    /// Guards against a replaced primary that a host keeps relying on: after the loss of a zone, the
+    /// changes of one second did not fit into one message, and a host that had missed the notification
+    /// of one of the others never learned of it.
+    pub(super) fn answer_heartbeat(&self, host: HostKey, beat: &Heartbeat, to: SocketAddr) {
+        let missed = Duration::from_millis(u64::from(beat.out_of_touch)) + PROPAGATION_WINDOW;
+        let since = self.site.now().saturating_sub(missed);
+        let log = self.ended_terms.borrow();
+        let unconfirmed = log.unconfirmed(host, beat.process, since);
+        let numbers: Vec<u64> = unconfirmed.iter().map(|(number, _)| *number).collect();
+        let services = unconfirmed.iter().map(|(_, service)| *service);
+        let mut pages = pages(self.ended_terms_of(services));
+        if pages.len() > 1 && beat.process.is_some() {
+            return self.send_pages(beat.sent, &numbers, pages, to);
+        }
+        let ended_terms = match pages.is_empty() {
+            true => Vec::new(),
+            false => pages.remove(0),
+        };
+        let ack = Payload::HeartbeatAck {
+            sent: beat.sent,
+            progress: self.fleet.feed_progress(),
+            in_touch: self.quorum_held_ms(),
+            ended_terms,
+            samples: self.samples(&beat.sample_requests),
+        };
+        self.send_message(String::new(), ack, to);
+    }
+
+    /// Sends the changes with `numbers`, which are divided into `pages`.
+    fn send_pages(&self, sent: u64, numbers: &[u64], pages: Vec<Vec<EndedTerm>>, to: SocketAddr) {
+        let start = numbers.first().map_or(0, |first| first - 1);
+        let (mut from, mut done, count) = (start, 0, pages.len());
+        for (index, ended_terms) in pages.into_iter().enumerate() {
+            done += ended_terms.len();
+            let Some(last) = numbers.get(done - 1) else {
+                return;
+            };
+            let page = Payload::EndedTermsPage {
+                sent,
+                process: self.process,
+                start,
+                from,
+                to: *last,
+                is_last: index + 1 == count,
+                ended_terms,
+            };
+            self.send_message(String::new(), page, to);
+            from = *last;
+        }
+    }
+
+    /// Records a page of changes from `host`, whose changes were applied, and confirms it with the
+    /// last one. Nothing that was received has to be sent again, also if another page was lost.
+    pub(super) fn record_page(&self, host: HostKey, page: &Page, to: SocketAddr) {
+        let mut received = self.received_terms.borrow_mut();
+        let coverage = received
+            .entry(host)
+            .or_insert_with(|| Coverage::new(page.process));
+        if coverage.process() != page.process {
+            *coverage = Coverage::new(page.process);
+        }
+        coverage.record(page.from, page.to);
+        if !page.is_last {
+            return;
+        }
+        let up_to = coverage.complete_after(page.start);
+        let confirmation = Payload::EndedTermsReceived {
+            sent: page.sent,
+            numbered_by: page.process,
+            process: self.process,
+            up_to,
+            out_of_touch: self.quorum_age_ms(self.site.now()),
+        };
+        self.send_message(String::new(), confirmation, to);
+    }
+
+    /// Records that the sender of `beat` has received all changes up to the one numbered `up_to`, and
+    /// answers its heartbeat again if that is news. Otherwise a page was lost, and all that are not
+    /// confirmed are sent with its next heartbeat.
+    pub(super) fn record_confirmation(
+        &self,
+        host: HostKey,
+        beat: &Heartbeat,
+        up_to: u64,
+        to: SocketAddr,
+    ) {
+        let Some(process) = beat.process else {
+            return;
+        };
+        let is_new = self.ended_terms.borrow_mut().confirm(host, process, up_to);
+        if is_new {
+            self.answer_heartbeat(host, beat, to);
+        }
+    }
+
+    /// Forgets what was exchanged with hosts that are not listed any more.
+    pub fn forget_unlisted_hosts(&self) {
+        let listed = |host| self.fleet.is_listed(host);
+        self.ended_terms.borrow_mut().retain_hosts(listed);
+        self.received_terms
+            .borrow_mut()
+            .retain(|host, _| listed(*host));
+    }
+
+    /// Returns the changes of primaries that this host has learned of within `age`.
+    ///
+    /// An order is announced to each host by a single datagram, which may be lost or miss a host
+    /// that is partitioned. So the messages that keep a lease alive carry the change as well.
+    pub(super) fn recent_ended_terms(&self, age: Duration) -> Vec<EndedTerm> {
+        let since = self.site.now().saturating_sub(age);
+        let log = self.ended_terms.borrow();
+        let recent = log.recent(since);
+        self.ended_terms_of(recent.into_iter().map(|(_, service)| service))
+    }
+
+    /// Returns the newest change of each of `services`.
+    fn ended_terms_of<'a>(&self, services: impl Iterator<Item = &'a str>) -> Vec<EndedTerm> {
+        let ended = services.filter_map(|it| self.fleet.find_service(it)?.newest_replacement());
+        ended.collect()
+    }
+
+    /// Records that this host has learned of a change of the primary of `service`.
+    pub(super) fn record_ended_term(&self, service: &str) {
+        let now = self.site.now();
+        self.site.record_primary_change();
+        self.ended_terms.borrow_mut().record(service, now);
+    }
+
+    /// Records that another host reports a primary as replaced.
+    pub(super) fn apply_ended_term(&self, host: &str, ended: &EndedTerm) {
+        let Some(service) = self.fleet.find_service(&ended.service) else {
+            return;
+        };
+        if !service.end_term(ended) {
+            return;
+        }
+        self.record_ended_term(&service.name);
+        self.record_peer_change(&service.name, ended.term().number().unsigned_abs());
+        self.site.log(&Event::OtherActs {
+            service: service.name.clone(),
+            host: host.to_owned(),
+        });
+        if let Some(succession) = self.services.borrow().get(&service.name) {
+            succession.borrow_mut().defer_to_peer(self.site.now());
+        }
+    }
+}
--- a/crates/proxy/src/election/log_reports.rs
+++ b/crates/proxy/src/election/log_reports.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::Election;
-use super::messaging::PROPAGATION_WINDOW;
+use super::messaging::{PROPAGATION_WINDOW, Versions};
 use crate::codec::Codec;
 use crate::peer::{LedTerm, LogReport, Payload};
 use crate::platform::Platform;
@@ -14,6 +14,9 @@
 /// Maximum number of log reports in one message, which has to fit into a datagram.
 const MAX_LOG_REPORTS: usize = 8;
 
+/// Maximum number of services that one message asks for, which has to fit into a datagram.
+const MAX_QUERIED_SERVICES: usize = 16;
+
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Reports whether this host has to ask the others how far logs reach, because it may have
     /// missed that.
@@ -21,7 +24,7 @@
     /// Guards against a primary that restarted without its log, on a host that has just started or
     /// was partitioned. Such a host does not know what the primary lacks: one wrote to it for 350
     /// ms while other hosts did not trust it, and the acknowledged writes were rolled back.
-    pub(super) fn needs_log_reports(&self, has_quorum: bool, now: Duration) -> bool {
+    fn needs_log_reports(&self, has_quorum: bool, now: Duration) -> bool {
         if self.servers_known_since.get().is_none() && self.fleet.is_known() {
             self.servers_known_since.set(Some(now));
         }
@@ -33,9 +36,32 @@
         is_new || !has_quorum || now < since + PROPAGATION_WINDOW
     }
 
-    /// Sends `to` how far this host has seen the logs of services reach.
-    pub(super) fn send_logs(&self, to: SocketAddr) {
+    /// Returns the messages that ask how far logs reach, if this host may have missed that.
+    ///
+    /// It asks for the services that it follows. Reports of all services to each host that starts
+    /// would take the electors more than a second if half of a large fleet starts at once.
+    pub(super) fn log_queries(&self, has_quorum: bool, now: Duration) -> Versions {
+        let needs_all = self.needs_log_reports(has_quorum, now);
         let services = self.fleet.services();
+        let asked = services.iter().filter(|service| {
+            let is_new = service
+                .followed_for()
+                .is_some_and(|it| it < PROPAGATION_WINDOW);
+            is_new || needs_all && service.is_followed()
+        });
+        let names: Vec<String> = asked.map(|service| service.name.clone()).collect();
+        let current = names.chunks(MAX_QUERIED_SERVICES).map(|names| {
+            let services = names.to_vec();
+            Payload::ServiceLogQuery { services }
+        });
+        Versions {
+            former: needs_all.then_some(Payload::LogQuery).into_iter().collect(),
+            current: current.collect(),
+        }
+    }
+
+    /// Sends `to` how far this host has seen the logs of `services` reach.
+    pub(super) fn send_logs(&self, services: &[Rc<Service<C>>], to: SocketAddr) {
         // A host that knows from the store alone that there were writes may have found a primary
         // empty.
         let logs = services.iter().filter(|service| {
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -9,22 +9,48 @@
 use super::Election;
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::peer::{EndedTerm, Message, Payload, Sample, micros};
-use crate::platform::Platform;
+use crate::peer::{Message, PAGED_PROTOCOL, Payload, Sample, micros, pages};
+use crate::platform::{Peer, Platform};
 use crate::service::Service;
 
 /// How long hosts repeat the notification of a change of primary. Datagrams are lost, and a host
 /// that received none of them for this long has lost its lease as well.
 pub(super) const PROPAGATION_WINDOW: Duration = Duration::from_millis(1_000);
 
-/// Maximum number of changes in one message, which has to fit into a datagram. The remaining ones
-/// follow in later messages, when earlier changes have expired.
-const MAX_ENDED_TERMS: usize = 12;
-
 /// Maximum number of services whose samples one message requests or contains, which has to fit into
 /// a datagram.
 const MAX_SAMPLES: usize = 16;
 
+/// Interval between two checks whether all prior orders are known, while they are not.
+const ORDERS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Result of asking all services whether their prior orders are known.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OrdersCheck {
+    /// Number of changes of primaries, and of services, at that time.
+    state: (u64, usize),
+    at: Duration,
+    known: bool,
+}
+
+/// Messages of the same meaning for hosts of different builds.
+pub(super) struct Versions {
+    /// For hosts that announce no version of their messages.
+    pub former: Vec<Payload>,
+    /// For hosts of this build.
+    pub current: Vec<Payload>,
+}
+
+impl Versions {
+    /// Returns the messages that `peer` understands.
+    fn to(&self, peer: &Peer) -> &[Payload] {
+        match peer.protocol >= PAGED_PROTOCOL {
+            true => &self.current,
+            false => &self.former,
+        }
+    }
+}
+
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Sends heartbeats to the other hosts, forever.
     pub async fn send_heartbeats(self: Rc<Self>) {
@@ -43,16 +69,13 @@
             self.rewrite_claims();
             self.claim_ordered_changes();
             self.record_claims_verified_if_due();
-            let beat = self.heartbeat(now);
-            let needs_logs = self.needs_log_reports(has_quorum, now);
+            let beats = self.heartbeats(now);
+            let log_queries = self.log_queries(has_quorum, now);
             let reports_no_shares = self.reports_no_shares(now);
             for (_, peer) in self.fleet.electors().iter() {
-                self.send_message(String::new(), beat.clone(), peer.address);
-                if needs_logs {
-                    self.send_message(String::new(), Payload::LogQuery, peer.address);
-                }
-                if reports_no_shares {
-                    self.send_message(String::new(), Payload::NoShares, peer.address);
+                let messages = beats.to(peer).iter().chain(log_queries.to(peer));
+                for message in messages.chain(reports_no_shares.then_some(&Payload::NoShares)) {
+                    self.send_message(String::new(), message.clone(), peer.address);
                 }
             }
             if !has_quorum {
@@ -61,26 +84,57 @@
         }
     }
 
+    /// Sends a heartbeat to `peer` at `now`, besides those sent at intervals.
+    pub(super) fn send_heartbeat(&self, peer: &Peer, now: Duration) {
+        for message in self.heartbeats(now).to(peer) {
+            self.send_message(String::new(), message.clone(), peer.address);
+        }
+    }
+
     /// Reports whether this host is in contact with a majority of hosts.
     pub(super) fn has_quorum(&self) -> bool {
         self.fleet
             .with_quorum(|quorum, now| quorum.holds_lease(now))
     }
 
-    /// Builds a heartbeat of this host at `now`.
-    pub(super) fn heartbeat(&self, now: Duration) -> Payload {
-        Payload::Heartbeat {
-            sent: micros(now),
-            out_of_touch: self.quorum_age_ms(now),
-            epoch: self.newest_known_epoch().0,
-            sample_requests: self.sample_requests(),
-            ended_terms: self.recent_ended_terms(PROPAGATION_WINDOW),
+    /// Builds a heartbeat of this host at `now`, and the messages that precede it.
+    fn heartbeats(&self, now: Duration) -> Versions {
+        let (sent, epoch) = (micros(now), self.newest_known_epoch().0);
+        let out_of_touch = self.quorum_age_ms(now);
+        let sample_requests = self.sample_requests();
+        let mut pages = pages(self.recent_ended_terms(PROPAGATION_WINDOW));
+        let ended_terms = match pages.is_empty() {
+            true => Vec::new(),
+            false => pages.remove(0),
+        };
+        let former = Payload::Heartbeat {
+            sent,
+            out_of_touch,
+            epoch,
+            sample_requests: sample_requests.clone(),
+            ended_terms: ended_terms.clone(),
+        };
+        let more = pages
+            .into_iter()
+            .map(|ended_terms| Payload::EndedTerms { ended_terms });
+        let mut current: Vec<Payload> = more.collect();
+        current.push(Payload::ProcessHeartbeat {
+            process: self.process,
+            sent,
+            out_of_touch,
+            epoch,
+            sample_requests,
+            ended_terms,
+        });
+        Versions {
+            former: vec![former],
+            current,
         }
     }
 
     /// Returns for how many milliseconds this host may have missed notifications, because it was
     /// not in contact with a majority.
-    fn quorum_age_ms(&self, now: Duration) -> u32 {
+    pub(super) fn quorum_age_ms(&self, now: Duration) -> u32 {
         let has_quorum = self.has_quorum();
         self.log_lease_change(has_quorum, now);
         if has_quorum {
@@ -113,9 +167,24 @@
 
     /// Reports whether this host knows for each service whether its primary was replaced before this
     /// host started.
+    ///
+    /// Each acknowledgement of a heartbeat reports it, so the services are only asked again after a
+    /// change, or after [`ORDERS_CHECK_INTERVAL`] while the answer is no.
     fn knows_prior_orders(&self) -> bool {
+        let now = self.site.now();
+        let state = (self.site.primary_changes(), self.fleet.service_count());
+        let last = self.orders_check.get();
+        if let Some(last) = last.filter(|it| it.state == state)
+            && (last.known || now < last.at + ORDERS_CHECK_INTERVAL)
+        {
+            return last.known;
+        }
         let services = self.fleet.services();
-        !services.is_empty() && services.iter().all(|it| it.knows_prior_orders())
+        let known = !services.is_empty() && services.iter().all(|it| it.knows_prior_orders());
+        let at = now;
+        self.orders_check
+            .set(Some(OrdersCheck { state, at, known }));
+        known
     }
 
     /// Logs that this host has lost or regained its lease.
@@ -174,36 +243,6 @@
         }
     }
 
-    /// Returns the changes of primaries that this host has learned of within `age`.
-    ///
-    /// An order is announced to each host by a single datagram, which may be lost or miss a host
-    /// that is partitioned. So the messages that keep a lease alive carry the change as well.
-    pub(super) fn recent_ended_terms(&self, age: Duration) -> Vec<EndedTerm> {
-        let services = self.fleet.services();
-        let ended = services
-            .iter()
-            .filter_map(|service| service.recent_replacement(age));
-        ended.take(MAX_ENDED_TERMS).collect()
-    }
-
-    /// Records that another host reports a primary as replaced.
-    pub(super) fn apply_ended_term(&self, host: &str, ended: &EndedTerm) {
-        let Some(service) = self.fleet.find_service(&ended.service) else {
-            return;
-        };
-        if !service.end_term(ended) {
-            return;
-        }
-        self.record_peer_change(&service.name, ended.term().number().unsigned_abs());
-        self.site.log(&Event::OtherActs {
-            service: service.name.clone(),
-            host: host.to_owned(),
-        });
-        if let Some(succession) = self.services.borrow().get(&service.name) {
-            succession.borrow_mut().defer_to_peer(self.site.now());
-        }
-    }
-
     /// Asks the store which primaries are being replaced. While most hosts are silent, only the
     /// store can show that this host is not the partitioned one.
     fn check_claims_in_store(self: &Rc<Self>) {
--- a/crates/proxy/src/election/promote.rs
+++ b/crates/proxy/src/election/promote.rs
@@ -35,7 +35,9 @@
         if let Some(named) = service.to_peer_server(server) {
             let successor = (named, succession.borrow().successor_position());
             let ended_term = EndedTerm::new(service.name.clone(), term, token.0, successor, serves);
-            service.end_term(&ended_term);
+            if service.end_term(&ended_term) {
+                self.record_ended_term(&service.name);
+            }
             for (_, peer) in self.fleet.peers().iter() {
                 let ended_term = ended_term.clone();
                 self.send(
--- a/crates/proxy/src/election/receive.rs
+++ b/crates/proxy/src/election/receive.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use flamingopost_core::epoch::Epoch;
+use flamingopost_core::key::HostKey;
 use flamingopost_core::term::Term;
 
 use super::Election;
-use super::messaging::PROPAGATION_WINDOW;
+use super::ended_terms::{Heartbeat, Page};
 use crate::codec::Codec;
-use crate::peer::{Message, Payload, Server};
+use crate::peer::{EndedTerm, Message, Payload, Server};
 use crate::platform::Platform;
 use crate::service::{ResolvedServer, Service};
 
@@ -40,21 +41,71 @@
                     sample_requests,
                     ended_terms,
                 } => {
-                    self.fleet.record_peer_epoch(host, Epoch(epoch));
-                    self.fleet.record_heartbeat(host);
-                    let missed =
-                        Duration::from_millis(u64::from(out_of_touch)) + PROPAGATION_WINDOW;
-                    let echo = Payload::HeartbeatAck {
+                    let beat = Heartbeat {
                         sent,
-                        progress: self.fleet.feed_progress(),
-                        in_touch: self.quorum_held_ms(),
-                        ended_terms: self.recent_ended_terms(missed),
-                        samples: self.samples(&sample_requests),
+                        process: None,
+                        out_of_touch,
+                        sample_requests,
                     };
-                    self.send_message(String::new(), echo, from);
-                    ended_terms
-                        .iter()
-                        .for_each(|it| self.apply_ended_term(&message.host, it));
+                    self.record_heartbeat(host, epoch, &beat, from);
+                    return self.apply_ended_terms(&message.host, &ended_terms);
+                }
+                Payload::ProcessHeartbeat {
+                    process,
+                    sent,
+                    out_of_touch,
+                    epoch,
+                    sample_requests,
+                    ended_terms,
+                } => {
+                    let beat = Heartbeat {
+                        sent,
+                        process: Some(process),
+                        out_of_touch,
+                        sample_requests,
+                    };
+                    self.record_heartbeat(host, epoch, &beat, from);
+                    return self.apply_ended_terms(&message.host, &ended_terms);
+                }
+                Payload::EndedTerms { ended_terms } => {
+                    return self.apply_ended_terms(&message.host, &ended_terms);
+                }
+                Payload::EndedTermsPage {
+                    sent,
+                    process,
+                    start,
+                    from: first,
+                    to,
+                    is_last,
+                    ended_terms,
+                } => {
+                    self.apply_ended_terms(&message.host, &ended_terms);
+                    let page = Page {
+                        sent,
+                        process,
+                        start,
+                        from: first,
+                        to,
+                        is_last,
+                    };
+                    return self.record_page(host, &page, from);
+                }
+                Payload::EndedTermsReceived {
+                    sent,
+                    numbered_by,
+                    process,
+                    up_to,
+                    out_of_touch,
+                } => {
+                    let beat = Heartbeat {
+                        sent,
+                        process: Some(process),
+                        out_of_touch,
+                        sample_requests: Vec::new(),
+                    };
+                    if numbered_by == self.process {
+                        self.record_confirmation(host, &beat, up_to, from);
+                    }
                     return;
                 }
                 Payload::HeartbeatAck {
@@ -67,13 +118,14 @@
                     self.fleet.record_peer_epoch(host, Epoch(progress.epoch));
                     self.fleet.record_peer_progress(progress);
                     // Ended terms are applied before the acknowledgement extends the lease.
-                    ended_terms
-                        .iter()
-                        .for_each(|it| self.apply_ended_term(&message.host, it));
+                    self.apply_ended_terms(&message.host, &ended_terms);
                     self.peer_knows_orders(Duration::from_millis(u64::from(in_touch)));
                     let sent = Duration::from_micros(sent);
-                    self.fleet
-                        .with_quorum(|quorum, _| quorum.record_reply(host, sent));
+                    // What was sent before is an answer to a former process on this host.
+                    if sent >= self.started_at {
+                        self.fleet
+                            .with_quorum(|quorum, _| quorum.record_reply(host, sent));
+                    }
                     self.apply_samples(&samples, sent);
                     return;
                 }
@@ -106,7 +158,11 @@
             }
         }
         match &message.payload {
-            Payload::LogQuery => return self.send_logs(from),
+            Payload::LogQuery => return self.send_logs(&self.fleet.services(), from),
+            Payload::ServiceLogQuery { services } => {
+                let services = services.iter().filter_map(|it| self.fleet.find_service(it));
+                return self.send_logs(&services.collect::<Vec<_>>(), from);
+            }
             Payload::LogReply { logs } => return self.apply_logs(logs),
             _ => {}
         }
@@ -122,9 +178,13 @@
             | Payload::OperationGrant { .. }
             | Payload::ZoneOperationRequest { .. }
             | Payload::ZoneOperationGrant { .. }
-            | Payload::NoShares => {}
+            | Payload::NoShares
+            | Payload::ProcessHeartbeat { .. }
+            | Payload::EndedTerms { .. }
+            | Payload::EndedTermsPage { .. }
+            | Payload::EndedTermsReceived { .. } => {}
             // Not specific to a service, and handled above.
-            Payload::LogQuery | Payload::LogReply { .. } => {}
+            Payload::LogQuery | Payload::ServiceLogQuery { .. } | Payload::LogReply { .. } => {}
             Payload::ReachabilityQuery { server, furthest } => {
                 service.record_peer_position(furthest.into());
                 self.answer_reachability(service, server, from);
@@ -161,6 +221,18 @@
             }
         }
     }
+
+    fn record_heartbeat(&self, host: HostKey, epoch: u64, beat: &Heartbeat, from: SocketAddr) {
+        self.fleet.record_peer_epoch(host, Epoch(epoch));
+        self.fleet.record_heartbeat(host);
+        self.answer_heartbeat(host, beat, from);
+    }
+
+    fn apply_ended_terms(&self, host: &str, ended_terms: &[EndedTerm]) {
+        for ended in ended_terms {
+            self.apply_ended_term(host, ended);
+        }
+    }
 }
 
 /// Reports whether a report from another host about `server` concerns the primary known to this
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -135,6 +135,10 @@
             service.wait_until_needed().await;
             has_waited = true;
         }
+        if service.set_followed() {
+            // The electors are asked how far its log reaches.
+            self.fleet.contact_due.notify_one();
+        }
         has_waited
     }
 }
--- a/crates/proxy/src/feeds/wire.rs
+++ b/crates/proxy/src/feeds/wire.rs
@@ -249,6 +249,7 @@
     address: SocketAddr,
     /// In thousandths of a core.
     strength: Option<u32>,
+    protocol: u16,
 }
 
 impl From<&Peer> for WirePeer {
@@ -258,6 +259,7 @@
             zone: peer.zone.clone(),
             address: peer.address,
             strength: peer.strength.map(|Strength(share)| share),
+            protocol: peer.protocol,
         }
     }
 }
@@ -269,6 +271,7 @@
             zone: peer.zone,
             address: peer.address,
             strength: peer.strength.map(Strength),
+            protocol: peer.protocol,
         }
     }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -254,6 +254,11 @@
         self.services.borrow().get(name).cloned()
     }
 
+    /// Returns the number of services that have servers.
+    pub fn service_count(&self) -> usize {
+        self.services.borrow().len()
+    }
+
     /// Returns all services that have servers.
     pub fn services(&self) -> Vec<Rc<Service<C>>> {
         self.services.borrow().values().cloned().collect()
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -161,6 +161,11 @@
         peers.by_host.get(host).map(|(key, _)| *key)
     }
 
+    /// Reports whether `host` is listed.
+    pub fn is_listed(&self, host: HostKey) -> bool {
+        self.peers.borrow().keys.contains_key(host)
+    }
+
     /// Returns the other hosts.
     pub fn peers(&self) -> Rc<[(HostKey, Peer)]> {
         let list = || {
@@ -213,8 +218,8 @@
             let zone = peer.zone.as_str();
             (zone, peer.host.as_str(), listed.weight(peer))
         });
-        let mut zones: BTreeMap<&str, Vec<(Reverse<Option<Strength>>, u64, &str)>> =
-            BTreeMap::new();
+        type Place<'a> = (Reverse<Option<Strength>>, u64, &'a str);
+        let mut zones: BTreeMap<&str, Vec<Place<'_>>> = BTreeMap::new();
         let electors = Rendezvous::of("electors");
         for (zone, host, strength) in hosts.chain([(own.0, own.1, own_strength)]) {
             let place = electors.place(host, strength);
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -21,7 +21,7 @@
 use crate::feeds::server;
 use crate::fleet::{Fleet, feeds_address};
 use crate::open_sessions::OpenSessions;
-use crate::peer::Socket;
+use crate::peer::{PROTOCOL, Socket};
 use crate::platform::{Peer, Platform, Strength};
 use crate::probe;
 use crate::session::{Context, RelayPolicy, Session};
@@ -200,6 +200,7 @@
             None => socket.address()?,
         },
         strength: settings.strength,
+        protocol: PROTOCOL,
     };
     let readiness = {
         let (fleet, stop) = (Rc::clone(&fleet), Rc::clone(&stop));
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use flamingopost_core::incarnation::Incarnation;
-use flamingopost_core::limit::{Grant, Request, Share};
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::Opinion;
 use flamingopost_core::term::Term;
@@ -18,9 +17,22 @@
 
 use crate::meter::{self, Direction};
 
+mod ended_term;
 mod loan;
+mod log;
+mod team;
 
+pub use ended_term::{EndedTerm, pages};
 pub use loan::{TeamLoan, TeamLoanRequest};
+pub use log::{LedTerm, LogReport, TermStart};
+pub use team::{TeamGrant, TeamRequest};
+
+/// Version of the messages that hosts of this build understand, as they announce it. Hosts that
+/// announce none understand the first one.
+pub const PROTOCOL: u16 = 2;
+
+/// Version of the messages from which on processes are named and changes of primaries are paged.
+pub const PAGED_PROTOCOL: u16 = 2;
 
 /// Maximum size of a datagram. Larger ones were not sent by an entry host.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -164,120 +176,63 @@
     /// The sending process has not asked any grantor for operations, and so holds no share. Concerns
     /// no service.
     NoShares,
-}
-
-/// A request for operations of a team.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TeamRequest {
-    /// Name of the team.
-    pub team: String,
-    wanted: u32,
-    returned: u32,
-    /// In thousandths of an operation per second.
-    demand: u32,
-    share: WireShare,
-    issuer: u32,
-    used: u32,
-}
-
-impl TeamRequest {
-    /// Creates the message of `request` for the team called `team`.
-    pub fn new(team: String, request: &Request) -> TeamRequest {
-        TeamRequest {
-            team,
-            wanted: request.wanted,
-            returned: request.returned,
-            demand: thousandths(request.demand),
-            share: request.share.into(),
-            issuer: request.issuer,
-            used: request.used,
-        }
-    }
-
-    /// Returns the request of the process `incarnation`, which sent it at `sent`.
-    pub fn request(&self, incarnation: u64, sent: u64) -> Request {
-        Request {
-            incarnation,
-            sent: Duration::from_nanos(sent),
-            wanted: self.wanted,
-            returned: self.returned,
-            demand: f64::from(self.demand) / THOUSAND,
-            share: self.share.into(),
-            issuer: self.issuer,
-            used: self.used,
-        }
-    }
-}
-
-/// A grant of operations to a host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TeamGrant {
-    /// Name of the team.
-    pub team: String,
-    granted: u32,
-    share: WireShare,
-    issuer: u32,
-    /// In milliseconds.
-    retry_after: u32,
-}
-
-impl TeamGrant {
-    /// Creates the message of `grant` for the team called `team`.
-    pub fn new(team: String, grant: &Grant) -> TeamGrant {
-        let retry_after = u32::try_from(grant.retry_after.as_millis());
-        TeamGrant {
-            team,
-            granted: grant.granted,
-            share: grant.share.into(),
-            issuer: grant.issuer,
-            retry_after: retry_after.unwrap_or(u32::MAX),
-        }
-    }
-
-    /// Returns the answer to the request that was sent at `sent`.
-    pub fn grant(&self, sent: u64) -> Grant {
-        Grant {
-            sent: Duration::from_nanos(sent),
-            granted: self.granted,
-            share: self.share.into(),
-            issuer: self.issuer,
-            retry_after: Duration::from_millis(u64::from(self.retry_after)),
-        }
-    }
-}
-
-/// A share of a limit, in thousandths of an operation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct WireShare {
-    rate: u32,
-    burst: u32,
-}
-
-impl From<Share> for WireShare {
-    fn from(share: Share) -> WireShare {
-        WireShare {
-            rate: thousandths(share.rate),
-            burst: thousandths(share.burst),
-        }
-    }
-}
-
-impl From<WireShare> for Share {
-    fn from(share: WireShare) -> Share {
-        Share {
-            rate: f64::from(share.rate) / THOUSAND,
-            burst: f64::from(share.burst) / THOUSAND,
-        }
-    }
-}
-
-/// Scale of rates in messages.
-const THOUSAND: f64 = 1_000.0;
-
-/// Converts a rate to thousandths, rounded down: a host must not hold more than it was granted.
-fn thousandths(rate: f64) -> u32 {
-    // The cast saturates.
-    (rate * THOUSAND) as u32
+    /// A heartbeat that names the sending process. Concerns no service.
+    ProcessHeartbeat {
+        /// Identifies the sending process.
+        process: u64,
+        /// When it was sent, by the sender's clock, in microseconds.
+        sent: u64,
+        /// Time since the sender was last in contact with a majority of hosts, in milliseconds.
+        out_of_touch: u32,
+        /// The newest epoch of the platform's store known to the sender.
+        epoch: u64,
+        /// Services whose reads wait for a sample of the primary's position.
+        sample_requests: Vec<String>,
+        /// Terms that the sender has recently learned to be over. More of them precede it in
+        /// [`Payload::EndedTerms`].
+        ended_terms: Vec<EndedTerm>,
+    },
+    /// Terms that the sender has recently learned to be over. Concerns no service.
+    EndedTerms {
+        /// The terms.
+        ended_terms: Vec<EndedTerm>,
+    },
+    /// Answers a heartbeat with a part of the terms that its sender may not know to be over. The
+    /// acknowledgement follows once it has confirmed all of them. Concerns no service.
+    EndedTermsPage {
+        /// The time from the heartbeat.
+        sent: u64,
+        /// Identifies the answering process, which numbers the terms.
+        process: u64,
+        /// The number after which the first page begins.
+        start: u64,
+        /// The number after which this page begins.
+        from: u64,
+        /// The last number of this page.
+        to: u64,
+        /// Whether this is the last page.
+        is_last: bool,
+        /// The terms.
+        ended_terms: Vec<EndedTerm>,
+    },
+    /// Confirms [`Payload::EndedTermsPage`]. Concerns no service.
+    EndedTermsReceived {
+        /// The time from the heartbeat.
+        sent: u64,
+        /// Identifies the process that has numbered the terms.
+        numbered_by: u64,
+        /// Identifies the sending process.
+        process: u64,
+        /// The number up to which it has received all terms.
+        up_to: u64,
+        /// Time since the sender was last in contact with a majority of hosts, in milliseconds.
+        out_of_touch: u32,
+    },
+    /// Asks how far the receiver has seen the logs of these services reach. Concerns no service.
+    ServiceLogQuery {
+        /// Names of the services.
+        services: Vec<String>,
+    },
 }
 
 /// Converts a time to nanoseconds.
@@ -290,132 +245,6 @@
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
-/// How far the log of a service has been seen to reach on any of its servers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LogReport {
-    /// The service.
-    pub service: String,
-    /// The furthest position seen.
-    pub furthest: WirePosition,
-    /// Where the newest term that was ordered began, if known.
-    pub term_start: Option<TermStart>,
-    /// Servers whose claim to be the primary is not trusted.
-    pub doubted: Vec<Server>,
-    /// Servers that were seen to lead.
-    pub led: Vec<LedTerm>,
-}
-
-/// The newest term that a server was seen to lead.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LedTerm {
-    /// The server.
-    pub server: Server,
-    term: i64,
-}
-
-impl LedTerm {
-    /// Creates the record that `server` was seen to lead `term`.
-    pub fn new(server: Server, term: Term) -> LedTerm {
-        let term = term.number();
-        LedTerm { server, term }
-    }
-
-    /// Returns the term.
-    pub fn term(&self) -> Term {
-        Term::from_number(self.term)
-    }
-}
-
-/// The position of a server's log when it was ordered to lead.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TermStart {
-    /// Id of the server.
-    pub server: String,
-    /// The newest term known at that time.
-    before: i64,
-    /// How far the server had received the log, as reported by itself.
-    #[serde(rename = "had")]
-    received: WirePosition,
-}
-
-impl TermStart {
-    /// Creates the record that `server` had received the log up to `received` when it was ordered
-    /// to lead after term `before`.
-    pub fn new(server: String, before: Term, received: Position) -> TermStart {
-        TermStart {
-            server,
-            before: before.number(),
-            received: received.into(),
-        }
-    }
-
-    /// Returns the newest term known at that time.
-    pub fn before(&self) -> Term {
-        Term::from_number(self.before)
-    }
-
-    /// Returns how far the server had received the log, as reported by itself.
-    pub fn received(&self) -> Position {
-        self.received.into()
-    }
-}
-
-/// The term of a primary that is over: its successor is being ordered or already leads.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndedTerm {
-    /// The service.
-    pub service: String,
-    /// The newest term known when the order was given.
-    term: i64,
-    /// Token of the order.
-    pub token: u64,
-    /// The server that was ordered to lead.
-    pub successor: Server,
-    /// How far the successor has received the log, as reported by itself.
-    #[serde(rename = "had")]
-    received: WirePosition,
-    /// How long the primary still serves, in milliseconds. A leaving primary serves until shortly
-    /// before its successor leads.
-    serves: u32,
-}
-
-impl EndedTerm {
-    /// Creates the record that `term` of `service` is over. Its primary serves for `serves` more,
-    /// and `successor`, which has received the log up to the given position, was ordered to lead
-    /// under `token`.
-    pub fn new(
-        service: String,
-        term: Term,
-        token: u64,
-        (successor, received): (Server, Position),
-        serves: Duration,
-    ) -> EndedTerm {
-        EndedTerm {
-            service,
-            term: term.number(),
-            token,
-            successor,
-            received: received.into(),
-            serves: u32::try_from(serves.as_millis()).unwrap_or(u32::MAX),
-        }
-    }
-
-    /// Returns the newest term known when the order was given.
-    pub fn term(&self) -> Term {
-        Term::from_number(self.term)
-    }
-
-    /// Returns how far the successor has received the log, as reported by itself.
-    pub fn received(&self) -> Position {
-        self.received.into()
-    }
-
-    /// Returns how long the primary still serves.
-    pub fn serves(&self) -> Duration {
-        Duration::from_millis(u64::from(self.serves))
-    }
-}
-
 /// One incarnation of a server. What is known of one incarnation does not hold for another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
@@ -506,6 +335,11 @@
             Payload::ZoneOperationRequest { .. } => "zone_operation_request",
             Payload::ZoneOperationGrant { .. } => "zone_operation_grant",
             Payload::NoShares => "no_shares",
+            Payload::ProcessHeartbeat { .. } => "process_heartbeat",
+            Payload::EndedTerms { .. } => "ended_terms",
+            Payload::EndedTermsPage { .. } => "ended_terms_page",
+            Payload::EndedTermsReceived { .. } => "ended_terms_received",
+            Payload::ServiceLogQuery { .. } => "service_log_query",
         }
     }
 
--- a/crates/proxy/src/peer/loan.rs
+++ b/crates/proxy/src/peer/loan.rs
@@ -5,7 +5,8 @@
 use flamingopost_core::limit::{LoanAnswer, LoanRequest};
 use serde::{Deserialize, Serialize};
 
-use super::{THOUSAND, micros, thousandths};
+use super::micros;
+use super::team::{THOUSAND, thousandths};
 
 /// A request to borrow operations of a team.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -213,6 +213,8 @@
     pub address: SocketAddr,
     /// Its strength, if it has announced one. Hosts of earlier builds do not.
     pub strength: Option<Strength>,
+    /// Version of the messages that it understands.
+    pub protocol: u16,
 }
 
 /// The processor share of a host, in thousandths of a core.
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -546,6 +546,7 @@
             state.no_primary_since = change.after.is_none().then_some(now);
             (change, succeeds)
         };
+        self.site.record_primary_change();
         self.site.log(&Event::Leads {
             service: self.name.clone(),
             after: self.name_of(change.after),
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -38,7 +38,6 @@
     hold_from: Duration,
     /// Time from which the primary's answers are ignored.
     ignore_from: Duration,
-    learned_at: Duration,
 }
 
 impl Replacement {
@@ -211,7 +210,6 @@
             successor_position: ended.received(),
             hold_from,
             ignore_from,
-            learned_at: now,
         });
         let id = ended.successor.id.clone();
         state.record_term_start(&peer::TermStart::new(id, ended.term(), ended.received()));
@@ -227,26 +225,24 @@
         true
     }
 
-    /// Returns the newest replacement of the primary if this host learned of it within the last
-    /// `age`, to inform hosts that may not know of it.
-    pub fn recent_replacement(&self, age: Duration) -> Option<EndedTerm> {
+    /// Returns the newest replacement of the primary that this host knows of, to inform hosts that
+    /// may not know of it.
+    pub fn newest_replacement(&self) -> Option<EndedTerm> {
         let now = self.site.now();
         let state = self.state.borrow();
         let replacement = state.replacement.as_ref()?;
         let serves_for = replacement.hold_from.saturating_sub(now);
-        (now <= replacement.learned_at + age).then(|| {
-            let successor = (
-                replacement.successor.clone(),
-                replacement.successor_position,
-            );
-            EndedTerm::new(
-                self.name.clone(),
-                replacement.ended_term,
-                replacement.token,
-                successor,
-                serves_for,
-            )
-        })
+        let successor = (
+            replacement.successor.clone(),
+            replacement.successor_position,
+        );
+        Some(EndedTerm::new(
+            self.name.clone(),
+            replacement.ended_term,
+            replacement.token,
+            successor,
+            serves_for,
+        ))
     }
 
     /// Records the store's answer to a request sent at `sent`: no host has claimed the right to
--- a/crates/proxy/src/service/use_state.rs
+++ b/crates/proxy/src/service/use_state.rs
@@ -22,6 +22,8 @@
     next_tick_at: Cell<Duration>,
     /// Whether the task of the service waits until the host follows it.
     is_task_waiting: Cell<bool>,
+    /// Since when this host has followed the service, if it does.
+    followed_since: Cell<Option<Duration>>,
 }
 
 impl<C: Codec> Service<C> {
@@ -32,8 +34,30 @@
         last.is_some_and(|at| now < at + USE_RETENTION) || self.has_requests()
     }
 
+    /// Reports whether this host follows the service.
+    pub fn is_followed(&self) -> bool {
+        self.usage.followed_since.get().is_some()
+    }
+
+    /// Returns for how long this host has followed the service, if it does.
+    pub fn followed_for(&self) -> Option<Duration> {
+        let now = self.site.now();
+        let since = self.usage.followed_since.get();
+        since.map(|since| now.saturating_sub(since))
+    }
+
+    /// Records that this host follows the service from now on. Returns whether that is new.
+    pub fn set_followed(&self) -> bool {
+        let is_new = !self.is_followed();
+        if is_new {
+            self.usage.followed_since.set(Some(self.site.now()));
+        }
+        is_new
+    }
+
     /// Waits until something has happened to the service that may require this host to follow it.
     pub async fn wait_until_needed(&self) {
+        self.usage.followed_since.set(None);
         self.usage.is_task_waiting.set(true);
         self.failover_notify.notified().await;
         self.usage.is_task_waiting.set(false);
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -30,6 +30,7 @@
     /// Shortest measured duration of a promotion.
     measured_promotion: Cell<Option<Duration>>,
     ids: Cell<u64>,
+    primary_changes: Cell<u64>,
 }
 
 impl Site {
@@ -46,6 +47,7 @@
             limit: LogLimit::default(),
             teams: RefCell::default(),
             ids: Cell::new(0),
+            primary_changes: Cell::new(0),
         }
     }
 
@@ -93,6 +95,17 @@
         self.measured_promotion.set(Some(shortest));
     }
 
+    /// Records that this host believes in another primary of some service than before, or has learned
+    /// of an order to replace one.
+    pub fn record_primary_change(&self) {
+        self.primary_changes.set(self.primary_changes.get() + 1);
+    }
+
+    /// Returns the number of such changes.
+    pub fn primary_changes(&self) -> u64 {
+        self.primary_changes.get()
+    }
+
     /// Returns a number that this process has not used before.
     pub fn next_id(&self) -> u64 {
         let id = self.ids.get() + 1;
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -366,6 +366,7 @@
             }
             Batch::Changes(changes) => self.fleet.apply_host_changes(changes),
         }
+        self.election.forget_unlisted_hosts();
     }
 
     /// Announces this host again, because the list as of `read` lacks its entry.
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test and example uses only a part of this module.
 #![allow(dead_code)]
 
+pub mod no_store;
+
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -17,6 +19,7 @@
 use flamingopost_proxy::codec::{Codec, Error};
 use flamingopost_proxy::fleet::Fleet;
 use flamingopost_proxy::message::{Answer, Code, Command, Request, Status, Transaction};
+use flamingopost_proxy::peer::PROTOCOL;
 use flamingopost_proxy::platform::{
     Backend, Configuration, Entry, Peer, Revision, Service, Strength,
 };
@@ -81,6 +84,7 @@
         zone: format!("zone-{}", number % ZONES),
         address: address(10_000 + number),
         strength: None,
+        protocol: 1,
     }
 }
 
@@ -190,6 +194,16 @@
     fleet
 }
 
+/// Returns the entry of host `number` of a current build, which receives messages at `address`.
+pub fn current_peer(number: usize, address: SocketAddr) -> Peer {
+    let protocol = PROTOCOL;
+    Peer {
+        address,
+        protocol,
+        ..peer(number)
+    }
+}
+
 /// Returns what host `number` knows before it has read the list of hosts.
 pub fn unlisted(number: usize) -> Fleet<NoProtocol> {
     unlisted_of((56, 4), SERVICES, number, None)
@@ -202,17 +216,20 @@
     number: usize,
     strength: Option<Strength>,
 ) -> Fleet<NoProtocol> {
-    let own = peer(number);
-    let clock = Arc::new(Manual::default());
-    let promotion = Duration::from_millis(300);
-    let site = Site::new(own.host, own.zone, promotion, clock);
-    let fleet = Fleet::new(Rc::new(site.with_strength(strength)));
+    let fleet = Fleet::new(Rc::new(site(number).with_strength(strength)));
     let configuration = configuration_of(1, connections, services);
     fleet.adopt(configuration.into(), Duration::ZERO);
     fleet.apply_server_list(server_list_of(slots, services));
     fleet
 }
 
+/// Returns the state of host `number` that its parts share.
+pub fn site(number: usize) -> Site {
+    let own = peer(number);
+    let clock = Arc::new(Manual::default());
+    Site::new(own.host, own.zone, Duration::from_millis(300), clock)
+}
+
 /// Returns the elected hosts by name as seen by `fleet`, which is that of host `number`.
 pub fn elected(fleet: &Fleet<NoProtocol>, number: usize) -> Vec<String> {
     let electors = fleet.electors();
--- a/crates/proxy/tests/peer.rs
+++ b/crates/proxy/tests/peer.rs
@@ -29,6 +29,10 @@
     let grants = Vec::new();
     assert_eq!(index(&Payload::ZoneOperationGrant { sent: 0, grants }), 12);
     assert_eq!(index(&Payload::NoShares), 13);
+    let ended_terms = Vec::new();
+    assert_eq!(index(&Payload::EndedTerms { ended_terms }), 15);
+    let services = Vec::new();
+    assert_eq!(index(&Payload::ServiceLogQuery { services }), 18);
 }
 
 /// Guards against a lifetime that grows on the way.
--- a/crates/proxy/tests/published.rs
+++ b/crates/proxy/tests/published.rs
@@ -23,6 +23,7 @@
         zone: format!("zone-{}", number % 4),
         address: format!("10.1.0.{number}:7440").parse().expect("an address"),
         strength: None,
+        protocol: 1,
     }
 }
 
