--- a/crates/proxy/src/feeds/server.rs
+++ b/crates/proxy/src/feeds/server.rs
@@ -19,10 +19,6 @@
 use super::query::{Query, Table};
 use crate::socket;
 
-/// Maximum number of open connections: one for each feed of the hosts of a large zone that has a
-/// single host to follow. Further hosts ask another one.
-const MAX_CONNECTIONS: usize = 512;
-
 /// Maximum time for which a request waits for a change, whatever it asks for.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
@@ -35,15 +31,16 @@
 /// Size of the buffer of a connection, the smallest that `hyper` allows. Requests take 100 bytes.
 const BUFFER_BYTES: usize = 8 << 10;
 
-/// Answers requests for `feeds` on `listener`, forever.
-pub async fn serve(listener: TcpListener, feeds: Rc<Feeds>) {
+/// Answers requests for `feeds` on `listener`, forever, on at most `max_connections`. Each follower
+/// has one for each feed. Further ones ask another host.
+pub async fn serve(listener: TcpListener, feeds: Rc<Feeds>, max_connections: usize) {
     let open = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
             continue;
         };
-        if open.get() >= MAX_CONNECTIONS
+        if open.get() >= max_connections
             || socket::set_options(&stream, UNACKNOWLEDGED_TIMEOUT).is_err()
         {
             continue;
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -70,6 +70,8 @@
     pub grace: Duration,
     /// Maximum number of open caller sessions.
     pub sessions: usize,
+    /// Maximum number of open connections of hosts that read feeds at this one.
+    pub followers: usize,
     /// Strength of the host, by which tasks are shared out in a large fleet.
     pub strength: Option<Strength>,
 }
@@ -178,7 +180,7 @@
     .log();
     serve_metrics(settings.metrics).await;
 
-    serve_feeds(socket.address()?, &site, &fleet).await;
+    serve_feeds(socket.address()?, settings.followers, &site, &fleet).await;
 
     let election = Rc::new(Election::new(
         Rc::clone(&site),
@@ -355,13 +357,18 @@
 
 /// Serves feeds to other hosts on the port after `messages`, or logs why that is not possible: other
 /// hosts then read them elsewhere.
-async fn serve_feeds<C: Codec>(messages: SocketAddr, site: &Site, fleet: &Fleet<C>) {
+async fn serve_feeds<C: Codec>(
+    messages: SocketAddr,
+    followers: usize,
+    site: &Site,
+    fleet: &Fleet<C>,
+) {
     let Some(address) = feeds_address(messages) else {
         return;
     };
     match TcpListener::bind(address).await {
         Ok(listener) => {
-            tokio::task::spawn_local(server::serve(listener, Rc::clone(&fleet.feeds)));
+            tokio::task::spawn_local(server::serve(listener, Rc::clone(&fleet.feeds), followers));
         }
         Err(error) => site.log(&Event::FeedsUnserved {
             address: address.to_string(),
