Read servers and configuration at electors from the start

Cause: each host that started read all servers and the configuration at the store: with 3,000 servers 8 calls and more than a megabyte for each of 985 hosts. Electors delayed changes of servers by 600 ms, each at its own time, while a follower counts as stuck 400 ms after another elector has read a change: it then read the whole list at the store again. An elector that has not read a list yet holds its answers until it has. Changes of servers are delayed by 200 ms, asserted to be half of the 400 ms at most. Claims are read without a lease only once the electors have had a heartbeat's time to answer.

--- a/crates/core/src/feed/source.rs
+++ b/crates/core/src/feed/source.rs
@@ -92,6 +92,27 @@
 }
 
 impl Selector {
+    /// Returns the selector of a feed that may be read at another host from the first read on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use flamingopost_core::feed::source::{Selector, Source};
+    /// use flamingopost_core::key::HostKey;
+    /// use flamingopost_core::names::Names;
+    ///
+    /// let mut names: Names<HostKey> = Names::default();
+    /// let relay = names.intern("entry-2");
+    /// let mut selector = Selector::from_any_source();
+    /// assert_eq!(selector.next(&[relay], Duration::ZERO), Source::Host(relay));
+    /// assert_eq!(selector.next(&[], Duration::ZERO), Source::Store);
+    /// ```
+    pub fn from_any_source() -> Selector {
+        Selector {
+            store_read: None,
+            paused: BTreeMap::new(),
+        }
+    }
+
     /// Returns where to read next. `relays` are the hosts in contact that follow the store, in
     /// order of preference. It is empty if this host has to read the store itself.
     pub fn next(&mut self, relays: &[HostKey], now: Duration) -> Source {
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -115,6 +115,8 @@
     lease_state: Cell<(bool, Duration)>,
     /// Whether all prior orders were known when that was last checked.
     orders_check: Cell<Option<messaging::OrdersCheck>>,
+    /// When this host first knew the list of hosts.
+    hosts_known_since: Cell<Option<Duration>>,
     /// When this host first knew the list of servers.
     servers_known_since: Cell<Option<Duration>>,
 }
@@ -157,6 +159,7 @@
             claims_read_at: Cell::new(None),
             last_quorum_at: Cell::new(None),
             orders_check: Cell::new(None),
+            hosts_known_since: Cell::new(None),
             servers_known_since: Cell::new(None),
         }
     }
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -78,7 +78,7 @@
                     self.send_message(String::new(), message.clone(), peer.address);
                 }
             }
-            if !has_quorum {
+            if !has_quorum && self.has_known_hosts_for(HEARTBEAT_INTERVAL) {
                 self.check_claims_in_store();
             }
         }
@@ -91,6 +91,17 @@
         }
     }
 
+    /// Reports whether this host has known the other hosts for `time`. Before that, nothing is served,
+    /// and the electors have not had the time to answer.
+    fn has_known_hosts_for(&self, time: Duration) -> bool {
+        let now = self.site.now();
+        if self.hosts_known_since.get().is_none() && self.fleet.knows_hosts() {
+            self.hosts_known_since.set(Some(now));
+        }
+        let since = self.hosts_known_since.get();
+        since.is_some_and(|since| now >= since + time)
+    }
+
     /// Reports whether this host is in contact with a majority of hosts.
     pub(super) fn has_quorum(&self) -> bool {
         self.fleet
--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -137,9 +137,10 @@
 impl Default for Feeds {
     fn default() -> Feeds {
         Feeds {
-            configuration: Follower::new(Feeds::CONFIGURATION_WAIT),
-            backends: Follower::new(Feeds::BACKENDS_WAIT),
-            peers: Follower::new(Feeds::PEERS_WAIT),
+            configuration: Follower::new(Feeds::CONFIGURATION_WAIT, Selector::from_any_source()),
+            backends: Follower::new(Feeds::BACKENDS_WAIT, Selector::from_any_source()),
+            // Other hosts can be asked only once this list was read.
+            peers: Follower::new(Feeds::PEERS_WAIT, Selector::default()),
             published_configuration: Published::default(),
             published_backends: Published::default(),
             published_peers: Published::default(),
@@ -150,7 +151,7 @@
 impl Follower {
     /// Creates a follower whose calls wait at most `wait` if no other host detects that they are
     /// stuck.
-    fn new(wait: Duration) -> Follower {
+    fn new(wait: Duration, selector: Selector) -> Follower {
         Follower {
             feed: RefCell::default(),
             behind: Notify::new(),
@@ -160,7 +161,7 @@
             possibly_stale: Notify::new(),
             wait,
             stuck_detection: Cell::new(StuckDetection::Local),
-            selector: RefCell::default(),
+            selector: RefCell::new(selector),
             client: Client::default(),
             asked_host: Cell::new(None),
             read_at: RefCell::default(),
--- a/crates/proxy/src/feeds/published.rs
+++ b/crates/proxy/src/feeds/published.rs
@@ -44,6 +44,8 @@
     /// At another host, or nowhere yet.
     #[default]
     NotFollowed,
+    /// At the store, which has not answered a call yet.
+    Starting,
     /// At the store, which has answered the last call.
     Followed,
     /// At the store, which has not answered the last call.
@@ -150,6 +152,20 @@
         }
     }
 
+    /// Records that this host is about to read the list at the store for the first time. Hosts that
+    /// ask for it wait for that.
+    ///
+    /// Guards against whole reads of the store by all hosts that start at once: the hosts that they
+    /// could follow have read nothing yet either.
+    pub fn expect_first_read(&self) {
+        let list = self.list.borrow();
+        let is_unread = list.as_of == Revision::default();
+        drop(list);
+        if is_unread {
+            self.set_standing(Standing::Starting);
+        }
+    }
+
     /// Records that the store is in `epoch`. A list of a former epoch is no longer delivered.
     pub fn record_epoch(&self, epoch: Epoch) {
         let mut list = self.list.borrow_mut();
@@ -306,6 +322,9 @@
 
     /// Returns the answer to `query`, or `None` if it has to wait.
     fn answer(&mut self, query: &Query) -> Option<Bytes> {
+        if self.standing == Standing::Starting {
+            return None;
+        }
         let is_former = self.as_of.epoch() < self.newest_epoch.max(query.after.epoch());
         let is_behind = query.whole && self.as_of < query.after;
         if self.standing == Standing::NotFollowed || is_former || is_behind {
@@ -328,7 +347,7 @@
     /// Returns the answer to `query` if nothing has changed.
     fn answer_unchanged(&self, query: &Query) -> Bytes {
         match self.standing {
-            Standing::NotFollowed => encode::<T>(&Answer::NotFollowed),
+            Standing::NotFollowed | Standing::Starting => encode::<T>(&Answer::NotFollowed),
             Standing::Outage => encode::<T>(&Answer::Outage),
             Standing::Followed => {
                 let revision = self.as_of.max(query.after).0;
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::feed::STUCK_AFTER;
+
 use crate::codec::Codec;
 use crate::election::Election;
 use crate::event::Event;
@@ -27,7 +29,12 @@
 /// Delay after a change to the list of servers in a large fleet, so that one call returns all
 /// changes of that time. Without it, 65 hosts made 24 calls each while 24 servers started. A small
 /// fleet does not delay.
-const SERVER_CHANGE_DELAY: Duration = Duration::from_millis(600);
+///
+/// The electors delay independently of each other. A follower of one of them must not count as stuck
+/// because another one has read a change earlier.
+const SERVER_CHANGE_DELAY: Duration = Duration::from_millis(200);
+
+const _: () = assert!(SERVER_CHANGE_DELAY.as_millis() * 2 <= STUCK_AFTER.as_millis());
 
 /// Delay after a change to the list of hosts in a large fleet. Without it, each of 65 hosts made up
 /// to 40 calls within 200 ms while they started. A small fleet does not delay, because a host that
@@ -102,9 +109,10 @@
         let feed = &self.fleet.feeds.configuration;
         let published = &self.fleet.feeds.published_configuration;
         let mut poll = PollState::new(Table::Configuration.name(), self.site.now());
+        self.wait_for_sources().await;
         loop {
             let asked = self.site.now();
-            let read = match self.read_from(feed, &poll) {
+            let read = match self.read_from(feed, published, &poll) {
                 ReadFrom::Store => match self.read_configuration(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
                         if !self.record_answer(&mut poll, feed, read.revision).await {
@@ -154,10 +162,11 @@
         let published = &self.fleet.feeds.published_backends;
         let mut poll = PollState::new(Table::Servers.name(), self.site.now());
         let mut first_read_at: Option<Duration> = None;
+        self.wait_for_sources().await;
         loop {
             let until = first_read_at.map_or(Duration::ZERO, |at| at + SERVER_CHANGE_DELAY);
             self.wait_for_electors(&poll, until).await;
-            match self.read_from(feed, &poll) {
+            match self.read_from(feed, published, &poll) {
                 ReadFrom::Store => match self.read_servers(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
                         if !self.record_answer(&mut poll, feed, read.revision).await {
@@ -208,7 +217,7 @@
                 // Only an answer lets followers read the list here again, so it must come soon.
                 poll.cancelled(CancelReason::Outage);
             }
-            match self.read_from(feed, &poll) {
+            match self.read_from(feed, published, &poll) {
                 ReadFrom::Store => match self.read_hosts(&mut poll).await {
                     WaitOutcome::Answered(Ok(read)) => {
                         if !self.record_answer(&mut poll, feed, read.revision).await {
--- a/crates/proxy/src/watch/relayed.rs
+++ b/crates/proxy/src/watch/relayed.rs
@@ -28,6 +28,13 @@
 /// Interval between checks for those answers, which take one round trip after the list of hosts.
 const ELECTOR_CONTACT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long a host waits for the list of hosts before it reads the other feeds at the store: the
+/// announcement and a call to a healthy store, with time to spare.
+const HOSTS_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Interval between checks for that list, of which a small fleet waits for one at least.
+const HOSTS_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Name of the store in the log.
 const STORE: &str = "the store";
 
@@ -59,8 +66,27 @@
         }
     }
 
+    /// Waits before the first read of a feed until this host can tell where to read it: until it has
+    /// read the list of hosts and, in a large fleet, is in contact with the electors. It does not wait
+    /// longer than the store and the electors usually take.
+    pub(super) async fn wait_for_sources(&self) {
+        let until = self.started_at + HOSTS_TIMEOUT;
+        while !self.fleet.knows_hosts() && self.site.now() < until {
+            tokio::time::sleep(HOSTS_INTERVAL).await;
+        }
+        let until = self.started_at + ELECTOR_CONTACT_TIMEOUT;
+        while self.fleet.lacks_electors() && self.site.now() < until {
+            tokio::time::sleep(ELECTOR_CONTACT_INTERVAL).await;
+        }
+    }
+
     /// Chooses where `feed` is read next.
-    pub(super) fn read_from(&self, feed: &Follower, poll: &PollState) -> ReadFrom {
+    pub(super) fn read_from<T: Item>(
+        &self,
+        feed: &Follower,
+        published: &Published<T>,
+        poll: &PollState,
+    ) -> ReadFrom {
         let relays = self.fleet.relays();
         let (key, recovering) = match self.choose(feed, &relays) {
             Source::Store => (None, false),
@@ -80,6 +106,7 @@
             Some(relay) => ReadFrom::Host(RelayRequest { relay, recovering }),
             None => {
                 feed.client.close();
+                published.expect_first_read();
                 ReadFrom::Store
             }
         }
--- a/crates/proxy/tests/published.rs
+++ b/crates/proxy/tests/published.rs
@@ -12,7 +12,9 @@
 use flamingopost_proxy::feeds::query::{Query, Table};
 use flamingopost_proxy::feeds::wire::{Answer, Item, WireConfiguration, WireEntry, WirePeer};
 use flamingopost_proxy::fleet::relay_order;
-use flamingopost_proxy::platform::{Change, Configuration, Entry, Peer, Read, Revision, Service};
+use flamingopost_proxy::platform::{
+    Change, Configuration, Entry, Error, Peer, Read, Revision, Service,
+};
 use flamingopost_proxy::route::{Consistency, Route};
 use flamingopost_proxy::team::{Directory, Team};
 use flamingopost_proxy::unusable::UnusableEntry;
@@ -213,6 +215,39 @@
     assert_eq!(changed, (revision(11), vec![Ok(peer(3))], vec![]));
 }
 
+/// Guards against hosts that start at once and all read the store, because those that they could
+/// follow have read nothing yet.
+#[tokio::test]
+async fn a_host_that_starts_is_waited_for() {
+    let published: Published<Peer> = Published::default();
+    published.expect_first_read();
+    let waiting = Query {
+        wait: Duration::from_secs(20),
+        ..query(0)
+    };
+    let reads = async {
+        tokio::task::yield_now().await;
+        let entries = Batch::Snapshot(vec![Ok(peer(1))]);
+        published.record(&read(entries, 10), Standing::Followed);
+    };
+    let (answer, ()) = tokio::join!(ask(&published, &waiting), reads);
+    assert_eq!(list(answer), (revision(10), vec![Ok(peer(1))]));
+    // A host that has read the list once is not waited for while it reads elsewhere.
+    published.set_standing(Standing::NotFollowed);
+    published.expect_first_read();
+    assert_eq!(ask(&published, &query(0)).await, Answer::NotFollowed);
+    // Neither is one whose time has passed, or that cannot read the store.
+    let published: Published<Peer> = Published::default();
+    published.expect_first_read();
+    assert_eq!(ask(&published, &query(0)).await, Answer::NotFollowed);
+    published.record_failure(&Error::Unavailable(503));
+    let first = Query {
+        after: Revision::default(),
+        ..query(0)
+    };
+    assert_eq!(ask(&published, &first).await, Answer::Outage);
+}
+
 /// Guards against followers that treat every entry of a list as new whenever one has changed.
 #[tokio::test]
 async fn only_changed_entries_are_applied() {
