Show the duties of a host in its metrics

Cause: operators could not tell which hosts are electors, or how many services a host follows and serves, on which its load depends.

--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -9,6 +9,7 @@
 use super::Election;
 use crate::codec::Codec;
 use crate::event::Event;
+use crate::meter;
 use crate::peer::{Message, PAGED_PROTOCOL, Payload, Sample, micros, pages};
 use crate::platform::{Peer, Platform};
 use crate::service::Service;
@@ -72,6 +73,7 @@
             let beats = self.heartbeats(now);
             let log_queries = self.log_queries(has_quorum, now);
             let reports_no_shares = self.reports_no_shares(now);
+            self.report_duties();
             for (_, peer) in self.fleet.electors().iter() {
                 let messages = beats.to(peer).iter().chain(log_queries.to(peer));
                 for message in messages.chain(reports_no_shares.then_some(&Payload::NoShares)) {
@@ -84,6 +86,15 @@
         }
     }
 
+    /// Reports the duties of this host as metrics.
+    fn report_duties(&self) {
+        let is_elector = self.fleet.with_quorum(|quorum, _| quorum.is_elector());
+        let services = self.fleet.services();
+        let followed: Vec<_> = services.iter().filter(|it| it.is_followed()).collect();
+        let served = followed.iter().filter(|it| self.fleet.serves(&it.name));
+        meter::duties(is_elector, followed.len(), served.count());
+    }
+
     /// Sends a heartbeat to `peer` at `now`, besides those sent at intervals.
     pub(super) fn send_heartbeat(&self, peer: &Peer, now: Duration) {
         for message in self.heartbeats(now).to(peer) {
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -32,6 +32,18 @@
         .record(took.as_secs_f64());
 }
 
+/// Reports whether this host is an elector, the number of services that it follows, and the number of
+/// them that it serves for its zone.
+pub fn duties(is_elector: bool, followed: usize, served: usize) {
+    let gauge = |duty, value: usize| {
+        // Exact for any number of services that fits into memory.
+        metrics::gauge!("flamingopost_duties", "duty" => duty).set(value as f64);
+    };
+    gauge("elector", usize::from(is_elector));
+    gauge("followed_services", followed);
+    gauge("served_services", served);
+}
+
 /// Whether an operation of a team is within its limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Limited {
