--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What this host knows of the fleet: configuration, services and their servers, other hosts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,12 +21,10 @@
 use crate::limits::Limits;
 use crate::meter;
 use crate::peer::FeedProgress;
-use crate::platform::{
-    Backend, Change, Configuration, Entry, Peer, Service as Configured, Strength,
-};
+use crate::platform::{Backend, Change, Configuration, Peer, Service as Configured, Strength};
 use crate::reported_faults::ReportedFaults;
 use crate::route::Route;
-use crate::service::{Service, Source};
+use crate::service::Service;
 use crate::site::Site;
 
 mod derived;
@@ -37,6 +35,7 @@
 mod relays;
 mod rendezvous;
 mod restored;
+mod servers;
 mod teams;
 mod unusable_entries;
 
@@ -46,7 +45,7 @@
 pub use relays::{Relay, feeds_address, relay_order};
 pub use rendezvous::{Rendezvous, rendezvous_hash};
 pub use teams::Grantor;
-use unusable_entries::{CONFIGURATION, SERVERS, backend_id};
+use unusable_entries::CONFIGURATION;
 
 /// How long a server stays in use after its entry disappears from the list. Entries of running
 /// servers expire while the platform's store is unavailable and are back within two seconds of its
@@ -291,119 +290,6 @@
         self.apply_limits();
     }
 
-    /// Applies a complete list of servers. Servers that are not in it count as missing.
-    ///
-    /// The list of a restored store may be outdated. It undoes nothing that was known before, until
-    /// servers have rewritten their entries.
-    pub fn apply_server_list(&self, entries: Vec<Entry<Backend>>) {
-        let named: BTreeSet<&str> = entries.iter().map(backend_id).collect();
-        let missing: Vec<String> = {
-            let (servers, unconfigured) = (self.servers.borrow(), self.unconfigured.borrow());
-            let known = servers.by_id.keys().chain(unconfigured.keys());
-            let known = known.chain(servers.unreadable.keys());
-            let missing = known.filter(|id| !named.contains(id.as_str()));
-            missing.cloned().collect()
-        };
-        for id in missing {
-            self.apply_server_change(Change::Removed(id));
-        }
-        let copied = self.epochs.borrow().may_store_be_stale(self.site.now());
-        for entry in entries {
-            match Change::from(entry) {
-                Change::Put(backend) if copied => self.put_restored(backend),
-                change => self.apply_server_change(change),
-            }
-        }
-        if self.server_list_read_in.get().is_none() {
-            let epoch = self.epochs.borrow().store_epoch();
-            self.server_list_read_in.set(Some(epoch));
-            self.contact_due.notify_one();
-        }
-    }
-
-    /// Applies one change of the list of servers.
-    pub fn apply_server_change(&self, change: Change<Backend>) {
-        match change {
-            Change::Put(backend) if self.has_service(&backend.service) => {
-                self.put_server(&backend, Source::Server);
-            }
-            Change::Put(backend) if self.is_former(&backend) => {}
-            Change::Put(backend) => self.set_aside(backend),
-            Change::Unusable(unusable) => {
-                self.report_unusable(SERVERS, &unusable);
-                let since = self.servers.borrow().unreadable.get(&unusable.id).copied();
-                self.mark_missing(&unusable.id);
-                let since = since.unwrap_or(self.site.now());
-                let mut servers = self.servers.borrow_mut();
-                servers.unreadable.insert(unusable.id, since);
-            }
-            Change::Removed(id) => self.mark_missing(&id),
-        }
-    }
-
-    /// Marks server `id` as missing, because its entry disappeared or can no longer be used.
-    ///
-    /// Both may be temporary: entries of running servers expire, and a server rewrites its entry if
-    /// somebody else has overwritten it. So the server stays in use for [`UNLISTED_GRACE`], which
-    /// is within the time for which a leaving server still serves. If it were dropped immediately,
-    /// a primary would lose its transactions and be replaced although its entry is valid again one
-    /// heartbeat later.
-    fn mark_missing(&self, id: &str) {
-        self.unconfigured.borrow_mut().remove(id);
-        let now = self.site.now();
-        let mut servers = self.servers.borrow_mut();
-        servers.unreadable.remove(id);
-        if let Some(listed) = servers.by_id.get_mut(id) {
-            listed.missing_since.get_or_insert(now);
-        }
-    }
-
-    /// Drops servers that have been missing for [`UNLISTED_GRACE`]. While the list is unreadable,
-    /// no server is known to be missing, so the grace starts over.
-    pub fn drop_missing_servers(&self, list_unreadable: bool) {
-        let now = self.site.now();
-        let mut lapsed = Vec::new();
-        {
-            let mut servers = self.servers.borrow_mut();
-            let Servers {
-                keys,
-                by_id,
-                dropped,
-                ..
-            } = &mut *servers;
-            dropped.retain(|_, (_, at)| now < *at + DROPPED_RETENTION);
-            by_id.retain(|id, entry| {
-                let Some(missing_since) = &mut entry.missing_since else {
-                    return true;
-                };
-                if list_unreadable {
-                    *missing_since = now;
-                    return true;
-                }
-                if now < *missing_since + UNLISTED_GRACE {
-                    return true;
-                }
-                keys.remove(entry.key);
-                lapsed.push((
-                    id.clone(),
-                    entry.key,
-                    entry.service.clone(),
-                    now - *missing_since,
-                ));
-                dropped.insert(id.clone(), (entry.incarnation, now));
-                false
-            });
-        }
-        for (server, key, service, since) in lapsed {
-            self.site.log(&Event::Unlisted {
-                service: service.clone(),
-                server,
-                millis: since.as_millis(),
-            });
-            self.service_or_new(&service).remove_server(key);
-        }
-    }
-
     /// Returns how far this host has read the platform's feeds.
     pub fn feed_progress(&self) -> FeedProgress {
         let now = self.site.now();
@@ -541,36 +427,6 @@
         configuration.as_ref()?.services.get(service).copied()
     }
 
-    /// Adds a server to the list, or updates it, unless the entry is of a former incarnation.
-    fn put_server(&self, backend: &Backend, source: Source) {
-        self.reported_faults
-            .borrow_mut()
-            .clear(SERVERS, &backend.id);
-        self.unconfigured.borrow_mut().remove(&backend.id);
-        self.servers.borrow_mut().unreadable.remove(&backend.id);
-        let Some((key, start)) = self.resolve_incarnation(backend) else {
-            return;
-        };
-        self.site.log(&Event::Listed {
-            service: backend.service.clone(),
-            server: backend.id.clone(),
-            address: backend.address,
-            role: backend.role,
-            leaving: backend.leaving,
-            revision: backend.revision,
-        });
-        let service = self.service_or_new(&backend.service);
-        let slots = service.slots();
-        service.add_server(key, backend, start, source);
-        // The set of serving hosts depends on the number of request slots.
-        if service.slots() != slots {
-            service.set_allotment(self.allotment(&service.name));
-            if self.follows(&service.name) {
-                service.start_following();
-            }
-        }
-    }
-
     /// Returns the service called `name`, and creates it if it had no servers.
     fn service_or_new(&self, name: &str) -> Rc<Service<C>> {
         if let Some(service) = self.find_service(name) {
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -11,14 +11,15 @@
 use crate::event::Event;
 use crate::feeds::published::{Batch, Standing};
 use crate::feeds::query::Table;
-use crate::feeds::{CancelReason, Follower, StuckDetection, WaitOutcome};
+use crate::feeds::{CancelReason, Follower, WaitOutcome};
 use crate::fleet::Fleet;
 use crate::meter;
 use crate::platform::{Backend, Configuration, Entry, Error, Peer, Platform, Read, Revision};
-use crate::poll_state::{MIN_BACKOFF, PollFailure, PollRequest, PollState};
+use crate::poll_state::{MIN_BACKOFF, PollFailure, PollState};
 use crate::site::Site;
 use tokio::sync::Notify;
 
+mod calls;
 mod relayed;
 
 use relayed::{ELECTOR_CONTACT_TIMEOUT, ReadFrom};
@@ -244,70 +245,6 @@
         }
     }
 
-    /// Makes the next call to the store for the configuration.
-    async fn read_configuration(
-        &self,
-        poll: &mut PollState,
-    ) -> WaitOutcome<Result<Read<Vec<Entry<Configuration>>>, Error>> {
-        let feed = &self.fleet.feeds.configuration;
-        match poll.next_request(self.site.now()) {
-            PollRequest::All => WaitOutcome::Answered(self.platform.configuration().await),
-            PollRequest::Changes(after) => {
-                let call = self.platform.next_configuration(after, Duration::ZERO);
-                WaitOutcome::Answered(call.await)
-            }
-            PollRequest::LongPoll(after) => {
-                let wait = feed.max_wait(self.fleet.stuck_detection());
-                let call = self.platform.next_configuration(after, wait);
-                feed.run_cancellable(call).await
-            }
-        }
-    }
-
-    /// Makes the next call to the store for the list of servers.
-    async fn read_servers(
-        &self,
-        poll: &mut PollState,
-    ) -> WaitOutcome<Result<Read<Batch<Backend>>, Error>> {
-        let feed = &self.fleet.feeds.backends;
-        match poll.next_request(self.site.now()) {
-            PollRequest::All => {
-                let read = self.platform.backends().await;
-                WaitOutcome::Answered(read.map(|read| read.map(Batch::Snapshot)))
-            }
-            PollRequest::Changes(after) => {
-                WaitOutcome::Answered(self.read_server_changes(after, Duration::ZERO).await)
-            }
-            PollRequest::LongPoll(after) => {
-                let wait = feed.max_wait(self.fleet.stuck_detection());
-                feed.run_cancellable(self.read_server_changes(after, wait))
-                    .await
-            }
-        }
-    }
-
-    /// Makes the next call to the store for the list of hosts.
-    async fn read_hosts(
-        &self,
-        poll: &mut PollState,
-    ) -> WaitOutcome<Result<Read<Batch<Peer>>, Error>> {
-        let feed = &self.fleet.feeds.peers;
-        match poll.next_request(self.site.now()) {
-            PollRequest::All => {
-                let read = self.platform.peers().await;
-                WaitOutcome::Answered(read.map(|read| read.map(Batch::Snapshot)))
-            }
-            PollRequest::Changes(after) => {
-                WaitOutcome::Answered(self.read_host_changes(after, Duration::ZERO).await)
-            }
-            PollRequest::LongPoll(after) => {
-                let wait = feed.max_wait(StuckDetection::Local);
-                feed.run_cancellable(self.read_host_changes(after, wait))
-                    .await
-            }
-        }
-    }
-
     /// Announces this host, and retries until it succeeds.
     async fn announce(&self, own: &Peer) {
         let mut poll = PollState::new("announcement", self.site.now());
@@ -332,16 +269,6 @@
         }
     }
 
-    /// Waits up to `wait` for changes to the list of servers after `after`.
-    async fn read_server_changes(
-        &self,
-        after: Revision,
-        wait: Duration,
-    ) -> Result<Read<Batch<Backend>>, Error> {
-        let read = self.platform.next_backends(after, wait).await?;
-        Ok(read.map(Batch::Changes))
-    }
-
     /// Applies what was read of the list of servers.
     fn apply_servers(&self, read: Read<Batch<Backend>>) {
         self.fleet.feeds.backends.record(&read);
@@ -354,16 +281,6 @@
         self.election.start_new_services();
     }
 
-    /// Waits up to `wait` for changes to the list of entry hosts after `after`.
-    async fn read_host_changes(
-        &self,
-        after: Revision,
-        wait: Duration,
-    ) -> Result<Read<Batch<Peer>>, Error> {
-        let read = self.platform.next_peers(after, wait).await?;
-        Ok(read.map(Batch::Changes))
-    }
-
     /// Applies what was read of the list of hosts, and announces this host again if it is missing.
     fn apply_hosts(self: &Rc<Self>, read: Read<Batch<Peer>>, own: &Peer) {
         match read.value {
