--- a/crates/proxy/tests/large_fleet.rs
+++ b/crates/proxy/tests/large_fleet.rs
@@ -3,9 +3,16 @@
 
 mod common;
 
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use common::no_store::NoStore;
 use common::{NoProtocol, fleet_of, host_list, peer, service, serving, without_tasks};
+use flamingopost_proxy::election::Election;
 use flamingopost_proxy::fleet::Fleet;
+use flamingopost_proxy::peer::Socket;
 use flamingopost_proxy::platform::Change;
+use tokio::task::LocalSet;
 
 /// Hosts and services of each fleet.
 const FLEETS: [(usize, usize); 5] = [
@@ -52,6 +59,38 @@
     });
 }
 
+/// Guards against steps, searches and log reports for services that a host does not follow.
+#[test]
+fn the_tasks_of_other_services_wait() {
+    let (hosts, services) = (1_000, 1_000);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let loopback = "127.0.0.1:0".parse().expect("an address");
+        let socket = Socket::bind(loopback).await.expect("a port");
+        let fleet = Rc::new(fleet_of(hosts, services, 0));
+        let site = Rc::new(common::site(0));
+        let election = Election::new(site, Rc::clone(&fleet), Rc::new(NoStore), Rc::new(socket));
+        Rc::new(election).start_new_services();
+        let run = || {
+            fleet
+                .services()
+                .iter()
+                .filter(|it| it.is_followed())
+                .count()
+        };
+        let expected = followed(&fleet, services);
+        let started = Instant::now();
+        while run() < expected && started.elapsed() < Duration::from_secs(10) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(run(), expected);
+    });
+}
+
 /// Guards against a service that no host follows.
 #[test]
 fn each_service_is_followed_by_the_first_hosts() {
