Give a test process ports for twice its fleets

Each host takes four ports; the twelve tests of that file run twelve fleets of twelve hosts at once, 576 ports of a range of 500, and ports that are still in use were given out again. Ten tests fitted exactly. Change: ranges of 1,500 ports.

--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -16,11 +16,11 @@
 /// The first range begins here.
 const FIRST: u16 = 10_000;
 
-/// Ports of a range.
-const RANGE: u16 = 500;
+/// Ports of a range: twice those of twelve fleets of twelve hosts, which one process may run at once.
+const RANGE: u16 = 1_500;
 
 /// Ranges below those that the system gives to outgoing connections, from 32,768 on.
-const RANGES: u16 = 45;
+const RANGES: u16 = 15;
 
 /// The range of this process.
 static HELD: Mutex<Option<Range>> = Mutex::new(None);
