Take ports for the review's hosts that no outgoing connection gets

Cause: with three scripts at a time, one run of 12 could not start a host; a port that was free when it was chosen may have been given to an outgoing connection, which is suspected and not traced.

Change: ports below the system's range for outgoing connections, and up to three attempts to start before the case begins. The cases and their checks stay as they are.

--- a/review/testbed.py
+++ b/review/testbed.py
@@ -15,6 +15,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -28,19 +29,26 @@
 PROGRAM = os.path.join(ROOT, "target", "release", "flamingopost")
 
 
+# How often the hosts are started until all serve.
+STARTS = 3
+
+
+class StartError(Exception):
+    """The hosts don't serve before the case begins."""
+
+
 def now():
     return time.monotonic()
 
 
+# Ports of hosts lie below those that the system gives to outgoing connections.
+PORTS = range(12_000, 32_000)
+
+
 def free_ports(count):
     """Returns the first of `count` free ports in a row, for TCP and UDP."""
     for _ in range(200):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        first = probe.getsockname()[1]
-        probe.close()
-        if first + count > 65000:
-            continue
+        first = random.randrange(PORTS.start, PORTS.stop - count)
         held = []
         try:
             for port in range(first, first + count):
@@ -821,7 +829,7 @@
             await host.prepare(self.net, self.store, self.orders, names)
         for host in self.hosts:
             host.start()
-        until = now() + 15
+        until = now() + 10
         for host in self.hosts:
             while True:
                 client = Client(self, host, "bookings")
@@ -829,8 +837,8 @@
                 client.close()
                 if end and end.startswith("COMPLETE"):
                     break
-                if now() > until:
-                    raise RuntimeError("%s does not serve" % host.name)
+                if now() > until or host.process.poll() is not None:
+                    raise StartError("%s does not serve" % host.name)
                 await asyncio.sleep(0.1)
         self.record.say("all hosts serve")
 
@@ -851,21 +859,26 @@
     """Plays a case; `play` returns the exit code. Ends all processes in any event."""
 
     async def run():
-        bed = Bed(case, zones, **sizes)
-        for name in ("SIGTERM", "SIGINT"):
-            asyncio.get_running_loop().add_signal_handler(
-                getattr(signal, name), lambda: (bed.stop(), os._exit(2))
-            )
-        try:
-            await bed.start()
-            return await asyncio.wait_for(play(bed), 100)
-        except Exception as error:
-            print("the case could not run: %r" % error)
-            return 2
-        finally:
-            bed.stop()
-            bed.record.file.close()
-            sys.stdout.flush()
+        # Another program may take a port between its choice and the start of a host.
+        for attempt in range(STARTS):
+            bed = Bed(case, zones, **sizes)
+            for name in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(
+                    name, lambda bed=bed: (bed.stop(), os._exit(2))
+                )
+            try:
+                await bed.start()
+                return await asyncio.wait_for(play(bed), 100)
+            except StartError as error:
+                print("attempt %d to start: %s" % (attempt + 1, error))
+            except Exception as error:
+                print("the case could not run: %r" % error)
+                return 2
+            finally:
+                bed.stop()
+                bed.record.file.close()
+                sys.stdout.flush()
+        return 2
 
     async def run_and_exit():
         # Leaves at once: open connections have nothing more to say.
