--- a/review/1/case.py
+++ b/review/1/case.py
@@ -78,7 +78,8 @@
             ended or "none",
         )
     )
-    return 1 if gone or ended else 0
+    # A process that ended by itself breaks another rule, so the run tells nothing.
+    return 1 if gone else 2 if ended else 0
 
 
 testbed.main(
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -105,7 +105,8 @@
         "%d reads answered, %d commits acknowledged and kept, %d stale reads, processes that ended: %s"
         % (len(bed.answered), len(commits), stale, ended or "none")
     )
-    return 1 if stale or ended else 0
+    # A process that ended by itself breaks another rule, so the run tells nothing.
+    return 1 if stale else 2 if ended else 0
 
 
 testbed.main(play, HERE, ["milano", "torino", "novara"], promote_s=0.3, leads_on=True, fencing=False)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,13 +12,17 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 import testbed
-from testbed import Client
+from testbed import Client, now
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # `lease_ms` of the rule ONE, as the users' bench prints it on this deployment.
 LEASE_S = 3.0
 
+# `stable_ms`: orders count only this long after the last disturbance, when all machines are in touch
+# even if a server's crash counts as a reset of their connections.
+STABLE_S = 4.0
+
 
 async def repeat(bed, host, text, pause, stop):
     client = Client(bed, host, "bookings")
@@ -52,17 +56,18 @@
     await asyncio.sleep(2)
     if TROUBLE:
         await group.servers["s1"].restart()
+    calm_from = now() + STABLE_S
     await asyncio.sleep(25)
     reading.set()
     await asyncio.gather(*readers)
-    return judge(bed)
+    return judge(bed, calm_from)
 
 
-def judge(bed):
+def judge(bed, calm_from):
     """ONE: two holders take turns with orders for the same service inside `lease_ms`. All machines are
     in touch: only servers were disturbed."""
     record = bed.record
-    taken = [it for it in bed.orders.taken if it[5] == 200]
+    taken = [it for it in bed.orders.taken if it[5] == 200 and it[0] >= calm_from]
     turns = [
         (a, b, c)
         for i, a in enumerate(taken)
@@ -77,11 +82,12 @@
         )
     ended = bed.ended()
     record.say(
-        "%d orders by %d holders, %d times two of them in turn inside %.0f ms, "
+        "%d orders by %d holders in touch, %d times two of them in turn inside %.0f ms, "
         "processes that ended: %s"
         % (len(taken), len({it[3] for it in taken}), len(turns), LEASE_S * 1000, ended or "none")
     )
-    return 1 if turns or ended else 0
+    # A process that ended by itself breaks another rule, so the run tells nothing.
+    return 1 if turns else 2 if ended else 0
 
 
 testbed.main(play, HERE, ["milano", "torino", "novara"], promote_s=0.3, leads_on=True, fencing=False)
--- a/review/testbed.py
+++ b/review/testbed.py
@@ -868,7 +868,7 @@
                 )
             try:
                 await bed.start()
-                return await asyncio.wait_for(play(bed), 100)
+                return await asyncio.wait_for(play(bed), 75)
             except StartError as error:
                 print("attempt %d to start: %s" % (attempt + 1, error))
             except Exception as error:
