--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -6,7 +6,8 @@
 //! answers then lack what its successor has acknowledged, and what it acknowledges is lost. So a
 //! host needs a lease: for a while after a majority of hosts has answered it, it may read at a
 //! primary, use its position as the measure of freshness, and acknowledge its writes. A host that
-//! orders a promotion first waits until the lease of every host that it cannot reach has ended.
+//! orders a promotion first announces the end of the term, and waits until every other host has
+//! confirmed that it knows, or until its lease has ended.
 //!
 //! For a read it is enough that the lease holds when the read is sent, which is after the caller
 //! asked for it: until then no successor led. A write has to be acknowledged under the lease.
@@ -16,8 +17,10 @@
 
 use crate::key::HostKey;
 
+mod closing;
 mod store;
 
+pub use closing::Closing;
 pub use store::{STORE_RENEWAL_INTERVAL, StoreLease};
 
 /// Time between two heartbeats. Three of them fit into a lease with round trips to spare, so that
@@ -183,4 +186,34 @@
         let until = unanswered.map(|(_, contact)| contact.heard_at + LEASE_DURATION + CLOCK_MARGIN);
         until.max().unwrap_or_default()
     }
+
+    /// Returns from when on the successor may be ordered: by the time at which it leads, no host uses
+    /// the primary of the term whose end was announced. Hosts that confirm stop by themselves. Any
+    /// other may hold a lease, which ends a lease's duration after:
+    ///
+    /// - it was last heard by this host or one that has confirmed, or
+    /// - a majority has confirmed, since each majority that answers it later includes a host that
+    ///   tells it of the end, and
+    /// - the change was claimed, if the host relies on the claims in the store.
+    pub fn order_from(&self, closing: &Closing, now: Duration) -> Duration {
+        let gone = self.gone_hosts(now);
+        let own = usize::from(!self.non_elector);
+        let majority = (self.others.len() + own - gone.len()) / 2 + 1;
+        let known_at = closing.known_to(majority - own);
+        let unconfirmed = self.others.iter();
+        let unconfirmed =
+            unconfirmed.filter(|(host, _)| !closing.is_confirmed(**host) && !gone.contains(host));
+        let last_contact = unconfirmed.map(|(host, contact)| {
+            let heard_at = closing.heard_at(*host).max(Some(contact.heard_at));
+            let heard_at = heard_at.unwrap_or_default();
+            known_at.map_or(heard_at, |known_at| known_at.min(heard_at))
+        });
+        let known_to_most = known_at.unwrap_or(closing.announced_at());
+        let others = closing.is_partial().then_some(known_to_most);
+        let last_contact = last_contact.max().max(others);
+        let lease_begin = last_contact.map(|at| at.max(closing.claimed_at().unwrap_or_default()));
+        let leases_end = lease_begin.map(|at| at + LEASE_DURATION + CLOCK_MARGIN);
+        let unused_from = closing.served_until().max(leases_end.unwrap_or_default());
+        unused_from.saturating_sub(closing.lead())
+    }
 }
--- /dev/null
+++ b/crates/core/src/quorum/closing.rs
@@ -0,0 +1,138 @@
+//! The end of a primary's term, as confirmed by the other hosts before its successor is ordered.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::key::HostKey;
+
+/// Confirmations that hosts stop relying on the primary of a term.
+///
+/// An opinion on the primary says nothing about what its host does next. A host that is cut off after
+/// it has given one goes on reading and writing under its lease while the successor leads.
+///
+/// ```
+/// use std::time::Duration;
+/// use flamingopost_core::key::HostKey;
+/// use flamingopost_core::names::Names;
+/// use flamingopost_core::quorum::{CLOCK_MARGIN, Closing, LEASE_DURATION, Quorum};
+///
+/// let mut names: Names<HostKey> = Names::default();
+/// let [first, second] = ["entry-2", "entry-3"].map(|name| names.intern(name));
+/// let at = Duration::from_millis(100);
+/// let mut quorum = Quorum::default();
+/// quorum.set_hosts([first, second].into_iter().collect(), at);
+/// let mut closing = Closing::announced(at, Duration::ZERO);
+/// closing.confirm(first, [], at);
+/// assert_eq!(quorum.order_from(&closing, at), at + LEASE_DURATION + CLOCK_MARGIN);
+/// closing.confirm(second, [], at);
+/// assert_eq!(quorum.order_from(&closing, at), at);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Closing {
+    announced_at: Duration,
+    serves: Duration,
+    lead: Duration,
+    claimed_at: Option<Duration>,
+    is_partial: bool,
+    confirmed: BTreeMap<HostKey, Duration>,
+    heard: BTreeMap<HostKey, Duration>,
+}
+
+impl Closing {
+    /// Starts with the announcement of the end at `now`. A host that learns of it uses the primary
+    /// for `serves` more.
+    pub fn announced(now: Duration, serves: Duration) -> Closing {
+        Closing {
+            announced_at: now,
+            serves,
+            lead: Duration::ZERO,
+            claimed_at: None,
+            is_partial: false,
+            confirmed: BTreeMap::new(),
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// Sets how long after its order the successor leads at the earliest, if hosts may use the primary
+    /// until then.
+    pub fn with_lead(self, lead: Duration) -> Closing {
+        Closing { lead, ..self }
+    }
+
+    /// Sets when the store has recorded the claim of the change, if it has. A host may rely on the
+    /// store for a lease after it has asked for claims before that.
+    pub fn with_claim(self, claimed_at: Option<Duration>) -> Closing {
+        Closing { claimed_at, ..self }
+    }
+
+    /// Sets whether further hosts may use the primary besides those that confirm: in a large fleet
+    /// only the electors do.
+    pub fn with_other_hosts(self, is_partial: bool) -> Closing {
+        Closing { is_partial, ..self }
+    }
+
+    /// Records at `now` that `host` knows of the end, and when it last heard from other hosts.
+    pub fn confirm(
+        &mut self,
+        host: HostKey,
+        heard: impl IntoIterator<Item = (HostKey, Duration)>,
+        now: Duration,
+    ) {
+        self.confirmed.entry(host).or_insert(now);
+        for (other, at) in heard {
+            let known = self.heard.entry(other).or_default();
+            *known = at.max(*known);
+        }
+    }
+
+    /// Returns the hosts that have confirmed the end.
+    pub fn confirmed_hosts(&self) -> BTreeSet<HostKey> {
+        self.confirmed.keys().copied().collect()
+    }
+
+    /// Returns when the end was announced.
+    pub fn announced_at(&self) -> Duration {
+        self.announced_at
+    }
+
+    /// Reports whether `host` has confirmed the end.
+    pub fn is_confirmed(&self, host: HostKey) -> bool {
+        self.confirmed.contains_key(&host)
+    }
+
+    /// Returns when a host that has confirmed last heard from `host`, if known.
+    pub(super) fn heard_at(&self, host: HostKey) -> Option<Duration> {
+        self.heard.get(&host).copied()
+    }
+
+    /// Returns when `count` other hosts knew of the end.
+    pub(super) fn known_to(&self, count: usize) -> Option<Duration> {
+        let Some(last) = count.checked_sub(1) else {
+            return Some(self.announced_at);
+        };
+        let mut times: Vec<Duration> = self.confirmed.values().copied().collect();
+        times.sort_unstable();
+        times.get(last).copied()
+    }
+
+    /// Returns when the hosts that know of the end use the primary no more.
+    pub(super) fn served_until(&self) -> Duration {
+        let last = self.confirmed.values().max().copied();
+        last.unwrap_or_default().max(self.announced_at) + self.serves
+    }
+
+    /// Returns how long after its order the successor leads at the earliest.
+    pub(super) fn lead(&self) -> Duration {
+        self.lead
+    }
+
+    /// Returns when the claim of the change was recorded, if it was.
+    pub(super) fn claimed_at(&self) -> Option<Duration> {
+        self.claimed_at
+    }
+
+    /// Reports whether further hosts may use the primary besides those that confirm.
+    pub(super) fn is_partial(&self) -> bool {
+        self.is_partial
+    }
+}
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -13,6 +13,7 @@
 
 use crate::key::{HostKey, ServerKey};
 use crate::position::Position;
+use crate::quorum::Closing;
 use crate::term::Term;
 
 mod action;
@@ -71,6 +72,10 @@
 /// Delay between the turns of two hosts while the store is unavailable.
 const STORELESS_TURN: Duration = Duration::from_millis(250);
 
+/// Interval at which the servers of a leaving primary are asked until a replica of a service with
+/// synchronous commits has caught up with it.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A planned change waits at most this long for a replica to receive the whole log of its primary.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -123,7 +128,8 @@
         until: Duration,
         inquiry: Inquiry,
     },
-    /// This host holds the claim and asks servers for their replication positions.
+    /// This host holds the claim and asks servers for their replication positions. Once a successor is
+    /// found, it announces the end of the term, and waits until no host uses the primary.
     Choosing {
         token: FencingToken,
         until: Duration,
@@ -183,8 +189,12 @@
         is_watching
     }
 
-    /// Returns the hosts that have answered the current inquiry.
+    /// Returns the hosts that have answered the current inquiry, or that have confirmed the end of the
+    /// term once it was announced.
     pub fn answered_hosts(&self) -> BTreeSet<HostKey> {
+        if let Some(closing) = self.closing() {
+            return closing.confirmed_hosts();
+        }
         match &self.phase {
             Phase::Inquiring(inquiry)
             | Phase::Claiming(inquiry)
@@ -212,15 +222,51 @@
         self.leader_history.record_term_led(server, term);
     }
 
-    /// Returns the replication position that the server being promoted has reported. Its term
+    /// Returns the replication position that `server` has reported, which is to be promoted. Its term
     /// begins there or later.
-    pub fn successor_position(&self) -> Position {
-        match self.phase {
-            Phase::Ordering { position, .. } => position,
+    pub fn successor_position(&self, server: ServerKey) -> Position {
+        match &self.phase {
+            Phase::Ordering { position, .. } => *position,
+            Phase::Choosing { inquiry, .. } => inquiry.received_position(server),
             _ => Position::default(),
         }
     }
 
+    /// Records that the end of the primary's term was announced to the other hosts, as `closing`
+    /// describes.
+    pub fn record_end_of_term(&mut self, closing: Closing) {
+        if let Phase::Choosing { inquiry, .. } = &mut self.phase {
+            let claimed_at = inquiry.claimed_at;
+            inquiry.closing = Some(closing.with_claim(claimed_at));
+        }
+    }
+
+    /// Returns the end of the primary's term that this host has announced, while the order waits for
+    /// it.
+    pub fn closing(&self) -> Option<&Closing> {
+        match &self.phase {
+            Phase::Choosing { inquiry, .. } => inquiry.closing.as_ref(),
+            _ => None,
+        }
+    }
+
+    /// Records that `host` has confirmed the end of the term announced under `token`, and when it last
+    /// heard from each of the other hosts.
+    pub fn record_closed(
+        &mut self,
+        host: HostKey,
+        under: FencingToken,
+        heard: impl IntoIterator<Item = (HostKey, Duration)>,
+        now: Duration,
+    ) {
+        if let Phase::Choosing { token, inquiry, .. } = &mut self.phase
+            && *token == under
+            && let Some(closing) = &mut inquiry.closing
+        {
+            closing.confirm(host, heard, now);
+        }
+    }
+
     /// Returns since when this host has missed a primary that is not replaced, because other hosts
     /// reach it or too few miss it. Callers are served better by another host.
     pub fn outvoted(&self) -> Option<Duration> {
@@ -241,6 +287,17 @@
         }
     }
 
+    /// Reports whether a status that a server was asked for at `asked` counts. Once the end of a term
+    /// was announced, only the answers to the newest request do.
+    pub fn counts_status(&self, asked: Duration) -> bool {
+        match &self.phase {
+            Phase::Choosing { inquiry, .. } if inquiry.closing.is_some() => {
+                asked >= inquiry.servers_asked_at
+            }
+            _ => true,
+        }
+    }
+
     /// Records that `server` has refused a connection or closed it: its process may have ended since
     /// its report, and its log may be gone.
     pub fn record_refusal(&mut self, server: ServerKey) {
@@ -267,6 +324,11 @@
         match std::mem::take(&mut self.phase) {
             Phase::Claiming(inquiry) => {
                 self.without_claim = false;
+                let claimed_at = Some(now);
+                let inquiry = Inquiry {
+                    claimed_at,
+                    ..inquiry
+                };
                 self.start_choosing(token, inquiry, now)
             }
             phase => {
@@ -534,6 +596,7 @@
         }
         let inquiry = Inquiry {
             reports: BTreeMap::new(),
+            report_rounds: BTreeMap::new(),
             unconfirmed: BTreeSet::new(),
             servers_asked_at: now,
             ..inquiry
@@ -555,23 +618,30 @@
         now: Duration,
     ) -> Vec<NextStep> {
         // Another host's order may have taken effect while the store decided on the claim. The
-        // result of an inquiry about one primary is no reason to replace the next.
-        let replaced = view.term > inquiry.term;
-        if view.trouble.is_none() || replaced || inquiry.sees_newer_leader(view) {
+        // result of an inquiry about one primary is no reason to replace the next. Once its term was
+        // announced to end, hosts do not go back to a primary that is well again.
+        let ends_term = inquiry.closing.is_none();
+        let is_well = view.trouble.is_none() && ends_term;
+        if is_well || view.term > inquiry.term || inquiry.sees_newer_leader(view) {
             return Vec::new();
         }
+        let leaves = inquiry.cause == Some(Trouble::Leaving);
         // Hosts that are cut off together with the primary may keep relying on it until their
-        // leases end. The successor would lack what they acknowledge after the order.
-        let leases_ended = now >= view.leases_end;
+        // leases end. The successor would lack what they acknowledge after the order. The end of
+        // the term is announced before, except that a leaving primary serves meanwhile.
+        let leases_ended = now >= view.leases_end || ends_term && !leaves;
         let best = inquiry.best_candidate(view, &self.leader_history, now);
         let best = best.filter(|best| leases_ended && self.may_order(token, *best, view, now));
         let timed_out = now >= until;
         let complete = inquiry.is_complete(view, &self.leader_history, now);
         let may_improve = inquiry.may_find_better(view, &self.leader_history, now);
         let must_wait = view.synchronous && !complete || may_improve;
+        let must_catch_up = ends_term && leaves && view.synchronous;
         match best {
             Some(_)
-                if inquiry.are_reports_outdated(now) && (complete || timed_out && !must_wait) =>
+                if inquiry.may_lack_commits(view)
+                    || inquiry.are_reports_outdated(now)
+                        && (complete || timed_out && !must_wait) =>
             {
                 inquiry.ask_again(now);
                 self.phase = Phase::Choosing {
@@ -581,10 +651,34 @@
                 };
                 vec![NextStep::AskServers]
             }
+            Some(server) if complete && must_catch_up && !inquiry.has_caught_up(server) => {
+                let is_due = inquiry.earlier_extent.is_none()
+                    || now >= inquiry.servers_asked_at + CATCH_UP_INTERVAL;
+                if is_due {
+                    inquiry.ask_again(now);
+                }
+                self.phase = Phase::Choosing {
+                    token,
+                    until,
+                    inquiry,
+                };
+                match is_due {
+                    true => vec![NextStep::AskServers],
+                    false => Vec::new(),
+                }
+            }
             Some(server)
                 if inquiry.has_confirmed(server) && complete
                     || inquiry.may_rest_on(server, now) && timed_out && !must_wait =>
             {
+                if ends_term {
+                    self.phase = Phase::Choosing {
+                        token,
+                        until,
+                        inquiry,
+                    };
+                    return vec![NextStep::EndTerm { server, token }];
+                }
                 let position = inquiry.received_position(server);
                 self.phase = Phase::Ordering {
                     token,
@@ -600,8 +694,12 @@
                     until: now + INQUIRY_TIMEOUT,
                     inquiry,
                 };
-                // A host that is reachable and has not answered may have missed the request.
-                vec![NextStep::AskHosts, NextStep::AskServers]
+                // A host that is reachable and has not answered may have missed the request. The
+                // announcement of the term's end is repeated by itself.
+                match ends_term {
+                    true => vec![NextStep::AskHosts, NextStep::AskServers],
+                    false => vec![NextStep::AskServers],
+                }
             }
             None if timed_out => {
                 self.passed_over = inquiry.passed_over(view, &self.leader_history, now);
--- a/crates/core/src/succession/action.rs
+++ b/crates/core/src/succession/action.rs
@@ -19,6 +19,14 @@
     AskServers,
     /// Claim the change in the store.
     Claim,
+    /// Announce to the other hosts that the primary's term ends and that `server` is to succeed it,
+    /// and pass their confirmations to [`Succession::record_closed`](super::Succession::record_closed).
+    EndTerm {
+        /// The successor, unless another one turns out to have received more.
+        server: ServerKey,
+        /// The token of the order that follows.
+        token: FencingToken,
+    },
     /// Order the promotion of `server`, and notify the other hosts.
     Promote {
         /// The server to promote.
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -6,6 +6,7 @@
 use crate::key::{HostKey, ServerKey};
 use crate::leader::Role;
 use crate::position::Position;
+use crate::quorum::Closing;
 use crate::term::Term;
 
 use super::action::{Opinion, Report};
@@ -53,12 +54,20 @@
     pub(super) reports: BTreeMap<ServerKey, Report>,
     /// When servers were last asked for a report.
     pub(super) servers_asked_at: Duration,
+    /// When servers had last been asked as each report arrived.
+    pub(super) report_rounds: BTreeMap<ServerKey, Duration>,
     /// Servers that have answered an earlier request and not yet the last one.
     pub(super) unconfirmed: BTreeSet<ServerKey>,
     /// Whether servers that this host does not know may have the service's log.
     pub(super) may_lack_servers: bool,
     /// The server that earlier inquiries of this term have passed over.
     pub(super) passed_over: Option<PassedOver>,
+    /// The furthest position that servers had reported when they were last asked again.
+    pub(super) earlier_extent: Option<Position>,
+    /// When this host won the claim.
+    pub(super) claimed_at: Option<Duration>,
+    /// The end of the primary's term, once it was announced.
+    pub(super) closing: Option<Closing>,
 }
 
 /// The result of an inquiry.
@@ -128,6 +137,7 @@
     /// Records the status report of a server.
     pub(super) fn record_report(&mut self, server: ServerKey, report: Report) {
         self.unconfirmed.remove(&server);
+        self.report_rounds.insert(server, self.servers_asked_at);
         self.reports.insert(server, report);
     }
 
@@ -147,6 +157,7 @@
     /// answer again is a reason to wait for that server, but none to promote it.
     pub(super) fn ask_again(&mut self, now: Duration) {
         self.servers_asked_at = now;
+        self.earlier_extent = self.reports.values().map(|it| it.received).max();
         self.unconfirmed = self.reports.keys().copied().collect();
     }
 
@@ -163,6 +174,30 @@
         now > self.servers_asked_at + REPORT_AGE_MAX
     }
 
+    /// Reports whether `server` has received all that any server had when servers were asked before.
+    /// The primary acknowledges further commits all the time, so no server has all that it has now.
+    pub(super) fn has_caught_up(&self, server: ServerKey) -> bool {
+        let extent = self.earlier_extent;
+        extent.is_some_and(|extent| self.received_position(server) >= extent)
+    }
+
+    /// Reports whether servers have to be asked again because the primary may have acknowledged a
+    /// commit since they were asked.
+    pub(super) fn may_lack_commits(&self, view: &View) -> bool {
+        view.synchronous && self.closing.is_some() && self.servers_asked_at < view.leases_end
+    }
+
+    /// Reports whether all candidates except the primary were asked for their reports at `since` or
+    /// later.
+    fn have_reported_since(&self, since: Duration, view: &View) -> bool {
+        let others = view
+            .candidates
+            .iter()
+            .filter(|it| view.leader != Some(**it));
+        let mut rounds = others.map(|server| self.report_rounds.get(server));
+        rounds.all(|round| round.is_some_and(|round| *round >= since))
+    }
+
     /// Reports whether `server` has answered the last request.
     pub(super) fn has_confirmed(&self, server: ServerKey) -> bool {
         !self.unconfirmed.contains(&server)
@@ -257,8 +292,16 @@
         if !self.all_reported(view) || self.may_find_better(view, history, now) {
             return false;
         }
-        // A leaving primary keeps acknowledging commits meanwhile, and its replicas receive them.
-        if !view.synchronous || self.cause == Some(Trouble::Leaving) {
+        if !view.synchronous {
+            return true;
+        }
+        // Nothing more is acknowledged once the term has ended, so the reports of all replicas since
+        // then show every acknowledged commit.
+        if self.closing.is_some() && !self.have_reported_since(view.leases_end, view) {
+            return self.is_overdue(now);
+        }
+        // A leaving primary acknowledges commits until then, and its replicas receive them.
+        if self.cause == Some(Trouble::Leaving) {
             return true;
         }
         let best = self
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -39,7 +39,9 @@
     pub rank: u32,
     /// The newest known token under which an order for the service was given.
     pub newest_token: Option<FencingToken>,
-    /// When the last lease of the hosts that have not answered ends.
+    /// When an order may be given at the earliest. Before the end of the term is announced, when the
+    /// last lease of the hosts that have not answered ends. After that, when no host uses the primary
+    /// any more by the time at which its successor leads, or where commits are synchronous, at all.
     pub leases_end: Duration,
     /// Whether the primary acknowledges a commit only after a replica has received it.
     pub synchronous: bool,
--- a/crates/core/tests/epoch.rs
+++ b/crates/core/tests/epoch.rs
@@ -1,5 +1,7 @@
 //! Tests of hosts that replace a primary while the store is restored from a copy.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -110,7 +112,7 @@
         let view = self.view(number, leases);
         let servers = self.servers.clone();
         let host = &mut self.hosts[number];
-        let mut pending = host.succession.step(&view, now);
+        let mut pending = common::step(&mut host.succession, &view, now);
         while let Some(next) = pending.pop() {
             match next {
                 NextStep::AskHosts => view.peers.iter().for_each(|peer| {
@@ -123,6 +125,7 @@
                     host.claims += 1;
                     pending.extend(host.succession.claim_won(grant, now));
                 }
+                NextStep::EndTerm { .. } => {}
                 NextStep::Promote { token, .. } => host.orders.push((now, token)),
             }
         }
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -6,7 +6,7 @@
 use flamingopost_core::key::HostKey;
 use flamingopost_core::names::Names;
 use flamingopost_core::quorum::{
-    CLOCK_MARGIN, GONE_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_DURATION, Quorum, StoreLease,
+    CLOCK_MARGIN, Closing, GONE_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_DURATION, Quorum, StoreLease,
 };
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -198,3 +198,93 @@
         }
     }
 }
+
+/// Time for which a lease may last that began at some moment, by the clock of another host.
+const LEASE: Duration = LEASE_DURATION.saturating_add(CLOCK_MARGIN);
+
+/// Five hosts, of which this one hears all others at 1 s.
+fn five_hosts() -> (Quorum, Vec<HostKey>) {
+    let others = hosts(4);
+    let mut quorum = Quorum::default();
+    quorum.set_hosts(others.iter().copied().collect(), ms(1_000));
+    (quorum, others)
+}
+
+/// Guards against a wait for hosts that stop by themselves.
+#[test]
+fn an_order_waits_for_no_lease_of_hosts_that_confirm_the_end_of_a_term() {
+    let (quorum, others) = five_hosts();
+    let mut closing = Closing::announced(ms(1_100), ms(0));
+    for (host, at) in others.iter().zip([1_102, 1_103, 1_110, 1_104]) {
+        closing.confirm(*host, [], ms(at));
+    }
+    assert_eq!(quorum.order_from(&closing, ms(1_110)), ms(1_110));
+}
+
+/// Guards against a host that one host does not hear, and whose lease the others extend: it is waited
+/// for as long as they have heard it.
+#[test]
+fn an_order_waits_for_the_lease_of_a_host_that_only_others_hear() {
+    let (quorum, others) = five_hosts();
+    let mut closing = Closing::announced(ms(1_600), ms(0));
+    closing.confirm(others[0], [(others[3], ms(1_500))], ms(1_602));
+    closing.confirm(others[1], [(others[3], ms(1_400))], ms(1_602));
+    closing.confirm(others[2], [], ms(1_602));
+    assert_eq!(quorum.order_from(&closing, ms(1_610)), ms(1_500) + LEASE);
+}
+
+/// Guards against an order that is never given: a host that is heard all the time and hears nothing
+/// itself keeps no lease once most others tell it of the end.
+#[test]
+fn a_host_that_is_heard_and_does_not_confirm_is_waited_for_once() {
+    let (mut quorum, others) = five_hosts();
+    let mut closing = Closing::announced(ms(1_600), ms(0));
+    closing.confirm(others[0], [(others[3], ms(1_590))], ms(1_602));
+    quorum.record_message(others[3], ms(2_000));
+    let until = quorum.order_from(&closing, ms(2_000));
+    assert_eq!(until, ms(2_000) + LEASE, "two of five may extend no lease");
+    closing.confirm(others[1], [(others[3], ms(2_010))], ms(1_604));
+    assert_eq!(quorum.order_from(&closing, ms(2_020)), ms(1_604) + LEASE);
+}
+
+/// Guards against a lease from the store, which a host that hears no other renews until the change is
+/// claimed.
+#[test]
+fn an_order_waits_for_leases_that_rest_on_the_claims_in_the_store() {
+    let (quorum, others) = five_hosts();
+    let mut closing = Closing::announced(ms(3_000), ms(0)).with_claim(Some(ms(2_990)));
+    for host in &others[..3] {
+        closing.confirm(*host, [], ms(3_002));
+    }
+    assert_eq!(quorum.order_from(&closing, ms(3_010)), ms(2_990) + LEASE);
+    closing.confirm(others[3], [], ms(3_020));
+    assert_eq!(quorum.order_from(&closing, ms(3_020)), ms(3_020));
+}
+
+/// Guards against hosts of a large fleet that confirm nothing: their leases end after most electors know.
+#[test]
+fn an_order_waits_for_leases_of_hosts_that_are_no_electors() {
+    let (quorum, others) = five_hosts();
+    let mut closing = Closing::announced(ms(1_100), ms(0)).with_other_hosts(true);
+    for (host, at) in others.iter().zip([1_102, 1_103, 1_104, 1_105]) {
+        closing.confirm(*host, [], ms(at));
+    }
+    assert_eq!(quorum.order_from(&closing, ms(1_110)), ms(1_103) + LEASE);
+    let closing = closing.with_lead(ms(240));
+    assert_eq!(
+        quorum.order_from(&closing, ms(1_110)),
+        ms(1_103) + LEASE - ms(240),
+        "the successor does not lead before"
+    );
+}
+
+/// Guards against an order that takes effect while hosts that know of the end still serve.
+#[test]
+fn an_order_waits_until_hosts_that_serve_on_have_stopped() {
+    let (quorum, others) = five_hosts();
+    let mut closing = Closing::announced(ms(1_100), ms(70));
+    for host in &others {
+        closing.confirm(*host, [], ms(1_104));
+    }
+    assert_eq!(quorum.order_from(&closing, ms(1_110)), ms(1_174));
+}
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -1,5 +1,7 @@
 //! Tests of failover decisions: when a primary is replaced, by which host, and by which server.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -93,7 +95,7 @@
     }
 
     fn step(&mut self, now: Duration) -> Vec<NextStep> {
-        self.succession.step(&self.view, now)
+        common::step(&mut self.succession, &self.view, now)
     }
 
     fn record_opinions(&mut self, fails: usize, reaches: usize) {
@@ -387,7 +389,7 @@
     setup.succession.claim_won(FencingToken(7), over);
     assert_eq!(
         setup.step(ms(1_990)),
-        [NextStep::AskHosts, NextStep::AskServers],
+        [NextStep::AskServers],
         "another round of requests, and no order"
     );
     setup
@@ -676,7 +678,7 @@
             match next {
                 NextStep::Claim => orders.extend(setup.succession.claim_won(FencingToken(7), now)),
                 NextStep::Promote { .. } => orders.push(next),
-                NextStep::AskHosts | NextStep::AskServers => {}
+                NextStep::AskHosts | NextStep::AskServers | NextStep::EndTerm { .. } => {}
             }
         }
         setup.record_opinions(5, 0);
@@ -716,7 +718,7 @@
             match next {
                 NextStep::Claim => orders.extend(setup.succession.claim_won(FencingToken(7), now)),
                 NextStep::Promote { .. } => orders.push(next),
-                NextStep::AskHosts | NextStep::AskServers => {}
+                NextStep::AskHosts | NextStep::AskServers | NextStep::EndTerm { .. } => {}
             }
         }
         setup.record_opinions(5, 0);
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -1,5 +1,7 @@
 //! Randomised failovers in whole fleets of hosts, over links that lose, delay and cut messages.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -233,7 +235,7 @@
         self.write(host);
         let view = self.view(host);
         let now = self.now;
-        let next = self.hosts[host].succession.step(&view, now);
+        let next = common::step(&mut self.hosts[host].succession, &view, now);
         self.act(host, next);
         if view.leader.is_none() && self.rng.random_bool(0.15) {
             self.act(host, vec![NextStep::AskServers]);
@@ -280,6 +282,7 @@
                     let way = ms(self.rng.random_range(5..240));
                     self.at(self.now + way, Event::Claimed(host, term));
                 }
+                NextStep::EndTerm { .. } => {}
                 NextStep::Promote { server, token } => {
                     let server = self.server_keys.iter().position(|key| *key == server);
                     let server = server.expect("a key of one of the servers");
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -1,5 +1,7 @@
 //! Tests of the choice of a successor after several changes of a service's primary.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -84,7 +86,7 @@
         self.view.term = Term::from_number(2);
         self.view.leader_term = Term::from_number(2);
         self.view.trouble = None;
-        self.succession.step(&self.view, now);
+        common::step(&mut self.succession, &self.view, now);
     }
 
     /// All hosts miss the primary from `from` on, and servers send `reports`. Returns the server of
@@ -108,7 +110,7 @@
     ) -> Option<(ServerKey, Duration)> {
         let mut now = from;
         while now < until {
-            let mut steps = self.succession.step(&self.view, now);
+            let mut steps = common::step(&mut self.succession, &self.view, now);
             for host in &self.hosts {
                 self.succession.record_opinion(*host, Opinion::Fails);
             }
@@ -136,9 +138,9 @@
 #[test]
 fn a_term_seen_at_a_replica_is_not_attributed_to_the_old_primary() {
     let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.view.term = Term::from_number(2);
-    setup.succession.step(&setup.view, ms(600));
+    common::step(&mut setup.succession, &setup.view, ms(600));
     setup.observe_successor(ms(700));
     setup.view.newest_position = position(2, 60);
     let reports = [
@@ -156,7 +158,7 @@
 #[test]
 fn a_replaced_primary_that_follows_is_promoted_if_it_is_the_last_server() {
     let mut setup = setup(&["ledger-1", "ledger-2"]);
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.observe_successor(ms(700));
     let reports = [(setup.servers[0], replica(2, position(1, 40)))];
     let ordered = setup.fail_primary(&reports, ms(30_000), ms(60_000));
@@ -168,7 +170,7 @@
 #[test]
 fn a_replaced_primary_that_follows_is_a_candidate() {
     let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.observe_successor(ms(700));
     setup.view.newest_position = position(2, 60);
     let reports = [
@@ -192,7 +194,7 @@
     setup.view.trouble = Some(Trouble::Refuses { since: ms(1_000) });
     let mut orders: Vec<(ServerKey, FencingToken)> = Vec::new();
     for now in (1_000..12_000).step_by(20).map(ms) {
-        let steps = setup.succession.step(&setup.view, now);
+        let steps = common::step(&mut setup.succession, &setup.view, now);
         for host in &setup.hosts {
             setup.succession.record_opinion(*host, Opinion::Fails);
         }
@@ -211,7 +213,7 @@
                         .succession
                         .order_finished(Order::Unknown, now + ms(500));
                 }
-                NextStep::AskHosts | NextStep::AskServers => {}
+                NextStep::AskHosts | NextStep::AskServers | NextStep::EndTerm { .. } => {}
             }
         }
     }
@@ -229,7 +231,7 @@
 fn a_replaced_primary_that_follows_is_preferred_to_a_lagging_replica() {
     let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
     setup.view.synchronous = false;
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.observe_successor(ms(700));
     let reports = [
         (setup.servers[0], replica(2, position(1, 40))),
@@ -247,12 +249,12 @@
 fn a_replaced_primary_that_follows_replaces_a_leaving_primary() {
     let mut setup = setup(&["ledger-1", "ledger-2"]);
     setup.view.synchronous = false;
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.observe_successor(ms(700));
     setup.view.trouble = Some(Trouble::Leaving);
     let mut orders = Vec::new();
     for now in (3_000..5_000).step_by(20).map(ms) {
-        let mut steps = setup.succession.step(&setup.view, now);
+        let mut steps = common::step(&mut setup.succession, &setup.view, now);
         if steps.contains(&NextStep::Claim) {
             steps.extend(setup.succession.claim_won(FencingToken(7), now));
         }
@@ -260,7 +262,10 @@
         setup.succession.record_report(setup.servers[0], report);
         orders.extend(steps.into_iter().filter_map(|it| match it {
             NextStep::Promote { server, .. } => Some(server),
-            NextStep::Claim | NextStep::AskHosts | NextStep::AskServers => None,
+            NextStep::Claim
+            | NextStep::AskHosts
+            | NextStep::AskServers
+            | NextStep::EndTerm { .. } => None,
         }));
     }
     assert_eq!(orders, [setup.servers[0]]);
@@ -277,7 +282,7 @@
     setup.view.trouble = Some(Trouble::Refuses { since: ms(1_000) });
     let mut orders = Vec::new();
     for now in (1_000..4_000).step_by(20).map(ms) {
-        let steps = setup.succession.step(&setup.view, now);
+        let steps = common::step(&mut setup.succession, &setup.view, now);
         for host in &setup.hosts {
             setup.succession.record_opinion(*host, Opinion::Fails);
         }
@@ -295,7 +300,7 @@
                     }
                 }
                 NextStep::Promote { server, .. } => orders.push((server, now)),
-                NextStep::AskHosts => {}
+                NextStep::AskHosts | NextStep::EndTerm { .. } => {}
             }
         }
     }
@@ -321,7 +326,7 @@
     setup.view.trouble = Some(Trouble::Refuses { since: ms(1_000) });
     let mut orders = Vec::new();
     for now in (1_000..14_000).step_by(20).map(ms) {
-        let steps = setup.succession.step(&setup.view, now);
+        let steps = common::step(&mut setup.succession, &setup.view, now);
         for host in &setup.hosts {
             setup.succession.record_opinion(*host, Opinion::Fails);
         }
@@ -349,7 +354,7 @@
                     let number = setup.servers.iter().position(|it| *it == server);
                     orders.push((number.expect("a server"), now));
                 }
-                NextStep::AskHosts => {}
+                NextStep::AskHosts | NextStep::EndTerm { .. } => {}
             }
         }
     }
@@ -417,7 +422,7 @@
 fn a_former_primary_with_its_log_is_preferred_to_an_empty_server() {
     let mut setup = setup(&["ledger-1", "ledger-2"]);
     setup.view.synchronous = false;
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.view.leader = None;
     let since = ms(1_000);
     let empty = replica(1, position(1, 0));
@@ -428,7 +433,7 @@
     let mut ordered = None;
     for now in (1_000..20_000).step_by(20).map(ms) {
         setup.view.trouble = Some(Trouble::Absent { since });
-        let mut steps = setup.succession.step(&setup.view, now);
+        let mut steps = common::step(&mut setup.succession, &setup.view, now);
         for host in &setup.hosts {
             setup.succession.record_opinion(*host, Opinion::Fails);
         }
@@ -440,7 +445,10 @@
         }
         let server = steps.into_iter().find_map(|it| match it {
             NextStep::Promote { server, .. } => Some(server),
-            NextStep::Claim | NextStep::AskHosts | NextStep::AskServers => None,
+            NextStep::Claim
+            | NextStep::AskHosts
+            | NextStep::AskServers
+            | NextStep::EndTerm { .. } => None,
         });
         ordered = ordered.or(server);
     }
@@ -457,7 +465,7 @@
     setup.view.term = Term::from_number(4);
     setup.view.leader_term = Term::from_number(4);
     setup.view.newest_position = position(4, 124);
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.view.leader = None;
     let former = replica(4, position(4, 124));
     let reports = [
@@ -475,7 +483,7 @@
 fn a_former_primary_is_passed_over_for_a_lagging_replica_of_its_term() {
     let mut setup = setup(&["ledger-1", "ledger-2"]);
     setup.view.synchronous = false;
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.view.leader = None;
     let reports = [
         (setup.servers[0], replica(1, position(1, 40))),
@@ -496,12 +504,21 @@
     let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
     setup.view.rank = 2;
     setup.view.trouble = Some(Trouble::Leaving);
-    assert_eq!(setup.succession.step(&setup.view, ms(1_000)), []);
+    assert_eq!(
+        common::step(&mut setup.succession, &setup.view, ms(1_000)),
+        []
+    );
     setup.succession.defer_to_peer(ms(1_010));
     setup.observe_successor(ms(2_000));
-    assert_eq!(setup.succession.step(&setup.view, ms(50_000)), []);
+    assert_eq!(
+        common::step(&mut setup.succession, &setup.view, ms(50_000)),
+        []
+    );
     setup.view.trouble = Some(Trouble::Leaving);
-    assert_eq!(setup.succession.step(&setup.view, ms(60_000)), []);
+    assert_eq!(
+        common::step(&mut setup.succession, &setup.view, ms(60_000)),
+        []
+    );
 }
 
 /// A service of two servers on a host that reaches no other host, with the successor gone from the
@@ -511,14 +528,14 @@
 #[test]
 fn an_isolated_host_does_not_promote_a_replaced_primary() {
     let mut setup = setup(&["ledger-1", "ledger-2"]);
-    setup.succession.step(&setup.view, ms(500));
+    common::step(&mut setup.succession, &setup.view, ms(500));
     setup.observe_successor(ms(700));
     setup.view.leader = None;
     setup.view.candidates.remove(&setup.servers[1]);
     let since = ms(30_000);
     setup.view.trouble = Some(Trouble::Absent { since });
     for now in (30_000..90_000).step_by(20).map(ms) {
-        let mut steps = setup.succession.step(&setup.view, now);
+        let mut steps = common::step(&mut setup.succession, &setup.view, now);
         let report = replica(2, position(1, 40));
         setup.succession.record_report(setup.servers[0], report);
         if steps.contains(&NextStep::Claim) {
@@ -597,7 +614,7 @@
     let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
     setup.view.candidates.remove(&setup.servers[2]);
     setup.view.synchronous = false;
-    setup.succession.step(&setup.view, ms(200));
+    common::step(&mut setup.succession, &setup.view, ms(200));
     setup.observe_successor(ms(400));
     setup.view.leader = None;
     setup.view.distrusted = BTreeSet::from([setup.servers[1]]);
@@ -657,7 +674,7 @@
 fn a_former_primary_that_lost_its_log_is_not_promoted_at_once() {
     let mut setup = setup(&["ledger-1", "ledger-2", "ledger-3"]);
     setup.view.synchronous = false;
-    setup.succession.step(&setup.view, ms(200));
+    common::step(&mut setup.succession, &setup.view, ms(200));
     setup.observe_successor(ms(400));
     let [former, _, other] = setup.servers[..] else {
         unreachable!("three servers")
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -9,6 +9,7 @@
 use flamingopost_core::change_log::{ChangeLog, Coverage};
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::quorum::Closing;
 use flamingopost_core::succession::{FencingToken, NextStep, Succession, View};
 use flamingopost_core::term::Term;
 use tokio::sync::Mutex;
@@ -26,6 +27,7 @@
 
 mod claim_holder;
 mod claims;
+mod closing;
 mod empty_log;
 mod ended_terms;
 mod handover;
@@ -200,6 +202,9 @@
                     election.claim(service, succession, attempt).await;
                 });
             }
+            NextStep::EndTerm { server, token } => {
+                self.end_term(service, succession, server, token);
+            }
             NextStep::Promote { server, token } => {
                 let (election, service) = (Rc::clone(self), Rc::clone(service));
                 let succession = Rc::clone(succession);
@@ -210,18 +215,13 @@
         }
     }
 
-    /// Logs which hosts an order relies on, whether each of them answered, and how long ago each
-    /// was last heard.
-    fn log_order_basis(
-        &self,
-        service: &Rc<Service<C>>,
-        server: ServerKey,
-        answered: &BTreeSet<HostKey>,
-    ) {
+    /// Logs which hosts were told of the end of the term before an order, whether each of them has
+    /// confirmed it, and how long ago each was last heard.
+    fn log_order_basis(&self, service: &Rc<Service<C>>, server: ServerKey, closing: &Closing) {
         let electors = self.fleet.electors();
         let contacts = electors.iter().map(|(key, peer)| {
-            let state = match answered.contains(key) {
-                true => "answered",
+            let state = match closing.is_confirmed(*key) {
+                true => "confirmed",
                 false => "silent",
             };
             let age = self.fleet.with_quorum(|quorum, now| quorum.age(*key, now));
@@ -232,6 +232,11 @@
         self.site.log(&Event::Rests {
             service: service.name.clone(),
             server: service.name_of(Some(server)),
+            millis: self
+                .site
+                .now()
+                .saturating_sub(closing.announced_at())
+                .as_millis(),
             hosts: contacts.join(", "),
         });
     }
--- /dev/null
+++ b/crates/proxy/src/election/closing.rs
@@ -0,0 +1,229 @@
+//! Ends the term of a primary before its successor is ordered: announces the end to the other hosts
+//! and gathers their confirmations.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use flamingopost_core::key::{HostKey, ServerKey};
+use flamingopost_core::quorum::{CLOCK_MARGIN, Closing, LEASE_DURATION};
+use flamingopost_core::succession::{FencingToken, Succession, Trouble};
+
+use super::Election;
+use crate::codec::Codec;
+use crate::peer::{CLOSING_PROTOCOL, EndedTerm, Heard, Payload};
+use crate::platform::Platform;
+use crate::service::{HANDOVER_MARGIN, Service};
+
+/// How long statements are still sent to a leaving primary with synchronous commits after the end of
+/// its term is announced. Callers wait for the successor from then on. It is not zero, so that
+/// answers to statements in flight are accepted for [`HANDOVER_MARGIN`].
+const SYNCHRONOUS_NOTICE: Duration = Duration::from_millis(10);
+
+/// When hosts stop using a primary whose term ends.
+struct Schedule {
+    /// How long after the announcement a host stops sending statements.
+    serves: Duration,
+    /// How long after the announcement a host stops accepting answers, as far as the order has to
+    /// wait for that.
+    in_use: Duration,
+    /// How long after its order the successor leads at the earliest, if hosts may use the primary
+    /// until then.
+    lead: Duration,
+}
+
+impl<C: Codec, P: Platform> Election<C, P> {
+    /// Announces to the other hosts that the current term ends and that `server` is to succeed its
+    /// primary.
+    pub(super) fn end_term(
+        &self,
+        service: &Rc<Service<C>>,
+        succession: &Rc<RefCell<Succession>>,
+        server: ServerKey,
+        token: FencingToken,
+    ) {
+        let Some(successor) = service.to_peer_server(server) else {
+            return;
+        };
+        let schedule = self.schedule(service);
+        let received = succession.borrow().successor_position(server);
+        let ended_term = EndedTerm::new(
+            service.name.clone(),
+            service.newest_term(),
+            token.0,
+            (successor, received),
+            schedule.serves,
+        );
+        let now = self.site.now();
+        let mut closing = Closing::announced(now, schedule.in_use)
+            .with_lead(schedule.lead)
+            .with_other_hosts(self.may_be_used_by_others(service));
+        self.confirm_for_former_builds(service, succession, &mut closing);
+        if service.end_term(&ended_term) {
+            self.record_ended_term(&service.name);
+        }
+        for (_, peer) in self.fleet.peers().iter() {
+            let ended_term = ended_term.clone();
+            let payload = match peer.protocol >= CLOSING_PROTOCOL {
+                true => Payload::TermClosing { ended_term },
+                false => Payload::PromotionStarted { ended_term },
+            };
+            self.send(service, payload, peer.address);
+        }
+        succession.borrow_mut().record_end_of_term(closing);
+        service.failover_notify.notify_one();
+    }
+
+    /// Returns when hosts stop using the primary of `service` if its term ends now.
+    ///
+    /// A primary that fails is not used any more. One that leaves serves until shortly before its
+    /// successor leads, unless its commits are synchronous: its successor would lack those that only
+    /// another replica receives after the successor's last report. In a large fleet, the order waits
+    /// for the leases of hosts that do not confirm, and the primary serves until then.
+    fn schedule(&self, service: &Rc<Service<C>>) -> Schedule {
+        let is_synchronous = self.fleet.is_synchronous(&service.name);
+        let leaves = self.trouble(service) == Some(Trouble::Leaving);
+        let lead = service.earliest_lead();
+        let wait = match self.fleet.is_small() {
+            true => Duration::ZERO,
+            false => LEASE_DURATION + CLOCK_MARGIN,
+        };
+        match (leaves, is_synchronous) {
+            (true, true) => {
+                let serves = wait.max(SYNCHRONOUS_NOTICE);
+                Schedule {
+                    serves,
+                    in_use: serves + HANDOVER_MARGIN,
+                    lead: Duration::ZERO,
+                }
+            }
+            (true, false) if !lead.is_zero() => {
+                let serves = wait.max(lead);
+                Schedule {
+                    serves,
+                    in_use: serves,
+                    lead,
+                }
+            }
+            (true, false) | (false, _) => Schedule {
+                serves: Duration::ZERO,
+                in_use: Duration::ZERO,
+                lead: match is_synchronous {
+                    true => Duration::ZERO,
+                    false => lead,
+                },
+            },
+        }
+    }
+
+    /// Reports whether hosts other than the electors may use the primary of `service`. None uses one
+    /// whose process has ended.
+    fn may_be_used_by_others(&self, service: &Rc<Service<C>>) -> bool {
+        let has_ended = matches!(self.trouble(service), Some(Trouble::Refuses { .. }));
+        !self.fleet.is_small() && !has_ended
+    }
+
+    /// Counts electors of an earlier build, which confirm nothing, as they count themselves: they are
+    /// told the end like an order, and have answered the inquiry.
+    fn confirm_for_former_builds(
+        &self,
+        service: &Rc<Service<C>>,
+        succession: &Rc<RefCell<Succession>>,
+        closing: &mut Closing,
+    ) {
+        let answered = match self.trouble(service) {
+            Some(Trouble::Leaving) => self.fleet.with_quorum(|it, now| it.recently_heard(now)),
+            _ => succession.borrow().answered_hosts(),
+        };
+        let now = self.site.now();
+        for (key, peer) in self.fleet.electors().iter() {
+            if peer.protocol < CLOSING_PROTOCOL && answered.contains(key) {
+                closing.confirm(*key, [], now);
+            }
+        }
+    }
+
+    /// Repeats the announcement of the end of a term to electors that have not confirmed it, since
+    /// datagrams are lost.
+    pub(super) fn repeat_closing(
+        &self,
+        service: &Rc<Service<C>>,
+        succession: &Rc<RefCell<Succession>>,
+    ) {
+        let succession = succession.borrow();
+        let Some((closing, ended_term)) = succession.closing().zip(service.newest_replacement())
+        else {
+            return;
+        };
+        for (key, peer) in self.fleet.electors().iter() {
+            if peer.protocol >= CLOSING_PROTOCOL && !closing.is_confirmed(*key) {
+                let ended_term = ended_term.clone();
+                self.send(service, Payload::TermClosing { ended_term }, peer.address);
+            }
+        }
+    }
+
+    /// Confirms the end of a term to the host at `to`, which has announced it, if this host extends
+    /// leases. A host that knows of a newer order reports that instead.
+    pub(super) fn confirm_closing(
+        &self,
+        service: &Rc<Service<C>>,
+        ended_term: &EndedTerm,
+        to: SocketAddr,
+    ) {
+        let Some(newest) = service.newest_replacement() else {
+            return;
+        };
+        if !self.fleet.with_quorum(|quorum, _| quorum.is_elector()) {
+            return;
+        }
+        let is_newest = (newest.term(), newest.token) == (ended_term.term(), ended_term.token);
+        let payload = match is_newest {
+            true => Payload::TermClosed {
+                token: ended_term.token,
+                heard: self.heard_electors(),
+            },
+            false => Payload::EndedTerms {
+                ended_terms: vec![newest],
+            },
+        };
+        self.send(service, payload, to);
+    }
+
+    /// Returns when this host last heard from each of the other electors.
+    fn heard_electors(&self) -> Vec<Heard> {
+        let electors = self.fleet.electors();
+        let heard = |quorum: &mut flamingopost_core::quorum::Quorum, now| {
+            let heard = electors.iter().filter_map(|(key, peer)| {
+                let age = quorum.age(*key, now)?;
+                Some(Heard::new(peer.host.clone(), age))
+            });
+            heard.collect()
+        };
+        self.fleet.with_quorum(heard)
+    }
+
+    /// Records that `host` has confirmed the end of a term announced under `token`.
+    pub(super) fn record_closed(
+        &self,
+        service: &Rc<Service<C>>,
+        host: HostKey,
+        token: u64,
+        heard: &[Heard],
+    ) {
+        let Some(succession) = self.services.borrow().get(&service.name).cloned() else {
+            return;
+        };
+        let now = self.site.now();
+        let heard = heard.iter().filter_map(|it| {
+            let other = self.fleet.peer(&it.host)?;
+            Some((other, now.saturating_sub(it.age())))
+        });
+        let heard: Vec<_> = heard.collect();
+        let token = FencingToken(token);
+        let mut succession = succession.borrow_mut();
+        succession.record_closed(host, token, heard, now);
+        service.failover_notify.notify_one();
+    }
+}
--- a/crates/proxy/src/election/ended_terms.rs
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -12,6 +12,7 @@
 use crate::event::Event;
 use crate::peer::{EndedTerm, Payload, pages};
 use crate::platform::Platform;
+use crate::service::Service;
 
 /// A heartbeat to be answered.
 pub(super) struct Heartbeat {
@@ -171,13 +172,13 @@
         self.ended_terms.borrow_mut().record(service, now);
     }
 
-    /// Records that another host reports a primary as replaced.
-    pub(super) fn apply_ended_term(&self, host: &str, ended: &EndedTerm) {
+    /// Records that another host reports a primary as replaced. Returns whether that was new.
+    pub(super) fn apply_ended_term(&self, host: &str, ended: &EndedTerm) -> bool {
         let Some(service) = self.fleet.find_service(&ended.service) else {
-            return;
+            return false;
         };
         if !service.end_term(ended) {
-            return;
+            return false;
         }
         self.record_ended_term(&service.name);
         self.record_peer_change(&service.name, ended.term().number().unsigned_abs());
@@ -185,6 +186,12 @@
             service: service.name.clone(),
             host: host.to_owned(),
         });
+        self.defer_to_peer(&service);
+        true
+    }
+
+    /// Leaves the change of the primary of `service` to another host.
+    pub(super) fn defer_to_peer(&self, service: &Service<C>) {
         if let Some(succession) = self.services.borrow().get(&service.name) {
             succession.borrow_mut().defer_to_peer(self.site.now());
         }
--- a/crates/proxy/src/election/promote.rs
+++ b/crates/proxy/src/election/promote.rs
@@ -2,10 +2,10 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use flamingopost_core::key::ServerKey;
-use flamingopost_core::succession::{FencingToken, Order, Succession, Trouble};
+use flamingopost_core::position::Position;
+use flamingopost_core::succession::{FencingToken, Order, Succession};
 use flamingopost_core::term::Term;
 use tokio::time::timeout;
 
@@ -17,7 +17,7 @@
 use crate::service::Service;
 
 impl<C: Codec, P: Platform> Election<C, P> {
-    /// Announces the end of the current term to the other hosts, then orders `server` to lead.
+    /// Orders `server` to lead after the current term, and follows the order up.
     pub(super) async fn promote(
         self: Rc<Self>,
         service: Rc<Service<C>>,
@@ -26,27 +26,11 @@
         token: FencingToken,
     ) {
         let id = service.name_of(Some(server));
-        let serves = match self.trouble(&service) {
-            Some(Trouble::Leaving) => service.remaining_service_time(),
-            _ => Duration::ZERO,
-        };
         let replaced = service.leader().and_then(|leader| target(&service, leader));
         let term = service.newest_term();
-        if let Some(named) = service.to_peer_server(server) {
-            let successor = (named, succession.borrow().successor_position());
-            let ended_term = EndedTerm::new(service.name.clone(), term, token.0, successor, serves);
-            if service.end_term(&ended_term) {
-                self.record_ended_term(&service.name);
-            }
-            for (_, peer) in self.fleet.peers().iter() {
-                let ended_term = ended_term.clone();
-                self.send(
-                    &service,
-                    Payload::PromotionStarted { ended_term },
-                    peer.address,
-                );
-            }
-        }
+        let position = succession.borrow().successor_position(server);
+        self.announce_order(&service, server, position, token);
+        let serves = service.remaining_service_time();
         if succession.borrow().acts_without_claim()
             && !self.has_highest_token(&service, token).await
         {
@@ -103,6 +87,33 @@
         service.failover_notify.notify_one();
     }
 
+    /// Announces the order of `server`, unless all that it tells was just announced with the end of the
+    /// term.
+    fn announce_order(
+        &self,
+        service: &Rc<Service<C>>,
+        server: ServerKey,
+        position: Position,
+        token: FencingToken,
+    ) {
+        let Some(named) = service.to_peer_server(server) else {
+            return;
+        };
+        let (term, serves) = (service.newest_term(), service.remaining_service_time());
+        let name = service.name.clone();
+        let ended_term = EndedTerm::new(name, term, token.0, (named, position), serves);
+        if service.end_term(&ended_term) {
+            self.record_ended_term(&service.name);
+        } else if !service.renew_hold(&ended_term) {
+            return;
+        }
+        for (_, peer) in self.fleet.peers().iter() {
+            let ended_term = ended_term.clone();
+            let payload = Payload::PromotionStarted { ended_term };
+            self.send(service, payload, peer.address);
+        }
+    }
+
     /// Reports whether no other host announces an order with a higher token at the same moment.
     ///
     /// Guards against two hosts that both reach their turn while waiting for the leases of others
--- a/crates/proxy/src/election/receive.rs
+++ b/crates/proxy/src/election/receive.rs
@@ -217,7 +217,19 @@
                 service.record_peer_leader(&server, Term::from_number(term));
             }
             Payload::PromotionStarted { ended_term } => {
-                self.apply_ended_term(&message.host, &ended_term)
+                let is_new = self.apply_ended_term(&message.host, &ended_term);
+                if !is_new && service.renew_hold(&ended_term) {
+                    self.defer_to_peer(&service);
+                }
+            }
+            Payload::TermClosing { ended_term } => {
+                self.apply_ended_term(&message.host, &ended_term);
+                self.confirm_closing(&service, &ended_term, from);
+            }
+            Payload::TermClosed { token, heard } => {
+                if let Some(host) = self.fleet.peer(&message.host) {
+                    self.record_closed(&service, host, token, &heard);
+                }
             }
         }
     }
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -55,6 +55,7 @@
         let mut last_probe = Duration::ZERO;
         let mut last_shortage_report = Duration::ZERO;
         let mut last_notice = Duration::ZERO;
+        let mut last_closing = Duration::ZERO;
         let mut last_step = self.site.now();
         let mut epoch = self.newest_known_epoch();
         self.update_known_orders(&service);
@@ -70,11 +71,16 @@
                 succession.borrow_mut().invalidate_claim(now);
             }
             let view = self.view(&service, &succession);
-            let pause = if view.trouble.is_some() {
+            let ends_term = succession.borrow().closing().is_some();
+            let pause = if view.trouble.is_some() || ends_term {
                 ACTIVE_STEP_INTERVAL
             } else {
                 IDLE_STEP_INTERVAL
             };
+            if ends_term && now >= last_closing + ACTIVE_STEP_INTERVAL {
+                last_closing = now;
+                self.repeat_closing(&service, &succession);
+            }
             if now >= last_shortage_report + SHORTAGE_REPORT_INTERVAL {
                 last_shortage_report = now;
                 self.send_shortages(&service);
@@ -103,11 +109,11 @@
                 last_notice = now;
                 self.notify_replaced_primaries(&service, replaced);
             }
-            let answered = succession.borrow().answered_hosts();
+            let closing = succession.borrow().closing().cloned();
             let next = succession.borrow_mut().step(&view, now);
             for next in next {
-                if let NextStep::Promote { server, .. } = next {
-                    self.log_order_basis(&service, server, &answered);
+                if let (NextStep::Promote { server, .. }, Some(closing)) = (next, &closing) {
+                    self.log_order_basis(&service, server, closing);
                 }
                 self.perform(&service, &succession, next, &view);
             }
--- a/crates/proxy/src/election/status.rs
+++ b/crates/proxy/src/election/status.rs
@@ -59,6 +59,7 @@
             }
             let (election, service) = (Rc::clone(self), Rc::clone(service));
             let succession = Rc::clone(succession);
+            let asked = self.site.now();
             tokio::task::spawn_local(async move {
                 let status = match election.query_status(&service, &target).await {
                     Probe::Status(status) => status,
@@ -73,6 +74,9 @@
                     term: status.term,
                     received: status.received,
                 };
+                if !succession.borrow().counts_status(asked) {
+                    return;
+                }
                 succession.borrow_mut().record_report(target.server, report);
                 service.failover_notify.notify_one();
             });
--- a/crates/proxy/src/election/view.rs
+++ b/crates/proxy/src/election/view.rs
@@ -19,16 +19,19 @@
         service: &Rc<Service<C>>,
         succession: &Rc<RefCell<Succession>>,
     ) -> View {
-        let answered = succession.borrow().answered_hosts();
         let trouble = self.trouble(service);
         let (gone, quiet_at) = self.fleet.with_quorum(|quorum, now| {
-            // No host is queried about a primary that is leaving: connected hosts learn of the
-            // order while the primary still serves.
-            let answered = match trouble {
-                Some(Trouble::Leaving) => quorum.recently_heard(now),
-                _ => answered,
+            let succession = succession.borrow();
+            // No host is queried about a primary that is leaving. Its term ends once the connected
+            // hosts probably learn of that.
+            let quiet_at = match (succession.closing(), trouble) {
+                (Some(closing), _) => quorum.order_from(closing, now),
+                (None, Some(Trouble::Leaving)) => {
+                    quorum.leases_end(&quorum.recently_heard(now), now)
+                }
+                (None, _) => quorum.leases_end(&succession.answered_hosts(), now),
             };
-            (quorum.gone_hosts(now), quorum.leases_end(&answered, now))
+            (quorum.gone_hosts(now), quiet_at)
         });
         let orders_from = self.fleet.orders_from(&gone);
         let targets = service.targets();
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -66,8 +66,8 @@
         5112 Warn Ordered { service: String, server: String, token: u64, outcome: String, millis: u128 },
         /// {service}: host {host} reports that it replaces the primary
         5113 Info OtherActs { service: String, host: String },
-        /// {service}: promoting {server}, based on the state of hosts {hosts}
-        5114 Info Rests { service: String, server: String, hosts: String },
+        /// {service}: promoting {server}, {millis} ms after the end of the term was announced to hosts {hosts}
+        5114 Info Rests { service: String, server: String, millis: u128, hosts: String },
         /// {service}: statements for the primary are no longer held after {millis} ms: {why}
         5115 Info HoldEnded { service: String, why: &'static str, millis: u128 },
         /// {service}: write {id} was acknowledged at {position} while the primary is being replaced
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -18,22 +18,27 @@
 use crate::meter::{self, Direction};
 
 mod ended_term;
+mod heard;
 mod loan;
 mod log;
 mod team;
 
 pub use ended_term::{EndedTerm, pages};
+pub use heard::Heard;
 pub use loan::{TeamLoan, TeamLoanRequest};
 pub use log::{LedTerm, LogReport, TermStart};
 pub use team::{TeamGrant, TeamRequest};
 
 /// Version of the messages that hosts of this build understand, as they announce it. Hosts that
 /// announce none understand the first one.
-pub const PROTOCOL: u16 = 2;
+pub const PROTOCOL: u16 = 3;
 
 /// Version of the messages from which on processes are named and changes of primaries are paged.
 pub const PAGED_PROTOCOL: u16 = 2;
 
+/// Version of the messages from which on the end of a primary's term is confirmed.
+pub const CLOSING_PROTOCOL: u16 = 3;
+
 /// Maximum size of a datagram. Larger ones were not sent by an entry host.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
@@ -233,6 +238,20 @@
         /// Names of the services.
         services: Vec<String>,
     },
+    /// The sender is about to replace a primary, and orders its successor once the receiver has
+    /// confirmed the end of the term.
+    TermClosing {
+        /// The term that ends, and its successor.
+        ended_term: EndedTerm,
+    },
+    /// Confirms [`Payload::TermClosing`]: the sender stops using the primary of the term, and tells
+    /// so each host whose lease it extends.
+    TermClosed {
+        /// Token of the order that follows.
+        token: u64,
+        /// When the sender last heard from the other electors.
+        heard: Vec<Heard>,
+    },
 }
 
 /// Converts a time to nanoseconds.
@@ -340,6 +359,8 @@
             Payload::EndedTermsPage { .. } => "ended_terms_page",
             Payload::EndedTermsReceived { .. } => "ended_terms_received",
             Payload::ServiceLogQuery { .. } => "service_log_query",
+            Payload::TermClosing { .. } => "term_closing",
+            Payload::TermClosed { .. } => "term_closed",
         }
     }
 
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -39,6 +39,7 @@
 mod use_state;
 
 use confirm::Confirmation;
+pub use hold::HANDOVER_MARGIN;
 pub use listing::Source;
 pub use log_proof::MissingEvidence;
 pub use pooled_connection::{PendingAnswer, PooledConnection};
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -18,11 +18,14 @@
 /// A primary that is about to leave serves until this long before its successor leads. Its
 /// successor might not receive what it acknowledges in this interval. Many times the latency
 /// between zones.
-const HANDOVER_MARGIN: Duration = Duration::from_millis(60);
+pub const HANDOVER_MARGIN: Duration = Duration::from_millis(60);
 
 /// Longest time that nothing is sent to a primary that is being replaced, if no successor appears.
 const SUCCESSOR_HOLD: Duration = Duration::from_millis(1_600);
 
+/// A hold is not renewed if that makes it longer by less than this.
+const MIN_RENEWAL: Duration = Duration::from_millis(200);
+
 /// The newest replacement of a primary that this host knows of.
 #[derive(Debug)]
 pub(super) struct Replacement {
@@ -158,9 +161,9 @@
         newest.map(|(id, last)| peer::TermStart::new(id.clone(), last.previous_term, last.received))
     }
 
-    /// Returns for how long a primary that is alive and about to leave still serves if its
-    /// successor is ordered now. Zero if another order may be in transit.
-    pub fn remaining_service_time(&self) -> Duration {
+    /// Returns how long after its order a successor leads at the earliest, less [`HANDOVER_MARGIN`].
+    /// Zero if another order may be in transit.
+    pub fn earliest_lead(&self) -> Duration {
         match self.state.borrow().successor_hold {
             Some(_) => Duration::ZERO,
             None => self
@@ -170,6 +173,38 @@
         }
     }
 
+    /// Returns for how long statements are still sent to a primary whose term was announced to end.
+    pub fn remaining_service_time(&self) -> Duration {
+        let now = self.site.now();
+        let state = self.state.borrow();
+        let replacement = state.replacement.as_ref();
+        replacement.map_or(Duration::ZERO, |it| it.hold_from.saturating_sub(now))
+    }
+
+    /// Reports whether this host knows of the end of a term that `ended` describes, or of a newer
+    /// one.
+    pub fn knows_end(&self, ended: &EndedTerm) -> bool {
+        let state = self.state.borrow();
+        let replacement = state.replacement.as_ref();
+        replacement.is_some_and(|it| (it.ended_term, it.token) >= (ended.term(), ended.token))
+    }
+
+    /// Holds statements for as long after the order that `ended` describes as if it had not been
+    /// announced before. Returns whether that is much longer.
+    pub fn renew_hold(&self, ended: &EndedTerm) -> bool {
+        let until = self.site.now() + SUCCESSOR_HOLD;
+        let mut state = self.state.borrow_mut();
+        let replacement = state.replacement.as_ref();
+        let is_newest =
+            replacement.is_some_and(|it| (it.ended_term, it.token) == (ended.term(), ended.token));
+        let hold = state.successor_hold.filter(|_| is_newest);
+        let Some(hold) = hold.filter(|hold| until >= hold.until + MIN_RENEWAL) else {
+            return false;
+        };
+        state.hold_for_successor(hold.from, until);
+        true
+    }
+
     /// Holds statements for the primary until a server is seen to lead, because its successor may
     /// have been ordered without this host's knowledge.
     pub fn hold_for_unknown_order(&self) {
@@ -192,8 +227,11 @@
         let successor = self.resolve_listed(&ended.successor);
         let mut state = self.state.borrow_mut();
         let replacement = state.replacement.as_ref();
+        // The successor that is ordered may have received more than when the end of the term was
+        // announced, or be another server that has.
+        let order = (ended.term(), ended.token, ended.received());
         if replacement
-            .is_some_and(|known| (known.ended_term, known.token) >= (ended.term(), ended.token))
+            .is_some_and(|known| (known.ended_term, known.token, known.successor_position) >= order)
         {
             return false;
         }
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -33,6 +33,8 @@
         /// With --gaps: a replaced primary keeps leading its own term, and fencing tokens are not
         /// checked.
         optional --lax
+        /// With --gaps: a commit is acknowledged only once a replica has received it.
+        optional --synchronous
         /// Prints each plan before it is played.
         optional --plan
     }
--- a/crates/soak/src/gap.rs
+++ b/crates/soak/src/gap.rs
@@ -58,25 +58,34 @@
     ];
 }
 
+/// What the platform and its servers are like.
+#[derive(Debug, Clone, Copy)]
+pub struct Setting {
+    /// Whether a replaced primary keeps leading its own term, and fencing tokens are not checked.
+    pub lax: bool,
+    /// Whether a commit is acknowledged only once a replica has received it.
+    pub synchronous: bool,
+}
+
 /// Measures the write outage after a primary is lost by `cause`, `count` times, with `program`.
-/// Settings and logs go to `folder`. With `lax`, a replaced primary keeps leading its own term, and
-/// fencing tokens are not checked.
+/// Settings and logs go to `folder`.
 ///
 /// # Errors
 /// Processes or relays cannot be started.
 pub async fn measure(
     cause: Cause,
     count: usize,
-    lax: bool,
+    setting: Setting,
     program: &Path,
     folder: &Path,
 ) -> io::Result<Vec<Duration>> {
     let sizes = Sizes {
         promotion: PROMOTION_TIME,
+        synchronous: setting.synchronous,
         ..Sizes::default()
     };
     let plan = Plan {
-        lax,
+        lax: setting.lax,
         ..Plan::without_faults(HOSTS, sizes)
     };
     let testbed = Testbed::start(plan, program, folder).await?;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,7 +8,7 @@
 
 use flags::FlamingopostSoak;
 use flamingopost_soak::check::Verdict;
-use flamingopost_soak::gap::{self, Cause};
+use flamingopost_soak::gap::{self, Cause, Setting};
 use flamingopost_soak::plan::Plan;
 use flamingopost_soak::play::play;
 use tokio::task::JoinSet;
@@ -38,7 +38,11 @@
 #[tokio::main]
 async fn run(flags: &FlamingopostSoak) -> std::io::Result<usize> {
     if let Some(count) = flags.gaps {
-        measure_gaps(count, flags.lax, &flags.program).await?;
+        let setting = Setting {
+            lax: flags.lax,
+            synchronous: flags.synchronous,
+        };
+        measure_gaps(count, setting, &flags.program).await?;
         return Ok(0);
     }
     let first = flags.first.unwrap_or_else(rand::random);
@@ -68,10 +72,10 @@
 }
 
 /// Measures the write outage for each cause and prints its median and maximum.
-async fn measure_gaps(count: usize, lax: bool, program: &Path) -> std::io::Result<()> {
+async fn measure_gaps(count: usize, setting: Setting, program: &Path) -> std::io::Result<()> {
     for cause in Cause::ALL {
         let folder = tempfile::tempdir()?;
-        let mut gaps = gap::measure(cause, count, lax, program, folder.path()).await?;
+        let mut gaps = gap::measure(cause, count, setting, program, folder.path()).await?;
         gaps.sort_unstable();
         let median = gaps.get(gaps.len() / 2).copied().unwrap_or_default();
         let worst = gaps.last().copied().unwrap_or_default();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -95,6 +95,7 @@
             work: Duration::from_millis(rng.random_range(1..=8)),
             lag: Duration::from_millis(rng.random_range(5..=120)),
             promotion: Duration::from_millis(rng.random_range(150..=600)),
+            synchronous: false,
         };
         let mut plan = Plan {
             seed,
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -110,6 +110,8 @@
     connections: u64,
     rollbacks: Vec<Rollback>,
     replaced: Replaced,
+    /// Whether a commit is acknowledged only once a replica has received it.
+    synchronous: bool,
     /// The newest term that a server was promoted to: terms only rise.
     term: i64,
     /// When a server was last promoted.
@@ -129,6 +131,17 @@
     Lagging,
 }
 
+/// Whether a replica has received a commit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Receipt {
+    /// None has yet.
+    Pending,
+    /// One has.
+    Received,
+    /// The primary has it no more, or does not run.
+    Dropped,
+}
+
 impl Group {
     /// A group of which the first of `servers` leads.
     pub fn new(service: &str, servers: &[String], lag: Duration, promotion: Duration) -> Group {
@@ -182,6 +195,11 @@
         self.lock().replaced = replaced;
     }
 
+    /// Whether commits are acknowledged only once a replica has received them, from now on.
+    pub fn set_synchronous(&self, synchronous: bool) {
+        self.lock().synchronous = synchronous;
+    }
+
     /// Writes that a primary committed after its successor had begun to lead.
     pub fn strays(&self) -> Vec<Entry> {
         self.lock().strays.clone()
@@ -375,6 +393,28 @@
         last.map_or_else(|| "-".to_owned(), |entry| entry.data.clone())
     }
 
+    /// The last commit of `server`, if a replica has to receive it before it is acknowledged.
+    pub(super) fn awaits_replica(&self, server: &str) -> Option<Entry> {
+        let state = self.lock();
+        let member = state.members.get(server).filter(|_| state.synchronous);
+        member?.log.last().cloned()
+    }
+
+    /// What became of `entry`, which `server` has committed.
+    pub(super) fn receipt(&self, server: &str, entry: &Entry) -> Receipt {
+        self.replicate();
+        let state = self.lock();
+        let has = |member: &Member| member.running && member.log.contains(entry);
+        if !state.members.get(server).is_some_and(has) {
+            return Receipt::Dropped;
+        }
+        let mut others = state.members.iter().filter(|(id, _)| *id != server);
+        match others.any(|(_, member)| has(member)) {
+            true => Receipt::Received,
+            false => Receipt::Pending,
+        }
+    }
+
     /// Commits `writes` at `server`, if it leads.
     pub(super) fn commit(&self, server: &str, writes: &[(String, String)]) -> Result<(), Refused> {
         let mut state = self.lock();
--- a/crates/standin/src/pooled/session.rs
+++ b/crates/standin/src/pooled/session.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
-use super::group::Refused;
+use super::group::{Receipt, Refused};
 use super::server::Server;
 
 /// Whether a transaction is open.
@@ -40,8 +41,13 @@
     Error(&'static str),
     /// Nothing, for good.
     Lost,
+    /// Nothing: the connection ends.
+    Ended,
 }
 
+/// Pause before it is looked again whether a replica has received a commit.
+const RECEIPT_INTERVAL: Duration = Duration::from_millis(1);
+
 impl Session {
     pub(super) fn new(server: Arc<Server>, stream: TcpStream) -> Session {
         let number = server.group.next_connection();
@@ -109,6 +115,7 @@
                     self.hang().await;
                     return;
                 }
+                Answer::Ended => return,
             };
             let ready = self.ready();
             self.send(&(out + &ready)).await;
@@ -238,11 +245,14 @@
                         {
                             return Answer::Error("READONLY");
                         }
+                        if !self.is_received().await {
+                            return Answer::Ended;
+                        }
                     }
                 }
                 Answer::Done(group.ran(&server.id, (self.number, &self.client), id, text))
             }
-            _ => return self.commit(id, text),
+            _ => return self.commit(id, text).await,
         };
         match server.loses_answer() {
             true => Answer::Lost,
@@ -250,7 +260,7 @@
         }
     }
 
-    fn commit(&mut self, id: &str, text: &str) -> Answer {
+    async fn commit(&mut self, id: &str, text: &str) -> Answer {
         let staged = std::mem::take(&mut self.staged);
         let state = std::mem::replace(&mut self.state, State::Idle);
         if state == State::Failed || state == State::Idle {
@@ -260,6 +270,9 @@
         if server.group.commit(&server.id, &staged).is_err() {
             return Answer::Error("READONLY");
         }
+        if !staged.is_empty() && !self.is_received().await {
+            return Answer::Ended;
+        }
         let proof = server
             .group
             .ran(&server.id, (self.number, &self.client), id, text);
@@ -269,6 +282,22 @@
         }
     }
 
+    /// Waits until a replica has received the last commit, where that is required. `false`: none ever
+    /// will.
+    async fn is_received(&self) -> bool {
+        let group = &self.server.group;
+        let Some(entry) = group.awaits_replica(&self.server.id) else {
+            return true;
+        };
+        loop {
+            match group.receipt(&self.server.id, &entry) {
+                Receipt::Received => return true,
+                Receipt::Dropped => return false,
+                Receipt::Pending => tokio::time::sleep(RECEIPT_INTERVAL).await,
+            }
+        }
+    }
+
     /// Rows show the connection's values, so that a test sees what a statement ran with.
     fn with_values(&self, row: String) -> String {
         let values = self.values.iter();
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -34,6 +34,8 @@
     pub lag: Duration,
     /// How long a promotion takes.
     pub promotion: Duration,
+    /// Whether a commit is acknowledged only once a replica has received it.
+    pub synchronous: bool,
 }
 
 impl Default for Sizes {
@@ -45,6 +47,7 @@
             work: Duration::from_millis(2),
             lag: Duration::from_millis(20),
             promotion: Duration::from_millis(200),
+            synchronous: false,
         }
     }
 }
@@ -134,6 +137,7 @@
                 .map(|n| format!("{service}-{n}"))
                 .collect();
             let group = Group::new(service, &ids, sizes.lag, sizes.promotion);
+            group.set_synchronous(sizes.synchronous);
             let group = Arc::new(group);
             for id in ids {
                 let settings = Settings {
@@ -286,7 +290,10 @@
             .collect();
         let services: Vec<serde_json::Value> = services
             .iter()
-            .map(|name| json!({"name": name, "max_conns": self.sizes.connections}))
+            .map(|name| {
+                json!({"name": name, "max_conns": self.sizes.connections,
+                    "sync_replicas": u8::from(self.sizes.synchronous)})
+            })
             .collect();
         let mut value = json!({"version": *version, "routes": routes, "services": services,
             "limits": {"tx_idle_ms": 3000}});
--- a/crates/standin/tests/pooled.rs
+++ b/crates/standin/tests/pooled.rs
@@ -11,6 +11,7 @@
     work: Duration::from_millis(1),
     lag: Duration::from_millis(5),
     promotion: Duration::from_millis(300),
+    synchronous: false,
 };
 
 /// A platform whose replicas all have one write.
@@ -263,3 +264,26 @@
     site.restart("ledger-1").await.expect("its port is free");
     assert!(group.can_spare("ledger-1"), "it follows again");
 }
+
+/// A commit that waits for a replica is acknowledged once one has received it, whichever that is, and
+/// never if none does.
+#[tokio::test]
+async fn a_synchronous_commit_is_acknowledged_by_any_replica() {
+    let site = platform_of(Sizes {
+        synchronous: true,
+        ..SIZES
+    })
+    .await;
+    let group = site.group("ledger");
+    group.set_deaf("ledger-2", true);
+    store(&site, "ledger-1", "car-2").await;
+    group.set_deaf("ledger-3", true);
+    let caller = Caller::connect(site.address("ledger-1")).await;
+    let mut caller = caller.expect("it listens");
+    caller.greet("ledger").await.expect("a session");
+    caller.ask("1", "STORE car-3 sold").await;
+    let reply = tokio::time::timeout(Duration::from_millis(200), caller.reply()).await;
+    assert!(reply.is_err(), "no replica receives it: {reply:?}");
+    group.set_deaf("ledger-3", false);
+    assert!(caller.reply().await.expect("an answer").is_done());
+}
