Take an older last entry of a primary for the start of its term

Cause: until something is written in its term, a primary's status shows the last entry of the older term as the end of its log. It was compared with the furthest position ever seen, which the promotion has rolled back, and the primary was taken for a server without its log. The stand-in showed the start of the new term there, so no test saw it.

Change: a primary of the newest term whose log ends in an older term has begun its term there. Its log counts as whole, and the start of the term is recorded also at hosts that have not heard of the order. A server that has lost its log shows no entry. The stand-in's status shows the last entry received.

--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -132,7 +132,7 @@
         ended
     }
 
-    fn record_term_start(&mut self, start: &peer::TermStart) {
+    pub(super) fn record_term_start(&mut self, start: &peer::TermStart) {
         let promotion = self.promotions.entry(start.server.clone()).or_default();
         if promotion.previous_term <= start.before() {
             *promotion = PromotionRecord {
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -6,6 +6,7 @@
 //! entry, which is in every log that is not empty.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use flamingopost_core::dispatch::ServerState;
 use flamingopost_core::key::ServerKey;
@@ -18,6 +19,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::Status;
+use crate::peer;
 
 /// Evidence that a host still needs before it believes a primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,6 +56,38 @@
         }
     }
 
+    /// Records that a primary of the newest term has written nothing in it, if `status`, which it was
+    /// asked for at `sent`, shows that: its log ends with an entry of an older term, from where its own term begins. Returns whether that is
+    /// the case.
+    ///
+    /// Guards against a successor that is taken for a server without its log, because it lacks what its
+    /// promotion has rolled back. Two replicas were ordered in turn, 18 times in 3 s, while callers only
+    /// read. A server that has lost its log shows no entry.
+    pub(super) fn record_older_log(
+        &self,
+        server: ServerKey,
+        status: &Status,
+        sent: Duration,
+    ) -> bool {
+        let received = status.received;
+        let mut state = self.state.borrow_mut();
+        let is_newest = status.role == Role::Primary && status.term >= state.freshness.term();
+        if !is_newest || received.log == 0 || received.term >= status.term {
+            return false;
+        }
+        let Some(entry) = state.servers.get(&server) else {
+            return false;
+        };
+        let (id, was_empty) = (entry.target.id.clone(), entry.found_empty);
+        let before = Term::from_number(status.term.number() - 1);
+        state.record_term_start(&peer::TermStart::new(id, before, received));
+        if !was_empty {
+            state.leader.trust(server);
+        }
+        state.record_checked_position(server, received, sent);
+        true
+    }
+
     /// Records that this host has received all promotion orders known to a host that would know of
     /// one.
     pub fn record_orders_known(&self) {
--- a/crates/proxy/src/service/observations.rs
+++ b/crates/proxy/src/service/observations.rs
@@ -99,7 +99,9 @@
                 state.freshness.record_term(status.term);
             }
         }
-        self.check_log(server, status.received, sent);
+        if !self.record_older_log(server, status, sent) {
+            self.check_log(server, status.received, sent);
+        }
         self.refresh_leader();
     }
 
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -99,11 +99,7 @@
         sent: Duration,
     ) {
         let mut state = self.state.borrow_mut();
-        if state.dispatch.leader() == Some(server)
-            && state.check.due().is_some_and(|due| sent >= due)
-        {
-            state.record_leader_position(position);
-        }
+        state.record_checked_position(server, position, sent);
         let distrusted = state.leader.is_distrusted(server);
         let leads = state.leader.primary() == Some(server);
         let short = state.lacks_received_entries(server, position);
@@ -396,6 +392,20 @@
         }
     }
 
+    /// Records that `server` has shown the log position `position` in answer to a request sent at `sent`,
+    /// if it is the believed primary and was asked for its check.
+    pub(super) fn record_checked_position(
+        &mut self,
+        server: ServerKey,
+        position: Position,
+        sent: Duration,
+    ) {
+        let is_check = self.check.due().is_some_and(|due| sent >= due);
+        if is_check && self.dispatch.leader() == Some(server) {
+            self.record_leader_position(position);
+        }
+    }
+
     /// Records that the believed primary has shown the log position `position`.
     fn record_leader_position(&mut self, position: Position) {
         self.primary_position = Some(position);
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -566,7 +566,16 @@
         }
     }
 
-    /// The position of its log, as servers write it.
+    /// The position up to which it has received the log: its last entry, also while it leads a term in
+    /// which nothing was written yet.
+    pub(super) fn received(&self) -> String {
+        match self.log.last() {
+            Some(last) => format!("{}.{}", last.term, last.number),
+            None => format!("{}.0", self.term),
+        }
+    }
+
+    /// The position of its data, as servers write it.
     pub(super) fn position(&self) -> String {
         match self.log.last() {
             Some(last) if !self.leads || last.term == self.term => {
--- a/crates/standin/src/pooled/session.rs
+++ b/crates/standin/src/pooled/session.rs
@@ -199,9 +199,9 @@
             return Answer::Error("BUSY");
         };
         let role = if member.leads { "primary" } else { "replica" };
-        let (term, position) = (member.term, member.position());
+        let (term, received) = (member.term, member.received());
         let open = self.server.open.load(Ordering::Relaxed);
-        let row = format!("{role} {term} {position} {term} 0 0 {open}");
+        let row = format!("{role} {term} {received} {term} 0 0 {open}");
         Answer::Row(row, "-".to_owned())
     }
 
