Wait for no report of the primary whose term has ended

Cause: all servers but the believed primary have to report before a successor is ordered. Hosts may stop believing in the old primary when the end of its term is announced. It then counted as a replica that may have more, and a silent server never reports.

Change: the primary that an inquiry is about is not waited for once the end of its term was announced. What only it has was not acknowledged.

Result: the new test of core/tests/succession_closing.rs failed before. No measurement of the pauses on this commit yet.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -489,6 +489,7 @@
         let passed_over = self.passed_over.take();
         self.phase = Phase::Inquiring(Inquiry {
             cause: Some(trouble),
+            primary: view.leader,
             term: view.term,
             started_at: now,
             deadline: now + INQUIRY_TIMEOUT,
@@ -510,6 +511,7 @@
         }
         self.phase = Phase::Claiming(Inquiry {
             cause: Some(Trouble::Leaving),
+            primary: view.leader,
             term: view.term,
             started_at: now,
             deadline: now + INQUIRY_TIMEOUT,
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -46,6 +46,8 @@
 #[derive(Debug, Default, Clone)]
 pub(super) struct Inquiry {
     pub(super) cause: Option<Trouble>,
+    /// The primary when the inquiry began.
+    pub(super) primary: Option<ServerKey>,
     /// The newest term that was known when the inquiry began.
     pub(super) term: Term,
     pub(super) started_at: Duration,
@@ -190,10 +192,8 @@
     /// Reports whether all candidates except the primary were asked for their reports at `since` or
     /// later.
     fn have_reported_since(&self, since: Duration, view: &View) -> bool {
-        let others = view
-            .candidates
-            .iter()
-            .filter(|it| view.leader != Some(**it));
+        let others = view.candidates.iter();
+        let others = others.filter(|it| !self.is_replaced_primary(**it, view));
         let mut rounds = others.map(|server| self.report_rounds.get(server));
         rounds.all(|round| round.is_some_and(|round| *round >= since))
     }
@@ -277,7 +277,16 @@
         view: &View,
         mut servers: impl Iterator<Item = &'a ServerKey>,
     ) -> bool {
-        servers.all(|server| view.leader == Some(*server) || self.reports.contains_key(server))
+        servers.all(|server| {
+            self.is_replaced_primary(*server, view) || self.reports.contains_key(server)
+        })
+    }
+
+    /// Reports whether `server` is the primary that is missed or leaves. Once the end of its term was
+    /// announced, it stays that although hosts stop believing that it leads.
+    fn is_replaced_primary(&self, server: ServerKey, view: &View) -> bool {
+        let ended = self.primary.filter(|_| self.closing.is_some());
+        view.leader == Some(server) || ended == Some(server)
     }
 
     /// Reports whether waiting for further reports gains nothing.
--- a/crates/core/tests/succession_closing.rs
+++ b/crates/core/tests/succession_closing.rs
@@ -237,3 +237,25 @@
     let order = setup.order(1);
     assert_eq!(setup.step(ms(40)), [order]);
 }
+
+/// Guards against a service that is held until a silent primary reports: hosts stop believing that it
+/// leads once its term has ended, and it counted as a replica that may have more. 5 s without commits.
+#[test]
+fn a_replaced_primary_that_nobody_believes_any_more_is_not_waited_for() {
+    let mut setup = Setup::new(Trouble::Silent { since: ms(500) });
+    setup.win_claim_on_failed_primary();
+    assert!(matches!(setup.step(ms(5))[..], [NextStep::EndTerm { .. }]));
+    let closing = Closing::announced(setup.now, Duration::ZERO);
+    setup.succession.record_end_of_term(closing);
+    setup.view.leases_end = setup.now + ms(5);
+    setup.view.leader = None;
+    setup.view.trouble = Some(Trouble::Absent { since: setup.now });
+    assert_eq!(setup.step(ms(5)), [NextStep::AskServers]);
+    for (server, log) in [(1, 40), (2, 38)] {
+        let server = setup.servers[server];
+        let report = report(Role::Replica, log);
+        setup.succession.record_report(server, report);
+    }
+    let order = setup.order(1);
+    assert_eq!(setup.step(ms(5)), [order]);
+}
