End a hold when the believed primary shows a newer term

Statements were held until the wait for a successor was over, though it had led for 0.6 s.

Cause: a hold ends when the believed primary changes to one whose term has not ended. A successor that had led before was believed by its old list entry, and its new term was seen some milliseconds later, without a change. It was then given up like the primary before it.

Change: the hold also ends when the believed primary turns out to lead a newer term.

--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -92,6 +92,8 @@
     is_log_checked: bool,
     /// The last primary that was verified to have the service's log.
     proven_primary: Option<ServerKey>,
+    /// Whether all terms that the believed primary is known to lead have ended.
+    has_primary_ended: bool,
     /// Last observed log position of the believed primary, while its check is incomplete.
     primary_position: Option<Position>,
     /// Whether a promotion may have been ordered without this host's knowledge.
@@ -162,6 +164,7 @@
                 check_hold: None,
                 is_log_checked: false,
                 proven_primary: None,
+                has_primary_ended: false,
                 primary_position: None,
                 prior_orders: PriorOrders::default(),
                 unheard_order: None,
@@ -401,10 +404,16 @@
             let newest = state.freshness.term();
             state.leader.record_term_start(newest);
             let Some(change) = state.leader.refresh(now) else {
+                let has_shown_lead = state.has_primary_shown_new_term();
+                drop(state);
+                if has_shown_lead {
+                    self.end_hold("the primary was seen to lead a newer term");
+                }
                 return;
             };
             let succeeds = state.is_successor(change.after);
             state.dispatch.set_leader(change.after);
+            state.has_primary_ended = state.has_ended(change.after);
             state.schedule_leader_check(succeeds, now);
             state.no_primary_since = change.after.is_none().then_some(now);
             (change, succeeds)
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -106,6 +106,23 @@
         self.apply_holds();
     }
 
+    /// Reports whether the believed primary is newly known to lead a term that has not ended.
+    ///
+    /// Guards against a successor that is believed by its list entry before it has shown its term: it
+    /// led before, and the entry was that of its earlier term. Statements were held until the wait for
+    /// a successor was over, and the successor was given up like the primary that it has replaced.
+    pub(super) fn has_primary_shown_new_term(&mut self) -> bool {
+        let leader = self.dispatch.leader();
+        let has_ended = self.has_ended(leader);
+        let had_ended = std::mem::replace(&mut self.has_primary_ended, has_ended);
+        had_ended && self.is_successor(leader) && self.unheard_order.is_none()
+    }
+
+    /// Reports whether all terms that `server` is known to lead have ended.
+    pub(super) fn has_ended(&self, server: Option<ServerKey>) -> bool {
+        server.is_some_and(|server| self.leader.is_term_ended(server))
+    }
+
     /// Holds statements for the primary for as long as its check or its successor requires it.
     ///
     /// Guards against writes to a primary without its log: the hold for an order that this host had
