Replace no leaving primary before its term is known

What callers saw: unknown.

Cause: no inquiry is made for a leaving primary. A host that has just started knows neither the term that it ends nor whose entry it reads.

Change: it waits until the primary has shown its term and servers have had the time to write their entries again, 2.5 s at most.

Result: the new test of core/tests/succession_closing.rs failed before.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -66,6 +66,10 @@
 /// seconds left.
 const LEAVING_DELAY_MAX: Duration = Duration::from_millis(800);
 
+/// How long a host waits until a leaving primary has shown its term, and until servers have written
+/// their entries again after a restore of the store. A leaving server has seconds left.
+const LEAVING_EVIDENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// How long the holder of a claim may take until other hosts learn of its order.
 pub const CLAIM_HOLDER_TIMEOUT: Duration = Duration::from_millis(1_800);
 
@@ -503,8 +507,15 @@
     /// Replaces a primary that is about to leave. No inquiry is needed, and only seconds are left:
     /// hosts claim one after the other, so that most of them learn of the first host's order before
     /// their own turn.
+    ///
+    /// Guards against a host that has just started and replaces a primary by an entry from a backup of
+    /// the store: it claimed to end term 0 and gave an order 2 ms after its first look at the list.
     fn replace_leaving(&mut self, view: &View, now: Duration) -> Vec<NextStep> {
         let since = *self.leaving_since.get_or_insert(now);
+        let is_known = view.leader_term > Term::default() && !view.may_lack_servers;
+        if !is_known && now < since + LEAVING_EVIDENCE_TIMEOUT {
+            return Vec::new();
+        }
         let delay = (LEAVING_TURN * view.rank).min(LEAVING_DELAY_MAX);
         if now < since + delay {
             return Vec::new();
--- a/crates/core/tests/succession_closing.rs
+++ b/crates/core/tests/succession_closing.rs
@@ -259,3 +259,23 @@
     let order = setup.order(1);
     assert_eq!(setup.step(ms(5)), [order]);
 }
+
+/// Guards against a change that a host orders as soon as it has started, by an entry from a backup of the
+/// store that says that the primary leaves: it waits until the primary has shown its term, and until the
+/// servers have written their entries again.
+#[test]
+fn a_leaving_primary_is_not_replaced_by_a_host_that_does_not_know_its_term() {
+    for is_list_copied in [false, true] {
+        let mut setup = Setup::new(Trouble::Leaving);
+        setup.view.may_lack_servers = is_list_copied;
+        if !is_list_copied {
+            setup.view.leader_term = Term::default();
+        }
+        for _ in 0..100 {
+            assert_eq!(setup.step(ms(20)), []);
+        }
+        setup.view.may_lack_servers = false;
+        setup.view.leader_term = Term::from_number(1);
+        assert_eq!(setup.step(ms(20)), [NextStep::Claim]);
+    }
+}
