End a message at CR LF only

What callers saw: QUERY a STORE k x<LF>QUERY b STORE l y<CR><LF> ran as two statements, one of them with a shortened text (seen once by hand in the review).

Cause: the codec ended a message at a line feed and dropped a carriage return before it, if there was one.

Change: a line feed without a carriage return cannot be decoded, like any other message that is none.

--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -10,6 +10,8 @@
 pub enum Error {
     /// a message is longer than {0} bytes
     TooLong(usize),
+    /// a message is not terminated by CR LF
+    BadTerminator,
     /// a message starts with an unknown word
     UnknownMessage,
     /// a message lacks a field
