--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -209,7 +209,7 @@
             known_at.map_or(heard_at, |known_at| known_at.min(heard_at))
         });
         let known_to_most = known_at.unwrap_or(closing.announced_at());
-        let others = closing.is_partial().then_some(known_to_most);
+        let others = closing.has_other_hosts().then_some(known_to_most);
         let last_contact = last_contact.max().max(others);
         let lease_begin = last_contact.map(|at| at.max(closing.claimed_at().unwrap_or_default()));
         let leases_end = lease_begin.map(|at| at + LEASE_DURATION + CLOCK_MARGIN);
--- a/crates/core/src/quorum/closing.rs
+++ b/crates/core/src/quorum/closing.rs
@@ -33,8 +33,10 @@
     serves: Duration,
     lead: Duration,
     claimed_at: Option<Duration>,
-    is_partial: bool,
+    has_other_hosts: bool,
+    /// When each host has confirmed.
     confirmed: BTreeMap<HostKey, Duration>,
+    /// When a host that has confirmed last heard from each other host.
     heard: BTreeMap<HostKey, Duration>,
 }
 
@@ -47,7 +49,7 @@
             serves,
             lead: Duration::ZERO,
             claimed_at: None,
-            is_partial: false,
+            has_other_hosts: false,
             confirmed: BTreeMap::new(),
             heard: BTreeMap::new(),
         }
@@ -67,8 +69,11 @@
 
     /// Sets whether further hosts may use the primary besides those that confirm: in a large fleet
     /// only the electors do.
-    pub fn with_other_hosts(self, is_partial: bool) -> Closing {
-        Closing { is_partial, ..self }
+    pub fn with_other_hosts(self, has_other_hosts: bool) -> Closing {
+        Closing {
+            has_other_hosts,
+            ..self
+        }
     }
 
     /// Records at `now` that `host` knows of the end, and when it last heard from other hosts.
@@ -132,7 +137,7 @@
     }
 
     /// Reports whether further hosts may use the primary besides those that confirm.
-    pub(super) fn is_partial(&self) -> bool {
-        self.is_partial
+    pub(super) fn has_other_hosts(&self) -> bool {
+        self.has_other_hosts
     }
 }
--- a/crates/core/src/succession/choice.rs
+++ b/crates/core/src/succession/choice.rs
@@ -31,6 +31,8 @@
 }
 
 impl Succession {
+    /// Starts to choose a successor under `token`. The servers of a leaving primary have not been asked
+    /// yet.
     pub(super) fn start_choosing(
         &mut self,
         token: FencingToken,
@@ -63,6 +65,7 @@
         vec![NextStep::AskServers]
     }
 
+    /// Makes one step of the choice, whose round of requests ends at `until`.
     pub(super) fn choose_successor(
         &mut self,
         token: FencingToken,
