Extend no hold that has no end

Cause: a hold is renewed when an order follows the announced end of a term. A host that searches for an order that nobody reports holds statements without an end, and the renewal added to that time: "overflow when adding durations".

Change: the hold decides by the difference whether it is extended.

--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -215,10 +215,10 @@
         let is_newest =
             replacement.is_some_and(|it| (it.ended_term, it.token) == (ended.term(), ended.token));
         let hold = state.successor_hold.filter(|_| is_newest);
-        let Some(hold) = hold.filter(|hold| until >= hold.until + MIN_RENEWAL) else {
+        let Some(hold) = hold.and_then(|hold| hold.extended(until, MIN_RENEWAL)) else {
             return false;
         };
-        state.hold_for_successor(hold.from, until);
+        state.hold_for_successor(hold.from, hold.until);
         true
     }
 
