Order a successor only when no lease runs

Cause: an order was given earlier than the last lease ended, by the time that a promotion was expected to take at the least: 0.3 s until one was measured, the shortest measured one after that. Hosts used a leaving primary until shortly before the same moment.

Change: an order waits until no host uses the primary. A leaving primary is used until hosts hear of the end of its term. The measurement, the setting and the test of the measurement are gone, since nothing is left that they serve. The stand-in's promotions vary in length, its orders can go unanswered or be taken late, and the soak draws both from seed 2^36 on.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -187,9 +187,9 @@
         until.max().unwrap_or_default()
     }
 
-    /// Returns from when on the successor may be ordered: by the time at which it leads, no host uses
-    /// the primary of the term whose end was announced. Hosts that confirm stop by themselves. Any
-    /// other may hold a lease, which ends a lease's duration after:
+    /// Returns from when on the successor may be ordered: no host uses the primary of the term whose end
+    /// was announced. A promotion may take any time, so the successor may lead at once. Hosts that
+    /// confirm stop by themselves. Any other may hold a lease, which ends a lease's duration after:
     ///
     /// - it was last heard by this host or one that has confirmed, or
     /// - a majority has confirmed, since each majority that answers it later includes a host that
@@ -213,7 +213,6 @@
         let last_contact = last_contact.max().max(others);
         let lease_begin = last_contact.map(|at| at.max(closing.claimed_at().unwrap_or_default()));
         let leases_end = lease_begin.map(|at| at + LEASE_DURATION + CLOCK_MARGIN);
-        let unused_from = closing.served_until().max(leases_end.unwrap_or_default());
-        unused_from.saturating_sub(closing.lead())
+        closing.served_until().max(leases_end.unwrap_or_default())
     }
 }
--- a/crates/core/src/quorum/closing.rs
+++ b/crates/core/src/quorum/closing.rs
@@ -31,7 +31,6 @@
 pub struct Closing {
     announced_at: Duration,
     serves: Duration,
-    lead: Duration,
     claimed_at: Option<Duration>,
     has_other_hosts: bool,
     /// When each host has confirmed.
@@ -47,7 +46,6 @@
         Closing {
             announced_at: now,
             serves,
-            lead: Duration::ZERO,
             claimed_at: None,
             has_other_hosts: false,
             confirmed: BTreeMap::new(),
@@ -55,12 +53,6 @@
         }
     }
 
-    /// Sets how long after its order the successor leads at the earliest, if hosts may use the primary
-    /// until then.
-    pub fn with_lead(self, lead: Duration) -> Closing {
-        Closing { lead, ..self }
-    }
-
     /// Sets when the store has recorded the claim of the change, if it has. A host may rely on the
     /// store for a lease after it has asked for claims before that.
     pub fn with_claim(self, claimed_at: Option<Duration>) -> Closing {
@@ -126,11 +118,6 @@
         last.unwrap_or_default().max(self.announced_at) + self.serves
     }
 
-    /// Returns how long after its order the successor leads at the earliest.
-    pub(super) fn lead(&self) -> Duration {
-        self.lead
-    }
-
     /// Returns when the claim of the change was recorded, if it was.
     pub(super) fn claimed_at(&self) -> Option<Duration> {
         self.claimed_at
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -23,7 +23,6 @@
 mod leader_history;
 mod passed_over;
 mod prior_orders;
-mod promotion_timer;
 mod unheard_order;
 mod view;
 
@@ -36,7 +35,6 @@
 use leader_history::LeaderHistory;
 use passed_over::PassedOver;
 pub use prior_orders::PriorOrders;
-pub use promotion_timer::PromotionTimer;
 pub use unheard_order::{ClaimRecord, Finding, UnheardOrder};
 pub use view::View;
 
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -270,12 +270,6 @@
         closing.confirm(*host, [], ms(at));
     }
     assert_eq!(quorum.order_from(&closing, ms(1_110)), ms(1_103) + LEASE);
-    let closing = closing.with_lead(ms(240));
-    assert_eq!(
-        quorum.order_from(&closing, ms(1_110)),
-        ms(1_103) + LEASE - ms(240),
-        "the successor does not lead before"
-    );
 }
 
 /// Guards against an order that takes effect while hosts that know of the end still serve.
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -11,7 +11,7 @@
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::{
     DIVIDED_DELAY, FencingToken, INQUIRY_TIMEOUT, MINORITY_DELAY, NextStep, OBJECTION_TIMEOUT,
-    Opinion, Order, PromotionTimer, RETURN_TIMEOUT, Report, Succession, Trouble, View,
+    Opinion, Order, RETURN_TIMEOUT, Report, Succession, Trouble, View,
 };
 use flamingopost_core::term::Term;
 
@@ -822,18 +822,6 @@
     assert!(!setup.succession.is_under_way());
 }
 
-/// A successor was too busy for half a second to report whether it leads. Its promotion counted as
-/// one that took no time, the shortest of all, and each primary that left afterwards was given up
-/// one promotion time too early.
-#[test]
-fn a_promotion_without_recent_answers_gives_no_measurement() {
-    let mut timer = PromotionTimer::start(ms(1_000));
-    assert_eq!(timer.min_duration(ms(1_600)), None, "no earlier answer");
-    timer.record_replica(ms(1_250));
-    assert_eq!(timer.min_duration(ms(1_600)), None);
-    assert_eq!(timer.min_duration(ms(1_290)), Some(ms(250)));
-}
-
 /// Two hosts of six are cut off from the others, with the store and the replicas on their side. The
 /// primary and most hosts are on the other side, keep each other's leases and keep writing. The
 /// list loses the primary, which does not reach the store, and 1.5 s later the two had it replaced,
--- a/crates/proxy/src/election/closing.rs
+++ b/crates/proxy/src/election/closing.rs
@@ -16,10 +16,10 @@
 use crate::platform::Platform;
 use crate::service::{HANDOVER_MARGIN, Service};
 
-/// How long statements are still sent to a leaving primary with synchronous commits after the end of
-/// its term is announced. Callers wait for the successor from then on. It is not zero, so that
-/// answers to statements in flight are accepted for [`HANDOVER_MARGIN`].
-const SYNCHRONOUS_NOTICE: Duration = Duration::from_millis(10);
+/// How long statements are still sent to a leaving primary after the end of its term is announced.
+/// Callers wait for the successor from then on. It is not zero, so that answers to statements in
+/// flight are accepted for [`HANDOVER_MARGIN`].
+const LEAVING_NOTICE: Duration = Duration::from_millis(10);
 
 /// When hosts stop using a primary whose term ends.
 struct Schedule {
@@ -28,9 +28,6 @@
     /// How long after the announcement a host stops accepting answers, as far as the order has to
     /// wait for that.
     in_use: Duration,
-    /// How long after its order the successor leads at the earliest, if hosts may use the primary
-    /// until then.
-    lead: Duration,
 }
 
 impl<C: Codec, P: Platform> Election<C, P> {
@@ -57,7 +54,6 @@
         );
         let now = self.site.now();
         let mut closing = Closing::announced(now, schedule.in_use)
-            .with_lead(schedule.lead)
             .with_other_hosts(self.may_be_used_by_others(service));
         self.confirm_for_former_builds(service, succession, &mut closing);
         if service.end_term(&ended_term) {
@@ -77,43 +73,23 @@
 
     /// Returns when hosts stop using the primary of `service` if its term ends now.
     ///
-    /// A primary that fails is not used any more. One that leaves serves until shortly before its
-    /// successor leads, unless its commits are synchronous: its successor would lack those that only
-    /// another replica receives after the successor's last report. In a large fleet, the order waits
-    /// for the leases of hosts that do not confirm, and the primary serves until then.
+    /// A primary that fails is not used any more. One that leaves answers what was sent to it. In a
+    /// large fleet, the order waits for the leases of hosts that do not confirm, and a leaving primary
+    /// serves until then.
     fn schedule(&self, service: &Rc<Service<C>>) -> Schedule {
-        let is_synchronous = self.fleet.is_synchronous(&service.name);
-        let leaves = self.trouble(service) == Some(Trouble::Leaving);
-        let lead = service.earliest_lead();
-        let wait = match self.fleet.is_small() {
-            true => Duration::ZERO,
-            false => LEASE_DURATION + CLOCK_MARGIN,
-        };
-        match (leaves, is_synchronous) {
-            (true, true) => {
-                let serves = wait.max(SYNCHRONOUS_NOTICE);
-                Schedule {
-                    serves,
-                    in_use: serves + HANDOVER_MARGIN,
-                    lead: Duration::ZERO,
-                }
-            }
-            (true, false) if !lead.is_zero() => {
-                let serves = wait.max(lead);
-                Schedule {
-                    serves,
-                    in_use: serves,
-                    lead,
-                }
-            }
-            (true, false) | (false, _) => Schedule {
+        if self.trouble(service) != Some(Trouble::Leaving) {
+            return Schedule {
                 serves: Duration::ZERO,
                 in_use: Duration::ZERO,
-                lead: match is_synchronous {
-                    true => Duration::ZERO,
-                    false => lead,
-                },
-            },
+            };
+        }
+        let serves = match self.fleet.is_small() {
+            true => LEAVING_NOTICE,
+            false => LEASE_DURATION + CLOCK_MARGIN,
+        };
+        Schedule {
+            serves,
+            in_use: serves + HANDOVER_MARGIN,
         }
     }
 
--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -6,7 +6,7 @@
 
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::Role;
-use flamingopost_core::succession::{PROMOTION_TIMEOUT, PromotionTimer};
+use flamingopost_core::succession::PROMOTION_TIMEOUT;
 use flamingopost_core::term::Term;
 use tokio::time::timeout;
 
@@ -20,8 +20,7 @@
 use crate::service::Service;
 
 /// How long after the last write was sent to it a leaving primary is told to step down, so that its
-/// replicas receive what it has acknowledged. This is half of the time left until the earliest
-/// moment at which the successor leads.
+/// replicas receive what it has acknowledged.
 const REPLICATION_GRACE: Duration = Duration::from_millis(30);
 
 /// Interval between two requests to step down that a host sends to a server which reports that it leads
@@ -60,13 +59,11 @@
     ) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         tokio::task::spawn_local(async move {
-            let mut timer = PromotionTimer::start(ordered);
             let until = ordered + PROMOTION_TIMEOUT;
             while election.site.now() < until {
-                let seen = election.poll_until_leading(&service, &successor, term, &mut timer);
+                let seen = election.poll_until_leading(&service, &successor, term);
                 if let Ok(led) = seen.await {
-                    let took = timer.min_duration(election.site.now());
-                    election.announce_lead(&service, successor.server, led, took);
+                    election.announce_lead(&service, successor.server, led);
                     return;
                 }
                 tokio::time::sleep(ACTIVE_STEP_INTERVAL).await;
@@ -74,14 +71,12 @@
         });
     }
 
-    /// Polls a server on one connection until it leads a term after `term`, and records in `timer`
-    /// each time at which it did not lead yet.
+    /// Polls a server on one connection until it leads a term after `term`.
     async fn poll_until_leading(
         &self,
         service: &Rc<Service<C>>,
         target: &Target,
         term: Term,
-        timer: &mut PromotionTimer,
     ) -> Result<Term, server_connection::Error> {
         let timed_out = |_| server_connection::Error::Io(std::io::ErrorKind::TimedOut.into());
         let id = self.site.next_id();
@@ -99,22 +94,12 @@
             if status.role == Role::Primary && status.term > term {
                 return Ok(status.term);
             }
-            timer.record_replica(asked);
             tokio::time::sleep(ACTIVE_STEP_INTERVAL).await;
         }
     }
 
-    /// Notifies the other hosts that `server` leads `term`, and how long its promotion took.
-    fn announce_lead(
-        &self,
-        service: &Rc<Service<C>>,
-        server: ServerKey,
-        term: Term,
-        took: Option<Duration>,
-    ) {
-        if let Some(took) = took {
-            self.site.record_promotion_time(took);
-        }
+    /// Notifies the other hosts that `server` leads `term`.
+    fn announce_lead(&self, service: &Rc<Service<C>>, server: ServerKey, term: Term) {
         let Some(server) = service.to_peer_server(server) else {
             return;
         };
@@ -122,7 +107,7 @@
             let payload = Payload::PrimaryObserved {
                 server: server.clone(),
                 term: term.number(),
-                took: took.and_then(|took| u32::try_from(took.as_millis()).ok()),
+                took: None,
             };
             self.send(service, payload, peer.address);
         }
--- a/crates/proxy/src/election/receive.rs
+++ b/crates/proxy/src/election/receive.rs
@@ -209,11 +209,7 @@
                     service.yield_connections(server);
                 }
             }
-            Payload::PrimaryObserved { server, term, took } => {
-                if let Some(took) = took {
-                    self.site
-                        .record_promotion_time(Duration::from_millis(u64::from(took)));
-                }
+            Payload::PrimaryObserved { server, term, .. } => {
                 service.record_peer_leader(&server, Term::from_number(term));
             }
             Payload::PromotionStarted { ended_term } => {
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -64,8 +64,6 @@
     pub announced: Option<SocketAddr>,
     /// The address that serves metrics.
     pub metrics: SocketAddr,
-    /// Shortest time that the platform takes to promote a server.
-    pub promotion: Duration,
     /// How long the shutdown of the host may take.
     pub grace: Duration,
     /// Maximum number of open caller sessions.
@@ -161,7 +159,7 @@
     ended: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
-    let site = Site::new(host.clone(), zone.clone(), settings.promotion, clock);
+    let site = Site::new(host.clone(), zone.clone(), clock);
     let site = Rc::new(site.with_strength(settings.strength));
     let fleet = Rc::new(Fleet::<C>::new(Rc::clone(&site)));
     let stop = Rc::new(Stop::default());
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -123,8 +123,8 @@
         server: Server,
         /// The term.
         term: i64,
-        /// Time after the order at which the server did not lead yet, in milliseconds, if it was
-        /// measured closely.
+        /// Not used, and kept for hosts of an earlier build, which take a time in milliseconds for the
+        /// least that a promotion takes.
         took: Option<u32>,
     },
     /// The sender replaces a primary.
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -15,9 +15,8 @@
 use crate::event::Event;
 use crate::peer::{self, EndedTerm};
 
-/// A primary that is about to leave serves until this long before its successor leads. Its
-/// successor might not receive what it acknowledges in this interval. Many times the latency
-/// between zones.
+/// How long after the last statement was sent to a leaving primary its answers are accepted, and the
+/// order waits. Many times the latency between zones. A statement that takes longer is in doubt.
 pub const HANDOVER_MARGIN: Duration = Duration::from_millis(60);
 
 /// Longest time that nothing is sent to a primary that is being replaced, if no successor appears.
@@ -178,18 +177,6 @@
         newest.map(|(id, last)| peer::TermStart::new(id.clone(), last.previous_term, last.received))
     }
 
-    /// Returns how long after its order a successor leads at the earliest, less [`HANDOVER_MARGIN`].
-    /// Zero if another order may be in transit.
-    pub fn earliest_lead(&self) -> Duration {
-        match self.state.borrow().successor_hold {
-            Some(_) => Duration::ZERO,
-            None => self
-                .site
-                .shortest_promotion()
-                .saturating_sub(HANDOVER_MARGIN),
-        }
-    }
-
     /// Returns for how long statements are still sent to a primary whose term was announced to end.
     pub fn remaining_service_time(&self) -> Duration {
         let now = self.site.now();
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -25,21 +25,14 @@
     pub limit: LogLimit,
     /// Names of the teams that callers have belonged to.
     teams: RefCell<Names<TeamKey>>,
-    /// Shortest duration of a promotion, until one was measured.
-    assumed_promotion: Duration,
-    /// Shortest measured duration of a promotion.
-    measured_promotion: Cell<Option<Duration>>,
     ids: Cell<u64>,
     primary_changes: Cell<u64>,
 }
 
 impl Site {
-    /// Creates the state of host `host` in `zone`, on a platform where a promotion is assumed to
-    /// take at least `promotion` until it was measured.
-    pub fn new(host: String, zone: String, promotion: Duration, clock: Arc<dyn Clock>) -> Site {
+    /// Creates the state of host `host` in `zone`.
+    pub fn new(host: String, zone: String, clock: Arc<dyn Clock>) -> Site {
         Site {
-            assumed_promotion: promotion,
-            measured_promotion: Cell::new(None),
             host,
             zone,
             strength: None,
@@ -78,23 +71,6 @@
         teams.name(team).unwrap_or(&self.host).to_owned()
     }
 
-    /// Returns the shortest duration of a promotion.
-    pub fn shortest_promotion(&self) -> Duration {
-        self.measured_promotion
-            .get()
-            .unwrap_or(self.assumed_promotion)
-    }
-
-    /// Records that a server ordered to lead did not lead yet `took` after the order.
-    ///
-    /// Only a lower bound is safe: if promotions were assumed to take longer than they do, the
-    /// previous primary would still be written to while its successor leads. The time at which a
-    /// change is seen is no lower bound, since the list of servers may be seconds late.
-    pub fn record_promotion_time(&self, took: Duration) {
-        let shortest = self.measured_promotion.get().unwrap_or(took).min(took);
-        self.measured_promotion.set(Some(shortest));
-    }
-
     /// Records that this host believes in another primary of some service than before, or has learned
     /// of an order to replace one.
     pub fn record_primary_change(&self) {
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -227,7 +227,7 @@
 pub fn site(number: usize) -> Site {
     let own = peer(number);
     let clock = Arc::new(Manual::default());
-    Site::new(own.host, own.zone, Duration::from_millis(300), clock)
+    Site::new(own.host, own.zone, clock)
 }
 
 /// Returns the elected hosts by name as seen by `fleet`, which is that of host `number`.
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flamingopost_standin::pooled::{Garbage, Remains};
+use flamingopost_standin::pooled::{Garbage, OrderMode, Remains};
 
 use crate::net::Endpoint;
 
@@ -115,6 +115,18 @@
         /// Time from the restore until rows that the backup lacks are written again.
         rewritten: Duration,
     },
+    /// Promotions take another time from now on.
+    Promotion {
+        /// Time from an order until its server leads.
+        takes: Duration,
+    },
+    /// Orders get no answer.
+    Orders {
+        /// What becomes of them.
+        mode: OrderMode,
+        /// Duration of the fault.
+        lasts: Duration,
+    },
     /// A new version of the configuration is published.
     Configure,
     /// Traffic in one direction between two endpoints is blocked.
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -3,7 +3,7 @@
 use std::os::unix::process::ExitStatusExt;
 use std::time::{Duration, Instant};
 
-use flamingopost_standin::pooled::{Faults, Mode, Remains};
+use flamingopost_standin::pooled::{Faults, Mode, OrderMode, Remains};
 
 use crate::fault::{Fault, StoreFault, Victim};
 use crate::net::Endpoint;
@@ -118,6 +118,12 @@
                 tokio::time::sleep(rewritten).await;
                 self.site.rewrite();
             }
+            Fault::Promotion { takes } => self.site.group(SERVICE).set_promotion(takes),
+            Fault::Orders { mode, lasts } => {
+                self.site.set_order_mode(mode);
+                tokio::time::sleep(lasts).await;
+                self.site.set_order_mode(OrderMode::Answered);
+            }
             Fault::Configure => self.configure(),
             Fault::ReplaceKey { team } => self.change_teams(|teams| teams.replace_key(team)),
             Fault::ChangeLimit { team, rate } => {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flamingopost_standin::pooled::{Garbage, Remains, Sizes};
+use flamingopost_standin::pooled::{Garbage, OrderMode, Remains, Sizes};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -35,6 +35,16 @@
 /// of the seeds from [`FIRST_RESTORE_SEED`] on.
 pub const FIRST_TEAM_SEED: u64 = 1 << 35;
 
+/// The first seed that also draws how long each promotion takes, and orders that get no answer. Its
+/// other faults are those of the seeds from [`FIRST_TEAM_SEED`] on.
+pub const FIRST_ORDER_SEED: u64 = 1 << 36;
+
+/// Mean time between two changes of the time that a promotion takes.
+const PROMOTION_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Mean time between two periods in which orders get no answer.
+const ORDER_FAULT_INTERVAL: Duration = Duration::from_millis(4_000);
+
 /// Mean time between two changes of a team's keys or limit.
 const TEAM_INTERVAL: Duration = Duration::from_millis(2_500);
 
@@ -119,6 +129,9 @@
         if plan.has_teams() {
             plan.draw_team_changes(&mut rng);
         }
+        if seed >= FIRST_ORDER_SEED {
+            plan.draw_orders(&mut rng);
+        }
         plan
     }
 
@@ -145,6 +158,27 @@
         self.faults.sort_by_key(|(at, _)| *at);
     }
 
+    /// Draws how long promotions take, and periods in which orders get no answer.
+    fn draw_orders(&mut self, rng: &mut ChaCha8Rng) {
+        let mut at = Duration::ZERO;
+        while at < self.length {
+            let takes = Duration::from_millis(rng.random_range(10..=1_000));
+            self.faults.push((at, Fault::Promotion { takes }));
+            at += PROMOTION_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+        }
+        let mut at = Duration::from_millis(rng.random_range(500..=3_000));
+        while at < self.length {
+            let mode = match rng.random_bool(0.5) {
+                true => OrderMode::AnswerLost,
+                false => OrderMode::Late(Duration::from_millis(rng.random_range(50..=6_000))),
+            };
+            let lasts = Duration::from_millis(rng.random_range(300..=3_000));
+            self.faults.push((at, Fault::Orders { mode, lasts }));
+            at += ORDER_FAULT_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+    }
+
     /// Draws the faults that all seeds have.
     fn draw_faults(&mut self, rng: &mut ChaCha8Rng) {
         let mut at = Duration::from_millis(rng.random_range(200..=1_500));
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -38,8 +38,6 @@
     pub store: SocketAddr,
     /// Address of the platform's endpoint for orders.
     pub orders: SocketAddr,
-    /// Minimum time until a promotion takes effect.
-    pub promotion: Duration,
     /// Time limit for a graceful shutdown.
     pub grace: Duration,
     /// Whether its log goes to a pipe that is not read while the process runs.
@@ -96,17 +94,15 @@
             announced,
             store,
             orders,
-            promotion,
             grace,
             ..
         } = &self.settings;
         let (ip, port) = (peers.ip(), peers.port());
-        let (promotion, grace) = (promotion.as_millis(), grace.as_millis());
+        let grace = grace.as_millis();
         format!(
             "[host]\nname = {name}\nzone = {zone}\nip = {ip}\ncallers = {callers}\n\
              probe = {probe}\nports = {port}\nannounced = {announced}\nmetrics = 0\n\
-             grace = {grace}ms\n\n[platform]\nstore = {store}\norders = {orders}\n\
-             promotion = {promotion}ms\n"
+             grace = {grace}ms\n\n[platform]\nstore = {store}\norders = {orders}\n"
         )
     }
 
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
-use flamingopost_standin::pooled::{Faults, Mode, Replaced, Site};
+use flamingopost_standin::pooled::{Faults, Mode, OrderMode, Replaced, Site};
 use flamingopost_standin::ports;
 use tokio::task::JoinSet;
 
@@ -118,7 +118,6 @@
                     .await?,
                 store: net.relay(from, Endpoint::Store, store).await?,
                 orders: net.relay(from, Endpoint::Orders, orders).await?,
-                promotion: plan.sizes.promotion,
                 grace: SHUTDOWN_GRACE,
                 unread_log: plan.unread == Some(host),
             })?);
@@ -188,6 +187,7 @@
     pub(crate) async fn heal(&self) -> io::Result<()> {
         self.net.heal();
         self.site.store.set_mode(Mode::Up);
+        self.site.set_order_mode(OrderMode::Answered);
         for number in 0..self.plan.sizes.servers {
             let id = server_name(number);
             self.site.set_faults(&id, Faults::default());
--- a/crates/standin/src/pooled/group.rs
+++ b/crates/standin/src/pooled/group.rs
@@ -97,8 +97,6 @@
     pub service: String,
     /// How far replicas are behind.
     pub lag: Duration,
-    /// How long a promotion takes.
-    pub promotion: Duration,
     state: Mutex<State>,
 }
 
@@ -110,6 +108,8 @@
     connections: u64,
     rollbacks: Vec<Rollback>,
     replaced: Replaced,
+    /// How long the next promotions take.
+    promotion: Duration,
     /// Whether a commit is acknowledged only once a replica has received it.
     synchronous: bool,
     /// The newest term that a server was promoted to: terms only rise.
@@ -163,12 +163,12 @@
         let state = State {
             members: servers.iter().enumerate().map(member).collect(),
             term: FIRST_TERM,
+            promotion,
             ..State::default()
         };
         Group {
             service: service.to_owned(),
             lag,
-            promotion,
             state: Mutex::new(state),
         }
     }
@@ -195,6 +195,16 @@
         self.lock().replaced = replaced;
     }
 
+    /// How long promotions take that are ordered from now on.
+    pub fn set_promotion(&self, promotion: Duration) {
+        self.lock().promotion = promotion;
+    }
+
+    /// How long a promotion takes that is ordered now.
+    pub fn promotion(&self) -> Duration {
+        self.lock().promotion
+    }
+
     /// Whether commits are acknowledged only once a replica has received them, from now on.
     pub fn set_synchronous(&self, synchronous: bool) {
         self.lock().synchronous = synchronous;
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -71,9 +71,22 @@
     sizes: Sizes,
 }
 
+/// What becomes of orders.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum OrderMode {
+    /// They are answered and carried out.
+    #[default]
+    Answered,
+    /// They are carried out, and the answer is lost.
+    AnswerLost,
+    /// They are not answered, and taken only after this time, with the token that they came with.
+    Late(Duration),
+}
+
 /// Tokens seen and orders taken, by service.
 #[derive(Debug, Default)]
 struct Orders {
+    mode: Mutex<OrderMode>,
     /// Orders are carried out whatever their token is.
     unfenced: AtomicBool,
     newest: Mutex<BTreeMap<String, u64>>,
@@ -158,7 +171,20 @@
         tokio::spawn(http::serve(taking, move |asked| {
             let (groups, servers) = (groups.clone(), servers.clone());
             let (rows, seen) = (Arc::clone(&rows), Arc::clone(&seen));
-            async move { Answer::from(promote(groups, servers, rows, seen, asked).await) }
+            async move {
+                let mode = *seen.mode.lock().unwrap_or_else(PoisonError::into_inner);
+                let taken = async move {
+                    if let OrderMode::Late(after) = mode {
+                        tokio::time::sleep(after).await;
+                    }
+                    promote(groups, servers, rows, seen, asked).await
+                };
+                if mode == OrderMode::Answered {
+                    return Answer::from(taken.await);
+                }
+                tokio::spawn(taken);
+                std::future::pending().await
+            }
         }));
         for id in site.servers.keys() {
             site.register(id);
@@ -249,7 +275,13 @@
         self.orders.unfenced.store(!fencing, Ordering::Relaxed);
     }
 
-    /// All orders so far.
+    /// What becomes of orders that arrive from now on.
+    pub fn set_order_mode(&self, mode: OrderMode) {
+        let own = &self.orders.mode;
+        *own.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+    }
+
+    /// All orders so far that were taken.
     pub fn orders(&self) -> Vec<Order> {
         let taken = self.orders.taken.lock();
         taken.unwrap_or_else(PoisonError::into_inner).clone()
@@ -447,8 +479,9 @@
     }
     let (group, id) = (Arc::clone(group), id.to_owned());
     group.ordered(&id);
+    let promotion = group.promotion();
     tokio::spawn(async move {
-        tokio::time::sleep(group.promotion).await;
+        tokio::time::sleep(promotion).await;
         if group.leader().as_deref() != Some(&id) && group.promote(&id) {
             for other in servers
                 .values()
