Use a leaving primary while its successor says that it follows

Change: hosts go on at the leaving primary after the end of its term is announced, and each use rests on an answer of the successor: a statement on one that was asked for after it arrived and says that the successor follows, the acknowledgement of a commit on one that shows the commit in the successor's log. The host that announced the end asks the successor on one connection, and answers the others. Only the announced server may be ordered meanwhile. Synchronous services, and fleets with hosts of an earlier build, hold statements as before. Event 5124 tells when and why a host stops.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -18,9 +18,11 @@
 use crate::key::HostKey;
 
 mod closing;
+mod handover;
 mod store;
 
 pub use closing::Closing;
+pub use handover::{Handover, Verdict};
 pub use store::{STORE_RENEWAL_INTERVAL, StoreLease};
 
 /// Time between two heartbeats. Three of them fit into a lease with round trips to spare, so that
--- a/crates/core/src/quorum/closing.rs
+++ b/crates/core/src/quorum/closing.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::key::HostKey;
+use crate::key::{HostKey, ServerKey};
 
 /// Confirmations that hosts stop relying on the primary of a term.
 ///
@@ -31,6 +31,8 @@
 pub struct Closing {
     announced_at: Duration,
     serves: Duration,
+    /// The server whose state the hosts ask for while they still use the primary.
+    watched: Option<ServerKey>,
     claimed_at: Option<Duration>,
     has_other_hosts: bool,
     /// When each host has confirmed.
@@ -46,6 +48,7 @@
         Closing {
             announced_at: now,
             serves,
+            watched: None,
             claimed_at: None,
             has_other_hosts: false,
             confirmed: BTreeMap::new(),
@@ -53,6 +56,20 @@
         }
     }
 
+    /// Sets that hosts which know of the end use the primary until `successor` is seen to lead.
+    pub fn with_watched(self, successor: ServerKey) -> Closing {
+        Closing {
+            watched: Some(successor),
+            ..self
+        }
+    }
+
+    /// Reports whether `server` may be ordered. While hosts use the primary, only the server may that
+    /// they watch.
+    pub fn may_order(&self, server: ServerKey) -> bool {
+        self.watched.is_none_or(|watched| watched == server)
+    }
+
     /// Sets when the store has recorded the claim of the change, if it has. A host may rely on the
     /// store for a lease after it has asked for claims before that.
     pub fn with_claim(self, claimed_at: Option<Duration>) -> Closing {
--- a/crates/core/src/succession/choice.rs
+++ b/crates/core/src/succession/choice.rs
@@ -167,8 +167,10 @@
         }
         let is_chosen = inquiry.has_confirmed(server) && complete
             || inquiry.may_rest_on(server, now) && may_settle;
+        let closing = inquiry.closing.as_ref();
         match (is_chosen, ends_term) {
             (true, true) => Choice::EndTerm(server),
+            (true, false) if closing.is_some_and(|it| !it.may_order(server)) => Choice::PassOver,
             (true, false) => Choice::Order(server),
             (false, _) if timed_out => Choice::AskAll,
             (false, _) => Choice::Wait,
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -39,6 +39,7 @@
 mod receive;
 mod run;
 mod status;
+mod successor;
 mod unheard_order;
 mod view;
 
@@ -121,6 +122,8 @@
     hosts_known_since: Cell<Option<Duration>>,
     /// When this host first knew the list of servers.
     servers_known_since: Cell<Option<Duration>>,
+    /// Requests of other hosts for the state of a leaving primary's successor, by service.
+    successor_queries: RefCell<BTreeMap<String, Vec<successor::Query>>>,
 }
 
 impl<C: Codec, P: Platform> Election<C, P> {
@@ -163,6 +166,7 @@
             orders_check: Cell::new(None),
             hosts_known_since: Cell::new(None),
             servers_known_since: Cell::new(None),
+            successor_queries: RefCell::default(),
         }
     }
 
--- a/crates/proxy/src/election/closing.rs
+++ b/crates/proxy/src/election/closing.rs
@@ -8,11 +8,11 @@
 
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::{CLOCK_MARGIN, Closing, LEASE_DURATION};
-use flamingopost_core::succession::{FencingToken, Succession, Trouble};
+use flamingopost_core::succession::{FencingToken, PROMOTION_TIMEOUT, Succession, Trouble};
 
 use super::Election;
 use crate::codec::Codec;
-use crate::peer::{CLOSING_PROTOCOL, EndedTerm, Heard, Payload};
+use crate::peer::{CLOSING_PROTOCOL, EndedTerm, HANDOVER_PROTOCOL, Heard, Payload};
 use crate::platform::Platform;
 use crate::service::{HANDOVER_MARGIN, Service};
 
@@ -21,20 +21,56 @@
 /// flight are accepted for [`HANDOVER_MARGIN`].
 const LEAVING_NOTICE: Duration = Duration::from_millis(10);
 
+/// Longest time for which a leaving primary is used after the end of its term is announced, besides the
+/// time for which the order waits in a large fleet.
+const HANDOVER_TIMEOUT: Duration = PROMOTION_TIMEOUT;
+
 /// When hosts stop using a primary whose term ends.
-struct Schedule {
-    /// How long after the announcement a host stops sending statements.
-    serves: Duration,
-    /// How long after the announcement a host stops accepting answers, as far as the order has to
-    /// wait for that.
-    in_use: Duration,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Schedule {
+    /// At once, and ignore what it still answers.
+    Now,
+    /// This long after they have learned of the end. Answers count for [`HANDOVER_MARGIN`] more, and
+    /// the order waits for that.
+    After(Duration),
+    /// When they learn that the successor leads, or after this time.
+    AtLead(Duration),
+}
+
+impl Schedule {
+    /// Returns how long after the announcement hosts stop that do not watch the successor.
+    fn serves(self) -> Duration {
+        match self {
+            Schedule::Now | Schedule::AtLead(_) => Duration::ZERO,
+            Schedule::After(serves) => serves,
+        }
+    }
+
+    /// Returns for how long the order has to wait after a host has confirmed the end.
+    fn in_use(self) -> Duration {
+        match self {
+            Schedule::Now | Schedule::AtLead(_) => Duration::ZERO,
+            Schedule::After(serves) => serves + HANDOVER_MARGIN,
+        }
+    }
+
+    /// Returns the message that announces `ended_term` to hosts that confirm it.
+    fn announcement(self, ended_term: EndedTerm) -> Payload {
+        match self {
+            Schedule::Now | Schedule::After(_) => Payload::TermClosing { ended_term },
+            Schedule::AtLead(serves) => Payload::HandoverStarted {
+                ended_term,
+                serves: u32::try_from(serves.as_millis()).unwrap_or(u32::MAX),
+            },
+        }
+    }
 }
 
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Announces to the other hosts that the current term ends and that `server` is to succeed its
     /// primary.
     pub(super) fn end_term(
-        &self,
+        self: &Rc<Self>,
         service: &Rc<Service<C>>,
         succession: &Rc<RefCell<Succession>>,
         server: ServerKey,
@@ -50,19 +86,25 @@
             service.newest_term(),
             token.0,
             (successor, received),
-            schedule.serves,
+            schedule.serves(),
         );
         let now = self.site.now();
-        let mut closing = Closing::announced(now, schedule.in_use)
+        let mut closing = Closing::announced(now, schedule.in_use())
             .with_other_hosts(self.may_be_used_by_others(service));
         self.confirm_for_former_builds(service, succession, &mut closing);
         if service.end_term(&ended_term) {
             self.record_ended_term(&service.name);
         }
+        if let Schedule::AtLead(serves) = schedule
+            && service.start_handover(&ended_term, serves)
+        {
+            closing = closing.with_watched(server);
+            self.watch_successor(service, server, token.0);
+        }
         for (_, peer) in self.fleet.peers().iter() {
             let ended_term = ended_term.clone();
             let payload = match peer.protocol >= CLOSING_PROTOCOL {
-                true => Payload::TermClosing { ended_term },
+                true => schedule.announcement(ended_term),
                 false => Payload::PromotionStarted { ended_term },
             };
             self.send(service, payload, peer.address);
@@ -73,23 +115,28 @@
 
     /// Returns when hosts stop using the primary of `service` if its term ends now.
     ///
-    /// A primary that fails is not used any more. One that leaves answers what was sent to it. In a
+    /// A primary that fails is not used any more. One that leaves serves until its successor leads,
+    /// unless its commits are synchronous, since its successor would lack those that only another
+    /// replica receives after the successor's last report, or another order may be in transit. In a
     /// large fleet, the order waits for the leases of hosts that do not confirm, and a leaving primary
-    /// serves until then.
+    /// serves meanwhile.
     fn schedule(&self, service: &Rc<Service<C>>) -> Schedule {
         if self.trouble(service) != Some(Trouble::Leaving) {
-            return Schedule {
-                serves: Duration::ZERO,
-                in_use: Duration::ZERO,
-            };
+            return Schedule::Now;
         }
-        let serves = match self.fleet.is_small() {
-            true => LEAVING_NOTICE,
+        let wait = match self.fleet.is_small() {
+            true => Duration::ZERO,
             false => LEASE_DURATION + CLOCK_MARGIN,
         };
-        Schedule {
-            serves,
-            in_use: serves + HANDOVER_MARGIN,
+        let is_watched_by_all = self
+            .fleet
+            .peers()
+            .iter()
+            .all(|(_, peer)| peer.protocol >= HANDOVER_PROTOCOL);
+        let may_overlap = service.awaits_successor();
+        match is_watched_by_all && !may_overlap && !self.fleet.is_synchronous(&service.name) {
+            true => Schedule::AtLead(wait + HANDOVER_TIMEOUT),
+            false => Schedule::After(wait.max(LEAVING_NOTICE)),
         }
     }
 
@@ -132,10 +179,14 @@
         else {
             return;
         };
+        let schedule = match service.remaining_handover_time() {
+            Some(remaining) => Schedule::AtLead(remaining),
+            None => Schedule::After(ended_term.serves()),
+        };
         for (key, peer) in self.fleet.electors().iter() {
             if peer.protocol >= CLOSING_PROTOCOL && !closing.is_confirmed(*key) {
-                let ended_term = ended_term.clone();
-                self.send(service, Payload::TermClosing { ended_term }, peer.address);
+                let payload = schedule.announcement(ended_term.clone());
+                self.send(service, payload, peer.address);
             }
         }
     }
--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -19,10 +19,6 @@
 use crate::server_connection::{self, ServerConnection, Target};
 use crate::service::Service;
 
-/// How long after the last write was sent to it a leaving primary is told to step down, so that its
-/// replicas receive what it has acknowledged.
-const REPLICATION_GRACE: Duration = Duration::from_millis(30);
-
 /// Interval between two requests to step down that a host sends to a server which reports that it leads
 /// an older term. Each request takes a connection and a slot at that server.
 pub(super) const REPLACEMENT_NOTICE_INTERVAL: Duration = Duration::from_millis(500);
@@ -35,18 +31,9 @@
 /// and notices the change by itself one second after it can reach its successor.
 const STEP_DOWN_ATTEMPTS: u32 = 8;
 
-/// Returns when to tell a primary to step down whose successor was ordered at `ordered`:
-/// immediately, or, if it still serves for `serves` after that, [`REPLICATION_GRACE`] later.
-pub(super) fn step_down_at(ordered: Duration, serves: Duration) -> Duration {
-    match serves.is_zero() {
-        true => ordered,
-        false => ordered + serves + REPLICATION_GRACE,
-    }
-}
-
 impl<C: Codec, P: Platform> Election<C, P> {
-    /// Polls the server ordered to lead at `ordered` until it leads a term after `term`, then
-    /// notifies the other hosts.
+    /// Polls the server ordered to lead at `ordered` until it leads a term after `term`, then notifies
+    /// the other hosts, and tells `replaced` to step down, if that was used until then.
     ///
     /// The platform's list reports the change as well, but may be late or unavailable: during a
     /// store outage, hosts learned of a change 1.1 s late, and nothing was written until then.
@@ -56,6 +43,7 @@
         successor: Target,
         term: Term,
         ordered: Duration,
+        replaced: Option<Target>,
     ) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         tokio::task::spawn_local(async move {
@@ -64,6 +52,9 @@
                 let seen = election.poll_until_leading(&service, &successor, term);
                 if let Ok(led) = seen.await {
                     election.announce_lead(&service, successor.server, led);
+                    if let Some(replaced) = replaced {
+                        election.step_down(&service, &replaced, led);
+                    }
                     return;
                 }
                 tokio::time::sleep(ACTIVE_STEP_INTERVAL).await;
@@ -99,7 +90,7 @@
     }
 
     /// Notifies the other hosts that `server` leads `term`.
-    fn announce_lead(&self, service: &Rc<Service<C>>, server: ServerKey, term: Term) {
+    pub(super) fn announce_lead(&self, service: &Rc<Service<C>>, server: ServerKey, term: Term) {
         let Some(server) = service.to_peer_server(server) else {
             return;
         };
@@ -113,8 +104,8 @@
         }
     }
 
-    /// Tells a primary whose successor leads `term`, or is about to, to follow it, at `at` or as
-    /// soon as it is reachable after that.
+    /// Tells a primary whose successor leads `term`, or is about to, to follow it, as soon as it is
+    /// reachable.
     ///
     /// Guards against hosts that do not know of the change yet. On some platforms a replaced
     /// primary keeps leading its own term until it is told to stop, and those hosts would keep
@@ -124,13 +115,12 @@
         service: &Rc<Service<C>>,
         target: &Target,
         term: Term,
-        at: Duration,
     ) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         let target = target.clone();
         tokio::task::spawn_local(async move {
             for _ in 0..STEP_DOWN_ATTEMPTS {
-                let Ok(status) = election.send_step_down(&target, term, at).await else {
+                let Ok(status) = election.send_step_down(&target, term).await else {
                     tokio::time::sleep(STATUS_TIMEOUT).await;
                     continue;
                 };
@@ -169,23 +159,22 @@
         service: &Rc<Service<C>>,
         replaced: Vec<Target>,
     ) {
-        let (now, term) = (self.site.now(), service.term_led());
+        let term = service.term_led();
         for target in replaced {
             let (election, service) = (Rc::clone(self), Rc::clone(service));
             tokio::task::spawn_local(async move {
-                if let Ok(status) = election.send_step_down(&target, term, now).await {
+                if let Ok(status) = election.send_step_down(&target, term).await {
                     election.record_step_down(&service, &target, term, &status);
                 }
             });
         }
     }
 
-    /// Connects to a primary immediately and sends it the request to step down at `at`.
+    /// Connects to a primary and sends it the request to step down.
     async fn send_step_down(
         &self,
         target: &Target,
         term: Term,
-        at: Duration,
     ) -> Result<Status, server_connection::Error> {
         let id = self.site.next_id();
         let timed_out = |_| server_connection::Error::Io(std::io::ErrorKind::TimedOut.into());
@@ -195,7 +184,6 @@
         )
         .await;
         let mut back = back.map_err(timed_out)??;
-        tokio::time::sleep(at.saturating_sub(self.site.now())).await;
         let status = timeout(STATUS_TIMEOUT, back.step_down(term)).await;
         status.map_err(timed_out)?
     }
--- a/crates/proxy/src/election/promote.rs
+++ b/crates/proxy/src/election/promote.rs
@@ -9,7 +9,7 @@
 use flamingopost_core::term::Term;
 use tokio::time::timeout;
 
-use super::{Election, ORDER_ANNOUNCEMENT_LEAD, ORDER_TIMEOUT, handover, target};
+use super::{Election, ORDER_ANNOUNCEMENT_LEAD, ORDER_TIMEOUT, target};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::peer::{EndedTerm, Payload};
@@ -30,7 +30,6 @@
         let term = service.newest_term();
         let position = succession.borrow().successor_position(server);
         self.announce_order(&service, server, position, token);
-        let serves = service.remaining_service_time();
         if succession.borrow().acts_without_claim()
             && !self.has_highest_token(&service, token).await
         {
@@ -65,16 +64,16 @@
         succession.borrow_mut().order_finished(order, now);
         if order == Order::Accepted {
             let next = Term::from_number(term.number() + 1);
-            if let Some(replaced) = replaced {
-                self.step_down(
-                    &service,
-                    &replaced,
-                    next,
-                    handover::step_down_at(sent, serves),
-                );
+            let is_used = service.handover_token() == Some(token.0);
+            let (used, unused) = match is_used {
+                true => (replaced, None),
+                false => (None, replaced),
+            };
+            if let Some(unused) = unused {
+                self.step_down(&service, &unused, next);
             }
             if let Some(successor) = target(&service, server) {
-                self.await_promotion(&service, successor, term, sent);
+                self.await_promotion(&service, successor, term, sent, used);
             }
         }
         self.site.log(&Event::Ordered {
--- a/crates/proxy/src/election/receive.rs
+++ b/crates/proxy/src/election/receive.rs
@@ -8,8 +8,8 @@
 use flamingopost_core::key::HostKey;
 use flamingopost_core::term::Term;
 
-use super::Election;
 use super::ended_terms::{Heartbeat, Page};
+use super::{Election, successor};
 use crate::codec::Codec;
 use crate::peer::{EndedTerm, Message, Payload, Server};
 use crate::platform::Platform;
@@ -222,6 +222,28 @@
                 self.apply_ended_term(&message.host, &ended_term);
                 self.confirm_closing(&service, &ended_term, from);
             }
+            Payload::HandoverStarted { ended_term, serves } => {
+                self.apply_ended_term(&message.host, &ended_term);
+                let serves = Duration::from_millis(u64::from(serves));
+                if service.start_handover(&ended_term, serves) {
+                    self.follow_successor(&service, ended_term.token, from);
+                }
+                self.confirm_closing(&service, &ended_term, from);
+            }
+            Payload::SuccessorQuery { token, sent } => {
+                self.record_successor_query(&service, token, sent, from);
+            }
+            Payload::SuccessorState {
+                token,
+                sent,
+                received,
+            } => match received {
+                Some(received) => {
+                    let asked = Duration::from_micros(sent);
+                    service.record_follower(token, asked, received.into());
+                }
+                None => service.end_handover(token, successor::TOLD),
+            },
             Payload::TermClosed { token, heard } => {
                 if let Some(host) = self.fleet.peer(&message.host) {
                     self.record_closed(&service, host, token, &heard);
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -86,6 +86,8 @@
         5122 Warn OrderSearched { service: String, term: i64, outcome: String, millis: u128 },
         /// {service}: primary {server} ordered to lead under token {token}, because nobody can tell whether it was replaced: {outcome}
         5123 Warn PrimaryReordered { service: String, server: String, token: u64, outcome: String },
+        /// {service}: a leaving primary is no longer used, {millis} ms after this host learned of the end of its term: {why}
+        5124 Info HandoverEnded { service: String, why: &'static str, millis: u128 },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} retried: {reason} at {server}, attempt {attempt} after {millis} ms
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -31,7 +31,7 @@
 
 /// Version of the messages that hosts of this build understand, as they announce it. Hosts that
 /// announce none understand the first one.
-pub const PROTOCOL: u16 = 3;
+pub const PROTOCOL: u16 = 4;
 
 /// Version of the messages from which on processes are named and changes of primaries are paged.
 pub const PAGED_PROTOCOL: u16 = 2;
@@ -39,6 +39,9 @@
 /// Version of the messages from which on the end of a primary's term is confirmed.
 pub const CLOSING_PROTOCOL: u16 = 3;
 
+/// Version of the messages from which on hosts watch the successor of a leaving primary.
+pub const HANDOVER_PROTOCOL: u16 = 4;
+
 /// Maximum size of a datagram. Larger ones were not sent by an entry host.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
@@ -252,6 +255,31 @@
         /// When the sender last heard from the other electors.
         heard: Vec<Heard>,
     },
+    /// Like [`Payload::TermClosing`], for a leaving primary that the receiver may use until it learns
+    /// from the sender that the successor leads.
+    HandoverStarted {
+        /// The term that ends, and its successor.
+        ended_term: EndedTerm,
+        /// For how long it may be used at the most, in milliseconds.
+        serves: u32,
+    },
+    /// Asks the host that has announced a handover for the state of the successor.
+    SuccessorQuery {
+        /// Token of the order.
+        token: u64,
+        /// When it was sent, by the sender's clock, in microseconds.
+        sent: u64,
+    },
+    /// Answers [`Payload::SuccessorQuery`] with an answer of the successor that was requested after it
+    /// arrived.
+    SuccessorState {
+        /// Token of the order.
+        token: u64,
+        /// The time from the query.
+        sent: u64,
+        /// How far the successor has received the log, if it still follows.
+        received: Option<WirePosition>,
+    },
 }
 
 /// Converts a time to nanoseconds.
@@ -361,6 +389,9 @@
             Payload::ServiceLogQuery { .. } => "service_log_query",
             Payload::TermClosing { .. } => "term_closing",
             Payload::TermClosed { .. } => "term_closed",
+            Payload::HandoverStarted { .. } => "handover_started",
+            Payload::SuccessorQuery { .. } => "successor_query",
+            Payload::SuccessorState { .. } => "successor_state",
         }
     }
 
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -26,6 +26,7 @@
 
 mod confirm;
 mod connect;
+mod handover;
 mod hold;
 mod listing;
 mod log_loss;
@@ -73,6 +74,12 @@
     pub serving_contact: RefCell<ServingContact>,
     /// Notified when a round of status queries to the other servers has ended.
     confirmation_notify: Notify,
+    /// Number of statements that wait for the state of a leaving primary's successor.
+    handover_waiting: Cell<usize>,
+    /// Notified when one begins to wait.
+    pub handover_demand: Notify,
+    /// Notified when that state is known, or the primary is not used any more.
+    pub handover_answered: Notify,
     usage: UseState,
     state: RefCell<State<C>>,
 }
@@ -153,6 +160,9 @@
             sample_requested_at: Cell::default(),
             serving_contact: RefCell::default(),
             confirmation_notify: Notify::new(),
+            handover_waiting: Cell::new(0),
+            handover_demand: Notify::new(),
+            handover_answered: Notify::new(),
             usage: UseState::default(),
             state: RefCell::new(State {
                 dispatch,
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -7,6 +7,7 @@
 use flamingopost_core::dispatch;
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::position::Position;
+use flamingopost_core::quorum::Handover;
 use flamingopost_core::succession::FencingToken;
 use flamingopost_core::term::Term;
 
@@ -20,7 +21,7 @@
 pub const HANDOVER_MARGIN: Duration = Duration::from_millis(60);
 
 /// Longest time that nothing is sent to a primary that is being replaced, if no successor appears.
-const SUCCESSOR_HOLD: Duration = Duration::from_millis(1_600);
+pub(super) const SUCCESSOR_HOLD: Duration = Duration::from_millis(1_600);
 
 /// A hold is not renewed if that makes it longer by less than this.
 const MIN_RENEWAL: Duration = Duration::from_millis(200);
@@ -32,17 +33,40 @@
     /// earlier one is relied on any more.
     ended_term: Term,
     /// Token of the promotion order.
-    token: u64,
+    pub(super) token: u64,
     successor: peer::Server,
     /// Position up to which the successor reported to have received the log.
     successor_position: Position,
     /// Time from which nothing is sent to the primary.
-    hold_from: Duration,
+    pub(super) hold_from: Duration,
     /// Time from which the primary's answers are ignored.
-    ignore_from: Duration,
+    pub(super) ignore_from: Duration,
+    /// What is known of the successor, if the primary is used until it leads.
+    pub(super) handover: Option<Handover>,
+    /// When this host has learned of it.
+    pub(super) learned_at: Duration,
 }
 
 impl Replacement {
+    /// Creates the record of a replacement that `ended` announces at `now`.
+    fn announced(ended: &EndedTerm, now: Duration) -> Replacement {
+        let hold_from = now + ended.serves();
+        let ignore_from = match ended.serves().is_zero() {
+            true => now,
+            false => hold_from + HANDOVER_MARGIN,
+        };
+        Replacement {
+            ended_term: ended.term(),
+            token: ended.token,
+            successor: ended.successor.clone(),
+            successor_position: ended.received(),
+            hold_from,
+            ignore_from,
+            handover: None,
+            learned_at: now,
+        }
+    }
+
     /// Returns the newest term known when the replacement was ordered.
     pub(super) fn ended_term(&self) -> Term {
         self.ended_term
@@ -52,6 +76,20 @@
     pub(super) fn successor(&self) -> &peer::Server {
         &self.successor
     }
+
+    /// Returns for how long hosts that do not watch the successor use the primary.
+    fn remaining_service_time(&self, now: Duration) -> Duration {
+        match self.handover {
+            Some(_) => Duration::ZERO,
+            None => self.hold_from.saturating_sub(now),
+        }
+    }
+
+    /// Reports whether `ended` describes the same order, or an earlier announcement of it.
+    pub(super) fn is_of(&self, ended: &EndedTerm) -> bool {
+        let own = (self.ended_term, self.token, &self.successor);
+        own == (ended.term(), ended.token, &ended.successor)
+    }
 }
 
 /// Log position of a server when it was ordered to become primary. Kept for each server, since
@@ -177,12 +215,13 @@
         newest.map(|(id, last)| peer::TermStart::new(id.clone(), last.previous_term, last.received))
     }
 
-    /// Returns for how long statements are still sent to a primary whose term was announced to end.
+    /// Returns for how long statements are still sent to a primary whose term was announced to end, by
+    /// hosts that do not watch its successor.
     pub fn remaining_service_time(&self) -> Duration {
         let now = self.site.now();
         let state = self.state.borrow();
         let replacement = state.replacement.as_ref();
-        replacement.map_or(Duration::ZERO, |it| it.hold_from.saturating_sub(now))
+        replacement.map_or(Duration::ZERO, |it| it.remaining_service_time(now))
     }
 
     /// Reports whether this host knows of the end of a term that `ended` describes, or of a newer
@@ -239,19 +278,17 @@
         {
             return false;
         }
-        let serves_for = ended.serves();
-        let hold_from = now + serves_for;
-        let ignore_from = match serves_for.is_zero() {
-            true => now,
-            false => hold_from + HANDOVER_MARGIN,
-        };
-        state.replacement = Some(Replacement {
-            ended_term: ended.term(),
-            token: ended.token,
-            successor: ended.successor.clone(),
-            successor_position: ended.received(),
-            hold_from,
-            ignore_from,
+        let handed_over = state
+            .replacement
+            .take()
+            .filter(|known| known.handover.is_some() && known.is_of(ended));
+        let is_handed_over = handed_over.is_some();
+        state.replacement = Some(match handed_over {
+            Some(known) => Replacement {
+                successor_position: ended.received(),
+                ..known
+            },
+            None => Replacement::announced(ended, now),
         });
         let id = ended.successor.id.clone();
         state.record_term_start(&peer::TermStart::new(id, ended.term(), ended.received()));
@@ -262,7 +299,9 @@
         if is_done {
             return true;
         }
-        state.hold_for_successor(hold_from, now + SUCCESSOR_HOLD);
+        if !is_handed_over {
+            state.hold_for_successor(now + ended.serves(), now + SUCCESSOR_HOLD);
+        }
         self.require_tick();
         true
     }
@@ -273,7 +312,7 @@
         let now = self.site.now();
         let state = self.state.borrow();
         let replacement = state.replacement.as_ref()?;
-        let serves_for = replacement.hold_from.saturating_sub(now);
+        let serves_for = replacement.remaining_service_time(now);
         let successor = (
             replacement.successor.clone(),
             replacement.successor_position,
--- a/crates/proxy/src/session/placement.rs
+++ b/crates/proxy/src/session/placement.rs
@@ -48,6 +48,16 @@
     pub deadline: Duration,
 }
 
+/// Whether the server of a connection may run a statement that needs the primary.
+enum Confirmation {
+    /// It may, and is known to have had no successor at this time. Any other statement may always run.
+    At(Duration),
+    /// Its successor may lead.
+    Replaced,
+    /// This host cannot tell.
+    OutOfTouch,
+}
+
 /// Result of one attempt.
 enum AttemptResult<C: Codec> {
     Final(StatementResult<C>),
@@ -76,6 +86,8 @@
     sent: Duration,
     /// Time at which the primary that answers is known to have been current.
     confirmed_at: Duration,
+    /// Why a write that the primary has answered is not acknowledged.
+    withheld: Option<&'static str>,
     count: u8,
 }
 
@@ -158,16 +170,23 @@
             let result = StatementResult::NotRun(Code::NoDatabase, rejection, reason);
             return AttemptResult::Final(result);
         };
-        let (need, mut connection) = match self.acquire(plan, &route, &service, avoid).await {
-            Ok(acquired) => acquired,
-            Err(result) => return AttemptResult::Final(result),
+        let (need, mut connection, confirmed_at) = loop {
+            let (need, connection) = match self.acquire(plan, &route, &service, avoid).await {
+                Ok(acquired) => acquired,
+                Err(result) => return AttemptResult::Final(result),
+            };
+            // The lease may have expired while the statement waited.
+            match self.confirm(plan, need, &connection).await {
+                Confirmation::At(at) => break (need, connection, at),
+                // The statement waits for the successor.
+                Confirmation::Replaced => connection.return_to_pool(),
+                Confirmation::OutOfTouch => {
+                    connection.return_to_pool();
+                    return AttemptResult::Final(refuse_out_of_touch());
+                }
+            }
         };
         let frame = fence_frame(plan.frame, plan.access, need);
-        // The lease may have expired while the statement waited.
-        let Some(confirmed_at) = self.confirmed_at(plan, need, &service).await else {
-            connection.return_to_pool();
-            return AttemptResult::Final(refuse_out_of_touch());
-        };
         let job = Job {
             query,
             caller_state: &self.caller_state,
@@ -193,6 +212,14 @@
             sent,
         );
         let ran = attempt::run(&mut connection, &job, limit).await;
+        let withheld = match &ran {
+            RunResult::Answered(outcome) if plan.is_single_write() && outcome.end.is_ok() => {
+                let server = connection.server;
+                self.reason_to_withhold_commit(&service, server, outcome.position)
+                    .await
+            }
+            _ => None,
+        };
         let context = AttemptContext {
             service,
             need,
@@ -200,6 +227,7 @@
             repeatable,
             sent,
             confirmed_at,
+            withheld,
             count,
         };
         self.evaluate_attempt(query, plan, connection, ran, context)
@@ -284,6 +312,7 @@
             repeatable,
             sent,
             confirmed_at,
+            withheld,
             count,
         } = context;
         let (code, run, error) = match ran {
@@ -295,13 +324,11 @@
                     server,
                     outcome.position,
                     confirmed_at,
-                    by_primary && !refuted && code.is_none(),
+                    by_primary && !refuted && withheld.is_none() && code.is_none(),
                 );
                 if code.is_none()
                     && plan.is_single_write()
-                    && let Some(reason) = self
-                        .reason_to_withhold(&service, server)
-                        .or(refuted.then_some(LOG_LOST))
+                    && let Some(reason) = withheld.or(refuted.then_some(LOG_LOST))
                 {
                     connection.return_to_pool();
                     self.log_in_doubt(query, &service, server, reason, plan.arrived);
@@ -425,6 +452,31 @@
         }
     }
 
+    /// Finds out whether a statement may run on `connection`, after it has waited for that.
+    ///
+    /// A leaving primary whose term was announced to end gets a statement only if its successor did not
+    /// lead yet when that arrived. For a write this keeps the number of those low that are in doubt:
+    /// whether it counts is decided when it has been answered.
+    async fn confirm(
+        &self,
+        plan: &Plan,
+        need: Need,
+        connection: &PooledConnection<C>,
+    ) -> Confirmation {
+        let service = connection.service();
+        let is_handed_over = need == Need::Leader && service.is_handed_over(connection.server);
+        if is_handed_over && self.context.fleet.holds_lease(service) {
+            return match service.confirm_read(plan.arrived).await {
+                Some(at) => Confirmation::At(at),
+                None => Confirmation::Replaced,
+            };
+        }
+        match self.confirmed_at(plan, need, service).await {
+            Some(at) => Confirmation::At(at),
+            None => Confirmation::OutOfTouch,
+        }
+    }
+
     /// Returns a time, no earlier than the arrival of the statement, at which the primary is known
     /// to have had no successor. Returns `None` if that cannot be shown, and the current time if
     /// the statement does not need the primary.
@@ -448,6 +500,22 @@
         }
     }
 
+    /// Returns the reason why a commit that `server` has just answered with `position` is not
+    /// acknowledged, if there is one. Waits for the state of the successor of a leaving primary.
+    pub(super) async fn reason_to_withhold_commit(
+        &self,
+        service: &Service<C>,
+        server: ServerKey,
+        position: Option<Position>,
+    ) -> Option<&'static str> {
+        let answered = self.context.site.now();
+        if !service.is_handed_over(server) || !self.context.fleet.holds_lease(service) {
+            return self.reason_to_withhold(service, server);
+        }
+        let counts = service.confirm_commit(position, answered).await;
+        (!counts).then_some(REPLACED)
+    }
+
     /// Returns the reason why a write that `server` answered as the primary is not acknowledged, if
     /// there is one.
     pub(super) fn reason_to_withhold(
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -146,6 +146,8 @@
                 let is_superseded = open.service.is_superseded(open.connection.server);
                 let by_primary =
                     open.by_primary && holds_lease && !is_superseded && outcome.end.is_ok();
+                // Only the successor could tell whether the primary still led.
+                let by_primary = by_primary && !open.service.is_handed_over(open.connection.server);
                 open.record_answer(&outcome, arrived, by_primary);
                 let transaction = outcome.transaction;
                 let end = if open.by_primary {
@@ -213,11 +215,17 @@
             RunResult::Answered(outcome) => {
                 let refuted =
                     open.by_primary && open.service.is_refuted(server, outcome.position, arrived);
+                let withheld = match open.wrote && outcome.end.is_ok() {
+                    true => {
+                        let position = outcome.position;
+                        self.reason_to_withhold_commit(&open.service, server, position)
+                            .await
+                    }
+                    false => None,
+                };
                 if open.wrote
                     && outcome.end.is_ok()
-                    && let Some(reason) = self
-                        .reason_to_withhold(&open.service, server)
-                        .or(refuted.then_some(LOG_LOST))
+                    && let Some(reason) = withheld.or(refuted.then_some(LOG_LOST))
                 {
                     open.service
                         .record_answer(server, outcome.position, arrived, false);
