Use no unforeseen primary beside one that may still be used

Cause: hosts that learned of the unforeseen primary used it at once, while others, whom nobody had told of the end of its predecessor's term, went on at that one.

Change: a primary whose predecessor's term was not announced to end is not used while the last primary of this host reports that it leads. That one is told to step down, also while no primary is believed, and its answer shows that no host can use it.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -42,6 +42,8 @@
     servers: BTreeMap<ServerKey, ServerState>,
     changed_at: Duration,
     current: Option<ServerKey>,
+    /// The last server that was the primary.
+    last: Option<ServerKey>,
     /// The newest term for whose primary a successor was ordered.
     ended_term: Term,
     successor: Option<ServerKey>,
@@ -61,6 +63,8 @@
     led_term: Term,
     /// The server's terms up to this one have ended, whatever it claims.
     ended_through: Option<Term>,
+    /// The server's terms up to this one were announced to end, so that no host uses it in them.
+    announced_through: Term,
     /// The server is not accepted as primary even when no other server claims to lead.
     excluded: bool,
     listed_version: u64,
@@ -89,6 +93,7 @@
             term: Term::default(),
             led_term: Term::default(),
             ended_through: ended,
+            announced_through: ended.unwrap_or_default(),
             excluded: false,
             listed_version: 0,
             claim_version: 0,
@@ -183,6 +188,7 @@
             .filter(|previous| Some(*previous) != successor);
         if let Some(known) = previous.and_then(|previous| self.servers.get_mut(&previous)) {
             known.ended_through = known.ended_through.max(Some(known.led_term.max(term)));
+            known.announced_through = known.led_term.max(term);
         }
         if term >= self.ended_term {
             self.ended_term = term;
@@ -289,11 +295,48 @@
         let claiming = self.servers.iter().filter(|(_, known)| counts(known));
         let order = |known: &ServerState| (!known.has_ended(), known.term, known.claim_version);
         let newest = claiming.max_by_key(|(_, known)| order(known))?;
-        Some(*newest.0)
+        let is_usable = self.unfenced_predecessor(*newest.0).is_none();
+        is_usable.then_some(*newest.0)
     }
 
-    /// Returns the servers that report that they lead, while the primary has shown that it leads a
-    /// newer term than any that they have shown.
+    /// Returns a server that may still lead, and be used by other hosts, in a term that was not
+    /// announced to end, although `server` leads a newer one or has not shown its term.
+    ///
+    /// Guards against an order that the platform carries out late: no host was told to stop using the
+    /// server that leads by then. It has to be seen to follow before its unforeseen successor is used.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use flamingopost_core::key::ServerKey;
+    /// use flamingopost_core::leader::{LeaderTracker, Role};
+    /// use flamingopost_core::names::Names;
+    /// use flamingopost_core::term::Term;
+    ///
+    /// let mut names: Names<ServerKey> = Names::default();
+    /// let (old, new) = (names.intern("ledger-1"), names.intern("ledger-2"));
+    /// let mut leader = LeaderTracker::default();
+    /// leader.record_listing(old, Role::Primary, 17);
+    /// leader.record_role(old, Role::Primary, Term::from_number(2));
+    /// assert!(leader.refresh(Duration::ZERO).is_some());
+    /// leader.record_listing(new, Role::Primary, 18);
+    /// leader.record_role(new, Role::Primary, Term::from_number(3));
+    /// assert_eq!(leader.primary(), None, "the end of term 2 was not announced");
+    /// assert_eq!(leader.unfenced_predecessor(new), Some(old));
+    /// leader.record_role(old, Role::Replica, Term::from_number(3));
+    /// assert_eq!(leader.primary(), Some(new));
+    /// ```
+    pub fn unfenced_predecessor(&self, server: ServerKey) -> Option<ServerKey> {
+        let led = self.servers.get(&server)?.led_term;
+        let last = self.last.filter(|last| *last != server)?;
+        let known = self.servers.get(&last).filter(|known| !known.distrusted)?;
+        let announced = known.announced_through.max(self.ended_term);
+        let may_lead = known.reports_primary && known.led_term > announced;
+        let is_newer = led > known.led_term || led == Term::default();
+        (may_lead && is_newer).then_some(last)
+    }
+
+    /// Returns the servers that report that they lead, while another one has shown that it leads a newer
+    /// term than any that they have shown.
     ///
     /// ```
     /// use flamingopost_core::key::ServerKey;
@@ -313,13 +356,22 @@
     /// assert!(leader.replaced_primaries().is_empty());
     /// ```
     pub fn replaced_primaries(&self) -> Vec<ServerKey> {
-        let newest = self.primary().map(|primary| self.term_led(primary));
-        let is_replaced =
-            |known: &ServerState| known.reports_primary && Some(known.led_term) < newest;
+        let newest = self.newest_term_led();
+        let is_replaced = |known: &ServerState| known.reports_primary && known.led_term < newest;
         let replaced = self.servers.iter().filter(|(_, known)| is_replaced(known));
         replaced.map(|(server, _)| *server).collect()
     }
 
+    /// Returns the newest term in which a server that counts has shown that it leads.
+    pub fn newest_term_led(&self) -> Term {
+        let leading = self.servers.values();
+        let leading = leading.filter(|known| known.claims_primary && !known.distrusted);
+        leading
+            .map(|known| known.led_term)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Updates the current primary and returns the change, if there was one.
     pub fn refresh(&mut self, now: Duration) -> Option<Change> {
         let leader = self.primary();
@@ -332,6 +384,7 @@
             lasted: now.saturating_sub(self.changed_at),
         };
         self.current = leader;
+        self.last = leader.or(self.last);
         self.changed_at = now;
         Some(change)
     }
--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -159,7 +159,7 @@
         service: &Rc<Service<C>>,
         replaced: Vec<Target>,
     ) {
-        let term = service.term_led();
+        let term = service.newest_term_led();
         for target in replaced {
             let (election, service) = (Rc::clone(self), Rc::clone(service));
             tokio::task::spawn_local(async move {
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -382,13 +382,18 @@
         leader.map_or_else(Default::default, |leader| state.leader.term_led(leader))
     }
 
+    /// Returns the newest term in which a server has shown that it leads, whether it is used or not.
+    pub fn newest_term_led(&self) -> Term {
+        self.state.borrow().leader.newest_term_led()
+    }
+
     /// Returns all servers that have shown that they lead, whether believed or not, each with the
     /// newest term in which it did.
     pub fn led_by(&self) -> BTreeMap<ServerKey, Term> {
         self.state.borrow().leader.terms_led()
     }
 
-    /// Returns the servers that report that they lead, while the primary leads a newer term.
+    /// Returns the servers that report that they lead, while another one leads a newer term.
     pub fn replaced_primaries(&self) -> Vec<Target> {
         let state = self.state.borrow();
         let replaced = state.leader.replaced_primaries();
