Confirm each use of a primary that rests on the store's word

A host that reached the store, the old primary and no other host read stale data beside hosts that replaced the primary without the store.

Cause: such hosts claim nothing, so the lack of a claim says nothing of them, and they can wait for no lease that rests on it.

Change: without a lease of other hosts, the service's other servers confirm each use of its primary: for a read after it arrived, for a write after it was answered. The store's word is needed for writes besides.

Hosts in contact with most others do nothing new.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -404,15 +404,23 @@
         work(&mut self.quorum.borrow_mut(), self.site.now())
     }
 
-    /// Reports whether this host may currently rely on the primary of `service`: send it requests
-    /// that only a primary may run, and acknowledge its writes.
+    /// Reports whether this host may currently rely on primaries because a majority of hosts has
+    /// answered it: send them requests that only a primary may run, and acknowledge their writes.
+    pub fn holds_lease(&self) -> bool {
+        self.quorum.borrow().holds_lease(self.site.now())
+    }
+
+    /// Reports whether this host may write at the primary of `service` because the store has no claim
+    /// on its change, as long as the service's other servers confirm each use of it.
     ///
-    /// The store's claims are a substitute for hosts that cannot reach a majority. They are no
-    /// substitute for a host that does not know the other hosts yet, since it has not asked any of
-    /// them what it may have missed.
-    pub fn holds_lease(&self, service: &Service<C>) -> bool {
-        let quorum = self.quorum.borrow();
-        quorum.holds_lease(self.site.now()) || quorum.knows_hosts() && service.holds_store_lease()
+    /// A host that replaces a primary without the store makes no claim, and waits for no lease that
+    /// rests on the lack of one. A host that does not know the other hosts yet has not asked any of
+    /// them what it may have missed. Where commits are synchronous, the servers do not tell whether a
+    /// successor that was ordered and does not lead yet has all of them.
+    pub fn may_confirm_writes(&self, service: &Service<C>) -> bool {
+        let knows_hosts = self.quorum.borrow().knows_hosts();
+        let knows_servers = knows_hosts && self.knows_all_servers();
+        knows_servers && service.holds_store_lease() && !self.is_synchronous(&service.name)
     }
 
     /// Reports whether `service` acknowledges a commit only after a replica has received it.
--- a/crates/proxy/src/session/placement.rs
+++ b/crates/proxy/src/session/placement.rs
@@ -196,7 +196,7 @@
             confirmed_at,
         };
         let sent = self.context.site.now();
-        if need == Need::Leader && !self.context.fleet.holds_lease(&service) {
+        if need == Need::Leader && !self.context.fleet.holds_lease() {
             self.context.site.log(&Event::ReadConfirmed {
                 id: text(&query.id),
                 database: self.database.clone(),
@@ -465,7 +465,7 @@
     ) -> Confirmation {
         let service = connection.service();
         let is_handed_over = need == Need::Leader && service.is_handed_over(connection.server);
-        if is_handed_over && self.context.fleet.holds_lease(service) {
+        if is_handed_over && self.context.fleet.holds_lease() {
             return match service.confirm_read(plan.arrived).await {
                 Some(at) => Confirmation::At(at),
                 None => Confirmation::Replaced,
@@ -481,22 +481,26 @@
     /// to have had no successor. Returns `None` if that cannot be shown, and the current time if
     /// the statement does not need the primary.
     ///
-    /// The evidence is this host's lease or, for a read-only statement, the confirmation by the
-    /// service's other servers.
+    /// The evidence is this host's lease or the confirmation by the service's other servers, and for
+    /// a write the store's word besides.
     async fn confirmed_at(
         &self,
         plan: &Plan,
         need: Need,
         service: &Rc<Service<C>>,
     ) -> Option<Duration> {
-        if need != Need::Leader || self.context.fleet.holds_lease(service) {
+        let fleet = &self.context.fleet;
+        if need != Need::Leader || fleet.holds_lease() {
             return Some(self.context.site.now());
         }
         match plan.access {
-            Access::Read if self.context.fleet.knows_all_servers() => {
-                service.confirm_primary(plan.arrived).await
-            }
-            Access::Read | Access::Write => None,
+            // Whether it counts is decided when it has been answered.
+            Access::Write if plan.is_single_write() => fleet
+                .may_confirm_writes(service)
+                .then(|| self.context.site.now()),
+            Access::Write if !fleet.may_confirm_writes(service) => None,
+            Access::Read if !fleet.knows_all_servers() => None,
+            Access::Read | Access::Write => service.confirm_primary(plan.arrived).await,
         }
     }
 
@@ -504,12 +508,18 @@
     /// acknowledged, if there is one. Waits for the state of the successor of a leaving primary.
     pub(super) async fn reason_to_withhold_commit(
         &self,
-        service: &Service<C>,
+        service: &Rc<Service<C>>,
         server: ServerKey,
         position: Option<Position>,
     ) -> Option<&'static str> {
         let answered = self.context.site.now();
-        if !service.is_handed_over(server) || !self.context.fleet.holds_lease(service) {
+        if !self.context.fleet.holds_lease() {
+            if service.confirm_primary(answered).await.is_none() {
+                return Some(OUT_OF_TOUCH);
+            }
+            return self.reason_to_withhold(service, server);
+        }
+        if !service.is_handed_over(server) {
             return self.reason_to_withhold(service, server);
         }
         let counts = service.confirm_commit(position, answered).await;
@@ -523,7 +533,8 @@
         service: &Service<C>,
         server: ServerKey,
     ) -> Option<&'static str> {
-        if !self.context.fleet.holds_lease(service) {
+        let fleet = &self.context.fleet;
+        if !fleet.holds_lease() && !fleet.may_confirm_writes(service) {
             return Some(OUT_OF_TOUCH);
         }
         service.is_superseded(server).then_some(REPLACED)
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -138,7 +138,7 @@
             min_position: None,
             confirmed_at: arrived,
         };
-        let holds_lease = self.context.fleet.holds_lease(&open.service);
+        let holds_lease = self.context.fleet.holds_lease();
         open.connection.set_idle_in_transaction(false);
         let ran = run_with_busy_retries(&mut open, &job, self.timeout()).await;
         match ran {
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -87,6 +87,8 @@
 #[derive(Debug, Default)]
 struct Orders {
     mode: Mutex<OrderMode>,
+    /// Servers do not reach the store, so promotions change no entry.
+    unlisted: AtomicBool,
     /// Orders are carried out whatever their token is.
     unfenced: AtomicBool,
     newest: Mutex<BTreeMap<String, u64>>,
@@ -275,6 +277,11 @@
         self.orders.unfenced.store(!fencing, Ordering::Relaxed);
     }
 
+    /// Whether servers reach the store, so that a promotion shows in their entries at once.
+    pub fn set_servers_reach_store(&self, reach: bool) {
+        self.orders.unlisted.store(!reach, Ordering::Relaxed);
+    }
+
     /// What becomes of orders that arrive from now on.
     pub fn set_order_mode(&self, mode: OrderMode) {
         let own = &self.orders.mode;
@@ -482,7 +489,8 @@
     let promotion = group.promotion();
     tokio::spawn(async move {
         tokio::time::sleep(promotion).await;
-        if group.leader().as_deref() != Some(&id) && group.promote(&id) {
+        let promoted = group.leader().as_deref() != Some(&id) && group.promote(&id);
+        if promoted && !orders.unlisted.load(Ordering::Relaxed) {
             for other in servers
                 .values()
                 .filter(|it| it.group.service == group.service)
