Wait for the lease of a host that only others hear, however long

An order waited for no lease of a host that its giver had not heard for 15 s, also if others heard it and extended its lease.

Change: such a host counts as gone for an order only if none of those that confirmed the end of the term has heard it for as long.

Result: the new test in core/tests/quorum.rs failed before, passes after.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -193,12 +193,18 @@
     /// was announced. A promotion may take any time, so the successor may lead at once. Hosts that
     /// confirm stop by themselves. Any other may hold a lease, which ends a lease's duration after:
     ///
-    /// - it was last heard by this host or one that has confirmed, or
+    /// - it was last heard by this host or one that has confirmed, where one that neither has heard for
+    ///   [`GONE_TIMEOUT`] counts as gone, or
     /// - a majority has confirmed, since each majority that answers it later includes a host that
     ///   tells it of the end, and
     /// - the change was claimed, if the host relies on the claims in the store.
     pub fn order_from(&self, closing: &Closing, now: Duration) -> Duration {
         let gone = self.gone_hosts(now);
+        let is_unheard = |host: &HostKey| {
+            let heard_at = closing.heard_at(*host);
+            heard_at.is_none_or(|at| now >= at + GONE_TIMEOUT)
+        };
+        let gone: BTreeSet<HostKey> = gone.into_iter().filter(is_unheard).collect();
         let own = usize::from(!self.non_elector);
         let majority = (self.others.len() + own - gone.len()) / 2 + 1;
         let known_at = closing.known_to(majority - own);
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -233,6 +233,25 @@
     assert_eq!(quorum.order_from(&closing, ms(1_610)), ms(1_500) + LEASE);
 }
 
+/// Guards against an order that waits for no lease of a host which this one has not heard for long, and
+/// which keeps its lease by the answers of others.
+#[test]
+fn an_order_waits_for_a_host_that_counts_as_gone_here_and_is_heard_elsewhere() {
+    let (mut quorum, others) = five_hosts();
+    let now = ms(1_000) + GONE_TIMEOUT + ms(500);
+    for host in &others[..3] {
+        quorum.record_message(*host, now - ms(100));
+    }
+    assert!(quorum.gone_hosts(now).contains(&others[3]));
+    let mut closing = Closing::announced(now, ms(0));
+    for host in &others[..3] {
+        closing.confirm(*host, [], now);
+    }
+    assert_eq!(quorum.order_from(&closing, now), now, "nobody hears it");
+    closing.confirm(others[0], [(others[3], now - ms(200))], now);
+    assert_eq!(quorum.order_from(&closing, now), now - ms(200) + LEASE);
+}
+
 /// Guards against an order that is never given: a host that is heard all the time and hears nothing
 /// itself keeps no lease once most others tell it of the end.
 #[test]
