Refuse at once what an overloaded service cannot answer in time

With slow servers each request that was not served was held for its route's whole 800 ms and then refused.

Cause: the estimate that refuses early needs eight answers of a server within a second. At 60 ms a statement and with eight hosts there are six, so the pace was unknown and all requests waited.

Change: while requests have waited without a break, the pace is that of their starts. One that arrives then and would be late is refused at once, with a time to come back; one that waits is refused when it can no longer be answered before its deadline. Once the pace is known, the oldest goes first.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod queue;
 mod server;
+mod starts;
 mod ticket;
 mod window;
 
@@ -25,6 +26,7 @@
 pub use allotment::{Allotment, DEAD_CONNECTION_LIFETIME, Serving};
 pub use hold::Hold;
 pub use server::{Failure, Server, ServerState};
+use starts::AllStarts;
 pub use ticket::{Need, Ticket};
 
 /// Dispatches the requests of one service on one entry host to pooled connections.
@@ -65,6 +67,8 @@
     waiting: Vec<Ticket>,
     /// The time since which the queue has not been empty.
     queued_since: Option<Duration>,
+    /// Starts of requests while others waited.
+    starts: AllStarts,
     /// Whether callers belong to teams, so that nobody can use a connection of no team.
     has_teams: bool,
     /// Number of connections in use, by team.
--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -24,11 +24,31 @@
 /// however many there are.
 const GOLDEN_MILLIONTHS: u64 = 618_034;
 
-/// Mean time between the starts of two waiting requests, for each kind of need.
-#[derive(Debug, Clone, Copy, Default)]
-struct Pace {
-    leader: Option<Duration>,
-    position: Option<Duration>,
+/// Part of the time left until the goal that a request may wait in an overloaded service. The rest
+/// allows for others that take longer than usual.
+const WAIT_DIVISOR: u32 = 2;
+
+/// Number of requests that may wait in any case, for each kind of need. It keeps the servers busy until
+/// the next one arrives.
+const MIN_QUEUE: u32 = 1;
+
+/// Time between the starts of two waiting requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pace {
+    /// Not known: no primary, a hold, no open connection, or too few answers lately. A request waits
+    /// then, because each of these may end at any moment.
+    Unknown,
+    /// What servers allow at best. Requests may start [`CAUTION`] times as fast.
+    AtBest(Duration),
+    /// As measured while requests have waited for long.
+    Measured(Duration),
+}
+
+/// The same for each kind of need.
+#[derive(Debug, Clone, Copy)]
+struct Paces {
+    leader: Pace,
+    position: Pace,
 }
 
 /// Waiting requests that go first, for each kind of need.
@@ -39,7 +59,29 @@
 }
 
 impl Pace {
-    fn of(self, need: Need) -> Option<Duration> {
+    fn new(measured: Option<Duration>, at_best: Option<Duration>) -> Pace {
+        match (measured, at_best) {
+            (Some(pace), _) => Pace::Measured(pace),
+            (None, Some(pace)) => Pace::AtBest(pace),
+            (None, None) => Pace::Unknown,
+        }
+    }
+
+    fn interval(self) -> Option<Duration> {
+        match self {
+            Pace::Unknown => None,
+            Pace::AtBest(pace) | Pace::Measured(pace) => Some(pace),
+        }
+    }
+
+    /// Returns when a request starts at the earliest behind `before` others.
+    fn wait(self, before: u32) -> Duration {
+        self.interval().unwrap_or_default() * before
+    }
+}
+
+impl Paces {
+    fn of(self, need: Need) -> Pace {
         match need {
             Need::Leader => self.leader,
             Need::Position { .. } => self.position,
@@ -57,25 +99,29 @@
 }
 
 impl Dispatch {
-    /// Refuses the requests of `waiting`, which is in the order of service, whose deadline has
-    /// passed or that cannot start before it.
+    /// Refuses the requests of `waiting`, which is in the order of service, whose deadline has passed or
+    /// that would wait too long.
     pub(super) fn refuse_unservable(
         &mut self,
         waiting: &mut Vec<Ticket>,
+        newcomer: Option<u64>,
         now: Duration,
     ) -> Vec<Action> {
-        let pace = self.pace(now);
+        let paces = self.paces(now);
         let mut ahead = Ahead::default();
         let mut refused = Vec::new();
         waiting.retain(|ticket| {
             let is_servable = self.is_servable(ticket, now);
             let before = ahead.of(ticket.need);
-            let wait = match is_servable {
-                true => pace.of(ticket.need).unwrap_or_default() * *before,
-                false => Duration::ZERO,
+            let (pace, count) = match is_servable {
+                true => (paces.of(ticket.need), *before),
+                false => (Pace::Unknown, 0),
             };
-            if now + wait / CAUTION >= ticket.deadline {
-                refused.push((ticket.clone(), wait));
+            let is_new = newcomer == Some(ticket.id);
+            let may_start = self.may_start(ticket, pace, count, now);
+            let is_late = is_new && self.would_be_late(ticket, pace, count, now);
+            if now >= ticket.deadline || !may_start || is_late {
+                refused.push((ticket.clone(), pace.wait(count)));
                 return false;
             }
             *before += u32::from(is_servable);
@@ -85,7 +131,7 @@
             ticket: ticket.id,
             reason: match self.unserved(&ticket, now) {
                 Unserved::Busy { .. } => Unserved::Busy {
-                    retry_after: self.retry_after(wait, pace.of(ticket.need), now),
+                    retry_after: self.retry_after(wait, paces.of(ticket.need).interval(), now),
                 },
                 reason => reason,
             },
@@ -93,11 +139,50 @@
         refused.into_iter().map(refuse).collect()
     }
 
+    /// Returns whether `ticket` may be answered before its deadline behind `before` others that start
+    /// at `pace`.
+    fn may_start(&self, ticket: &Ticket, pace: Pace, before: u32, now: Duration) -> bool {
+        let wait = pace.wait(before);
+        match pace {
+            Pace::Unknown => true,
+            Pace::AtBest(_) => now + wait / CAUTION < ticket.deadline,
+            Pace::Measured(_) => now + wait + self.latency(ticket.need) < ticket.deadline,
+        }
+    }
+
+    /// Returns whether `ticket`, which has just arrived, would be answered after its goal behind
+    /// `before` others, or shortly before.
+    ///
+    /// Once requests have waited for long, more arrive than servers can handle, and some have to be
+    /// refused in any case. They are told at once, and the others are answered within their goal where
+    /// that is possible.
+    fn would_be_late(&self, ticket: &Ticket, pace: Pace, before: u32, now: Duration) -> bool {
+        let Pace::Measured(_) = pace else {
+            return false;
+        };
+        let to_goal = ticket.goal.saturating_sub(now + self.latency(ticket.need));
+        before >= MIN_QUEUE && pace.wait(before) > to_goal / WAIT_DIVISOR
+    }
+
+    /// Returns how long a request with this need takes once it has started.
+    fn latency(&self, need: Need) -> Duration {
+        let leader = self.leader.and_then(|key| self.servers.get(&key));
+        let server = match need {
+            Need::Leader => leader,
+            Need::Position { .. } => {
+                let serving = self.servers.values();
+                let serving = serving.filter(|server| server.state == ServerState::Serving);
+                serving.min_by_key(|server| server.average_latency())
+            }
+        };
+        server.map_or(Duration::ZERO, |server| server.average_latency())
+    }
+
     /// Returns whether a server may serve `ticket` once it has a free connection.
     ///
     /// It is not known when a ticket can start that no server may serve, and others do not wait for
     /// it.
-    fn is_servable(&self, ticket: &Ticket, now: Duration) -> bool {
+    pub(super) fn is_servable(&self, ticket: &Ticket, now: Duration) -> bool {
         let mut servers = self.servers.iter();
         servers.any(|(key, server)| self.may_serve(ticket, *key, server, now))
     }
@@ -122,19 +207,28 @@
         MIN_RETRY + (MAX_RETRY - MIN_RETRY) * part / 1_000_000
     }
 
-    /// Returns the pace at which waiting requests start, or `None` where it is not known: no
-    /// primary, a hold, no open connection, or too few answers lately. A request waits then, because
-    /// each of these may end at any moment.
-    fn pace(&self, now: Duration) -> Pace {
+    /// Reports whether it was measured how fast waiting requests start.
+    pub(super) fn knows_pace(&self, now: Duration) -> bool {
+        let (leader, position) = self.starts.paces(now);
+        leader.is_some() || position.is_some()
+    }
+
+    /// Returns the pace at which waiting requests start.
+    fn paces(&self, now: Duration) -> Paces {
         let leader = self.leader.filter(|_| !self.is_on_hold(now));
         let leader = leader.and_then(|key| self.servers.get(&key)?.starts_per_second(now));
         let serving = self.servers.values();
         let serving = serving.filter(|server| server.state == ServerState::Serving);
         let position: f64 = serving.filter_map(|it| it.starts_per_second(now)).sum();
         let interval = |rate: f64| Duration::from_secs_f64(1.0 / rate);
-        Pace {
-            leader: leader.map(interval),
-            position: (position > 0.0).then(|| interval(position)),
+        let (measured_leader, measured_position) = self.starts.paces(now);
+        let measured_leader = measured_leader.filter(|_| !self.is_on_hold(now));
+        Paces {
+            leader: Pace::new(measured_leader, leader.map(interval)),
+            position: Pace::new(
+                measured_position,
+                (position > 0.0).then(|| interval(position)),
+            ),
         }
     }
 }
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -22,8 +22,9 @@
 
     /// Adds a request to the queue.
     pub fn arrive(&mut self, ticket: Ticket, now: Duration) -> Vec<Action> {
+        let id = ticket.id;
         self.waiting.push(ticket);
-        self.run(now)
+        self.run_with(Some(id), now)
     }
 
     /// Removes a request that no longer waits from the queue.
@@ -34,6 +35,11 @@
     /// Assigns free connections to waiting requests, and refuses those whose deadline has passed or
     /// that cannot start before it.
     pub(super) fn run(&mut self, now: Duration) -> Vec<Action> {
+        self.run_with(None, now)
+    }
+
+    /// Does the same after the request `newcomer` has arrived.
+    fn run_with(&mut self, newcomer: Option<u64>, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         // Requests that can still meet their goal go first: served strictly by age, a queue that
@@ -51,6 +57,7 @@
             }
             match self.placement(ticket, &mut wanted, now) {
                 Placement::Assign(server, connection) => {
+                    self.starts.of(ticket.need).record(now);
                     actions.push(Action::Assign {
                         ticket: ticket.id,
                         team: ticket.team,
@@ -73,13 +80,24 @@
                 Placement::Wait => true,
             }
         });
-        actions.extend(self.refuse_unservable(&mut waiting, now));
+        actions.extend(self.refuse_unservable(&mut waiting, newcomer, now));
         let since = self.queued_since.unwrap_or(now);
         self.queued_since = (!waiting.is_empty()).then_some(since);
         self.waiting = waiting;
+        self.record_waiting(now);
         actions
     }
 
+    /// Records which kinds of requests wait although a server may serve them.
+    fn record_waiting(&mut self, now: Duration) {
+        let waits = |is_leader: bool| {
+            let mut waiting = self.waiting.iter();
+            waiting.any(|it| (it.need == Need::Leader) == is_leader && self.is_servable(it, now))
+        };
+        let (leader, position) = (waits(true), waits(false));
+        self.starts.set_waiting(leader, position, now);
+    }
+
     /// Returns the number of connections that each team may use while others wait: an equal part of
     /// those in use.
     ///
@@ -94,7 +112,8 @@
     }
 
     /// Returns the order of requests of equal rank: oldest first, or newest first under overload
-    /// (adaptive LIFO).
+    /// (adaptive LIFO) until the pace is known at which requests start. From then on, those that would
+    /// wait too long are refused as they arrive, and the others keep their order.
     ///
     /// Under overload the queue never empties. Served oldest first, every request waits until just
     /// before its goal and is answered just after it. Served newest first, as many requests as the
@@ -103,7 +122,9 @@
     /// and more than 70% with the newest first.
     fn order(&self, now: Duration) -> QueueOrder {
         match self.queued_since {
-            Some(since) if now >= since + OVERLOAD_AFTER => QueueOrder::NewestFirst,
+            Some(since) if now >= since + OVERLOAD_AFTER && !self.knows_pace(now) => {
+                QueueOrder::NewestFirst
+            }
             _ => QueueOrder::OldestFirst,
         }
     }
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod full_server;
 mod load;
 mod orders;
+mod overload;
 mod random;
 mod restart;
 mod shared_server;
