Let the latency baseline of a server follow in a quarter of a minute

One host that gets eight times as many requests as the others was refused some, although servers were below their capacity: they had become slow, and its windows shrank as at congested ones for half a minute.

Change: the baseline drifts by 5% a second, 2% before.

--- a/crates/core/src/dispatch/window.rs
+++ b/crates/core/src/dispatch/window.rs
@@ -19,8 +19,8 @@
 const TREND_SMOOTHING_DIVISOR: u32 = 32;
 
 /// Greatest growth of the baseline in a second, as a fraction of itself. With it, the baseline is
-/// the lowest trend of about half a minute.
-const BASELINE_DRIFT_PER_SECOND: f64 = 0.02;
+/// the lowest trend of about a quarter of a minute.
+const BASELINE_DRIFT_PER_SECOND: f64 = 0.05;
 
 /// Ratio of trend to baseline above which a server counts as congested, for an infinitely large
 /// window; see [`Window::is_congested`].
