Measure no pace of requests on a host that has just started

Cause: few requests start while servers still count the connections of the former processes, and that was taken for the pace of the servers.

Change: no pace is measured until 2 s after servers have stopped counting them.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -24,6 +24,10 @@
 /// however many there are.
 const GOLDEN_MILLIONTHS: u64 = 618_034;
 
+/// Time after servers have stopped counting the connections of a host's former process until the pace
+/// of its requests says how fast servers are.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+
 /// Part of the time left until the goal that a request may wait in an overloaded service. The rest
 /// allows for others that take longer than usual.
 const WAIT_DIVISOR: u32 = 2;
@@ -209,10 +213,22 @@
 
     /// Reports whether it was measured how fast waiting requests start.
     pub(super) fn knows_pace(&self, now: Duration) -> bool {
-        let (leader, position) = self.starts.paces(now);
+        let (leader, position) = self.measured_paces(now);
         leader.is_some() || position.is_some()
     }
 
+    /// Returns the paces measured while requests have waited for long, for each kind of need.
+    ///
+    /// Guards against refusals of requests that would have been answered in time after a restart of all
+    /// hosts: few start while servers still count the connections of the former processes, and many as
+    /// soon as they do not.
+    fn measured_paces(&self, now: Duration) -> (Option<Duration>, Option<Duration>) {
+        match now < self.start.counted_until + SETTLING_TIME {
+            true => (None, None),
+            false => self.starts.paces(now),
+        }
+    }
+
     /// Returns the pace at which waiting requests start.
     fn paces(&self, now: Duration) -> Paces {
         let leader = self.leader.filter(|_| !self.is_on_hold(now));
@@ -221,7 +237,7 @@
         let serving = serving.filter(|server| server.state == ServerState::Serving);
         let position: f64 = serving.filter_map(|it| it.starts_per_second(now)).sum();
         let interval = |rate: f64| Duration::from_secs_f64(1.0 / rate);
-        let (measured_leader, measured_position) = self.starts.paces(now);
+        let (measured_leader, measured_position) = self.measured_paces(now);
         let measured_leader = measured_leader.filter(|_| !self.is_on_hold(now));
         Paces {
             leader: Pace::new(measured_leader, leader.map(interval)),
--- a/crates/core/tests/dispatch/overload.rs
+++ b/crates/core/tests/dispatch/overload.rs
@@ -81,6 +81,8 @@
     late: u64,
     /// How long each refused request had waited.
     refusals: Vec<Duration>,
+    /// Requests that were refused within [`MAX_REFUSAL`] in the first 3 s.
+    early: u64,
 }
 
 impl Outcome {
@@ -271,6 +273,9 @@
                     let arrived = self.arrivals.remove(&ticket).unwrap_or_default();
                     if arrived >= self.counted_from {
                         self.outcome.refusals.push(now - arrived);
+                        let is_early = now - arrived < MAX_REFUSAL;
+                        let since = arrived - self.counted_from;
+                        self.outcome.early += u64::from(is_early && since < ms(3_000));
                     }
                     continue;
                 }
@@ -286,3 +291,17 @@
         }
     }
 }
+
+/// Guards against refusals after a restart of all hosts: few requests start while servers count the
+/// connections of the former processes, and all others were refused at once.
+#[test]
+fn a_host_that_has_just_started_refuses_nothing_by_its_pace() {
+    let mut simulation = Simulation::new(0);
+    let start = simulation.now + ms(CALM);
+    simulation
+        .hosts
+        .iter_mut()
+        .for_each(|host| host.set_start(1, start));
+    let outcome = simulation.run(4.0, 1.0);
+    assert_eq!(outcome.early, 0);
+}
