Decide once per run which requests wait for a server

The queue was scanned twice more after each step to find out whether requests wait that a server may serve; the refusal has just counted them. Two loops that wait for a demand share one function, and conditions that stood twice have names. Behaviour is unchanged.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -131,6 +131,8 @@
             *before += u32::from(is_servable);
             true
         });
+        let (leader, position) = (ahead.leader > 0, ahead.position > 0);
+        self.starts.set_waiting(leader, position, now);
         let refuse = |(ticket, wait): (Ticket, Duration)| Action::Refuse {
             ticket: ticket.id,
             reason: match self.unserved(&ticket, now) {
@@ -186,7 +188,7 @@
     ///
     /// It is not known when a ticket can start that no server may serve, and others do not wait for
     /// it.
-    pub(super) fn is_servable(&self, ticket: &Ticket, now: Duration) -> bool {
+    fn is_servable(&self, ticket: &Ticket, now: Duration) -> bool {
         let mut servers = self.servers.iter();
         servers.any(|(key, server)| self.may_serve(ticket, *key, server, now))
     }
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -84,20 +84,9 @@
         let since = self.queued_since.unwrap_or(now);
         self.queued_since = (!waiting.is_empty()).then_some(since);
         self.waiting = waiting;
-        self.record_waiting(now);
         actions
     }
 
-    /// Records which kinds of requests wait although a server may serve them.
-    fn record_waiting(&mut self, now: Duration) {
-        let waits = |is_leader: bool| {
-            let mut waiting = self.waiting.iter();
-            waiting.any(|it| (it.need == Need::Leader) == is_leader && self.is_servable(it, now))
-        };
-        let (leader, position) = (waits(true), waits(false));
-        self.starts.set_waiting(leader, position, now);
-    }
-
     /// Returns the number of connections that each team may use while others wait: an equal part of
     /// those in use.
     ///
--- a/crates/proxy/src/election/successor.rs
+++ b/crates/proxy/src/election/successor.rs
@@ -70,8 +70,7 @@
             let mut connection = None;
             let mut known_at = election.site.now();
             while service.handover_token() == Some(token) {
-                let demanded = election.successor_demanded(&service);
-                if timeout(RECHECK_INTERVAL, demanded).await.is_err() {
+                if !election.is_state_demanded(&service).await {
                     known_at = election.site.now();
                     continue;
                 }
@@ -156,6 +155,13 @@
         service.handover_demand.notify_one();
     }
 
+    /// Waits for up to [`RECHECK_INTERVAL`] until a statement of this host or a request of another one
+    /// needs the state of the successor. Returns whether one does.
+    async fn is_state_demanded(&self, service: &Service<C>) -> bool {
+        let demanded = self.successor_demanded(service);
+        timeout(RECHECK_INTERVAL, demanded).await.is_ok()
+    }
+
     /// Waits until a statement of this host or a request of another one needs the state of the
     /// successor.
     async fn successor_demanded(&self, service: &Service<C>) {
@@ -199,8 +205,7 @@
         tokio::task::spawn_local(async move {
             let mut known_at = election.site.now();
             while service.handover_token() == Some(token) {
-                let demanded = election.successor_demanded(&service);
-                if timeout(RECHECK_INTERVAL, demanded).await.is_err() {
+                if !election.is_state_demanded(&service).await {
                     known_at = election.site.now();
                     continue;
                 }
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -143,11 +143,12 @@
         let ran = run_with_busy_retries(&mut open, &job, self.timeout()).await;
         match ran {
             RunResult::Answered(outcome) => {
-                let is_superseded = open.service.is_superseded(open.connection.server);
+                let server = open.connection.server;
+                // Of a primary that is handed over, only the successor can tell whether it still leads.
+                let is_doubtful =
+                    open.service.is_superseded(server) || open.service.is_handed_over(server);
                 let by_primary =
-                    open.by_primary && holds_lease && !is_superseded && outcome.end.is_ok();
-                // Only the successor could tell whether the primary still led.
-                let by_primary = by_primary && !open.service.is_handed_over(open.connection.server);
+                    open.by_primary && holds_lease && !is_doubtful && outcome.end.is_ok();
                 open.record_answer(&outcome, arrived, by_primary);
                 let transaction = outcome.transaction;
                 let end = if open.by_primary {
@@ -215,7 +216,8 @@
             RunResult::Answered(outcome) => {
                 let refuted =
                     open.by_primary && open.service.is_refuted(server, outcome.position, arrived);
-                let withheld = match open.wrote && outcome.end.is_ok() {
+                let has_committed = open.wrote && outcome.end.is_ok();
+                let withheld = match has_committed {
                     true => {
                         let position = outcome.position;
                         self.reason_to_withhold_commit(&open.service, server, position)
@@ -223,10 +225,7 @@
                     }
                     false => None,
                 };
-                if open.wrote
-                    && outcome.end.is_ok()
-                    && let Some(reason) = withheld.or(refuted.then_some(LOG_LOST))
-                {
+                if has_committed && let Some(reason) = withheld.or(refuted.then_some(LOG_LOST)) {
                     open.service
                         .record_answer(server, outcome.position, arrived, false);
                     open.connection.return_to_pool();
