Search for no order after a primary whose term has ended

Cause: each search for an order that nobody reports ended as superseded, since the term had ended, and the next check of the primary started another. Its hold took the place of the one for the announced successor, whose expiry would have given the primary up.

Change: no search is started for such a primary. Statements are held for its successor, and the primary is given up if none appears in time.

--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -52,7 +52,7 @@
         if service.missing_evidence(target.server, status) != MissingEvidence::Orders {
             return;
         }
-        let Some(search) = service.start_search(status.term) else {
+        let Some(search) = service.start_search(target.server, status.term) else {
             return;
         };
         self.site.log(&Event::OrderUnheard {
--- a/crates/proxy/src/service/unheard_order.rs
+++ b/crates/proxy/src/service/unheard_order.rs
@@ -14,9 +14,14 @@
 const SEARCH_HOLD_END: Duration = Duration::MAX;
 
 impl<C: Codec> Service<C> {
-    /// Holds what needs the primary of `term`, and starts the search for an order that replaced it.
-    /// Returns `None` if that search is already going on.
-    pub fn start_search(&self, term: Term) -> Option<UnheardOrder> {
+    /// Holds what needs `server`, the primary of `term`, and starts the search for an order that
+    /// replaced it. Returns `None` if that search is already going on, or if the term was announced
+    /// to end: the primary is then given up unless its successor appears in time.
+    pub fn start_search(&self, server: ServerKey, term: Term) -> Option<UnheardOrder> {
+        if self.state.borrow().leader.is_term_ended(server) {
+            self.hold_for_unknown_order();
+            return None;
+        }
         let now = self.site.now();
         let mut state = self.state.borrow_mut();
         let current = state.unheard_order.filter(|it| it.term() >= term);
