Send a primary no statements once it has been leaving for long

Cause: a primary got statements for as long as no other server led. The platform promises only that a leaving server serves for some time.

Change: the setting `leaving` names that time, taken from the platform's bounds. A primary gets statements for seven eighths of it after the first report that it leaves; then they wait for the next primary.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -185,6 +185,13 @@
         self.hold
     }
 
+    /// Returns the primary, if requests that need it are sent there at `now`.
+    fn serving_leader(&self, now: Duration) -> Option<ServerKey> {
+        let leader = self.leader.filter(|_| !self.is_on_hold(now))?;
+        let server = self.servers.get(&leader)?;
+        server.serves_as_primary(now).then_some(leader)
+    }
+
     /// Returns whether requests that need the primary are held back at `now`.
     fn is_on_hold(&self, now: Duration) -> bool {
         self.hold
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -98,8 +98,7 @@
     ) -> bool {
         let is_leader = self.leader == Some(key);
         if ticket.need == Need::Leader {
-            // A leaving primary serves writes until another server is the primary.
-            return is_leader && !self.is_on_hold(now);
+            return self.serving_leader(now) == Some(key);
         }
         if server.state != ServerState::Serving || ticket.avoid == Some(key) {
             return false;
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -38,7 +38,7 @@
     /// It takes new requests.
     Serving,
     /// It is leaving: running requests go on, and no new reads are sent to it. As the primary it
-    /// still takes writes.
+    /// still takes writes for a while.
     Leaving,
 }
 
@@ -60,6 +60,8 @@
     pub local: bool,
     /// Whether it takes new requests.
     pub state: ServerState,
+    /// Time from which it takes no requests as the primary either, while it is leaving.
+    pub serves_until: Duration,
     /// Number of requests that it runs at once.
     pub slots: u16,
     /// Number of connections that this host keeps open.
@@ -121,6 +123,7 @@
         Server {
             local,
             state: ServerState::Serving,
+            serves_until: Duration::MAX,
             slots: slots.max(1),
             base_connections,
             max_connections: max_connections.max(1),
@@ -193,6 +196,10 @@
 
     pub(super) fn update(&mut self, newer: &Server) {
         self.local = newer.local;
+        // The time counts from the first report that the server is leaving.
+        if self.state == ServerState::Serving || newer.state == ServerState::Serving {
+            self.serves_until = newer.serves_until;
+        }
         self.state = newer.state;
         self.slots = newer.slots;
         self.base_connections = newer.base_connections;
@@ -201,6 +208,17 @@
         self.restart_connections = newer.restart_connections;
     }
 
+    /// Marks the server as leaving. As the primary, it takes requests before `until`.
+    pub fn leave(&mut self, until: Duration) {
+        self.state = ServerState::Leaving;
+        self.serves_until = until;
+    }
+
+    /// Reports whether the server takes requests at `now` if it is the primary.
+    pub(super) fn serves_as_primary(&self, now: Duration) -> bool {
+        self.state == ServerState::Serving || now < self.serves_until
+    }
+
     /// Sets the number of connections that this host may have.
     pub fn set_allotment(&mut self, allotment: Allotment) {
         self.base_connections = allotment.base;
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -326,3 +326,22 @@
     let write = dispatch.arrive(ticket(2, Need::Leader, now), now);
     assert_eq!(assigned(&write), Some(keys[0]));
 }
+
+/// Guards against statements at a primary that has been leaving for longer than it serves. The time
+/// counts from the first report.
+#[test]
+fn a_primary_that_has_been_leaving_for_long_takes_nothing() {
+    let now = ms(5_000);
+    let (mut dispatch, keys) = dispatch(now);
+    for until in [ms(7_000), ms(8_000)] {
+        let mut leaving = Server::new(true, 2, 1, 2, 4);
+        leaving.leave(until);
+        dispatch.insert(keys[0], leaving);
+    }
+    let last = dispatch.arrive(ticket(1, Need::Leader, ms(6_999)), ms(6_999));
+    assert_eq!(assigned(&last), Some(keys[0]));
+    let late = dispatch.arrive(ticket(2, Need::Leader, ms(7_000)), ms(7_000));
+    assert_eq!(assigned(&late), None);
+    dispatch.set_leader(Some(keys[1]));
+    assert_eq!(assigned(&dispatch.tick(ms(7_001))), Some(keys[1]));
+}
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -66,6 +66,8 @@
     pub metrics: SocketAddr,
     /// How long the shutdown of the host may take.
     pub grace: Duration,
+    /// How long a backend server serves after it has reported that it is leaving, if known.
+    pub leaving: Option<Duration>,
     /// Maximum number of open caller sessions.
     pub sessions: usize,
     /// Maximum number of open connections of hosts that read feeds at this one.
@@ -160,7 +162,8 @@
 ) -> io::Result<()> {
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
     let site = Site::new(host.clone(), zone.clone(), clock);
-    let site = Rc::new(site.with_strength(settings.strength));
+    let site = site.with_strength(settings.strength);
+    let site = Rc::new(site.with_leaving(settings.leaving));
     let fleet = Rc::new(Fleet::<C>::new(Rc::clone(&site)));
     let stop = Rc::new(Stop::default());
     let platform = Rc::new(platform);
--- a/crates/proxy/src/service/listing.rs
+++ b/crates/proxy/src/service/listing.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use flamingopost_core::dispatch::{self, ServerState};
+use flamingopost_core::dispatch;
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::Role;
 use flamingopost_core::succession::Contact;
@@ -41,7 +41,7 @@
             let mut server = dispatch::Server::new(local, backend.slots, 0, 1, 1);
             server.set_allotment(state.allotment);
             if backend.leaving {
-                server.state = ServerState::Leaving;
+                server.leave(self.site.leaving_until());
             }
             state.dispatch.insert(key, server);
             // The role in a copy may be one that the server had before it was replaced.
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -11,6 +11,9 @@
 use crate::event::{Event, LogLimit};
 use crate::platform::Strength;
 
+/// Part of the time for which a leaving server serves that its report may take to reach this host.
+const REPORT_SHARE: u32 = 8;
+
 /// State shared by all parts of a host.
 pub struct Site {
     /// Name of the host.
@@ -19,6 +22,8 @@
     pub zone: String,
     /// Strength of the host, if the settings name one.
     pub strength: Option<Strength>,
+    /// How long a leaving server serves, if the settings tell.
+    pub leaving: Option<Duration>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Limits the volume of logs.
@@ -36,6 +41,7 @@
             host,
             zone,
             strength: None,
+            leaving: None,
             clock,
             limit: LogLimit::default(),
             teams: RefCell::default(),
@@ -49,6 +55,17 @@
         Site { strength, ..self }
     }
 
+    /// Sets how long a leaving server serves.
+    pub fn with_leaving(self, leaving: Option<Duration>) -> Site {
+        Site { leaving, ..self }
+    }
+
+    /// Returns until when a primary gets requests that reports now that it is leaving.
+    pub fn leaving_until(&self) -> Duration {
+        let served = self.leaving.map(|leaving| leaving - leaving / REPORT_SHARE);
+        served.map_or(Duration::MAX, |served| self.now() + served)
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Duration {
         self.clock.now()
