Hold no statements for a claim that this process has won

While a primary left and its only replica was down, writes waited 1.65 s again and again.

Cause: a host that takes over a claim holds statements for a leaving primary, since the former holder may have given its order. It did the same each time it renewed its own claim.

Change: nothing is held for a claim that this process has won, since it knows of each order under it.

--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -103,7 +103,8 @@
     /// was killed between its claim and its order would otherwise leave the service without a
     /// primary forever. A holder that is merely slow is fenced by its lower token.
     ///
-    /// The previous holder may have given its order, so requests for a leaving primary are held.
+    /// The previous holder may have given its order, so requests for a leaving primary are held, unless
+    /// it is this process.
     pub(super) async fn claim_or_take_over(
         &self,
         service: &Service<C>,
@@ -121,7 +122,8 @@
         if is_outdated || by != host && now < seen + CLAIM_HOLDER_TIMEOUT {
             return Ok(claim);
         }
-        if self.trouble(service) == Some(Trouble::Leaving) {
+        if self.trouble(service) == Some(Trouble::Leaving) && !self.is_own_claim(by, name, attempt)
+        {
             service.hold_for_unknown_order();
         }
         let over = Some(*revision);
@@ -219,6 +221,14 @@
         self.record_change(service, attempt, true);
     }
 
+    /// Reports whether the claim of change `attempt` that `host` holds was won by this process, which
+    /// then knows of each order under it.
+    fn is_own_claim(&self, host: &str, service: &str, attempt: u64) -> bool {
+        let key = (service.to_owned(), attempt);
+        let changes = self.changes.borrow();
+        host == self.site.host && changes.get(&key).is_some_and(|change| change.own)
+    }
+
     /// Records that another host ordered a change of the primary of `service`.
     pub(super) fn record_peer_change(&self, service: &str, attempt: u64) {
         self.record_change(service, attempt, false);
