Compare the answer of a claim's holder in whole microseconds

Hosts that had not got the claim of a change held statements for a leaving primary although the claim's holder answered them.

Cause: the time at which the holder was asked, in nanoseconds, was compared with the one in its answer, in whole microseconds, and was later.

Change: the time is compared as it was sent.

--- a/crates/proxy/src/election/claim_holder.rs
+++ b/crates/proxy/src/election/claim_holder.rs
@@ -8,6 +8,7 @@
 
 use super::Election;
 use crate::codec::Codec;
+use crate::peer::micros;
 use crate::platform::Platform;
 use crate::service::Service;
 
@@ -30,7 +31,8 @@
         }
         let listed = self.fleet.peers();
         let holder = listed.iter().find(|(_, peer)| peer.host == by).cloned();
-        let sent = self.site.now();
+        // A heartbeat names whole microseconds, and so does its answer.
+        let sent = Duration::from_micros(micros(self.site.now()));
         if let Some((_, peer)) = &holder {
             self.send_heartbeat(peer, sent);
         }
