--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -233,14 +233,14 @@
 
     /// Returns the pace at which waiting requests start.
     fn paces(&self, now: Duration) -> Paces {
-        let leader = self.serving_leader(now);
-        let leader = leader.and_then(|key| self.servers.get(&key)?.starts_per_second(now));
+        let serving_leader = self.serving_leader(now);
+        let leader = serving_leader.and_then(|key| self.servers.get(&key)?.starts_per_second(now));
         let serving = self.servers.values();
         let serving = serving.filter(|server| server.state == ServerState::Serving);
         let position: f64 = serving.filter_map(|it| it.starts_per_second(now)).sum();
         let interval = |rate: f64| Duration::from_secs_f64(1.0 / rate);
         let (measured_leader, measured_position) = self.measured_paces(now);
-        let measured_leader = measured_leader.filter(|_| self.serving_leader(now).is_some());
+        let measured_leader = measured_leader.filter(|_| serving_leader.is_some());
         Paces {
             leader: Pace::new(measured_leader, leader.map(interval)),
             position: Pace::new(
