Ask a successor for its receipt on one connection

The wait for a successor's receipt opened a connection for each question, 5 ms apart, beside `ask_state`, which puts the same question on a kept one. It uses that now. Each connection takes a slot of the server.

Also: an elapsed time limit becomes a connection error by one conversion instead of a closure at each of five places, and `status_on` keeps its connection only after an answer, so its caller has nothing to clear.

--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -69,18 +69,16 @@
         target: &Target,
         term: Term,
     ) -> Result<Term, server_connection::Error> {
-        let timed_out = |_| server_connection::Error::Io(std::io::ErrorKind::TimedOut.into());
         let id = self.site.next_id();
         let back = timeout(
             STATUS_TIMEOUT,
             ServerConnection::<C>::connect(id, target, &self.site.host),
         )
         .await;
-        let mut back = back.map_err(timed_out)??;
+        let mut back = back??;
         loop {
             let asked = self.site.now();
-            let status = timeout(STATUS_TIMEOUT, back.status()).await;
-            let status = status.map_err(timed_out)??;
+            let status = timeout(STATUS_TIMEOUT, back.status()).await??;
             service.record_status(target.server, &status, asked);
             if status.role == Role::Primary && status.term > term {
                 return Ok(status.term);
@@ -177,14 +175,12 @@
         term: Term,
     ) -> Result<Status, server_connection::Error> {
         let id = self.site.next_id();
-        let timed_out = |_| server_connection::Error::Io(std::io::ErrorKind::TimedOut.into());
         let back = timeout(
             STATUS_TIMEOUT,
             ServerConnection::<C>::connect(id, target, &self.site.host),
         )
         .await;
-        let mut back = back.map_err(timed_out)??;
-        let status = timeout(STATUS_TIMEOUT, back.step_down(term)).await;
-        status.map_err(timed_out)?
+        let mut back = back??;
+        timeout(STATUS_TIMEOUT, back.step_down(term)).await?
     }
 }
--- a/crates/proxy/src/election/promote.rs
+++ b/crates/proxy/src/election/promote.rs
@@ -8,23 +8,19 @@
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::{FencingToken, Order, Succession};
 use flamingopost_core::term::Term;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use super::{Election, ORDER_ANNOUNCEMENT_LEAD, ORDER_TIMEOUT, Probe, target};
+use super::{Election, ORDER_ANNOUNCEMENT_LEAD, ORDER_TIMEOUT, target};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::peer::{EndedTerm, Payload};
 use crate::platform::{Platform, Promotion, Token};
-use crate::server_connection::Target;
 use crate::service::Service;
 
 /// Longest time that an order waits until the successor of a leaving primary has received the log. One
 /// that receives nothing is ordered all the same.
 const RECEIPT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Interval between two requests for what the successor has received.
-const RECEIPT_INTERVAL: Duration = Duration::from_millis(5);
-
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Orders `server` to lead after the current term, and follows the order up.
     pub(super) async fn promote(
@@ -81,14 +77,11 @@
         if order == Order::Accepted {
             let next = Term::from_number(term.number() + 1);
             let is_used = service.handover_token() == Some(token.0);
-            let (used, unused) = match is_used {
-                true => (replaced, None),
-                false => (None, replaced),
-            };
-            if let Some(unused) = unused {
-                self.step_down(&service, &unused, next);
+            if !is_used && let Some(replaced) = &replaced {
+                self.step_down(&service, replaced, next);
             }
             if let Some(successor) = target(&service, server) {
+                let used = replaced.filter(|_| is_used);
                 self.await_promotion(&service, successor, term, sent, used);
             }
         }
@@ -102,27 +95,6 @@
         service.failover_notify.notify_one();
     }
 
-    /// Waits until `successor` has received all that the leaving primary `replaced` has now. The hosts
-    /// acknowledge nothing more there that the successor has not received, and what it lacks as it
-    /// begins to lead is lost.
-    async fn await_receipt(&self, service: &Rc<Service<C>>, replaced: &Target, successor: &Target) {
-        let mut extent = None;
-        loop {
-            if extent.is_none()
-                && let Probe::Status(status) = self.query_status(service, replaced).await
-            {
-                extent = Some(status.received);
-            }
-            if let Some(extent) = extent
-                && let Probe::Status(status) = self.query_status(service, successor).await
-                && status.received >= extent
-            {
-                return;
-            }
-            sleep(RECEIPT_INTERVAL).await;
-        }
-    }
-
     /// Announces the order of `server`, unless all that it tells was just announced with the end of the
     /// term.
     fn announce_order(
--- a/crates/proxy/src/election/status.rs
+++ b/crates/proxy/src/election/status.rs
@@ -107,7 +107,7 @@
                 return Probe::Status(status);
             }
             Ok(Err(error)) => error,
-            Err(_) => server_connection::Error::Io(std::io::ErrorKind::TimedOut.into()),
+            Err(elapsed) => elapsed.into(),
         };
         service.record_failure(target.server, &error, sent);
         match error {
--- a/crates/proxy/src/election/successor.rs
+++ b/crates/proxy/src/election/successor.rs
@@ -11,7 +11,7 @@
 use flamingopost_core::term::Term;
 use tokio::time::{sleep, timeout};
 
-use super::{Election, STATUS_TIMEOUT, target};
+use super::{Election, Probe, STATUS_TIMEOUT, target};
 use crate::codec::Codec;
 use crate::message::Status;
 use crate::peer::{Payload, micros};
@@ -100,6 +100,32 @@
         });
     }
 
+    /// Waits until `successor` has received all that the leaving primary `replaced` has now. The hosts
+    /// acknowledge nothing more there that the successor has not received, and what it lacks as it
+    /// begins to lead is lost.
+    pub(super) async fn await_receipt(
+        &self,
+        service: &Rc<Service<C>>,
+        replaced: &Target,
+        successor: &Target,
+    ) {
+        let extent = loop {
+            if let Probe::Status(status) = self.query_status(service, replaced).await {
+                break status.received;
+            }
+            sleep(REQUEST_INTERVAL).await;
+        };
+        let mut connection = None;
+        loop {
+            match self.ask_state(service, successor, &mut connection).await {
+                Ok(State::Follows(received)) if received < extent => {}
+                Ok(State::Follows(_) | State::Leads(_)) => return,
+                Err(_) => {}
+            }
+            sleep(REQUEST_INTERVAL).await;
+        }
+    }
+
     /// Asks a successor for its state, on `connection` if there is one.
     async fn ask_state(
         &self,
@@ -108,12 +134,7 @@
         connection: &mut Option<ServerConnection<C>>,
     ) -> Result<State, server_connection::Error> {
         let asked = self.site.now();
-        let status = timeout(STATUS_TIMEOUT, self.status_on(target, connection)).await;
-        let status = status.unwrap_or_else(|_| {
-            let timed_out = std::io::ErrorKind::TimedOut;
-            Err(server_connection::Error::Io(timed_out.into()))
-        });
-        let status = status.inspect_err(|_| *connection = None)?;
+        let status = timeout(STATUS_TIMEOUT, self.status_on(target, connection)).await??;
         service.record_status(target.server, &status, asked);
         Ok(match status.role {
             Role::Primary => State::Leads(status.term),
@@ -121,21 +142,22 @@
         })
     }
 
+    /// Returns the state of `target`. The connection is kept only after an answer.
     async fn status_on(
         &self,
         target: &Target,
         connection: &mut Option<ServerConnection<C>>,
     ) -> Result<Status, server_connection::Error> {
-        if connection.is_none() {
-            let id = self.site.next_id();
-            *connection = Some(ServerConnection::connect(id, target, &self.site.host).await?);
-        }
-        match connection {
-            Some(connection) => connection.status().await,
-            None => Err(server_connection::Error::Io(
-                std::io::ErrorKind::NotConnected.into(),
-            )),
-        }
+        let mut back = match connection.take() {
+            Some(back) => back,
+            None => {
+                let id = self.site.next_id();
+                ServerConnection::connect(id, target, &self.site.host).await?
+            }
+        };
+        let status = back.status().await?;
+        *connection = Some(back);
+        Ok(status)
     }
 
     /// Records a request of another host, to be answered with the next answer of the successor.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -161,8 +161,7 @@
             self.peer.flush().await?;
             self.peer.outcome().await
         });
-        let silent = |_| server_connection::Error::Io(std::io::ErrorKind::TimedOut.into());
-        answered.await.map_err(silent)?
+        answered.await?
     }
 
     async fn next_event(&mut self) -> Result<RelayEvent, caller_connection::Error> {
--- a/crates/proxy/src/server_connection.rs
+++ b/crates/proxy/src/server_connection.rs
@@ -11,6 +11,7 @@
 use flamingopost_core::term::Term;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::error::Elapsed;
 
 use crate::caller_state::ConnectionState;
 use crate::codec::{self, Codec};
@@ -60,6 +61,12 @@
     }
 }
 
+impl From<Elapsed> for Error {
+    fn from(elapsed: Elapsed) -> Error {
+        Error::Io(elapsed.into())
+    }
+}
+
 impl From<codec::Error> for Error {
     fn from(error: codec::Error) -> Error {
         Error::Codec(error)
@@ -127,9 +134,7 @@
         };
         C::startup(&mut connection.out, &target.service, client, &target.id);
         let greeting = tokio::time::timeout(CONNECT_TIMEOUT, connection.read_greeting());
-        greeting
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        greeting.await??;
         Ok(connection)
     }
 
