Extend no lease beside a change that its holder has not confirmed

Cause: a host's lease is extended by answers to its heartbeats, which tell of ended terms. An answer left out each change that the answering host had known for longer than the sender's time without a majority and one second. Both assume that heartbeats travel quickly and that all hosts learn of a change in one moment. A heartbeat that was sent into a partition and arrives as that ends tells of no time without a majority; by then the change is older than a second. The sender's lease went on, it was not told, and it used the replaced primary until that stepped down.

Change: an answer to a host that names its process follows once that process has confirmed all changes, however old. The numbers, pages and confirmations for that were there for many changes at once. A change costs one more round trip for each host and elector.

--- a/crates/core/src/change_log.rs
+++ b/crates/core/src/change_log.rs
@@ -28,15 +28,12 @@
 /// log.record("ledger", at(1));
 /// log.record("stock", at(2));
 /// log.record("ledger", at(3));
-/// let services = |log: &ChangeLog, since| -> Vec<String> {
-///     let unconfirmed = log.unconfirmed(host, Some(7), since);
-///     unconfirmed.into_iter().map(|(_, service)| service.to_owned()).collect()
-/// };
-/// assert_eq!(services(&log, at(0)), ["stock", "ledger"]);
-/// assert_eq!(services(&log, at(3)), ["ledger"]);
+/// assert_eq!(log.recent(at(0)), [(2, "stock"), (3, "ledger")]);
+/// assert_eq!(log.recent(at(3)), [(3, "ledger")]);
+/// assert_eq!(log.unconfirmed(host, 7), [(2, "stock"), (3, "ledger")]);
 /// log.confirm(host, 7, 2);
-/// assert_eq!(services(&log, at(0)), ["ledger"]);
-/// assert_eq!(log.unconfirmed(host, Some(8), at(0)).len(), 2, "another process of the host");
+/// assert_eq!(log.unconfirmed(host, 7), [(3, "ledger")]);
+/// assert_eq!(log.unconfirmed(host, 8).len(), 2, "another process of the host");
 /// ```
 #[derive(Debug, Default)]
 pub struct ChangeLog {
@@ -70,28 +67,22 @@
         self.changes.insert(self.newest, change);
     }
 
-    /// Returns the changes learned of at `since` or later which `process` of `host` has not
-    /// confirmed, with their numbers in ascending order. Without a process, none counts as confirmed.
-    pub fn unconfirmed(
-        &self,
-        host: HostKey,
-        process: Option<u64>,
-        since: Duration,
-    ) -> Vec<(u64, &str)> {
+    /// Returns the changes that `process` of `host` has not confirmed, with their numbers in ascending
+    /// order, however long ago this host learned of them.
+    pub fn unconfirmed(&self, host: HostKey, process: u64) -> Vec<(u64, &str)> {
         let confirmation = self.confirmed.get(&host);
-        let confirmation = confirmation.filter(|it| Some(it.process) == process);
-        self.since(confirmation.map_or(0, |it| it.up_to), since)
+        let confirmation = confirmation.filter(|it| it.process == process);
+        let confirmed = confirmation.map_or(0, |it| it.up_to);
+        let newer = self.changes.range(confirmed.saturating_add(1)..);
+        newer
+            .map(|(number, (service, _))| (*number, service.as_str()))
+            .collect()
     }
 
     /// Returns the changes learned of at `since` or later, with their numbers in ascending order.
     pub fn recent(&self, since: Duration) -> Vec<(u64, &str)> {
-        self.since(0, since)
-    }
-
-    /// Returns the changes after the one numbered `after` that were learned of at `since` or later.
-    fn since(&self, after: u64, since: Duration) -> Vec<(u64, &str)> {
-        let newer = self.changes.range(after.saturating_add(1)..).rev();
-        let recent = newer.take_while(|(_, (_, at))| *at >= since);
+        let newest = self.changes.iter().rev();
+        let recent = newest.take_while(|(_, (_, at))| *at >= since);
         let mut found: Vec<(u64, &str)> = recent
             .map(|(number, (service, _))| (*number, service.as_str()))
             .collect();
--- a/crates/proxy/src/election/ended_terms.rs
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -40,27 +40,27 @@
     /// Answers a heartbeat of `host`.
     ///
     /// The acknowledgement extends a lease, so its receiver must know each change that this host
-    /// knows. If they fit into no single message, they are sent in pages, and the acknowledgement
-    /// follows the confirmation. A host of an earlier build confirms nothing, and gets the oldest
-    /// ones only.
+    /// knows. It follows once the receiver has confirmed all of them. A host of an earlier build
+    /// confirms nothing, and gets those that it may have missed by its own account, as far as they fit
+    /// into one message.
     ///
-    /// Guards against a replaced primary that a host keeps relying on: after the loss of a zone, the
-    /// changes of one second did not fit into one message, and a host that had missed the notification
-    /// of one of the others never learned of it.
+    /// Guards against a replaced primary that a host keeps relying on. A heartbeat that arrives late, as
+    /// a partition ends, tells that its sender was in contact with a majority when it was sent, and
+    /// a change that this host has known for long may be news to that sender all the same.
     pub(super) fn answer_heartbeat(&self, host: HostKey, beat: &Heartbeat, to: SocketAddr) {
-        let missed = Duration::from_millis(u64::from(beat.out_of_touch)) + PROPAGATION_WINDOW;
-        let since = self.site.now().saturating_sub(missed);
-        let log = self.ended_terms.borrow();
-        let unconfirmed = log.unconfirmed(host, beat.process, since);
-        let numbers: Vec<u64> = unconfirmed.iter().map(|(number, _)| *number).collect();
-        let services = unconfirmed.iter().map(|(_, service)| *service);
-        let mut pages = pages(self.ended_terms_of(services));
-        if pages.len() > 1 && beat.process.is_some() {
-            return self.send_pages(beat.sent, &numbers, pages, to);
-        }
-        let ended_terms = match pages.is_empty() {
-            true => Vec::new(),
-            false => pages.remove(0),
+        let ended_terms = match beat.process {
+            Some(process) => {
+                let unconfirmed = self.unconfirmed_ended_terms(host, process);
+                if !unconfirmed.is_empty() {
+                    return self.send_changes(beat.sent, unconfirmed, to);
+                }
+                Vec::new()
+            }
+            None => {
+                let missed = Duration::from_millis(u64::from(beat.out_of_touch));
+                let missed = self.recent_ended_terms(missed + PROPAGATION_WINDOW);
+                pages(missed).into_iter().next().unwrap_or_default()
+            }
         };
         let ack = Payload::HeartbeatAck {
             sent: beat.sent,
@@ -72,8 +72,22 @@
         self.send_message(String::new(), ack, to);
     }
 
-    /// Sends the changes with `numbers`, which are divided into `pages`.
-    fn send_pages(&self, sent: u64, numbers: &[u64], pages: Vec<Vec<EndedTerm>>, to: SocketAddr) {
+    /// Returns the changes that `process` of `host` has not confirmed, with their numbers. A service that
+    /// is not configured any more has none.
+    fn unconfirmed_ended_terms(&self, host: HostKey, process: u64) -> Vec<(u64, EndedTerm)> {
+        let log = self.ended_terms.borrow();
+        let unconfirmed = log.unconfirmed(host, process).into_iter();
+        let ended = unconfirmed.filter_map(|(number, service)| {
+            let ended = self.fleet.find_service(service)?.newest_replacement()?;
+            Some((number, ended))
+        });
+        ended.collect()
+    }
+
+    /// Sends numbered `changes` in pages that are to be confirmed.
+    fn send_changes(&self, sent: u64, changes: Vec<(u64, EndedTerm)>, to: SocketAddr) {
+        let (numbers, ended): (Vec<u64>, Vec<EndedTerm>) = changes.into_iter().unzip();
+        let pages = pages(ended);
         let start = numbers.first().map_or(0, |first| first - 1);
         let (mut from, mut done, count) = (start, 0, pages.len());
         for (index, ended_terms) in pages.into_iter().enumerate() {
--- a/crates/proxy/tests/changes.rs
+++ b/crates/proxy/tests/changes.rs
@@ -55,10 +55,16 @@
 
     /// Sends a heartbeat of a host that may have missed everything.
     fn beat(&self, sent: u64) {
+        self.beat_in_touch(sent, u32::MAX);
+    }
+
+    /// Sends a heartbeat of a host that was in contact with a majority `out_of_touch` milliseconds before
+    /// it sent it.
+    fn beat_in_touch(&self, sent: u64, out_of_touch: u32) {
         self.send(Payload::ProcessHeartbeat {
             process: PROCESS,
             sent,
-            out_of_touch: u32::MAX,
+            out_of_touch,
             epoch: 0,
             sample_requests: Vec::new(),
             ended_terms: Vec::new(),
@@ -167,6 +173,26 @@
     });
 }
 
+/// Guards against a replaced primary that a host keeps relying on: its heartbeat from before or within a
+/// partition arrived late, and a change from more than a second before was not told with the answer.
+#[test]
+fn a_late_heartbeat_extends_no_lease_beside_a_change_that_its_sender_does_not_know() {
+    play(1, async |peer| {
+        tokio::time::sleep(Duration::from_millis(1_100)).await;
+        peer.beat_in_touch(1, 0);
+        let pages = peer.pages().await;
+        assert_eq!(pages.len(), 1);
+        peer.beat_in_touch(2, 0);
+        let last = &peer.pages().await[0];
+        peer.confirm(2, last.process, last.to);
+        let answer = peer.receive().await;
+        assert!(
+            matches!(answer, Payload::HeartbeatAck { sent: 2, .. }),
+            "{answer:?}"
+        );
+    });
+}
+
 /// Guards against a lost page that is taken for received, and against sending all pages again.
 #[test]
 fn a_lost_page_is_sent_again_before_the_lease_is_extended() {
