--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -17,10 +17,12 @@
 
 use crate::key::HostKey;
 
+mod clearance;
 mod closing;
 mod handover;
 mod store;
 
+pub use clearance::{Basis, Clearance};
 pub use closing::Closing;
 pub use handover::{Handover, Verdict};
 pub use store::{STORE_RENEWAL_INTERVAL, StoreLease};
@@ -158,6 +160,12 @@
         self.others.len()
     }
 
+    /// Reports whether no other host has sent a message for `time`.
+    pub fn is_alone_for(&self, time: Duration, now: Duration) -> bool {
+        let mut others = self.others.values();
+        self.listed && others.all(|contact| now >= contact.heard_at + time)
+    }
+
     /// Returns the hosts that count as gone for good.
     pub fn gone_hosts(&self, now: Duration) -> BTreeSet<HostKey> {
         let silent = |contact: &Contact| now >= contact.heard_at + GONE_TIMEOUT;
@@ -189,16 +197,24 @@
         until.max().unwrap_or_default()
     }
 
-    /// Returns from when on the successor may be ordered: no host uses the primary of the term whose end
-    /// was announced. A promotion may take any time, so the successor may lead at once. Hosts that
-    /// confirm stop by themselves. Any other may hold a lease, which ends a lease's duration after:
+    /// Returns from when on the successor may be ordered, and why: no host uses the primary of the term
+    /// whose end was announced. A promotion may take any time, so the successor may lead at once. Returns
+    /// `None` while too few hosts have confirmed the end, however long they are silent: they may extend
+    /// each other's leases without this host.
+    ///
+    /// Hosts that confirm stop by themselves. Once a majority has confirmed, any other may hold a lease,
+    /// which ends a lease's duration after:
     ///
     /// - it was last heard by this host or one that has confirmed, where one that neither has heard for
     ///   [`GONE_TIMEOUT`] counts as gone, or
     /// - a majority has confirmed, since each majority that answers it later includes a host that
     ///   tells it of the end, and
     /// - the change was claimed, if the host relies on the claims in the store.
-    pub fn order_from(&self, closing: &Closing, now: Duration) -> Duration {
+    pub fn order_from(&self, closing: &Closing, now: Duration) -> Option<Clearance> {
+        if let Some(from) = closing.stepped_down_at() {
+            let basis = Basis::SteppedDown;
+            return Some(Clearance { from, basis });
+        }
         let gone = self.gone_hosts(now);
         let is_unheard = |host: &HostKey| {
             let heard_at = closing.heard_at(*host);
@@ -208,6 +224,9 @@
         let own = usize::from(!self.non_elector);
         let majority = (self.others.len() + own - gone.len()) / 2 + 1;
         let known_at = closing.known_to(majority - own);
+        if known_at.is_none() && !closing.is_primary_delisted() {
+            return None;
+        }
         let unconfirmed = self.others.iter();
         let unconfirmed =
             unconfirmed.filter(|(host, _)| !closing.is_confirmed(**host) && !gone.contains(host));
@@ -221,6 +240,14 @@
         let last_contact = last_contact.max().max(others);
         let lease_begin = last_contact.map(|at| at.max(closing.claimed_at().unwrap_or_default()));
         let leases_end = lease_begin.map(|at| at + LEASE_DURATION + CLOCK_MARGIN);
-        closing.served_until().max(leases_end.unwrap_or_default())
+        let basis = match (known_at, leases_end) {
+            (None, _) => Basis::Delisted,
+            (Some(_), None) => Basis::AllConfirmed,
+            (Some(_), Some(_)) => Basis::MajorityConfirmed,
+        };
+        Some(Clearance {
+            from: closing.served_until().max(leases_end.unwrap_or_default()),
+            basis,
+        })
     }
 }
--- a/crates/core/src/quorum/closing.rs
+++ b/crates/core/src/quorum/closing.rs
@@ -22,10 +22,12 @@
 /// let mut quorum = Quorum::default();
 /// quorum.set_hosts([first, second].into_iter().collect(), at);
 /// let mut closing = Closing::announced(at, Duration::ZERO);
+/// let order_from = |closing: &Closing| Some(quorum.order_from(closing, at)?.from);
+/// assert_eq!(order_from(&closing), None, "nobody has confirmed the end");
 /// closing.confirm(first, [], at);
-/// assert_eq!(quorum.order_from(&closing, at), at + LEASE_DURATION + CLOCK_MARGIN);
+/// assert_eq!(order_from(&closing), Some(at + LEASE_DURATION + CLOCK_MARGIN));
 /// closing.confirm(second, [], at);
-/// assert_eq!(quorum.order_from(&closing, at), at);
+/// assert_eq!(order_from(&closing), Some(at));
 /// ```
 #[derive(Debug, Clone)]
 pub struct Closing {
@@ -35,6 +37,8 @@
     watched: Option<ServerKey>,
     claimed_at: Option<Duration>,
     has_other_hosts: bool,
+    is_primary_delisted: bool,
+    stepped_down_at: Option<Duration>,
     /// When each host has confirmed.
     confirmed: BTreeMap<HostKey, Duration>,
     /// When a host that has confirmed last heard from each other host.
@@ -51,6 +55,8 @@
             watched: None,
             claimed_at: None,
             has_other_hosts: false,
+            is_primary_delisted: false,
+            stepped_down_at: None,
             confirmed: BTreeMap::new(),
             heard: BTreeMap::new(),
         }
@@ -85,6 +91,20 @@
         }
     }
 
+    /// Sets whether the claim that this host holds, and the platform that has not listed the primary for
+    /// long, take the place of a majority's confirmation.
+    pub fn with_primary_delisted(self, is_primary_delisted: bool) -> Closing {
+        Closing {
+            is_primary_delisted,
+            ..self
+        }
+    }
+
+    /// Records at `now` that the primary follows, so that no host can use it.
+    pub fn record_step_down(&mut self, now: Duration) {
+        self.stepped_down_at.get_or_insert(now);
+    }
+
     /// Records at `now` that `host` knows of the end, and when it last heard from other hosts.
     pub fn confirm(
         &mut self,
@@ -140,6 +160,16 @@
         self.claimed_at
     }
 
+    /// Reports whether the platform has not listed the primary for long, and this host holds the claim.
+    pub fn is_primary_delisted(&self) -> bool {
+        self.is_primary_delisted && self.claimed_at.is_some()
+    }
+
+    /// Returns when the primary was seen to follow, if it was.
+    pub fn stepped_down_at(&self) -> Option<Duration> {
+        self.stepped_down_at
+    }
+
     /// Reports whether further hosts may use the primary besides those that confirm.
     pub(super) fn has_other_hosts(&self) -> bool {
         self.has_other_hosts
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -69,9 +69,17 @@
 /// their entries again after a restore of the store. A leaving server has seconds left.
 const LEAVING_EVIDENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// How long a host that holds the claim on a leaving primary and hears too few others waits for them. After
+/// that it asks the primary to step down. A leaving server has seconds left.
+const LEAVING_CONTACT_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// How long the holder of a claim may take until other hosts learn of its order.
 pub const CLAIM_HOLDER_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Age at which a claim is renewed until the end of the term is announced, so that no other host takes it
+/// over while this one waits for reports.
+pub const CLAIM_RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Delay between the turns of two hosts while the store is unavailable.
 const STORELESS_TURN: Duration = Duration::from_millis(250);
 
@@ -103,6 +111,8 @@
     /// Whether the current change rests on this host's turn alone, without a claim in the store
     /// that excludes other hosts.
     without_claim: bool,
+    /// Whether the order that is given rests on this host's claim, without a majority's confirmation.
+    rests_on_claim: bool,
     /// The server that the last inquiries have passed over.
     passed_over: Option<PassedOver>,
 }
@@ -163,6 +173,12 @@
         self.without_claim
     }
 
+    /// Reports whether the order that is given rests on this host's claim alone, which the store has to
+    /// confirm.
+    pub fn rests_on_claim(&self) -> bool {
+        self.rests_on_claim
+    }
+
     /// Reports whether this host knows of a change under way, so that requests that need a primary
     /// are worth holding back.
     pub fn is_under_way(&self) -> bool {
@@ -239,16 +255,21 @@
     /// describes.
     pub fn record_end_of_term(&mut self, closing: Closing) {
         if let Phase::Choosing { inquiry, .. } = &mut self.phase {
-            let claimed_at = inquiry.claimed_at;
-            inquiry.closing = Some(closing.with_claim(claimed_at));
+            let closing = closing.with_claim(inquiry.claimed_since);
+            inquiry.closing = Some(closing.with_primary_delisted(inquiry.is_minority));
         }
     }
 
     /// Returns the end of the primary's term that this host has announced, while the order waits for
     /// it.
     pub fn closing(&self) -> Option<&Closing> {
+        Some(self.closing_under()?.0)
+    }
+
+    /// Returns the same with the token under which it was announced.
+    pub fn closing_under(&self) -> Option<(&Closing, FencingToken)> {
         match &self.phase {
-            Phase::Choosing { inquiry, .. } => inquiry.closing.as_ref(),
+            Phase::Choosing { token, inquiry, .. } => Some((inquiry.closing.as_ref()?, *token)),
             _ => None,
         }
     }
@@ -270,6 +291,16 @@
         }
     }
 
+    /// Records that the primary whose end was announced under `token` has stepped down.
+    pub fn record_step_down(&mut self, under: FencingToken, now: Duration) {
+        if let Phase::Choosing { token, inquiry, .. } = &mut self.phase
+            && *token == under
+            && let Some(closing) = &mut inquiry.closing
+        {
+            closing.record_step_down(now);
+        }
+    }
+
     /// Returns since when this host has missed a primary that is not replaced, because other hosts
     /// reach it or too few miss it. Callers are served better by another host.
     pub fn outvoted(&self) -> Option<Duration> {
@@ -327,12 +358,21 @@
         match std::mem::take(&mut self.phase) {
             Phase::Claiming(inquiry) => {
                 self.without_claim = false;
-                let claimed_at = Some(now);
+                let is_renewed = inquiry.claimed_at.is_some();
                 let inquiry = Inquiry {
-                    claimed_at,
+                    claimed_at: Some(now),
+                    claimed_since: inquiry.claimed_since.or(Some(now)),
                     ..inquiry
                 };
-                self.start_choosing(token, inquiry, now)
+                if !is_renewed {
+                    return self.start_choosing(token, inquiry, now);
+                }
+                self.phase = Phase::Choosing {
+                    token,
+                    until: inquiry.deadline,
+                    inquiry,
+                };
+                Vec::new()
             }
             phase => {
                 self.phase = phase;
@@ -341,6 +381,14 @@
         }
     }
 
+    /// Records that another host, from which this one takes the claim over, has held it since `since` or
+    /// longer: no lease rests on the lack of a claim from then on.
+    pub fn record_earlier_claim(&mut self, since: Duration) {
+        if let Phase::Claiming(inquiry) = &mut self.phase {
+            inquiry.claimed_since.get_or_insert(since);
+        }
+    }
+
     /// Records that another host holds the claim.
     pub fn claim_lost(&mut self, now: Duration) {
         if matches!(self.phase, Phase::Claiming(_)) {
@@ -554,7 +602,11 @@
             }
             Decision::Replace => {
                 self.outvoted_since = None;
-                self.phase = Phase::Claiming(inquiry);
+                let is_minority = !inquiry.has_majority(view);
+                self.phase = Phase::Claiming(Inquiry {
+                    is_minority,
+                    ..inquiry
+                });
                 vec![NextStep::Claim]
             }
         }
--- a/crates/core/src/succession/action.rs
+++ b/crates/core/src/succession/action.rs
@@ -19,6 +19,12 @@
     AskServers,
     /// Claim the change in the store.
     Claim,
+    /// Renew the claim that was won under `token`, which other hosts would take over soon. It is won
+    /// anew, or lost.
+    RenewClaim {
+        /// The token of the claim.
+        token: FencingToken,
+    },
     /// Announce to the other hosts that the primary's term ends and that `server` is to succeed it,
     /// and pass their confirmations to [`Succession::record_closed`](super::Succession::record_closed).
     EndTerm {
--- a/crates/core/src/succession/choice.rs
+++ b/crates/core/src/succession/choice.rs
@@ -10,8 +10,8 @@
 use super::inquiry::Inquiry;
 use super::view::View;
 use super::{
-    CATCH_UP_INTERVAL, CATCH_UP_TIMEOUT, INQUIRY_BACKOFF, INQUIRY_TIMEOUT, LATE_EXECUTION_WINDOW,
-    Phase, Succession,
+    CATCH_UP_INTERVAL, CATCH_UP_TIMEOUT, CLAIM_RENEWAL_INTERVAL, INQUIRY_BACKOFF, INQUIRY_TIMEOUT,
+    LATE_EXECUTION_WINDOW, LEAVING_CONTACT_TIMEOUT, Phase, Succession,
 };
 
 /// What follows from the reports of servers so far.
@@ -82,6 +82,14 @@
         if is_well || view.term > inquiry.term || inquiry.sees_newer_leader(view) {
             return Vec::new();
         }
+        let must_renew = inquiry
+            .claimed_at
+            .is_some_and(|at| now >= at + CLAIM_RENEWAL_INTERVAL);
+        if ends_term && must_renew {
+            inquiry.deadline = until;
+            self.phase = Phase::Claiming(inquiry);
+            return vec![NextStep::RenewClaim { token }];
+        }
         let (until, steps) = match self.choice(token, until, &inquiry, view, now) {
             Choice::AskAgain(round) => {
                 inquiry.ask_again(now);
@@ -101,6 +109,7 @@
             Choice::Wait => (until, Vec::new()),
             Choice::Order(server) => {
                 let position = inquiry.received_position(server);
+                self.rests_on_claim = inquiry.rests_on_claim();
                 self.phase = Phase::Ordering {
                     token,
                     server,
@@ -134,6 +143,12 @@
     ) -> Choice {
         let ends_term = inquiry.closing.is_none();
         let leaves = inquiry.cause == Some(Trouble::Leaving);
+        // The others would not hear of the end of the term. Their opinions may be from before this host
+        // was cut off from them.
+        let may_announce = view.in_contact || self.may_act_alone(inquiry, now);
+        if ends_term && !may_announce {
+            return Choice::PassOver;
+        }
         // Hosts that are cut off together with the primary may keep relying on it until their
         // leases end. The successor would lack what they acknowledge after the order. The end of
         // the term is announced before, except that a leaving primary serves meanwhile.
@@ -177,6 +192,17 @@
         }
     }
 
+    /// Reports whether the claim that this host holds stands in for hosts that it cannot ask: the
+    /// platform has not listed the primary for long, or a leaving primary is asked to step down.
+    fn may_act_alone(&self, inquiry: &Inquiry, now: Duration) -> bool {
+        let leaving_since = self
+            .leaving_since
+            .filter(|_| inquiry.cause == Some(Trouble::Leaving));
+        let leaves_for_long =
+            leaving_since.is_some_and(|since| now >= since + LEAVING_CONTACT_TIMEOUT);
+        inquiry.claimed_at.is_some() && (inquiry.is_minority || leaves_for_long)
+    }
+
     /// Reports whether an order to promote `server` may be given under `token`.
     ///
     /// Guards against an unanswered order that the platform carries out after a later one: the
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -66,8 +66,12 @@
     pub(super) passed_over: Option<PassedOver>,
     /// The furthest position that servers had reported when they were last asked again.
     pub(super) earlier_extent: Option<Position>,
-    /// When this host won the claim.
+    /// When this host won or renewed the claim.
     pub(super) claimed_at: Option<Duration>,
+    /// Since when the store has had a claim on the change, of this host or of one that it was taken from.
+    pub(super) claimed_since: Option<Duration>,
+    /// Whether the change rests on the platform's list and the claim, because too few hosts can be asked.
+    pub(super) is_minority: bool,
     /// The end of the primary's term, once it was announced.
     pub(super) closing: Option<Closing>,
 }
@@ -130,8 +134,15 @@
         }
     }
 
+    /// Reports whether the order rests on the claim of this host, because too few hosts can confirm the end
+    /// of the term.
+    pub(super) fn rests_on_claim(&self) -> bool {
+        let closing = self.closing.as_ref();
+        closing.is_some_and(|it| it.is_primary_delisted() || it.stepped_down_at().is_some())
+    }
+
     /// Reports whether more than half of all hosts miss the primary.
-    fn has_majority(&self, view: &View) -> bool {
+    pub(super) fn has_majority(&self, view: &View) -> bool {
         let missing = self.count(Opinion::Fails) + 1;
         missing * 2 > view.peers.len() + 1
     }
@@ -466,6 +477,10 @@
     /// comes after all that stay and have entries, and before those without any. A server that has
     /// not answered again comes after those that have, once it has had the time of a restart.
     ///
+    /// A server that was ordered before, and has caught up since it restarted, comes before those with
+    /// a longer log, and one that was announced before those with an equal one. Guards against an order
+    /// that is carried out after this one: the platform changes nothing if its server leads already.
+    ///
     /// Guards against the loss of the whole log where empty servers that have just restarted are
     /// the only others. An entry that says that a server is leaving may also be that of its former
     /// start, if the store was restored from a copy.
@@ -483,7 +498,12 @@
             let counts = confirmed || !self.is_overdue(now);
             let has_entries = !report.has_empty_log();
             let stays = !view.leaving.contains(server);
-            let order = (has_entries, stays, counts, report.received, confirmed);
+            let required = view.required_positions.get(server);
+            let has_caught_up = required.is_none_or(|required| report.received >= *required);
+            let is_ordered = view.ordered_before == Some(*server) && has_caught_up;
+            let is_announced = view.announced == Some(*server);
+            let log = (is_ordered, report.received, is_announced);
+            let order = (has_entries, stays, counts, log, confirmed);
             let qualifies = is_replica && (has_entries || stays) && eligible(server, report);
             qualifies.then_some((order, *server))
         });
--- a/crates/core/src/succession/view.rs
+++ b/crates/core/src/succession/view.rs
@@ -41,8 +41,14 @@
     pub newest_token: Option<FencingToken>,
     /// When an order may be given at the earliest. Before the end of the term is announced, when the
     /// last lease of the hosts that have not answered ends. After that, when no host uses the primary
-    /// any more by the time at which its successor leads, or where commits are synchronous, at all.
+    /// any more, or [`Duration::MAX`] while too few hosts have confirmed the end.
     pub leases_end: Duration,
+    /// Whether a majority of hosts has answered this one recently.
+    pub in_contact: bool,
+    /// The server that an earlier order of the same change names, which may still be carried out.
+    pub ordered_before: Option<ServerKey>,
+    /// The server that was announced as the successor, by this or another host.
+    pub announced: Option<ServerKey>,
     /// Whether the primary acknowledges a commit only after a replica has received it.
     pub synchronous: bool,
     /// The newest log position that this host knows.
--- a/crates/core/tests/epoch.rs
+++ b/crates/core/tests/epoch.rs
@@ -97,6 +97,9 @@
             rank: 0,
             newest_token: None,
             leases_end: leases.max(host.epochs.orders_allowed_from(&host.others)),
+            in_contact: true,
+            ordered_before: None,
+            announced: None,
             synchronous: false,
             newest_position: Position::default(),
             required_positions: BTreeMap::new(),
@@ -121,7 +124,7 @@
                 NextStep::AskServers => servers[1..].iter().for_each(|server| {
                     host.succession.record_report(*server, report());
                 }),
-                NextStep::Claim => {
+                NextStep::Claim | NextStep::RenewClaim { .. } => {
                     host.claims += 1;
                     pending.extend(host.succession.claim_won(grant, now));
                 }
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -6,7 +6,8 @@
 use flamingopost_core::key::HostKey;
 use flamingopost_core::names::Names;
 use flamingopost_core::quorum::{
-    CLOCK_MARGIN, Closing, GONE_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_DURATION, Quorum, StoreLease,
+    Basis, CLOCK_MARGIN, Closing, GONE_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_DURATION, Quorum,
+    StoreLease,
 };
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -202,6 +203,11 @@
 /// Time for which a lease may last that began at some moment, by the clock of another host.
 const LEASE: Duration = LEASE_DURATION.saturating_add(CLOCK_MARGIN);
 
+/// When `quorum` lets an order go, or `None` if too few hosts have confirmed the end of the term.
+fn order_from(quorum: &Quorum, closing: &Closing, now: Duration) -> Option<Duration> {
+    quorum.order_from(closing, now).map(|it| it.from)
+}
+
 /// Five hosts, of which this one hears all others at 1 s.
 fn five_hosts() -> (Quorum, Vec<HostKey>) {
     let others = hosts(4);
@@ -218,7 +224,7 @@
     for (host, at) in others.iter().zip([1_102, 1_103, 1_110, 1_104]) {
         closing.confirm(*host, [], ms(at));
     }
-    assert_eq!(quorum.order_from(&closing, ms(1_110)), ms(1_110));
+    assert_eq!(order_from(&quorum, &closing, ms(1_110)), Some(ms(1_110)));
 }
 
 /// Guards against a host that one host does not hear, and whose lease the others extend: it is waited
@@ -230,7 +236,48 @@
     closing.confirm(others[0], [(others[3], ms(1_500))], ms(1_602));
     closing.confirm(others[1], [(others[3], ms(1_400))], ms(1_602));
     closing.confirm(others[2], [], ms(1_602));
-    assert_eq!(quorum.order_from(&closing, ms(1_610)), ms(1_500) + LEASE);
+    assert_eq!(
+        order_from(&quorum, &closing, ms(1_610)),
+        Some(ms(1_500) + LEASE)
+    );
+}
+
+/// Guards against an order by a host that is cut off from all others: it took their silence for the end of
+/// their leases, which they extend for each other.
+#[test]
+fn no_order_is_given_before_a_majority_has_confirmed_the_end_of_the_term() {
+    let (quorum, others) = five_hosts();
+    let mut closing = Closing::announced(ms(1_950), ms(0)).with_claim(Some(ms(1_100)));
+    let later = ms(1_950) + GONE_TIMEOUT * 4;
+    assert_eq!(order_from(&quorum, &closing, later), None, "all are silent");
+    closing.confirm(others[0], [], later);
+    assert_eq!(order_from(&quorum, &closing, later), None, "two of five");
+    closing.confirm(others[1], [], later);
+    assert_eq!(order_from(&quorum, &closing, later), Some(later));
+}
+
+/// Guards against a service without a primary for good: the last host that is left orders a successor once
+/// the platform has not listed the primary for long, and only with the claim.
+#[test]
+fn a_lone_host_orders_with_the_claim_or_once_the_primary_has_stepped_down() {
+    let (quorum, _) = five_hosts();
+    let alone = Closing::announced(ms(1_950), ms(0)).with_primary_delisted(true);
+    assert_eq!(order_from(&quorum, &alone, ms(20_000)), None, "no claim");
+    let claimed = alone.with_claim(Some(ms(1_900)));
+    let clearance = quorum.order_from(&claimed, ms(20_000)).expect("a claim");
+    assert_eq!(
+        (clearance.from, clearance.basis),
+        (ms(1_900) + LEASE, Basis::Delisted)
+    );
+    let mut leaving = Closing::announced(ms(1_950), ms(0)).with_claim(Some(ms(1_900)));
+    leaving.record_step_down(ms(2_100));
+    let clearance = quorum
+        .order_from(&leaving, ms(2_100))
+        .expect("an answer of the primary");
+    assert_eq!(
+        (clearance.from, clearance.basis),
+        (ms(2_100), Basis::SteppedDown)
+    );
 }
 
 /// Guards against an order that waits for no lease of a host which this one has not heard for long, and
@@ -247,9 +294,16 @@
     for host in &others[..3] {
         closing.confirm(*host, [], now);
     }
-    assert_eq!(quorum.order_from(&closing, now), now, "nobody hears it");
+    assert_eq!(
+        order_from(&quorum, &closing, now),
+        Some(now),
+        "nobody hears it"
+    );
     closing.confirm(others[0], [(others[3], now - ms(200))], now);
-    assert_eq!(quorum.order_from(&closing, now), now - ms(200) + LEASE);
+    assert_eq!(
+        order_from(&quorum, &closing, now),
+        Some(now - ms(200) + LEASE)
+    );
 }
 
 /// Guards against an order that is never given: a host that is heard all the time and hears nothing
@@ -260,10 +314,13 @@
     let mut closing = Closing::announced(ms(1_600), ms(0));
     closing.confirm(others[0], [(others[3], ms(1_590))], ms(1_602));
     quorum.record_message(others[3], ms(2_000));
-    let until = quorum.order_from(&closing, ms(2_000));
-    assert_eq!(until, ms(2_000) + LEASE, "two of five may extend no lease");
+    let until = order_from(&quorum, &closing, ms(2_000));
+    assert_eq!(until, None, "two of five: the others extend leases");
     closing.confirm(others[1], [(others[3], ms(2_010))], ms(1_604));
-    assert_eq!(quorum.order_from(&closing, ms(2_020)), ms(1_604) + LEASE);
+    assert_eq!(
+        order_from(&quorum, &closing, ms(2_020)),
+        Some(ms(1_604) + LEASE)
+    );
 }
 
 /// Guards against a lease from the store, which a host that hears no other renews until the change is
@@ -275,9 +332,12 @@
     for host in &others[..3] {
         closing.confirm(*host, [], ms(3_002));
     }
-    assert_eq!(quorum.order_from(&closing, ms(3_010)), ms(2_990) + LEASE);
+    assert_eq!(
+        order_from(&quorum, &closing, ms(3_010)),
+        Some(ms(2_990) + LEASE)
+    );
     closing.confirm(others[3], [], ms(3_020));
-    assert_eq!(quorum.order_from(&closing, ms(3_020)), ms(3_020));
+    assert_eq!(order_from(&quorum, &closing, ms(3_020)), Some(ms(3_020)));
 }
 
 /// Guards against hosts of a large fleet that confirm nothing: their leases end after most electors know.
@@ -288,7 +348,10 @@
     for (host, at) in others.iter().zip([1_102, 1_103, 1_104, 1_105]) {
         closing.confirm(*host, [], ms(at));
     }
-    assert_eq!(quorum.order_from(&closing, ms(1_110)), ms(1_103) + LEASE);
+    assert_eq!(
+        order_from(&quorum, &closing, ms(1_110)),
+        Some(ms(1_103) + LEASE)
+    );
 }
 
 /// Guards against an order that takes effect while hosts that know of the end still serve.
@@ -299,5 +362,5 @@
     for host in &others {
         closing.confirm(*host, [], ms(1_104));
     }
-    assert_eq!(quorum.order_from(&closing, ms(1_110)), ms(1_174));
+    assert_eq!(order_from(&quorum, &closing, ms(1_110)), Some(ms(1_174)));
 }
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -61,6 +61,9 @@
         rank: 2,
         newest_token: None,
         leases_end: ms(0),
+        in_contact: true,
+        ordered_before: None,
+        announced: None,
         synchronous: false,
         newest_position: position(1, 40),
         required_positions: BTreeMap::new(),
@@ -676,7 +679,9 @@
     while now < ms(2_500) {
         for next in setup.step(now) {
             match next {
-                NextStep::Claim => orders.extend(setup.succession.claim_won(FencingToken(7), now)),
+                NextStep::Claim | NextStep::RenewClaim { .. } => {
+                    orders.extend(setup.succession.claim_won(FencingToken(7), now))
+                }
                 NextStep::Promote { .. } => orders.push(next),
                 NextStep::AskHosts | NextStep::AskServers | NextStep::EndTerm { .. } => {}
             }
@@ -716,7 +721,9 @@
     while now < ms(2_500) {
         for next in setup.step(now) {
             match next {
-                NextStep::Claim => orders.extend(setup.succession.claim_won(FencingToken(7), now)),
+                NextStep::Claim | NextStep::RenewClaim { .. } => {
+                    orders.extend(setup.succession.claim_won(FencingToken(7), now))
+                }
                 NextStep::Promote { .. } => orders.push(next),
                 NextStep::AskHosts | NextStep::AskServers | NextStep::EndTerm { .. } => {}
             }
--- a/crates/core/tests/succession_fleet.rs
+++ b/crates/core/tests/succession_fleet.rs
@@ -222,6 +222,9 @@
             rank: u32::try_from(host).unwrap_or(u32::MAX),
             newest_token: None,
             leases_end: ms(0),
+            in_contact: true,
+            ordered_before: None,
+            announced: None,
             synchronous: false,
             newest_position: position(1, 40),
             required_positions: BTreeMap::new(),
@@ -277,7 +280,7 @@
                         }
                     }
                 }
-                NextStep::Claim => {
+                NextStep::Claim | NextStep::RenewClaim { .. } => {
                     let term = self.hosts[host].term;
                     let way = ms(self.rng.random_range(5..240));
                     self.at(self.now + way, Event::Claimed(host, term));
--- a/crates/core/tests/succession_terms.rs
+++ b/crates/core/tests/succession_terms.rs
@@ -63,6 +63,9 @@
         rank: 0,
         newest_token: None,
         leases_end: ms(0),
+        in_contact: true,
+        ordered_before: None,
+        announced: None,
         synchronous: true,
         newest_position: position(1, 40),
         required_positions: BTreeMap::new(),
@@ -206,7 +209,9 @@
         }
         for next in steps {
             match next {
-                NextStep::Claim => setup.succession.claim_undecided(0, now),
+                NextStep::Claim | NextStep::RenewClaim { .. } => {
+                    setup.succession.claim_undecided(0, now)
+                }
                 NextStep::Promote { server, token } => {
                     orders.push((server, token));
                     setup
@@ -263,6 +268,7 @@
         orders.extend(steps.into_iter().filter_map(|it| match it {
             NextStep::Promote { server, .. } => Some(server),
             NextStep::Claim
+            | NextStep::RenewClaim { .. }
             | NextStep::AskHosts
             | NextStep::AskServers
             | NextStep::EndTerm { .. } => None,
@@ -288,7 +294,9 @@
         }
         for next in steps {
             match next {
-                NextStep::Claim => setup.succession.claim_undecided(3, now),
+                NextStep::Claim | NextStep::RenewClaim { .. } => {
+                    setup.succession.claim_undecided(3, now)
+                }
                 NextStep::AskServers => {
                     let longest = if now < ms(1_300) { 43 } else { 0 };
                     let said = [(1, position(1, 40)), (2, position(1, longest))];
@@ -332,7 +340,9 @@
         }
         for next in steps {
             match next {
-                NextStep::Claim => setup.succession.claim_undecided(3, now),
+                NextStep::Claim | NextStep::RenewClaim { .. } => {
+                    setup.succession.claim_undecided(3, now)
+                }
                 NextStep::AskServers => {
                     let other = match now < ms(1_300) {
                         true => Answer::Log(43),
@@ -446,6 +456,7 @@
         let server = steps.into_iter().find_map(|it| match it {
             NextStep::Promote { server, .. } => Some(server),
             NextStep::Claim
+            | NextStep::RenewClaim { .. }
             | NextStep::AskHosts
             | NextStep::AskServers
             | NextStep::EndTerm { .. } => None,
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -81,8 +81,11 @@
     ended_terms: RefCell<ChangeLog>,
     /// Which changes were received from each elector.
     received_terms: RefCell<BTreeMap<HostKey, Coverage>>,
-    /// Claims held by other hosts, and when this host first saw each of them.
+    /// Claims held by other hosts, by service and the revision at which they were won, and when this host
+    /// first saw or heard of each of them.
     known_claims: RefCell<BTreeMap<(String, Revision), Duration>>,
+    /// Ids of the servers that holders of claims were about to order, by service and change number.
+    named_successors: RefCell<BTreeMap<(String, u64), String>>,
     /// Changes of primaries that were claimed or ordered, by service and change number.
     changes: RefCell<BTreeMap<(String, u64), claims::Change>>,
     /// The newest term of each service for which the store holds a claim on the change of its
@@ -149,6 +152,7 @@
             ended_terms: RefCell::default(),
             received_terms: RefCell::default(),
             known_claims: RefCell::default(),
+            named_successors: RefCell::default(),
             changes: RefCell::default(),
             claimed_terms: RefCell::default(),
             orders_known: Cell::new(false),
@@ -198,7 +202,7 @@
         match next {
             NextStep::AskHosts => self.ask_hosts(service, view),
             NextStep::AskServers => self.ask_servers(service, succession),
-            NextStep::Claim => {
+            NextStep::Claim | NextStep::RenewClaim { .. } => {
                 let (election, service) = (Rc::clone(self), Rc::clone(service));
                 let succession = Rc::clone(succession);
                 let attempt = view.term.number().unsigned_abs();
@@ -220,20 +224,24 @@
     }
 
     /// Logs which hosts were told of the end of the term before an order, whether each of them has
-    /// confirmed it, and how long ago each was last heard.
+    /// confirmed it, how long ago each was last heard, and what lets the order go.
     fn log_order_basis(&self, service: &Rc<Service<C>>, server: ServerKey, closing: &Closing) {
         let electors = self.fleet.electors();
         let contacts = electors.iter().map(|(key, peer)| {
             let state = match closing.is_confirmed(*key) {
                 true => "confirmed",
-                false => "silent",
+                false => "not confirmed",
             };
             let age = self.fleet.with_quorum(|quorum, now| quorum.age(*key, now));
             let millis = age.unwrap_or_default().as_millis();
             format!("{} ({state}, heard {millis} ms ago)", peer.host)
         });
         let contacts: Vec<String> = contacts.collect();
+        let clearance = self
+            .fleet
+            .with_quorum(|quorum, now| quorum.order_from(closing, now));
         self.site.log(&Event::Rests {
+            basis: clearance.map_or_else(String::new, |it| it.basis.to_string()),
             service: service.name.clone(),
             server: service.name_of(Some(server)),
             millis: self
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -6,15 +6,16 @@
 use std::time::Duration;
 
 use flamingopost_core::epoch::Epoch;
+use flamingopost_core::key::ServerKey;
 use flamingopost_core::succession::{
     CLAIM_HOLDER_TIMEOUT, FencingToken, PROMOTION_TIMEOUT, Succession, Trouble,
 };
 use flamingopost_core::term::Term;
 
-use super::{Election, in_time};
+use super::{CLAIM_TIMEOUT, Election, in_time};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::platform::{Claim, Error, Platform};
+use crate::platform::{Claim, Error, Platform, Revision, Token};
 use crate::service::Service;
 
 /// How long a change of primary is remembered. This exceeds the age of the backup that a store is
@@ -41,6 +42,17 @@
     own: bool,
 }
 
+/// Whether this host still holds a claim that it has won.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Confirmation {
+    /// It does.
+    Held,
+    /// Another host may have taken the claim over.
+    Lost,
+    /// The store has not answered.
+    NoAnswer,
+}
+
 impl<C: Codec, P: Platform> Election<C, P> {
     /// Returns the newest store epoch that the store itself has reported to this host.
     pub(super) fn epoch(&self) -> Epoch {
@@ -62,13 +74,16 @@
     ) {
         let epoch = self.epoch();
         let claimed = in_time(async {
-            let claim = self.claim_or_take_over(&service, attempt).await?;
-            self.require_epoch(epoch, claim)
+            let (claim, since) = self.claim_or_take_over(&service, attempt).await?;
+            Ok((self.require_epoch(epoch, claim)?, since))
         });
         let claimed = claimed.await;
         let now = self.site.now();
         let outcome = match claimed {
-            Ok(Claim::Won(token)) => {
+            Ok((Claim::Won(token), since)) => {
+                if let Some(since) = since {
+                    succession.borrow_mut().record_earlier_claim(since);
+                }
                 self.reserve_token(token);
                 self.record_own_claim(&service.name, attempt);
                 let next = succession
@@ -80,7 +95,7 @@
                 }
                 format!("won with token {}", token.0)
             }
-            Ok(Claim::Held { by, .. }) => {
+            Ok((Claim::Held { by, .. }, _)) => {
                 succession.borrow_mut().claim_lost(now);
                 self.hold_unless_holder_answers(&service, &by);
                 format!("held by {by}")
@@ -104,30 +119,93 @@
     /// primary forever. A holder that is merely slow is fenced by its lower token.
     ///
     /// The previous holder may have given its order, so requests for a leaving primary are held, unless
-    /// it is this process.
+    /// it is this process. The server that it was about to order is preferred as the successor: an order
+    /// that is still in transit then changes nothing. Returns besides since when the claim of the previous
+    /// holder was known here, if it was taken over.
     pub(super) async fn claim_or_take_over(
         &self,
         service: &Service<C>,
         attempt: u64,
-    ) -> Result<Claim, Error> {
+    ) -> Result<(Claim, Option<Duration>), Error> {
         let (name, host) = (&service.name, &self.site.host);
         let claim = self.platform.claim(name, attempt, host, None).await?;
-        let Claim::Held { by, revision } = &claim else {
-            return Ok(claim);
+        let Claim::Held {
+            by,
+            revision,
+            won_at,
+            successor,
+        } = &claim
+        else {
+            return Ok((claim, None));
         };
+        if let Some(successor) = successor {
+            self.record_named_successor(name, attempt, successor);
+        }
         let now = self.site.now();
-        let key = (name.clone(), *revision);
-        let seen = *self.known_claims.borrow_mut().entry(key).or_insert(now);
+        let seen = self.record_claim(name, *won_at, now);
         let is_outdated = revision.epoch() != self.epoch();
         if is_outdated || by != host && now < seen + CLAIM_HOLDER_TIMEOUT {
-            return Ok(claim);
+            return Ok((claim, None));
         }
         if self.trouble(service) == Some(Trouble::Leaving) && !self.is_own_claim(by, name, attempt)
         {
             service.hold_for_unknown_order();
         }
         let over = Some(*revision);
-        self.platform.claim(name, attempt, host, over).await
+        let taken = self.platform.claim(name, attempt, host, over).await?;
+        Ok((taken, Some(seen)))
+    }
+
+    /// Records that another host holds the claim on a change of the primary of `service`, which it has won
+    /// at `won_at`. Returns when this host first saw or heard of that claim.
+    pub(super) fn record_claim(&self, service: &str, won_at: Revision, now: Duration) -> Duration {
+        let key = (service.to_owned(), won_at);
+        *self.known_claims.borrow_mut().entry(key).or_insert(now)
+    }
+
+    fn record_named_successor(&self, service: &str, attempt: u64, successor: &str) {
+        let key = (service.to_owned(), attempt);
+        let mut named = self.named_successors.borrow_mut();
+        named.insert(key, successor.to_owned());
+    }
+
+    /// Returns the server that the claim on the next change of the primary of `service` names, as far as
+    /// this host has read it.
+    pub(super) fn ordered_before(&self, service: &Service<C>) -> Option<ServerKey> {
+        let attempt = service.newest_term().number().unsigned_abs();
+        let key = (service.name.clone(), attempt);
+        let named = self.named_successors.borrow();
+        service.find_server(named.get(&key)?)
+    }
+
+    /// Records in the claim that this host has won under `token` that it is about to order `successor`.
+    /// Returns whether the order may be given: not if another host has taken the claim over. A store that
+    /// does not answer in time leaves that to the hosts which have confirmed the end of the term.
+    pub(super) async fn confirm_claim(
+        &self,
+        service: &Service<C>,
+        attempt: u64,
+        token: Token,
+        successor: &str,
+    ) -> Confirmation {
+        let asked = self.site.now();
+        let (name, host) = (&service.name, &self.site.host);
+        let named = self
+            .platform
+            .name_successor(name, attempt, host, token, successor);
+        let named = in_time(named).await;
+        // After a pause of this process the claim may have been taken over since.
+        let is_recent = self.site.now() < asked + CLAIM_TIMEOUT * 2;
+        let is_held = match &named {
+            Ok(Claim::Won(_)) => true,
+            Ok(Claim::Held { by, won_at, .. }) => by == host && *won_at == token.revision(),
+            Err(_) if is_recent => return Confirmation::NoAnswer,
+            Err(_) => false,
+        };
+        match is_held && is_recent {
+            true => Confirmation::Held,
+            false => Confirmation::Lost,
+        }
     }
 
     /// Returns `claim` unless the store was restored since `epoch`. In that case the claim may have
--- a/crates/proxy/src/election/ended_terms.rs
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -11,7 +11,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::peer::{EndedTerm, Payload, pages};
-use crate::platform::Platform;
+use crate::platform::{Platform, Revision};
 use crate::service::Service;
 
 /// A heartbeat to be answered.
@@ -196,6 +196,7 @@
         }
         self.record_ended_term(&service.name);
         self.record_peer_change(&service.name, ended.term().number().unsigned_abs());
+        self.record_claim(&service.name, Revision(ended.token), self.site.now());
         self.site.log(&Event::OtherActs {
             service: service.name.clone(),
             host: host.to_owned(),
--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -1,16 +1,18 @@
 //! Follows up on an order: polls the successor until it leads, and tells the replaced primary to
 //! step down.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::Role;
-use flamingopost_core::succession::PROMOTION_TIMEOUT;
+use flamingopost_core::quorum::{CLOCK_MARGIN, LEASE_DURATION};
+use flamingopost_core::succession::{PROMOTION_TIMEOUT, Succession, Trouble};
 use flamingopost_core::term::Term;
 use tokio::time::timeout;
 
-use super::{ACTIVE_STEP_INTERVAL, Election, STATUS_TIMEOUT};
+use super::{ACTIVE_STEP_INTERVAL, Election, STATUS_TIMEOUT, target};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::Status;
@@ -128,6 +130,46 @@
         });
     }
 
+    /// Asks the leaving primary of `service` to step down, if its end was announced for longer than a lease
+    /// lasts and too few hosts have confirmed that: no host can use it then, whichever do not answer.
+    pub(super) fn fence_leaving_primary(
+        self: &Rc<Self>,
+        service: &Rc<Service<C>>,
+        succession: &Rc<RefCell<Succession>>,
+    ) {
+        let (announced_at, token) = match succession.borrow().closing_under() {
+            Some((closing, token)) => (closing.announced_at(), token),
+            None => return,
+        };
+        let now = self.site.now();
+        let is_leaving = self.trouble(service) == Some(Trouble::Leaving);
+        let replaced = service.leader().and_then(|leader| target(service, leader));
+        let Some(replaced) = replaced.filter(|_| is_leaving) else {
+            return;
+        };
+        if now < announced_at + LEASE_DURATION + CLOCK_MARGIN {
+            return;
+        }
+        let next = Term::from_number(service.newest_term().number() + 1);
+        self.site.log(&Event::StepDownForced {
+            service: service.name.clone(),
+            server: replaced.id.clone(),
+        });
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        let succession = Rc::clone(succession);
+        tokio::task::spawn_local(async move {
+            let Ok(status) = election.send_step_down(&replaced, next).await else {
+                return;
+            };
+            election.record_step_down(&service, &replaced, next, &status);
+            if status.role == Role::Replica {
+                let now = election.site.now();
+                succession.borrow_mut().record_step_down(token, now);
+                service.failover_notify.notify_one();
+            }
+        });
+    }
+
     /// Records the answer of `target` to the request to step down for `term`.
     fn record_step_down(
         &self,
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -119,6 +119,12 @@
             .with_quorum(|quorum, now| quorum.holds_lease(now))
     }
 
+    /// Reports whether this host has heard no other elector for `time`.
+    pub(super) fn is_alone_for(&self, time: Duration) -> bool {
+        self.fleet
+            .with_quorum(|quorum, now| quorum.is_alone_for(time, now))
+    }
+
     /// Builds a heartbeat of this host at `now`, and the messages that precede it.
     fn heartbeats(&self, now: Duration) -> Versions {
         let (sent, epoch) = (micros(now), self.newest_known_epoch().0);
--- a/crates/proxy/src/election/promote.rs
+++ b/crates/proxy/src/election/promote.rs
@@ -10,6 +10,7 @@
 use flamingopost_core::term::Term;
 use tokio::time::timeout;
 
+use super::claims::Confirmation;
 use super::{Election, ORDER_ANNOUNCEMENT_LEAD, ORDER_TIMEOUT, target};
 use crate::codec::Codec;
 use crate::event::Event;
@@ -59,8 +60,22 @@
             let receipt = self.await_receipt(&service, replaced, &successor);
             let _ = timeout(RECEIPT_TIMEOUT, receipt).await;
         }
-        let sent = self.site.now();
         let platform_token = Token(token.0);
+        if !self
+            .may_still_order(&service, &succession, term, &id, platform_token)
+            .await
+        {
+            succession
+                .borrow_mut()
+                .order_finished(Order::Refused, self.site.now());
+            self.site.log(&Event::ClaimLost {
+                service: service.name.clone(),
+                server: id,
+                token: token.0,
+            });
+            return;
+        }
+        let sent = self.site.now();
         let host = &self.site.host;
         let ordered = timeout(
             ORDER_TIMEOUT,
@@ -95,6 +110,35 @@
         service.failover_notify.notify_one();
     }
 
+    /// Reports whether this host still holds the claim under which it is about to order the server with
+    /// `id`, and names that server in it. Without an answer of the store the order may rest on the hosts
+    /// that have confirmed the end of the term, if those are a majority.
+    ///
+    /// Guards against an order by a host that was cut off or paused after the last confirmation, and
+    /// against a later order of another server beside it.
+    async fn may_still_order(
+        &self,
+        service: &Rc<Service<C>>,
+        succession: &Rc<RefCell<Succession>>,
+        term: Term,
+        id: &str,
+        token: Token,
+    ) -> bool {
+        let (acts_without_claim, rests_on_claim) = {
+            let succession = succession.borrow();
+            (succession.acts_without_claim(), succession.rests_on_claim())
+        };
+        if acts_without_claim {
+            return true;
+        }
+        let attempt = term.number().unsigned_abs();
+        match self.confirm_claim(service, attempt, token, id).await {
+            Confirmation::Held => true,
+            Confirmation::Lost => false,
+            Confirmation::NoAnswer => !rests_on_claim,
+        }
+    }
+
     /// Announces the order of `server`, unless all that it tells was just announced with the end of the
     /// term.
     fn announce_order(
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -19,6 +19,9 @@
 /// Interval between two status queries to all servers while the service has no primary.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Interval between two checks whether a leaving primary has to be asked to step down.
+const FENCE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval between two connection shortage reports. Each report is in effect for one second.
 const SHORTAGE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -56,6 +59,7 @@
         let mut last_shortage_report = Duration::ZERO;
         let mut last_notice = Duration::ZERO;
         let mut last_closing = Duration::ZERO;
+        let mut last_fence = Duration::ZERO;
         let mut last_step = self.site.now();
         let mut epoch = self.newest_known_epoch();
         self.update_known_orders(&service);
@@ -81,6 +85,10 @@
                 last_closing = now;
                 self.repeat_closing(&service, &succession);
             }
+            if ends_term && view.leases_end == Duration::MAX && now >= last_fence + FENCE_INTERVAL {
+                last_fence = now;
+                self.fence_leaving_primary(&service, &succession);
+            }
             if now >= last_shortage_report + SHORTAGE_REPORT_INTERVAL {
                 last_shortage_report = now;
                 self.send_shortages(&service);
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use flamingopost_core::leader::Role;
-use flamingopost_core::succession::{ClaimRecord, Finding, PROMOTION_TIMEOUT, UnheardOrder};
+use flamingopost_core::succession::{
+    ClaimRecord, Finding, MINORITY_DELAY, PROMOTION_TIMEOUT, UnheardOrder,
+};
 use tokio::time::sleep;
 
 use super::{Election, Probe, in_time};
@@ -139,9 +141,14 @@
         target: &Target,
         search: UnheardOrder,
     ) -> bool {
+        // Hosts that know of a change of this primary would tell this one.
+        let is_heard = self.has_quorum() || self.is_alone_for(MINORITY_DELAY);
+        if !is_heard {
+            return false;
+        }
         let attempt = search.term().number().unsigned_abs();
         let claim = in_time(self.claim_or_take_over(service, attempt)).await;
-        let Ok(Claim::Won(token)) = claim else {
+        let Ok((Claim::Won(token), _)) = claim else {
             return false;
         };
         self.order_and_observe(service, target, search, token).await
--- a/crates/proxy/src/election/view.rs
+++ b/crates/proxy/src/election/view.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use flamingopost_core::dispatch::ServerState;
 use flamingopost_core::succession::{Succession, Trouble, View};
@@ -20,18 +21,21 @@
         succession: &Rc<RefCell<Succession>>,
     ) -> View {
         let trouble = self.trouble(service);
-        let (gone, quiet_at) = self.fleet.with_quorum(|quorum, now| {
+        let (gone, in_contact, quiet_at) = self.fleet.with_quorum(|quorum, now| {
             let succession = succession.borrow();
             // No host is queried about a primary that is leaving. Its term ends once the connected
             // hosts probably learn of that.
             let quiet_at = match (succession.closing(), trouble) {
-                (Some(closing), _) => quorum.order_from(closing, now),
+                (Some(closing), _) => {
+                    let clearance = quorum.order_from(closing, now);
+                    clearance.map_or(Duration::MAX, |it| it.from)
+                }
                 (None, Some(Trouble::Leaving)) => {
                     quorum.leases_end(&quorum.recently_heard(now), now)
                 }
                 (None, _) => quorum.leases_end(&succession.answered_hosts(), now),
             };
-            (quorum.gone_hosts(now), quiet_at)
+            (quorum.gone_hosts(now), quorum.holds_lease(now), quiet_at)
         });
         let orders_from = self.fleet.orders_from(&gone);
         let targets = service.targets();
@@ -62,6 +66,9 @@
                 .filter(|key| !gone.contains(key))
                 .collect(),
             leases_end: quiet_at.max(orders_from),
+            in_contact,
+            ordered_before: self.ordered_before(service),
+            announced: service.announced_successor(),
             rank: self.fleet.rank(&service.name),
             synchronous,
             newest_position: service.newest_position(),
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -66,8 +66,8 @@
         5112 Warn Ordered { service: String, server: String, token: u64, outcome: String, millis: u128 },
         /// {service}: host {host} reports that it replaces the primary
         5113 Info OtherActs { service: String, host: String },
-        /// {service}: promoting {server}, {millis} ms after the end of the term was announced to hosts {hosts}
-        5114 Info Rests { service: String, server: String, millis: u128, hosts: String },
+        /// {service}: promoting {server}, {millis} ms after the end of the term was announced to hosts {hosts}: {basis}
+        5114 Info Rests { service: String, server: String, millis: u128, hosts: String, basis: String },
         /// {service}: statements for the primary are no longer held after {millis} ms: {why}
         5115 Info HoldEnded { service: String, why: &'static str, millis: u128 },
         /// {service}: write {id} was acknowledged at {position} while the primary is being replaced
@@ -88,6 +88,10 @@
         5123 Warn PrimaryReordered { service: String, server: String, token: u64, outcome: String },
         /// {service}: a leaving primary is no longer used, {millis} ms after this host learned of the end of its term: {why}
         5124 Info HandoverEnded { service: String, why: &'static str, millis: u128 },
+        /// {service}: order of {server} under token {token} withheld: this host does not hold its claim any more, or cannot tell
+        5125 Warn ClaimLost { service: String, server: String, token: u64 },
+        /// {service}: the leaving primary {server} was asked to step down, because too few hosts confirm the end of its term
+        5126 Warn StepDownForced { service: String, server: String },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} retried: {reason} at {server}, attempt {attempt} after {millis} ms
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -273,6 +273,10 @@
         /// Revision to pass in order to take the claim over, once its holder is known not to act on
         /// it.
         revision: Revision,
+        /// Revision at which the holder has won the claim, which is the token of its order.
+        won_at: Revision,
+        /// Id of the server that the holder was about to order, if it has come so far.
+        successor: Option<String>,
     },
 }
 
@@ -375,6 +379,17 @@
         take_over: Option<Revision>,
     ) -> impl Future<Output = Result<Claim, Error>>;
 
+    /// Records in the claim that `host` has won under `token` that it is about to order server
+    /// `successor`. Returns [`Claim::Won`] with the same token if `host` still holds the claim.
+    fn name_successor(
+        &self,
+        service: &str,
+        attempt: u64,
+        host: &str,
+        token: Token,
+        successor: &str,
+    ) -> impl Future<Output = Result<Claim, Error>>;
+
     /// Reads all readable claims.
     fn claims(&self) -> impl Future<Output = Result<Read<Claims>, Error>>;
 
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -326,6 +326,17 @@
         ))
     }
 
+    /// Returns the server that was announced as the successor of the newest term's primary, if any.
+    pub fn announced_successor(&self) -> Option<ServerKey> {
+        let newest = self.newest_term();
+        let state = self.state.borrow();
+        let replacement = state.replacement.as_ref();
+        let successor = replacement.filter(|it| it.ended_term >= newest)?;
+        let successor = successor.successor.clone();
+        drop(state);
+        self.resolve_listed(&successor)
+    }
+
     /// Records the store's answer to a request sent at `sent`: no host has claimed the right to
     /// replace the primary.
     pub fn record_no_claims(&self, sent: Duration) {
--- a/crates/proxy/tests/common/no_store.rs
+++ b/crates/proxy/tests/common/no_store.rs
@@ -57,6 +57,17 @@
         lost()
     }
 
+    async fn name_successor(
+        &self,
+        _: &str,
+        _: u64,
+        _: &str,
+        _: Token,
+        _: &str,
+    ) -> Result<Claim, Error> {
+        lost()
+    }
+
     async fn claims(&self) -> Result<Read<Claims>, Error> {
         lost()
     }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -168,6 +168,23 @@
         /// Operations per second, and size of a burst.
         rate: u32,
     },
+    /// The primary is partitioned from some hosts and its replicas, and the host that acts on that is cut off
+    /// from the other hosts, the store and, if `with_orders`, the platform's endpoint for orders.
+    CutOffActing {
+        /// When it is cut off.
+        moment: Moment,
+        /// Whether it is also cut off from the endpoint for orders.
+        with_orders: bool,
+        /// Duration of the cut.
+        lasts: Duration,
+    },
+    /// Hosts learn of changes of the server list late.
+    LateList {
+        /// How late.
+        by: Duration,
+        /// Duration of the fault.
+        lasts: Duration,
+    },
     /// A host is partitioned from everything except its callers.
     Isolate {
         /// Number of the host.
@@ -177,6 +194,15 @@
     },
 }
 
+/// A moment of a change of primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Moment {
+    /// A host has claimed the change.
+    Claim,
+    /// A host is about to order a successor, or has just done so.
+    Order,
+}
+
 /// The server that a fault affects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Victim {
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -1,15 +1,16 @@
 //! Injects faults into a testbed.
 
+use std::collections::BTreeSet;
 use std::os::unix::process::ExitStatusExt;
 use std::time::{Duration, Instant};
 
 use flamingopost_standin::pooled::{Faults, Mode, OrderMode, Remains};
 
-use crate::fault::{Fault, StoreFault, Victim};
+use crate::fault::{Fault, Moment, StoreFault, Victim};
 use crate::net::Endpoint;
 use crate::problem::Kind;
 use crate::process::Host;
-use crate::testbed::{SERVICE, SHUTDOWN_GRACE, SHUTDOWN_MARGIN, Testbed};
+use crate::testbed::{SERVICE, SHUTDOWN_GRACE, SHUTDOWN_MARGIN, Testbed, server_name};
 
 /// Time until the entry of a crashed server expires.
 const ENTRY_LAPSE: Duration = Duration::from_millis(900);
@@ -20,6 +21,9 @@
 /// Response time of a slow store.
 const SLOW_STORE_DELAY: Duration = Duration::from_millis(400);
 
+/// How long hosts may take to act on a primary that most of them cannot reach.
+const ACTING_TIMEOUT: Duration = Duration::from_secs(3);
+
 impl Testbed {
     /// Injects `fault`, and ends it after its duration if it has one.
     pub(crate) async fn inject(&self, fault: Fault) {
@@ -145,6 +149,16 @@
                 self.net.delay(from, to, Duration::ZERO);
             }
             Fault::Reset { from, to } => self.net.reset(from, to),
+            Fault::CutOffActing {
+                moment,
+                with_orders,
+                lasts,
+            } => self.cut_off_acting(moment, with_orders, lasts).await,
+            Fault::LateList { by, lasts } => {
+                self.site.store.set_feed_delay("servers", by);
+                tokio::time::sleep(lasts).await;
+                self.site.store.set_feed_delay("servers", Duration::ZERO);
+            }
             Fault::Isolate { host, lasts } => {
                 self.isolate_host(host, true);
                 tokio::time::sleep(lasts).await;
@@ -241,6 +255,72 @@
         self.site.set_faults(server, Faults::default());
     }
 
+    /// Partitions the primary from most hosts and its replicas, and cuts the host off that acts on that.
+    async fn cut_off_acting(&self, moment: Moment, with_orders: bool, lasts: Duration) {
+        let group = self.site.group(SERVICE);
+        let primary = self.victim(Victim::Primary);
+        let number = (0..self.plan.sizes.servers).find(|it| server_name(*it) == primary);
+        let server = Endpoint::Server(number.unwrap_or_default());
+        let far = self.plan.hosts / 2 + 1;
+        let before = self.changes_begun(moment);
+        group.set_deaf(&primary, true);
+        self.cut_primary(server, far, true);
+        let start = Instant::now();
+        let acting = loop {
+            let begun = self.changes_begun(moment);
+            if let Some(host) = begun.difference(&before).last() {
+                break Some(host.1);
+            }
+            if start.elapsed() > ACTING_TIMEOUT {
+                break None;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        };
+        if let Some(acting) = acting {
+            let others = (0..self.plan.hosts).filter(|other| *other != acting);
+            let ends = others.map(Endpoint::Host).chain([Endpoint::Store]);
+            let ends: Vec<Endpoint> = ends
+                .chain(with_orders.then_some(Endpoint::Orders))
+                .collect();
+            self.cut_off(acting, &ends, true);
+            tokio::time::sleep(lasts).await;
+            self.cut_off(acting, &ends, false);
+        }
+        self.cut_primary(server, far, false);
+        group.set_deaf(&primary, false);
+    }
+
+    /// Returns the changes of primary that have come to `moment`, each with the host that acts.
+    fn changes_begun(&self, moment: Moment) -> BTreeSet<(String, usize)> {
+        let claims = self.site.claims();
+        let claims = claims.into_iter().filter(|claim| match moment {
+            Moment::Claim => true,
+            Moment::Order => claim.names_successor,
+        });
+        let acting = claims.filter_map(|claim| {
+            let host = self
+                .hosts
+                .iter()
+                .position(|host| host.settings.name == claim.holder)?;
+            Some((claim.key, host))
+        });
+        acting.collect()
+    }
+
+    fn cut_primary(&self, server: Endpoint, hosts: usize, cut: bool) {
+        for host in (0..hosts).map(Endpoint::Host) {
+            self.net.cut(host, server, cut);
+            self.net.cut(server, host, cut);
+        }
+    }
+
+    fn cut_off(&self, host: usize, ends: &[Endpoint], cut: bool) {
+        for end in ends {
+            self.net.cut(Endpoint::Host(host), *end, cut);
+            self.net.cut(*end, Endpoint::Host(host), cut);
+        }
+    }
+
     /// Blocks or unblocks all traffic between a host and everything except its callers.
     fn isolate_host(&self, host: usize, cut: bool) {
         let others = (0..self.plan.hosts)
@@ -250,10 +330,7 @@
         let ends = others
             .chain(servers)
             .chain([Endpoint::Store, Endpoint::Orders]);
-        for end in ends {
-            self.net.cut(Endpoint::Host(host), end, cut);
-            self.net.cut(end, Endpoint::Host(host), cut);
-        }
+        self.cut_off(host, &ends.collect::<Vec<_>>(), cut);
     }
 }
 
--- a/crates/soak/src/net.rs
+++ b/crates/soak/src/net.rs
@@ -5,10 +5,12 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use rand::RngExt as _;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 
@@ -18,6 +20,12 @@
 /// Maximum size of a datagram between hosts, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2 << 10;
 
+/// Maximum number of datagrams that wait for the end of a cut.
+const MAX_LATE_DATAGRAMS: usize = 500;
+
+/// Longest time after the end of a cut until a datagram that was sent into it arrives.
+const MAX_LATENESS: Duration = Duration::from_millis(300);
+
 /// A sender or receiver of traffic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Endpoint {
@@ -45,15 +53,24 @@
 }
 
 /// All relays of a run, and the rules that they follow. Clones share the rules.
+///
+/// What is sent on a connection during a cut arrives after it, also if the sender has closed the
+/// connection since: kernels send data again until it is acknowledged. A reset drops it.
 #[derive(Debug, Clone)]
 pub struct Net {
     rules: Arc<watch::Sender<BTreeMap<(Endpoint, Endpoint), Rule>>>,
+    /// Whether datagrams that are sent into a cut arrive after it, in any order.
+    late_datagrams: Arc<AtomicBool>,
+    /// Number of datagrams that wait for that.
+    waiting_datagrams: Arc<AtomicUsize>,
 }
 
 impl Default for Net {
     fn default() -> Net {
         Net {
             rules: Arc::new(watch::Sender::new(BTreeMap::new())),
+            late_datagrams: Arc::default(),
+            waiting_datagrams: Arc::default(),
         }
     }
 }
@@ -74,6 +91,11 @@
         self.change(from, to, |rule| rule.resets += 1);
     }
 
+    /// Sets whether datagrams that are sent into a cut arrive after it, in any order, or are lost.
+    pub fn set_late_datagrams(&self, late: bool) {
+        self.late_datagrams.store(late, Ordering::Relaxed);
+    }
+
     /// Unblocks all traffic and removes all delays.
     pub fn heal(&self) {
         self.rules.send_modify(|rules| {
@@ -229,7 +251,10 @@
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
             let read = input.read(&mut chunk).await;
-            self.wait_until_open(from, to).await;
+            tokio::select! {
+                () = self.wait_until_open(from, to) => {}
+                _ = input.ready(Interest::ERROR) => return,
+            }
             match read {
                 Ok(length @ 1..) if output.write_all(&chunk[..length]).await.is_ok() => {}
                 _ => return,
@@ -341,9 +366,10 @@
         by: Arc<UdpSocket>,
         target: SocketAddr,
     ) {
-        let rule = self.rule(Endpoint::Host(from), Endpoint::Host(to));
+        let (from, to) = (Endpoint::Host(from), Endpoint::Host(to));
+        let rule = self.rule(from, to);
         if rule.cut {
-            return;
+            return self.forward_late((from, to), bytes, by, target);
         }
         tokio::spawn(async move {
             tokio::time::sleep(rule.delay).await;
@@ -351,6 +377,29 @@
             let _ = by.send_to(&bytes, target).await;
         });
     }
+
+    /// Forwards a datagram that was sent into a cut a while after its end, or drops it.
+    fn forward_late(
+        &self,
+        (from, to): (Endpoint, Endpoint),
+        bytes: Vec<u8>,
+        by: Arc<UdpSocket>,
+        target: SocketAddr,
+    ) {
+        let is_full = self.waiting_datagrams.load(Ordering::Relaxed) >= MAX_LATE_DATAGRAMS;
+        if is_full || !self.late_datagrams.load(Ordering::Relaxed) {
+            return;
+        }
+        self.waiting_datagrams.fetch_add(1, Ordering::Relaxed);
+        let net = self.clone();
+        tokio::spawn(async move {
+            net.wait_until_open(from, to).await;
+            let lateness = MAX_LATENESS.mul_f64(rand::rng().random_range(0.0..1.0));
+            tokio::time::sleep(lateness).await;
+            net.waiting_datagrams.fetch_sub(1, Ordering::Relaxed);
+            let _ = by.send_to(&bytes, target).await;
+        });
+    }
 }
 
 /// Binds one port for both datagrams and connections.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::fault::{Fault, StoreFault, Victim};
+use crate::fault::{Fault, Moment, StoreFault, Victim};
 use crate::net::Endpoint;
 use crate::teams::TEAMS;
 
@@ -39,6 +39,14 @@
 /// other faults are those of the seeds from [`FIRST_TEAM_SEED`] on.
 pub const FIRST_ORDER_SEED: u64 = 1 << 36;
 
+/// The first seed that also draws hosts that are cut off as they replace a primary, server lists that are
+/// late, and in which datagrams sent into a cut arrive after it. Its other faults are those of the seeds
+/// from [`FIRST_RESTORE_SEED`] on, all on a platform as described at [`FIRST_LAX_SEED`].
+pub const FIRST_LATE_SEED: u64 = 1 << 37;
+
+/// Mean time between two hosts that are cut off as they replace a primary, or late server lists.
+const ACTING_INTERVAL: Duration = Duration::from_millis(4_500);
+
 /// Mean time between two changes of the time that a promotion takes.
 const PROMOTION_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -71,6 +79,8 @@
     pub length: Duration,
     /// Whether a replaced primary keeps leading its own term, and fencing tokens are not checked.
     pub lax: bool,
+    /// Whether datagrams that are sent into a cut arrive after it.
+    pub late_datagrams: bool,
     /// Number of a host whose log goes to a pipe that is never read.
     pub unread: Option<usize>,
     /// The faults with their start times, in order.
@@ -88,6 +98,7 @@
             callers: 0,
             length: Duration::ZERO,
             lax: false,
+            late_datagrams: false,
             unread: None,
             faults: Vec::new(),
         }
@@ -115,7 +126,9 @@
             callers: (hosts * 3).clamp(6, 60),
             length,
             lax: (FIRST_LAX_SEED..FIRST_RESTORE_SEED).contains(&seed)
-                || seed >= FIRST_RESTORE_SEED && seed.is_multiple_of(2),
+                || seed >= FIRST_RESTORE_SEED && seed.is_multiple_of(2)
+                || seed >= FIRST_LATE_SEED,
+            late_datagrams: seed >= FIRST_LATE_SEED,
             unread: rng.random_bool(0.3).then(|| rng.random_range(0..hosts)),
             faults: Vec::new(),
         };
@@ -132,12 +145,40 @@
         if seed >= FIRST_ORDER_SEED {
             plan.draw_orders(&mut rng);
         }
+        if seed >= FIRST_LATE_SEED {
+            plan.draw_cut_off_actors(&mut rng);
+        }
         plan
     }
 
     /// Reports whether callers belong to teams.
     pub fn has_teams(&self) -> bool {
-        self.seed >= FIRST_TEAM_SEED
+        (FIRST_TEAM_SEED..FIRST_LATE_SEED).contains(&self.seed)
+    }
+
+    /// Draws hosts that are cut off as they replace a primary, and late server lists.
+    fn draw_cut_off_actors(&mut self, rng: &mut ChaCha8Rng) {
+        let mut at = Duration::from_millis(rng.random_range(500..=2_500));
+        while at < self.length {
+            let lasts = Duration::from_millis(rng.random_range(300..=5_000));
+            let fault = match rng.random_bool(0.7) {
+                true => Fault::CutOffActing {
+                    moment: match rng.random_bool(0.5) {
+                        true => Moment::Claim,
+                        false => Moment::Order,
+                    },
+                    with_orders: rng.random_bool(0.6),
+                    lasts,
+                },
+                false => Fault::LateList {
+                    by: Duration::from_millis(rng.random_range(200..=2_000)),
+                    lasts,
+                },
+            };
+            self.faults.push((at, fault));
+            at += ACTING_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
     }
 
     /// Draws changes of the teams' keys and limits.
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -67,6 +67,7 @@
             site.set_fencing(false);
         }
         let net = Net::default();
+        net.set_late_datagrams(plan.late_datagrams);
         let host_numbers: BTreeMap<String, usize> = (0..plan.hosts)
             .map(|host| (host_name(host), host))
             .collect();
@@ -401,7 +402,7 @@
     format!("entry-{}", host + 1)
 }
 
-fn server_name(number: usize) -> String {
+pub(crate) fn server_name(number: usize) -> String {
     format!("{SERVICE}-{}", number + 1)
 }
 
--- a/crates/standin/src/pooled.rs
+++ b/crates/standin/src/pooled.rs
@@ -23,7 +23,7 @@
 pub use self::log_event::{LogChange, LogEvent};
 pub use self::rollback::Rollback;
 pub use self::server::{Faults, Remains};
-pub use self::site::{Order, OrderMode, Site, Sizes};
+pub use self::site::{HeldClaim, Order, OrderMode, Site, Sizes};
 pub use self::statement::{is_proved, is_same_statement};
 pub use self::store::{Mode, Store};
 pub use self::team::Team;
--- a/crates/standin/src/pooled/http.rs
+++ b/crates/standin/src/pooled/http.rs
@@ -150,6 +150,7 @@
             return (StatusCode::GONE, String::new());
         };
         if !found.is_empty() {
+            tokio::time::sleep(store.feed_delay(table)).await;
             return (StatusCode::OK, rows(found, version));
         }
         tokio::select! {
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -111,6 +111,17 @@
     pub accepted: bool,
 }
 
+/// A claim of a host on a change of a primary.
+#[derive(Debug)]
+pub struct HeldClaim {
+    /// The service and the number of the change.
+    pub key: String,
+    /// The host.
+    pub holder: String,
+    /// Whether it has recorded which server it is about to order.
+    pub names_successor: bool,
+}
+
 impl Orders {
     /// Whether the token of `order` is none below one that was seen before.
     fn take(&self, mut order: Order) -> bool {
@@ -374,6 +385,28 @@
         rows.first().is_some_and(|row| row.key == key)
     }
 
+    /// The host that holds the claim on the change of the primary of `service` after `term`.
+    pub fn claim_holder(&self, service: &str, term: i64) -> Option<String> {
+        let key = format!("{service}/{term}");
+        let claim = self.claims().into_iter().find(|claim| claim.key == key)?;
+        Some(claim.holder)
+    }
+
+    /// All claims on changes of primaries.
+    pub fn claims(&self) -> Vec<HeldClaim> {
+        let (rows, _) = self.store.rows("flamingopost-claims", "", "");
+        let claims = rows.into_iter().filter_map(|row| {
+            let bytes = STANDARD.decode(&row.value).ok()?;
+            let claim: serde_json::Value = serde_json::from_slice(&bytes).ok()?;
+            Some(HeldClaim {
+                key: row.key,
+                holder: claim["holder"].as_str()?.to_owned(),
+                names_successor: !claim["order"].is_null(),
+            })
+        });
+        claims.collect()
+    }
+
     /// Another writer puts `value` into the store under `key`, as the store keeps it: what a
     /// reader can decode is the base64 of JSON.
     pub fn overwrite(&self, table: &str, part: &str, key: &str, value: &str) {
--- a/crates/standin/src/pooled/store.rs
+++ b/crates/standin/src/pooled/store.rs
@@ -75,6 +75,8 @@
     /// Changes up to here are no longer in the history.
     forgotten: u64,
     calls: u64,
+    /// How late the changes of some tables are told.
+    feed_delays: BTreeMap<String, Duration>,
     /// How often each table was read as a whole.
     reads: BTreeMap<String, u64>,
     tables: BTreeSet<String>,
@@ -107,6 +109,17 @@
         self.lock().mode = mode;
     }
 
+    /// How late it tells of changes of `table` from now on.
+    pub fn set_feed_delay(&self, table: &str, delay: Duration) {
+        self.lock().feed_delays.insert(table.to_owned(), delay);
+    }
+
+    /// How late it tells of changes of `table`.
+    pub(super) fn feed_delay(&self, table: &str) -> Duration {
+        let state = self.lock();
+        state.feed_delays.get(table).copied().unwrap_or_default()
+    }
+
     /// Drops its history: feeds have to start anew.
     pub fn forget(&self) {
         let mut state = self.lock();
