Extend leases after a restart once most hosts have answered

Cause: a host that has confirmed the end of a term tells each host whose lease it extends. If it is started again, its new process knows nothing of that. It answered heartbeats at once, and extended the lease of a host that had not heard of the end, beside the successor.

Change: a process that has just started extends the lease of a process which had contact to a majority before only once more than half of the other hosts have answered it, which they do after it has confirmed all changes that they know. One of those has confirmed the end as well, as most hosts had. Hosts that start together extend each other's leases at once: they look for earlier orders themselves.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -155,6 +155,17 @@
         fresh * 2 > hosts || fresh * 2 > hosts - self.gone_hosts(now).len()
     }
 
+    /// Reports whether more than half of the other hosts have answered this one, without those that count
+    /// as gone for good.
+    ///
+    /// Of the hosts that have confirmed the end of a term, which are a majority, one is then among
+    /// them, even if this host was another one and has forgotten that in a restart.
+    pub fn is_answered_by_most(&self, now: Duration) -> bool {
+        let answered = self.others.values().filter(|it| it.answered_at.is_some());
+        let others = self.others.len() - self.gone_hosts(now).len();
+        answered.count() * 2 > others || others == 0
+    }
+
     /// Returns the number of other hosts that are listed.
     pub fn host_count(&self) -> usize {
         self.others.len()
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -79,6 +79,10 @@
     started_at: Duration,
     /// Changes of primaries that this host has learned of, for the other hosts.
     ended_terms: RefCell<ChangeLog>,
+    /// Whether most other hosts have told this one of the changes that they know since it started.
+    has_caught_up: Cell<bool>,
+    /// Processes of other hosts that had no contact to a majority yet when this host first heard them.
+    fresh_processes: RefCell<BTreeMap<HostKey, u64>>,
     /// Which changes were received from each elector.
     received_terms: RefCell<BTreeMap<HostKey, Coverage>>,
     /// Claims held by other hosts, by service and the revision at which they were won, and when this host
@@ -150,6 +154,8 @@
             process: rand::random(),
             started_at,
             ended_terms: RefCell::default(),
+            has_caught_up: Cell::new(false),
+            fresh_processes: RefCell::default(),
             received_terms: RefCell::default(),
             known_claims: RefCell::default(),
             named_successors: RefCell::default(),
--- a/crates/proxy/src/election/ended_terms.rs
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -49,6 +49,7 @@
     /// a change that this host has known for long may be news to that sender all the same.
     pub(super) fn answer_heartbeat(&self, host: HostKey, beat: &Heartbeat, to: SocketAddr) {
         let ended_terms = match beat.process {
+            Some(process) if !self.may_extend_lease(host, process, beat.out_of_touch) => return,
             Some(process) => {
                 let unconfirmed = self.unconfirmed_ended_terms(host, process);
                 if !unconfirmed.is_empty() {
@@ -72,6 +73,32 @@
         self.send_message(String::new(), ack, to);
     }
 
+    /// Reports whether this host may extend the lease of `process` of `host`, which was in contact with a
+    /// majority `out_of_touch` milliseconds before it asked.
+    ///
+    /// Guards against a host that confirms the end of a term and is started again: its new process knew
+    /// nothing of that, and extended the lease of a host that had not heard of it. A process without any
+    /// contact yet looks for earlier orders itself.
+    fn may_extend_lease(&self, host: HostKey, process: u64, out_of_touch: u32) -> bool {
+        let mut fresh = self.fresh_processes.borrow_mut();
+        if out_of_touch == u32::MAX {
+            fresh.insert(host, process);
+        }
+        fresh.get(&host) == Some(&process) || self.has_caught_up()
+    }
+
+    /// Reports whether most other hosts have told this one of the changes that they know.
+    fn has_caught_up(&self) -> bool {
+        let is_new = !self.has_caught_up.get()
+            && self
+                .fleet
+                .with_quorum(|quorum, now| quorum.is_answered_by_most(now));
+        if is_new {
+            self.has_caught_up.set(true);
+        }
+        self.has_caught_up.get()
+    }
+
     /// Returns the changes that `process` of `host` has not confirmed, with their numbers. A service that
     /// is not configured any more has none.
     fn unconfirmed_ended_terms(&self, host: HostKey, process: u64) -> Vec<(u64, EndedTerm)> {
@@ -160,6 +187,9 @@
         self.received_terms
             .borrow_mut()
             .retain(|host, _| listed(*host));
+        self.fresh_processes
+            .borrow_mut()
+            .retain(|host, _| listed(*host));
     }
 
     /// Returns the changes of primaries that this host has learned of within `age`.
--- a/crates/proxy/tests/changes.rs
+++ b/crates/proxy/tests/changes.rs
@@ -14,7 +14,7 @@
 use flamingopost_core::term::Term;
 use flamingopost_proxy::election::Election;
 use flamingopost_proxy::fleet::Fleet;
-use flamingopost_proxy::peer::{EndedTerm, Message, Payload, Server, Socket, pages};
+use flamingopost_proxy::peer::{EndedTerm, FeedProgress, Message, Payload, Server, Socket, pages};
 use tokio::task::LocalSet;
 
 /// Services whose primaries are replaced within a moment: a third of those of a large fleet.
@@ -27,6 +27,9 @@
 /// Process of the other host.
 const PROCESS: u64 = 7;
 
+/// A time after the start of the elector, by its clock, in microseconds.
+const AFTER_START: u64 = 1 << 50;
+
 /// The host that the test plays.
 struct Peer {
     socket: Socket,
@@ -71,6 +74,17 @@
         });
     }
 
+    /// Answers a heartbeat of the elector, which then knows what most other hosts know.
+    fn acknowledge(&self) {
+        self.send(Payload::HeartbeatAck {
+            sent: AFTER_START,
+            progress: FeedProgress::default(),
+            in_touch: 0,
+            ended_terms: Vec::new(),
+            samples: Vec::new(),
+        });
+    }
+
     /// Receives pages up to the last one.
     async fn pages(&self) -> Vec<Page> {
         let mut pages = Vec::new();
@@ -178,6 +192,7 @@
 #[test]
 fn a_late_heartbeat_extends_no_lease_beside_a_change_that_its_sender_does_not_know() {
     play(1, async |peer| {
+        peer.acknowledge();
         tokio::time::sleep(Duration::from_millis(1_100)).await;
         peer.beat_in_touch(1, 0);
         let pages = peer.pages().await;
@@ -193,6 +208,37 @@
     });
 }
 
+/// Guards against a replaced primary that a host keeps relying on: an elector that had confirmed the end of
+/// its term was started again, and the new process extended the lease.
+#[test]
+fn an_elector_that_has_just_started_extends_no_lease_before_others_have_told_it_of_changes() {
+    play(0, async |peer| {
+        peer.beat_in_touch(1, 0);
+        let answer = tokio::time::timeout(Duration::from_millis(200), peer.socket.receive()).await;
+        assert!(answer.is_err(), "{:?}", answer.map(|it| it.map(|it| it.0)));
+        peer.acknowledge();
+        peer.beat_in_touch(2, 0);
+        let answer = peer.receive().await;
+        assert!(
+            matches!(answer, Payload::HeartbeatAck { sent: 2, .. }),
+            "{answer:?}"
+        );
+    });
+}
+
+/// Guards against hosts that start together and wait for each other: none of them has a lease that may rest
+/// on what another one has forgotten.
+#[test]
+fn an_elector_extends_the_lease_of_a_process_without_any_contact_at_once() {
+    play(0, async |peer| {
+        for (sent, out_of_touch) in [(1, u32::MAX), (2, 0)] {
+            peer.beat_in_touch(sent, out_of_touch);
+            let answer = peer.receive().await;
+            assert!(matches!(answer, Payload::HeartbeatAck { .. }), "{answer:?}");
+        }
+    });
+}
+
 /// Guards against a lost page that is taken for received, and against sending all pages again.
 #[test]
 fn a_lost_page_is_sent_again_before_the_lease_is_extended() {
