Name the term in a confirmation, and let hosts that start alone catch up

Two changes to confirmations and leases.

A confirmation of a term's end named only the token. Without the store a host gives successive orders under the token that it reserved at its start, so a late confirmation of one end counted for the next. It names the term now; a host of an earlier build is answered as before (version 5 of the messages). a_confirmation_of_another_term_under_the_same_token_does_not_count.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -274,17 +274,20 @@
         }
     }
 
-    /// Records that `host` has confirmed the end of the term announced under `token`, and when it last
-    /// heard from each of the other hosts.
+    /// Records that `host` has confirmed the end of a term announced under a token, and when it last
+    /// heard from each of the other hosts. A host of an earlier build does not name the term.
+    ///
+    /// Guards against a late confirmation of an earlier end under the same token.
     pub fn record_closed(
         &mut self,
         host: HostKey,
-        under: FencingToken,
+        (term, under): (Option<Term>, FencingToken),
         heard: impl IntoIterator<Item = (HostKey, Duration)>,
         now: Duration,
     ) {
         if let Phase::Choosing { token, inquiry, .. } = &mut self.phase
             && *token == under
+            && term.is_none_or(|term| term == inquiry.term)
             && let Some(closing) = &mut inquiry.closing
         {
             closing.confirm(host, heard, now);
--- a/crates/core/tests/succession_closing.rs
+++ b/crates/core/tests/succession_closing.rs
@@ -210,9 +210,14 @@
     assert_eq!(setup.step(ms(5)), []);
     let [first, second] = [setup.hosts[0], setup.hosts[1]];
     let now = setup.now;
-    setup.succession.record_closed(first, TOKEN, [], now);
+    let term = Some(setup.view.term);
+    setup
+        .succession
+        .record_closed(first, (term, TOKEN), [], now);
     let earlier = FencingToken(TOKEN.0 - 1);
-    setup.succession.record_closed(second, earlier, [], now);
+    setup
+        .succession
+        .record_closed(second, (term, earlier), [], now);
     let closing = setup.succession.closing().expect("an announced end");
     assert!(closing.is_confirmed(first));
     assert!(
@@ -224,6 +229,30 @@
     assert_eq!(setup.step(ms(5)), [order]);
 }
 
+/// Guards against a late confirmation of an earlier end: a host that acts in turn, without the store, uses
+/// one token for successive orders.
+#[test]
+fn a_confirmation_of_another_term_under_the_same_token_does_not_count() {
+    let mut setup = Setup::new(Trouble::Silent { since: ms(500) });
+    setup.win_claim_on_failed_primary();
+    assert!(matches!(setup.step(ms(5))[..], [NextStep::EndTerm { .. }]));
+    let closing = Closing::announced(setup.now, Duration::ZERO);
+    setup.succession.record_end_of_term(closing);
+    let (host, now) = (setup.hosts[0], setup.now);
+    let is_confirmed = |setup: &Setup| {
+        let closing = setup.succession.closing();
+        closing.expect("an announced end").is_confirmed(host)
+    };
+    let earlier = Some(Term::default());
+    setup
+        .succession
+        .record_closed(host, (earlier, TOKEN), [], now);
+    assert!(!is_confirmed(&setup));
+    let term = Some(setup.view.term);
+    setup.succession.record_closed(host, (term, TOKEN), [], now);
+    assert!(is_confirmed(&setup));
+}
+
 /// Guards against a service without a primary: once its term was announced to end, hosts do not go back
 /// to a primary that is well again, so its successor is ordered all the same.
 #[test]
--- a/crates/proxy/src/election/closing.rs
+++ b/crates/proxy/src/election/closing.rs
@@ -9,10 +9,13 @@
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::{CLOCK_MARGIN, Closing, LEASE_DURATION};
 use flamingopost_core::succession::{FencingToken, PROMOTION_TIMEOUT, Succession, Trouble};
+use flamingopost_core::term::Term;
 
 use super::Election;
 use crate::codec::Codec;
-use crate::peer::{CLOSING_PROTOCOL, EndedTerm, HANDOVER_PROTOCOL, Heard, Payload};
+use crate::peer::{
+    CLOSING_PROTOCOL, EndedTerm, HANDOVER_PROTOCOL, Heard, NAMED_TERM_PROTOCOL, Payload,
+};
 use crate::platform::Platform;
 use crate::service::{HANDOVER_MARGIN, Service};
 
@@ -191,12 +194,13 @@
         }
     }
 
-    /// Confirms the end of a term to the host at `to`, which has announced it, if this host extends
+    /// Confirms the end of a term to `host` at `to`, which has announced it, if this host extends
     /// leases. A host that knows of a newer order reports that instead.
     pub(super) fn confirm_closing(
         &self,
         service: &Rc<Service<C>>,
         ended_term: &EndedTerm,
+        host: &str,
         to: SocketAddr,
     ) {
         let Some(newest) = service.newest_replacement() else {
@@ -206,12 +210,20 @@
             return;
         }
         let is_newest = (newest.term(), newest.token) == (ended_term.term(), ended_term.token);
-        let payload = match is_newest {
-            true => Payload::TermClosed {
-                token: ended_term.token,
+        let announcer = self.fleet.find_peer(host);
+        let is_term_named = announcer.is_some_and(|(_, peer)| peer.protocol >= NAMED_TERM_PROTOCOL);
+        let token = ended_term.token;
+        let payload = match (is_newest, is_term_named) {
+            (true, true) => Payload::TermEnded {
+                term: ended_term.term().number(),
+                token,
                 heard: self.heard_electors(),
             },
-            false => Payload::EndedTerms {
+            (true, false) => Payload::TermClosed {
+                token,
+                heard: self.heard_electors(),
+            },
+            (false, _) => Payload::EndedTerms {
                 ended_terms: vec![newest],
             },
         };
@@ -231,11 +243,12 @@
         self.fleet.with_quorum(heard)
     }
 
-    /// Records that `host` has confirmed the end of a term announced under `token`.
+    /// Records that `host` has confirmed the end of `term`, if it names that, announced under `token`.
     pub(super) fn record_closed(
         &self,
         service: &Rc<Service<C>>,
         host: HostKey,
+        term: Option<Term>,
         token: u64,
         heard: &[Heard],
     ) {
@@ -250,7 +263,7 @@
         let heard: Vec<_> = heard.collect();
         let token = FencingToken(token);
         let mut succession = succession.borrow_mut();
-        succession.record_closed(host, token, heard, now);
+        succession.record_closed(host, (term, token), heard, now);
         service.failover_notify.notify_one();
     }
 }
--- a/crates/proxy/src/election/ended_terms.rs
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -5,6 +5,7 @@
 
 use flamingopost_core::change_log::Coverage;
 use flamingopost_core::key::HostKey;
+use flamingopost_core::quorum::Quorum;
 
 use super::Election;
 use super::messaging::PROPAGATION_WINDOW;
@@ -84,19 +85,15 @@
         if out_of_touch == u32::MAX {
             fresh.insert(host, process);
         }
-        fresh.get(&host) == Some(&process) || self.has_caught_up()
+        fresh.get(&host) == Some(&process) || self.has_caught_up.get()
     }
 
-    /// Reports whether most other hosts have told this one of the changes that they know.
-    fn has_caught_up(&self) -> bool {
-        let is_new = !self.has_caught_up.get()
-            && self
-                .fleet
-                .with_quorum(|quorum, now| quorum.is_answered_by_most(now));
-        if is_new {
+    /// Records whether most other hosts have told this one of the changes that they know.
+    pub(super) fn update_caught_up(&self) {
+        let is_answered = |quorum: &mut Quorum, now| quorum.is_answered_by_most(now);
+        if !self.has_caught_up.get() && self.fleet.with_quorum(is_answered) {
             self.has_caught_up.set(true);
         }
-        self.has_caught_up.get()
     }
 
     /// Returns the changes that `process` of `host` has not confirmed, with their numbers. A service that
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -165,7 +165,9 @@
     pub(super) fn quorum_age_ms(&self, now: Duration) -> u32 {
         let has_quorum = self.has_quorum();
         self.log_lease_change(has_quorum, now);
-        if has_quorum {
+        // A host that knows no other one yet has no contact that any of them may have forgotten.
+        let has_others = self.fleet.with_quorum(|quorum, _| quorum.host_count() > 0);
+        if has_quorum && has_others {
             self.last_quorum_at.set(Some(now));
         }
         let since = self.last_quorum_at.get().map(|at| now.saturating_sub(at));
--- a/crates/proxy/src/election/receive.rs
+++ b/crates/proxy/src/election/receive.rs
@@ -11,7 +11,7 @@
 use super::ended_terms::{Heartbeat, Page};
 use super::{Election, successor};
 use crate::codec::Codec;
-use crate::peer::{EndedTerm, Message, Payload, Server};
+use crate::peer::{EndedTerm, Message, NAMED_TERM_PROTOCOL, Payload, Server};
 use crate::platform::Platform;
 use crate::service::{ResolvedServer, Service};
 
@@ -125,6 +125,7 @@
                     if sent >= self.started_at {
                         self.fleet
                             .with_quorum(|quorum, _| quorum.record_reply(host, sent));
+                        self.update_caught_up();
                     }
                     self.apply_samples(&samples, sent);
                     return;
@@ -220,7 +221,7 @@
             }
             Payload::TermClosing { ended_term } => {
                 self.apply_ended_term(&message.host, &ended_term);
-                self.confirm_closing(&service, &ended_term, from);
+                self.confirm_closing(&service, &ended_term, &message.host, from);
             }
             Payload::HandoverStarted { ended_term, serves } => {
                 self.apply_ended_term(&message.host, &ended_term);
@@ -228,7 +229,7 @@
                 if service.start_handover(&ended_term, serves) {
                     self.follow_successor(&service, ended_term.token, from);
                 }
-                self.confirm_closing(&service, &ended_term, from);
+                self.confirm_closing(&service, &ended_term, &message.host, from);
             }
             Payload::SuccessorQuery { token, sent } => {
                 self.record_successor_query(&service, token, sent, from);
@@ -245,8 +246,17 @@
                 None => service.end_handover(token, successor::TOLD),
             },
             Payload::TermClosed { token, heard } => {
+                let listed = self.fleet.find_peer(&message.host);
+                if let Some((host, peer)) = listed
+                    && peer.protocol < NAMED_TERM_PROTOCOL
+                {
+                    self.record_closed(&service, host, None, token, &heard);
+                }
+            }
+            Payload::TermEnded { term, token, heard } => {
                 if let Some(host) = self.fleet.peer(&message.host) {
-                    self.record_closed(&service, host, token, &heard);
+                    let term = Some(Term::from_number(term));
+                    self.record_closed(&service, host, term, token, &heard);
                 }
             }
         }
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -161,6 +161,11 @@
         peers.by_host.get(host).map(|(key, _)| *key)
     }
 
+    /// Returns the key and the entry of a listed host.
+    pub fn find_peer(&self, host: &str) -> Option<(HostKey, Peer)> {
+        self.peers.borrow().by_host.get(host).cloned()
+    }
+
     /// Reports whether `host` is listed.
     pub fn is_listed(&self, host: HostKey) -> bool {
         self.peers.borrow().keys.contains_key(host)
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -31,7 +31,7 @@
 
 /// Version of the messages that hosts of this build understand, as they announce it. Hosts that
 /// announce none understand the first one.
-pub const PROTOCOL: u16 = 4;
+pub const PROTOCOL: u16 = 5;
 
 /// Version of the messages from which on processes are named and changes of primaries are paged.
 pub const PAGED_PROTOCOL: u16 = 2;
@@ -42,6 +42,9 @@
 /// Version of the messages from which on hosts watch the successor of a leaving primary.
 pub const HANDOVER_PROTOCOL: u16 = 4;
 
+/// Version of the messages from which on a confirmation names the term that has ended.
+pub const NAMED_TERM_PROTOCOL: u16 = 5;
+
 /// Maximum size of a datagram. Larger ones were not sent by an entry host.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
@@ -280,6 +283,16 @@
         /// How far the successor has received the log, if it still follows.
         received: Option<WirePosition>,
     },
+    /// Like [`Payload::TermClosed`]. A token alone does not tell which end was confirmed: a host that acts
+    /// in turn, without the store, gives successive orders under the same one.
+    TermEnded {
+        /// The term that has ended.
+        term: i64,
+        /// Token of the order that follows.
+        token: u64,
+        /// When the sender last heard from the other electors.
+        heard: Vec<Heard>,
+    },
 }
 
 /// Converts a time to nanoseconds.
@@ -389,6 +402,7 @@
             Payload::ServiceLogQuery { .. } => "service_log_query",
             Payload::TermClosing { .. } => "term_closing",
             Payload::TermClosed { .. } => "term_closed",
+            Payload::TermEnded { .. } => "term_ended",
             Payload::HandoverStarted { .. } => "handover_started",
             Payload::SuccessorQuery { .. } => "successor_query",
             Payload::SuccessorState { .. } => "successor_state",
