Claim no change on opinions from before a cut, and bound what is kept of claims

Cause: a host out of contact with a majority claimed a change, found that it must not announce the end, and claimed again after 0.15 s: several writes a second for as long as a primary is missed or leaves. Claims that were heard of and servers that claims name were kept for ever.

Change: contact is required before the claim, too, for a leaving primary for 2 s at most.

Result: a_host_out_of_contact_claims_and_announces_no_change, which needs both checks.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -567,7 +567,8 @@
             return Vec::new();
         }
         let delay = (LEAVING_TURN * view.rank).min(LEAVING_DELAY_MAX);
-        if now < since + delay {
+        let is_heard = view.in_contact || now >= since + LEAVING_CONTACT_TIMEOUT;
+        if now < since + delay || !is_heard {
             return Vec::new();
         }
         self.phase = Phase::Claiming(Inquiry {
@@ -596,6 +597,11 @@
                 self.outvoted_since.get_or_insert(now);
                 Vec::new()
             }
+            // Most hosts have missed the primary, and may have answered before this host was cut off.
+            Decision::Replace if inquiry.has_majority(view) && !view.in_contact => {
+                self.retry_at = now + INQUIRY_BACKOFF;
+                Vec::new()
+            }
             Decision::Replace if inquiry.must_await_servers(view, &self.leader_history, now) => {
                 match now >= inquiry.deadline {
                     true => self.retry_at = now + INQUIRY_BACKOFF,
--- a/crates/core/tests/succession_closing.rs
+++ b/crates/core/tests/succession_closing.rs
@@ -229,6 +229,34 @@
     assert_eq!(setup.step(ms(5)), [order]);
 }
 
+/// Guards against a change that is claimed and announced on the opinions of hosts from before this one was
+/// cut off from them.
+#[test]
+fn a_host_out_of_contact_claims_and_announces_no_change() {
+    let mut setup = Setup::new(Trouble::Silent { since: ms(500) });
+    setup.view.in_contact = false;
+    let asks = [NextStep::AskHosts, NextStep::AskServers];
+    assert_eq!(setup.step(ms(20)), asks);
+    for host in setup.hosts.clone() {
+        setup.succession.record_opinion(host, Opinion::Fails);
+    }
+    setup.report([40, 40, 38]);
+    assert_eq!(setup.step(ms(5)), []);
+    let mut setup = Setup::new(Trouble::Silent { since: ms(500) });
+    setup.win_claim_on_failed_primary();
+    setup.view.in_contact = false;
+    assert_eq!(setup.step(ms(5)), []);
+    assert!(setup.succession.closing().is_none());
+    let mut leaving = Setup::new(Trouble::Leaving);
+    leaving.view.in_contact = false;
+    assert_eq!(leaving.step(ms(20)), []);
+    assert_eq!(
+        leaving.step(ms(2_000)),
+        [NextStep::Claim],
+        "seconds are left"
+    );
+}
+
 /// Guards against a late confirmation of an earlier end: a host that acts in turn, without the store, uses
 /// one token for successive orders.
 #[test]
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -160,12 +160,15 @@
     /// at `won_at`. Returns when this host first saw or heard of that claim.
     pub(super) fn record_claim(&self, service: &str, won_at: Revision, now: Duration) -> Duration {
         let key = (service.to_owned(), won_at);
-        *self.known_claims.borrow_mut().entry(key).or_insert(now)
+        let mut claims = self.known_claims.borrow_mut();
+        claims.retain(|_, seen| now < *seen + CHANGE_RETENTION);
+        *claims.entry(key).or_insert(now)
     }
 
     fn record_named_successor(&self, service: &str, attempt: u64, successor: &str) {
         let key = (service.to_owned(), attempt);
         let mut named = self.named_successors.borrow_mut();
+        named.retain(|(other, number), _| other != service || *number >= attempt);
         named.insert(key, successor.to_owned());
     }
 
