Ask as a host without contact until most others have answered

Cause: an elector that has just started extends leases of processes that had contact before only once most others have answered it. A host counts as one with contact as soon as it holds a lease, which half of an even number of others, or a majority of a list that is still growing, may give.

Change: a host reports no contact until more than half of the others have answered it, and is answered at once.

--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -161,16 +161,19 @@
     }
 
     /// Returns for how many milliseconds this host may have missed notifications, because it was
-    /// not in contact with a majority.
+    /// not in contact with a majority. Until most others have answered, that is since ever: hosts that
+    /// start together would otherwise wait for each other.
     pub(super) fn quorum_age_ms(&self, now: Duration) -> u32 {
         let has_quorum = self.has_quorum();
         self.log_lease_change(has_quorum, now);
-        // A host that knows no other one yet has no contact that any of them may have forgotten.
-        let has_others = self.fleet.with_quorum(|quorum, _| quorum.host_count() > 0);
-        if has_quorum && has_others {
+        if has_quorum {
             self.last_quorum_at.set(Some(now));
         }
-        let since = self.last_quorum_at.get().map(|at| now.saturating_sub(at));
+        let last = self
+            .last_quorum_at
+            .get()
+            .filter(|_| self.has_caught_up.get());
+        let since = last.map(|at| now.saturating_sub(at));
         let millis = since.and_then(|since| u32::try_from(since.as_millis()).ok());
         millis.unwrap_or(u32::MAX)
     }
