Keep a change of primary that is told before its service is configured

The other one had started anew and used the primary of a term that the first knew to have ended.

Cause: a host that has just started reads the list of hosts some ms before the configuration. It was told of the end in a page, did not know the service, dropped the change and confirmed the page. Since changes are confirmed however old they are, they are not told again; before, they were for a second.

Change: such a change is kept, and applied when the service is configured.

--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -18,7 +18,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::peer::{Payload, Socket};
+use crate::peer::{EndedTerm, Payload, Socket};
 use crate::platform::{Error, Platform, Revision, Token};
 use crate::server_connection::Target;
 use crate::service::Service;
@@ -83,6 +83,8 @@
     has_caught_up: Cell<bool>,
     /// Processes of other hosts that had no contact to a majority yet when this host first heard them.
     fresh_processes: RefCell<BTreeMap<HostKey, u64>>,
+    /// Changes of services that are not configured here yet, with the hosts that reported them.
+    unconfigured_terms: RefCell<BTreeMap<String, (String, EndedTerm)>>,
     /// Which changes were received from each elector.
     received_terms: RefCell<BTreeMap<HostKey, Coverage>>,
     /// Claims held by other hosts, by service and the revision at which they were won, and when this host
@@ -156,6 +158,7 @@
             ended_terms: RefCell::default(),
             has_caught_up: Cell::new(false),
             fresh_processes: RefCell::default(),
+            unconfigured_terms: RefCell::default(),
             received_terms: RefCell::default(),
             known_claims: RefCell::default(),
             named_successors: RefCell::default(),
--- a/crates/proxy/src/election/ended_terms.rs
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -213,9 +213,29 @@
         self.ended_terms.borrow_mut().record(service, now);
     }
 
+    /// Keeps a change of a service that is not configured here yet, which its reporter does not report
+    /// again.
+    fn keep_until_configured(&self, host: &str, ended: &EndedTerm) {
+        let mut kept = self.unconfigured_terms.borrow_mut();
+        let order = |it: &EndedTerm| (it.term(), it.token);
+        let known = kept.get(&ended.service).map(|(_, known)| order(known));
+        if known < Some(order(ended)) {
+            kept.insert(ended.service.clone(), (host.to_owned(), ended.clone()));
+        }
+    }
+
+    /// Applies what other hosts have reported of `service` before it was configured here.
+    pub(super) fn apply_kept_term(&self, service: &str) {
+        let kept = self.unconfigured_terms.borrow_mut().remove(service);
+        if let Some((host, ended)) = kept {
+            self.apply_ended_term(&host, &ended);
+        }
+    }
+
     /// Records that another host reports a primary as replaced. Returns whether that was new.
     pub(super) fn apply_ended_term(&self, host: &str, ended: &EndedTerm) -> bool {
         let Some(service) = self.fleet.find_service(&ended.service) else {
+            self.keep_until_configured(host, ended);
             return false;
         };
         if !service.end_term(ended) {
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -40,6 +40,7 @@
             let mut services = self.services.borrow_mut();
             services.insert(service.name.clone(), Rc::clone(&succession));
             drop(services);
+            self.apply_kept_term(&service.name);
             let election = Rc::clone(self);
             tokio::task::spawn_local(
                 async move { election.run_service(service, succession).await },
--- a/crates/proxy/tests/changes.rs
+++ b/crates/proxy/tests/changes.rs
@@ -140,6 +140,14 @@
 
 /// Runs an elector that has learned of `changes` changes, and `play` as another host.
 fn play(changes: usize, play: impl AsyncFnOnce(Peer)) {
+    play_elector(changes, async |peer, _, _| play(peer).await);
+}
+
+/// Runs the same with what `play` needs to change the elector's configuration.
+fn play_elector(
+    changes: usize,
+    play: impl AsyncFnOnce(Peer, &Rc<Fleet<NoProtocol>>, &Rc<Election<NoProtocol, NoStore>>),
+) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -156,14 +164,15 @@
         let address = peer.socket.address().expect("bound");
         fleet.apply_host_list(vec![Ok(common::current_peer(OTHER, address))]);
         let site = Rc::new(common::site(ELECTOR));
-        let election = Rc::new(Election::new(site, fleet, Rc::new(NoStore), socket));
-        tokio::task::spawn_local(election.listen());
+        let store = Rc::new(NoStore);
+        let election = Rc::new(Election::new(site, Rc::clone(&fleet), store, socket));
+        tokio::task::spawn_local(Rc::clone(&election).listen());
         // Nothing is sent before the runtime has seen that the socket is writable.
         tokio::time::sleep(Duration::from_millis(1)).await;
         for ended_terms in pages((0..changes).map(change).collect()) {
             peer.send(Payload::EndedTerms { ended_terms });
         }
-        play(peer).await;
+        play(peer, &fleet, &election).await;
     });
 }
 
@@ -239,6 +248,25 @@
     });
 }
 
+/// Guards against a host that has just started and uses a replaced primary: it was told of the change, and
+/// confirmed that, before it knew the service.
+#[test]
+fn a_change_is_applied_once_its_service_is_configured() {
+    play_elector(0, async |peer, fleet, election| {
+        peer.acknowledge();
+        let ended_terms = vec![change(0)];
+        peer.send(Payload::EndedTerms { ended_terms });
+        peer.beat_in_touch(1, 0);
+        let answer = peer.receive().await;
+        assert!(matches!(answer, Payload::HeartbeatAck { .. }), "{answer:?}");
+        fleet.adopt(common::configuration_of(2, 185, 1).into(), Duration::ZERO);
+        fleet.apply_server_list(common::server_list_of(2, 1));
+        election.start_new_services();
+        peer.beat_in_touch(2, 0);
+        assert_eq!(peer.pages().await.len(), 1);
+    });
+}
+
 /// Guards against a lost page that is taken for received, and against sending all pages again.
 #[test]
 fn a_lost_page_is_sent_again_before_the_lease_is_extended() {
