Show two majorities after hosts were silent for 15 s

Cause: a host that another one has not heard for 15 s does not count for that one's lease. Hosts that are cut off one after the other differ in whom they leave out, and both sides of a cut hold a lease.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""An old claim names a server that has fallen behind, and the next change of primary prefers it."""
+"""Two hosts are cut off from the others, then a zone is: its three hosts of seven act as the majority."""
 
 import asyncio
 import os
@@ -7,75 +7,52 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "bed-2"))
 import bed  # noqa: E402
 
-FIRST = bed.TROUBLE == "1"
-SECOND = bed.TROUBLE != "0"
-
-
-def named_successor(store):
-    rows = store.get("flamingopost-claims").values()
-    return next((row["order"]["server"] for row in rows if row.get("order")), None)
+A, B, C = "zone-a", "zone-b", "zone-c"
+NODE_CUT_S = 12.0
+ZONE_CUT_S = 6.4
 
 
 async def play(run):
-    await run.start(hosts=7, host_zones="cccaabd", store_zone="zone-c", clients=10, pause=0.01, sync=1, fencing=True, promote_s=0.3)
-    primary, *replicas = run.group.servers
-    await run.until_serving(20, 200)
-
-    named = replicas[-1]
-    if FIRST:
-        bed.record("=== the primary is dark for 2 s, and the platform's call answers 503")
-        run.orders.mode = "down"
-        primary.set_dark(True)
-        dark_until = bed.now() + 2.0
-        while not named_successor(run.store) or not run.orders.calls:
-            if bed.now() > dark_until:
-                raise RuntimeError("no host has ordered a successor")
-            await asyncio.sleep(0.01)
-        named = next(s for s in replicas if s.id == named_successor(run.store))
-        await asyncio.sleep(0.1)
-        bed.record("=== all processes are killed; the claim names", named.id)
-        run.kill_hosts()
-        await asyncio.sleep(max(0.0, dark_until - bed.now()))
-        primary.set_dark(False)
-        run.orders.mode = "up"
-        await asyncio.sleep(0.3)
-        run.start_hosts()
-        await run.until_ready(20)
+    await run.start(hosts=7, host_zones="aabbbcc", server_zones="bca", cuts=True, clients=14, pause=0.02, reads=True,
+                    sync=0, fencing=False, promote_s=0.3, slots=3)
     await run.until_serving(20, 200)
-    await asyncio.sleep(5)
-    if run.group.promotions:
-        raise RuntimeError("the first change took place after all")
-
-    other = next(s for s in replicas if s is not named)
-    if SECOND:
-        bed.record("===", named.id, "receives nothing for 4 s; the primary is lost meanwhile")
-        run.group.set_deaf(named, True)
-        await asyncio.sleep(2)
-        primary.crash()
-        await asyncio.sleep(2)
-        run.group.set_deaf(named, False)
-        bed.record("at the loss of the primary", named.id, "has", named.position(True), "and",
-                   other.id, "has", other.position(True))
-    end = bed.now() + 30
-    while bed.now() < end and (SECOND and not run.group.promotions):
-        await asyncio.sleep(0.1)
-    await asyncio.sleep(3)
-
-    if not SECOND:
-        logs = [entry[2] for entry in primary.log]
-        lost = [ident for ident in run.acknowledged if ident not in logs]
-    elif not run.group.promotions:
-        print("no server was promoted within 30 s")
-        return 2
+    await asyncio.sleep(4)
+    if bed.TROUBLE != "0":
+        bed.record("=== the two hosts of zone a are cut off from all other hosts")
+        for zone in (A, B, C):
+            run.net.cut("hosts of " + A, "hosts of " + zone)
+        await asyncio.sleep(NODE_CUT_S)
+        bed.record("=== these are back, and zone b is cut off from everything; clients still reach it")
+        for other in (A, C, run.net.PLATFORM):
+            run.net.cut(B, other)
+        run.net.heal("hosts of ")
+        await asyncio.sleep(ZONE_CUT_S)
+        bed.record("=== all cuts heal")
+        run.net.heal()
+        run.group.catch_up()
     else:
-        at, server, term, log = run.group.promotions[0]
-        kept = {entry[2] for entry in log}
-        lost = [ident for ident, acked in run.acknowledged.items() if acked < at and ident not in kept]
-        print(f"{server} was promoted to term {term} with {len(log)} commits; "
-              f"{other.id} was not behind, {named.id} was named by the old claim")
-    print(f"{len(run.acknowledged)} writes acknowledged, {len(lost)} of them missing: {lost[:5]}")
-    bed.record("missing acknowledged writes", len(lost), *lost)
-    return 1 if lost else 0
+        await asyncio.sleep(NODE_CUT_S + ZONE_CUT_S)
+    await asyncio.sleep(8)
+    after = [(at, ident) for at, ident, _ in run.group.strays if ident in run.acknowledged]
+    kept = {entry[2] for entry in run.group.leader().log}
+    lost = [ident for _, ident in after if ident not in kept]
+    for at, server, term, _ in run.group.promotions:
+        print(f"{at:.3f} {server} led term {term}")
+    print(f"{len(run.acknowledged)} writes acknowledged, {len(run.group.strays)} committed at the old primary "
+          f"after the promote, {len(after)} of them acknowledged, {len(lost)} of those lost")
+    if after:
+        first = run.group.promotions[0][0]
+        print(f"the last of them {after[-1][0] - first:.1f} s after the promote")
+    stale = run.stale_reads()
+    bed.record("acknowledged after the promote:", *(ident for _, ident in after))
+    for ident, sent, host, server, missing in stale:
+        bed.record("stale read", ident, f"sent at {sent:.4f} to", host.name, "ran at", server.id, "without",
+                   len(missing), "commits, the first acknowledged at", f"{missing[0][0]:.4f}", missing[0][1])
+    print(f"{len(run.reads)} reads answered on the `primary` route, {len(stale)} of them stale")
+    for ident, sent, host, server, missing in stale[-1:]:
+        print(f"the last: {ident}, sent to {host.name}, ran at {server.id} without {len(missing)} commits, "
+              f"the first acknowledged {sent - missing[0][0]:.1f} s before")
+    return 1 if stale else 0
 
 
 bed.main(play)
--- a/review/bed-2/bed.py
+++ b/review/bed-2/bed.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import base64
+import bisect
+import functools
 import json
 import os
 import re
@@ -58,11 +60,96 @@
 TASKS = set()
 
 
+class Net:
+    """Which zones reach each other. `PLATFORM` stands for the store and the platform's calls."""
+
+    PLATFORM = "platform"
+
+    def __init__(self):
+        self.pairs, self.healed = {}, asyncio.Event()
+
+    def is_cut(self, one, other):
+        return frozenset((one, other)) in self.pairs
+
+    def is_cut_for_hosts(self, one, other):
+        return self.is_cut(one, other) or self.is_cut("hosts of " + one, "hosts of " + other)
+
+    def cut(self, one, other):
+        self.pairs[frozenset((one, other))] = now()
+        record("net", one, "and", other, "are cut off from each other")
+
+    def heal(self, which=""):
+        for pair in list(self.pairs):
+            if all(it.startswith(which) for it in pair):
+                del self.pairs[pair]
+        self.healed.set()
+        self.healed = asyncio.Event()
+        record("net cuts healed:", which or "all")
+
+    def is_cut_for(self, one, other, seconds):
+        return self.pairs.get(frozenset((one, other)), now()) + seconds < now()
+
+    async def path(self, one, other):
+        """Waits until there is a path."""
+        while self.is_cut(one, other):
+            await self.healed.wait()
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, received):
+        self.received = received
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, address):
+        self.received(data, address)
+
+
+class Relay:
+    """The address under which other hosts send datagrams to a host. Drops them where zones are cut."""
+
+    def __init__(self, net, host):
+        self.net, self.host, self.senders = net, host, {}
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        ip, port = self.host.callers[0], self.host.relay_port
+        _, self.front = await loop.create_datagram_endpoint(
+            lambda: Datagrams(self.arrive), local_addr=(ip, port))
+
+    def arrive(self, data, address):
+        sender = HOSTS_BY_IP.get(address[0])
+        if sender is None or self.net.is_cut_for_hosts(sender.zone, self.host.zone):
+            return
+        if address in self.senders:
+            back = self.senders[address]
+            if back is not None:
+                back.transport.sendto(data)
+            return
+        self.senders[address] = None
+        spawn(self.open(address, data))
+
+    async def open(self, address, data):
+        def answer(reply, _):
+            if not self.net.is_cut_for_hosts(HOSTS_BY_IP[address[0]].zone, self.host.zone):
+                self.front.transport.sendto(reply, address)
+
+        loop = asyncio.get_running_loop()
+        _, back = await loop.create_datagram_endpoint(
+            lambda: Datagrams(answer), remote_addr=(self.host.callers[0], self.host.callers[1] + 2))
+        self.senders[address] = back
+        back.transport.sendto(data)
+
+
+HOSTS_BY_IP = {}
+
+
 class Http:
     """A small HTTP/1.1 server with persistent connections."""
 
-    def __init__(self, handler):
-        self.handler = handler
+    def __init__(self, handler, path=None):
+        self.handler, self.path = handler, path
         self.writers = set()
 
     async def start(self):
@@ -83,7 +170,11 @@
                         name, value = line.split(":", 1)
                         headers[name.strip().lower()] = value.strip()
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
+                if self.path:
+                    await self.path()
                 answer = await self.handler(method, path, headers, body)
+                if self.path:
+                    await self.path()
                 if answer is None:
                     # A connection on which an answer is lost delivers nothing further.
                     await asyncio.sleep(3600)
@@ -208,6 +299,7 @@
         self.draining, self.in_list = False, True
         self.born = int(time.time() * 1e3)
         self.writers, self.port, self.sequence, self.signatures = set(), 0, 0, 0
+        self.zones = {}  # The zone at the other end of each connection.
         self.slots = asyncio.Semaphore(group.slots)
         self.awake = asyncio.Event()
         self.awake.set()
@@ -259,7 +351,7 @@
     async def report(self):
         """Writes the server's entry, which takes as long as any write to the store."""
         await asyncio.sleep(STORE_WRITE_S)
-        if self.running and not self.dark:
+        if self.running and not self.dark and not self.group.net.is_cut(self.zone, Net.PLATFORM):
             self.seen_at = now()
             self.group.store.put("servers", self.id, self.entry())
 
@@ -272,13 +364,14 @@
         self.writers.add(writer)
         state, staged, values, prepared = "I", [], {}, {}
         try:
-            trip = 0
+            trip, zone = 0, None
 
             async def line():
                 data = await reader.readuntil(b"\r\n")
                 if trip:
                     await asyncio.sleep(trip)
                 await self.awake.wait()
+                await self.group.net.path(self.zone, zone)
                 return data[:-2].decode()
 
             def send(text):
@@ -286,16 +379,20 @@
                     writer.write(text.encode())
 
             hello = (await line()).split(" ")
+            who = hello[2]
+            zone = "-".join(who.split("-")[1:3])
+            await self.group.net.path(self.zone, zone)
+            self.zones[writer] = zone
             if hello[0] != "STARTUP" or hello[1] != SERVICE or (len(hello) > 3 and hello[3] != self.id):
                 send(f"ERROR MISROUTED {self.id}\r\n")
                 return
-            if len(self.writers) > self.group.max_conns:
+            if len(self.zones) > self.group.max_conns:
                 send(f"ERROR CONNLIMIT {self.id}\r\n")
                 return
-            who = hello[2]
             trip = 0 if self.zone in who else ZONE_TRIP_S
             await asyncio.sleep(self.group.handshake + 2 * trip)
             await self.awake.wait()
+            await self.group.net.path(self.zone, zone)
             send(f"READY I {self.position()}\r\n")
             while True:
                 text = await line()
@@ -348,6 +445,8 @@
                         elif verb == "FETCH":
                             item = tail.split(" ")[0]
                             rows = [next((e[2] for e in reversed(self.log) if e[3] == item), "-")]
+                            # A log that is rolled back is replaced, so this one only grows.
+                            self.group.reads[ident] = (self, self.log, len(self.log))
                         elif verb == "STORE" and state == "T":
                             if writable:
                                 staged.append((ident, tail.split(" ")[0]))
@@ -374,11 +473,13 @@
                     state = "E"
                 out = "".join(f"DATAROW {row}\r\n" for row in rows)
                 out += f"ERROR {error} {self.id}\r\n" if error else f"COMPLETE {done}\r\n"
+                await self.group.net.path(self.zone, zone)
                 send(out + f"READY {state} {self.position()}\r\n")
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             self.writers.discard(writer)
+            self.zones.pop(writer, None)
             writer.close()
 
     def append(self, ident, item):
@@ -396,11 +497,13 @@
 class Group:
     """The servers of the service, and how their logs get from one to the next."""
 
-    def __init__(self, store, sync=0, fencing=True, promote_s=0.3, slots=2, work=0.004):
+    def __init__(self, store, net, sync=0, fencing=True, promote_s=0.3, slots=2, work=0.004):
+        self.net = net
         self.store, self.sync, self.fencing, self.promote_s = store, sync, fencing, promote_s
         self.slots, self.work, self.handshake, self.max_conns = slots, work, 0.012, 40
         self.delay = 0.002
         self.servers, self.promoted, self.strays, self.promotions = [], None, [], []
+        self.reads = {}
 
     async def start(self, zones):
         self.servers = [Server(self, number + 1, zone) for number, zone in enumerate(zones)]
@@ -418,6 +521,11 @@
         while True:
             await asyncio.sleep(0.2)
             for server in self.servers:
+                # A connection whose remote end is unreachable is dropped after 3 s.
+                for writer, zone in list(server.zones.items()):
+                    if self.net.is_cut_for(server.zone, zone, 3):
+                        server.zones.pop(writer)
+                        writer.transport.abort()
                 listed = ("servers", "", server.id) in self.store.rows
                 if listed and now() > getattr(server, "seen_at", now()) + 3 * HEARTBEAT_S:
                     self.store.apply([], [], [{"table_name": "servers", "key": server.id}])
@@ -425,6 +533,7 @@
 
     def receive(self, primary, replica, count):
         usable = primary.running and not primary.dark and replica.running and not replica.dark
+        usable = usable and not self.net.is_cut(primary.zone, replica.zone)
         if not usable or replica.deaf or replica.leads or replica.term > primary.term:
             return
         replica.term = primary.term
@@ -482,6 +591,8 @@
             if other is old and not self.fencing:
                 spawn(self.notice(other, server))
                 continue
+            if self.net.is_cut(other.zone, server.zone):
+                continue
             if other.leads:
                 other.leads = False
                 spawn(other.report())
@@ -490,6 +601,7 @@
     async def notice(self, old, new):
         """Without fencing, a replaced primary goes on for a second after it can reach the new one."""
         await old.awake.wait()
+        await self.net.path(old.zone, new.zone)
         await asyncio.sleep(1.0)
         if old.leads and old.running:
             self.step_down(old)
@@ -557,10 +669,12 @@
 class Host:
     """One process of the system, started by the command of the deploy file."""
 
-    def __init__(self, number, zone, folder, store, orders, bounds):
+    def __init__(self, number, zone, folder, store, orders, announced=False):
         self.name, self.zone, self.folder = f"frontend-{zone}-{number}", zone, folder
         ip = f"127.0.0.{10 + number}"
-        port = free_ports(ip, 8)
+        port = free_ports(ip, 9)
+        self.relay_port = port + 8
+        HOSTS_BY_IP[ip] = self
         self.callers = (ip, port)
         self.ready = (ip, port + 1)
         fields = {
@@ -568,10 +682,12 @@
             "bind_addrs.frontend": f"{ip}:{port}", "bind_addrs.ready": f"{ip}:{port + 1}",
             "port_range": f"{port + 2},{port + 7}", "bounds.grace_s": "6", "bounds.drain_ms": "7000",
             "limits.max_fds": "4300", "limits.cpu_quota": "0.25",
-            "platform.address": store.address, "cloud_api.address": orders.address, **bounds}
+            "platform.address": store.address, "cloud_api.address": orders.address}
         text = open(os.path.join(ROOT, "platform", "settings.ini")).read()
         text = re.sub(r"\{\{[#/][\w.]+\}\}\n?", "", text)
         text = re.sub(r"\{\{([\w.]+)\}\}", lambda found: fields[found[1]], text)
+        if announced:
+            text = text.replace("[platform]", f"announced = {ip}:{self.relay_port}\n\n[platform]")
         self.path = os.path.join(folder, self.name + ".ini")
         open(self.path, "w").write(text)
         self.process, self.starts = None, 0
@@ -611,10 +727,10 @@
 class Client:
     """A client that writes, one statement after the other, and reconnects after a close."""
 
-    def __init__(self, number, hosts, database, acknowledged, pause=0.0, tx=False):
+    def __init__(self, number, hosts, database, acknowledged, pause=0.0, reads=None):
         self.number, self.hosts, self.database = number, hosts, database
         self.acknowledged, self.pause, self.count = acknowledged, pause, 0
-        self.codes = {}
+        self.codes, self.reads = {}, reads
 
     async def run(self):
         while True:
@@ -637,8 +753,13 @@
     async def write(self, reader, writer, host):
         self.count += 1
         ident = f"c{self.number:02d}x{self.count:06d}"
-        record("client sends", ident, "to", host.name)
-        writer.write(f"QUERY {ident} STORE k{self.number} v{self.count}\r\n".encode())
+        text = f"STORE k{self.number} v{self.count}"
+        reads = self.reads is not None and self.count % 2
+        if reads:
+            text = f"FETCH k{self.number}"
+        sent = now()
+        record("client sends", ident, text, "to", host.name)
+        writer.write(f"QUERY {ident} {text}\r\n".encode())
         answers = []
         while not answers or not answers[-1].startswith("READY"):
             line = await asyncio.wait_for(reader.readuntil(b"\r\n"), 5)
@@ -646,8 +767,11 @@
         record("client gets", ident, "|".join(answers))
         code = answers[0].split(" ")[1 if answers[0].startswith("ERROR") else 0]
         self.codes[code] = self.codes.get(code, 0) + 1
-        if answers[0].startswith("COMPLETE "):
-            self.acknowledged[ident] = now()
+        if any(answer.startswith("COMPLETE ") for answer in answers):
+            if reads:
+                self.reads[ident] = (sent, host)
+            else:
+                self.acknowledged[ident] = now()
         else:
             await asyncio.sleep(0.05)
 
@@ -655,13 +779,15 @@
 class Bed:
     """A small deployment: store, orders, one service of three servers, hosts and clients."""
 
-    async def start(self, hosts=6, clients=12, pause=0.0, host_zones="abcabc", store_zone=None, **group):
+    async def start(self, hosts=6, clients=12, pause=0.0, host_zones="abcabc", store_zone=None, reads=False,
+                    server_zones="abc", cuts=False, **group):
         self.folder = tempfile.mkdtemp(prefix="review-")
+        self.net = Net()
         self.store = await Store().start()
         self.store.zone = store_zone
-        self.group = Group(self.store, **group)
+        self.group = Group(self.store, self.net, **group)
         self.orders = await Orders(self.group).start()
-        zones = ["zone-a", "zone-b", "zone-c"]
+        zones = ["zone-" + zone for zone in server_zones]
         self.store.put("op", "config", {
             "version": 3,
             "routes": [{"name": "book", "host": "book", "kind": "primary", "timeout_ms": 1000,
@@ -670,13 +796,21 @@
                           "sync_replicas": self.group.sync}],
             "limits": {"tx_idle_ms": 3000}})
         await self.group.start(zones)
-        self.hosts = [Host(n + 1, "zone-" + zone, self.folder, self.store, self.orders, {})
-                      for n, zone in enumerate(host_zones[:hosts])]
+        self.hosts = []
+        for n, zone in enumerate("zone-" + zone for zone in host_zones[:hosts]):
+            store, orders = self.store, self.orders
+            if cuts:
+                path = functools.partial(self.net.path, zone, Net.PLATFORM)
+                store = await Http(self.store.handle, path).start()
+                orders = await Http(self.orders.handle, path).start()
+            self.hosts.append(Host(n + 1, zone, self.folder, store, orders, cuts))
+            if cuts:
+                await Relay(self.net, self.hosts[-1]).start()
         for host in self.hosts:
             host.start()
         await self.until_ready(20)
-        self.acknowledged = {}
-        self.clients = [Client(n, self.hosts, "book", self.acknowledged, pause) for n in range(clients)]
+        self.acknowledged, self.reads = {}, {} if reads else None
+        self.clients = [Client(n, self.hosts, "book", self.acknowledged, pause, self.reads) for n in range(clients)]
         for client in self.clients:
             spawn(client.run())
 
@@ -696,6 +830,23 @@
                 raise RuntimeError("the hosts do not serve")
             await asyncio.sleep(0.02)
 
+    def stale_reads(self):
+        """Reads that ran on a log without a commit that was acknowledged before their first byte. Commits
+        that a promote rolled back don't count."""
+        kept = {entry[2] for entry in self.group.leader().log}
+        commits = sorted((acked, ident) for ident, acked in self.acknowledged.items() if ident in kept)
+        stale, known = [], {}
+        for ident, (sent, host) in sorted(self.reads.items(), key=lambda read: read[1][0]):
+            server, log, length = self.group.reads[ident]
+            had = known.setdefault(id(log), [0, set()])
+            had[1].update(entry[2] for entry in log[had[0]:length])
+            had[0] = max(had[0], length)
+            before = bisect.bisect_left(commits, (sent, ""))
+            missing = [it for it in commits[:before] if it[1] not in had[1]]
+            if missing:
+                stale.append((ident, sent, host, server, missing))
+        return stale
+
     def kill_hosts(self):
         for host in self.hosts:
             if host.process.poll() is None:
