--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,7 +17,8 @@
 
 
 async def play(run):
-    await run.start(hosts=7, host_zones="cccaabd", store_zone="zone-c", clients=10, pause=0.01, sync=1, fencing=True, promote_s=0.3)
+    await run.start(hosts=7, host_zones="cccaabd", store_zone="zone-c", client_zone="c", clients=10, pause=0.01,
+                    sync=1, fencing=True, promote_s=0.3)
     primary, *replicas = run.group.servers
     await run.until_serving(20, 200)
 
--- a/review/bed-2/bed.py
+++ b/review/bed-2/bed.py
@@ -779,7 +779,7 @@
 class Bed:
     """A small deployment: store, orders, one service of three servers, hosts and clients."""
 
-    async def start(self, hosts=6, clients=12, pause=0.0, host_zones="abcabc", store_zone=None, reads=False,
+    async def start(self, hosts=6, clients=12, pause=0.0, host_zones="abcabc", store_zone=None, reads=False, client_zone="",
                     server_zones="abc", cuts=False, **group):
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = Net()
@@ -810,7 +810,8 @@
             host.start()
         await self.until_ready(20)
         self.acknowledged, self.reads = {}, {} if reads else None
-        self.clients = [Client(n, self.hosts, "book", self.acknowledged, pause, self.reads) for n in range(clients)]
+        near = [host for host in self.hosts if host.zone.endswith(client_zone)]
+        self.clients = [Client(n, near, "book", self.acknowledged, pause, self.reads) for n in range(clients)]
         for client in self.clients:
             spawn(client.run())
 
