--- a/review/bed-2/bed.py
+++ b/review/bed-2/bed.py
@@ -868,7 +868,8 @@
 def main(play):
     """Runs `play(bed)`, which returns an exit code, and ends all processes."""
     global record
-    record = Record(os.path.join(os.getcwd(), "record.txt"))
+    folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+    record = Record(os.path.join(folder, "record.txt"))
     bed = Bed()
 
     async def run():
