--- a/crates/core/src/quorum/clearance.rs
+++ b/crates/core/src/quorum/clearance.rs
@@ -20,6 +20,4 @@
     MajorityConfirmed,
     /// the primary has stepped down
     SteppedDown,
-    /// too few hosts can be asked, the platform has not listed the primary for long, and this host holds the claim
-    Delisted,
 }
--- a/crates/core/src/quorum/closing.rs
+++ b/crates/core/src/quorum/closing.rs
@@ -14,20 +14,16 @@
 /// use std::time::Duration;
 /// use flamingopost_core::key::HostKey;
 /// use flamingopost_core::names::Names;
-/// use flamingopost_core::quorum::{CLOCK_MARGIN, Closing, LEASE_DURATION, Quorum};
+/// use flamingopost_core::quorum::Closing;
 ///
 /// let mut names: Names<HostKey> = Names::default();
-/// let [first, second] = ["entry-2", "entry-3"].map(|name| names.intern(name));
+/// let host = names.intern("entry-2");
 /// let at = Duration::from_millis(100);
-/// let mut quorum = Quorum::default();
-/// quorum.set_hosts([first, second].into_iter().collect(), at);
 /// let mut closing = Closing::announced(at, Duration::ZERO);
-/// let order_from = |closing: &Closing| Some(quorum.order_from(closing, at)?.from);
-/// assert_eq!(order_from(&closing), None, "nobody has confirmed the end");
-/// closing.confirm(first, [], at);
-/// assert_eq!(order_from(&closing), Some(at + LEASE_DURATION + CLOCK_MARGIN));
-/// closing.confirm(second, [], at);
-/// assert_eq!(order_from(&closing), Some(at));
+/// closing.confirm(host, [], at);
+/// assert!(closing.is_confirmed(host));
+/// closing.forget_confirmations();
+/// assert!(!closing.is_confirmed(host));
 /// ```
 #[derive(Debug, Clone)]
 pub struct Closing {
@@ -37,12 +33,13 @@
     watched: Option<ServerKey>,
     claimed_at: Option<Duration>,
     has_other_hosts: bool,
-    is_primary_delisted: bool,
     stepped_down_at: Option<Duration>,
     /// When each host has confirmed.
     confirmed: BTreeMap<HostKey, Duration>,
     /// When a host that has confirmed last heard from each other host.
     heard: BTreeMap<HostKey, Duration>,
+    /// When such a host last heard from one that is not listed here.
+    unlisted_heard_at: Option<Duration>,
 }
 
 impl Closing {
@@ -55,10 +52,10 @@
             watched: None,
             claimed_at: None,
             has_other_hosts: false,
-            is_primary_delisted: false,
             stepped_down_at: None,
             confirmed: BTreeMap::new(),
             heard: BTreeMap::new(),
+            unlisted_heard_at: None,
         }
     }
 
@@ -91,15 +88,6 @@
         }
     }
 
-    /// Sets whether the claim that this host holds, and the platform that has not listed the primary for
-    /// long, take the place of a majority's confirmation.
-    pub fn with_primary_delisted(self, is_primary_delisted: bool) -> Closing {
-        Closing {
-            is_primary_delisted,
-            ..self
-        }
-    }
-
     /// Records at `now` that the primary follows, so that no host can use it.
     pub fn record_step_down(&mut self, now: Duration) {
         self.stepped_down_at.get_or_insert(now);
@@ -119,6 +107,16 @@
         }
     }
 
+    /// Records that a host which has confirmed heard at `at` from one that is not listed here.
+    pub fn record_unlisted(&mut self, at: Duration) {
+        self.unlisted_heard_at = self.unlisted_heard_at.max(Some(at));
+    }
+
+    /// Forgets the confirmations, which were given under another electorate.
+    pub fn forget_confirmations(&mut self) {
+        self.confirmed.clear();
+    }
+
     /// Returns the hosts that have confirmed the end.
     pub fn confirmed_hosts(&self) -> BTreeSet<HostKey> {
         self.confirmed.keys().copied().collect()
@@ -139,14 +137,14 @@
         self.heard.get(&host).copied()
     }
 
-    /// Returns when `count` other hosts knew of the end.
-    pub(super) fn known_to(&self, count: usize) -> Option<Duration> {
-        let Some(last) = count.checked_sub(1) else {
-            return Some(self.announced_at);
-        };
-        let mut times: Vec<Duration> = self.confirmed.values().copied().collect();
-        times.sort_unstable();
-        times.get(last).copied()
+    /// Returns when `host` has confirmed the end, if it has.
+    pub(super) fn confirmed_at(&self, host: HostKey) -> Option<Duration> {
+        self.confirmed.get(&host).copied()
+    }
+
+    /// Returns when a host that has confirmed last heard from one that is not listed here.
+    pub(super) fn unlisted_heard_at(&self) -> Option<Duration> {
+        self.unlisted_heard_at
     }
 
     /// Returns when the hosts that know of the end use the primary no more.
@@ -160,11 +158,6 @@
         self.claimed_at
     }
 
-    /// Reports whether the platform has not listed the primary for long, and this host holds the claim.
-    pub fn is_primary_delisted(&self) -> bool {
-        self.is_primary_delisted && self.claimed_at.is_some()
-    }
-
     /// Returns when the primary was seen to follow, if it was.
     pub fn stepped_down_at(&self) -> Option<Duration> {
         self.stepped_down_at
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -28,9 +28,7 @@
 
 pub use action::{FencingToken, NextStep, Opinion, Order, Report};
 pub use contact::{Contact, Trouble};
-pub use inquiry::{
-    DIVIDED_DELAY, MINORITY_DELAY, OBJECTION_TIMEOUT, REPORT_AGE_MAX, RETURN_TIMEOUT,
-};
+pub use inquiry::{DIVIDED_DELAY, OBJECTION_TIMEOUT, REPORT_AGE_MAX, RETURN_TIMEOUT};
 use inquiry::{Decision, Inquiry};
 use leader_history::LeaderHistory;
 use passed_over::PassedOver;
@@ -255,8 +253,7 @@
     /// describes.
     pub fn record_end_of_term(&mut self, closing: Closing) {
         if let Phase::Choosing { inquiry, .. } = &mut self.phase {
-            let closing = closing.with_claim(inquiry.claimed_since);
-            inquiry.closing = Some(closing.with_primary_delisted(inquiry.is_minority));
+            inquiry.closing = Some(closing.with_claim(inquiry.claimed_since));
         }
     }
 
@@ -294,6 +291,26 @@
         }
     }
 
+    /// Records that a host which has confirmed such an end last heard at `at` from one that is not listed
+    /// here.
+    pub fn record_unlisted(&mut self, under: FencingToken, at: Duration) {
+        if let Phase::Choosing { token, inquiry, .. } = &mut self.phase
+            && *token == under
+            && let Some(closing) = &mut inquiry.closing
+        {
+            closing.record_unlisted(at);
+        }
+    }
+
+    /// Forgets who has confirmed the end of the term, because another electorate decides now.
+    pub fn forget_confirmations(&mut self) {
+        if let Phase::Choosing { inquiry, .. } = &mut self.phase
+            && let Some(closing) = &mut inquiry.closing
+        {
+            closing.forget_confirmations();
+        }
+    }
+
     /// Records that the primary whose end was announced under `token` has stepped down.
     pub fn record_step_down(&mut self, under: FencingToken, now: Duration) {
         if let Phase::Choosing { token, inquiry, .. } = &mut self.phase
@@ -598,7 +615,7 @@
                 Vec::new()
             }
             // Most hosts have missed the primary, and may have answered before this host was cut off.
-            Decision::Replace if inquiry.has_majority(view) && !view.in_contact => {
+            Decision::Replace if !view.in_contact => {
                 self.retry_at = now + INQUIRY_BACKOFF;
                 Vec::new()
             }
@@ -611,11 +628,7 @@
             }
             Decision::Replace => {
                 self.outvoted_since = None;
-                let is_minority = !inquiry.has_majority(view);
-                self.phase = Phase::Claiming(Inquiry {
-                    is_minority,
-                    ..inquiry
-                });
+                self.phase = Phase::Claiming(inquiry);
                 vec![NextStep::Claim]
             }
         }
--- a/crates/core/src/succession/choice.rs
+++ b/crates/core/src/succession/choice.rs
@@ -192,15 +192,15 @@
         }
     }
 
-    /// Reports whether the claim that this host holds stands in for hosts that it cannot ask: the
-    /// platform has not listed the primary for long, or a leaving primary is asked to step down.
+    /// Reports whether the claim that this host holds stands in for hosts that it cannot ask, because a
+    /// leaving primary is asked to step down.
     fn may_act_alone(&self, inquiry: &Inquiry, now: Duration) -> bool {
         let leaving_since = self
             .leaving_since
             .filter(|_| inquiry.cause == Some(Trouble::Leaving));
         let leaves_for_long =
             leaving_since.is_some_and(|since| now >= since + LEAVING_CONTACT_TIMEOUT);
-        inquiry.claimed_at.is_some() && (inquiry.is_minority || leaves_for_long)
+        inquiry.claimed_at.is_some() && leaves_for_long
     }
 
     /// Reports whether an order to promote `server` may be given under `token`.
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -15,16 +15,6 @@
 use super::passed_over::{PassedOver, listed_servers};
 use super::view::View;
 
-/// Without a majority of hosts, a change waits this long after the platform's list has lost the
-/// primary, which by itself takes seconds. It is longer than network partitions usually last.
-///
-/// Guards against a minority that has the store on its side of a partition while the primary and
-/// most hosts are on the other. Those hosts keep each other's leases and rely on the primary. With
-/// a wait of 1.5 s after the list had lost it, two hosts of six had it replaced, and the old
-/// primary acknowledged 19 writes meanwhile. Where most hosts and the primary are dead, the service
-/// waits as long.
-pub const MINORITY_DELAY: Duration = Duration::from_secs(8);
-
 /// When some hosts reach the primary and most do not, the change waits this long, since the network
 /// path may heal sooner than a change takes.
 pub const DIVIDED_DELAY: Duration = Duration::from_millis(1_000);
@@ -70,8 +60,6 @@
     pub(super) claimed_at: Option<Duration>,
     /// Since when the store has had a claim on the change, of this host or of one that it was taken from.
     pub(super) claimed_since: Option<Duration>,
-    /// Whether the change rests on the platform's list and the claim, because too few hosts can be asked.
-    pub(super) is_minority: bool,
     /// The end of the primary's term, once it was announced.
     pub(super) closing: Option<Closing>,
 }
@@ -88,13 +76,12 @@
     /// Decides whether the primary is replaced.
     ///
     /// Hosts that do not answer may be on the primary's side of a partition and keep acknowledging
-    /// writes there that a successor lacks. So more than half of all hosts have to miss the
-    /// primary. Fewer hosts may act only when the platform has lost the primary for long as well.
+    /// writes there that a successor lacks. So more than half of the electors have to miss the
+    /// primary.
     ///
     /// A primary that stepped down has a successor. Just after a change it is possible that no host
     /// knows the successor and all report that they miss a primary, so they are given time to learn
-    /// of it. Hosts that are cut off together with a replaced primary know nothing of its
-    /// successor, so a minority does not act before a partition has usually ended.
+    /// of it.
     pub(super) fn decide(
         &self,
         trouble: Trouble,
@@ -105,22 +92,18 @@
         if self.sees_newer_leader(view) {
             return Decision::Keep;
         }
-        let (since, unlisted) = match trouble {
+        let since = match trouble {
             // The primary began to leave during the inquiry.
             Trouble::Leaving => return Decision::Replace,
-            Trouble::Absent { since } => (since, true),
-            Trouble::Refuses { since } | Trouble::Silent { since } => (since, false),
+            Trouble::Absent { since } | Trouble::Refuses { since } | Trouble::Silent { since } => {
+                since
+            }
         };
         let refuses = matches!(trouble, Trouble::Refuses { .. });
         let timed_out = now >= self.deadline;
         let reaching = self.count(Opinion::Reaches);
         let majority = self.has_majority(view);
         let replaced = history.is_last_replaced(view);
-        let delay = if replaced {
-            RETURN_TIMEOUT
-        } else {
-            MINORITY_DELAY
-        };
         let all_answered = self.opinions.len() == view.peers.len() && !replaced;
         match (majority, reaching) {
             (true, 0) if timed_out || all_answered => Decision::Replace,
@@ -128,17 +111,15 @@
             // yet cannot know better.
             (true, 0) if refuses && now >= self.started_at + OBJECTION_TIMEOUT => Decision::Replace,
             (true, _) if timed_out && now >= since + DIVIDED_DELAY => Decision::Replace,
-            (false, 0) if timed_out && unlisted && now >= since + delay => Decision::Replace,
             _ if timed_out => Decision::Keep,
             _ => Decision::Pending,
         }
     }
 
-    /// Reports whether the order rests on the claim of this host, because too few hosts can confirm the end
-    /// of the term.
+    /// Reports whether the order rests on the claim of this host, because the primary has stepped down.
     pub(super) fn rests_on_claim(&self) -> bool {
         let closing = self.closing.as_ref();
-        closing.is_some_and(|it| it.is_primary_delisted() || it.stepped_down_at().is_some())
+        closing.is_some_and(|it| it.stepped_down_at().is_some())
     }
 
     /// Reports whether more than half of all hosts miss the primary.
--- a/crates/core/tests/limit/model.rs
+++ b/crates/core/tests/limit/model.rs
@@ -450,7 +450,7 @@
                 self.record_contact(to, sender);
                 self.send(to, from, Message::Ack { sent });
             }
-            Message::Ack { sent } => host.quorum.record_reply(sender, sent),
+            Message::Ack { sent } => host.quorum.record_reply(sender, sent, None),
             Message::Request(request) => {
                 if let Some(grant) = self.grant(to, sender, &request) {
                     self.send(to, from, Message::Grant(grant));
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -6,8 +6,8 @@
 use flamingopost_core::key::HostKey;
 use flamingopost_core::names::Names;
 use flamingopost_core::quorum::{
-    Basis, CLOCK_MARGIN, Closing, GONE_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_DURATION, Quorum,
-    StoreLease,
+    Basis, CLOCK_MARGIN, Closing, Electorate, GONE_TIMEOUT, Group, HEARTBEAT_INTERVAL,
+    LEASE_DURATION, Quorum, RENEWAL_LIFETIME, StoreLease,
 };
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,18 +23,44 @@
         .collect()
 }
 
+/// The name of the host whose view a test takes.
+const OWN: &str = "entry-own";
+
+/// Adopts an electorate of this host, if `takes_part`, and `others`, as a process that has caught up.
+fn elect(quorum: &mut Quorum, others: &[HostKey], takes_part: bool, now: Duration) {
+    let name = |host: &HostKey| format!("{host:?}");
+    let names: BTreeSet<String> = others.iter().map(name).collect();
+    let own = takes_part.then(|| OWN.to_owned());
+    let electors = names.into_iter().chain(own).collect();
+    let before = Electorate::first(electors, 1);
+    let formed = before.replaced_by(before.electors.clone(), 1);
+    quorum.set_hosts(others.iter().copied().collect(), now);
+    for electorate in [before, formed] {
+        let key = |wanted: &str| others.iter().find(|it| name(it) == wanted).copied();
+        let group = Group::new(&electorate.electors, OWN, key);
+        assert!(quorum.adopt(&electorate, [group.clone(), group], now));
+    }
+    quorum.record_renewal(now);
+}
+
+/// Records an answer under the present electorate.
+fn reply(quorum: &mut Quorum, host: HostKey, sent: Duration) {
+    let number = quorum.number();
+    quorum.record_reply(host, sent, number);
+}
+
 /// Two hosts of six are cut off together with a primary. Without the lease they would keep
 /// acknowledging writes that the successor of that primary does not have.
 #[test]
 fn a_minority_partition_loses_its_lease() {
     let others = hosts(5);
     let mut quorum = Quorum::default();
-    quorum.set_hosts(others.iter().copied().collect(), ms(0));
+    elect(&mut quorum, &others, true, ms(0));
     others
         .iter()
-        .for_each(|host| quorum.record_reply(*host, ms(1_000)));
+        .for_each(|host| reply(&mut quorum, *host, ms(1_000)));
     assert!(quorum.holds_lease(ms(1_000) + LEASE_DURATION - ms(1)));
-    quorum.record_reply(others[0], ms(1_500));
+    reply(&mut quorum, others[0], ms(1_500));
     assert!(
         !quorum.holds_lease(ms(1_000) + LEASE_DURATION),
         "two of six are no majority"
@@ -50,6 +76,8 @@
     assert!(!quorum.holds_lease(ms(1_000)));
     quorum.set_hosts(BTreeSet::new(), ms(1_000));
     assert!(quorum.knows_hosts());
+    assert!(!quorum.holds_lease(ms(1_000)), "no electorate is known");
+    elect(&mut quorum, &[], true, ms(1_000));
     assert!(quorum.holds_lease(ms(1_000)), "it is the only host");
 }
 
@@ -59,11 +87,11 @@
 fn a_host_that_is_no_elector_counts_only_electors() {
     let others = hosts(3);
     let mut quorum = Quorum::default();
-    quorum.set_elector(false);
-    quorum.set_hosts(others.iter().copied().collect(), ms(0));
-    quorum.record_reply(others[0], ms(1_000));
+    elect(&mut quorum, &others, false, ms(0));
+    assert!(!quorum.is_elector());
+    reply(&mut quorum, others[0], ms(1_000));
     assert!(!quorum.holds_lease(ms(1_100)), "one of three");
-    quorum.record_reply(others[1], ms(1_000));
+    reply(&mut quorum, others[1], ms(1_000));
     assert!(quorum.holds_lease(ms(1_100)));
 }
 
@@ -72,7 +100,7 @@
 #[test]
 fn a_store_lease_replaces_the_majority() {
     let mut quorum = Quorum::default();
-    quorum.set_hosts(hosts(5).into_iter().collect(), ms(0));
+    elect(&mut quorum, &hosts(5), true, ms(0));
     assert!(!quorum.holds_lease(ms(2_000)));
     let mut lease = StoreLease::default();
     assert!(!lease.holds_lease(ms(2_000)));
@@ -81,22 +109,26 @@
     assert!(!lease.holds_lease(ms(2_000) + LEASE_DURATION));
 }
 
-/// A host was removed for good without notice and stays in the list. It must not count for ever:
-/// with one more host lost, half of the list would be no majority any more.
+/// Guards against two majorities that share no host: hosts that one host had not heard for long did not
+/// count for it, and counted for others.
 #[test]
-fn a_host_that_is_gone_for_good_does_not_count() {
-    let others = hosts(3);
+fn silent_hosts_count_until_a_majority_has_agreed_to_leave_them_out() {
+    let others = hosts(6);
     let mut quorum = Quorum::default();
-    quorum.set_hosts(others.iter().copied().collect(), ms(0));
-    let now = GONE_TIMEOUT + ms(500);
-    quorum.record_message(others[0], now);
-    quorum.record_message(others[1], now);
-    quorum.record_reply(others[0], now);
-    assert!(
-        quorum.holds_lease(now),
-        "two of three hosts that are running"
+    elect(&mut quorum, &others, true, ms(0));
+    let now = GONE_TIMEOUT * 2;
+    quorum.record_renewal(now);
+    for host in &others[..2] {
+        quorum.record_message(*host, now);
+        reply(&mut quorum, *host, now);
+    }
+    assert_eq!(
+        quorum.gone_hosts(now),
+        others[2..].iter().copied().collect()
     );
-    assert_eq!(quorum.gone_hosts(now), BTreeSet::from([others[2]]));
+    assert!(!quorum.holds_lease(now), "three of seven");
+    reply(&mut quorum, others[2], now);
+    assert!(quorum.holds_lease(now), "four of seven");
 }
 
 /// A host that is alone in its fleet, or that all others have answered, waits for no lease. When
@@ -106,18 +138,18 @@
 fn no_lease_is_waited_for_when_all_hosts_have_answered() {
     let others = hosts(2);
     let mut quorum = Quorum::default();
-    assert_eq!(quorum.leases_end(&BTreeSet::new(), ms(5_000)), ms(0));
+    assert_eq!(quorum.leases_end(&BTreeSet::new()), ms(0));
     quorum.set_hosts(others.iter().copied().collect(), ms(0));
     let answered = others.into_iter().collect();
-    assert_eq!(quorum.leases_end(&answered, ms(5_000)), ms(0));
+    assert_eq!(quorum.leases_end(&answered), ms(0));
 }
 
 /// A host that gets messages from no other host is itself cut off, however long that lasts.
 #[test]
-fn an_isolated_host_counts_no_host_as_gone() {
+fn an_isolated_host_holds_no_lease() {
     let mut quorum = Quorum::default();
-    quorum.set_hosts(hosts(4).into_iter().collect(), ms(0));
-    assert!(quorum.gone_hosts(GONE_TIMEOUT * 4).is_empty());
+    elect(&mut quorum, &hosts(4), true, ms(0));
+    quorum.record_renewal(GONE_TIMEOUT * 4);
     assert!(!quorum.holds_lease(GONE_TIMEOUT * 4));
 }
 
@@ -142,7 +174,8 @@
             .map(|own| {
                 let mut quorum = Quorum::default();
                 let others = keys.iter().enumerate().filter(|(i, _)| *i != own);
-                quorum.set_hosts(others.map(|(_, key)| *key).collect(), ms(0));
+                let others: Vec<HostKey> = others.map(|(_, key)| *key).collect();
+                elect(&mut quorum, &others, true, ms(0));
                 quorum
             })
             .collect();
@@ -170,7 +203,7 @@
                     }
                     quorums[to].record_message(keys[from], now + ms(2));
                     if !blocked(!asks_in) {
-                        quorums[from].record_reply(keys[to], now);
+                        reply(&mut quorums[from], keys[to], now);
                         quorums[from].record_message(keys[to], now + ms(4));
                         informed[from] |= ordered.is_some() && to < count - cut;
                     }
@@ -179,7 +212,7 @@
             now += HEARTBEAT_INTERVAL;
             // The first host orders a promotion, with answers from all hosts that are not cut off.
             let answered: BTreeSet<HostKey> = keys[..count - cut].iter().copied().collect();
-            let leases_ended = now >= quorums[0].leases_end(&answered, now);
+            let leases_ended = now >= quorums[0].leases_end(&answered);
             if now >= cut_at && leases_ended {
                 ordered.get_or_insert(now);
             }
@@ -212,7 +245,10 @@
 fn five_hosts() -> (Quorum, Vec<HostKey>) {
     let others = hosts(4);
     let mut quorum = Quorum::default();
-    quorum.set_hosts(others.iter().copied().collect(), ms(1_000));
+    elect(&mut quorum, &others, true, ms(0));
+    for host in &others {
+        quorum.record_message(*host, ms(1_000));
+    }
     (quorum, others)
 }
 
@@ -246,9 +282,10 @@
 /// their leases, which they extend for each other.
 #[test]
 fn no_order_is_given_before_a_majority_has_confirmed_the_end_of_the_term() {
-    let (quorum, others) = five_hosts();
+    let (mut quorum, others) = five_hosts();
     let mut closing = Closing::announced(ms(1_950), ms(0)).with_claim(Some(ms(1_100)));
     let later = ms(1_950) + GONE_TIMEOUT * 4;
+    quorum.record_renewal(later);
     assert_eq!(order_from(&quorum, &closing, later), None, "all are silent");
     closing.confirm(others[0], [], later);
     assert_eq!(order_from(&quorum, &closing, later), None, "two of five");
@@ -256,20 +293,18 @@
     assert_eq!(order_from(&quorum, &closing, later), Some(later));
 }
 
-/// Guards against a service without a primary for good: the last host that is left orders a successor once
-/// the platform has not listed the primary for long, and only with the claim.
+/// Guards against a leaving primary that is never replaced: too few hosts can be asked, and it has stepped
+/// down itself.
 #[test]
-fn a_lone_host_orders_with_the_claim_or_once_the_primary_has_stepped_down() {
+fn a_lone_host_orders_once_the_primary_has_stepped_down() {
     let (quorum, _) = five_hosts();
-    let alone = Closing::announced(ms(1_950), ms(0)).with_primary_delisted(true);
-    assert_eq!(order_from(&quorum, &alone, ms(20_000)), None, "no claim");
-    let claimed = alone.with_claim(Some(ms(1_900)));
-    let clearance = quorum.order_from(&claimed, ms(20_000)).expect("a claim");
+    let claimed = Closing::announced(ms(1_950), ms(0)).with_claim(Some(ms(1_900)));
     assert_eq!(
-        (clearance.from, clearance.basis),
-        (ms(1_900) + LEASE, Basis::Delisted)
+        order_from(&quorum, &claimed, ms(14_000)),
+        None,
+        "a claim alone"
     );
-    let mut leaving = Closing::announced(ms(1_950), ms(0)).with_claim(Some(ms(1_900)));
+    let mut leaving = claimed;
     leaving.record_step_down(ms(2_100));
     let clearance = quorum
         .order_from(&leaving, ms(2_100))
@@ -280,12 +315,34 @@
     );
 }
 
+/// Guards against an order under an electorate that others may have replaced: its record in the store
+/// was not renewed for long, and one host does not answer.
+#[test]
+fn no_order_is_given_under_an_electorate_that_may_be_replaced() {
+    let (mut quorum, others) = five_hosts();
+    let now = ms(0) + RENEWAL_LIFETIME;
+    let mut closing = Closing::announced(now, ms(0));
+    for host in &others[..3] {
+        reply(&mut quorum, *host, now);
+        closing.confirm(*host, [], now);
+    }
+    assert_eq!(order_from(&quorum, &closing, now), None);
+    assert!(!quorum.holds_lease(now), "four of five");
+    reply(&mut quorum, others[3], now);
+    assert!(
+        quorum.holds_lease(now),
+        "all answer, so none has replaced it"
+    );
+    assert!(order_from(&quorum, &closing, now).is_some());
+}
+
 /// Guards against an order that waits for no lease of a host which this one has not heard for long, and
 /// which keeps its lease by the answers of others.
 #[test]
 fn an_order_waits_for_a_host_that_counts_as_gone_here_and_is_heard_elsewhere() {
     let (mut quorum, others) = five_hosts();
     let now = ms(1_000) + GONE_TIMEOUT + ms(500);
+    quorum.record_renewal(now);
     for host in &others[..3] {
         quorum.record_message(*host, now - ms(100));
     }
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -10,8 +10,8 @@
 use flamingopost_core::names::Names;
 use flamingopost_core::position::Position;
 use flamingopost_core::succession::{
-    DIVIDED_DELAY, FencingToken, INQUIRY_TIMEOUT, MINORITY_DELAY, NextStep, OBJECTION_TIMEOUT,
-    Opinion, Order, RETURN_TIMEOUT, Report, Succession, Trouble, View,
+    DIVIDED_DELAY, FencingToken, INQUIRY_TIMEOUT, NextStep, OBJECTION_TIMEOUT, Opinion, Order,
+    RETURN_TIMEOUT, Report, Succession, Trouble, View,
 };
 use flamingopost_core::term::Term;
 
@@ -453,22 +453,20 @@
     assert_eq!(setup.succession.outvoted(), None);
 }
 
-/// All other hosts were lost for good, and then the primary, which the platform's list loses after
-/// some seconds. The last host has to act in the end, or the service never accepts writes again.
+/// All other hosts were lost for good, and then the primary. The last host has to act in the end, or the
+/// service never accepts writes again: once it is the only elector, it waits for nobody.
 #[test]
-fn the_last_host_acts_once_the_platform_has_lost_the_primary_too() {
+fn the_last_host_acts_once_it_is_the_only_elector() {
     let mut setup = setup();
     setup.view.leader = None;
     setup.view.trouble = Some(Trouble::Absent { since: ms(1_000) });
-    let mut now = ms(1_020);
-    let claimed = loop {
-        if setup.step(now).contains(&NextStep::Claim) {
-            break now;
-        }
-        now += ms(20);
-        assert!(now < ms(10_000));
-    };
-    assert!(claimed >= ms(1_000) + MINORITY_DELAY);
+    for now in (1_020..30_000).step_by(20) {
+        let next = setup.step(ms(now));
+        assert!(!next.contains(&NextStep::Claim), "one of six, at {now}");
+    }
+    setup.view.peers.clear();
+    let claims = |now| setup.step(ms(now)).contains(&NextStep::Claim);
+    assert!((30_000..30_500).step_by(20).any(claims));
 }
 
 /// Most hosts miss the primary and some reach it. The change waits, because the network path may
@@ -834,11 +832,12 @@
 /// list loses the primary, which does not reach the store, and 1.5 s later the two had it replaced,
 /// while the others acknowledged 19 more writes.
 #[test]
-fn a_minority_with_the_store_waits_until_a_partition_has_usually_ended() {
+fn a_minority_with_the_store_replaces_no_primary_however_long_the_list_lacks_it() {
     let mut setup = setup();
     setup.view.leader = None;
     setup.view.trouble = Some(Trouble::Absent { since: ms(1_000) });
-    for now in (1_020..8_700).step_by(20) {
+    for now in (1_020..60_000).step_by(20) {
+        setup.record_opinions(1, 0);
         let next = setup.step(ms(now));
         assert!(!next.contains(&NextStep::Claim), "at {now}");
     }
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -28,6 +28,7 @@
 mod claim_holder;
 mod claims;
 mod closing;
+mod electorate;
 mod empty_log;
 mod ended_terms;
 mod handover;
@@ -79,8 +80,6 @@
     started_at: Duration,
     /// Changes of primaries that this host has learned of, for the other hosts.
     ended_terms: RefCell<ChangeLog>,
-    /// Whether most other hosts have told this one of the changes that they know since it started.
-    has_caught_up: Cell<bool>,
     /// Processes of other hosts that had no contact to a majority yet when this host first heard them.
     fresh_processes: RefCell<BTreeMap<HostKey, u64>>,
     /// Changes of services that are not configured here yet, with the hosts that reported them.
@@ -117,6 +116,8 @@
     written_services: Mutex<Option<empty_log::WrittenServices>>,
     /// Probes of servers that other hosts have asked about.
     probes: RefCell<SharedProbes<reachability::Asker>>,
+    /// The agreement on the electorate.
+    agreement: RefCell<electorate::Agreement>,
     /// Whether a read of the store's claims is in flight.
     is_reading_claims: Cell<bool>,
     /// When the newest such read was sent that gave a lease for every service.
@@ -156,7 +157,6 @@
             process: rand::random(),
             started_at,
             ended_terms: RefCell::default(),
-            has_caught_up: Cell::new(false),
             fresh_processes: RefCell::default(),
             unconfigured_terms: RefCell::default(),
             received_terms: RefCell::default(),
@@ -173,6 +173,7 @@
             records: RefCell::default(),
             written_services: Mutex::default(),
             probes: RefCell::default(),
+            agreement: RefCell::default(),
             is_reading_claims: Cell::new(false),
             claims_read_at: Cell::new(None),
             last_quorum_at: Cell::new(None),
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -15,7 +15,7 @@
 use super::{CLAIM_TIMEOUT, Election, in_time};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::platform::{Claim, Error, Platform, Revision, Token};
+use crate::platform::{Claim, Claims, Error, Platform, Read, Revision, Token};
 use crate::service::Service;
 
 /// How long a change of primary is remembered. This exceeds the age of the backup that a store is
@@ -230,10 +230,16 @@
     /// before this host started.
     pub(super) async fn read_claims(&self) -> Option<BTreeSet<(String, u64)>> {
         let read = in_time(self.platform.claims()).await.ok()?;
+        self.apply_claims(read)
+    }
+
+    /// Applies the claims as read from the store, and returns the claimed changes.
+    pub(super) fn apply_claims(&self, read: Read<Claims>) -> Option<BTreeSet<(String, u64)>> {
         let epoch = read.revision.epoch();
         if !self.fleet.observe_epoch(epoch) {
             return None;
         }
+        self.apply_recorded(read.value.electorate.as_ref());
         if !read.value.are_complete(epoch) || self.fleet.has_started_in_outage() {
             return Some(read.value.changes);
         }
@@ -257,6 +263,17 @@
         }
     }
 
+    /// Forgets what is known of earlier orders, because the hosts that may have given some did not consent
+    /// to the present electorate. The claims in the store are read again.
+    pub(super) fn forget_prior_orders(&self) {
+        self.orders_known.set(false);
+        self.orders_check.set(None);
+        *self.claimed_terms.borrow_mut() = None;
+        for service in self.fleet.services() {
+            service.forget_prior_orders();
+        }
+    }
+
     /// Passes on to all services what is known of orders given before this host started.
     fn update_all_known_orders(&self) {
         for service in self.fleet.services() {
--- a/crates/proxy/src/election/closing.rs
+++ b/crates/proxy/src/election/closing.rs
@@ -14,7 +14,8 @@
 use super::Election;
 use crate::codec::Codec;
 use crate::peer::{
-    CLOSING_PROTOCOL, EndedTerm, HANDOVER_PROTOCOL, Heard, NAMED_TERM_PROTOCOL, Payload,
+    CLOSING_PROTOCOL, ELECTORATE_PROTOCOL, EndedTerm, HANDOVER_PROTOCOL, Heard,
+    NAMED_TERM_PROTOCOL, Payload,
 };
 use crate::platform::Platform;
 use crate::service::{HANDOVER_MARGIN, Service};
@@ -194,8 +195,8 @@
         }
     }
 
-    /// Confirms the end of a term to `host` at `to`, which has announced it, if this host extends
-    /// leases. A host that knows of a newer order reports that instead.
+    /// Confirms the end of a term to `host` at `to`, which has announced it, if this host exchanges
+    /// heartbeats with it. A host that knows of a newer order reports that instead.
     pub(super) fn confirm_closing(
         &self,
         service: &Rc<Service<C>>,
@@ -206,24 +207,37 @@
         let Some(newest) = service.newest_replacement() else {
             return;
         };
-        if !self.fleet.with_quorum(|quorum, _| quorum.is_elector()) {
+        let number = self.fleet.with_quorum(|quorum, _| quorum.number());
+        if !self.fleet.is_small() && !self.fleet.with_quorum(|quorum, _| quorum.is_elector()) {
             return;
         }
         let is_newest = (newest.term(), newest.token) == (ended_term.term(), ended_term.token);
         let announcer = self.fleet.find_peer(host);
-        let is_term_named = announcer.is_some_and(|(_, peer)| peer.protocol >= NAMED_TERM_PROTOCOL);
+        let understands = |protocol| {
+            announcer
+                .as_ref()
+                .is_some_and(|it| it.1.protocol >= protocol)
+        };
         let token = ended_term.token;
-        let payload = match (is_newest, is_term_named) {
-            (true, true) => Payload::TermEnded {
+        let is_term_named = understands(NAMED_TERM_PROTOCOL);
+        let number = number.filter(|_| understands(ELECTORATE_PROTOCOL));
+        let payload = match (is_newest, is_term_named, number) {
+            (true, true, Some(number)) => Payload::TermConfirmed {
+                term: ended_term.term().number(),
+                token,
+                number: number.into(),
+                heard: self.heard_electors(),
+            },
+            (true, true, None) => Payload::TermEnded {
                 term: ended_term.term().number(),
                 token,
                 heard: self.heard_electors(),
             },
-            (true, false) => Payload::TermClosed {
+            (true, false, _) => Payload::TermClosed {
                 token,
                 heard: self.heard_electors(),
             },
-            (false, _) => Payload::EndedTerms {
+            (false, _, _) => Payload::EndedTerms {
                 ended_terms: vec![newest],
             },
         };
@@ -256,14 +270,17 @@
             return;
         };
         let now = self.site.now();
-        let heard = heard.iter().filter_map(|it| {
-            let other = self.fleet.peer(&it.host)?;
-            Some((other, now.saturating_sub(it.age())))
-        });
-        let heard: Vec<_> = heard.collect();
         let token = FencingToken(token);
         let mut succession = succession.borrow_mut();
+        let others = heard.iter().filter(|it| it.host != self.site.host);
+        let (listed, unlisted): (Vec<_>, Vec<_>) = others
+            .map(|it| (self.fleet.peer(&it.host), now.saturating_sub(it.age())))
+            .partition(|(key, _)| key.is_some());
+        let heard = listed.into_iter().filter_map(|(key, at)| Some((key?, at)));
         succession.record_closed(host, (term, token), heard, now);
+        if let Some((_, at)) = unlisted.into_iter().max() {
+            succession.record_unlisted(token, at);
+        }
         service.failover_notify.notify_one();
     }
 }
--- a/crates/proxy/src/election/ended_terms.rs
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -5,7 +5,6 @@
 
 use flamingopost_core::change_log::Coverage;
 use flamingopost_core::key::HostKey;
-use flamingopost_core::quorum::Quorum;
 
 use super::Election;
 use super::messaging::PROPAGATION_WINDOW;
@@ -25,6 +24,8 @@
     pub out_of_touch: u32,
     /// Services of which its sender needs samples.
     pub sample_requests: Vec<String>,
+    /// Whether its sender counts only answers that name the electorate.
+    pub names_electorate: bool,
 }
 
 /// A part of the changes that another host has sent.
@@ -50,7 +51,7 @@
     /// a change that this host has known for long may be news to that sender all the same.
     pub(super) fn answer_heartbeat(&self, host: HostKey, beat: &Heartbeat, to: SocketAddr) {
         let ended_terms = match beat.process {
-            Some(process) if !self.may_extend_lease(host, process, beat.out_of_touch) => return,
+            Some(process) if !self.may_extend_lease(host, process, beat) => return,
             Some(process) => {
                 let unconfirmed = self.unconfirmed_ended_terms(host, process);
                 if !unconfirmed.is_empty() {
@@ -64,12 +65,25 @@
                 pages(missed).into_iter().next().unwrap_or_default()
             }
         };
-        let ack = Payload::HeartbeatAck {
-            sent: beat.sent,
-            progress: self.fleet.feed_progress(),
-            in_touch: self.quorum_held_ms(),
-            ended_terms,
-            samples: self.samples(&beat.sample_requests),
+        let (sent, progress) = (beat.sent, self.fleet.feed_progress());
+        let in_touch = self.quorum_held_ms();
+        let samples = self.samples(&beat.sample_requests);
+        let ack = match beat.names_electorate {
+            true => Payload::ElectorAck {
+                sent,
+                process: self.process,
+                progress,
+                in_touch,
+                samples,
+                standing: self.standing(),
+            },
+            false => Payload::HeartbeatAck {
+                sent,
+                progress,
+                in_touch,
+                ended_terms,
+                samples,
+            },
         };
         self.send_message(String::new(), ack, to);
     }
@@ -78,22 +92,17 @@
     /// majority `out_of_touch` milliseconds before it asked.
     ///
     /// Guards against a host that confirms the end of a term and is started again: its new process knew
-    /// nothing of that, and extended the lease of a host that had not heard of it. A process without any
-    /// contact yet looks for earlier orders itself.
-    fn may_extend_lease(&self, host: HostKey, process: u64, out_of_touch: u32) -> bool {
+    /// nothing of that, and extended the lease of a host that had not heard of it. On a host of an earlier
+    /// build, a process without any contact yet looks for earlier orders itself.
+    fn may_extend_lease(&self, host: HostKey, process: u64, beat: &Heartbeat) -> bool {
+        if self.is_extending_leases() {
+            return true;
+        }
         let mut fresh = self.fresh_processes.borrow_mut();
-        if out_of_touch == u32::MAX {
+        if !beat.names_electorate && beat.out_of_touch == u32::MAX {
             fresh.insert(host, process);
         }
-        fresh.get(&host) == Some(&process) || self.has_caught_up.get()
-    }
-
-    /// Records whether most other hosts have told this one of the changes that they know.
-    pub(super) fn update_caught_up(&self) {
-        let is_answered = |quorum: &mut Quorum, now| quorum.is_answered_by_most(now);
-        if !self.has_caught_up.get() && self.fleet.with_quorum(is_answered) {
-            self.has_caught_up.set(true);
-        }
+        fresh.get(&host) == Some(&process)
     }
 
     /// Returns the changes that `process` of `host` has not confirmed, with their numbers. A service that
--- a/crates/proxy/src/election/log_reports.rs
+++ b/crates/proxy/src/election/log_reports.rs
@@ -50,13 +50,15 @@
             is_new || needs_all && service.is_followed()
         });
         let names: Vec<String> = asked.map(|service| service.name.clone()).collect();
-        let current = names.chunks(MAX_QUERIED_SERVICES).map(|names| {
+        let queries = names.chunks(MAX_QUERIED_SERVICES).map(|names| {
             let services = names.to_vec();
             Payload::ServiceLogQuery { services }
         });
+        let current: Vec<Payload> = queries.collect();
         Versions {
             former: needs_all.then_some(Payload::LogQuery).into_iter().collect(),
-            current: current.collect(),
+            elector: current.clone(),
+            current,
         }
     }
 
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -10,7 +10,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::meter;
-use crate::peer::{Message, PAGED_PROTOCOL, Payload, Sample, micros, pages};
+use crate::peer::{ELECTORATE_PROTOCOL, Message, PAGED_PROTOCOL, Payload, Sample, micros, pages};
 use crate::platform::{Peer, Platform};
 use crate::service::Service;
 
@@ -22,6 +22,9 @@
 /// a datagram.
 const MAX_SAMPLES: usize = 16;
 
+/// Interval between two heartbeats while this process is not caught up with the electorate.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval between two checks whether all prior orders are known, while they are not.
 const ORDERS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -38,16 +41,19 @@
 pub(super) struct Versions {
     /// For hosts that announce no version of their messages.
     pub former: Vec<Payload>,
-    /// For hosts of this build.
+    /// For hosts of an earlier build that name their processes.
     pub current: Vec<Payload>,
+    /// For hosts of this build.
+    pub elector: Vec<Payload>,
 }
 
 impl Versions {
     /// Returns the messages that `peer` understands.
     fn to(&self, peer: &Peer) -> &[Payload] {
-        match peer.protocol >= PAGED_PROTOCOL {
-            true => &self.current,
-            false => &self.former,
+        match peer.protocol {
+            ELECTORATE_PROTOCOL.. => &self.elector,
+            PAGED_PROTOCOL.. => &self.current,
+            _ => &self.former,
         }
     }
 }
@@ -63,6 +69,7 @@
             tokio::select! {
                 _ = interval.tick() => {}
                 () = self.fleet.contact_due.notified() => {}
+                () = tokio::time::sleep(CATCH_UP_INTERVAL), if self.is_catching_up() => {}
             }
             self.fleet.check_feeds();
             let now = self.site.now();
@@ -70,6 +77,7 @@
             self.rewrite_claims();
             self.claim_ordered_changes();
             self.record_claims_verified_if_due();
+            self.drive_electorate();
             let beats = self.heartbeats(now);
             let log_queries = self.log_queries(has_quorum, now);
             let reports_no_shares = self.reports_no_shares(now);
@@ -104,7 +112,7 @@
 
     /// Reports whether this host has known the other hosts for `time`. Before that, nothing is served,
     /// and the electors have not had the time to answer.
-    fn has_known_hosts_for(&self, time: Duration) -> bool {
+    pub(super) fn has_known_hosts_for(&self, time: Duration) -> bool {
         let now = self.site.now();
         if self.hosts_known_since.get().is_none() && self.fleet.knows_hosts() {
             self.hosts_known_since.set(Some(now));
@@ -119,12 +127,6 @@
             .with_quorum(|quorum, now| quorum.holds_lease(now))
     }
 
-    /// Reports whether this host has heard no other elector for `time`.
-    pub(super) fn is_alone_for(&self, time: Duration) -> bool {
-        self.fleet
-            .with_quorum(|quorum, now| quorum.is_alone_for(time, now))
-    }
-
     /// Builds a heartbeat of this host at `now`, and the messages that precede it.
     fn heartbeats(&self, now: Duration) -> Versions {
         let (sent, epoch) = (micros(now), self.newest_known_epoch().0);
@@ -146,6 +148,16 @@
             .into_iter()
             .map(|ended_terms| Payload::EndedTerms { ended_terms });
         let mut current: Vec<Payload> = more.collect();
+        let mut elector = current.clone();
+        elector.push(Payload::ElectorHeartbeat {
+            process: self.process,
+            sent,
+            out_of_touch,
+            epoch,
+            sample_requests: sample_requests.clone(),
+            ended_terms: ended_terms.clone(),
+            standing: self.standing(),
+        });
         current.push(Payload::ProcessHeartbeat {
             process: self.process,
             sent,
@@ -157,6 +169,7 @@
         Versions {
             former: vec![former],
             current,
+            elector,
         }
     }
 
@@ -172,7 +185,7 @@
         let last = self
             .last_quorum_at
             .get()
-            .filter(|_| self.has_caught_up.get());
+            .filter(|_| self.fleet.with_quorum(|it, _| it.is_caught_up()));
         let since = last.map(|at| now.saturating_sub(at));
         let millis = since.and_then(|since| u32::try_from(since.as_millis()).ok());
         millis.unwrap_or(u32::MAX)
@@ -230,11 +243,16 @@
         let (heard, hosts) = self
             .fleet
             .with_quorum(|quorum, now| (quorum.recently_heard(now).len(), quorum.host_count()));
+        let (standing, renewed) = self
+            .fleet
+            .with_quorum(|quorum, now| (quorum.standing(), quorum.renewal_age(now)));
         self.site.log(&Event::Lease {
             outcome: if holds { "back" } else { "lost" },
             millis: now.saturating_sub(since).as_millis(),
             heard,
             hosts,
+            electorate: standing.number.to_string(),
+            renewed: renewed.map(|age| age.as_millis()),
         });
     }
 
--- a/crates/proxy/src/election/receive.rs
+++ b/crates/proxy/src/election/receive.rs
@@ -6,6 +6,7 @@
 
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::key::HostKey;
+use flamingopost_core::quorum::Standing;
 use flamingopost_core::term::Term;
 
 use super::ended_terms::{Heartbeat, Page};
@@ -46,6 +47,7 @@
                         process: None,
                         out_of_touch,
                         sample_requests,
+                        names_electorate: false,
                     };
                     self.record_heartbeat(host, epoch, &beat, from);
                     return self.apply_ended_terms(&message.host, &ended_terms);
@@ -63,10 +65,61 @@
                         process: Some(process),
                         out_of_touch,
                         sample_requests,
+                        names_electorate: false,
                     };
                     self.record_heartbeat(host, epoch, &beat, from);
                     return self.apply_ended_terms(&message.host, &ended_terms);
                 }
+                Payload::ElectorHeartbeat {
+                    process,
+                    sent,
+                    out_of_touch,
+                    epoch,
+                    sample_requests,
+                    ended_terms,
+                    standing,
+                } => {
+                    let beat = Heartbeat {
+                        sent,
+                        process: Some(process),
+                        out_of_touch,
+                        sample_requests,
+                        names_electorate: true,
+                    };
+                    self.fleet.record_peer_epoch(host, Epoch(epoch));
+                    self.fleet.record_heartbeat(host);
+                    if self.record_standing(host, process, &standing, from) {
+                        self.answer_heartbeat(host, &beat, from);
+                    }
+                    return self.apply_ended_terms(&message.host, &ended_terms);
+                }
+                Payload::ElectorAck {
+                    sent,
+                    process,
+                    progress,
+                    in_touch,
+                    samples,
+                    standing,
+                } => {
+                    self.fleet.record_peer_epoch(host, Epoch(progress.epoch));
+                    self.fleet.record_peer_progress(progress);
+                    let is_of_same = self.record_standing(host, process, &standing, from);
+                    let sent = Duration::from_micros(sent);
+                    // What was sent before is an answer to a former process on this host.
+                    if is_of_same && sent >= self.started_at {
+                        self.peer_knows_orders(Duration::from_millis(u64::from(in_touch)));
+                        self.record_renewal_age(sent, standing.renewal_age);
+                        let number = Standing::from(standing).number;
+                        self.fleet
+                            .with_quorum(|it, _| it.record_reply(host, sent, Some(number)));
+                    }
+                    self.apply_samples(&samples, sent);
+                    return;
+                }
+                Payload::Electorate { electorate } => {
+                    let why = format!("{} has adopted it", message.host);
+                    return self.adopt_electorate(&electorate.into(), &why);
+                }
                 Payload::EndedTerms { ended_terms } => {
                     return self.apply_ended_terms(&message.host, &ended_terms);
                 }
@@ -102,6 +155,7 @@
                         process: Some(process),
                         out_of_touch,
                         sample_requests: Vec::new(),
+                        names_electorate: self.names_electorate(host),
                     };
                     if numbered_by == self.process {
                         self.record_confirmation(host, &beat, up_to, from);
@@ -122,10 +176,9 @@
                     self.peer_knows_orders(Duration::from_millis(u64::from(in_touch)));
                     let sent = Duration::from_micros(sent);
                     // What was sent before is an answer to a former process on this host.
-                    if sent >= self.started_at {
+                    if sent >= self.started_at && !self.names_electorate(host) {
                         self.fleet
-                            .with_quorum(|quorum, _| quorum.record_reply(host, sent));
-                        self.update_caught_up();
+                            .with_quorum(|quorum, _| quorum.record_reply(host, sent, None));
                     }
                     self.apply_samples(&samples, sent);
                     return;
@@ -183,7 +236,10 @@
             | Payload::ProcessHeartbeat { .. }
             | Payload::EndedTerms { .. }
             | Payload::EndedTermsPage { .. }
-            | Payload::EndedTermsReceived { .. } => {}
+            | Payload::EndedTermsReceived { .. }
+            | Payload::ElectorHeartbeat { .. }
+            | Payload::ElectorAck { .. }
+            | Payload::Electorate { .. } => {}
             // Not specific to a service, and handled above.
             Payload::LogQuery | Payload::ServiceLogQuery { .. } | Payload::LogReply { .. } => {}
             Payload::ReachabilityQuery { server, furthest } => {
@@ -201,8 +257,11 @@
                     && is_about_leader(&service, server.as_ref())
                 {
                     let opinion = Payload::opinion(reaches);
-                    succession.borrow_mut().record_opinion(host, opinion);
-                    service.failover_notify.notify_one();
+                    let electors = self.fleet.with_quorum(|it, _| it.other_electors());
+                    if electors.contains(&host) {
+                        succession.borrow_mut().record_opinion(host, opinion);
+                        service.failover_notify.notify_one();
+                    }
                 }
             }
             Payload::ConnectionShortage { server } => {
@@ -254,7 +313,21 @@
                 }
             }
             Payload::TermEnded { term, token, heard } => {
-                if let Some(host) = self.fleet.peer(&message.host) {
+                let host = self.fleet.peer(&message.host);
+                if let Some(host) = host.filter(|host| !self.names_electorate(*host)) {
+                    let term = Some(Term::from_number(term));
+                    self.record_closed(&service, host, term, token, &heard);
+                }
+            }
+            Payload::TermConfirmed {
+                term,
+                token,
+                number,
+                heard,
+            } => {
+                let own = self.fleet.with_quorum(|it, _| it.number());
+                let host = self.fleet.peer(&message.host);
+                if let Some(host) = host.filter(|_| own == Some(number.into())) {
                     let term = Some(Term::from_number(term));
                     self.record_closed(&service, host, term, token, &heard);
                 }
@@ -268,6 +341,12 @@
         self.answer_heartbeat(host, beat, from);
     }
 
+    /// Reports whether `host` names the electorate in its messages: it runs no earlier build.
+    fn names_electorate(&self, host: HostKey) -> bool {
+        self.fleet
+            .with_quorum(|quorum, _| quorum.names_electorate(host))
+    }
+
     fn apply_ended_terms(&self, host: &str, ended_terms: &[EndedTerm]) {
         for ended in ended_terms {
             self.apply_ended_term(host, ended);
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use flamingopost_core::leader::Role;
-use flamingopost_core::succession::{
-    ClaimRecord, Finding, MINORITY_DELAY, PROMOTION_TIMEOUT, UnheardOrder,
-};
+use flamingopost_core::succession::{ClaimRecord, Finding, PROMOTION_TIMEOUT, UnheardOrder};
 use tokio::time::sleep;
 
 use super::{Election, Probe, in_time};
@@ -142,8 +140,7 @@
         search: UnheardOrder,
     ) -> bool {
         // Hosts that know of a change of this primary would tell this one.
-        let is_heard = self.has_quorum() || self.is_alone_for(MINORITY_DELAY);
-        if !is_heard {
+        if !self.has_quorum() {
             return false;
         }
         let attempt = search.term().number().unsigned_abs();
--- a/crates/proxy/src/election/view.rs
+++ b/crates/proxy/src/election/view.rs
@@ -30,10 +30,8 @@
                     let clearance = quorum.order_from(closing, now);
                     clearance.map_or(Duration::MAX, |it| it.from)
                 }
-                (None, Some(Trouble::Leaving)) => {
-                    quorum.leases_end(&quorum.recently_heard(now), now)
-                }
-                (None, _) => quorum.leases_end(&succession.answered_hosts(), now),
+                (None, Some(Trouble::Leaving)) => quorum.leases_end(&quorum.recently_heard(now)),
+                (None, _) => quorum.leases_end(&succession.answered_hosts()),
             };
             (quorum.gone_hosts(now), quorum.holds_lease(now), quiet_at)
         });
@@ -58,13 +56,7 @@
             candidates: keys(candidates),
             leaving: keys(leaving),
             may_lack_servers: self.fleet.may_lack_servers() || self.may_list_be_copied(),
-            peers: self
-                .fleet
-                .electors()
-                .iter()
-                .map(|(key, _)| *key)
-                .filter(|key| !gone.contains(key))
-                .collect(),
+            peers: self.fleet.with_quorum(|it, _| it.other_electors()),
             leases_end: quiet_at.max(orders_from),
             in_contact,
             ordered_before: self.ordered_before(service),
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -50,6 +50,8 @@
         5021 Error FeedsUnserved { address: String, error: String },
         /// {puts} entry hosts listed at once, {hosts} others known now
         5022 Info PeersListed { puts: usize, hosts: usize },
+        /// electorate {number}, formation {formation}, adopted: a majority of {electors} decides, and one of those before: {former}; {why}
+        5023 Info ElectorateAdopted { number: String, formation: u64, electors: String, former: String, why: String },
         /// {service}: {after} leads after {before}; the previous state lasted {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: cannot connect to server {server}: {error}; {connections} connections open on this host, {waiting} requests waiting
@@ -74,8 +76,8 @@
         5116 Warn AcknowledgedDuring { service: String, id: String, position: String },
         /// {service}: server {server} was told to step down for term {term} and is now {role:?}
         5117 Info SteppedDown { service: String, server: String, term: i64, role: flamingopost_core::leader::Role },
-        /// this host's lease is {outcome}, the previous state lasted {millis} ms; in contact with {heard} of {hosts} hosts
-        5118 Warn Lease { outcome: &'static str, millis: u128, heard: usize, hosts: usize },
+        /// this host's lease is {outcome}, the previous state lasted {millis} ms; in contact with {heard} of {hosts} hosts; electorate {electorate}, renewed {renewed:?} ms ago
+        5118 Warn Lease { outcome: &'static str, millis: u128, heard: usize, hosts: usize, electorate: String, renewed: Option<u128> },
         /// {service}: order of {server} under token {token} withheld: another host announces one with a higher token
         5119 Info TurnGivenUp { service: String, server: String, token: u64 },
         /// {service}: recorded in the platform's store as written to: {outcome}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -11,7 +11,7 @@
 use flamingopost_core::invariant::{self, Invariant};
 use flamingopost_core::key::{HostKey, ServerKey, TeamKey};
 use flamingopost_core::limit::NoShares;
-use flamingopost_core::quorum::Quorum;
+use flamingopost_core::quorum::{Electorate, Quorum};
 use slotmap::SlotMap;
 use tokio::sync::Notify;
 
@@ -28,6 +28,7 @@
 use crate::site::Site;
 
 mod derived;
+mod electorate;
 mod incarnations;
 mod lenders;
 mod peers;
@@ -71,9 +72,14 @@
     peers: RefCell<Peers>,
     quorum: RefCell<Quorum>,
     epochs: RefCell<EpochTracker>,
-    /// The other hosts whose majority forms a quorum. Recomputed only when the list of hosts
-    /// changes, since heartbeats and elections read it many times a second.
+    /// The other hosts with which this one exchanges heartbeats: all of a small fleet, or the electors.
+    /// Recomputed only when the list of hosts or the electorate changes, since heartbeats and elections
+    /// read it many times a second.
     electors: RefCell<Rc<[(HostKey, Peer)]>>,
+    /// The electorate that this host has adopted.
+    electorate: RefCell<Option<Electorate>>,
+    /// Since when this host has been an elector, and so hears all other hosts.
+    elector_since: Cell<Option<Duration>>,
     /// Other results that depend on the list of hosts.
     derived: Derived,
     /// Notifies the heartbeat task to contact the other hosts immediately, because the list of
@@ -126,6 +132,8 @@
     is_weighted: bool,
     /// When the last heartbeat arrived from each host that sends some to this one.
     heartbeats: BTreeMap<HostKey, Duration>,
+    /// When each host was first listed.
+    listed_at: BTreeMap<HostKey, Duration>,
     /// Which hosts have reported that they hold no shares.
     no_shares: NoShares,
     /// The silent hosts, and when the list was computed.
@@ -153,6 +161,8 @@
             quorum: RefCell::default(),
             epochs: RefCell::default(),
             electors: RefCell::default(),
+            electorate: RefCell::default(),
+            elector_since: Cell::new(None),
             derived: Derived::default(),
             contact_due: Notify::new(),
             feeds: Rc::default(),
--- /dev/null
+++ b/crates/proxy/src/fleet/electorate.rs
@@ -0,0 +1,160 @@
+//! The electorate that this host has adopted, and the one that should follow it.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use flamingopost_core::key::HostKey;
+use flamingopost_core::quorum::{Electorate, GONE_TIMEOUT, Group, HEARTBEAT_INTERVAL};
+
+use super::{Fleet, Rendezvous};
+use crate::codec::Codec;
+use crate::platform::{Peer, Strength};
+
+/// Number of electors in a large fleet. All hosts exchange heartbeats with them, so the number of
+/// messages that a host sends does not depend on the size of the fleet. They are spread over the
+/// availability zones. The number is odd so that a split cannot tie.
+const MAX_ELECTORS: usize = 7;
+
+impl<C: Codec> Fleet<C> {
+    /// Returns the electorate that this host has adopted.
+    pub fn electorate(&self) -> Option<Electorate> {
+        self.electorate.borrow().clone()
+    }
+
+    /// Adopts `electorate` if it is newer than the present one. Returns whether it was.
+    pub fn adopt_electorate(&self, electorate: &Electorate) -> bool {
+        let groups = self.groups(electorate);
+        let adopt = |quorum: &mut flamingopost_core::quorum::Quorum, now| {
+            quorum.adopt(electorate, groups, now).then_some(now)
+        };
+        let Some(now) = self.with_quorum(adopt) else {
+            return false;
+        };
+        *self.electorate.borrow_mut() = Some(electorate.clone());
+        let since = self.elector_since.get().unwrap_or(now);
+        let is_elector = electorate.includes(&self.site.host);
+        self.elector_since.set(is_elector.then_some(since));
+        self.update_contacts();
+        true
+    }
+
+    /// Returns the electors of `electorate` and of the one before, as seen by this host.
+    fn groups(&self, electorate: &Electorate) -> [Group; 2] {
+        let peers = self.peers.borrow();
+        let key = |name: &str| Some(peers.by_host.get(name)?.0);
+        let group = |names| Group::new(names, &self.site.host, key);
+        [group(&electorate.electors), group(&electorate.former)]
+    }
+
+    /// Determines with which hosts this one exchanges heartbeats, after a change of the list of hosts or
+    /// of the electorate.
+    pub(super) fn update_contacts(&self) {
+        let is_small = self.is_small();
+        let elected = self.elect(|_| true);
+        let electorate = self.electorate.borrow();
+        let is_contact = |host: &str| {
+            is_small
+                || match electorate.as_ref() {
+                    Some(electorate) => electorate.includes(host),
+                    None => elected.contains(host),
+                }
+        };
+        let peers = self.peers();
+        let contacts = peers.iter().filter(|(_, peer)| is_contact(&peer.host));
+        let contacts: Vec<(HostKey, Peer)> = contacts.cloned().collect();
+        let keys = contacts.iter().map(|(key, _)| *key).collect();
+        *self.electors.borrow_mut() = contacts.into();
+        let groups = electorate.as_ref().map(|it| self.groups(it));
+        let now = self.site.now();
+        let mut quorum = self.quorum.borrow_mut();
+        quorum.set_elector(elected.contains(&self.site.host));
+        quorum.set_hosts(keys, now);
+        if let Some(groups) = groups {
+            quorum.set_groups(groups);
+        }
+        drop(quorum);
+        self.contact_due.notify_one();
+    }
+
+    /// Returns the names of the hosts that should be electors. A host that has sent nothing for
+    /// [`GONE_TIMEOUT`] is left out: it may have been removed without notice.
+    pub fn desired_electors(&self) -> BTreeSet<String> {
+        let now = self.site.now();
+        // Hosts of a large fleet send heartbeats to electors only.
+        let heard_since = match self.is_small() {
+            true => Some(Duration::ZERO),
+            false => self.elector_since.get(),
+        };
+        self.elect(|key| {
+            let last = self.last_heard(key).max(heard_since.unwrap_or(now));
+            now < last + GONE_TIMEOUT
+        })
+    }
+
+    /// Reports whether more than half of `hosts` have sent something within two heartbeats.
+    pub fn are_most_heard(&self, hosts: &BTreeSet<String>) -> bool {
+        let now = self.site.now();
+        let is_heard = |host: &&String| {
+            let is_recent = |key| now < self.last_heard(key) + HEARTBEAT_INTERVAL * 2;
+            **host == self.site.host || self.peer(host).is_some_and(is_recent)
+        };
+        hosts.iter().filter(is_heard).count() * 2 > hosts.len()
+    }
+
+    /// Returns the names of `hosts` that have sent something within two heartbeats, and of this host if it
+    /// is one of them.
+    pub fn heard_among(&self, hosts: &BTreeSet<String>) -> BTreeSet<String> {
+        let alone = |host: &&String| self.are_most_heard(&BTreeSet::from([(*host).clone()]));
+        hosts.iter().filter(alone).cloned().collect()
+    }
+
+    /// Returns when a host has last sent something to this one, or was first listed.
+    fn last_heard(&self, key: HostKey) -> Duration {
+        let now = self.site.now();
+        let age = self.quorum.borrow().age(key, now);
+        let message = age.map(|age| now.saturating_sub(age));
+        let peers = self.peers.borrow();
+        let heartbeat = peers.heartbeats.get(&key).copied();
+        let listed = peers.listed_at.get(&key).copied();
+        message.max(heartbeat).max(listed).unwrap_or_default()
+    }
+
+    /// Returns the names of the electors among the listed hosts that are `eligible` and this host.
+    fn elect(&self, eligible: impl Fn(HostKey) -> bool) -> BTreeSet<String> {
+        let peers = self.peers();
+        let eligible = peers.iter().filter(|(key, _)| eligible(*key));
+        let own = self.site.host.as_str();
+        if self.is_small() {
+            let names = eligible.map(|(_, peer)| peer.host.clone());
+            return names.chain([own.to_owned()]).collect();
+        }
+        self.derived.count_examined(peers.len());
+        // Orders the hosts of each zone by strength and hash, then takes one host of each zone in
+        // turn.
+        let listed = self.peers.borrow();
+        let own_strength = self.site.strength.filter(|_| listed.is_weighted);
+        let hosts = eligible.map(|(_, peer)| {
+            let zone = peer.zone.as_str();
+            (zone, peer.host.as_str(), listed.weight(peer))
+        });
+        type Place<'a> = (Reverse<Option<Strength>>, u64, &'a str);
+        let mut zones: BTreeMap<&str, Vec<Place<'_>>> = BTreeMap::new();
+        let electors = Rendezvous::of("electors");
+        let own = (self.site.zone.as_str(), own, own_strength);
+        for (zone, host, strength) in hosts.chain([own]) {
+            let place = electors.place(host, strength);
+            let zone = zones.entry(zone).or_default();
+            zone.push((Reverse(strength), place, host));
+        }
+        let mut order: Vec<(usize, &str)> = Vec::new();
+        for hosts in zones.values_mut() {
+            hosts.sort_unstable();
+            let places = hosts.iter().enumerate();
+            order.extend(places.map(|(place, (_, _, host))| (place, *host)));
+        }
+        order.sort_by_key(|(place, _)| *place);
+        order.truncate(MAX_ELECTORS);
+        order.iter().map(|(_, host)| (*host).to_owned()).collect()
+    }
+}
--- a/crates/proxy/src/fleet/peers.rs
+++ b/crates/proxy/src/fleet/peers.rs
@@ -1,7 +1,6 @@
-//! The other entry hosts, and the electors among them.
+//! The other entry hosts.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,15 +8,10 @@
 
 use super::derived::Moved;
 use super::unusable_entries::{HOSTS, peer_id};
-use super::{Fleet, Peers, Rendezvous, SMALL_FLEET_HOSTS};
+use super::{Fleet, Peers, SMALL_FLEET_HOSTS};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::platform::{Change, Entry, Peer, Strength};
-
-/// Number of electors in a large fleet. All hosts exchange heartbeats with them, so the number of
-/// messages that a host sends does not depend on the size of the fleet. They are spread over the
-/// availability zones. The number is odd so that a split cannot tie.
-const MAX_ELECTORS: usize = 7;
+use crate::platform::{Change, Entry, Peer};
 
 /// Maximum number of entries of a list that are logged one by one, which is that of a small fleet. A
 /// longer list is logged in one line with its length.
@@ -70,16 +64,7 @@
             true => self.derived.update(&moved),
             false => self.derived.clear(),
         }
-        let (electors, takes_part) = self.choose_electors();
-        let others = electors.iter().map(|(key, _)| *key).collect();
-        *self.electors.borrow_mut() = electors.into();
-        let now = self.site.now();
-        {
-            let mut quorum = self.quorum.borrow_mut();
-            quorum.set_elector(takes_part);
-            quorum.set_hosts(others, now);
-        }
-        self.contact_due.notify_one();
+        self.update_contacts();
         self.forget_sources();
         self.allot_connections();
     }
@@ -126,6 +111,8 @@
             None => peers.keys.insert(peer.address),
         };
         peers.keys[key] = peer.address;
+        let now = self.site.now();
+        peers.listed_at.entry(key).or_insert(now);
         let mut moved: Vec<Moved> = Vec::new();
         moved.extend(known.map(|(_, former)| self.moved(&peers, &former, false)));
         moved.push(self.moved(&peers, &peer, true));
@@ -147,6 +134,7 @@
         let mut peers = self.peers.borrow_mut();
         let (key, peer) = peers.by_host.remove(&host)?;
         peers.heartbeats.remove(&key);
+        peers.listed_at.remove(&key);
         peers.no_shares.remove(key);
         peers.keys.remove(key);
         let moved = self.moved(&peers, &peer, false);
@@ -202,50 +190,9 @@
         epochs.orders_allowed_from(&keys.filter(|key| !gone.contains(key)).collect())
     }
 
-    /// Returns the other hosts whose majority forms a quorum.
+    /// Returns the other hosts with which this one exchanges heartbeats: all of a small fleet, or the
+    /// electors.
     pub fn electors(&self) -> Rc<[(HostKey, Peer)]> {
         Rc::clone(&self.electors.borrow())
     }
-
-    /// Chooses the electors. Returns the other hosts among them, and whether this host is one.
-    fn choose_electors(&self) -> (Vec<(HostKey, Peer)>, bool) {
-        let peers = self.peers();
-        if self.is_small() {
-            return (peers.to_vec(), true);
-        }
-        self.derived.count_examined(peers.len());
-        // Orders the hosts of each zone by strength and hash, then takes one host of each zone in
-        // turn.
-        let listed = self.peers.borrow();
-        let own = (self.site.zone.as_str(), self.site.host.as_str());
-        let own_strength = self.site.strength.filter(|_| listed.is_weighted);
-        let hosts = peers.iter().map(|(_, peer)| {
-            let zone = peer.zone.as_str();
-            (zone, peer.host.as_str(), listed.weight(peer))
-        });
-        type Place<'a> = (Reverse<Option<Strength>>, u64, &'a str);
-        let mut zones: BTreeMap<&str, Vec<Place<'_>>> = BTreeMap::new();
-        let electors = Rendezvous::of("electors");
-        for (zone, host, strength) in hosts.chain([(own.0, own.1, own_strength)]) {
-            let place = electors.place(host, strength);
-            let zone = zones.entry(zone).or_default();
-            zone.push((Reverse(strength), place, host));
-        }
-        let mut order: Vec<(usize, &str)> = Vec::new();
-        for hosts in zones.values_mut() {
-            hosts.sort_unstable();
-            order.extend(
-                hosts
-                    .iter()
-                    .enumerate()
-                    .map(|(place, (_, _, host))| (place, *host)),
-            );
-        }
-        order.sort_by_key(|(place, _)| *place);
-        order.truncate(MAX_ELECTORS);
-        let elected = |host: &str| order.iter().any(|(_, elected)| *elected == host);
-        let takes_part = elected(&self.site.host);
-        let chosen = peers.iter().filter(|(_, peer)| elected(&peer.host));
-        (chosen.cloned().collect(), takes_part)
-    }
 }
--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -21,17 +21,19 @@
 mod heard;
 mod loan;
 mod log;
+mod standing;
 mod team;
 
 pub use ended_term::{EndedTerm, pages};
 pub use heard::Heard;
 pub use loan::{TeamLoan, TeamLoanRequest};
 pub use log::{LedTerm, LogReport, TermStart};
+pub use standing::{WireElectorate, WireNumber, WireStanding};
 pub use team::{TeamGrant, TeamRequest};
 
 /// Version of the messages that hosts of this build understand, as they announce it. Hosts that
 /// announce none understand the first one.
-pub const PROTOCOL: u16 = 5;
+pub const PROTOCOL: u16 = 6;
 
 /// Version of the messages from which on processes are named and changes of primaries are paged.
 pub const PAGED_PROTOCOL: u16 = 2;
@@ -45,6 +47,9 @@
 /// Version of the messages from which on a confirmation names the term that has ended.
 pub const NAMED_TERM_PROTOCOL: u16 = 5;
 
+/// Version of the messages from which on answers and confirmations name the electorate.
+pub const ELECTORATE_PROTOCOL: u16 = 6;
+
 /// Maximum size of a datagram. Larger ones were not sent by an entry host.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
@@ -293,6 +298,56 @@
         /// When the sender last heard from the other electors.
         heard: Vec<Heard>,
     },
+    /// A heartbeat that tells which electorate its sender has adopted. Concerns no service.
+    ElectorHeartbeat {
+        /// Identifies the sending process.
+        process: u64,
+        /// When it was sent, by the sender's clock, in microseconds.
+        sent: u64,
+        /// Time since the sender was last in contact with a majority of hosts, in milliseconds.
+        out_of_touch: u32,
+        /// The newest epoch of the platform's store known to the sender.
+        epoch: u64,
+        /// Services whose reads wait for a sample of the primary's position.
+        sample_requests: Vec<String>,
+        /// Terms that the sender has recently learned to be over. More of them precede it in
+        /// [`Payload::EndedTerms`].
+        ended_terms: Vec<EndedTerm>,
+        /// What the sender says of its place in the electorate.
+        standing: WireStanding,
+    },
+    /// Acknowledges [`Payload::ElectorHeartbeat`] of a host that has adopted the same electorate.
+    ElectorAck {
+        /// The value from the heartbeat.
+        sent: u64,
+        /// Identifies the answering process.
+        process: u64,
+        /// How far the answering host has read the platform's feeds.
+        progress: FeedProgress,
+        /// How long the answering host has been in contact with a majority without a break, in
+        /// milliseconds. It knows of all orders given during that time.
+        in_touch: u32,
+        /// The answering host's samples of the requested services.
+        samples: Vec<Sample>,
+        /// What the answering host says of its place in the electorate.
+        standing: WireStanding,
+    },
+    /// The electorate that the sender has adopted, for a host with an earlier one. Concerns no service.
+    Electorate {
+        /// The electorate.
+        electorate: WireElectorate,
+    },
+    /// Like [`Payload::TermEnded`], by a host that has adopted the electorate numbered `number`.
+    TermConfirmed {
+        /// The term that has ended.
+        term: i64,
+        /// Token of the order that follows.
+        token: u64,
+        /// Number of the electorate.
+        number: WireNumber,
+        /// When the sender last heard from the other hosts with which it exchanges heartbeats.
+        heard: Vec<Heard>,
+    },
 }
 
 /// Converts a time to nanoseconds.
@@ -406,6 +461,10 @@
             Payload::HandoverStarted { .. } => "handover_started",
             Payload::SuccessorQuery { .. } => "successor_query",
             Payload::SuccessorState { .. } => "successor_state",
+            Payload::ElectorHeartbeat { .. } => "elector_heartbeat",
+            Payload::ElectorAck { .. } => "elector_ack",
+            Payload::Electorate { .. } => "electorate",
+            Payload::TermConfirmed { .. } => "term_confirmed",
         }
     }
 
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -9,6 +9,7 @@
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::incarnation::Incarnation;
 use flamingopost_core::leader::Role;
+use flamingopost_core::quorum::Electorate;
 
 use crate::route::Route;
 use crate::team::Directory;
@@ -287,6 +288,26 @@
     pub changes: BTreeSet<(String, u64)>,
     /// The newest epoch in which hosts have verified that no claim is missing.
     pub verified_in: Epoch,
+    /// The record of the electorate as of the same moment, if there is one.
+    pub electorate: Option<RecordedElectorate>,
+}
+
+/// The electorate as recorded in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordedElectorate {
+    /// The electorate, unless its record cannot be read.
+    pub electorate: Option<Electorate>,
+    /// Revision of its record, which is new after each renewal.
+    pub revision: Revision,
+}
+
+/// Outcome of recording an electorate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ElectorateRecord {
+    /// It is recorded, at this revision.
+    Written(Revision),
+    /// Another record is there instead of the expected one, or none at all.
+    Changed(Option<RecordedElectorate>),
 }
 
 impl Claims {
@@ -400,6 +421,14 @@
         host: &str,
     ) -> impl Future<Output = Result<(), Error>>;
 
+    /// Records `electorate`, if the record in the store is unchanged since `expected`, or absent if that
+    /// is `None`.
+    fn record_electorate(
+        &self,
+        electorate: &Electorate,
+        expected: Option<Revision>,
+    ) -> impl Future<Output = Result<ElectorateRecord, Error>>;
+
     /// Reads the services that hosts have recorded as written to.
     fn written_services(&self) -> impl Future<Output = Result<Read<BTreeSet<String>>, Error>>;
 
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -100,6 +100,17 @@
         self.failover_notify.notify_one();
     }
 
+    /// Forgets which orders are known, so that the primary is checked anew before it is used.
+    pub fn forget_prior_orders(&self) {
+        let now = self.site.now();
+        let mut state = self.state.borrow_mut();
+        state.prior_orders = PriorOrders::default();
+        state.require_check(now);
+        drop(state);
+        self.require_tick();
+        self.failover_notify.notify_one();
+    }
+
     /// Records the newest term for which the store has a claim to replace the primary, if any.
     pub fn record_claims(&self, newest: Option<Term>) {
         let mut state = self.state.borrow_mut();
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -343,6 +343,20 @@
         self.apply_holds();
     }
 
+    /// Holds statements for the primary until it is checked, which is due now.
+    pub(super) fn require_check(&mut self, now: Duration) {
+        if self.dispatch.leader().is_none() {
+            return;
+        }
+        self.check = PrimaryCheck::Due(now);
+        self.primary_position = None;
+        self.check_hold = Some(Hold {
+            from: now,
+            until: now + CHECK_HOLD_MAX,
+        });
+        self.apply_holds();
+    }
+
     /// Reports whether `leader` was previously found to have the service's log, or was ordered to
     /// lead while this host was running: hosts that order a promotion choose a server that has the
     /// log.
--- a/crates/proxy/tests/common/no_store.rs
+++ b/crates/proxy/tests/common/no_store.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use flamingopost_core::epoch::Epoch;
+use flamingopost_core::quorum::Electorate;
 use flamingopost_proxy::platform::{
-    Backend, Change, Claim, Claims, Configuration, Entry, Error, Peer, Platform, Promotion, Read,
-    Recorded, Revision, Token,
+    Backend, Change, Claim, Claims, Configuration, ElectorateRecord, Entry, Error, Peer, Platform,
+    Promotion, Read, Recorded, Revision, Token,
 };
 
 /// A platform that answers nothing.
@@ -76,6 +77,14 @@
         lost()
     }
 
+    async fn record_electorate(
+        &self,
+        _: &Electorate,
+        _: Option<Revision>,
+    ) -> Result<ElectorateRecord, Error> {
+        lost()
+    }
+
     async fn written_services(&self) -> Result<Read<BTreeSet<String>>, Error> {
         lost()
     }
