Keep a primary doubted that another host has found empty

Cause: a host that learns from another one that a primary is empty, before its own check, did not record that as found. If it knows of no log entry, but from the store that there were writes, the first write that something made on the empty log then proved the log, and callers wrote there.

Change: without a known entry, the other host's word counts like the own check.

--- a/crates/proxy/src/service/log_loss.rs
+++ b/crates/proxy/src/service/log_loss.rs
@@ -64,13 +64,21 @@
     /// start of the term. It answered reads from an empty log until the first write, for 340 ms,
     /// while three other hosts already knew. A primary that has its log shows it with its next
     /// write.
+    ///
+    /// Where this host knows from the store alone that there were writes, that write proves nothing: it may
+    /// have been made on the empty log.
     pub fn record_peer_distrust(self: &Rc<Self>, server: &peer::Server) {
         let ResolvedServer::Listed(server) = self.resolve_server(server) else {
             return;
         };
         let start = {
-            let state = self.state.borrow();
+            let mut state = self.state.borrow_mut();
+            let knows_log = state.log_extent.has_position();
             let leads = state.leader.primary() == Some(server);
+            if let Some(entry) = state.servers.get_mut(&server).filter(|_| leads) {
+                // This host knows of no entry that the server would have to show.
+                entry.found_empty |= !knows_log;
+            }
             let term = state.leader.term_led(server);
             leads.then_some(Position { term, log: 0 })
         };
