Give a claim one state, and rest on the server of an order that may be carried out

Cause: the claim of a change that never took place went on naming a server. Inquiry::longest_log preferred that to the longest log at the next failure, however far it was behind. Hosts that had all started again trusted the primary 1.6 s later, and the platform carried the named order out after that.

Change: a claim is claimed, named or settled. A name counts only if the claim was won after the primary was last well, by the store's revisions, and with synchronous commits only between equal logs; there a leaving replica with more of the log also comes first. Where hosts find a named claim as they all start, uses of the primary rest on answers of the named server, as with a leaving primary, for the 15 s in which the platform may carry an order out. The claim is settled then, and the next change need not wait for its holder. The line of an order names the server with the longest log, and why another one is ordered.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -26,7 +26,7 @@
 mod unheard_order;
 mod view;
 
-pub use action::{FencingToken, NextStep, Opinion, Order, Report};
+pub use action::{FencingToken, Ground, NextStep, Opinion, Order, Report};
 pub use contact::{Contact, Trouble};
 pub use inquiry::{DIVIDED_DELAY, OBJECTION_TIMEOUT, REPORT_AGE_MAX, RETURN_TIMEOUT};
 use inquiry::{Decision, Inquiry};
@@ -53,7 +53,7 @@
 
 /// How long the platform may take to carry out an order that it did not answer. The platform
 /// documents seconds; this is several of them.
-const LATE_EXECUTION_WINDOW: Duration = Duration::from_secs(15);
+pub const LATE_EXECUTION_WINDOW: Duration = Duration::from_secs(15);
 
 /// Delay between the turns of two hosts that replace a leaving primary: about the time that a claim
 /// and an order take.
@@ -113,6 +113,8 @@
     rests_on_claim: bool,
     /// The server that the last inquiries have passed over.
     passed_over: Option<PassedOver>,
+    /// The inquiry on which the last order rests.
+    chosen: Option<Inquiry>,
 }
 
 /// An order without an answer, which the platform may still carry out.
@@ -249,6 +251,14 @@
         }
     }
 
+    /// Returns why `server`, which is to be ordered, succeeds the primary, and which server has the longest
+    /// log.
+    pub fn ground(&self, server: ServerKey, view: &View) -> Option<(Ground, ServerKey)> {
+        let inquiry = self.chosen.as_ref()?;
+        let longest = inquiry.longest_report()?;
+        Some((inquiry.ground(server, longest, view), longest))
+    }
+
     /// Records that the end of the primary's term was announced to the other hosts, as `closing`
     /// describes.
     pub fn record_end_of_term(&mut self, closing: Closing) {
--- a/crates/core/src/succession/action.rs
+++ b/crates/core/src/succession/action.rs
@@ -72,3 +72,18 @@
     /// There was no answer; the order may still be carried out.
     Unknown,
 }
+
+/// Why a server succeeds a primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum Ground {
+    /// no server has a longer log
+    LongestLog,
+    /// an order of this change that may be carried out names it
+    OrderedBefore,
+    /// the server with the longest log is about to leave
+    LongestLeaves,
+    /// the server with the longest log was replaced and has not followed its successor
+    LongestReplaced,
+    /// the server with the longest log does not answer any more
+    LongestSilent,
+}
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -9,7 +9,7 @@
 use crate::quorum::Closing;
 use crate::term::Term;
 
-use super::action::{Opinion, Report};
+use super::action::{Ground, Opinion, Report};
 use super::contact::Trouble;
 use super::leader_history::LeaderHistory;
 use super::passed_over::{PassedOver, listed_servers};
@@ -141,6 +141,26 @@
         self.reports.remove(&server);
     }
 
+    /// Returns the server with the longest log that any has reported, except the primary.
+    pub(super) fn longest_report(&self) -> Option<ServerKey> {
+        let reports = self.reports.iter();
+        let replicas = reports.filter(|(server, _)| self.primary != Some(**server));
+        let longest = replicas.max_by_key(|(_, report)| report.received);
+        longest.map(|(server, _)| *server)
+    }
+
+    /// Returns why `server` succeeds the primary in place of `longest`, which has the longest log.
+    pub(super) fn ground(&self, server: ServerKey, longest: ServerKey, view: &View) -> Ground {
+        let has_less = self.received_position(server) < self.received_position(longest);
+        match has_less {
+            false => Ground::LongestLog,
+            true if view.ordered_before == Some(server) => Ground::OrderedBefore,
+            true if view.leaving.contains(&longest) => Ground::LongestLeaves,
+            true if !self.has_confirmed(longest) => Ground::LongestSilent,
+            true => Ground::LongestReplaced,
+        }
+    }
+
     /// Returns the replication position that `server` has reported.
     pub(super) fn received_position(&self, server: ServerKey) -> Position {
         let report = self.reports.get(&server);
@@ -458,9 +478,12 @@
     /// comes after all that stay and have entries, and before those without any. A server that has
     /// not answered again comes after those that have, once it has had the time of a restart.
     ///
-    /// A server that was ordered before, and has caught up since it restarted, comes before those with
-    /// a longer log, and one that was announced before those with an equal one. Guards against an order
-    /// that is carried out after this one: the platform changes nothing if its server leads already.
+    /// A server that was ordered before for this change, and has caught up since it restarted, comes before
+    /// those with a longer log, and one that was announced before those with an equal one. Guards against an
+    /// order that is carried out after this one: the platform changes nothing if its server leads already.
+    ///
+    /// Where commits are synchronous, an acknowledged one may be in the longest log alone. So that comes
+    /// first there, and a server that was ordered before only before those with an equal log.
     ///
     /// Guards against the loss of the whole log where empty servers that have just restarted are
     /// the only others. An entry that says that a server is leaving may also be that of its former
@@ -483,8 +506,14 @@
             let has_caught_up = required.is_none_or(|required| report.received >= *required);
             let is_ordered = view.ordered_before == Some(*server) && has_caught_up;
             let is_announced = view.announced == Some(*server);
+            let acknowledged = view.synchronous.then_some(report.received);
             let log = (is_ordered, report.received, is_announced);
-            let order = (has_entries, stays, counts, log, confirmed);
+            let may_serve = (
+                has_entries,
+                stays || view.synchronous && has_entries,
+                counts,
+            );
+            let order = (may_serve, acknowledged, stays, log, confirmed);
             let qualifies = is_replica && (has_entries || stays) && eligible(server, report);
             qualifies.then_some((order, *server))
         });
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -142,6 +142,65 @@
     );
 }
 
+/// Which server is ordered if both replicas have reported logs of these lengths, and an order of the same
+/// change names the server with this number.
+fn successor(logs: [u64; 2], named: usize, synchronous: bool) -> Option<usize> {
+    let mut setup = setup();
+    setup.view.synchronous = synchronous;
+    setup.view.ordered_before = Some(setup.servers[named]);
+    setup.win_claim();
+    for (server, log) in setup.servers[1..].iter().zip(logs) {
+        setup.succession.record_report(*server, replica(log));
+    }
+    let ordered = (1_040..3_000).step_by(20).find_map(|now| {
+        let next = setup.step(ms(now));
+        next.into_iter().find_map(|it| match it {
+            NextStep::Promote { server, .. } => Some(server),
+            _ => None,
+        })
+    });
+    let number = |server| setup.servers.iter().position(|it| *it == server);
+    ordered.and_then(number)
+}
+
+/// Guards against two orders of one change that name two servers: the platform may carry out the first
+/// one after the second.
+#[test]
+fn a_server_that_was_ordered_before_is_preferred_to_a_longer_log() {
+    assert_eq!(successor([40, 43], 1, false), Some(1));
+    assert_eq!(successor([43, 40], 2, false), Some(2));
+}
+
+/// Guards against lost acknowledged commits of a service that acknowledges a commit once one replica has
+/// it: the server that an earlier order named lacked them.
+#[test]
+fn the_longest_log_comes_first_where_commits_are_synchronous() {
+    assert_eq!(successor([40, 43], 1, true), Some(2));
+    assert_eq!(successor([43, 40], 2, true), Some(1));
+    assert_eq!(successor([43, 43], 1, true), Some(1), "equal logs");
+    assert_eq!(successor([43, 43], 2, true), Some(2), "equal logs");
+}
+
+/// Guards against the loss of the commits that only a leaving replica has: the other one was ordered once
+/// the wait for them was over.
+#[test]
+fn a_leaving_replica_with_acknowledged_commits_is_ordered() {
+    let mut setup = setup();
+    setup.view.synchronous = true;
+    setup.view.newest_position = position(1, 43);
+    setup.view.leaving.insert(setup.servers[2]);
+    setup.win_claim();
+    setup
+        .succession
+        .record_report(setup.servers[2], replica(43));
+    let order = setup.expected_order();
+    assert!(
+        (1_040..3_000)
+            .step_by(20)
+            .any(|now| setup.step(ms(now)) == [order])
+    );
+}
+
 /// Guards against lost acknowledged commits of a service that acknowledges a commit once one
 /// replica has it: the primary died, one replica was too busy to answer in time, and the other one,
 /// which had received nothing for a while, was promoted. 60 acknowledged writes were lost.
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -10,8 +10,7 @@
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::Closing;
-use flamingopost_core::succession::{FencingToken, NextStep, Succession, View};
-use flamingopost_core::term::Term;
+use flamingopost_core::succession::{FencingToken, Ground, NextStep, Succession, View};
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
@@ -93,9 +92,10 @@
     named_successors: RefCell<BTreeMap<(String, u64), String>>,
     /// Changes of primaries that were claimed or ordered, by service and change number.
     changes: RefCell<BTreeMap<(String, u64), claims::Change>>,
-    /// The newest term of each service for which the store holds a claim on the change of its
-    /// primary. `None` until the claims were read.
-    claimed_terms: RefCell<Option<BTreeMap<String, Term>>>,
+    /// The newest claim of each service. `None` until the claims were read.
+    newest_claims: RefCell<Option<BTreeMap<String, claims::NewestClaim>>>,
+    /// The newest revision of the store that this host knew while the primary of each service was well.
+    well_at: RefCell<BTreeMap<String, Revision>>,
     /// Whether another host that was connected for long enough has reported the orders given before
     /// this host started.
     orders_known: Cell<bool>,
@@ -163,7 +163,8 @@
             known_claims: RefCell::default(),
             named_successors: RefCell::default(),
             changes: RefCell::default(),
-            claimed_terms: RefCell::default(),
+            newest_claims: RefCell::default(),
+            well_at: RefCell::default(),
             orders_known: Cell::new(false),
             claims_checked_in: Cell::default(),
             unclaimed_changes: RefCell::default(),
@@ -235,7 +236,13 @@
 
     /// Logs which hosts were told of the end of the term before an order, whether each of them has
     /// confirmed it, how long ago each was last heard, and what lets the order go.
-    fn log_order_basis(&self, service: &Rc<Service<C>>, server: ServerKey, closing: &Closing) {
+    fn log_order_basis(
+        &self,
+        service: &Rc<Service<C>>,
+        server: ServerKey,
+        closing: &Closing,
+        ground: Option<(Ground, ServerKey)>,
+    ) {
         let electors = self.fleet.electors();
         let contacts = electors.iter().map(|(key, peer)| {
             let state = match closing.is_confirmed(*key) {
@@ -260,6 +267,11 @@
                 .saturating_sub(closing.announced_at())
                 .as_millis(),
             hosts: contacts.join(", "),
+            longest: service.name_of(ground.map(|(_, longest)| longest)),
+            ground: ground.map_or_else(String::new, |(ground, _)| ground.to_string()),
+            electorate: self
+                .fleet
+                .with_quorum(|it, _| it.standing().number.to_string()),
         });
     }
 
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -15,7 +15,9 @@
 use super::{CLAIM_TIMEOUT, Election, in_time};
 use crate::codec::Codec;
 use crate::event::Event;
-use crate::platform::{Claim, Claims, Error, Platform, Read, Revision, Token};
+use crate::platform::{
+    Claim, ClaimRecord, ClaimState, Claims, Error, Platform, Read, Revision, Settlement, Token,
+};
 use crate::service::Service;
 
 /// How long a change of primary is remembered. This exceeds the age of the backup that a store is
@@ -42,6 +44,36 @@
     own: bool,
 }
 
+/// The newest claim on a change of a service's primary.
+#[derive(Debug, Clone)]
+pub(super) struct NewestClaim {
+    attempt: u64,
+    claim: ClaimRecord,
+}
+
+impl NewestClaim {
+    /// Returns the term whose primary is claimed to be replaced.
+    fn term(&self) -> Term {
+        Term::from_number(self.attempt.cast_signed())
+    }
+
+    /// Returns the newest term whose primary may have been replaced.
+    fn newest_replaced(&self) -> Term {
+        match self.claim.state {
+            ClaimState::Claimed | ClaimState::Named(_) => self.term(),
+            ClaimState::Settled => Term::from_number(self.term().number() - 1),
+        }
+    }
+
+    /// Returns the same with the server that was about to be ordered, if it is named.
+    fn named(&self) -> Option<(Term, &str)> {
+        match &self.claim.state {
+            ClaimState::Named(successor) => Some((self.term(), successor)),
+            ClaimState::Claimed | ClaimState::Settled => None,
+        }
+    }
+}
+
 /// Whether this host still holds a claim that it has won.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Confirmation {
@@ -133,18 +165,19 @@
             by,
             revision,
             won_at,
-            successor,
+            state,
         } = &claim
         else {
             return Ok((claim, None));
         };
-        if let Some(successor) = successor {
-            self.record_named_successor(name, attempt, successor);
+        if let ClaimState::Named(successor) = state {
+            self.record_named_successor(service, attempt, successor, *won_at);
         }
         let now = self.site.now();
         let seen = self.record_claim(name, *won_at, now);
         let is_outdated = revision.epoch() != self.epoch();
-        if is_outdated || by != host && now < seen + CLAIM_HOLDER_TIMEOUT {
+        let may_act = by != host && *state != ClaimState::Settled;
+        if is_outdated || may_act && now < seen + CLAIM_HOLDER_TIMEOUT {
             return Ok((claim, None));
         }
         if self.trouble(service) == Some(Trouble::Leaving) && !self.is_own_claim(by, name, attempt)
@@ -165,14 +198,29 @@
         *claims.entry(key).or_insert(now)
     }
 
-    fn record_named_successor(&self, service: &str, attempt: u64, successor: &str) {
-        let key = (service.to_owned(), attempt);
+    /// Records that the claim won at `won_at` names `successor`.
+    ///
+    /// A claim from before the primary was last well belongs to an earlier change, which never took place,
+    /// and says nothing of the present one. Guards against the order of a server that has fallen behind
+    /// since, in place of one with the whole log.
+    fn record_named_successor(
+        &self,
+        service: &Service<C>,
+        attempt: u64,
+        successor: &str,
+        won_at: Revision,
+    ) {
+        let well_at = self.well_at.borrow().get(&service.name).copied();
+        if well_at.is_some_and(|well_at| won_at <= well_at) {
+            return;
+        }
+        let key = (service.name.clone(), attempt);
         let mut named = self.named_successors.borrow_mut();
-        named.retain(|(other, number), _| other != service || *number >= attempt);
+        named.retain(|(other, number), _| *other != service.name || *number >= attempt);
         named.insert(key, successor.to_owned());
     }
 
-    /// Returns the server that the claim on the next change of the primary of `service` names, as far as
+    /// Returns the server that the claim on the present change of the primary of `service` names, as far as
     /// this host has read it.
     pub(super) fn ordered_before(&self, service: &Service<C>) -> Option<ServerKey> {
         let attempt = service.newest_term().number().unsigned_abs();
@@ -181,6 +229,19 @@
         service.find_server(named.get(&key)?)
     }
 
+    /// Records that the primary of `service` is well: claims that the store has by now are not about its
+    /// next failure.
+    pub(super) fn record_well(&self, service: &Service<C>) {
+        let Some(revision) = self.known_revision() else {
+            return;
+        };
+        let mut well_at = self.well_at.borrow_mut();
+        match well_at.get_mut(&service.name) {
+            Some(known) => *known = revision.max(*known),
+            None => drop(well_at.insert(service.name.clone(), revision)),
+        }
+    }
+
     /// Records in the claim that this host has won under `token` that it is about to order `successor`.
     /// Returns whether the order may be given: not if another host has taken the claim over. A store that
     /// does not answer in time leaves that to the hosts which have confirmed the end of the term.
@@ -228,36 +289,48 @@
     /// Reads the claims in the store, as pairs of service and change number. Returns `None` if the
     /// store does not answer in time. A store that may lack claims tells nothing about orders given
     /// before this host started.
-    pub(super) async fn read_claims(&self) -> Option<BTreeSet<(String, u64)>> {
+    pub(super) async fn read_claims(self: &Rc<Self>) -> Option<BTreeSet<(String, u64)>> {
         let read = in_time(self.platform.claims()).await.ok()?;
         self.apply_claims(read)
     }
 
-    /// Applies the claims as read from the store, and returns the claimed changes.
-    pub(super) fn apply_claims(&self, read: Read<Claims>) -> Option<BTreeSet<(String, u64)>> {
+    /// Applies the claims as read from the store, and returns the changes that may be carried out.
+    pub(super) fn apply_claims(
+        self: &Rc<Self>,
+        read: Read<Claims>,
+    ) -> Option<BTreeSet<(String, u64)>> {
         let epoch = read.revision.epoch();
         if !self.fleet.observe_epoch(epoch) {
             return None;
         }
+        let are_complete = read.value.are_complete(epoch);
+        if are_complete && read.value.electorate.is_none() {
+            self.fleet.with_quorum(|it, _| it.record_no_electorate());
+        }
         self.apply_recorded(read.value.electorate.as_ref());
-        if !read.value.are_complete(epoch) || self.fleet.has_started_in_outage() {
-            return Some(read.value.changes);
+        let is_complete = are_complete && !self.fleet.has_started_in_outage();
+        let claims = read.value.changes;
+        let open = claims
+            .iter()
+            .filter(|(_, claim)| claim.state != ClaimState::Settled);
+        let changes: BTreeSet<(String, u64)> = open.map(|(change, _)| change.clone()).collect();
+        if !is_complete {
+            return Some(changes);
         }
         self.claims_verified_in.set(epoch);
-        let mut newest: BTreeMap<String, Term> = BTreeMap::new();
-        for (service, attempt) in &read.value.changes {
-            let term = Term::from_number(attempt.cast_signed());
-            let known = newest.entry(service.clone()).or_default();
-            *known = term.max(*known);
+        let mut newest: BTreeMap<String, NewestClaim> = BTreeMap::new();
+        for ((service, attempt), claim) in claims {
+            // The numbers of a service's changes ascend.
+            newest.insert(service, NewestClaim { attempt, claim });
         }
-        *self.claimed_terms.borrow_mut() = Some(newest);
+        *self.newest_claims.borrow_mut() = Some(newest);
         self.update_all_known_orders();
-        Some(read.value.changes)
+        Some(changes)
     }
 
     /// Records that another host, connected to a majority for `in_touch`, has reported the orders
     /// it knows of. If that time is long enough, any order unknown to it has already taken effect.
-    pub(super) fn peer_knows_orders(&self, in_touch: Duration) {
+    pub(super) fn peer_knows_orders(self: &Rc<Self>, in_touch: Duration) {
         if in_touch >= PROMOTION_TIMEOUT && !self.orders_known.replace(true) {
             self.update_all_known_orders();
         }
@@ -268,28 +341,65 @@
     pub(super) fn forget_prior_orders(&self) {
         self.orders_known.set(false);
         self.orders_check.set(None);
-        *self.claimed_terms.borrow_mut() = None;
+        *self.newest_claims.borrow_mut() = None;
         for service in self.fleet.services() {
             service.forget_prior_orders();
         }
     }
 
     /// Passes on to all services what is known of orders given before this host started.
-    fn update_all_known_orders(&self) {
+    fn update_all_known_orders(self: &Rc<Self>) {
         for service in self.fleet.services() {
             self.update_known_orders(&service);
         }
     }
 
     /// Passes on to `service` what is known of orders given before this host started.
-    pub(super) fn update_known_orders(&self, service: &Service<C>) {
+    pub(super) fn update_known_orders(self: &Rc<Self>, service: &Rc<Service<C>>) {
         if self.orders_known.get() {
             service.record_orders_known();
-        } else if let Some(claimed) = &*self.claimed_terms.borrow() {
-            service.record_claims(claimed.get(&service.name).copied());
+        } else if let Some(claims) = &*self.newest_claims.borrow() {
+            let claim = claims.get(&service.name);
+            if let Some((term, successor)) = claim.and_then(NewestClaim::named)
+                && service.bind_to_order(term, successor)
+            {
+                self.watch_open_order(service);
+            }
+            service.record_claims(claim.map(NewestClaim::newest_replaced));
         }
     }
 
+    /// Records in the store that no order under the open claim on the primary of `service` is carried out
+    /// any more, for the reason `how`. Two hosts do, since one may be gone.
+    pub(super) fn settle_claim(self: &Rc<Self>, service: &Rc<Service<C>>, how: Settlement) {
+        if self.fleet.rank(&service.name) >= CLAIM_REWRITERS {
+            return;
+        }
+        let claims = self.newest_claims.borrow();
+        let newest = claims.as_ref().and_then(|it| it.get(&service.name));
+        let is_open = |it: &&NewestClaim| it.newest_replaced() >= service.newest_term();
+        let Some(open) = newest.filter(is_open).cloned() else {
+            return;
+        };
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        tokio::task::spawn_local(async move {
+            let (attempt, revision) = (open.attempt, open.claim.revision);
+            let (platform, host) = (&election.platform, &election.site.host);
+            let settled = platform.settle_claim(&service.name, attempt, host, revision, how);
+            let outcome = match in_time(settled).await {
+                Ok(Claim::Won(_)) => "recorded".to_owned(),
+                Ok(Claim::Held { by, .. }) => format!("{by} has changed it"),
+                Err(why) => why,
+            };
+            election.site.log(&Event::ClaimSettled {
+                service: service.name.clone(),
+                attempt,
+                how: how.to_string(),
+                outcome,
+            });
+        });
+    }
+
     /// Records that this host orders a change of the primary of `service` without a claim, because
     /// the store does not answer.
     pub(super) fn record_unclaimed_change(&self, service: &str, attempt: u64) {
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -10,7 +10,7 @@
 use super::handover::{NOTIFYING_HOSTS, REPLACEMENT_NOTICE_INTERVAL};
 use super::{ACTIVE_STEP_INTERVAL, Election, STATUS_TIMEOUT};
 use crate::codec::Codec;
-use crate::platform::Platform;
+use crate::platform::{Platform, Settlement};
 use crate::service::Service;
 
 /// Interval between two steps of the state machine while the primary is healthy.
@@ -76,6 +76,12 @@
                 succession.borrow_mut().invalidate_claim(now);
             }
             let view = self.view(&service, &succession);
+            if view.trouble.is_none() && view.leader.is_some() {
+                self.record_well(&service);
+            }
+            if service.take_expired_binding() {
+                self.settle_claim(&service, Settlement::NotCarriedOut);
+            }
             let ends_term = succession.borrow().closing().is_some();
             let pause = if view.trouble.is_some() || ends_term {
                 ACTIVE_STEP_INTERVAL
@@ -122,7 +128,8 @@
             let next = succession.borrow_mut().step(&view, now);
             for next in next {
                 if let (NextStep::Promote { server, .. }, Some(closing)) = (next, &closing) {
-                    self.log_order_basis(&service, server, closing);
+                    let ground = succession.borrow().ground(server, &view);
+                    self.log_order_basis(&service, server, closing, ground);
                 }
                 self.perform(&service, &succession, next, &view);
             }
--- a/crates/proxy/src/election/successor.rs
+++ b/crates/proxy/src/election/successor.rs
@@ -23,6 +23,10 @@
 /// slot there.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Minimum interval between two requests for the state of the server that an open order names. Each host
+/// asks it.
+const OPEN_ORDER_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time after which a request to the host that asks the successor is repeated.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -160,6 +164,39 @@
         Ok(status)
     }
 
+    /// Asks the server that an open order names for its state whenever a statement depends on it, until the
+    /// order was carried out or can no longer be.
+    pub(super) fn watch_open_order(self: &Rc<Self>, service: &Rc<Service<C>>) {
+        let (election, service) = (Rc::clone(self), Rc::clone(service));
+        tokio::task::spawn_local(async move {
+            let mut connection = None;
+            let mut known_at = election.site.now();
+            while service.is_bound() {
+                let asked = election.site.now();
+                let successor = service.open_successor();
+                let target = successor.and_then(|key| target(&service, key));
+                let state = match &target {
+                    Some(target) => election
+                        .ask_state(&service, target, &mut connection)
+                        .await
+                        .ok(),
+                    None => None,
+                };
+                match state {
+                    Some(State::Follows(received)) => {
+                        known_at = asked;
+                        service.record_open_follower(asked, received);
+                    }
+                    Some(State::Leads(_)) => return service.record_order_carried_out(),
+                    None if asked >= known_at + UNKNOWN_TIMEOUT => service.record_open_silence(),
+                    None => {}
+                }
+                sleep(OPEN_ORDER_INTERVAL).await;
+                election.is_state_demanded(&service).await;
+            }
+        });
+    }
+
     /// Records a request of another host, to be answered with the next answer of the successor.
     pub(super) fn record_successor_query(
         &self,
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -11,7 +11,7 @@
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::Status;
-use crate::platform::{Claim, Platform, Promotion, Token};
+use crate::platform::{Claim, Platform, Promotion, Settlement, Token};
 use crate::server_connection::Target;
 use crate::service::{MissingEvidence, Service};
 
@@ -46,7 +46,7 @@
         target: &Target,
         status: &Status,
     ) {
-        if self.claimed_terms.borrow().is_none() {
+        if self.newest_claims.borrow().is_none() {
             self.read_claims().await;
         }
         if service.missing_evidence(target.server, status) != MissingEvidence::Orders {
@@ -75,7 +75,7 @@
 
     /// Searches until it is known whether the primary `target` was replaced.
     async fn search(
-        &self,
+        self: &Rc<Self>,
         service: &Rc<Service<C>>,
         target: &Target,
         search: UnheardOrder,
@@ -87,7 +87,12 @@
             let claims = self.claim_record();
             match service.conclude_search(search, target.server, confirmed_at, claims) {
                 None => return Outcome::Superseded,
-                Some(Finding::NotReplaced) => return Outcome::NotReplaced,
+                Some(Finding::NotReplaced) => {
+                    if !service.is_bound() {
+                        self.settle_claim(service, Settlement::NotNamed);
+                    }
+                    return Outcome::NotReplaced;
+                }
                 Some(Finding::Replaced) => return Outcome::Replaced,
                 Some(Finding::Inconclusive)
                     if self.site.now() >= order_at && self.trouble(service).is_none() =>
@@ -106,7 +111,7 @@
     /// Reports whether the store has a claim for each order that was given before this host
     /// started.
     fn claim_record(&self) -> ClaimRecord {
-        match self.claimed_terms.borrow().is_some() {
+        match self.newest_claims.borrow().is_some() {
             true => ClaimRecord::Complete,
             false => ClaimRecord::Incomplete,
         }
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -52,6 +52,8 @@
         5022 Info PeersListed { puts: usize, hosts: usize },
         /// electorate {number}, formation {formation}, adopted: a majority of {electors} decides, and one of those before: {former}; {why}
         5023 Info ElectorateAdopted { number: String, formation: u64, electors: String, former: String, why: String },
+        /// {service}: claim of change {attempt} settled, because {how}: {outcome}
+        5024 Info ClaimSettled { service: String, attempt: u64, how: String, outcome: String },
         /// {service}: {after} leads after {before}; the previous state lasted {millis} ms
         5100 Info Leads { service: String, after: String, before: String, millis: u128 },
         /// {service}: cannot connect to server {server}: {error}; {connections} connections open on this host, {waiting} requests waiting
@@ -68,8 +70,8 @@
         5112 Warn Ordered { service: String, server: String, token: u64, outcome: String, millis: u128 },
         /// {service}: host {host} reports that it replaces the primary
         5113 Info OtherActs { service: String, host: String },
-        /// {service}: promoting {server}, {millis} ms after the end of the term was announced to hosts {hosts}: {basis}
-        5114 Info Rests { service: String, server: String, millis: u128, hosts: String, basis: String },
+        /// {service}: promoting {server}, {millis} ms after the end of the term was announced to hosts {hosts}: {basis}; longest log {longest}, and {ground}; electorate {electorate}
+        5114 Info Rests { service: String, server: String, millis: u128, hosts: String, basis: String, longest: String, ground: String, electorate: String },
         /// {service}: statements for the primary are no longer held after {millis} ms: {why}
         5115 Info HoldEnded { service: String, why: &'static str, millis: u128 },
         /// {service}: write {id} was acknowledged at {position} while the primary is being replaced
@@ -94,6 +96,8 @@
         5125 Warn ClaimLost { service: String, server: String, token: u64 },
         /// {service}: the leaving primary {server} was asked to step down, because too few hosts confirm the end of its term
         5126 Warn StepDownForced { service: String, server: String },
+        /// {service}: an order of {server} to replace the primary of term {term} may still be carried out: the primary is used as long as that server says that it follows
+        5127 Warn OrderOpen { service: String, server: String, term: i64 },
         /// request {id} for {database} answered with {reason}, waited {millis} ms, leader {leader}, version {version}
         5200 Warn Refused { id: String, database: String, reason: String, millis: u128, leader: String, version: u64 },
         /// request {id} for {database} retried: {reason} at {server}, attempt {attempt} after {millis} ms
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -276,16 +276,46 @@
         revision: Revision,
         /// Revision at which the holder has won the claim, which is the token of its order.
         won_at: Revision,
-        /// Id of the server that the holder was about to order, if it has come so far.
-        successor: Option<String>,
+        /// What has become of its order.
+        state: ClaimState,
     },
 }
 
+/// What a claim says of the order that its holder was to give.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimState {
+    /// None was about to be given.
+    Claimed,
+    /// The order of this server was about to be given. It may be carried out as long as nobody has
+    /// settled the claim.
+    Named(String),
+    /// None is carried out any more, and the primary was not replaced.
+    Settled,
+}
+
+/// Why no order under a claim is carried out any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum Settlement {
+    /// its holder is gone and had named no server
+    NotNamed,
+    /// the platform has not carried it out in the time that it may take
+    NotCarriedOut,
+}
+
+/// A claim in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimRecord {
+    /// What it says of its order.
+    pub state: ClaimState,
+    /// Revision at which it was last changed.
+    pub revision: Revision,
+}
+
 /// The claims on changes of primaries in the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Claims {
-    /// The claimed changes, as pairs of service and change number.
-    pub changes: BTreeSet<(String, u64)>,
+    /// The claimed changes, by service and change number.
+    pub changes: BTreeMap<(String, u64), ClaimRecord>,
     /// The newest epoch in which hosts have verified that no claim is missing.
     pub verified_in: Epoch,
     /// The record of the electorate as of the same moment, if there is one.
@@ -411,6 +441,17 @@
         successor: &str,
     ) -> impl Future<Output = Result<Claim, Error>>;
 
+    /// Records in the claim that is unchanged since `revision` that no order under it is carried out any
+    /// more. Returns [`Claim::Won`] if it is recorded.
+    fn settle_claim(
+        &self,
+        service: &str,
+        attempt: u64,
+        host: &str,
+        revision: Revision,
+        how: Settlement,
+    ) -> impl Future<Output = Result<Claim, Error>>;
+
     /// Reads all readable claims.
     fn claims(&self) -> impl Future<Output = Result<Read<Claims>, Error>>;
 
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -32,6 +32,7 @@
 mod log_loss;
 mod log_proof;
 mod observations;
+mod open_order;
 mod pooled_connection;
 mod queue;
 mod restart;
@@ -107,6 +108,8 @@
     prior_orders: PriorOrders,
     /// The search for such a promotion, while it goes on.
     unheard_order: Option<UnheardOrder>,
+    /// An order that may still be carried out, and that no running host has given.
+    open_order: Option<open_order::OpenOrder>,
     no_primary_since: Option<Duration>,
     servers: BTreeMap<ServerKey, ServerEntry>,
     idle: BTreeMap<u64, ServerConnection<C>>,
@@ -178,6 +181,7 @@
                 primary_position: None,
                 prior_orders: PriorOrders::default(),
                 unheard_order: None,
+                open_order: None,
                 no_primary_since: Some(Duration::ZERO),
                 servers: BTreeMap::new(),
                 idle: BTreeMap::new(),
--- a/crates/proxy/src/service/handover.rs
+++ b/crates/proxy/src/service/handover.rs
@@ -101,33 +101,59 @@
         replacement.is_some_and(|it| it.handover.is_some()) && state.leader.is_term_ended(server)
     }
 
-    /// Waits until it is known whether the successor still followed at `arrived` or later, and returns
-    /// when it did.
-    pub async fn confirm_read(&self, arrived: Duration) -> Option<Duration> {
+    /// Reports whether uses of `server` rest on answers of another server that may succeed it: it is a
+    /// leaving primary, or an order to replace it may be carried out.
+    pub fn rests_on_successor(&self, server: ServerKey) -> bool {
+        self.is_handed_over(server) || self.is_bound_at(server)
+    }
+
+    /// Waits until it is known whether the successor of `server` still followed at `arrived` or later, and
+    /// returns when it did.
+    pub async fn confirm_read(&self, server: ServerKey, arrived: Duration) -> Option<Duration> {
         let judge = |handover: &Handover, _| handover.read(arrived);
-        self.decide(judge).await
+        self.decide(server, judge).await
     }
 
-    /// Waits until it is known whether the commit counts that the primary answered at `answered` with
-    /// `position`. Returns whether it does.
-    pub async fn confirm_commit(&self, position: Option<Position>, answered: Duration) -> bool {
+    /// Waits until it is known whether the commit counts that the primary `server` answered at `answered`
+    /// with `position`. Returns whether it does.
+    pub async fn confirm_commit(
+        &self,
+        server: ServerKey,
+        position: Option<Position>,
+        answered: Duration,
+    ) -> bool {
         let judge = |handover: &Handover, now| handover.commit(position, answered, now);
-        self.decide(judge).await.is_some()
+        self.decide(server, judge).await.is_some()
     }
 
-    async fn decide(&self, judge: impl Fn(&Handover, Duration) -> Verdict) -> Option<Duration> {
+    async fn decide(
+        &self,
+        server: ServerKey,
+        judge: impl Fn(&Handover, Duration) -> Verdict,
+    ) -> Option<Duration> {
         let _demand = Demand::new(self);
-        let token = self.state.borrow().replacement.as_ref()?.token;
+        let is_handed_over = self.is_handed_over(server);
+        let token = self.state.borrow().replacement.as_ref().map(|it| it.token);
         loop {
             let answered = self.handover_answered.notified();
-            let verdict = {
-                let now = self.site.now();
-                let state = self.state.borrow();
-                let newest = state.replacement.as_ref();
-                let replacement = newest.filter(|it| it.token == token)?;
-                match judge(replacement.handover.as_ref()?, now) {
-                    Verdict::Unknown if now >= replacement.ignore_from => Verdict::Late,
-                    verdict => verdict,
+            let now = self.site.now();
+            let verdict = match is_handed_over {
+                true => {
+                    let state = self.state.borrow();
+                    let newest = state.replacement.as_ref();
+                    let replacement = newest.filter(|it| Some(it.token) == token)?;
+                    match judge(replacement.handover.as_ref()?, now) {
+                        Verdict::Unknown if now >= replacement.ignore_from => Verdict::Late,
+                        verdict => verdict,
+                    }
+                }
+                false => {
+                    let state = self.state.borrow();
+                    match state.binding(server) {
+                        Some(order) => judge(&order.handover, now),
+                        None if state.dispatch.leader() == Some(server) => Verdict::Counts(now),
+                        None => Verdict::Late,
+                    }
                 }
             };
             match verdict {
--- a/crates/proxy/src/session/placement.rs
+++ b/crates/proxy/src/session/placement.rs
@@ -464,9 +464,10 @@
         connection: &PooledConnection<C>,
     ) -> Confirmation {
         let service = connection.service();
-        let is_handed_over = need == Need::Leader && service.is_handed_over(connection.server);
-        if is_handed_over && self.context.fleet.holds_lease() {
-            return match service.confirm_read(plan.arrived).await {
+        let server = connection.server;
+        let rests_on_successor = need == Need::Leader && service.rests_on_successor(server);
+        if rests_on_successor && self.context.fleet.holds_lease() {
+            return match service.confirm_read(server, plan.arrived).await {
                 Some(at) => Confirmation::At(at),
                 None => Confirmation::Replaced,
             };
@@ -519,11 +520,14 @@
             }
             return self.reason_to_withhold(service, server);
         }
-        if !service.is_handed_over(server) {
-            return self.reason_to_withhold(service, server);
+        let is_handed_over = service.is_handed_over(server);
+        let counts = !service.rests_on_successor(server)
+            || service.confirm_commit(server, position, answered).await;
+        match counts {
+            false => Some(REPLACED),
+            true if is_handed_over => None,
+            true => self.reason_to_withhold(service, server),
         }
-        let counts = service.confirm_commit(position, answered).await;
-        (!counts).then_some(REPLACED)
     }
 
     /// Returns the reason why a write that `server` answered as the primary is not acknowledged, if
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -146,7 +146,7 @@
                 let server = open.connection.server;
                 // Of a primary that is handed over, only the successor can tell whether it still leads.
                 let is_doubtful =
-                    open.service.is_superseded(server) || open.service.is_handed_over(server);
+                    open.service.is_superseded(server) || open.service.rests_on_successor(server);
                 let by_primary =
                     open.by_primary && holds_lease && !is_doubtful && outcome.end.is_ok();
                 open.record_answer(&outcome, arrived, by_primary);
--- a/crates/proxy/tests/common/no_store.rs
+++ b/crates/proxy/tests/common/no_store.rs
@@ -7,7 +7,7 @@
 use flamingopost_core::quorum::Electorate;
 use flamingopost_proxy::platform::{
     Backend, Change, Claim, Claims, Configuration, ElectorateRecord, Entry, Error, Peer, Platform,
-    Promotion, Read, Recorded, Revision, Token,
+    Promotion, Read, Recorded, Revision, Settlement, Token,
 };
 
 /// A platform that answers nothing.
@@ -69,6 +69,17 @@
         lost()
     }
 
+    async fn settle_claim(
+        &self,
+        _: &str,
+        _: u64,
+        _: &str,
+        _: Revision,
+        _: Settlement,
+    ) -> Result<Claim, Error> {
+        lost()
+    }
+
     async fn claims(&self) -> Result<Read<Claims>, Error> {
         lost()
     }
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -378,6 +378,25 @@
         self.put("flamingopost-claims", &key, &json!({"holder": host}));
     }
 
+    /// Writes the claim on a change of primary for `host`, which was about to order `server`.
+    pub fn claim_naming(&self, service: &str, term: i64, host: &str, server: &str) {
+        let key = format!("{service}/{term}");
+        let order = json!({"server": server, "token": 1});
+        let claim = json!({"holder": host, "order": order});
+        self.put("flamingopost-claims", &key, &claim);
+    }
+
+    /// Whether the claim on the change of the primary of `service` after `term` is settled.
+    pub fn is_settled(&self, service: &str, term: i64) -> bool {
+        let key = format!("{service}/{term}");
+        let (rows, _) = self.store.rows("flamingopost-claims", "", &key);
+        let row = rows.first().filter(|row| row.key == key);
+        let bytes = row.and_then(|row| STANDARD.decode(&row.value).ok());
+        let claim: Option<serde_json::Value> =
+            bytes.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        claim.is_some_and(|claim| !claim["settled"].is_null())
+    }
+
     /// Whether somebody has claimed the change of the primary of `service` after `term`.
     pub fn has_claim(&self, service: &str, term: i64) -> bool {
         let key = format!("{service}/{term}");
