Count an overdue commit only if the successor follows when it is overdue

Cause: a commit that the successor had not received counted 60 ms after its answer if the successor had followed at any time since. It may have begun to lead meanwhile, without the commit.

Change: the successor has to be asked after those 60 ms.

--- a/crates/core/src/quorum/handover.rs
+++ b/crates/core/src/quorum/handover.rs
@@ -37,10 +37,10 @@
 /// assert_eq!(handover.read(at(100)), Verdict::Unknown);
 /// handover.record_follower(at(105), position(7));
 /// assert_eq!(handover.read(at(100)), Verdict::Counts(at(105)));
-/// assert_eq!(handover.commit(Some(position(8)), at(104), at(106)), Verdict::Unknown);
+/// assert_eq!(handover.commit(Some(position(8)), at(104)), Verdict::Unknown);
 /// handover.record_lead();
-/// assert_eq!(handover.commit(Some(position(8)), at(104), at(107)), Verdict::Late);
-/// assert_eq!(handover.commit(Some(position(7)), at(104), at(107)), Verdict::Counts(at(105)));
+/// assert_eq!(handover.commit(Some(position(8)), at(104)), Verdict::Late);
+/// assert_eq!(handover.commit(Some(position(7)), at(104)), Verdict::Counts(at(105)));
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Handover {
@@ -79,17 +79,16 @@
         }
     }
 
-    /// Decides at `now` whether a commit counts that the primary answered at `answered` with
-    /// `position`.
+    /// Decides whether a commit counts that the primary answered at `answered` with `position`.
     ///
-    /// The successor keeps what it had received when it began to lead. While it follows without
-    /// receiving anything, it is enough that the commit came before that.
-    pub fn commit(&self, position: Option<Position>, answered: Duration, now: Duration) -> Verdict {
+    /// The successor keeps what it had received when it began to lead. If it follows without receiving
+    /// anything, it is enough that it still did when that was overdue.
+    pub fn commit(&self, position: Option<Position>, answered: Duration) -> Verdict {
         let Some(followed_at) = self.followed_at else {
             return self.undecided();
         };
         let is_received = position.is_some_and(|position| self.received >= position);
-        let is_overdue = now >= answered + RECEIPT_TIMEOUT && followed_at >= answered;
+        let is_overdue = followed_at >= answered + RECEIPT_TIMEOUT;
         match is_received || is_overdue {
             true => Verdict::Counts(followed_at),
             false => self.undecided(),
--- a/crates/proxy/src/service/handover.rs
+++ b/crates/proxy/src/service/handover.rs
@@ -110,7 +110,7 @@
     /// Waits until it is known whether the successor of `server` still followed at `arrived` or later, and
     /// returns when it did.
     pub async fn confirm_read(&self, server: ServerKey, arrived: Duration) -> Option<Duration> {
-        let judge = |handover: &Handover, _| handover.read(arrived);
+        let judge = |handover: &Handover| handover.read(arrived);
         self.decide(server, judge).await
     }
 
@@ -122,14 +122,14 @@
         position: Option<Position>,
         answered: Duration,
     ) -> bool {
-        let judge = |handover: &Handover, now| handover.commit(position, answered, now);
+        let judge = |handover: &Handover| handover.commit(position, answered);
         self.decide(server, judge).await.is_some()
     }
 
     async fn decide(
         &self,
         server: ServerKey,
-        judge: impl Fn(&Handover, Duration) -> Verdict,
+        judge: impl Fn(&Handover) -> Verdict,
     ) -> Option<Duration> {
         let _demand = Demand::new(self);
         let is_handed_over = self.is_handed_over(server);
@@ -142,7 +142,7 @@
                     let state = self.state.borrow();
                     let newest = state.replacement.as_ref();
                     let replacement = newest.filter(|it| Some(it.token) == token)?;
-                    match judge(replacement.handover.as_ref()?, now) {
+                    match judge(replacement.handover.as_ref()?) {
                         Verdict::Unknown if now >= replacement.ignore_from => Verdict::Late,
                         verdict => verdict,
                     }
@@ -150,7 +150,7 @@
                 false => {
                     let state = self.state.borrow();
                     match state.binding(server) {
-                        Some(order) => judge(&order.handover, now),
+                        Some(order) => judge(&order.handover),
                         None if state.dispatch.leader() == Some(server) => Verdict::Counts(now),
                         None => Verdict::Late,
                     }
