Draw series of faults over tens of seconds in the soak

Change: seeds from 2^38 on draw one of three series, by the seed modulo 3. Of synchronous commits a promotion may roll back none.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -32,6 +32,8 @@
     pub limits: Vec<Vec<Limit>>,
     /// Events that affected the servers' logs.
     pub log_events: Vec<LogEvent>,
+    /// Whether commits waited for a replica, so that a promotion may roll back none that was acknowledged.
+    pub synchronous: bool,
 }
 
 impl Record {
@@ -137,7 +139,7 @@
         .iter()
         .filter(|it| it.outcome == Outcome::Acknowledged)
     {
-        let rolled_back = record.is_rolled_back(&write.data);
+        let rolled_back = record.is_rolled_back(&write.data) && !record.synchronous;
         if !positions.contains_key(write.data.as_str()) && !rolled_back {
             let Write { data, item, .. } = write;
             problems.push(Problem::new(
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -185,6 +185,34 @@
         /// Duration of the fault.
         lasts: Duration,
     },
+    /// The last hosts are partitioned from the other hosts. As that ends, the first hosts are partitioned with
+    /// the primary from everything else but their callers.
+    CutInTurn {
+        /// Number of the hosts that are silent first.
+        silent: usize,
+        /// Duration of that.
+        silent_for: Duration,
+        /// Number of the hosts that are partitioned with the primary.
+        near: usize,
+        /// Duration of that.
+        cut_for: Duration,
+    },
+    /// The primary is silent, and all hosts are killed once an order for its successor was given. They are
+    /// restarted when it is back.
+    AbandonOrder {
+        /// What becomes of the order.
+        mode: OrderMode,
+        /// How long the primary is silent.
+        lasts: Duration,
+        /// Time from the order until the hosts are killed.
+        after: Duration,
+    },
+    /// The server that a claim names does not receive replication for a while, and the primary is lost
+    /// meanwhile.
+    LoseBehind {
+        /// For how long it does not.
+        lasts: Duration,
+    },
     /// A host is partitioned from everything except its callers.
     Isolate {
         /// Number of the host.
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -21,6 +21,9 @@
 /// Response time of a slow store.
 const SLOW_STORE_DELAY: Duration = Duration::from_millis(400);
 
+/// How long a primary is lost whose named successor is behind. Hosts wait for a better candidate for 10 s.
+const LOST_FOR: Duration = Duration::from_secs(14);
+
 /// How long hosts may take to act on a primary that most of them cannot reach.
 const ACTING_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -159,6 +162,23 @@
                 tokio::time::sleep(lasts).await;
                 self.site.store.set_feed_delay("servers", Duration::ZERO);
             }
+            Fault::CutInTurn {
+                silent,
+                silent_for,
+                near,
+                cut_for,
+            } => {
+                self.silence_hosts(silent, true);
+                tokio::time::sleep(silent_for).await;
+                self.silence_hosts(silent, false);
+                self.cut_near(near, true);
+                tokio::time::sleep(cut_for).await;
+                self.cut_near(near, false);
+            }
+            Fault::AbandonOrder { mode, lasts, after } => {
+                self.abandon_order(mode, lasts, after).await;
+            }
+            Fault::LoseBehind { lasts } => self.lose_behind(lasts).await,
             Fault::Isolate { host, lasts } => {
                 self.isolate_host(host, true);
                 tokio::time::sleep(lasts).await;
@@ -290,12 +310,82 @@
         group.set_deaf(&primary, false);
     }
 
+    /// Cuts the last `count` hosts off from the other hosts, or ends that.
+    fn silence_hosts(&self, count: usize, cut: bool) {
+        let first = self.hosts.len() - count;
+        for silent in first..self.hosts.len() {
+            let others = (0..first).map(Endpoint::Host);
+            self.cut_off(silent, &others.collect::<Vec<_>>(), cut);
+        }
+    }
+
+    /// Cuts the first `count` hosts and the primary off from everything else, or ends that.
+    fn cut_near(&self, count: usize, cut: bool) {
+        let group = self.site.group(SERVICE);
+        let servers = 0..self.plan.sizes.servers;
+        let primary = Endpoint::Server(0);
+        let far = (count..self.hosts.len()).map(Endpoint::Host);
+        let others = servers.clone().skip(1).map(Endpoint::Server);
+        let ends = far.clone().chain(others);
+        let ends: Vec<Endpoint> = ends.chain([Endpoint::Store, Endpoint::Orders]).collect();
+        for near in 0..count {
+            self.cut_off(near, &ends, cut);
+        }
+        for host in far {
+            self.net.cut(host, primary, cut);
+            self.net.cut(primary, host, cut);
+        }
+        for replica in servers.skip(1) {
+            group.set_deaf(&server_name(replica), cut);
+        }
+    }
+
+    /// Silences the primary until a successor is ordered, and kills all hosts then.
+    async fn abandon_order(&self, mode: OrderMode, lasts: Duration, after: Duration) {
+        let primary = self.victim(Victim::Primary);
+        let before = self.changes_begun(Moment::Order);
+        self.site.set_order_mode(mode);
+        let silent = Faults {
+            silent: true,
+            ..Faults::default()
+        };
+        self.site.set_faults(&primary, silent);
+        let start = Instant::now();
+        while self.changes_begun(Moment::Order) == before && start.elapsed() < ACTING_TIMEOUT {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        tokio::time::sleep(after).await;
+        self.hosts.iter().for_each(|host| self.kill_host(host));
+        tokio::time::sleep(lasts.saturating_sub(start.elapsed())).await;
+        self.site.set_faults(&primary, Faults::default());
+        self.site.set_order_mode(OrderMode::Answered);
+        self.hosts.iter().for_each(|host| self.start_host(host));
+    }
+
+    /// Keeps the server that a claim names behind, and crashes the primary meanwhile.
+    async fn lose_behind(&self, lasts: Duration) {
+        let group = self.site.group(SERVICE);
+        let primary = self.victim(Victim::Primary);
+        let claims = self.site.claims().into_iter();
+        let Some(named) = claims.filter_map(|claim| claim.successor).last() else {
+            return;
+        };
+        group.set_deaf(&named, true);
+        tokio::time::sleep(lasts / 2).await;
+        self.site.crash(&primary);
+        self.site.unregister(&primary);
+        tokio::time::sleep(lasts / 2).await;
+        group.set_deaf(&named, false);
+        tokio::time::sleep(LOST_FOR).await;
+        self.revive(&primary).await;
+    }
+
     /// Returns the changes of primary that have come to `moment`, each with the host that acts.
     fn changes_begun(&self, moment: Moment) -> BTreeSet<(String, usize)> {
         let claims = self.site.claims();
         let claims = claims.into_iter().filter(|claim| match moment {
             Moment::Claim => true,
-            Moment::Order => claim.names_successor,
+            Moment::Order => claim.successor.is_some(),
         });
         let acting = claims.filter_map(|claim| {
             let host = self
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -44,6 +44,12 @@
 /// from [`FIRST_RESTORE_SEED`] on, all on a platform as described at [`FIRST_LAX_SEED`].
 pub const FIRST_LATE_SEED: u64 = 1 << 37;
 
+/// The first seed whose faults follow each other over tens of seconds, which no other seed draws: hosts
+/// that are silent and back as others are cut off, and orders that nobody knows of after a restart of all
+/// hosts. They are played on a platform as described at [`FIRST_LAX_SEED`], with commits that wait for a
+/// replica where one is lost.
+pub const FIRST_LONG_SEED: u64 = 1 << 38;
+
 /// Mean time between two hosts that are cut off as they replace a primary, or late server lists.
 const ACTING_INTERVAL: Duration = Duration::from_millis(4_500);
 
@@ -128,10 +134,14 @@
             lax: (FIRST_LAX_SEED..FIRST_RESTORE_SEED).contains(&seed)
                 || seed >= FIRST_RESTORE_SEED && seed.is_multiple_of(2)
                 || seed >= FIRST_LATE_SEED,
-            late_datagrams: seed >= FIRST_LATE_SEED,
+            late_datagrams: (FIRST_LATE_SEED..FIRST_LONG_SEED).contains(&seed),
             unread: rng.random_bool(0.3).then(|| rng.random_range(0..hosts)),
             faults: Vec::new(),
         };
+        if seed >= FIRST_LONG_SEED {
+            plan.draw_long_faults(&mut rng);
+            return plan;
+        }
         plan.draw_faults(&mut rng);
         if (FIRST_RESTART_SEED..FIRST_LAX_SEED).contains(&seed) || seed >= FIRST_RESTORE_SEED {
             plan.draw_restarts(&mut rng);
@@ -156,6 +166,48 @@
         (FIRST_TEAM_SEED..FIRST_LATE_SEED).contains(&self.seed)
     }
 
+    /// Draws one of the series of faults that take long, by the seed.
+    fn draw_long_faults(&mut self, rng: &mut ChaCha8Rng) {
+        self.hosts = self.hosts.max(3);
+        self.sizes.servers = 3;
+        // Commits that wait for a replica take their slots for longer.
+        self.sizes.slots = 3;
+        self.sizes.connections = self.sizes.connections.max(36);
+        self.sizes.lag = self.sizes.lag.min(Duration::from_millis(30));
+        let mut between = |from, to| Duration::from_millis(rng.random_range(from..=to));
+        let start = between(2_000, 4_000);
+        let lasts = between(1_800, 2_600);
+        let after = between(20, 200);
+        let mut faults = match self.seed % 3 {
+            0 => {
+                // Of those that are not silent, the first ones are more than half.
+                self.hosts = 5 + 2 * usize::from(self.hosts > 5);
+                let near = self.hosts / 2;
+                vec![Fault::CutInTurn {
+                    silent: 2,
+                    silent_for: between(11_000, 13_000),
+                    near,
+                    cut_for: between(5_000, 7_000),
+                }]
+            }
+            1 => {
+                let mode = OrderMode::Late(between(6_000, 11_000));
+                vec![Fault::AbandonOrder { mode, lasts, after }]
+            }
+            _ => {
+                self.sizes.synchronous = true;
+                let mode = OrderMode::Refused;
+                vec![Fault::AbandonOrder { mode, lasts, after }]
+            }
+        };
+        let second = start + lasts + between(4_000, 9_000);
+        self.faults.push((start, faults.remove(0)));
+        if self.sizes.synchronous {
+            let lasts = between(2_500, 5_000);
+            self.faults.push((second, Fault::LoseBehind { lasts }));
+        }
+    }
+
     /// Draws hosts that are cut off as they replace a primary, and late server lists.
     fn draw_cut_off_actors(&mut self, rng: &mut ChaCha8Rng) {
         let mut at = Duration::from_millis(rng.random_range(500..=2_500));
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -316,6 +316,7 @@
                 .as_ref()
                 .map_or_else(Vec::new, |teams| teams.limits()),
             log_events: group.log_events(),
+            synchronous: self.plan.sizes.synchronous,
         }
     }
 
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -79,10 +79,17 @@
     Answered,
     /// They are carried out, and the answer is lost.
     AnswerLost,
+    /// They are refused for now, and nothing is done.
+    Refused,
     /// They are not answered, and taken only after this time, with the token that they came with.
     Late(Duration),
 }
 
+/// The answer to a call that is refused for now.
+fn unavailable() -> (StatusCode, String) {
+    (StatusCode::SERVICE_UNAVAILABLE, String::new())
+}
+
 /// Tokens seen and orders taken, by service.
 #[derive(Debug, Default)]
 struct Orders {
@@ -119,7 +126,7 @@
     /// The host.
     pub holder: String,
     /// Whether it has recorded which server it is about to order.
-    pub names_successor: bool,
+    pub successor: Option<String>,
 }
 
 impl Orders {
@@ -192,8 +199,10 @@
                     }
                     promote(groups, servers, rows, seen, asked).await
                 };
-                if mode == OrderMode::Answered {
-                    return Answer::from(taken.await);
+                match mode {
+                    OrderMode::Answered => return Answer::from(taken.await),
+                    OrderMode::Refused => return Answer::from(unavailable()),
+                    OrderMode::AnswerLost | OrderMode::Late(_) => {}
                 }
                 tokio::spawn(taken);
                 std::future::pending().await
@@ -420,7 +429,7 @@
             Some(HeldClaim {
                 key: row.key,
                 holder: claim["holder"].as_str()?.to_owned(),
-                names_successor: !claim["order"].is_null(),
+                successor: claim["order"]["server"].as_str().map(str::to_owned),
             })
         });
         claims.collect()
