--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -367,7 +367,7 @@
         let group = self.site.group(SERVICE);
         let primary = self.victim(Victim::Primary);
         let claims = self.site.claims().into_iter();
-        let Some(named) = claims.filter_map(|claim| claim.successor).last() else {
+        let Some(named) = claims.filter_map(|claim| claim.successor).next_back() else {
             return;
         };
         group.set_deaf(&named, true);
