Change the electorate of a large fleet only by electors that hear all hosts

Cause: in a fleet of 74 hosts, electors that had heard the others for different times added and left out the same host in turn, and repeated a change that was made, since it was decided once a second whether one was due. Each change of the electorate delays orders by up to a second. Hosts that are no electors proposed themselves.

Change: only electors renew and change the electorate, in a large fleet after they have been electors for a second. A host is added once it is heard, and what is due is decided anew after each change.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -518,6 +518,10 @@
             return Step::Wait;
         };
         let turn = RENEWAL_TURN * prospect.rank;
+        let is_elector = adopted.groups.iter().any(Group::has_self);
+        if self.holds_lease(now) && !is_elector {
+            return Step::Wait;
+        }
         if self.caught_up && self.holds_lease(now) {
             let is_due = prospect.is_change_due && now >= adopted.at + HEARTBEAT_INTERVAL + turn;
             let renewed_at = self.renewed_at.unwrap_or_default();
@@ -530,7 +534,7 @@
         if !self.caught_up && self.is_forgotten(now) {
             return Step::Replace(Evidence::Forgotten);
         }
-        let lifetime = match adopted.groups.iter().any(Group::has_self) {
+        let lifetime = match is_elector {
             true => RENEWAL_LIFETIME,
             false => UNANIMOUS_LIFETIME,
         };
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -456,6 +456,7 @@
         is_change_due: true,
         ..Prospect::default()
     };
+    quorum.record_renewal(now);
     let number = quorum.number().expect("an electorate");
     for (host, step) in others[..2].iter().zip([Step::Wait, Step::Change]) {
         reply(&mut quorum, *host, now);
--- a/crates/proxy/src/election/electorate.rs
+++ b/crates/proxy/src/election/electorate.rs
@@ -107,6 +107,12 @@
         if !self.fleet.adopt_electorate(electorate) {
             return;
         }
+        {
+            // Whether another change is due follows from the new one.
+            let mut agreement = self.agreement.borrow_mut();
+            agreement.checked_at = None;
+            agreement.is_change_due = false;
+        }
         for succession in self.services.borrow().values() {
             succession.borrow_mut().forget_confirmations();
         }
@@ -216,7 +222,9 @@
             let next = self.next_electors(electorate);
             let is_other = electorate.is_joint() || next != electorate.electors;
             let leaves_out = !next.is_superset(&electorate.electors);
-            let is_possible = self.fleet.are_most_heard(&next) && (is_steady || !leaves_out);
+            let hears_all = self.fleet.has_been_elector_for(STEADY_TIME);
+            let is_possible = hears_all && self.fleet.are_most_heard(&next);
+            let is_possible = is_possible && (is_steady || !leaves_out);
             agreement.checked_at = Some(now);
             agreement.is_change_due = is_other && is_possible;
         }
--- a/crates/proxy/src/fleet/electorate.rs
+++ b/crates/proxy/src/fleet/electorate.rs
@@ -77,8 +77,10 @@
         self.contact_due.notify_one();
     }
 
-    /// Returns the names of the hosts that should be electors. A host that has sent nothing for
-    /// [`GONE_TIMEOUT`] is left out: it may have been removed without notice.
+    /// Returns the names of the hosts that should be electors. One that has sent nothing for
+    /// [`GONE_TIMEOUT`] is left out, since it may have been removed without notice, and one that this host
+    /// does not hear is not added: electors that have heard for different times would else add and leave
+    /// out the same host in turn.
     pub fn desired_electors(&self) -> BTreeSet<String> {
         let now = self.site.now();
         // Hosts of a large fleet send heartbeats to electors only.
@@ -86,18 +88,39 @@
             true => Some(Duration::ZERO),
             false => self.elector_since.get(),
         };
-        self.elect(|key| {
-            let last = self.last_heard(key).max(heard_since.unwrap_or(now));
-            now < last + GONE_TIMEOUT
+        let electorate = self.electorate.borrow();
+        let electors: Option<BTreeSet<HostKey>> = electorate.as_ref().map(|electorate| {
+            let keys = electorate.electors.iter().filter_map(|it| self.peer(it));
+            keys.collect()
+        });
+        self.elect(|key| match &electors {
+            Some(electors) if !electors.contains(&key) => self.is_heard(key),
+            _ => {
+                let last = self.last_heard(key).max(heard_since.unwrap_or(now));
+                now < last + GONE_TIMEOUT
+            }
         })
     }
 
+    /// Reports whether this host has been an elector for `time`, so that all others send heartbeats to it.
+    /// In a small fleet all do from the start.
+    pub fn has_been_elector_for(&self, time: Duration) -> bool {
+        let now = self.site.now();
+        let since = self.elector_since.get();
+        self.is_small() || since.is_some_and(|since| now >= since + time)
+    }
+
+    /// Reports whether a host has sent something to this one within two heartbeats.
+    fn is_heard(&self, key: HostKey) -> bool {
+        let now = self.site.now();
+        let heartbeat = self.peers.borrow().heartbeats.get(&key).copied();
+        heartbeat.is_some_and(|at| now < at + HEARTBEAT_INTERVAL * 2)
+    }
+
     /// Reports whether more than half of `hosts` have sent something within two heartbeats.
     pub fn are_most_heard(&self, hosts: &BTreeSet<String>) -> bool {
-        let now = self.site.now();
         let is_heard = |host: &&String| {
-            let is_recent = |key| now < self.last_heard(key) + HEARTBEAT_INTERVAL * 2;
-            **host == self.site.host || self.peer(host).is_some_and(is_recent)
+            **host == self.site.host || self.peer(host).is_some_and(|key| self.is_heard(key))
         };
         hosts.iter().filter(is_heard).count() * 2 > hosts.len()
     }
