--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -66,7 +66,7 @@
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Delay between the turns of two hosts to renew or change an electorate.
-const RENEWAL_TURN: Duration = Duration::from_millis(500);
+const RENEWAL_TURN: Duration = Duration::from_secs(2);
 
 /// Part of a lifetime that is waited for besides, for clocks that run at different speeds: one in this
 /// many.
