Simplify what the electorates and claims added

Change: the ground is worked out at the order. `Fleet::hears` serves the turns, the majority and the replacement of an electorate. Electors are derived from the list only while there is no electorate. `quorum.rs` gives `Contact` and the next step to files of their own. No bound or assertion changes.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -19,6 +19,7 @@
 
 mod clearance;
 mod closing;
+mod contact;
 mod electorate;
 mod group;
 mod handover;
@@ -29,6 +30,7 @@
 
 pub use clearance::{Basis, Clearance};
 pub use closing::Closing;
+use contact::Contact;
 pub use electorate::{Electorate, Number};
 pub use group::Group;
 use group::Order;
@@ -58,20 +60,13 @@
 /// need before they form an electorate of their own.
 pub const RENEWAL_LIFETIME: Duration = Duration::from_secs(12);
 
-/// The same while all electors answer, since one that forms a new electorate answers no more. Bounds
-/// what hosts that are no electors wait for once all electors are lost.
+/// How long it is in force while all electors answer, since one that forms a new electorate answers no
+/// more. Bounds what hosts that are no electors wait for once all electors are lost.
 pub const UNANIMOUS_LIFETIME: Duration = Duration::from_secs(600);
 
 /// Interval between two renewals of an electorate in the store.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Delay between the turns of two hosts to renew or change an electorate.
-const RENEWAL_TURN: Duration = Duration::from_secs(2);
-
-/// Part of a lifetime that is waited for besides, for clocks that run at different speeds: one in this
-/// many.
-const LIFETIME_MARGIN: u32 = 16;
-
 /// The contact of one host with the other hosts, and the electorate that it has adopted.
 ///
 /// ```
@@ -127,40 +122,14 @@
     is_settled: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Contact {
-    /// When the last request was sent that the host has answered.
-    answered_at: Option<Duration>,
-    /// The same under the present electorate.
-    counted_at: Option<Duration>,
-    /// When the last message arrived from the host, or when it was first listed.
-    heard_at: Duration,
-    /// What it has last said of itself. Hosts of earlier builds say nothing.
-    standing: Option<Standing>,
-    /// During which time its process has said that it is not caught up with the present electorate.
-    starting: Option<Starting>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Starting {
-    process: u64,
-    since: Duration,
-    until: Duration,
-}
-
 impl Quorum {
     /// Sets the other hosts with which this one exchanges heartbeats.
     pub fn set_hosts(&mut self, others: BTreeSet<HostKey>, now: Duration) {
         self.listed = true;
         self.others.retain(|host, _| others.contains(host));
         for host in others {
-            self.others.entry(host).or_insert(Contact {
-                answered_at: None,
-                counted_at: None,
-                heard_at: now,
-                standing: None,
-                starting: None,
-            });
+            let contact = self.others.entry(host);
+            contact.or_insert(Contact::new(now));
         }
     }
 
@@ -288,14 +257,7 @@
         let Some(contact) = self.others.get_mut(&host) else {
             return;
         };
-        contact.standing = Some(standing);
-        let since = contact.starting.filter(|it| it.process == process);
-        let since = since.map_or(now, |it| it.since);
-        contact.starting = is_starting.then_some(Starting {
-            process,
-            since,
-            until: now,
-        });
+        contact.record_standing(process, standing, is_starting, now);
     }
 
     /// Reports whether `host` names the electorate in what it says.
@@ -511,71 +473,4 @@
             basis,
         })
     }
-
-    /// Decides what to do next about the electorate.
-    pub fn next_step(&self, prospect: &Prospect, now: Duration) -> Step {
-        let Some(adopted) = &self.adopted else {
-            return Step::Wait;
-        };
-        let turn = RENEWAL_TURN * prospect.rank;
-        let is_elector = adopted.groups.iter().any(Group::has_self);
-        if self.holds_lease(now) && !is_elector {
-            return Step::Wait;
-        }
-        if self.caught_up && self.holds_lease(now) {
-            let is_due = prospect.is_change_due && now >= adopted.at + HEARTBEAT_INTERVAL + turn;
-            let renewed_at = self.renewed_at.unwrap_or_default();
-            return match is_due && self.is_settled_by_most() {
-                true => Step::Change,
-                false if now >= renewed_at + RENEWAL_INTERVAL + turn => Step::Renew,
-                false => Step::Wait,
-            };
-        }
-        if !self.caught_up && self.is_forgotten(now) {
-            return Step::Replace(Evidence::Forgotten);
-        }
-        let lifetime = match is_elector {
-            true => RENEWAL_LIFETIME,
-            false => UNANIMOUS_LIFETIME,
-        };
-        // A host that forms an electorate extends no lease for as long as one lasts before.
-        let lifetime = lifetime + lifetime / LIFETIME_MARGIN - LEASE_DURATION;
-        match prospect.unchanged_since {
-            Some(since) if now >= since + lifetime => Step::Replace(Evidence::Unrenewed),
-            _ => Step::Wait,
-        }
-    }
-
-    /// Reports whether a majority knows all changes that were confirmed under earlier electorates.
-    ///
-    /// The next electorate but one may share no host with an earlier one, so each has to pass on what
-    /// the one before has confirmed.
-    fn is_settled_by_most(&self) -> bool {
-        let number = self.number();
-        let is_settled = |host| {
-            let standing = self.others.get(&host).and_then(|it| it.standing);
-            match standing {
-                Some(standing) => Some(standing.number) == number && standing.is_settled,
-                None => self.counted_at(host).is_some(),
-            }
-        };
-        let mut groups = self.adopted.iter().flat_map(|it| &it.groups);
-        groups.all(|it| it.is_majority(it.count(self.is_settled(), is_settled)))
-    }
-
-    /// Reports whether there was a moment at which a majority had just started and was not caught up. No
-    /// lease was extended since, and none of these processes can catch up any more.
-    fn is_forgotten(&self, now: Duration) -> bool {
-        let starting = |host| self.others.get(&host).and_then(|it| it.starting);
-        let is_forgotten = |group: &Group, at: Duration| {
-            let was_starting =
-                |host| starting(host).is_some_and(|it| it.since <= at && at <= it.until);
-            group.is_majority(group.count(!self.caught_up, was_starting))
-        };
-        let begins = self.others.values().filter_map(|it| it.starting);
-        let moments = begins.map(|it| it.since).chain([now]);
-        let groups = || self.adopted.iter().flat_map(|it| &it.groups);
-        let mut moments = moments.flat_map(|at| groups().map(move |group| (group, at)));
-        moments.any(|(group, at)| is_forgotten(group, at))
-    }
 }
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -113,8 +113,8 @@
     rests_on_claim: bool,
     /// The server that the last inquiries have passed over.
     passed_over: Option<PassedOver>,
-    /// The inquiry on which the last order rests.
-    chosen: Option<Inquiry>,
+    /// Why the last server was ordered, and which had the longest log then.
+    ground: Option<(Ground, ServerKey)>,
 }
 
 /// An order without an answer, which the platform may still carry out.
@@ -251,12 +251,9 @@
         }
     }
 
-    /// Returns why `server`, which is to be ordered, succeeds the primary, and which server has the longest
-    /// log.
-    pub fn ground(&self, server: ServerKey, view: &View) -> Option<(Ground, ServerKey)> {
-        let inquiry = self.chosen.as_ref()?;
-        let longest = inquiry.longest_report()?;
-        Some((inquiry.ground(server, longest, view), longest))
+    /// Returns why the last server was ordered, and which had the longest log then.
+    pub fn ground(&self) -> Option<(Ground, ServerKey)> {
+        self.ground
     }
 
     /// Records that the end of the primary's term was announced to the other hosts, as `closing`
--- a/crates/core/src/succession/choice.rs
+++ b/crates/core/src/succession/choice.rs
@@ -110,7 +110,7 @@
             Choice::Order(server) => {
                 let position = inquiry.received_position(server);
                 self.rests_on_claim = inquiry.rests_on_claim();
-                self.chosen = Some(inquiry);
+                self.ground = inquiry.ground(server, view);
                 self.phase = Phase::Ordering {
                     token,
                     server,
--- a/crates/core/src/succession/inquiry.rs
+++ b/crates/core/src/succession/inquiry.rs
@@ -142,23 +142,25 @@
     }
 
     /// Returns the server with the longest log that any has reported, except the primary.
-    pub(super) fn longest_report(&self) -> Option<ServerKey> {
+    fn longest_report(&self) -> Option<ServerKey> {
         let reports = self.reports.iter();
         let replicas = reports.filter(|(server, _)| self.primary != Some(**server));
         let longest = replicas.max_by_key(|(_, report)| report.received);
         longest.map(|(server, _)| *server)
     }
 
-    /// Returns why `server` succeeds the primary in place of `longest`, which has the longest log.
-    pub(super) fn ground(&self, server: ServerKey, longest: ServerKey, view: &View) -> Ground {
+    /// Returns why `server` succeeds the primary, and which server has the longest log.
+    pub(super) fn ground(&self, server: ServerKey, view: &View) -> Option<(Ground, ServerKey)> {
+        let longest = self.longest_report()?;
         let has_less = self.received_position(server) < self.received_position(longest);
-        match has_less {
+        let ground = match has_less {
             false => Ground::LongestLog,
             true if view.ordered_before == Some(server) => Ground::OrderedBefore,
             true if view.leaving.contains(&longest) => Ground::LongestLeaves,
             true if !self.has_confirmed(longest) => Ground::LongestSilent,
             true => Ground::LongestReplaced,
-        }
+        };
+        Some((ground, longest))
     }
 
     /// Returns the replication position that `server` has reported.
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -65,7 +65,8 @@
         }
     }
 
-    /// Returns the same with the server that was about to be ordered, if it is named.
+    /// Returns the server that the claim names as the one to be ordered, and the term whose primary it is
+    /// to replace.
     fn named(&self) -> Option<(Term, &str)> {
         match &self.claim.state {
             ClaimState::Named(successor) => Some((self.term(), successor)),
--- a/crates/proxy/src/election/closing.rs
+++ b/crates/proxy/src/election/closing.rs
@@ -272,15 +272,15 @@
         let now = self.site.now();
         let token = FencingToken(token);
         let mut succession = succession.borrow_mut();
-        let others = heard.iter().filter(|it| it.host != self.site.host);
-        let (listed, unlisted): (Vec<_>, Vec<_>) = others
-            .map(|it| (self.fleet.peer(&it.host), now.saturating_sub(it.age())))
-            .partition(|(key, _)| key.is_some());
-        let heard = listed.into_iter().filter_map(|(key, at)| Some((key?, at)));
-        succession.record_closed(host, (term, token), heard, now);
-        if let Some((_, at)) = unlisted.into_iter().max() {
-            succession.record_unlisted(token, at);
+        let mut listed = Vec::new();
+        for it in heard.iter().filter(|it| it.host != self.site.host) {
+            let at = now.saturating_sub(it.age());
+            match self.fleet.peer(&it.host) {
+                Some(key) => listed.push((key, at)),
+                None => succession.record_unlisted(token, at),
+            }
         }
+        succession.record_closed(host, (term, token), listed, now);
         service.failover_notify.notify_one();
     }
 }
--- a/crates/proxy/src/election/electorate.rs
+++ b/crates/proxy/src/election/electorate.rs
@@ -24,8 +24,8 @@
 /// iterates over all hosts.
 const CHANGE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Pause after a call about the electorate that the store has not answered. An electorate in force
-/// outlasts three of them.
+/// Pause after a call about the electorate that the store has not answered. An electorate stays in force
+/// for longer than three of them.
 const FAILURE_PAUSE: Duration = Duration::from_secs(3);
 
 /// The agreement on the electorate, as far as this host takes part in it.
@@ -38,7 +38,7 @@
     paused_until: Duration,
     /// When it was last decided whether the electorate is due for a change.
     checked_at: Option<Duration>,
-    /// Whether it was.
+    /// Whether it was due then.
     is_change_due: bool,
 }
 
@@ -223,15 +223,15 @@
             let is_other = electorate.is_joint() || next != electorate.electors;
             let leaves_out = !next.is_superset(&electorate.electors);
             let hears_all = self.fleet.has_been_elector_for(STEADY_TIME);
-            let is_possible = hears_all && self.fleet.are_most_heard(&next);
-            let is_possible = is_possible && (is_steady || !leaves_out);
+            let heard = next.iter().filter(|host| self.fleet.hears(host)).count();
+            let hears_most = heard * 2 > next.len();
             agreement.checked_at = Some(now);
-            agreement.is_change_due = is_other && is_possible;
+            agreement.is_change_due =
+                is_other && hears_all && hears_most && (is_steady || !leaves_out);
         }
         let before = electorate.electors.iter();
         let before = before.take_while(|host| **host != self.site.host);
-        let before: BTreeSet<String> = before.cloned().collect();
-        let rank = self.fleet.heard_among(&before).len();
+        let rank = before.filter(|host| self.fleet.hears(host)).count();
         Prospect {
             rank: u32::try_from(rank).unwrap_or(u32::MAX),
             is_change_due: holds_lease && agreement.is_change_due,
@@ -259,8 +259,8 @@
                 return;
             }
         }
-        let desired = self.fleet.desired_electors();
-        let mut electors = self.fleet.heard_among(&desired);
+        let mut electors = self.fleet.desired_electors();
+        electors.retain(|host| self.fleet.hears(host));
         if electors.is_empty() {
             electors.insert(self.site.host.clone());
         }
@@ -296,8 +296,8 @@
         let (election, why) = (Rc::clone(self), why.to_owned());
         tokio::task::spawn_local(async move {
             let sent = election.site.now();
-            let recorded = election.platform.record_electorate(&electorate, expected);
-            let recorded = recorded.await;
+            let platform = &election.platform;
+            let recorded = platform.record_electorate(&electorate, expected).await;
             election.agreement.borrow_mut().is_writing = false;
             match recorded {
                 Ok(ElectorateRecord::Written(revision)) => {
--- a/crates/proxy/src/election/log_reports.rs
+++ b/crates/proxy/src/election/log_reports.rs
@@ -57,7 +57,7 @@
         let current: Vec<Payload> = queries.collect();
         Versions {
             former: needs_all.then_some(Payload::LogQuery).into_iter().collect(),
-            elector: current.clone(),
+            paged: current.clone(),
             current,
         }
     }
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -28,7 +28,8 @@
 /// Longest time for which a host that has just started is not ready because there is no electorate yet.
 const FORMING_TIME: Duration = Duration::from_secs(1);
 
-/// The same because no majority has answered it yet: several round trips between zones.
+/// Longest time for which it is not because no majority has answered it yet: several round trips between
+/// zones.
 const CONTACT_TIME: Duration = Duration::from_millis(150);
 
 /// Interval between two checks whether all prior orders are known, while they are not.
@@ -48,17 +49,17 @@
     /// For hosts that announce no version of their messages.
     pub former: Vec<Payload>,
     /// For hosts of an earlier build that name their processes.
-    pub current: Vec<Payload>,
+    pub paged: Vec<Payload>,
     /// For hosts of this build.
-    pub elector: Vec<Payload>,
+    pub current: Vec<Payload>,
 }
 
 impl Versions {
     /// Returns the messages that `peer` understands.
     fn to(&self, peer: &Peer) -> &[Payload] {
         match peer.protocol {
-            ELECTORATE_PROTOCOL.. => &self.elector,
-            PAGED_PROTOCOL.. => &self.current,
+            ELECTORATE_PROTOCOL.. => &self.current,
+            PAGED_PROTOCOL.. => &self.paged,
             _ => &self.former,
         }
     }
@@ -164,9 +165,9 @@
         let more = pages
             .into_iter()
             .map(|ended_terms| Payload::EndedTerms { ended_terms });
-        let mut current: Vec<Payload> = more.collect();
-        let mut elector = current.clone();
-        elector.push(Payload::ElectorHeartbeat {
+        let mut paged: Vec<Payload> = more.collect();
+        let mut current = paged.clone();
+        current.push(Payload::ElectorHeartbeat {
             process: self.process,
             sent,
             out_of_touch,
@@ -175,7 +176,7 @@
             ended_terms: ended_terms.clone(),
             standing: self.standing(),
         });
-        current.push(Payload::ProcessHeartbeat {
+        paged.push(Payload::ProcessHeartbeat {
             process: self.process,
             sent,
             out_of_touch,
@@ -185,8 +186,8 @@
         });
         Versions {
             former: vec![former],
+            paged,
             current,
-            elector,
         }
     }
 
--- a/crates/proxy/src/election/receive.rs
+++ b/crates/proxy/src/election/receive.rs
@@ -49,7 +49,8 @@
                         sample_requests,
                         names_electorate: false,
                     };
-                    self.record_heartbeat(host, epoch, &beat, from);
+                    self.record_heartbeat(host, epoch);
+                    self.answer_heartbeat(host, &beat, from);
                     return self.apply_ended_terms(&message.host, &ended_terms);
                 }
                 Payload::ProcessHeartbeat {
@@ -67,7 +68,8 @@
                         sample_requests,
                         names_electorate: false,
                     };
-                    self.record_heartbeat(host, epoch, &beat, from);
+                    self.record_heartbeat(host, epoch);
+                    self.answer_heartbeat(host, &beat, from);
                     return self.apply_ended_terms(&message.host, &ended_terms);
                 }
                 Payload::ElectorHeartbeat {
@@ -86,8 +88,7 @@
                         sample_requests,
                         names_electorate: true,
                     };
-                    self.fleet.record_peer_epoch(host, Epoch(epoch));
-                    self.fleet.record_heartbeat(host);
+                    self.record_heartbeat(host, epoch);
                     if self.record_standing(host, process, &standing, from) {
                         self.answer_heartbeat(host, &beat, from);
                     }
@@ -335,10 +336,9 @@
         }
     }
 
-    fn record_heartbeat(&self, host: HostKey, epoch: u64, beat: &Heartbeat, from: SocketAddr) {
+    fn record_heartbeat(&self, host: HostKey, epoch: u64) {
         self.fleet.record_peer_epoch(host, Epoch(epoch));
         self.fleet.record_heartbeat(host);
-        self.answer_heartbeat(host, beat, from);
     }
 
     /// Reports whether `host` names the electorate in its messages: it runs no earlier build.
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -128,7 +128,7 @@
             let next = succession.borrow_mut().step(&view, now);
             for next in next {
                 if let (NextStep::Promote { server, .. }, Some(closing)) = (next, &closing) {
-                    let ground = succession.borrow().ground(server, &view);
+                    let ground = succession.borrow().ground();
                     self.log_order_basis(&service, server, closing, ground);
                 }
                 self.perform(&service, &succession, next, &view);
--- a/crates/proxy/src/fleet/electorate.rs
+++ b/crates/proxy/src/fleet/electorate.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use flamingopost_core::key::HostKey;
-use flamingopost_core::quorum::{Electorate, GONE_TIMEOUT, Group, HEARTBEAT_INTERVAL};
+use flamingopost_core::quorum::{Electorate, GONE_TIMEOUT, Group, HEARTBEAT_INTERVAL, Quorum};
 
 use super::{Fleet, Rendezvous};
 use crate::codec::Codec;
@@ -25,9 +25,7 @@
     /// Adopts `electorate` if it is newer than the present one. Returns whether it was.
     pub fn adopt_electorate(&self, electorate: &Electorate) -> bool {
         let groups = self.groups(electorate);
-        let adopt = |quorum: &mut flamingopost_core::quorum::Quorum, now| {
-            quorum.adopt(electorate, groups, now).then_some(now)
-        };
+        let adopt = |quorum: &mut Quorum, now| quorum.adopt(electorate, groups, now).then_some(now);
         let Some(now) = self.with_quorum(adopt) else {
             return false;
         };
@@ -51,24 +49,22 @@
     /// of the electorate.
     pub(super) fn update_contacts(&self) {
         let is_small = self.is_small();
-        let elected = self.elect(|_| true);
         let electorate = self.electorate.borrow();
-        let is_contact = |host: &str| {
-            is_small
-                || match electorate.as_ref() {
-                    Some(electorate) => electorate.includes(host),
-                    None => elected.contains(host),
-                }
+        let electors = match electorate.as_ref() {
+            Some(electorate) => &electorate.electors | &electorate.former,
+            None => self.elect(|_| true),
         };
         let peers = self.peers();
-        let contacts = peers.iter().filter(|(_, peer)| is_contact(&peer.host));
+        let contacts = peers
+            .iter()
+            .filter(|(_, peer)| is_small || electors.contains(&peer.host));
         let contacts: Vec<(HostKey, Peer)> = contacts.cloned().collect();
         let keys = contacts.iter().map(|(key, _)| *key).collect();
         *self.electors.borrow_mut() = contacts.into();
         let groups = electorate.as_ref().map(|it| self.groups(it));
         let now = self.site.now();
         let mut quorum = self.quorum.borrow_mut();
-        quorum.set_elector(elected.contains(&self.site.host));
+        quorum.set_elector(electors.contains(&self.site.host));
         quorum.set_hosts(keys, now);
         if let Some(groups) = groups {
             quorum.set_groups(groups);
@@ -110,28 +106,18 @@
         self.is_small() || since.is_some_and(|since| now >= since + time)
     }
 
-    /// Reports whether a host has sent something to this one within two heartbeats.
+    /// Reports whether `host` has sent a heartbeat within the time of two, or is this host.
+    pub fn hears(&self, host: &str) -> bool {
+        host == self.site.host || self.peer(host).is_some_and(|key| self.is_heard(key))
+    }
+
+    /// Reports whether a host has sent a heartbeat within the time of two.
     fn is_heard(&self, key: HostKey) -> bool {
         let now = self.site.now();
         let heartbeat = self.peers.borrow().heartbeats.get(&key).copied();
         heartbeat.is_some_and(|at| now < at + HEARTBEAT_INTERVAL * 2)
     }
 
-    /// Reports whether more than half of `hosts` have sent something within two heartbeats.
-    pub fn are_most_heard(&self, hosts: &BTreeSet<String>) -> bool {
-        let is_heard = |host: &&String| {
-            **host == self.site.host || self.peer(host).is_some_and(|key| self.is_heard(key))
-        };
-        hosts.iter().filter(is_heard).count() * 2 > hosts.len()
-    }
-
-    /// Returns the names of `hosts` that have sent something within two heartbeats, and of this host if it
-    /// is one of them.
-    pub fn heard_among(&self, hosts: &BTreeSet<String>) -> BTreeSet<String> {
-        let alone = |host: &&String| self.are_most_heard(&BTreeSet::from([(*host).clone()]));
-        hosts.iter().filter(alone).cloned().collect()
-    }
-
     /// Returns when a host has last sent something to this one, or was first listed.
     fn last_heard(&self, key: HostKey) -> Duration {
         let now = self.site.now();
--- a/crates/proxy/src/service/restart.rs
+++ b/crates/proxy/src/service/restart.rs
@@ -334,10 +334,7 @@
             .for_each(|entry| entry.has_shown_position = false);
         let leader = self.dispatch.leader();
         self.check_hold = match leader.is_some_and(|leader| !self.is_expected(leader)) {
-            true => Some(Hold {
-                from: now,
-                until: now + CHECK_HOLD_MAX,
-            }),
+            true => Some(check_hold(now)),
             false => self.check_hold.filter(|_| !succeeds),
         };
         self.apply_holds();
@@ -350,10 +347,7 @@
         }
         self.check = PrimaryCheck::Due(now);
         self.primary_position = None;
-        self.check_hold = Some(Hold {
-            from: now,
-            until: now + CHECK_HOLD_MAX,
-        });
+        self.check_hold = Some(check_hold(now));
         self.apply_holds();
     }
 
@@ -515,3 +509,11 @@
         }
     }
 }
+
+/// Returns the hold for a check of a primary that begins at `now`.
+fn check_hold(now: Duration) -> Hold {
+    Hold {
+        from: now,
+        until: now + CHECK_HOLD_MAX,
+    }
+}
--- a/crates/standin/src/pooled/site.rs
+++ b/crates/standin/src/pooled/site.rs
@@ -85,11 +85,6 @@
     Late(Duration),
 }
 
-/// The answer to a call that is refused for now.
-fn unavailable() -> (StatusCode, String) {
-    (StatusCode::SERVICE_UNAVAILABLE, String::new())
-}
-
 /// Tokens seen and orders taken, by service.
 #[derive(Debug, Default)]
 struct Orders {
@@ -125,8 +120,10 @@
     pub key: String,
     /// The host.
     pub holder: String,
-    /// Whether it has recorded which server it is about to order.
+    /// The server that it has recorded as the one to be ordered.
     pub successor: Option<String>,
+    /// Whether it is settled.
+    pub is_settled: bool,
 }
 
 impl Orders {
@@ -201,7 +198,9 @@
                 };
                 match mode {
                     OrderMode::Answered => return Answer::from(taken.await),
-                    OrderMode::Refused => return Answer::from(unavailable()),
+                    OrderMode::Refused => {
+                        return Answer::from((StatusCode::SERVICE_UNAVAILABLE, String::new()));
+                    }
                     OrderMode::AnswerLost | OrderMode::Late(_) => {}
                 }
                 tokio::spawn(taken);
@@ -398,12 +397,8 @@
     /// Whether the claim on the change of the primary of `service` after `term` is settled.
     pub fn is_settled(&self, service: &str, term: i64) -> bool {
         let key = format!("{service}/{term}");
-        let (rows, _) = self.store.rows("flamingopost-claims", "", &key);
-        let row = rows.first().filter(|row| row.key == key);
-        let bytes = row.and_then(|row| STANDARD.decode(&row.value).ok());
-        let claim: Option<serde_json::Value> =
-            bytes.and_then(|bytes| serde_json::from_slice(&bytes).ok());
-        claim.is_some_and(|claim| !claim["settled"].is_null())
+        let claim = self.claims().into_iter().find(|claim| claim.key == key);
+        claim.is_some_and(|claim| claim.is_settled)
     }
 
     /// Whether somebody has claimed the change of the primary of `service` after `term`.
@@ -430,6 +425,7 @@
                 key: row.key,
                 holder: claim["holder"].as_str()?.to_owned(),
                 successor: claim["order"]["server"].as_str().map(str::to_owned),
+                is_settled: !claim["settled"].is_null(),
             })
         });
         claims.collect()
