Let the hosts of the limits' model adopt an electorate

Cause: a lease rests on an adopted electorate, and the hosts of this model had none, so no grantor of theirs ever held its lease.

Change: the model's hosts adopt one electorate of the electors as they start. A process that starts again counts once the others have answered it, as a real one. The store is there all the time and renews it. No check or bound changes.

--- a/crates/core/tests/limit/model.rs
+++ b/crates/core/tests/limit/model.rs
@@ -13,7 +13,7 @@
     silent_fraction,
 };
 use flamingopost_core::names::Names;
-use flamingopost_core::quorum::{HEARTBEAT_INTERVAL, Quorum};
+use flamingopost_core::quorum::{Electorate, Group, HEARTBEAT_INTERVAL, Quorum};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -312,8 +312,16 @@
         let mut quorum = Quorum::default();
         let electors = ELECTORS.min(self.keys.len());
         let others = (0..electors).filter(|other| *other != host);
-        quorum.set_elector(host < electors);
         quorum.set_hosts(others.map(|it| self.keys[it]).collect(), self.now);
+        if start == 0 {
+            quorum.record_formation(0);
+        }
+        let name = |host: usize| format!("entry-{host}");
+        let electorate = Electorate::first((0..electors).map(name).collect(), 1);
+        let key = |wanted: &str| (0..electors).find(|it| name(*it) == wanted);
+        let key = |wanted: &str| Some(self.keys[key(wanted)?]);
+        let group = Group::new(&electorate.electors, &name(host), key);
+        quorum.adopt(&electorate, [group.clone(), group], self.now);
         let incarnation = self.rng.random();
         let mut account = Account::new(incarnation, self.now);
         account.set_limit(limit, self.now);
@@ -508,6 +516,8 @@
         if self.hosts[host].paused {
             return;
         }
+        // The store is there all the time.
+        self.hosts[host].quorum.record_renewal(now);
         let holds = self.hosts[host].quorum.holds_lease(now);
         if self.hosts[host].lease.0 != holds {
             self.hosts[host].lease = (holds, now);
