Take only the store's word for how old an electorate is

Cause: three faults, found by reading and by the model of electorates, which now restores the store from copies as well. - A host took itself for older than an electorate, and so for one that knows all that its former process had confirmed, because another host that was behind had told it of an earlier formation first. - A heartbeat told of the newest revision of the record to hosts that had adopted another electorate. These could write the older one over the newer. - After a restore the claims were recorded as verified while the store had the electorate of the copy: hosts that started then read that as the newest.

Change: a process counts as older than a formation only if the store, complete in its epoch, has had an earlier one since the process started. Revisions are taken from hosts with the same electorate. Claims are verified once the electorate of the verifying host is recorded in the epoch. The model restores copies of the store that are up to 5 s old, verifies claims and looks for orders as hosts do.

Result: only_the_store_shows_that_an_electorate_was_formed_since_a_process_started fails without the first change.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -102,8 +102,8 @@
     adopted: Option<Adopted>,
     /// Whether this process knows what a former one on its host may have confirmed.
     caught_up: bool,
-    /// Whether there was no electorate yet when this process had started.
-    is_first: bool,
+    /// The earliest formation that the store had since this process started. Zero is none.
+    recorded_formation: Option<u64>,
     /// When the last renewal of the electorate was sent that this host knows of.
     renewed_at: Option<Duration>,
     /// When the lease ends that this host had as it adopted the electorate.
@@ -155,11 +155,10 @@
             }
             false => Duration::ZERO,
         };
-        // No former process has confirmed anything under an electorate that this one has seen formed.
-        self.caught_up |= match known {
-            Some(known) => known < electorate.formation,
-            None => self.is_first,
-        };
+        // No former process has confirmed anything under an electorate that was formed since this one
+        // started. What other hosts have adopted does not show that, since they may be behind.
+        let recorded = self.recorded_formation;
+        self.caught_up |= recorded.is_some_and(|recorded| recorded < electorate.formation);
         for contact in self.others.values_mut() {
             contact.counted_at = None;
             contact.starting = None;
@@ -196,9 +195,13 @@
         }
     }
 
-    /// Records that there is no electorate yet.
-    pub fn record_no_electorate(&mut self) {
-        self.is_first = true;
+    /// Records that the store had an electorate of `formation` at some time since this process started, or
+    /// none if that is zero.
+    pub fn record_formation(&mut self, formation: u64) {
+        let earliest = self
+            .recorded_formation
+            .map_or(formation, |it| it.min(formation));
+        self.recorded_formation = Some(earliest);
     }
 
     /// Reports whether this process knows what a former one on its host may have confirmed, so that it
--- a/crates/core/tests/electorate.rs
+++ b/crates/core/tests/electorate.rs
@@ -1,15 +1,17 @@
 //! Hosts agree on who decides, while they are added, lost, cut off and started again, and while the store
 //! is away or carries calls out late.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use flamingopost_core::epoch::CLAIM_REWRITE_TIME;
 use flamingopost_core::key::HostKey;
 use flamingopost_core::names::Names;
 use flamingopost_core::quorum::{
     Closing, Electorate, Evidence, GONE_TIMEOUT, Group, HEARTBEAT_INTERVAL, Prospect, Quorum,
     RENEWAL_LIFETIME, Recording, Step, UNANIMOUS_LIFETIME,
 };
+use flamingopost_core::succession::PROMOTION_TIMEOUT;
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -26,24 +28,79 @@
     Duration::from_millis(millis)
 }
 
-/// The store's record of the electorate, with its revision, and the changes that were claimed.
-#[derive(Default)]
-struct Store {
+/// How long a host holds its lease until it has asked the servers for orders that nobody knows of.
+const SEARCH_TIME: Duration = Duration::from_millis(1_600);
+
+/// Interval between two copies that the store may be restored from.
+const COPY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The number of copies that are kept.
+const COPIES: usize = 5;
+
+/// The epoch of the store, and the count of its writes.
+type Revision = (u64, u64);
+
+/// What the store holds, and loses when it is restored from a copy.
+#[derive(Clone, Default)]
+struct Contents {
+    /// The electorate's record, with the count of the write that it comes from.
     record: Option<(u64, Electorate)>,
+    /// The changes that were claimed.
     claims: BTreeSet<usize>,
+    /// The epoch in which no claim was found missing.
+    verified_in: u64,
+}
+
+#[derive(Default)]
+struct Store {
+    contents: Contents,
+    epoch: u64,
+    /// Number of writes of all epochs.
+    writes: u64,
+    copies: VecDeque<Contents>,
+    next_copy: Duration,
     /// Writes that are carried out late, each with the revision that it expects.
-    late: Vec<(Duration, Option<u64>, Electorate)>,
+    late: Vec<(Duration, Option<Revision>, Electorate)>,
 }
 
 impl Store {
-    fn write(&mut self, expected: Option<u64>, electorate: Electorate) -> bool {
-        let found = self.record.as_ref().map(|(revision, _)| *revision);
-        let is_expected = found == expected;
+    fn revision(&self) -> Option<Revision> {
+        let (count, _) = self.contents.record.as_ref()?;
+        Some((self.epoch, *count))
+    }
+
+    /// Writes the record if it is unchanged since `expected`. A write may be carried out in a later epoch
+    /// than it was sent in, so only the counts are compared.
+    fn write(&mut self, expected: Option<Revision>, electorate: Electorate) -> bool {
+        let is_expected = self.revision().map(|it| it.1) == expected.map(|it| it.1);
         if is_expected {
-            self.record = Some((found.unwrap_or_default() + 1, electorate));
+            let newest = self.contents.record.as_ref().map(|(_, it)| it.number);
+            let number = electorate.number;
+            let is_of_epoch = expected.is_none_or(|(epoch, _)| epoch == self.epoch);
+            assert!(
+                !is_of_epoch || newest <= Some(number),
+                "{number} in place of {newest:?}"
+            );
+            self.writes += 1;
+            self.contents.record = Some((self.writes, electorate));
         }
         is_expected
     }
+
+    fn copy(&mut self) {
+        self.copies.push_back(self.contents.clone());
+        if self.copies.len() > COPIES {
+            self.copies.pop_front();
+        }
+    }
+
+    fn restore(&mut self, age: usize) {
+        let copies = self.copies.len();
+        if let Some(contents) = self.copies.get(copies.saturating_sub(age)) {
+            self.contents = contents.clone();
+            self.epoch += 1;
+        }
+    }
 }
 
 /// One process of a host.
@@ -51,7 +108,11 @@
     number: u64,
     quorum: Quorum,
     electorate: Option<Electorate>,
-    recording: Recording<u64>,
+    recording: Recording<Revision>,
+    /// The newest epoch of the store that it knows, and since when it does.
+    epoch: Option<(u64, Duration)>,
+    /// The newest epoch in which the store had the electorate that it had adopted.
+    recorded_in: Option<u64>,
     listed: BTreeSet<usize>,
     /// Changes of primaries that it was told of, and tells others.
     known: BTreeSet<usize>,
@@ -66,6 +127,13 @@
     closing: Option<(usize, Closing)>,
 }
 
+impl Process {
+    /// Reports whether it knows of each order that was given before it started.
+    fn knows_orders(&self) -> bool {
+        !self.may_lack_changes && self.claimed.is_subset(&self.known)
+    }
+}
+
 /// A fleet, by the numbers of its hosts.
 struct World {
     rng: ChaCha8Rng,
@@ -125,6 +193,8 @@
             quorum: Quorum::default(),
             electorate: None,
             recording: Recording::default(),
+            epoch: None,
+            recorded_in: None,
             listed: BTreeSet::new(),
             known: BTreeSet::new(),
             claimed: BTreeSet::new(),
@@ -170,36 +240,65 @@
         process.next_beat = now;
     }
 
+    /// Lets `host` learn the epoch of the store, if it can be reached. It writes the claims again that a copy
+    /// may lack.
+    fn learn_epoch(&mut self, host: usize) {
+        if !self.reaches_store(host) {
+            return;
+        }
+        let process = self.processes.get_mut(&host).expect("a process");
+        let known = process.epoch.map(|(epoch, _)| epoch);
+        if known == Some(self.store.epoch) {
+            return;
+        }
+        process.epoch = Some((self.store.epoch, self.now));
+        if known.is_some() {
+            let changes = &process.known & &self.ordered;
+            self.store.contents.claims.extend(changes);
+        }
+    }
+
     /// Reads the record and the claims, if the store can be reached.
     fn read_store(&mut self, host: usize) {
         if !self.reaches_store(host) {
             return;
         }
+        self.learn_epoch(host);
         let now = self.now;
-        let record = self.store.record.clone();
-        let claims = self.store.claims.clone();
+        let (epoch, revision) = (self.store.epoch, self.store.revision());
+        let contents = self.store.contents.clone();
         let process = self.processes.get_mut(&host).expect("a process");
-        match &record {
-            Some((revision, _)) => process.recording.observe(*revision, now),
-            None => {
-                process.recording.observe_absence(now);
-                process.quorum.record_no_electorate();
-            }
+        match revision {
+            Some(revision) => process.recording.observe(revision, now),
+            None => process.recording.observe_absence(now),
         }
-        if let Some((_, electorate)) = record {
-            self.adopt(host, &electorate);
+        let electorate = contents.record.map(|(_, electorate)| electorate);
+        if let Some(electorate) = &electorate {
+            self.adopt(host, electorate);
         }
         let process = self.processes.get_mut(&host).expect("a process");
-        process.claimed.extend(claims);
-        process.may_lack_changes = false;
+        let recorded = electorate.as_ref().map(|it| it.number);
+        if recorded == process.quorum.number() {
+            process.recorded_in = Some(epoch);
+        }
+        process.claimed.extend(contents.claims);
+        if contents.verified_in >= epoch {
+            let formation = electorate.map_or(0, |it| it.formation);
+            process.quorum.record_formation(formation);
+            process.may_lack_changes = false;
+        }
     }
 
     fn write_store(&mut self, host: usize, electorate: Electorate) {
-        let process = &self.processes[&host];
-        let expected = process.recording.revision();
         if !self.reaches_store(host) {
             return;
         }
+        let process = &self.processes[&host];
+        let expected = process.recording.revision();
+        let epoch = process.epoch.map(|(epoch, _)| epoch);
+        if expected.is_some_and(|it| Some(it.0) != epoch) {
+            return self.read_store(host);
+        }
         if self.rng.random_bool(0.2) {
             let at = self.now + ms(self.rng.random_range(0..4_000));
             return self.store.late.push((at, expected, electorate));
@@ -208,14 +307,42 @@
         if !self.store.write(expected, electorate.clone()) {
             return self.read_store(host);
         }
-        let (revision, _) = self.store.record.clone().expect("a record");
+        let revision = self.store.revision().expect("a record");
         let process = self.processes.get_mut(&host).expect("a process");
         process.recording.observe(revision, sent);
+        process.recorded_in = Some(revision.0);
+        if let Some(replaced) = &process.electorate {
+            process.quorum.record_formation(replaced.formation);
+        }
         self.adopt(host, &electorate);
         let process = self.processes.get_mut(&host).expect("a process");
         process.quorum.record_renewal(sent);
     }
 
+    /// Lets `host` find the orders that it may not know of: the other servers show those that were carried
+    /// out. Records that the store lacks no claim, if it does.
+    fn verify_orders(&mut self, host: usize) {
+        let now = self.now;
+        let reaches_store = self.reaches_store(host);
+        let process = self.processes.get_mut(&host).expect("a process");
+        let held = process.held_since.map_or(ms(0), |since| now - since);
+        if held >= SEARCH_TIME && !process.knows_orders() {
+            process.known.extend(&self.ordered);
+            process.known.extend(&process.claimed);
+            process.may_lack_changes = false;
+            process.held_since = Some(now);
+        }
+        let Some((epoch, since)) = process.epoch else {
+            return;
+        };
+        let is_known = held >= PROMOTION_TIMEOUT && process.knows_orders();
+        let is_current = reaches_store && epoch == self.store.epoch;
+        let is_rewritten = now >= since + CLAIM_REWRITE_TIME;
+        if is_known && is_current && is_rewritten && process.recorded_in == Some(epoch) {
+            self.store.contents.verified_in = epoch;
+        }
+    }
+
     /// Does what is due about the electorate at `host`.
     fn drive(&mut self, host: usize) {
         let now = self.now;
@@ -284,10 +411,10 @@
         receiver.quorum.record_message(key, now);
         receiver.quorum.record_standing(key, number, standing, now);
         receiver.known.extend(&known);
-        if let Some(revision) = revision {
+        let own = receiver.quorum.standing();
+        if let Some(revision) = revision.filter(|_| standing.number == own.number) {
             receiver.recording.observe(revision, now);
         }
-        let own = receiver.quorum.standing();
         let electorate = receiver.electorate.clone();
         if standing.number < own.number {
             let electorate = electorate.expect("it has a number");
@@ -297,6 +424,8 @@
         if standing.number != own.number || electorate.is_none() || !extends {
             return;
         }
+        let held_since = receiver.held_since.filter(|_| receiver.knows_orders());
+        let knows_orders = held_since.is_some_and(|since| now >= since + PROMOTION_TIMEOUT);
         let (told, renewed) = (receiver.known.clone(), receiver.quorum.renewal_age(now));
         let answer = (receiver.number, receiver.recording.revision());
         let key = self.keys[to];
@@ -313,12 +442,8 @@
         if let Some(revision) = answer.1 {
             sender.recording.observe(revision, now);
         }
-        let was_behind = !sender.quorum.is_caught_up();
         sender.quorum.record_reply(key, now, Some(own.number));
-        if was_behind && sender.quorum.is_caught_up() {
-            // A majority of those that a former process was one of has told it.
-            sender.may_lack_changes = false;
-        }
+        sender.may_lack_changes &= !knows_orders;
     }
 
     fn is_connected(&self, one: usize, other: usize) -> bool {
@@ -334,7 +459,7 @@
             if may && self.reaches_store(host) && self.rng.random_bool(0.02) {
                 self.changes += 1;
                 let change = self.changes;
-                self.store.claims.insert(change);
+                self.store.contents.claims.insert(change);
                 let closing = Closing::announced(now, ms(0)).with_claim(Some(now));
                 let process = self.processes.get_mut(&host).expect("a process");
                 process.known.insert(change);
@@ -394,6 +519,11 @@
                 false => self.store.late.push((at, expected, electorate)),
             }
         }
+        if self.now >= self.store.next_copy {
+            self.store.copy();
+            self.store.next_copy = self.now + COPY_INTERVAL;
+        }
+        self.forget_lost_changes();
         let hosts: Vec<usize> = self.processes.keys().copied().collect();
         for host in hosts.iter().copied() {
             let is_unlisted = self.processes[&host].listed.is_empty();
@@ -401,8 +531,12 @@
                 let listed = self.ever.clone();
                 self.list(host, &listed);
             }
+            if self.rng.random_bool(0.1) {
+                self.learn_epoch(host);
+            }
             if !self.processes[&host].listed.is_empty() {
                 self.act(host, &hosts);
+                self.verify_orders(host);
                 self.change(host);
             }
         }
@@ -410,6 +544,18 @@
         self.now += TICK;
     }
 
+    /// Forgets the changes that neither the store nor any process knows of: only the servers show them.
+    fn forget_lost_changes(&mut self) {
+        let claims = &self.store.contents.claims;
+        let processes = &self.processes;
+        let is_known = |change: &usize| {
+            let mut processes = processes.values();
+            let knows = |it: &Process| it.known.contains(change) || it.claimed.contains(change);
+            claims.contains(change) || processes.any(knows)
+        };
+        self.ordered.retain(is_known);
+    }
+
     /// Lets `host` send heartbeats to all `hosts` if they are due, and do what is due besides.
     fn act(&mut self, host: usize, hosts: &[usize]) {
         let now = self.now;
@@ -455,7 +601,7 @@
     fn disturb(&mut self, lost: &mut BTreeSet<usize>) {
         let running: Vec<usize> = self.processes.keys().copied().collect();
         let any = |rng: &mut ChaCha8Rng| running[rng.random_range(0..running.len())];
-        match self.rng.random_range(0..14) {
+        match self.rng.random_range(0..16) {
             0..4 => {
                 let parts = self.rng.random_range(1..=3);
                 for part in &mut self.parts {
@@ -480,7 +626,11 @@
                     self.start(host);
                 }
             }
-            12 if running.len() > 1 => {
+            12..14 => {
+                let age = self.rng.random_range(0..COPIES);
+                self.store.restore(age);
+            }
+            14 if running.len() > 1 => {
                 let host = any(&mut self.rng);
                 self.processes.remove(&host);
                 lost.insert(host);
@@ -516,7 +666,7 @@
 /// How long hosts may take to hold a lease again after the last fault: a renewal's lifetime and some
 /// seconds, and longer if no elector runs any more.
 fn recovery_time(world: &World) -> Duration {
-    let record = world.store.record.as_ref();
+    let record = world.store.contents.record.as_ref();
     let has_elector = |(_, it): &(u64, Electorate)| {
         let mut running = world.processes.keys();
         running.any(|host| it.includes(&name(*host)))
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -35,6 +35,7 @@
     let before = Electorate::first(electors, 1);
     let formed = before.replaced_by(before.electors.clone(), 1);
     quorum.set_hosts(others.iter().copied().collect(), now);
+    quorum.record_formation(before.formation);
     for electorate in [before, formed] {
         let key = |wanted: &str| others.iter().find(|it| name(it) == wanted).copied();
         let group = Group::new(&electorate.electors, OWN, key);
@@ -488,3 +489,28 @@
     quorum.record_reply(others[0], ms(1_000), Some(number));
     assert!(quorum.holds_lease(ms(1_100)));
 }
+
+/// Guards against a process that takes itself for older than an electorate: a host that was behind told it
+/// of an earlier one, and then others of the one under which its former process had confirmed the end of a
+/// term.
+#[test]
+fn only_the_store_shows_that_an_electorate_was_formed_since_a_process_started() {
+    let others = hosts(2);
+    let name = |host: &HostKey| format!("{host:?}");
+    let electors: BTreeSet<String> = others.iter().map(name).chain([OWN.to_owned()]).collect();
+    let first = Electorate::first(electors.clone(), 1);
+    let formed = first.replaced_by(electors, 2);
+    let key = |wanted: &str| others.iter().find(|it| name(it) == wanted).copied();
+    for is_recorded in [false, true] {
+        let mut quorum = Quorum::default();
+        quorum.set_hosts(others.iter().copied().collect(), ms(0));
+        for electorate in [&first, &formed] {
+            let group = Group::new(&electorate.electors, OWN, key);
+            assert!(quorum.adopt(electorate, [group.clone(), group], ms(0)));
+            assert_eq!(quorum.is_caught_up(), is_recorded && *electorate == formed);
+            if is_recorded {
+                quorum.record_formation(electorate.formation);
+            }
+        }
+    }
+}
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -305,10 +305,16 @@
             return None;
         }
         let are_complete = read.value.are_complete(epoch);
-        if are_complete && read.value.electorate.is_none() {
-            self.fleet.with_quorum(|it, _| it.record_no_electorate());
+        let recorded = read.value.electorate.as_ref();
+        self.apply_recorded(recorded);
+        let formation = match recorded {
+            Some(recorded) => recorded.electorate.as_ref().map(|it| it.formation),
+            None => Some(0),
+        };
+        if let Some(formation) = formation.filter(|_| are_complete) {
+            self.fleet
+                .with_quorum(|it, _| it.record_formation(formation));
         }
-        self.apply_recorded(read.value.electorate.as_ref());
         let is_complete = are_complete && !self.fleet.has_started_in_outage();
         let claims = read.value.changes;
         let open = claims
@@ -487,7 +493,8 @@
             .fleet
             .with_epochs(|it, now| it.are_claims_complete(now));
         let is_claimed = self.unclaimed_changes.borrow().is_empty();
-        if !is_complete || !is_claimed || !self.has_known_orders_for(PROMOTION_TIMEOUT) {
+        let is_known = is_complete && is_claimed && self.has_known_orders_for(PROMOTION_TIMEOUT);
+        if !is_known || !self.is_electorate_recorded_in(epoch) {
             return;
         }
         let attempted_at = self.verification_attempted_at.get();
--- a/crates/proxy/src/election/electorate.rs
+++ b/crates/proxy/src/election/electorate.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flamingopost_core::epoch::Epoch;
 use flamingopost_core::key::HostKey;
 use flamingopost_core::quorum::{
     Electorate, Evidence, HEARTBEAT_INTERVAL, Prospect, Quorum, Recording, Standing, Step,
@@ -32,6 +33,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Agreement {
     recording: Recording<Revision>,
+    /// The newest epoch of the store in which it had the electorate that this host had adopted.
+    recorded_in: Option<Epoch>,
     /// Whether a call that records an electorate is in flight.
     is_writing: bool,
     /// Until when none is made, after one without an answer.
@@ -67,17 +70,18 @@
         standing: &WireStanding,
         from: SocketAddr,
     ) -> bool {
-        let now = self.site.now();
-        let revision = Revision(standing.recorded_at);
-        if revision > Revision::default() {
-            let mut agreement = self.agreement.borrow_mut();
-            agreement.recording.observe(revision, now);
-        }
+        let recorded_at = Revision(standing.recorded_at);
         let standing = Standing::from(*standing);
         let (own, lacks_answer) = self.fleet.with_quorum(|quorum, now| {
             quorum.record_standing(host, process, standing, now);
             (quorum.standing().number, quorum.lacks_answer(host))
         });
+        // The record of another electorate must not be written over with the one that this host knows.
+        if standing.number == own && recorded_at > Revision::default() {
+            let now = self.site.now();
+            let mut agreement = self.agreement.borrow_mut();
+            agreement.recording.observe(recorded_at, now);
+        }
         if lacks_answer {
             self.fleet.contact_due.notify_one();
         }
@@ -142,11 +146,24 @@
             None => agreement.recording.observe_absence(now),
         }
         drop(agreement);
-        if let Some(electorate) = recorded.and_then(|it| it.electorate.as_ref()) {
-            self.adopt_electorate(electorate, "it is recorded in the store");
+        let Some((recorded, electorate)) =
+            recorded.and_then(|it| Some((it, it.electorate.as_ref()?)))
+        else {
+            return;
+        };
+        self.adopt_electorate(electorate, "it is recorded in the store");
+        let own = self.fleet.with_quorum(|it, _| it.number());
+        if own == Some(electorate.number) {
+            self.agreement.borrow_mut().recorded_in = Some(recorded.revision.epoch());
         }
     }
 
+    /// Reports whether the store has had the electorate of this host in `epoch`: it lacks none that its
+    /// copy lacked.
+    pub(super) fn is_electorate_recorded_in(&self, epoch: Epoch) -> bool {
+        self.agreement.borrow().recorded_in == Some(epoch)
+    }
+
     /// Reports whether this host may extend leases: its process knows what a former one may have
     /// confirmed, and does not form an electorate without the consent of the present one.
     pub(super) fn is_extending_leases(&self) -> bool {
@@ -293,6 +310,7 @@
             return self.learn_electorate();
         }
         self.agreement.borrow_mut().is_writing = true;
+        let replaced = self.fleet.electorate().map(|it| it.formation);
         let (election, why) = (Rc::clone(self), why.to_owned());
         tokio::task::spawn_local(async move {
             let sent = election.site.now();
@@ -304,7 +322,13 @@
                     let now = election.site.now();
                     let mut agreement = election.agreement.borrow_mut();
                     agreement.recording.observe(revision, now);
+                    agreement.recorded_in = Some(revision.epoch());
                     drop(agreement);
+                    if let Some(replaced) = replaced {
+                        election
+                            .fleet
+                            .with_quorum(|it, _| it.record_formation(replaced));
+                    }
                     election.adopt_electorate(&electorate, &why);
                     election.fleet.with_quorum(|it, _| it.record_renewal(sent));
                 }
