Cancel no call that was made after a restore of the store

Cause: a host is told of a restore by another one sooner than before, since the renewal of the electorate is the first call that the store answers. It repeats its calls then, and did so again when the store told it of the epoch itself, and once more when the call for the configuration, which had failed and waited to be repeated, was answered.

Change: a restore that another host has told of cancels nothing when the store tells of it. The end of an outage cancels the calls of a list only if the store has not answered one of them since the last call failed.

--- a/crates/core/src/epoch.rs
+++ b/crates/core/src/epoch.rs
@@ -41,6 +41,8 @@
     Restored {
         /// The newest epoch that the store had reported.
         before: Epoch,
+        /// Whether another host had told of the epoch, so that calls which waited then were cancelled.
+        was_told: bool,
     },
     /// The epoch has ended: the answer arrives late and is no longer valid.
     Outdated,
@@ -61,7 +63,7 @@
 /// assert_eq!(epochs.record_store_epoch(Epoch(4), at(1)), EpochStatus::Current);
 /// assert_eq!(epochs.orders_allowed_from(&others), Duration::ZERO);
 /// let status = epochs.record_store_epoch(Epoch(5), at(60));
-/// assert_eq!(status, EpochStatus::Restored { before: Epoch(4) });
+/// assert_eq!(status, EpochStatus::Restored { before: Epoch(4), was_told: false });
 /// assert!(!epochs.are_claims_complete(at(60)));
 /// assert!(epochs.are_claims_complete(at(60) + CLAIM_REWRITE_TIME));
 /// assert_eq!(epochs.orders_allowed_from(&others), at(60) + CLAIM_HOLDER_TIMEOUT);
@@ -108,12 +110,13 @@
         }
         self.store_epoch = Some(epoch);
         self.store_epoch_since = now;
+        let was_told = self.newest == epoch;
         self.newest = self.newest.max(epoch);
         let Some(before) = before else {
             return EpochStatus::Current;
         };
         self.restored_at = Some(now);
-        EpochStatus::Restored { before }
+        EpochStatus::Restored { before, was_told }
     }
 
     /// Records that `host` knows `epoch`. Returns whether the epoch is new to this host, so that
--- a/crates/core/tests/epoch.rs
+++ b/crates/core/tests/epoch.rs
@@ -138,9 +138,10 @@
     fn observe_restore(&mut self, number: usize, now: Duration) {
         let host = &mut self.hosts[number];
         let before = Epoch(0);
+        let was_told = host.epochs.newest_epoch() == Epoch(1);
         assert_eq!(
             host.epochs.record_store_epoch(Epoch(1), now),
-            EpochStatus::Restored { before }
+            EpochStatus::Restored { before, was_told }
         );
         host.succession.invalidate_claim(now);
     }
@@ -275,10 +276,30 @@
     );
     let before = Epoch(2);
     let next = epochs.record_store_epoch(Epoch(3), ms(9_000));
-    assert_eq!(next, EpochStatus::Restored { before });
+    let restored = |was_told| EpochStatus::Restored { before, was_told };
+    assert_eq!(next, restored(false), "the store never was in epoch 9");
     assert_eq!(epochs.restored_at(), Some(ms(9_000)));
     assert_eq!(
         epochs.record_store_epoch(Epoch(2), ms(9_100)),
         EpochStatus::Outdated
     );
 }
+
+/// Guards against calls that are cancelled although they were made after the restore: a host was told of it
+/// by another one first, and then by the store.
+#[test]
+fn a_host_that_was_told_of_a_restore_has_repeated_its_calls() {
+    for was_told in [false, true] {
+        let fleet = Fleet::new(2);
+        let mut epochs = EpochTracker::default();
+        epochs.record_store_epoch(Epoch(2), ms(0));
+        if was_told {
+            assert!(epochs.record_peer_epoch(fleet.keys[1], Epoch(3), ms(500)));
+        }
+        let before = Epoch(2);
+        assert_eq!(
+            epochs.record_store_epoch(Epoch(3), ms(510)),
+            EpochStatus::Restored { before, was_told }
+        );
+    }
+}
--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -51,6 +51,8 @@
     possibly_stale: Notify,
     /// Maximum wait of a call that this host monitors itself.
     wait: Duration,
+    /// When the store has last answered a call.
+    answered_at: Cell<Duration>,
     /// Who monitors the most recent call.
     stuck_detection: Cell<StuckDetection>,
     /// Chooses where to read the feed.
@@ -125,10 +127,15 @@
         }
     }
 
-    /// Cancels all waiting calls after an outage. They were made before it ended and may wait in
-    /// vain, because calls and answers are lost together.
-    pub fn cancel_after_outage(&self) {
-        for follower in [&self.configuration, &self.backends, &self.peers] {
+    /// Cancels the waiting calls after an outage whose last call failed at `last_failed_at`. They were made
+    /// before it ended and may wait in vain, because calls and answers are lost together. A call that
+    /// follows an answer of after that was made when it had ended.
+    pub fn cancel_after_outage(&self, last_failed_at: Duration) {
+        let followers = [&self.configuration, &self.backends, &self.peers];
+        for follower in followers
+            .into_iter()
+            .filter(|it| it.answered_at.get() <= last_failed_at)
+        {
             follower.outage.notify_waiters();
         }
     }
@@ -160,6 +167,7 @@
             restored: Notify::new(),
             possibly_stale: Notify::new(),
             wait,
+            answered_at: Cell::default(),
             stuck_detection: Cell::new(StuckDetection::Local),
             selector: RefCell::new(selector),
             client: Client::default(),
@@ -168,6 +176,12 @@
         }
     }
 
+    /// Records that the store has answered a call at `now`.
+    pub fn record_store_answer(&self, now: Duration) {
+        self.selector.borrow_mut().record_store_answer();
+        self.answered_at.set(now);
+    }
+
     /// Requests another read of the whole list, because the last one may have returned a backup's
     /// state.
     pub fn request_full_read(&self) {
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -383,16 +383,17 @@
         match self.with_epochs(|epochs, now| epochs.record_store_epoch(epoch, now)) {
             EpochStatus::Current => true,
             EpochStatus::Outdated => false,
-            EpochStatus::Restored { before } => {
-                self.handle_store_restore(before, epoch);
+            EpochStatus::Restored { before, was_told } => {
+                self.handle_store_restore(before, epoch, was_told);
                 true
             }
         }
     }
 
     /// Handles a restore of the store from a backup. All lists are read again, and the list of
-    /// servers once more after servers had time to rewrite their entries.
-    fn handle_store_restore(&self, before: Epoch, epoch: Epoch) {
+    /// servers once more after servers had time to rewrite their entries. Where another host `was_told`
+    /// of it first, calls have been repeated since that detect it.
+    fn handle_store_restore(&self, before: Epoch, epoch: Epoch, was_told: bool) {
         meter::store_restored();
         self.site.log(&Event::StoreRestored {
             before: before.0,
@@ -401,7 +402,9 @@
             servers: self.servers.borrow().by_id.len(),
             hosts: self.peers.borrow().by_host.len(),
         });
-        self.feeds.cancel_after_restore(epoch);
+        if !was_told {
+            self.feeds.cancel_after_restore(epoch);
+        }
         let feeds = Rc::clone(&self.feeds);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(SERVER_REWRITE_TIME).await;
--- a/crates/proxy/src/poll_state.rs
+++ b/crates/proxy/src/poll_state.rs
@@ -65,6 +65,7 @@
 struct OngoingOutage {
     since: Duration,
     failed_calls: u32,
+    last_failed_at: Duration,
 }
 
 /// The next request to make.
@@ -85,6 +86,8 @@
     pub duration: Duration,
     /// Number of failed calls.
     pub failed_calls: u32,
+    /// When the last of them failed.
+    pub last_failed_at: Duration,
 }
 
 /// Consequence of a failed call.
@@ -153,6 +156,7 @@
         Some(Outage {
             duration: now.saturating_sub(outage.since),
             failed_calls: outage.failed_calls,
+            last_failed_at: outage.last_failed_at,
         })
     }
 
@@ -209,11 +213,13 @@
         self.next_pause = (pause * 2).min(MAX_BACKOFF);
         if let Some(outage) = &mut self.outage {
             outage.failed_calls += 1;
+            outage.last_failed_at = now;
             return PollFailure::OutageContinues { pause };
         }
         self.outage = Some(OngoingOutage {
             since: now,
             failed_calls: 1,
+            last_failed_at: now,
         });
         PollFailure::OutageBegan {
             called: now.saturating_sub(self.last_call_at),
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -344,14 +344,15 @@
             tokio::time::sleep(MIN_BACKOFF).await;
             return false;
         }
-        feed.selector.borrow_mut().record_store_answer();
-        if let Some(outage) = poll.answered(revision, self.site.now()) {
+        let now = self.site.now();
+        feed.record_store_answer(now);
+        if let Some(outage) = poll.answered(revision, now) {
             self.site.log(&Event::StoreBack {
                 what,
                 millis: outage.duration.as_millis(),
                 calls: outage.failed_calls,
             });
-            self.fleet.feeds.cancel_after_outage();
+            self.fleet.feeds.cancel_after_outage(outage.last_failed_at);
         }
         true
     }
--- a/crates/proxy/tests/feeds.rs
+++ b/crates/proxy/tests/feeds.rs
@@ -40,7 +40,8 @@
 #[tokio::test]
 async fn calls_from_before_the_end_of_an_outage_are_cancelled() {
     let feeds = Feeds::default();
-    let back = async { feeds.cancel_after_outage() };
+    feeds.backends.record_store_answer(at(400));
+    let back = async { feeds.cancel_after_outage(at(500)) };
     let (backends, peers, ()) = tokio::join!(
         feeds.backends.run_cancellable(pending::<()>()),
         feeds.peers.run_cancellable(pending::<()>()),
@@ -52,6 +53,21 @@
     assert_eq!(later, WaitOutcome::Answered(7));
 }
 
+/// Guards against needless calls after a restore: a host was told of it before it repeated the call that had
+/// failed, and cancelled calls that were made after an answer of the store.
+#[tokio::test]
+async fn calls_that_follow_an_answer_of_after_an_outage_are_not_cancelled() {
+    let feeds = Feeds::default();
+    feeds.backends.record_store_answer(at(600));
+    let back = async { feeds.cancel_after_outage(at(500)) };
+    let answered = async {
+        tokio::task::yield_now().await;
+        7
+    };
+    let (ended, ()) = tokio::join!(feeds.backends.run_cancellable(answered), back);
+    assert_eq!(ended, WaitOutcome::Answered(7));
+}
+
 /// Guards against a healthy elector that is paused, and a whole read of the store that is repeated,
 /// because a cancellation was stored while no call waited and the feed has caught up since.
 #[tokio::test]
--- a/crates/proxy/tests/poll_state.rs
+++ b/crates/proxy/tests/poll_state.rs
@@ -116,6 +116,7 @@
     let outage = Outage {
         duration: at(58_000),
         failed_calls: 4,
+        last_failed_at: at(3_010),
     };
     assert_eq!(poll.answered(Revision(3), at(60_010)), Some(outage));
     assert_eq!(
