Announce a host again that the store lists otherwise

Cause: after a restore a host announced itself again only if the copy lacked its entry. One that had the entry of a former process kept that: other hosts sent to its former address, and, where the former process was of an earlier build, in messages that the present one refuses.

Change: a host announces itself again unless the list has exactly its entry.

--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -281,11 +281,12 @@
         self.election.start_new_services();
     }
 
-    /// Applies what was read of the list of hosts, and announces this host again if it is missing.
+    /// Applies what was read of the list of hosts, and announces this host again if it is missing there or
+    /// listed otherwise.
     fn apply_hosts(self: &Rc<Self>, read: Read<Batch<Peer>>, own: &Peer) {
         match read.value {
             Batch::Snapshot(entries) => {
-                if !entries.iter().flatten().any(|peer| peer.host == own.host) {
+                if !entries.iter().flatten().any(|peer| peer == own) {
                     self.announce_again(own, read.revision);
                 }
                 self.fleet.apply_host_list(entries);
@@ -298,7 +299,8 @@
     /// Announces this host again, because the list as of `read` lacks its entry.
     ///
     /// Guards against a majority that is counted without this host, by hosts that start after the
-    /// store was restored from a backup older than the announcement.
+    /// store was restored from a backup older than the announcement. Such a backup may also have the entry
+    /// of a former process, with another address or another version of the messages.
     fn announce_again(self: &Rc<Self>, own: &Peer, read: Revision) {
         // The first announcement may still be in flight, and another host may have read the list
         // before it.
