Replace silent electors of a large fleet after two seconds

Cause: one of seven electors was lost for good, and a cut divided the other six three seconds later: no side had a majority for 7 s. An elector had to be silent for 15 s, a time that came from before hosts agreed on electors, when safety rested on it.

Change: large fleets replace an elector after 2 s, which keeps their number. Small fleets keep a host for 15 s, since leaving it out makes the electorate smaller.

--- a/crates/proxy/src/fleet/electorate.rs
+++ b/crates/proxy/src/fleet/electorate.rs
@@ -16,6 +16,11 @@
 /// availability zones. The number is odd so that a split cannot tie.
 const MAX_ELECTORS: usize = 7;
 
+/// An elector of a large fleet that has sent nothing for this long is replaced by another host. Until then
+/// a cut that divides the other electors may leave none of them with a majority. Shorter than the time in
+/// which a small fleet leaves a host out, which makes its electorate smaller.
+const REPLACED_AFTER: Duration = Duration::from_secs(2);
+
 impl<C: Codec> Fleet<C> {
     /// Returns the electorate that this host has adopted.
     pub fn electorate(&self) -> Option<Electorate> {
@@ -74,15 +79,15 @@
     }
 
     /// Returns the names of the hosts that should be electors. One that has sent nothing for
-    /// [`GONE_TIMEOUT`] is left out, since it may have been removed without notice, and one that this host
-    /// does not hear is not added: electors that have heard for different times would else add and leave
-    /// out the same host in turn.
+    /// [`GONE_TIMEOUT`], or [`REPLACED_AFTER`] in a large fleet, is left out, since it may have been removed
+    /// without notice, and one that this host does not hear is not added: electors that have heard for
+    /// different times would else add and leave out the same host in turn.
     pub fn desired_electors(&self) -> BTreeSet<String> {
         let now = self.site.now();
         // Hosts of a large fleet send heartbeats to electors only.
-        let heard_since = match self.is_small() {
-            true => Some(Duration::ZERO),
-            false => self.elector_since.get(),
+        let (heard_since, gone_after) = match self.is_small() {
+            true => (Some(Duration::ZERO), GONE_TIMEOUT),
+            false => (self.elector_since.get(), REPLACED_AFTER),
         };
         let electorate = self.electorate.borrow();
         let electors: Option<BTreeSet<HostKey>> = electorate.as_ref().map(|electorate| {
@@ -93,7 +98,7 @@
             Some(electors) if !electors.contains(&key) => self.is_heard(key),
             _ => {
                 let last = self.last_heard(key).max(heard_since.unwrap_or(now));
-                now < last + GONE_TIMEOUT
+                now < last + gone_after
             }
         })
     }
