Wait where the store may lack the newest electorate, in place of renewals

Result: an_electorate_that_a_copy_may_lack_is_not_replaced_while_it_may_be_in_force fails before (it does not compile).

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -61,15 +61,10 @@
 pub const RENEWAL_LIFETIME: Duration = Duration::from_secs(12);
 
 /// How long it is in force while all electors answer, since one that forms a new electorate answers no
-/// more. Bounds what hosts that are no electors wait for once all electors are lost.
+/// more. Bounds what hosts wait for that are no electors, or may not be any more, once all electors are
+/// lost.
 pub const UNANIMOUS_LIFETIME: Duration = Duration::from_secs(600);
 
-/// Maximum age of a copy that the store is restored from.
-///
-/// An electorate whose record a copy may lack is in force for [`RENEWAL_LIFETIME`] only: hosts that know an
-/// earlier one may replace that.
-pub const COPY_AGE_MAX: Duration = Duration::from_secs(10);
-
 /// Interval between two renewals of an electorate in the store.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -126,8 +121,6 @@
     groups: [Group; 2],
     /// Whether a majority has answered this host under it.
     is_settled: bool,
-    /// Whether it was renewed when each copy of the store had its record.
-    is_established: bool,
 }
 
 impl Quorum {
@@ -177,7 +170,6 @@
             at: now,
             groups,
             is_settled: false,
-            is_established: false,
         });
         self.update();
         true
@@ -201,7 +193,6 @@
             number: self.number().unwrap_or_default(),
             is_caught_up: self.caught_up,
             is_settled: self.is_settled(),
-            is_established: self.is_established(),
         }
     }
 
@@ -266,11 +257,7 @@
         standing: Standing,
         now: Duration,
     ) {
-        let is_of_same = Some(standing.number) == self.number();
-        let is_starting = is_of_same && !standing.is_caught_up;
-        if let Some(adopted) = &mut self.adopted {
-            adopted.is_established |= is_of_same && standing.is_established;
-        }
+        let is_starting = Some(standing.number) == self.number() && !standing.is_caught_up;
         let Some(contact) = self.others.get_mut(&host) else {
             return;
         };
@@ -332,9 +319,6 @@
     /// Records that the electorate was renewed in the store by a call that was sent at `at` or later.
     pub fn record_renewal(&mut self, at: Duration) {
         self.renewed_at = self.renewed_at.max(Some(at));
-        if let Some(adopted) = &mut self.adopted {
-            adopted.is_established |= at >= adopted.at + COPY_AGE_MAX;
-        }
     }
 
     /// Returns the time since the last renewal of the electorate that this host knows of.
@@ -376,9 +360,8 @@
     /// Reports whether no other electorate can have been formed without the consent of the present one.
     fn is_in_force(&self, now: Duration) -> bool {
         let age = self.renewal_age(now);
-        let is_within = |lifetime| age.is_some_and(|age| age < lifetime);
-        let needs_no_renewal = self.is_established() && is_within(UNANIMOUS_LIFETIME);
-        is_within(RENEWAL_LIFETIME) || needs_no_renewal && self.is_unanimous(now)
+        let is_unanimous = || age.is_some_and(|age| age < UNANIMOUS_LIFETIME);
+        age.is_some_and(|age| age < RENEWAL_LIFETIME) || is_unanimous() && self.is_unanimous(now)
     }
 
     /// Reports whether all electors have answered recently.
@@ -394,10 +377,6 @@
         self.adopted.as_ref().is_some_and(|it| it.is_settled)
     }
 
-    fn is_established(&self) -> bool {
-        self.adopted.as_ref().is_some_and(|it| it.is_established)
-    }
-
     /// Reports whether at least one of the hosts that have confirmed the end of a term, which are a
     /// majority, has answered this one, even if this host was another of them and has forgotten that in
     /// a restart.
--- a/crates/core/src/quorum/standing.rs
+++ b/crates/core/src/quorum/standing.rs
@@ -13,7 +13,4 @@
     /// Whether a majority has answered it under this electorate, so that it knows all changes that
     /// were confirmed under earlier ones.
     pub is_settled: bool,
-    /// Whether no copy that the store may be restored from lacks this electorate, by a renewal that this
-    /// host knows of.
-    pub is_established: bool,
 }
--- a/crates/core/src/quorum/step.rs
+++ b/crates/core/src/quorum/step.rs
@@ -45,6 +45,8 @@
     pub is_change_due: bool,
     /// Since when this host has known that the store has the record that it still has.
     pub unchanged_since: Option<Duration>,
+    /// Whether the store may lack the newest electorate, since it was restored from a copy.
+    pub may_be_copied: bool,
 }
 
 impl Quorum {
@@ -70,7 +72,8 @@
         if !self.caught_up && self.is_forgotten(now) {
             return Step::Replace(Evidence::Forgotten);
         }
-        let lifetime = match is_elector {
+        // An electorate that the store lacks may have left this host out.
+        let lifetime = match is_elector && !prospect.may_be_copied {
             true => RENEWAL_LIFETIME,
             false => UNANIMOUS_LIFETIME,
         };
--- a/crates/core/tests/electorate.rs
+++ b/crates/core/tests/electorate.rs
@@ -113,6 +113,8 @@
     epoch: Option<(u64, Duration)>,
     /// The newest epoch in which the store had the electorate that it had adopted.
     recorded_in: Option<u64>,
+    /// The newest epoch in which it knows that the store lacks no claim.
+    verified_in: u64,
     listed: BTreeSet<usize>,
     /// Changes of primaries that it was told of, and tells others.
     known: BTreeSet<usize>,
@@ -195,6 +197,7 @@
             recording: Recording::default(),
             epoch: None,
             recorded_in: None,
+            verified_in: 0,
             listed: BTreeSet::new(),
             known: BTreeSet::new(),
             claimed: BTreeSet::new(),
@@ -283,6 +286,7 @@
         }
         process.claimed.extend(contents.claims);
         if contents.verified_in >= epoch {
+            process.verified_in = epoch;
             let formation = electorate.map_or(0, |it| it.formation);
             process.quorum.record_formation(formation);
             process.may_lack_changes = false;
@@ -339,6 +343,7 @@
         let is_current = reaches_store && epoch == self.store.epoch;
         let is_rewritten = now >= since + CLAIM_REWRITE_TIME;
         if is_known && is_current && is_rewritten && process.recorded_in == Some(epoch) {
+            process.verified_in = epoch;
             self.store.contents.verified_in = epoch;
         }
     }
@@ -365,6 +370,7 @@
             rank: u32::try_from(before.count()).expect("a few"),
             is_change_due: is_steady && is_other,
             unchanged_since: process.recording.unchanged_since(),
+            may_be_copied: Some(process.verified_in) < process.epoch.map(|(epoch, _)| epoch),
         };
         let number = process.number;
         match process.quorum.next_step(&prospect, now) {
@@ -671,7 +677,8 @@
         let mut running = world.processes.keys();
         running.any(|host| it.includes(&name(*host)))
     };
-    match record.is_none_or(has_elector) {
+    let is_verified = world.store.contents.verified_in >= world.store.epoch;
+    match is_verified && record.is_none_or(has_elector) {
         true => RENEWAL_LIFETIME * 2 + ms(10_000),
         false => UNANIMOUS_LIFETIME * 2,
     }
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -6,9 +6,9 @@
 use flamingopost_core::key::HostKey;
 use flamingopost_core::names::Names;
 use flamingopost_core::quorum::{
-    Basis, CLOCK_MARGIN, COPY_AGE_MAX, Closing, Electorate, GONE_TIMEOUT, Group,
-    HEARTBEAT_INTERVAL, LEASE_DURATION, Number, Prospect, Quorum, RENEWAL_LIFETIME, Standing, Step,
-    StoreLease, UNANIMOUS_LIFETIME,
+    Basis, CLOCK_MARGIN, Closing, Electorate, Evidence, GONE_TIMEOUT, Group, HEARTBEAT_INTERVAL,
+    LEASE_DURATION, Number, Prospect, Quorum, RENEWAL_LIFETIME, Standing, Step, StoreLease,
+    UNANIMOUS_LIFETIME,
 };
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -322,8 +322,7 @@
 #[test]
 fn no_order_is_given_under_an_electorate_that_may_be_replaced() {
     let (mut quorum, others) = five_hosts();
-    quorum.record_renewal(COPY_AGE_MAX);
-    let now = COPY_AGE_MAX + RENEWAL_LIFETIME;
+    let now = ms(0) + RENEWAL_LIFETIME;
     let mut closing = Closing::announced(now, ms(0));
     for host in &others[..3] {
         reply(&mut quorum, *host, now);
@@ -467,7 +466,6 @@
             number,
             is_caught_up: true,
             is_settled: false,
-            is_established: false,
         };
         quorum.record_standing(*host, 1, told, now);
         assert_eq!(quorum.next_step(&prospect, now), Step::Wait);
@@ -518,28 +516,22 @@
     }
 }
 
-/// Guards against two electorates in force at once after a restore: hosts that were cut off from the store
-/// went on under one that the copy lacks, beside others that had replaced the one before it.
+/// Guards against two electorates in force at once after a restore: the copy had an electorate of before, and
+/// hosts that its successor had left out replaced it, while that one needed no renewal.
 #[test]
-fn an_electorate_that_a_copy_may_lack_needs_renewals() {
+fn an_electorate_that_a_copy_may_lack_is_not_replaced_while_it_may_be_in_force() {
     let others = hosts(2);
-    for (renewed_at, is_told) in [(ms(1_000), false), (COPY_AGE_MAX, false), (ms(1_000), true)] {
-        let mut quorum = Quorum::default();
-        elect(&mut quorum, &others, true, ms(0));
-        quorum.record_renewal(renewed_at);
-        let told = Standing {
-            is_established: is_told,
-            ..quorum.standing()
+    let mut quorum = Quorum::default();
+    elect(&mut quorum, &others, true, ms(0));
+    for (may_be_copied, lifetime) in [(false, RENEWAL_LIFETIME), (true, UNANIMOUS_LIFETIME)] {
+        let prospect = Prospect {
+            unchanged_since: Some(ms(1_000)),
+            may_be_copied,
+            ..Prospect::default()
         };
-        let now = renewed_at + RENEWAL_LIFETIME;
-        quorum.record_standing(others[0], 1, told, now);
-        reply(&mut quorum, others[0], now);
-        assert!(!quorum.holds_lease(now), "one of the others is silent");
-        reply(&mut quorum, others[1], now);
-        let is_established = is_told || renewed_at == COPY_AGE_MAX;
-        assert_eq!(quorum.holds_lease(now), is_established);
-        let later = renewed_at + UNANIMOUS_LIFETIME;
-        others.iter().for_each(|it| reply(&mut quorum, *it, later));
-        assert!(!quorum.holds_lease(later));
+        let before = ms(1_000) + lifetime - LEASE_DURATION;
+        assert_eq!(quorum.next_step(&prospect, before), Step::Wait);
+        let replaced = Step::Replace(Evidence::Unrenewed);
+        assert_eq!(quorum.next_step(&prospect, before + lifetime / 8), replaced);
     }
 }
--- a/crates/proxy/src/election/electorate.rs
+++ b/crates/proxy/src/election/electorate.rs
@@ -253,6 +253,7 @@
             rank: u32::try_from(rank).unwrap_or(u32::MAX),
             is_change_due: holds_lease && agreement.is_change_due,
             unchanged_since: agreement.recording.unchanged_since(),
+            may_be_copied: self.claims_verified_in.get() < self.epoch(),
         }
     }
 
--- a/crates/proxy/src/peer/standing.rs
+++ b/crates/proxy/src/peer/standing.rs
@@ -30,7 +30,6 @@
     number: WireNumber,
     is_caught_up: bool,
     is_settled: bool,
-    is_established: bool,
     /// Revision of the electorate's newest record in the store that the host knows of.
     pub recorded_at: u64,
     /// Time since the last renewal of the electorate that the host knows of was sent, in milliseconds.
@@ -44,7 +43,6 @@
             number: standing.number.into(),
             is_caught_up: standing.is_caught_up,
             is_settled: standing.is_settled,
-            is_established: standing.is_established,
             recorded_at,
             renewal_age,
         }
@@ -57,7 +55,6 @@
             number: standing.number.into(),
             is_caught_up: standing.is_caught_up,
             is_settled: standing.is_settled,
-            is_established: standing.is_established,
         }
     }
 }
