Renew an electorate whose renewal nobody knows of

A host formed the new electorate that was no elector by the order of strengths, and left itself out. It alone knew when the record was written, and only electors tell that. The electors held no lease without a renewal, and did not renew without a lease; after 12.8 s one formed another electorate.

Change: the host that forms an electorate belongs to it. Electors that a majority answers renew one that is not in force as far as they know: the write takes effect only if the record is unchanged. They do not after a restore, until the claims are complete.

Result: a_majority_that_knows_of_no_renewal_renews_the_electorate fails before.

--- a/crates/core/src/quorum.rs
+++ b/crates/core/src/quorum.rs
@@ -329,8 +329,12 @@
     /// Reports whether a majority of hosts has answered recently, so that this host may rely on a
     /// primary at `now`: send it what only a primary may run, and acknowledge its writes.
     pub fn holds_lease(&self, now: Duration) -> bool {
-        let end = self.kept_lease.max(self.lease_end().unwrap_or_default());
-        now < end && self.is_in_force(now)
+        self.is_answered(now) && self.is_in_force(now)
+    }
+
+    /// Reports whether a majority of hosts has answered recently.
+    fn is_answered(&self, now: Duration) -> bool {
+        now < self.kept_lease.max(self.lease_end().unwrap_or_default())
     }
 
     /// Returns when the lease ends that rests on the answers under the present electorate.
--- a/crates/core/src/quorum/step.rs
+++ b/crates/core/src/quorum/step.rs
@@ -72,6 +72,12 @@
         if !self.caught_up && self.is_forgotten(now) {
             return Step::Replace(Evidence::Forgotten);
         }
+        // A renewal takes effect only if the record is still that of this electorate.
+        let is_unrenewed = self.caught_up && is_elector && self.is_answered(now);
+        if is_unrenewed && !prospect.may_be_copied && now >= adopted.at + HEARTBEAT_INTERVAL + turn
+        {
+            return Step::Renew;
+        }
         // An electorate that the store lacks may have left this host out.
         let lifetime = match is_elector && !prospect.may_be_copied {
             true => RENEWAL_LIFETIME,
--- a/crates/core/tests/quorum.rs
+++ b/crates/core/tests/quorum.rs
@@ -535,3 +535,23 @@
         assert_eq!(quorum.next_step(&prospect, before + lifetime / 8), replaced);
     }
 }
+
+/// Guards against electors that wait for 12 s although all is well: the only host that knew when their
+/// electorate was recorded does not tell them, and a lease needs a renewal.
+#[test]
+fn a_majority_that_knows_of_no_renewal_renews_the_electorate() {
+    let others = hosts(2);
+    let mut quorum = Quorum::default();
+    elect(&mut quorum, &others, true, ms(0));
+    let now = RENEWAL_LIFETIME + ms(100);
+    let renewed = |may_be_copied| Prospect {
+        unchanged_since: Some(now - ms(100)),
+        may_be_copied,
+        ..Prospect::default()
+    };
+    assert_eq!(quorum.next_step(&renewed(false), now), Step::Wait);
+    reply(&mut quorum, others[0], now);
+    assert!(!quorum.holds_lease(now));
+    assert_eq!(quorum.next_step(&renewed(true), now), Step::Wait);
+    assert_eq!(quorum.next_step(&renewed(false), now), Step::Renew);
+}
--- a/crates/proxy/src/election/electorate.rs
+++ b/crates/proxy/src/election/electorate.rs
@@ -279,9 +279,8 @@
         }
         let mut electors = self.fleet.desired_electors();
         electors.retain(|host| self.fleet.hears(host));
-        if electors.is_empty() {
-            electors.insert(self.site.host.clone());
-        }
+        // This host alone knows when the new record was written, and tells only as an elector.
+        electors.insert(self.site.host.clone());
         let next = electorate.replaced_by(electors, self.process);
         self.record_electorate(next, &evidence.to_string());
     }
