Say more plainly which calls an outage cancels

Reading the whole change again: two comments and the name of a test were hard to follow. Nothing else changes.

--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -128,8 +128,8 @@
     }
 
     /// Cancels the waiting calls after an outage whose last call failed at `last_failed_at`. They were made
-    /// before it ended and may wait in vain, because calls and answers are lost together. A call that
-    /// follows an answer of after that was made when it had ended.
+    /// before it ended and may wait in vain, because calls and answers are lost together. If the store has
+    /// answered a call for a list since then, the next call for it was made after the outage.
     pub fn cancel_after_outage(&self, last_failed_at: Duration) {
         let followers = [&self.configuration, &self.backends, &self.peers];
         for follower in followers
--- a/crates/proxy/src/fleet/electorate.rs
+++ b/crates/proxy/src/fleet/electorate.rs
@@ -17,8 +17,8 @@
 const MAX_ELECTORS: usize = 7;
 
 /// An elector of a large fleet that has sent nothing for this long is replaced by another host. Until then
-/// a cut that divides the other electors may leave none of them with a majority. Shorter than the time in
-/// which a small fleet leaves a host out, which makes its electorate smaller.
+/// a cut that divides the other electors may leave no part with a majority. A small fleet waits for longer,
+/// since it has no other host to replace one with.
 const REPLACED_AFTER: Duration = Duration::from_secs(2);
 
 impl<C: Codec> Fleet<C> {
--- a/crates/proxy/tests/feeds.rs
+++ b/crates/proxy/tests/feeds.rs
@@ -56,7 +56,7 @@
 /// Guards against needless calls after a restore: a host was told of it before it repeated the call that had
 /// failed, and cancelled calls that were made after an answer of the store.
 #[tokio::test]
-async fn calls_that_follow_an_answer_of_after_an_outage_are_not_cancelled() {
+async fn calls_made_after_the_end_of_an_outage_are_not_cancelled() {
     let feeds = Feeds::default();
     feeds.backends.record_store_answer(at(600));
     let back = async { feeds.cancel_after_outage(at(500)) };
