Log why a process ends and which task panics

Rejected settings and panics went to standard error only, a port in use was reported without the address and what it is for, and a process that a signal ended early left no line at all. Change: the log begins before the settings are read, with a line that names the process (104); each problem of the settings is a line (105), so is each panic with its task, place and cause (106, 107), which is counted in flamingopost_panics_total; 103 names address and purpose. Tasks of the deployed program have names. The metrics page tells when the process started. No decision of the program changes.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -113,6 +113,14 @@
         102 Info Stopped { daemon: &'static str },
         /// {daemon} failed: {error}
         103 Critical Failed { daemon: &'static str, error: String },
+        /// {daemon} {version} runs as process {process}
+        104 Info Began { daemon: &'static str, version: &'static str, process: u32 },
+        /// settings rejected: {problem}
+        105 Critical SettingsRejected { problem: String },
+        /// task {task} panicked at {place}: {cause}
+        106 Critical Panicked { task: &'static str, place: String, cause: String },
+        /// stack of the panic of task {task}: {stack}
+        107 Error PanicStack { task: &'static str, stack: String },
         /// operator HTTP server is listening on {address}
         110 Info Listening { address: std::net::SocketAddr },
         /// operator request to {path} rejected: token missing or wrong
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod remote;
 pub mod settings;
 pub mod stop;
+pub mod task;
 pub mod token;
 pub mod value;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,11 +2,13 @@
 
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::SystemTime;
 
 use flamingopost_core::invariant::{self, Invariant};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
 use crate::event::{Daemon, Event as _};
+use crate::task::PANICS;
 
 /// Histogram buckets for durations, in seconds. They are fine-grained around today's latency
 /// targets (hundredths to tenths of a second) and still cover a failover and a configuration
@@ -19,6 +21,10 @@
 /// Name of the counter of invariant violations.
 pub const VIOLATIONS: &str = "flamingopost_invariant_violations_total";
 
+/// Name of the gauge of the time at which the process started. It differs between two readings if the
+/// process was started anew.
+pub const STARTED: &str = "process_start_time_seconds";
+
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 static LOGGED_VIOLATIONS: [AtomicU64; Invariant::ALL.len()] =
     [const { AtomicU64::new(0) }; Invariant::ALL.len()];
@@ -53,6 +59,10 @@
     // metrics. This one then renders nothing.
     let _ = metrics::set_global_recorder(recorder);
     metrics::describe_counter!(VIOLATIONS, "Times an invariant was found violated");
+    metrics::describe_counter!(PANICS, "Panics by task");
+    metrics::describe_gauge!(STARTED, "When the process started, in seconds since 1970");
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    metrics::gauge!(STARTED).set(since.unwrap_or_default().as_secs_f64());
     handle
 }
 
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -1,6 +1,7 @@
 //! Runs the failover of each service's primary: queries hosts and servers, claims a change in the
 //! platform's store, and orders the promotion.
 
+use flamingopost_daemon::task;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -217,7 +218,7 @@
                 let (election, service) = (Rc::clone(self), Rc::clone(service));
                 let succession = Rc::clone(succession);
                 let attempt = view.term.number().unsigned_abs();
-                tokio::task::spawn_local(async move {
+                task::spawn("claim", async move {
                     election.claim(service, succession, attempt).await;
                 });
             }
@@ -227,7 +228,7 @@
             NextStep::Promote { server, token } => {
                 let (election, service) = (Rc::clone(self), Rc::clone(service));
                 let succession = Rc::clone(succession);
-                tokio::task::spawn_local(async move {
+                task::spawn("promotion", async move {
                     election.promote(service, succession, server, token).await;
                 });
             }
--- a/crates/proxy/src/election/claim_holder.rs
+++ b/crates/proxy/src/election/claim_holder.rs
@@ -1,5 +1,6 @@
 //! Checks whether the holder of a claim on a leaving primary would reach this host with its order.
 
+use flamingopost_daemon::task;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,7 +38,7 @@
             self.send_heartbeat(peer, sent);
         }
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
+        task::spawn("claim_holder_query", async move {
             sleep(HOLDER_REPLY_TIMEOUT).await;
             let has_answered = match holder {
                 Some((key, _)) => election
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -1,5 +1,6 @@
 //! Claims on changes of a primary, kept in the platform's store.
 
+use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -389,7 +390,7 @@
             return;
         };
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
+        task::spawn("claim_settlement", async move {
             let (attempt, revision) = (open.attempt, open.claim.revision);
             let (platform, host) = (&election.platform, &election.site.host);
             let settled = platform.settle_claim(&service.name, attempt, host, revision, how);
@@ -503,7 +504,7 @@
         }
         self.verification_attempted_at.set(Some(now));
         let election = Rc::clone(self);
-        tokio::task::spawn_local(async move {
+        task::spawn("claim_verification", async move {
             let host = &election.site.host;
             let recorded = in_time(election.platform.record_claims_verified(epoch, host)).await;
             let outcome = match recorded {
@@ -523,7 +524,7 @@
     /// Rewrites the claim of one change, and logs whether the store lacked it.
     fn rewrite_claim(self: &Rc<Self>, service: String, attempt: u64) {
         let election = Rc::clone(self);
-        tokio::task::spawn_local(async move {
+        task::spawn("claim", async move {
             let host = &election.site.host;
             let claim = election.platform.claim(&service, attempt, host, None);
             let claimed = in_time(claim).await;
--- a/crates/proxy/src/election/electorate.rs
+++ b/crates/proxy/src/election/electorate.rs
@@ -1,5 +1,6 @@
 //! The electorate: which hosts decide by majority, as agreed between them and recorded in the store.
 
+use flamingopost_daemon::task;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -291,7 +292,7 @@
             return;
         }
         let election = Rc::clone(self);
-        tokio::task::spawn_local(async move {
+        task::spawn("electorate_read", async move {
             // The store may be slow, and nothing is served before the electorate is known.
             let read = election.platform.claims().await;
             election.is_reading_claims.set(false);
@@ -312,7 +313,7 @@
         self.agreement.borrow_mut().is_writing = true;
         let replaced = self.fleet.electorate().map(|it| it.formation);
         let (election, why) = (Rc::clone(self), why.to_owned());
-        tokio::task::spawn_local(async move {
+        task::spawn("electorate_write", async move {
             let sent = election.site.now();
             let platform = &election.platform;
             let recorded = platform.record_electorate(&electorate, expected).await;
--- a/crates/proxy/src/election/empty_log.rs
+++ b/crates/proxy/src/election/empty_log.rs
@@ -1,6 +1,7 @@
 //! Detects a primary with an empty log. A primary that shows no write of its term is checked by its
 //! own answer and by the store's record of services that were written to.
 
+use flamingopost_daemon::task;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,7 +62,7 @@
     /// orders. Requests for a primary that is not known to have its log wait for the next attempt.
     pub(super) fn check_primary(self: &Rc<Self>, service: &Rc<Service<C>>, target: Target) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
+        task::spawn("empty_log_query", async move {
             if let Probe::Status(status) = election.query_status(&service, &target).await {
                 election.gather_evidence(&service, &target, &status).await;
             }
@@ -151,7 +152,9 @@
         records.attempted_at.insert(name.clone(), now);
         drop(records);
         let (election, name) = (Rc::clone(self), name.clone());
-        tokio::task::spawn_local(async move { election.write_record(name, epoch).await });
+        task::spawn("written_record", async move {
+            election.write_record(name, epoch).await
+        });
     }
 
     /// Records in the store that `service` was written to.
--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -1,6 +1,7 @@
 //! Follows up on an order: polls the successor until it leads, and tells the replaced primary to
 //! step down.
 
+use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,7 +49,7 @@
         replaced: Option<Target>,
     ) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
+        task::spawn("handover", async move {
             let until = ordered + PROMOTION_TIMEOUT;
             while election.site.now() < until {
                 let seen = election.poll_until_leading(&service, &successor, term);
@@ -118,7 +119,7 @@
     ) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         let target = target.clone();
-        tokio::task::spawn_local(async move {
+        task::spawn("step_down", async move {
             for _ in 0..STEP_DOWN_ATTEMPTS {
                 let Ok(status) = election.send_step_down(&target, term).await else {
                     tokio::time::sleep(STATUS_TIMEOUT).await;
@@ -157,7 +158,7 @@
         });
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         let succession = Rc::clone(succession);
-        tokio::task::spawn_local(async move {
+        task::spawn("step_down", async move {
             let Ok(status) = election.send_step_down(&replaced, next).await else {
                 return;
             };
@@ -202,7 +203,7 @@
         let term = service.newest_term_led();
         for target in replaced {
             let (election, service) = (Rc::clone(self), Rc::clone(service));
-            tokio::task::spawn_local(async move {
+            task::spawn("step_down", async move {
                 if let Ok(status) = election.send_step_down(&target, term).await {
                     election.record_step_down(&service, &target, term, &status);
                 }
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -1,5 +1,6 @@
 //! Messages between this host and the other entry hosts.
 
+use flamingopost_daemon::task;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -322,7 +323,7 @@
             return;
         }
         let election = Rc::clone(self);
-        tokio::task::spawn_local(async move {
+        task::spawn("claim_read", async move {
             let sent = election.site.now();
             let claims = election.read_claims().await;
             election.is_reading_claims.set(false);
--- a/crates/proxy/src/election/reachability.rs
+++ b/crates/proxy/src/election/reachability.rs
@@ -1,5 +1,6 @@
 //! Answers other hosts that ask whether this one reaches a server.
 
+use flamingopost_daemon::task;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -44,7 +45,7 @@
             return;
         };
         let election = Rc::clone(self);
-        tokio::task::spawn_local(async move {
+        task::spawn("reachability_query", async move {
             let reaches = election.reaches(&service, key).await;
             let askers = election.probes.borrow_mut().finish(probe);
             for asker in askers {
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -1,5 +1,6 @@
 //! The task that runs the failover of one service.
 
+use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,9 +43,9 @@
             drop(services);
             self.apply_kept_term(&service.name);
             let election = Rc::clone(self);
-            tokio::task::spawn_local(
-                async move { election.run_service(service, succession).await },
-            );
+            task::spawn("service", async move {
+                election.run_service(service, succession).await
+            });
         }
     }
 
--- a/crates/proxy/src/election/status.rs
+++ b/crates/proxy/src/election/status.rs
@@ -1,5 +1,6 @@
 //! Status queries to servers.
 
+use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,7 +37,7 @@
         since: Duration,
     ) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
+        task::spawn("status_query", async move {
             if let Probe::Silent = election.query_status(&service, &target).await {
                 service.record_silence(target.server, since);
             }
@@ -60,7 +61,7 @@
             let (election, service) = (Rc::clone(self), Rc::clone(service));
             let succession = Rc::clone(succession);
             let asked = self.site.now();
-            tokio::task::spawn_local(async move {
+            task::spawn("status_query", async move {
                 let status = match election.query_status(&service, &target).await {
                     Probe::Status(status) => status,
                     Probe::Refused => {
--- a/crates/proxy/src/election/successor.rs
+++ b/crates/proxy/src/election/successor.rs
@@ -1,6 +1,7 @@
 //! The state of a leaving primary's successor, for hosts that use the primary until it leads. The host
 //! that announced the end of the term asks the successor, on one connection for all hosts.
 
+use flamingopost_daemon::task;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -70,7 +71,7 @@
             return service.end_handover(token, UNKNOWN);
         };
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
+        task::spawn("successor_watch", async move {
             let mut connection = None;
             let mut known_at = election.site.now();
             while service.handover_token() == Some(token) {
@@ -168,7 +169,7 @@
     /// order was carried out or can no longer be.
     pub(super) fn watch_open_order(self: &Rc<Self>, service: &Rc<Service<C>>) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
+        task::spawn("successor_watch", async move {
             let mut connection = None;
             let mut known_at = election.site.now();
             while service.is_bound() {
@@ -261,7 +262,7 @@
         announcer: SocketAddr,
     ) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        tokio::task::spawn_local(async move {
+        task::spawn("successor_watch", async move {
             let mut known_at = election.site.now();
             while service.handover_token() == Some(token) {
                 if !election.is_state_demanded(&service).await {
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -1,5 +1,6 @@
 //! Search for orders that were given before this host started, where no running host knows them.
 
+use flamingopost_daemon::task;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -61,7 +62,7 @@
         });
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         let target = target.clone();
-        tokio::task::spawn_local(async move {
+        task::spawn("order_search", async move {
             let outcome = election.search(&service, &target, search).await;
             let lasted = election.site.now().saturating_sub(search.since());
             election.site.log(&Event::OrderSearched {
--- a/crates/proxy/src/feeds/client.rs
+++ b/crates/proxy/src/feeds/client.rs
@@ -1,5 +1,6 @@
 //! Reads feeds at other hosts over HTTP.
 
+use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -117,7 +118,7 @@
         let stream = stream.await.map_err(Error::Connection)?;
         let handshake = Builder::new().handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await?;
-        let task = tokio::task::spawn_local(async move {
+        let task = task::spawn("feed_connection", async move {
             // The error is ignored: the pending call on `sender` fails too.
             let _ = connection.await;
         });
--- a/crates/proxy/src/feeds/server.rs
+++ b/crates/proxy/src/feeds/server.rs
@@ -3,6 +3,7 @@
 //! `hyper` is linked for the platform's store and the balancer's probe already. `jsonrpsee` would
 //! add its server, its client and their buffers to each host, whose peak memory is priced.
 
+use flamingopost_daemon::task;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -47,7 +48,7 @@
         }
         open.set(open.get() + 1);
         let (feeds, open) = (Rc::clone(&feeds), Rc::clone(&open));
-        tokio::task::spawn_local(async move {
+        task::spawn("feed_session", async move {
             let service = service_fn(|request: Request<Incoming>| {
                 let feeds = Rc::clone(&feeds);
                 async move { Ok::<_, Infallible>(answer(&feeds, &request).await) }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,5 +1,6 @@
 //! What this host knows of the fleet: configuration, services and their servers, other hosts.
 
+use flamingopost_daemon::task;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -406,7 +407,7 @@
             self.feeds.cancel_after_restore(epoch);
         }
         let feeds = Rc::clone(&self.feeds);
-        tokio::task::spawn_local(async move {
+        task::spawn("full_server_read", async move {
             tokio::time::sleep(SERVER_REWRITE_TIME).await;
             feeds.backends.request_full_read();
         });
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -10,6 +10,7 @@
 use flamingopost_core::clock::Clock;
 use flamingopost_daemon::event::{Daemon, Event as _};
 use flamingopost_daemon::metrics;
+use flamingopost_daemon::task;
 use hyper::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -167,10 +168,12 @@
     let fleet = Rc::new(Fleet::<C>::new(Rc::clone(&site)));
     let stop = Rc::new(Stop::default());
     let platform = Rc::new(platform);
-    let callers = TcpListener::bind(settings.callers).await?;
-    let probes = TcpListener::bind(settings.probe).await?;
-    let socket = Rc::new(Socket::bind(settings.peers).await?);
-    let relays = TcpListener::bind(socket.address()?).await?;
+    let callers = listen("callers", settings.callers).await?;
+    let probes = listen("readiness probes", settings.probe).await?;
+    let bound = Socket::bind(settings.peers).await;
+    let socket =
+        Rc::new(bound.map_err(|error| unavailable("messages of hosts", settings.peers, &error))?);
+    let relays = listen("sessions of other hosts", socket.address()?).await?;
     metrics::start();
     Daemon::Started {
         daemon: NAME,
@@ -220,18 +223,21 @@
             }
         }
     };
-    tokio::task::spawn_local(probe::serve(probes, readiness));
-    tokio::task::spawn_local(Rc::clone(&election).listen());
-    tokio::task::spawn_local(Rc::clone(&election).send_heartbeats());
-    tokio::task::spawn_local(Rc::clone(&election).request_operations());
-    tokio::task::spawn_local(Rc::clone(&watch).follow_configuration());
-    tokio::task::spawn_local(Rc::clone(&watch).follow_servers());
-    tokio::task::spawn_local(Rc::clone(&watch).follow_hosts(own));
-    tokio::task::spawn_local(tick(Rc::clone(&fleet), Rc::clone(&watch)));
-    tokio::task::spawn_local(move_sessions_when_outvoted(
-        Rc::clone(&election),
-        Rc::clone(&stop),
-    ));
+    task::spawn("readiness_probe", probe::serve(probes, readiness));
+    task::spawn("messages", Rc::clone(&election).listen());
+    task::spawn("heartbeats", Rc::clone(&election).send_heartbeats());
+    task::spawn(
+        "operation_requests",
+        Rc::clone(&election).request_operations(),
+    );
+    task::spawn("configuration", Rc::clone(&watch).follow_configuration());
+    task::spawn("server_list", Rc::clone(&watch).follow_servers());
+    task::spawn("host_list", Rc::clone(&watch).follow_hosts(own));
+    task::spawn("timers", tick(Rc::clone(&fleet), Rc::clone(&watch)));
+    task::spawn(
+        "session_moves",
+        move_sessions_when_outvoted(Rc::clone(&election), Rc::clone(&stop)),
+    );
 
     let context = Rc::new(Context {
         site: Rc::clone(&site),
@@ -240,10 +246,15 @@
     });
     let open = Rc::new(OpenSessions::new(settings.sessions));
     let (peers, counted) = (Rc::clone(&context), Rc::clone(&open));
-    tokio::task::spawn_local(accept(relays, peers, counted, RelayPolicy::Never));
+    task::spawn(
+        "relayed_accept",
+        accept(relays, peers, counted, RelayPolicy::Never),
+    );
     let counted = Rc::clone(&open);
-    let accepting =
-        tokio::task::spawn_local(accept(callers, context, counted, RelayPolicy::Allowed));
+    let accepting = task::spawn(
+        "accept",
+        accept(callers, context, counted, RelayPolicy::Allowed),
+    );
     ended.await;
     Daemon::Draining { daemon: NAME }.log();
     drain(&stop, &open, settings.grace).await;
@@ -255,6 +266,23 @@
     Ok(())
 }
 
+/// Listens for connections on `address`.
+///
+/// # Errors
+/// Returns an error that names `address` and its `purpose` if the address is not available.
+async fn listen(purpose: &str, address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| unavailable(purpose, address, &error))
+}
+
+/// Returns `error` with the address that was to be opened, and its purpose.
+fn unavailable(purpose: &str, address: SocketAddr, error: &io::Error) -> io::Error {
+    io::Error::new(
+        error.kind(),
+        format!("address {address} for {purpose} is not available: {error}"),
+    )
+}
+
 /// Ends all sessions in an order that callers do not notice: first the balancer stops sending new
 /// callers, then idle sessions end, and transactions get half of the grace to finish.
 async fn drain(stop: &Stop, open: &OpenSessions, grace: Duration) {
@@ -334,7 +362,7 @@
             continue;
         }
         let (context, open) = (Rc::clone(&context), Rc::clone(&open));
-        tokio::task::spawn_local(async move {
+        task::spawn("session", async move {
             session(context, stream, relay_policy).await;
             open.end(relay_policy);
         });
@@ -369,7 +397,10 @@
     };
     match TcpListener::bind(address).await {
         Ok(listener) => {
-            tokio::task::spawn_local(server::serve(listener, Rc::clone(&fleet.feeds), followers));
+            task::spawn(
+                "feed_server",
+                server::serve(listener, Rc::clone(&fleet.feeds), followers),
+            );
         }
         Err(error) => site.log(&Event::FeedsUnserved {
             address: address.to_string(),
@@ -385,10 +416,13 @@
             // The settings may leave the choice of the port to the system.
             let address = listener.local_addr().unwrap_or(address);
             Daemon::Listening { address }.log();
-            tokio::task::spawn_local(probe::serve(listener, |path| match path {
-                "/metrics" => (StatusCode::OK, metrics::render()),
-                _ => (StatusCode::NOT_FOUND, String::new()),
-            }));
+            task::spawn(
+                "metrics",
+                probe::serve(listener, |path| match path {
+                    "/metrics" => (StatusCode::OK, metrics::render()),
+                    _ => (StatusCode::NOT_FOUND, String::new()),
+                }),
+            );
         }
         Err(error) => {
             // Serving requests without metrics is better than not serving them.
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -3,6 +3,7 @@
 //! `hyper` serves them on the host's only thread. `actix-web` would start its own threads, which
 //! cost memory on each host and compete for a fraction of a core.
 
+use flamingopost_daemon::task;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -26,7 +27,7 @@
     loop {
         let (stream, _) = listener.accept().await?;
         let answer = Rc::clone(&answer);
-        tokio::task::spawn_local(async move {
+        task::spawn("http_session", async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let (status, body) = answer(request.uri().path());
                 let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/crates/proxy/src/service/confirm.rs
+++ b/crates/proxy/src/service/confirm.rs
@@ -1,5 +1,6 @@
 //! Confirms with the other servers of a service that its primary still leads.
 
+use flamingopost_daemon::task;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -82,7 +83,7 @@
             state.confirmation.in_progress = true;
         }
         let service = Rc::clone(self);
-        tokio::task::spawn_local(async move {
+        task::spawn("confirmation", async move {
             let follow = service.others_follow(now).await;
             {
                 let mut state = service.state.borrow_mut();
@@ -108,7 +109,9 @@
         }
         let queries = others.into_iter().map(|target| {
             let service = Rc::clone(self);
-            tokio::task::spawn_local(async move { service.follows(target, asked).await })
+            task::spawn("confirmation_query", async move {
+                service.follows(target, asked).await
+            })
         });
         let queries: Vec<_> = queries.collect();
         let mut follow = true;
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -1,5 +1,6 @@
 //! Opens connections to servers.
 
+use flamingopost_daemon::task;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +23,9 @@
 impl<C: Codec> Service<C> {
     pub(super) fn open(self: &Rc<Self>, server: ServerKey, team: TeamKey) {
         let service = Rc::clone(self);
-        tokio::task::spawn_local(async move { service.connect(server, team).await });
+        task::spawn("server_connect", async move {
+            service.connect(server, team).await
+        });
     }
 
     async fn connect(self: Rc<Self>, server: ServerKey, team: TeamKey) {
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -1,5 +1,6 @@
 //! Statements inside a caller's transaction, from the first one to the end of the transaction.
 
+use flamingopost_daemon::task;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -293,7 +294,7 @@
         if connection.pending() > 0 {
             return;
         }
-        tokio::task::spawn_local(async move {
+        task::spawn("rollback", async move {
             connection.push(&Command::Rollback);
             let ended = tokio::time::timeout(ROLLBACK_TIMEOUT, async {
                 connection.flush().await?;
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -1,5 +1,6 @@
 //! Follows the lists in the platform's store: configuration, backend servers, other entry hosts.
 
+use flamingopost_daemon::task;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -209,7 +210,10 @@
         let mut poll = PollState::new(Table::Hosts.name(), self.site.now());
         let contact_until = self.started_at + ELECTOR_CONTACT_TIMEOUT;
         let (watch, announcing) = (Rc::clone(&self), own.clone());
-        let announced = tokio::task::spawn_local(async move { watch.announce(&announcing).await });
+        let announced = task::spawn(
+            "announcement",
+            async move { watch.announce(&announcing).await },
+        );
         // If the store is healthy, one call then returns this host's entry as well.
         let _ = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         loop {
@@ -313,7 +317,7 @@
         }
         self.announced.set(None);
         let (watch, own) = (Rc::clone(self), own.clone());
-        tokio::task::spawn_local(async move { watch.announce(&own).await });
+        task::spawn("announcement", async move { watch.announce(&own).await });
     }
 
     /// Applies configurations in the order in which they were written. A configuration that cannot
