Let the stand-in's store tell rows that are no rows

Cause: other writers, and a store, may put anything among the rows of a page: a row nested 100,000 levels, 1e400, half a surrogate pair. The stand-in's store held rows as typed values and could tell none of these.

Change: Store::insert_raw puts a row that is sent as the given text among the rows of reads, feeds and failed conditions, Store::remove_raw takes it back, and Store::set_answer answers reads of a table by any text at all.

Result: raw_rows_are_told_exactly_as_given passes.

--- a/crates/standin/src/pooled/http.rs
+++ b/crates/standin/src/pooled/http.rs
@@ -11,7 +11,6 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Serialize;
 use tokio::net::TcpListener;
 
 use super::store::{Change, Mode, Outcome, Row, Store};
@@ -118,6 +117,9 @@
         "/rows-get" => {
             let (table, part) = (field("table_name"), field("part"));
             store.was_read(&table);
+            if let Some(text) = store.answer(&table) {
+                return (StatusCode::OK, text);
+            }
             let (found, version) = store.rows(&table, &part, &field("from"));
             (StatusCode::OK, rows(found, version))
         }
@@ -146,6 +148,9 @@
     tokio::pin!(deadline);
     loop {
         versions.mark_unchanged();
+        if let Some(text) = store.answer(table) {
+            return (StatusCode::OK, text);
+        }
         let Some((found, version)) = store.changes(table, after) else {
             return (StatusCode::GONE, String::new());
         };
@@ -161,18 +166,9 @@
 }
 
 fn rows(rows: Vec<Row>, version: u64) -> String {
-    #[derive(Serialize)]
-    struct Body {
-        rows: Vec<Row>,
-        has_more: bool,
-        schema_version: u64,
-    }
-    let body = Body {
-        rows,
-        has_more: false,
-        schema_version: version,
-    };
-    serde_json::to_string(&body).unwrap_or_default()
+    let rows: Vec<String> = rows.iter().map(Row::to_text).collect();
+    let rows = rows.join(",");
+    format!(r#"{{"rows":[{rows}],"has_more":false,"schema_version":{version}}}"#)
 }
 
 async fn take(request: Request<Incoming>) -> Asked {
--- a/crates/standin/src/pooled/store.rs
+++ b/crates/standin/src/pooled/store.rs
@@ -36,6 +36,17 @@
     pub schema_version: u64,
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub deleted: bool,
+    /// Text that is sent in place of the row, if any.
+    #[serde(skip)]
+    pub sent_as: Option<String>,
+}
+
+impl Row {
+    /// The row as it is sent.
+    pub(super) fn to_text(&self) -> String {
+        let text = || serde_json::to_string(self).unwrap_or_default();
+        self.sent_as.clone().unwrap_or_else(text)
+    }
 }
 
 /// A transaction as it travels.
@@ -79,6 +90,8 @@
     feed_delays: BTreeMap<String, Duration>,
     /// How often each table was read as a whole.
     reads: BTreeMap<String, u64>,
+    /// Answers in place of the rows of some tables.
+    answers: BTreeMap<String, String>,
     tables: BTreeSet<String>,
     /// How often it came back from a copy.
     era: u64,
@@ -162,6 +175,60 @@
         self.lock().era
     }
 
+    /// Puts a row under `key` of `table` that is sent as `text`, exactly as given, also when that is no
+    /// row or no JSON. [`Store::remove_raw`] takes it back.
+    ///
+    /// ```
+    /// use flamingopost_standin::pooled::Store;
+    ///
+    /// let store = Store::default();
+    /// store.insert_raw("servers", "ledger-0", r#"{"key": 1e400}"#);
+    /// store.remove_raw("servers", "ledger-0");
+    /// ```
+    pub fn insert_raw(&self, table: &str, key: &str, text: &str) {
+        let row = Row {
+            table_name: table.to_owned(),
+            key: key.to_owned(),
+            sent_as: Some(text.to_owned()),
+            ..Row::default()
+        };
+        self.apply(Change {
+            upserts: vec![row],
+            ..Change::default()
+        });
+    }
+
+    /// Removes the row under `key` of `table`.
+    pub fn remove_raw(&self, table: &str, key: &str) {
+        let row = Row {
+            table_name: table.to_owned(),
+            key: key.to_owned(),
+            ..Row::default()
+        };
+        self.apply(Change {
+            deletes: vec![row],
+            ..Change::default()
+        });
+    }
+
+    /// From now on, reads of `table` and its changes are answered by `text` with status 200, whatever it
+    /// is; by the rows again with `None`.
+    pub fn set_answer(&self, table: &str, text: Option<&str>) {
+        let mut state = self.lock();
+        match text {
+            Some(text) => state.answers.insert(table.to_owned(), text.to_owned()),
+            None => state.answers.remove(table),
+        };
+        let version = state.version;
+        drop(state);
+        self.version.send_replace(version);
+    }
+
+    /// What reads of `table` and its changes are answered by in place of its rows.
+    pub(super) fn answer(&self, table: &str) -> Option<String> {
+        self.lock().answers.get(table).cloned()
+    }
+
     /// Calls that it has received.
     pub fn calls(&self) -> u64 {
         self.lock().calls
--- a/crates/standin/tests/pooled.rs
+++ b/crates/standin/tests/pooled.rs
@@ -287,3 +287,41 @@
     group.set_deaf("ledger-3", false);
     assert!(caller.reply().await.expect("an answer").is_done());
 }
+
+/// What the store answers to `path`.
+async fn read(site: &Site, path: &str) -> String {
+    let url = format!("http://{}{path}", site.store_address);
+    let answer = reqwest::get(url).await.expect("an answer");
+    answer.text().await.expect("text")
+}
+
+/// Rows that no ordinary row looks like are told among the others, by reads and by feeds, until they
+/// are removed.
+#[tokio::test]
+async fn raw_rows_are_told_exactly_as_given() {
+    let site = platform().await;
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    for text in [
+        deep.as_str(),
+        r#"{"key": "\ud800", "schema_version": 1e400}"#,
+    ] {
+        site.store.insert_raw("servers", "ledger-0", text);
+        for path in [
+            "/rows-get?table_name=servers&part=",
+            "/rows-feed?table_name=servers&after=0&wait_ms=0",
+        ] {
+            let told = read(&site, path).await;
+            assert!(told.contains(text), "{told:.300}");
+            assert!(told.contains("ledger-1"), "{told:.300}");
+        }
+        site.store.remove_raw("servers", "ledger-0");
+        let told = read(&site, "/rows-get?table_name=servers&part=").await;
+        assert!(!told.contains(text), "{told:.300}");
+    }
+    site.store.set_answer("servers", Some("[7"));
+    let told = read(&site, "/rows-get?table_name=servers&part=").await;
+    assert_eq!(told, "[7");
+    site.store.set_answer("servers", None);
+    let told = read(&site, "/rows-get?table_name=servers&part=").await;
+    assert!(told.contains("ledger-1"), "{told:.300}");
+}
