--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod remote;
 pub mod settings;
+pub mod signals;
 pub mod stop;
 pub mod task;
 pub mod token;
