Wait for addresses that something else holds

Cause: operators saw processes that ended by themselves. A start gave up at the first address that was held, with exit code 1, and found the same when it was started again: three ends within seconds. Linux refuses a listener for any bound socket of the port: an earlier process that is not gone, or a connection from an ephemeral port, also one that waits to be closed. Feeds and metrics were passed over for as long as the process ran. Change: each address is tried ten times a second until it is open or the process is asked to stop; 108 tells address, purpose and error at once and then every 10 s, 109 the end, flamingopost_address_unavailable_total counts. Every error is waited for, also an address that the machine lacks yet. Addresses are tried side by side. The probe answers 503 and metrics are served meanwhile; the first event of a host (100) comes before. Callers and other hosts that connect are served by a host that knows no configuration yet, so they are told instead of waiting. 5021 is gone: 108 replaces it, and metrics no longer log a failure of the process (103).

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -121,6 +121,10 @@
         106 Critical Panicked { task: &'static str, place: String, cause: String },
         /// stack of the panic of task {task}: {stack}
         107 Error PanicStack { task: &'static str, stack: String },
+        /// address {address} for {purpose} is not available after {millis} ms, trying again: {error}
+        108 Error AddressUnavailable { address: std::net::SocketAddr, purpose: &'static str, millis: u128, error: String },
+        /// address {address} for {purpose} is available after {millis} ms
+        109 Info AddressAvailable { address: std::net::SocketAddr, purpose: &'static str, millis: u128 },
         /// operator HTTP server is listening on {address}
         110 Info Listening { address: std::net::SocketAddr },
         /// operator request to {path} rejected: token missing or wrong
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -46,8 +46,6 @@
         5019 Info FeedSource { what: &'static str, from: String },
         /// {what} was not read at {host}: {why}
         5020 Info FeedUnrelayed { what: &'static str, host: String, why: String },
-        /// no feeds are served to other hosts on {address}: {error}
-        5021 Error FeedsUnserved { address: String, error: String },
         /// {puts} entry hosts listed at once, {hosts} others known now
         5022 Info PeersListed { puts: usize, hosts: usize },
         /// electorate {number}, formation {formation}, adopted: a majority of {electors} decides, and one of those before: {former}; {why}
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -1,8 +1,10 @@
 //! One entry host: its listeners, its tasks and its shutdown.
 
+use std::cell::OnceCell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,10 +16,12 @@
 use hyper::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 use crate::caller_connection::{self, CallerConnection};
 use crate::codec::Codec;
 use crate::election::Election;
+use crate::endpoint::Endpoint;
 use crate::event::Event;
 use crate::feeds::server;
 use crate::fleet::{Fleet, feeds_address};
@@ -151,10 +155,23 @@
     }
 }
 
+/// What a host needs open before it can become ready.
+struct Opened {
+    /// Messages of other hosts.
+    socket: Rc<Socket>,
+    /// The task that accepts callers.
+    accepting: AbortHandle,
+}
+
+/// Tells whether a host is ready. Empty while the host is starting.
+type Readiness = Rc<OnceCell<Box<dyn Fn() -> bool>>>;
+
 /// Runs an entry host until `ended` returns and then all sessions are over or the grace has passed.
+/// Waits for addresses that are not available: the host is not ready until all that it needs are
+/// open.
 ///
 /// # Errors
-/// Returns an error if a listener cannot be opened.
+/// Returns an error if the system does not report the address of a socket.
 pub async fn run<C: Codec, P: Platform>(
     settings: Settings,
     platform: P,
@@ -168,12 +185,13 @@
     let fleet = Rc::new(Fleet::<C>::new(Rc::clone(&site)));
     let stop = Rc::new(Stop::default());
     let platform = Rc::new(platform);
-    let callers = listen("callers", settings.callers).await?;
-    let probes = listen("readiness probes", settings.probe).await?;
-    let bound = Socket::bind(settings.peers).await;
-    let socket =
-        Rc::new(bound.map_err(|error| unavailable("messages of hosts", settings.peers, &error))?);
-    let relays = listen("sessions of other hosts", socket.address()?).await?;
+    let context = Rc::new(Context {
+        site: Rc::clone(&site),
+        fleet: Rc::clone(&fleet),
+        stop: Rc::clone(&stop),
+    });
+    let open = Rc::new(OpenSessions::new(settings.sessions));
+    let readiness = Readiness::default();
     metrics::start();
     Daemon::Started {
         daemon: NAME,
@@ -182,9 +200,27 @@
         zone: zone.clone(),
     }
     .log();
-    serve_metrics(settings.metrics).await;
-
-    serve_feeds(socket.address()?, settings.followers, &site, &fleet).await;
+    task::spawn("metrics", serve_metrics(Rc::clone(&site), settings.metrics));
+    let mut ended = pin!(ended);
+    let opened = tokio::select! {
+        biased;
+        () = &mut ended => {
+            Daemon::Draining { daemon: NAME }.log();
+            Daemon::Stopped { daemon: NAME }.log();
+            return Ok(());
+        }
+        opened = open_all(&settings, &context, &open, &readiness) => opened?,
+    };
+    let Opened { socket, accepting } = opened;
+    task::spawn(
+        "feed_server",
+        serve_feeds(
+            socket.address()?,
+            settings.followers,
+            Rc::clone(&site),
+            Rc::clone(&fleet),
+        ),
+    );
 
     let election = Rc::new(Election::new(
         Rc::clone(&site),
@@ -208,22 +244,20 @@
         strength: settings.strength,
         protocol: PROTOCOL,
     };
-    let readiness = {
+    let is_ready = {
         let (fleet, stop) = (Rc::clone(&fleet), Rc::clone(&stop));
         let election = Rc::clone(&election);
-        move |_path: &str| {
+        move || {
             let knows = fleet.is_known() && !fleet.has_outdated_configuration();
             let running = stop.phase() == Phase::Running && knows && !election.is_starting();
             let fit = election
                 .outvoted()
                 .is_none_or(|lasts| lasts < UNREADY_DELAY);
-            match running && fit {
-                true => (StatusCode::OK, String::new()),
-                false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-            }
+            running && fit
         }
     };
-    task::spawn("readiness_probe", probe::serve(probes, readiness));
+    // Set only here.
+    let _ = readiness.set(Box::new(is_ready));
     task::spawn("messages", Rc::clone(&election).listen());
     task::spawn("heartbeats", Rc::clone(&election).send_heartbeats());
     task::spawn(
@@ -239,22 +273,6 @@
         move_sessions_when_outvoted(Rc::clone(&election), Rc::clone(&stop)),
     );
 
-    let context = Rc::new(Context {
-        site: Rc::clone(&site),
-        fleet,
-        stop: Rc::clone(&stop),
-    });
-    let open = Rc::new(OpenSessions::new(settings.sessions));
-    let (peers, counted) = (Rc::clone(&context), Rc::clone(&open));
-    task::spawn(
-        "relayed_accept",
-        accept(relays, peers, counted, RelayPolicy::Never),
-    );
-    let counted = Rc::clone(&open);
-    let accepting = task::spawn(
-        "accept",
-        accept(callers, context, counted, RelayPolicy::Allowed),
-    );
     ended.await;
     Daemon::Draining { daemon: NAME }.log();
     drain(&stop, &open, settings.grace).await;
@@ -266,21 +284,56 @@
     Ok(())
 }
 
-/// Listens for connections on `address`.
-///
-/// # Errors
-/// Returns an error that names `address` and its `purpose` if the address is not available.
-async fn listen(purpose: &str, address: SocketAddr) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|error| unavailable(purpose, address, &error))
-}
-
-/// Returns `error` with the address that was to be opened, and its purpose.
-fn unavailable(purpose: &str, address: SocketAddr, error: &io::Error) -> io::Error {
-    io::Error::new(
-        error.kind(),
-        format!("address {address} for {purpose} is not available: {error}"),
-    )
+/// Opens the addresses that a host needs, each as soon as it is available, and serves probes, callers
+/// and other hosts from then on. Sessions that begin before all are open find no configuration.
+async fn open_all<C: Codec>(
+    settings: &Settings,
+    context: &Rc<Context<C>>,
+    open: &Rc<OpenSessions>,
+    readiness: &Readiness,
+) -> io::Result<Opened> {
+    let clock = &*context.site.clock;
+    let accept_on = |listener, name, policy| {
+        let (context, open) = (Rc::clone(context), Rc::clone(open));
+        task::spawn(name, accept(listener, context, open, policy)).abort_handle()
+    };
+    let probes = async {
+        let endpoint = Endpoint {
+            purpose: "readiness probes",
+            address: settings.probe,
+        };
+        let listener = endpoint.open(clock, TcpListener::bind).await;
+        let readiness = Rc::clone(readiness);
+        let answer = move |_path: &str| match readiness.get().is_some_and(|is_ready| is_ready()) {
+            true => (StatusCode::OK, String::new()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        };
+        task::spawn("readiness_probe", probe::serve(listener, answer));
+    };
+    let callers = async {
+        let endpoint = Endpoint {
+            purpose: "callers",
+            address: settings.callers,
+        };
+        let listener = endpoint.open(clock, TcpListener::bind).await;
+        accept_on(listener, "accept", RelayPolicy::Allowed)
+    };
+    let peers = async {
+        let endpoint = Endpoint {
+            purpose: "messages of hosts",
+            address: settings.peers,
+        };
+        let socket = endpoint.open(clock, Socket::bind).await;
+        let endpoint = Endpoint {
+            purpose: "sessions of other hosts",
+            address: socket.address()?,
+        };
+        let listener = endpoint.open(clock, TcpListener::bind).await;
+        accept_on(listener, "relayed_accept", RelayPolicy::Never);
+        Ok(Rc::new(socket))
+    };
+    let ((), accepting, socket) = tokio::join!(probes, callers, peers);
+    socket.map(|socket| Opened { socket, accepting })
 }
 
 /// Ends all sessions in an order that callers do not notice: first the balancer stops sending new
@@ -384,54 +437,39 @@
     }
 }
 
-/// Serves feeds to other hosts on the port after `messages`, or logs why that is not possible: other
-/// hosts then read them elsewhere.
+/// Serves feeds to other hosts on the port after `messages`, once that is available: until then other
+/// hosts read them elsewhere.
 async fn serve_feeds<C: Codec>(
     messages: SocketAddr,
     followers: usize,
-    site: &Site,
-    fleet: &Fleet<C>,
+    site: Rc<Site>,
+    fleet: Rc<Fleet<C>>,
 ) {
     let Some(address) = feeds_address(messages) else {
         return;
     };
-    match TcpListener::bind(address).await {
-        Ok(listener) => {
-            task::spawn(
-                "feed_server",
-                server::serve(listener, Rc::clone(&fleet.feeds), followers),
-            );
-        }
-        Err(error) => site.log(&Event::FeedsUnserved {
-            address: address.to_string(),
-            error: error.to_string(),
-        }),
-    }
+    let endpoint = Endpoint {
+        purpose: "feeds",
+        address,
+    };
+    let listener = endpoint.open(&*site.clock, TcpListener::bind).await;
+    server::serve(listener, Rc::clone(&fleet.feeds), followers).await;
 }
 
-/// Serves metrics on `address`, or logs why that is not possible.
-async fn serve_metrics(address: SocketAddr) {
-    match TcpListener::bind(address).await {
-        Ok(listener) => {
-            // The settings may leave the choice of the port to the system.
-            let address = listener.local_addr().unwrap_or(address);
-            Daemon::Listening { address }.log();
-            task::spawn(
-                "metrics",
-                probe::serve(listener, |path| match path {
-                    "/metrics" => (StatusCode::OK, metrics::render()),
-                    _ => (StatusCode::NOT_FOUND, String::new()),
-                }),
-            );
-        }
-        Err(error) => {
-            // Serving requests without metrics is better than not serving them.
-            let error = format!("no metrics on {address}: {error}");
-            Daemon::Failed {
-                daemon: NAME,
-                error,
-            }
-            .log();
-        }
-    }
+/// Serves metrics on `address`, once that is available: serving requests without metrics is better
+/// than not serving them.
+async fn serve_metrics(site: Rc<Site>, address: SocketAddr) -> io::Result<()> {
+    let endpoint = Endpoint {
+        purpose: "metrics",
+        address,
+    };
+    let listener = endpoint.open(&*site.clock, TcpListener::bind).await;
+    // The settings may leave the choice of the port to the system.
+    let address = listener.local_addr().unwrap_or(address);
+    Daemon::Listening { address }.log();
+    let answer = |path: &str| match path {
+        "/metrics" => (StatusCode::OK, metrics::render()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    probe::serve(listener, answer).await
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod caller_state;
 pub mod codec;
 pub mod election;
+pub mod endpoint;
 pub mod event;
 pub mod fault;
 pub mod feeds;
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -113,6 +113,11 @@
     metrics::counter!("flamingopost_store_restores_total").increment(1);
 }
 
+/// Counts a failed attempt to open the address for `purpose`.
+pub fn address_unavailable(purpose: &'static str) {
+    metrics::counter!("flamingopost_address_unavailable_total", "purpose" => purpose).increment(1);
+}
+
 /// Counts a call to the platform.
 pub fn platform_call(call: &'static str, ok: bool) {
     let outcome = if ok { "answered" } else { "failed" };
