Accept numbers in settings as JSON writes them

Operators saw exit code 2 at each start of a host whose platform wrote a figure as a fraction: "`grace = 6.5s` in [host] is wrong", "`leaving = 7000.0ms` in [platform] is wrong".

Cause: times were read as digits and a unit, whole numbers by the parser of integers.

Each number of a settings file is read as a float that is finite and not negative.

--- a/crates/daemon/src/value.rs
+++ b/crates/daemon/src/value.rs
@@ -6,6 +6,13 @@
 
 use crate::log::{Format, Level};
 
+/// Longest time in a settings file, in seconds: 100 years. Times that are added to the time of a
+/// clock do not overflow below it.
+const MAX_TIME_SECONDS: f64 = 100.0 * 365.25 * 24.0 * 60.0 * 60.0;
+
+/// Largest number below which all whole numbers are floats without rounding.
+const MAX_EXACT: f64 = (1_u64 << f64::MANTISSA_DIGITS) as f64;
+
 /// A type that can be parsed from a settings file.
 pub trait Value: Sized {
     /// Expected format, for the message about an invalid value.
@@ -63,13 +70,37 @@
     }
 }
 
+impl Value for f64 {
+    const SHAPE: &'static str = "a number that is not negative, for example 0.25";
+
+    /// ```
+    /// use flamingopost_daemon::value::Value;
+    ///
+    /// assert_eq!(f64::read("2.5e-1"), Some(0.25));
+    /// assert_eq!(f64::read("-1"), None);
+    /// assert_eq!(f64::read("inf"), None);
+    /// ```
+    fn read(text: &str) -> Option<f64> {
+        // Excludes a sign and the words for infinity and for what is not a number.
+        let is_number = text.starts_with(|first: char| first.is_ascii_digit() || first == '.');
+        let number: f64 = text.parse().ok().filter(|_| is_number)?;
+        number.is_finite().then_some(number)
+    }
+}
+
 macro_rules! whole_numbers {
     ($($kind:ty),*) => {$(
         impl Value for $kind {
             const SHAPE: &'static str = "a whole number";
 
+            /// Other notations of a whole number, such as `4300.0` and `4.3e3`, have the format
+            /// too.
             fn read(text: &str) -> Option<$kind> {
-                text.parse().ok()
+                text.parse().ok().or_else(|| {
+                    let number = f64::read(text)?;
+                    let is_whole = number.fract() == 0.0 && number < MAX_EXACT;
+                    is_whole.then_some(number as u64)?.try_into().ok()
+                })
             }
         }
     )*};
@@ -80,22 +111,29 @@
 impl Value for Duration {
     const SHAPE: &'static str = "a time with its unit, for example 250ms, 3s or 5m";
 
+    /// Times of more than 100 years do not have the format.
+    ///
     /// ```
     /// use std::time::Duration;
     /// use flamingopost_daemon::value::Value;
     ///
     /// assert_eq!(Duration::read("250ms"), Some(Duration::from_millis(250)));
+    /// assert_eq!(Duration::read("0.5m"), Some(Duration::from_secs(30)));
+    /// assert_eq!(Duration::read("7e3ms"), Some(Duration::from_secs(7)));
     /// assert_eq!(Duration::read("3"), None);
+    /// assert_eq!(Duration::read("1e300s"), None);
     /// ```
     fn read(text: &str) -> Option<Duration> {
-        let unit = text.trim_start_matches(|c: char| c.is_ascii_digit());
-        let count: u64 = text[..text.len() - unit.len()].parse().ok()?;
-        match unit.trim() {
-            "ms" => Some(Duration::from_millis(count)),
-            "s" => Some(Duration::from_secs(count)),
-            "m" => count.checked_mul(60).map(Duration::from_secs),
-            _ => None,
-        }
+        let number = |unit| text.strip_suffix(unit).map(str::trim_end);
+        let seconds = if let Some(count) = number("ms") {
+            f64::read(count)? / 1_000.0
+        } else if let Some(count) = number("s") {
+            f64::read(count)?
+        } else {
+            f64::read(number("m")?)? * 60.0
+        };
+        let is_bounded = seconds <= MAX_TIME_SECONDS;
+        is_bounded.then(|| Duration::try_from_secs_f64(seconds).ok())?
     }
 }
 
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -6,6 +6,8 @@
 
 use flamingopost_daemon::log::{Format, Level};
 use flamingopost_daemon::settings::{ProblemKind, Reader};
+use flamingopost_daemon::value::Value;
+use proptest::prelude::*;
 
 const WRONG: &str = "[host]
 name =
@@ -88,3 +90,70 @@
         (2, Duration::from_secs(300), true)
     );
 }
+
+#[test]
+fn whole_numbers_are_parsed_in_each_notation() {
+    for text in ["4300", "4300.0", "4.3e3", "43E+2", "430000e-2"] {
+        assert_eq!(usize::read(text), Some(4_300), "{text}");
+    }
+    assert_eq!(u64::read("18446744073709551615"), Some(u64::MAX));
+    for text in [
+        "4300.5", "-1", "1e300", "1e400", "NaN", "inf", "4_300", "0x1", "", ".",
+    ] {
+        assert_eq!(u64::read(text), None, "{text}");
+    }
+    assert_eq!(u16::read("65536.0"), None);
+}
+
+#[test]
+fn times_are_parsed_in_each_notation() {
+    for text in ["7000ms", "7e3ms", "7000.0ms", "7s", "7.0 s", "0.7e1s"] {
+        assert_eq!(Duration::read(text), Some(Duration::from_secs(7)), "{text}");
+    }
+    assert_eq!(Duration::read("0.5m"), Some(Duration::from_secs(30)));
+    let century = Duration::from_secs(36_525 * 24 * 60 * 60);
+    assert_eq!(Duration::read("3155760000s"), Some(century));
+    let invalid = [
+        "3155760001s",
+        "18446744073709551615s",
+        "1e300m",
+        "1e400ms",
+        "-1s",
+        "-0.5ms",
+        "NaNs",
+        "nans",
+        "infs",
+        "infinityms",
+        "trues",
+        "falsems",
+        "s",
+        "ms",
+        "7",
+        "7h",
+        "7 sm",
+        "",
+    ];
+    for text in invalid {
+        assert_eq!(Duration::read(text), None, "{text}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_text_of_a_value_panics(text in "\\PC{0,12}|[0-9.eE+-]{0,24}(ms|s|m)?") {
+        let _ = (u16::read(&text), usize::read(&text), f64::read(&text));
+        let _ = (bool::read(&text), SocketAddr::read(&text), Vec::<u16>::read(&text));
+        if let Some(time) = Duration::read(&text) {
+            prop_assert!(time <= Duration::from_secs(36_525 * 24 * 60 * 60));
+        }
+    }
+
+    #[test]
+    fn whole_times_are_exact(count in 0_u32..) {
+        let count = u64::from(count);
+        prop_assert_eq!(Duration::read(&format!("{count}ms")), Some(Duration::from_millis(count)));
+        prop_assert_eq!(Duration::read(&format!("{count}.0ms")), Some(Duration::from_millis(count)));
+        let seconds = count / 2;
+        prop_assert_eq!(Duration::read(&format!("{seconds}s")), Some(Duration::from_secs(seconds)));
+    }
+}
