Treat a setting without a value as absent

Operators saw exit code 2 at each start of a host whose platform has no limit of descriptors or no share of processors: "`descriptors = ` in [host] is wrong: write a whole number". A list of ports without a port ended the host with exit code 2 and no message.

Cause: the template writes each key whether or not the platform has a value for it, and the reader takes the absence of a value for an invalid one. The settings of a host were refused after the reader had accepted the list of ports.

Optional settings without a value take their defaults, required ones are reported as missing with an example.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -87,6 +87,8 @@
         /// Key.
         key: String,
     },
+    /// has values that do not fit each other
+    Inconsistent,
 }
 
 impl fmt::Display for Problem {
@@ -143,6 +145,7 @@
     file: String,
     values: BTreeMap<KeyPath, String>,
     lines: BTreeMap<KeyPath, usize>,
+    duplicates: BTreeSet<KeyPath>,
     requested: BTreeSet<KeyPath>,
     problems: Vec<Problem>,
 }
@@ -167,6 +170,7 @@
             file: file.to_owned(),
             values: BTreeMap::new(),
             lines: line_numbers(text),
+            duplicates: BTreeSet::new(),
             requested: BTreeSet::new(),
             problems: Vec::new(),
         };
@@ -177,39 +181,31 @@
         reader
     }
 
-    /// Returns a required value. If it is missing, the problem shows `example`.
+    /// Returns a required value. If it is missing or empty, the problem shows `example`.
     pub fn required<V: Value>(&mut self, section: &str, key: &str, example: &str) -> Option<V> {
-        if self.text(section, key).is_none() {
-            let missing = ProblemKind::Missing {
+        let decoded = self.decode(section, key).and_then(|value| {
+            value.ok_or_else(|| ProblemKind::Missing {
                 section: section.to_owned(),
                 key: key.to_owned(),
                 example: example.to_owned(),
-            };
-            self.report(0, missing);
-            return None;
-        }
-        self.maybe(section, key)
+            })
+        });
+        decoded
+            .map_err(|problem| self.report(self.line(section, key), problem))
+            .ok()
     }
 
-    /// Returns an optional value, or `default` if it is absent or invalid.
+    /// Returns an optional value, or `default` if it is absent, empty or invalid.
     pub fn optional<V: Value>(&mut self, section: &str, key: &str, default: V) -> V {
         self.maybe(section, key).unwrap_or(default)
     }
 
-    /// Returns an optional value, or `None` if it is absent or invalid.
+    /// Returns an optional value, or `None` if it is absent, empty or invalid.
     pub fn maybe<V: Value>(&mut self, section: &str, key: &str) -> Option<V> {
-        let text = self.text(section, key)?;
-        let value = V::read(&text);
-        if value.is_none() {
-            let wrong = ProblemKind::Wrong {
-                section: section.to_owned(),
-                key: key.to_owned(),
-                value: text,
-                shape: V::SHAPE.to_owned(),
-            };
-            self.report(self.line(section, key), wrong);
-        }
-        value
+        self.decode(section, key).unwrap_or_else(|problem| {
+            self.report(self.line(section, key), problem);
+            None
+        })
     }
 
     /// Reports that the file named by `key` cannot be read.
@@ -217,7 +213,7 @@
         let kind = ProblemKind::File {
             section: section.to_owned(),
             key: key.to_owned(),
-            value: self.text(section, key).unwrap_or_default(),
+            value: self.text(section, key).unwrap_or_default().to_owned(),
             error: error.to_string(),
         };
         self.report(self.line(section, key), kind);
@@ -243,9 +239,12 @@
     /// a problem.
     ///
     /// # Errors
-    /// Returns all problems of the file.
+    /// Returns all problems of the file, at least one.
     pub fn finish<T>(mut self, decoded: Option<T>) -> Result<T, Problems> {
         self.report_unknown();
+        if decoded.is_none() && self.problems.is_empty() {
+            self.report(0, ProblemKind::Inconsistent);
+        }
         match decoded {
             Some(decoded) if self.problems.is_empty() => Ok(decoded),
             _ => Err(Problems(self.problems)),
@@ -257,22 +256,42 @@
             let section = section.unwrap_or_default();
             for (key, value) in properties {
                 let path = (section.to_owned(), key.to_owned());
-                if self.values.insert(path, value.trim().to_owned()).is_some() {
-                    let twice = ProblemKind::Twice {
-                        section: section.to_owned(),
-                        key: key.to_owned(),
-                    };
-                    self.report(self.line(section, key), twice);
+                let value = value.trim().to_owned();
+                if self.values.insert(path.clone(), value).is_some() {
+                    self.duplicates.insert(path);
                 }
             }
         }
     }
 
-    fn text(&mut self, section: &str, key: &str) -> Option<String> {
+    /// Returns the value of `key`, or `None` if it is absent or empty.
+    ///
+    /// # Errors
+    /// Returns a problem if the value does not have the format of `V`, or if the key appears twice.
+    fn decode<V: Value>(&mut self, section: &str, key: &str) -> Result<Option<V>, ProblemKind> {
         let path = (section.to_owned(), key.to_owned());
-        let text = self.values.get(&path).cloned();
+        let is_duplicate = self.duplicates.contains(&path);
         self.requested.insert(path);
-        text
+        let (section, key) = (section.to_owned(), key.to_owned());
+        if is_duplicate {
+            return Err(ProblemKind::Twice { section, key });
+        }
+        let Some(text) = self.text(&section, &key) else {
+            return Ok(None);
+        };
+        let wrong = || ProblemKind::Wrong {
+            section,
+            key,
+            value: text.to_owned(),
+            shape: V::SHAPE.to_owned(),
+        };
+        V::read(text).map(Some).ok_or_else(wrong)
+    }
+
+    fn text(&self, section: &str, key: &str) -> Option<&str> {
+        let path = (section.to_owned(), key.to_owned());
+        let text = self.values.get(&path)?;
+        (!text.is_empty()).then_some(text)
     }
 
     fn line(&self, section: &str, key: &str) -> usize {
