Reject a settings file that is cut off

A host that was started while its file was being written could start with a part of it: `orders = 10.200.0.160:8` is a valid address with another port, and without the lines after it the host took defaults.

Cause: nothing in a settings file marks its end.

A file ends with a line break, or is rejected. Files written by hand stay valid if their last line has its line break.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -33,6 +33,8 @@
     Unreadable(String),
     /// is not valid INI: {0}
     Syntax(String),
+    /// does not end with a line break: it may be cut off, or lack one after its last line
+    CutOff,
     /// [{section}] lacks `{key}`: add for example `{key} = {example}`
     Missing {
         /// Section that lacks the key.
@@ -157,23 +159,23 @@
         match std::fs::read_to_string(path) {
             Ok(text) => Reader::parse(&file, &text),
             Err(error) => {
-                let mut reader = Reader::parse(&file, "");
+                let mut reader = Reader::empty(&file);
                 reader.report(0, ProblemKind::Unreadable(error.to_string()));
                 reader
             }
         }
     }
 
-    /// Parses `text`, the contents of `file`.
+    /// Parses `text`, the contents of `file`. Text that does not end with a line break is reported
+    /// as a problem by [`Reader::finish`], because its last value may be cut off.
     pub fn parse(file: &str, text: &str) -> Reader {
         let mut reader = Reader {
-            file: file.to_owned(),
-            values: BTreeMap::new(),
             lines: line_numbers(text),
-            duplicates: BTreeSet::new(),
-            requested: BTreeSet::new(),
-            problems: Vec::new(),
+            ..Reader::empty(file)
         };
+        if !text.ends_with('\n') {
+            reader.report(text.lines().count(), ProblemKind::CutOff);
+        }
         match Ini::load_from_str_noescape(text) {
             Ok(ini) => reader.load(&ini),
             Err(error) => reader.report(error.line, ProblemKind::Syntax(error.msg.to_string())),
@@ -181,6 +183,17 @@
         reader
     }
 
+    fn empty(file: &str) -> Reader {
+        Reader {
+            file: file.to_owned(),
+            values: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            duplicates: BTreeSet::new(),
+            requested: BTreeSet::new(),
+            problems: Vec::new(),
+        }
+    }
+
     /// Returns a required value. If it is missing or empty, the problem shows `example`.
     pub fn required<V: Value>(&mut self, section: &str, key: &str, example: &str) -> Option<V> {
         let decoded = self.decode(section, key).and_then(|value| {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -92,6 +92,18 @@
     );
 }
 
+/// Guards against a process that runs with a part of a value.
+#[test]
+fn text_that_does_not_end_with_a_line_break_is_reported() {
+    let mut reader = Reader::parse("a.ini", "[host]\nport = 745");
+    let port: Option<u16> = reader.required("host", "port", "7455");
+    let problems = reader.finish(port).unwrap_err();
+    assert_eq!(
+        problems.to_string(),
+        "a.ini:2: does not end with a line break: it may be cut off, or lack one after its last line"
+    );
+}
+
 /// Guards against a process that ends without a cause.
 #[test]
 fn a_rejection_has_at_least_one_problem() {
