Read names from settings as the platform has them

A host whose name or zone begins with a quote did not start ("expecting \"[Some('\"')]\" but found EOF"), and one with blanks at its ends, quotes around a part, or a backslash at its end got another name, or lost the setting after it.

Cause: the template wrote texts without quotes, and the INI library ends a quoted text at the next quote, drops quotes, trims blanks and joins the line after a backslash.

Unquoted texts and texts in single quotes are read as before, and an unquoted null counts as no value. Invalid quotes are a problem with its line.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,10 +1,11 @@
 //! Settings of a host, read from an INI file. All problems of a file are reported at once.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::path::{Path, PathBuf};
 
-use ini::Ini;
+use ini::{Ini, ParseOption};
 
 use crate::token::Token;
 use crate::value::Value;
@@ -118,6 +119,9 @@
     }
 }
 
+/// Unquoted text of a key without a value, as in JSON.
+const NULL: &str = "null";
+
 /// Section and key.
 type KeyPath = (String, String);
 
@@ -176,7 +180,13 @@
         if !text.ends_with('\n') {
             reader.report(text.lines().count(), ProblemKind::CutOff);
         }
-        match Ini::load_from_str_noescape(text) {
+        // Quoted texts are decoded here, since the library has no escapes that every text survives.
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        match Ini::load_from_str_opt(text, options) {
             Ok(ini) => reader.load(&ini),
             Err(error) => reader.report(error.line, ProblemKind::Syntax(error.msg.to_string())),
         }
@@ -292,19 +302,23 @@
         let Some(text) = self.text(&section, &key) else {
             return Ok(None);
         };
-        let wrong = || ProblemKind::Wrong {
+        let wrong = |shape: &str| ProblemKind::Wrong {
             section,
             key,
             value: text.to_owned(),
-            shape: V::SHAPE.to_owned(),
+            shape: shape.to_owned(),
         };
-        V::read(text).map(Some).ok_or_else(wrong)
+        match unquoted(text) {
+            None => Err(wrong("text in double quotes, with escapes as in JSON")),
+            Some(text) if text.is_empty() => Ok(None),
+            Some(text) => V::read(&text).map(Some).ok_or_else(|| wrong(V::SHAPE)),
+        }
     }
 
     fn text(&self, section: &str, key: &str) -> Option<&str> {
         let path = (section.to_owned(), key.to_owned());
         let text = self.values.get(&path)?;
-        (!text.is_empty()).then_some(text)
+        (!text.is_empty() && text != NULL).then_some(text)
     }
 
     fn line(&self, section: &str, key: &str) -> usize {
@@ -363,6 +377,18 @@
     names.collect::<Vec<_>>().join(", ")
 }
 
+/// Returns `text` without its quotes, or `None` if a quote or an escape in them is invalid. Double
+/// quotes enclose text with escapes as in JSON, single quotes enclose text without escapes.
+fn unquoted(text: &str) -> Option<Cow<'_, str>> {
+    if text.starts_with('"') {
+        return serde_json::from_str(text).map(Cow::Owned).ok();
+    }
+    let enclosed = text
+        .strip_prefix('\'')
+        .and_then(|rest| rest.strip_suffix('\''));
+    Some(Cow::Borrowed(enclosed.unwrap_or(text)))
+}
+
 /// Returns the line number of each key. The INI library provides them for syntax errors only.
 fn line_numbers(text: &str) -> BTreeMap<KeyPath, usize> {
     let mut lines = BTreeMap::new();
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -92,6 +92,38 @@
     );
 }
 
+#[test]
+fn quoted_texts_are_decoded() {
+    let cases = [
+        (
+            "plain ; text # with = and : 'quotes\" ",
+            "plain ; text # with = and : 'quotes\"",
+        ),
+        (r#""  \"a\" \\ \u00e9 ; # = ""#, "  \"a\" \\ \u{e9} ; # = "),
+        (r#""ends with \\""#, "ends with \\"),
+        (r#"'a "b" \c'"#, r#"a "b" \c"#),
+        (r#""null""#, "null"),
+    ];
+    for (written, expected) in cases {
+        let text = format!("[host]\nname = {written}\nzone = a\n");
+        let mut reader = Reader::parse("a.ini", &text);
+        let name: Option<String> = reader.required("host", "name", "dumdum-1");
+        let zone: Option<String> = reader.required("host", "zone", "dumdum");
+        let read = reader.finish(name.zip(zone));
+        assert_eq!(read, Ok((expected.to_owned(), "a".to_owned())), "{written}");
+    }
+}
+
+#[test]
+fn invalid_quotes_are_reported() {
+    for written in [r#""open"#, r#""""#, r#""a" b"#, r#""a\xb""#, "''", "null"] {
+        let mut reader = Reader::parse("a.ini", &format!("[host]\nname = {written}\n"));
+        let name: Option<String> = reader.required("host", "name", "dumdum-1");
+        let problems = reader.finish(name).unwrap_err().0;
+        assert_eq!((problems.len(), problems[0].line), (1, 2), "{problems:?}");
+    }
+}
+
 /// Guards against a process that runs with a part of a value.
 #[test]
 fn text_that_does_not_end_with_a_line_break_is_reported() {
@@ -187,6 +219,22 @@
         }
     }
 
+    #[test]
+    fn each_text_in_json_arrives_as_it_is(name in ".{1,16}") {
+        let quoted = serde_json::to_string(&name).unwrap();
+        let mut reader = Reader::parse("a.ini", &format!("[host]\nname = {quoted}\nzone = a\n"));
+        let read: Option<String> = reader.required("host", "name", "dumdum-1");
+        let zone: Option<String> = reader.required("host", "zone", "dumdum");
+        prop_assert_eq!(reader.finish(read.zip(zone)), Ok((name, "a".to_owned())));
+    }
+
+    #[test]
+    fn no_file_panics(text in "([a-z\\[\\]=:;#'\"\\\\ \t\r\n]|\\PC){0,64}") {
+        let mut reader = Reader::parse("a.ini", &text);
+        let name: Option<String> = reader.required("host", "name", "dumdum-1");
+        let _ = reader.finish(name);
+    }
+
     #[test]
     fn whole_times_are_exact(count in 0_u32..) {
         let count = u64::from(count);
