Start in spite of invalid optional settings

Operators saw exit code 2 at each start of a host for a setting that it could serve without: "`grace = trues` in [host] is wrong", "`processors = much` in [host] is wrong", "`colour` is unknown in [host]", "section [other] is unknown". A reload rejected the whole file for one of these, with new addresses of the platform in it.

Cause: the reader has one kind of problem, and rejects a file for any.

The reader tells problems that a process can run with from others: Reader::finish_lenient returns them with the settings, Reader::finish rejects them as before and is what the other daemons use.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -125,6 +125,8 @@
         110 Info Listening { address: std::net::SocketAddr },
         /// operator request to {path} rejected: token missing or wrong
         111 Warn Unauthorized { path: String },
+        /// setting ignored: {problem}
+        114 Warn SettingIgnored { problem: String },
         /// invariant {invariant} has been violated {count} times
         120 Critical Violated { invariant: String, count: u64 },
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -127,6 +127,9 @@
 
 /// Reads values from one settings file and collects its problems.
 ///
+/// [`Reader::finish`] rejects a file for any problem, [`Reader::finish_lenient`] only for problems
+/// that a process cannot run with.
+///
 /// ```
 /// use std::time::Duration;
 /// use flamingopost_daemon::settings::Reader;
@@ -154,6 +157,8 @@
     duplicates: BTreeSet<KeyPath>,
     requested: BTreeSet<KeyPath>,
     problems: Vec<Problem>,
+    /// Problems that a process can run with: of optional settings, and of unknown ones.
+    tolerable: Vec<Problem>,
 }
 
 impl Reader {
@@ -201,6 +206,7 @@
             duplicates: BTreeSet::new(),
             requested: BTreeSet::new(),
             problems: Vec::new(),
+            tolerable: Vec::new(),
         }
     }
 
@@ -226,7 +232,8 @@
     /// Returns an optional value, or `None` if it is absent, empty or invalid.
     pub fn maybe<V: Value>(&mut self, section: &str, key: &str) -> Option<V> {
         self.decode(section, key).unwrap_or_else(|problem| {
-            self.report(self.line(section, key), problem);
+            let problem = self.problem(self.line(section, key), problem);
+            self.tolerable.push(problem);
             None
         })
     }
@@ -263,14 +270,44 @@
     ///
     /// # Errors
     /// Returns all problems of the file, at least one.
-    pub fn finish<T>(mut self, decoded: Option<T>) -> Result<T, Problems> {
+    pub fn finish<T>(self, decoded: Option<T>) -> Result<T, Problems> {
+        let (decoded, tolerated) = self.finish_lenient(decoded)?;
+        match tolerated.0.is_empty() {
+            true => Ok(decoded),
+            false => Err(tolerated),
+        }
+    }
+
+    /// Like [`Reader::finish`], but tolerates invalid values of optional settings, which take their
+    /// defaults, and unknown keys and sections. These problems are returned with the settings.
+    ///
+    /// ```
+    /// use flamingopost_daemon::settings::Reader;
+    ///
+    /// let mut reader = Reader::parse("entry.ini", "[host]\nname = a\nsessions = many\n");
+    /// let name: Option<String> = reader.required("host", "name", "dumdum-1");
+    /// let sessions = reader.optional("host", "sessions", 2_000_usize);
+    /// let (settings, tolerated) = reader.finish_lenient(name.map(|name| (name, sessions))).unwrap();
+    /// assert_eq!(settings, ("a".to_owned(), 2_000));
+    /// assert_eq!(
+    ///     tolerated.to_string(),
+    ///     "entry.ini:3: `sessions = many` in [host] is wrong: write a whole number"
+    /// );
+    /// ```
+    ///
+    /// # Errors
+    /// Returns all problems of the file, at least one, if one of them is not tolerated.
+    pub fn finish_lenient<T>(mut self, decoded: Option<T>) -> Result<(T, Problems), Problems> {
         self.report_unknown();
-        if decoded.is_none() && self.problems.is_empty() {
+        if decoded.is_none() && self.problems.is_empty() && self.tolerable.is_empty() {
             self.report(0, ProblemKind::Inconsistent);
         }
         match decoded {
-            Some(decoded) if self.problems.is_empty() => Ok(decoded),
-            _ => Err(Problems(self.problems)),
+            Some(decoded) if self.problems.is_empty() => Ok((decoded, Problems(self.tolerable))),
+            _ => {
+                self.problems.append(&mut self.tolerable);
+                Err(Problems(self.problems))
+            }
         }
     }
 
@@ -326,9 +363,14 @@
         self.lines.get(&path).copied().unwrap_or_default()
     }
 
-    fn report(&mut self, line: usize, kind: ProblemKind) {
+    fn problem(&self, line: usize, kind: ProblemKind) -> Problem {
         let file = self.file.clone();
-        self.problems.push(Problem { file, line, kind });
+        Problem { file, line, kind }
+    }
+
+    fn report(&mut self, line: usize, kind: ProblemKind) {
+        let problem = self.problem(line, kind);
+        self.problems.push(problem);
     }
 
     fn report_unknown(&mut self) {
@@ -351,7 +393,8 @@
                     known,
                 }
             };
-            self.report(line, kind);
+            let problem = self.problem(line, kind);
+            self.tolerable.push(problem);
         }
     }
 
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -57,6 +57,39 @@
     assert_eq!(lines.len(), wanted.len(), "{text}");
 }
 
+/// Guards against a process that tolerates a problem of a value that it needs.
+#[test]
+fn only_problems_of_optional_and_unknown_settings_are_tolerated() {
+    let valid = "[host]\nname = a\nzone = b\n[listen]\ncallers = 10.1.0.11:6432\n";
+    let tolerable = [
+        "[log]\nlevel = loud\n",
+        "[log]\nlevel = info\nlevel = warn\n",
+        "[host]\ndrain = -3s\n",
+        "[limits]\ncallers = \"many\n",
+        "[listen]\ncaller = 10.1.0.11:6432\n",
+        "[limit]\ncallers = 5\n",
+    ];
+    for added in tolerable {
+        let mut reader = Reader::parse("entry.ini", &format!("{valid}{added}"));
+        let decoded = read(&mut reader);
+        let (_, tolerated) = reader.finish_lenient(decoded).expect(added);
+        assert_eq!(tolerated.0.len(), 1, "{added}: {tolerated}");
+    }
+    let rejected = [
+        valid.replace("name = a", "name ="),
+        valid.replace("10.1.0.11:6432", "localhost:6432"),
+        valid.replace("name = a", "name = a\nname = b"),
+        valid.replace("name = a", "name = \"a"),
+        format!("{valid}[oops\n"),
+        valid.trim_end().to_owned(),
+    ];
+    for text in rejected {
+        let mut reader = Reader::parse("entry.ini", &text);
+        let decoded = read(&mut reader);
+        assert!(reader.finish_lenient(decoded).is_err(), "{text}");
+    }
+}
+
 #[test]
 fn syntax_errors_are_reported_with_their_line() {
     let mut reader = Reader::parse("entry.ini", "[host]\nname = a\n[oops\n");
