--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,10 +1,11 @@
 //! Settings of a host, read from an INI file. All problems of a file are reported at once.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::path::{Path, PathBuf};
 
-use ini::Ini;
+use ini::{Ini, ParseOption};
 
 use crate::token::Token;
 use crate::value::Value;
@@ -33,6 +34,8 @@
     Unreadable(String),
     /// is not valid INI: {0}
     Syntax(String),
+    /// does not end with a line break: it may be cut off, or lack one after its last line
+    CutOff,
     /// [{section}] lacks `{key}`: add for example `{key} = {example}`
     Missing {
         /// Section that lacks the key.
@@ -87,6 +90,8 @@
         /// Key.
         key: String,
     },
+    /// has values that do not fit each other
+    Inconsistent,
 }
 
 impl fmt::Display for Problem {
@@ -114,11 +119,17 @@
     }
 }
 
+/// Unquoted text of a key without a value, as in JSON.
+const NULL: &str = "null";
+
 /// Section and key.
 type KeyPath = (String, String);
 
 /// Reads values from one settings file and collects its problems.
 ///
+/// [`Reader::finish`] rejects a file for any problem, [`Reader::finish_lenient`] only for problems
+/// that a process cannot run with.
+///
 /// ```
 /// use std::time::Duration;
 /// use flamingopost_daemon::settings::Reader;
@@ -143,8 +154,11 @@
     file: String,
     values: BTreeMap<KeyPath, String>,
     lines: BTreeMap<KeyPath, usize>,
+    duplicates: BTreeSet<KeyPath>,
     requested: BTreeSet<KeyPath>,
     problems: Vec<Problem>,
+    /// Problems that a process can run with: of optional settings, and of unknown ones.
+    tolerable: Vec<Problem>,
 }
 
 impl Reader {
@@ -154,62 +168,74 @@
         match std::fs::read_to_string(path) {
             Ok(text) => Reader::parse(&file, &text),
             Err(error) => {
-                let mut reader = Reader::parse(&file, "");
+                let mut reader = Reader::empty(&file);
                 reader.report(0, ProblemKind::Unreadable(error.to_string()));
                 reader
             }
         }
     }
 
-    /// Parses `text`, the contents of `file`.
+    /// Parses `text`, the contents of `file`. Text that does not end with a line break is reported
+    /// as a problem by [`Reader::finish`], because its last value may be cut off.
     pub fn parse(file: &str, text: &str) -> Reader {
         let mut reader = Reader {
-            file: file.to_owned(),
-            values: BTreeMap::new(),
             lines: line_numbers(text),
-            requested: BTreeSet::new(),
-            problems: Vec::new(),
+            ..Reader::empty(file)
         };
-        match Ini::load_from_str_noescape(text) {
+        if !text.ends_with('\n') {
+            reader.report(text.lines().count(), ProblemKind::CutOff);
+        }
+        // Quoted texts are decoded here, since the library has no escapes that every text survives.
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        match Ini::load_from_str_opt(text, options) {
             Ok(ini) => reader.load(&ini),
             Err(error) => reader.report(error.line, ProblemKind::Syntax(error.msg.to_string())),
         }
         reader
     }
 
-    /// Returns a required value. If it is missing, the problem shows `example`.
+    fn empty(file: &str) -> Reader {
+        Reader {
+            file: file.to_owned(),
+            values: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            duplicates: BTreeSet::new(),
+            requested: BTreeSet::new(),
+            problems: Vec::new(),
+            tolerable: Vec::new(),
+        }
+    }
+
+    /// Returns a required value. If it is missing or empty, the problem shows `example`.
     pub fn required<V: Value>(&mut self, section: &str, key: &str, example: &str) -> Option<V> {
-        if self.text(section, key).is_none() {
-            let missing = ProblemKind::Missing {
+        let decoded = self.decode(section, key).and_then(|value| {
+            value.ok_or_else(|| ProblemKind::Missing {
                 section: section.to_owned(),
                 key: key.to_owned(),
                 example: example.to_owned(),
-            };
-            self.report(0, missing);
-            return None;
-        }
-        self.maybe(section, key)
+            })
+        });
+        decoded
+            .map_err(|problem| self.report(self.line(section, key), problem))
+            .ok()
     }
 
-    /// Returns an optional value, or `default` if it is absent or invalid.
+    /// Returns an optional value, or `default` if it is absent, empty or invalid.
     pub fn optional<V: Value>(&mut self, section: &str, key: &str, default: V) -> V {
         self.maybe(section, key).unwrap_or(default)
     }
 
-    /// Returns an optional value, or `None` if it is absent or invalid.
+    /// Returns an optional value, or `None` if it is absent, empty or invalid.
     pub fn maybe<V: Value>(&mut self, section: &str, key: &str) -> Option<V> {
-        let text = self.text(section, key)?;
-        let value = V::read(&text);
-        if value.is_none() {
-            let wrong = ProblemKind::Wrong {
-                section: section.to_owned(),
-                key: key.to_owned(),
-                value: text,
-                shape: V::SHAPE.to_owned(),
-            };
-            self.report(self.line(section, key), wrong);
-        }
-        value
+        self.decode(section, key).unwrap_or_else(|problem| {
+            let problem = self.problem(self.line(section, key), problem);
+            self.tolerable.push(problem);
+            None
+        })
     }
 
     /// Reports that the file named by `key` cannot be read.
@@ -217,7 +243,7 @@
         let kind = ProblemKind::File {
             section: section.to_owned(),
             key: key.to_owned(),
-            value: self.text(section, key).unwrap_or_default(),
+            value: self.text(section, key).unwrap_or_default().to_owned(),
             error: error.to_string(),
         };
         self.report(self.line(section, key), kind);
@@ -243,12 +269,45 @@
     /// a problem.
     ///
     /// # Errors
-    /// Returns all problems of the file.
-    pub fn finish<T>(mut self, decoded: Option<T>) -> Result<T, Problems> {
+    /// Returns all problems of the file, at least one.
+    pub fn finish<T>(self, decoded: Option<T>) -> Result<T, Problems> {
+        let (decoded, tolerated) = self.finish_lenient(decoded)?;
+        match tolerated.0.is_empty() {
+            true => Ok(decoded),
+            false => Err(tolerated),
+        }
+    }
+
+    /// Like [`Reader::finish`], but tolerates invalid values of optional settings, which take their
+    /// defaults, and unknown keys and sections. These problems are returned with the settings.
+    ///
+    /// ```
+    /// use flamingopost_daemon::settings::Reader;
+    ///
+    /// let mut reader = Reader::parse("entry.ini", "[host]\nname = a\nsessions = many\n");
+    /// let name: Option<String> = reader.required("host", "name", "dumdum-1");
+    /// let sessions = reader.optional("host", "sessions", 2_000_usize);
+    /// let (settings, tolerated) = reader.finish_lenient(name.map(|name| (name, sessions))).unwrap();
+    /// assert_eq!(settings, ("a".to_owned(), 2_000));
+    /// assert_eq!(
+    ///     tolerated.to_string(),
+    ///     "entry.ini:3: `sessions = many` in [host] is wrong: write a whole number"
+    /// );
+    /// ```
+    ///
+    /// # Errors
+    /// Returns all problems of the file, at least one, if one of them is not tolerated.
+    pub fn finish_lenient<T>(mut self, decoded: Option<T>) -> Result<(T, Problems), Problems> {
         self.report_unknown();
+        if decoded.is_none() && self.problems.is_empty() && self.tolerable.is_empty() {
+            self.report(0, ProblemKind::Inconsistent);
+        }
         match decoded {
-            Some(decoded) if self.problems.is_empty() => Ok(decoded),
-            _ => Err(Problems(self.problems)),
+            Some(decoded) if self.problems.is_empty() => Ok((decoded, Problems(self.tolerable))),
+            _ => {
+                self.problems.append(&mut self.tolerable);
+                Err(Problems(self.problems))
+            }
         }
     }
 
@@ -257,22 +316,46 @@
             let section = section.unwrap_or_default();
             for (key, value) in properties {
                 let path = (section.to_owned(), key.to_owned());
-                if self.values.insert(path, value.trim().to_owned()).is_some() {
-                    let twice = ProblemKind::Twice {
-                        section: section.to_owned(),
-                        key: key.to_owned(),
-                    };
-                    self.report(self.line(section, key), twice);
+                let value = value.trim().to_owned();
+                if self.values.insert(path.clone(), value).is_some() {
+                    self.duplicates.insert(path);
                 }
             }
         }
     }
 
-    fn text(&mut self, section: &str, key: &str) -> Option<String> {
+    /// Returns the value of `key`, or `None` if it is absent or empty.
+    ///
+    /// # Errors
+    /// Returns a problem if the value does not have the format of `V`, or if the key appears twice.
+    fn decode<V: Value>(&mut self, section: &str, key: &str) -> Result<Option<V>, ProblemKind> {
         let path = (section.to_owned(), key.to_owned());
-        let text = self.values.get(&path).cloned();
+        let is_duplicate = self.duplicates.contains(&path);
         self.requested.insert(path);
-        text
+        let (section, key) = (section.to_owned(), key.to_owned());
+        if is_duplicate {
+            return Err(ProblemKind::Twice { section, key });
+        }
+        let Some(text) = self.text(&section, &key) else {
+            return Ok(None);
+        };
+        let wrong = |shape: &str| ProblemKind::Wrong {
+            section,
+            key,
+            value: text.to_owned(),
+            shape: shape.to_owned(),
+        };
+        match unquoted(text) {
+            None => Err(wrong("text in double quotes, with escapes as in JSON")),
+            Some(text) if text.is_empty() => Ok(None),
+            Some(text) => V::read(&text).map(Some).ok_or_else(|| wrong(V::SHAPE)),
+        }
+    }
+
+    fn text(&self, section: &str, key: &str) -> Option<&str> {
+        let path = (section.to_owned(), key.to_owned());
+        let text = self.values.get(&path)?;
+        (!text.is_empty() && text != NULL).then_some(text)
     }
 
     fn line(&self, section: &str, key: &str) -> usize {
@@ -280,9 +363,14 @@
         self.lines.get(&path).copied().unwrap_or_default()
     }
 
-    fn report(&mut self, line: usize, kind: ProblemKind) {
+    fn problem(&self, line: usize, kind: ProblemKind) -> Problem {
         let file = self.file.clone();
-        self.problems.push(Problem { file, line, kind });
+        Problem { file, line, kind }
+    }
+
+    fn report(&mut self, line: usize, kind: ProblemKind) {
+        let problem = self.problem(line, kind);
+        self.problems.push(problem);
     }
 
     fn report_unknown(&mut self) {
@@ -305,7 +393,8 @@
                     known,
                 }
             };
-            self.report(line, kind);
+            let problem = self.problem(line, kind);
+            self.tolerable.push(problem);
         }
     }
 
@@ -331,6 +420,18 @@
     names.collect::<Vec<_>>().join(", ")
 }
 
+/// Returns `text` without its quotes, or `None` if a quote or an escape in them is invalid. Double
+/// quotes enclose text with escapes as in JSON, single quotes enclose text without escapes.
+fn unquoted(text: &str) -> Option<Cow<'_, str>> {
+    if text.starts_with('"') {
+        return serde_json::from_str(text).map(Cow::Owned).ok();
+    }
+    let enclosed = text
+        .strip_prefix('\'')
+        .and_then(|rest| rest.strip_suffix('\''));
+    Some(Cow::Borrowed(enclosed.unwrap_or(text)))
+}
+
 /// Returns the line number of each key. The INI library provides them for syntax errors only.
 fn line_numbers(text: &str) -> BTreeMap<KeyPath, usize> {
     let mut lines = BTreeMap::new();
