Start a task again that ends although the process needs it

Seen by operators: a process that serves on without heartbeats, feeds or timers, because their task ended by a panic or an error. Cause: tasks are started once and their handles dropped. Change: task::keep runs a future anew, after a pause that grows from 20 ms to 5 s, whenever it returns, fails or panics. Event 116 names the task, why it ended and when it starts again; flamingopost_tasks_restarted_total counts by task. Aborting the task ends it and drops what it holds. Nothing uses it yet.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -125,6 +125,8 @@
         110 Info Listening { address: std::net::SocketAddr },
         /// operator request to {path} rejected: token missing or wrong
         111 Warn Unauthorized { path: String },
+        /// task {task} ended: {end}; it starts again in {millis} ms
+        116 Error TaskEnded { task: &'static str, end: crate::task::End, millis: u128 },
         /// invariant {invariant} has been violated {count} times
         120 Critical Violated { invariant: String, count: u64 },
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -8,7 +8,7 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
 use crate::event::{Daemon, Event as _};
-use crate::task::PANICS;
+use crate::task::{PANICS, RESTARTS};
 
 /// Histogram buckets for durations, in seconds. They are fine-grained around today's latency
 /// targets (hundredths to tenths of a second) and still cover a failover and a configuration
@@ -60,6 +60,7 @@
     let _ = metrics::set_global_recorder(recorder);
     metrics::describe_counter!(VIOLATIONS, "Times an invariant was found violated");
     metrics::describe_counter!(PANICS, "Panics by task");
+    metrics::describe_counter!(RESTARTS, "Unexpected ends of long-running tasks, by task");
     metrics::describe_gauge!(STARTED, "When the process started, in seconds since 1970");
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     metrics::gauge!(STARTED).set(since.unwrap_or_default().as_secs_f64());
--- a/crates/daemon/tests/task.rs
+++ b/crates/daemon/tests/task.rs
@@ -1,19 +1,33 @@
 //! Panics of tasks.
 
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
 use flamingopost_daemon::{metrics, task};
+use tokio::sync::Notify;
+
+/// Limit of every wait in a test.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Runs `test` as the main task of a process.
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async {
+        tokio::time::timeout(TIMEOUT, test).await.expect("in time")
+    })
+}
 
 /// Guards against a panic that ends a task and leaves no trace on the metrics page.
 #[test]
 fn a_panic_is_counted_under_the_name_of_its_task() {
     metrics::start();
     task::record_panics();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .build()
-        .unwrap();
-    let local = tokio::task::LocalSet::new();
-    let ended = local.block_on(&runtime, async {
-        task::spawn("oven", async { panic!("too hot") }).await
-    });
+    let ended = run(async { task::spawn("oven", async { panic!("too hot") }).await });
     assert!(ended.is_err_and(|error| error.is_panic()));
     let page = metrics::render();
     assert!(
@@ -21,3 +35,97 @@
         "{page}"
     );
 }
+
+/// Guards against a process that goes on without a task that it needs.
+#[test]
+fn a_kept_task_that_panics_starts_again_and_is_counted() {
+    metrics::start();
+    let dough = Rc::new(RefCell::new(0));
+    let kneaded = Rc::new(Notify::new());
+    let (state, third) = (Rc::clone(&dough), Rc::clone(&kneaded));
+    run(async move {
+        task::keep("mixer", move || {
+            let (state, third) = (Rc::clone(&state), Rc::clone(&third));
+            async move {
+                {
+                    let mut state = state.borrow_mut();
+                    *state += 1;
+                    assert!(*state >= 3, "stuck");
+                }
+                third.notify_one();
+                std::future::pending::<()>().await
+            }
+        });
+        kneaded.notified().await;
+    });
+    assert_eq!(*dough.borrow(), 3);
+    let page = metrics::render();
+    let count = "flamingopost_tasks_restarted_total{task=\"mixer\"} 2";
+    assert!(page.contains(count), "{page}");
+}
+
+/// Guards against a loop that ends for a reason that its author held for final.
+#[test]
+fn a_kept_task_that_returns_or_panics_before_its_first_wait_starts_again() {
+    let starts = Rc::new(Cell::new(0));
+    let reached = Rc::new(Notify::new());
+    let (counted, third) = (Rc::clone(&starts), Rc::clone(&reached));
+    run(async move {
+        task::keep("till", move || {
+            counted.set(counted.get() + 1);
+            match counted.get() {
+                1 => panic!("no float"),
+                3 => third.notify_one(),
+                _ => {}
+            }
+            async { Err::<(), _>("closed") }
+        });
+        reached.notified().await;
+    });
+    assert_eq!(starts.get(), 3);
+}
+
+/// Guards against a process that spends its time on a task that ends at once each time.
+#[test]
+fn the_pause_before_a_restart_grows() {
+    let starts = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&starts);
+    run(async move {
+        task::keep("crank", move || {
+            counted.set(counted.get() + 1);
+            async {}
+        });
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    });
+    // At 0, 20, 60, 140, 300 and 620 ms.
+    assert!((2..=6).contains(&starts.get()), "{}", starts.get());
+}
+
+/// Guards against a task that survives its end by [`tokio::task::JoinHandle::abort`], and against what it
+/// holds staying behind.
+#[test]
+fn an_aborted_kept_task_is_dropped_and_not_started_again() {
+    struct Held(Rc<Cell<u32>>);
+    impl Drop for Held {
+        fn drop(&mut self) {
+            self.0.set(self.0.get() + 1);
+        }
+    }
+    let (starts, drops) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let (counted, dropped) = (Rc::clone(&starts), Rc::clone(&drops));
+    run(async move {
+        let kept = task::keep("tap", move || {
+            counted.set(counted.get() + 1);
+            let held = Held(Rc::clone(&dropped));
+            async move {
+                let _held = held;
+                std::future::pending::<()>().await
+            }
+        });
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        kept.abort();
+        assert!(kept.await.is_err_and(|error| error.is_cancelled()));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    });
+    assert_eq!((starts.get(), drops.get()), (1, 1));
+}
