Keep the tasks of a host running, whatever ends them

Seen: after a shortage of descriptors a host was never ready again, so that the balancer sent it nobody; a host whose task for heartbeats, messages, feeds, timers or a service had panicked went on without it. Cause: the probe's and the metrics' tasks returned at the first failed accept, the one for messages at the first failed receive; each of the others ended for good with its first panic. A session that panicked stayed in the count of open sessions, which refuses callers at its limit and delays a shutdown, and a feed connection in that of followers. Change: these tasks run under task::keep. An Acceptor, used by all listeners, repeats a failed accept after 50 ms and logs it (5310, one line a second). Open sessions and feed connections are counted by guards. A service's task that starts again drops a pending change if it was away for as long as a pause of the process that counts as one.

--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -1,7 +1,7 @@
 //! The task that runs the failover of one service.
 
 use flamingopost_daemon::task;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,18 +43,22 @@
             drop(services);
             self.apply_kept_term(&service.name);
             let election = Rc::clone(self);
-            task::spawn("service", async move {
-                election.run_service(service, succession).await
+            let last_step = Rc::new(Cell::new(self.site.now()));
+            task::keep("service", move || {
+                let (service, succession) = (Rc::clone(&service), Rc::clone(&succession));
+                Rc::clone(&election).run_service(service, succession, Rc::clone(&last_step))
             });
         }
     }
 
     /// Runs the failover of one service, forever: observes it, advances its state machine, and
-    /// performs the resulting actions.
+    /// performs the resulting actions. A step counts as late by the time since `last_step`, also where an
+    /// earlier task made that.
     async fn run_service(
         self: Rc<Self>,
         service: Rc<Service<C>>,
         succession: Rc<RefCell<Succession>>,
+        last_step: Rc<Cell<Duration>>,
     ) {
         let mut last_search = Duration::ZERO;
         let mut last_probe = Duration::ZERO;
@@ -62,16 +66,15 @@
         let mut last_notice = Duration::ZERO;
         let mut last_closing = Duration::ZERO;
         let mut last_fence = Duration::ZERO;
-        let mut last_step = self.site.now();
         let mut epoch = self.newest_known_epoch();
         self.update_known_orders(&service);
         loop {
             let has_waited = self.wait_until_followed(&service, &succession).await;
             let now = self.site.now();
-            if !has_waited && now >= last_step + PAUSE_THRESHOLD {
+            if !has_waited && now >= last_step.get() + PAUSE_THRESHOLD {
                 succession.borrow_mut().resume_after_pause(now);
             }
-            last_step = now;
+            last_step.set(now);
             let before = std::mem::replace(&mut epoch, self.newest_known_epoch());
             if before < epoch {
                 succession.borrow_mut().invalidate_claim(now);
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -122,6 +122,8 @@
         5300 Info Reloaded { outcome: String },
         /// {sessions} sessions cut off at shutdown
         5301 Info Ended { sessions: usize },
+        /// no connection accepted for {name}, {count} attempts since the last such line: {error}
+        5310 Warn NotAccepted { name: &'static str, count: u64, error: String },
     }
 }
 
--- a/crates/proxy/src/feeds/server.rs
+++ b/crates/proxy/src/feeds/server.rs
@@ -4,9 +4,9 @@
 //! add its server, its client and their buffers to each host, whose peak memory is priced.
 
 use flamingopost_daemon::task;
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::Full;
@@ -15,9 +15,11 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 
 use super::Feeds;
 use super::query::{Query, Table};
+use crate::acceptor::Acceptor;
 use crate::socket;
 
 /// Maximum time for which a request waits for a change, whatever it asks for.
@@ -26,29 +28,35 @@
 /// How long sent data may stay unacknowledged before a connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Pause after a failed accept, which happens while file descriptors are exhausted.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Name of the task.
+const NAME: &str = "feed_server";
 
 /// Size of the buffer of a connection, the smallest that `hyper` allows. Requests take 100 bytes.
 const BUFFER_BYTES: usize = 8 << 10;
 
-/// Answers requests for `feeds` on `listener`, forever, on at most `max_connections`. Each follower
+/// Answers requests for `feeds` on `listener` in a task, on at most `max_connections`. Each follower
 /// has one for each feed. Further ones ask another host.
-pub async fn serve(listener: TcpListener, feeds: Rc<Feeds>, max_connections: usize) {
-    let open = Rc::new(Cell::new(0));
+pub fn serve(listener: TcpListener, feeds: Rc<Feeds>, max_connections: usize) {
+    let acceptor = Rc::new(Acceptor::new(NAME, listener));
+    let places = Arc::new(Semaphore::new(max_connections.min(Semaphore::MAX_PERMITS)));
+    task::keep(NAME, move || {
+        answer_requests(Rc::clone(&acceptor), Rc::clone(&feeds), Arc::clone(&places))
+    });
+}
+
+/// Answers requests on a listener, forever, on as many connections as there are `places`.
+async fn answer_requests(acceptor: Rc<Acceptor>, feeds: Rc<Feeds>, places: Arc<Semaphore>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+        let stream = acceptor.accept().await;
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
             continue;
         };
-        if open.get() >= max_connections
-            || socket::set_options(&stream, UNACKNOWLEDGED_TIMEOUT).is_err()
-        {
+        if socket::set_options(&stream, UNACKNOWLEDGED_TIMEOUT).is_err() {
             continue;
         }
-        open.set(open.get() + 1);
-        let (feeds, open) = (Rc::clone(&feeds), Rc::clone(&open));
+        let feeds = Rc::clone(&feeds);
         task::spawn("feed_session", async move {
+            let _place = place;
             let service = service_fn(|request: Request<Incoming>| {
                 let feeds = Rc::clone(&feeds);
                 async move { Ok::<_, Infallible>(answer(&feeds, &request).await) }
@@ -57,7 +65,6 @@
             server.max_buf_size(BUFFER_BYTES);
             // A host that disconnects asks another one by itself.
             let _ = server.serve_connection(TokioIo::new(stream), service).await;
-            open.set(open.get() - 1);
         });
     }
 }
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -14,7 +14,9 @@
 use hyper::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
+use crate::acceptor::Acceptor;
 use crate::caller_connection::{self, CallerConnection};
 use crate::codec::Codec;
 use crate::election::Election;
@@ -223,21 +225,27 @@
             }
         }
     };
-    task::spawn("readiness_probe", probe::serve(probes, readiness));
-    task::spawn("messages", Rc::clone(&election).listen());
-    task::spawn("heartbeats", Rc::clone(&election).send_heartbeats());
-    task::spawn(
+    probe::serve("readiness_probe", probes, readiness);
+    keep("messages", &election, Election::listen);
+    keep("heartbeats", &election, Election::send_heartbeats);
+    keep(
         "operation_requests",
-        Rc::clone(&election).request_operations(),
-    );
-    task::spawn("configuration", Rc::clone(&watch).follow_configuration());
-    task::spawn("server_list", Rc::clone(&watch).follow_servers());
-    task::spawn("host_list", Rc::clone(&watch).follow_hosts(own));
-    task::spawn("timers", tick(Rc::clone(&fleet), Rc::clone(&watch)));
-    task::spawn(
-        "session_moves",
-        move_sessions_when_outvoted(Rc::clone(&election), Rc::clone(&stop)),
+        &election,
+        Election::request_operations,
     );
+    keep("configuration", &watch, Watch::follow_configuration);
+    keep("server_list", &watch, Watch::follow_servers);
+    keep("host_list", &watch, move |watch| {
+        watch.follow_hosts(own.clone())
+    });
+    let ticked = Rc::clone(&fleet);
+    keep("timers", &watch, move |watch| {
+        tick(Rc::clone(&ticked), watch)
+    });
+    let moved = Rc::clone(&stop);
+    keep("session_moves", &election, move |election| {
+        move_sessions_when_outvoted(election, Rc::clone(&moved))
+    });
 
     let context = Rc::new(Context {
         site: Rc::clone(&site),
@@ -246,15 +254,18 @@
     });
     let open = Rc::new(OpenSessions::new(settings.sessions));
     let (peers, counted) = (Rc::clone(&context), Rc::clone(&open));
-    task::spawn(
-        "relayed_accept",
-        accept(relays, peers, counted, RelayPolicy::Never),
-    );
+    let relays = Rc::new(Acceptor::new("relayed_accept", relays));
+    keep("relayed_accept", &relays, move |relays| {
+        let (peers, counted) = (Rc::clone(&peers), Rc::clone(&counted));
+        accept(relays, peers, counted, RelayPolicy::Never)
+    });
     let counted = Rc::clone(&open);
-    let accepting = task::spawn(
-        "accept",
-        accept(callers, context, counted, RelayPolicy::Allowed),
-    );
+    let callers = Rc::new(Acceptor::new("accept", callers));
+    let accepting = keep("accept", &callers, move |callers| {
+        let (context, counted) = (Rc::clone(&context), Rc::clone(&counted));
+        accept(callers, context, counted, RelayPolicy::Allowed)
+    });
+    drop(callers);
     ended.await;
     Daemon::Draining { daemon: NAME }.log();
     drain(&stop, &open, settings.grace).await;
@@ -266,6 +277,19 @@
     Ok(())
 }
 
+/// Runs what `start` returns for `subject` as a task that is started again if it ends.
+fn keep<T: 'static, F>(
+    name: &'static str,
+    subject: &Rc<T>,
+    start: impl Fn(Rc<T>) -> F + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output: Into<task::End>> + 'static,
+{
+    let subject = Rc::clone(subject);
+    task::keep(name, move || start(Rc::clone(&subject)))
+}
+
 /// Listens for connections on `address`.
 ///
 /// # Errors
@@ -345,26 +369,22 @@
 
 /// Accepts connections and runs a session on each, as far as `open` admits them.
 async fn accept<C: Codec>(
-    listener: TcpListener,
+    acceptor: Rc<Acceptor>,
     context: Rc<Context<C>>,
     open: Rc<OpenSessions>,
     relay_policy: RelayPolicy,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of file descriptors or memory for the moment. Callers wait in the accept queue.
-            tokio::time::sleep(TICK_INTERVAL).await;
-            continue;
-        };
-        if !open.admit(relay_policy) {
+        let stream = acceptor.accept().await;
+        let Some(open) = open.open(relay_policy) else {
             // Closed before anything was read, so the caller knows that nothing was run.
             drop(stream);
             continue;
-        }
-        let (context, open) = (Rc::clone(&context), Rc::clone(&open));
+        };
+        let context = Rc::clone(&context);
         task::spawn("session", async move {
+            let _open = open;
             session(context, stream, relay_policy).await;
-            open.end(relay_policy);
         });
     }
 }
@@ -397,10 +417,7 @@
     };
     match TcpListener::bind(address).await {
         Ok(listener) => {
-            task::spawn(
-                "feed_server",
-                server::serve(listener, Rc::clone(&fleet.feeds), followers),
-            );
+            server::serve(listener, Rc::clone(&fleet.feeds), followers);
         }
         Err(error) => site.log(&Event::FeedsUnserved {
             address: address.to_string(),
@@ -416,13 +433,10 @@
             // The settings may leave the choice of the port to the system.
             let address = listener.local_addr().unwrap_or(address);
             Daemon::Listening { address }.log();
-            task::spawn(
-                "metrics",
-                probe::serve(listener, |path| match path {
-                    "/metrics" => (StatusCode::OK, metrics::render()),
-                    _ => (StatusCode::NOT_FOUND, String::new()),
-                }),
-            );
+            probe::serve("metrics", listener, |path| match path {
+                "/metrics" => (StatusCode::OK, metrics::render()),
+                _ => (StatusCode::NOT_FOUND, String::new()),
+            });
         }
         Err(error) => {
             // Serving requests without metrics is better than not serving them.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 //! Each host runs on one thread. Hosts have a fraction of a processor core, so threads would only
 //! add context switches and locks.
 
+pub mod acceptor;
 pub mod attempt;
 pub mod caller_connection;
 pub mod caller_state;
--- a/crates/proxy/src/open_sessions.rs
+++ b/crates/proxy/src/open_sessions.rs
@@ -1,6 +1,7 @@
 //! The open sessions of a host, and whether it takes another one.
 
 use std::cell::Cell;
+use std::rc::Rc;
 
 use crate::session::RelayPolicy;
 
@@ -13,6 +14,19 @@
 /// sessions with 4,300 descriptors.
 const RELAYED_PERCENT: usize = 75;
 
+/// An open session, which is counted until it is dropped.
+#[derive(Debug)]
+pub struct OpenSession {
+    sessions: Rc<OpenSessions>,
+    policy: RelayPolicy,
+}
+
+impl Drop for OpenSession {
+    fn drop(&mut self) {
+        self.sessions.end(self.policy);
+    }
+}
+
 /// Counts the open sessions of a host.
 ///
 /// ```
@@ -64,6 +78,26 @@
         is_admitted
     }
 
+    /// Counts another session if it may be opened, as [`OpenSessions::admit`], until the result is dropped.
+    ///
+    /// ```
+    /// use std::rc::Rc;
+    /// use flamingopost_proxy::open_sessions::OpenSessions;
+    /// use flamingopost_proxy::session::RelayPolicy;
+    ///
+    /// let sessions = Rc::new(OpenSessions::new(1));
+    /// let session = sessions.open(RelayPolicy::Allowed);
+    /// assert!(session.is_some() && sessions.open(RelayPolicy::Allowed).is_none());
+    /// drop(session);
+    /// assert_eq!(sessions.count(), 0);
+    /// ```
+    pub fn open(self: &Rc<Self>, policy: RelayPolicy) -> Option<OpenSession> {
+        self.admit(policy).then(|| OpenSession {
+            sessions: Rc::clone(self),
+            policy,
+        })
+    }
+
     /// Counts the end of an admitted session.
     pub fn end(&self, policy: RelayPolicy) {
         let count = self.counter(policy);
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -5,7 +5,6 @@
 
 use flamingopost_daemon::task;
 use std::convert::Infallible;
-use std::io;
 use std::rc::Rc;
 
 use http_body_util::Full;
@@ -15,17 +14,28 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-/// Answers every request on `listener` by calling `answer` with its path.
-///
-/// # Errors
-/// Returns an error if the listener is unusable.
-pub async fn serve(
+use crate::acceptor::Acceptor;
+
+/// Answers every request on `listener` by calling `answer` with its path, in a task called `name`.
+pub fn serve(
+    name: &'static str,
     listener: TcpListener,
     answer: impl Fn(&str) -> (StatusCode, String) + 'static,
-) -> io::Result<()> {
+) {
+    let acceptor = Rc::new(Acceptor::new(name, listener));
     let answer = Rc::new(answer);
+    task::keep(name, move || {
+        answer_requests(Rc::clone(&acceptor), Rc::clone(&answer))
+    });
+}
+
+/// Answers every request on a listener, forever.
+async fn answer_requests(
+    acceptor: Rc<Acceptor>,
+    answer: Rc<impl Fn(&str) -> (StatusCode, String) + 'static>,
+) {
     loop {
-        let (stream, _) = listener.accept().await?;
+        let stream = acceptor.accept().await;
         let answer = Rc::clone(&answer);
         task::spawn("http_session", async move {
             let service = service_fn(move |request: Request<Incoming>| {
