--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -131,6 +131,8 @@
         111 Warn Unauthorized { path: String },
         /// setting ignored: {problem}
         114 Warn SettingIgnored { problem: String },
+        /// task {task} ended: {end}; it starts again in {millis} ms
+        116 Error TaskEnded { task: &'static str, end: crate::task::End, millis: u128 },
         /// invariant {invariant} has been violated {count} times
         120 Critical Violated { invariant: String, count: u64 },
     }
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -16,8 +16,9 @@
 use hyper::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 
+use crate::acceptor::Acceptor;
 use crate::caller_connection::{self, CallerConnection};
 use crate::codec::Codec;
 use crate::election::Election;
@@ -258,20 +259,26 @@
     };
     // Set only here.
     let _ = readiness.set(Box::new(is_ready));
-    task::spawn("messages", Rc::clone(&election).listen());
-    task::spawn("heartbeats", Rc::clone(&election).send_heartbeats());
-    task::spawn(
+    keep("messages", &election, Election::listen);
+    keep("heartbeats", &election, Election::send_heartbeats);
+    keep(
         "operation_requests",
-        Rc::clone(&election).request_operations(),
-    );
-    task::spawn("configuration", Rc::clone(&watch).follow_configuration());
-    task::spawn("server_list", Rc::clone(&watch).follow_servers());
-    task::spawn("host_list", Rc::clone(&watch).follow_hosts(own));
-    task::spawn("timers", tick(Rc::clone(&fleet), Rc::clone(&watch)));
-    task::spawn(
-        "session_moves",
-        move_sessions_when_outvoted(Rc::clone(&election), Rc::clone(&stop)),
+        &election,
+        Election::request_operations,
     );
+    keep("configuration", &watch, Watch::follow_configuration);
+    keep("server_list", &watch, Watch::follow_servers);
+    keep("host_list", &watch, move |watch| {
+        watch.follow_hosts(own.clone())
+    });
+    let ticked = Rc::clone(&fleet);
+    keep("timers", &watch, move |watch| {
+        tick(Rc::clone(&ticked), watch)
+    });
+    let moved = Rc::clone(&stop);
+    keep("session_moves", &election, move |election| {
+        move_sessions_when_outvoted(election, Rc::clone(&moved))
+    });
 
     ended.await;
     Daemon::Draining { daemon: NAME }.log();
@@ -284,6 +291,19 @@
     Ok(())
 }
 
+/// Runs what `start` returns for `subject` as a task that is started again if it ends.
+fn keep<T: 'static, F>(
+    name: &'static str,
+    subject: &Rc<T>,
+    start: impl Fn(Rc<T>) -> F + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output: Into<task::End>> + 'static,
+{
+    let subject = Rc::clone(subject);
+    task::keep(name, move || start(Rc::clone(&subject)))
+}
+
 /// Opens the addresses that a host needs, each as soon as it is available, and serves probes, callers
 /// and other hosts from then on. Sessions that begin before all are open find no configuration.
 async fn open_all<C: Codec>(
@@ -295,7 +315,12 @@
     let clock = &*context.site.clock;
     let accept_on = |listener, name, policy| {
         let (context, open) = (Rc::clone(context), Rc::clone(open));
-        task::spawn(name, accept(listener, context, open, policy)).abort_handle()
+        let acceptor = Rc::new(Acceptor::new(name, listener));
+        task::keep(name, move || {
+            let (acceptor, context) = (Rc::clone(&acceptor), Rc::clone(&context));
+            accept(acceptor, context, Rc::clone(&open), policy)
+        })
+        .abort_handle()
     };
     let probes = async {
         let endpoint = Endpoint {
@@ -308,7 +333,7 @@
             true => (StatusCode::OK, String::new()),
             false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         };
-        task::spawn("readiness_probe", probe::serve(listener, answer));
+        probe::serve("readiness_probe", listener, answer);
     };
     let callers = async {
         let endpoint = Endpoint {
@@ -398,26 +423,22 @@
 
 /// Accepts connections and runs a session on each, as far as `open` admits them.
 async fn accept<C: Codec>(
-    listener: TcpListener,
+    acceptor: Rc<Acceptor>,
     context: Rc<Context<C>>,
     open: Rc<OpenSessions>,
     relay_policy: RelayPolicy,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of file descriptors or memory for the moment. Callers wait in the accept queue.
-            tokio::time::sleep(TICK_INTERVAL).await;
-            continue;
-        };
-        if !open.admit(relay_policy) {
+        let stream = acceptor.accept().await;
+        let Some(open) = open.open(relay_policy) else {
             // Closed before anything was read, so the caller knows that nothing was run.
             drop(stream);
             continue;
-        }
-        let (context, open) = (Rc::clone(&context), Rc::clone(&open));
+        };
+        let context = Rc::clone(&context);
         task::spawn("session", async move {
+            let _open = open;
             session(context, stream, relay_policy).await;
-            open.end(relay_policy);
         });
     }
 }
@@ -453,12 +474,12 @@
         address,
     };
     let listener = endpoint.open(&*site.clock, TcpListener::bind).await;
-    server::serve(listener, Rc::clone(&fleet.feeds), followers).await;
+    server::serve(listener, Rc::clone(&fleet.feeds), followers);
 }
 
 /// Serves metrics on `address`, once that is available: serving requests without metrics is better
 /// than not serving them.
-async fn serve_metrics(site: Rc<Site>, address: SocketAddr) -> io::Result<()> {
+async fn serve_metrics(site: Rc<Site>, address: SocketAddr) {
     let endpoint = Endpoint {
         purpose: "metrics",
         address,
@@ -471,5 +492,5 @@
         "/metrics" => (StatusCode::OK, metrics::render()),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
-    probe::serve(listener, answer).await
+    probe::serve("metrics", listener, answer);
 }
