--- a/crates/standin/src/pooled/http.rs
+++ b/crates/standin/src/pooled/http.rs
@@ -109,8 +109,10 @@
     match asked.path.as_str() {
         "/rows-tx" => match serde_json::from_slice::<Change>(&asked.body) {
             Ok(change) => match store.apply(change) {
-                Outcome::Done(version) => (StatusCode::OK, rows(Vec::new(), version)),
-                Outcome::Failed(current) => (StatusCode::PRECONDITION_FAILED, rows(current, 0)),
+                Outcome::Done(version) => (StatusCode::OK, rows(Vec::new(), version, false)),
+                Outcome::Failed(current) => {
+                    (StatusCode::PRECONDITION_FAILED, rows(current, 0, false))
+                }
             },
             Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
         },
@@ -120,8 +122,10 @@
             if let Some(text) = store.answer(&table) {
                 return (StatusCode::OK, text);
             }
-            let (found, version) = store.rows(&table, &part, &field("from"));
-            (StatusCode::OK, rows(found, version))
+            let (mut found, version) = store.rows(&table, &part, &field("from"));
+            let has_more = found.len() > store.page_rows();
+            found.truncate(store.page_rows());
+            (StatusCode::OK, rows(found, version, has_more))
         }
         "/rows-feed" => {
             feed(
@@ -156,19 +160,19 @@
         };
         if !found.is_empty() {
             tokio::time::sleep(store.feed_delay(table)).await;
-            return (StatusCode::OK, rows(found, version));
+            return (StatusCode::OK, rows(found, version, false));
         }
         tokio::select! {
-            () = &mut deadline => return (StatusCode::OK, rows(Vec::new(), version)),
+            () = &mut deadline => return (StatusCode::OK, rows(Vec::new(), version, false)),
             _ = versions.changed() => {}
         }
     }
 }
 
-fn rows(rows: Vec<Row>, version: u64) -> String {
+fn rows(rows: Vec<Row>, version: u64, has_more: bool) -> String {
     let rows: Vec<String> = rows.iter().map(Row::to_text).collect();
     let rows = rows.join(",");
-    format!(r#"{{"rows":[{rows}],"has_more":false,"schema_version":{version}}}"#)
+    format!(r#"{{"rows":[{rows}],"has_more":{has_more},"schema_version":{version}}}"#)
 }
 
 async fn take(request: Request<Incoming>) -> Asked {
--- a/crates/standin/src/pooled/store.rs
+++ b/crates/standin/src/pooled/store.rs
@@ -92,6 +92,8 @@
     reads: BTreeMap<String, u64>,
     /// Answers in place of the rows of some tables.
     answers: BTreeMap<String, String>,
+    /// How many rows an answer to a read of a table holds at the most, if that is limited.
+    page_rows: Option<usize>,
     tables: BTreeSet<String>,
     /// How often it came back from a copy.
     era: u64,
@@ -224,6 +226,16 @@
         self.version.send_replace(version);
     }
 
+    /// From now on, an answer to a read of a table holds at most this many rows.
+    pub fn set_page_rows(&self, rows: usize) {
+        self.lock().page_rows = Some(rows);
+    }
+
+    /// How many rows an answer to a read of a table holds at the most.
+    pub(super) fn page_rows(&self) -> usize {
+        self.lock().page_rows.unwrap_or(usize::MAX)
+    }
+
     /// What reads of `table` and its changes are answered by in place of its rows.
     pub(super) fn answer(&self, table: &str) -> Option<String> {
         self.lock().answers.get(table).cloned()
