Answer a statement that crosses the end of its relayed session

Cause: a serving host that shuts down ends relayed sessions between statements. Change: the serving host says that it has ended the session and runs nothing further (ABORTED), closes its side, and reads until the relaying host has closed too, for at most 500 ms: a reset would lose the message. Result: a_statement_that_crosses_the_end_of_its_session_is_answered failed before ('left: None, right: Some(("ABORTED", "I"))') and passes.

--- a/crates/proxy/src/caller_connection.rs
+++ b/crates/proxy/src/caller_connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::marker::PhantomData;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use flamingopost_core::position::Position;
@@ -146,10 +147,28 @@
         self.stream.shutdown().await?;
         Ok(())
     }
+
+    /// Like [`CallerConnection::close`], and discards what the caller still sends until it closes the
+    /// connection as well, for at most `limit`. Closed with unread data, the connection would be reset, and
+    /// the caller could lose what was sent to it.
+    ///
+    /// # Errors
+    /// The connection is lost.
+    pub async fn close_gracefully(mut self, limit: Duration) -> Result<(), Error> {
+        self.flush().await?;
+        self.stream.shutdown().await?;
+        let closed = tokio::time::timeout(limit, async {
+            while self.stream.read_buf(&mut self.received).await? > 0 {
+                self.received.clear();
+            }
+            Ok(())
+        });
+        closed.await.unwrap_or(Ok(()))
+    }
 }
 
 /// Maximum time that a transaction may stay idle, regardless of the configuration.
-pub const MAX_TRANSACTION_IDLE: std::time::Duration = std::time::Duration::from_secs(60);
+pub const MAX_TRANSACTION_IDLE: Duration = Duration::from_secs(60);
 
 /// Time limit for a statement whose database no longer has a route.
-pub const DEFAULT_STATEMENT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(800);
+pub const DEFAULT_STATEMENT_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -25,8 +25,9 @@
 /// acknowledges data while its process answers nothing.
 const RELAY_MARGIN: Duration = Duration::from_millis(300);
 
-/// Reason given when the other host has ended the session before a statement was sent there.
-const SESSION_ENDED: &[u8] = b"not run: the host that serves this session has ended it";
+/// Reason given when the serving host has ended the session without running a statement that was read or
+/// is still on its way.
+pub const SESSION_ENDED: &[u8] = b"not run: the host that serves this session has ended it";
 
 /// Time limit for connecting to the other host before the next host is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -46,6 +46,9 @@
 /// Time limit for a caller to name its database.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time limit for a host that relays a session to close it once it was told that the session has ended.
+const RELAY_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// State shared by all sessions.
 pub struct Context<C: Codec> {
     /// The host.
@@ -86,6 +89,7 @@
     /// Value of the host's move counter when this session began. Outside of a transaction, the
     /// session ends once the counter is higher.
     moves: u64,
+    relay_policy: RelayPolicy,
 }
 
 enum TransactionState<C: Codec> {
@@ -199,6 +203,7 @@
             seen_positions: BTreeMap::new(),
             transaction: TransactionState::Idle,
             retry_budget: Budget::retries(),
+            relay_policy,
         };
         session.run().await
     }
@@ -222,9 +227,8 @@
                     self.refuse(Code::Malformed, Reason::InvalidRequest, reason);
                     Flow::Continue
                 }
-                SessionEvent::Request(Some(Request::Terminate) | None) | SessionEvent::Stop => {
-                    Flow::Close
-                }
+                SessionEvent::Request(Some(Request::Terminate) | None) => Flow::Close,
+                SessionEvent::Stop => return self.stop().await,
                 SessionEvent::Idle => {
                     self.abandon();
                     Flow::Continue
@@ -239,6 +243,18 @@
         self.caller.close().await
     }
 
+    /// Ends the session on this host's initiative. A host that relays the session may have sent its next
+    /// statement just now: it is told that nothing further is run, which answers that statement.
+    async fn stop(mut self) -> Result<(), caller_connection::Error> {
+        self.abandon();
+        if self.relay_policy == RelayPolicy::Allowed {
+            return self.caller.close().await;
+        }
+        self.caller.error(Code::Aborted, relay::SESSION_ENDED);
+        self.caller.ready(Transaction::Idle, None);
+        self.caller.close_gracefully(RELAY_CLOSE_TIMEOUT).await
+    }
+
     async fn next_event(&mut self) -> Result<SessionEvent, caller_connection::Error> {
         let stop = Rc::clone(&self.context.stop);
         let open = match self.transaction {
