Mark the end of the last setting with quotes

The file of a platform whose template engine drops the last line break would be rejected at each start, since the check for files that are cut off asks for that line break.

Cause: the line break was the only mark of the end of the last value.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -34,7 +34,7 @@
     Unreadable(String),
     /// is not valid INI: {0}
     Syntax(String),
-    /// does not end with a line break: it may be cut off, or lack one after its last line
+    /// may be cut off: end the last line with a line break
     CutOff,
     /// [{section}] lacks `{key}`: add for example `{key} = {example}`
     Missing {
@@ -175,14 +175,14 @@
         }
     }
 
-    /// Parses `text`, the contents of `file`. Text that does not end with a line break is reported
-    /// as a problem by [`Reader::finish`], because its last value may be cut off.
+    /// Parses `text`, the contents of `file`. [`Reader::finish`] reports text whose last value may be
+    /// cut off: no line break follows it, and it is not in double quotes.
     pub fn parse(file: &str, text: &str) -> Reader {
         let mut reader = Reader {
             lines: line_numbers(text),
             ..Reader::empty(file)
         };
-        if !text.ends_with('\n') {
+        if may_be_cut_off(text) {
             reader.report(text.lines().count(), ProblemKind::CutOff);
         }
         // Quoted texts are decoded here, since the library has no escapes that every text survives.
@@ -420,6 +420,16 @@
     names.collect::<Vec<_>>().join(", ")
 }
 
+/// Returns whether the last value of `text` may lack its end.
+fn may_be_cut_off(text: &str) -> bool {
+    let last = text.lines().last().unwrap_or_default();
+    let is_enclosed = last.split_once(['=', ':']).is_some_and(|(_, value)| {
+        let value = value.trim();
+        value.starts_with('"') && unquoted(value).is_some()
+    });
+    !text.ends_with('\n') && !is_enclosed
+}
+
 /// Returns `text` without its quotes, or `None` if a quote or an escape in them is invalid. Double
 /// quotes enclose text with escapes as in JSON, single quotes enclose text without escapes.
 fn unquoted(text: &str) -> Option<Cow<'_, str>> {
