Keep serving when the log file reaches the limit of its size

Cause: a log file that reaches the process's limit of the size of files makes the system send SIGXFSZ, which ended the process without a line. Change: the signal is handled like those of a start, so the write fails and its line is lost, as on a full disk. Result: the test that failed ("ExitStatus(unix_wait_status(25))") passes.

--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
 use signal_hook::flag;
 
 /// The signals that arrived since the process began. Without it they end a process that has not
@@ -24,7 +24,8 @@
 }
 
 impl Signals {
-    /// Records signals from now on. Handlers that are installed later receive them as well.
+    /// Records signals from now on. Handlers that are installed later receive them as well. A write
+    /// beyond the limit of the size of files fails from now on, instead of ending the process.
     ///
     /// # Errors
     /// Returns an error if a handler cannot be installed.
@@ -36,6 +37,7 @@
         flag::register(SIGHUP, Arc::clone(&signals.reload))?;
         flag::register(SIGTERM, Arc::clone(&signals.stop))?;
         flag::register(SIGINT, Arc::clone(&signals.stop))?;
+        flag::register(SIGXFSZ, Arc::default())?;
         Ok(signals)
     }
 
