Start without a log if no thread can be created

Cause: the log library panics if it cannot create the thread that writes lines. The log begins before main catches panics, so the process ended with exit code 101 and left nothing; the flush at the end panicked likewise. Change: the panic is caught where the log starts, standard error tells why there is no log, and the host serves. The flush at the end gives its lines up if it has no thread to wait in. Until a log is built nothing is logged: the library's default writes in the thread that serves.

--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
+use std::{panic, thread};
 
 use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
@@ -83,6 +84,23 @@
     Output,
 }
 
+/// Why the process does not log.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// {0}
+    Logger(spdlog::Error),
+    /// the thread that writes lines does not start
+    Thread,
+}
+
+impl std::error::Error for Error {}
+
+impl From<spdlog::Error> for Error {
+    fn from(error: spdlog::Error) -> Error {
+        Error::Logger(error)
+    }
+}
+
 /// Capacity of the queue for standard output, in lines. Lines beyond it are dropped.
 const QUEUE_LINES: usize = 1_024;
 
@@ -96,15 +114,17 @@
 ///
 /// # Errors
 /// Returns an error if the logger cannot be built.
-pub fn start(level: Level, format: Format) -> Result<(), spdlog::Error> {
+pub fn start(level: Level, format: Format) -> Result<(), Error> {
     start_on(Target::Error, level, format)
 }
 
 /// Like [`start`], with the given target.
 ///
 /// # Errors
-/// Returns an error if the logger cannot be built.
-pub fn start_on(target: Target, level: Level, format: Format) -> Result<(), spdlog::Error> {
+/// Returns an error if the logger cannot be built. The process then logs nothing.
+pub fn start_on(target: Target, level: Level, format: Format) -> Result<(), Error> {
+    // In the place of the library's own default, which writes in the thread that logs.
+    spdlog::set_default_logger(Arc::new(Logger::builder().build()?));
     let sink = match format {
         Format::Text => sink(target, FullFormatter::new())?,
         Format::Json => sink(target, JsonFormatter::new())?,
@@ -129,22 +149,28 @@
 pub fn finish() -> Result<(), spdlog::Error> {
     let silent = Arc::new(Logger::builder().build()?);
     let logger = spdlog::swap_default_logger(silent);
+    let (hand_over, received) = mpsc::channel();
     let (done, written) = mpsc::channel();
-    std::thread::spawn(move || {
+    let thread = thread::Builder::new().spawn(move || {
         // Dropping the last reference to the pool flushes its queue.
-        drop(logger);
+        drop(received.recv());
         // The receiver may have timed out.
         let _ = done.send(());
     });
-    // After a timeout, lines that were not written are lost.
-    let _ = written.recv_timeout(FLUSH_TIMEOUT);
+    match thread {
+        Ok(_) => {
+            // The thread waits for it.
+            let _ = hand_over.send(logger);
+            // After a timeout, lines that were not written are lost.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+        // Dropped here, it might block the process.
+        Err(_) => std::mem::forget(logger),
+    }
     Ok(())
 }
 
-fn sink(
-    target: Target,
-    formatter: impl Formatter + 'static,
-) -> Result<Arc<dyn Sink>, spdlog::Error> {
+fn sink(target: Target, formatter: impl Formatter + 'static) -> Result<Arc<dyn Sink>, Error> {
     let stream = match target {
         Target::Error => StdStream::Stderr,
         Target::Output => StdStream::Stdout,
@@ -154,9 +180,10 @@
     match target {
         Target::Error => Ok(direct),
         Target::Output => {
-            let pool = ThreadPool::builder()
-                .capacity(QUEUE_LINES.try_into().expect("the queue is not empty"))
-                .build()?;
+            let capacity = QUEUE_LINES.try_into().expect("the queue is not empty");
+            let pool = || ThreadPool::builder().capacity(capacity).build();
+            // The library panics if no thread can be created.
+            let pool = panic::catch_unwind(pool).map_err(|_| Error::Thread)??;
             let queued = AsyncPoolSink::builder()
                 .sink(direct)
                 .thread_pool(Arc::new(pool))
