Answer probes again after descriptors were used up

Cause: the task that answers the balancer's probes ended at the first connection that it failed to accept, which happens while callers have all file descriptors. The host served on, and no probe was answered for the rest of its life; the metrics page ended in the same way. Change: as for callers and feeds, a failed accept is tried again.

--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -458,7 +458,7 @@
 
 /// Serves metrics on `address`, once that is available: serving requests without metrics is better
 /// than not serving them.
-async fn serve_metrics(site: Rc<Site>, address: SocketAddr) -> io::Result<()> {
+async fn serve_metrics(site: Rc<Site>, address: SocketAddr) {
     let endpoint = Endpoint {
         purpose: "metrics",
         address,
@@ -471,5 +471,5 @@
         "/metrics" => (StatusCode::OK, metrics::render()),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
-    probe::serve(listener, answer).await
+    probe::serve(listener, answer).await;
 }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -5,8 +5,8 @@
 
 use flamingopost_daemon::task;
 use std::convert::Infallible;
-use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -15,17 +15,17 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-/// Answers every request on `listener` by calling `answer` with its path.
-///
-/// # Errors
-/// Returns an error if the listener is unusable.
-pub async fn serve(
-    listener: TcpListener,
-    answer: impl Fn(&str) -> (StatusCode, String) + 'static,
-) -> io::Result<()> {
+/// Pause after a failed accept, which happens while file descriptors are exhausted.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Answers every request on `listener`, forever, by calling `answer` with its path.
+pub async fn serve(listener: TcpListener, answer: impl Fn(&str) -> (StatusCode, String) + 'static) {
     let answer = Rc::new(answer);
     loop {
-        let (stream, _) = listener.accept().await?;
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+            continue;
+        };
         let answer = Rc::clone(&answer);
         task::spawn("http_session", async move {
             let service = service_fn(move |request: Request<Incoming>| {
