--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -129,6 +129,8 @@
         110 Info Listening { address: std::net::SocketAddr },
         /// operator request to {path} rejected: token missing or wrong
         111 Warn Unauthorized { path: String },
+        /// file descriptors are used up after {millis} ms, the start waits for them: {error}
+        112 Error NoDescriptors { millis: u128, error: String },
         /// invariant {invariant} has been violated {count} times
         120 Critical Violated { invariant: String, count: u64 },
     }
