--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -129,6 +129,8 @@
         110 Info Listening { address: std::net::SocketAddr },
         /// operator request to {path} rejected: token missing or wrong
         111 Warn Unauthorized { path: String },
+        /// file descriptors are used up after {millis} ms, the start waits for them: {error}
+        112 Error NoDescriptors { millis: u128, error: String },
         /// setting ignored: {problem}
         114 Warn SettingIgnored { problem: String },
         /// task {task} ended: {end}; it starts again in {millis} ms
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -3,10 +3,10 @@
 //! `hyper` serves them on the host's only thread. `actix-web` would start its own threads, which
 //! cost memory on each host and compete for a fraction of a core.
 
-use flamingopost_daemon::task;
 use std::convert::Infallible;
 use std::rc::Rc;
 
+use flamingopost_daemon::task;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
