Show what numbers of a server's answer panic or outlast their server

Cause: numbers of terms are added to without a check, and a negative one counts as the latest of all.

--- a/crates/standin/src/pooled/server.rs
+++ b/crates/standin/src/pooled/server.rs
@@ -20,6 +20,10 @@
     pub silent: bool,
     /// Its queue is full: it refuses everything that takes a slot.
     pub full: bool,
+    /// What it answers to a request for its status, in place of that.
+    pub status: Option<&'static [u8]>,
+    /// What it reports as its position, in place of that.
+    pub position: Option<&'static [u8]>,
 }
 
 /// What a server has left when it starts again.
--- a/crates/standin/src/pooled/session.rs
+++ b/crates/standin/src/pooled/session.rs
@@ -89,7 +89,7 @@
             return;
         }
         let ready = self.ready();
-        self.send(&ready).await;
+        self.send_bytes(&ready).await;
         while let Some(line) = self.line().await {
             let Some((id, text)) = line
                 .strip_prefix("QUERY ")
@@ -102,6 +102,15 @@
                 self.hang().await;
                 return;
             }
+            let is_status = text == "STATUS" || text.starts_with("STEPDOWN ");
+            let status = self.server.faults().status.filter(|_| is_status);
+            if let Some(row) = status {
+                self.send_bytes(&[b"DATAROW ", row, b"\r\nCOMPLETE -\r\n"].concat())
+                    .await;
+                let ready = self.ready();
+                self.send_bytes(&ready).await;
+                continue;
+            }
             let out = match answer {
                 Answer::Row(row, proof) => format!("DATAROW {row}\r\nCOMPLETE {proof}\r\n"),
                 Answer::Done(proof) => format!("COMPLETE {proof}\r\n"),
@@ -118,7 +127,7 @@
                 Answer::Ended => return,
             };
             let ready = self.ready();
-            self.send(&(out + &ready)).await;
+            self.send_bytes(&[out.as_bytes(), &ready].concat()).await;
         }
     }
 
@@ -309,7 +318,7 @@
         member.is_some_and(|member| member.leads)
     }
 
-    fn ready(&self) -> String {
+    fn ready(&self) -> Vec<u8> {
         let state = match self.state {
             State::Idle => "I",
             State::Reading | State::Writing => "T",
@@ -317,7 +326,8 @@
         };
         let member = self.server.group.member(&self.server.id);
         let position = member.map_or_else(|| "-".to_owned(), |member| member.position());
-        format!("READY {state} {position}\r\n")
+        let position = self.server.faults().position.unwrap_or(position.as_bytes());
+        [b"READY ", state.as_bytes(), b" ", position, b"\r\n"].concat()
     }
 
     /// Answers nothing any more, until the other end closes the connection.
@@ -334,8 +344,12 @@
     }
 
     async fn send(&mut self, text: &str) {
+        self.send_bytes(text.as_bytes()).await;
+    }
+
+    async fn send_bytes(&mut self, bytes: &[u8]) {
         // A peer that went away is noticed at the next read.
-        let _ = self.stream.get_mut().write_all(text.as_bytes()).await;
+        let _ = self.stream.get_mut().write_all(bytes).await;
     }
 }
 
