Count terms within their range

Seen: a server that reports term makes the tasks of an order, of status queries and of checks panic where sums are checked; elsewhere the sum wraps. A server that reports term -1 is taken to have the latest term of all: after the next change of the primary nobody believes the successor, and the service has no primary until all hosts have started anew. Cause: terms are numbers of 64 bits that are compared without a sign and were parsed, added to and subtracted from with one. A settled claim on change 0 also stood for the latest term (0 - 1).

--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -41,6 +41,40 @@
         }
     }
 
+    /// Returns the term whose number follows, or this one if it is the greatest.
+    ///
+    /// ```
+    /// use flamingopost_core::term::Term;
+    ///
+    /// assert_eq!(Term::from_number(3).successor(), Term::from_number(4));
+    /// let greatest = Term { epoch: u32::MAX, count: u32::MAX };
+    /// assert_eq!(greatest.successor(), greatest);
+    /// ```
+    pub fn successor(self) -> Term {
+        Term::from_bits(self.bits().saturating_add(1))
+    }
+
+    /// Returns the term whose number precedes this one, or the first term if there is none.
+    ///
+    /// ```
+    /// use flamingopost_core::term::Term;
+    ///
+    /// assert_eq!(Term::from_number(4).predecessor(), Term::from_number(3));
+    /// assert_eq!(Term::default().predecessor(), Term::default());
+    /// ```
+    pub fn predecessor(self) -> Term {
+        Term::from_bits(self.bits().saturating_sub(1))
+    }
+
+    /// Returns a number that is ordered as the terms are.
+    fn bits(self) -> u64 {
+        self.number().cast_unsigned()
+    }
+
+    fn from_bits(bits: u64) -> Term {
+        Term::from_number(bits.cast_signed())
+    }
+
     /// Returns the next term under authority `epoch`, greater than this one.
     ///
     /// # Panics
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -62,7 +62,7 @@
     fn newest_replaced(&self) -> Term {
         match self.claim.state {
             ClaimState::Claimed | ClaimState::Named(_) => self.term(),
-            ClaimState::Settled => Term::from_number(self.term().number() - 1),
+            ClaimState::Settled => self.term().predecessor(),
         }
     }
 
--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -151,7 +151,7 @@
         if now < announced_at + LEASE_DURATION + CLOCK_MARGIN {
             return;
         }
-        let next = Term::from_number(service.newest_term().number() + 1);
+        let next = service.newest_term().successor();
         self.site.log(&Event::StepDownForced {
             service: service.name.clone(),
             server: replaced.id.clone(),
--- a/crates/proxy/src/election/promote.rs
+++ b/crates/proxy/src/election/promote.rs
@@ -90,7 +90,7 @@
         let now = self.site.now();
         succession.borrow_mut().order_finished(order, now);
         if order == Order::Accepted {
-            let next = Term::from_number(term.number() + 1);
+            let next = term.successor();
             let is_used = service.handover_token() == Some(token.0);
             if !is_used && let Some(replaced) = &replaced {
                 self.step_down(&service, replaced, next);
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -112,7 +112,7 @@
     /// Returns the number of the last entry that the server had received when it was ordered to
     /// lead `term`, if the order was for that term.
     pub(super) fn start_of(&self, term: Term) -> Option<u64> {
-        let is_ordered = term.number() == self.previous_term.number() + 1;
+        let is_ordered = term > self.previous_term && term == self.previous_term.successor();
         is_ordered.then_some(self.received.log)
     }
 
--- a/crates/proxy/src/service/log_proof.rs
+++ b/crates/proxy/src/service/log_proof.rs
@@ -79,7 +79,7 @@
             return false;
         };
         let (id, was_empty) = (entry.target.id.clone(), entry.found_empty);
-        let before = Term::from_number(status.term.number() - 1);
+        let before = status.term.predecessor();
         state.record_term_start(&peer::TermStart::new(id, before, received));
         if !was_empty {
             state.leader.trust(server);
