--- a/crates/core/src/quorum/electorate.rs
+++ b/crates/core/src/quorum/electorate.rs
@@ -87,7 +87,7 @@
     pub fn replaced_by(&self, electors: BTreeSet<String>, process: u64) -> Electorate {
         Electorate {
             number: self.next_number(process),
-            formation: self.formation + 1,
+            formation: self.formation.saturating_add(1),
             former: electors.clone(),
             electors,
         }
@@ -104,7 +104,7 @@
     }
 
     fn next_number(&self, process: u64) -> Number {
-        let count = self.number.count + 1;
+        let count = self.number.count.saturating_add(1);
         Number { count, process }
     }
 }
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -305,6 +305,9 @@
         if !self.fleet.observe_epoch(epoch) {
             return None;
         }
+        for unusable in &read.value.unusable {
+            self.fleet.report_unusable_claim(unusable);
+        }
         let are_complete = read.value.are_complete(epoch);
         let recorded = read.value.electorate.as_ref();
         self.apply_recorded(recorded);
--- a/crates/proxy/src/fleet/unusable_entries.rs
+++ b/crates/proxy/src/fleet/unusable_entries.rs
@@ -12,6 +12,7 @@
 pub(super) const CONFIGURATION: &str = "configuration";
 pub(super) const SERVERS: &str = "servers";
 pub(super) const HOSTS: &str = "hosts";
+const CLAIMS: &str = "claims";
 
 impl<C: Codec> Fleet<C> {
     /// Reports a configuration that cannot be read. The one in force stays.
@@ -58,6 +59,11 @@
         }
     }
 
+    /// Reports a claim that cannot be read, or another record that is kept with the claims.
+    pub fn report_unusable_claim(&self, unusable: &UnusableEntry) {
+        self.report_unusable(CLAIMS, unusable);
+    }
+
     /// Records and counts the fault of an entry. Returns whether it was not recorded before.
     fn record_fault(&self, table: &'static str, unusable: &UnusableEntry) -> bool {
         let is_new = self.reported_faults.borrow_mut().record(table, unusable);
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -35,6 +35,9 @@
 /// first 8,000 epochs.
 const COUNT_BITS: u32 = 40;
 
+/// The latest epoch that a revision can name.
+pub const MAX_EPOCH: Epoch = Epoch(u64::MAX >> COUNT_BITS);
+
 /// A position in the platform's history of changes: the epoch of its store and the count of
 /// transactions in that epoch, combined in one number. A store that is restored from a backup
 /// reuses counts, and every revision of a later epoch is greater than all revisions of earlier
@@ -56,7 +59,7 @@
     /// Creates the revision of transaction `count` in `epoch`.
     pub fn new(epoch: Epoch, count: u64) -> Revision {
         let max_count = (1 << COUNT_BITS) - 1;
-        Revision(epoch.0 << COUNT_BITS | count.min(max_count))
+        Revision(epoch.min(MAX_EPOCH).0 << COUNT_BITS | count.min(max_count))
     }
 
     /// Returns the epoch of the store.
@@ -320,6 +323,8 @@
     pub verified_in: Epoch,
     /// The record of the electorate as of the same moment, if there is one.
     pub electorate: Option<RecordedElectorate>,
+    /// Rows that cannot be used.
+    pub unusable: Vec<UnusableEntry>,
 }
 
 /// The electorate as recorded in the store.
