Drop messages between hosts with numbers that leave no room above them

Saw: after one datagram with the name of a listed host and an electorate numbered u64::MAX its receiver had adopted an electorate that none follows, and after one with the epoch u64::MAX it took the store for restored, in an epoch that the store does not reach; it tells the others with its heartbeats.

Cause: numbers that hosts order things by, or count on, were taken as decoded.

Change: terms, epochs and counts of electorates are bounded where they are decoded; a message beyond that is dropped like one that cannot be decoded.

--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -17,6 +17,7 @@
 
 use crate::meter::{self, Direction};
 
+mod bounded;
 mod ended_term;
 mod heard;
 mod loan;
@@ -76,6 +77,7 @@
         /// Time since the sender was last in contact with a majority of hosts, in milliseconds.
         out_of_touch: u32,
         /// The newest epoch of the platform's store known to the sender.
+        #[serde(deserialize_with = "bounded::epoch")]
         epoch: u64,
         /// Services whose reads wait for the sender's primary, because no sample vouches for a
         /// replica.
@@ -133,6 +135,7 @@
         /// The server.
         server: Server,
         /// The term.
+        #[serde(deserialize_with = "bounded::term")]
         term: i64,
         /// Not used, and kept for hosts of an earlier build, which take a time in milliseconds for the
         /// least that a promotion takes.
@@ -201,6 +204,7 @@
         /// Time since the sender was last in contact with a majority of hosts, in milliseconds.
         out_of_touch: u32,
         /// The newest epoch of the platform's store known to the sender.
+        #[serde(deserialize_with = "bounded::epoch")]
         epoch: u64,
         /// Services whose reads wait for a sample of the primary's position.
         sample_requests: Vec<String>,
@@ -292,6 +296,7 @@
     /// in turn, without the store, gives successive orders under the same one.
     TermEnded {
         /// The term that has ended.
+        #[serde(deserialize_with = "bounded::term")]
         term: i64,
         /// Token of the order that follows.
         token: u64,
@@ -307,6 +312,7 @@
         /// Time since the sender was last in contact with a majority of hosts, in milliseconds.
         out_of_touch: u32,
         /// The newest epoch of the platform's store known to the sender.
+        #[serde(deserialize_with = "bounded::epoch")]
         epoch: u64,
         /// Services whose reads wait for a sample of the primary's position.
         sample_requests: Vec<String>,
@@ -340,6 +346,7 @@
     /// Like [`Payload::TermEnded`], by a host that has adopted the electorate numbered `number`.
     TermConfirmed {
         /// The term that has ended.
+        #[serde(deserialize_with = "bounded::term")]
         term: i64,
         /// Token of the order that follows.
         token: u64,
@@ -385,6 +392,7 @@
 /// A position in a service's log, as sent between hosts.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WirePosition {
+    #[serde(deserialize_with = "bounded::term")]
     term: i64,
     log: u64,
 }
@@ -426,6 +434,7 @@
     /// Revision of the newest change to the list of backend servers.
     pub backends: u64,
     /// The newest epoch of the platform's store.
+    #[serde(deserialize_with = "bounded::epoch")]
     pub epoch: u64,
     /// Time since the store was restored in that epoch, in milliseconds, if the host noticed the
     /// restore.
--- a/crates/proxy/src/peer/ended_term.rs
+++ b/crates/proxy/src/peer/ended_term.rs
@@ -6,7 +6,7 @@
 use flamingopost_core::term::Term;
 use serde::{Deserialize, Serialize};
 
-use super::{Server, WirePosition};
+use super::{Server, WirePosition, bounded};
 
 /// Maximum size of the changes in one message, in bytes. The rest of the datagram is for its other
 /// fields.
@@ -18,6 +18,7 @@
     /// The service.
     pub service: String,
     /// The newest term known when the order was given.
+    #[serde(deserialize_with = "bounded::term")]
     term: i64,
     /// Token of the order.
     pub token: u64,
--- a/crates/proxy/src/peer/log.rs
+++ b/crates/proxy/src/peer/log.rs
@@ -4,7 +4,7 @@
 use flamingopost_core::term::Term;
 use serde::{Deserialize, Serialize};
 
-use super::{Server, WirePosition};
+use super::{Server, WirePosition, bounded};
 
 /// How far the log of a service has been seen to reach on any of its servers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +26,7 @@
 pub struct LedTerm {
     /// The server.
     pub server: Server,
+    #[serde(deserialize_with = "bounded::term")]
     term: i64,
 }
 
@@ -48,6 +49,7 @@
     /// Id of the server.
     pub server: String,
     /// The newest term known at that time.
+    #[serde(deserialize_with = "bounded::term")]
     before: i64,
     /// How far the server had received the log, as reported by itself.
     #[serde(rename = "had")]
--- a/crates/proxy/src/peer/standing.rs
+++ b/crates/proxy/src/peer/standing.rs
@@ -3,9 +3,12 @@
 use flamingopost_core::quorum::{Electorate, Number, Standing};
 use serde::{Deserialize, Serialize};
 
+use super::bounded;
+
 /// Number of an electorate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireNumber {
+    #[serde(deserialize_with = "bounded::count")]
     count: u64,
     process: u64,
 }
@@ -63,6 +66,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireElectorate {
     number: WireNumber,
+    #[serde(deserialize_with = "bounded::count")]
     formation: u64,
     electors: Vec<String>,
     former: Vec<String>,
