Count no answer to a request that is yet to be sent

Saw: after one acknowledgement with the largest time a host kept its lease after all other electors were gone, where it lasts 900 ms; a host that is cut off like that would go on to acknowledge writes.

Cause: the time of a request, which an answer names, was compared with the start of the process and not with the present.

Change: answers to heartbeats and to questions for the successor of a leaving primary count only if their request can have been sent by this process, which is between its start and now. The answers of grantors and lenders are compared with the request itself already.

--- a/crates/proxy/src/election/receive.rs
+++ b/crates/proxy/src/election/receive.rs
@@ -106,8 +106,7 @@
                     self.fleet.record_peer_progress(progress);
                     let is_of_same = self.record_standing(host, process, &standing, from);
                     let sent = Duration::from_micros(sent);
-                    // What was sent before is an answer to a former process on this host.
-                    if is_of_same && sent >= self.started_at {
+                    if is_of_same && self.was_sent(sent) {
                         self.peer_knows_orders(Duration::from_millis(u64::from(in_touch)));
                         self.record_renewal_age(sent, standing.renewal_age);
                         let number = Standing::from(standing).number;
@@ -176,8 +175,7 @@
                     self.apply_ended_terms(&message.host, &ended_terms);
                     self.peer_knows_orders(Duration::from_millis(u64::from(in_touch)));
                     let sent = Duration::from_micros(sent);
-                    // What was sent before is an answer to a former process on this host.
-                    if sent >= self.started_at && !self.names_electorate(host) {
+                    if self.was_sent(sent) && !self.names_electorate(host) {
                         self.fleet
                             .with_quorum(|quorum, _| quorum.record_reply(host, sent, None));
                     }
@@ -301,7 +299,9 @@
             } => match received {
                 Some(received) => {
                     let asked = Duration::from_micros(sent);
-                    service.record_follower(token, asked, received.into());
+                    if self.was_sent(asked) {
+                        service.record_follower(token, asked, received.into());
+                    }
                 }
                 None => service.end_handover(token, successor::TOLD),
             },
@@ -336,6 +336,13 @@
         }
     }
 
+    /// Reports whether this process can have sent a request at `sent`, which an answer names. What was sent
+    /// before it started was sent by a former process on this host, and an answer to what is yet to be sent
+    /// would be valid beyond its time.
+    fn was_sent(&self, sent: Duration) -> bool {
+        (self.started_at..=self.site.now()).contains(&sent)
+    }
+
     fn record_heartbeat(&self, host: HostKey, epoch: u64) {
         self.fleet.record_peer_epoch(host, Epoch(epoch));
         self.fleet.record_heartbeat(host);
