Leave nothing behind when a task panics that others wait for

Seen by reading: a panic in a task with an end of its own is kept from the rest of the host only if nothing waits for that end. A host whose claim or order panicked never took part in a change of that primary again (it waits for the answer); a panic in the search for an unheard order held statements without an end; after one in a confirmation or a read of claims no further one began; a connection that was being opened counted for ever; a host whose announcement panicked was not listed. Change: task::complete repeats such a task until it returns (searches, watches of a successor, announcements, the check of a claim's holder). task::spawn_or_else runs what the end would have done: a round that confirmed nothing, a connect that failed, a check without an answer, a change that begins anew. An order counts as given, since it may have been; asking hosts are told nothing that is not known. No panic is known in these tasks, so none was provoked in the program itself.

--- a/crates/daemon/src/task.rs
+++ b/crates/daemon/src/task.rs
@@ -98,23 +98,128 @@
     spawn(name, run_again(name, start))
 }
 
+/// Runs the future that `start` returns as a task of the current [`tokio::task::LocalSet`], and another one
+/// after a pause if it panics, which is logged and counted as in [`keep`]. The task ends with the first value
+/// that such a future returns.
+///
+/// # Panics
+/// Panics outside of a `LocalSet`.
+///
+/// ```
+/// use flamingopost_daemon::task;
+///
+/// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// let local = tokio::task::LocalSet::new();
+/// let mut attempts = 0;
+/// let complete = move || {
+///     attempts += 1;
+///     let attempt = attempts;
+///     async move {
+///         assert!(attempt > 1, "the first attempt panics");
+///         attempt
+///     }
+/// };
+/// let done = local.block_on(&runtime, async move { task::complete("sum", complete).await });
+/// assert_eq!(done.unwrap(), 2);
+/// ```
+pub fn complete<F>(
+    name: &'static str,
+    mut start: impl FnMut() -> F + 'static,
+) -> JoinHandle<F::Output>
+where
+    F: Future + 'static,
+    F::Output: 'static,
+{
+    spawn(name, async move {
+        let mut restarts = Restarts::default();
+        loop {
+            match catch(async { start().await }).await {
+                Ok(value) => return value,
+                Err(end) => restarts.pause(name, end).await,
+            }
+        }
+    })
+}
+
+/// Runs `future` as [`spawn`] does, and `recover` if it panics, once all that it held is dropped: what only
+/// the end of the task would undo.
+///
+/// # Panics
+/// Panics outside of a `LocalSet`.
+///
+/// ```
+/// use std::cell::Cell;
+/// use std::rc::Rc;
+/// use flamingopost_daemon::task;
+///
+/// let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+/// let local = tokio::task::LocalSet::new();
+/// let is_busy = Rc::new(Cell::new(true));
+/// let end = {
+///     let is_busy = Rc::clone(&is_busy);
+///     move || is_busy.set(false)
+/// };
+/// let stumble = async { panic!("it stumbles") };
+/// local.block_on(&runtime, async { task::spawn_or_else("walk", stumble, end).await }).unwrap();
+/// assert!(!is_busy.get());
+/// ```
+pub fn spawn_or_else<F>(
+    name: &'static str,
+    future: F,
+    recover: impl FnOnce() + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + 'static,
+{
+    spawn(name, async move {
+        if catch(future).await.is_err() {
+            recover();
+        }
+    })
+}
+
 /// Runs the futures that `start` returns, one after the other, forever.
 async fn run_again<F>(task: &'static str, mut start: impl FnMut() -> F)
 where
     F: Future<Output: Into<End>>,
 {
-    let mut pause = MIN_RESTART_PAUSE;
+    let mut restarts = Restarts::default();
     loop {
-        let started = Instant::now();
-        let end = run_once(&mut start).await;
-        if started.elapsed() >= STABLE_AFTER {
-            pause = MIN_RESTART_PAUSE;
+        let end = catch(async { start().await })
+            .await
+            .map_or_else(|end| end, Into::into);
+        restarts.pause(task, end).await;
+    }
+}
+
+/// The starts of one task.
+#[derive(Debug)]
+struct Restarts {
+    started: Instant,
+    pause: Duration,
+}
+
+impl Default for Restarts {
+    fn default() -> Restarts {
+        Restarts {
+            started: Instant::now(),
+            pause: MIN_RESTART_PAUSE,
+        }
+    }
+}
+
+impl Restarts {
+    /// Logs and counts the `end` of `task`, and waits until it is to start again.
+    async fn pause(&mut self, task: &'static str, end: End) {
+        if self.started.elapsed() >= STABLE_AFTER {
+            self.pause = MIN_RESTART_PAUSE;
         }
         metrics::counter!(RESTARTS, "task" => task).increment(1);
-        let millis = pause.as_millis();
+        let millis = self.pause.as_millis();
         Daemon::TaskEnded { task, end, millis }.log();
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(MAX_RESTART_PAUSE);
+        tokio::time::sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(MAX_RESTART_PAUSE);
+        self.started = Instant::now();
     }
 }
 
@@ -144,19 +249,18 @@
     }
 }
 
-/// Runs the future that `start` returns until it returns or panics. It is dropped then, with all that it
-/// holds.
-async fn run_once<F>(start: &mut impl FnMut() -> F) -> End
-where
-    F: Future<Output: Into<End>>,
-{
-    let mut running = Box::pin(async { start().await });
+/// Runs `future` until it returns or panics. It is dropped then, with all that it holds.
+///
+/// # Errors
+/// Returns [`End::Panicked`] if it panics.
+async fn catch<F: Future>(future: F) -> Result<F::Output, End> {
+    let mut running = Box::pin(future);
     poll_fn(|context| {
         let polled = catch_unwind(AssertUnwindSafe(|| running.as_mut().poll(context)));
         match polled {
             Ok(Poll::Pending) => Poll::Pending,
-            Ok(Poll::Ready(end)) => Poll::Ready(end.into()),
-            Err(payload) => Poll::Ready(End::Panicked(cause(&*payload).to_owned())),
+            Ok(Poll::Ready(value)) => Poll::Ready(Ok(value)),
+            Err(payload) => Poll::Ready(Err(End::Panicked(cause(&*payload).to_owned()))),
         }
     })
     .await
--- a/crates/daemon/tests/task.rs
+++ b/crates/daemon/tests/task.rs
@@ -129,3 +129,53 @@
     });
     assert_eq!((starts.get(), drops.get()), (1, 1));
 }
+
+/// Guards against work that is never finished, while others wait for its end.
+#[test]
+fn a_task_that_has_to_complete_is_repeated_until_it_returns() {
+    metrics::start();
+    let attempts = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&attempts);
+    let result = run(async move {
+        let bake = move || {
+            counted.set(counted.get() + 1);
+            let attempt = counted.get();
+            async move {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                assert!(attempt >= 3, "burnt");
+                attempt
+            }
+        };
+        task::complete("baker", bake).await
+    });
+    assert_eq!((result.unwrap(), attempts.get()), (3, 3));
+    let page = metrics::render();
+    let count = "flamingopost_tasks_restarted_total{task=\"baker\"} 2";
+    assert!(page.contains(count), "{page}");
+}
+
+/// Guards against a flag that only the end of a task clears, and against a recovery that finds borrowed
+/// what the task had borrowed.
+#[test]
+fn a_task_that_panics_recovers_after_all_that_it_held_is_dropped() {
+    let shelf = Rc::new(RefCell::new(vec!["in use"]));
+    let (held, cleared) = (Rc::clone(&shelf), Rc::clone(&shelf));
+    let ended = run(async move {
+        let stack = async move {
+            let shelf = held.borrow_mut();
+            assert!(shelf.is_empty(), "no room");
+        };
+        task::spawn_or_else("stacker", stack, move || cleared.borrow_mut().clear()).await
+    });
+    assert!(ended.is_ok() && shelf.borrow().is_empty());
+    let unused = Rc::clone(&shelf);
+    let ended = run(async move {
+        let tidy = std::future::ready(());
+        task::spawn_or_else("tidier", tidy, move || unused.borrow_mut().push("lost")).await
+    });
+    assert!(ended.is_ok());
+    assert!(
+        shelf.borrow().is_empty(),
+        "a task that returns recovers nothing"
+    );
+}
--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -11,7 +11,7 @@
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::Closing;
-use flamingopost_core::succession::{FencingToken, Ground, NextStep, Succession, View};
+use flamingopost_core::succession::{FencingToken, Ground, NextStep, Order, Succession, View};
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
@@ -216,10 +216,13 @@
             NextStep::AskServers => self.ask_servers(service, succession),
             NextStep::Claim | NextStep::RenewClaim { .. } => {
                 let (election, service) = (Rc::clone(self), Rc::clone(service));
-                let succession = Rc::clone(succession);
+                let (succession, panicked) = (Rc::clone(succession), Rc::clone(succession));
+                let site = Rc::clone(&self.site);
                 let attempt = view.term.number().unsigned_abs();
-                task::spawn("claim", async move {
-                    election.claim(service, succession, attempt).await;
+                let claim = election.claim(service, succession, attempt);
+                task::spawn_or_else("claim", claim, move || {
+                    // Another host may hold the claim, so the change begins anew.
+                    panicked.borrow_mut().resume_after_pause(site.now());
                 });
             }
             NextStep::EndTerm { server, token } => {
@@ -227,9 +230,13 @@
             }
             NextStep::Promote { server, token } => {
                 let (election, service) = (Rc::clone(self), Rc::clone(service));
-                let succession = Rc::clone(succession);
-                task::spawn("promotion", async move {
-                    election.promote(service, succession, server, token).await;
+                let (succession, panicked) = (Rc::clone(succession), Rc::clone(succession));
+                let site = Rc::clone(&self.site);
+                let promote = election.promote(service, succession, server, token);
+                task::spawn_or_else("promotion", promote, move || {
+                    // The order may have been given.
+                    let now = site.now();
+                    panicked.borrow_mut().order_finished(Order::Unknown, now);
                 });
             }
         }
--- a/crates/proxy/src/election/claim_holder.rs
+++ b/crates/proxy/src/election/claim_holder.rs
@@ -38,16 +38,21 @@
             self.send_heartbeat(peer, sent);
         }
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        task::spawn("claim_holder_query", async move {
-            sleep(HOLDER_REPLY_TIMEOUT).await;
-            let has_answered = match holder {
-                Some((key, _)) => election
-                    .fleet
-                    .with_quorum(|quorum, _| quorum.has_answered(key, sent)),
-                None => Some(false),
-            };
-            if has_answered == Some(false) && election.trouble(&service) == Some(Trouble::Leaving) {
-                service.hold_for_unknown_order();
+        let holder = holder.map(|(key, _)| key);
+        task::complete("claim_holder_query", move || {
+            let (election, service) = (Rc::clone(&election), Rc::clone(&service));
+            async move {
+                sleep(HOLDER_REPLY_TIMEOUT).await;
+                let has_answered = match holder {
+                    Some(key) => election
+                        .fleet
+                        .with_quorum(|quorum, _| quorum.has_answered(key, sent)),
+                    None => Some(false),
+                };
+                let is_leaving = || election.trouble(&service) == Some(Trouble::Leaving);
+                if has_answered == Some(false) && is_leaving() {
+                    service.hold_for_unknown_order();
+                }
             }
         });
     }
--- a/crates/proxy/src/election/electorate.rs
+++ b/crates/proxy/src/election/electorate.rs
@@ -291,8 +291,8 @@
         if self.is_reading_claims.replace(true) {
             return;
         }
-        let election = Rc::clone(self);
-        task::spawn("electorate_read", async move {
+        let (election, panicked) = (Rc::clone(self), Rc::clone(self));
+        let read = async move {
             // The store may be slow, and nothing is served before the electorate is known.
             let read = election.platform.claims().await;
             election.is_reading_claims.set(false);
@@ -300,6 +300,10 @@
                 Some(_) => election.fleet.contact_due.notify_one(),
                 None => election.pause_recording(),
             }
+        };
+        task::spawn_or_else("electorate_read", read, move || {
+            panicked.is_reading_claims.set(false);
+            panicked.pause_recording();
         });
     }
 
@@ -313,7 +317,8 @@
         self.agreement.borrow_mut().is_writing = true;
         let replaced = self.fleet.electorate().map(|it| it.formation);
         let (election, why) = (Rc::clone(self), why.to_owned());
-        task::spawn("electorate_write", async move {
+        let panicked = Rc::clone(self);
+        let write = async move {
             let sent = election.site.now();
             let platform = &election.platform;
             let recorded = platform.record_electorate(&electorate, expected).await;
@@ -337,6 +342,10 @@
                 Err(_) => return election.pause_recording(),
             }
             election.fleet.contact_due.notify_one();
+        };
+        task::spawn_or_else("electorate_write", write, move || {
+            panicked.agreement.borrow_mut().is_writing = false;
+            panicked.pause_recording();
         });
     }
 
--- a/crates/proxy/src/election/empty_log.rs
+++ b/crates/proxy/src/election/empty_log.rs
@@ -62,11 +62,15 @@
     /// orders. Requests for a primary that is not known to have its log wait for the next attempt.
     pub(super) fn check_primary(self: &Rc<Self>, service: &Rc<Service<C>>, target: Target) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        task::spawn("empty_log_query", async move {
+        let (server, panicked) = (target.server, Rc::clone(&service));
+        let check = async move {
             if let Probe::Status(status) = election.query_status(&service, &target).await {
                 election.gather_evidence(&service, &target, &status).await;
             }
             service.finish_check(target.server);
+        };
+        task::spawn_or_else("empty_log_query", check, move || {
+            panicked.finish_check(server);
         });
     }
 
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -322,8 +322,8 @@
         if is_recent || self.is_reading_claims.replace(true) {
             return;
         }
-        let election = Rc::clone(self);
-        task::spawn("claim_read", async move {
+        let (election, panicked) = (Rc::clone(self), Rc::clone(self));
+        let read = async move {
             let sent = election.site.now();
             let claims = election.read_claims().await;
             election.is_reading_claims.set(false);
@@ -351,6 +351,9 @@
             if is_every_lease_extended {
                 election.claims_read_at.set(Some(sent));
             }
+        };
+        task::spawn_or_else("claim_read", read, move || {
+            panicked.is_reading_claims.set(false);
         });
     }
 
--- a/crates/proxy/src/election/reachability.rs
+++ b/crates/proxy/src/election/reachability.rs
@@ -44,13 +44,17 @@
         let Some(probe) = probe else {
             return;
         };
-        let election = Rc::clone(self);
-        task::spawn("reachability_query", async move {
+        let (election, panicked) = (Rc::clone(self), Rc::clone(self));
+        let query = async move {
             let reaches = election.reaches(&service, key).await;
             let askers = election.probes.borrow_mut().finish(probe);
             for asker in askers {
                 election.tell_reachability(&service, asker, reaches);
             }
+        };
+        task::spawn_or_else("reachability_query", query, move || {
+            // Nothing is known, so nobody is told anything.
+            panicked.probes.borrow_mut().finish(probe);
         });
     }
 
--- a/crates/proxy/src/election/successor.rs
+++ b/crates/proxy/src/election/successor.rs
@@ -71,37 +71,41 @@
             return service.end_handover(token, UNKNOWN);
         };
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        task::spawn("successor_watch", async move {
-            let mut connection = None;
-            let mut known_at = election.site.now();
-            while service.handover_token() == Some(token) {
-                if !election.is_state_demanded(&service).await {
-                    known_at = election.site.now();
-                    continue;
-                }
-                let asked = election.site.now();
-                let queries = election.take_queries(&service, token);
-                match election.ask_state(&service, &target, &mut connection).await {
-                    Ok(State::Follows(received)) => {
-                        known_at = asked;
-                        service.record_follower(token, asked, received);
-                        election.answer_queries(&service, &queries, Some(received));
-                    }
-                    Ok(State::Leads(term)) => {
-                        service.end_handover(token, LEADS);
-                        election.answer_queries(&service, &queries, None);
-                        return election.announce_lead(&service, target.server, term);
+        task::complete("successor_watch", move || {
+            let (election, service) = (Rc::clone(&election), Rc::clone(&service));
+            let target = target.clone();
+            async move {
+                let mut connection = None;
+                let mut known_at = election.site.now();
+                while service.handover_token() == Some(token) {
+                    if !election.is_state_demanded(&service).await {
+                        known_at = election.site.now();
+                        continue;
                     }
-                    Err(_) if asked >= known_at + UNKNOWN_TIMEOUT => {
-                        service.end_handover(token, UNKNOWN);
-                        return election.answer_queries(&service, &queries, None);
+                    let asked = election.site.now();
+                    let queries = election.take_queries(&service, token);
+                    match election.ask_state(&service, &target, &mut connection).await {
+                        Ok(State::Follows(received)) => {
+                            known_at = asked;
+                            service.record_follower(token, asked, received);
+                            election.answer_queries(&service, &queries, Some(received));
+                        }
+                        Ok(State::Leads(term)) => {
+                            service.end_handover(token, LEADS);
+                            election.answer_queries(&service, &queries, None);
+                            return election.announce_lead(&service, target.server, term);
+                        }
+                        Err(_) if asked >= known_at + UNKNOWN_TIMEOUT => {
+                            service.end_handover(token, UNKNOWN);
+                            return election.answer_queries(&service, &queries, None);
+                        }
+                        Err(_) => {}
                     }
-                    Err(_) => {}
+                    sleep(REQUEST_INTERVAL).await;
                 }
-                sleep(REQUEST_INTERVAL).await;
+                let queries = election.take_queries(&service, token);
+                election.answer_queries(&service, &queries, None);
             }
-            let queries = election.take_queries(&service, token);
-            election.answer_queries(&service, &queries, None);
         });
     }
 
@@ -169,31 +173,36 @@
     /// order was carried out or can no longer be.
     pub(super) fn watch_open_order(self: &Rc<Self>, service: &Rc<Service<C>>) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        task::spawn("successor_watch", async move {
-            let mut connection = None;
-            let mut known_at = election.site.now();
-            while service.is_bound() {
-                let asked = election.site.now();
-                let successor = service.open_successor();
-                let target = successor.and_then(|key| target(&service, key));
-                let state = match &target {
-                    Some(target) => election
-                        .ask_state(&service, target, &mut connection)
-                        .await
-                        .ok(),
-                    None => None,
-                };
-                match state {
-                    Some(State::Follows(received)) => {
-                        known_at = asked;
-                        service.record_open_follower(asked, received);
+        task::complete("successor_watch", move || {
+            let (election, service) = (Rc::clone(&election), Rc::clone(&service));
+            async move {
+                let mut connection = None;
+                let mut known_at = election.site.now();
+                while service.is_bound() {
+                    let asked = election.site.now();
+                    let successor = service.open_successor();
+                    let target = successor.and_then(|key| target(&service, key));
+                    let state = match &target {
+                        Some(target) => election
+                            .ask_state(&service, target, &mut connection)
+                            .await
+                            .ok(),
+                        None => None,
+                    };
+                    match state {
+                        Some(State::Follows(received)) => {
+                            known_at = asked;
+                            service.record_open_follower(asked, received);
+                        }
+                        Some(State::Leads(_)) => return service.record_order_carried_out(),
+                        None if asked >= known_at + UNKNOWN_TIMEOUT => {
+                            service.record_open_silence()
+                        }
+                        None => {}
                     }
-                    Some(State::Leads(_)) => return service.record_order_carried_out(),
-                    None if asked >= known_at + UNKNOWN_TIMEOUT => service.record_open_silence(),
-                    None => {}
+                    sleep(OPEN_ORDER_INTERVAL).await;
+                    election.is_state_demanded(&service).await;
                 }
-                sleep(OPEN_ORDER_INTERVAL).await;
-                election.is_state_demanded(&service).await;
             }
         });
     }
@@ -262,25 +271,28 @@
         announcer: SocketAddr,
     ) {
         let (election, service) = (Rc::clone(self), Rc::clone(service));
-        task::spawn("successor_watch", async move {
-            let mut known_at = election.site.now();
-            while service.handover_token() == Some(token) {
-                if !election.is_state_demanded(&service).await {
-                    known_at = election.site.now();
-                    continue;
-                }
-                let answered = service.handover_answered.notified();
-                let now = election.site.now();
-                let sent = micros(now);
-                election.send(&service, Payload::SuccessorQuery { token, sent }, announcer);
-                match timeout(REPEAT_INTERVAL, answered).await {
-                    Ok(()) => known_at = election.site.now(),
-                    Err(_) if now >= known_at + UNKNOWN_TIMEOUT => {
-                        service.end_handover(token, UNKNOWN);
+        task::complete("successor_watch", move || {
+            let (election, service) = (Rc::clone(&election), Rc::clone(&service));
+            async move {
+                let mut known_at = election.site.now();
+                while service.handover_token() == Some(token) {
+                    if !election.is_state_demanded(&service).await {
+                        known_at = election.site.now();
+                        continue;
+                    }
+                    let answered = service.handover_answered.notified();
+                    let now = election.site.now();
+                    let sent = micros(now);
+                    election.send(&service, Payload::SuccessorQuery { token, sent }, announcer);
+                    match timeout(REPEAT_INTERVAL, answered).await {
+                        Ok(()) => known_at = election.site.now(),
+                        Err(_) if now >= known_at + UNKNOWN_TIMEOUT => {
+                            service.end_handover(token, UNKNOWN);
+                        }
+                        Err(_) => {}
                     }
-                    Err(_) => {}
+                    sleep(REQUEST_INTERVAL).await;
                 }
-                sleep(REQUEST_INTERVAL).await;
             }
         });
     }
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -62,15 +62,20 @@
         });
         let (election, service) = (Rc::clone(self), Rc::clone(service));
         let target = target.clone();
-        task::spawn("order_search", async move {
-            let outcome = election.search(&service, &target, search).await;
-            let lasted = election.site.now().saturating_sub(search.since());
-            election.site.log(&Event::OrderSearched {
-                service: service.name.clone(),
-                term: search.term().number(),
-                outcome: outcome.to_string(),
-                millis: lasted.as_millis(),
-            });
+        // Only the result of the search ends the hold.
+        task::complete("order_search", move || {
+            let (election, service) = (Rc::clone(&election), Rc::clone(&service));
+            let target = target.clone();
+            async move {
+                let outcome = election.search(&service, &target, search).await;
+                let lasted = election.site.now().saturating_sub(search.since());
+                election.site.log(&Event::OrderSearched {
+                    service: service.name.clone(),
+                    term: search.term().number(),
+                    outcome: outcome.to_string(),
+                    millis: lasted.as_millis(),
+                });
+            }
         });
     }
 
--- a/crates/proxy/src/service/confirm.rs
+++ b/crates/proxy/src/service/confirm.rs
@@ -82,20 +82,28 @@
             state.confirmation.round_started_at = Some(now);
             state.confirmation.in_progress = true;
         }
-        let service = Rc::clone(self);
-        task::spawn("confirmation", async move {
+        let (service, panicked) = (Rc::clone(self), Rc::clone(self));
+        let round = async move {
             let follow = service.others_follow(now).await;
-            {
-                let mut state = service.state.borrow_mut();
-                state.confirmation.in_progress = false;
-                if follow {
-                    state.confirmation.confirmed_at = Some(now);
-                }
-            }
-            service.confirmation_notify.notify_waiters();
+            service.end_round(now, follow);
+        };
+        task::spawn_or_else("confirmation", round, move || {
+            panicked.end_round(now, false);
         });
     }
 
+    /// Ends the round of queries that began at `start`. `follow` tells whether it confirmed the primary.
+    fn end_round(&self, start: Duration, follow: bool) {
+        {
+            let mut state = self.state.borrow_mut();
+            state.confirmation.in_progress = false;
+            if follow {
+                state.confirmation.confirmed_at = Some(start);
+            }
+        }
+        self.confirmation_notify.notify_waiters();
+    }
+
     /// Reports whether all servers except the primary answer, and follow in no term newer than its
     /// own. Returns `false` if there is no other server, since none could confirm it.
     async fn others_follow(self: &Rc<Self>, asked: Duration) -> bool {
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -22,12 +22,24 @@
 
 impl<C: Codec> Service<C> {
     pub(super) fn open(self: &Rc<Self>, server: ServerKey, team: TeamKey) {
-        let service = Rc::clone(self);
-        task::spawn("server_connect", async move {
-            service.connect(server, team).await
+        let (service, panicked) = (Rc::clone(self), Rc::clone(self));
+        let connect = async move { service.connect(server, team).await };
+        task::spawn_or_else("server_connect", connect, move || {
+            panicked.give_up_connect(server, team);
         });
     }
 
+    /// Records that no connection to `server` is being opened any more for `team`.
+    fn give_up_connect(self: &Rc<Self>, server: ServerKey, team: TeamKey) {
+        let now = self.site.now();
+        let failure = dispatch::Failure::Unreachable;
+        let next = {
+            let mut state = self.state.borrow_mut();
+            state.dispatch.connect_failed(server, team, failure, now)
+        };
+        self.apply(next);
+    }
+
     async fn connect(self: Rc<Self>, server: ServerKey, team: TeamKey) {
         let now = self.site.now();
         let target = {
@@ -35,13 +47,7 @@
             state.servers.get(&server).map(|entry| entry.target.clone())
         };
         let Some(target) = target else {
-            let failure = dispatch::Failure::Unreachable;
-            let next = self
-                .state
-                .borrow_mut()
-                .dispatch
-                .connect_failed(server, team, failure, now);
-            self.apply(next);
+            self.give_up_connect(server, team);
             return;
         };
         let id = self.site.next_id();
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -19,6 +19,7 @@
 use crate::poll_state::{MIN_BACKOFF, PollFailure, PollState};
 use crate::site::Site;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 mod calls;
 mod relayed;
@@ -209,11 +210,7 @@
         let published = &self.fleet.feeds.published_peers;
         let mut poll = PollState::new(Table::Hosts.name(), self.site.now());
         let contact_until = self.started_at + ELECTOR_CONTACT_TIMEOUT;
-        let (watch, announcing) = (Rc::clone(&self), own.clone());
-        let announced = task::spawn(
-            "announcement",
-            async move { watch.announce(&announcing).await },
-        );
+        let announced = self.start_announcement(&own);
         // If the store is healthy, one call then returns this host's entry as well.
         let _ = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         loop {
@@ -316,8 +313,16 @@
             return;
         }
         self.announced.set(None);
+        self.start_announcement(own);
+    }
+
+    /// Announces this host in a task of its own.
+    fn start_announcement(self: &Rc<Self>, own: &Peer) -> JoinHandle<()> {
         let (watch, own) = (Rc::clone(self), own.clone());
-        task::spawn("announcement", async move { watch.announce(&own).await });
+        task::complete("announcement", move || {
+            let (watch, own) = (Rc::clone(&watch), own.clone());
+            async move { watch.announce(&own).await }
+        })
     }
 
     /// Applies configurations in the order in which they were written. A configuration that cannot
