Adopt new settings while a host waits for an address

Cause: since a host waits for addresses instead of ending, it kept waiting for one that its settings did not name any more: it was the end that made it read them again. Change: a host that is not open yet and whose settings change starts again within the process with the new ones (113): its tasks end, and with them the addresses that it has opened. A host that is open keeps its settings until the next start, as before.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -131,6 +131,8 @@
         111 Warn Unauthorized { path: String },
         /// file descriptors are used up after {millis} ms, the start waits for them: {error}
         112 Error NoDescriptors { millis: u128, error: String },
+        /// the settings changed before {daemon} served: it starts with the new ones
+        113 Info SettingsAdopted { daemon: &'static str },
         /// setting ignored: {problem}
         114 Warn SettingIgnored { problem: String },
         /// task {task} ended: {end}; it starts again in {millis} ms
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -156,6 +156,15 @@
     }
 }
 
+/// Why a host has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// It was asked to.
+    Requested,
+    /// Its settings changed while it waited for its addresses.
+    SettingsChanged,
+}
+
 /// What a host needs open before it can become ready.
 struct Opened {
     /// Messages of other hosts.
@@ -169,7 +178,7 @@
 
 /// Runs an entry host until `ended` returns and then all sessions are over or the grace has passed.
 /// Waits for addresses that are not available: the host is not ready until all that it needs are
-/// open.
+/// open. Ends early if `changed` returns during that time.
 ///
 /// # Errors
 /// Returns an error if the system does not report the address of a socket.
@@ -178,7 +187,8 @@
     platform: P,
     clock: Arc<dyn Clock>,
     ended: impl Future<Output = ()>,
-) -> io::Result<()> {
+    changed: impl Future<Output = ()>,
+) -> io::Result<End> {
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
     let site = Site::new(host.clone(), zone.clone(), clock);
     let site = site.with_strength(settings.strength);
@@ -208,8 +218,9 @@
         () = &mut ended => {
             Daemon::Draining { daemon: NAME }.log();
             Daemon::Stopped { daemon: NAME }.log();
-            return Ok(());
+            return Ok(End::Requested);
         }
+        () = changed => return Ok(End::SettingsChanged),
         opened = open_all(&settings, &context, &open, &readiness) => opened?,
     };
     let Opened { socket, accepting } = opened;
@@ -288,7 +299,7 @@
         sessions: open.count(),
     });
     Daemon::Stopped { daemon: NAME }.log();
-    Ok(())
+    Ok(End::Requested)
 }
 
 /// Runs what `start` returns for `subject` as a task that is started again if it ends.
