Show that an endless answer of a server fills a host's memory

Cause: all rows of an answer are kept until it ends or its statement times out, which bounds the time and not the size.

--- a/crates/standin/src/pooled/caller.rs
+++ b/crates/standin/src/pooled/caller.rs
@@ -131,8 +131,13 @@
 
     /// Sends bytes as they are.
     pub async fn send(&mut self, text: &str) {
+        self.send_bytes(text.as_bytes()).await;
+    }
+
+    /// Sends bytes that need not be text.
+    pub async fn send_bytes(&mut self, bytes: &[u8]) {
         // A session that the host has ended shows at the next read.
-        let _ = self.stream.get_mut().write_all(text.as_bytes()).await;
+        let _ = self.stream.get_mut().write_all(bytes).await;
     }
 
     /// The next line; `None` when the host has ended the session.
--- a/crates/standin/src/pooled/server.rs
+++ b/crates/standin/src/pooled/server.rs
@@ -24,6 +24,8 @@
     pub status: Option<&'static [u8]>,
     /// What it reports as its position, in place of that.
     pub position: Option<&'static [u8]>,
+    /// Rows of 64 KiB that precede its answer to each read.
+    pub rows: u32,
 }
 
 /// What a server has left when it starts again.
--- a/crates/standin/src/pooled/session.rs
+++ b/crates/standin/src/pooled/session.rs
@@ -45,6 +45,9 @@
     Ended,
 }
 
+/// Size of a row of [`super::Faults::rows`], in bytes.
+const ROW_BYTES: usize = 64 << 10;
+
 /// Pause before it is looked again whether a replica has received a commit.
 const RECEIPT_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -111,6 +114,11 @@
                 self.send_bytes(&ready).await;
                 continue;
             }
+            if let Answer::Row(..) = answer
+                && !self.send_rows(self.server.faults().rows).await
+            {
+                return;
+            }
             let out = match answer {
                 Answer::Row(row, proof) => format!("DATAROW {row}\r\nCOMPLETE {proof}\r\n"),
                 Answer::Done(proof) => format!("COMPLETE {proof}\r\n"),
@@ -343,6 +351,20 @@
         }
     }
 
+    /// Sends `count` rows. Returns whether the other end takes them.
+    async fn send_rows(&mut self, count: u32) -> bool {
+        if count == 0 {
+            return true;
+        }
+        let row = [b"DATAROW ", vec![b'x'; ROW_BYTES].as_slice(), b"\r\n"].concat();
+        for _ in 0..count {
+            if self.stream.get_mut().write_all(&row).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
     async fn send(&mut self, text: &str) {
         self.send_bytes(text.as_bytes()).await;
     }
