Bound the rows of an answer that a host keeps

Cause: an answer was bounded by the timeout of its statement only. Change: an answer of more than 8 MiB breaks its connection, with a reason of its own. A read is repeated as after any lost answer, a write is in doubt.

--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -10,6 +10,8 @@
 pub enum Error {
     /// a message is longer than {0} bytes
     TooLong(usize),
+    /// the rows of an answer are longer than {0} bytes
+    AnswerTooLong(usize),
     /// a message is not terminated by CR LF
     BadTerminator,
     /// a message starts with an unknown word
--- a/crates/proxy/src/server_connection.rs
+++ b/crates/proxy/src/server_connection.rs
@@ -26,6 +26,10 @@
 /// trip between zones, and within the time that most requests have left when it expires.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum size of the rows of one answer, in bytes: several of the longest rows. An answer is passed on once it
+/// is complete, and each connection may hold one.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
 /// Initial buffer size, enough for a typical answer.
 const BUFFER_BYTES: usize = 2 << 10;
 
@@ -174,13 +178,22 @@
     /// Returns the answer to the oldest unanswered command.
     ///
     /// # Errors
-    /// The connection is lost.
+    /// The connection is lost, or the answer is too long. The connection is of no further use then.
     pub async fn outcome(&mut self) -> Result<Outcome, Error> {
         let mut rows = Vec::new();
+        let mut bytes: usize = 0;
         let mut end = None;
         loop {
             match self.read_answer().await? {
-                Answer::Row(row) => rows.push(row),
+                Answer::Row(row) => {
+                    // An empty row takes memory as well.
+                    bytes = bytes.saturating_add(row.len() + size_of::<Bytes>());
+                    if bytes > MAX_ANSWER_BYTES {
+                        self.broken = true;
+                        return Err(codec::Error::AnswerTooLong(MAX_ANSWER_BYTES).into());
+                    }
+                    rows.push(row);
+                }
                 Answer::Complete(proof) => end = Some(Ok(proof)),
                 Answer::Error(error) => end = Some(Err(error)),
                 Answer::Ready {
