Bound the state of a session

Seen: one caller that sets values and prepares statements fills the memory of its host, 170 MiB after 120 lines of 900 KiB, without an end. Cause: the state of a session was kept without a bound, and each part kept the whole buffer in memory in which it was received. Change: values and prepared statements of a session take 4 MiB at most. What does not fit is not run (MALFORMED), and what is replaced or removed makes room. Parts are copied out of their buffers.

--- a/crates/proxy/src/caller_state.rs
+++ b/crates/proxy/src/caller_state.rs
@@ -10,6 +10,20 @@
 /// and sessions of one application share only a few statements.
 const MAX_PREPARED: usize = 64;
 
+/// Maximum size of the values and prepared statements of a session, with their names, in bytes: more than two of
+/// the longest messages. Connections to servers hold copies.
+pub const MAX_STATE_BYTES: usize = 4 << 20;
+
+/// Size that each value or prepared statement counts for in addition to its bytes.
+const ENTRY_BYTES: usize = 128;
+
+/// A session's values and prepared statements would take more than [`MAX_STATE_BYTES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+#[displaydoc("the values and prepared statements of the session take too much room")]
+pub struct StateFull;
+
+impl std::error::Error for StateFull {}
+
 /// Values and prepared statements of a caller's session.
 ///
 /// ```
@@ -17,7 +31,7 @@
 /// use flamingopost_proxy::caller_state::{CallerState, ConnectionState, Step};
 ///
 /// let mut caller = CallerState::default();
-/// caller.set(Bytes::from("zone"), Bytes::from("garia"));
+/// caller.set(&Bytes::from("zone"), &Bytes::from("garia")).expect("there is room");
 /// let mut connection = ConnectionState::default();
 /// let set = Step::Set(Bytes::from("zone"), Bytes::from("garia"));
 /// assert_eq!(connection.steps(&caller, None), [set]);
@@ -28,22 +42,51 @@
 pub struct CallerState {
     values: BTreeMap<Bytes, Bytes>,
     prepared: BTreeMap<Bytes, Shape>,
+    /// Size of both.
+    bytes: usize,
 }
 
 impl CallerState {
     /// Sets a session value.
-    pub fn set(&mut self, name: Bytes, value: Bytes) {
-        self.values.insert(name, value);
+    ///
+    /// # Errors
+    /// There is no room for it, and the value stays as it was.
+    pub fn set(&mut self, name: &Bytes, value: &Bytes) -> Result<(), StateFull> {
+        let former = self.values.get(name).map(|former| size(name, former));
+        self.reserve(former, size(name, value))?;
+        self.values.insert(owned(name), owned(value));
+        Ok(())
     }
 
     /// Stores a prepared statement under the session's own name.
-    pub fn prepare(&mut self, name: Bytes, shape: Shape) {
-        self.prepared.insert(name, shape);
+    ///
+    /// # Errors
+    /// There is no room for it, and the name stands for what it stood for.
+    pub fn prepare(&mut self, name: &Bytes, shape: &Shape) -> Result<(), StateFull> {
+        let former = self.prepared.get(name);
+        let former = former.map(|former| size(name, &former.text));
+        self.reserve(former, size(name, &shape.text))?;
+        let text = owned(&shape.text);
+        self.prepared.insert(owned(name), Shape { text, ..*shape });
+        Ok(())
     }
 
     /// Removes a prepared statement. Returns whether it existed.
     pub fn deallocate(&mut self, name: &Bytes) -> bool {
-        self.prepared.remove(name).is_some()
+        let removed = self.prepared.remove(name);
+        let freed = removed.as_ref().map(|shape| size(name, &shape.text));
+        self.bytes = self.bytes.saturating_sub(freed.unwrap_or_default());
+        removed.is_some()
+    }
+
+    /// Counts an entry of `size` that replaces one of the size `former`, if there is room.
+    fn reserve(&mut self, former: Option<usize>, size: usize) -> Result<(), StateFull> {
+        let bytes = self.bytes.saturating_sub(former.unwrap_or_default()) + size;
+        if bytes > MAX_STATE_BYTES {
+            return Err(StateFull);
+        }
+        self.bytes = bytes;
+        Ok(())
     }
 
     /// Returns the statement prepared under `name`.
@@ -52,6 +95,16 @@
     }
 }
 
+/// Returns the size for which an entry counts.
+fn size(name: &Bytes, content: &Bytes) -> usize {
+    name.len() + content.len() + ENTRY_BYTES
+}
+
+/// Returns a copy of `part` that does not keep the whole buffer in memory in which it was received.
+fn owned(part: &Bytes) -> Bytes {
+    Bytes::copy_from_slice(part)
+}
+
 /// A command that must be sent on a connection before a session's statement can run there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -287,12 +287,12 @@
                 self.statement(query, shape.access, prepared).await;
             }
             Statement::Set { name, value } => {
-                self.caller_state.set(name.clone(), value.clone());
-                self.acknowledge();
+                let kept = self.caller_state.set(name, value);
+                self.acknowledge_state(kept);
             }
             Statement::Prepare { name, shape } => {
-                self.caller_state.prepare(name.clone(), shape.clone());
-                self.acknowledge();
+                let kept = self.caller_state.prepare(name, shape);
+                self.acknowledge_state(kept);
             }
             Statement::Deallocate { name } => match self.caller_state.deallocate(name) {
                 true => self.acknowledge(),
--- a/crates/proxy/src/session/respond.rs
+++ b/crates/proxy/src/session/respond.rs
@@ -7,6 +7,7 @@
 
 use super::{Session, TransactionState};
 use crate::caller_connection;
+use crate::caller_state::StateFull;
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::message::{Code, Query, Transaction};
@@ -125,6 +126,17 @@
         self.send_error(code, reason);
     }
 
+    /// Acknowledges a change of the session's state, or rejects it if there was no room.
+    pub(super) fn acknowledge_state(&mut self, kept: Result<(), StateFull>) {
+        match kept {
+            Ok(()) => self.acknowledge(),
+            Err(full) => {
+                let reason = full.to_string();
+                self.refuse(Code::Malformed, Reason::InvalidRequest, reason.as_bytes());
+            }
+        }
+    }
+
     /// Rejects the use of a prepared statement that does not exist.
     pub(super) fn refuse_unprepared(&mut self) {
         let reason = b"no statement was prepared by this name";
