Let a host write its entry again when somebody else replaces it

Saw: after another writer had put an entry that cannot be used under the name of a running host, or removed the entry, hosts that started later did not list it, and hosts that ran reached it at the address of the other entry.

Cause: a host compared its own entry with the list only when it read the whole list, and not with the changes that follow.

Change: the newest change of its own entry makes a host announce itself again, half a second later, so that two processes of one name do not storm the store.

--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -15,7 +15,9 @@
 use crate::feeds::{CancelReason, Follower, WaitOutcome};
 use crate::fleet::Fleet;
 use crate::meter;
-use crate::platform::{Backend, Configuration, Entry, Error, Peer, Platform, Read, Revision};
+use crate::platform::{
+    Backend, Change, Configuration, Entry, Error, Peer, Platform, Read, Revision,
+};
 use crate::poll_state::{MIN_BACKOFF, PollFailure, PollState};
 use crate::site::Site;
 use tokio::sync::Notify;
@@ -48,6 +50,10 @@
 /// the list is known. This is many times the duration of a call.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Delay before this host announces itself again. Guards against a storm of calls of two processes that
+/// were given the same name, each of which writes over the entry of the other.
+const REPEATED_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(500);
+
 /// Longest time for which the list of hosts waits for the configuration to be answered before it
 /// calls the store itself. Only a store that refuses the configuration alone makes it wait as long.
 const MAX_PROBE_WAIT: Duration = Duration::from_secs(10);
@@ -295,12 +301,21 @@
                 }
                 self.fleet.apply_host_list(entries);
             }
-            Batch::Changes(changes) => self.fleet.apply_host_changes(changes),
+            Batch::Changes(changes) => {
+                let is_own = |change: &&Change<Peer>| own_entry(change, own).is_some();
+                let newest = changes.iter().rev().find(is_own);
+                if newest.is_some_and(|change| own_entry(change, own) == Some(false)) {
+                    self.announce_again(own, read.revision);
+                }
+                self.fleet.apply_host_changes(changes);
+            }
         }
         self.election.forget_unlisted_hosts();
     }
 
-    /// Announces this host again, because the list as of `read` lacks its entry.
+    /// Announces this host again, because the list as of `read` lacks its entry or has another one.
+    ///
+    /// Any writer of the store may replace or remove the entry, and only this host writes it again.
     ///
     /// Guards against a majority that is counted without this host, by hosts that start after the
     /// store was restored from a backup older than the announcement. Such a backup may also have the entry
@@ -317,7 +332,10 @@
         }
         self.announced.set(None);
         let (watch, own) = (Rc::clone(self), own.clone());
-        task::spawn("announcement", async move { watch.announce(&own).await });
+        task::spawn("announcement", async move {
+            tokio::time::sleep(REPEATED_ANNOUNCEMENT_DELAY).await;
+            watch.announce(&own).await;
+        });
     }
 
     /// Applies configurations in the order in which they were written. A configuration that cannot
@@ -450,3 +468,13 @@
         }
     }
 }
+
+/// Returns whether `change` leaves the entry `own` of this host in the list, or `None` if it is one of
+/// another host.
+fn own_entry(change: &Change<Peer>, own: &Peer) -> Option<bool> {
+    match change {
+        Change::Put(peer) => (peer.host == own.host).then(|| peer == own),
+        Change::Unusable(unusable) => (unusable.id == own.host).then_some(false),
+        Change::Removed(host) => (*host == own.host).then_some(false),
+    }
+}
