Refuse connections that are meant for a server

Saw: with a server listed at a host's own address for callers, and a database of the name of the service, the host connected to itself as to a server; a read of a caller got "ERROR MALFORMED" from there.

Cause: a host that connects names the id of the server, and the host that is connected to did not look at it. So it took the service for a database.

Change: a host answers MISROUTED to a connection that names the id of a listed server, which a server of another id does as well. A relayed session names the host that it is meant for, and further fields of other callers are ignored as before.

--- a/crates/proxy/src/fleet/servers.rs
+++ b/crates/proxy/src/fleet/servers.rs
@@ -40,6 +40,15 @@
         }
     }
 
+    /// Reports whether `id` is that of a listed server, and not the name of this host.
+    ///
+    /// Guards against a host that takes itself, or another host, for a server, because an entry names its
+    /// address: statements would go round in circles.
+    pub fn is_server(&self, id: &[u8]) -> bool {
+        let id = std::str::from_utf8(id).ok();
+        id.is_some_and(|id| id != self.site.host && self.servers.borrow().by_id.contains_key(id))
+    }
+
     /// Applies one change of the list of servers.
     pub fn apply_server_change(&self, change: Change<Backend>) {
         match change {
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -14,6 +14,8 @@
         database: Bytes,
         /// The caller's API key, or on a relayed session the name of its team. May be empty.
         credential: Bytes,
+        /// The server or host that the connection was meant for, if it is named.
+        meant: Bytes,
     },
     /// Runs one statement.
     Query(Query),
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -138,9 +138,15 @@
     ) -> Result<(), caller_connection::Error> {
         let started = tokio::time::timeout(STARTUP_TIMEOUT, caller.request()).await;
         let (database, credential) = match started {
+            Ok(Ok(Some(Request::Startup { meant, .. }))) if context.fleet.is_server(&meant) => {
+                context.count_rejection(Reason::InvalidRequest, "", TeamKey::default());
+                caller.error(Code::Misrouted, b"this is no server");
+                return caller.close().await;
+            }
             Ok(Ok(Some(Request::Startup {
                 database,
                 credential,
+                ..
             }))) => (database, credential),
             Ok(Ok(None)) | Err(_) => return Ok(()),
             Ok(Ok(Some(_))) => {
