Bound the times and the memory that other hosts' messages decide on

Saw: a relayed configuration with the largest times was taken with them, where one that is read at the store has at most a year; sums with the clock's time panic beyond the range of a time. Changes of primaries of services that are not configured were kept for any number of names.

Cause: only the reader of the store bounded times, and nothing the names.

Change: times of relayed configurations have the same bound, and changes of at most 1,024 services that are not configured are kept.

--- a/crates/proxy/src/election/ended_terms.rs
+++ b/crates/proxy/src/election/ended_terms.rs
@@ -14,6 +14,10 @@
 use crate::platform::{Platform, Revision};
 use crate::service::Service;
 
+/// Largest number of services that are not configured here of which a change is kept. Any name may be in
+/// a message.
+const MAX_UNCONFIGURED: usize = 1_024;
+
 /// A heartbeat to be answered.
 pub(super) struct Heartbeat {
     /// When it was sent, by its sender's clock, in microseconds.
@@ -228,6 +232,9 @@
         let mut kept = self.unconfigured_terms.borrow_mut();
         let order = |it: &EndedTerm| (it.term(), it.token);
         let known = kept.get(&ended.service).map(|(_, known)| order(known));
+        if known.is_none() && kept.len() >= MAX_UNCONFIGURED {
+            return;
+        }
         if known < Some(order(ended)) {
             kept.insert(ended.service.clone(), (host.to_owned(), ended.clone()));
         }
--- a/crates/proxy/src/feeds/wire.rs
+++ b/crates/proxy/src/feeds/wire.rs
@@ -16,7 +16,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fault::Fault;
-use crate::platform::{Backend, Configuration, Entry, Peer, Revision, Service, Strength};
+use crate::platform::{
+    Backend, Configuration, Entry, LONGEST_TIME, Peer, Revision, Service, Strength,
+};
 use crate::route::{Consistency, Route};
 use crate::team::Directory;
 use crate::unusable::UnusableEntry;
@@ -322,7 +324,7 @@
             routes: routes.map(|(name, it)| (name, it.into())).collect(),
             services: services.map(|(name, it)| (name, it.into())).collect(),
             teams: configuration.teams.map(Directory::from),
-            transaction_idle: configuration.transaction_idle,
+            transaction_idle: configuration.transaction_idle.min(LONGEST_TIME),
         })
     }
 }
@@ -355,8 +357,8 @@
         Route {
             service: route.service,
             consistency: route.consistency.into(),
-            timeout: route.timeout,
-            goal: route.goal,
+            timeout: route.timeout.min(LONGEST_TIME),
+            goal: route.goal.min(LONGEST_TIME),
             priority: route.priority,
             anonymous: route.anonymous,
         }
@@ -384,8 +386,8 @@
     fn from(consistency: WireConsistency) -> Consistency {
         match consistency {
             WireConsistency::Primary => Consistency::Primary,
-            WireConsistency::Bounded(age) => Consistency::Bounded(age),
-            WireConsistency::Session(age) => Consistency::Session(age),
+            WireConsistency::Bounded(age) => Consistency::Bounded(age.min(LONGEST_TIME)),
+            WireConsistency::Session(age) => Consistency::Session(age.min(LONGEST_TIME)),
         }
     }
 }
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -110,6 +110,10 @@
     }
 }
 
+/// Upper bound of every time in a configuration. Longer ones are clamped to it, which makes no practical
+/// difference and keeps sums with the clock's time far from overflow.
+pub const LONGEST_TIME: Duration = Duration::from_secs(365 * 24 * 3_600);
+
 /// The operators' configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Configuration {
