--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -142,9 +142,15 @@
     ) -> Result<(), caller_connection::Error> {
         let started = tokio::time::timeout(STARTUP_TIMEOUT, caller.request()).await;
         let (database, credential) = match started {
+            Ok(Ok(Some(Request::Startup { meant, .. }))) if context.fleet.is_server(&meant) => {
+                context.count_rejection(Reason::InvalidRequest, "", TeamKey::default());
+                caller.error(Code::Misrouted, b"this is no server");
+                return caller.close().await;
+            }
             Ok(Ok(Some(Request::Startup {
                 database,
                 credential,
+                ..
             }))) => (database, credential),
             Ok(Ok(None)) | Err(_) => return Ok(()),
             Ok(Ok(Some(_))) => {
@@ -303,12 +309,12 @@
                 self.statement(query, shape.access, prepared).await;
             }
             Statement::Set { name, value } => {
-                self.caller_state.set(name.clone(), value.clone());
-                self.acknowledge();
+                let kept = self.caller_state.set(name, value);
+                self.acknowledge_state(kept);
             }
             Statement::Prepare { name, shape } => {
-                self.caller_state.prepare(name.clone(), shape.clone());
-                self.acknowledge();
+                let kept = self.caller_state.prepare(name, shape);
+                self.acknowledge_state(kept);
             }
             Statement::Deallocate { name } => match self.caller_state.deallocate(name) {
                 true => self.acknowledge(),
