Survive SIGHUP in the entry and control processes

Cause: these processes install no handler for SIGHUP at all, and those for SIGTERM after their settings, so SIGHUP always ended them. Change: like the deployed program they record signals from the first statement on; a request to stop that came during the start drains them. SIGHUP has no other effect, as they do not read their settings again. The control process has no test of its program; it has the same lines.

--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -13,6 +13,8 @@
     Platform(platform::Error),
     /// operators' HTTP failed: {0}
     Http(std::io::Error),
+    /// signals are not handled: {0}
+    Signals(std::io::Error),
 }
 
 impl std::error::Error for Error {}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -2,11 +2,14 @@
 
 mod flags;
 
+use std::io;
 use std::process::ExitCode;
 
 use flags::FlamingopostControl;
+use flamingopost_control::error::Error;
 use flamingopost_control::settings::Settings;
 use flamingopost_daemon::event::{Daemon, Event as _};
+use flamingopost_daemon::signals::Signals;
 use flamingopost_daemon::stop::Stop;
 
 const NAME: &str = "flamingopost-control";
@@ -18,10 +21,11 @@
 const FAILED: u8 = 1;
 
 fn main() -> ExitCode {
+    let signals = Signals::catch();
     let flags = FlamingopostControl::from_env_or_exit();
     match Settings::load(&flags.settings) {
         Ok(_) if flags.check => ExitCode::SUCCESS,
-        Ok(settings) => run(settings),
+        Ok(settings) => run(settings, signals),
         Err(problems) => {
             eprintln!("{problems}");
             ExitCode::from(BAD_SETTINGS)
@@ -29,7 +33,7 @@
     }
 }
 
-fn run(settings: Settings) -> ExitCode {
+fn run(settings: Settings, signals: io::Result<Signals>) -> ExitCode {
     // The process works without a logger, and without one the failure cannot be logged.
     let _ = flamingopost_daemon::log::start(settings.log.level, settings.log.format);
     flamingopost_daemon::metrics::start();
@@ -41,7 +45,7 @@
         zone,
     }
     .log();
-    let ended = actix_rt::System::new().block_on(work(settings));
+    let ended = actix_rt::System::new().block_on(work(settings, signals));
     match ended {
         Ok(()) => {
             Daemon::Stopped { daemon: NAME }.log();
@@ -59,9 +63,13 @@
     }
 }
 
-async fn work(settings: Settings) -> Result<(), flamingopost_control::error::Error> {
+async fn work(settings: Settings, signals: io::Result<Signals>) -> Result<(), Error> {
+    let signals = signals.map_err(Error::Signals)?;
     let stop = Stop::default();
     actix_rt::spawn(stop.clone().on_signals());
+    if signals.stop_requested() {
+        stop.drain();
+    }
     let draining = stop.clone();
     actix_rt::spawn(async move {
         draining.draining().await;
--- a/crates/entry/tests/program.rs
+++ b/crates/entry/tests/program.rs
@@ -41,9 +41,13 @@
 }
 
 fn terminate(child: &Child) {
+    signal(child, "-TERM");
+}
+
+fn signal(child: &Child, signal: &str) {
     let id = child.id().to_string();
-    let ended = Command::new("kill").args(["-TERM", &id]).status().unwrap();
-    assert!(ended.success());
+    let sent = Command::new("kill").args([signal, &id]).status().unwrap();
+    assert!(sent.success());
 }
 
 #[test]
@@ -117,3 +121,24 @@
         assert!(numbers.contains(&number), "{numbers:?} lacks {number}");
     }
 }
+
+/// Guards against SIGHUP, as a closing terminal sends it, that cuts callers off.
+#[test]
+fn a_hangup_does_not_end_it() {
+    let workdir = Workdir::new();
+    let mut child = Command::new(PROGRAM)
+        .arg("--settings")
+        .arg(workdir.settings("[log]\nformat = json\n"))
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    for line in lines {
+        let line: Value = serde_json::from_str(&line.unwrap()).unwrap();
+        if line["kv"]["event"] == 110 {
+            signal(&child, "-HUP");
+            terminate(&child);
+        }
+    }
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
