--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -3,6 +3,9 @@
 use std::fmt;
 use std::str::FromStr;
 
+/// Largest number of a term that something else may tell.
+const LAST_TOLD: i64 = i64::MAX >> 1;
+
 /// A term of a service.
 ///
 /// The upper half is the epoch of the controller authority that opened the term, agreed by
@@ -41,6 +44,21 @@
         }
     }
 
+    /// Returns the term for a number that something else has told, or `None` if that leaves no room for the
+    /// terms that have to follow: nobody reaches such a number by counting.
+    ///
+    /// ```
+    /// use flamingopost_core::term::Term;
+    ///
+    /// assert_eq!(Term::from_told(7), Some(Term::from_number(7)));
+    /// assert_eq!(Term::from_told(i64::MAX), None);
+    /// assert_eq!(Term::from_told(-1), None);
+    /// ```
+    pub fn from_told(number: i64) -> Option<Term> {
+        let told = (0..=LAST_TOLD).contains(&number);
+        told.then(|| Term::from_number(number))
+    }
+
     /// Returns the next term under authority `epoch`, greater than this one.
     ///
     /// # Panics
--- a/crates/proxy/src/peer/bounded.rs
+++ b/crates/proxy/src/peer/bounded.rs
@@ -1,14 +1,12 @@
 //! Numbers of messages that this host orders things by, or counts on. A message with one that leaves no
 //! room for that was sent by no host, and is dropped like one that cannot be decoded.
 
+use flamingopost_core::term::Term;
 use serde::de::{Error, Unexpected};
 use serde::{Deserialize, Deserializer};
 
 use crate::platform::MAX_EPOCH;
 
-/// Latest term that another host may name. Terms go up by one with each change of a primary.
-const MAX_TERM: i64 = i64::MAX >> 1;
-
 /// Largest count that another host may name. It is above that of an electorate which was read from the
 /// store, so that those which follow can be told.
 const MAX_COUNT: u64 = u64::MAX >> 1;
@@ -16,9 +14,9 @@
 /// Decodes a term.
 pub(super) fn term<'de, D: Deserializer<'de>>(number: D) -> Result<i64, D::Error> {
     let number = i64::deserialize(number)?;
-    match (0..=MAX_TERM).contains(&number) {
-        true => Ok(number),
-        false => Err(D::Error::invalid_value(
+    match Term::from_told(number) {
+        Some(_) => Ok(number),
+        None => Err(D::Error::invalid_value(
             Unexpected::Signed(number),
             &"a term",
         )),
