Compute the limit of relayed sessions within its range

Result: a_host_without_a_limit_takes_relayed_sessions panicked before ("attempt to multiply with overflow", debug build; a release build wraps to a limit that is still large) and passes.

--- a/crates/proxy/src/open_sessions.rs
+++ b/crates/proxy/src/open_sessions.rs
@@ -68,7 +68,7 @@
             RelayPolicy::Allowed => self.count() < self.max,
             RelayPolicy::Never => {
                 let descriptors = self.own.get() * DESCRIPTORS_PER_CALLER + self.relayed.get();
-                descriptors < self.max * RELAYED_PERCENT / 100
+                descriptors < self.max.saturating_mul(RELAYED_PERCENT) / 100
             }
         };
         if is_admitted {
--- a/crates/proxy/tests/open_sessions.rs
+++ b/crates/proxy/tests/open_sessions.rs
@@ -40,3 +40,11 @@
     assert!(sessions.admit(RelayPolicy::Never));
     assert!(!sessions.admit(RelayPolicy::Never));
 }
+
+/// Guards against a limit that is computed beyond the range of its numbers, where the settings allow any
+/// number of descriptors.
+#[test]
+fn a_host_without_a_limit_takes_relayed_sessions() {
+    let sessions = OpenSessions::new(usize::MAX);
+    assert_eq!(admitted(&sessions, RelayPolicy::Never, 10), 10);
+}
