Let the soak disturb the starts of hosts

The soak could not show that a host does not start, or ends by itself: it sent SIGHUP only to hosts that run, excused any death by signal of a host that had just started, wrote complete settings and gave each host free ports.

Seeds from 2^39 on draw, for the first twelve starts of each host, the form of its settings, whether they lack their end or are a FIFO, SIGHUPs and SIGTERM while it starts, and a port that is held for 0.2 to 3 s; besides, SIGHUPs during a shutdown, settings that are written anew in pieces, and odd rows of other writers, some of which stay to the end. A signal is only sent once the FIFO is open for reading or the log has a line, so that no program is blamed for the time before its first statement. A host that ends by itself is reported and started again. Panics in logs are a problem of their own kind on all seeds.

Lower seeds draw the same plans (tests/plan.rs, unchanged).

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -5,6 +5,8 @@
 use flamingopost_standin::pooled::{Garbage, OrderMode, Remains};
 
 use crate::net::Endpoint;
+use crate::odd::Odd;
+use crate::start::{Cut, Form};
 
 /// A fault, with its duration if it ends by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,6 +16,33 @@
         /// Number of the host.
         host: usize,
     },
+    /// A host is asked to stop, and is asked to reload its settings file while it does.
+    StopAndReload {
+        /// Number of the host.
+        host: usize,
+        /// Number of SIGHUPs.
+        count: u32,
+        /// Time before each of them.
+        pause: Duration,
+    },
+    /// The settings file of a host that runs is written anew in two pieces, with a SIGHUP after each.
+    Rewrite {
+        /// Number of the host.
+        host: usize,
+        /// How the settings are written.
+        form: Form,
+        /// The first piece.
+        cut: Cut,
+    },
+    /// Another writer adds a row that no reader expects to a table of the store.
+    OddRow {
+        /// Name of the table.
+        table: &'static str,
+        /// The row.
+        what: Odd,
+        /// Time until it is removed, if that is before the end of the run.
+        lasts: Option<Duration>,
+    },
     /// A host's process is killed (SIGKILL), and is restarted later.
     Kill {
         /// Number of the host.
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -1,16 +1,17 @@
 //! Injects faults into a testbed.
 
 use std::collections::BTreeSet;
-use std::os::unix::process::ExitStatusExt;
 use std::time::{Duration, Instant};
 
 use flamingopost_standin::pooled::{Faults, Mode, OrderMode, Remains};
 
 use crate::fault::{Fault, Moment, StoreFault, Victim};
 use crate::net::Endpoint;
+use crate::odd;
 use crate::problem::Kind;
-use crate::process::Host;
-use crate::testbed::{SERVICE, SHUTDOWN_GRACE, SHUTDOWN_MARGIN, Testbed, server_name};
+use crate::start::{Cut, Form};
+use crate::starter::stopped;
+use crate::testbed::{SERVICE, Testbed, server_name};
 
 /// Time until the entry of a crashed server expires.
 const ENTRY_LAPSE: Duration = Duration::from_millis(900);
@@ -31,15 +32,28 @@
     /// Injects `fault`, and ends it after its duration if it has one.
     pub(crate) async fn inject(&self, fault: Fault) {
         match fault {
-            Fault::Stop { host } => self.stop_host(&self.hosts[host]).await,
+            Fault::Stop { host } => self.stop_host(host, 0, Duration::ZERO).await,
+            Fault::StopAndReload { host, count, pause } => {
+                self.stop_host(host, count, pause).await;
+            }
+            Fault::Rewrite { host, form, cut } => self.rewrite_settings(host, form, cut).await,
+            Fault::OddRow { table, what, lasts } => {
+                self.site
+                    .store
+                    .insert_raw(table, odd::KEY, &what.text(table));
+                if let Some(lasts) = lasts {
+                    tokio::time::sleep(lasts).await;
+                    self.site.store.remove_raw(table, odd::KEY);
+                }
+            }
             Fault::Kill { host, lasts } => {
-                self.kill_host(&self.hosts[host]);
+                self.kill_host(host);
                 tokio::time::sleep(lasts).await;
-                self.start_host(&self.hosts[host]);
+                self.start_host(host);
             }
             Fault::KillAll => {
-                self.hosts.iter().for_each(|host| self.kill_host(host));
-                self.hosts.iter().for_each(|host| self.start_host(host));
+                (0..self.plan.hosts).for_each(|host| self.kill_host(host));
+                (0..self.plan.hosts).for_each(|host| self.start_host(host));
             }
             Fault::Pause { host, lasts } => {
                 self.hosts[host].set_paused(true);
@@ -47,7 +61,10 @@
                 self.hosts[host].set_paused(false);
             }
             Fault::Reload { host } => {
-                self.hosts[host].reload();
+                let host = &self.hosts[host];
+                if self.starter.is_none() || host.handles_signals() {
+                    host.reload();
+                }
             }
             Fault::Crash { server, lasts } => self.crash_server(&self.victim(server), lasts).await,
             Fault::Restart {
@@ -187,43 +204,50 @@
         }
     }
 
-    /// Starts a host, and reports a problem if that fails.
-    fn start_host(&self, host: &Host) {
-        if let Err(error) = host.start() {
-            self.history
-                .report_problem(Kind::NotStarted, error.to_string());
-        }
-    }
-
     /// Kills a host, and reports a problem if it had exited before.
-    fn kill_host(&self, host: &Host) {
+    fn kill_host(&self, host: usize) {
+        let host = &self.hosts[host];
         self.check_unexpected_exit(host);
         host.kill();
     }
 
-    /// Asks a host to stop and restarts it. It must exit within its grace period, and with success
-    /// unless a signal terminated it: a host that has just started may not handle signals yet.
-    async fn stop_host(&self, host: &Host) {
+    /// Asks a host to stop, sends it `reloads` SIGHUPs, each after `pause`, and restarts it. A signal may
+    /// terminate a host that has just started, which may not handle signals yet.
+    async fn stop_host(&self, number: usize, reloads: u32, pause: Duration) {
+        let host = &self.hosts[number];
+        let is_known = self.starter.is_some() && host.handles_signals();
+        if self.starter.is_some() && self.check_unexpected_exit(host) {
+            self.start_host(number);
+            return;
+        }
         if !host.terminate() {
             return;
         }
         let requested_at = Instant::now();
-        let name = &host.settings.name;
-        match host.wait_for_exit(SHUTDOWN_GRACE + SHUTDOWN_MARGIN).await {
-            Some(status) if status.success() || status.signal().is_some() => {}
-            Some(status) => {
-                let problem = format!("{name} exited with {status}");
-                self.history.report_problem(Kind::NotStopped, problem);
-            }
-            None => {
-                if host.is_undisturbed(requested_at) {
-                    let problem = format!("{name} still runs after {:?}", requested_at.elapsed());
-                    self.history.report_problem(Kind::NotStopped, problem);
+        let reload = async {
+            for _ in 0..reloads {
+                tokio::time::sleep(pause).await;
+                if is_known {
+                    host.reload();
                 }
-                host.kill();
             }
+        };
+        tokio::join!(
+            stopped(host, &self.history, requested_at, !is_known),
+            reload
+        );
+        self.start_host(number);
+    }
+
+    /// Writes the settings file of a host anew, and reports a problem if that fails.
+    async fn rewrite_settings(&self, host: usize, form: Form, cut: Cut) {
+        let Some(starter) = &self.starter else {
+            return;
+        };
+        if let Err(error) = starter.rewrite(host, form, cut).await {
+            let problem = error.to_string();
+            self.history.report_problem(Kind::NotStarted, problem);
         }
-        self.start_host(host);
     }
 
     /// Crashes a server and revives it after `lasts`. Its entry expires once the server
@@ -355,11 +379,11 @@
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         tokio::time::sleep(after).await;
-        self.hosts.iter().for_each(|host| self.kill_host(host));
+        (0..self.plan.hosts).for_each(|host| self.kill_host(host));
         tokio::time::sleep(lasts.saturating_sub(start.elapsed())).await;
         self.site.set_faults(&primary, Faults::default());
         self.site.set_order_mode(OrderMode::Answered);
-        self.hosts.iter().for_each(|host| self.start_host(host));
+        (0..self.plan.hosts).for_each(|host| self.start_host(host));
     }
 
     /// Keeps the server that a claim names behind, and crashes the primary meanwhile.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,8 @@
 
 use crate::fault::{Fault, Moment, StoreFault, Victim};
 use crate::net::Endpoint;
+use crate::odd::Odd;
+use crate::start::{Cut, Form, Start};
 use crate::teams::TEAMS;
 
 /// Mean time between two faults. Most faults last longer, so that they overlap.
@@ -50,6 +52,27 @@
 /// replica where one is lost.
 pub const FIRST_LONG_SEED: u64 = 1 << 38;
 
+/// The first seed that also draws what goes wrong as hosts start: signals, ports in use, incomplete
+/// settings and odd rows of other writers. Of the faults of all seeds it draws every second one, and of those
+/// from [`FIRST_RESTART_SEED`] on servers that restart with their log and entries of other writers.
+/// Even seeds are played on a platform as described at [`FIRST_LAX_SEED`].
+pub const FIRST_START_SEED: u64 = 1 << 39;
+
+/// Number of starts of a host for which a seed draws what goes wrong.
+const STARTS: usize = 12;
+
+/// Mean time between two faults that end hosts, rewrite their settings or add odd rows.
+const START_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// Tables that hosts read: the platform's, and their own.
+const TABLES: [&str; 5] = [
+    "op",
+    "servers",
+    "flamingopost-hosts",
+    "flamingopost-claims",
+    "flamingopost-written",
+];
+
 /// Mean time between two hosts that are cut off as they replace a primary, or late server lists.
 const ACTING_INTERVAL: Duration = Duration::from_millis(4_500);
 
@@ -89,6 +112,8 @@
     pub late_datagrams: bool,
     /// Number of a host whose log goes to a pipe that is never read.
     pub unread: Option<usize>,
+    /// What goes wrong at the first starts of each host, in order; empty if hosts just start.
+    pub starts: Vec<Vec<Start>>,
     /// The faults with their start times, in order.
     pub faults: Vec<(Duration, Fault)>,
 }
@@ -106,6 +131,7 @@
             lax: false,
             late_datagrams: false,
             unread: None,
+            starts: Vec::new(),
             faults: Vec::new(),
         }
     }
@@ -133,11 +159,16 @@
             length,
             lax: (FIRST_LAX_SEED..FIRST_RESTORE_SEED).contains(&seed)
                 || seed >= FIRST_RESTORE_SEED && seed.is_multiple_of(2)
-                || seed >= FIRST_LATE_SEED,
+                || (FIRST_LATE_SEED..FIRST_START_SEED).contains(&seed),
             late_datagrams: (FIRST_LATE_SEED..FIRST_LONG_SEED).contains(&seed),
             unread: rng.random_bool(0.3).then(|| rng.random_range(0..hosts)),
+            starts: Vec::new(),
             faults: Vec::new(),
         };
+        if seed >= FIRST_START_SEED {
+            plan.draw_starts(&mut rng);
+            return plan;
+        }
         if seed >= FIRST_LONG_SEED {
             plan.draw_long_faults(&mut rng);
             return plan;
@@ -166,6 +197,53 @@
         (FIRST_TEAM_SEED..FIRST_LATE_SEED).contains(&self.seed)
     }
 
+    /// Draws what goes wrong as hosts start, faults that make them start again, and some others.
+    fn draw_starts(&mut self, rng: &mut ChaCha8Rng) {
+        self.draw_faults(rng);
+        let faults = std::mem::take(&mut self.faults);
+        self.faults.extend(faults.into_iter().step_by(2));
+        self.draw_restarts(rng);
+        for (_, fault) in &mut self.faults {
+            if let Fault::Restart { remains, .. } = fault {
+                *remains = Remains::Log;
+            }
+        }
+        let starts = |_| (0..STARTS).map(|_| Start::draw(rng)).collect();
+        self.starts = (0..self.hosts).map(starts).collect();
+        let mut at = Duration::from_millis(rng.random_range(0..=500));
+        while at < self.length {
+            let fault = self.draw_start_fault(rng);
+            self.faults.push((at, fault));
+            at += START_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+    }
+
+    /// Draws a fault that makes a host start again, rewrites its settings or adds an odd row.
+    fn draw_start_fault(&self, rng: &mut ChaCha8Rng) -> Fault {
+        let host = rng.random_range(0..self.hosts);
+        let lasts = Duration::from_millis(rng.random_range(50..=1_000));
+        match rng.random_range(0..10) {
+            0..=1 => Fault::Kill { host, lasts },
+            2 => Fault::KillAll,
+            3..=4 => Fault::StopAndReload {
+                host,
+                count: rng.random_range(1..=5),
+                pause: Duration::from_millis(rng.random_range(1..=300)),
+            },
+            5..=6 => Fault::Rewrite {
+                host,
+                form: Form::draw(rng),
+                cut: Cut::draw(rng),
+            },
+            _ => Fault::OddRow {
+                table: TABLES[rng.random_range(0..TABLES.len())],
+                what: Odd::ALL[rng.random_range(0..Odd::ALL.len())],
+                lasts: rng.random_bool(0.7).then_some(lasts * 5),
+            },
+        }
+    }
+
     /// Draws one of the series of faults that take long, by the seed.
     fn draw_long_faults(&mut self, rng: &mut ChaCha8Rng) {
         self.hosts = self.hosts.max(3);
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -35,7 +35,7 @@
     }
     while faults.join_next().await.is_some() {}
     tokio::time::sleep(testbed.plan.length.saturating_sub(start.elapsed())).await;
-    testbed.heal().await?;
+    testbed.heal().await;
     testbed.wait_until_recovered().await;
     stop.store(true, Ordering::Relaxed);
     callers.join_all().await;
--- a/crates/soak/src/problem.rs
+++ b/crates/soak/src/problem.rs
@@ -39,6 +39,8 @@
     NotStopped,
     /// host that exited unexpectedly
     UnexpectedExit,
+    /// panic in a host
+    Panic,
     /// host that used too much memory
     Memory,
     /// host that did not recover
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -15,6 +15,12 @@
 /// How often a process is polled while its exit is awaited.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Mark of a log line about a panic.
+const PANIC_EVENT: &str = "\"event\":106}";
+
+/// Text of a panic that is not logged.
+const PANIC_TEXT: &str = "panicked at";
+
 /// Settings of a host, and the location of its files.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -59,6 +65,8 @@
     start_count: u32,
     /// Whether the host was asked to stop since its last start.
     stop_requested: bool,
+    /// Whether it is known to handle signals since its last start.
+    handles_signals: bool,
     /// When the host was last kept from answering: by a signal, a start or an exit.
     last_disturbed: Option<Instant>,
 }
@@ -117,6 +125,7 @@
         }
         state.start_count += 1;
         state.stop_requested = false;
+        state.handles_signals = false;
         let log = self.open_log(state.start_count)?;
         let mut command = Command::new(&self.settings.program);
         command.env("FLAMINGOPOST_CONFIG", self.settings_path());
@@ -139,9 +148,49 @@
     }
 
     fn open_error_file(&self) -> io::Result<Stdio> {
+        let mut file = File::options();
+        let file = file.create(true).append(true).open(self.error_path())?;
+        Ok(file.into())
+    }
+
+    fn error_path(&self) -> PathBuf {
         let Settings { folder, name, .. } = &self.settings;
-        let path = folder.join(format!("{name}.errors"));
-        Ok(File::options().create(true).append(true).open(path)?.into())
+        folder.join(format!("{name}.errors"))
+    }
+
+    /// Returns whether the process runs.
+    pub fn is_running(&self) -> bool {
+        let mut state = self.lock();
+        let child = state.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Returns whether the host has done anything since its last start, so that it handles signals: it
+    /// has written to its log, or read its settings. Before its first statement, no program does.
+    pub fn handles_signals(&self) -> bool {
+        let logged = match self.settings.unread_log {
+            true => self.unread_log_bytes(),
+            false => {
+                let path = self.log_path(self.start_count());
+                std::fs::metadata(path).map_or(0, |file| file.len())
+            }
+        };
+        logged > 0 || self.lock().handles_signals
+    }
+
+    /// Records that the host has begun to read its settings.
+    pub(crate) fn set_handles_signals(&self) {
+        self.lock().handles_signals = true;
+    }
+
+    /// Returns how often the host was started.
+    pub fn start_count(&self) -> u32 {
+        self.lock().start_count
+    }
+
+    /// Records that the host was kept from answering until now.
+    pub(crate) fn disturb(&self) {
+        self.lock().last_disturbed = Some(Instant::now());
     }
 
     /// Asks the host to stop (SIGTERM). Returns `false` if it does not run.
@@ -265,6 +314,21 @@
         std::fs::read_to_string(self.log_path(self.lock().start_count))
     }
 
+    /// Returns the lines about panics that the host has written in all its starts.
+    pub fn panics(&self) -> Vec<String> {
+        let logs = (1..=self.start_count()).map(|start| self.log_path(start));
+        let logs = logs.map(|path| (path, PANIC_EVENT));
+        let found = logs.chain([(self.error_path(), PANIC_TEXT)]);
+        let found = found.flat_map(|(path, mark)| {
+            // A host that was never started has no files.
+            let text = std::fs::read(path).unwrap_or_default();
+            let text = String::from_utf8_lossy(&text).into_owned();
+            let lines = text.lines().filter(|line| line.contains(mark));
+            lines.map(str::to_owned).collect::<Vec<_>>()
+        });
+        found.collect()
+    }
+
     /// Returns the number of bytes of the log that wait in the pipe that is not read.
     pub fn unread_log_bytes(&self) -> u64 {
         let state = self.lock();
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -21,6 +21,7 @@
 use crate::problem::Kind;
 use crate::process::{Host, Settings};
 use crate::session::Session;
+use crate::starter::Starter;
 use crate::teams::{CHECKS, CHECKS_KEY, TEAMS, Teams};
 
 /// Name of the only service of a run.
@@ -54,6 +55,8 @@
     pub(crate) plan: Plan,
     /// Number of configuration versions that were published so far.
     configurations: AtomicU16,
+    /// Starts the hosts, if something goes wrong as they start.
+    pub(crate) starter: Option<Arc<Starter>>,
     /// The teams, where callers belong to some.
     pub(crate) teams: Option<Arc<Teams>>,
 }
@@ -124,22 +127,40 @@
             })?);
         }
         let teams = plan.has_teams().then(Arc::default);
+        let (hosts, history) = (Arc::new(hosts), Arc::default());
+        let starter = (!plan.starts.is_empty()).then(|| {
+            let metrics = hosts.iter().map(|_| ports::free()).collect();
+            let (hosts, history) = (Arc::clone(&hosts), Arc::clone(&history));
+            Arc::new(Starter::new(hosts, history, &plan.starts, metrics))
+        });
         let testbed = Testbed {
+            starter,
             teams,
             site,
             net,
-            hosts: Arc::new(hosts),
-            history: Arc::default(),
+            hosts,
+            history,
             plan,
             configurations: AtomicU16::new(0),
         };
         testbed.configure();
-        for host in testbed.hosts.iter() {
-            host.start()?;
+        for host in 0..testbed.plan.hosts {
+            testbed.start_host(host);
         }
         Ok(testbed)
     }
 
+    /// Starts a host if it does not run, and reports a problem if that fails.
+    pub(crate) fn start_host(&self, number: usize) {
+        if let Some(starter) = &self.starter {
+            return starter.start(number);
+        }
+        if let Err(error) = self.hosts[number].start() {
+            let problem = error.to_string();
+            self.history.report_problem(Kind::NotStarted, problem);
+        }
+    }
+
     /// Starts the callers, which work until `stop` is set.
     pub(crate) fn start_callers(&self, stop: &Arc<AtomicBool>) -> JoinSet<()> {
         let count = self.plan.callers as u64;
@@ -185,7 +206,7 @@
 
     /// Ends all faults, restarts all servers and hosts that are down, and publishes a new version
     /// of the configuration.
-    pub(crate) async fn heal(&self) -> io::Result<()> {
+    pub(crate) async fn heal(&self) {
         self.net.heal();
         self.site.store.set_mode(Mode::Up);
         self.site.set_order_mode(OrderMode::Answered);
@@ -196,12 +217,14 @@
             self.revive(&id).await;
             self.site.stay(&id);
         }
-        for host in self.hosts.iter() {
+        for (number, host) in self.hosts.iter().enumerate() {
             host.set_paused(false);
-            host.start()?;
+            self.start_host(number);
+        }
+        if let Some(starter) = &self.starter {
+            starter.finish().await;
         }
         self.configure();
-        Ok(())
     }
 
     /// Waits until every host serves every database again. Hosts are checked concurrently, so that
@@ -320,7 +343,8 @@
         }
     }
 
-    /// Checks each host for an unexpected exit and its memory use, and stops all hosts.
+    /// Checks each host for an unexpected exit and its memory use, stops all hosts, and checks their
+    /// logs for panics.
     pub(crate) async fn stop_hosts(&self) {
         for host in self.hosts.iter() {
             let name = &host.settings.name;
@@ -343,6 +367,12 @@
             };
             self.history.report_problem(Kind::NotStopped, problem);
         }
+        for host in self.hosts.iter() {
+            for line in host.panics() {
+                let problem = format!("{}: {line}", host.settings.name);
+                self.history.report_problem(Kind::Panic, problem);
+            }
+        }
     }
 
     /// Waits until all hosts accept callers, and reports a problem if they do not in time.
