Split the start of a host's tasks from its run

Change: what tells whether it is ready and the start of its tasks are functions of their own; nothing else changes.

--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -256,41 +256,10 @@
         strength: settings.strength,
         protocol: PROTOCOL,
     };
-    let is_ready = {
-        let (fleet, stop) = (Rc::clone(&fleet), Rc::clone(&stop));
-        let election = Rc::clone(&election);
-        move || {
-            let knows = fleet.is_known() && !fleet.has_outdated_configuration();
-            let running = stop.phase() == Phase::Running && knows && !election.is_starting();
-            let fit = election
-                .outvoted()
-                .is_none_or(|lasts| lasts < UNREADY_DELAY);
-            running && fit
-        }
-    };
+    let is_ready = readiness_of(&fleet, &stop, &election);
     // Set only here.
     let _ = readiness.set(Box::new(is_ready));
-    keep("messages", &election, Election::listen);
-    keep("heartbeats", &election, Election::send_heartbeats);
-    keep(
-        "operation_requests",
-        &election,
-        Election::request_operations,
-    );
-    keep("configuration", &watch, Watch::follow_configuration);
-    keep("server_list", &watch, Watch::follow_servers);
-    keep("host_list", &watch, move |watch| {
-        watch.follow_hosts(own.clone())
-    });
-    let ticked = Rc::clone(&fleet);
-    keep("timers", &watch, move |watch| {
-        tick(Rc::clone(&ticked), watch)
-    });
-    let moved = Rc::clone(&stop);
-    keep("session_moves", &election, move |election| {
-        move_sessions_when_outvoted(election, Rc::clone(&moved))
-    });
-
+    keep_tasks(&election, &watch, &fleet, &stop, own);
     ended.await;
     Daemon::Draining { daemon: NAME }.log();
     drain(&stop, &open, settings.grace).await;
@@ -302,6 +271,49 @@
     Ok(End::Requested)
 }
 
+/// Returns what tells whether a host is ready.
+fn readiness_of<C: Codec, P: Platform>(
+    fleet: &Rc<Fleet<C>>,
+    stop: &Rc<Stop>,
+    election: &Rc<Election<C, P>>,
+) -> impl Fn() -> bool + 'static {
+    let (fleet, stop) = (Rc::clone(fleet), Rc::clone(stop));
+    let election = Rc::clone(election);
+    move || {
+        let knows = fleet.is_known() && !fleet.has_outdated_configuration();
+        let running = stop.phase() == Phase::Running && knows && !election.is_starting();
+        let fit = election
+            .outvoted()
+            .is_none_or(|lasts| lasts < UNREADY_DELAY);
+        running && fit
+    }
+}
+
+/// Starts the tasks by which a host follows the platform and takes part in changes of primaries. `own` is
+/// its entry in the list of hosts.
+fn keep_tasks<C: Codec, P: Platform>(
+    election: &Rc<Election<C, P>>,
+    watch: &Rc<Watch<C, P>>,
+    fleet: &Rc<Fleet<C>>,
+    stop: &Rc<Stop>,
+    own: Peer,
+) {
+    keep("messages", election, Election::listen);
+    keep("heartbeats", election, Election::send_heartbeats);
+    keep("operation_requests", election, Election::request_operations);
+    keep("configuration", watch, Watch::follow_configuration);
+    keep("server_list", watch, Watch::follow_servers);
+    keep("host_list", watch, move |watch| {
+        watch.follow_hosts(own.clone())
+    });
+    let fleet = Rc::clone(fleet);
+    keep("timers", watch, move |watch| tick(Rc::clone(&fleet), watch));
+    let stop = Rc::clone(stop);
+    keep("session_moves", election, move |election| {
+        move_sessions_when_outvoted(election, Rc::clone(&stop))
+    });
+}
+
 /// Runs what `start` returns for `subject` as a task that is started again if it ends.
 fn keep<T: 'static, F>(
     name: &'static str,
