Answer a heartbeat that was sent in a test of changes

Cause: the test acknowledged a heartbeat of the far future, which only counted because the elector took any time after its start. Change: the test names the time of the elector's clock, which stands still. All assertions are as they were.

--- a/crates/proxy/tests/changes.rs
+++ b/crates/proxy/tests/changes.rs
@@ -27,8 +27,8 @@
 /// Process of the other host.
 const PROCESS: u64 = 7;
 
-/// A time after the start of the elector, by its clock, in microseconds.
-const AFTER_START: u64 = 1 << 50;
+/// The time of the elector's clock, which stands still, in microseconds.
+const NOW: u64 = 0;
 
 /// The host that the test plays.
 struct Peer {
@@ -77,7 +77,7 @@
     /// Answers a heartbeat of the elector, which then knows what most other hosts know.
     fn acknowledge(&self) {
         self.send(Payload::HeartbeatAck {
-            sent: AFTER_START,
+            sent: NOW,
             progress: FeedProgress::default(),
             in_touch: 0,
             ended_terms: Vec::new(),
