Hold statements until the server leads that the newest order names

Callers lost acknowledged writes where two orders of one change were carried out one after the other.

Cause: a hold that waits for the successor of an announced order ended when any primary of a term that has not ended was seen to lead, also one that an earlier order had promoted. Change: the hold remembers the server that the newest order names and ends when that one leads, or 1.6 s after the announcement or the order as before. An order that becomes known while its server leads ends the hold at once. The tests orders, handover, late_order, restored_claims, old_claims, announced_end, former_primary, two_leaders, synchronous, leaving, restart and restore pass, as do those of core that were run.

--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -117,6 +117,8 @@
     allotment: Allotment,
     /// Hold on statements for the primary until its successor leads.
     successor_hold: Option<dispatch::Hold>,
+    /// ID of the server that the newest order names, while statements are held for it.
+    awaited_successor: Option<String>,
     replacement: Option<hold::Replacement>,
     /// Servers that were ordered to become primary, by server ID. Grows to at most the number of
     /// servers that ever existed.
@@ -188,6 +190,7 @@
                 waiters: BTreeMap::new(),
                 allotment: Allotment::NOT_SERVING,
                 successor_hold: None,
+                awaited_successor: None,
                 replacement: None,
                 promotions: BTreeMap::new(),
                 store_lease: StoreLease::default(),
@@ -417,7 +420,7 @@
 
     fn refresh_leader(self: &Rc<Self>) {
         let now = self.site.now();
-        let (change, succeeds) = {
+        let (change, succeeds, is_awaited) = {
             let mut state = self.state.borrow_mut();
             state.trust_only_server(now);
             let newest = state.freshness.term();
@@ -431,11 +434,12 @@
                 return;
             };
             let succeeds = state.is_successor(change.after);
+            let is_awaited = state.is_awaited(change.after);
             state.dispatch.set_leader(change.after);
             state.has_primary_ended = state.has_ended(change.after);
             state.schedule_leader_check(succeeds, now);
             state.no_primary_since = change.after.is_none().then_some(now);
-            (change, succeeds)
+            (change, succeeds, is_awaited)
         };
         self.site.record_primary_change();
         self.site.log(&Event::Leads {
@@ -445,7 +449,7 @@
             millis: change.lasted.as_millis(),
         });
         let is_searching = self.state.borrow().unheard_order.is_some();
-        if succeeds && !is_searching {
+        if succeeds && is_awaited && !is_searching {
             self.end_hold("a server was seen to lead");
         }
         self.failover_notify.notify_one();
--- a/crates/proxy/src/service/hold.rs
+++ b/crates/proxy/src/service/hold.rs
@@ -152,7 +152,8 @@
         let leader = self.dispatch.leader();
         let has_ended = self.has_ended(leader);
         let had_ended = std::mem::replace(&mut self.has_primary_ended, has_ended);
-        had_ended && self.is_successor(leader) && self.unheard_order.is_none()
+        let succeeds = self.is_successor(leader) && self.is_awaited(leader);
+        had_ended && succeeds && self.unheard_order.is_none()
     }
 
     /// Reports whether all terms that `server` is known to lead have ended.
@@ -180,7 +181,21 @@
         }
     }
 
+    /// Reports whether statements need not wait for another server than `leader`: no order is awaited, or the
+    /// newest one names `leader`.
+    ///
+    /// Guards against writes at a server that an earlier order has promoted: the newest order is still to be
+    /// carried out, and its successor lacks what that server acknowledges until then.
+    pub(super) fn is_awaited(&self, leader: Option<ServerKey>) -> bool {
+        let Some(awaited) = &self.awaited_successor else {
+            return true;
+        };
+        let entry = leader.and_then(|leader| self.servers.get(&leader));
+        entry.is_some_and(|entry| entry.target.id == *awaited)
+    }
+
     fn end_successor_hold(&mut self) -> Option<dispatch::Hold> {
+        self.awaited_successor = None;
         let ended = self.successor_hold.take();
         self.apply_holds();
         ended
@@ -233,17 +248,21 @@
     }
 
     /// Holds statements for as long after the order that `ended` describes as if it had not been
-    /// announced before. Returns whether that is much longer.
+    /// announced before. Returns whether that is much longer, or another server is awaited.
     pub fn renew_hold(&self, ended: &EndedTerm) -> bool {
         let until = self.site.now() + SUCCESSOR_HOLD;
         let mut state = self.state.borrow_mut();
         let replacement = state.replacement.as_ref();
         let is_newest =
             replacement.is_some_and(|it| (it.ended_term, it.token) == (ended.term(), ended.token));
-        let hold = state.successor_hold.filter(|_| is_newest);
-        let Some(hold) = hold.and_then(|hold| hold.extended(until, MIN_RENEWAL)) else {
+        let Some(hold) = state.successor_hold.filter(|_| is_newest) else {
             return false;
         };
+        let named = Some(ended.successor.id.clone());
+        let is_renamed = std::mem::replace(&mut state.awaited_successor, named.clone()) != named;
+        let Some(hold) = hold.extended(until, MIN_RENEWAL) else {
+            return is_renamed;
+        };
         state.hold_for_successor(hold.from, hold.until);
         true
     }
@@ -291,12 +310,24 @@
             None => Replacement::announced(ended, now),
         });
         let id = ended.successor.id.clone();
-        state.record_term_start(&peer::TermStart::new(id, ended.term(), ended.received()));
+        state.record_term_start(&peer::TermStart::new(
+            id.clone(),
+            ended.term(),
+            ended.received(),
+        ));
         state.leader.record_order(ended.term(), successor);
         let leads = state.dispatch.leader();
-        let is_done =
-            state.freshness.term() > ended.term() || leads.is_some() && leads == successor;
+        let is_leading = leads.is_some() && leads == successor;
+        let is_done = state.freshness.term() > ended.term() || is_leading;
+        if state.successor_hold.is_some() || !is_done {
+            state.awaited_successor = Some(id);
+        }
         if is_done {
+            let succeeds = is_leading && state.is_successor(leads) && state.unheard_order.is_none();
+            drop(state);
+            if succeeds {
+                self.end_hold("the ordered server was seen to lead before its order was heard of");
+            }
             return true;
         }
         if !is_handed_over {
