Take no lead from the entry of a server with invalid answers

Cause: the last entry left that says "primary" makes its server the primary (LeaderTracker::primary), without an answer of that server. Its invalid status is recorded as a sign of life (FailureKind::None), so the false primary is not in trouble, and the change that was claimed is dropped (choose_successor: the primary is well). Nobody asks the servers any more. The change had not been ordered by then because no replica had the log: RETURN_TIMEOUT, 10 s, passes for a listed server that may have it, and the entry of the lost primary goes after 2.3 s.

Change: after an answer that cannot be decoded, an entry is no claim to lead until its server reports a role (LeaderTracker::record_invalid_answer). It then counts as a server that does not answer. A server that has shown that it leads a term is kept as before, so a real primary is missed, waited for and fenced as before; one that answered once with garbage and is known by its entry alone is asked again after SEARCH_INTERVAL (by reading, 120 ms), as the service has no primary until then. An answer that is only too long is no invalid one.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -58,6 +58,8 @@
     reports_primary: bool,
     /// The server may lack part of the service's log; its claims to lead do not count.
     distrusted: bool,
+    /// The server's last answer is invalid, so that what the list has of it proves nothing.
+    invalid: bool,
     term: Term,
     /// The newest term in which the server has shown that it leads.
     led_term: Term,
@@ -90,6 +92,7 @@
             claims_primary: false,
             reports_primary: false,
             distrusted: false,
+            invalid: false,
             term: Term::default(),
             led_term: Term::default(),
             ended_through: ended,
@@ -133,6 +136,7 @@
         let Some(known) = self.servers.get_mut(&server) else {
             return;
         };
+        known.invalid = false;
         known.term = known.term.max(term);
         known.reports_primary = role == Role::Primary;
         match role {
@@ -153,6 +157,33 @@
         }
     }
 
+    /// Records that `server` gave an invalid answer. Until it reports its role, its entry in the list is no
+    /// claim to lead, unless it has shown that it leads some term.
+    ///
+    /// Guards against a service without a primary because of an entry whose server is none.
+    ///
+    /// ```
+    /// use flamingopost_core::key::ServerKey;
+    /// use flamingopost_core::leader::{LeaderTracker, Role};
+    /// use flamingopost_core::term::Term;
+    ///
+    /// let server = ServerKey::default();
+    /// let mut leader = LeaderTracker::default();
+    /// leader.record_listing(server, Role::Primary, 17);
+    /// leader.record_invalid_answer(server);
+    /// leader.record_listing(server, Role::Primary, 18);
+    /// assert_eq!(leader.primary(), None);
+    /// leader.record_role(server, Role::Primary, Term::from_number(3));
+    /// assert_eq!(leader.primary(), Some(server));
+    /// leader.record_invalid_answer(server);
+    /// assert_eq!(leader.primary(), Some(server), "it has shown that it leads");
+    /// ```
+    pub fn record_invalid_answer(&mut self, server: ServerKey) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.invalid = true;
+        }
+    }
+
     /// Records an order to replace the primary of `term`, by `successor` if it is known. Any other
     /// server that claims to lead is then preferred to those that lead that term or an older one,
     /// and to the successor of the previous order. Called for each order that is newer than the
@@ -291,7 +322,9 @@
     /// Returns the primary, if one is known.
     pub fn primary(&self) -> Option<ServerKey> {
         let claims = |known: &ServerState| known.claims_primary && !known.distrusted;
-        let counts = |known: &ServerState| claims(known) && !self.is_excluded(known);
+        let counts = |known: &ServerState| {
+            claims(known) && !known.has_only_invalid_claim() && !self.is_excluded(known)
+        };
         let claiming = self.servers.iter().filter(|(_, known)| counts(known));
         let order = |known: &ServerState| (!known.has_ended(), known.term, known.claim_version);
         let newest = claiming.max_by_key(|(_, known)| order(known))?;
@@ -408,6 +441,11 @@
         self.ended_through.is_some_and(|over| self.led_term <= over)
     }
 
+    /// Reports whether only the list has the server as primary, and the server's answer is invalid.
+    fn has_only_invalid_claim(&self) -> bool {
+        self.invalid && self.led_term == Term::default()
+    }
+
     /// Clears the ended terms of a server that follows: if it claims to lead again, it was
     /// promoted.
     fn reset_ended(&mut self) {
--- a/crates/core/tests/leader.rs
+++ b/crates/core/tests/leader.rs
@@ -269,3 +269,33 @@
     leader.record_role(again, Role::Primary, term(6));
     assert_eq!(leader.primary(), Some(again), "it was promoted");
 }
+
+/// Two entries say that their servers lead, and the one that changed last is that of a process which is no
+/// server. It must not keep a host that has just started from the primary, nor lead once that is gone.
+#[test]
+fn an_entry_whose_server_gives_invalid_answers_is_no_claim_to_lead() {
+    let (primary, other) = servers();
+    let mut leader = LeaderTracker::default();
+    leader.record_listing(primary, Role::Primary, 3);
+    leader.record_listing(other, Role::Primary, 8);
+    leader.record_invalid_answer(other);
+    assert_eq!(leader.primary(), Some(primary));
+    leader.remove_server(primary);
+    leader.record_listing(other, Role::Primary, 9);
+    assert_eq!(leader.primary(), None);
+    leader.record_role(other, Role::Primary, term(2));
+    assert_eq!(leader.primary(), Some(other), "a valid answer counts");
+}
+
+/// A primary that has shown its term stays the primary after an invalid answer. Whether it is missed is for a
+/// majority of hosts to decide.
+#[test]
+fn a_primary_that_has_led_is_kept_after_an_invalid_answer() {
+    let (primary, _) = servers();
+    let mut leader = LeaderTracker::default();
+    leader.record_listing(primary, Role::Primary, 3);
+    leader.record_role(primary, Role::Primary, term(2));
+    leader.record_invalid_answer(primary);
+    leader.record_listing(primary, Role::Primary, 4);
+    assert_eq!(leader.primary(), Some(primary));
+}
--- a/crates/proxy/src/service/observations.rs
+++ b/crates/proxy/src/service/observations.rs
@@ -9,7 +9,7 @@
 use flamingopost_core::term::Term;
 
 use super::{ResolvedServer, Service};
-use crate::codec::Codec;
+use crate::codec::{self, Codec};
 use crate::message::Status;
 use crate::peer;
 use crate::server_connection;
@@ -120,7 +120,7 @@
 
     /// Records that a request sent to a server at `sent` failed.
     pub fn record_failure(
-        &self,
+        self: &Rc<Self>,
         server: ServerKey,
         error: &server_connection::Error,
         sent: Duration,
@@ -138,8 +138,15 @@
         if matches!(failure_kind(error), FailureKind::Refused) {
             state.record_broken_connection(server);
         }
+        let is_invalid = is_invalid(error);
+        if is_invalid {
+            state.leader.record_invalid_answer(server);
+        }
         let leads = state.dispatch.leader() == Some(server);
         drop(state);
+        if is_invalid {
+            self.refresh_leader();
+        }
         if leads {
             self.failover_notify.notify_one();
         }
@@ -155,6 +162,20 @@
     }
 }
 
+/// Reports whether a server gave an answer that cannot be decoded. One that is only too long may be valid.
+fn is_invalid(error: &server_connection::Error) -> bool {
+    match error {
+        server_connection::Error::Codec(error) => match error {
+            codec::Error::TooLong(_) | codec::Error::AnswerTooLong(_) => false,
+            codec::Error::BadTerminator
+            | codec::Error::UnknownMessage
+            | codec::Error::MissingField
+            | codec::Error::BadField => true,
+        },
+        server_connection::Error::Io(_) | server_connection::Error::Refused(_) => false,
+    }
+}
+
 enum FailureKind {
     Refused,
     Silent,
