Reject an announced address that is invalid

Cause: an optional setting that is not understood takes its default, also announced: other hosts were told ip and the first port, at which they may not reach this host, and counted it all the same. Change: announced is either absent or valid; its problem keeps a host from starting.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -238,6 +238,23 @@
         })
     }
 
+    /// Returns an optional value, or `None` if it is absent or empty. Unlike with [`Reader::maybe`], an
+    /// invalid value is never tolerated.
+    ///
+    /// ```
+    /// use flamingopost_daemon::settings::Reader;
+    ///
+    /// let mut reader = Reader::parse("entry.ini", "[host]\nsessions = many\n");
+    /// let sessions: Option<usize> = reader.valid_if_present("host", "sessions");
+    /// assert!(reader.finish_lenient(Some(sessions)).is_err());
+    /// ```
+    pub fn valid_if_present<V: Value>(&mut self, section: &str, key: &str) -> Option<V> {
+        self.decode(section, key).unwrap_or_else(|problem| {
+            self.report(self.line(section, key), problem);
+            None
+        })
+    }
+
     /// Reports that the file named by `key` cannot be read.
     pub fn unreadable(&mut self, section: &str, key: &str, error: &std::io::Error) {
         let kind = ProblemKind::File {
