--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use flamingopost_standin::pooled::{Garbage, OrderMode, Remains};
+use flamingopost_standin::pooled::{Garbage, Odd, OrderMode, Remains};
 
 use crate::net::Endpoint;
-use crate::odd::Odd;
 use crate::start::{Cut, Form};
 
 /// A fault, with its duration if it ends by itself.
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -3,11 +3,10 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use flamingopost_standin::pooled::{Faults, Mode, OrderMode, Remains};
+use flamingopost_standin::pooled::{Faults, Mode, Odd, OrderMode, Remains};
 
 use crate::fault::{Fault, Moment, StoreFault, Victim};
 use crate::net::Endpoint;
-use crate::odd;
 use crate::problem::Kind;
 use crate::start::{Cut, Form};
 use crate::starter::stopped;
@@ -40,10 +39,10 @@
             Fault::OddRow { table, what, lasts } => {
                 self.site
                     .store
-                    .insert_raw(table, odd::KEY, &what.text(table));
+                    .insert_raw(table, Odd::KEY, &what.text(table));
                 if let Some(lasts) = lasts {
                     tokio::time::sleep(lasts).await;
-                    self.site.store.remove_raw(table, odd::KEY);
+                    self.site.store.remove_raw(table, Odd::KEY);
                 }
             }
             Fault::Kill { host, lasts } => {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,7 +15,6 @@
 mod inject;
 pub mod net;
 mod occupant;
-pub mod odd;
 pub mod plan;
 pub mod play;
 pub mod problem;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use flamingopost_standin::pooled::{Garbage, OrderMode, Remains, Sizes};
+use flamingopost_standin::pooled::{Garbage, Odd, OrderMode, Remains, Sizes};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::fault::{Fault, Moment, StoreFault, Victim};
 use crate::net::Endpoint;
-use crate::odd::Odd;
 use crate::start::{Cut, Form, Start};
 use crate::teams::TEAMS;
 
--- a/crates/soak/src/odd.rs
+++ b/crates/standin/src/pooled/odd.rs
@@ -3,9 +3,6 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 
-/// Key of such a row, after those of all others.
-pub const KEY: &str = "~odd";
-
 /// Nesting that is more than most decoders take.
 const DEEP: usize = 200;
 
@@ -40,15 +37,18 @@
         Odd::OutOfRange,
     ];
 
+    /// Key of an odd row, after those of all others.
+    pub const KEY: &str = "~odd";
+
     /// Returns the row of `table` as JSON, except where no JSON can be as odd.
     ///
     /// ```
-    /// use flamingopost_soak::odd::Odd;
+    /// use flamingopost_standin::pooled::Odd;
     ///
     /// assert!(Odd::Huge.text("servers").contains("1e400"));
     /// ```
     pub fn text(self, table: &str) -> String {
-        let count = u64::MAX;
+        let (key, count) = (Odd::KEY, u64::MAX);
         let (value, version) = match self {
             Odd::Deep => (nested(DEEP), "3"),
             Odd::VeryDeep => (nested(VERY_DEEP), "3"),
@@ -66,7 +66,7 @@
             }
         };
         format!(
-            r#"{{"table_name":"{table}","part":"","key":"{KEY}","value":{value},"schema_version":{version}}}"#
+            r#"{{"table_name":"{table}","part":"","key":"{key}","value":{value},"schema_version":{version}}}"#
         )
     }
 }
