--- a/crates/proxy/src/election.rs
+++ b/crates/proxy/src/election.rs
@@ -1,7 +1,6 @@
 //! Runs the failover of each service's primary: queries hosts and servers, claims a change in the
 //! platform's store, and orders the promotion.
 
-use flamingopost_daemon::task;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -12,6 +11,7 @@
 use flamingopost_core::key::{HostKey, ServerKey};
 use flamingopost_core::quorum::Closing;
 use flamingopost_core::succession::{FencingToken, Ground, NextStep, Order, Succession, View};
+use flamingopost_daemon::task;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
--- a/crates/proxy/src/election/claim_holder.rs
+++ b/crates/proxy/src/election/claim_holder.rs
@@ -1,10 +1,10 @@
 //! Checks whether the holder of a claim on a leaving primary would reach this host with its order.
 
-use flamingopost_daemon::task;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::succession::Trouble;
+use flamingopost_daemon::task;
 use tokio::time::sleep;
 
 use super::Election;
--- a/crates/proxy/src/election/claims.rs
+++ b/crates/proxy/src/election/claims.rs
@@ -1,6 +1,5 @@
 //! Claims on changes of a primary, kept in the platform's store.
 
-use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -12,6 +11,7 @@
     CLAIM_HOLDER_TIMEOUT, FencingToken, PROMOTION_TIMEOUT, Succession, Trouble,
 };
 use flamingopost_core::term::Term;
+use flamingopost_daemon::task;
 
 use super::{CLAIM_TIMEOUT, Election, in_time};
 use crate::codec::Codec;
--- a/crates/proxy/src/election/electorate.rs
+++ b/crates/proxy/src/election/electorate.rs
@@ -1,6 +1,5 @@
 //! The electorate: which hosts decide by majority, as agreed between them and recorded in the store.
 
-use flamingopost_daemon::task;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,6 +10,7 @@
 use flamingopost_core::quorum::{
     Electorate, Evidence, HEARTBEAT_INTERVAL, Prospect, Quorum, Recording, Standing, Step,
 };
+use flamingopost_daemon::task;
 
 use super::Election;
 use crate::codec::Codec;
--- a/crates/proxy/src/election/empty_log.rs
+++ b/crates/proxy/src/election/empty_log.rs
@@ -1,13 +1,13 @@
 //! Detects a primary with an empty log. A primary that shows no write of its term is checked by its
 //! own answer and by the store's record of services that were written to.
 
-use flamingopost_daemon::task;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::epoch::Epoch;
 use flamingopost_core::position::Position;
+use flamingopost_daemon::task;
 use tokio::time::{sleep, timeout};
 
 use super::{ACTIVE_STEP_INTERVAL, CLAIM_TIMEOUT, Election, Probe, STATUS_TIMEOUT, in_time};
--- a/crates/proxy/src/election/handover.rs
+++ b/crates/proxy/src/election/handover.rs
@@ -1,7 +1,6 @@
 //! Follows up on an order: polls the successor until it leads, and tells the replaced primary to
 //! step down.
 
-use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +10,7 @@
 use flamingopost_core::quorum::{CLOCK_MARGIN, LEASE_DURATION};
 use flamingopost_core::succession::{PROMOTION_TIMEOUT, Succession, Trouble};
 use flamingopost_core::term::Term;
+use flamingopost_daemon::task;
 use tokio::time::timeout;
 
 use super::{ACTIVE_STEP_INTERVAL, Election, STATUS_TIMEOUT, target};
--- a/crates/proxy/src/election/messaging.rs
+++ b/crates/proxy/src/election/messaging.rs
@@ -1,11 +1,11 @@
 //! Messages between this host and the other entry hosts.
 
-use flamingopost_daemon::task;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::quorum::{HEARTBEAT_INTERVAL, STORE_RENEWAL_INTERVAL};
+use flamingopost_daemon::task;
 
 use super::Election;
 use crate::codec::Codec;
--- a/crates/proxy/src/election/reachability.rs
+++ b/crates/proxy/src/election/reachability.rs
@@ -1,10 +1,10 @@
 //! Answers other hosts that ask whether this one reaches a server.
 
-use flamingopost_daemon::task;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use flamingopost_core::key::ServerKey;
+use flamingopost_daemon::task;
 
 use super::{Election, Probe, RECENT_CONTACT, target};
 use crate::codec::Codec;
--- a/crates/proxy/src/election/run.rs
+++ b/crates/proxy/src/election/run.rs
@@ -1,11 +1,11 @@
 //! The task that runs the failover of one service.
 
-use flamingopost_daemon::task;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::succession::{NextStep, PAUSE_THRESHOLD, Succession};
+use flamingopost_daemon::task;
 use tokio::time::timeout;
 
 use super::handover::{NOTIFYING_HOSTS, REPLACEMENT_NOTICE_INTERVAL};
--- a/crates/proxy/src/election/status.rs
+++ b/crates/proxy/src/election/status.rs
@@ -1,6 +1,5 @@
 //! Status queries to servers.
 
-use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +7,7 @@
 use flamingopost_core::dispatch::ServerState;
 use flamingopost_core::leader::Role;
 use flamingopost_core::succession::{Report, Succession, Trouble};
+use flamingopost_daemon::task;
 use tokio::time::timeout;
 
 use super::{Election, STATUS_TIMEOUT};
--- a/crates/proxy/src/election/successor.rs
+++ b/crates/proxy/src/election/successor.rs
@@ -1,7 +1,6 @@
 //! The state of a leaving primary's successor, for hosts that use the primary until it leads. The host
 //! that announced the end of the term asks the successor, on one connection for all hosts.
 
-use flamingopost_daemon::task;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +9,7 @@
 use flamingopost_core::leader::Role;
 use flamingopost_core::position::Position;
 use flamingopost_core::term::Term;
+use flamingopost_daemon::task;
 use tokio::time::{sleep, timeout};
 
 use super::{Election, Probe, STATUS_TIMEOUT, target};
--- a/crates/proxy/src/election/unheard_order.rs
+++ b/crates/proxy/src/election/unheard_order.rs
@@ -1,11 +1,11 @@
 //! Search for orders that were given before this host started, where no running host knows them.
 
-use flamingopost_daemon::task;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::leader::Role;
 use flamingopost_core::succession::{ClaimRecord, Finding, PROMOTION_TIMEOUT, UnheardOrder};
+use flamingopost_daemon::task;
 use tokio::time::sleep;
 
 use super::{Election, Probe, in_time};
--- a/crates/proxy/src/feeds/client.rs
+++ b/crates/proxy/src/feeds/client.rs
@@ -1,10 +1,10 @@
 //! Reads feeds at other hosts over HTTP.
 
-use flamingopost_daemon::task;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flamingopost_daemon::task;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{Builder, SendRequest};
--- a/crates/proxy/src/feeds/server.rs
+++ b/crates/proxy/src/feeds/server.rs
@@ -3,12 +3,12 @@
 //! `hyper` is linked for the platform's store and the balancer's probe already. `jsonrpsee` would
 //! add its server, its client and their buffers to each host, whose peak memory is priced.
 
-use flamingopost_daemon::task;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use flamingopost_daemon::task;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,6 +1,5 @@
 //! What this host knows of the fleet: configuration, services and their servers, other hosts.
 
-use flamingopost_daemon::task;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,6 +12,7 @@
 use flamingopost_core::key::{HostKey, ServerKey, TeamKey};
 use flamingopost_core::limit::NoShares;
 use flamingopost_core::quorum::{Electorate, Quorum};
+use flamingopost_daemon::task;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
 
--- a/crates/proxy/src/service/confirm.rs
+++ b/crates/proxy/src/service/confirm.rs
@@ -1,12 +1,12 @@
 //! Confirms with the other servers of a service that its primary still leads.
 
-use flamingopost_daemon::task;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::key::ServerKey;
 use flamingopost_core::leader::Role;
 use flamingopost_core::term::Term;
+use flamingopost_daemon::task;
 use tokio::time::timeout;
 
 use super::Service;
--- a/crates/proxy/src/service/connect.rs
+++ b/crates/proxy/src/service/connect.rs
@@ -1,12 +1,12 @@
 //! Opens connections to servers.
 
-use flamingopost_daemon::task;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::dispatch;
 use flamingopost_core::key::{ServerKey, TeamKey};
+use flamingopost_daemon::task;
 use tokio::time::timeout;
 
 use super::Service;
--- a/crates/proxy/src/session/transaction.rs
+++ b/crates/proxy/src/session/transaction.rs
@@ -1,10 +1,10 @@
 //! Statements inside a caller's transaction, from the first one to the end of the transaction.
 
-use flamingopost_daemon::task;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use flamingopost_daemon::task;
 
 use super::placement::{Answered, Plan, StatementResult};
 use super::{LOG_LOST, OUT_OF_TOUCH, PendingTransaction, Session, TransactionState};
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -1,11 +1,11 @@
 //! Follows the lists in the platform's store: configuration, backend servers, other entry hosts.
 
-use flamingopost_daemon::task;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flamingopost_core::feed::STUCK_AFTER;
+use flamingopost_daemon::task;
 
 use crate::codec::Codec;
 use crate::election::Election;
