--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -63,15 +63,6 @@
 /// Mean time between two faults that end hosts, rewrite their settings or add odd rows.
 const START_INTERVAL: Duration = Duration::from_millis(1_200);
 
-/// Tables that hosts read: the platform's, and their own.
-const TABLES: [&str; 5] = [
-    "op",
-    "servers",
-    "flamingopost-hosts",
-    "flamingopost-claims",
-    "flamingopost-written",
-];
-
 /// Mean time between two hosts that are cut off as they replace a primary, or late server lists.
 const ACTING_INTERVAL: Duration = Duration::from_millis(4_500);
 
@@ -236,7 +227,7 @@
                 cut: Cut::draw(rng),
             },
             _ => Fault::OddRow {
-                table: TABLES[rng.random_range(0..TABLES.len())],
+                table: Odd::TABLES[rng.random_range(0..Odd::TABLES.len())],
                 what: Odd::ALL[rng.random_range(0..Odd::ALL.len())],
                 lasts: rng.random_bool(0.7).then_some(lasts * 5),
             },
--- a/crates/standin/src/pooled/odd.rs
+++ b/crates/standin/src/pooled/odd.rs
@@ -37,6 +37,15 @@
         Odd::OutOfRange,
     ];
 
+    /// Tables that hosts read: the platform's, and their own.
+    pub const TABLES: [&str; 5] = [
+        "op",
+        "servers",
+        "flamingopost-hosts",
+        "flamingopost-claims",
+        "flamingopost-written",
+    ];
+
     /// Key of an odd row, after those of all others.
     pub const KEY: &str = "~odd";
 
